--- /dev/null
+++ b/crates/corianderstand_agent/src/accept.rs
@@ -0,0 +1,191 @@
+//! Connections from routers.
+
+use crate::event::{ConnectionId, Event, Request, StreamEnd};
+use bytes::Bytes;
+use corianderstand_decide::work::{Need, Work};
+use corianderstand_link::{
+    PROTOCOL,
+    connection::{self, Reader},
+    frame::{self, FrameError},
+};
+use corianderstand_schema::messages::{Load, OpenStream, Operation, ToAgent, ToRouter};
+use corianderstand_types::{clock::SharedClock, names::TargetId, weights::Weights};
+use std::{
+    collections::HashMap,
+    sync::mpsc::{SyncSender, TrySendError},
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, watch},
+};
+
+/// Frames that wait to be written to one router.
+const OUT_RING: usize = 1024;
+
+/// What every connection needs.
+#[derive(Clone)]
+pub struct Shared {
+    /// Name of the target.
+    pub target: TargetId,
+    /// Start of this process.
+    pub incarnation: u64,
+    /// Limit on silence.
+    pub silence: Duration,
+    /// To the `decide` thread.
+    pub events: SyncSender<Event>,
+    /// How busy the target is.
+    pub load: watch::Receiver<Load>,
+    /// Whether new work is taken.
+    pub draining: watch::Receiver<bool>,
+    /// Time.
+    pub clock: SharedClock,
+}
+
+/// Accepts for ever.
+pub async fn run(listener: TcpListener, shared: Shared) {
+    let mut next_id: ConnectionId = 0;
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "connection not accepted");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        next_id += 1;
+        tokio::spawn(serve(stream, next_id, shared.clone()));
+    }
+}
+
+async fn serve(stream: TcpStream, id: ConnectionId, shared: Shared) {
+    let Ok((reader, writer)) = connection::split(stream, shared.silence) else { return };
+    let (out, rx) = mpsc::channel(OUT_RING);
+    let events = shared.events.clone();
+    let connection = Connection { id, out, shared, credits: HashMap::new() };
+    let ended = tokio::select! {
+        ended = connection.read(reader) => ended,
+        written = writer.run(rx) => written.err().unwrap_or(FrameError::Closed),
+    };
+    tracing::info!(connection = id, error = %ended, "connection from a router ended");
+    // The ring is bounded and its reader never waits for this thread, so this ends soon.
+    drop(events.send(Event::Gone(id)));
+}
+
+struct Connection {
+    id: ConnectionId,
+    out: mpsc::Sender<Bytes>,
+    shared: Shared,
+    credits: HashMap<u64, watch::Sender<u64>>,
+}
+
+impl Connection {
+    async fn read(mut self, mut reader: Reader) -> FrameError {
+        let mut draining = self.shared.draining.clone();
+        loop {
+            let next = tokio::select! {
+                next = reader.next::<ToAgent>() => next,
+                Ok(()) = draining.changed() => {
+                    if !self.send(&ToRouter::Draining).await {
+                        return FrameError::Closed;
+                    }
+                    continue;
+                }
+            };
+            let (message, body) = match next {
+                Ok(next) => next,
+                Err(error) => return error,
+            };
+            if let Err(error) = self.take(message, body).await {
+                return error;
+            }
+        }
+    }
+
+    async fn send(&self, message: &ToRouter) -> bool {
+        let Ok(frame) = frame::encode(message, b"") else { return false };
+        self.out.send(frame).await.is_ok()
+    }
+
+    async fn take(&mut self, message: ToAgent, body: Bytes) -> Result<(), FrameError> {
+        match message {
+            ToAgent::Hello { router, protocol, .. } => self.welcome(&router.0, protocol).await,
+            ToAgent::Open(open) => self.open(open, body),
+            ToAgent::Credit { stream, upto } => {
+                if let Some(credit) = self.credits.get(&stream) {
+                    credit.send_replace(upto);
+                }
+                Ok(())
+            }
+            ToAgent::Cancel { stream } => {
+                self.credits.remove(&stream);
+                self.tell(Event::Cancelled { connection: self.id, stream })
+            }
+            ToAgent::Ping { nonce } => {
+                let load = self.shared.load.borrow().clone();
+                self.send(&ToRouter::Pong { nonce, load }).await;
+                self.credits.retain(|_, credit| !credit.is_closed());
+                Ok(())
+            }
+        }
+    }
+
+    async fn welcome(&self, router: &str, protocol: u32) -> Result<(), FrameError> {
+        if protocol != PROTOCOL {
+            tracing::error!(router, protocol, "router speaks another version: upgrade it");
+            return Err(FrameError::Closed);
+        }
+        let target = self.shared.target.clone();
+        let draining = *self.shared.draining.borrow();
+        let incarnation = self.shared.incarnation;
+        self.send(&ToRouter::Welcome { target, incarnation, draining }).await;
+        Ok(())
+    }
+
+    fn open(&mut self, open: OpenStream, body: Bytes) -> Result<(), FrameError> {
+        let (credit, rx) = watch::channel(open.position + open.window);
+        let stream = open.stream;
+        let end = StreamEnd { connection: self.id, stream, out: self.out.clone(), credit: rx };
+        self.credits.insert(stream, credit);
+        let work = work(&open, self.shared.clock.now());
+        let request = Request { open, body, end };
+        self.tell(Event::Submit(Box::new((work, request))))
+    }
+
+    /// A full ring means that the `decide` thread is far behind; the connection is closed, so
+    /// that its router goes elsewhere, rather than holding up all other connections.
+    fn tell(&self, event: Event) -> Result<(), FrameError> {
+        match self.shared.events.try_send(event) {
+            Ok(()) => Ok(()),
+            Err(TrySendError::Full(_)) => {
+                tracing::error!("the decide ring is full: closing a connection");
+                Err(FrameError::Closed)
+            }
+            Err(TrySendError::Disconnected(_)) => Err(FrameError::Closed),
+        }
+    }
+}
+
+fn work(open: &OpenStream, now: std::time::Instant) -> Work {
+    let need = match &open.operation {
+        Operation::Completion { model, version, adapter }
+        | Operation::Chat { model, version, adapter } => {
+            let base = Weights::model(model.clone(), version.clone());
+            let adapter = adapter.as_ref().map(|adapter| Weights {
+                model: model.clone(),
+                version: adapter.version.clone(),
+                adapter: Some(adapter.name.clone()),
+            });
+            Need::Weights { base, adapter }
+        }
+        Operation::Call { service, .. } => Need::Service(service.clone()),
+    };
+    Work {
+        team: open.team.clone(),
+        need,
+        urgency: open.urgency,
+        deadline: now + Duration::from_millis(open.deadline_ms),
+        repeatable: true,
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_agent/src/lib.rs
@@ -0,0 +1,26 @@
+//! The process beside one target: it alone gives the target orders and calls.
+//!
+//! All traffic for a target passes through its agent, so memory, concurrency and draining have
+//! one owner each and are exact rather than estimated from lagging reports. Its threads are
+//! `link` (connections from routers), `decide` (the pure logic of `corianderstand_decide`),
+//! `target` (calls and orders to the target) and `control` (the log), joined by bounded rings.
+//!
+//! ```no_run
+//! use corianderstand_types::clock::SystemClock;
+//!
+//! # fn settings() -> corianderstand_schema::process::AgentSettings { todo!() }
+//! let agent = corianderstand_agent::start(settings(), std::sync::Arc::new(SystemClock))?;
+//! agent.drain();
+//! agent.join();
+//! # Ok::<(), corianderstand_agent::AgentError>(())
+//! ```
+
+mod accept;
+mod calls;
+mod decide;
+mod event;
+mod run;
+mod sizes;
+mod start;
+
+pub use start::{AgentError, AgentHandle, start};
--- /dev/null
+++ b/crates/corianderstand_agent/src/run.rs
@@ -0,0 +1,208 @@
+//! The `target` thread: calls and orders to the target.
+
+use crate::{
+    calls,
+    event::{Event, Job, Request, StreamEnd},
+};
+use corianderstand_control::start::Handle;
+use corianderstand_decide::work::RequestKey;
+use corianderstand_edge::{
+    EdgeError,
+    engine::{Engine, EngineEvent, EngineStream, Generate, Order, OrderAction},
+    service::PlainService,
+};
+use corianderstand_schema::messages::{Ending, Load, Operation, ToRouter};
+use corianderstand_types::{clock::SharedClock, names::TargetId, units::Mib, weights::Weights};
+use futures::StreamExt;
+use std::sync::{Arc, mpsc::SyncSender};
+use tokio::sync::{mpsc, watch};
+
+/// The target, as far as this process speaks to it.
+#[derive(Clone)]
+pub enum Target {
+    /// A model engine.
+    Engine(Arc<dyn Engine>),
+    /// A plain service.
+    Service(Arc<dyn PlainService>),
+}
+
+/// What every job needs.
+#[derive(Clone)]
+pub struct Runner {
+    /// The target.
+    pub target: Target,
+    /// Its name.
+    pub name: TargetId,
+    /// To the `decide` thread.
+    pub events: SyncSender<Event>,
+    /// How busy the target is.
+    pub load: watch::Receiver<Load>,
+    /// The log.
+    pub control: Handle,
+    /// Time.
+    pub clock: SharedClock,
+}
+
+impl Runner {
+    /// Takes jobs for ever.
+    pub async fn run(self, mut jobs: mpsc::UnboundedReceiver<Job>) {
+        while let Some(job) = jobs.recv().await {
+            tokio::spawn(self.clone().take(job));
+        }
+    }
+
+    async fn take(self, job: Job) {
+        match job {
+            Job::Run(key, request) => self.run_request(key, *request).await,
+            Job::Refuse(request, refused) => {
+                request.end.send(&refused, b"").await;
+            }
+            Job::Load { weights, memory, fence } => {
+                self.order(OrderAction::Load, weights, memory, fence).await;
+            }
+            Job::Unload { weights, memory, fence } => {
+                self.order(OrderAction::Unload, weights, memory, fence).await;
+            }
+        }
+    }
+
+    async fn order(&self, action: OrderAction, weights: Weights, memory: Mib, fence: u64) {
+        let Target::Engine(engine) = &self.target else { return };
+        let order = Order { action, weights: weights.clone(), memory_mib: memory.0, fence };
+        let answer = engine.order(&order).await;
+        if let Err(error) = &answer {
+            tracing::warn!(%weights, ?action, %error, "order not confirmed");
+        }
+        let outcome = match answer {
+            Ok(()) => Some(true),
+            Err(EdgeError::Status { .. }) => Some(false),
+            Err(error) if error.never_sent() => Some(false),
+            Err(_) => None,
+        };
+        self.tell(match action {
+            OrderAction::Load => Event::Loaded(weights, outcome),
+            OrderAction::Unload => Event::Unloaded(weights, outcome == Some(true)),
+        });
+    }
+
+    /// The ring is bounded and its reader never waits for this thread, so this ends soon.
+    fn tell(&self, event: Event) {
+        drop(self.events.send(event));
+    }
+
+    async fn run_request(&self, key: RequestKey, request: Request) {
+        let began = self.clock.now();
+        let trace = corianderstand_link::trace::TraceContext::continue_from(Some(
+            request.open.traceparent.as_str(),
+        ));
+        let (ending, position) = match &request.open.operation {
+            Operation::Call { .. } => calls::run(self, &request, trace).await,
+            _ => self.generate(&request, trace).await,
+        };
+        let took = self.clock.now() - began;
+        tracing::info!(
+            trace_id = %format_args!("{:032x}", trace.trace),
+            span_id = %format_args!("{:016x}", trace.span),
+            request = %request.open.request,
+            took_us = took.as_micros() as u64,
+            chunks = position,
+            ending = ?ending,
+            "hop agent"
+        );
+        self.tell(Event::Ended { key, took });
+        let (stream, load) = (request.end.stream, self.load.borrow().clone());
+        request.end.send(&ToRouter::End { stream, position, ending, load }, b"").await;
+    }
+
+    async fn generate(
+        &self,
+        request: &Request,
+        trace: corianderstand_link::trace::TraceContext,
+    ) -> (Ending, u64) {
+        let mut position = request.open.position;
+        let Target::Engine(engine) = &self.target else {
+            return (failed("this target is a plain service: name a model elsewhere"), position);
+        };
+        let Some(generate) = generate_of(request, trace) else {
+            return (failed("the request names no model"), position);
+        };
+        let ending = match engine.generate(generate).await {
+            Ok(stream) => pump(stream, &request.end, &mut position).await,
+            Err(error) => Some(failed(&error.to_string())),
+        };
+        let Some(ending) = ending else {
+            // Nobody waits any more: the engine's work and memory are given back at once.
+            if let Err(error) = engine.cancel(&request.open.request).await {
+                tracing::warn!(request = %request.open.request, %error, "cancel not confirmed");
+            }
+            return (failed("the caller left"), position);
+        };
+        (ending, position)
+    }
+}
+
+/// An ending that is not whole.
+pub fn failed(reason: &str) -> Ending {
+    Ending::Failed { reason: reason.into() }
+}
+
+fn generate_of(
+    request: &Request,
+    trace: corianderstand_link::trace::TraceContext,
+) -> Option<Generate> {
+    let (chat, model, version, adapter) = match &request.open.operation {
+        Operation::Completion { model, version, adapter } => (false, model, version, adapter),
+        Operation::Chat { model, version, adapter } => (true, model, version, adapter),
+        Operation::Call { .. } => return None,
+    };
+    let weights = match adapter {
+        None => Weights::model(model.clone(), version.clone()),
+        Some(adapter) => Weights {
+            model: model.clone(),
+            version: adapter.version.clone(),
+            adapter: Some(adapter.name.clone()),
+        },
+    };
+    Some(Generate {
+        chat,
+        weights,
+        body: request.body.clone(),
+        request: request.open.request.clone(),
+        priority: request.open.urgency,
+        position: request.open.position,
+        traceparent: trace.header(),
+    })
+}
+
+/// Passes an engine's answer on as far as credit allows; `None` if the caller has left.
+async fn pump(mut stream: EngineStream, end: &StreamEnd, position: &mut u64) -> Option<Ending> {
+    let mut credit = end.credit.clone();
+    loop {
+        let event = tokio::select! {
+            event = stream.next() => event,
+            () = closed(credit.clone()) => return None,
+        };
+        match event {
+            Some(Ok(EngineEvent::Text(text))) => {
+                credit.wait_for(|upto| *position < *upto).await.ok()?;
+                let chunk = ToRouter::Chunk { stream: end.stream, position: *position };
+                if !end.send(&chunk, text.as_bytes()).await {
+                    return None;
+                }
+                *position += 1;
+            }
+            Some(Ok(EngineEvent::Finished { reason, prompt_tokens, completion_tokens })) => {
+                let finish_reason = reason.into();
+                return Some(Ending::Whole { prompt_tokens, completion_tokens, finish_reason });
+            }
+            Some(Err(error)) => return Some(failed(&error.to_string())),
+            // A connection that just closes is not an end: without the engine's own mark the
+            // answer would look whole to the caller and be cut.
+            None => return Some(failed("the engine broke off: ask again")),
+        }
+    }
+}
+
+async fn closed(mut credit: watch::Receiver<u64>) {
+    while credit.changed().await.is_ok() {}
+}
--- /dev/null
+++ b/crates/corianderstand_agent/src/start.rs
@@ -0,0 +1,275 @@
+//! Starts an agent's threads and stops them as planned.
+
+use crate::{
+    accept::{self, Shared},
+    decide::Decider,
+    event::Event,
+    run::{Runner, Target},
+};
+use corianderstand_control::{
+    appender::Identity,
+    snapshot::Current,
+    start::{Control, Handle},
+};
+use corianderstand_decide::agent::{Agent, Limits};
+use corianderstand_edge::{
+    engine::HttpEngine, hosts::HttpHostList, log::HttpLog, service::HttpService,
+};
+use corianderstand_schema::{
+    messages::Load,
+    process::{AgentSettings, TargetKind},
+    records::{Body, TargetRecord},
+};
+use corianderstand_types::{
+    clock::{self, SharedClock},
+    names::TargetId,
+    units::Mib,
+};
+use std::{
+    collections::HashMap,
+    sync::{Arc, mpsc as std_mpsc},
+    thread,
+    time::Duration,
+};
+use tokio::{
+    runtime,
+    sync::{mpsc, watch},
+    time,
+};
+
+/// Events that wait for the `decide` thread.
+const EVENT_RING: usize = 8192;
+/// Time a plain service has to answer one call.
+const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause between two tries at start.
+const START_PAUSE: Duration = Duration::from_millis(100);
+/// Time the log has to decide an announcement before it is tried again.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// An agent that cannot start.
+#[derive(Debug, displaydoc::Display)]
+pub enum AgentError {
+    /// cannot listen on {0} ({1}): another agent runs beside this target, or the address in `listen` is wrong
+    Listen(String, std::io::Error),
+    /// cannot start a thread ({0}): raise the host's limits
+    Thread(std::io::Error),
+}
+
+impl std::error::Error for AgentError {}
+
+/// A running agent.
+#[derive(Debug)]
+pub struct AgentHandle {
+    events: std_mpsc::SyncSender<Event>,
+    draining: watch::Sender<bool>,
+    idle: watch::Receiver<bool>,
+    control: Handle,
+    target: TargetId,
+    drain_limit: Duration,
+}
+
+/// Starts an agent; it returns as soon as its port is bound.
+///
+/// # Errors
+///
+/// See [`AgentError`].
+pub fn start(settings: AgentSettings, clock: SharedClock) -> Result<AgentHandle, AgentError> {
+    let listener = listen(&settings.listen)?;
+    let incarnation = clock::unix_ms(clock.wall());
+    let control = start_control(&settings, incarnation, clock.clone())?;
+    let (events, events_rx) = std_mpsc::sync_channel(EVENT_RING);
+    let (jobs, jobs_rx) = mpsc::unbounded_channel();
+    let (load, load_rx) = watch::channel(Load { running: 0, queued: 0, wait_ms: 0 });
+    let (idle, idle_rx) = watch::channel(true);
+    let (draining, draining_rx) = watch::channel(false);
+    let target = TargetId(settings.name.0.clone());
+
+    let decider = Decider {
+        agent: Agent::new(limits(&settings), memory(&settings)),
+        target: target.clone(),
+        current: control.current.clone(),
+        clock: clock.clone(),
+        jobs,
+        load,
+        idle,
+        requests: HashMap::new(),
+        streams: HashMap::new(),
+        slots_version: 0,
+    };
+    spawn("decide", move || decider.run(&events_rx))?;
+
+    let runner = Runner {
+        target: connect(&settings),
+        name: target.clone(),
+        events: events.clone(),
+        load: load_rx.clone(),
+        control: control.clone(),
+        clock: clock.clone(),
+    };
+    let target_runtime = runtime()?;
+    spawn("target", move || target_runtime.block_on(runner.run(jobs_rx)))?;
+
+    let shared = Shared {
+        target: target.clone(),
+        incarnation,
+        silence: settings.timing.silence_ms.0,
+        events: events.clone(),
+        load: load_rx,
+        draining: draining_rx,
+        clock,
+    };
+    let link_runtime = runtime()?;
+    let (link_control, link_target) = (control.clone(), connect(&settings));
+    let record = record(&settings);
+    let link_events = events.clone();
+    spawn("link", move || {
+        link_runtime.block_on(async move {
+            // The engine is asked before any router can reach this process.
+            rebuild(&link_target, &link_events).await;
+            announce(&link_control, record).await;
+            match tokio::net::TcpListener::from_std(listener) {
+                Ok(listener) => accept::run(listener, shared).await,
+                Err(error) => tracing::error!(%error, "the bound port cannot be used"),
+            }
+        });
+    })?;
+    let drain_limit = settings.timing.drain_ms.0;
+    Ok(AgentHandle { events, draining, idle: idle_rx, control, target, drain_limit })
+}
+
+/// Binds the port that is also the lock against a second agent beside the same target.
+///
+/// Two agents would each commit the engine's memory as if it were alone. The kernel gives the
+/// port to one process at a time, a paused one included, so the second fails here and says so.
+/// For that reason the socket must never get `SO_REUSEPORT`.
+fn listen(address: &str) -> Result<std::net::TcpListener, AgentError> {
+    let listen = || -> std::io::Result<std::net::TcpListener> {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        Ok(listener)
+    };
+    listen().map_err(|error| AgentError::Listen(address.to_owned(), error))
+}
+
+fn runtime() -> Result<runtime::Runtime, AgentError> {
+    runtime::Builder::new_current_thread().enable_all().build().map_err(AgentError::Thread)
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), AgentError> {
+    let builder = thread::Builder::new().name(name.to_owned());
+    builder.spawn(run).map(drop).map_err(AgentError::Thread)
+}
+
+fn start_control(
+    settings: &AgentSettings,
+    incarnation: u64,
+    clock: SharedClock,
+) -> Result<Handle, AgentError> {
+    let poll = settings.timing.log_poll_ms.0;
+    let control = Control {
+        identity: Identity { writer: settings.name.clone(), incarnation },
+        log: Arc::new(HttpLog::new(&settings.log_url, poll)),
+        hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
+        clock,
+        log_poll: poll,
+        hosts_poll: settings.timing.host_list_poll_ms.0,
+        takes_lease: false,
+    };
+    control.start().map_err(AgentError::Thread)
+}
+
+fn limits(settings: &AgentSettings) -> Limits {
+    Limits { concurrency: settings.target.concurrency, queue: settings.target.queue }
+}
+
+fn memory(settings: &AgentSettings) -> Mib {
+    match &settings.target.kind {
+        TargetKind::Engine { memory_mib, .. } => *memory_mib,
+        TargetKind::Service { .. } => Mib(0),
+    }
+}
+
+fn connect(settings: &AgentSettings) -> Target {
+    let url = &settings.target.url;
+    match &settings.target.kind {
+        TargetKind::Engine { .. } => Target::Engine(Arc::new(HttpEngine::new(url))),
+        TargetKind::Service { .. } => {
+            Target::Service(Arc::new(HttpService::new(url, SERVICE_TIMEOUT)))
+        }
+    }
+}
+
+fn record(settings: &AgentSettings) -> TargetRecord {
+    let (accelerators, service) = match &settings.target.kind {
+        TargetKind::Engine { accelerators, .. } => (*accelerators, None),
+        TargetKind::Service { service, .. } => (0, Some(service.clone())),
+    };
+    TargetRecord {
+        target: TargetId(settings.name.0.clone()),
+        host: settings.host.clone(),
+        place: settings.place.clone(),
+        address: settings.advertise.clone().unwrap_or_else(|| settings.listen.clone()),
+        memory_mib: memory(settings),
+        accelerators,
+        service,
+    }
+}
+
+async fn rebuild(target: &Target, events: &std_mpsc::SyncSender<Event>) {
+    let Target::Engine(engine) = target else { return };
+    loop {
+        match engine.loaded().await {
+            Ok(loaded) => {
+                let loaded = loaded.into_iter();
+                let loaded = loaded.map(|l| (l.weights, Mib(l.memory_mib), l.ready)).collect();
+                drop(events.send(Event::Rebuilt(loaded)));
+                return;
+            }
+            Err(error) => tracing::warn!(%error, "engine not asked what is loaded yet"),
+        }
+        time::sleep(START_PAUSE).await;
+    }
+}
+
+async fn announce(control: &Handle, record: TargetRecord) {
+    while !control.current.load().caught_up {
+        time::sleep(START_PAUSE).await;
+    }
+    loop {
+        let body = Body::TargetUp { target: record.clone() };
+        match control.appender.append(body, ANNOUNCE_TIMEOUT).await {
+            Ok(_) => return,
+            Err(error) => tracing::warn!(%error, "target not announced yet"),
+        }
+    }
+}
+
+impl AgentHandle {
+    /// Begins a planned stop: no new work, work in flight goes on.
+    pub fn drain(&self) {
+        self.draining.send_replace(true);
+        drop(self.events.send(Event::Drain));
+    }
+
+    /// Waits until nothing is in flight, or the limit has passed, and says goodbye in the log.
+    pub fn join(mut self) {
+        let Ok(runtime) = runtime() else { return };
+        runtime.block_on(async {
+            // One turn of the decide loop, so that what has just come is counted.
+            time::sleep(START_PAUSE * 2).await;
+            let idle = self.idle.wait_for(|idle| *idle);
+            if time::timeout(self.drain_limit, idle).await.is_err() {
+                tracing::warn!("planned stop: limit reached with work in flight");
+            }
+            let body = Body::TargetDown { target: self.target.clone() };
+            if let Err(error) = self.control.appender.append(body, ANNOUNCE_TIMEOUT).await {
+                tracing::warn!(%error, "goodbye not decided");
+            }
+        });
+    }
+
+    /// Snapshots, to look at.
+    pub const fn current(&self) -> &Current {
+        &self.control.current
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_cli/src/args.rs
@@ -0,0 +1,135 @@
+//! Sub-commands and their options.
+
+use corianderstand_derives::derives;
+use getopts::{Matches, Options};
+
+/// A sub-command.
+#[derives(key)]
+pub enum Command {
+    /// Runs a router.
+    Router,
+    /// Runs an agent.
+    Agent,
+    /// Checks files.
+    Check,
+    /// Compares a directory with what is in force.
+    Diff,
+    /// Puts a directory in force.
+    Apply,
+    /// Shows documents in force.
+    Get,
+    /// Shows the deployment.
+    Status,
+    /// Hashes a bearer key.
+    HashKey,
+}
+
+const ALL: [Command; 8] = [
+    Command::Router,
+    Command::Agent,
+    Command::Check,
+    Command::Diff,
+    Command::Apply,
+    Command::Get,
+    Command::Status,
+    Command::HashKey,
+];
+
+impl Command {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Router => "router",
+            Self::Agent => "agent",
+            Self::Check => "check",
+            Self::Diff => "diff",
+            Self::Apply => "apply",
+            Self::Get => "get",
+            Self::Status => "status",
+            Self::HashKey => "hash-key",
+        }
+    }
+
+    const fn about(self) -> (&'static str, &'static str) {
+        match self {
+            Self::Router => ("FILE", "run a router with the process settings in FILE"),
+            Self::Agent => ("FILE", "run an agent with the process settings in FILE"),
+            Self::Check => ("PATH…", "check settings directories and process settings files"),
+            Self::Diff => ("DIR", "show what applying DIR would change"),
+            Self::Apply => ("DIR", "put the settings in DIR in force"),
+            Self::Get => ("[PATH]", "show the documents in force at or below PATH"),
+            Self::Status => ("", "show targets, slots, the lease and what is in force"),
+            Self::HashKey => (
+                "FILE",
+                "hash the bearer key on standard input for the settings; \
+                FILE is a router's settings",
+            ),
+        }
+    }
+
+    /// The sub-command of that name.
+    pub fn find(name: &str) -> Option<Self> {
+        ALL.into_iter().find(|command| command.name() == name)
+    }
+
+    const fn asks_router(self) -> bool {
+        matches!(self, Self::Diff | Self::Apply | Self::Get | Self::Status)
+    }
+}
+
+/// What the binary can do.
+pub fn overview() -> String {
+    let mut text = String::from("corianderstand COMMAND [options]\n\nCommands:\n");
+    for command in ALL {
+        let (operand, about) = command.about();
+        let head = format!("{} {operand}", command.name());
+        text.push_str(&format!("  {head:<18} {about}\n"));
+    }
+    text.push_str("\nEach command has --help. Exit codes: 0 done, 1 fault found, 2 usage, ");
+    text.push_str("3 conflict, 4 undecided, 5 unreachable.");
+    text
+}
+
+fn options(command: Command) -> Options {
+    let mut options = Options::new();
+    options.optflag("h", "help", "show this help");
+    if command.asks_router() {
+        options.optopt("r", "router", "address and port of any router", "ADDRESS");
+        options.optopt("k", "key-file", "file with the operators' bearer key", "FILE");
+        options.optflag("j", "json", "print JSON");
+    }
+    if command == Command::Apply {
+        options.optopt("a", "author", "who asks, for the history", "NAME");
+        options.optflag("", "prune", "also remove documents that DIR does not have");
+    }
+    options
+}
+
+/// Parses a sub-command's arguments; `None` if help was asked for and printed.
+///
+/// # Errors
+///
+/// A message that names the fault and shows the usage.
+pub fn parse(
+    command: Command,
+    args: impl Iterator<Item = String>,
+) -> Result<Option<Matches>, String> {
+    let options = options(command);
+    let (operand, about) = command.about();
+    let usage =
+        options.usage(&format!("corianderstand {} {operand} [options]\n\n{about}", command.name()));
+    let matches = options.parse(args).map_err(|error| format!("{error}\n\n{usage}"))?;
+    if matches.opt_present("help") {
+        println!("{usage}");
+        return Ok(None);
+    }
+    let operands = match command {
+        Command::Check => 1..=usize::MAX,
+        Command::Get => 0..=1,
+        Command::Status => 0..=0,
+        _ => 1..=1,
+    };
+    if !operands.contains(&matches.free.len()) {
+        return Err(format!("the number of operands is wrong\n\n{usage}"));
+    }
+    Ok(Some(matches))
+}
--- /dev/null
+++ b/crates/corianderstand_cli/src/client.rs
@@ -0,0 +1,101 @@
+//! Asks a router what operators ask.
+
+use crate::Exit;
+use getopts::Matches;
+use reqwest::Method;
+use serde_json::Value;
+use std::{fs, time::Duration};
+
+/// Variable with the operators' key, if no file is named.
+pub const KEY_VARIABLE: &str = "CORIANDERSTAND_OPERATOR_KEY";
+/// Variable with a router's address, if none is named.
+pub const ROUTER_VARIABLE: &str = "CORIANDERSTAND_ROUTER";
+/// Time a router has to answer.
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A question that got no good answer.
+#[derive(Debug, displaydoc::Display)]
+pub enum ClientError {
+    /// no router is named: give --router or set `CORIANDERSTAND_ROUTER`
+    NoRouter,
+    /// no key is named: give --key-file or set `CORIANDERSTAND_OPERATOR_KEY`
+    NoKey,
+    /// cannot reach the router ({0}): check its address, or ask another
+    Unreachable(reqwest::Error),
+    /// the router refused ({0}): {1}
+    Refused(u16, String),
+}
+
+impl std::error::Error for ClientError {}
+
+impl ClientError {
+    /// The exit code for it.
+    pub const fn exit(&self) -> Exit {
+        match self {
+            Self::NoRouter | Self::NoKey => Exit::Usage,
+            Self::Unreachable(_) => Exit::Unreachable,
+            Self::Refused(409, _) => Exit::Conflict,
+            Self::Refused(504, _) => Exit::Undecided,
+            Self::Refused(..) => Exit::Fault,
+        }
+    }
+}
+
+/// A router that can be asked.
+pub struct Client {
+    base: String,
+    key: String,
+    http: reqwest::Client,
+    runtime: tokio::runtime::Runtime,
+}
+
+impl Client {
+    /// A client for the router that the options or variables name.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError::NoRouter`] or [`ClientError::NoKey`].
+    pub fn new(matches: &Matches) -> Result<Self, ClientError> {
+        let router = matches.opt_str("router").or_else(|| std::env::var(ROUTER_VARIABLE).ok());
+        let router = router.ok_or(ClientError::NoRouter)?;
+        let from_file = matches.opt_str("key-file").and_then(|f| fs::read_to_string(f).ok());
+        let key = from_file.or_else(|| std::env::var(KEY_VARIABLE).ok());
+        let key = key.ok_or(ClientError::NoKey)?.trim().to_owned();
+        let http = reqwest::Client::builder().no_proxy().timeout(TIMEOUT).build();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        Ok(Self {
+            base: format!("http://{router}"),
+            key,
+            http: http.map_err(ClientError::Unreachable)?,
+            runtime: runtime.expect("the system gives a runtime"),
+        })
+    }
+
+    /// Asks and reads a JSON answer.
+    ///
+    /// # Errors
+    ///
+    /// [`ClientError::Unreachable`] or [`ClientError::Refused`].
+    pub fn ask(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<Value, ClientError> {
+        let mut req = self.http.request(method, format!("{}{path}", self.base));
+        req = req.bearer_auth(&self.key);
+        if let Some(body) = body {
+            req = req.json(body);
+        }
+        self.runtime.block_on(async {
+            let response = req.send().await.map_err(ClientError::Unreachable)?;
+            let status = response.status();
+            let value: Value = response.json().await.map_err(ClientError::Unreachable)?;
+            if status.is_success() {
+                return Ok(value);
+            }
+            let message = value["error"]["message"].as_str().unwrap_or("no message").to_owned();
+            Err(ClientError::Refused(status.as_u16(), message))
+        })
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_cli/src/lib.rs
@@ -0,0 +1,81 @@
+//! The command line: one binary, a sub-command for each kind of process and each question.
+//!
+//! ```
+//! let help = corianderstand_cli::run(["--help".to_owned()]);
+//! assert_eq!(help, corianderstand_cli::Exit::Success);
+//! ```
+
+mod args;
+mod check;
+mod client;
+mod directory;
+mod logging;
+mod operate;
+mod process;
+
+use args::Command;
+
+/// How a command ended; the number is the process's exit code.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// Done.
+    Success = 0,
+    /// A document or the deployment is not as it should be.
+    Fault = 1,
+    /// The command line cannot be used.
+    Usage = 2,
+    /// Another operator's change is in the way.
+    Conflict = 3,
+    /// Whether a change is accepted is not known yet.
+    Undecided = 4,
+    /// A router or a file cannot be reached.
+    Unreachable = 5,
+}
+
+impl From<Exit> for std::process::ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+/// Runs one command to its end.
+pub fn run(args: impl IntoIterator<Item = String>) -> Exit {
+    let mut args = args.into_iter();
+    let Some(name) = args.next() else {
+        eprintln!("{}", args::overview());
+        return Exit::Usage;
+    };
+    if name == "--help" || name == "help" {
+        println!("{}", args::overview());
+        return Exit::Success;
+    }
+    if name == "--version" {
+        println!("corianderstand {}", env!("CARGO_PKG_VERSION"));
+        return Exit::Success;
+    }
+    let Some(command) = Command::find(&name) else {
+        eprintln!("there is no command `{name}`\n\n{}", args::overview());
+        return Exit::Usage;
+    };
+    match args::parse(command, args) {
+        Ok(Some(matches)) => dispatch(command, &matches),
+        Ok(None) => Exit::Success,
+        Err(error) => {
+            eprintln!("{error}");
+            Exit::Usage
+        }
+    }
+}
+
+fn dispatch(command: Command, matches: &getopts::Matches) -> Exit {
+    match command {
+        Command::Router => process::router(matches),
+        Command::Agent => process::agent(matches),
+        Command::Check => check::run(matches),
+        Command::Diff => operate::diff(matches),
+        Command::Apply => operate::apply(matches),
+        Command::Get => operate::get(matches),
+        Command::Status => operate::status(matches),
+        Command::HashKey => process::hash_key(matches),
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_cli/src/process.rs
@@ -0,0 +1,122 @@
+//! `router`, `agent` and `hash-key`.
+
+use crate::{Exit, check, directory, logging};
+use corianderstand_router::auth::Hasher;
+use corianderstand_schema::{
+    check::Document,
+    process::{AgentSettings, RouterSettings},
+};
+use corianderstand_types::clock::{SharedClock, SystemClock};
+use getopts::Matches;
+use serde::de::DeserializeOwned;
+use std::{io::Read, path::Path, sync::Arc};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Reads and checks a process settings file; faults are printed.
+fn settings<T: DeserializeOwned>(kind: Document, matches: &Matches) -> Result<T, Exit> {
+    let path = Path::new(&matches.free[0]);
+    let value = directory::read_file(path).map_err(|error| {
+        eprintln!("{error}");
+        Exit::Unreachable
+    })?;
+    let faults = check::process_faults(kind, path, &value);
+    for fault in &faults {
+        eprintln!("{fault}");
+    }
+    if !faults.is_empty() {
+        return Err(Exit::Fault);
+    }
+    serde_json::from_value(value).map_err(|error| {
+        eprintln!("{}: {error}", path.display());
+        Exit::Fault
+    })
+}
+
+fn clock() -> SharedClock {
+    Arc::new(SystemClock)
+}
+
+/// Waits for the first signal to stop; a second one ends the process at once.
+fn wait_for_stop() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("the system gives a runtime");
+    let signals = runtime.block_on(async {
+        let mut term = signal(SignalKind::terminate()).expect("signals can be watched");
+        let mut interrupt = signal(SignalKind::interrupt()).expect("signals can be watched");
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        (term, interrupt)
+    });
+    std::thread::spawn(move || {
+        let (mut term, mut interrupt) = signals;
+        runtime.block_on(async {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        });
+        tracing::warn!("second signal: ending at once, what is in flight is cut");
+        std::process::exit(Exit::Fault as i32);
+    });
+}
+
+/// Runs a router until it is told to stop.
+pub fn router(matches: &Matches) -> Exit {
+    let settings: RouterSettings = match settings(Document::Router, matches) {
+        Ok(settings) => settings,
+        Err(exit) => return exit,
+    };
+    logging::start();
+    match corianderstand_router::start(settings, clock()) {
+        Ok(handle) => {
+            wait_for_stop();
+            handle.drain();
+            handle.join();
+            Exit::Success
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            Exit::Fault
+        }
+    }
+}
+
+/// Runs an agent until it is told to stop.
+pub fn agent(matches: &Matches) -> Exit {
+    let settings: AgentSettings = match settings(Document::Agent, matches) {
+        Ok(settings) => settings,
+        Err(exit) => return exit,
+    };
+    logging::start();
+    match corianderstand_agent::start(settings, clock()) {
+        Ok(handle) => {
+            wait_for_stop();
+            handle.drain();
+            handle.join();
+            Exit::Success
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            Exit::Fault
+        }
+    }
+}
+
+/// Hashes a bearer key from standard input.
+pub fn hash_key(matches: &Matches) -> Exit {
+    let settings: RouterSettings = match settings(Document::Router, matches) {
+        Ok(settings) => settings,
+        Err(exit) => return exit,
+    };
+    let mut key = String::new();
+    let hasher = Hasher::new(&settings.auth_key);
+    match (std::io::stdin().read_to_string(&mut key), hasher) {
+        (Ok(_), Ok(hasher)) => {
+            println!("{}", hasher.hash(key.trim()));
+            Exit::Success
+        }
+        _ => Exit::Fault,
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_edge/src/engine.rs
@@ -0,0 +1,294 @@
+//! Model engines: generation, and orders to load and unload.
+
+use crate::http::{EdgeError, HttpSystem};
+use async_trait::async_trait;
+use bytes::Bytes;
+use corianderstand_derives::derives;
+use corianderstand_types::weights::Weights;
+use eventsource_stream::Eventsource;
+use futures::{StreamExt, stream::BoxStream};
+use serde_json::{Value, json};
+use smol_str::SmolStr;
+use std::time::Duration;
+
+/// Something an engine has loaded.
+#[derives(wire)]
+#[derive(Eq)]
+pub struct Loaded {
+    /// What it is.
+    pub weights: Weights,
+    /// Memory it takes, in MiB.
+    pub memory_mib: u64,
+    /// Whether loading has finished.
+    pub ready: bool,
+}
+
+/// An order to an engine.
+#[derives(wire)]
+#[derive(Eq)]
+pub struct Order {
+    /// What to do.
+    pub action: OrderAction,
+    /// With what.
+    pub weights: Weights,
+    /// Memory set aside for it, in MiB.
+    pub memory_mib: u64,
+    /// Fencing number: offset of the slot's assignment in the log.
+    pub fence: u64,
+}
+
+/// What an order asks for.
+#[derives(key)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderAction {
+    /// Fetch and load; answered when it is ready.
+    Load,
+    /// Drop and give the memory back; answered when that is done.
+    Unload,
+}
+
+/// A request to generate.
+#[derives(data)]
+pub struct Generate {
+    /// Whether the body is a chat.
+    pub chat: bool,
+    /// What to generate with.
+    pub weights: Weights,
+    /// The caller's JSON body.
+    pub body: Bytes,
+    /// Identity of the request, for cancelling.
+    pub request: SmolStr,
+    /// 0 low, 1 normal, 2 urgent.
+    pub priority: u8,
+    /// First token wanted, to take up a stream.
+    pub position: u64,
+    /// W3C trace context.
+    pub traceparent: SmolStr,
+}
+
+/// What an engine sends while it generates.
+#[derives(data)]
+pub enum EngineEvent {
+    /// Some text.
+    Text(String),
+    /// The end.
+    Finished {
+        /// Why generation stopped.
+        reason: String,
+        /// Tokens in the prompt.
+        prompt_tokens: u64,
+        /// Tokens generated, those before a resumed position included.
+        completion_tokens: u64,
+    },
+}
+
+/// An engine's answer as it comes.
+pub type EngineStream = BoxStream<'static, Result<EngineEvent, EdgeError>>;
+
+/// How busy an engine says it is; late.
+#[derives(wire)]
+#[derive(Default)]
+pub struct EngineReport {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Memory in use, in MiB.
+    pub memory_mib: u64,
+}
+
+/// A model engine.
+#[async_trait]
+pub trait Engine: Send + Sync {
+    /// What is loaded or loading.
+    async fn loaded(&self) -> Result<Vec<Loaded>, EdgeError>;
+    /// Carries out an order; an error leaves open whether it did.
+    async fn order(&self, order: &Order) -> Result<(), EdgeError>;
+    /// Starts to generate.
+    async fn generate(&self, generate: Generate) -> Result<EngineStream, EdgeError>;
+    /// Stops a request and gives its memory back.
+    async fn cancel(&self, request: &str) -> Result<(), EdgeError>;
+    /// How busy the engine says it is.
+    async fn report(&self) -> Result<EngineReport, EdgeError>;
+}
+
+/// Longest pause between two parts of an engine's answer.
+pub const ENGINE_SILENCE: Duration = Duration::from_secs(120);
+
+/// An engine over HTTP and server-sent events.
+#[derive(Clone, Debug)]
+pub struct HttpEngine {
+    http: HttpSystem,
+}
+
+impl HttpEngine {
+    /// The engine at `base`.
+    pub fn new(base: &str) -> Self {
+        Self { http: HttpSystem::new("the engine", base, ENGINE_SILENCE) }
+    }
+}
+
+#[async_trait]
+impl Engine for HttpEngine {
+    async fn loaded(&self) -> Result<Vec<Loaded>, EdgeError> {
+        self.http.json(self.http.request(reqwest::Method::GET, "/loaded")).await
+    }
+
+    async fn order(&self, order: &Order) -> Result<(), EdgeError> {
+        let req = self.http.request(reqwest::Method::POST, "/orders").json(order);
+        self.http.send(req).await.map(drop)
+    }
+
+    async fn generate(&self, generate: Generate) -> Result<EngineStream, EdgeError> {
+        let path = if generate.chat { "/v1/chat/completions" } else { "/v1/completions" };
+        let body = engine_body(&generate).map_err(|error| self.http.malformed(&error))?;
+        let req = self
+            .http
+            .request(reqwest::Method::POST, path)
+            .header("x-request-id", generate.request.as_str())
+            .header("x-priority", u32::from(generate.priority))
+            .header("x-resume-from", generate.position)
+            .header("traceparent", generate.traceparent.as_str())
+            .json(&body);
+        let response = self.http.send(req).await?;
+        let http = self.http.clone();
+        let events = response.bytes_stream().eventsource();
+        let events = events.take_while(|event| {
+            let done = matches!(event, Ok(event) if event.data == "[DONE]");
+            futures::future::ready(!done)
+        });
+        Ok(events.map(move |event| read_event(&http, event)).boxed())
+    }
+
+    async fn cancel(&self, request: &str) -> Result<(), EdgeError> {
+        let path = format!("/cancel/{request}");
+        self.http.send(self.http.request(reqwest::Method::POST, &path)).await.map(drop)
+    }
+
+    async fn report(&self) -> Result<EngineReport, EdgeError> {
+        self.http.json(self.http.request(reqwest::Method::GET, "/load")).await
+    }
+}
+
+/// The caller's body with the model as the engine names it, and streaming switched on.
+fn engine_body(generate: &Generate) -> Result<Value, serde_json::Error> {
+    let mut body: Value = serde_json::from_slice(&generate.body)?;
+    body["model"] = json!(generate.weights.to_string());
+    body["stream"] = json!(true);
+    body["stream_options"] = json!({ "include_usage": true });
+    Ok(body)
+}
+
+type RawEvent<E> = Result<eventsource_stream::Event, eventsource_stream::EventStreamError<E>>;
+
+fn read_event<E: std::fmt::Display>(
+    http: &HttpSystem,
+    event: RawEvent<E>,
+) -> Result<EngineEvent, EdgeError> {
+    let event = event.map_err(|error| http.malformed(&error))?;
+    let value: Value = serde_json::from_str(&event.data).map_err(|e| http.malformed(&e))?;
+    if let Some(message) = value["error"]["message"].as_str() {
+        return Err(http.malformed(&message));
+    }
+    if let Some(usage) = value["usage"].as_object() {
+        let count = |name: &str| usage.get(name).and_then(Value::as_u64).unwrap_or_default();
+        let reason = value["choices"][0]["finish_reason"].as_str().unwrap_or("stop");
+        return Ok(EngineEvent::Finished {
+            reason: reason.to_owned(),
+            prompt_tokens: count("prompt_tokens"),
+            completion_tokens: count("completion_tokens"),
+        });
+    }
+    let choice = &value["choices"][0];
+    let text = choice["text"].as_str().or_else(|| choice["delta"]["content"].as_str());
+    Ok(EngineEvent::Text(text.unwrap_or_default().to_owned()))
+}
+
+pub use fake::MemoryEngine;
+
+mod fake {
+    //! An engine in memory, for tests.
+
+    use super::{
+        BoxStream, EdgeError, Engine, EngineEvent, EngineReport, EngineStream, Generate, Loaded,
+        Order, OrderAction, async_trait,
+    };
+    use futures::{StreamExt, stream};
+    use std::sync::{Mutex, MutexGuard};
+
+    /// An engine that answers three tokens at once and remembers its orders.
+    #[derive(Debug, Default)]
+    pub struct MemoryEngine {
+        inner: Mutex<Inner>,
+    }
+
+    #[derive(Debug, Default)]
+    struct Inner {
+        loaded: Vec<Loaded>,
+        orders: Vec<Order>,
+        lose_answers: u32,
+    }
+
+    impl MemoryEngine {
+        fn lock(&self) -> MutexGuard<'_, Inner> {
+            self.inner.lock().expect("no holder of this lock panics")
+        }
+
+        /// All orders that took effect.
+        pub fn orders(&self) -> Vec<Order> {
+            self.lock().orders.clone()
+        }
+
+        /// Makes the next orders take effect but lose their answers.
+        pub fn lose_answers(&self, count: u32) {
+            self.lock().lose_answers = count;
+        }
+    }
+
+    const TOKENS: [&str; 3] = ["one ", "two ", "three"];
+
+    #[async_trait]
+    impl Engine for MemoryEngine {
+        async fn loaded(&self) -> Result<Vec<Loaded>, EdgeError> {
+            Ok(self.lock().loaded.clone())
+        }
+
+        async fn order(&self, order: &Order) -> Result<(), EdgeError> {
+            let mut inner = self.lock();
+            inner.orders.push(order.clone());
+            inner.loaded.retain(|loaded| loaded.weights != order.weights);
+            if order.action == OrderAction::Load {
+                let (weights, memory_mib) = (order.weights.clone(), order.memory_mib);
+                inner.loaded.push(Loaded { weights, memory_mib, ready: true });
+            }
+            if inner.lose_answers > 0 {
+                inner.lose_answers -= 1;
+                let (url, detail) = ("memory".into(), "no answer".into());
+                return Err(EdgeError::Unreachable { system: "the engine", url, detail });
+            }
+            Ok(())
+        }
+
+        async fn generate(&self, generate: Generate) -> Result<EngineStream, EdgeError> {
+            let texts = TOKENS.iter().skip(generate.position as usize);
+            let texts = texts.map(|text| Ok(EngineEvent::Text((*text).to_owned())));
+            let finished = EngineEvent::Finished {
+                reason: "stop".into(),
+                prompt_tokens: 1,
+                completion_tokens: TOKENS.len() as u64,
+            };
+            let events: Vec<_> = texts.chain([Ok(finished)]).collect();
+            let stream: BoxStream<'static, _> = stream::iter(events).boxed();
+            Ok(stream)
+        }
+
+        async fn cancel(&self, _request: &str) -> Result<(), EdgeError> {
+            Ok(())
+        }
+
+        async fn report(&self) -> Result<EngineReport, EdgeError> {
+            Ok(EngineReport::default())
+        }
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_link/src/connection.rs
@@ -0,0 +1,89 @@
+//! Reading and writing one connection.
+
+use crate::frame::{self, FrameError};
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use serde::de::DeserializeOwned;
+use std::time::Duration;
+use tokio::{
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::mpsc,
+    time,
+};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+/// Frames gathered before they are written out.
+const GATHER: usize = 128;
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(frame::MAX_FRAME_BYTES).new_codec()
+}
+
+/// Reads frames.
+#[derive(Debug)]
+pub struct Reader {
+    frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    silence: Duration,
+}
+
+/// Writes frames.
+#[derive(Debug)]
+pub struct Writer {
+    frames: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    silence: Duration,
+}
+
+/// Splits a connection; `silence` bounds each read and each write.
+///
+/// # Errors
+///
+/// Fails if the socket's options cannot be set.
+pub fn split(stream: TcpStream, silence: Duration) -> std::io::Result<(Reader, Writer)> {
+    stream.set_nodelay(true)?;
+    let (read, write) = stream.into_split();
+    let reader = Reader { frames: FramedRead::new(read, codec()), silence };
+    Ok((reader, Writer { frames: FramedWrite::new(write, codec()), silence }))
+}
+
+impl Reader {
+    /// The next message.
+    ///
+    /// A device between the two ends may lose track of the connection; nothing comes then, not
+    /// even an error, and requests on it would wait for ever. The other end sends heartbeats,
+    /// so silence beyond the limit means that this connection is of no use any more.
+    ///
+    /// # Errors
+    ///
+    /// [`FrameError::Silent`] after the limit on silence; others if the connection broke.
+    pub async fn next<T: DeserializeOwned>(&mut self) -> Result<(T, Bytes), FrameError> {
+        let next = time::timeout(self.silence, self.frames.next()).await;
+        let frame = next.map_err(|_| FrameError::Silent(self.silence.as_millis()))?;
+        let frame = frame.ok_or(FrameError::Closed)??;
+        frame::decode(&frame.freeze())
+    }
+}
+
+impl Writer {
+    /// Writes all frames that come until the sender is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection broke, or takes nothing for the limit on silence.
+    pub async fn run(mut self, mut rx: mpsc::Receiver<Bytes>) -> Result<(), FrameError> {
+        let mut frames = Vec::with_capacity(GATHER);
+        while rx.recv_many(&mut frames, GATHER).await > 0 {
+            let write = async {
+                for frame in frames.drain(..) {
+                    self.frames.feed(frame).await?;
+                }
+                SinkExt::<Bytes>::flush(&mut self.frames).await
+            };
+            let written = time::timeout(self.silence, write).await;
+            written.map_err(|_| FrameError::Silent(self.silence.as_millis()))??;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_router/src/answer.rs
@@ -0,0 +1,195 @@
+//! Answers in the form that callers of language models know.
+
+use crate::{
+    call::{CallInProgress, Part},
+    problem::{self, Problem},
+};
+use bytes::Bytes;
+use futures::stream;
+use salvo::Response;
+use serde_json::{Value, json};
+use smol_str::SmolStr;
+use std::{convert::Infallible, time::Duration};
+use tokio::time::Instant;
+
+/// Shape of the answer.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Whether it is a chat.
+    pub chat: bool,
+    /// The request's identity.
+    pub request: SmolStr,
+    /// The model as the caller named it.
+    pub model: String,
+    /// When it was asked, in seconds since the Unix epoch.
+    pub created: u64,
+}
+
+/// Longest pause inside a stream that has begun.
+///
+/// Slow is not silent: the agent's heartbeats tell a dead connection apart, so this only bounds
+/// a target that makes no progress at all.
+const STREAM_PAUSE: Duration = Duration::from_secs(120);
+/// Most bytes gathered into one write to a caller.
+const GATHER_BYTES: usize = 16 * 1024;
+
+impl Shape {
+    fn object(&self, streamed: bool) -> &'static str {
+        match (self.chat, streamed) {
+            (true, true) => "chat.completion.chunk",
+            (true, false) => "chat.completion",
+            (false, _) => "text_completion",
+        }
+    }
+
+    fn base(&self, streamed: bool, choice: Value) -> Value {
+        json!({
+            "id": self.request,
+            "object": self.object(streamed),
+            "created": self.created,
+            "model": self.model,
+            "choices": [choice],
+        })
+    }
+
+    fn delta(&self, text: &str) -> Value {
+        let choice = if self.chat {
+            json!({ "index": 0, "delta": { "role": "assistant", "content": text }, "finish_reason": null })
+        } else {
+            json!({ "index": 0, "text": text, "finish_reason": null })
+        };
+        self.base(true, choice)
+    }
+
+    fn finish(&self, reason: &str, usage: &Value) -> Value {
+        let choice = if self.chat {
+            json!({ "index": 0, "delta": {}, "finish_reason": reason })
+        } else {
+            json!({ "index": 0, "text": "", "finish_reason": reason })
+        };
+        let mut value = self.base(true, choice);
+        value["usage"] = usage.clone();
+        value
+    }
+
+    fn whole(&self, text: &str, reason: &str, usage: Value) -> Value {
+        let choice = if self.chat {
+            let message = json!({ "role": "assistant", "content": text });
+            json!({ "index": 0, "message": message, "finish_reason": reason })
+        } else {
+            json!({ "index": 0, "text": text, "finish_reason": reason })
+        };
+        let mut value = self.base(false, choice);
+        value["usage"] = usage;
+        value
+    }
+}
+
+fn usage(prompt: u64, completion: u64) -> Value {
+    json!({
+        "prompt_tokens": prompt,
+        "completion_tokens": completion,
+        "total_tokens": prompt + completion,
+    })
+}
+
+/// Gathers the whole answer and sends it as one JSON document.
+///
+/// # Errors
+///
+/// Any [`Problem`]; nothing has been sent then.
+pub async fn whole(
+    mut call: CallInProgress,
+    shape: &Shape,
+    deadline: Instant,
+    res: &mut Response,
+) -> Result<(), Problem> {
+    let mut text = Vec::new();
+    loop {
+        match call.next(deadline).await? {
+            Part::Head { .. } => {}
+            Part::Chunk(body) => text.extend_from_slice(&body),
+            Part::Whole { prompt_tokens, completion_tokens, finish_reason } => {
+                let usage = usage(prompt_tokens, completion_tokens);
+                let text = String::from_utf8_lossy(&text);
+                let body = shape.whole(&text, &finish_reason, usage);
+                problem::set_header(res, "content-type", "application/json");
+                drop(res.write_body(body.to_string()));
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Sends the answer as server-sent events, as it comes.
+///
+/// # Errors
+///
+/// Any [`Problem`] before the first part; later ones are an error event, and no `[DONE]`.
+pub async fn stream(
+    mut call: CallInProgress,
+    shape: Shape,
+    deadline: Instant,
+    res: &mut Response,
+) -> Result<(), Problem> {
+    let first = call.next(deadline).await?;
+    problem::set_header(res, "content-type", "text/event-stream");
+    problem::set_header(res, "cache-control", "no-cache");
+    let state = Events { call, shape, waiting: Some(first), over: false };
+    res.stream(stream::unfold(state, Events::step));
+    Ok(())
+}
+
+struct Events {
+    call: CallInProgress,
+    shape: Shape,
+    waiting: Option<Part>,
+    over: bool,
+}
+
+impl Events {
+    async fn step(mut self) -> Option<(Result<Bytes, Infallible>, Self)> {
+        if self.over {
+            return None;
+        }
+        let mut buf = String::new();
+        let first = match self.waiting.take() {
+            Some(part) => Ok(part),
+            None => self.call.next(Instant::now() + STREAM_PAUSE).await,
+        };
+        self.write(first, &mut buf);
+        while !self.over && buf.len() < GATHER_BYTES {
+            match self.call.try_next() {
+                Ok(None) => break,
+                Ok(Some(part)) => self.write(Ok(part), &mut buf),
+                Err(problem) => self.write(Err(problem), &mut buf),
+            }
+        }
+        Some((Ok(buf.into()), self))
+    }
+
+    fn write(&mut self, part: Result<Part, Problem>, buf: &mut String) {
+        match part {
+            Ok(Part::Head { .. }) => {}
+            Ok(Part::Chunk(body)) => {
+                event(buf, &self.shape.delta(&String::from_utf8_lossy(&body)));
+            }
+            Ok(Part::Whole { prompt_tokens, completion_tokens, finish_reason }) => {
+                let usage = usage(prompt_tokens, completion_tokens);
+                event(buf, &self.shape.finish(&finish_reason, &usage));
+                buf.push_str("data: [DONE]\n\n");
+                self.over = true;
+            }
+            Err(problem) => {
+                event(buf, &problem.body(&self.shape.request));
+                self.over = true;
+            }
+        }
+    }
+}
+
+fn event(buf: &mut String, value: &Value) {
+    buf.push_str("data: ");
+    buf.push_str(&value.to_string());
+    buf.push_str("\n\n");
+}
--- /dev/null
+++ b/crates/corianderstand_router/src/completions.rs
@@ -0,0 +1,178 @@
+//! `POST /v1/completions`, `POST /v1/chat/completions` and `GET /v1/models`.
+
+use crate::{
+    answer::{self, Shape},
+    call::CallInProgress,
+    http::{Asked, Door},
+    problem::{self, Problem},
+};
+use bytes::Bytes;
+use corianderstand_decide::work::{Need, Work};
+use corianderstand_schema::{
+    messages::{AdapterRef, OpenStream, Operation},
+    settings,
+};
+use corianderstand_state::view::{TeamView, View};
+use corianderstand_types::{
+    clock,
+    names::{AdapterId, ModelId, VersionId},
+    weights::Weights,
+};
+use salvo::{Request, Response};
+use serde_json::{Value, json};
+use std::time::{Duration, SystemTime};
+use tokio::time::Instant;
+
+/// What a caller asks of a model.
+struct Wanted {
+    base: Weights,
+    adapter: Option<Weights>,
+    name: String,
+    stream: bool,
+    body: Bytes,
+}
+
+/// Answers `GET /v1/models`.
+pub fn models(team: &TeamView, view: &View, res: &mut Response) {
+    let created = clock::unix_ms(SystemTime::now()) / 1000;
+    let mut data = Vec::new();
+    let mut add = |id: String, version: &str| {
+        data.push(json!({ "id": id, "object": "model", "created": created, "owned_by": "team",
+            "version": version }));
+    };
+    for (model, allowed) in &team.models {
+        let Some(facts) = view.models.get(model) else { continue };
+        let versions =
+            if allowed.versions.is_empty() { &facts.versions } else { &allowed.versions };
+        add(model.to_string(), versions.first().map_or("", |v| v.as_str()));
+        for adapter in &allowed.adapters {
+            add(format!("{model}:{}", adapter.name), adapter.version.as_str());
+        }
+    }
+    problem::set_header(res, "content-type", "application/json");
+    drop(res.write_body(json!({ "object": "list", "data": data }).to_string()));
+}
+
+/// Answers a completion or a chat.
+///
+/// # Errors
+///
+/// Any [`Problem`]; nothing has been sent then.
+pub async fn complete(
+    door: &Door,
+    asked: &Asked,
+    chat: bool,
+    req: &mut Request,
+    res: &mut Response,
+) -> Result<(), Problem> {
+    let team = asked.team_view()?;
+    let longest = door.max_body_bytes.min(team.team.max_prompt_bytes as usize);
+    let body = door.read_body(req, longest).await?;
+    let wanted = read(body, chat, team, &asked.snapshot.view)?;
+    let allowed = &team.models[&wanted.base.model];
+    let urgency = asked.urgency(req, allowed.urgency.unwrap_or(team.team.default_urgency))?;
+    let limit = team.team.max_deadline_ms.0;
+    let budget = asked.deadline(req, team.team.default_deadline_ms.0, limit)?;
+    let deadline = Instant::now() + budget;
+    let (work, open) = open(asked, &wanted, chat, urgency, budget);
+    let call = CallInProgress::submit(&door.events, work, open, wanted.body)?;
+    let shape = Shape {
+        chat,
+        request: asked.request.clone(),
+        model: wanted.name,
+        created: clock::unix_ms(SystemTime::now()) / 1000,
+    };
+    if wanted.stream {
+        answer::stream(call, shape, deadline, res).await
+    } else {
+        answer::whole(call, &shape, deadline, res).await
+    }
+}
+
+fn open(
+    asked: &Asked,
+    wanted: &Wanted,
+    chat: bool,
+    urgency: u8,
+    budget: Duration,
+) -> (Work, OpenStream) {
+    let (model, version) = (wanted.base.model.clone(), wanted.base.version.clone());
+    let adapter = wanted.adapter.as_ref().and_then(|weights| {
+        let name = weights.adapter.clone()?;
+        Some(AdapterRef { name, version: weights.version.clone() })
+    });
+    let operation = if chat {
+        Operation::Chat { model, version, adapter }
+    } else {
+        Operation::Completion { model, version, adapter }
+    };
+    let need = Need::Weights { base: wanted.base.clone(), adapter: wanted.adapter.clone() };
+    asked.open(need, operation, urgency, budget, true)
+}
+
+fn invalid(message: &str) -> Problem {
+    Problem::Invalid(message.to_owned())
+}
+
+fn read(body: Bytes, chat: bool, team: &TeamView, view: &View) -> Result<Wanted, Problem> {
+    let value: Value = serde_json::from_slice(&body)
+        .map_err(|error| Problem::Invalid(format!("the body is not JSON ({error}): mend it")))?;
+    let name = value["model"].as_str().ok_or_else(|| invalid("name a `model`"))?;
+    let present = if chat { value["messages"].is_array() } else { value["prompt"].is_string() };
+    if !present {
+        let missing = if chat { "`messages`, an array" } else { "`prompt`, a string" };
+        return Err(Problem::Invalid(format!("give {missing}")));
+    }
+    let stream = match &value["stream"] {
+        Value::Null => false,
+        Value::Bool(stream) => *stream,
+        _ => return Err(invalid("`stream` is true or false")),
+    };
+    let (base, adapter) = resolve(name, team, view)?;
+    Ok(Wanted { base, adapter, name: name.to_owned(), stream, body })
+}
+
+/// Finds what `model`, `model:adapter`, `model@version` or `model:adapter@version` names.
+///
+/// What the team may not call and what does not exist get the same answer, so that nothing is
+/// learnt about other teams.
+fn resolve(
+    name: &str,
+    team: &TeamView,
+    view: &View,
+) -> Result<(Weights, Option<Weights>), Problem> {
+    let (name, version) = match name.split_once('@') {
+        Some((name, version)) => (name, Some(version)),
+        None => (name, None),
+    };
+    let (model, adapter) = match name.split_once(':') {
+        Some((model, adapter)) => (model, Some(adapter)),
+        None => (name, None),
+    };
+    let model = ModelId::new(model).map_err(|error| Problem::Invalid(error.to_string()))?;
+    let allowed = team.models.get(&model).ok_or(Problem::NotFound)?;
+    let facts = view.models.get(&model).ok_or(Problem::NotFound)?;
+    let base_version = version.filter(|_| adapter.is_none());
+    let base = Weights::model(model.clone(), base(allowed, facts, base_version)?);
+    let Some(adapter) = adapter else { return Ok((base, None)) };
+    let adapter = AdapterId::new(adapter).map_err(|error| Problem::Invalid(error.to_string()))?;
+    let found = allowed.adapters.iter().find(|known| {
+        known.name == adapter && version.is_none_or(|version| known.version.as_str() == version)
+    });
+    let found = found.ok_or(Problem::NotFound)?;
+    let (version, adapter) = (found.version.clone(), Some(found.name.clone()));
+    Ok((base, Some(Weights { model, version, adapter })))
+}
+
+fn base(
+    allowed: &settings::TeamModel,
+    facts: &settings::Model,
+    version: Option<&str>,
+) -> Result<VersionId, Problem> {
+    let mut versions = facts
+        .versions
+        .iter()
+        .filter(|v| allowed.versions.is_empty() || allowed.versions.contains(v));
+    let found = versions.find(|v| version.is_none_or(|version| v.as_str() == version));
+    found.cloned().ok_or(Problem::NotFound)
+}
--- /dev/null
+++ b/crates/corianderstand_router/src/decide.rs
@@ -0,0 +1,183 @@
+//! The `decide` thread: feeds events to the pure logic and hands on what it decides.
+
+use crate::{
+    event::{Call, Command, Event, Update},
+    link,
+};
+use corianderstand_control::snapshot::{Current, Snapshot};
+use corianderstand_decide::{
+    router::{Decision, Router, TargetKey},
+    work::{Refusal, RequestKey},
+};
+use corianderstand_schema::messages::{Load, RefusalReason};
+use corianderstand_types::{
+    clock::SharedClock,
+    names::{ModelId, ServiceId, TargetId},
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        mpsc::{Receiver, RecvTimeoutError},
+    },
+    time::Duration,
+};
+use tokio::sync::mpsc;
+
+/// Longest time between two looks at the snapshot.
+const LONGEST_WAIT: Duration = Duration::from_millis(100);
+/// When to come back after the connection to the only target broke.
+const RETRY_LOST: Duration = Duration::from_millis(500);
+
+/// The thread's state.
+pub struct Decider {
+    /// The pure logic.
+    pub router: Router,
+    /// Snapshots.
+    pub current: Current,
+    /// Time.
+    pub clock: SharedClock,
+    /// Requests held, so that they can be sent to a second target.
+    pub calls: HashMap<RequestKey, Call>,
+    /// Connections that are up.
+    pub connections: HashMap<TargetId, mpsc::Sender<Command>>,
+    /// Versions of the targets, slots and settings that the logic knows.
+    pub versions: (u64, u64, u64),
+    /// Requests held, for the limit and for a planned stop.
+    pub held: std::sync::Arc<AtomicUsize>,
+}
+
+impl Decider {
+    /// Runs until all senders of events are gone.
+    pub fn run(mut self, events: &Receiver<Event>) {
+        loop {
+            let event = events.recv_timeout(LONGEST_WAIT);
+            self.refresh();
+            match event {
+                Ok(event) => self.take(event),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            self.held.store(self.calls.len(), Ordering::Relaxed);
+        }
+    }
+
+    fn refresh(&mut self) {
+        let snapshot = self.current.load();
+        let state = &snapshot.state;
+        let versions = (state.targets.version, state.slots.version, state.documents.version);
+        if versions == self.versions {
+            return;
+        }
+        self.versions = versions;
+        self.refresh_targets(&snapshot);
+        let mut owners: BTreeMap<ModelId, Vec<TargetKey>> = BTreeMap::new();
+        for (slot, owner) in &state.slots.by_key {
+            if let Some(key) = self.router.target(&owner.target) {
+                owners.entry(slot.model.clone()).or_default().push(key);
+            }
+        }
+        self.router.set_owners(owners);
+    }
+
+    fn refresh_targets(&mut self, snapshot: &Snapshot) {
+        let targets = &snapshot.state.targets.by_name;
+        let names: Vec<TargetId> = self.router.targets().map(|t| t.name.clone()).collect();
+        for name in names.iter().filter(|name| !targets.contains_key(*name)) {
+            self.router.remove_target(name);
+        }
+        let mut services: BTreeMap<ServiceId, Vec<TargetKey>> = BTreeMap::new();
+        for (name, target) in targets {
+            let key = self.router.add_target(name, &target.record.place);
+            self.router.set_connected(key, self.connections.contains_key(name));
+            if let Some(service) = &target.record.service {
+                services.entry(service.clone()).or_default().push(key);
+            }
+        }
+        self.router.set_services(services);
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.clock.now();
+        match event {
+            Event::Submit(submitted) => {
+                let (work, call) = *submitted;
+                let (key, decision) = self.router.submit(now, work);
+                self.calls.insert(key, call);
+                self.perform(key, decision);
+            }
+            Event::Connected { target, draining, commands } => {
+                self.connections.insert(target.clone(), commands);
+                if let Some(key) = self.router.target(&target) {
+                    self.router.set_connected(key, true);
+                    self.router.set_draining(key, draining);
+                }
+            }
+            Event::Disconnected(target) => {
+                self.connections.remove(&target);
+                if let Some(key) = self.router.target(&target) {
+                    self.router.set_connected(key, false);
+                }
+            }
+            Event::Draining(target) => {
+                if let Some(key) = self.router.target(&target) {
+                    self.router.set_draining(key, true);
+                }
+            }
+            Event::Refused { key, refusal, load } => {
+                if self.calls.contains_key(&key) {
+                    let decision = self.router.refused(now, key, refusal, load);
+                    self.perform(key, decision);
+                }
+            }
+            Event::Ended { key, load } => {
+                self.calls.remove(&key);
+                self.router.finished(key, load);
+            }
+            Event::Lost(key) => self.lost(key),
+        }
+    }
+
+    /// The connection broke before anything of the answer came. A request that may be repeated
+    /// goes to another target; of others it is not known whether they ran.
+    fn lost(&mut self, key: RequestKey) {
+        let Some(call) = self.calls.get(&key) else { return };
+        let reason = RefusalReason::NotLoaded;
+        let refusal = Refusal { reason, retry_after: RETRY_LOST };
+        if !self.router.is_repeatable(key) {
+            drop(call.reply.try_send(Update::Lost));
+            self.calls.remove(&key);
+            self.router.finished(key, None);
+            return;
+        }
+        let load = Load { running: 0, queued: 0, wait_ms: 0 };
+        let decision = self.router.refused(self.clock.now(), key, refusal, load);
+        self.perform(key, decision);
+    }
+
+    fn perform(&mut self, key: RequestKey, decision: Decision) {
+        match decision {
+            Decision::Send(target) => self.send(key, target),
+            Decision::Refuse(refusal) => {
+                if let Some(call) = self.calls.remove(&key) {
+                    drop(call.reply.try_send(Update::Refused(refusal)));
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, key: RequestKey, target: TargetKey) {
+        let name = self.router.target_state(target).map(|target| target.name.clone());
+        let connection = name.and_then(|name| self.connections.get(&name));
+        let (Some(connection), Some(call)) = (connection, self.calls.get(&key)) else { return };
+        let mut call = call.clone();
+        call.open.stream = link::stream_of(key);
+        if connection.try_send(Command::Open(Box::new(call))).is_err() {
+            // The connection is gone or far behind: its ring is as good as a refusal.
+            let refusal = Refusal { reason: RefusalReason::QueueFull, retry_after: RETRY_LOST };
+            let load = Load { running: 0, queued: 0, wait_ms: 0 };
+            let decision = self.router.refused(self.clock.now(), key, refusal, load);
+            self.perform(key, decision);
+        }
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_router/src/http.rs
@@ -0,0 +1,315 @@
+//! The `http` thread: what callers and operators speak to.
+
+use crate::{
+    auth::Hasher,
+    completions,
+    event::Event,
+    operator,
+    problem::{self, Problem},
+    services,
+};
+use bytes::Bytes;
+use corianderstand_control::{snapshot::Snapshot, start::Handle};
+use corianderstand_decide::work::{Need, Work};
+use corianderstand_link::trace::TraceContext;
+use corianderstand_schema::{
+    messages::{OpenStream, Operation, RefusalReason},
+    settings::Urgency,
+};
+use corianderstand_state::view::TeamView;
+use corianderstand_types::{clock::SharedClock, names::TeamId};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+use smol_str::{SmolStr, format_smolstr};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+        mpsc::SyncSender,
+    },
+    time::Duration,
+};
+use tokio::time;
+
+/// Header with the deadline, in milliseconds from now.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+/// Header with the urgency: `low`, `normal` or `urgent`.
+pub const URGENCY_HEADER: &str = "x-urgency";
+/// When to come back if this router holds as many requests as it may.
+const RETRY_FULL: Duration = Duration::from_secs(1);
+
+/// What the handlers share.
+pub struct Door {
+    /// To the `decide` thread.
+    pub events: SyncSender<Event>,
+    /// The log.
+    pub control: Handle,
+    /// Hashes bearer keys.
+    pub hasher: Hasher,
+    /// Hash of the operators' key.
+    pub operator_key_hash: SmolStr,
+    /// Longest body, in bytes.
+    pub max_body_bytes: usize,
+    /// Longest time a body may take to come.
+    pub read_timeout: Duration,
+    /// Most requests held.
+    pub max_in_flight: usize,
+    /// Requests held now.
+    pub held: Arc<AtomicUsize>,
+    /// Whether a planned stop has begun.
+    pub draining: Arc<AtomicBool>,
+    /// Time.
+    pub clock: SharedClock,
+}
+
+/// One request with its caller's team.
+pub struct Asked {
+    /// The request's identity.
+    pub request: SmolStr,
+    /// The caller's team.
+    pub team: TeamId,
+    /// The state it is judged by.
+    pub snapshot: Arc<Snapshot>,
+    /// The trace that this hop belongs to.
+    pub trace: TraceContext,
+    /// Time.
+    pub clock: SharedClock,
+}
+
+/// What a path is for.
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    Completion,
+    Chat,
+    Models,
+    Service,
+    Operator(operator::Kind),
+    Healthy,
+    Ready,
+}
+
+struct Endpoint(Arc<Door>, Kind);
+
+/// All paths.
+pub fn routes(door: &Arc<Door>) -> Router {
+    let at = |kind| Endpoint(door.clone(), kind);
+    Router::new()
+        .push(Router::with_path("v1/completions").post(at(Kind::Completion)))
+        .push(Router::with_path("v1/chat/completions").post(at(Kind::Chat)))
+        .push(Router::with_path("v1/models").get(at(Kind::Models)))
+        .push(Router::with_path("services/{service}/{**rest}").goal(at(Kind::Service)))
+        .push(Router::with_path("operator/apply").post(at(Kind::Operator(operator::Kind::Apply))))
+        .push(Router::with_path("operator/get").get(at(Kind::Operator(operator::Kind::Get))))
+        .push(Router::with_path("operator/status").get(at(Kind::Operator(operator::Kind::Status))))
+        .push(Router::with_path("healthz").get(at(Kind::Healthy)))
+        .push(Router::with_path("readyz").get(at(Kind::Ready)))
+}
+
+#[async_trait]
+impl Handler for Endpoint {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let Self(door, kind) = self;
+        let request = request_id(req);
+        problem::set_header(res, problem::REQUEST_ID_HEADER, &request);
+        if let Err(problem) = door.answer(*kind, request.clone(), req, res).await {
+            tracing::info!(%request, code = problem.code(), "request not answered");
+            problem.write(&request, res);
+        }
+    }
+}
+
+/// The caller's own id if it can be used, else a new one.
+fn request_id(req: &Request) -> SmolStr {
+    let given = header(req, problem::REQUEST_ID_HEADER);
+    let usable = given.filter(|id| corianderstand_types::names::check(id).is_ok());
+    usable.map_or_else(|| format_smolstr!("r-{:032x}", rand::random::<u128>()), SmolStr::new)
+}
+
+fn header<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
+    req.headers().get(name).and_then(|value| value.to_str().ok())
+}
+
+fn bearer(req: &Request) -> Result<&str, Problem> {
+    let value = header(req, "authorization").ok_or(Problem::Unauthorized)?;
+    value.strip_prefix("Bearer ").map(str::trim).ok_or(Problem::Unauthorized)
+}
+
+impl Door {
+    async fn answer(
+        &self,
+        kind: Kind,
+        request: SmolStr,
+        req: &mut Request,
+        res: &mut Response,
+    ) -> Result<(), Problem> {
+        match kind {
+            Kind::Healthy => {
+                drop(res.write_body("ok\n"));
+                Ok(())
+            }
+            Kind::Ready => {
+                self.ready(&self.control.current.load())?;
+                drop(res.write_body("ready\n"));
+                Ok(())
+            }
+            Kind::Operator(kind) => {
+                self.check_operator(req)?;
+                operator::answer(self, kind, req, res).await
+            }
+            _ => self.answer_caller(kind, request, req, res).await,
+        }
+    }
+
+    async fn answer_caller(
+        &self,
+        kind: Kind,
+        request: SmolStr,
+        req: &mut Request,
+        res: &mut Response,
+    ) -> Result<(), Problem> {
+        let began = self.clock.now();
+        let asked = self.ask(request, req)?;
+        let done = match kind {
+            Kind::Chat => completions::complete(self, &asked, true, req, res).await,
+            Kind::Models => {
+                completions::models(asked.team_view()?, &asked.snapshot.view, res);
+                Ok(())
+            }
+            Kind::Service => services::call(self, &asked, req, res).await,
+            _ => completions::complete(self, &asked, false, req, res).await,
+        };
+        tracing::info!(
+            trace_id = %format_args!("{:032x}", asked.trace.trace),
+            span_id = %format_args!("{:016x}", asked.trace.span),
+            request = %asked.request,
+            team = %asked.team,
+            took_us = (self.clock.now() - began).as_micros() as u64,
+            outcome = done.as_ref().map_or_else(Problem::code, |()| "answered"),
+            "hop router"
+        );
+        done
+    }
+
+    fn ask(&self, request: SmolStr, req: &Request) -> Result<Asked, Problem> {
+        let snapshot = self.control.current.load();
+        self.ready(&snapshot)?;
+        let team = self.hasher.team(&snapshot.view, bearer(req)?);
+        let team = team.ok_or(Problem::Unauthorized)?;
+        if self.held.load(Ordering::Relaxed) >= self.max_in_flight {
+            return Err(Problem::Refused(RefusalReason::QueueFull, RETRY_FULL));
+        }
+        let trace = TraceContext::continue_from(header(req, "traceparent"));
+        Ok(Asked { request, team, snapshot, trace, clock: self.clock.clone() })
+    }
+
+    fn ready(&self, snapshot: &Snapshot) -> Result<(), Problem> {
+        if self.draining.load(Ordering::Relaxed) {
+            return Err(Problem::NotReady("it is stopping"));
+        }
+        if !snapshot.caught_up {
+            return Err(Problem::NotReady("it has no settings yet, as the log is not read"));
+        }
+        Ok(())
+    }
+
+    fn check_operator(&self, req: &Request) -> Result<(), Problem> {
+        let hash = self.hasher.hash(bearer(req)?);
+        if hash == self.operator_key_hash { Ok(()) } else { Err(Problem::Forbidden) }
+    }
+
+    /// Reads a request's body.
+    ///
+    /// # Errors
+    ///
+    /// A body that is too long or takes too long ends the request.
+    pub async fn read_body(&self, req: &mut Request, longest: usize) -> Result<Bytes, Problem> {
+        let declared = header(req, "content-length").and_then(|v| v.parse::<usize>().ok());
+        if declared.is_some_and(|length| length > longest) {
+            return Err(Problem::TooLong(longest));
+        }
+        let read = time::timeout(self.read_timeout, req.payload_with_max_size(longest)).await;
+        match read {
+            Err(_) => Err(Problem::Invalid("the body took too long: send it faster".into())),
+            Ok(Err(_)) => Err(Problem::TooLong(longest)),
+            Ok(Ok(body)) => Ok(body.clone()),
+        }
+    }
+}
+
+impl Asked {
+    /// What the caller's team may do.
+    ///
+    /// # Errors
+    ///
+    /// [`Problem::Unauthorized`] if the team is gone.
+    pub fn team_view(&self) -> Result<&TeamView, Problem> {
+        self.snapshot.view.teams.get(&self.team).ok_or(Problem::Unauthorized)
+    }
+
+    /// The urgency asked for, or the default.
+    ///
+    /// # Errors
+    ///
+    /// [`Problem::Invalid`] for an unknown one.
+    pub fn urgency(&self, req: &Request, default: Urgency) -> Result<u8, Problem> {
+        let urgency = match header(req, URGENCY_HEADER) {
+            None => default,
+            Some(text) => text.parse().map_err(|_| {
+                Problem::Invalid(format!("`{URGENCY_HEADER}` is low, normal or urgent"))
+            })?,
+        };
+        Ok(match urgency {
+            Urgency::Low => 0,
+            Urgency::Normal => 1,
+            Urgency::Urgent => 2,
+        })
+    }
+
+    /// The time until the deadline asked for, or the default; at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// [`Problem::Invalid`] for a deadline that is no number.
+    pub fn deadline(
+        &self,
+        req: &Request,
+        default: Duration,
+        limit: Duration,
+    ) -> Result<Duration, Problem> {
+        let Some(text) = header(req, DEADLINE_HEADER) else { return Ok(default.min(limit)) };
+        let ms: u64 = text.parse().map_err(|_| {
+            Problem::Invalid(format!("`{DEADLINE_HEADER}` is a whole number of milliseconds"))
+        })?;
+        Ok(Duration::from_millis(ms).min(limit))
+    }
+
+    /// What the decisions and the agent need to know.
+    pub fn open(
+        &self,
+        need: Need,
+        operation: Operation,
+        urgency: u8,
+        budget: Duration,
+        repeatable: bool,
+    ) -> (Work, OpenStream) {
+        let deadline = self.clock.now() + budget;
+        let work = Work { team: self.team.clone(), need, urgency, deadline, repeatable };
+        let open = OpenStream {
+            stream: 0,
+            request: self.request.clone(),
+            team: self.team.clone(),
+            operation,
+            urgency,
+            deadline_ms: budget.as_millis() as u64,
+            position: 0,
+            window: 0,
+            traceparent: self.trace.header(),
+        };
+        (work, open)
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_router/src/lib.rs
@@ -0,0 +1,30 @@
+//! The process that takes calls: it authenticates, decides, forwards and answers.
+//!
+//! Its threads are `http` (callers and operators), `decide` (the pure logic of
+//! `corianderstand_decide`), `link` (connections to agents) and `control` (the log), joined by
+//! bounded rings. Chunks of an answer go from `link` straight to the caller's handler.
+//!
+//! ```no_run
+//! use corianderstand_types::clock::SystemClock;
+//!
+//! # fn settings() -> corianderstand_schema::process::RouterSettings { todo!() }
+//! let router = corianderstand_router::start(settings(), std::sync::Arc::new(SystemClock))?;
+//! router.drain();
+//! router.join();
+//! # Ok::<(), corianderstand_router::RouterError>(())
+//! ```
+
+mod answer;
+pub mod auth;
+mod call;
+mod completions;
+mod decide;
+mod event;
+mod http;
+mod link;
+mod operator;
+mod problem;
+mod services;
+mod start;
+
+pub use start::{RouterError, RouterHandle, start};
--- /dev/null
+++ b/crates/corianderstand_router/src/start.rs
@@ -0,0 +1,179 @@
+//! Starts a router's threads and stops them as planned.
+
+use crate::{
+    auth::{AuthError, Hasher},
+    decide::Decider,
+    event::Event,
+    http::{self, Door},
+    link::{self, Shared},
+};
+use corianderstand_control::{
+    appender::Identity,
+    start::{Control, Handle},
+};
+use corianderstand_decide::router::Router;
+use corianderstand_edge::{hosts::HttpHostList, log::HttpLog};
+use corianderstand_schema::process::RouterSettings;
+use corianderstand_types::clock::{self, SharedClock};
+use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+        mpsc,
+    },
+    thread,
+    time::{Duration, Instant},
+};
+use tokio::runtime;
+
+/// Events that wait for the `decide` thread.
+const EVENT_RING: usize = 16384;
+/// Time between two looks during a planned stop.
+const STOP_PAUSE: Duration = Duration::from_millis(50);
+
+/// A router that cannot start.
+#[derive(Debug, displaydoc::Display)]
+pub enum RouterError {
+    /// cannot listen on {0} ({1}): free the address, or change `listen`
+    Listen(String, std::io::Error),
+    /// cannot start a thread ({0}): raise the host's limits
+    Thread(std::io::Error),
+    /// {0}
+    Auth(AuthError),
+}
+
+impl std::error::Error for RouterError {}
+
+/// A running router.
+pub struct RouterHandle {
+    draining: Arc<AtomicBool>,
+    held: Arc<AtomicUsize>,
+    server: ServerHandle,
+    drain_limit: Duration,
+}
+
+/// Starts a router; it returns as soon as its port is bound.
+///
+/// # Errors
+///
+/// See [`RouterError`].
+pub fn start(settings: RouterSettings, clock: SharedClock) -> Result<RouterHandle, RouterError> {
+    let incarnation = clock::unix_ms(clock.wall());
+    let hasher = Hasher::new(&settings.auth_key).map_err(RouterError::Auth)?;
+    let control = start_control(&settings, incarnation, clock.clone())?;
+    let (events, events_rx) = mpsc::sync_channel(EVENT_RING);
+    let held = Arc::new(AtomicUsize::new(0));
+    let draining = Arc::new(AtomicBool::new(false));
+
+    let decider = Decider {
+        router: Router::new(settings.place.clone(), incarnation),
+        current: control.current.clone(),
+        clock: clock.clone(),
+        calls: HashMap::new(),
+        connections: HashMap::new(),
+        versions: (u64::MAX, 0, 0),
+        held: held.clone(),
+    };
+    spawn("decide", move || decider.run(&events_rx))?;
+    start_link(&settings, incarnation, &control, events.clone())?;
+
+    let door = Arc::new(Door {
+        events,
+        control,
+        hasher,
+        operator_key_hash: settings.operator_key_hash.clone(),
+        max_body_bytes: settings.limits.max_body_bytes as usize,
+        read_timeout: settings.limits.read_timeout_ms.0,
+        max_in_flight: settings.limits.max_in_flight as usize,
+        held: held.clone(),
+        draining: draining.clone(),
+        clock,
+    });
+    let server = start_http(&settings, &door)?;
+    Ok(RouterHandle { draining, held, server, drain_limit: settings.timing.drain_ms.0 })
+}
+
+fn runtime() -> Result<runtime::Runtime, RouterError> {
+    runtime::Builder::new_current_thread().enable_all().build().map_err(RouterError::Thread)
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), RouterError> {
+    let builder = thread::Builder::new().name(name.to_owned());
+    builder.spawn(run).map(drop).map_err(RouterError::Thread)
+}
+
+fn start_control(
+    settings: &RouterSettings,
+    incarnation: u64,
+    clock: SharedClock,
+) -> Result<Handle, RouterError> {
+    let poll = settings.timing.log_poll_ms.0;
+    let control = Control {
+        identity: Identity { writer: settings.name.clone(), incarnation },
+        log: Arc::new(HttpLog::new(&settings.log_url, poll)),
+        hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
+        clock,
+        log_poll: poll,
+        hosts_poll: settings.timing.host_list_poll_ms.0,
+        takes_lease: true,
+    };
+    control.start().map_err(RouterError::Thread)
+}
+
+fn start_link(
+    settings: &RouterSettings,
+    incarnation: u64,
+    control: &Handle,
+    events: mpsc::SyncSender<Event>,
+) -> Result<(), RouterError> {
+    let timing = settings.timing.clone();
+    let shared = Shared { router: settings.name.clone(), incarnation, timing, events };
+    let current = control.current.clone();
+    let runtime = runtime()?;
+    spawn("link", move || runtime.block_on(link::run(shared, current)))
+}
+
+fn start_http(settings: &RouterSettings, door: &Arc<Door>) -> Result<ServerHandle, RouterError> {
+    let listen_error = |error| RouterError::Listen(settings.listen.to_string(), error);
+    let listener = std::net::TcpListener::bind(settings.listen.as_str()).map_err(listen_error)?;
+    listener.set_nonblocking(true).map_err(listen_error)?;
+    let runtime = runtime()?;
+    let acceptor = {
+        let _entered = runtime.enter();
+        let listener = tokio::net::TcpListener::from_std(listener).map_err(listen_error)?;
+        TcpAcceptor::try_from(listener).map_err(listen_error)?
+    };
+    let server = Server::new(acceptor).max_connections(settings.limits.max_connections as usize);
+    let handle = server.handle();
+    let routes = http::routes(door);
+    spawn("http", move || runtime.block_on(server.serve(routes)))?;
+    Ok(handle)
+}
+
+impl RouterHandle {
+    /// Begins a planned stop: not ready any more, requests in flight go on.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Waits until nothing is in flight, or the limit has passed.
+    pub fn join(self) {
+        let began = Instant::now();
+        loop {
+            thread::sleep(STOP_PAUSE);
+            if self.held.load(Ordering::Relaxed) == 0 {
+                break;
+            }
+            if began.elapsed() >= self.drain_limit {
+                let held = self.held.load(Ordering::Relaxed);
+                tracing::warn!(held, "planned stop: limit reached with requests in flight");
+                break;
+            }
+        }
+        // The last answers are handed to the callers' connections before the process ends.
+        self.server.stop_graceful(STOP_PAUSE);
+        thread::sleep(STOP_PAUSE * 2);
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_schema/src/check.rs
@@ -0,0 +1,107 @@
+//! Compares JSON documents with their schema, all faults at once.
+
+use serde_json::Value;
+use std::sync::LazyLock;
+
+const SETTINGS: &str = include_str!("../../../schema/settings.json");
+const PROCESS: &str = include_str!("../../../schema/process.json");
+
+/// Kinds of document that an operator writes.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Document {
+    /// `system/deployment`.
+    Deployment,
+    /// `shared/models/{model}`.
+    Model,
+    /// `shared/services/{service}`.
+    Service,
+    /// `teams/{team}/team`.
+    Team,
+    /// `teams/{team}/models/{model}`.
+    TeamModel,
+    /// `teams/{team}/services/{service}`.
+    TeamService,
+    /// Settings of a router process.
+    Router,
+    /// Settings of an agent process.
+    Agent,
+}
+
+/// One fault in a document.
+#[derive(Clone, PartialEq, Eq, Debug, displaydoc::Display)]
+#[displaydoc("at {path}: {problem}; {remedy}")]
+pub struct Fault {
+    /// JSON pointer of the faulty value.
+    pub path: String,
+    /// What is wrong with it.
+    pub problem: String,
+    /// What to do about it.
+    pub remedy: String,
+}
+
+impl std::error::Error for Fault {}
+
+impl Document {
+    const ALL: [Self; 8] = [
+        Self::Deployment,
+        Self::Model,
+        Self::Service,
+        Self::Team,
+        Self::TeamModel,
+        Self::TeamService,
+        Self::Router,
+        Self::Agent,
+    ];
+
+    const fn definition(self) -> (&'static str, &'static str) {
+        match self {
+            Self::Deployment => (SETTINGS, "Deployment"),
+            Self::Model => (SETTINGS, "Model"),
+            Self::Service => (SETTINGS, "Service"),
+            Self::Team => (SETTINGS, "Team"),
+            Self::TeamModel => (SETTINGS, "TeamModel"),
+            Self::TeamService => (SETTINGS, "TeamService"),
+            Self::Router => (PROCESS, "RouterSettings"),
+            Self::Agent => (PROCESS, "AgentSettings"),
+        }
+    }
+
+    /// The JSON Schema of this kind of document.
+    pub fn schema(self) -> Value {
+        let (text, name) = self.definition();
+        let mut schema: Value = serde_json::from_str(text).expect("the schema files are JSON");
+        schema["$ref"] = format!("#/definitions/{name}").into();
+        schema
+    }
+}
+
+static VALIDATORS: LazyLock<Vec<(Document, Value, jsonschema::Validator)>> = LazyLock::new(|| {
+    let compile = |kind: Document| {
+        let schema = kind.schema();
+        let validator = jsonschema::validator_for(&schema).expect("the schema files are valid");
+        (kind, schema, validator)
+    };
+    Document::ALL.into_iter().map(compile).collect()
+});
+
+/// All faults of a document against its schema.
+pub fn check(kind: Document, value: &Value) -> Vec<Fault> {
+    let (_, schema, validator) =
+        VALIDATORS.iter().find(|(known, _, _)| *known == kind).expect("every kind is compiled");
+    validator.iter_errors(value).map(|error| describe(schema, &error)).collect()
+}
+
+fn describe(schema: &Value, error: &jsonschema::ValidationError<'_>) -> Fault {
+    let path = error.instance_path().to_string();
+    let parent = error.schema_path().to_string();
+    let description = parent
+        .rsplit_once('/')
+        .and_then(|(parent, _)| schema.pointer(parent))
+        .and_then(|schema| schema["description"].as_str());
+    let remedy = match description {
+        Some(text) => format!("give a value for: {text}"),
+        None => "see the settings reference in docs/operators".into(),
+    };
+    let path = if path.is_empty() { "/".into() } else { path };
+    Fault { path, problem: error.to_string(), remedy }
+}
--- /dev/null
+++ b/crates/corianderstand_standins/src/engine.rs
@@ -0,0 +1,347 @@
+//! A stand-in for a model engine: continuous batching at a set rate, limited memory, orders,
+//! cancelling, resuming.
+
+use crate::{
+    serve::{self, Ask, At, Reply},
+    text,
+};
+use bytes::Bytes;
+use corianderstand_edge::engine::{EngineReport, Loaded, Order, OrderAction};
+use futures::{FutureExt, StreamExt, stream};
+use getopts::Matches;
+use salvo::Router;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+use tokio::time;
+
+/// Tokens of an answer that names no `max_tokens`.
+const DEFAULT_TOKENS: u64 = 16;
+
+/// How it misbehaves.
+#[derive(Clone, Copy, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Fault {
+    /// How many times slower tokens come.
+    slow: f64,
+    /// Answers break off without an end after this many tokens.
+    break_after: Option<u64>,
+    /// Orders that take effect but whose answer is lost.
+    lose_order_answers: u32,
+    /// Whether nothing is answered any more.
+    hang: bool,
+}
+
+impl Default for Fault {
+    fn default() -> Self {
+        Self { slow: 1.0, break_after: None, lose_order_answers: 0, hang: false }
+    }
+}
+
+/// What it has done.
+#[derive(Clone, Default, Serialize)]
+struct Counters {
+    requests: u64,
+    tokens: u64,
+    cancelled: u64,
+    loads: u64,
+    unloads: u64,
+    over_memory: u64,
+    old_fences: u64,
+    most_memory_mib: u64,
+}
+
+struct Engine {
+    memory_mib: u64,
+    token: Duration,
+    batch: u32,
+    load_ms: u64,
+    weights: Option<String>,
+    check_fencing: bool,
+    client: reqwest::Client,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    loaded: Vec<Loaded>,
+    fences: BTreeMap<String, u64>,
+    cancelled: BTreeSet<String>,
+    running: u32,
+    fault: Fault,
+    counters: Counters,
+}
+
+impl Inner {
+    fn memory(&self) -> u64 {
+        self.loaded.iter().map(|loaded| loaded.memory_mib).sum()
+    }
+}
+
+impl Engine {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of this lock panics")
+    }
+
+    async fn hang(&self) {
+        while self.lock().fault.hang {
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    async fn fetch(&self) -> Result<(), String> {
+        let Some(weights) = &self.weights else {
+            time::sleep(Duration::from_millis(self.load_ms)).await;
+            return Ok(());
+        };
+        let url = format!("{weights}/fetch?ms={}", self.load_ms);
+        let answer = self.client.get(url).send().await.map_err(|error| error.to_string())?;
+        answer.error_for_status().map(drop).map_err(|error| error.to_string())
+    }
+
+    /// Takes memory for a load, or says why not.
+    fn begin_load(&self, order: &Order) -> Result<(), Reply> {
+        let mut inner = self.lock();
+        if inner.loaded.iter().any(|loaded| loaded.weights == order.weights) {
+            return Err(Reply::text(200, "loaded already"));
+        }
+        if inner.memory() + order.memory_mib > self.memory_mib {
+            inner.counters.over_memory += 1;
+            return Err(Reply::text(507, "not enough memory"));
+        }
+        let (weights, memory_mib) = (order.weights.clone(), order.memory_mib);
+        inner.loaded.push(Loaded { weights, memory_mib, ready: false });
+        inner.counters.most_memory_mib = inner.counters.most_memory_mib.max(inner.memory());
+        inner.counters.loads += 1;
+        Ok(())
+    }
+
+    async fn load(&self, order: &Order) -> Reply {
+        if let Err(reply) = self.begin_load(order) {
+            return reply;
+        }
+        let fetched = self.fetch().await;
+        let mut inner = self.lock();
+        if let Err(error) = fetched {
+            inner.loaded.retain(|loaded| loaded.weights != order.weights);
+            return Reply::text(502, &error);
+        }
+        for loaded in inner.loaded.iter_mut().filter(|loaded| loaded.weights == order.weights) {
+            loaded.ready = true;
+        }
+        Reply::text(200, "loaded")
+    }
+
+    fn unload(&self, order: &Order) -> Reply {
+        let mut inner = self.lock();
+        inner.loaded.retain(|loaded| loaded.weights != order.weights);
+        inner.counters.unloads += 1;
+        Reply::text(200, "unloaded")
+    }
+
+    /// Refuses an order older than one that was taken for the same weights.
+    fn check_fence(&self, order: &Order) -> Result<(), Reply> {
+        let mut inner = self.lock();
+        let name = order.weights.to_string();
+        let newest = inner.fences.get(&name).copied().unwrap_or_default();
+        if order.fence < newest {
+            inner.counters.old_fences += 1;
+            if self.check_fencing {
+                return Err(Reply::text(409, "an order with a newer fencing number was taken"));
+            }
+        }
+        inner.fences.insert(name, order.fence.max(newest));
+        Ok(())
+    }
+
+    fn pace(&self) -> Duration {
+        let inner = self.lock();
+        let crowd = (f64::from(inner.running) / f64::from(self.batch)).max(1.0);
+        self.token.mul_f64(crowd * inner.fault.slow)
+    }
+}
+
+async fn orders(engine: Arc<Engine>, ask: Ask) -> Reply {
+    engine.hang().await;
+    let order: Order = match ask.json() {
+        Ok(order) => order,
+        Err(reply) => return reply,
+    };
+    if let Err(reply) = engine.check_fence(&order) {
+        return reply;
+    }
+    let reply = match order.action {
+        OrderAction::Load => engine.load(&order).await,
+        OrderAction::Unload => engine.unload(&order),
+    };
+    let mut inner = engine.lock();
+    if inner.fault.lose_order_answers > 0 {
+        inner.fault.lose_order_answers -= 1;
+        return Reply::Events(stream::iter([Err(std::io::Error::other("lost"))]).boxed());
+    }
+    reply
+}
+
+async fn loaded(engine: Arc<Engine>, _ask: Ask) -> Reply {
+    engine.hang().await;
+    Reply::json(&engine.lock().loaded)
+}
+
+async fn load_report(engine: Arc<Engine>, _ask: Ask) -> Reply {
+    let inner = engine.lock();
+    Reply::json(&EngineReport { running: inner.running, waiting: 0, memory_mib: inner.memory() })
+}
+
+async fn counters(engine: Arc<Engine>, _ask: Ask) -> Reply {
+    Reply::json(&engine.lock().counters)
+}
+
+async fn cancel(engine: Arc<Engine>, ask: Ask) -> Reply {
+    let mut inner = engine.lock();
+    inner.counters.cancelled += 1;
+    inner.cancelled.insert(ask.param("request"));
+    Reply::text(200, "cancelled")
+}
+
+async fn fault(engine: Arc<Engine>, ask: Ask) -> Reply {
+    match ask.json() {
+        Ok(fault) => {
+            engine.lock().fault = fault;
+            Reply::text(200, "set")
+        }
+        Err(reply) => reply,
+    }
+}
+
+/// A generation in progress; dropping it ends it, as when the connection closes.
+struct Generation {
+    engine: Arc<Engine>,
+    request: String,
+    model: String,
+    prompt: Vec<u8>,
+    chat: bool,
+    position: u64,
+    tokens: u64,
+    ended: bool,
+}
+
+impl Drop for Generation {
+    fn drop(&mut self) {
+        let mut inner = self.engine.lock();
+        inner.running -= 1;
+        inner.cancelled.remove(&self.request);
+    }
+}
+
+impl Generation {
+    async fn step(mut self) -> Option<(Result<Bytes, std::io::Error>, Self)> {
+        if self.ended {
+            return None;
+        }
+        if self.position == self.tokens {
+            self.ended = true;
+            return Some((Ok(self.end()), self));
+        }
+        let pace = self.engine.pace();
+        if !pace.is_zero() {
+            time::sleep(pace).await;
+        }
+        self.engine.hang().await;
+        if self.is_broken() {
+            self.ended = true;
+            return Some((Err(std::io::Error::other("broke off")), self));
+        }
+        let token = text::token(&self.model, &self.prompt, self.position);
+        self.position += 1;
+        self.engine.lock().counters.tokens += 1;
+        let choice = if self.chat {
+            json!({ "index": 0, "delta": { "content": token } })
+        } else {
+            json!({ "index": 0, "text": token })
+        };
+        let value = json!({ "id": self.request, "choices": [choice] });
+        Some((Ok(serve::event(&value.to_string())), self))
+    }
+
+    fn is_broken(&self) -> bool {
+        let inner = self.engine.lock();
+        inner.cancelled.contains(&self.request)
+            || inner.fault.break_after.is_some_and(|after| self.position >= after)
+    }
+
+    fn end(&self) -> Bytes {
+        let prompt_tokens = self.prompt.split(u8::is_ascii_whitespace).count();
+        let value = json!({
+            "id": self.request,
+            "choices": [{ "index": 0, "text": "", "delta": {}, "finish_reason": "length" }],
+            "usage": { "prompt_tokens": prompt_tokens, "completion_tokens": self.tokens,
+                "total_tokens": prompt_tokens as u64 + self.tokens },
+        });
+        let mut end = serve::event(&value.to_string()).to_vec();
+        end.extend_from_slice(&serve::event("[DONE]"));
+        end.into()
+    }
+}
+
+async fn generate(engine: Arc<Engine>, ask: Ask) -> Reply {
+    engine.hang().await;
+    let body: Value = match ask.json() {
+        Ok(body) => body,
+        Err(reply) => return reply,
+    };
+    let model = body["model"].as_str().unwrap_or_default().to_owned();
+    let prompt = match body["prompt"].as_str() {
+        Some(prompt) => prompt.as_bytes().to_vec(),
+        None => body["messages"].to_string().into_bytes(),
+    };
+    {
+        let mut inner = engine.lock();
+        let ready = inner.loaded.iter().any(|l| l.ready && l.weights.to_string() == model);
+        if !ready {
+            return Reply::text(404, "the model is not loaded");
+        }
+        inner.running += 1;
+        inner.counters.requests += 1;
+    }
+    let generation = Generation {
+        engine,
+        request: ask.header("x-request-id"),
+        model,
+        prompt,
+        chat: ask.path.contains("chat"),
+        position: ask.header("x-resume-from"),
+        tokens: body["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS),
+        ended: false,
+    };
+    Reply::Events(stream::unfold(generation, Generation::step).boxed())
+}
+
+/// Runs until ended.
+pub async fn run(matches: &Matches) -> Result<(), String> {
+    let client = reqwest::Client::builder().no_proxy().build().map_err(|e| e.to_string())?;
+    let engine = Arc::new(Engine {
+        memory_mib: serve::opt(matches, "memory-mib", 80_000)?,
+        token: Duration::from_micros(serve::opt(matches, "token-us", 5_000)?),
+        batch: serve::opt(matches, "batch", 32)?,
+        load_ms: serve::opt(matches, "load-ms", 500)?,
+        weights: matches.opt_str("weights"),
+        check_fencing: matches.opt_present("check-fencing"),
+        client,
+        inner: Mutex::default(),
+    });
+    let at = |operation| At(engine.clone(), operation);
+    let routes = Router::new()
+        .push(Router::with_path("v1/completions").post(at(|s, a| generate(s, a).boxed())))
+        .push(Router::with_path("v1/chat/completions").post(at(|s, a| generate(s, a).boxed())))
+        .push(Router::with_path("orders").post(at(|s, a| orders(s, a).boxed())))
+        .push(Router::with_path("loaded").get(at(|s, a| loaded(s, a).boxed())))
+        .push(Router::with_path("load").get(at(|s, a| load_report(s, a).boxed())))
+        .push(Router::with_path("counters").get(at(|s, a| counters(s, a).boxed())))
+        .push(Router::with_path("cancel/{request}").post(at(|s, a| cancel(s, a).boxed())))
+        .push(Router::with_path("fault").post(at(|s, a| fault(s, a).boxed())));
+    serve::serve(&serve::listen(matches)?, routes).await
+}
--- /dev/null
+++ b/crates/corianderstand_standins/src/hosts.rs
@@ -0,0 +1,82 @@
+//! A stand-in for the host list: what is put there is shown after a lag.
+
+use crate::serve::{self, Ask, At, Reply};
+use corianderstand_edge::hosts::HostEntry;
+use futures::FutureExt;
+use getopts::Matches;
+use salvo::Router;
+use serde::Deserialize;
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+/// How it misbehaves.
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Fault {
+    /// Whether it answers an error.
+    down: bool,
+    /// Whether it shows nobody.
+    empty: bool,
+}
+
+struct List {
+    lag: Duration,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    versions: Vec<(Instant, Vec<HostEntry>)>,
+    fault: Fault,
+}
+
+impl List {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of this lock panics")
+    }
+}
+
+async fn hosts(list: Arc<List>, _ask: Ask) -> Reply {
+    let inner = list.lock();
+    if inner.fault.down {
+        return Reply::text(503, "the host list is down");
+    }
+    let shown = inner.versions.iter().rev().find(|(at, _)| at.elapsed() >= list.lag);
+    let shown = shown.or(inner.versions.first()).filter(|_| !inner.fault.empty);
+    Reply::json(&shown.map(|(_, hosts)| hosts.clone()).unwrap_or_default())
+}
+
+async fn put(list: Arc<List>, ask: Ask) -> Reply {
+    match ask.json::<Vec<HostEntry>>() {
+        Ok(hosts) => {
+            list.lock().versions.push((Instant::now(), hosts));
+            Reply::text(200, "set")
+        }
+        Err(reply) => reply,
+    }
+}
+
+async fn fault(list: Arc<List>, ask: Ask) -> Reply {
+    match ask.json() {
+        Ok(fault) => {
+            list.lock().fault = fault;
+            Reply::text(200, "set")
+        }
+        Err(reply) => reply,
+    }
+}
+
+/// Runs until ended.
+pub async fn run(matches: &Matches) -> Result<(), String> {
+    let lag = Duration::from_millis(serve::opt(matches, "lag-ms", 0)?);
+    let list = Arc::new(List { lag, inner: Mutex::default() });
+    let at = Router::with_path("hosts")
+        .get(At(list.clone(), |s, a| hosts(s, a).boxed()))
+        .put(At(list.clone(), |s, a| put(s, a).boxed()));
+    let routes = Router::new()
+        .push(at)
+        .push(Router::with_path("fault").post(At(list, |s, a| fault(s, a).boxed())));
+    serve::serve(&serve::listen(matches)?, routes).await
+}
--- /dev/null
+++ b/crates/corianderstand_standins/src/log.rs
@@ -0,0 +1,153 @@
+//! A stand-in for the log service: offsets, limited retention, and outages.
+
+use crate::serve::{self, Ask, At, Reply};
+use corianderstand_edge::log::{AppendAnswer, AppendRequest, Entry, Page};
+use futures::FutureExt;
+use getopts::Matches;
+use salvo::Router;
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, SystemTime},
+};
+use tokio::{sync::watch, time};
+
+/// How it misbehaves.
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Fault {
+    /// Whether it answers an error.
+    down: bool,
+    /// Time each operation takes longer, in milliseconds.
+    slow_ms: u64,
+    /// Appends that take effect but whose answer is lost.
+    lose_answers: u32,
+}
+
+/// What it has done.
+#[derive(Clone, Copy, Default, Serialize)]
+struct Counters {
+    appends: u64,
+    records: u64,
+    reads: u64,
+    bytes_in: u64,
+    bytes_out: u64,
+}
+
+struct Log {
+    retention: Duration,
+    inner: Mutex<Inner>,
+    grown: watch::Sender<u64>,
+}
+
+#[derive(Default)]
+struct Inner {
+    entries: VecDeque<Entry>,
+    next: u64,
+    fault: Fault,
+    counters: Counters,
+}
+
+fn now_ms() -> u64 {
+    corianderstand_types::clock::unix_ms(SystemTime::now())
+}
+
+impl Log {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of this lock panics")
+    }
+
+    async fn misbehave(&self) -> Option<Reply> {
+        let fault = self.lock().fault;
+        time::sleep(Duration::from_millis(fault.slow_ms)).await;
+        self.lock().fault.down.then(|| Reply::text(503, "the log is down"))
+    }
+
+    fn page(&self, from: u64, max: usize) -> Page {
+        let mut inner = self.lock();
+        let keep = now_ms().saturating_sub(self.retention.as_millis() as u64);
+        while inner.entries.front().is_some_and(|entry| entry.at_ms < keep) {
+            inner.entries.pop_front();
+        }
+        let oldest = inner.entries.front().map_or(inner.next, |entry| entry.offset);
+        let entries = inner.entries.iter().filter(|entry| entry.offset >= from);
+        let entries: Vec<Entry> = entries.take(max).cloned().collect();
+        inner.counters.bytes_out += entries.iter().map(|e| e.data.len() as u64).sum::<u64>();
+        Page { oldest, next: inner.next, now_ms: now_ms(), entries }
+    }
+}
+
+async fn append(log: Arc<Log>, ask: Ask) -> Reply {
+    if let Some(reply) = log.misbehave().await {
+        return reply;
+    }
+    let request: AppendRequest = match ask.json() {
+        Ok(request) => request,
+        Err(reply) => return reply,
+    };
+    let (first, lost) = {
+        let mut inner = log.lock();
+        let first = inner.next;
+        inner.counters.appends += 1;
+        let last_ms = inner.entries.back().map_or(0, |entry| entry.at_ms);
+        let at_ms = now_ms().max(last_ms);
+        for data in request.records {
+            inner.counters.records += 1;
+            inner.counters.bytes_in += data.len() as u64;
+            let offset = inner.next;
+            inner.entries.push_back(Entry { offset, at_ms, data });
+            inner.next += 1;
+        }
+        let lost = inner.fault.lose_answers > 0;
+        inner.fault.lose_answers = inner.fault.lose_answers.saturating_sub(1);
+        (first, lost)
+    };
+    log.grown.send_replace(first);
+    if lost { Reply::text(504, "answer lost") } else { Reply::json(&AppendAnswer { first }) }
+}
+
+async fn read(log: Arc<Log>, ask: Ask) -> Reply {
+    if let Some(reply) = log.misbehave().await {
+        return reply;
+    }
+    log.lock().counters.reads += 1;
+    let (from, max): (u64, usize) = (ask.param("from"), ask.param("max"));
+    let wait = Duration::from_millis(ask.param("wait_ms"));
+    let mut grown = log.grown.subscribe();
+    let deadline = time::Instant::now() + wait;
+    loop {
+        let page = log.page(from, max);
+        let waited = time::timeout_at(deadline, grown.changed());
+        if !page.entries.is_empty() || waited.await.is_err() {
+            return Reply::json(&page);
+        }
+    }
+}
+
+async fn counters(log: Arc<Log>, _ask: Ask) -> Reply {
+    Reply::json(&log.lock().counters)
+}
+
+async fn fault(log: Arc<Log>, ask: Ask) -> Reply {
+    match ask.json() {
+        Ok(fault) => {
+            log.lock().fault = fault;
+            Reply::text(200, "set")
+        }
+        Err(reply) => reply,
+    }
+}
+
+/// Runs until ended.
+pub async fn run(matches: &Matches) -> Result<(), String> {
+    let retention = Duration::from_millis(serve::opt(matches, "retention-ms", 86_400_000)?);
+    let inner = Mutex::new(Inner { next: 1, ..Inner::default() });
+    let log = Arc::new(Log { retention, inner, grown: watch::Sender::new(0) });
+    let routes = Router::new()
+        .push(Router::with_path("append").post(At(log.clone(), |s, a| append(s, a).boxed())))
+        .push(Router::with_path("read").get(At(log.clone(), |s, a| read(s, a).boxed())))
+        .push(Router::with_path("counters").get(At(log.clone(), |s, a| counters(s, a).boxed())))
+        .push(Router::with_path("fault").post(At(log, |s, a| fault(s, a).boxed())));
+    serve::serve(&serve::listen(matches)?, routes).await
+}
--- /dev/null
+++ b/crates/corianderstand_standins/src/main.rs
@@ -0,0 +1,70 @@
+//! Small stand-ins for the outside systems, for tests, demonstrations and measurements.
+//!
+//! One program with a sub-command each: `engine`, `service`, `weights`, `log`, `hosts` and
+//! `relay`. Each listens on loopback and can be told over HTTP to misbehave: `POST /fault` with
+//! a JSON object of the fields of its `Fault` type. Not shipped.
+
+mod engine;
+mod hosts;
+mod log;
+mod relay;
+mod serve;
+mod service;
+mod text;
+mod weights;
+
+use getopts::Options;
+use std::process::ExitCode;
+
+const USAGE: &str = "corianderstand-standins engine|service|weights|log|hosts|relay [options]";
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("", "listen", "address and port to listen on", "ADDRESS");
+    options.optopt("", "memory-mib", "engine: memory for models", "MIB");
+    options.optopt("", "token-us", "engine: time of one token", "MICROSECONDS");
+    options.optopt("", "batch", "engine: requests that run at full speed", "COUNT");
+    options.optopt("", "load-ms", "engine: time of one load", "MILLISECONDS");
+    options.optopt("", "weights", "engine: base URL of the weight store", "URL");
+    options.optflag("", "check-fencing", "engine: refuse old fencing numbers");
+    options.optopt("", "concurrent", "weights: loads at full speed", "COUNT");
+    options.optopt("", "rate", "weights: loads begun in a second", "COUNT");
+    options.optopt("", "retention-ms", "log: how long records are kept", "MILLISECONDS");
+    options.optopt("", "lag-ms", "hosts: how far the list lags", "MILLISECONDS");
+    options.optopt("", "to", "relay: address and port to forward to", "ADDRESS");
+    options.optopt("", "control", "relay: address and port for POST /fault", "ADDRESS");
+    options
+}
+
+fn main() -> ExitCode {
+    let mut args = std::env::args().skip(1);
+    let command = args.next().unwrap_or_default();
+    let options = options();
+    let matches = match options.parse(args) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("{error}\n{}", options.usage(USAGE));
+            return ExitCode::from(2);
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("the system gives a runtime");
+    let run = async {
+        match command.as_str() {
+            "engine" => engine::run(&matches).await,
+            "service" => service::run(&matches).await,
+            "weights" => weights::run(&matches).await,
+            "log" => log::run(&matches).await,
+            "hosts" => hosts::run(&matches).await,
+            "relay" => relay::run(&matches).await,
+            _ => Err(options.usage(USAGE)),
+        }
+    };
+    match runtime.block_on(run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_standins/src/relay.rs
@@ -0,0 +1,101 @@
+//! A relay between two ends of TCP connections that can be cut or fall silent.
+
+use crate::serve::{self, Ask, At, Reply};
+use futures::FutureExt;
+use getopts::Matches;
+use salvo::Router;
+use serde::Deserialize;
+use std::sync::Arc;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+};
+
+/// How it misbehaves.
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Fault {
+    /// Connections that are open now carry nothing any more; new ones work.
+    silence_open: bool,
+    /// Connections that are open now are closed.
+    cut_open: bool,
+    /// No connection carries anything until this is set back.
+    silence_all: bool,
+}
+
+struct Relay {
+    fault: watch::Sender<(u64, Fault)>,
+}
+
+async fn fault(relay: Arc<Relay>, ask: Ask) -> Reply {
+    match ask.json::<Fault>() {
+        Ok(fault) => {
+            relay.fault.send_modify(|(count, current)| (*count, *current) = (*count + 1, fault));
+            Reply::text(200, "set")
+        }
+        Err(reply) => reply,
+    }
+}
+
+/// Carries bytes one way until an end closes or the relay is told to cut.
+async fn carry(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut fault: watch::Receiver<(u64, Fault)>,
+) {
+    let born = fault.borrow().0;
+    let mut buf = vec![0; 64 * 1024];
+    loop {
+        let (count, current) = *fault.borrow_and_update();
+        if current.cut_open && count > born {
+            return;
+        }
+        if current.silence_all || (current.silence_open && count > born) {
+            if fault.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        tokio::select! {
+            read = from.read(&mut buf) => match read {
+                Ok(0) | Err(_) => return,
+                Ok(n) => if to.write_all(&buf[..n]).await.is_err() { return },
+            },
+            _ = fault.changed() => {}
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, to: String, fault: watch::Receiver<(u64, Fault)>) {
+    while let Ok((near, _)) = listener.accept().await {
+        let (to, fault) = (to.clone(), fault.clone());
+        tokio::spawn(async move {
+            let Ok(far) = TcpStream::connect(&to).await else { return };
+            drop((near.set_nodelay(true), far.set_nodelay(true)));
+            let (near_read, near_write) = near.into_split();
+            let (far_read, far_write) = far.into_split();
+            tokio::join!(
+                carry(near_read, far_write, fault.clone()),
+                carry(far_read, near_write, fault)
+            );
+        });
+    }
+}
+
+/// Runs until ended.
+pub async fn run(matches: &Matches) -> Result<(), String> {
+    let listen = serve::listen(matches)?;
+    let to = matches.opt_str("to").ok_or("--to is missing")?;
+    let control = matches.opt_str("control").ok_or("--control is missing")?;
+    let listener = TcpListener::bind(&listen).await;
+    let listener = listener.map_err(|error| format!("cannot listen on {listen}: {error}"))?;
+    let relay = Arc::new(Relay { fault: watch::Sender::new((0, Fault::default())) });
+    tokio::spawn(accept(listener, to, relay.fault.subscribe()));
+    let routes =
+        Router::new().push(Router::with_path("fault").post(At(relay, |s, a| fault(s, a).boxed())));
+    serve::serve(&control, routes).await
+}
--- /dev/null
+++ b/crates/corianderstand_standins/src/serve.rs
@@ -0,0 +1,142 @@
+//! What the stand-ins share: a small HTTP server over one state.
+
+use bytes::Bytes;
+use futures::{future::BoxFuture, stream::BoxStream};
+use getopts::Matches;
+use salvo::{
+    Depot, FlowCtrl, Handler, Listener, Request, Response, Router, Server, async_trait,
+    conn::TcpListener, http::StatusCode,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{collections::HashMap, str::FromStr, sync::Arc};
+
+/// Longest request body, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// A request as a stand-in sees it.
+pub struct Ask {
+    /// Method in capitals.
+    pub method: String,
+    /// Path.
+    pub path: String,
+    /// Parameters of the path and the query.
+    pub params: HashMap<String, String>,
+    /// Headers that can be read as text, names in lower case.
+    pub headers: HashMap<String, String>,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Ask {
+    /// A parameter, or its type's default.
+    pub fn param<T: FromStr + Default>(&self, name: &str) -> T {
+        self.params.get(name).and_then(|value| value.parse().ok()).unwrap_or_default()
+    }
+
+    /// A header, or its type's default.
+    pub fn header<T: FromStr + Default>(&self, name: &str) -> T {
+        self.headers.get(name).and_then(|value| value.parse().ok()).unwrap_or_default()
+    }
+
+    /// The body as JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Reply> {
+        serde_json::from_slice(&self.body).map_err(|error| Reply::text(400, &error.to_string()))
+    }
+}
+
+/// An answer.
+pub enum Reply {
+    /// Everything at once.
+    Whole(u16, &'static str, Bytes),
+    /// Server-sent events as they come.
+    Events(BoxStream<'static, Result<Bytes, std::io::Error>>),
+}
+
+impl Reply {
+    /// A JSON answer.
+    pub fn json(value: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(value).expect("answers are plain data");
+        Self::Whole(200, "application/json", body.into())
+    }
+
+    /// A plain answer.
+    pub fn text(status: u16, text: &str) -> Self {
+        Self::Whole(status, "text/plain", Bytes::copy_from_slice(text.as_bytes()))
+    }
+}
+
+/// An operation on the state.
+pub type Operation<S> = fn(Arc<S>, Ask) -> BoxFuture<'static, Reply>;
+
+/// One path of a stand-in.
+pub struct At<S>(pub Arc<S>, pub Operation<S>);
+
+#[async_trait]
+impl<S: Send + Sync + 'static> Handler for At<S> {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let ask = ask(req).await;
+        match (self.1)(self.0.clone(), ask).await {
+            Reply::Whole(status, content_type, body) => {
+                res.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::OK));
+                set_type(res, content_type);
+                drop(res.write_body(body));
+            }
+            Reply::Events(events) => {
+                set_type(res, "text/event-stream");
+                res.stream(events);
+            }
+        }
+    }
+}
+
+fn set_type(res: &mut Response, content_type: &'static str) {
+    res.headers_mut().insert("content-type", content_type.parse().expect("a valid value"));
+}
+
+async fn ask(req: &mut Request) -> Ask {
+    let mut params = HashMap::new();
+    for (name, value) in req.queries().iter() {
+        params.insert(name.clone(), value.clone());
+    }
+    for (name, value) in req.params().iter() {
+        params.insert(name.clone(), value.clone());
+    }
+    let headers = req.headers().iter();
+    let headers = headers.filter_map(|(n, v)| Some((n.to_string(), v.to_str().ok()?.to_owned())));
+    let headers = headers.collect();
+    let (method, path) = (req.method().to_string(), req.uri().path().to_owned());
+    let body = req.payload_with_max_size(MAX_BODY_BYTES).await.cloned().unwrap_or_default();
+    Ask { method, path, params, headers, body }
+}
+
+/// Serves until the process is ended.
+pub async fn serve(listen: &str, routes: Router) -> Result<(), String> {
+    let acceptor = TcpListener::new(listen.to_owned()).try_bind().await;
+    let acceptor = acceptor.map_err(|error| format!("cannot listen on {listen}: {error}"))?;
+    Server::new(acceptor).serve(routes).await;
+    Ok(())
+}
+
+/// An option's value, or a default.
+pub fn opt<T: FromStr>(matches: &Matches, name: &str, default: T) -> Result<T, String> {
+    match matches.opt_str(name) {
+        None => Ok(default),
+        Some(text) => text.parse().map_err(|_| format!("--{name}: cannot use {text:?}")),
+    }
+}
+
+/// The address to listen on.
+pub fn listen(matches: &Matches) -> Result<String, String> {
+    matches.opt_str("listen").ok_or_else(|| "--listen is missing".to_owned())
+}
+
+/// One server-sent event.
+pub fn event(data: &str) -> Bytes {
+    Bytes::from(format!("data: {data}\n\n"))
+}
--- /dev/null
+++ b/crates/corianderstand_standins/src/service.rs
@@ -0,0 +1,85 @@
+//! A stand-in for a plain service that counts what it really ran.
+
+use crate::serve::{self, Ask, At, Reply};
+use futures::FutureExt;
+use getopts::Matches;
+use salvo::Router;
+use serde::Deserialize;
+use serde_json::json;
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+use tokio::time;
+
+/// How it misbehaves.
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Fault {
+    /// Time a call takes before it takes effect, in milliseconds.
+    before_ms: u64,
+    /// Time a call takes after it took effect, in milliseconds.
+    after_ms: u64,
+}
+
+#[derive(Default)]
+struct Service {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    ran: u64,
+    by_key: BTreeMap<String, u64>,
+    fault: Fault,
+}
+
+impl Service {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of this lock panics")
+    }
+}
+
+async fn call(service: Arc<Service>, ask: Ask) -> Reply {
+    let fault = service.lock().fault;
+    time::sleep(Duration::from_millis(fault.before_ms)).await;
+    let key: String = ask.header("idempotency-key");
+    let ran = {
+        let mut inner = service.lock();
+        inner.ran += 1;
+        *inner.by_key.entry(key.clone()).or_default() += 1;
+        inner.ran
+    };
+    time::sleep(Duration::from_millis(fault.after_ms)).await;
+    let body = String::from_utf8_lossy(&ask.body).into_owned();
+    let traceparent: String = ask.header("traceparent");
+    Reply::json(&json!({ "ran": ran, "key": key, "method": ask.method, "path": ask.path,
+        "body": body, "traceparent": traceparent }))
+}
+
+async fn counts(service: Arc<Service>, _ask: Ask) -> Reply {
+    let inner = service.lock();
+    Reply::json(&json!({ "ran": inner.ran, "by_key": inner.by_key }))
+}
+
+async fn fault(service: Arc<Service>, ask: Ask) -> Reply {
+    match ask.json() {
+        Ok(fault) => {
+            service.lock().fault = fault;
+            Reply::text(200, "set")
+        }
+        Err(reply) => reply,
+    }
+}
+
+/// Runs until ended.
+pub async fn run(matches: &Matches) -> Result<(), String> {
+    let service = Arc::<Service>::default();
+    let at = |operation| At(service.clone(), operation);
+    let routes = Router::new()
+        .push(Router::with_path("counts").get(at(|s, a| counts(s, a).boxed())))
+        .push(Router::with_path("fault").post(at(|s, a| fault(s, a).boxed())))
+        .push(Router::with_path("{**rest}").goal(at(|s, a| call(s, a).boxed())));
+    serve::serve(&serve::listen(matches)?, routes).await
+}
--- /dev/null
+++ b/crates/corianderstand_standins/src/weights.rs
@@ -0,0 +1,108 @@
+//! A stand-in for the weight store: limited rate and concurrency.
+
+use crate::serve::{self, Ask, At, Reply};
+use corianderstand_edge::weights::StoreReport;
+use futures::FutureExt;
+use getopts::Matches;
+use salvo::Router;
+use serde::Deserialize;
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+use tokio::time::{self, Instant};
+
+/// How it misbehaves.
+#[derive(Clone, Copy, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Fault {
+    /// How many times slower fetches are.
+    slow: f64,
+    /// Whether fetches are refused.
+    down: bool,
+}
+
+impl Default for Fault {
+    fn default() -> Self {
+        Self { slow: 1.0, down: false }
+    }
+}
+
+struct Store {
+    concurrent: u32,
+    interval: Duration,
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    report: StoreReport,
+    next_begin: Instant,
+    fault: Fault,
+}
+
+impl Store {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of this lock panics")
+    }
+}
+
+/// Answers when the fetch is done: `GET /fetch?ms=`.
+async fn fetch(store: Arc<Store>, ask: Ask) -> Reply {
+    let ms: u64 = ask.param("ms");
+    let begin = {
+        let mut inner = store.lock();
+        if inner.fault.down {
+            return Reply::text(503, "the store is down");
+        }
+        let begin = inner.next_begin.max(Instant::now());
+        inner.next_begin = begin + store.interval;
+        begin
+    };
+    time::sleep_until(begin).await;
+    let slow = {
+        let mut inner = store.lock();
+        inner.report.begun += 1;
+        inner.report.running += 1;
+        let crowd = (f64::from(inner.report.running) / f64::from(store.concurrent)).max(1.0);
+        if crowd > 1.0 {
+            inner.report.throttled += 1;
+        }
+        crowd * inner.fault.slow
+    };
+    time::sleep(Duration::from_millis(ms).mul_f64(slow)).await;
+    store.lock().report.running -= 1;
+    Reply::text(200, "fetched")
+}
+
+async fn report(store: Arc<Store>, _ask: Ask) -> Reply {
+    Reply::json(&store.lock().report)
+}
+
+async fn fault(store: Arc<Store>, ask: Ask) -> Reply {
+    match ask.json() {
+        Ok(fault) => {
+            store.lock().fault = fault;
+            Reply::text(200, "set")
+        }
+        Err(reply) => reply,
+    }
+}
+
+/// Runs until ended.
+pub async fn run(matches: &Matches) -> Result<(), String> {
+    let rate: f64 = serve::opt(matches, "rate", 2.0)?;
+    let store = Arc::new(Store {
+        concurrent: serve::opt(matches, "concurrent", 4)?,
+        interval: Duration::from_secs_f64(1.0 / rate),
+        inner: Mutex::new(Inner {
+            report: StoreReport::default(),
+            next_begin: Instant::now(),
+            fault: Fault::default(),
+        }),
+    });
+    let routes = Router::new()
+        .push(Router::with_path("fetch").get(At(store.clone(), |s, a| fetch(s, a).boxed())))
+        .push(Router::with_path("report").get(At(store.clone(), |s, a| report(s, a).boxed())))
+        .push(Router::with_path("fault").post(At(store, |s, a| fault(s, a).boxed())));
+    serve::serve(&serve::listen(matches)?, routes).await
+}
--- /dev/null
+++ b/crates/corianderstand_state/src/fold.rs
@@ -0,0 +1,143 @@
+//! The fold itself: repeats and order are settled here, each record's meaning in its module.
+
+use crate::{calls, documents, lease, slots, targets};
+use corianderstand_derives::derives;
+use corianderstand_schema::records::{Body, Record};
+use corianderstand_types::names::WriterId;
+
+/// What a record did.
+#[derives(data)]
+#[derive(Eq)]
+pub enum Outcome {
+    /// It took effect.
+    Applied,
+    /// It had been folded before; a repeat after a lost answer.
+    Repeated,
+    /// Its condition no longer held.
+    Void(Void),
+}
+
+/// Why a record had no effect.
+#[derives(data)]
+#[derive(Eq, displaydoc::Display)]
+pub enum Void {
+    /// `{path}` is at version {version}, not {base}: fetch it, merge and apply again
+    Conflict {
+        /// Path of the document in the way.
+        path: smol_str::SmolStr,
+        /// Version in force.
+        version: u64,
+        /// Version the change was made from.
+        base: u64,
+    },
+    /// the lease is held or has moved on: the writer no longer decides
+    Lease,
+    /// the slot is taken or has moved on
+    Slot,
+    /// the target is unknown or was announced anew
+    Target,
+    /// another record for this call came first
+    Call,
+}
+
+/// Last record folded from one writer.
+#[derives(wire)]
+#[derive(Copy, Eq)]
+pub struct Progress {
+    /// Start of the writer.
+    pub incarnation: u64,
+    /// Last sequence folded.
+    pub sequence: u64,
+}
+
+/// Everything agreed, as of one offset.
+#[derives(wire)]
+#[derive(Default)]
+pub struct State {
+    /// Next offset to fold.
+    pub next: u64,
+    /// Log time of the last record, in milliseconds since the Unix epoch.
+    pub time_ms: u64,
+    /// Settings documents by path.
+    pub documents: documents::Documents,
+    /// Announced targets.
+    pub targets: targets::Targets,
+    /// Slots and their owners.
+    pub slots: slots::Slots,
+    /// The control lease.
+    pub lease: lease::Lease,
+    /// Calls that may not be repeated.
+    pub calls: calls::Calls,
+    /// Progress of each writer.
+    pub writers: imbl::OrdMap<WriterId, Progress>,
+}
+
+impl State {
+    /// Folds the record at `offset`, appended at log time `at_ms`.
+    ///
+    /// Offsets are folded in order; one below [`State::next`] is a repeat, so state never
+    /// goes back.
+    pub fn apply(&mut self, offset: u64, at_ms: u64, record: &Record) -> Outcome {
+        if offset < self.next {
+            return Outcome::Repeated;
+        }
+        self.next = offset + 1;
+        self.time_ms = self.time_ms.max(at_ms);
+        if !self.advance(record) {
+            return Outcome::Repeated;
+        }
+        match self.apply_body(offset, record) {
+            Ok(()) => Outcome::Applied,
+            Err(void) => Outcome::Void(void),
+        }
+    }
+
+    /// Notes the writer's progress; false for a record folded before.
+    ///
+    /// An append whose answer was lost is sent again and so may stand in the log twice. The
+    /// writer numbers its records, so the second copy is recognised and skipped.
+    fn advance(&mut self, record: &Record) -> bool {
+        let now = Progress { incarnation: record.incarnation, sequence: record.sequence };
+        let known = self.writers.get(&record.writer);
+        let newer = known.is_none_or(|known| {
+            (now.incarnation, now.sequence) > (known.incarnation, known.sequence)
+        });
+        if newer {
+            self.writers.insert(record.writer.clone(), now);
+        }
+        newer
+    }
+
+    fn apply_body(&mut self, offset: u64, record: &Record) -> Result<(), Void> {
+        let now = self.time_ms;
+        match &record.body {
+            Body::Settings { changes, author } => self.documents.change(offset, changes, author),
+            Body::LeaseTaken { epoch, ttl_ms } => self.lease.take(*epoch, *ttl_ms, now, record),
+            Body::LeaseRenewed { epoch } => self.lease.renew(*epoch, now, record),
+            Body::LeaseReleased { epoch } => self.lease.release(*epoch, record),
+            Body::TargetUp { target } => {
+                self.targets.announce(offset, target, record);
+                Ok(())
+            }
+            Body::TargetDown { target } => self.targets.withdraw(target, record),
+            Body::SlotAssigned { epoch, model, index, target, target_offset } => {
+                self.lease.check(*epoch, record)?;
+                self.targets.check(target, *target_offset)?;
+                self.slots.assign(offset, model, *index, target)
+            }
+            Body::SlotReleased { model, index, assigned, epoch } => {
+                if let Some(epoch) = epoch {
+                    self.lease.check(*epoch, record)?;
+                }
+                self.slots.release(model, *index, *assigned, epoch.is_some(), record)
+            }
+            Body::Claimed { key, digest, target } => {
+                self.calls.claim(offset, now, key, *digest, target, record)
+            }
+            Body::CallEnded { key, claim, status, body } => {
+                self.calls.end(key, *claim, *status, body)
+            }
+            Body::CallVoided { key } => self.calls.void(offset, now, key),
+        }
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_state/src/slots.rs
@@ -0,0 +1,95 @@
+//! Slots: permission for a target to hold one replica of a model.
+//!
+//! The log decides slots, not loads. The owner of a slot loads the model when a request wants
+//! it and drops it when it is idle without asking, so neither a cold start nor an outage of
+//! the log waits for an append, and there are never more replicas than slots.
+
+use crate::fold::Void;
+use corianderstand_derives::derives;
+use corianderstand_schema::records::Record;
+use corianderstand_types::names::{ModelId, TargetId};
+
+/// Which slot.
+#[derives(name)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct SlotKey {
+    /// The model.
+    pub model: ModelId,
+    /// Number of the slot among those of the model.
+    pub index: u32,
+}
+
+/// An assigned slot.
+#[derives(wire)]
+pub struct Slot {
+    /// Its owner.
+    pub target: TargetId,
+    /// Offset of the assignment; the fencing number of orders under it.
+    pub assigned: u64,
+}
+
+/// All assigned slots.
+#[derives(wire)]
+#[derive(Default)]
+pub struct Slots {
+    /// Slots by key.
+    pub by_key: imbl::OrdMap<SlotKey, Slot>,
+    /// Offset of the last change.
+    pub version: u64,
+}
+
+impl Slots {
+    /// Gives an empty slot to a target.
+    pub fn assign(
+        &mut self,
+        offset: u64,
+        model: &ModelId,
+        index: u32,
+        target: &TargetId,
+    ) -> Result<(), Void> {
+        let key = SlotKey { model: model.clone(), index };
+        if self.by_key.contains_key(&key) {
+            return Err(Void::Slot);
+        }
+        self.by_key.insert(key, Slot { target: target.clone(), assigned: offset });
+        self.version = offset;
+        Ok(())
+    }
+
+    /// Ends the assignment made at offset `assigned`.
+    pub fn release(
+        &mut self,
+        model: &ModelId,
+        index: u32,
+        assigned: u64,
+        by_holder: bool,
+        record: &Record,
+    ) -> Result<(), Void> {
+        let key = SlotKey { model: model.clone(), index };
+        let slot = self.by_key.get(&key).ok_or(Void::Slot)?;
+        let by_owner = slot.target.as_str() == record.writer.as_str();
+        if slot.assigned != assigned || !(by_holder || by_owner) {
+            return Err(Void::Slot);
+        }
+        self.by_key.remove(&key);
+        self.version += 1;
+        Ok(())
+    }
+
+    /// Slots of one model, in order.
+    pub fn of_model<'a>(
+        &'a self,
+        model: &'a ModelId,
+    ) -> impl Iterator<Item = (u32, &'a Slot)> + 'a {
+        let from = SlotKey { model: model.clone(), index: 0 };
+        self.by_key
+            .range(from..)
+            .take_while(move |(key, _)| key.model == *model)
+            .map(|(key, slot)| (key.index, slot))
+    }
+
+    /// The slot of a model that a target owns.
+    pub fn owned(&self, model: &ModelId, target: &TargetId) -> Option<Slot> {
+        self.of_model(model).find(|(_, slot)| slot.target == *target).map(|(_, slot)| slot.clone())
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_state/src/targets.rs
@@ -0,0 +1,54 @@
+//! Targets as their agents announce them.
+
+use crate::fold::Void;
+use corianderstand_derives::derives;
+use corianderstand_schema::records::{Record, TargetRecord};
+use corianderstand_types::names::TargetId;
+
+/// One announced target.
+#[derives(wire)]
+pub struct Target {
+    /// The announcement.
+    pub record: TargetRecord,
+    /// Offset of the announcement.
+    pub offset: u64,
+    /// Start of the agent that announced it.
+    pub incarnation: u64,
+}
+
+/// All announced targets.
+#[derives(wire)]
+#[derive(Default)]
+pub struct Targets {
+    /// Targets by name.
+    pub by_name: imbl::OrdMap<TargetId, Target>,
+    /// Changes so far, for followers that copy the map.
+    pub version: u64,
+}
+
+impl Targets {
+    /// Notes an announcement; a later one of the same target replaces it.
+    pub fn announce(&mut self, offset: u64, target: &TargetRecord, record: &Record) {
+        let entry = Target { record: target.clone(), offset, incarnation: record.incarnation };
+        self.by_name.insert(target.target.clone(), entry);
+        self.version = offset;
+    }
+
+    /// Removes a target whose agent stopped as planned.
+    pub fn withdraw(&mut self, target: &TargetId, record: &Record) -> Result<(), Void> {
+        let current = self.by_name.get(target).ok_or(Void::Target)?;
+        // A late farewell of an agent that has been restarted must not remove its successor.
+        if current.incarnation != record.incarnation {
+            return Err(Void::Target);
+        }
+        self.by_name.remove(target);
+        self.version += 1;
+        Ok(())
+    }
+
+    /// Whether `target` is still announced as a planner saw it.
+    pub fn check(&self, target: &TargetId, offset: u64) -> Result<(), Void> {
+        let current = self.by_name.get(target).ok_or(Void::Target)?;
+        if current.offset == offset { Ok(()) } else { Err(Void::Target) }
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_state/src/view.rs
@@ -0,0 +1,168 @@
+//! Settings documents, parsed and put together for look-ups.
+
+use crate::documents::Documents;
+use corianderstand_derives::derives;
+use corianderstand_schema::{
+    check::{self, Document, Fault},
+    settings,
+};
+use corianderstand_types::names::{ModelId, ServiceId, TeamId};
+use serde_json::Value;
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+
+/// What one team may do.
+#[derives(data)]
+pub struct TeamView {
+    /// The team's own document.
+    pub team: settings::Team,
+    /// Models it may call.
+    pub models: BTreeMap<ModelId, settings::TeamModel>,
+    /// Plain services it may call.
+    pub services: BTreeMap<ServiceId, settings::TeamService>,
+}
+
+/// All settings in force.
+#[derives(data)]
+#[derive(Default)]
+pub struct View {
+    /// Version of the settings this was made from.
+    pub version: u64,
+    /// What holds for all teams.
+    pub deployment: settings::Deployment,
+    /// Facts about models.
+    pub models: BTreeMap<ModelId, settings::Model>,
+    /// Facts about plain services.
+    pub services: BTreeMap<ServiceId, settings::Service>,
+    /// Teams.
+    pub teams: BTreeMap<TeamId, TeamView>,
+    /// Team of each key hash.
+    pub keys: BTreeMap<SmolStr, TeamId>,
+}
+
+/// What a settings path names.
+#[derives(data)]
+#[derive(Eq)]
+pub enum PathKind {
+    /// `system/deployment`.
+    Deployment,
+    /// `shared/models/{model}`.
+    Model(ModelId),
+    /// `shared/services/{service}`.
+    Service(ServiceId),
+    /// `teams/{team}/team`.
+    Team(TeamId),
+    /// `teams/{team}/models/{model}`.
+    TeamModel(TeamId, ModelId),
+    /// `teams/{team}/services/{service}`.
+    TeamService(TeamId, ServiceId),
+}
+
+impl PathKind {
+    /// Reads a path; `None` if no document belongs there.
+    pub fn parse(path: &str) -> Option<Self> {
+        let parts: Vec<&str> = path.split('/').collect();
+        match parts.as_slice() {
+            ["system", "deployment"] => Some(Self::Deployment),
+            ["shared", "models", model] => Some(Self::Model(ModelId::new(model).ok()?)),
+            ["shared", "services", name] => Some(Self::Service(ServiceId::new(name).ok()?)),
+            ["teams", team, "team"] => Some(Self::Team(TeamId::new(team).ok()?)),
+            ["teams", team, "models", model] => {
+                Some(Self::TeamModel(TeamId::new(team).ok()?, ModelId::new(model).ok()?))
+            }
+            ["teams", team, "services", name] => {
+                Some(Self::TeamService(TeamId::new(team).ok()?, ServiceId::new(name).ok()?))
+            }
+            _ => None,
+        }
+    }
+
+    /// The schema that a document at this path follows.
+    pub const fn document(&self) -> Document {
+        match self {
+            Self::Deployment => Document::Deployment,
+            Self::Model(_) => Document::Model,
+            Self::Service(_) => Document::Service,
+            Self::Team(_) => Document::Team,
+            Self::TeamModel(..) => Document::TeamModel,
+            Self::TeamService(..) => Document::TeamService,
+        }
+    }
+}
+
+/// All faults of one document, taken alone.
+pub fn check_document(path: &str, value: &Value) -> Vec<Fault> {
+    match PathKind::parse(path) {
+        Some(kind) => check::check(kind.document(), value),
+        None => vec![Fault {
+            path: "/".into(),
+            problem: format!("no document belongs at `{path}`"),
+            remedy: "use one of the paths in the settings reference in docs/operators".into(),
+        }],
+    }
+}
+
+impl View {
+    /// Parses all documents; one that does not parse is left out.
+    ///
+    /// Documents are checked before they are appended. A later version of the schema may still
+    /// refuse an old one; leaving it out keeps the rest in force.
+    pub fn new(documents: &Documents) -> Self {
+        let mut view = Self { version: documents.version, ..Self::default() };
+        for (path, doc) in &documents.by_path {
+            if let Some(kind) = PathKind::parse(path) {
+                view.add(kind, &doc.text);
+            }
+        }
+        view.add_team_documents(documents);
+        view
+    }
+
+    fn add(&mut self, kind: PathKind, text: &str) {
+        match kind {
+            PathKind::Deployment => self.deployment = parse(text).unwrap_or_default(),
+            PathKind::Model(model) => {
+                self.models.extend(parse(text).map(|doc| (model, doc)));
+            }
+            PathKind::Service(service) => {
+                self.services.extend(parse(text).map(|doc| (service, doc)));
+            }
+            PathKind::Team(team) => self.add_team(team, text),
+            PathKind::TeamModel(..) | PathKind::TeamService(..) => {}
+        }
+    }
+
+    fn add_team(&mut self, name: TeamId, text: &str) {
+        let Some(team) = parse::<settings::Team>(text) else { return };
+        for hash in &team.key_hashes {
+            self.keys.insert(hash.clone(), name.clone());
+        }
+        let (models, services) = Default::default();
+        self.teams.insert(name, TeamView { team, models, services });
+    }
+
+    fn add_team_documents(&mut self, documents: &Documents) {
+        for (path, doc) in &documents.by_path {
+            match PathKind::parse(path) {
+                Some(PathKind::TeamModel(team, model)) => {
+                    let Some(view) = self.teams.get_mut(&team) else { continue };
+                    view.models.extend(parse(&doc.text).map(|doc| (model, doc)));
+                }
+                Some(PathKind::TeamService(team, service)) => {
+                    let Some(view) = self.teams.get_mut(&team) else { continue };
+                    view.services.extend(parse(&doc.text).map(|doc| (service, doc)));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Replicas decided for a model: what all teams together may hold.
+    pub fn replicas(&self, model: &ModelId) -> u32 {
+        self.teams.values().filter_map(|team| team.models.get(model)).map(|m| m.replicas).sum()
+    }
+}
+
+fn parse<T: serde::de::DeserializeOwned>(text: &str) -> Option<T> {
+    serde_json::from_str(text).ok()
+}
--- /dev/null
+++ b/crates/corianderstand_types/src/clock.rs
@@ -0,0 +1,78 @@
+//! Time as an interface, so that decisions are tested without waiting.
+//!
+//! [`SystemClock`] is the machine's; [`ManualClock`] moves only when a test moves it.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+/// Reads time.
+pub trait Clock: Send + Sync + 'static {
+    /// Monotonic time, for intervals and deadlines.
+    fn now(&self) -> Instant;
+    /// Wall-clock time, for time of day and log lines.
+    fn wall(&self) -> SystemTime;
+}
+
+/// A clock that may be shared between threads.
+pub type SharedClock = Arc<dyn Clock>;
+
+/// The machine's clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// A clock that stands still until it is moved.
+#[derive(Clone, Debug)]
+pub struct ManualClock {
+    start: Instant,
+    start_wall: SystemTime,
+    elapsed: Arc<Mutex<Duration>>,
+}
+
+impl Default for ManualClock {
+    fn default() -> Self {
+        Self { start: Instant::now(), start_wall: UNIX_EPOCH, elapsed: Arc::default() }
+    }
+}
+
+impl ManualClock {
+    /// Moves time forward.
+    pub fn advance(&self, by: Duration) {
+        *self.lock() += by;
+    }
+
+    /// Time since the clock was made.
+    pub fn elapsed(&self) -> Duration {
+        *self.lock()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Duration> {
+        self.elapsed.lock().expect("no holder of this lock panics")
+    }
+}
+
+impl Clock for ManualClock {
+    fn now(&self) -> Instant {
+        self.start + self.elapsed()
+    }
+
+    fn wall(&self) -> SystemTime {
+        self.start_wall + self.elapsed()
+    }
+}
+
+/// Milliseconds since the Unix epoch.
+pub fn unix_ms(time: SystemTime) -> u64 {
+    time.duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,15 @@
+//! A serving system for rarely used models on rented hosts that may be reclaimed at any moment.
+//!
+//! This package is thin: the work lives in the crates that it re-exports, and the binary hands
+//! its arguments to [`cli`]. `docs/ARCHITECTURE.md` tells how they fit together.
+//!
+//! ```
+//! use corianderstand::types::names::TeamId;
+//!
+//! assert!(TeamId::new("vidrio-sur").is_ok());
+//! ```
+
+pub use corianderstand_cli as cli;
+pub use corianderstand_decide as decide;
+pub use corianderstand_state as state;
+pub use corianderstand_types as types;
--- /dev/null
+++ b/tools/ci/src/main.rs
@@ -0,0 +1,56 @@
+//! All checks of this repository, one sub-command each, so that a person and CI run the same.
+//!
+//! Without a sub-command all run in order, the tests last.
+
+use std::process::{Command, ExitCode};
+
+const STEPS: [(&str, &[&[&str]]); 5] = [
+    ("format", &[&["fmt", "--all", "--check"]]),
+    ("generated", &[&["run", "--quiet", "--locked", "-p", "generate", "--", "--check"]]),
+    (
+        "lint",
+        &[&[
+            "clippy",
+            "--workspace",
+            "--all-targets",
+            "--locked",
+            "--quiet",
+            "--",
+            "-D",
+            "warnings",
+        ]],
+    ),
+    ("doc", &[&["test", "--workspace", "--doc", "--locked", "--quiet"]]),
+    (
+        "test",
+        &[
+            &["build", "--workspace", "--locked", "--quiet"],
+            &["nextest", "run", "--workspace", "--locked", "--no-fail-fast"],
+        ],
+    ),
+];
+
+fn main() -> ExitCode {
+    let wanted: Vec<String> = std::env::args().skip(1).collect();
+    if let Some(unknown) = wanted.iter().find(|name| STEPS.iter().all(|(n, _)| n != name)) {
+        let names: Vec<&str> = STEPS.iter().map(|(name, _)| *name).collect();
+        eprintln!("there is no step `{unknown}`: use one of {}", names.join(", "));
+        return ExitCode::from(2);
+    }
+    for (name, commands) in STEPS {
+        if !wanted.is_empty() && !wanted.iter().any(|w| w == name) {
+            continue;
+        }
+        println!("== {name}");
+        if !commands.iter().all(|args| cargo(args)) {
+            eprintln!("step `{name}` failed");
+            return ExitCode::FAILURE;
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+fn cargo(args: &[&str]) -> bool {
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".into());
+    Command::new(cargo).args(args).status().is_ok_and(|status| status.success())
+}
--- /dev/null
+++ b/tools/demo/src/main.rs
@@ -0,0 +1,90 @@
+//! Starts a small deployment on loopback, sends a few streamed and plain requests, prints what
+//! happened and ends by itself.
+
+use serde_json::{Value, json};
+use std::time::Instant;
+use testbed::{
+    Deployment, Plan,
+    plan::{HINOKUNI_KEY, VIDRIO_KEY},
+};
+
+/// Trace context that the demonstration sends, to be found again in every hop's log.
+const TRACEPARENT: &str = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+
+fn main() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("the system gives a runtime").block_on(run());
+}
+
+async fn run() {
+    let began = Instant::now();
+    let deployment = Deployment::start(Plan::default()).await;
+    println!("started {} processes in {:.1?}", deployment.running().len(), began.elapsed());
+    let cold =
+        json!({ "model": "quotes-7b", "prompt": "A quote for nine floors", "max_tokens": 8 });
+    ask(&deployment, "cold start", "router-0", "/v1/completions", VIDRIO_KEY, &cold).await;
+    ask(&deployment, "warm", "router-1", "/v1/completions", VIDRIO_KEY, &cold).await;
+    let chat = json!({ "model": "design-13b", "stream": true, "max_tokens": 5,
+        "messages": [{ "role": "user", "content": "Two stripes, red collar" }] });
+    ask(&deployment, "streamed chat", "router-1", "/v1/chat/completions", HINOKUNI_KEY, &chat)
+        .await;
+    let adapter = json!({ "model": "quotes-7b:conce", "prompt": "Wind today?", "max_tokens": 4 });
+    ask(&deployment, "adapter", "router-0", "/v1/completions", VIDRIO_KEY, &adapter).await;
+    let other = json!({ "model": "design-13b", "prompt": "not mine" });
+    ask(&deployment, "another team's model", "router-0", "/v1/completions", VIDRIO_KEY, &other)
+        .await;
+    for router in ["router-0", "router-1"] {
+        let booking = json!({ "building": "Torre Norte", "day": "2026-12-03" });
+        ask(&deployment, "booking", router, "/services/agenda/bookings", VIDRIO_KEY, &booking)
+            .await;
+    }
+    let counts = deployment.counters("service-0").await;
+    println!("\nthe service ran {} booking(s)", counts["ran"]);
+    show_trace(&deployment);
+    let (_, status) = deployment.command(&["status"]);
+    println!("\n{status}");
+}
+
+async fn ask(
+    deployment: &Deployment,
+    what: &str,
+    router: &str,
+    path: &str,
+    key: &str,
+    body: &Value,
+) {
+    let began = Instant::now();
+    let answer = deployment
+        .http
+        .post(deployment.url(router, path))
+        .bearer_auth(key)
+        .header("idempotency-key", "booking-1")
+        .header("traceparent", TRACEPARENT)
+        .json(body)
+        .send()
+        .await
+        .expect("the router answers");
+    let status = answer.status();
+    let text = answer.text().await.expect("the answer is whole");
+    println!("\n{what}: {path} at {router}: {status} after {:.0?}", began.elapsed());
+    println!("{}", text.trim_end());
+}
+
+/// One line for each hop of the trace.
+fn show_trace(deployment: &Deployment) {
+    println!("\nhops of trace {}:", &TRACEPARENT[3..35]);
+    for name in deployment.running() {
+        for line in deployment.log_of(&name).lines() {
+            let Ok(line) = serde_json::from_str::<Value>(line) else { continue };
+            let of_trace = line["trace_id"].as_str() == Some(&TRACEPARENT[3..35]);
+            if of_trace {
+                println!(
+                    "{name}: {} {} {} µs",
+                    line["message"].as_str().unwrap_or_default(),
+                    line["request"].as_str().unwrap_or_default(),
+                    line["took_us"]
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tools/generate/src/main.rs
@@ -0,0 +1,113 @@
+//! Generates the types of `corianderstand_schema` from the JSON Schema files in `schema/`.
+//!
+//! `cargo run -p generate` writes the files; `cargo run -p generate -- --check` fails if they
+//! are not current. Formats of our own (`duration-ms`, `team`, …) stand for types of
+//! `corianderstand_types`.
+
+use serde_json::{Value, json};
+use std::{fs, path::Path, process::ExitCode};
+
+const FILES: [&str; 4] = ["settings", "process", "records", "messages"];
+const OUT: &str = "crates/corianderstand_schema/src/generated";
+
+/// Formats with a type of our own: format, name in the schema, Rust path.
+const FORMATS: [(&str, &str, &str); 12] = [
+    ("duration-ms", "Millis", "corianderstand_types::units::Millis"),
+    ("mib", "Mib", "corianderstand_types::units::Mib"),
+    ("text", "Text", "smol_str::SmolStr"),
+    ("host", "HostId", "corianderstand_types::names::HostId"),
+    ("place", "PlaceId", "corianderstand_types::names::PlaceId"),
+    ("team", "TeamId", "corianderstand_types::names::TeamId"),
+    ("target", "TargetId", "corianderstand_types::names::TargetId"),
+    ("model", "ModelId", "corianderstand_types::names::ModelId"),
+    ("adapter", "AdapterId", "corianderstand_types::names::AdapterId"),
+    ("version", "VersionId", "corianderstand_types::names::VersionId"),
+    ("service", "ServiceId", "corianderstand_types::names::ServiceId"),
+    ("writer", "WriterId", "corianderstand_types::names::WriterId"),
+];
+
+fn main() -> ExitCode {
+    let check = std::env::args().any(|arg| arg == "--check");
+    let mut stale = false;
+    for name in FILES {
+        let text = generate(&Path::new("schema").join(format!("{name}.json")));
+        let out = Path::new(OUT).join(format!("{name}.rs"));
+        if check {
+            let current = fs::read_to_string(&out).unwrap_or_default();
+            if current != text {
+                eprintln!("{} is not current: run `cargo run -p generate`", out.display());
+                stale = true;
+            }
+        } else {
+            fs::write(&out, text).expect("the output folder can be written");
+        }
+    }
+    if stale { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
+
+fn generate(path: &Path) -> String {
+    let text = fs::read_to_string(path).expect("the schema can be read");
+    let mut schema: Value = serde_json::from_str(&text).expect("the schema is JSON");
+    fill_defaults(&mut schema);
+    replace_formats(&mut schema);
+    let definitions = schema["definitions"].as_object_mut().expect("the schema has definitions");
+    for (_, name, _) in FORMATS {
+        definitions.insert(name.into(), json!({ "type": "string" }));
+    }
+    let root: schemars::schema::RootSchema =
+        serde_json::from_value(schema).expect("the file is a JSON Schema");
+    let mut settings = typify::TypeSpaceSettings::default();
+    settings.with_derive("PartialEq".into());
+    for (_, name, path) in FORMATS {
+        let impls = [typify::TypeSpaceImpl::Default, typify::TypeSpaceImpl::Display];
+        settings.with_replacement(name, path, impls.into_iter());
+    }
+    let mut space = typify::TypeSpace::new(&settings);
+    space.add_root_schema(root).expect("typify understands the schema");
+    let file = syn::parse2(space.to_stream()).expect("typify writes Rust");
+    format!(
+        "// Generated from {} by `cargo run -p generate`; do not edit.\n\n{}",
+        path.display(),
+        prettyplease::unparse(&file)
+    )
+}
+
+/// Spells out the default `{}` of a property whose definition has a default for each field.
+///
+/// typify fills an empty default object with each type's own zero, not with the defaults of the
+/// schema: a file without `limits` would then allow no connection at all.
+fn fill_defaults(schema: &mut Value) {
+    let definitions = schema["definitions"].clone();
+    let properties = schema["definitions"].as_object_mut().into_iter().flatten();
+    let properties = properties.filter_map(|(_, def)| def.get_mut("properties")?.as_object_mut());
+    for property in properties.flat_map(|properties| properties.values_mut()) {
+        let reference = property.pointer("/allOf/0/$ref").and_then(Value::as_str);
+        let Some(reference) = reference else { continue };
+        let name = reference.trim_start_matches("#/definitions/").to_owned();
+        let fields = definitions[&name]["properties"].as_object().into_iter().flatten();
+        let defaults = fields.map(|(field, def)| (field.clone(), def["default"].clone()));
+        property["default"] = Value::Object(defaults.collect());
+    }
+}
+
+/// Turns each schema with a format of our own into a reference to its type.
+fn replace_formats(schema: &mut Value) {
+    match schema {
+        Value::Object(map) => {
+            let format = map.get("format").and_then(Value::as_str).unwrap_or_default();
+            if let Some((_, name, _)) = FORMATS.iter().find(|(own, _, _)| *own == format) {
+                map.retain(|key, _| key == "description" || key == "default");
+                map.insert("allOf".into(), json!([{ "$ref": format!("#/definitions/{name}") }]));
+                return;
+            }
+            // Ranges are checked against the schema when a file is read; without the lower
+            // bound typify takes plain integers instead of non-zero ones.
+            if map.get("type").and_then(Value::as_str) == Some("integer") {
+                map.insert("minimum".into(), json!(0));
+            }
+            map.values_mut().for_each(replace_formats);
+        }
+        Value::Array(items) => items.iter_mut().for_each(replace_formats),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/tools/testbed/src/deployment.rs
@@ -0,0 +1,424 @@
+//! A running deployment.
+
+use crate::{
+    plan::{AUTH_KEY, OPERATOR_KEY, Plan, hash},
+    process::{PATIENCE, Process, free_addresses},
+};
+use serde_json::{Value, json};
+use std::{
+    collections::BTreeMap,
+    fs,
+    path::{Path, PathBuf},
+    sync::atomic::{AtomicU32, Ordering},
+    time::{Duration, Instant},
+};
+use tokio::time;
+
+/// Availability zones that hosts are spread over.
+const PLACES: [&str; 3] = ["conce", "talca-hall", "losangeles"];
+
+/// How a process is started, so that it can be started again.
+#[derive(Clone, Debug)]
+struct Recipe {
+    program: &'static str,
+    args: Vec<String>,
+}
+
+/// All processes of a deployment; dropping it ends them.
+#[derive(Debug)]
+pub struct Deployment {
+    /// What was asked for.
+    pub plan: Plan,
+    /// Addresses by process name.
+    pub addresses: BTreeMap<String, String>,
+    /// Folder of settings and logs.
+    pub dir: PathBuf,
+    /// An HTTP client.
+    pub http: reqwest::Client,
+    processes: BTreeMap<String, Process>,
+    recipes: BTreeMap<String, Recipe>,
+}
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+fn temporary_folder() -> PathBuf {
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("corianderstand-{}-{number}", std::process::id());
+    std::env::temp_dir().join(name)
+}
+
+impl Deployment {
+    /// Starts everything, applies the settings and waits until routers are ready.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a state is not reached within the limit.
+    pub async fn start(plan: Plan) -> Self {
+        let mut deployment = Self::prepare(plan);
+        deployment.start_platform().await;
+        deployment.start_targets().await;
+        deployment.start_routers();
+        deployment.apply_plan().await;
+        deployment.wait_for_slots().await;
+        deployment
+    }
+
+    /// Chooses addresses and writes settings, without starting anything.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the temporary folder cannot be written.
+    pub fn prepare(plan: Plan) -> Self {
+        let dir = temporary_folder();
+        fs::create_dir_all(&dir).expect("the temporary folder can be written");
+        let http = reqwest::Client::builder().no_proxy().build().expect("a plain client");
+        let names = names(&plan);
+        let addresses = names.iter().cloned().zip(free_addresses(names.len())).collect();
+        let (processes, recipes) = Default::default();
+        let mut deployment = Self { plan, addresses, dir, http, processes, recipes };
+        deployment.write_recipes();
+        deployment
+    }
+
+    /// Address of a process.
+    pub fn address(&self, name: &str) -> &str {
+        &self.addresses[name]
+    }
+
+    /// URL of a path at a process.
+    pub fn url(&self, name: &str, path: &str) -> String {
+        format!("http://{}{path}", self.address(name))
+    }
+
+    fn write_recipes(&mut self) {
+        self.standin("log", "log", self.plan.log_options.clone());
+        self.standin("hosts", "hosts", self.plan.hosts_options.clone());
+        self.standin("weights", "weights", vec!["--rate".into(), "50".into()]);
+        for i in 0..self.plan.engines {
+            self.standin(&format!("engine-{i}"), "engine", self.plan.engine_options.clone());
+            let kind = json!({ "engine": { "memory_mib": 80000, "checks_fencing": false } });
+            self.agent_recipe(&format!("engine-{i}"), i, &kind);
+        }
+        for i in 0..self.plan.services {
+            self.standin(&format!("service-{i}"), "service", vec![]);
+            let kind = json!({ "service": { "service": "agenda" } });
+            self.agent_recipe(&format!("service-{i}"), i, &kind);
+        }
+        for i in 0..self.plan.routers {
+            self.router_recipe(i);
+        }
+    }
+
+    fn recipe(&mut self, name: &str, program: &'static str, args: Vec<String>) {
+        self.recipes.insert(name.to_owned(), Recipe { program, args });
+    }
+
+    fn standin(&mut self, name: &str, kind: &str, options: Vec<String>) {
+        let mut args = vec![kind.to_owned(), "--listen".into(), self.address(name).to_owned()];
+        args.extend(options);
+        self.recipe(name, "corianderstand-standins", args);
+    }
+
+    fn agent_recipe(&mut self, target: &str, index: usize, kind: &Value) {
+        let name = format!("agent-{target}");
+        if self.plan.relays {
+            let relay = format!("relay-{target}");
+            let control = format!("relay-control-{target}");
+            let args = ["relay", "--listen", self.address(&relay), "--to", self.address(&name)];
+            let mut args: Vec<String> = args.iter().map(|arg| (*arg).to_owned()).collect();
+            args.extend(["--control".into(), self.address(&control).to_owned()]);
+            self.recipe(&relay, "corianderstand-standins", args);
+        }
+        let advertised = if self.plan.relays {
+            json!(self.address(&format!("relay-{target}")))
+        } else {
+            Value::Null
+        };
+        let mut settings = json!({
+            "name": target,
+            "host": format!("host-{target}"),
+            "place": PLACES[index % PLACES.len()],
+            "listen": self.address(&name),
+            "log_url": self.url("log", ""),
+            "host_list_url": self.url("hosts", ""),
+            "target": { "url": self.url(target, ""), "kind": kind },
+            "timing": self.plan.timing,
+        });
+        if !advertised.is_null() {
+            settings["advertise"] = advertised;
+        }
+        let args = vec!["agent".into(), self.write(&name, &settings)];
+        self.recipe(&name, "corianderstand", args);
+    }
+
+    fn router_recipe(&mut self, index: usize) {
+        let name = format!("router-{index}");
+        let others = (0..self.plan.routers).filter(|other| *other != index);
+        let peers: Vec<_> = others.map(|o| self.address(&format!("router-{o}"))).collect();
+        let settings = json!({
+            "name": name,
+            "host": format!("host-{name}"),
+            "place": PLACES[index % PLACES.len()],
+            "listen": self.address(&name),
+            "log_url": self.url("log", ""),
+            "host_list_url": self.url("hosts", ""),
+            "peers": peers,
+            "auth_key": AUTH_KEY,
+            "operator_key_hash": hash(OPERATOR_KEY),
+            "timing": self.plan.timing,
+        });
+        let args = vec!["router".into(), self.write(&name, &settings)];
+        self.recipe(&name, "corianderstand", args);
+    }
+
+    fn write(&self, name: &str, settings: &Value) -> String {
+        let path = self.dir.join(format!("{name}.json"));
+        fs::write(&path, settings.to_string()).expect("the temporary folder can be written");
+        path.display().to_string()
+    }
+
+    /// Starts a process by name, again if it has ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the plan has no such process.
+    pub fn run(&mut self, name: &str) {
+        let recipe = self.recipes[name].clone();
+        let process = Process::start(name, recipe.program, &recipe.args, &self.dir);
+        self.processes.insert(name.to_owned(), process);
+    }
+
+    /// A running process by name.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it was not started.
+    pub fn process(&mut self, name: &str) -> &mut Process {
+        self.processes.get_mut(name).expect("the process was started")
+    }
+
+    /// Names of all processes that were started, in order.
+    pub fn running(&self) -> Vec<String> {
+        self.processes.keys().cloned().collect()
+    }
+
+    /// Starts the platform's stand-ins and lists all hosts as live.
+    pub async fn start_platform(&mut self) {
+        for name in ["log", "hosts", "weights"] {
+            self.run(name);
+        }
+        self.wait_for_answer("log", "/counters").await;
+        self.wait_for_answer("hosts", "/hosts").await;
+        self.set_hosts(&[]).await;
+    }
+
+    /// Lists all hosts, those in `leaving` as leaving.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-in does not answer.
+    pub async fn set_hosts(&self, leaving: &[&str]) {
+        let target = |name: &String| name.strip_prefix("agent-").map(str::to_owned);
+        let routers = (0..self.plan.routers).map(|i| format!("router-{i}"));
+        let names = self.recipes.keys().filter_map(target).chain(routers);
+        let hosts: Vec<Value> = names
+            .map(|name| {
+                let state = if leaving.contains(&name.as_str()) { "leaving" } else { "live" };
+                json!({ "host": format!("host-{name}"), "place": "conce", "state": state })
+            })
+            .collect();
+        let put = self.http.put(self.url("hosts", "/hosts")).json(&hosts).send().await;
+        put.expect("the host list answers");
+    }
+
+    /// Starts all targets, their relays and their agents.
+    pub async fn start_targets(&mut self) {
+        let all: Vec<String> = self.recipes.keys().cloned().collect();
+        let is_target = |n: &str| n.starts_with("engine-") || n.starts_with("service-");
+        for name in all.iter().filter(|name| is_target(name)) {
+            self.run(name);
+        }
+        for name in all.iter().filter(|name| is_target(name)) {
+            let path = if name.starts_with("engine-") { "/loaded" } else { "/counts" };
+            self.wait_for_answer(name, path).await;
+        }
+        for name in all.iter().filter(|n| n.starts_with("agent-") || n.starts_with("relay-")) {
+            self.run(name);
+        }
+    }
+
+    /// Starts all routers.
+    pub fn start_routers(&mut self) {
+        for i in 0..self.plan.routers {
+            self.run(&format!("router-{i}"));
+        }
+    }
+
+    /// Applies the plan's settings through the command line, as an operator would.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the command fails.
+    pub async fn apply_plan(&mut self) {
+        self.wait_for_answer("router-0", "/readyz").await;
+        let settings = self.settings_folder();
+        let (code, output) = self.command(&["apply", &settings.display().to_string()]);
+        assert_eq!(code, Some(0), "apply: {output}");
+    }
+
+    /// Writes the plan's documents as an operator keeps them; the folder.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the temporary folder cannot be written.
+    pub fn settings_folder(&self) -> PathBuf {
+        let root = self.dir.join("settings");
+        for (path, value) in &self.plan.documents {
+            let file = root.join(path).with_extension("json");
+            fs::create_dir_all(file.parent().unwrap_or(Path::new("."))).expect("writable");
+            let text = serde_json::to_string_pretty(value).expect("documents are plain data");
+            fs::write(file, text).expect("the temporary folder can be written");
+        }
+        root
+    }
+
+    /// Runs an operator's command against the first router; its exit code and output.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the binary has not been built.
+    pub fn command(&self, args: &[&str]) -> (Option<i32>, String) {
+        self.command_at("router-0", args)
+    }
+
+    /// Runs an operator's command against a router; its exit code and output.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the binary has not been built.
+    pub fn command_at(&self, router: &str, args: &[&str]) -> (Option<i32>, String) {
+        let output = std::process::Command::new(crate::process::binaries().join("corianderstand"))
+            .args(args)
+            .env("CORIANDERSTAND_ROUTER", self.address(router))
+            .env("CORIANDERSTAND_OPERATOR_KEY", OPERATOR_KEY)
+            .output()
+            .expect("the binary has been built");
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.code(), String::from_utf8_lossy(&text).into_owned())
+    }
+
+    /// Waits until a path answers with success.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not within the limit.
+    pub async fn wait_for_answer(&self, name: &str, path: &str) {
+        let url = self.url(name, path);
+        wait_for(&format!("{name}{path}"), async || {
+            let answer = self.http.get(&url).send().await;
+            answer.is_ok_and(|answer| answer.status().is_success())
+        })
+        .await;
+    }
+
+    /// The deployment's status as a router sees it.
+    pub async fn status(&self, router: &str) -> Value {
+        let url = self.url(router, "/operator/status");
+        let answer = self.http.get(url).bearer_auth(OPERATOR_KEY).send().await;
+        match answer {
+            Ok(answer) => answer.json().await.unwrap_or_default(),
+            Err(_) => Value::Null,
+        }
+    }
+
+    /// Waits until every router knows as many slots as the settings ask for, and is ready.
+    ///
+    /// # Panics
+    ///
+    /// Panics if they do not within the limit.
+    pub async fn wait_for_slots(&self) {
+        let wanted: u64 = self
+            .plan
+            .documents
+            .iter()
+            .filter(|(path, _)| path.starts_with("teams/") && path.contains("/models/"))
+            .filter_map(|(_, value)| value["replicas"].as_u64())
+            .sum();
+        for i in 0..self.plan.routers {
+            let name = format!("router-{i}");
+            wait_for(&format!("slots at {name}"), async || {
+                let status = self.status(&name).await;
+                status["slots"].as_array().is_some_and(|slots| slots.len() as u64 >= wanted)
+            })
+            .await;
+            self.wait_for_answer(&name, "/readyz").await;
+        }
+    }
+
+    /// Tells a stand-in to misbehave.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not take the fault.
+    pub async fn fault(&self, name: &str, fault: &Value) {
+        let control = name.replacen("relay-", "relay-control-", 1);
+        let post = self.http.post(self.url(&control, "/fault")).json(fault).send().await;
+        let status = post.expect("the stand-in answers").status();
+        assert!(status.is_success(), "{name} does not take {fault}");
+    }
+
+    /// A stand-in's counters.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not answer.
+    pub async fn counters(&self, name: &str) -> Value {
+        let path = if name.starts_with("service") { "/counts" } else { "/counters" };
+        let answer = self.http.get(self.url(name, path)).send().await;
+        answer.expect("the stand-in answers").json().await.expect("counters are JSON")
+    }
+
+    /// What a process has logged.
+    pub fn log_of(&self, name: &str) -> String {
+        fs::read_to_string(self.dir.join(format!("{name}.log"))).unwrap_or_default()
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        self.processes.clear();
+        // What went wrong is easier to find with the logs at hand.
+        if std::thread::panicking() {
+            eprintln!("logs are in {}", self.dir.display());
+        } else {
+            drop(fs::remove_dir_all(&self.dir));
+        }
+    }
+}
+
+fn names(plan: &Plan) -> Vec<String> {
+    let mut names: Vec<String> = ["log", "hosts", "weights"].map(str::to_owned).into();
+    names.extend((0..plan.routers).map(|i| format!("router-{i}")));
+    let engines = (0..plan.engines).map(|i| format!("engine-{i}"));
+    let targets = engines.chain((0..plan.services).map(|i| format!("service-{i}")));
+    for target in targets {
+        for prefix in ["agent-", "relay-", "relay-control-"] {
+            names.push(format!("{prefix}{target}"));
+        }
+        names.push(target);
+    }
+    names
+}
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// Panics if it does not within the limit.
+pub async fn wait_for(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let began = Instant::now();
+    while !condition().await {
+        assert!(began.elapsed() < PATIENCE, "not reached: {what}");
+        time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/tools/testbed/src/plan.rs
@@ -0,0 +1,98 @@
+//! What a small deployment consists of.
+
+use serde_json::{Value, json};
+
+/// A deployment to start.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Routers.
+    pub routers: usize,
+    /// Engines, each with its agent.
+    pub engines: usize,
+    /// Plain services, each with its agent.
+    pub services: usize,
+    /// Options of every engine stand-in.
+    pub engine_options: Vec<String>,
+    /// Options of the log stand-in.
+    pub log_options: Vec<String>,
+    /// Options of the host list stand-in.
+    pub hosts_options: Vec<String>,
+    /// Timing of every process.
+    pub timing: Value,
+    /// Whether a relay that can be cut stands before each agent.
+    pub relays: bool,
+    /// Settings documents by path.
+    pub documents: Vec<(String, Value)>,
+}
+
+/// Bearer key of the first team.
+pub const VIDRIO_KEY: &str = "vidrio-key";
+/// Bearer key of the second team.
+pub const HINOKUNI_KEY: &str = "hinokuni-key";
+/// Bearer key of the operators.
+pub const OPERATOR_KEY: &str = "operator-key";
+/// Hashing key of the deployment.
+pub const AUTH_KEY: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
+/// The hash of a bearer key under [`AUTH_KEY`].
+///
+/// # Panics
+///
+/// Never: the key is well formed.
+pub fn hash(key: &str) -> String {
+    let hasher = corianderstand_router::auth::Hasher::new(AUTH_KEY).expect("a well-formed key");
+    hasher.hash(key).to_string()
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        let to_strings = |options: &[&str]| options.iter().map(|o| (*o).to_owned()).collect();
+        Self {
+            routers: 2,
+            engines: 3,
+            services: 1,
+            engine_options: to_strings(&["--token-us", "2000", "--load-ms", "200"]),
+            log_options: Vec::new(),
+            hosts_options: Vec::new(),
+            timing: json!({ "heartbeat_ms": 100, "silence_ms": 1000, "reconnect_ms": 200,
+                "log_poll_ms": 500, "host_list_poll_ms": 200, "drain_ms": 30000 }),
+            relays: false,
+            documents: documents(),
+        }
+    }
+}
+
+/// Settings of two small teams.
+fn documents() -> Vec<(String, Value)> {
+    let model = |memory: u64| {
+        json!({ "memory_mib": memory, "versions": ["1", "2"],
+        "load_ms": 500, "adapter_memory_mib": 500 })
+    };
+    let team = |key: &str, tail: u32, idle: u32| {
+        json!({ "key_hashes": [hash(key)], "share": 300,
+        "default_deadline_ms": 20000, "default_urgency": "normal",
+        "weight_tail": tail, "weight_idle": idle })
+    };
+    let doc = |path: &str, value: Value| (path.to_owned(), value);
+    vec![
+        doc("system/deployment", json!({ "lease_ttl_ms": 1500 })),
+        doc("shared/models/quotes-7b", model(16000)),
+        doc("shared/models/rounds-3b", model(8000)),
+        doc("shared/models/design-13b", model(30000)),
+        doc(
+            "shared/services/agenda",
+            json!({ "unrepeatable": [
+            { "method": "POST", "path_prefix": "/bookings" }], "timeout_ms": 10000 }),
+        ),
+        doc("teams/vidrio/team", team(VIDRIO_KEY, 80, 20)),
+        doc(
+            "teams/vidrio/models/quotes-7b",
+            json!({ "replicas": 2,
+            "adapters": [{ "name": "conce", "version": "1" }] }),
+        ),
+        doc("teams/vidrio/models/rounds-3b", json!({ "replicas": 1 })),
+        doc("teams/vidrio/services/agenda", json!({ "path_prefixes": ["/"] })),
+        doc("teams/hinokuni/team", team(HINOKUNI_KEY, 20, 80)),
+        doc("teams/hinokuni/models/design-13b", json!({ "replicas": 1, "urgency": "low" })),
+    ]
+}
