--- a/crates/corianderstand_agent/src/accept.rs
+++ b/crates/corianderstand_agent/src/accept.rs
@@ -149,7 +149,8 @@
         let end = StreamEnd { connection: self.id, stream, out: self.out.clone(), credit: rx };
         self.credits.insert(stream, credit);
         let work = work(&open, self.shared.clock.now());
-        let request = Request { open, body, end };
+        let deadline = work.deadline;
+        let request = Request { open, body, end, deadline };
         self.tell(Event::Submit(Box::new((work, request))))
     }
 
--- a/crates/corianderstand_agent/src/calls.rs
+++ b/crates/corianderstand_agent/src/calls.rs
@@ -1,120 +1,267 @@
 //! Calls to a plain service; those that may not be repeated run only under a claim in the log.
 
 use crate::{
+    claim::{self, Next},
     event::Request,
-    run::{Runner, Target, failed},
+    run::{Finish, Runner, Target, failed},
+};
+use corianderstand_control::appender::{AppendError, Decided};
+use corianderstand_edge::{
+    EdgeError,
+    service::{Answer, Call},
 };
-use corianderstand_edge::service::{Answer, Call};
 use corianderstand_link::trace::TraceContext;
 use corianderstand_schema::{
-    messages::{Ending, Operation, ToRouter},
-    records::{Body, CallKey},
+    messages::{Ending, Operation, RefusalReason, ToRouter},
+    records::{Body, CallAnswer, CallKey},
+};
+use corianderstand_state::{
+    calls::{self, Known},
+    fold::Outcome,
 };
-use corianderstand_state::{calls, fold::Outcome};
-use std::time::Duration;
+use smol_str::SmolStr;
+use std::{sync::atomic::Ordering, time::Duration};
+use tokio::{sync::oneshot, time};
+
+/// Time the log has to decide a claim before the request is refused: far beyond an append and
+/// its reading back, and short enough to answer within a usual deadline.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time that an answer waits for its own record. A caller who was told "ran" should find the
+/// same on asking again, even if this process dies at once; a log that is slow must not hold up
+/// a good answer for long.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time that a record is kept for a log that is down: the longest outage that is ridden out.
+const RECORD_PATIENCE: Duration = Duration::from_secs(6 * 3600);
+/// When to come back while the log decides nothing.
+const RETRY_LOG: Duration = Duration::from_secs(2);
+/// When to come back while as many keys are remembered as may be.
+const RETRY_FULL: Duration = Duration::from_secs(60);
 
-/// Time the log has to decide a claim.
-const CLAIM_TIMEOUT: Duration = Duration::from_secs(3);
+type Called = Result<Answer, Finish>;
 
 /// Runs a call and sends its answer.
-pub async fn run(runner: &Runner, request: &Request, trace: TraceContext) -> (Ending, u64) {
-    let Operation::Call { service, idempotency_key, .. } = &request.open.operation else {
-        return (failed("the request is no call"), 0);
+pub async fn run(runner: &Runner, request: &Request, trace: TraceContext) -> Finish {
+    let Operation::Call { service, method, path, idempotency_key, .. } = &request.open.operation
+    else {
+        return ended(failed("the request is no call"));
     };
     let answer = match idempotency_key {
-        None => call(runner, request, trace).await,
+        None => call(runner, request, trace).await.map_err(|error| {
+            let reason: SmolStr = error.to_string().into();
+            ended(Ending::Failed { reason })
+        }),
         Some(key) => {
             let team = request.open.team.clone();
-            let key = CallKey { team, service: service.clone(), key: key.clone() };
-            call_once(runner, request, trace, key).await
+            let once = Once {
+                key: CallKey { team, service: service.clone(), key: key.clone() },
+                digest: calls::digest(method, path, &request.body),
+            };
+            once.call(runner, request, trace).await
         }
     };
     match answer {
         Ok(answer) => send(request, &answer).await,
-        Err(ending) => (ending, 0),
+        Err(finish) => finish,
     }
 }
 
-async fn send(request: &Request, answer: &Answer) -> (Ending, u64) {
+const fn ended(ending: Ending) -> Finish {
+    Finish::Ended(ending, 0)
+}
+
+async fn send(request: &Request, answer: &Answer) -> Finish {
     let stream = request.end.stream;
     let (status, content_type) = (answer.status, answer.content_type.clone());
     request.end.send(&ToRouter::Head { stream, status, content_type }, b"").await;
     request.end.send(&ToRouter::Chunk { stream, position: 0 }, &answer.body).await;
     let finish_reason = "stop".into();
-    (Ending::Whole { prompt_tokens: 0, completion_tokens: 0, finish_reason }, 1)
+    let whole = Ending::Whole { prompt_tokens: 0, completion_tokens: 0, finish_reason };
+    Finish::Ended(whole, 1)
 }
 
-async fn call(runner: &Runner, request: &Request, trace: TraceContext) -> Result<Answer, Ending> {
-    let Target::Service(service) = &runner.target else {
-        return Err(failed("this target is an engine: call a plain service elsewhere"));
-    };
-    let Operation::Call { method, path, content_type, idempotency_key, .. } =
-        &request.open.operation
-    else {
-        return Err(failed("the request is no call"));
-    };
-    let call = Call {
-        method: method.clone(),
-        path: path.clone(),
-        content_type: content_type.clone(),
-        idempotency_key: idempotency_key.clone(),
-        body: request.body.clone(),
-        request: request.open.request.clone(),
-        traceparent: trace.header(),
-    };
-    service.call(call).await.map_err(|error| {
-        if error.never_sent() {
-            failed(&error.to_string())
-        } else {
-            Ending::Unknown { reason: error.to_string().into() }
-        }
-    })
-}
-
-/// Runs a call only if this agent's claim is the first for its key in the log.
-///
-/// Without a claim two agents could run the same call for one caller who asked twice, or a
-/// frozen agent could run it minutes after another did.
-async fn call_once(
+async fn call(
     runner: &Runner,
     request: &Request,
     trace: TraceContext,
+) -> Result<Answer, EdgeError> {
+    match (&runner.target, &request.open.operation) {
+        (
+            Target::Service(service),
+            Operation::Call { method, path, content_type, idempotency_key, .. },
+        ) => {
+            let call = Call {
+                method: method.clone(),
+                path: path.clone(),
+                content_type: content_type.clone(),
+                idempotency_key: idempotency_key.clone(),
+                body: request.body.clone(),
+                request: request.open.request.clone(),
+                traceparent: trace.header(),
+            };
+            service.call(call).await
+        }
+        _ => {
+            let (system, detail) = ("this target", "it is no plain service".into());
+            Err(EdgeError::Malformed { system, detail })
+        }
+    }
+}
+
+/// A call that may not be repeated.
+struct Once {
     key: CallKey,
-) -> Result<Answer, Ending> {
-    let digest = digest(&request.body);
-    let target = runner.name.clone();
-    let claim = Body::Claimed { key: key.clone(), digest, target };
-    let decided = runner.control.appender.append(claim, CLAIM_TIMEOUT).await;
-    let decided = decided.map_err(|error| Ending::Unknown { reason: error.to_string().into() })?;
-    if decided.outcome != Outcome::Applied {
-        return stored(runner, &key, digest);
+    digest: u64,
+}
+
+impl Once {
+    /// Runs the call only if this agent's claim is the first for its key in the log.
+    ///
+    /// Without a claim two agents could run the same call for one caller who asked twice, or a
+    /// frozen agent could run it minutes after another did.
+    async fn call(&self, runner: &Runner, request: &Request, trace: TraceContext) -> Called {
+        let snapshot = runner.control.current.load();
+        match snapshot.state.calls.known(&self.key, self.digest) {
+            Known::Nothing => {}
+            known => return told(known),
+        }
+        if !is_in_time(runner, request) {
+            return Err(Finish::Refused(RefusalReason::Deadline, RETRY_LOG));
+        }
+        // A claim that is queued while the log decides nothing would only be withdrawn later.
+        let stalled = runner.stalled.load(Ordering::Relaxed) > 0;
+        if stalled || !snapshot.log_up {
+            return Err(Finish::Refused(RefusalReason::LogDown, RETRY_LOG));
+        }
+        let Some(Decided { offset, outcome }) = self.claim(runner, request).await else {
+            return Err(Finish::Refused(RefusalReason::LogDown, RETRY_LOG));
+        };
+        let in_time = is_in_time(runner, request);
+        match claim::next(&outcome, true, in_time) {
+            Next::Run => self.run(runner, request, trace, offset).await,
+            Next::Withdraw => {
+                self.record(runner, offset, None).await;
+                Err(not_run("its deadline passed before it could begin"))
+            }
+            Next::Read => {
+                told(runner.control.current.load().state.calls.known(&self.key, self.digest))
+            }
+            Next::Refuse => Err(Finish::Refused(RefusalReason::QueueFull, RETRY_FULL)),
+        }
     }
-    let answer = call(runner, request, trace).await?;
-    let (status, body) = (answer.status, answer.body.to_vec());
-    let ended = Body::CallEnded { key, claim: decided.offset, status, body };
-    // The answer is good whether or not its record is decided in time: the claim stands, and
-    // a repeat finds the call claimed until the record is folded.
-    if let Err(error) = runner.control.appender.append(ended, CLAIM_TIMEOUT).await {
-        tracing::warn!(%error, "outcome of a call not decided yet");
+
+    /// Claims the key; `None` if the log has not decided in time. Such a claim may still come
+    /// to stand in the log; whoever waits for it here then withdraws it, so that it never runs
+    /// after its caller was refused, and repeats get a definite answer.
+    async fn claim(&self, runner: &Runner, request: &Request) -> Option<Decided> {
+        let (key, target) = (self.key.clone(), runner.name.clone());
+        let body = Body::Claimed { key, digest: self.digest, target };
+        let (tx, mut rx) = oneshot::channel();
+        let (runner_, once) = (runner.clone(), Self { key: self.key.clone(), ..*self });
+        tokio::spawn(async move {
+            let decided = runner_.control.appender.append(body, RECORD_PATIENCE).await;
+            if let Err(decided) = tx.send(decided) {
+                runner_.stalled.fetch_sub(1, Ordering::Relaxed);
+                once.give_up(&runner_, decided).await;
+            }
+        });
+        let left = request.deadline.saturating_duration_since(runner.clock.now());
+        if let Ok(Ok(decided)) = time::timeout(CLAIM_TIMEOUT.min(left), &mut rx).await {
+            return decided.ok();
+        }
+        // Counted before the ring is closed, so that the far end never counts down first.
+        runner.stalled.fetch_add(1, Ordering::Relaxed);
+        rx.close();
+        match rx.try_recv() {
+            Ok(decided) => {
+                runner.stalled.fetch_sub(1, Ordering::Relaxed);
+                decided.ok()
+            }
+            Err(_) => None,
+        }
     }
-    Ok(answer)
-}
 
-fn stored(runner: &Runner, key: &CallKey, digest: u64) -> Result<Answer, Ending> {
-    let snapshot = runner.control.current.load();
-    match snapshot.state.calls.find(key) {
-        Some(calls::Call::Ended { digest: first, status, body, .. }) if *first == digest => {
-            let body = bytes::Bytes::copy_from_slice(body);
-            Ok(Answer { status: *status, content_type: "application/json".into(), body })
+    async fn give_up(&self, runner: &Runner, decided: Result<Decided, AppendError>) {
+        let Ok(Decided { offset, outcome }) = decided else { return };
+        if claim::next(&outcome, false, false) == Next::Withdraw {
+            tracing::warn!(key = %self.key.key, "late claim withdrawn: the call does not run");
+            self.record(runner, offset, None).await;
         }
-        Some(calls::Call::Claimed { digest: first, .. }) if *first == digest => {
-            Err(Ending::Unknown { reason: "the call is running or was cut off".into() })
+    }
+
+    async fn run(
+        &self,
+        runner: &Runner,
+        request: &Request,
+        trace: TraceContext,
+        claim: u64,
+    ) -> Called {
+        match call(runner, request, trace).await {
+            Ok(answer) => {
+                self.record(runner, claim, Some(stored(&answer))).await;
+                Ok(answer)
+            }
+            // The connection was refused: the service cannot have heard of the call.
+            Err(error) if error.never_sent() => {
+                self.record(runner, claim, None).await;
+                Err(not_run(&error.to_string()))
+            }
+            Err(error) => Err(ended(Ending::Unknown { reason: error.to_string().into() })),
+        }
+    }
+
+    /// Records the outcome, and waits for the record for a while; it is written in any case,
+    /// as long as this process lives.
+    async fn record(&self, runner: &Runner, claim: u64, answer: Option<CallAnswer>) {
+        let body = Body::CallEnded { key: self.key.clone(), claim, answer };
+        let appender = runner.control.appender.clone();
+        let record = tokio::spawn(async move {
+            match appender.append(body, RECORD_PATIENCE).await {
+                Ok(Decided { outcome: Outcome::Applied, .. }) => {}
+                other => tracing::error!(?other, "outcome of a call not recorded"),
+            }
+        });
+        if time::timeout(RECORD_TIMEOUT, record).await.is_err() {
+            tracing::warn!(key = %self.key.key, "outcome of a call not decided yet");
         }
-        Some(calls::Call::Voided { .. }) => Err(failed("the call was given up: it did not run")),
-        _ => Err(failed("the key was used with another body: use a new key")),
     }
 }
 
-fn digest(body: &[u8]) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(body)
+/// Whether the caller still waits, by this process's clock and by the log's.
+///
+/// A process that was frozen with a request in its socket reads it as if it had just come, so
+/// the time since it was read tells nothing. Run then, it would be a booking minutes after its
+/// caller had made another. The log's clock is the one clock that the router shares.
+fn is_in_time(runner: &Runner, request: &Request) -> bool {
+    let now_ms = runner.control.current.load().log_now_ms(runner.clock.wall());
+    let expires_ms = request.open.expires_ms;
+    runner.clock.now() < request.deadline && (expires_ms == 0 || now_ms < expires_ms)
+}
+
+fn stored(answer: &Answer) -> CallAnswer {
+    let kept = answer.body.len() <= calls::MAX_ANSWER;
+    CallAnswer {
+        status: answer.status,
+        content_type: answer.content_type.clone(),
+        body: kept.then(|| answer.body.to_vec()),
+    }
+}
+
+fn not_run(reason: &str) -> Finish {
+    ended(Ending::NotRun { reason: reason.into() })
+}
+
+/// The answer to a repeat. Where no outcome can be sent from here, the router waits for it in
+/// its own copy of the log.
+fn told(known: Known) -> Called {
+    match known {
+        Known::Ran(calls::Answer { status, content_type, body: Some(body) }) => {
+            let body = bytes::Bytes::copy_from_slice(&body);
+            Ok(Answer { status, content_type, body })
+        }
+        Known::NotRun => Err(not_run("it was given up before it began")),
+        Known::Conflict => Err(Finish::Refused(RefusalReason::KeyConflict, RETRY_LOG)),
+        Known::Claimed | Known::Nothing | Known::Ran(_) => {
+            Err(ended(Ending::Unknown { reason: "it was claimed before".into() }))
+        }
+    }
 }
--- /dev/null
+++ b/crates/corianderstand_agent/src/claim.rs
@@ -0,0 +1,39 @@
+//! What an agent does once the log has decided its claim.
+//!
+//! The log gives a key to at most one claim, for ever. The agent that holds the claim runs the
+//! call once, or withdraws: it records that the call did not and will not run. It runs the call
+//! only while the request that wrote the claim still waits and is in time, because after that
+//! its caller may have been told that it did not run.
+//!
+//! A claim is never run by another process or a later start: nobody can know how far its writer
+//! came. Such a claim stays without an outcome, and repeats are told "unknown".
+
+use corianderstand_derives::derives;
+use corianderstand_state::fold::{Outcome, Void};
+
+/// What to do about a decided claim.
+#[derives(key)]
+pub enum Next {
+    /// Make the call, then record what the service answered.
+    Run,
+    /// Record that the call did not run.
+    Withdraw,
+    /// Another record for the key came first: tell what the log says of it.
+    Read,
+    /// There is no room for the key: it did not run.
+    Refuse,
+}
+
+/// Decides about a claim whose record had `outcome`.
+///
+/// A process may be frozen, or the log down, between a claim and its decision, for minutes.
+/// `waits` tells whether the request is still held and `in_time` whether its deadline is ahead.
+/// Without these a booking would run long after its caller had made another.
+pub const fn next(outcome: &Outcome, waits: bool, in_time: bool) -> Next {
+    match outcome {
+        Outcome::Applied if waits && in_time => Next::Run,
+        Outcome::Applied => Next::Withdraw,
+        Outcome::Void(Void::CallsFull) => Next::Refuse,
+        Outcome::Repeated | Outcome::Void(_) => Next::Read,
+    }
+}
--- a/crates/corianderstand_agent/src/event.rs
+++ b/crates/corianderstand_agent/src/event.rs
@@ -4,7 +4,7 @@
 use corianderstand_decide::work::{RequestKey, Work};
 use corianderstand_schema::messages::{OpenStream, ToRouter};
 use corianderstand_types::{units::Mib, weights::Weights};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
 
 /// Identity of a connection within this process.
@@ -40,6 +40,8 @@
     pub body: Bytes,
     /// Where its answer goes.
     pub end: StreamEnd,
+    /// When its caller must have an answer.
+    pub deadline: Instant,
 }
 
 /// To the `decide` thread.
--- a/crates/corianderstand_agent/src/lib.rs
+++ b/crates/corianderstand_agent/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod accept;
 mod calls;
+pub mod claim;
 mod decide;
 mod event;
 mod run;
--- a/crates/corianderstand_agent/src/run.rs
+++ b/crates/corianderstand_agent/src/run.rs
@@ -6,15 +6,19 @@
 };
 use corianderstand_control::start::Handle;
 use corianderstand_decide::work::RequestKey;
+use corianderstand_derives::derives;
 use corianderstand_edge::{
     EdgeError,
     engine::{Engine, EngineEvent, EngineStream, Generate, Order, OrderAction},
     service::PlainService,
 };
-use corianderstand_schema::messages::{Ending, Load, Operation, ToRouter};
+use corianderstand_schema::messages::{Ending, Load, Operation, RefusalReason, ToRouter};
 use corianderstand_types::{clock::SharedClock, names::TargetId, units::Mib, weights::Weights};
 use futures::StreamExt;
-use std::sync::{Arc, mpsc::SyncSender};
+use std::{
+    sync::{Arc, atomic::AtomicUsize, mpsc::SyncSender},
+    time::Duration,
+};
 use tokio::sync::{mpsc, watch};
 
 /// The target, as far as this process speaks to it.
@@ -41,6 +45,17 @@
     pub control: Handle,
     /// Time.
     pub clock: SharedClock,
+    /// Claims that were given up while the log had not decided them.
+    pub stalled: Arc<AtomicUsize>,
+}
+
+/// How a request is done with.
+#[derives(data)]
+pub enum Finish {
+    /// It ended, after so many chunks.
+    Ended(Ending, u64),
+    /// It is not run; when to come back.
+    Refused(RefusalReason, Duration),
 }
 
 impl Runner {
@@ -95,9 +110,12 @@
         let trace = corianderstand_link::trace::TraceContext::continue_from(Some(
             request.open.traceparent.as_str(),
         ));
-        let (ending, position) = match &request.open.operation {
+        let finish = match &request.open.operation {
             Operation::Call { .. } => calls::run(self, &request, trace).await,
-            _ => self.generate(&request, trace).await,
+            _ => {
+                let (ending, position) = self.generate(&request, trace).await;
+                Finish::Ended(ending, position)
+            }
         };
         let took = self.clock.now() - began;
         tracing::info!(
@@ -105,13 +123,19 @@
             span_id = %format_args!("{:016x}", trace.span),
             request = %request.open.request,
             took_us = took.as_micros() as u64,
-            chunks = position,
-            ending = ?ending,
+            finish = ?finish,
             "hop agent"
         );
         self.tell(Event::Ended { key, took });
         let (stream, load) = (request.end.stream, self.load.borrow().clone());
-        request.end.send(&ToRouter::End { stream, position, ending, load }, b"").await;
+        let message = match finish {
+            Finish::Ended(ending, position) => ToRouter::End { stream, position, ending, load },
+            Finish::Refused(reason, retry_after) => {
+                let retry_after_ms = retry_after.as_millis() as u64;
+                ToRouter::Refused { stream, reason, retry_after_ms, load }
+            }
+        };
+        request.end.send(&message, b"").await;
     }
 
     async fn generate(
--- a/crates/corianderstand_agent/src/start.rs
+++ b/crates/corianderstand_agent/src/start.rs
@@ -105,6 +105,7 @@
         load: load_rx.clone(),
         control: control.clone(),
         clock: clock.clone(),
+        stalled: Arc::default(),
     };
     let target_runtime = runtime()?;
     spawn("target", move || target_runtime.block_on(runner.run(jobs_rx)))?;
--- a/crates/corianderstand_link/src/lib.rs
+++ b/crates/corianderstand_link/src/lib.rs
@@ -20,4 +20,4 @@
 pub mod trace;
 
 /// Version of the messages; both ends must have the same.
-pub const PROTOCOL: u32 = 1;
+pub const PROTOCOL: u32 = 2;
--- a/crates/corianderstand_router/src/call.rs
+++ b/crates/corianderstand_router/src/call.rs
@@ -77,7 +77,9 @@
         loop {
             let update = time::timeout_at(deadline, self.rx.recv()).await;
             let update = update.map_err(|_| Problem::Deadline)?;
-            let update = update.ok_or(Problem::NotReady("it is stopping"))?;
+            // Whoever held the far end has let go of it without an ending. That tells nothing of
+            // whether the request ran, so it must not be answered as a refusal.
+            let update = update.ok_or_else(|| Problem::Failed("its state was lost".into()))?;
             if let Some(part) = self.take(update)? {
                 return Ok(part);
             }
@@ -146,6 +148,7 @@
             }
             Ending::Failed { reason } => Err(Problem::Failed(reason)),
             Ending::Unknown { reason } => Err(Problem::Unknown(reason)),
+            Ending::NotRun { reason } => Err(Problem::NotRun(reason)),
         }
     }
 
--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -309,6 +309,7 @@
             position: 0,
             window: 0,
             traceparent: self.trace.header(),
+            expires_ms: 0,
         };
         (work, open)
     }
--- a/crates/corianderstand_router/src/lib.rs
+++ b/crates/corianderstand_router/src/lib.rs
@@ -22,6 +22,7 @@
 mod event;
 mod http;
 mod link;
+mod once;
 mod operator;
 mod problem;
 mod services;
--- /dev/null
+++ b/crates/corianderstand_router/src/once.rs
@@ -0,0 +1,218 @@
+//! Calls that may not be repeated, from the router's side: an answer that is true, in time.
+//!
+//! A caller is told one of three things. "Ran" comes with the service's answer, from the agent
+//! or from the log. "Not run" is said where the request was refused before any claim, or where
+//! the log says so. All else is "unknown". A router that gives up writes a void: if that comes
+//! first in the log, nobody can claim the key any more, and "not run" stays true for ever.
+
+use crate::{
+    call::{CallInProgress, Part},
+    problem::Problem,
+};
+use bytes::Bytes;
+use corianderstand_control::start::Handle;
+use corianderstand_derives::derives;
+use corianderstand_schema::{
+    messages::RefusalReason,
+    records::{Body, CallKey},
+};
+use corianderstand_state::{
+    calls::{self, Known},
+    fold::{Outcome, Void},
+};
+use smol_str::SmolStr;
+use std::{
+    pin::pin,
+    time::{Duration, SystemTime},
+};
+use tokio::time::{self, Instant};
+
+/// Time kept back from the deadline for writing a void and reading it: far beyond an append,
+/// so that a caller gets a certain answer rather than "unknown" wherever the log is up.
+const SETTLE: Duration = Duration::from_secs(1);
+/// When to come back while the log is down.
+const RETRY_LOG: Duration = Duration::from_secs(2);
+
+/// A service's answer.
+#[derives(data)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub content_type: SmolStr,
+    /// The body; `None` if it was too long to be kept for a repeat.
+    pub body: Option<Bytes>,
+}
+
+/// What a decided void lets a router say.
+#[derives(key)]
+pub enum Verdict {
+    /// Nobody claimed the key before, and nobody can any more.
+    NotRun,
+    /// Another record came first: what it says is in the log.
+    Read,
+    /// Nothing is settled.
+    Unknown,
+}
+
+/// Reads the outcome of a void.
+pub const fn verdict(outcome: &Outcome) -> Verdict {
+    match outcome {
+        Outcome::Applied => Verdict::NotRun,
+        Outcome::Void(Void::Call) => Verdict::Read,
+        Outcome::Repeated | Outcome::Void(_) => Verdict::Unknown,
+    }
+}
+
+/// One call under its key.
+pub struct Once<'a> {
+    /// The log.
+    pub control: &'a Handle,
+    /// The key.
+    pub key: CallKey,
+    /// Digest of the call.
+    pub digest: u64,
+    /// When the caller must have an answer.
+    pub deadline: Instant,
+}
+
+impl Once<'_> {
+    /// Answers from the log, or submits the call and sees it through.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Problem`]; its outcome is "not run" only where that is certain.
+    pub async fn answer(
+        &self,
+        submit: impl FnOnce() -> Result<CallInProgress, Problem>,
+    ) -> Result<Answer, Problem> {
+        if is_forgotten(&self.key.key, SystemTime::now()) {
+            return Err(Problem::KeyForgotten);
+        }
+        let snapshot = self.control.current.load();
+        match snapshot.state.calls.known(&self.key, self.digest) {
+            Known::Nothing if !snapshot.log_up => {
+                return Err(Problem::Refused(RefusalReason::LogDown, RETRY_LOG));
+            }
+            Known::Nothing => {}
+            _ => return self.wait().await,
+        }
+        let mut call = submit()?;
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let settle_at = self.deadline - SETTLE.min(left / 4);
+        match time::timeout_at(settle_at, read(&mut call, self.deadline)).await {
+            Ok(Err(problem)) if !is_certain(&problem) => self.settle(None).await,
+            Ok(done) => done,
+            Err(_) => self.settle(Some(call)).await,
+        }
+    }
+
+    /// Gives up: declares the call not run, or finds out what became of it. The answer may
+    /// still come over `call` in the meantime.
+    async fn settle(&self, call: Option<CallInProgress>) -> Result<Answer, Problem> {
+        let mut settled = pin!(self.void());
+        if let Some(mut call) = call {
+            tokio::select! {
+                settled = &mut settled => return settled,
+                done = read(&mut call, self.deadline) => match done {
+                    Err(problem) if !is_certain(&problem) => {}
+                    done => return done,
+                }
+            }
+        }
+        settled.await
+    }
+
+    async fn void(&self) -> Result<Answer, Problem> {
+        let known = self.control.current.load().state.calls.known(&self.key, self.digest);
+        if known != Known::Nothing {
+            return self.wait().await;
+        }
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let body = Body::CallVoided { key: self.key.clone() };
+        let decided = self.control.appender.append(body, left).await;
+        match decided.map(|decided| verdict(&decided.outcome)) {
+            Ok(Verdict::NotRun) => Err(Problem::NotRun("no answer came in time".into())),
+            Ok(Verdict::Read) => self.wait().await,
+            Ok(Verdict::Unknown) | Err(_) => Err(unknown("no answer by the deadline")),
+        }
+    }
+
+    /// Waits until the log tells an outcome, or the deadline.
+    async fn wait(&self) -> Result<Answer, Problem> {
+        let mut changed = self.control.current.subscribe();
+        loop {
+            match self.control.current.load().state.calls.known(&self.key, self.digest) {
+                Known::Ran(answer) => return Ok(answer.into()),
+                Known::NotRun => {
+                    return Err(Problem::NotRun("it was given up before it began".into()));
+                }
+                Known::Conflict => {
+                    return Err(Problem::Refused(RefusalReason::KeyConflict, RETRY_LOG));
+                }
+                // Forgotten while it was waited for.
+                Known::Nothing => return Err(unknown("its key is no longer remembered")),
+                Known::Claimed => {}
+            }
+            match time::timeout_at(self.deadline, changed.changed()).await {
+                Ok(Ok(())) => {}
+                _ => return Err(unknown("it has begun, and no outcome came by the deadline")),
+            }
+        }
+    }
+}
+
+impl From<calls::Answer> for Answer {
+    fn from(answer: calls::Answer) -> Self {
+        let calls::Answer { status, content_type, body } = answer;
+        Self { status, content_type, body: body.map(|body| Bytes::copy_from_slice(&body)) }
+    }
+}
+
+fn unknown(reason: &str) -> Problem {
+    Problem::Unknown(reason.into())
+}
+
+/// Whether a problem tells for certain that the request did not run: the agent refused it
+/// before it made the call, or the router never sent it.
+const fn is_certain(problem: &Problem) -> bool {
+    matches!(problem, Problem::Refused(..) | Problem::NotRun(_))
+}
+
+/// Reads the whole answer of a call.
+///
+/// # Errors
+///
+/// Any [`Problem`].
+pub async fn read(call: &mut CallInProgress, deadline: Instant) -> Result<Answer, Problem> {
+    let mut answer = Answer { status: 200, content_type: SmolStr::default(), body: None };
+    let mut body = Vec::new();
+    loop {
+        match call.next(deadline).await? {
+            Part::Head { status, content_type } => {
+                (answer.status, answer.content_type) = (status, content_type);
+            }
+            Part::Chunk(chunk) => body.extend_from_slice(&chunk),
+            Part::Whole { .. } => {
+                answer.body = Some(body.into());
+                return Ok(answer);
+            }
+        }
+    }
+}
+
+/// Whether a key tells by itself that it is older than keys are remembered.
+///
+/// A key that has been forgotten looks like a new one, and its call would run a second time.
+/// UUIDs of version 7 begin with the time of their making, so of these it can be told.
+fn is_forgotten(key: &str, now: SystemTime) -> bool {
+    let digits: String = key.chars().filter(|c| *c != '-').collect();
+    if key.len() != 36 || digits.len() != 32 || !digits[12..].starts_with('7') {
+        return false;
+    }
+    let Ok(made_ms) = u64::from_str_radix(&digits[..12], 16) else { return false };
+    corianderstand_types::clock::unix_ms(now) > made_ms + calls::KEEP_MS
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/corianderstand_router/src/problem.rs
+++ b/crates/corianderstand_router/src/problem.rs
@@ -33,6 +33,10 @@
     Failed(SmolStr),
     /// whether the call ran is not known ({0}): ask again with the same `Idempotency-Key`
     Unknown(SmolStr),
+    /// the call did not run and never will under this key ({0}): send it under a new key
+    NotRun(SmolStr),
+    /// the key is older than keys are remembered, so whether its call ran is not known: look it up at the service
+    KeyForgotten,
     /// no answer came by the deadline: ask again, or allow more time
     Deadline,
     /// this process is not ready ({0}): use another router, or come back
@@ -69,6 +73,8 @@
             Self::Refused(..) => "refused",
             Self::Failed(_) => "answer_broke_off",
             Self::Unknown(_) => "outcome_unknown",
+            Self::NotRun(_) => "call_not_run",
+            Self::KeyForgotten => "key_forgotten",
             Self::Deadline => "deadline_passed",
             Self::NotReady(_) => "not_ready",
             Self::Conflict(_) => "conflict",
@@ -84,6 +90,7 @@
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::Forbidden => StatusCode::FORBIDDEN,
             Self::NotFound => StatusCode::NOT_FOUND,
+            Self::NotRun(_) | Self::KeyForgotten => StatusCode::GONE,
             Self::Conflict(_) | Self::Refused(RefusalReason::KeyConflict, _) => {
                 StatusCode::CONFLICT
             }
@@ -97,6 +104,7 @@
     pub const fn outcome(&self) -> &'static str {
         match self {
             Self::Failed(_) | Self::Unknown(_) | Self::Deadline | Self::Undecided => "unknown",
+            Self::KeyForgotten => "unknown",
             _ => "not-run",
         }
     }
--- a/crates/corianderstand_router/src/services.rs
+++ b/crates/corianderstand_router/src/services.rs
@@ -1,16 +1,18 @@
 //! `/services/{service}/…`: calls to plain services.
 
 use crate::{
-    call::{CallInProgress, Part},
+    call::CallInProgress,
     http::{Asked, Door},
+    once::{self, Answer, Once},
     problem::{self, Problem},
 };
 use corianderstand_decide::work::Need;
-use corianderstand_schema::messages::Operation;
-use corianderstand_state::view::View;
+use corianderstand_schema::{messages::Operation, records::CallKey};
+use corianderstand_state::{calls, view::View};
 use corianderstand_types::names::ServiceId;
 use salvo::{Request, Response, http::StatusCode};
 use smol_str::SmolStr;
+use std::time::SystemTime;
 use tokio::time::Instant;
 
 /// Longest `Idempotency-Key`, in bytes.
@@ -48,48 +50,42 @@
     };
     let content_type = header(req, "content-type").unwrap_or_default().into();
     let body = door.read_body(req, door.max_body_bytes).await?;
+    let digest = calls::digest(&method, &path, &body);
     let operation = Operation::Call {
         service: service.clone(),
         method,
         path: path.into(),
         content_type,
-        idempotency_key,
+        idempotency_key: idempotency_key.clone(),
     };
-    let (work, open) = asked.open(Need::Service(service), operation, urgency, budget, !once);
-    let call = CallInProgress::submit(&door.events, work, open, body)?;
-    let answered = answer(call, deadline, res).await;
-    answered.map_err(|problem| if once { without_claim(problem) } else { problem })
-}
-
-async fn answer(
-    mut call: CallInProgress,
-    deadline: Instant,
-    res: &mut Response,
-) -> Result<(), Problem> {
-    let mut body = Vec::new();
-    loop {
-        match call.next(deadline).await? {
-            Part::Head { status, content_type } => {
-                res.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY));
-                problem::set_header(res, "content-type", &content_type);
-            }
-            Part::Chunk(chunk) => body.extend_from_slice(&chunk),
-            Part::Whole { .. } => {
-                problem::set_header(res, problem::OUTCOME_HEADER, "ran");
-                drop(res.write_body(body));
-                return Ok(());
-            }
-        }
+    let need = Need::Service(service.clone());
+    let (work, mut open) = asked.open(need, operation, urgency, budget, !once);
+    if once {
+        open.expires_ms = asked.snapshot.log_now_ms(SystemTime::now()) + budget.as_millis() as u64;
     }
+    let submit = || CallInProgress::submit(&door.events, work, open, body);
+    let answer = match idempotency_key {
+        None => once::read(&mut submit()?, deadline).await?,
+        Some(key) => {
+            let key = CallKey { team: asked.team.clone(), service, key };
+            let once = Once { control: &door.control, key, digest, deadline };
+            once.answer(submit).await?
+        }
+    };
+    write(answer, res);
+    Ok(())
 }
 
-/// After silence nothing tells whether a call that may not be repeated ran; only a refusal
-/// before it was claimed is a certain "not run".
-fn without_claim(problem: Problem) -> Problem {
-    match problem {
-        Problem::Failed(reason) => Problem::Unknown(reason),
-        Problem::Deadline => Problem::Unknown("no answer by the deadline".into()),
-        other => other,
+/// Header that tells that a repeat's body was too long to be kept.
+const BODY_HEADER: &str = "x-corianderstand-body";
+
+fn write(answer: Answer, res: &mut Response) {
+    res.status_code(StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY));
+    problem::set_header(res, "content-type", &answer.content_type);
+    problem::set_header(res, problem::OUTCOME_HEADER, "ran");
+    match answer.body {
+        Some(body) => drop(res.write_body(body)),
+        None => problem::set_header(res, BODY_HEADER, "not-kept"),
     }
 }
 
--- a/crates/corianderstand_standins/src/service.rs
+++ b/crates/corianderstand_standins/src/service.rs
@@ -21,6 +21,8 @@
     before_ms: u64,
     /// Time a call takes after it took effect, in milliseconds.
     after_ms: u64,
+    /// Whether answers are 201 and plain text in place of 200 and JSON.
+    plain: bool,
 }
 
 #[derive(Default)]
@@ -52,6 +54,10 @@
         inner.ran
     };
     time::sleep(Duration::from_millis(fault.after_ms)).await;
+    if fault.plain {
+        let text = format!("booked as number {ran}");
+        return Reply::Whole(201, "text/plain", text.into_bytes().into());
+    }
     let body = String::from_utf8_lossy(&ask.body).into_owned();
     let traceparent: String = ask.header("traceparent");
     Reply::json(&json!({ "ran": ran, "key": key, "method": ask.method, "path": ask.path,
--- a/crates/corianderstand_state/src/calls.rs
+++ b/crates/corianderstand_state/src/calls.rs
@@ -1,11 +1,29 @@
 //! Calls that may not be repeated: one claim a key, then one outcome.
+//!
+//! A key is claimed once and for all. What follows the claim is an outcome: the service's
+//! answer, or that the call certainly did not run. A void says the latter of a key that nobody
+//! has claimed, and keeps anybody from claiming it later. Nothing ever leaves an outcome again
+//! until the key is forgotten, [`KEEP_MS`] after its first record.
 
 use crate::fold::Void;
 use corianderstand_derives::derives;
-use corianderstand_schema::records::{CallKey, Record};
+use corianderstand_schema::records::{CallAnswer, CallKey, Record};
 use corianderstand_types::names::{ServiceId, TargetId, TeamId};
 use smol_str::SmolStr;
 use std::sync::Arc;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Time that a key is remembered, by the log's clock: a day, and an hour for repeats that come
+/// "the same time tomorrow".
+pub const KEEP_MS: u64 = 25 * 3600 * 1000;
+/// Most keys remembered: every process holds them all, within the memory allowed for control.
+pub const MAX_KEYS: usize = 60_000;
+/// Most keys that voids may fill: a router must be able to tell "not run" when claims cannot.
+pub const MAX_KEYS_VOIDED: usize = MAX_KEYS + MAX_KEYS / 8;
+/// Most bytes of answers remembered.
+pub const MAX_ANSWER_BYTES: usize = 24 * 1024 * 1024;
+/// Longest answer that is kept for repeats.
+pub const MAX_ANSWER: usize = 64 * 1024;
 
 /// Key of a call, in the order of the map.
 #[derives(name)]
@@ -26,6 +44,18 @@
     }
 }
 
+/// What a service answered.
+#[derives(wire)]
+#[derive(Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type.
+    pub content_type: SmolStr,
+    /// The body; `None` if it was longer than [`MAX_ANSWER`].
+    pub body: Option<Arc<[u8]>>,
+}
+
 /// What is known of a call.
 #[derives(wire)]
 pub enum Call {
@@ -33,48 +63,101 @@
     Claimed {
         /// Offset of the claim.
         claim: u64,
-        /// Digest of the body.
+        /// Digest of the call.
         digest: u64,
         /// The target that may run it.
         target: TargetId,
         /// Start of the agent that claimed it.
         incarnation: u64,
-        /// Log time of the claim.
-        at_ms: u64,
     },
     /// It ran.
-    Ended {
-        /// Digest of the body.
+    Ran {
+        /// Digest of the call.
         digest: u64,
-        /// HTTP status of the answer.
-        status: u16,
-        /// Body of the answer.
-        body: Arc<[u8]>,
-        /// Log time of the claim.
-        at_ms: u64,
+        /// What the service answered.
+        answer: Answer,
     },
+    /// It did not run and never will under this key.
+    NotRun,
+}
+
+/// A call and when its key was first heard of.
+#[derives(wire)]
+pub struct Entry {
+    /// What is known.
+    pub call: Call,
+    /// Offset of the key's first record.
+    pub offset: u64,
+    /// Log time of the key's first record.
+    pub at_ms: u64,
+}
+
+/// What a repeat is to be told.
+#[derives(data)]
+pub enum Known {
+    /// Nothing: it may be claimed.
+    Nothing,
+    /// It is claimed: an outcome may come.
+    Claimed,
+    /// It ran.
+    Ran(Answer),
     /// It did not run and never will.
-    Voided {
-        /// Log time of the record.
-        at_ms: u64,
-    },
+    NotRun,
+    /// The key belongs to another call.
+    Conflict,
 }
 
 /// All calls that are remembered.
 #[derives(wire)]
 #[derive(Default)]
 pub struct Calls {
-    /// Calls by key.
-    pub by_key: imbl::OrdMap<Key, Call>,
+    by_key: imbl::OrdMap<Key, Entry>,
+    by_offset: imbl::OrdMap<u64, Key>,
+    answer_bytes: usize,
+}
+
+/// Digest of a call, to tell a repeat from another call under the same key.
+pub fn digest(method: &str, path: &str, body: &[u8]) -> u64 {
+    let mut hasher = Xxh3::new();
+    for part in [method.as_bytes(), path.as_bytes(), body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest()
 }
 
 impl Calls {
-    /// What is known of a call.
+    /// Keys remembered.
+    pub fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
+    /// Whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.by_key.is_empty()
+    }
+
+    /// What is known of a key.
     pub fn find(&self, key: &CallKey) -> Option<&Call> {
-        self.by_key.get(&Key::from(key))
+        self.by_key.get(&Key::from(key)).map(|entry| &entry.call)
     }
 
-    /// Claims a key nobody has claimed or voided.
+    /// What a repeat with this digest is to be told.
+    pub fn known(&self, key: &CallKey, digest: u64) -> Known {
+        match self.find(key) {
+            None => Known::Nothing,
+            Some(Call::NotRun) => Known::NotRun,
+            Some(Call::Claimed { digest: first, .. } | Call::Ran { digest: first, .. })
+                if *first != digest =>
+            {
+                Known::Conflict
+            }
+            Some(Call::Claimed { .. }) => Known::Claimed,
+            Some(Call::Ran { answer, .. }) => Known::Ran(answer.clone()),
+        }
+    }
+
+    /// Claims a key that nobody has claimed or voided.
     pub fn claim(
         &mut self,
         offset: u64,
@@ -84,36 +167,76 @@
         target: &TargetId,
         record: &Record,
     ) -> Result<(), Void> {
-        let key = Key::from(key);
-        if self.by_key.contains_key(&key) {
-            return Err(Void::Call);
+        self.forget_old(now);
+        self.check_free(key)?;
+        if self.by_key.len() >= MAX_KEYS || self.answer_bytes >= MAX_ANSWER_BYTES {
+            return Err(Void::CallsFull);
         }
         let (target, incarnation) = (target.clone(), record.incarnation);
-        let call = Call::Claimed { claim: offset, digest, target, incarnation, at_ms: now };
-        self.by_key.insert(key, call);
+        let call = Call::Claimed { claim: offset, digest, target, incarnation };
+        self.insert(offset, now, key, call);
         Ok(())
     }
 
-    /// Stores the outcome of a claimed call.
-    pub fn end(&mut self, key: &CallKey, claim: u64, status: u16, body: &[u8]) -> Result<(), Void> {
-        let key = Key::from(key);
-        match self.by_key.get(&key) {
-            Some(Call::Claimed { claim: held, digest, at_ms, .. }) if *held == claim => {
-                let (digest, at_ms, body) = (*digest, *at_ms, body.into());
-                self.by_key.insert(key, Call::Ended { digest, status, body, at_ms });
-                Ok(())
+    /// Stores the outcome of a claimed call; no answer means that it certainly did not run.
+    pub fn end(
+        &mut self,
+        key: &CallKey,
+        claim: u64,
+        answer: Option<&CallAnswer>,
+    ) -> Result<(), Void> {
+        let entry = self.by_key.get_mut(&Key::from(key)).ok_or(Void::Call)?;
+        let digest = match &entry.call {
+            Call::Claimed { claim: held, digest, .. } if *held == claim => *digest,
+            _ => return Err(Void::Call),
+        };
+        entry.call = match answer {
+            None => Call::NotRun,
+            Some(CallAnswer { status, content_type, body }) => {
+                let body: Option<Arc<[u8]>> = body.as_deref().map(Into::into);
+                self.answer_bytes += body.as_ref().map_or(0, |body| body.len());
+                let answer = Answer { status: *status, content_type: content_type.clone(), body };
+                Call::Ran { digest, answer }
             }
-            _ => Err(Void::Call),
-        }
+        };
+        Ok(())
     }
 
     /// Declares a call not run, if nobody has claimed it.
-    pub fn void(&mut self, _offset: u64, now: u64, key: &CallKey) -> Result<(), Void> {
-        let key = Key::from(key);
-        if self.by_key.contains_key(&key) {
-            return Err(Void::Call);
+    pub fn void(&mut self, offset: u64, now: u64, key: &CallKey) -> Result<(), Void> {
+        self.forget_old(now);
+        self.check_free(key)?;
+        if self.by_key.len() >= MAX_KEYS_VOIDED {
+            return Err(Void::CallsFull);
         }
-        self.by_key.insert(key, Call::Voided { at_ms: now });
+        self.insert(offset, now, key, Call::NotRun);
         Ok(())
     }
+
+    /// Whether nobody has claimed or voided a key. This comes before any look at the room left:
+    /// "full" is told as "not run", which of a claimed key would be false.
+    fn check_free(&self, key: &CallKey) -> Result<(), Void> {
+        if self.by_key.contains_key(&Key::from(key)) { Err(Void::Call) } else { Ok(()) }
+    }
+
+    fn insert(&mut self, offset: u64, at_ms: u64, key: &CallKey, call: Call) {
+        let key = Key::from(key);
+        self.by_offset.insert(offset, key.clone());
+        self.by_key.insert(key, Entry { call, offset, at_ms });
+    }
+
+    /// Forgets keys older than [`KEEP_MS`], so that memory stays bounded. Offsets and log times
+    /// rise together, so the oldest come first.
+    fn forget_old(&mut self, now: u64) {
+        while let Some((offset, key)) = self.by_offset.get_min().cloned() {
+            let at_ms = self.by_key.get(&key).map_or(0, |entry| entry.at_ms);
+            if at_ms + KEEP_MS > now {
+                return;
+            }
+            self.by_offset.remove(&offset);
+            if let Some(Entry { call: Call::Ran { answer, .. }, .. }) = self.by_key.remove(&key) {
+                self.answer_bytes -= answer.body.map_or(0, |body| body.len());
+            }
+        }
+    }
 }
--- a/crates/corianderstand_state/src/fold.rs
+++ b/crates/corianderstand_state/src/fold.rs
@@ -38,6 +38,8 @@
     Target,
     /// another record for this call came first
     Call,
+    /// as many calls are remembered as may be: come back later
+    CallsFull,
 }
 
 /// Last record folded from one writer.
@@ -134,9 +136,7 @@
             Body::Claimed { key, digest, target } => {
                 self.calls.claim(offset, now, key, *digest, target, record)
             }
-            Body::CallEnded { key, claim, status, body } => {
-                self.calls.end(key, *claim, *status, body)
-            }
+            Body::CallEnded { key, claim, answer } => self.calls.end(key, *claim, answer.as_ref()),
             Body::CallVoided { key } => self.calls.void(offset, now, key),
         }
     }
--- /dev/null
+++ b/tests/calls_faults.rs
@@ -0,0 +1,259 @@
+//! Bookings that may not be repeated, over real processes that die, freeze and lose the log.
+
+use rstest::rstest;
+use serde_json::json;
+use std::time::{Duration, Instant};
+use testbed::{
+    Deployment, Plan,
+    booking::{Answer, Booking},
+    deployment::wait_for,
+};
+
+/// A deadline that leaves time for one failure.
+const DEADLINE_MS: u64 = 4_000;
+
+fn block_on<T>(run: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("the system gives a runtime").block_on(run)
+}
+
+async fn start() -> Deployment {
+    let deployment = Deployment::start(Plan { engines: 2, ..Plan::default() }).await;
+    // A first booking shows that every router reaches the service.
+    for router in ["router-0", "router-1"] {
+        let booking = Booking::new(&format!("warm-{router}"), DEADLINE_MS);
+        wait_for("a first booking", async || {
+            booking.ask(&deployment, router).await.is_some_and(|a| a.outcome == "ran")
+        })
+        .await;
+    }
+    deployment
+}
+
+async fn ask(deployment: &Deployment, router: &str, booking: &Booking) -> Answer {
+    booking.ask(deployment, router).await.expect("the router answers")
+}
+
+/// A caller gets impatient and sends its booking again through another router while the first
+/// is still at work. Told "unknown", the user would telephone; both must hear the one outcome.
+#[rstest]
+fn a_repeat_in_the_meantime_gets_the_same_outcome() {
+    block_on(async {
+        let deployment = start().await;
+        deployment.fault("service-0", &json!({ "before_ms": 700, "plain": true })).await;
+        let booking = Booking::new("b-1", DEADLINE_MS);
+        let (first, second) = tokio::join!(
+            ask(&deployment, "router-0", &booking),
+            ask(&deployment, "router-1", &booking)
+        );
+        assert_eq!((first.status, first.outcome.as_str()), (201, "ran"));
+        assert_eq!(first.content_type, "text/plain");
+        assert_eq!(first, second);
+        // A later repeat, too, gets status, type and body as the service gave them.
+        assert_eq!(ask(&deployment, "router-1", &booking).await, first);
+        assert_eq!(deployment.ran("b-1").await, 1);
+    });
+}
+
+/// A client library draws the same key for two bookings. If the second got the answer of the
+/// first, one building would never be cleaned.
+#[rstest]
+fn the_same_key_with_another_body_is_a_conflict() {
+    block_on(async {
+        let deployment = start().await;
+        let booking = Booking::new("b-1", DEADLINE_MS);
+        assert_eq!(ask(&deployment, "router-0", &booking).await.outcome, "ran");
+        let other = Booking { day: 4, ..booking };
+        for router in ["router-0", "router-1"] {
+            let answer = ask(&deployment, router, &other).await;
+            assert_eq!((answer.status, answer.code().as_str()), (409, "key_conflict"));
+            assert_eq!(answer.outcome, "not-run");
+        }
+        assert_eq!(deployment.ran("b-1").await, 1);
+    });
+}
+
+/// A key is missing, or longer than is kept. The user sees a stated error and no booking.
+#[rstest]
+#[case::missing(0)]
+#[case::too_long(256)]
+fn a_key_that_cannot_be_used_is_refused(#[case] length: usize) {
+    block_on(async {
+        let deployment = start().await;
+        let booking = Booking::new(&"k".repeat(length), DEADLINE_MS);
+        let answer = ask(&deployment, "router-0", &booking).await;
+        assert_eq!((answer.status, answer.code().as_str()), (400, "idempotency_key_required"));
+        assert_eq!(answer.outcome, "not-run");
+    });
+}
+
+/// The service beside an agent is down, so that the connection is refused after the claim. The
+/// booking certainly did not run; told "unknown", the user would wait for an answer that never
+/// comes.
+#[rstest]
+fn a_service_that_cannot_be_reached_is_a_certain_not_run() {
+    block_on(async {
+        let mut deployment = start().await;
+        deployment.process("service-0").kill();
+        let booking = Booking::new("b-1", DEADLINE_MS);
+        let first = ask(&deployment, "router-0", &booking).await;
+        assert_eq!((first.status, first.outcome.as_str()), (410, "not-run"), "{first:?}");
+        deployment.run("service-0");
+        deployment.wait_for_answer("service-0", "/counts").await;
+        for router in ["router-0", "router-1"] {
+            let repeat = ask(&deployment, router, &booking).await;
+            assert_eq!((repeat.status, repeat.outcome.as_str()), (410, "not-run"), "{repeat:?}");
+        }
+        assert_eq!(deployment.ran("b-1").await, 0);
+    });
+}
+
+/// An agent is frozen before it can claim, and goes on after its caller was answered. A booking
+/// that runs after its caller was told "not run" is a window cleaned twice.
+#[rstest]
+fn a_call_given_up_before_its_claim_never_runs() {
+    block_on(async {
+        let mut deployment = start().await;
+        deployment.process("agent-service-0").freeze();
+        let booking = Booking::new("b-1", 2_500);
+        let began = Instant::now();
+        let answer = ask(&deployment, "router-0", &booking).await;
+        assert!(began.elapsed() < Duration::from_millis(3_500), "answered in time");
+        assert_eq!(answer.outcome, "not-run", "{answer:?}");
+        deployment.process("agent-service-0").resume();
+        let after = Booking::new("b-2", DEADLINE_MS);
+        wait_for("the agent takes calls again", async || {
+            ask(&deployment, "router-0", &after).await.outcome == "ran"
+        })
+        .await;
+        let repeat = ask(&deployment, "router-1", &booking).await;
+        assert_eq!((repeat.status, repeat.outcome.as_str()), (410, "not-run"), "{repeat:?}");
+        assert_eq!(deployment.ran("b-1").await, 0);
+    });
+}
+
+/// The log is down when a booking comes, and comes back afterwards. The user is told at once
+/// that nothing ran and when to come back, and nothing of it runs later on its own.
+#[rstest]
+fn with_the_log_down_a_booking_is_refused_at_once() {
+    block_on(async {
+        let deployment = start().await;
+        let kept = Booking::new("b-0", DEADLINE_MS);
+        let known = ask(&deployment, "router-0", &kept).await;
+        deployment.fault("log", &json!({ "down": true })).await;
+        let mut last = None;
+        for number in 0..20 {
+            let booking = Booking::new(&format!("b-down-{number}"), DEADLINE_MS);
+            last = Some((booking.clone(), ask(&deployment, "router-0", &booking).await));
+        }
+        let (booking, answer) = last.expect("twenty were asked for");
+        assert_eq!((answer.status, answer.code().as_str()), (503, "refused"), "{answer:?}");
+        assert_eq!(answer.outcome, "not-run");
+        assert!(answer.retry_after.is_some());
+        let began = Instant::now();
+        assert_eq!(ask(&deployment, "router-1", &booking).await.outcome, "not-run");
+        assert!(began.elapsed() < Duration::from_secs(1), "refused at once");
+        // An outcome that is known is told in an outage as well.
+        assert_eq!(ask(&deployment, "router-1", &kept).await, known);
+        deployment.fault("log", &json!({})).await;
+        let after = Booking::new("b-after", DEADLINE_MS);
+        wait_for("bookings go on", async || {
+            ask(&deployment, "router-0", &after).await.outcome == "ran"
+        })
+        .await;
+        for number in 0..20 {
+            assert_eq!(deployment.ran(&format!("b-down-{number}")).await, 0, "number {number}");
+        }
+    });
+}
+
+/// The log's answers to appends are lost although the writes took effect. Appended again, the
+/// claim would look like a second agent's, and the user would get no answer to a good booking.
+#[rstest]
+fn lost_answers_of_the_log_change_nothing() {
+    block_on(async {
+        let deployment = start().await;
+        deployment.fault("log", &json!({ "lose_answers": 2 })).await;
+        let booking = Booking::new("b-1", DEADLINE_MS);
+        let first = ask(&deployment, "router-0", &booking).await;
+        assert_eq!(first.outcome, "ran", "{first:?}");
+        assert_eq!(ask(&deployment, "router-1", &booking).await, first);
+        assert_eq!(deployment.ran("b-1").await, 1);
+    });
+}
+
+/// A router dies after it forwarded a booking. The user's connection breaks, and asking again
+/// through another router must give the outcome rather than a second booking.
+#[rstest]
+fn a_router_that_dies_after_forwarding_leaves_one_booking() {
+    block_on(async {
+        let mut deployment = start().await;
+        deployment.fault("service-0", &json!({ "after_ms": 800 })).await;
+        let booking = Booking::new("b-1", DEADLINE_MS);
+        let url = deployment.url("router-0", "/services/agenda/bookings");
+        let (http, lost) = (deployment.http.clone(), booking.clone());
+        let lost = tokio::spawn(async move { lost.send(&http, url).await });
+        wait_for("the booking runs", async || deployment.ran("b-1").await == 1).await;
+        deployment.process("router-0").kill();
+        assert_eq!(lost.await.expect("the task ends"), None);
+        let repeat = ask(&deployment, "router-1", &booking).await;
+        assert_eq!((repeat.status, repeat.outcome.as_str()), (200, "ran"), "{repeat:?}");
+        assert_eq!(deployment.ran("b-1").await, 1);
+    });
+}
+
+/// An agent dies while its call is at the service, which carries it out all the same; at the
+/// same time the first router is frozen. Nobody knows the outcome: the user is told so in time,
+/// by every router, and never that it did not run.
+#[rstest]
+fn an_agent_that_dies_during_a_call_leaves_an_unknown() {
+    block_on(async {
+        let mut deployment = start().await;
+        deployment.fault("service-0", &json!({ "after_ms": 5_000 })).await;
+        let booking = Booking::new("b-1", DEADLINE_MS);
+        let url = deployment.url("router-1", "/services/agenda/bookings");
+        let (http, first) = (deployment.http.clone(), booking.clone());
+        let first = tokio::spawn(async move { first.send(&http, url).await });
+        wait_for("the booking runs", async || deployment.ran("b-1").await == 1).await;
+        deployment.process("agent-service-0").kill();
+        deployment.process("router-0").freeze();
+        let first = first.await.expect("the task ends").expect("the router answers");
+        assert_eq!((first.status, first.outcome.as_str()), (504, "unknown"), "{first:?}");
+        deployment.process("router-0").resume();
+        deployment.fault("service-0", &json!({})).await;
+        deployment.run("agent-service-0");
+        for router in ["router-0", "router-1"] {
+            let again = Booking::new("b-1", 1_500);
+            let repeat = ask(&deployment, router, &again).await;
+            assert_eq!((repeat.status, repeat.outcome.as_str()), (504, "unknown"), "{repeat:?}");
+        }
+        assert_eq!(deployment.ran("b-1").await, 1);
+    });
+}
+
+/// Two agents offer one service, and two routers send them the same booking at one moment.
+/// Without one claim before both, both would run it.
+#[rstest]
+fn two_agents_that_race_for_one_key_run_it_once() {
+    block_on(async {
+        let plan = Plan { engines: 2, services: 2, ..Plan::default() };
+        let deployment = Deployment::start(plan).await;
+        let warm = Booking::new("warm", DEADLINE_MS);
+        wait_for("a first booking", async || {
+            let answer = warm.ask(&deployment, "router-1").await;
+            answer.is_some_and(|answer| answer.outcome == "ran")
+        })
+        .await;
+        for number in 0..20 {
+            let booking = Booking::new(&format!("b-{number}"), DEADLINE_MS);
+            let (first, second, third) = tokio::join!(
+                ask(&deployment, "router-0", &booking),
+                ask(&deployment, "router-1", &booking),
+                ask(&deployment, "router-0", &booking)
+            );
+            assert_eq!(first.outcome, "ran", "{first:?}");
+            assert_eq!((&first, &first), (&second, &third));
+            assert_eq!(deployment.ran(&booking.key).await, 1);
+        }
+    });
+}
--- a/tools/testbed/src/lib.rs
+++ b/tools/testbed/src/lib.rs
@@ -5,6 +5,7 @@
 //! applies its settings; everything ends when the value is dropped. Waiting is always for a
 //! state, with a generous limit, never for a fixed time.
 
+pub mod booking;
 pub mod deployment;
 pub mod plan;
 pub mod process;
--- a/tools/testbed/src/process.rs
+++ b/tools/testbed/src/process.rs
@@ -72,6 +72,16 @@
         let _gone = signal::kill(Pid::from_raw(self.child.id().cast_signed()), signal);
     }
 
+    /// Stops it from running until [`Process::resume`].
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets it run again.
+    pub fn resume(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
     /// Ends it at once and waits.
     pub fn kill(&mut self) {
         self.signal(Signal::SIGKILL);
