Agents decide by deadline, share, length and each model's own history

Cause: an agent took the queue's mean for every wait, walked the whole queue on each event, let one team fill it, evicted the least recently used, kept models for ever, and never loaded a model whose callers wait less than its load takes.

Ruled out: one expected running time stored with each waiting request. A target that turns slow made those sums stale, and the test of hopeless requests failed; counts times the present mean do not go stale. Backlog slots counted from the first deadline as an unsigned number put all earlier deadlines into one slot; the test of foretold waits failed, they are signed now.

Change: queue by guaranteed share, urgency, deadline and length with logarithmic operations; admission from what is queued, running and loading; times to come back booked one after another; loads ordered and paced (own pace without a coordinator, one queue with one); eviction by worth; idle models dropped by their own gaps and the teams' weights; loading ahead of daily habits. The agent sends no wish for a grant yet: no process coordinates, so each keeps its own pace.

Proof: cargo nextest run -p corianderstand_decide: 23 passed; cargo nextest run -j 2 -p corianderstand: 5 passed.

--- a/crates/corianderstand_agent/src/accept.rs
+++ b/crates/corianderstand_agent/src/accept.rs
@@ -1,6 +1,9 @@
 //! Connections from routers.
 
-use crate::event::{ConnectionId, Event, Request, StreamEnd};
+use crate::{
+    event::{ConnectionId, Event, Request, StreamEnd},
+    shape,
+};
 use bytes::Bytes;
 use corianderstand_decide::work::{Need, Work};
 use corianderstand_link::{
@@ -148,7 +151,7 @@
         let stream = open.stream;
         let end = StreamEnd { connection: self.id, stream, out: self.out.clone(), credit: rx };
         self.credits.insert(stream, credit);
-        let work = work(&open, self.shared.clock.now());
+        let work = work(&open, &body, self.shared.clock.now());
         let request = Request { open, body, end };
         self.tell(Event::Submit(Box::new((work, request))))
     }
@@ -167,7 +170,7 @@
     }
 }
 
-fn work(open: &OpenStream, now: std::time::Instant) -> Work {
+fn work(open: &OpenStream, body: &[u8], now: std::time::Instant) -> Work {
     let need = match &open.operation {
         Operation::Completion { model, version, adapter }
         | Operation::Chat { model, version, adapter } => {
@@ -187,5 +190,6 @@
         urgency: open.urgency,
         deadline: now + Duration::from_millis(open.deadline_ms),
         repeatable: true,
+        shape: shape::of(&open.operation, body),
     }
 }
--- a/crates/corianderstand_agent/src/decide.rs
+++ b/crates/corianderstand_agent/src/decide.rs
@@ -10,7 +10,11 @@
     work::{Refusal, RequestKey},
 };
 use corianderstand_schema::messages::{Load, ToRouter};
-use corianderstand_types::{clock::SharedClock, names::TargetId, weights::Weights};
+use corianderstand_types::{
+    clock::{self, SharedClock},
+    names::TargetId,
+    weights::Weights,
+};
 use std::{
     collections::{BTreeSet, HashMap},
     sync::mpsc::{Receiver, RecvTimeoutError},
@@ -20,6 +24,7 @@
 
 /// Longest time between two looks at the snapshot.
 const LONGEST_WAIT: Duration = Duration::from_millis(100);
+const MS_PER_SECOND: u64 = 1000;
 
 /// The thread's state.
 pub struct Decider {
@@ -65,7 +70,9 @@
 
     fn step(&mut self, snapshot: &Snapshot) {
         self.refresh_slots(snapshot);
-        let actions = self.agent.step(self.clock.now(), &ViewSizes(&snapshot.view));
+        let now = self.clock.now();
+        self.agent.set_wall(now, clock::unix_ms(self.clock.wall()) / MS_PER_SECOND);
+        let actions = self.agent.step(now, &ViewSizes(&snapshot.view));
         self.perform(actions, snapshot);
     }
 
@@ -83,6 +90,7 @@
     fn take(&mut self, event: Event, snapshot: &Snapshot) {
         self.refresh_slots(snapshot);
         let now = self.clock.now();
+        self.agent.set_wall(now, clock::unix_ms(self.clock.wall()) / MS_PER_SECOND);
         let sizes = ViewSizes(&snapshot.view);
         let actions = match event {
             Event::Submit(submitted) => {
@@ -101,8 +109,7 @@
                 let keys: Vec<RequestKey> = gone.map(|(_, key)| *key).collect();
                 keys.into_iter().flat_map(|key| self.cancel(key, &sizes)).collect()
             }
-            Event::Ended { key, took } => {
-                self.agent.observe_run(took);
+            Event::Ended { key } => {
                 self.forget(key);
                 self.agent.finished(now, key, &sizes)
             }
@@ -158,6 +165,8 @@
                     let fence = self.fence(&weights, snapshot);
                     Job::Unload { weights, memory, fence }
                 }
+                // Asked for only under a coordinator, which no process is yet.
+                Action::AskLoad(_) => continue,
             };
             // The number of jobs is bounded by the requests and models that the logic holds.
             drop(self.jobs.send(job));
--- a/crates/corianderstand_agent/src/event.rs
+++ b/crates/corianderstand_agent/src/event.rs
@@ -4,7 +4,6 @@
 use corianderstand_decide::work::{RequestKey, Work};
 use corianderstand_schema::messages::{OpenStream, ToRouter};
 use corianderstand_types::{units::Mib, weights::Weights};
-use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
 /// Identity of a connection within this process.
@@ -60,8 +59,6 @@
     Ended {
         /// Which.
         key: RequestKey,
-        /// How long it ran.
-        took: Duration,
     },
     /// An order to load was answered; `None` if its outcome is unknown.
     Loaded(Weights, Option<bool>),
--- a/crates/corianderstand_agent/src/lib.rs
+++ b/crates/corianderstand_agent/src/lib.rs
@@ -20,6 +20,7 @@
 mod decide;
 mod event;
 mod run;
+mod shape;
 mod sizes;
 mod start;
 
--- a/crates/corianderstand_agent/src/run.rs
+++ b/crates/corianderstand_agent/src/run.rs
@@ -109,7 +109,7 @@
             ending = ?ending,
             "hop agent"
         );
-        self.tell(Event::Ended { key, took });
+        self.tell(Event::Ended { key });
         let (stream, load) = (request.end.stream, self.load.borrow().clone());
         request.end.send(&ToRouter::End { stream, position, ending, load }, b"").await;
     }
--- a/crates/corianderstand_agent/src/sizes.rs
+++ b/crates/corianderstand_agent/src/sizes.rs
@@ -1,8 +1,12 @@
 //! Memory and load times from the settings in force.
 
-use corianderstand_decide::work::Sizes;
+use corianderstand_decide::work::{DEFAULT_SHARE, Sizes, Store, Weighing};
 use corianderstand_state::view::View;
-use corianderstand_types::{units::Mib, weights::Weights};
+use corianderstand_types::{
+    names::{ModelId, TeamId},
+    units::Mib,
+    weights::Weights,
+};
 use std::time::Duration;
 
 /// Sizes as one version of the settings gives them.
@@ -18,4 +22,33 @@
     fn load_time(&self, weights: &Weights) -> Duration {
         self.0.models.get(&weights.model).map_or(Duration::ZERO, |model| model.load_ms.0)
     }
+
+    fn share(&self, team: &TeamId) -> u32 {
+        self.0.teams.get(team).map_or(DEFAULT_SHARE, |team| team.team.share)
+    }
+
+    fn total_shares(&self) -> u32 {
+        self.0.teams.values().map(|team| team.team.share).sum()
+    }
+
+    /// The mean of the teams that may hold replicas of the model.
+    fn weighing(&self, model: &ModelId) -> Weighing {
+        let teams = self.0.teams.values().filter(|team| team.models.contains_key(model));
+        let (tail, idle, count) = teams.fold((0, 0, 0), |(tail, idle, count), team| {
+            (tail + team.team.weight_tail, idle + team.team.weight_idle, count + 1)
+        });
+        if count == 0 {
+            return Weighing::default();
+        }
+        Weighing { tail: tail / count, idle: idle / count }
+    }
+
+    fn store(&self) -> Store {
+        let deployment = &self.0.deployment;
+        Store {
+            per_second: deployment.weight_loads_per_second,
+            concurrent: deployment.weight_concurrent_loads,
+            ..Store::default()
+        }
+    }
 }
--- /dev/null
+++ b/crates/corianderstand_decide/src/agent/keep.rs
@@ -0,0 +1,252 @@
+//! How long a model that nobody calls stays loaded, and starting ahead of a burst.
+
+use super::{Action, Agent, Keep, loads::Wanted};
+use crate::{
+    history::{self, Histories, Window},
+    ledger::{Ledger, Stage},
+    work::Sizes,
+};
+use corianderstand_types::weights::Weights;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+/// Time between two looks at which models are due soon.
+const PLAN_INTERVAL: Duration = Duration::from_secs(15);
+/// Load times by which a model is started ahead of when it is due, as others start with it.
+const LEAD_LOADS: u32 = 3;
+
+/// What this agent knows of the calls of its models, and what it keeps until when.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Keeping {
+    histories: Histories,
+    origin: Option<(Instant, u64)>,
+    expiries: BTreeSet<(Instant, Weights)>,
+    expiry_of: BTreeMap<Weights, Instant>,
+    leaving: BTreeSet<Weights>,
+    next_plan: Option<Instant>,
+    look_at_all: bool,
+}
+
+impl Keeping {
+    pub fn set_wall(&mut self, now: Instant, wall: u64) {
+        self.origin = Some((now, wall));
+        self.next_plan.get_or_insert(now);
+    }
+
+    pub const fn look_at_all(&mut self) {
+        self.look_at_all = true;
+    }
+
+    pub const fn histories(&self) -> &Histories {
+        &self.histories
+    }
+
+    pub fn merge(&mut self, histories: Histories) {
+        self.histories.merge(histories);
+    }
+
+    fn wall(&self, now: Instant) -> u64 {
+        self.origin.map_or(0, |(at, wall)| wall + now.saturating_duration_since(at).as_secs())
+    }
+
+    pub fn called(&mut self, now: Instant, weights: &Weights) {
+        self.origin.get_or_insert((now, 0));
+        let wall = self.wall(now);
+        self.histories.called(weights, wall);
+        self.forget(weights);
+    }
+
+    fn forget(&mut self, weights: &Weights) {
+        if let Some(at) = self.expiry_of.remove(weights) {
+            self.expiries.remove(&(at, weights.clone()));
+        }
+    }
+
+    fn keep_until(&mut self, weights: &Weights, at: Instant) {
+        self.forget(weights);
+        self.expiry_of.insert(weights.clone(), at);
+        self.expiries.insert((at, weights.clone()));
+    }
+
+    pub fn probability(&self, now: Instant, weights: &Weights, horizon: Duration) -> f64 {
+        let base = Weights { adapter: None, ..weights.clone() };
+        let history = self.histories.find(weights).or_else(|| self.histories.find(&base));
+        history.map_or(0.0, |history| history.probability(self.wall(now), horizon))
+    }
+
+    /// Milliseconds from the beginning to the last use, for the baseline.
+    pub fn last_used(&self, last_used: Option<Instant>) -> u64 {
+        let origin = self.origin.map(|(at, _)| at);
+        let since = last_used.zip(origin).map(|(at, origin)| at.saturating_duration_since(origin));
+        since.map_or(0, |since| since.as_millis() as u64)
+    }
+
+    pub fn is_leaving(&self, weights: &Weights) -> bool {
+        self.leaving.contains(weights)
+    }
+
+    /// Memory of models that wait for their adapters to be unloaded.
+    pub fn leaving(&self, ledger: &Ledger) -> u64 {
+        let ready = |weights: &&Weights| {
+            ledger.find(weights).is_some_and(|entry| entry.stage == Stage::Ready)
+        };
+        let leaving = self.leaving.iter().filter(ready);
+        leaving.filter_map(|weights| ledger.find(weights)).map(|entry| entry.memory.0).sum()
+    }
+
+    pub fn next_wake(&self) -> Option<Instant> {
+        let expiry = self.expiries.first().map(|(at, _)| *at);
+        expiry.into_iter().chain(self.next_plan).min()
+    }
+}
+
+impl Agent {
+    /// Decides how long a model stays once nobody uses it.
+    pub(super) fn note_idle(&mut self, now: Instant, weights: &Weights, sizes: &dyn Sizes) {
+        let base = Weights { adapter: None, ..weights.clone() };
+        if weights.adapter.is_some() || !self.ledger.is_ready(&base) || self.is_in_use(&base.model)
+        {
+            return;
+        }
+        let mut until = now + self.keep_time(&base, sizes);
+        if self.policy.keep == Keep::Learned {
+            let window = self.due(now, &base, sizes);
+            until = until.max(window.map_or(now, |(_, until)| until));
+        }
+        until = until.max(self.loads.wanted_until(&base).unwrap_or(now));
+        self.keep.keep_until(&base, until);
+    }
+
+    fn keep_time(&self, weights: &Weights, sizes: &dyn Sizes) -> Duration {
+        match self.policy.keep {
+            Keep::Fixed(time) => time,
+            Keep::Learned => {
+                let cost = self.cold_cost(weights, sizes);
+                let unknown = history::History::default();
+                self.keep.histories.find(weights).unwrap_or(&unknown).keep_time(cost)
+            }
+        }
+    }
+
+    fn cold_cost(&self, weights: &Weights, sizes: &dyn Sizes) -> f64 {
+        let weighing = sizes.weighing(&weights.model);
+        history::cold_cost(sizes.load_time(weights), weighing.tail, weighing.idle)
+    }
+
+    /// The window in which a model should be loaded now, if there is one.
+    fn due(
+        &self,
+        now: Instant,
+        weights: &Weights,
+        sizes: &dyn Sizes,
+    ) -> Option<(Instant, Instant)> {
+        let wall = self.keep.wall(now);
+        let history = self.keep.histories.find(weights)?;
+        let Window { from, until } = history.window(wall, self.cold_cost(weights, sizes))?;
+        let lead = sizes.load_time(weights) * LEAD_LOADS;
+        let begin = Duration::from_secs(from.saturating_sub(wall)).saturating_sub(lead);
+        let end = Duration::from_secs(until.saturating_sub(wall));
+        begin.is_zero().then_some((now + begin, now + end))
+    }
+
+    /// Drops what was kept long enough and loads what is due soon.
+    pub(super) fn drop_idle(&mut self, now: Instant, sizes: &dyn Sizes, actions: &mut Vec<Action>) {
+        if std::mem::take(&mut self.keep.look_at_all) {
+            self.look_at_all(now, sizes);
+        }
+        while let Some((at, weights)) = self.keep.expiries.first().cloned() {
+            if at > now {
+                break;
+            }
+            self.keep.forget(&weights);
+            if !self.is_in_use(&weights.model) && self.ledger.is_ready(&weights) {
+                self.leave(&weights, actions);
+            }
+        }
+        self.unload_leaving(actions);
+        if self.policy.keep == Keep::Learned && self.keep.next_plan.is_some_and(|at| now >= at) {
+            self.keep.next_plan = Some(now + PLAN_INTERVAL);
+            self.loads.drop_unwanted(now);
+            self.load_ahead(now, sizes);
+        }
+    }
+
+    /// What a new process finds loaded, or lost its slot, is idle too.
+    fn look_at_all(&mut self, now: Instant, sizes: &dyn Sizes) {
+        let ready =
+            self.ledger.entries().filter(|(w, e)| e.stage == Stage::Ready && w.adapter.is_none());
+        let bases: Vec<Weights> = ready.map(|(weights, _)| weights.clone()).collect();
+        for base in bases {
+            if self.slots.contains(&base.model) {
+                self.note_idle(now, &base, sizes);
+            } else {
+                // Kept without a slot it would be a replica more than was decided.
+                self.keep.keep_until(&base, now);
+            }
+        }
+    }
+
+    /// Made for a crew's morning: what is called at about this time each day is loaded before
+    /// the first request, and ahead of it by a few load times, as other models are due then too.
+    fn load_ahead(&mut self, now: Instant, sizes: &dyn Sizes) {
+        let known = self.keep.histories.iter().map(|(weights, _)| weights);
+        let cold = known.filter(|weights| {
+            self.slots.contains(&weights.model) && self.ledger.find(weights).is_none()
+        });
+        let cold: Vec<Weights> = cold.cloned().collect();
+        for weights in cold {
+            if let Some((_, until)) = self.due(now, &weights, sizes) {
+                self.loads.want(&weights, Wanted { urgency: 0, until });
+            }
+        }
+    }
+
+    /// Begins to unload a model, its adapters first, or a single adapter.
+    pub(super) fn leave(&mut self, weights: &Weights, actions: &mut Vec<Action>) {
+        self.keep.forget(weights);
+        if weights.adapter.is_some() {
+            self.unload(weights, actions);
+        } else {
+            self.keep.leaving.insert(weights.clone());
+            self.unload_leaving(actions);
+        }
+    }
+
+    /// An engine holds an adapter on its model, so the adapters go first and the model once
+    /// they are gone.
+    fn unload_leaving(&mut self, actions: &mut Vec<Action>) {
+        if self.keep.leaving.is_empty() {
+            return;
+        }
+        for base in std::mem::take(&mut self.keep.leaving) {
+            if self.is_in_use(&base.model) || !self.ledger.is_ready(&base) {
+                continue;
+            }
+            let of_base = |w: &Weights| w.model == base.model && w.adapter.is_some();
+            let adapters: Vec<(Weights, Stage)> = self
+                .ledger
+                .entries()
+                .filter(|(weights, _)| of_base(weights))
+                .map(|(weights, entry)| (weights.clone(), entry.stage))
+                .collect();
+            if adapters.is_empty() {
+                self.unload(&base, actions);
+                continue;
+            }
+            for (adapter, stage) in adapters {
+                if stage == Stage::Ready {
+                    self.unload(&adapter, actions);
+                }
+            }
+            self.keep.leaving.insert(base);
+        }
+    }
+
+    fn unload(&mut self, weights: &Weights, actions: &mut Vec<Action>) {
+        let Some(memory) = self.ledger.find(weights).map(|entry| entry.memory) else { return };
+        self.ledger.set_stage(weights, Stage::Unloading);
+        actions.push(Action::Unload(weights.clone(), memory));
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_decide/src/agent/loads.rs
@@ -0,0 +1,487 @@
+//! What is loaded, in which order, and what makes room for it.
+
+use super::{Action, Agent, Eviction, MIN_RETRY_AFTER};
+use crate::{
+    ledger::{LedgerError, Stage},
+    pacing::{Ask, Gate},
+    work::{Refusal, Sizes, Store, Work},
+};
+use corianderstand_derives::derives;
+use corianderstand_schema::messages::RefusalReason;
+use corianderstand_types::{units::Mib, weights::Weights};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+/// Time a coordinator has to grant or queue a load before the agent falls back to its own pace.
+/// A coordinator answers within a round trip; this is long enough for a change of lease, and
+/// short against any load.
+pub const GRANT_PATIENCE: Duration = Duration::from_secs(5);
+/// Time that requests wait for room in memory while all of it is in use. Longer, they would find
+/// out only at their deadline that another replica should have served them.
+const ROOM_PATIENCE: Duration = Duration::from_secs(2);
+/// How long a load stays wanted for callers that were told to come back for it.
+const WANTED_FOR: Duration = Duration::from_secs(60);
+/// Pause before an order of unknown outcome is repeated; engines take a repeat as the same order.
+const REPEAT_PAUSE: Duration = Duration::from_secs(2);
+/// Look-ahead over which the worth of keeping a model is judged.
+const WORTH_HORIZON: Duration = Duration::from_secs(30 * 60);
+
+/// Memory is set aside, the order is not sent yet.
+#[derives(data)]
+struct Pending {
+    less_urgent: u8,
+    deadline: Instant,
+    load_time: Duration,
+    memory: Mib,
+    asked: Instant,
+    granted: bool,
+}
+
+/// Wanted although nobody waits: callers were told to come back, or a burst is due.
+#[derives(data)]
+pub(super) struct Wanted {
+    pub urgency: u8,
+    pub until: Instant,
+}
+
+/// The order was sent.
+#[derives(data)]
+struct Started {
+    at: Instant,
+    expected: Duration,
+    by_gate: bool,
+}
+
+/// Loads that are wanted, wait for their turn, or are on their way.
+#[derive(Clone, Debug)]
+pub(super) struct Loads {
+    gate: Gate,
+    coordinated: bool,
+    unordered: BTreeSet<Weights>,
+    wanted: BTreeMap<Weights, Wanted>,
+    pending: BTreeMap<Weights, Pending>,
+    started: BTreeMap<Weights, Started>,
+    repeats: BTreeMap<Weights, (Instant, bool)>,
+    without_room: BTreeMap<Weights, Instant>,
+    waiting: BTreeMap<Weights, u32>,
+}
+
+impl Default for Loads {
+    fn default() -> Self {
+        Self {
+            gate: Gate::new(Store::default()),
+            coordinated: false,
+            unordered: BTreeSet::new(),
+            wanted: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            started: BTreeMap::new(),
+            repeats: BTreeMap::new(),
+            without_room: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+        }
+    }
+}
+
+impl Loads {
+    pub fn set_store(&mut self, store: Store) {
+        self.gate.set_store(store);
+    }
+
+    pub const fn set_coordinated(&mut self, coordinated: bool) {
+        self.coordinated = coordinated;
+    }
+
+    pub fn begin_waiting(&mut self, weights: &Weights) {
+        *self.waiting.entry(weights.clone()).or_default() += 1;
+    }
+
+    pub fn end_waiting(&mut self, weights: &Weights) {
+        let Some(count) = self.waiting.get_mut(weights) else { return };
+        *count -= 1;
+        if *count == 0 {
+            self.waiting.remove(weights);
+        }
+    }
+
+    /// Whether anyone waits for it or was told to come back for it.
+    pub fn is_awaited(&self, weights: &Weights) -> bool {
+        self.waiting.contains_key(weights)
+    }
+
+    /// Time until it is loaded.
+    pub fn left(&self, now: Instant, weights: &Weights, load_time: Duration) -> Duration {
+        match self.started.get(weights) {
+            // Overdue: the store is slow, and may need as long again as it already took.
+            Some(started) => {
+                let took = now.saturating_duration_since(started.at);
+                started.expected.checked_sub(took).unwrap_or(took)
+            }
+            None => load_time,
+        }
+    }
+
+    pub fn next_wake(&self) -> Option<Instant> {
+        let patience = |pending: &Pending| {
+            if self.coordinated {
+                Some(pending.asked + GRANT_PATIENCE)
+            } else {
+                self.gate.next_start()
+            }
+        };
+        let pending = self.pending.values().filter_map(patience);
+        let repeats = self.repeats.values().map(|(at, _)| *at);
+        let room = self.without_room.values().map(|since| *since + ROOM_PATIENCE);
+        pending.chain(repeats).chain(room).min()
+    }
+
+    pub fn want(&mut self, weights: &Weights, wanted: Wanted) {
+        self.unordered.insert(weights.clone());
+        self.wanted.insert(weights.clone(), wanted);
+    }
+
+    /// Forgets what is wanted no longer.
+    pub fn drop_unwanted(&mut self, now: Instant) {
+        self.wanted.retain(|_, wanted| now < wanted.until);
+    }
+
+    /// Until when it is kept for those who were told to come back.
+    pub fn wanted_until(&self, weights: &Weights) -> Option<Instant> {
+        self.wanted.get(weights).map(|wanted| wanted.until)
+    }
+}
+
+impl Agent {
+    /// A load that some request waits for.
+    pub(super) fn note_missing(&mut self, weights: &Weights) {
+        if self.ledger.find(weights).is_none_or(|entry| entry.stage == Stage::Unloading) {
+            self.loads.unordered.insert(weights.clone());
+        }
+    }
+
+    /// Made for first requests with a short deadline: the request is refused, yet what it needs
+    /// is loaded, so that its caller finds it when coming back. Without this a model whose
+    /// callers all wait less than its load takes would stay cold for ever.
+    pub(super) fn want(&mut self, now: Instant, work: &Work, sizes: &dyn Sizes) {
+        let Some(weights) = self.missing(work) else { return };
+        if self.ledger.find(&weights).is_some() {
+            return;
+        }
+        let until = now + sizes.load_time(&weights) + WANTED_FOR;
+        self.loads.want(&weights, Wanted { urgency: work.urgency, until });
+    }
+
+    /// Sets memory aside for what is missing and sends the orders whose turn it is.
+    ///
+    /// Made for a burst of first requests for several models: urgent ones first, then those due
+    /// soon, then the shortest.
+    pub(super) fn order_loads(
+        &mut self,
+        now: Instant,
+        sizes: &dyn Sizes,
+        actions: &mut Vec<Action>,
+    ) {
+        if !self.loads.unordered.is_empty() {
+            self.reserve_unordered(now, sizes, actions);
+        }
+        self.start_pending(now, actions);
+        self.repeat_orders(now, sizes, actions);
+    }
+
+    fn reserve_unordered(&mut self, now: Instant, sizes: &dyn Sizes, actions: &mut Vec<Action>) {
+        let firsts: BTreeMap<&Weights, (u8, Instant)> = self
+            .queue
+            .missing()
+            .map(|(weights, place)| (weights, (place.less_urgent(), place.deadline())))
+            .collect();
+        let mut ranked: Vec<(u8, Instant, Duration, Weights)> = Vec::new();
+        for weights in &self.loads.unordered {
+            let waiting = firsts.get(weights).copied();
+            let wanted = self.loads.wanted.get(weights).filter(|wanted| now < wanted.until);
+            let wanted = wanted.map(|wanted| (u8::MAX - wanted.urgency, wanted.until));
+            if let Some((less_urgent, deadline)) = waiting.into_iter().chain(wanted).min() {
+                let load_time = sizes.load_time(weights);
+                ranked.push((less_urgent, deadline, load_time, weights.clone()));
+            }
+        }
+        self.loads.unordered.retain(|weights| ranked.iter().any(|(.., kept)| kept == weights));
+        ranked.sort();
+        for (less_urgent, deadline, load_time, weights) in ranked {
+            let Some(memory) = sizes.memory(&weights) else {
+                self.loads.unordered.remove(&weights);
+                continue;
+            };
+            let pending =
+                Pending { less_urgent, deadline, load_time, memory, asked: now, granted: false };
+            self.reserve(now, &weights, pending, sizes, actions);
+        }
+    }
+
+    fn reserve(
+        &mut self,
+        now: Instant,
+        weights: &Weights,
+        pending: Pending,
+        sizes: &dyn Sizes,
+        actions: &mut Vec<Action>,
+    ) {
+        match self.ledger.reserve(weights, pending.memory) {
+            Ok(()) => {
+                self.loads.unordered.remove(weights);
+                self.loads.without_room.remove(weights);
+                if self.loads.coordinated {
+                    actions.push(Action::AskLoad(self.ask(weights, &pending)));
+                }
+                self.loads.pending.insert(weights.clone(), pending);
+            }
+            Err(LedgerError::Reserved) => {
+                let stage = self.ledger.find(weights).map(|entry| entry.stage);
+                if stage != Some(Stage::Unloading) {
+                    self.loads.unordered.remove(weights);
+                }
+            }
+            Err(LedgerError::NoRoom { missing }) => {
+                let coming = self.evict(now, missing, weights, sizes, actions);
+                self.note_room(now, weights, coming, sizes, actions);
+            }
+        }
+    }
+
+    fn ask(&self, weights: &Weights, pending: &Pending) -> Ask {
+        Ask {
+            // The process that sends the wish fills in its own name.
+            target: corianderstand_types::names::TargetId::default(),
+            weights: weights.clone(),
+            urgency: u8::MAX - pending.less_urgent,
+            deadline: pending.deadline,
+            load_time: pending.load_time,
+        }
+    }
+
+    /// Made for memory that is all in use: those who wait for a load that finds no room are told
+    /// soon, so that another replica may serve them, instead of at their deadline.
+    fn note_room(
+        &mut self,
+        now: Instant,
+        weights: &Weights,
+        coming: bool,
+        sizes: &dyn Sizes,
+        actions: &mut Vec<Action>,
+    ) {
+        if coming {
+            self.loads.without_room.remove(weights);
+            return;
+        }
+        let since = *self.loads.without_room.entry(weights.clone()).or_insert(now);
+        if now < since + ROOM_PATIENCE {
+            return;
+        }
+        self.loads.without_room.remove(weights);
+        self.loads.unordered.remove(weights);
+        self.loads.wanted.remove(weights);
+        let refused = self.refuse_waiting(now, weights, RefusalReason::QueueFull, sizes);
+        actions.extend(refused);
+    }
+
+    fn start_pending(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.loads.pending.is_empty() {
+            return;
+        }
+        let mut turns: Vec<(u8, Instant, Duration, Weights)> = self
+            .loads
+            .pending
+            .iter()
+            .map(|(w, p)| (p.less_urgent, p.deadline, p.load_time, w.clone()))
+            .collect();
+        turns.sort();
+        for (.., weights) in turns {
+            let pending = &self.loads.pending[&weights];
+            let waits = self.loads.coordinated && now < pending.asked + GRANT_PATIENCE;
+            let by_gate = !pending.granted && !waits && self.loads.gate.try_start(now);
+            if pending.granted || by_gate {
+                let (memory, expected) = (pending.memory, pending.load_time);
+                self.loads.pending.remove(&weights);
+                self.loads.started.insert(weights.clone(), Started { at: now, expected, by_gate });
+                actions.push(Action::Load(weights, memory));
+            }
+        }
+    }
+
+    /// The coordinator lets a load start.
+    pub fn granted(&mut self, now: Instant, weights: &Weights, sizes: &dyn Sizes) -> Vec<Action> {
+        if let Some(pending) = self.loads.pending.get_mut(weights) {
+            pending.granted = true;
+        }
+        self.step(now, sizes)
+    }
+
+    /// An order's outcome may be unknown for ever if its answer was lost; asking the same again
+    /// settles it, and until then its memory counts as used.
+    fn repeat_orders(&mut self, now: Instant, sizes: &dyn Sizes, actions: &mut Vec<Action>) {
+        let due = self.loads.repeats.iter().filter(|(_, (at, _))| now >= *at);
+        let due: Vec<(Weights, bool)> = due.map(|(w, (_, load))| (w.clone(), *load)).collect();
+        for (weights, load) in due {
+            self.loads.repeats.remove(&weights);
+            let Some(memory) = self.ledger.find(&weights).map(|entry| entry.memory) else {
+                continue;
+            };
+            if load {
+                let expected = sizes.load_time(&weights);
+                let started = Started { at: now, expected, by_gate: false };
+                self.loads.started.insert(weights.clone(), started);
+                actions.push(Action::Load(weights, memory));
+            } else {
+                actions.push(Action::Unload(weights, memory));
+            }
+        }
+    }
+
+    /// An order to load has been answered; `None` if its outcome is unknown.
+    pub fn loaded(
+        &mut self,
+        now: Instant,
+        weights: &Weights,
+        outcome: Option<bool>,
+        sizes: &dyn Sizes,
+    ) -> Vec<Action> {
+        if let Some(started) = self.loads.started.remove(weights)
+            && started.by_gate
+        {
+            let took = now.saturating_duration_since(started.at);
+            self.loads.gate.ended(took, started.expected, outcome == Some(true));
+        }
+        let mut actions = Vec::new();
+        match outcome {
+            Some(true) => {
+                self.ledger.set_stage(weights, Stage::Ready);
+                for key in self.queue.waiting_for(weights) {
+                    self.refresh_missing(key);
+                }
+                self.note_idle(now, weights, sizes);
+            }
+            Some(false) => {
+                self.ledger.remove(weights);
+                self.loads.wanted.remove(weights);
+                actions = self.refuse_waiting(now, weights, RefusalReason::NotLoaded, sizes);
+            }
+            None => {
+                self.ledger.set_stage(weights, Stage::Unknown);
+                self.loads.repeats.insert(weights.clone(), (now + REPEAT_PAUSE, true));
+                actions = self.refuse_waiting(now, weights, RefusalReason::NotLoaded, sizes);
+            }
+        }
+        actions.extend(self.step(now, sizes));
+        actions
+    }
+
+    /// An order to unload has been answered.
+    pub fn unloaded(
+        &mut self,
+        now: Instant,
+        weights: &Weights,
+        confirmed: bool,
+        sizes: &dyn Sizes,
+    ) -> Vec<Action> {
+        if confirmed {
+            self.ledger.remove(weights);
+            if self.loads.is_awaited(weights) {
+                self.loads.unordered.insert(weights.clone());
+            }
+        } else {
+            self.ledger.set_stage(weights, Stage::Unknown);
+            self.loads.repeats.insert(weights.clone(), (now + REPEAT_PAUSE, false));
+        }
+        self.step(now, sizes)
+    }
+
+    /// Those who wait for a load that failed are told at once rather than at their deadline.
+    fn refuse_waiting(
+        &mut self,
+        now: Instant,
+        weights: &Weights,
+        reason: RefusalReason,
+        sizes: &dyn Sizes,
+    ) -> Vec<Action> {
+        let refusal = Refusal { reason, retry_after: MIN_RETRY_AFTER };
+        let keys = self.queue.waiting_for(weights);
+        keys.into_iter().map(|key| self.refuse(now, key, refusal, sizes)).collect()
+    }
+
+    /// Unloads what is least worth keeping of what nobody uses, until enough will be free;
+    /// false if that is not enough.
+    ///
+    /// Made for more models than fit. What is unloaded too soon costs its next caller a load, so
+    /// the probability of a call soon and the time of loading again are weighed against the
+    /// memory that is won. What runs or is waited for is never unloaded.
+    fn evict(
+        &mut self,
+        now: Instant,
+        missing: Mib,
+        keep: &Weights,
+        sizes: &dyn Sizes,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let unloading = self.ledger.entries().filter(|(_, entry)| entry.stage == Stage::Unloading);
+        let mut coming: u64 = unloading.map(|(_, entry)| entry.memory.0).sum();
+        coming += self.keep.leaving(&self.ledger);
+        if coming >= missing.0 {
+            return true;
+        }
+        for (_, weights, memory) in self.victims(now, keep, sizes) {
+            if coming >= missing.0 {
+                break;
+            }
+            coming += memory;
+            self.leave(&weights, actions);
+        }
+        coming >= missing.0
+    }
+
+    /// Models and single adapters that may be unloaded, the least worth first, each with the
+    /// memory that comes free.
+    fn victims(&self, now: Instant, keep: &Weights, sizes: &dyn Sizes) -> Vec<(u64, Weights, u64)> {
+        let idle = self.ledger.entries().filter(|(weights, entry)| {
+            let needed = weights.model == keep.model && weights.adapter.is_none();
+            let free = entry.users == 0 && !self.loads.is_awaited(weights);
+            entry.stage == Stage::Ready && free && !needed && !self.keep.is_leaving(weights)
+        });
+        let whole =
+            |weights: &&Weights| weights.adapter.is_some() || !self.is_in_use(&weights.model);
+        let idle = idle.filter(|(weights, _)| whole(weights));
+        let mut victims: Vec<(u64, Weights, u64)> = idle
+            .map(|(weights, entry)| {
+                let memory = match weights.adapter {
+                    Some(_) => entry.memory.0,
+                    None => self.group_memory(weights),
+                };
+                let worth = match self.policy.eviction {
+                    Eviction::LeastRecent => self.keep.last_used(entry.last_used),
+                    Eviction::LeastWorth => self.worth(now, weights, memory, sizes),
+                };
+                (worth, weights.clone(), memory)
+            })
+            .collect();
+        // Of equal worth the larger goes first, as fewer models are lost.
+        victims.sort_by_key(|(worth, weights, memory)| (*worth, Reverse(*memory), weights.clone()));
+        victims
+    }
+
+    fn group_memory(&self, base: &Weights) -> u64 {
+        let of_model = self
+            .ledger
+            .entries()
+            .filter(|(w, _)| w.model == base.model && (w.adapter.is_some() || *w == base));
+        of_model.map(|(_, entry)| entry.memory.0).sum()
+    }
+
+    /// Expected waiting, weighed by its teams, that keeping it spares for each GiB.
+    fn worth(&self, now: Instant, weights: &Weights, memory: u64, sizes: &dyn Sizes) -> u64 {
+        let weighing = sizes.weighing(&weights.model);
+        let probability = self.keep.probability(now, weights, WORTH_HORIZON);
+        let load_ms = sizes.load_time(weights).as_millis() as f64;
+        (probability * load_ms * f64::from(weighing.tail.max(1)) * 1024.0 / memory.max(1) as f64)
+            as u64
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_decide/src/agent/tests.rs
@@ -0,0 +1,353 @@
+//! One agent, driven without sockets or an engine: orders are answered by the test.
+
+use super::{Action, Agent, Eviction, Keep, Limits, Policy};
+use crate::{
+    queue::Length,
+    work::{Need, Refusal, RequestKey, Shape, Sizes, Store, Weighing, Work},
+};
+use corianderstand_schema::messages::RefusalReason;
+use corianderstand_types::{
+    clock::{Clock, ManualClock},
+    names::{ModelId, TeamId},
+    units::Mib,
+    weights::Weights,
+};
+use rstest::rstest;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+const LOAD: Duration = Duration::from_secs(20);
+const MODEL_MIB: u64 = 1000;
+
+#[derive(Default)]
+struct TestSizes {
+    shares: BTreeMap<TeamId, u32>,
+    weighing: Weighing,
+}
+
+impl Sizes for TestSizes {
+    fn memory(&self, weights: &Weights) -> Option<Mib> {
+        Some(Mib(if weights.adapter.is_some() { 10 } else { MODEL_MIB }))
+    }
+
+    fn load_time(&self, weights: &Weights) -> Duration {
+        if weights.adapter.is_some() { Duration::from_secs(1) } else { LOAD }
+    }
+
+    fn share(&self, team: &TeamId) -> u32 {
+        self.shares.get(team).copied().unwrap_or(100)
+    }
+
+    fn weighing(&self, _: &ModelId) -> Weighing {
+        self.weighing
+    }
+
+    fn store(&self) -> Store {
+        Store { per_second: 1000, concurrent: 4, engines: 1 }
+    }
+}
+
+struct Bench {
+    agent: Agent,
+    sizes: TestSizes,
+    clock: ManualClock,
+}
+
+fn model(name: &str) -> Weights {
+    Weights::model(name.into(), "1".into())
+}
+
+impl Bench {
+    fn new(concurrency: u32, models: u64, policy: Policy) -> Self {
+        let limits = Limits { concurrency, queue: 64 };
+        let mut agent = Agent::with_policy(limits, Mib(models * MODEL_MIB), policy);
+        let slots = ["a", "b", "c", "d"].into_iter().map(ModelId::from);
+        agent.set_slots(slots.collect::<BTreeSet<_>>());
+        let mut bench = Self { agent, sizes: TestSizes::default(), clock: ManualClock::default() };
+        let now = bench.now();
+        bench.agent.set_wall(now, 0);
+        bench
+    }
+
+    fn warm(concurrency: u32, names: &[&str]) -> Self {
+        let mut bench = Self::new(concurrency, 4, Policy::default());
+        let ready = names.iter().map(|name| (model(name), Mib(MODEL_MIB), true));
+        bench.agent.rebuild(ready.collect::<Vec<_>>());
+        bench
+    }
+
+    fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    fn work(&self, team: &str, name: &str, length: Length, seconds: u64) -> Work {
+        Work {
+            team: team.into(),
+            need: Need::Weights { base: model(name), adapter: None },
+            urgency: 1,
+            deadline: self.now() + Duration::from_secs(seconds),
+            repeatable: true,
+            shape: Shape { length, prefix: None },
+        }
+    }
+
+    fn submit(&mut self, work: Work) -> (RequestKey, Vec<Action>) {
+        self.agent.submit(self.now(), work, &self.sizes)
+    }
+
+    fn short(&mut self, team: &str, name: &str, seconds: u64) -> (RequestKey, Vec<Action>) {
+        let work = self.work(team, name, Length::Short, seconds);
+        self.submit(work)
+    }
+
+    fn finish(&mut self, key: RequestKey) -> Vec<Action> {
+        self.agent.finished(self.now(), key, &self.sizes)
+    }
+
+    fn pass(&mut self, time: Duration) -> Vec<Action> {
+        self.clock.advance(time);
+        self.agent.step(self.now(), &self.sizes)
+    }
+
+    fn loaded(&mut self, name: &str) -> Vec<Action> {
+        self.agent.loaded(self.now(), &model(name), Some(true), &self.sizes)
+    }
+}
+
+fn runs(actions: &[Action]) -> Vec<RequestKey> {
+    let run = |action: &Action| match action {
+        Action::Run(key) => Some(*key),
+        _ => None,
+    };
+    actions.iter().filter_map(run).collect()
+}
+
+fn refusals(actions: &[Action]) -> Vec<Refusal> {
+    let refusal = |action: &Action| match action {
+        Action::Refuse(_, refusal) => Some(*refusal),
+        _ => None,
+    };
+    actions.iter().filter_map(refusal).collect()
+}
+
+/// Several routers pass on the first requests for a cold model in the same moment. With a load
+/// for each the engine's memory would be taken twice; callers notice nothing but one wait.
+#[rstest]
+fn many_first_requests_make_one_load() {
+    let mut bench = Bench::new(8, 4, Policy::default());
+    let mut actions = Vec::new();
+    for _ in 0..50 {
+        actions.extend(bench.short("crew", "a", 60).1);
+    }
+    let loads = actions.iter().filter(|action| matches!(action, Action::Load(..)));
+    assert_eq!(loads.count(), 1);
+    bench.clock.advance(LOAD);
+    assert_eq!(runs(&bench.loaded("a")).len(), 8, "they run as soon as it is ready");
+}
+
+/// A caller waits less than the load takes. It is refused at once with the time of the load, and
+/// when it comes back the model is there; were nothing loaded, it would never get an answer.
+#[rstest]
+fn a_caller_with_little_time_is_refused_yet_wakes_the_model() {
+    let mut bench = Bench::new(8, 4, Policy::default());
+    let (_, actions) = bench.short("crew", "a", 5);
+    let refusal = refusals(&actions)[0];
+    assert_eq!(refusal.reason, RefusalReason::Deadline);
+    assert!(refusal.retry_after >= LOAD && refusal.retry_after <= LOAD * 5 / 4);
+    assert!(actions.iter().any(|action| matches!(action, Action::Load(..))));
+    bench.clock.advance(LOAD);
+    bench.loaded("a");
+    bench.pass(refusal.retry_after - LOAD);
+    assert_eq!(runs(&bench.short("crew", "a", 5).1).len(), 1);
+}
+
+/// A burst meets a target that can serve only a part in time. The others are refused at once,
+/// each with another time to come back; told the same time they would collide again.
+#[rstest]
+fn a_burst_is_refused_at_once_and_spread() {
+    let mut bench = Bench::warm(2, &["a"]);
+    let mut refused = Vec::new();
+    for _ in 0..400 {
+        let actions = bench.short("crew", "a", 1).1;
+        refused.extend(refusals(&actions));
+    }
+    assert!(refused.len() > 300);
+    let mut times: Vec<Duration> = refused.iter().map(|refusal| refusal.retry_after).collect();
+    times.sort();
+    times.dedup();
+    assert!(times.len() * 10 > refused.len() * 9, "{} times for {}", times.len(), refused.len());
+    let first = refused[0].retry_after;
+    assert!(first < Duration::from_secs(2), "soon enough to be worth following: {first:?}");
+}
+
+/// The target turns slow after requests were admitted. Those who cannot be answered any more are
+/// told before their deadline, not at it.
+#[rstest]
+fn what_has_become_hopeless_is_told_before_its_deadline() {
+    let mut bench = Bench::warm(1, &["a"]);
+    let (first, _) = bench.short("crew", "a", 60);
+    for _ in 0..20 {
+        bench.short("crew", "a", 60);
+    }
+    bench.clock.advance(Duration::from_secs(30));
+    bench.finish(first);
+    let mut told = 0;
+    for _ in 0..40 {
+        told += refusals(&bench.pass(Duration::from_millis(250))).len();
+    }
+    assert!(told > 0, "told within 40 s of 60 s");
+}
+
+/// One team floods the target with urgent work. Another team, owed most of it, gets its share
+/// back with the next runs that end, although its work is not urgent.
+#[rstest]
+fn a_lent_share_comes_back_with_the_next_runs_that_end() {
+    let mut bench = Bench::warm(10, &["a"]);
+    bench.sizes.shares = BTreeMap::from([("a".into(), 800), ("b".into(), 200)]);
+    let mut running = Vec::new();
+    for _ in 0..60 {
+        let mut work = bench.work("b", "a", Length::Short, 600);
+        work.urgency = 2;
+        running.extend(runs(&bench.submit(work).1));
+    }
+    assert_eq!(bench.agent.running_of(&"b".into()), 10, "idle capacity is lent");
+    for _ in 0..20 {
+        bench.short("a", "a", 600);
+    }
+    for key in running.into_iter().take(8) {
+        bench.clock.advance(Duration::from_millis(100));
+        bench.finish(key);
+    }
+    assert_eq!(bench.agent.running_of(&"a".into()), 8, "eight of ten after eight ends");
+    assert_eq!(bench.agent.running_of(&"b".into()), 2, "the lender's own share is kept");
+}
+
+/// One team fills the queue. The other's request would be refused for a full queue although it
+/// is owed room; its callers would see refusals through no doing of their own.
+#[rstest]
+fn a_full_queue_still_takes_a_team_below_its_share() {
+    let mut bench = Bench::warm(1, &["a"]);
+    bench.sizes.shares = BTreeMap::from([("a".into(), 500), ("b".into(), 500)]);
+    for _ in 0..200 {
+        bench.short("b", "a", 600);
+    }
+    let (_, actions) = bench.short("a", "a", 600);
+    assert!(refusals(&actions).is_empty());
+}
+
+/// Design chats fill the target for minutes. A summary that comes then would wait behind all of
+/// them; room kept for short work lets it run at once.
+#[rstest]
+fn long_chats_leave_room_for_summaries_and_the_reverse() {
+    let mut bench = Bench::warm(8, &["a"]);
+    let mut chats = 0;
+    for _ in 0..20 {
+        let chat = bench.work("coach", "a", Length::Long, 600);
+        chats += runs(&bench.submit(chat).1).len();
+    }
+    assert_eq!(chats, 6, "three quarters of the room");
+    assert_eq!(runs(&bench.short("manager", "a", 10).1).len(), 1);
+
+    let mut bench = Bench::warm(8, &["a"]);
+    let mut running = Vec::new();
+    for _ in 0..40 {
+        running.extend(runs(&bench.short("manager", "a", 600).1));
+    }
+    let chat = bench.work("manager", "a", Length::Long, 900);
+    let (chat, _) = bench.submit(chat);
+    bench.finish(running[0]);
+    assert!(bench.agent.is_running(chat), "a flood of summaries does not hold up a chat");
+}
+
+/// More models than fit. The one in use stays although it was used least recently; of the
+/// others the one that is called often stays, and the one hardly ever called makes room.
+#[rstest]
+fn the_least_worth_is_evicted_and_never_what_is_in_use() {
+    let mut bench =
+        Bench::new(8, 3, Policy { keep: Keep::Fixed(LOAD * 1000), ..Policy::default() });
+    let ready = ["a", "b", "c"].map(|name| (model(name), Mib(MODEL_MIB), true));
+    bench.agent.rebuild(ready);
+    bench.short("crew", "a", 86_400);
+    for _ in 0..20 {
+        bench.pass(Duration::from_secs(60));
+        let (key, _) = bench.short("crew", "b", 60);
+        bench.finish(key);
+    }
+    let (key, _) = bench.short("crew", "c", 60);
+    bench.finish(key);
+    let (_, actions) = bench.short("crew", "d", 60);
+    let unloaded: Vec<_> = actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Unload(weights, _) => Some(weights.model.clone()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(unloaded, [ModelId::from("c")], "the least recent of the idle would be b");
+}
+
+/// Memory is all in use, and a request for another model comes. It is told within seconds, so
+/// that its router can try another replica; held to its deadline it would have lost a minute.
+#[rstest]
+fn without_room_in_memory_callers_are_told_soon() {
+    let mut bench =
+        Bench::new(8, 1, Policy { eviction: Eviction::LeastWorth, ..Policy::default() });
+    bench.agent.rebuild([(model("a"), Mib(MODEL_MIB), true)]);
+    bench.short("crew", "a", 600);
+    let (_, actions) = bench.short("crew", "b", 600);
+    assert!(refusals(&actions).is_empty());
+    let told = refusals(&bench.pass(Duration::from_secs(3)));
+    assert_eq!(told.len(), 1);
+}
+
+/// A model that nobody calls any more is dropped; its team weighs idle hours, so sooner than for
+/// a team that weighs the cold start.
+#[rstest]
+#[case::minds_idle_hours(Weighing { tail: 10, idle: 90 }, 300, true)]
+#[case::minds_cold_starts(Weighing { tail: 90, idle: 10 }, 300, false)]
+fn an_idle_model_is_dropped_as_the_weights_say(
+    #[case] weighing: Weighing,
+    #[case] after: u64,
+    #[case] dropped: bool,
+) {
+    let mut bench = Bench::warm(8, &["a"]);
+    bench.sizes.weighing = weighing;
+    let (key, _) = bench.short("crew", "a", 60);
+    bench.finish(key);
+    let actions = bench.pass(Duration::from_secs(after));
+    assert_eq!(actions.iter().any(|action| matches!(action, Action::Unload(..))), dropped);
+}
+
+/// A crew calls at about seven each morning. After some days the model is loaded before the
+/// first call; on the first day its crew had to wait for the load.
+#[rstest]
+fn a_morning_burst_finds_its_model_loaded() {
+    let mut bench = Bench::new(8, 4, Policy::default());
+    let day = Duration::from_secs(86_400);
+    let mut waited = Vec::new();
+    let mut at = Duration::from_secs(7 * 3600);
+    for number in 0..6 {
+        while bench.clock.elapsed() < at {
+            let actions = bench.pass(Duration::from_secs(30));
+            if actions.iter().any(|action| matches!(action, Action::Load(..))) {
+                bench.clock.advance(LOAD);
+                bench.loaded("a");
+            }
+            if let Some(Action::Unload(weights, _)) = actions.first() {
+                bench.agent.unloaded(bench.now(), weights, true, &bench.sizes);
+            }
+        }
+        let (key, actions) = bench.short("crew", "a", 60);
+        waited.push(runs(&actions).is_empty());
+        bench.clock.advance(LOAD);
+        if runs(&actions).is_empty() {
+            bench.loaded("a");
+        }
+        bench.finish(key);
+        at = day * (number + 1) + Duration::from_secs(7 * 3600 + u64::from(number * 40 % 120));
+    }
+    assert!(waited[0]);
+    assert_eq!(waited[4..], [false, false]);
+}
--- a/crates/corianderstand_decide/src/lib.rs
+++ b/crates/corianderstand_decide/src/lib.rs
@@ -16,7 +16,9 @@
 //! ```
 
 pub mod agent;
+pub mod history;
 pub mod ledger;
+pub mod pacing;
 pub mod queue;
 pub mod router;
 pub mod work;
--- /dev/null
+++ b/crates/corianderstand_decide/src/queue/tests.rs
@@ -0,0 +1,70 @@
+//! The queue alone.
+
+use super::{Length, Order, Queue, Waiting};
+use crate::work::RequestKey;
+use corianderstand_types::clock::{Clock, ManualClock};
+use rstest::rstest;
+use slotmap::SlotMap;
+use std::time::{Duration, Instant};
+
+struct Keys(SlotMap<RequestKey, ()>);
+
+impl Keys {
+    fn push(
+        &mut self,
+        queue: &mut Queue,
+        team: &str,
+        urgency: u8,
+        deadline: Instant,
+    ) -> RequestKey {
+        let key = self.0.insert(());
+        let length = Length::Short;
+        let waiting = Waiting { team: team.into(), length, urgency, deadline, missing: None };
+        queue.push(key, 100, waiting);
+        key
+    }
+}
+
+#[rstest]
+fn within_a_team_urgent_goes_first_then_the_earlier_deadline() {
+    let now = ManualClock::default().now();
+    let mut keys = Keys(SlotMap::with_key());
+    let mut queue = Queue::new(3, Order::Fair);
+    let late = keys.push(&mut queue, "crew", 1, now + Duration::from_secs(60));
+    let soon = keys.push(&mut queue, "crew", 1, now + Duration::from_secs(10));
+    let urgent = keys.push(&mut queue, "crew", 2, now + Duration::from_secs(90));
+    let order = [queue.pop(), queue.pop(), queue.pop()];
+    assert_eq!(order, [Some(urgent), Some(soon), Some(late)]);
+}
+
+#[rstest]
+fn the_baseline_takes_them_as_they_came() {
+    let now = ManualClock::default().now();
+    let mut keys = Keys(SlotMap::with_key());
+    let mut queue = Queue::new(2, Order::FirstCome);
+    let first = keys.push(&mut queue, "crew", 0, now + Duration::from_secs(90));
+    let second = keys.push(&mut queue, "coach", 2, now + Duration::from_secs(10));
+    assert_eq!([queue.pop(), queue.pop()], [Some(first), Some(second)]);
+}
+
+/// A wait is foretold for the place that a request would get, not for the end of the queue: an
+/// urgent one is not refused for the sake of work that it would overtake.
+#[rstest]
+fn the_wait_is_that_of_the_place_in_the_queue() {
+    let now = ManualClock::default().now();
+    let mut keys = Keys(SlotMap::with_key());
+    let mut queue = Queue::new(2, Order::Fair);
+    for _ in 0..22 {
+        keys.push(&mut queue, "crew", 1, now + Duration::from_secs(600));
+    }
+    while queue.pop().is_some() {}
+    let wait = |urgency, seconds| {
+        let deadline = now + Duration::from_secs(seconds);
+        let (team, length) = ("coach".into(), Length::Short);
+        let asked = Waiting { team, length, urgency, deadline, missing: None };
+        queue.expected_wait(&asked, 100, Duration::from_secs(1))
+    };
+    assert!(wait(2, 600) <= Duration::from_secs(1));
+    assert!(wait(1, 60) <= Duration::from_secs(1));
+    assert!(wait(1, 900) >= Duration::from_secs(10));
+}
--- a/crates/corianderstand_router/src/completions.rs
+++ b/crates/corianderstand_router/src/completions.rs
@@ -7,7 +7,7 @@
     problem::{self, Problem},
 };
 use bytes::Bytes;
-use corianderstand_decide::work::{Need, Work};
+use corianderstand_decide::work::{self, Need, Work};
 use corianderstand_schema::{
     messages::{AdapterRef, OpenStream, Operation},
     settings,
@@ -29,6 +29,7 @@
     adapter: Option<Weights>,
     name: String,
     stream: bool,
+    shape: work::Shape,
     body: Bytes,
 }
 
@@ -74,7 +75,8 @@
     let limit = team.team.max_deadline_ms.0;
     let budget = asked.deadline(req, team.team.default_deadline_ms.0, limit)?;
     let deadline = Instant::now() + budget;
-    let (work, open) = open(asked, &wanted, chat, urgency, budget);
+    let (mut work, open) = open(asked, &wanted, chat, urgency, budget);
+    work.shape = wanted.shape;
     let call = CallInProgress::submit(&door.events, work, open, wanted.body)?;
     let shape = Shape {
         chat,
@@ -129,7 +131,16 @@
         _ => return Err(invalid("`stream` is true or false")),
     };
     let (base, adapter) = resolve(name, team, view)?;
-    Ok(Wanted { base, adapter, name: name.to_owned(), stream, body })
+    let shape = shape(&value, chat);
+    Ok(Wanted { base, adapter, name: name.to_owned(), stream, shape, body })
+}
+
+/// A session keeps its first messages, so they tell where its prompt may be cached.
+fn shape(value: &Value, chat: bool) -> work::Shape {
+    let content = |index: usize| value["messages"][index]["content"].as_str().unwrap_or_default();
+    let beginning = format!("{}\n{}", content(0), content(1));
+    let tokens = value["max_completion_tokens"].as_u64().or(value["max_tokens"].as_u64());
+    work::Shape::of(tokens, chat, beginning.as_bytes())
 }
 
 /// Finds what `model`, `model:adapter`, `model@version` or `model:adapter@version` names.
--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -10,7 +10,7 @@
 };
 use bytes::Bytes;
 use corianderstand_control::{snapshot::Snapshot, start::Handle};
-use corianderstand_decide::work::{Need, Work};
+use corianderstand_decide::work::{Need, Shape, Work};
 use corianderstand_link::trace::TraceContext;
 use corianderstand_schema::{
     messages::{OpenStream, Operation, RefusalReason},
@@ -298,7 +298,8 @@
         repeatable: bool,
     ) -> (Work, OpenStream) {
         let deadline = self.clock.now() + budget;
-        let work = Work { team: self.team.clone(), need, urgency, deadline, repeatable };
+        let shape = Shape::default();
+        let work = Work { team: self.team.clone(), need, urgency, deadline, repeatable, shape };
         let open = OpenStream {
             stream: 0,
             request: self.request.clone(),
