--- a/crates/corianderstand_router/src/decide.rs
+++ b/crates/corianderstand_router/src/decide.rs
@@ -132,7 +132,7 @@
             }
             Event::Ended { key, load } => {
                 self.calls.remove(&key);
-                self.router.finished(key, load);
+                self.router.finished(now, key, load);
             }
             Event::Lost(key) => self.lost(key),
         }
@@ -144,15 +144,13 @@
         let Some(call) = self.calls.get(&key) else { return };
         let reason = RefusalReason::NotLoaded;
         let refusal = Refusal { reason, retry_after: RETRY_LOST };
-        if !self.router.is_repeatable(key) {
-            drop(call.reply.try_send(Update::Lost));
-            self.calls.remove(&key);
-            self.router.finished(key, None);
-            return;
+        match self.router.lost(self.clock.now(), key, refusal) {
+            Some(decision) => self.perform(key, decision),
+            None => {
+                drop(call.reply.try_send(Update::Lost));
+                self.calls.remove(&key);
+            }
         }
-        let load = Load { running: 0, queued: 0, wait_ms: 0 };
-        let decision = self.router.refused(self.clock.now(), key, refusal, load);
-        self.perform(key, decision);
     }
 
     fn perform(&mut self, key: RequestKey, decision: Decision) {
