Scripted scenarios over real processes

Change: the testbed runs rhai files in scenarios/, one test each; a caller that keeps all it can see of an answer. The first scenario kills a router while the log is down.

Ruled out: a language of our own, and a harness beside the test runner; a scenario is one test.

--- /dev/null
+++ b/scenarios/router-killed-while-log-is-down.rhai
@@ -0,0 +1,21 @@
+// The log service is down when a router is killed. The one holding the control lease may be the
+// victim. A user must still get whole answers through the other router, as nothing that callers
+// need waits for the log.
+
+deploy(#{});
+let patiently = |router| {
+    let answer = ask(router, "vidrio", "quotes-7b", #{ tokens: 5 });
+    while answer.status == 503 { answer = ask(router, "vidrio", "quotes-7b", #{ tokens: 5 }); }
+    answer
+};
+let before = patiently.call("router-1");
+check(before.whole, "a whole answer while all is well");
+
+fault("log", #{ down: true });
+kill("router-0");
+let after = patiently.call("router-1");
+check(after.whole && after.text == before.text, "the same whole answer during the outage");
+
+fault("log", #{});
+start("router-0");
+wait_until("the killed router is back", || ask("router-0", "vidrio", "quotes-7b", #{ tokens: 5 }).whole);
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,11 @@
+//! Scripted scenarios over real processes: one test for each file in `scenarios/`.
+
+use rstest::rstest;
+use std::path::PathBuf;
+
+#[rstest]
+fn scenario(#[files("scenarios/*.rhai")] path: PathBuf) {
+    if let Err(error) = testbed::script::run(&path) {
+        panic!("{error}");
+    }
+}
--- /dev/null
+++ b/tools/testbed/src/caller.rs
@@ -0,0 +1,108 @@
+//! A caller: asks over HTTP and keeps all that it can see of the answer.
+
+use serde_json::Value;
+
+/// A request.
+#[derive(Clone, Debug)]
+pub struct Question {
+    /// Where.
+    pub url: String,
+    /// Bearer key.
+    pub key: String,
+    /// Further headers.
+    pub headers: Vec<(String, String)>,
+    /// JSON body.
+    pub body: Value,
+}
+
+/// What the caller saw.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
+pub struct Answer {
+    /// HTTP status; 0 if no answer came.
+    pub status: i64,
+    /// `code` of an error.
+    pub code: String,
+    /// What became of a call: `ran`, `not-run`, `unknown`, or nothing.
+    pub outcome: String,
+    /// `Retry-After` in seconds; 0 if none.
+    pub retry_after: i64,
+    /// The answer's text: of a model, or the whole body.
+    pub text: String,
+    /// Whether the answer came to its marked end.
+    pub whole: bool,
+    /// The body as it came.
+    pub body: String,
+    /// How long it took, in milliseconds.
+    pub took_ms: i64,
+}
+
+impl Question {
+    /// A question by POST.
+    pub fn post(url: String, key: &str) -> Self {
+        Self { url, key: key.to_owned(), headers: Vec::new(), body: Value::Null }
+    }
+
+    /// Adds a header.
+    pub fn header(&mut self, name: &str, value: &str) {
+        self.headers.push((name.to_owned(), value.to_owned()));
+    }
+}
+
+/// Asks, and waits for the end of the answer.
+pub async fn ask(client: &reqwest::Client, question: &Question) -> Answer {
+    let began = std::time::Instant::now();
+    let mut req = client.post(&question.url).bearer_auth(&question.key).json(&question.body);
+    for (name, value) in &question.headers {
+        req = req.header(name, value);
+    }
+    let mut answer = match req.send().await {
+        Ok(response) => read(response).await,
+        Err(error) => Answer { text: error.to_string(), ..Answer::default() },
+    };
+    answer.took_ms = began.elapsed().as_millis() as i64;
+    answer
+}
+
+async fn read(response: reqwest::Response) -> Answer {
+    let header = |name: &str| {
+        let value = response.headers().get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let mut answer = Answer {
+        status: i64::from(response.status().as_u16()),
+        outcome: header("x-corianderstand-outcome"),
+        retry_after: header("retry-after").parse().unwrap_or_default(),
+        ..Answer::default()
+    };
+    let streamed = header("content-type").starts_with("text/event-stream");
+    match response.text().await {
+        Ok(body) if streamed => read_events(&mut answer, &body),
+        Ok(body) => read_document(&mut answer, &body),
+        Err(error) => answer.text = error.to_string(),
+    }
+    answer
+}
+
+fn read_document(answer: &mut Answer, body: &str) {
+    body.clone_into(&mut answer.body);
+    let value: Value = serde_json::from_str(body).unwrap_or_default();
+    answer.code = value["error"]["code"].as_str().unwrap_or_default().to_owned();
+    let text = value["choices"][0]["text"].as_str();
+    text.unwrap_or(body).clone_into(&mut answer.text);
+    answer.whole = answer.status == 200;
+}
+
+fn read_events(answer: &mut Answer, body: &str) {
+    body.clone_into(&mut answer.body);
+    for data in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if data == "[DONE]" {
+            answer.whole = true;
+            continue;
+        }
+        let value: Value = serde_json::from_str(data).unwrap_or_default();
+        if let Some(code) = value["error"]["code"].as_str() {
+            code.clone_into(&mut answer.code);
+        }
+        answer.text.push_str(value["choices"][0]["text"].as_str().unwrap_or_default());
+    }
+}
--- a/tools/testbed/src/deployment.rs
+++ b/tools/testbed/src/deployment.rs
@@ -37,6 +37,7 @@
     pub http: reqwest::Client,
     processes: BTreeMap<String, Process>,
     recipes: BTreeMap<String, Recipe>,
+    keep: bool,
 }
 
 static NEXT: AtomicU32 = AtomicU32::new(0);
@@ -75,7 +76,7 @@
         let names = names(&plan);
         let addresses = names.iter().cloned().zip(free_addresses(names.len())).collect();
         let (processes, recipes) = Default::default();
-        let mut deployment = Self { plan, addresses, dir, http, processes, recipes };
+        let mut deployment = Self { plan, addresses, dir, http, processes, recipes, keep: false };
         deployment.write_recipes();
         deployment
     }
@@ -378,6 +379,12 @@
         answer.expect("the stand-in answers").json().await.expect("counters are JSON")
     }
 
+    /// Keeps settings and logs when the deployment ends; their folder.
+    pub fn keep(&mut self) -> &Path {
+        self.keep = true;
+        &self.dir
+    }
+
     /// What a process has logged.
     pub fn log_of(&self, name: &str) -> String {
         fs::read_to_string(self.dir.join(format!("{name}.log"))).unwrap_or_default()
@@ -390,7 +397,7 @@
         // What went wrong is easier to find with the logs at hand.
         if std::thread::panicking() {
             eprintln!("logs are in {}", self.dir.display());
-        } else {
+        } else if !self.keep {
             drop(fs::remove_dir_all(&self.dir));
         }
     }
--- a/tools/testbed/src/lib.rs
+++ b/tools/testbed/src/lib.rs
@@ -5,9 +5,11 @@
 //! applies its settings; everything ends when the value is dropped. Waiting is always for a
 //! state, with a generous limit, never for a fixed time.
 
+pub mod caller;
 pub mod deployment;
 pub mod plan;
 pub mod process;
+pub mod script;
 
 pub use deployment::Deployment;
 pub use plan::Plan;
