Callers' limits, each answered by a clear error

Cause: only the body's length was limited. A head that did not end, a caller that did not read and connections beyond the limit were held for ever or left waiting without a word; fields of a request that change the answer's form (n, logprobs, tools) were ignored; paths that do not exist were answered in the HTTP library's own page. Worst, a request's identity was the caller's X-Request-Id, and engines cancel by it: a caller who chose another's id ended the other's answer by hanging up.

Ruled out: accepting no more connections at the limit (the caller waits in the backlog without an answer); closing them at once (no Retry-After). Some more are accepted and refused instead.

--- a/crates/corianderstand_router/src/answer.rs
+++ b/crates/corianderstand_router/src/answer.rs
@@ -21,6 +21,8 @@
     pub request: SmolStr,
     /// The model as the caller named it.
     pub model: String,
+    /// Whether a stream ends with the usage.
+    pub usage: bool,
     /// When it was asked, in seconds since the Unix epoch.
     pub created: u64,
 }
@@ -61,14 +63,20 @@
         self.base(true, choice)
     }
 
-    fn finish(&self, reason: &str, usage: &Value) -> Value {
+    fn finish(&self, reason: &str) -> Value {
         let choice = if self.chat {
             json!({ "index": 0, "delta": {}, "finish_reason": reason })
         } else {
             json!({ "index": 0, "text": "", "finish_reason": reason })
         };
-        let mut value = self.base(true, choice);
-        value["usage"] = usage.clone();
+        self.base(true, choice)
+    }
+
+    /// The last event of a stream whose caller asked for the usage.
+    fn counted(&self, usage: Value) -> Value {
+        let mut value = self.base(true, Value::Null);
+        value["choices"] = json!([]);
+        value["usage"] = usage;
         value
     }
 
@@ -175,8 +183,11 @@
                 event(buf, &self.shape.delta(&String::from_utf8_lossy(&body)));
             }
             Ok(Part::Whole { prompt_tokens, completion_tokens, finish_reason }) => {
-                let usage = usage(prompt_tokens, completion_tokens);
-                event(buf, &self.shape.finish(&finish_reason, &usage));
+                event(buf, &self.shape.finish(&finish_reason));
+                if self.shape.usage {
+                    let usage = usage(prompt_tokens, completion_tokens);
+                    event(buf, &self.shape.counted(usage));
+                }
                 buf.push_str("data: [DONE]\n\n");
                 self.over = true;
             }
--- a/crates/corianderstand_router/src/completions.rs
+++ b/crates/corianderstand_router/src/completions.rs
@@ -4,6 +4,7 @@
     answer::{self, Shape},
     call::CallInProgress,
     http::{Asked, Door},
+    params::Params,
     problem::{self, Problem},
 };
 use bytes::Bytes;
@@ -15,11 +16,11 @@
 use corianderstand_state::view::{TeamView, View};
 use corianderstand_types::{
     clock,
-    names::{AdapterId, ModelId, VersionId},
+    names::{AdapterId, ModelId, TeamId, VersionId},
     weights::Weights,
 };
 use salvo::{Request, Response};
-use serde_json::{Value, json};
+use serde_json::json;
 use std::time::{Duration, SystemTime};
 use tokio::time::Instant;
 
@@ -29,15 +30,16 @@
     adapter: Option<Weights>,
     name: String,
     stream: bool,
+    usage: bool,
     body: Bytes,
 }
 
 /// Answers `GET /v1/models`.
-pub fn models(team: &TeamView, view: &View, res: &mut Response) {
+pub fn models(name: &TeamId, team: &TeamView, view: &View, res: &mut Response) {
     let created = clock::unix_ms(SystemTime::now()) / 1000;
     let mut data = Vec::new();
     let mut add = |id: String, version: &str| {
-        data.push(json!({ "id": id, "object": "model", "created": created, "owned_by": "team",
+        data.push(json!({ "id": id, "object": "model", "created": created, "owned_by": name,
             "version": version }));
     };
     for (model, allowed) in &team.models {
@@ -80,6 +82,7 @@
         chat,
         request: asked.request.clone(),
         model: wanted.name,
+        usage: wanted.usage,
         created: clock::unix_ms(SystemTime::now()) / 1000,
     };
     if wanted.stream {
@@ -110,26 +113,11 @@
     asked.open(need, operation, urgency, budget, true)
 }
 
-fn invalid(message: &str) -> Problem {
-    Problem::Invalid(message.to_owned())
-}
-
 fn read(body: Bytes, chat: bool, team: &TeamView, view: &View) -> Result<Wanted, Problem> {
-    let value: Value = serde_json::from_slice(&body)
-        .map_err(|error| Problem::Invalid(format!("the body is not JSON ({error}): mend it")))?;
-    let name = value["model"].as_str().ok_or_else(|| invalid("name a `model`"))?;
-    let present = if chat { value["messages"].is_array() } else { value["prompt"].is_string() };
-    if !present {
-        let missing = if chat { "`messages`, an array" } else { "`prompt`, a string" };
-        return Err(Problem::Invalid(format!("give {missing}")));
-    }
-    let stream = match &value["stream"] {
-        Value::Null => false,
-        Value::Bool(stream) => *stream,
-        _ => return Err(invalid("`stream` is true or false")),
-    };
-    let (base, adapter) = resolve(name, team, view)?;
-    Ok(Wanted { base, adapter, name: name.to_owned(), stream, body })
+    let params = Params::read(&body, chat)?;
+    let (base, adapter) = resolve(&params.model, team, view)?;
+    let (stream, usage) = (params.is_streamed(), params.includes_usage());
+    Ok(Wanted { base, adapter, name: params.model, stream, usage, body })
 }
 
 /// Finds what `model`, `model:adapter`, `model@version` or `model:adapter@version` names.
--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -3,6 +3,7 @@
 use crate::{
     auth::Hasher,
     completions,
+    connections::Connections,
     event::Event,
     operator,
     problem::{self, Problem},
@@ -17,8 +18,11 @@
     settings::Urgency,
 };
 use corianderstand_state::view::TeamView;
-use corianderstand_types::{clock::SharedClock, names::TeamId};
-use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+use corianderstand_types::{
+    clock::SharedClock,
+    names::{self, TeamId},
+};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::ParseError};
 use smol_str::{SmolStr, format_smolstr};
 use std::{
     sync::{
@@ -47,6 +51,10 @@
     pub hasher: Hasher,
     /// Hash of the operators' key.
     pub operator_key_hash: SmolStr,
+    /// Connections held now.
+    pub connections: Arc<Connections>,
+    /// Longest head, in bytes.
+    pub max_header_bytes: usize,
     /// Longest body, in bytes.
     pub max_body_bytes: usize,
     /// Longest time a body may take to come.
@@ -85,23 +93,39 @@
     Operator(operator::Kind),
     Healthy,
     Ready,
+    OtherMethod(&'static str),
+    NoSuchPath,
 }
 
 struct Endpoint(Arc<Door>, Kind);
 
-/// All paths.
+const GET: &str = "GET";
+const POST: &str = "POST";
+
+/// All paths with a method.
+const PATHS: [(&str, &str, Kind); 8] = [
+    ("v1/completions", POST, Kind::Completion),
+    ("v1/chat/completions", POST, Kind::Chat),
+    ("v1/models", GET, Kind::Models),
+    ("operator/apply", POST, Kind::Operator(operator::Kind::Apply)),
+    ("operator/get", GET, Kind::Operator(operator::Kind::Get)),
+    ("operator/status", GET, Kind::Operator(operator::Kind::Status)),
+    ("healthz", GET, Kind::Healthy),
+    ("readyz", GET, Kind::Ready),
+];
+
+/// All paths; what is none of them is answered in the same form.
 pub fn routes(door: &Arc<Door>) -> Router {
     let at = |kind| Endpoint(door.clone(), kind);
-    Router::new()
-        .push(Router::with_path("v1/completions").post(at(Kind::Completion)))
-        .push(Router::with_path("v1/chat/completions").post(at(Kind::Chat)))
-        .push(Router::with_path("v1/models").get(at(Kind::Models)))
-        .push(Router::with_path("services/{service}/{**rest}").goal(at(Kind::Service)))
-        .push(Router::with_path("operator/apply").post(at(Kind::Operator(operator::Kind::Apply))))
-        .push(Router::with_path("operator/get").get(at(Kind::Operator(operator::Kind::Get))))
-        .push(Router::with_path("operator/status").get(at(Kind::Operator(operator::Kind::Status))))
-        .push(Router::with_path("healthz").get(at(Kind::Healthy)))
-        .push(Router::with_path("readyz").get(at(Kind::Ready)))
+    let services = Router::with_path("services/{service}/{**rest}").goal(at(Kind::Service));
+    let known = PATHS.into_iter().fold(Router::new().push(services), |routes, path| {
+        let (path, method, kind) = path;
+        let own = Router::with_path(path);
+        let own = if method == GET { own.get(at(kind)) } else { own.post(at(kind)) };
+        let other = Router::with_path(path).goal(at(Kind::OtherMethod(method)));
+        routes.push(own).push(other)
+    });
+    known.push(Router::with_path("{**rest}").goal(at(Kind::NoSuchPath)))
 }
 
 #[async_trait]
@@ -114,7 +138,7 @@
         _ctrl: &mut FlowCtrl,
     ) {
         let Self(door, kind) = self;
-        let request = request_id(req);
+        let request = format_smolstr!("r-{:032x}", rand::random::<u128>());
         problem::set_header(res, problem::REQUEST_ID_HEADER, &request);
         if let Err(problem) = door.answer(*kind, request.clone(), req, res).await {
             tracing::info!(%request, code = problem.code(), "request not answered");
@@ -123,11 +147,16 @@
     }
 }
 
-/// The caller's own id if it can be used, else a new one.
-fn request_id(req: &Request) -> SmolStr {
-    let given = header(req, problem::REQUEST_ID_HEADER);
-    let usable = given.filter(|id| corianderstand_types::names::check(id).is_ok());
-    usable.map_or_else(|| format_smolstr!("r-{:032x}", rand::random::<u128>()), SmolStr::new)
+/// The caller's own id, for the log only.
+///
+/// A request's identity is always made here. Engines cancel by it; if callers chose it, one who
+/// picked another's, by chance or not, would end the other's answer by hanging up.
+fn caller_id(req: &Request) -> Result<Option<&str>, Problem> {
+    let Some(id) = header(req, problem::REQUEST_ID_HEADER) else { return Ok(None) };
+    names::check(id).map_err(|error| {
+        Problem::Invalid(format!("`{}` cannot be used: {error}", problem::REQUEST_ID_HEADER))
+    })?;
+    Ok(Some(id))
 }
 
 fn header<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
@@ -147,7 +176,10 @@
         req: &mut Request,
         res: &mut Response,
     ) -> Result<(), Problem> {
+        self.check_head(req)?;
         match kind {
+            Kind::OtherMethod(allowed) => Err(Problem::Method(allowed)),
+            Kind::NoSuchPath => Err(Problem::NoSuchPath),
             Kind::Healthy => {
                 drop(res.write_body("ok\n"));
                 Ok(())
@@ -165,6 +197,18 @@
         }
     }
 
+    /// Checks what every request has to keep to, before anything is done for it.
+    fn check_head(&self, req: &Request) -> Result<(), Problem> {
+        if self.connections.is_excess(req.remote_addr().clone().into_std()) {
+            return Err(Problem::TooManyConnections);
+        }
+        let headers = req.headers().iter().map(|(name, value)| name.as_str().len() + value.len());
+        if headers.sum::<usize>() + req.uri().path().len() > self.max_header_bytes {
+            return Err(Problem::HeadTooLong(self.max_header_bytes));
+        }
+        caller_id(req).map(drop)
+    }
+
     async fn answer_caller(
         &self,
         kind: Kind,
@@ -177,7 +221,7 @@
         let done = match kind {
             Kind::Chat => completions::complete(self, &asked, true, req, res).await,
             Kind::Models => {
-                completions::models(asked.team_view()?, &asked.snapshot.view, res);
+                completions::models(&asked.team, asked.team_view()?, &asked.snapshot.view, res);
                 Ok(())
             }
             Kind::Service => services::call(self, &asked, req, res).await,
@@ -187,6 +231,7 @@
             trace_id = %format_args!("{:032x}", asked.trace.trace),
             span_id = %format_args!("{:016x}", asked.trace.span),
             request = %asked.request,
+            caller_request = caller_id(req).ok().flatten(),
             team = %asked.team,
             took_us = (self.clock.now() - began).as_micros() as u64,
             outcome = done.as_ref().map_or_else(Problem::code, |()| "answered"),
@@ -234,8 +279,11 @@
         }
         let read = time::timeout(self.read_timeout, req.payload_with_max_size(longest)).await;
         match read {
-            Err(_) => Err(Problem::Invalid("the body took too long: send it faster".into())),
-            Ok(Err(_)) => Err(Problem::TooLong(longest)),
+            Err(_) => Err(Problem::TooSlow(self.read_timeout.as_millis())),
+            Ok(Err(ParseError::PayloadTooLarge)) => Err(Problem::TooLong(longest)),
+            Ok(Err(error)) => {
+                Err(Problem::Invalid(format!("the body cannot be read ({error}): send it again")))
+            }
             Ok(Ok(body)) => Ok(body.clone()),
         }
     }
--- /dev/null
+++ b/crates/corianderstand_router/src/params.rs
@@ -0,0 +1,202 @@
+//! The body of a model request: what is supported, and a clear refusal of the rest.
+//!
+//! Engines get the caller's body as it came. What would change the form of the answer
+//! (several choices, log probabilities, tool calls) is not passed on by this system, so it is
+//! refused rather than ignored: an ignored field gives the answer to another question. A field
+//! that is null counts as absent.
+
+use crate::problem::Problem;
+use serde::{Deserialize, de::IgnoredAny};
+use std::ops::RangeInclusive;
+
+/// Most sequences that end an answer.
+const MAX_STOPS: usize = 16;
+/// Most tokens that a request may ask for.
+const MAX_TOKENS: u32 = 16 * 1024 * 1024;
+
+/// A model request.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+#[serde(expecting = "an object with `model` and `prompt` or `messages`")]
+pub struct Params {
+    /// The model as the caller names it.
+    pub model: String,
+    prompt: Option<String>,
+    messages: Option<Vec<Message>>,
+    stream: Option<bool>,
+    stream_options: Option<StreamOptions>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    temperature: Option<f64>,
+    top_p: Option<f64>,
+    presence_penalty: Option<f64>,
+    frequency_penalty: Option<f64>,
+    n: Option<u32>,
+    best_of: Option<u32>,
+    echo: Option<bool>,
+    logprobs: Option<Logprobs>,
+    stop: Option<Stop>,
+    #[serde(rename = "seed")]
+    _seed: Option<i64>,
+    #[serde(rename = "user")]
+    _user: Option<String>,
+    #[serde(rename = "metadata")]
+    _metadata: Option<IgnoredAny>,
+    #[serde(rename = "response_format")]
+    _response_format: Option<ResponseFormat>,
+    suffix: Option<IgnoredAny>,
+    logit_bias: Option<IgnoredAny>,
+    top_logprobs: Option<IgnoredAny>,
+    tools: Option<IgnoredAny>,
+    tool_choice: Option<IgnoredAny>,
+    parallel_tool_calls: Option<IgnoredAny>,
+    functions: Option<IgnoredAny>,
+    function_call: Option<IgnoredAny>,
+    modalities: Option<IgnoredAny>,
+    audio: Option<IgnoredAny>,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    #[serde(rename = "role")]
+    _role: String,
+    #[serde(rename = "content")]
+    _content: IgnoredAny,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct StreamOptions {
+    include_usage: Option<bool>,
+}
+
+#[derive(Deserialize)]
+struct ResponseFormat {
+    #[serde(rename = "type")]
+    _kind: String,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged, expecting = "true, false or a number")]
+enum Logprobs {
+    Asked(bool),
+    Count(u32),
+}
+
+#[derive(Deserialize)]
+#[serde(untagged, expecting = "a string or an array of strings")]
+enum Stop {
+    One(#[allow(dead_code, reason = "only its type is checked")] String),
+    Many(Vec<String>),
+}
+
+impl Params {
+    /// Reads and checks a body.
+    ///
+    /// # Errors
+    ///
+    /// [`Problem::Invalid`] names the field and what it may be.
+    pub fn read(body: &[u8], chat: bool) -> Result<Self, Problem> {
+        let mut json = serde_json::Deserializer::from_slice(body);
+        let params: Self = serde_path_to_error::deserialize(&mut json).map_err(|error| {
+            let path = error.path().to_string();
+            invalid(&path, &format!("cannot be used: {}", error.into_inner()))
+        })?;
+        json.end().map_err(|error| invalid("the body", &format!("goes on after it: {error}")))?;
+        params.check(chat)?;
+        Ok(params)
+    }
+
+    /// Whether the answer is wanted as it comes.
+    pub fn is_streamed(&self) -> bool {
+        self.stream.unwrap_or(false)
+    }
+
+    /// Whether the stream ends with the usage.
+    pub fn includes_usage(&self) -> bool {
+        let options = self.stream_options.as_ref();
+        options.and_then(|options| options.include_usage).unwrap_or(false)
+    }
+
+    fn check(&self, chat: bool) -> Result<(), Problem> {
+        match (chat, &self.messages, &self.prompt) {
+            (true, Some(messages), None) if !messages.is_empty() => {}
+            (false, None, Some(_)) => {}
+            (true, ..) => return Err(invalid("messages", "has at least one, and no `prompt`")),
+            (false, ..) => return Err(invalid("prompt", "is one string, and no `messages`")),
+        }
+        if self.stream_options.is_some() && !self.is_streamed() {
+            return Err(invalid("stream_options", "goes with `stream`: true only"));
+        }
+        self.check_ranges()?;
+        self.check_unsupported()
+    }
+
+    fn check_ranges(&self) -> Result<(), Problem> {
+        count("max_tokens", self.max_tokens)?;
+        count("max_completion_tokens", self.max_completion_tokens)?;
+        range("temperature", self.temperature, 0.0..=2.0)?;
+        range("top_p", self.top_p, 0.0..=1.0)?;
+        range("presence_penalty", self.presence_penalty, -2.0..=2.0)?;
+        range("frequency_penalty", self.frequency_penalty, -2.0..=2.0)?;
+        match &self.stop {
+            Some(Stop::Many(stops)) if stops.len() > MAX_STOPS => {
+                Err(invalid("stop", &format!("has at most {MAX_STOPS} sequences")))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn check_unsupported(&self) -> Result<(), Problem> {
+        if self.n.is_some_and(|n| n != 1) {
+            return Err(invalid("n", "is 1: ask several times for several answers"));
+        }
+        if self.best_of.is_some_and(|n| n != 1) {
+            return Err(invalid("best_of", "is 1: ask several times for several answers"));
+        }
+        let logprobs = !matches!(
+            self.logprobs,
+            None | Some(Logprobs::Asked(false)) | Some(Logprobs::Count(0))
+        );
+        let unsupported = [
+            ("echo", self.echo == Some(true)),
+            ("logprobs", logprobs),
+            ("suffix", self.suffix.is_some()),
+            ("logit_bias", self.logit_bias.is_some()),
+            ("top_logprobs", self.top_logprobs.is_some()),
+            ("tools", self.tools.is_some()),
+            ("tool_choice", self.tool_choice.is_some()),
+            ("parallel_tool_calls", self.parallel_tool_calls.is_some()),
+            ("functions", self.functions.is_some()),
+            ("function_call", self.function_call.is_some()),
+            ("modalities", self.modalities.is_some()),
+            ("audio", self.audio.is_some()),
+        ];
+        match unsupported.iter().find(|(_, given)| *given) {
+            Some((field, _)) => Err(invalid(field, "is not supported: leave it out")),
+            None => Ok(()),
+        }
+    }
+}
+
+fn invalid(field: &str, message: &str) -> Problem {
+    Problem::Invalid(format!("`{field}` {message}"))
+}
+
+fn count(field: &str, value: Option<u32>) -> Result<(), Problem> {
+    match value {
+        Some(0) | Some(MAX_TOKENS..) => {
+            Err(invalid(field, &format!("is a whole number from 1 to {}", MAX_TOKENS - 1)))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn range(field: &str, value: Option<f64>, range: RangeInclusive<f64>) -> Result<(), Problem> {
+    match value {
+        Some(value) if !range.contains(&value) => {
+            Err(invalid(field, &format!("is a number from {} to {}", range.start(), range.end())))
+        }
+        _ => Ok(()),
+    }
+}
--- a/crates/corianderstand_router/src/problem.rs
+++ b/crates/corianderstand_router/src/problem.rs
@@ -19,6 +19,16 @@
     Invalid(String),
     /// the body has more than {0} bytes: send a shorter one
     TooLong(usize),
+    /// the head has more than {0} bytes: send fewer or shorter headers
+    HeadTooLong(usize),
+    /// the body did not come within {0} ms: send it faster, or send less
+    TooSlow(u128),
+    /// this router holds as many connections as it may: come back after the time in `Retry-After`, or use another router
+    TooManyConnections,
+    /// there is no such path: see the callers' page for the paths
+    NoSuchPath,
+    /// this path does not take that method: use {0}
+    Method(&'static str),
     /// a bearer key is missing or wrong: send `Authorization: Bearer` with your team's key
     Unauthorized,
     /// your team may not call this: ask your operators to allow it in the team's settings
@@ -51,6 +61,8 @@
     }
 }
 
+/// How a caller proves its team.
+const CHALLENGE: &str = "Bearer realm=\"corianderstand\"";
 /// When to come back where no other time is known.
 const DEFAULT_RETRY: Duration = Duration::from_secs(1);
 
@@ -60,6 +72,11 @@
         match self {
             Self::Invalid(_) => "invalid_request",
             Self::TooLong(_) => "body_too_long",
+            Self::HeadTooLong(_) => "head_too_long",
+            Self::TooSlow(_) => "request_timeout",
+            Self::TooManyConnections => "too_many_connections",
+            Self::NoSuchPath => "no_such_path",
+            Self::Method(_) => "method_not_allowed",
             Self::Unauthorized => "unauthorized",
             Self::Forbidden => "forbidden",
             Self::NotFound => "not_found",
@@ -81,13 +98,18 @@
         match self {
             Self::Invalid(_) | Self::KeyRequired => StatusCode::BAD_REQUEST,
             Self::TooLong(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::HeadTooLong(_) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
+            Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::Forbidden => StatusCode::FORBIDDEN,
-            Self::NotFound => StatusCode::NOT_FOUND,
+            Self::NotFound | Self::NoSuchPath => StatusCode::NOT_FOUND,
             Self::Conflict(_) | Self::Refused(RefusalReason::KeyConflict, _) => {
                 StatusCode::CONFLICT
             }
-            Self::Refused(..) | Self::NotReady(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Refused(..) | Self::NotReady(_) | Self::TooManyConnections => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Failed(_) => StatusCode::BAD_GATEWAY,
             Self::Unknown(_) | Self::Deadline | Self::Undecided => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -107,6 +129,7 @@
             Self::Refused(_, after) => Some(*after),
             Self::NotReady(_) | Self::Failed(_) | Self::Deadline => Some(DEFAULT_RETRY),
             Self::Unknown(_) | Self::Undecided => Some(DEFAULT_RETRY),
+            Self::TooManyConnections | Self::TooSlow(_) => Some(DEFAULT_RETRY),
             _ => None,
         }
     }
@@ -129,6 +152,13 @@
             let seconds = after.as_millis().div_ceil(1000).max(1);
             set_header(res, "retry-after", &seconds.to_string());
         }
+        match self {
+            Self::Unauthorized => set_header(res, "www-authenticate", CHALLENGE),
+            Self::Method(allowed) => set_header(res, "allow", allowed),
+            // What is left unread of the request must not be taken for the next one.
+            Self::TooSlow(_) | Self::TooManyConnections => set_header(res, "connection", "close"),
+            _ => {}
+        }
         set_header(res, OUTCOME_HEADER, self.outcome());
         set_header(res, "content-type", "application/json");
         drop(res.write_body(self.body(request).to_string()));
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     auth::{AuthError, Hasher},
+    connections::{Connections, Policy},
     decide::Decider,
     event::Event,
     http::{self, Door},
@@ -30,6 +31,9 @@
 
 /// Events that wait for the `decide` thread.
 const EVENT_RING: usize = 16384;
+/// How many times the limit a head may be long to be refused in our own form; the HTTP library
+/// refuses a longer one with an empty body.
+const HEAD_SLACK: usize = 8;
 /// Time between two looks during a planned stop.
 const STOP_PAUSE: Duration = Duration::from_millis(50);
 
@@ -84,6 +88,8 @@
         control,
         hasher,
         operator_key_hash: settings.operator_key_hash.clone(),
+        connections: Connections::new(&settings.limits),
+        max_header_bytes: settings.limits.max_header_bytes as usize,
         max_body_bytes: settings.limits.max_body_bytes as usize,
         read_timeout: settings.limits.read_timeout_ms.0,
         max_in_flight: settings.limits.max_in_flight as usize,
@@ -145,7 +151,8 @@
         let listener = tokio::net::TcpListener::from_std(listener).map_err(listen_error)?;
         TcpAcceptor::try_from(listener).map_err(listen_error)?
     };
-    let server = Server::new(acceptor).max_connections(settings.limits.max_connections as usize);
+    let mut server = Server::new(acceptor).fuse_policy(Policy(door.connections.clone()));
+    server.http1_mut().max_header_size(door.max_header_bytes * HEAD_SLACK);
     let handle = server.handle();
     let routes = http::routes(door);
     spawn("http", move || runtime.block_on(server.serve(routes)))?;
--- a/tools/testbed/src/deployment.rs
+++ b/tools/testbed/src/deployment.rs
@@ -165,6 +165,7 @@
             "peers": peers,
             "auth_key": AUTH_KEY,
             "operator_key_hash": hash(OPERATOR_KEY),
+            "limits": self.plan.limits,
             "timing": self.plan.timing,
         });
         let args = vec!["router".into(), self.write(&name, &settings)];
