--- a/crates/corianderstand_cli/src/args.rs
+++ b/crates/corianderstand_cli/src/args.rs
@@ -92,10 +92,12 @@
 fn options(command: Command) -> Options {
     let mut options = Options::new();
     options.optflag("h", "help", "show this help");
+    if command.asks_router() || command == Command::Check {
+        options.optflag("j", "json", "print JSON");
+    }
     if command.asks_router() {
         options.optopt("r", "router", "address and port of any router", "ADDRESS");
         options.optopt("k", "key-file", "file with the operators' bearer key", "FILE");
-        options.optflag("j", "json", "print JSON");
     }
     if command == Command::Apply {
         options.optopt("a", "author", "who asks, for the history", "NAME");
--- a/crates/corianderstand_cli/src/check.rs
+++ b/crates/corianderstand_cli/src/check.rs
@@ -1,84 +1,135 @@
 //! `corianderstand check`: all faults of settings directories and process files at once.
 
-use crate::{Exit, directory};
-use corianderstand_schema::check::{self, Document};
+use crate::{Exit, directory, together};
+use corianderstand_schema::check::{self, Document, Fault};
 use corianderstand_state::view;
 use getopts::Matches;
-use serde_json::Value;
-use std::path::Path;
+use serde_json::{Value, json};
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+/// A fault, and the file that has it.
+#[derive(Debug, PartialEq, displaydoc::Display)]
+pub enum FileFault {
+    /// {0}
+    Unread(String),
+    /// {file_name} {fault}
+    Faulty {
+        /// The file, as shown.
+        file_name: String,
+        /// Its fault.
+        fault: Fault,
+    },
+}
+
+impl FileFault {
+    fn new(file: &Path, fault: Fault) -> Self {
+        Self::Faulty { file_name: file.display().to_string(), fault }
+    }
+
+    fn json(&self) -> Value {
+        match self {
+            Self::Unread(message) => json!({ "problem": message }),
+            Self::Faulty { file_name, fault } => json!({ "file": file_name, "path": fault.path,
+                "problem": fault.problem, "remedy": fault.remedy }),
+        }
+    }
+}
 
 /// Checks every path named on the command line.
 pub fn run(matches: &Matches) -> Exit {
-    let faults: Vec<String> =
+    let faults: Vec<FileFault> =
         matches.free.iter().flat_map(|path| check_path(Path::new(path))).collect();
-    for fault in &faults {
-        println!("{fault}");
-    }
-    if faults.is_empty() {
-        println!("no faults found");
-        return Exit::Success;
+    if matches.opt_present("json") {
+        println!("{}", Value::Array(faults.iter().map(FileFault::json).collect()));
+    } else {
+        faults.iter().for_each(|fault| println!("{fault}"));
+        if faults.is_empty() {
+            println!("no faults found");
+        }
     }
-    Exit::Fault
+    if faults.is_empty() { Exit::Success } else { Exit::Fault }
 }
 
-fn check_path(path: &Path) -> Vec<String> {
+/// All faults of a settings directory or a process settings file.
+pub fn check_path(path: &Path) -> Vec<FileFault> {
     if path.is_dir() { check_directory(path) } else { check_process(path) }
 }
 
 /// All faults of a settings directory, each with its file.
-pub fn check_directory(root: &Path) -> Vec<String> {
+pub fn check_directory(root: &Path) -> Vec<FileFault> {
     let (documents, errors) = directory::read(root);
-    let unread = errors.into_iter().map(|error| error.to_string());
+    let file = |document: &str| -> PathBuf { root.join(format!("{document}.json")) };
+    let unread = errors.into_iter().map(|error| FileFault::Unread(error.to_string()));
     let alone = documents.iter().flat_map(|(path, value)| {
-        let file = root.join(path).with_extension("json");
         let faults = view::check_document(path, value).into_iter();
-        faults.map(move |fault| format!("{} {fault}", file.display()))
+        faults.map(move |fault| FileFault::new(&file(path), fault))
     });
-    let together = check_together(root, &documents);
+    let together = together::check(&documents).into_iter();
+    let together = together.map(|(document, fault)| FileFault::new(&file(&document), fault));
     unread.chain(alone).chain(together).collect()
 }
 
-/// Faults that only show between documents.
-fn check_together(root: &Path, documents: &directory::Documents) -> Vec<String> {
-    let mut faults = Vec::new();
-    for path in documents.keys() {
-        let needed = match path.split('/').collect::<Vec<_>>()[..] {
-            ["teams", _, kind, name] => format!("shared/{kind}/{name}"),
-            _ => continue,
-        };
-        if !documents.contains_key(&needed) {
-            let file = root.join(path).with_extension("json");
-            faults.push(format!(
-                "{} at /: there is no document `{needed}`; add it, or remove this one",
-                file.display()
-            ));
-        }
-    }
-    faults
-}
-
-/// All faults of one process settings file.
-fn check_process(path: &Path) -> Vec<String> {
+/// All faults of one process settings file; what kind it is shows by its content.
+fn check_process(path: &Path) -> Vec<FileFault> {
     let value = match directory::read_file(path) {
         Ok(value) => value,
-        Err(error) => return vec![error.to_string()],
+        Err(error) => return vec![FileFault::Unread(error.to_string())],
     };
-    let kind = if value.get("target").is_some() { Document::Agent } else { Document::Router };
-    process_faults(kind, path, &value)
+    let agent = value.get("target").is_some();
+    let router = value.get("auth_key").is_some() || value.get("operator_key_hash").is_some();
+    match (agent, router) {
+        (true, _) => process_faults(Document::Agent, path, &value),
+        (false, true) => process_faults(Document::Router, path, &value),
+        (false, false) => vec![FileFault::new(
+            path,
+            Fault {
+                path: "/".into(),
+                problem: "this is neither an agent's nor a router's settings".into(),
+                remedy: "give `target` for an agent, `auth_key` and `operator_key_hash` for a \
+                    router; check a settings directory by its folder"
+                    .into(),
+            },
+        )],
+    }
 }
 
 /// Faults of a process settings file of a known kind.
-pub fn process_faults(kind: Document, path: &Path, value: &Value) -> Vec<String> {
+pub fn process_faults(kind: Document, path: &Path, value: &Value) -> Vec<FileFault> {
     let mut faults = check::check(kind, value);
-    let timing = &value["timing"];
-    let ms = |name: &str, default: u64| timing[name].as_u64().unwrap_or(default);
+    faults.extend(contradictions(value));
+    faults.extend(addresses(value));
+    faults.into_iter().map(|fault| FileFault::new(path, fault)).collect()
+}
+
+/// Limits that cannot hold together.
+fn contradictions(value: &Value) -> Vec<Fault> {
+    let ms = |name: &str, default: u64| value["timing"][name].as_u64().unwrap_or(default);
+    let mut faults = Vec::new();
     if ms("silence_ms", 2000) < 2 * ms("heartbeat_ms", 500) {
-        faults.push(check::Fault {
+        faults.push(Fault {
             path: "/timing/silence_ms".into(),
             problem: "it is less than two heartbeats".into(),
             remedy: "raise silence_ms or lower heartbeat_ms, or every pause cuts a connection"
                 .into(),
         });
     }
-    faults.into_iter().map(|fault| format!("{} {fault}", path.display())).collect()
+    faults
+}
+
+/// Addresses are IP numbers with a port; nothing is looked up by name.
+fn addresses(value: &Value) -> Vec<Fault> {
+    let one = |name: &str| Some((format!("/{name}"), value[name].as_str()?.to_owned()));
+    let peers = value["peers"].as_array().into_iter().flatten().enumerate();
+    let peers = peers.filter_map(|(i, peer)| Some((format!("/peers/{i}"), peer.as_str()?.into())));
+    let all = ["listen", "advertise", "statsd"].into_iter().filter_map(one).chain(peers);
+    let wrong = all.filter(|(_, address)| address.parse::<SocketAddr>().is_err());
+    let describe = |(path, address)| Fault {
+        path,
+        problem: format!("{address:?} is no IP number with a port"),
+        remedy: "give one, like 192.0.2.1:8080".into(),
+    };
+    wrong.map(describe).collect()
 }
--- a/crates/corianderstand_cli/src/lib.rs
+++ b/crates/corianderstand_cli/src/lib.rs
@@ -6,12 +6,13 @@
 //! ```
 
 mod args;
-mod check;
+pub mod check;
 mod client;
 mod directory;
 mod logging;
 mod operate;
 mod process;
+mod together;
 
 use args::Command;
 
--- a/crates/corianderstand_schema/src/check.rs
+++ b/crates/corianderstand_schema/src/check.rs
@@ -1,11 +1,18 @@
 //! Compares JSON documents with their schema, all faults at once.
 
+mod explain;
+
+use corianderstand_types::names;
 use serde_json::Value;
 use std::sync::LazyLock;
 
 const SETTINGS: &str = include_str!("../../../schema/settings.json");
 const PROCESS: &str = include_str!("../../../schema/process.json");
 
+/// Formats of names; other formats of our own are checked by type and range.
+const NAMES: [&str; 9] =
+    ["host", "place", "team", "target", "model", "adapter", "version", "service", "writer"];
+
 /// Kinds of document that an operator writes.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Document {
@@ -78,7 +85,11 @@
 static VALIDATORS: LazyLock<Vec<(Document, Value, jsonschema::Validator)>> = LazyLock::new(|| {
     let compile = |kind: Document| {
         let schema = kind.schema();
-        let validator = jsonschema::validator_for(&schema).expect("the schema files are valid");
+        let options = NAMES.iter().fold(jsonschema::options(), |options, name| {
+            options.with_format(*name, |text: &str| names::check(text).is_ok())
+        });
+        let options = options.should_validate_formats(true);
+        let validator = options.build(&schema).expect("the schema files are valid");
         (kind, schema, validator)
     };
     Document::ALL.into_iter().map(compile).collect()
@@ -88,20 +99,5 @@
 pub fn check(kind: Document, value: &Value) -> Vec<Fault> {
     let (_, schema, validator) =
         VALIDATORS.iter().find(|(known, _, _)| *known == kind).expect("every kind is compiled");
-    validator.iter_errors(value).map(|error| describe(schema, &error)).collect()
-}
-
-fn describe(schema: &Value, error: &jsonschema::ValidationError<'_>) -> Fault {
-    let path = error.instance_path().to_string();
-    let parent = error.schema_path().to_string();
-    let description = parent
-        .rsplit_once('/')
-        .and_then(|(parent, _)| schema.pointer(parent))
-        .and_then(|schema| schema["description"].as_str());
-    let remedy = match description {
-        Some(text) => format!("give a value for: {text}"),
-        None => "see the settings reference in docs/operators".into(),
-    };
-    let path = if path.is_empty() { "/".into() } else { path };
-    Fault { path, problem: error.to_string(), remedy }
+    validator.iter_errors(value).flat_map(|error| explain::faults(schema, &error)).collect()
 }
--- /dev/null
+++ b/crates/corianderstand_schema/src/check/explain.rs
@@ -0,0 +1,149 @@
+//! Faults in words: what is wrong with a value, and what may stand there instead.
+
+use crate::check::Fault;
+use jsonschema::{ValidationError, error::ValidationErrorKind as Kind};
+use serde_json::Value;
+
+/// Longest value shown in a message, in characters.
+const MAX_SHOWN: usize = 60;
+
+/// The faults that one error of the validator stands for.
+pub fn faults(schema: &Value, error: &ValidationError<'_>) -> Vec<Fault> {
+    let path = error.instance_path().to_string();
+    let field = field(schema, schema, &tokens(&path));
+    let value = shown(error.instance());
+    let one = |problem: String, remedy: String| {
+        let path = if path.is_empty() { "/".into() } else { path.clone() };
+        vec![Fault { path, problem, remedy }]
+    };
+    match error.kind() {
+        Kind::AdditionalProperties { unexpected } => {
+            unexpected.iter().map(|name| unknown_field(&path, name, field)).collect()
+        }
+        Kind::Required { property } => {
+            let name = property.as_str().unwrap_or_default();
+            let wanted = field.and_then(|field| field["properties"].get(name));
+            one(format!("`{name}` is missing"), format!("add it: {}", about(wanted)))
+        }
+        Kind::Type { .. } => {
+            let wanted = field.map(type_of).unwrap_or_default();
+            one(format!("{value} is no {wanted}"), give(field))
+        }
+        Kind::Minimum { limit } => one(format!("{value} is less than {limit}"), give(field)),
+        Kind::Maximum { limit } => one(format!("{value} is more than {limit}"), give(field)),
+        Kind::MinItems { limit } => one(format!("fewer than {limit} items"), give(field)),
+        Kind::MaxItems { limit } => one(format!("more than {limit} items"), give(field)),
+        Kind::Enum { options } => one(format!("{value} is none of {options}"), give(field)),
+        Kind::Pattern { pattern } => {
+            one(format!("{value} does not have the form {pattern}"), give(field))
+        }
+        Kind::Format { format } => one(
+            format!("{value} cannot be the name of a {format}"),
+            "use 1 to 96 letters, digits, '-', '_' and '.'".into(),
+        ),
+        Kind::OneOfNotValid { context } | Kind::AnyOf { context } => {
+            alternatives(schema, context, &path, &value, field)
+        }
+        _ => one(error.to_string(), give(field)),
+    }
+}
+
+/// Shows the faults of the alternative that comes nearest: the one that is faulty deepest inside.
+fn alternatives(
+    schema: &Value,
+    context: &[Vec<ValidationError<'static>>],
+    path: &str,
+    value: &str,
+    field: Option<&Value>,
+) -> Vec<Fault> {
+    let depth = |errors: &Vec<ValidationError<'static>>| {
+        errors.iter().map(|error| error.instance_path().to_string().len()).max()
+    };
+    let nearest = context.iter().max_by_key(|errors| depth(errors));
+    match nearest {
+        Some(errors) if depth(errors) > Some(path.len()) => {
+            errors.iter().flat_map(|error| faults(schema, error)).collect()
+        }
+        _ => {
+            let path = if path.is_empty() { "/".into() } else { path.to_owned() };
+            let problem = format!("{value} is none of the forms allowed here");
+            vec![Fault { path, problem, remedy: give(field) }]
+        }
+    }
+}
+
+fn unknown_field(path: &str, name: &str, field: Option<&Value>) -> Fault {
+    let known = field.and_then(|field| field["properties"].as_object());
+    let known: Vec<&str> = known.into_iter().flatten().map(|(name, _)| name.as_str()).collect();
+    Fault {
+        path: format!("{path}/{name}"),
+        problem: format!("there is no field `{name}`"),
+        remedy: format!("remove it, or use one of: {}", known.join(", ")),
+    }
+}
+
+fn shown(value: &Value) -> String {
+    let text = value.to_string();
+    if text.chars().count() <= MAX_SHOWN {
+        return text;
+    }
+    let start: String = text.chars().take(MAX_SHOWN).collect();
+    format!("{start}…")
+}
+
+fn about(field: Option<&Value>) -> &str {
+    field.and_then(|field| field["description"].as_str()).unwrap_or("see the settings reference")
+}
+
+/// What a value must be, from its type, unit and range.
+fn give(field: Option<&Value>) -> String {
+    let Some(field) = field else { return "see docs/operators/settings.md".into() };
+    let wanted = type_of(field);
+    let range = match (&field["minimum"], &field["maximum"]) {
+        (Value::Null, _) | (_, Value::Null) => String::new(),
+        (low, high) => format!(" from {low} to {high}"),
+    };
+    format!("give a {wanted}{range}: {}", about(Some(field)))
+}
+
+/// The type of a field in words, with its unit.
+pub fn type_of(field: &Value) -> String {
+    if let Some(options) = field["enum"].as_array() {
+        let options: Vec<String> = options.iter().map(Value::to_string).collect();
+        return options.join(" or ");
+    }
+    match (field["type"].as_str(), field["format"].as_str()) {
+        (Some("integer"), Some("duration-ms")) => "whole number of milliseconds".into(),
+        (Some("integer"), Some("mib")) => "whole number of MiB".into(),
+        (Some("integer"), _) => "whole number".into(),
+        (Some("boolean"), _) => "true or false".into(),
+        (Some(kind), Some("text") | None) => kind.into(),
+        (Some(kind), Some(format)) => format!("{kind}, the name of a {format}"),
+        (None, _) => "value in one of the forms of the settings reference".into(),
+    }
+}
+
+fn tokens(path: &str) -> Vec<String> {
+    path.split('/').skip(1).map(|token| token.replace("~1", "/").replace("~0", "~")).collect()
+}
+
+/// The schema of the value at an instance path, through references and alternatives.
+fn field<'a>(root: &'a Value, schema: &'a Value, path: &[String]) -> Option<&'a Value> {
+    if let Some(reference) = schema["$ref"].as_str() {
+        let target = root.pointer(reference.trim_start_matches('#'))?;
+        return field(root, target, path);
+    }
+    for keyword in ["allOf", "oneOf"] {
+        let parts = schema[keyword].as_array().into_iter().flatten();
+        let inner = parts.filter(|part| part["type"] != "null");
+        if let Some(found) = inner.filter_map(|part| field(root, part, path)).next() {
+            return Some(found);
+        }
+    }
+    let Some((first, rest)) = path.split_first() else { return Some(schema) };
+    let next = match first.parse::<usize>() {
+        Ok(_) if schema["items"].is_object() => &schema["items"],
+        _ => schema["properties"].get(first)?,
+    };
+    field(root, next, rest)
+}
