--- /dev/null
+++ b/tools/capacity/src/main.rs
@@ -0,0 +1,106 @@
+//! Measures what one process costs against the size of the deployment.
+//!
+//! `cargo run --release -p capacity -- [state|nodes|requests] [--repeats N] [--out NAME]`
+//! writes `docs/measurements/NAME.json` and `NAME.svg`. Without a part all are measured.
+
+mod plot;
+mod process;
+mod size;
+mod slope;
+mod state;
+
+use getopts::Options;
+use serde::Serialize;
+use slope::Series;
+use std::{fs, path::Path, process::ExitCode};
+
+/// Folder of results.
+const RESULTS: &str = "docs/measurements";
+/// Sizes measured, in percent of the size to design for.
+const STEPS: [usize; 4] = [10, 25, 50, 100];
+
+/// What is written down.
+#[derive(Serialize)]
+struct Report {
+    repeats: usize,
+    state: Vec<Vec<state::StateCost>>,
+    series: Vec<Series>,
+}
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.optopt("", "repeats", "repeats of each point", "COUNT");
+    options.optopt("", "out", "name of the result files", "NAME");
+    options.optopt("", "one-state", "measure one state, in percent, and print it", "PERCENT");
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("{error}\n{}", options.usage("capacity [state|nodes|requests]"));
+            return ExitCode::from(2);
+        }
+    };
+    if let Some(percent) = matches.opt_str("one-state").and_then(|text| text.parse().ok()) {
+        let cost = state::measure(size::DESIGN.percent(percent));
+        println!("{}", serde_json::to_string(&cost).expect("a cost is plain data"));
+        return ExitCode::SUCCESS;
+    }
+    let repeats = matches.opt_str("repeats").and_then(|text| text.parse().ok()).unwrap_or(3);
+    let name = matches.opt_str("out").unwrap_or_else(|| "capacity".into());
+    let mut report = Report { repeats, state: Vec::new(), series: Vec::new() };
+    let wants = |part: &str| matches.free.is_empty() || matches.free.iter().any(|f| f == part);
+    if wants("state") {
+        measure_state(&mut report);
+    }
+    write(&name, &report);
+    ExitCode::SUCCESS
+}
+
+fn measure_state(report: &mut Report) {
+    for percent in STEPS {
+        report.state.push((0..report.repeats).map(|_| one_state(percent)).collect());
+    }
+    let measures: [(&str, fn(&state::StateCost) -> f64); 9] = [
+        ("checkpoint, bytes", |cost| cost.checkpoint_bytes as f64),
+        ("state resident, KiB", |cost| cost.state_kib as f64),
+        ("view resident, KiB", |cost| cost.view_kib as f64),
+        ("fold of a record, ns", |cost| cost.fold_ns),
+        ("checkpoint written, ms", |cost| cost.checkpoint_ms),
+        ("checkpoint read, ms", |cost| cost.restore_ms),
+        ("a change in force, ms", |cost| cost.change_ms),
+        ("start from nothing, ms", |cost| cost.start_ms),
+        ("clone of the state, us", |cost| cost.clone_us),
+    ];
+    for (name, measure) in measures {
+        let points = STEPS.iter().zip(&report.state);
+        let points = points.map(|(x, costs)| (*x as f64, costs.iter().map(measure).collect()));
+        report.series.push(Series::new(name, "percent of the size", points.collect()));
+    }
+}
+
+/// Measures in a fresh process, so that memory of earlier points does not count.
+fn one_state(percent: usize) -> state::StateCost {
+    let exe = std::env::current_exe().expect("the current program has a path");
+    let mut command = std::process::Command::new(exe);
+    let output = command.args(["--one-state", &percent.to_string()]).output();
+    let output = output.expect("this program can be started again");
+    serde_json::from_slice(&output.stdout).expect("it prints one cost")
+}
+
+fn write(name: &str, report: &Report) {
+    let dir = Path::new(RESULTS);
+    fs::create_dir_all(dir).expect("the folder of results can be written");
+    let json = serde_json::to_string_pretty(report).expect("a report is plain data");
+    fs::write(dir.join(format!("{name}.json")), json + "\n").expect("results can be written");
+    plot::draw(&dir.join(format!("{name}.svg")), &report.series).expect("plots can be written");
+    for series in &report.series {
+        let line = series.line;
+        println!(
+            "{:40} = {:12.3} + {:10.4} x {} (spread {:.0}%)",
+            series.measure,
+            line.intercept,
+            line.slope,
+            series.against,
+            line.spread * 100.0
+        );
+    }
+}
--- /dev/null
+++ b/tools/capacity/src/process.rs
@@ -0,0 +1,31 @@
+//! What the kernel counts for a process.
+
+use std::{fs, path::Path, time::Duration};
+
+/// Resident memory of a process, in KiB.
+///
+/// # Panics
+///
+/// Panics if the process is gone.
+pub fn resident_kib(pid: u32) -> i64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).expect("the process runs");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().nth(1));
+    number.and_then(|number| number.parse().ok()).expect("the kernel tells resident memory")
+}
+
+/// Processor time of all live threads of a process.
+///
+/// # Panics
+///
+/// Panics if the process is gone.
+pub fn cpu(pid: u32) -> Duration {
+    let tasks = fs::read_dir(format!("/proc/{pid}/task")).expect("the process runs");
+    let total: u64 = tasks.flatten().map(|task| running_ns(&task.path())).sum();
+    Duration::from_nanos(total)
+}
+
+fn running_ns(task: &Path) -> u64 {
+    let text = fs::read_to_string(task.join("schedstat")).unwrap_or_default();
+    text.split_whitespace().next().and_then(|ns| ns.parse().ok()).unwrap_or_default()
+}
--- /dev/null
+++ b/tools/capacity/src/size.rs
@@ -0,0 +1,200 @@
+//! A deployment's size, and log records that bring a state of that size about.
+
+use corianderstand_derives::derives;
+use corianderstand_schema::records::{Body, CallKey, Change, Record, TargetRecord};
+use corianderstand_types::{names, units::Mib};
+use serde_json::json;
+use smol_str::{SmolStr, format_smolstr};
+use testbed::plan;
+
+/// Availability zones that targets are spread over.
+const PLACES: usize = 4;
+/// Memory of an engine: eight accelerators.
+const ENGINE_MIB: u64 = 8 * 80_000;
+/// Bytes of an answer that is kept for a call that may not be repeated.
+const OUTCOME_BYTES: usize = 120;
+
+/// How many of each there are.
+#[derives(wire)]
+#[derive(Copy, Eq)]
+pub struct Size {
+    /// Announced targets.
+    pub targets: usize,
+    /// Models.
+    pub models: usize,
+    /// Adapters over all teams.
+    pub adapters: usize,
+    /// Teams.
+    pub teams: usize,
+    /// Slots over all models.
+    pub slots: usize,
+    /// Calls that may not be repeated and are remembered.
+    pub calls: usize,
+    /// Processes that write.
+    pub writers: usize,
+}
+
+/// The size that the users' letter names. Teams, slots and remembered calls are not in it and
+/// are assumptions: 600 teams with 90 adapters each, three slots a model, 10,000 calls.
+pub const DESIGN: Size = Size {
+    targets: 730,
+    models: 350,
+    adapters: 54_000,
+    teams: 600,
+    slots: 1_050,
+    calls: 10_000,
+    writers: 1_070,
+};
+
+impl Size {
+    /// This size in proportion, in percent.
+    pub const fn percent(self, percent: usize) -> Self {
+        Self {
+            targets: self.targets * percent / 100,
+            models: self.models * percent / 100,
+            adapters: self.adapters * percent / 100,
+            teams: self.teams * percent / 100,
+            slots: self.slots * percent / 100,
+            calls: self.calls * percent / 100,
+            writers: self.writers * percent / 100,
+        }
+    }
+}
+
+/// Writes records as one process would.
+struct Writer {
+    records: Vec<Record>,
+}
+
+impl Writer {
+    fn add(&mut self, writer: &str, body: Body) {
+        let sequence = self.records.len() as u64 + 1;
+        let writer = names::WriterId(writer.into());
+        self.records.push(Record { writer, incarnation: 1, sequence, body });
+    }
+
+    fn next_offset(&self) -> u64 {
+        self.records.len() as u64 + 1
+    }
+}
+
+fn model(index: usize) -> names::ModelId {
+    names::ModelId(format_smolstr!("model-{index:03}-7b"))
+}
+
+/// Name of a target.
+pub fn target(index: usize) -> names::TargetId {
+    names::TargetId(format_smolstr!("engine-{index:03}"))
+}
+
+fn settings(path: &str, value: &serde_json::Value) -> Body {
+    let change = Change { path: path.into(), base: 0, value: Some(value.to_string()) };
+    Body::Settings { changes: vec![change], author: "capacity".into() }
+}
+
+/// All records, in order from offset 1; `address` gives the address of a target's agent.
+pub fn records(size: Size, address: impl Fn(usize) -> SmolStr) -> Vec<Record> {
+    let mut writer = Writer { records: Vec::new() };
+    add_documents(&mut writer, size);
+    let announced = add_targets(&mut writer, size, address);
+    add_slots(&mut writer, size, &announced);
+    add_calls(&mut writer, size);
+    writer.records
+}
+
+fn add_documents(writer: &mut Writer, size: Size) {
+    writer.add("operator", settings("system/deployment", &json!({ "lease_ttl_ms": 3000 })));
+    for i in 0..size.models {
+        let doc = json!({ "memory_mib": 16_000, "versions": ["1", "2"], "load_ms": 20_000,
+            "adapter_memory_mib": 200 });
+        writer.add("operator", settings(&format!("shared/models/{}", model(i).0), &doc));
+    }
+    for team in 0..size.teams {
+        let key = plan::hash(&format!("key-{team}"));
+        let doc = json!({ "key_hashes": [key], "default_urgency": "normal", "share": 10 });
+        writer.add("operator", settings(&format!("teams/team-{team:04}/team"), &doc));
+        add_team_model(writer, size, team);
+    }
+}
+
+/// Each team calls one model with its share of the adapters.
+fn add_team_model(writer: &mut Writer, size: Size, team: usize) {
+    if size.models == 0 {
+        return;
+    }
+    let count = size.adapters / size.teams;
+    let adapters: Vec<_> =
+        (0..count).map(|i| json!({ "name": format!("site-{i:03}"), "version": "1" })).collect();
+    let doc = json!({ "replicas": 1, "adapters": adapters });
+    let path = format!("teams/team-{team:04}/models/{}", model(team % size.models).0);
+    writer.add("operator", settings(&path, &doc));
+}
+
+fn add_targets(
+    writer: &mut Writer,
+    size: Size,
+    address: impl Fn(usize) -> SmolStr,
+) -> Vec<(names::TargetId, u64)> {
+    let mut announced = Vec::new();
+    for i in 0..size.targets {
+        let name = target(i);
+        let record = TargetRecord {
+            target: name.clone(),
+            host: names::HostId(format_smolstr!("host-{i:03}")),
+            place: names::PlaceId(format_smolstr!("place-{}", i % PLACES)),
+            address: address(i),
+            memory_mib: Mib(ENGINE_MIB),
+            accelerators: 8,
+            service: None,
+        };
+        announced.push((name.clone(), writer.next_offset()));
+        writer.add(name.0.as_str(), Body::TargetUp { target: record });
+    }
+    for i in size.targets..size.writers {
+        let holder = format!("router-{i:04}");
+        writer.add(&holder, Body::LeaseReleased { epoch: 0 });
+    }
+    announced
+}
+
+fn add_slots(writer: &mut Writer, size: Size, announced: &[(names::TargetId, u64)]) {
+    if announced.is_empty() || size.models == 0 {
+        return;
+    }
+    writer.add("planner", Body::LeaseTaken { epoch: 1, ttl_ms: 3000 });
+    for slot in 0..size.slots {
+        let (target, target_offset) = announced[slot * 7 % announced.len()].clone();
+        let (model, index) = (model(slot % size.models), (slot / size.models) as u32);
+        let body = Body::SlotAssigned { epoch: 1, model, index, target, target_offset };
+        writer.add("planner", body);
+    }
+    writer.add("planner", Body::LeaseReleased { epoch: 1 });
+}
+
+fn add_calls(writer: &mut Writer, size: Size) {
+    for i in 0..size.calls {
+        let agent = format!("service-{}", i % 20);
+        let claim = writer.next_offset();
+        writer.add(&agent, claimed(i));
+        writer.add(&agent, ended(i, claim));
+    }
+}
+
+fn key(index: usize) -> CallKey {
+    CallKey {
+        team: names::TeamId("team-0001".into()),
+        service: names::ServiceId("agenda".into()),
+        key: format_smolstr!("0f6c1f3a-92a4-4ac8-9d2f-{index:012}"),
+    }
+}
+
+/// The claim of a call.
+pub fn claimed(index: usize) -> Body {
+    let target = names::TargetId("service-1".into());
+    Body::Claimed { key: key(index), digest: index as u64, target }
+}
+
+/// The outcome of a call.
+pub fn ended(index: usize, claim: u64) -> Body {
+    Body::CallEnded { key: key(index), claim, status: 200, body: vec![b'x'; OUTCOME_BYTES] }
+}
--- /dev/null
+++ b/tools/capacity/src/state.rs
@@ -0,0 +1,143 @@
+//! What the agreed state costs one process, measured without sockets.
+//!
+//! Each point runs in a process of its own, so that resident memory is that of one state.
+
+use crate::{process, size};
+use corianderstand_derives::derives;
+use corianderstand_edge::log::Entry;
+use corianderstand_schema::records::Record;
+use corianderstand_state::{fold::State, view::View};
+use std::time::Instant;
+
+/// Clones of the state that are timed together.
+const CLONES: u32 = 1000;
+/// Changes of one document that are timed together.
+const CHANGES: usize = 20;
+
+/// Cost of one state.
+#[derives(wire)]
+pub struct StateCost {
+    /// Its size.
+    pub size: size::Size,
+    /// Records folded.
+    pub records: usize,
+    /// Bytes of all records as the log holds them.
+    pub record_bytes: usize,
+    /// Bytes of the serialised state: a checkpoint's size.
+    pub checkpoint_bytes: usize,
+    /// Resident memory of the folded state, in KiB.
+    pub state_kib: i64,
+    /// Resident memory of the parsed settings, in KiB.
+    pub view_kib: i64,
+    /// Time of one fold, in nanoseconds.
+    pub fold_ns: f64,
+    /// Time to write the state down, in milliseconds.
+    pub checkpoint_ms: f64,
+    /// Time to read the state back, in milliseconds.
+    pub restore_ms: f64,
+    /// Time to parse all settings, in milliseconds.
+    pub view_ms: f64,
+    /// Time from a change of one document to the parsed settings in force, in milliseconds.
+    pub change_ms: f64,
+    /// Time from pages of the log, as JSON, to a state and parsed settings, in milliseconds.
+    pub start_ms: f64,
+    /// Time of one clone of the state, in microseconds.
+    pub clone_us: f64,
+}
+
+fn timed<T>(run: impl FnOnce() -> T) -> (T, f64) {
+    let began = Instant::now();
+    let value = run();
+    (value, began.elapsed().as_secs_f64())
+}
+
+fn fold(records: &[Record]) -> State {
+    let mut state = State { next: 1, ..State::default() };
+    for (offset, record) in (1..).zip(records) {
+        state.apply(offset, offset, record);
+    }
+    state
+}
+
+fn entries(records: &[Record]) -> Vec<Entry> {
+    let entry = |(offset, record)| {
+        let data = postcard::to_stdvec(record).expect("records are plain data");
+        Entry { offset, at_ms: offset, data }
+    };
+    (1..).zip(records).map(entry).collect()
+}
+
+/// A start from nothing: what a process does with the pages that the log gives it.
+fn start(json: &[u8]) -> (State, View) {
+    let entries: Vec<Entry> = serde_json::from_slice(json).expect("written by this program");
+    let mut state = State { next: 1, ..State::default() };
+    for entry in &entries {
+        let record = postcard::from_bytes(&entry.data).expect("written by this program");
+        state.apply(entry.offset, entry.at_ms, &record);
+    }
+    let view = View::new(&state.documents);
+    (state, view)
+}
+
+/// Measures a state of one size in this process.
+///
+/// # Panics
+///
+/// Panics if `/proc` cannot be read.
+pub fn measure(size: size::Size) -> StateCost {
+    let records = size::records(size, |i| format!("10.0.0.1:{}", 1000 + i).into());
+    let before = process::resident_kib(std::process::id());
+    let (state, folded) = timed(|| fold(&records));
+    let after_state = process::resident_kib(std::process::id());
+    let (view, view_s) = timed(|| View::new(&state.documents));
+    let after_view = process::resident_kib(std::process::id());
+    let ((), clones) = timed(|| (0..CLONES).for_each(|_| drop(state.clone())));
+    let (bytes, checkpoint) =
+        timed(|| postcard::to_stdvec(&state).expect("the state is plain data"));
+    let (restored, restore) = timed(|| postcard::from_bytes::<State>(&bytes));
+    drop(restored);
+    let change_s = time_changes(&state, &view);
+    let entries = entries(&records);
+    let record_bytes = entries.iter().map(|entry| entry.data.len()).sum();
+    let json = serde_json::to_vec(&entries).expect("entries are plain data");
+    let (started, start_s) = timed(|| start(&json));
+    drop(started);
+    StateCost {
+        size,
+        records: records.len(),
+        record_bytes,
+        checkpoint_bytes: bytes.len(),
+        state_kib: after_state - before,
+        view_kib: after_view - after_state,
+        fold_ns: folded * 1e9 / records.len().max(1) as f64,
+        checkpoint_ms: checkpoint * 1e3,
+        restore_ms: restore * 1e3,
+        view_ms: view_s * 1e3,
+        change_ms: change_s * 1e3,
+        start_ms: start_s * 1e3,
+        clone_us: clones * 1e6 / f64::from(CLONES),
+    }
+}
+
+/// Time of one change of settings, as the follower takes it.
+fn time_changes(state: &State, view: &View) -> f64 {
+    let mut state = state.clone();
+    let mut view = view.clone();
+    let path = "teams/team-0000/team";
+    let mut seconds = 0.0;
+    for i in 0..CHANGES {
+        let base = state.documents.version_of(path);
+        let text = format!("{{\"key_hashes\":[],\"default_urgency\":\"low\",\"share\":{i}}}");
+        let value = Some(text);
+        let change = corianderstand_schema::records::Change { path: path.into(), base, value };
+        let offset = state.next;
+        state.next += 1;
+        let done = state.documents.change(offset, &[change], "capacity");
+        done.expect("the change names the version in force");
+        let (next, took) = timed(|| View::new(&state.documents));
+        view = next;
+        seconds += took;
+    }
+    drop(view);
+    seconds / CHANGES as f64
+}
