--- a/tools/capacity/src/main.rs
+++ b/tools/capacity/src/main.rs
@@ -1,8 +1,11 @@
 //! Measures what one process costs against the size of the deployment.
 //!
-//! `cargo run --release -p capacity -- [state|nodes|requests] [--repeats N] [--out NAME]`
+//! `cargo run --release -p capacity -- [state|router|agent|relay] [--repeats N] [--out NAME]`
 //! writes `docs/measurements/NAME.json` and `NAME.svg`. Without a part all are measured.
 
+mod emulate;
+mod forward;
+mod node;
 mod plot;
 mod process;
 mod size;
@@ -12,7 +15,7 @@
 use getopts::Options;
 use serde::Serialize;
 use slope::Series;
-use std::{fs, path::Path, process::ExitCode};
+use std::{fs, path::Path, process::ExitCode, time::Duration};
 
 /// Folder of results.
 const RESULTS: &str = "docs/measurements";
@@ -20,10 +23,13 @@
 const STEPS: [usize; 4] = [10, 25, 50, 100];
 
 /// What is written down.
-#[derive(Serialize)]
+#[derive(Default, Serialize)]
 struct Report {
     repeats: usize,
     state: Vec<Vec<state::StateCost>>,
+    routers: Vec<Vec<node::NodeCost>>,
+    agents: Vec<Vec<node::NodeCost>>,
+    relays: Vec<Vec<node::NodeCost>>,
     series: Vec<Series>,
 }
 
@@ -35,7 +41,7 @@
     let matches = match options.parse(std::env::args().skip(1)) {
         Ok(matches) => matches,
         Err(error) => {
-            eprintln!("{error}\n{}", options.usage("capacity [state|nodes|requests]"));
+            eprintln!("{error}\n{}", options.usage("capacity [state|router|agent|relay]"));
             return ExitCode::from(2);
         }
     };
@@ -46,11 +52,22 @@
     }
     let repeats = matches.opt_str("repeats").and_then(|text| text.parse().ok()).unwrap_or(3);
     let name = matches.opt_str("out").unwrap_or_else(|| "capacity".into());
-    let mut report = Report { repeats, state: Vec::new(), series: Vec::new() };
+    let mut report = Report { repeats, ..Report::default() };
     let wants = |part: &str| matches.free.is_empty() || matches.free.iter().any(|f| f == part);
     if wants("state") {
         measure_state(&mut report);
     }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("the system gives a runtime");
+    if wants("router") {
+        runtime.block_on(measure_routers(&mut report));
+    }
+    if wants("agent") {
+        runtime.block_on(measure_agents(&mut report));
+    }
+    if wants("relay") {
+        runtime.block_on(measure_relays(&mut report));
+    }
     write(&name, &report);
     ExitCode::SUCCESS
 }
@@ -77,6 +94,75 @@
     }
 }
 
+/// Routers that keep a connection to one agent, as steps.
+const ROUTERS: [usize; 4] = [0, 85, 170, 340];
+/// Heartbeat of an emulated router.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Followers that read from one relay, as steps.
+const FOLLOWERS: [usize; 4] = [0, 8, 16, 32];
+
+async fn measure_routers(report: &mut Report) {
+    for percent in STEPS {
+        let mut costs = Vec::new();
+        for _ in 0..report.repeats {
+            costs.push(node::router(percent).await);
+        }
+        report.routers.push(costs);
+    }
+    let costs = report.routers.clone();
+    report.add_nodes("router", "percent of the size", &STEPS, &costs);
+}
+
+async fn measure_agents(report: &mut Report) {
+    for routers in ROUTERS {
+        let mut costs = Vec::new();
+        for _ in 0..report.repeats {
+            costs.push(node::agent(100, routers, HEARTBEAT).await);
+        }
+        report.agents.push(costs);
+    }
+    let costs = report.agents.clone();
+    report.add_nodes("agent", "connections", &ROUTERS, &costs);
+}
+
+async fn measure_relays(report: &mut Report) {
+    for followers in FOLLOWERS {
+        let mut costs = Vec::new();
+        for _ in 0..report.repeats {
+            costs.push(node::relay(followers).await);
+        }
+        report.relays.push(costs);
+    }
+    let costs = report.relays.clone();
+    report.add_nodes("relay", "followers", &FOLLOWERS, &costs);
+}
+
+impl Report {
+    fn add_nodes(
+        &mut self,
+        role: &str,
+        against: &str,
+        sizes: &[usize],
+        costs: &[Vec<node::NodeCost>],
+    ) {
+        let measures: [(&str, fn(&node::NodeCost) -> f64); 7] = [
+            ("all control, bytes/s", node::NodeCost::bytes),
+            ("log, bytes/s", |cost| cost.log_bytes),
+            ("host list, bytes/s", |cost| cost.hosts_bytes),
+            ("link, bytes/s", |cost| cost.link_bytes),
+            ("processor, % of a core", |cost| cost.cpu_percent),
+            ("resident, KiB", |cost| cost.resident_kib),
+            ("ready after, ms", |cost| cost.start_ms),
+        ];
+        for (name, measure) in measures {
+            let points = sizes.iter().zip(costs);
+            let points = points.map(|(x, costs)| (*x as f64, costs.iter().map(measure).collect()));
+            let name = format!("{role}: {name}");
+            self.series.push(Series::new(&name, against, points.collect()));
+        }
+    }
+}
+
 /// Measures in a fresh process, so that memory of earlier points does not count.
 fn one_state(percent: usize) -> state::StateCost {
     let exe = std::env::current_exe().expect("the current program has a path");
--- /dev/null
+++ b/tools/capacity/src/node.rs
@@ -0,0 +1,288 @@
+//! One process under measure, with the platform's stand-ins and its peers emulated.
+
+use crate::{emulate, forward, process, size};
+use corianderstand_derives::derives;
+use corianderstand_edge::{
+    hosts::{HostEntry, HostState},
+    log::{HttpLog, LogService},
+};
+use corianderstand_schema::records::Record;
+use corianderstand_types::names;
+use serde_json::{Value, json};
+use smol_str::format_smolstr;
+use std::{
+    fs,
+    path::PathBuf,
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+use testbed::{
+    plan::{AUTH_KEY, OPERATOR_KEY, hash},
+    process::{PATIENCE, Process, free_addresses},
+};
+use tokio::time;
+
+/// Records in one append while the state is built up.
+const PACK: usize = 256;
+/// Time over which a steady state is measured.
+pub const WINDOW: Duration = Duration::from_secs(6);
+/// How long nothing may change before a state counts as steady.
+const STEADY: Duration = Duration::from_secs(2);
+/// Longest wait of one read of the log.
+pub const POLL: Duration = Duration::from_secs(1);
+
+/// What a process spends in a steady state.
+#[derives(wire)]
+#[derive(Copy, Default)]
+pub struct NodeCost {
+    /// Bytes a second to and from the log.
+    pub log_bytes: f64,
+    /// Bytes a second to and from the host list.
+    pub hosts_bytes: f64,
+    /// Bytes a second to and from agents or routers.
+    pub link_bytes: f64,
+    /// Connections to agents or from routers.
+    pub connections: f64,
+    /// Processor time, in percent of a core.
+    pub cpu_percent: f64,
+    /// Resident memory, in KiB.
+    pub resident_kib: f64,
+    /// Time from its start until it was ready, in milliseconds.
+    pub start_ms: f64,
+}
+
+impl NodeCost {
+    /// All bytes a second.
+    pub fn bytes(&self) -> f64 {
+        self.log_bytes + self.hosts_bytes + self.link_bytes
+    }
+}
+
+/// The log and the host list, each behind a counting forwarder.
+pub struct Platform {
+    dir: PathBuf,
+    http: reqwest::Client,
+    log: HttpLog,
+    hosts: String,
+    log_count: Arc<forward::Count>,
+    hosts_count: Arc<forward::Count>,
+    log_url: String,
+    hosts_url: String,
+    processes: Vec<Process>,
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        self.processes.clear();
+        drop(fs::remove_dir_all(&self.dir));
+    }
+}
+
+impl Platform {
+    /// Starts both and waits until they answer.
+    ///
+    /// # Panics
+    ///
+    /// Panics if they do not within the limit.
+    pub async fn start() -> Self {
+        let dir = std::env::temp_dir().join(format!("capacity-{}", std::process::id()));
+        fs::create_dir_all(&dir).expect("the temporary folder can be written");
+        let addresses = free_addresses(2);
+        let start = |kind: &str, address: &str| {
+            let args = [kind, "--listen", address].map(str::to_owned);
+            Process::start(kind, "corianderstand-standins", &args, &dir)
+        };
+        let processes = vec![start("log", &addresses[0]), start("hosts", &addresses[1])];
+        let (log_count, hosts_count) = (Arc::default(), Arc::default());
+        let log_near = forward::start(addresses[0].clone(), Arc::clone(&log_count)).await;
+        let hosts_near = forward::start(addresses[1].clone(), Arc::clone(&hosts_count)).await;
+        let platform = Self {
+            dir,
+            http: reqwest::Client::builder().no_proxy().build().expect("a plain client"),
+            log: HttpLog::new(&format!("http://{}", addresses[0]), POLL),
+            hosts: format!("http://{}/hosts", addresses[1]),
+            log_count,
+            hosts_count,
+            log_url: format!("http://{log_near}"),
+            hosts_url: format!("http://{hosts_near}"),
+            processes,
+        };
+        platform.wait_for(&format!("http://{}/counters", addresses[0])).await;
+        platform.wait_for(&platform.hosts).await;
+        platform
+    }
+
+    /// Waits until a URL answers with success.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not within the limit.
+    pub async fn wait_for(&self, url: &str) {
+        let began = Instant::now();
+        while !self.http.get(url).send().await.is_ok_and(|a| a.status().is_success()) {
+            assert!(began.elapsed() < PATIENCE, "{url} does not answer");
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Appends records to the log.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the log does not take them.
+    pub async fn append(&self, records: &[Record]) {
+        for pack in records.chunks(PACK) {
+            let data = pack.iter().map(|r| postcard::to_stdvec(r).expect("plain data"));
+            self.log.append(data.collect()).await.expect("the log takes records");
+        }
+    }
+
+    /// Lists so many hosts.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the host list does not take them.
+    pub async fn list_hosts(&self, count: usize) {
+        let entry = |i: usize| HostEntry {
+            host: names::HostId(format_smolstr!("host-{i:03}")),
+            place: names::PlaceId(format_smolstr!("place-{}", i % 4)),
+            state: HostState::Live,
+        };
+        let hosts: Vec<HostEntry> = (0..count).map(entry).collect();
+        let put = self.http.put(&self.hosts).json(&hosts).send().await;
+        put.expect("the host list answers");
+    }
+
+    fn common(&self, name: &str, listen: &str) -> Value {
+        json!({
+            "name": name,
+            "host": "host-000",
+            "place": "place-0",
+            "listen": listen,
+            "log_url": self.log_url,
+            "host_list_url": self.hosts_url,
+            "timing": { "log_poll_ms": POLL.as_millis() as u64 },
+        })
+    }
+
+    fn run(&self, name: &str, role: &str, settings: &Value) -> Process {
+        let path = self.dir.join(format!("{name}.json"));
+        fs::write(&path, settings.to_string()).expect("the temporary folder can be written");
+        let args = [role.to_owned(), path.display().to_string()];
+        Process::start(name, "corianderstand", &args, &self.dir)
+    }
+
+    /// Starts a router and waits until it is ready; the process, its address, and how long it
+    /// took.
+    pub async fn router(&self, name: &str) -> (Process, String, Duration) {
+        let listen = free_addresses(1).remove(0);
+        let mut settings = self.common(name, &listen);
+        settings["auth_key"] = json!(AUTH_KEY);
+        settings["operator_key_hash"] = json!(hash(OPERATOR_KEY));
+        let began = Instant::now();
+        let process = self.run(name, "router", &settings);
+        self.wait_for(&format!("http://{listen}/readyz")).await;
+        (process, listen, began.elapsed())
+    }
+
+    /// Starts an agent of an engine at `engine`; the process and its address.
+    pub async fn agent(&self, name: &str, engine: &str) -> (Process, String) {
+        let listen = free_addresses(1).remove(0);
+        let mut settings = self.common(name, &listen);
+        let kind = json!({ "engine": { "memory_mib": 640_000, "checks_fencing": false } });
+        settings["target"] = json!({ "url": engine, "kind": kind });
+        let process = self.run(name, "agent", &settings);
+        (process, listen)
+    }
+
+    /// Starts an engine stand-in; the process and its URL.
+    pub async fn engine(&self, options: &[&str]) -> (Process, String) {
+        let listen = free_addresses(1).remove(0);
+        let mut args = vec!["engine".to_owned(), "--listen".into(), listen.clone()];
+        args.extend(options.iter().map(|option| (*option).to_owned()));
+        let process = Process::start("engine", "corianderstand-standins", &args, &self.dir);
+        self.wait_for(&format!("http://{listen}/loaded")).await;
+        (process, format!("http://{listen}"))
+    }
+
+    /// What a process spends over the window.
+    pub async fn measure(&self, process: &Process, link: &forward::Count) -> NodeCost {
+        let pid = process.pid();
+        let before = (self.log_count.total(), self.hosts_count.total(), link.total());
+        let (cpu, began) = (process::cpu(pid), Instant::now());
+        time::sleep(WINDOW).await;
+        let seconds = began.elapsed().as_secs_f64();
+        let rate = |now: u64, then: u64| (now - then) as f64 / seconds;
+        NodeCost {
+            log_bytes: rate(self.log_count.total(), before.0),
+            hosts_bytes: rate(self.hosts_count.total(), before.1),
+            link_bytes: rate(link.total(), before.2),
+            cpu_percent: (process::cpu(pid) - cpu).as_secs_f64() / seconds * 100.0,
+            resident_kib: process::resident_kib(pid) as f64,
+            ..NodeCost::default()
+        }
+    }
+}
+
+/// Waits until a number has not changed for a while.
+async fn steady(read: impl Fn() -> usize) {
+    let (mut last, mut since) = (read(), Instant::now());
+    while since.elapsed() < STEADY {
+        time::sleep(Duration::from_millis(50)).await;
+        let now = read();
+        if now != last {
+            (last, since) = (now, Instant::now());
+        }
+    }
+}
+
+/// A router at a part of the size, in percent: its state, and as many emulated agents.
+pub async fn router(percent: usize) -> NodeCost {
+    let size = size::DESIGN.percent(percent);
+    let platform = Platform::start().await;
+    let agents = emulate::Agents::start(size.targets).await;
+    platform.append(&size::records(size, |i| agents.addresses[i].clone())).await;
+    platform.list_hosts(size.writers).await;
+    let (process, _, took) = platform.router("router-0").await;
+    let connected = agents.connected.clone();
+    steady(|| connected.load(Ordering::Relaxed)).await;
+    let cost = platform.measure(&process, &agents.count).await;
+    let connections = connected.load(Ordering::Relaxed) as f64;
+    NodeCost { connections, start_ms: took.as_secs_f64() * 1e3, ..cost }
+}
+
+/// An agent at a part of the size, with connections from `routers` emulated routers.
+pub async fn agent(percent: usize, routers: usize, heartbeat: Duration) -> NodeCost {
+    let size = size::DESIGN.percent(percent);
+    let platform = Platform::start().await;
+    platform.append(&size::records(size, |_| "127.0.0.1:9".into())).await;
+    platform.list_hosts(size.writers).await;
+    let (_engine, url) = platform.engine(&[]).await;
+    let (process, listen) = platform.agent("engine-000", &url).await;
+    let began = Instant::now();
+    while tokio::net::TcpStream::connect(&listen).await.is_err() && began.elapsed() < PATIENCE {
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    let count = Arc::default();
+    emulate::routers(&listen, routers, heartbeat, &count);
+    steady(|| 0).await;
+    let cost = platform.measure(&process, &count).await;
+    NodeCost { connections: routers as f64, ..cost }
+}
+
+/// The lease holder as a relay of the log to so many emulated followers, at full size.
+pub async fn relay(followers: usize) -> NodeCost {
+    let size = size::DESIGN;
+    let platform = Platform::start().await;
+    let records = size::records(size, |_| "127.0.0.1:9".into());
+    platform.append(&records).await;
+    platform.list_hosts(size.writers).await;
+    let (process, listen, _) = platform.router("router-0").await;
+    let count: Arc<forward::Count> = Arc::default();
+    let near = forward::start(listen, count.clone()).await;
+    let base = format!("http://{near}/internal");
+    emulate::followers(&base, followers, records.len() as u64 + 1, POLL);
+    steady(|| 0).await;
+    let cost = platform.measure(&process, &count).await;
+    NodeCost { connections: followers as f64, ..cost }
+}
