--- a/crates/corianderstand_agent/src/accept.rs
+++ b/crates/corianderstand_agent/src/accept.rs
@@ -1,6 +1,9 @@
 //! Connections from routers.
 
-use crate::event::{ConnectionId, Event, Request, StreamEnd};
+use crate::{
+    event::{ConnectionId, Event, Request, StreamEnd},
+    shape,
+};
 use bytes::Bytes;
 use corianderstand_decide::work::{Need, Work};
 use corianderstand_link::{
@@ -148,7 +151,7 @@
         let stream = open.stream;
         let end = StreamEnd { connection: self.id, stream, out: self.out.clone(), credit: rx };
         self.credits.insert(stream, credit);
-        let work = work(&open, self.shared.clock.now());
+        let work = work(&open, &body, self.shared.clock.now());
         let deadline = work.deadline;
         let request = Request { open, body, end, deadline };
         self.tell(Event::Submit(Box::new((work, request))))
@@ -168,7 +171,7 @@
     }
 }
 
-fn work(open: &OpenStream, now: std::time::Instant) -> Work {
+fn work(open: &OpenStream, body: &[u8], now: std::time::Instant) -> Work {
     let need = match &open.operation {
         Operation::Completion { model, version, adapter }
         | Operation::Chat { model, version, adapter } => {
@@ -188,5 +191,6 @@
         urgency: open.urgency,
         deadline: now + Duration::from_millis(open.deadline_ms),
         repeatable: true,
+        shape: shape::of(&open.operation, body),
     }
 }
--- a/crates/corianderstand_agent/src/calls.rs
+++ b/crates/corianderstand_agent/src/calls.rs
@@ -1,7 +1,6 @@
 //! Calls to a plain service; those that may not be repeated run only under a claim in the log.
 
 use crate::{
-    claim::{self, Next},
     event::Request,
     run::{Finish, Runner, Target, failed},
 };
@@ -17,6 +16,7 @@
 };
 use corianderstand_state::{
     calls::{self, Known},
+    claim::{self, Next},
     fold::Outcome,
 };
 use smol_str::SmolStr;
--- a/crates/corianderstand_agent/src/event.rs
+++ b/crates/corianderstand_agent/src/event.rs
@@ -4,7 +4,7 @@
 use corianderstand_decide::work::{RequestKey, Work};
 use corianderstand_schema::messages::{OpenStream, ToRouter};
 use corianderstand_types::{units::Mib, weights::Weights};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::sync::{mpsc, watch};
 
 /// Identity of a connection within this process.
@@ -62,8 +62,6 @@
     Ended {
         /// Which.
         key: RequestKey,
-        /// How long it ran.
-        took: Duration,
     },
     /// An order to load was answered; `None` if its outcome is unknown.
     Loaded(Weights, Option<bool>),
--- a/crates/corianderstand_agent/src/lib.rs
+++ b/crates/corianderstand_agent/src/lib.rs
@@ -17,10 +17,10 @@
 
 mod accept;
 mod calls;
-pub mod claim;
 mod decide;
 mod event;
 mod run;
+mod shape;
 mod sizes;
 mod start;
 
--- a/crates/corianderstand_agent/src/run.rs
+++ b/crates/corianderstand_agent/src/run.rs
@@ -126,7 +126,7 @@
             finish = ?finish,
             "hop agent"
         );
-        self.tell(Event::Ended { key, took });
+        self.tell(Event::Ended { key });
         let (stream, load) = (request.end.stream, self.load.borrow().clone());
         let message = match finish {
             Finish::Ended(ending, position) => ToRouter::End { stream, position, ending, load },
--- a/crates/corianderstand_router/src/once.rs
+++ b/crates/corianderstand_router/src/once.rs
@@ -18,7 +18,7 @@
 };
 use corianderstand_state::{
     calls::{self, Known},
-    fold::{Outcome, Void},
+    claim::{self, Verdict},
 };
 use smol_str::SmolStr;
 use std::{
@@ -44,26 +44,6 @@
     pub body: Option<Bytes>,
 }
 
-/// What a decided void lets a router say.
-#[derives(key)]
-pub enum Verdict {
-    /// Nobody claimed the key before, and nobody can any more.
-    NotRun,
-    /// Another record came first: what it says is in the log.
-    Read,
-    /// Nothing is settled.
-    Unknown,
-}
-
-/// Reads the outcome of a void.
-pub const fn verdict(outcome: &Outcome) -> Verdict {
-    match outcome {
-        Outcome::Applied => Verdict::NotRun,
-        Outcome::Void(Void::Call) => Verdict::Read,
-        Outcome::Repeated | Outcome::Void(_) => Verdict::Unknown,
-    }
-}
-
 /// One call under its key.
 pub struct Once<'a> {
     /// The log.
@@ -131,7 +111,7 @@
         let left = self.deadline.saturating_duration_since(Instant::now());
         let body = Body::CallVoided { key: self.key.clone() };
         let decided = self.control.appender.append(body, left).await;
-        match decided.map(|decided| verdict(&decided.outcome)) {
+        match decided.map(|decided| claim::verdict(&decided.outcome)) {
             Ok(Verdict::NotRun) => Err(Problem::NotRun("no answer came in time".into())),
             Ok(Verdict::Read) => self.wait().await,
             Ok(Verdict::Unknown) | Err(_) => Err(unknown("no answer by the deadline")),
--- a/crates/corianderstand_agent/src/claim.rs
+++ b/crates/corianderstand_state/src/claim.rs
@@ -1,4 +1,4 @@
-//! What an agent does once the log has decided its claim.
+//! What follows once the log has decided a claim or a void.
 //!
 //! The log gives a key to at most one claim, for ever. The agent that holds the claim runs the
 //! call once, or withdraws: it records that the call did not and will not run. It runs the call
@@ -8,8 +8,8 @@
 //! A claim is never run by another process or a later start: nobody can know how far its writer
 //! came. Such a claim stays without an outcome, and repeats are told "unknown".
 
+use crate::fold::{Outcome, Void};
 use corianderstand_derives::derives;
-use corianderstand_state::fold::{Outcome, Void};
 
 /// What to do about a decided claim.
 #[derives(key)]
@@ -37,3 +37,23 @@
         Outcome::Repeated | Outcome::Void(_) => Next::Read,
     }
 }
+
+/// What a decided void lets a router say.
+#[derives(key)]
+pub enum Verdict {
+    /// Nobody claimed the key before, and nobody can any more.
+    NotRun,
+    /// Another record came first: what it says is in the log.
+    Read,
+    /// Nothing is settled.
+    Unknown,
+}
+
+/// Decides about a void whose record had `outcome`.
+pub const fn verdict(outcome: &Outcome) -> Verdict {
+    match outcome {
+        Outcome::Applied => Verdict::NotRun,
+        Outcome::Void(Void::Call) => Verdict::Read,
+        Outcome::Repeated | Outcome::Void(_) => Verdict::Unknown,
+    }
+}
--- a/crates/corianderstand_state/src/lib.rs
+++ b/crates/corianderstand_state/src/lib.rs
@@ -19,6 +19,7 @@
 //! ```
 
 pub mod calls;
+pub mod claim;
 pub mod documents;
 pub mod fold;
 pub mod lease;
--- a/tools/testbed/src/lib.rs
+++ b/tools/testbed/src/lib.rs
@@ -6,9 +6,11 @@
 //! state, with a generous limit, never for a fixed time.
 
 pub mod booking;
+pub mod caller;
 pub mod deployment;
 pub mod plan;
 pub mod process;
+pub mod script;
 
 pub use deployment::Deployment;
 pub use plan::Plan;
