Streams are taken up where they were lost; silence is noticed

Cause: a stream whose connection, agent or engine was lost ended with an error though engines can resume; the limit on silence never ran out, because the reader's timer began anew with each heartbeat that was sent beside it; calls queued on a connection that broke, or whose target was withdrawn, waited until their deadline; a slow reader's answer was cut 50 ms after its target was done in a planned stop.

Ruled out: a tail kept by the agent (docs/design/0005).

--- a/crates/corianderstand_agent/src/decide.rs
+++ b/crates/corianderstand_agent/src/decide.rs
@@ -17,7 +17,11 @@
 };
 use std::{
     collections::{BTreeSet, HashMap},
-    sync::mpsc::{Receiver, RecvTimeoutError},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+        mpsc::{Receiver, RecvTimeoutError},
+    },
     time::Duration,
 };
 use tokio::sync::{mpsc, watch};
@@ -42,6 +46,8 @@
     pub load: watch::Sender<Load>,
     /// Whether nothing is held, for a planned stop.
     pub idle: watch::Sender<bool>,
+    /// Requests held, for who ends the process before they are done.
+    pub held: Arc<AtomicUsize>,
     /// Requests waiting or running.
     pub requests: HashMap<RequestKey, Request>,
     /// Their keys by stream.
@@ -65,6 +71,7 @@
             }
             self.load.send_replace(self.agent.load());
             self.idle.send_replace(self.agent.is_idle());
+            self.held.store(self.requests.len(), Ordering::Relaxed);
         }
     }
 
--- a/crates/corianderstand_agent/src/run.rs
+++ b/crates/corianderstand_agent/src/run.rs
@@ -15,11 +15,15 @@
 use corianderstand_schema::messages::{Ending, Load, Operation, RefusalReason, ToRouter};
 use corianderstand_types::{clock::SharedClock, names::TargetId, units::Mib, weights::Weights};
 use futures::StreamExt;
+use smol_str::{SmolStr, format_smolstr};
 use std::{
     sync::{Arc, atomic::AtomicUsize, mpsc::SyncSender},
     time::Duration,
 };
-use tokio::sync::{mpsc, watch};
+use tokio::{
+    sync::{mpsc, watch},
+    time,
+};
 
 /// The target, as far as this process speaks to it.
 #[derive(Clone)]
@@ -150,17 +154,26 @@
         let Some(generate) = generate_of(request, trace) else {
             return (failed("the request names no model"), position);
         };
-        let ending = match engine.generate(generate).await {
-            Ok(stream) => pump(stream, &request.end, &mut position).await,
-            Err(error) => Some(failed(&error.to_string())),
+        let id = generate.request.clone();
+        let begun = tokio::select! {
+            begun = engine.generate(generate) => Some(begun),
+            () = closed(request.end.credit.clone()) => None,
         };
-        let Some(ending) = ending else {
-            // Nobody waits any more: the engine's work and memory are given back at once.
-            if let Err(error) = engine.cancel(&request.open.request).await {
-                tracing::warn!(request = %request.open.request, %error, "cancel not confirmed");
-            }
-            return (failed("the caller left"), position);
+        let pumped = match begun {
+            Some(Ok(stream)) => pump(stream, &request.end, &mut position).await,
+            Some(Err(error)) => Pumped::Ended(failed(&error.to_string())),
+            None => Pumped::Left,
+        };
+        let ending = match pumped {
+            Pumped::Ended(ending) => return (ending, position),
+            Pumped::Left => failed("the caller left"),
+            Pumped::Stalled => failed("the engine made no progress"),
         };
+        // Nobody waits for this generation any more: the engine's work and memory are given
+        // back at once.
+        if let Err(error) = engine.cancel(&id).await {
+            tracing::warn!(request = %id, %error, "cancel not confirmed");
+        }
         (ending, position)
     }
 }
@@ -191,38 +204,71 @@
         chat,
         weights,
         body: request.body.clone(),
-        request: request.open.request.clone(),
+        request: engine_id(&request.open.request),
         priority: request.open.urgency,
         position: request.open.position,
         traceparent: trace.header(),
     })
 }
 
-/// Passes an engine's answer on as far as credit allows; `None` if the caller has left.
-async fn pump(mut stream: EngineStream, end: &StreamEnd, position: &mut u64) -> Option<Ending> {
+/// An identity for the engine, never given twice.
+///
+/// A request that is taken up again can meet its own first generation on the same engine; under
+/// one identity, cancelling the first would cancel the second.
+fn engine_id(request: &str) -> SmolStr {
+    format_smolstr!("{request}-{:016x}", rand::random::<u64>())
+}
+
+/// Longest pause before an engine's first part: a long prompt is read first.
+const FIRST_STALL: Duration = Duration::from_secs(60);
+/// Longest pause between two parts of an engine's answer: hundreds of times the usual one.
+const STALL: Duration = Duration::from_secs(10);
+
+/// How an engine's answer ended.
+enum Pumped {
+    /// As the engine said, or with its connection.
+    Ended(Ending),
+    /// The caller has left.
+    Left,
+    /// Nothing came for too long, though the connection stands.
+    Stalled,
+}
+
+/// Passes an engine's answer on as far as credit allows.
+///
+/// A device between agent and engine may lose track of their connection. It stays open then and
+/// nothing comes, which a caller would see as a sentence that stops. Slow is not silent: each
+/// part starts the time anew.
+async fn pump(mut stream: EngineStream, end: &StreamEnd, position: &mut u64) -> Pumped {
     let mut credit = end.credit.clone();
+    let mut patience = FIRST_STALL;
     loop {
         let event = tokio::select! {
-            event = stream.next() => event,
-            () = closed(credit.clone()) => return None,
+            event = time::timeout(patience, stream.next()) => event,
+            () = closed(credit.clone()) => return Pumped::Left,
         };
+        patience = STALL;
         match event {
-            Some(Ok(EngineEvent::Text(text))) => {
-                credit.wait_for(|upto| *position < *upto).await.ok()?;
+            Err(_) => return Pumped::Stalled,
+            Ok(Some(Ok(EngineEvent::Text(text)))) => {
+                if credit.wait_for(|upto| *position < *upto).await.is_err() {
+                    return Pumped::Left;
+                }
                 let chunk = ToRouter::Chunk { stream: end.stream, position: *position };
                 if !end.send(&chunk, text.as_bytes()).await {
-                    return None;
+                    return Pumped::Left;
                 }
                 *position += 1;
             }
-            Some(Ok(EngineEvent::Finished { reason, prompt_tokens, completion_tokens })) => {
+            Ok(Some(Ok(EngineEvent::Finished { reason, prompt_tokens, completion_tokens }))) => {
                 let finish_reason = reason.into();
-                return Some(Ending::Whole { prompt_tokens, completion_tokens, finish_reason });
+                let whole = Ending::Whole { prompt_tokens, completion_tokens, finish_reason };
+                return Pumped::Ended(whole);
             }
-            Some(Err(error)) => return Some(failed(&error.to_string())),
+            Ok(Some(Err(error))) => return Pumped::Ended(failed(&error.to_string())),
             // A connection that just closes is not an end: without the engine's own mark the
             // answer would look whole to the caller and be cut.
-            None => return Some(failed("the engine broke off: ask again")),
+            Ok(None) => return Pumped::Ended(failed("the engine broke off: ask again")),
         }
     }
 }
--- a/crates/corianderstand_agent/src/start.rs
+++ b/crates/corianderstand_agent/src/start.rs
@@ -27,7 +27,7 @@
 };
 use std::{
     collections::HashMap,
-    sync::{Arc, mpsc as std_mpsc},
+    sync::{Arc, atomic::AtomicUsize, mpsc as std_mpsc},
     thread,
     time::Duration,
 };
@@ -63,6 +63,7 @@
     events: std_mpsc::SyncSender<Event>,
     draining: watch::Sender<bool>,
     idle: watch::Receiver<bool>,
+    held: Arc<AtomicUsize>,
     control: Handle,
     target: TargetId,
     drain_limit: Duration,
@@ -81,6 +82,7 @@
     let (jobs, jobs_rx) = mpsc::unbounded_channel();
     let (load, load_rx) = watch::channel(Load { running: 0, queued: 0, wait_ms: 0 });
     let (idle, idle_rx) = watch::channel(true);
+    let held = Arc::new(AtomicUsize::new(0));
     let (draining, draining_rx) = watch::channel(false);
     let target = TargetId(settings.name.0.clone());
 
@@ -92,6 +94,7 @@
         jobs,
         load,
         idle,
+        held: held.clone(),
         requests: HashMap::new(),
         streams: HashMap::new(),
         slots_version: 0,
@@ -135,7 +138,7 @@
         });
     })?;
     let drain_limit = settings.timing.drain_ms.0;
-    Ok(AgentHandle { events, draining, idle: idle_rx, control, target, drain_limit })
+    Ok(AgentHandle { events, draining, idle: idle_rx, held, control, target, drain_limit })
 }
 
 /// Binds the port that is also the lock against a second agent beside the same target.
@@ -252,6 +255,11 @@
         drop(self.events.send(Event::Drain));
     }
 
+    /// Requests waiting or running, for who ends the process before they are done.
+    pub fn in_flight(&self) -> Arc<AtomicUsize> {
+        self.held.clone()
+    }
+
     /// Waits until nothing is in flight, or the limit has passed, and says goodbye in the log.
     pub fn join(mut self) {
         let Ok(runtime) = runtime() else { return };
--- a/crates/corianderstand_cli/src/process.rs
+++ b/crates/corianderstand_cli/src/process.rs
@@ -9,7 +9,14 @@
 use corianderstand_types::clock::{SharedClock, SystemClock};
 use getopts::Matches;
 use serde::de::DeserializeOwned;
-use std::{io::Read, path::Path, sync::Arc};
+use std::{
+    io::Read,
+    path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Reads and checks a process settings file; faults are printed.
@@ -36,8 +43,9 @@
     Arc::new(SystemClock)
 }
 
-/// Waits for the first signal to stop; a second one ends the process at once.
-fn wait_for_stop() {
+/// Waits for the first signal to stop; a second one ends the process at once and says how many
+/// requests that cuts.
+fn wait_for_stop(in_flight: Arc<AtomicUsize>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.expect("the system gives a runtime");
     let signals = runtime.block_on(async {
@@ -57,7 +65,8 @@
                 _ = interrupt.recv() => {}
             }
         });
-        tracing::warn!("second signal: ending at once, what is in flight is cut");
+        let cut = in_flight.load(Ordering::Relaxed);
+        tracing::warn!(cut, "second signal: ending at once, requests in flight are cut");
         std::process::exit(Exit::Fault as i32);
     });
 }
@@ -71,7 +80,7 @@
     logging::start();
     match corianderstand_router::start(settings, clock()) {
         Ok(handle) => {
-            wait_for_stop();
+            wait_for_stop(handle.in_flight());
             handle.drain();
             handle.join();
             Exit::Success
@@ -92,7 +101,7 @@
     logging::start();
     match corianderstand_agent::start(settings, clock()) {
         Ok(handle) => {
-            wait_for_stop();
+            wait_for_stop(handle.in_flight());
             handle.drain();
             handle.join();
             Exit::Success
--- a/crates/corianderstand_link/src/connection.rs
+++ b/crates/corianderstand_link/src/connection.rs
@@ -11,7 +11,7 @@
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
     sync::mpsc,
-    time,
+    time::{self, Instant},
 };
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
@@ -27,6 +27,8 @@
 pub struct Reader {
     frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
     silence: Duration,
+    heard: Instant,
+    buffered: usize,
 }
 
 /// Writes frames.
@@ -44,7 +46,8 @@
 pub fn split(stream: TcpStream, silence: Duration) -> std::io::Result<(Reader, Writer)> {
     stream.set_nodelay(true)?;
     let (read, write) = stream.into_split();
-    let reader = Reader { frames: FramedRead::new(read, codec()), silence };
+    let frames = FramedRead::new(read, codec());
+    let reader = Reader { frames, silence, heard: Instant::now(), buffered: 0 };
     Ok((reader, Writer { frames: FramedWrite::new(write, codec()), silence }))
 }
 
@@ -53,16 +56,27 @@
     ///
     /// A device between the two ends may lose track of the connection; nothing comes then, not
     /// even an error, and requests on it would wait for ever. The other end sends heartbeats,
-    /// so silence beyond the limit means that this connection is of no use any more.
+    /// so silence beyond the limit means that this connection is of no use any more. The time
+    /// runs from the last byte heard, not from this call: whoever reads also sends heartbeats
+    /// and drops this future for each. A long frame that comes slowly is no silence.
     ///
     /// # Errors
     ///
     /// [`FrameError::Silent`] after the limit on silence; others if the connection broke.
     pub async fn next<T: DeserializeOwned>(&mut self) -> Result<(T, Bytes), FrameError> {
-        let next = time::timeout(self.silence, self.frames.next()).await;
-        let frame = next.map_err(|_| FrameError::Silent(self.silence.as_millis()))?;
-        let frame = frame.ok_or(FrameError::Closed)??;
-        frame::decode(&frame.freeze())
+        loop {
+            let until = self.heard + self.silence;
+            if let Ok(frame) = time::timeout_at(until, self.frames.next()).await {
+                self.heard = Instant::now();
+                self.buffered = self.frames.read_buffer().len();
+                return frame::decode(&frame.ok_or(FrameError::Closed)??.freeze());
+            }
+            let buffered = self.frames.read_buffer().len();
+            if buffered <= self.buffered {
+                return Err(FrameError::Silent(self.silence.as_millis()));
+            }
+            (self.heard, self.buffered) = (Instant::now(), buffered);
+        }
     }
 }
 
--- a/crates/corianderstand_router/src/answer.rs
+++ b/crates/corianderstand_router/src/answer.rs
@@ -180,6 +180,8 @@
         match part {
             Ok(Part::Head { .. }) => {}
             Ok(Part::Chunk(body)) => {
+                // The id lets a caller whose router is gone take up the rest at any other.
+                buf.push_str(&format!("id: {}\n", self.call.position()));
                 event(buf, &self.shape.delta(&String::from_utf8_lossy(&body)));
             }
             Ok(Part::Whole { prompt_tokens, completion_tokens, finish_reason }) => {
--- a/crates/corianderstand_router/src/completions.rs
+++ b/crates/corianderstand_router/src/completions.rs
@@ -77,7 +77,10 @@
     let limit = team.team.max_deadline_ms.0;
     let budget = asked.deadline(req, team.team.default_deadline_ms.0, limit)?;
     let deadline = Instant::now() + budget;
-    let (mut work, open) = open(asked, &wanted, chat, urgency, budget);
+    let (mut work, mut open) = open(asked, &wanted, chat, urgency, budget);
+    if wanted.stream {
+        open.position = position(req)?;
+    }
     work.shape = wanted.shape;
     let call = CallInProgress::submit(&door.events, work, open, wanted.body)?;
     let shape = Shape {
@@ -94,6 +97,17 @@
     }
 }
 
+/// Header with the last event that a caller has of a stream, as the standard of server-sent
+/// events names it.
+const LAST_EVENT_HEADER: &str = "last-event-id";
+
+/// Position that a caller takes a stream up at: the parts that it has already.
+fn position(req: &Request) -> Result<u64, Problem> {
+    let Some(value) = req.headers().get(LAST_EVENT_HEADER) else { return Ok(0) };
+    let position = value.to_str().ok().and_then(|text| text.parse().ok());
+    position.ok_or_else(|| Problem::Invalid("`Last-Event-ID` is the `id` of an event".into()))
+}
+
 fn open(
     asked: &Asked,
     wanted: &Wanted,
--- a/crates/corianderstand_router/src/decide.rs
+++ b/crates/corianderstand_router/src/decide.rs
@@ -1,7 +1,7 @@
 //! The `decide` thread: feeds events to the pure logic and hands on what it decides.
 
 use crate::{
-    event::{Call, Command, Event, Update},
+    event::{Call, Command, Event, REPLY_EXTRA, Update},
     link,
 };
 use corianderstand_control::snapshot::{Current, Snapshot};
@@ -9,7 +9,7 @@
     router::{Decision, Router, TargetKey},
     work::{Refusal, RequestKey},
 };
-use corianderstand_schema::messages::{Load, RefusalReason};
+use corianderstand_schema::messages::{Load, Operation, RefusalReason};
 use corianderstand_types::{
     clock::SharedClock,
     names::{ModelId, ServiceId, TargetId},
@@ -134,21 +134,26 @@
                 self.calls.remove(&key);
                 self.router.finished(now, key, load);
             }
-            Event::Lost(key) => self.lost(key),
+            Event::Lost { key, position, failed } => self.lost(key, position, failed),
         }
     }
 
-    /// The connection broke before anything of the answer came. A request that may be repeated
-    /// goes to another target; of others it is not known whether they ran.
-    fn lost(&mut self, key: RequestKey) {
-        let Some(call) = self.calls.get(&key) else { return };
+    /// A request's target was lost before its answer was whole. A request that may be repeated
+    /// goes on at another target, from the position reached; of others it is not known whether
+    /// they ran. Where no other target takes it up now, its handler decides.
+    fn lost(&mut self, key: RequestKey, position: u64, failed: bool) {
+        let Some(call) = self.calls.get_mut(&key) else { return };
+        call.open.position = call.open.position.max(position);
+        // What the handler has not read yet fills its ring; it gives credit for the rest.
+        call.open.window = call.reply.capacity().saturating_sub(REPLY_EXTRA) as u64;
         let reason = RefusalReason::NotLoaded;
         let refusal = Refusal { reason, retry_after: RETRY_LOST };
         match self.router.lost(self.clock.now(), key, refusal) {
-            Some(decision) => self.perform(key, decision),
-            None => {
-                drop(call.reply.try_send(Update::Lost));
-                self.calls.remove(&key);
+            Some(decision @ Decision::Send(_)) => self.perform(key, decision),
+            Some(Decision::Refuse(_)) | None => {
+                if let Some(call) = self.calls.remove(&key) {
+                    drop(call.reply.try_send(Update::Lost { failed }));
+                }
             }
         }
     }
@@ -158,19 +163,47 @@
             Decision::Send(target) => self.send(key, target),
             Decision::Refuse(refusal) => {
                 if let Some(call) = self.calls.remove(&key) {
-                    drop(call.reply.try_send(Update::Refused(refusal)));
+                    let moving = self.is_moving(&call.open.operation, refusal.reason);
+                    drop(call.reply.try_send(Update::Refused { refusal, moving }));
                 }
             }
         }
     }
 
+    /// Whether a refusal comes from a replica that is out of service for a moment: decided for,
+    /// but stopping, restarting or moving. Its callers wait a little rather than see an error.
+    fn is_moving(&self, operation: &Operation, reason: RefusalReason) -> bool {
+        if !matches!(reason, RefusalReason::Draining | RefusalReason::NotLoaded) {
+            return false;
+        }
+        let snapshot = self.current.load();
+        let (wanted, owners): (usize, Vec<&TargetId>) = match operation {
+            Operation::Completion { model, .. } | Operation::Chat { model, .. } => {
+                let slots = snapshot.state.slots.by_key.iter();
+                let slots = slots.filter(|(slot, _)| slot.model == *model);
+                let owners = slots.map(|(_, owner)| &owner.target).collect();
+                (snapshot.view.replicas(model) as usize, owners)
+            }
+            Operation::Call { service, .. } => {
+                let targets = snapshot.state.targets.by_name.iter();
+                let offers = targets.filter(|(_, t)| t.record.service.as_ref() == Some(service));
+                (1, offers.map(|(name, _)| name).collect())
+            }
+        };
+        let serves = |name: &&&TargetId| {
+            let target = self.router.target(name).and_then(|key| self.router.target_state(key));
+            target.is_some_and(|target| target.connected && !target.draining)
+        };
+        owners.iter().filter(serves).count() < wanted.max(owners.len())
+    }
+
     fn send(&mut self, key: RequestKey, target: TargetKey) {
         let name = self.router.target_state(target).map(|target| target.name.clone());
         let connection = name.and_then(|name| self.connections.get(&name));
-        let (Some(connection), Some(call)) = (connection, self.calls.get(&key)) else { return };
-        let mut call = call.clone();
+        let Some(mut call) = self.calls.get(&key).cloned() else { return };
         call.open.stream = link::stream_of(key);
-        if connection.try_send(Command::Open(Box::new(call))).is_err() {
+        let open = Command::Open(Box::new(call));
+        if connection.is_none_or(|connection| connection.try_send(open).is_err()) {
             // The connection is gone or far behind: its ring is as good as a refusal.
             let refusal = Refusal { reason: RefusalReason::QueueFull, retry_after: RETRY_LOST };
             let load = Load { running: 0, queued: 0, wait_ms: 0 };
--- a/crates/corianderstand_router/src/event.rs
+++ b/crates/corianderstand_router/src/event.rs
@@ -9,8 +9,10 @@
 
 /// Chunks on their way to one caller; a slow reader holds up only itself.
 pub const WINDOW: u64 = 64;
+/// Updates that are no chunks: few for each target that a request is tried at.
+pub const REPLY_EXTRA: usize = 16;
 /// Updates that wait for one caller's handler: the window, and the few that are no chunks.
-pub const REPLY_RING: usize = WINDOW as usize + 8;
+pub const REPLY_RING: usize = WINDOW as usize + REPLY_EXTRA;
 
 /// A request as the handler hands it in.
 #[derive(Clone, Debug)]
@@ -50,9 +52,17 @@
         ending: Ending,
     },
     /// The request is not run.
-    Refused(Refusal),
-    /// The connection to the target broke.
-    Lost,
+    Refused {
+        /// Why.
+        refusal: Refusal,
+        /// Whether a replica that was decided for is out of service for a moment.
+        moving: bool,
+    },
+    /// The target was lost, and no other has taken the request up.
+    Lost {
+        /// Whether the target failed, rather than the connection to it.
+        failed: bool,
+    },
 }
 
 /// Where a request's stream is, for credit and cancelling.
@@ -117,6 +127,13 @@
         /// How busy the target is, if it told.
         load: Option<Load>,
     },
-    /// A connection broke before anything of the answer came.
-    Lost(RequestKey),
+    /// A request's target was lost before its answer was whole.
+    Lost {
+        /// Which.
+        key: RequestKey,
+        /// First position that has not come.
+        position: u64,
+        /// Whether the target failed, rather than the connection to it.
+        failed: bool,
+    },
 }
--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -140,6 +140,11 @@
         let Self(door, kind) = self;
         let request = format_smolstr!("r-{:032x}", rand::random::<u128>());
         problem::set_header(res, problem::REQUEST_ID_HEADER, &request);
+        if door.draining.load(Ordering::Relaxed) {
+            // A connection kept alive would bring further requests here until it is closed under
+            // one of them; told so, its caller opens the next one at another router.
+            problem::set_header(res, "connection", "close");
+        }
         if let Err(problem) = door.answer(*kind, request.clone(), req, res).await {
             tracing::info!(%request, code = problem.code(), "request not answered");
             problem.write(&request, res);
@@ -242,7 +247,7 @@
 
     fn ask(&self, request: SmolStr, req: &Request) -> Result<Asked, Problem> {
         let snapshot = self.control.current.load();
-        self.ready(&snapshot)?;
+        Self::check_started(&snapshot)?;
         let team = self.hasher.team(&snapshot.view, bearer(req)?);
         let team = team.ok_or(Problem::Unauthorized)?;
         if self.held.load(Ordering::Relaxed) >= self.max_in_flight {
@@ -252,10 +257,16 @@
         Ok(Asked { request, team, snapshot, trace, clock: self.clock.clone() })
     }
 
+    /// Whether new callers should come here. During a planned stop they should not, but those
+    /// who come before the balancer has seen it are served.
     fn ready(&self, snapshot: &Snapshot) -> Result<(), Problem> {
         if self.draining.load(Ordering::Relaxed) {
             return Err(Problem::NotReady("it is stopping"));
         }
+        Self::check_started(snapshot)
+    }
+
+    const fn check_started(snapshot: &Snapshot) -> Result<(), Problem> {
         if !snapshot.caught_up {
             return Err(Problem::NotReady("it has no settings yet, as the log is not read"));
         }
--- a/crates/corianderstand_router/src/link.rs
+++ b/crates/corianderstand_router/src/link.rs
@@ -10,7 +10,7 @@
     frame::{self, FrameError},
 };
 use corianderstand_schema::{
-    messages::{ToAgent, ToRouter},
+    messages::{Ending, ToAgent, ToRouter},
     process::Timing,
 };
 use corianderstand_types::names::{TargetId, WriterId};
@@ -96,7 +96,7 @@
 /// A stream as the connection holds it.
 struct Stream {
     reply: mpsc::Sender<Update>,
-    begun: bool,
+    position: u64,
 }
 
 struct Connection<'a> {
@@ -104,6 +104,7 @@
     target: &'a TargetId,
     out: mpsc::Sender<Bytes>,
     commands: mpsc::Sender<Command>,
+    waiting: mpsc::Receiver<Command>,
     streams: HashMap<u64, Stream>,
 }
 
@@ -113,15 +114,13 @@
         Err(error) => return FrameError::Io(error),
     };
     let (out, frames) = mpsc::channel(RING);
-    let (commands, commands_rx) = mpsc::channel(RING);
+    let (commands, waiting) = mpsc::channel(RING);
     let streams = HashMap::new();
-    let mut connection = Connection { shared, target, out, commands, streams };
-    let ended = tokio::select! {
-        ended = connection.run(reader, commands_rx) => ended,
+    let mut connection = Connection { shared, target, out, commands, waiting, streams };
+    tokio::select! {
+        ended = connection.run(reader) => ended,
         written = writer.run(frames) => written.err().unwrap_or(FrameError::Closed),
-    };
-    connection.give_up();
-    ended
+    }
 }
 
 fn key(stream: u64) -> RequestKey {
@@ -129,11 +128,7 @@
 }
 
 impl Connection<'_> {
-    async fn run(
-        &mut self,
-        mut reader: Reader,
-        mut commands: mpsc::Receiver<Command>,
-    ) -> FrameError {
+    async fn run(&mut self, mut reader: Reader) -> FrameError {
         let hello = ToAgent::Hello {
             router: self.shared.router.clone(),
             incarnation: self.shared.incarnation,
@@ -151,7 +146,7 @@
                     Ok((message, body)) => self.take(message, body),
                     Err(error) => Err(error),
                 },
-                command = commands.recv() => match command {
+                command = self.waiting.recv() => match command {
                     Some(command) => self.command(command).await,
                     None => Err(FrameError::Closed),
                 },
@@ -195,7 +190,8 @@
             self.tell(Event::Ended { key: key(stream), load: None });
             return Ok(());
         }
-        self.streams.insert(stream, Stream { reply: call.reply, begun: false });
+        let position = call.open.position;
+        self.streams.insert(stream, Stream { reply: call.reply, position });
         self.send(&ToAgent::Open(call.open), &call.body).await
     }
 
@@ -204,6 +200,10 @@
         drop(self.shared.events.send(event));
     }
 
+    fn lost(&self, stream: u64, position: u64, failed: bool) {
+        self.tell(Event::Lost { key: key(stream), position, failed });
+    }
+
     fn take(&mut self, message: ToRouter, body: Bytes) -> Result<(), FrameError> {
         match message {
             ToRouter::Welcome { draining, target, .. } => {
@@ -218,8 +218,17 @@
                 self.update(stream, Update::Head { status, content_type });
             }
             ToRouter::Chunk { stream, position } => {
+                if let Some(held) = self.streams.get_mut(&stream) {
+                    held.position = held.position.max(position + 1);
+                }
                 self.update(stream, Update::Chunk { position, body });
             }
+            ToRouter::End { stream, ending: Ending::Failed { reason }, .. } => {
+                tracing::info!(stream, %reason, "answer broke off at its target");
+                if let Some(held) = self.streams.remove(&stream) {
+                    self.lost(stream, held.position, true);
+                }
+            }
             ToRouter::End { stream, position, ending, load } => {
                 self.update(stream, Update::End { position, ending });
                 self.streams.remove(&stream);
@@ -240,23 +249,26 @@
     /// Hands an update to its caller; a stream that is not known was cancelled before.
     fn update(&mut self, stream: u64, update: Update) {
         let Some(held) = self.streams.get_mut(&stream) else { return };
-        held.begun = true;
         // The agent keeps to the window, so there is room; a caller that is gone cancels.
         if held.reply.try_send(update).is_err() {
             self.streams.remove(&stream);
         }
     }
+}
 
-    /// The connection is gone: each request on it is tried elsewhere if nothing of its answer
-    /// came, else its caller is told that the answer broke off.
-    fn give_up(&mut self) {
+impl Drop for Connection<'_> {
+    /// The connection is gone, or its target was withdrawn and its task ended in the midst:
+    /// each request on it is taken up elsewhere, or its handler is told. One that was forgotten
+    /// here would leave its caller waiting until the deadline.
+    fn drop(&mut self) {
         self.tell(Event::Disconnected(self.target.clone()));
         for (stream, held) in std::mem::take(&mut self.streams) {
-            if held.begun {
-                drop(held.reply.try_send(Update::Lost));
-                self.tell(Event::Ended { key: key(stream), load: None });
-            } else {
-                self.tell(Event::Lost(key(stream)));
+            self.lost(stream, held.position, false);
+        }
+        self.waiting.close();
+        while let Ok(command) = self.waiting.try_recv() {
+            if let Command::Open(call) = command {
+                self.lost(call.open.stream, call.open.position, false);
             }
         }
     }
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -55,6 +55,8 @@
     draining: Arc<AtomicBool>,
     held: Arc<AtomicUsize>,
     server: ServerHandle,
+    http: thread::JoinHandle<()>,
+    grace: Duration,
     drain_limit: Duration,
 }
 
@@ -97,17 +99,21 @@
         draining: draining.clone(),
         clock,
     });
-    let server = start_http(&settings, &door)?;
-    Ok(RouterHandle { draining, held, server, drain_limit: settings.timing.drain_ms.0 })
+    let (server, http) = start_http(&settings, &door)?;
+    let (grace, drain_limit) = (settings.timing.grace_ms.0, settings.timing.drain_ms.0);
+    Ok(RouterHandle { draining, held, server, http, grace, drain_limit })
 }
 
 fn runtime() -> Result<runtime::Runtime, RouterError> {
     runtime::Builder::new_current_thread().enable_all().build().map_err(RouterError::Thread)
 }
 
-fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), RouterError> {
+fn spawn(
+    name: &str,
+    run: impl FnOnce() + Send + 'static,
+) -> Result<thread::JoinHandle<()>, RouterError> {
     let builder = thread::Builder::new().name(name.to_owned());
-    builder.spawn(run).map(drop).map_err(RouterError::Thread)
+    builder.spawn(run).map_err(RouterError::Thread)
 }
 
 fn start_control(
@@ -138,10 +144,14 @@
     let shared = Shared { router: settings.name.clone(), incarnation, timing, events };
     let current = control.current.clone();
     let runtime = runtime()?;
-    spawn("link", move || runtime.block_on(link::run(shared, current)))
+    spawn("link", move || runtime.block_on(link::run(shared, current)))?;
+    Ok(())
 }
 
-fn start_http(settings: &RouterSettings, door: &Arc<Door>) -> Result<ServerHandle, RouterError> {
+fn start_http(
+    settings: &RouterSettings,
+    door: &Arc<Door>,
+) -> Result<(ServerHandle, thread::JoinHandle<()>), RouterError> {
     let listen_error = |error| RouterError::Listen(settings.listen.to_string(), error);
     let listener = std::net::TcpListener::bind(settings.listen.as_str()).map_err(listen_error)?;
     listener.set_nonblocking(true).map_err(listen_error)?;
@@ -155,8 +165,8 @@
     server.http1_mut().max_header_size(door.max_header_bytes * HEAD_SLACK);
     let handle = server.handle();
     let routes = http::routes(door);
-    spawn("http", move || runtime.block_on(server.serve(routes)))?;
-    Ok(handle)
+    let http = spawn("http", move || runtime.block_on(server.serve(routes)))?;
+    Ok((handle, http))
 }
 
 impl RouterHandle {
@@ -165,22 +175,29 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
-    /// Waits until nothing is in flight, or the limit has passed.
+    /// Requests with targets now, for who ends the process before they are done.
+    pub fn in_flight(&self) -> Arc<AtomicUsize> {
+        self.held.clone()
+    }
+
+    /// Stops as planned: serves on until balancers have seen that this router is not ready,
+    /// then takes no connection, and waits until each answer was read by its caller, or for
+    /// the limit.
+    ///
+    /// A caller that reads slowly still has much of its answer to come when its target is done,
+    /// so the connections decide when this ends, not the requests held.
     pub fn join(self) {
+        thread::sleep(self.grace);
+        self.server.stop_graceful(None);
         let began = Instant::now();
-        loop {
-            thread::sleep(STOP_PAUSE);
-            if self.held.load(Ordering::Relaxed) == 0 {
-                break;
-            }
+        while !self.http.is_finished() {
             if began.elapsed() >= self.drain_limit {
                 let held = self.held.load(Ordering::Relaxed);
                 tracing::warn!(held, "planned stop: limit reached with requests in flight");
+                self.server.stop_forceful();
                 break;
             }
+            thread::sleep(STOP_PAUSE);
         }
-        // The last answers are handed to the callers' connections before the process ends.
-        self.server.stop_graceful(STOP_PAUSE);
-        thread::sleep(STOP_PAUSE * 2);
     }
 }
--- /dev/null
+++ b/tests/whole_answers.rs
@@ -0,0 +1,250 @@
+//! Whole answers over real processes: connections that break or go silent, agents, engines and
+//! routers that die in the midst of a stream.
+
+use futures::StreamExt;
+use rstest::rstest;
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+use testbed::{Deployment, Plan, deployment::wait_for, plan::HINOKUNI_KEY};
+
+const TOKENS: usize = 60;
+
+fn block_on<T>(run: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("the system gives a runtime").block_on(run)
+}
+
+/// A deployment whose engines give a token each 20 ms.
+async fn start(replicas: u32) -> Deployment {
+    let options = ["--token-us", "20000", "--load-ms", "100"];
+    let mut plan =
+        Plan { engine_options: options.map(str::to_owned).into(), relays: true, ..Plan::default() };
+    for (path, value) in &mut plan.documents {
+        if path.ends_with("hinokuni/models/design-13b") {
+            value["replicas"] = json!(replicas);
+        }
+    }
+    Deployment::start(plan).await
+}
+
+/// One stream as its caller sees it.
+struct Stream {
+    events: futures::stream::BoxStream<'static, String>,
+    text: String,
+}
+
+impl Stream {
+    async fn open(deployment: &Deployment, router: &str, after: usize) -> Option<Self> {
+        let body = json!({ "model": "design-13b", "prompt": "stripes", "max_tokens": TOKENS,
+            "stream": true });
+        let url = deployment.url(router, "/v1/completions");
+        let mut req = deployment.http.post(url).bearer_auth(HINOKUNI_KEY).json(&body);
+        if after > 0 {
+            req = req.header("last-event-id", after);
+        }
+        let answer = req.send().await.ok()?;
+        if !answer.status().is_success() {
+            return None;
+        }
+        let parts = answer.bytes_stream().take_while(|part| std::future::ready(part.is_ok()));
+        let parts = parts.map(|part| String::from_utf8_lossy(&part.unwrap_or_default()).into());
+        Some(Self { events: parts.boxed(), text: String::new() })
+    }
+
+    async fn begin(deployment: &Deployment, router: &str) -> Self {
+        let mut begun = None;
+        wait_for("a stream that begins", async || {
+            begun = Self::open(deployment, router, 0).await;
+            begun.is_some()
+        })
+        .await;
+        begun.expect("it has begun")
+    }
+
+    /// Reads until so many tokens have come.
+    async fn read(&mut self, tokens: usize) {
+        while self.tokens().len() < tokens
+            && let Some(part) = self.events.next().await
+        {
+            self.text.push_str(&part);
+        }
+    }
+
+    async fn read_all(&mut self) {
+        while let Some(part) = self.events.next().await {
+            self.text.push_str(&part);
+        }
+    }
+
+    fn is_whole(&self) -> bool {
+        self.text.contains("[DONE]")
+    }
+
+    /// The texts of all complete events, in order.
+    fn tokens(&self) -> Vec<String> {
+        let events = self.text.split("\n\n").filter(|event| event.starts_with("id: "));
+        let data = events.filter_map(|event| event.split_once("data: "));
+        let value = data.filter_map(|(_, data)| serde_json::from_str::<Value>(data).ok());
+        value.filter_map(|v| v["choices"][0]["text"].as_str().map(str::to_owned)).collect()
+    }
+}
+
+async fn undisturbed(deployment: &Deployment) -> Vec<String> {
+    let mut stream = Stream::begin(deployment, "router-1").await;
+    stream.read_all().await;
+    assert!(stream.is_whole(), "{}", stream.text);
+    assert_eq!(stream.tokens().len(), TOKENS);
+    stream.tokens()
+}
+
+async fn serving(deployment: &Deployment) -> String {
+    let mut found = None;
+    wait_for("an engine at work", async || {
+        for i in 0..deployment.plan.engines {
+            let url = deployment.url(&format!("engine-{i}"), "/load");
+            let load = deployment.http.get(url).send().await.expect("the engine answers");
+            let load: Value = load.json().await.expect("a report");
+            if load["running"] != 0 {
+                found = Some(format!("engine-{i}"));
+            }
+        }
+        found.is_some()
+    })
+    .await;
+    found.expect("it was found")
+}
+
+/// In the midst of a long design chat the connection to the agent breaks or goes silent, or the
+/// agent or the engine dies, or the engine breaks off. The coach notices a pause at most: the
+/// rest comes, each word once.
+#[rstest]
+#[case::silent("silent", 1)]
+#[case::cut("cut", 1)]
+#[case::agent_killed("agent", 2)]
+#[case::engine_killed("engine", 2)]
+#[case::engine_breaks_off("breaks", 1)]
+#[case::silent_and_agent_killed("silent and agent", 2)]
+fn a_stream_is_taken_up_where_it_was_lost(#[case] fault: &str, #[case] replicas: u32) {
+    block_on(async {
+        let mut deployment = start(replicas).await;
+        let expected = undisturbed(&deployment).await;
+        let mut stream = Stream::begin(&deployment, "router-0").await;
+        stream.read(10).await;
+        let target = serving(&deployment).await;
+        if fault.contains("silent") {
+            let silence = json!({ "silence_open": true });
+            deployment.fault(&format!("relay-{target}"), &silence).await;
+        }
+        match fault {
+            "cut" => {
+                deployment.fault(&format!("relay-{target}"), &json!({ "cut_open": true })).await;
+            }
+            "agent" | "silent and agent" => deployment.process(&format!("agent-{target}")).kill(),
+            "engine" => deployment.process(&target).kill(),
+            "breaks" => {
+                deployment.fault(&target, &json!({ "break_after": 30 })).await;
+                wait_for("the break", async || {
+                    deployment.log_of("router-0").contains("taken up again")
+                })
+                .await;
+                deployment.fault(&target, &json!({})).await;
+            }
+            _ => {}
+        }
+        stream.read_all().await;
+        assert!(stream.is_whole(), "{}", stream.text);
+        assert_eq!(stream.tokens(), expected);
+    });
+}
+
+/// A router dies in the midst of a stream. The caller reconnects to another router with the id
+/// of the last event it has, and gets the rest, each word once.
+#[rstest]
+fn a_caller_takes_its_stream_up_through_another_router() {
+    block_on(async {
+        let mut deployment = start(2).await;
+        let expected = undisturbed(&deployment).await;
+        let mut first = Stream::begin(&deployment, "router-0").await;
+        first.read(20).await;
+        deployment.process("router-0").kill();
+        first.read_all().await;
+        assert!(!first.is_whole());
+        let had = first.tokens();
+        let mut rest = Stream::open(&deployment, "router-1", had.len()).await.expect("it goes on");
+        rest.read_all().await;
+        assert!(rest.is_whole());
+        assert_eq!([had, rest.tokens()].concat(), expected);
+    });
+}
+
+/// A coach closes the window in the midst of an answer. The engine must not go on for nobody:
+/// its work is ended within a second.
+#[rstest]
+fn work_for_a_caller_who_left_is_cancelled_within_a_second() {
+    block_on(async {
+        let deployment = start(1).await;
+        let mut stream = Stream::begin(&deployment, "router-0").await;
+        stream.read(5).await;
+        let target = serving(&deployment).await;
+        drop(stream);
+        let began = Instant::now();
+        wait_for("the engine rests", async || {
+            let url = deployment.url(&target, "/load");
+            let load = deployment.http.get(url).send().await.expect("the engine answers");
+            load.json::<Value>().await.expect("a report")["running"] == 0
+        })
+        .await;
+        assert!(began.elapsed() < Duration::from_secs(1), "took {:?}", began.elapsed());
+    });
+}
+
+/// Two callers choose the same request id, and one of them leaves. The other's answer must
+/// neither be mixed with it nor end with it.
+#[rstest]
+fn callers_with_the_same_request_id_get_their_own_answers() {
+    block_on(async {
+        let deployment = start(1).await;
+        undisturbed(&deployment).await;
+        let ask = |prompt: &'static str| {
+            let body = json!({ "model": "design-13b", "prompt": prompt, "max_tokens": TOKENS });
+            let url = deployment.url("router-0", "/v1/completions");
+            let req = deployment.http.post(url).bearer_auth(HINOKUNI_KEY).json(&body);
+            req.header("x-request-id", "same").send()
+        };
+        let alone = ask("collar").await.expect("answered").json::<Value>().await.expect("JSON");
+        let (leaves, stays) = tokio::join!(
+            tokio::time::timeout(Duration::from_millis(300), ask("sleeve")),
+            ask("collar")
+        );
+        assert!(leaves.is_err(), "the first caller left before its answer");
+        let stays = stays.expect("answered").json::<Value>().await.expect("JSON");
+        assert_eq!(stays["choices"], alone["choices"]);
+    });
+}
+
+/// An engine is frozen for a while and goes on, as is its agent. The answer is slow but makes
+/// progress again; it is whole, and not mixed with what was taken up in the meantime.
+#[rstest]
+#[case::agent("agent-")]
+#[case::engine("")]
+fn a_frozen_process_that_goes_on_mixes_nothing(#[case] kind: &str) {
+    block_on(async {
+        let mut deployment = start(2).await;
+        let expected = undisturbed(&deployment).await;
+        let mut stream = Stream::begin(&deployment, "router-0").await;
+        stream.read(10).await;
+        let target = serving(&deployment).await;
+        let name = format!("{kind}{target}");
+        deployment.process(&name).freeze();
+        if kind.is_empty() {
+            tokio::time::sleep(Duration::from_millis(1500)).await;
+            deployment.process(&name).resume();
+        } else {
+            stream.read(30).await;
+            deployment.process(&name).resume();
+        }
+        stream.read_all().await;
+        assert!(stream.is_whole(), "{}", stream.text);
+        assert_eq!(stream.tokens(), expected);
+    });
+}
--- a/tools/testbed/src/plan.rs
+++ b/tools/testbed/src/plan.rs
@@ -57,7 +57,7 @@
             log_options: Vec::new(),
             hosts_options: Vec::new(),
             timing: json!({ "heartbeat_ms": 100, "silence_ms": 1000, "reconnect_ms": 200,
-                "log_poll_ms": 500, "host_list_poll_ms": 200, "drain_ms": 30000 }),
+                "log_poll_ms": 500, "host_list_poll_ms": 200, "drain_ms": 30000, "grace_ms": 500 }),
             limits: json!({}),
             relays: false,
             documents: documents(),
