--- a/crates/corianderstand_agent/src/decide.rs
+++ b/crates/corianderstand_agent/src/decide.rs
@@ -1,18 +1,26 @@
 //! The `decide` thread: feeds events to the pure logic and hands on what it decides.
 
 use crate::{
+    early::{self, Early},
     event::{ConnectionId, Event, Job, Request},
+    pause::PauseWatch,
+    reconcile::Asking,
+    release::{Release, Releases},
     sizes::ViewSizes,
 };
 use corianderstand_control::snapshot::{Current, Snapshot};
 use corianderstand_decide::{
     agent::{Action, Agent},
-    work::{Refusal, RequestKey},
+    work::{Refusal, RequestKey, Work},
 };
 use corianderstand_schema::messages::{Load, ToRouter};
-use corianderstand_types::{clock::SharedClock, names::TargetId, weights::Weights};
+use corianderstand_types::{
+    clock::SharedClock,
+    names::{HostId, TargetId},
+    weights::Weights,
+};
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::HashMap,
     sync::mpsc::{Receiver, RecvTimeoutError},
     time::Duration,
 };
@@ -27,6 +35,8 @@
     pub agent: Agent,
     /// Name of the target.
     pub target: TargetId,
+    /// Its host.
+    pub host: HostId,
     /// Snapshots.
     pub current: Current,
     /// Time.
@@ -41,8 +51,20 @@
     pub requests: HashMap<RequestKey, Request>,
     /// Their keys by stream.
     pub streams: HashMap<(ConnectionId, u64), RequestKey>,
-    /// Version of the slots that the logic knows.
-    pub slots_version: u64,
+    /// Whether the ledger has been taken over from the engine.
+    pub rebuilt: bool,
+    /// Slots to give back.
+    pub release: Release,
+    /// Those that may be released, for the `link` thread.
+    pub releases: watch::Sender<Releases>,
+    /// Whether a planned stop has begun.
+    pub stopping: bool,
+    /// Notices that this process stood still.
+    pub pause: PauseWatch,
+    /// When to ask the engine what is loaded.
+    pub asking: Asking,
+    /// Requests that came before the records they were chosen by.
+    pub early: Early<Box<(Work, Request)>>,
 }
 
 impl Decider {
@@ -51,15 +73,20 @@
         loop {
             let now = self.clock.now();
             let wake = self.agent.next_wake().map(|at| at.saturating_duration_since(now));
-            let wait = wake.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT);
+            let longest = if self.early.is_empty() { LONGEST_WAIT } else { early::POLL };
+            let wait = wake.unwrap_or(longest).min(longest);
+            let event = events.recv_timeout(wait);
             let snapshot = self.current.load();
-            match events.recv_timeout(wait) {
+            self.pause.turn(self.clock.now(), snapshot.reads);
+            self.take_early(&snapshot);
+            match event {
                 Ok(event) => self.take(event, &snapshot),
                 Err(RecvTimeoutError::Timeout) => self.step(&snapshot),
                 Err(RecvTimeoutError::Disconnected) => return,
             }
+            self.ask_engine();
             self.load.send_replace(self.agent.load());
-            self.idle.send_replace(self.agent.is_idle());
+            self.idle.send_replace(self.agent.is_idle() && self.early.is_empty());
         }
     }
 
@@ -69,15 +96,58 @@
         self.perform(actions, snapshot);
     }
 
+    fn ask_engine(&mut self) {
+        let ledger = self.agent.ledger();
+        if self.asking.is_due(self.clock.now(), ledger.has_unknown()) {
+            drop(self.jobs.send(Job::Ask { version: ledger.version() }));
+        }
+    }
+
+    /// Takes over the slots in force, unloads what they do not allow, gives up what is unloaded.
+    ///
+    /// A process that has not read the log to its end knows no slots; it must not take that for
+    /// "no slots are mine" and unload what an earlier start of this agent loaded. Nor does one
+    /// that has not asked its engine know that a slot's model is out of memory.
     fn refresh_slots(&mut self, snapshot: &Snapshot) {
-        if self.slots_version == snapshot.state.slots.version {
+        if !snapshot.caught_up || !self.rebuilt {
+            return;
+        }
+        let leaving = self.stopping || snapshot.hosts.leaving.contains(&self.host);
+        self.agent.set_draining(leaving);
+        let (state, in_use) = (&snapshot.state, self.agent.models_in_use());
+        let kept = self.release.kept(state, &snapshot.view, &self.target, leaving, &in_use);
+        self.agent.set_slots(kept.clone());
+        let actions = self.agent.drop_unowned();
+        self.perform(actions, snapshot);
+        let ledger = self.agent.ledger();
+        let given_up =
+            self.release.give_up(state, &self.target, &kept, |model| ledger.holds(model));
+        self.releases.send_if_modified(|current| {
+            let changed = current != given_up;
+            if changed {
+                current.clone_from(given_up);
+            }
+            changed
+        });
+    }
+
+    fn take_early(&mut self, snapshot: &Snapshot) {
+        if self.early.is_empty() {
             return;
         }
-        self.slots_version = snapshot.state.slots.version;
-        let slots = snapshot.state.slots.by_key.iter();
-        let ours = slots.filter(|(_, slot)| slot.target == self.target);
-        let models: BTreeSet<_> = ours.map(|(key, _)| key.model.clone()).collect();
-        self.agent.set_slots(models);
+        self.refresh_slots(snapshot);
+        for submitted in self.early.take(self.clock.now(), snapshot.state.next) {
+            let actions = self.submit(*submitted, snapshot);
+            self.perform(actions, snapshot);
+        }
+    }
+
+    fn submit(&mut self, submitted: (Work, Request), snapshot: &Snapshot) -> Vec<Action> {
+        let (work, request) = submitted;
+        let (key, actions) = self.agent.submit(self.clock.now(), work, &ViewSizes(&snapshot.view));
+        self.streams.insert((request.end.connection, request.end.stream), key);
+        self.requests.insert(key, request);
+        actions
     }
 
     fn take(&mut self, event: Event, snapshot: &Snapshot) {
@@ -86,17 +156,21 @@
         let sizes = ViewSizes(&snapshot.view);
         let actions = match event {
             Event::Submit(submitted) => {
-                let (work, request) = *submitted;
-                let (key, actions) = self.agent.submit(now, work, &sizes);
-                self.streams.insert((request.end.connection, request.end.stream), key);
-                self.requests.insert(key, request);
-                actions
+                let request = &submitted.1;
+                let stream = (request.end.connection, request.end.stream);
+                let (next, as_of) = (snapshot.state.next, request.open.as_of);
+                match self.early.hold(now, next, as_of, stream, submitted) {
+                    Some(submitted) => self.submit(*submitted, snapshot),
+                    None => Vec::new(),
+                }
             }
             Event::Cancelled { connection, stream } => {
+                self.early.cancel((connection, stream));
                 let key = self.streams.get(&(connection, stream)).copied();
                 key.map_or_else(Vec::new, |key| self.cancel(key, &sizes))
             }
             Event::Gone(connection) => {
+                self.early.forget(connection);
                 let gone = self.streams.iter().filter(|((c, _), _)| *c == connection);
                 let keys: Vec<RequestKey> = gone.map(|(_, key)| *key).collect();
                 keys.into_iter().flat_map(|key| self.cancel(key, &sizes)).collect()
@@ -112,10 +186,19 @@
             }
             Event::Rebuilt(loaded) => {
                 self.agent.rebuild(loaded);
+                self.rebuilt = true;
                 Vec::new()
             }
+            Event::Asked { version, loaded } => {
+                let actions = loaded
+                    .map(|loaded| self.agent.reconcile(now, version, &loaded, &sizes))
+                    .unwrap_or_default();
+                self.asking.answered(now, self.agent.ledger().has_unknown());
+                actions
+            }
             Event::Drain => {
-                self.agent.drain();
+                self.stopping = true;
+                self.agent.set_draining(true);
                 Vec::new()
             }
         };
@@ -150,6 +233,10 @@
                     let refused = self.refused(&request, refusal);
                     Job::Refuse(Box::new(request), refused)
                 }
+                Action::Load(weights, _) if !self.pause.is_fresh(snapshot.reads) => {
+                    self.decline(&weights, snapshot);
+                    continue;
+                }
                 Action::Load(weights, memory) => {
                     let fence = self.fence(&weights, snapshot);
                     Job::Load { weights, memory, fence }
@@ -164,6 +251,13 @@
         }
     }
 
+    /// Takes an order back that must not be given now; who waits for it goes elsewhere.
+    fn decline(&mut self, weights: &Weights, snapshot: &Snapshot) {
+        let sizes = ViewSizes(&snapshot.view);
+        let actions = self.agent.loaded(self.clock.now(), weights, Some(false), &sizes);
+        self.perform(actions, snapshot);
+    }
+
     fn refused(&self, request: &Request, refusal: Refusal) -> ToRouter {
         ToRouter::Refused {
             stream: request.end.stream,
--- a/crates/corianderstand_agent/src/event.rs
+++ b/crates/corianderstand_agent/src/event.rs
@@ -69,6 +69,14 @@
     Unloaded(Weights, bool),
     /// What the engine says is loaded.
     Rebuilt(Vec<(Weights, Mib, bool)>),
+    /// What the engine says is loaded, asked as of a version of the ledger; `None` if it did
+    /// not say.
+    Asked {
+        /// Version of the ledger.
+        version: u64,
+        /// The answer.
+        loaded: Option<Vec<(Weights, Mib, bool)>>,
+    },
     /// Take no new work.
     Drain,
 }
@@ -80,6 +88,11 @@
     Run(RequestKey, Box<Request>),
     /// Refuse a request.
     Refuse(Box<Request>, ToRouter),
+    /// Ask the engine what is loaded.
+    Ask {
+        /// Version of the ledger.
+        version: u64,
+    },
     /// Load under a fencing number.
     Load {
         /// What.
--- a/crates/corianderstand_agent/src/lib.rs
+++ b/crates/corianderstand_agent/src/lib.rs
@@ -16,9 +16,14 @@
 //! ```
 
 mod accept;
+mod announce;
 mod calls;
 mod decide;
+mod early;
 mod event;
+mod pause;
+mod reconcile;
+mod release;
 mod run;
 mod sizes;
 mod start;
--- /dev/null
+++ b/crates/corianderstand_agent/src/release/tests/random.rs
@@ -0,0 +1,411 @@
+//! Generated histories of crashes, pauses, lost answers and outages.
+
+use super::world::{
+    AgentSim, EngineSim, LEASE_TTL_MS, MODEL_MIB, MODELS, Reader, World, settings, target_up,
+};
+use crate::release::Release;
+use corianderstand_decide::ledger::{Ledger, SETTLE, Stage};
+use corianderstand_schema::records::{Body, Record};
+use corianderstand_state::{checkpoint, fold::Outcome, plan, view::View};
+use corianderstand_types::{
+    names::{HostId, TargetId},
+    units::Mib,
+    weights::Weights,
+};
+use rand::RngExt;
+use rstest::rstest;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+const HISTORIES: u64 = 2000;
+const STEPS: u32 = 300;
+const ENGINE_MIB: u64 = 100;
+/// How far the host list lags.
+const LAG_MS: u64 = 400;
+/// Longest that an order on a broken connection lies in an engine's socket.
+const STRAY_MS: u64 = 480;
+/// How long an agent asks its engine before it orders anything after a start.
+const REBUILD_MS: u64 = 500;
+
+/// Prints the seed of a history that fails.
+struct Seed(u64);
+
+impl Drop for Seed {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("seed {}", self.0);
+        }
+    }
+}
+
+/// How often what is to be withstood came about, so that the test is known to bring it about.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    loads: u64,
+    lost_orders: u64,
+    hosts_gone: u64,
+    agent_restarts: u64,
+    late_records: u64,
+    accepted: u64,
+    refused: u64,
+    restored: u64,
+}
+
+/// What operators were told, by ticket.
+#[derive(Default)]
+struct Told {
+    accepted: BTreeSet<String>,
+    refused: BTreeSet<String>,
+    waiting: BTreeMap<String, u64>,
+}
+
+struct History {
+    world: World,
+    base: Instant,
+    routers: Vec<Reader>,
+    /// Records that a paused router will write when it goes on.
+    late: Vec<(u64, Record)>,
+    agents: Vec<AgentSim>,
+    told: Told,
+    counts: Counts,
+}
+
+fn agent(index: usize) -> AgentSim {
+    let (loaded, inbox) = Default::default();
+    AgentSim {
+        reader: Reader::new(&format!("e{index}{}", "x".repeat(index % 2))),
+        ledger: Ledger::new(Mib(ENGINE_MIB)),
+        release: Release::default(),
+        engine: EngineSim { memory_mib: ENGINE_MIB, loaded, inbox },
+        rebuilt_at: Some(0),
+        paused_until: 0,
+        dead_since: None,
+    }
+}
+
+impl History {
+    fn new(seed: u64) -> Self {
+        let routers = (0..3).map(|i| Reader::new(&format!("router-{i}"))).collect();
+        let agents = (0..4).map(agent).collect();
+        let (late, told, base) = (Vec::new(), Told::default(), Instant::now());
+        let counts = Counts::default();
+        Self { world: World::new(seed), base, routers, late, agents, told, counts }
+    }
+
+    fn now(&self) -> Instant {
+        self.base + Duration::from_millis(self.world.now_ms)
+    }
+
+    fn step(&mut self) {
+        self.world.now_ms += self.world.rng.random_range(1..40);
+        match self.world.rng.random_range(0..100) {
+            0..4 => self.world.down = !self.world.down && self.world.chance(50),
+            4..8 => self.world.drop_old(),
+            8..10 => self.kill_or_revive(),
+            10..16 => self.operate(),
+            16..38 => self.router_turn(),
+            _ => self.agent_turn(),
+        }
+        self.write_late();
+        for agent in &mut self.agents {
+            agent.engine.deliver(self.world.now_ms);
+        }
+        self.check();
+    }
+
+    /// A replica is loaded only where its slot is, and no model has more slots than were ever
+    /// decided for it.
+    fn check(&self) {
+        let slots = &self.world.head.slots;
+        for agent in self.agents.iter().filter(|agent| agent.dead_since.is_none()) {
+            let target = TargetId::from(agent.reader.name.as_str());
+            for weights in agent.engine.loaded.keys() {
+                let owned = slots.owned(&weights.model, &target);
+                assert!(owned.is_some(), "{weights} is loaded at {target} without a slot");
+            }
+        }
+    }
+
+    fn operate(&mut self) {
+        let model = MODELS[self.world.rng.random_range(0..MODELS.len())];
+        let router = self.world.rng.random_range(0..self.routers.len());
+        let reader = &mut self.routers[router];
+        let base = reader.state.documents.version_of(&format!("teams/t/models/{model}"));
+        let mut body = settings(model, self.world.rng.random_range(0..4), base);
+        let name = format!("{}-{}", self.world.now_ms, reader.sequence);
+        let until = self.world.now_ms + 200;
+        if let Body::Settings { ticket, not_after_ms, .. } = &mut body {
+            (*ticket, *not_after_ms) = (name.clone().into(), until);
+        }
+        let record = reader.record(body);
+        self.told.waiting.insert(name, until);
+        if self.world.chance(30) {
+            let due = self.world.now_ms + self.world.rng.random_range(0..600);
+            self.late.push((due, record));
+        } else {
+            self.world.append(&record);
+        }
+    }
+
+    fn write_late(&mut self) {
+        let now = self.world.now_ms;
+        let due: Vec<_> = self.late.extract_if(.., |(due, _)| *due <= now).collect();
+        for (_, record) in due {
+            self.counts.late_records += 1;
+            if !self.world.append(&record) {
+                self.late.push((now + 50, record));
+            }
+        }
+    }
+
+    fn router_turn(&mut self) {
+        let index = self.world.rng.random_range(0..self.routers.len());
+        if self.world.chance(4) {
+            self.routers[index].restart();
+        }
+        let mut reader = self.routers[index].clone();
+        let own = self.world.read(&mut reader);
+        for (_, record, outcome) in own {
+            if let (Body::Settings { ticket, .. }, Outcome::Applied) = (&record.body, outcome) {
+                self.told.accepted.insert(ticket.to_string());
+            }
+        }
+        self.answer_tickets(&reader);
+        for body in self.duties(&reader) {
+            let record = reader.record(body);
+            // A holder that is paused here writes what it decided long after its lease.
+            if self.world.chance(10) {
+                let due = self.world.now_ms + self.world.rng.random_range(0..900);
+                self.late.push((due, record));
+            } else {
+                self.world.append(&record);
+            }
+        }
+        self.routers[index] = reader;
+    }
+
+    fn answer_tickets(&mut self, reader: &Reader) {
+        let asked: Vec<(String, u64)> =
+            self.told.waiting.iter().map(|(ticket, until)| (ticket.clone(), *until)).collect();
+        for (ticket, until) in asked {
+            match reader.state.history.find(&ticket) {
+                Some(entry) if entry.refused.is_none() => {
+                    self.told.accepted.insert(ticket);
+                }
+                Some(_) => {
+                    self.told.refused.insert(ticket);
+                }
+                None if reader.read_to_ms > until => {
+                    self.told.refused.insert(ticket);
+                }
+                None => {}
+            }
+        }
+    }
+
+    fn duties(&mut self, reader: &Reader) -> Vec<Body> {
+        let (state, lease) = (&reader.state, &reader.state.lease);
+        if !lease.held_by(&reader.name, reader.incarnation) {
+            let free = lease.holder.is_none() || self.world.now_ms >= lease.until_ms;
+            let take = Body::LeaseTaken { epoch: lease.epoch + 1, ttl_ms: LEASE_TTL_MS };
+            return if free { vec![take] } else { Vec::new() };
+        }
+        let epoch = lease.epoch;
+        let mut bodies = vec![Body::LeaseRenewed { epoch }];
+        let dead = |a: &&AgentSim| a.dead_since.is_some_and(|at| at + LAG_MS <= self.world.now_ms);
+        let gone: BTreeSet<HostId> = self
+            .agents
+            .iter()
+            .filter(dead)
+            .map(|a| format!("host-{}", a.reader.name.as_str()).as_str().into())
+            .collect();
+        for (name, target) in &state.targets.by_name {
+            if gone.contains(&target.record.host) {
+                let (target, target_offset) = (name.clone(), target.offset);
+                bodies.push(Body::TargetGone { epoch, target, target_offset });
+            }
+        }
+        bodies.extend(plan::plan(state, &View::new(&state.documents), &gone));
+        if self.world.chance(15) {
+            let mut parts = checkpoint::split(state);
+            if self.world.chance(20) {
+                parts.pop();
+            }
+            bodies.extend(parts);
+        }
+        bodies
+    }
+
+    fn kill_or_revive(&mut self) {
+        let index = self.world.rng.random_range(0..self.agents.len());
+        let (now_ms, hit) = (self.world.now_ms, self.world.rng.random_range(0..4));
+        let agent = &mut self.agents[index];
+        match (agent.dead_since, hit) {
+            // A host's successor comes only after the list has lost the host.
+            (Some(since), _) if since + 2 * LAG_MS <= now_ms => {
+                let known = &self.world.head.targets.by_name;
+                if !known.contains_key(&TargetId::from(agent.reader.name.as_str())) {
+                    agent.dead_since = None;
+                    agent.reader.restart();
+                    self.start_agent(index);
+                }
+            }
+            (Some(_), _) => {}
+            (None, 0) => {
+                agent.dead_since = Some(now_ms);
+                self.counts.hosts_gone += 1;
+                agent.engine.loaded.clear();
+                agent.engine.inbox.clear();
+            }
+            (None, 1) => agent.paused_until = now_ms + 700,
+            (None, _) => {
+                agent.reader.restart();
+                self.counts.agent_restarts += 1;
+                self.start_agent(index);
+            }
+        }
+    }
+
+    fn start_agent(&mut self, index: usize) {
+        let agent = &mut self.agents[index];
+        agent.ledger = Ledger::new(Mib(ENGINE_MIB));
+        agent.release = Release::default();
+        agent.rebuilt_at = Some(self.world.now_ms + REBUILD_MS);
+    }
+
+    fn agent_turn(&mut self) {
+        let index = self.world.rng.random_range(0..self.agents.len());
+        let now_ms = self.world.now_ms;
+        if self.agents[index].dead_since.is_some() || self.agents[index].paused_until > now_ms {
+            return;
+        }
+        let now = self.now();
+        let agent = &mut self.agents[index];
+        if let Some(at) = agent.rebuilt_at {
+            if at > now_ms {
+                return;
+            }
+            let loaded = &agent.engine.loaded;
+            agent.ledger.rebuild(loaded.iter().map(|(w, memory)| (w.clone(), Mib(*memory), true)));
+            agent.rebuilt_at = None;
+        }
+        let caught_up = agent.reader.state.next > 1 || self.world.head.next == 1;
+        self.world.read(&mut agent.reader);
+        let target = TargetId::from(agent.reader.name.as_str());
+        let known = agent.reader.state.targets.by_name.get(&target);
+        if known.is_none_or(|known| known.incarnation < agent.reader.incarnation) {
+            let body = target_up(agent.reader.name.as_str(), ENGINE_MIB);
+            let record = agent.reader.record(body);
+            self.world.append(&record);
+            return;
+        }
+        if !caught_up {
+            return;
+        }
+        self.manage(index, now);
+    }
+
+    /// One turn of the rules for slots and memory.
+    fn manage(&mut self, index: usize, now: Instant) {
+        let agent = &mut self.agents[index];
+        let state = agent.reader.state.clone();
+        let target = TargetId::from(agent.reader.name.as_str());
+        let (view, leaving) = (View::new(&state.documents), self.world.chance(5));
+        let kept = agent.release.kept(&state, &view, &target, leaving, &BTreeSet::new());
+        for (weights, memory) in agent.ledger.drop_idle(|model| kept.contains(model)) {
+            order(&mut self.world, agent, false, &weights, memory);
+        }
+        let ledger = &agent.ledger;
+        let given_up = agent.release.give_up(&state, &target, &kept, |model| ledger.holds(model));
+        for (key, assigned) in given_up.clone() {
+            let (model, index) = (key.model, key.index);
+            let body = Body::SlotReleased { model, index, assigned, epoch: None };
+            let record = agent.reader.record(body);
+            self.world.append(&record);
+        }
+        let wanted = self.world.rng.random_range(0..kept.len().max(1));
+        if let Some(model) = kept.iter().nth(wanted) {
+            let weights = Weights::model(model.clone(), "1".into());
+            if agent.ledger.reserve(&weights, Mib(MODEL_MIB)).is_ok() {
+                order(&mut self.world, agent, true, &weights, Mib(MODEL_MIB));
+                self.counts.loads += 1;
+                self.counts.lost_orders += u64::from(agent.ledger.has_unknown());
+            }
+        }
+        if agent.ledger.has_unknown() || self.world.chance(10) {
+            let loaded = &agent.engine.loaded;
+            let loaded: Vec<_> = loaded.iter().map(|(w, m)| (w.clone(), Mib(*m), true)).collect();
+            agent.ledger.reconcile(now, agent.ledger.version(), &loaded);
+        }
+    }
+
+    fn finish(&self, total: &mut Counts) {
+        total.loads += self.counts.loads;
+        total.lost_orders += self.counts.lost_orders;
+        total.hosts_gone += self.counts.hosts_gone;
+        total.agent_restarts += self.counts.agent_restarts;
+        total.late_records += self.counts.late_records;
+        total.accepted += self.told.accepted.len() as u64;
+        total.refused += self.told.refused.len() as u64;
+        total.restored += self.world.restored;
+        let history = &self.world.head.history;
+        let accepted =
+            |ticket: &String| history.find(ticket).is_some_and(|entry| entry.refused.is_none());
+        for ticket in &self.told.accepted {
+            assert!(accepted(ticket), "told accepted, but not in force: {ticket}");
+        }
+        for ticket in &self.told.refused {
+            assert!(!accepted(ticket), "told refused, but took force: {ticket}");
+        }
+    }
+}
+
+/// Gives an order whose answer may be lost, and which may be carried out late then.
+fn order(world: &mut World, agent: &mut AgentSim, load: bool, weights: &Weights, memory: Mib) {
+    assert!(SETTLE > Duration::from_millis(STRAY_MS));
+    let confirmed = if load { Some(Stage::Ready) } else { None };
+    match world.rng.random_range(0..10) {
+        0 => {
+            let due = world.now_ms + world.rng.random_range(0..STRAY_MS);
+            agent.engine.inbox.push((due, load, weights.clone(), memory.0));
+            agent.ledger.set_stage(weights, Stage::Unknown);
+        }
+        1 => agent.ledger.set_stage(weights, Stage::Unknown),
+        2 => {
+            agent.engine.carry_out(load, weights, memory.0);
+            agent.ledger.set_stage(weights, Stage::Unknown);
+        }
+        _ => {
+            agent.engine.carry_out(load, weights, memory.0);
+            match confirmed {
+                Some(stage) => agent.ledger.set_stage(weights, stage),
+                None => agent.ledger.remove(weights),
+            }
+        }
+    }
+}
+
+/// Processes crash and are paused, orders and appends lose their answers, the log is down and
+/// drops old records, operators change replicas meanwhile. A team would notice a replica too
+/// many as money, an over-committed engine as a crash, a change that took force after it was
+/// called refused as settings that nobody wanted.
+#[rstest]
+fn no_history_makes_a_replica_too_many_or_breaks_a_promise_to_an_operator() {
+    let mut total = Counts::default();
+    for seed in 0..HISTORIES {
+        let _seed = Seed(seed);
+        let mut history = History::new(seed);
+        for _ in 0..STEPS {
+            history.step();
+        }
+        history.finish(&mut total);
+    }
+    println!("{total:?}");
+    let Counts { loads, lost_orders, hosts_gone, agent_restarts, late_records, .. } = total;
+    let faults = [loads, lost_orders, hosts_gone, agent_restarts, late_records];
+    let answers = [total.accepted, total.refused, total.restored];
+    let all = faults.iter().chain(&answers);
+    assert!(all.clone().all(|count| *count >= HISTORIES), "too little came about: {total:?}");
+}
--- a/crates/corianderstand_agent/src/run.rs
+++ b/crates/corianderstand_agent/src/run.rs
@@ -63,6 +63,7 @@
             Job::Unload { weights, memory, fence } => {
                 self.order(OrderAction::Unload, weights, memory, fence).await;
             }
+            Job::Ask { version } => self.ask(version).await,
         }
     }
 
@@ -75,7 +76,8 @@
         }
         let outcome = match answer {
             Ok(()) => Some(true),
-            Err(EdgeError::Status { .. }) => Some(false),
+            // An error of the engine's own says nothing of how far the order came.
+            Err(EdgeError::Status { status, .. }) if status < 500 => Some(false),
             Err(error) if error.never_sent() => Some(false),
             Err(_) => None,
         };
@@ -85,6 +87,18 @@
         });
     }
 
+    async fn ask(&self, version: u64) {
+        let Target::Engine(engine) = &self.target else { return };
+        let loaded = engine.loaded().await;
+        if let Err(error) = &loaded {
+            tracing::warn!(%error, "engine not asked what is loaded");
+        }
+        let loaded = loaded.ok().map(|loaded| {
+            loaded.into_iter().map(|l| (l.weights, Mib(l.memory_mib), l.ready)).collect()
+        });
+        self.tell(Event::Asked { version, loaded });
+    }
+
     /// The ring is bounded and its reader never waits for this thread, so this ends soon.
     fn tell(&self, event: Event) {
         drop(self.events.send(event));
--- a/crates/corianderstand_agent/src/start.rs
+++ b/crates/corianderstand_agent/src/start.rs
@@ -2,12 +2,18 @@
 
 use crate::{
     accept::{self, Shared},
+    announce,
     decide::Decider,
+    early::Early,
     event::Event,
+    pause::PauseWatch,
+    reconcile::Asking,
+    release::{Release, Releases},
     run::{Runner, Target},
 };
 use corianderstand_control::{
     appender::Identity,
+    peers::{HttpPeers, Nobody, Peers},
     snapshot::Current,
     start::{Control, Handle},
 };
@@ -18,7 +24,7 @@
 use corianderstand_schema::{
     messages::Load,
     process::{AgentSettings, TargetKind},
-    records::{Body, TargetRecord},
+    records::TargetRecord,
 };
 use corianderstand_types::{
     clock::{self, SharedClock},
@@ -41,10 +47,10 @@
 const EVENT_RING: usize = 8192;
 /// Time a plain service has to answer one call.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Pause between two tries at start.
-const START_PAUSE: Duration = Duration::from_millis(100);
-/// Time the log has to decide an announcement before it is tried again.
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause between two questions to the engine at start.
+const REBUILD_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two looks at a planned stop.
+const STOP_PAUSE: Duration = Duration::from_millis(100);
 
 /// An agent that cannot start.
 #[derive(Debug, displaydoc::Display)]
@@ -82,11 +88,13 @@
     let (load, load_rx) = watch::channel(Load { running: 0, queued: 0, wait_ms: 0 });
     let (idle, idle_rx) = watch::channel(true);
     let (draining, draining_rx) = watch::channel(false);
+    let (releases, releases_rx) = watch::channel(Releases::new());
     let target = TargetId(settings.name.0.clone());
 
     let decider = Decider {
         agent: Agent::new(limits(&settings), memory(&settings)),
         target: target.clone(),
+        host: settings.host.clone(),
         current: control.current.clone(),
         clock: clock.clone(),
         jobs,
@@ -94,7 +102,13 @@
         idle,
         requests: HashMap::new(),
         streams: HashMap::new(),
-        slots_version: 0,
+        rebuilt: matches!(settings.target.kind, TargetKind::Service { .. }),
+        release: Release::default(),
+        releases,
+        stopping: false,
+        pause: PauseWatch::new(clock.now()),
+        asking: Asking::new(clock.now()),
+        early: Early::default(),
     };
     spawn("decide", move || decider.run(&events_rx))?;
 
@@ -115,7 +129,7 @@
         silence: settings.timing.silence_ms.0,
         events: events.clone(),
         load: load_rx,
-        draining: draining_rx,
+        draining: draining_rx.clone(),
         clock,
     };
     let link_runtime = runtime()?;
@@ -126,7 +140,8 @@
         link_runtime.block_on(async move {
             // The engine is asked before any router can reach this process.
             rebuild(&link_target, &link_events).await;
-            announce(&link_control, record).await;
+            tokio::spawn(announce::release(link_control.clone(), releases_rx));
+            tokio::spawn(announce::keep_announced(link_control, record, incarnation, draining_rx));
             match tokio::net::TcpListener::from_std(listener) {
                 Ok(listener) => accept::run(listener, shared).await,
                 Err(error) => tracing::error!(%error, "the bound port cannot be used"),
@@ -170,6 +185,7 @@
         identity: Identity { writer: settings.name.clone(), incarnation },
         log: Arc::new(HttpLog::new(&settings.log_url, poll)),
         hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
+        peers: peers(settings),
         clock,
         log_poll: poll,
         hosts_poll: settings.timing.host_list_poll_ms.0,
@@ -178,6 +194,14 @@
     control.start().map_err(AgentError::Thread)
 }
 
+/// Routers to take state from; an agent that was given no token has none.
+fn peers(settings: &AgentSettings) -> Arc<dyn Peers> {
+    match &settings.peer_token {
+        Some(token) => Arc::new(HttpPeers::new(&settings.peers, token.clone())),
+        None => Arc::new(Nobody),
+    }
+}
+
 fn limits(settings: &AgentSettings) -> Limits {
     Limits { concurrency: settings.target.concurrency, queue: settings.target.queue }
 }
@@ -215,10 +239,17 @@
     }
 }
 
+/// Asks the engine what is loaded, twice.
+///
+/// An order of an agent that died may lie in the engine's socket and be carried out just after
+/// the first answer; the pause lets it show in the second. Ordering by the first answer alone
+/// would commit that memory twice.
 async fn rebuild(target: &Target, events: &std_mpsc::SyncSender<Event>) {
     let Target::Engine(engine) = target else { return };
+    let mut answers = 0;
     loop {
         match engine.loaded().await {
+            Ok(_) if answers == 0 => answers = 1,
             Ok(loaded) => {
                 let loaded = loaded.into_iter();
                 let loaded = loaded.map(|l| (l.weights, Mib(l.memory_mib), l.ready)).collect();
@@ -227,20 +258,7 @@
             }
             Err(error) => tracing::warn!(%error, "engine not asked what is loaded yet"),
         }
-        time::sleep(START_PAUSE).await;
-    }
-}
-
-async fn announce(control: &Handle, record: TargetRecord) {
-    while !control.current.load().caught_up {
-        time::sleep(START_PAUSE).await;
-    }
-    loop {
-        let body = Body::TargetUp { target: record.clone() };
-        match control.appender.append(body, ANNOUNCE_TIMEOUT).await {
-            Ok(_) => return,
-            Err(error) => tracing::warn!(%error, "target not announced yet"),
-        }
+        time::sleep(REBUILD_PAUSE).await;
     }
 }
 
@@ -256,15 +274,12 @@
         let Ok(runtime) = runtime() else { return };
         runtime.block_on(async {
             // One turn of the decide loop, so that what has just come is counted.
-            time::sleep(START_PAUSE * 2).await;
+            time::sleep(STOP_PAUSE * 2).await;
             let idle = self.idle.wait_for(|idle| *idle);
             if time::timeout(self.drain_limit, idle).await.is_err() {
                 tracing::warn!("planned stop: limit reached with work in flight");
             }
-            let body = Body::TargetDown { target: self.target.clone() };
-            if let Err(error) = self.control.appender.append(body, ANNOUNCE_TIMEOUT).await {
-                tracing::warn!(%error, "goodbye not decided");
-            }
+            announce::farewell(&self.control, &self.target).await;
         });
     }
 
--- a/crates/corianderstand_control/src/duty.rs
+++ b/crates/corianderstand_control/src/duty.rs
@@ -1,63 +1,167 @@
-//! The duties of the control lease: taking it, keeping it, planning slots under it.
+//! The duties of the control lease: taking it, keeping it, planning slots, checkpoints.
 
 use crate::{
     appender::{Appender, Identity},
     snapshot::{Current, Snapshot},
 };
 use corianderstand_schema::records::Body;
-use corianderstand_state::plan;
+use corianderstand_state::{checkpoint, fold::Outcome, plan};
 use corianderstand_types::clock::{self, SharedClock};
-use std::time::Duration;
-use tokio::time;
+use rand::RngExt;
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{task::JoinHandle, time};
 
 /// Shortest time between two looks at the lease.
 const MIN_TICK: Duration = Duration::from_millis(100);
+/// Time the log has to decide one part of a checkpoint.
+const PART_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What the duties of one process need.
+pub struct Duty {
+    /// Who this process is.
+    pub identity: Identity,
+    /// Time.
+    pub clock: SharedClock,
+    /// Snapshots.
+    pub current: Current,
+    /// Appends.
+    pub appender: Appender,
+    /// Whether this process has given the lease back for good.
+    pub resigned: Arc<AtomicBool>,
+}
 
-/// Takes the lease when it is free, and does its duties while it is held.
-pub async fn run(identity: Identity, clock: SharedClock, current: Current, appender: Appender) {
-    let mut renewed_ms = 0;
-    loop {
-        let snapshot = current.load();
-        let ttl = snapshot.view.deployment.lease_ttl_ms.0;
-        if snapshot.caught_up && snapshot.log_up {
-            let now_ms = log_now_ms(&snapshot, &clock);
-            step(&identity, now_ms, &mut renewed_ms, &snapshot, &appender).await;
+impl Duty {
+    /// Takes the lease when it is free, and does its duties while it is held.
+    pub async fn run(self) {
+        let mut renewed_ms = 0;
+        let mut checkpoint: Option<JoinHandle<()>> = None;
+        loop {
+            let snapshot = self.current.load();
+            let ttl = snapshot.view.deployment.lease_ttl_ms.0;
+            let may_act = snapshot.caught_up && snapshot.log_up;
+            if may_act && !self.resigned.load(Ordering::Relaxed) {
+                let held =
+                    snapshot.state.lease.held_by(&self.identity.writer, self.identity.incarnation);
+                if held {
+                    self.keep(&snapshot, &mut renewed_ms).await;
+                    self.plan(&snapshot).await;
+                    self.start_checkpoint(&snapshot, &mut checkpoint);
+                } else {
+                    self.take(ttl).await;
+                }
+            }
+            time::sleep((ttl / 6).max(MIN_TICK)).await;
         }
-        time::sleep((ttl / 6).max(MIN_TICK)).await;
     }
-}
 
-fn log_now_ms(snapshot: &Snapshot, clock: &SharedClock) -> u64 {
-    clock::unix_ms(clock.wall()).saturating_add_signed(snapshot.log_clock_ms)
-}
+    fn log_now_ms(&self, snapshot: &Snapshot) -> u64 {
+        clock::unix_ms(self.clock.wall()).saturating_add_signed(snapshot.log_clock_ms)
+    }
 
-async fn step(
-    identity: &Identity,
-    now_ms: u64,
-    renewed_ms: &mut u64,
-    snapshot: &Snapshot,
-    appender: &Appender,
-) {
-    let lease = &snapshot.state.lease;
-    let ttl = snapshot.view.deployment.lease_ttl_ms;
-    if !lease.held_by(&identity.writer, identity.incarnation) {
-        if lease.holder.is_none() || now_ms >= lease.until_ms {
-            let body = Body::LeaseTaken { epoch: lease.epoch + 1, ttl_ms: ttl.as_millis() };
-            append(appender, body, ttl.0).await;
+    fn is_free(&self, snapshot: &Snapshot) -> bool {
+        let lease = &snapshot.state.lease;
+        lease.holder.is_none() || self.log_now_ms(snapshot) >= lease.until_ms
+    }
+
+    /// Takes the lease if it is free, after a random pause.
+    ///
+    /// When a holder dies, all routers see the lease lapse at the same moment. Without the pause
+    /// each of them would append at once; with it, most see the first one's record in time.
+    async fn take(&self, ttl: Duration) {
+        if !self.is_free(&self.current.load()) {
+            return;
+        }
+        let part: f64 = rand::rng().random_range(0.0..1.0);
+        time::sleep((ttl / 3).mul_f64(part)).await;
+        let snapshot = self.current.load();
+        if !self.is_free(&snapshot) {
+            return;
         }
-        return;
+        let epoch = snapshot.state.lease.epoch + 1;
+        let body = Body::LeaseTaken { epoch, ttl_ms: ttl.as_millis() as u64 };
+        self.append_all(vec![body], ttl).await;
     }
-    if now_ms >= *renewed_ms + lease.ttl_ms / 3 {
+
+    async fn keep(&self, snapshot: &Snapshot, renewed_ms: &mut u64) {
+        let (lease, now_ms) = (&snapshot.state.lease, self.log_now_ms(snapshot));
+        if now_ms < *renewed_ms + lease.ttl_ms / 3 {
+            return;
+        }
         *renewed_ms = now_ms;
-        append(appender, Body::LeaseRenewed { epoch: lease.epoch }, ttl.0).await;
+        let ttl = Duration::from_millis(lease.ttl_ms);
+        self.append_all(vec![Body::LeaseRenewed { epoch: lease.epoch }], ttl).await;
     }
-    for body in plan::plan(&snapshot.state, &snapshot.view, &snapshot.hosts.leaving) {
-        append(appender, body, ttl.0).await;
+
+    async fn plan(&self, snapshot: &Snapshot) {
+        let state = &snapshot.state;
+        let gone = |host| snapshot.hosts.gone.contains(host);
+        let lost = state.targets.by_name.iter().filter(|(_, t)| gone(&t.record.host));
+        let mut bodies: Vec<Body> = lost
+            .map(|(name, target)| Body::TargetGone {
+                epoch: state.lease.epoch,
+                target: name.clone(),
+                target_offset: target.offset,
+            })
+            .collect();
+        let avoid: BTreeSet<_> =
+            snapshot.hosts.leaving.union(&snapshot.hosts.gone).cloned().collect();
+        bodies.extend(plan::plan(state, &snapshot.view, &avoid));
+        self.append_all(bodies, Duration::from_millis(state.lease.ttl_ms)).await;
+    }
+
+    /// Appends together and waits for all.
+    async fn append_all(&self, bodies: Vec<Body>, timeout: Duration) {
+        let appends = bodies.into_iter().map(|body| self.appender.append(body, timeout));
+        for decided in futures::future::join_all(appends).await {
+            if let Err(error) = decided {
+                tracing::warn!(%error, "duty record not decided");
+            }
+        }
+    }
+
+    /// Starts to write a checkpoint if one is due and none is being written.
+    fn start_checkpoint(&self, snapshot: &Snapshot, running: &mut Option<JoinHandle<()>>) {
+        let busy = running.as_ref().is_some_and(|task| !task.is_finished());
+        if busy || !is_checkpoint_due(snapshot, self.log_now_ms(snapshot)) {
+            return;
+        }
+        let bodies = checkpoint::split(&snapshot.state);
+        *running = Some(tokio::spawn(write_checkpoint(self.appender.clone(), bodies)));
     }
 }
 
-async fn append(appender: &Appender, body: Body, timeout: Duration) {
-    if let Err(error) = appender.append(body, timeout).await {
-        tracing::warn!(%error, "duty record not decided");
+/// Whether the state must be written again.
+///
+/// Besides at intervals, that is so when the log no longer has what the last checkpoint needs:
+/// after an outage longer than the retention the survivors alone hold the state, and if they
+/// died before it was written again, it would be lost.
+pub fn is_checkpoint_due(snapshot: &Snapshot, log_now_ms: u64) -> bool {
+    let Some(last) = snapshot.state.checkpoints.last else { return true };
+    let interval = snapshot.view.deployment.checkpoint_interval_ms.as_millis();
+    log_now_ms >= last.at_ms + interval || snapshot.oldest > last.as_of.min(last.first)
+}
+
+async fn write_checkpoint(appender: Appender, bodies: Vec<Body>) {
+    let parts = bodies.len();
+    for body in bodies {
+        match appender.append(body, PART_TIMEOUT).await {
+            Ok(decided) if decided.outcome == Outcome::Applied => {}
+            Ok(decided) => {
+                tracing::warn!(outcome = ?decided.outcome, "checkpoint given up");
+                return;
+            }
+            Err(error) => {
+                tracing::warn!(%error, "checkpoint given up");
+                return;
+            }
+        }
     }
+    tracing::info!(parts, "checkpoint written");
 }
--- a/crates/corianderstand_control/src/follower.rs
+++ b/crates/corianderstand_control/src/follower.rs
@@ -2,14 +2,19 @@
 
 use crate::{
     appender::Decisions,
-    snapshot::{Current, Hosts, Snapshot},
+    peers::Peers,
+    restore::{self, Search},
+    snapshot::{Current, Hosts, Snapshot, Waiting},
 };
 use corianderstand_edge::{
     EdgeError,
     log::{Entry, LogService, Page},
 };
 use corianderstand_schema::records::Record;
-use corianderstand_state::view::View;
+use corianderstand_state::{
+    fold::{Outcome, State},
+    view::View,
+};
 use corianderstand_types::clock::{self, SharedClock};
 use std::{sync::Arc, time::Duration};
 use tokio::{sync::watch, time};
@@ -19,40 +24,46 @@
 /// Pause after a read that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Where a follower reads from and whom it tells.
+pub struct Sources {
+    /// The log.
+    pub log: Arc<dyn LogService>,
+    /// Longest wait of one read.
+    pub wait: Duration,
+    /// Other processes' state.
+    pub peers: Arc<dyn Peers>,
+    /// Time.
+    pub clock: SharedClock,
+    /// The hosts.
+    pub hosts: watch::Receiver<Arc<Hosts>>,
+}
+
 /// Folds the log and publishes snapshots.
 pub struct Follower {
-    log: Arc<dyn LogService>,
-    wait: Duration,
-    clock: SharedClock,
+    sources: Sources,
     current: Current,
     decisions: Decisions,
-    hosts: watch::Receiver<Arc<Hosts>>,
     snapshot: Snapshot,
+    search: Option<Search>,
 }
 
 impl Follower {
-    /// A follower that starts from nothing; one read waits up to `wait` for a record.
-    pub fn new(
-        log: Arc<dyn LogService>,
-        wait: Duration,
-        clock: SharedClock,
-        current: Current,
-        decisions: Decisions,
-        hosts: watch::Receiver<Arc<Hosts>>,
-    ) -> Self {
+    /// A follower that starts from nothing.
+    pub fn new(sources: Sources, current: Current, decisions: Decisions) -> Self {
         let mut snapshot = Snapshot::default();
         snapshot.state.next = 1;
-        Self { log, wait, clock, current, decisions, hosts, snapshot }
+        Self { sources, current, decisions, snapshot, search: None }
     }
 
     /// Follows for ever.
     pub async fn run(mut self) {
         loop {
-            let read = self.log.read(self.snapshot.state.next, PAGE, self.wait);
+            let from = self.search.as_ref().map_or(self.snapshot.state.next, |s| s.cursor);
+            let read = self.sources.log.read(from, PAGE, self.sources.wait);
             tokio::select! {
                 page = read => self.take(page).await,
-                _ = self.hosts.changed() => {
-                    self.snapshot.hosts = self.hosts.borrow_and_update().clone();
+                _ = self.sources.hosts.changed() => {
+                    self.snapshot.hosts = self.sources.hosts.borrow_and_update().clone();
                     self.current.store(self.snapshot.clone());
                 }
             }
@@ -61,31 +72,74 @@
 
     async fn take(&mut self, page: Result<Page, EdgeError>) {
         match page {
+            Ok(page) if restore::has_gap(&self.snapshot.state, &page) => self.restore(&page).await,
             Ok(page) => self.fold(&page),
             Err(error) => {
                 tracing::warn!(%error, "log not read");
                 self.snapshot.log_up = false;
+                if !self.snapshot.caught_up {
+                    self.snapshot.waiting = Waiting::Log;
+                    self.ask_peers(0).await;
+                }
                 self.current.store(self.snapshot.clone());
                 time::sleep(RETRY_PAUSE).await;
             }
         }
     }
 
+    /// Takes a peer's state if it is newer than this one and the log continues it.
+    async fn ask_peers(&mut self, oldest: u64) -> bool {
+        let state = self.sources.peers.state().await;
+        let next = self.snapshot.state.next;
+        let Some(state) = state.filter(|s| s.next > next && s.next >= oldest) else { return false };
+        tracing::info!(next = state.next, "state taken from a peer");
+        self.adopt(state);
+        self.snapshot.caught_up = true;
+        true
+    }
+
+    fn adopt(&mut self, state: State) {
+        self.snapshot.state = state;
+        self.refresh_view();
+        self.search = None;
+    }
+
+    async fn restore(&mut self, page: &Page) {
+        let search = self.search.get_or_insert_with(|| Search::new(page.oldest));
+        search.cursor = search.cursor.max(page.oldest);
+        let found = search.take(page);
+        let next = self.snapshot.state.next;
+        match found.filter(|state| state.next > next) {
+            Some(state) => {
+                tracing::info!(next = state.next, "state taken from a checkpoint");
+                self.adopt(state);
+            }
+            None if self.ask_peers(page.oldest).await => {}
+            None => {
+                self.snapshot.waiting = Waiting::Checkpoint;
+                self.snapshot.caught_up = false;
+            }
+        }
+        self.current.store(self.snapshot.clone());
+    }
+
     fn fold(&mut self, page: &Page) {
+        self.search = None;
         let decided: Vec<_> =
             page.entries.iter().filter_map(|entry| self.fold_one(entry)).collect();
+        let at_end = self.snapshot.state.next >= page.next;
         let snapshot = &mut self.snapshot;
-        let changed = !page.entries.is_empty() || !snapshot.log_up || !snapshot.caught_up;
         snapshot.log_up = true;
-        snapshot.caught_up |= snapshot.state.next >= page.next;
-        let now = clock::unix_ms(self.clock.wall());
-        snapshot.log_clock_ms = page.now_ms as i64 - now as i64;
-        if snapshot.view.version != snapshot.state.documents.version {
-            snapshot.view = Arc::new(View::new(&snapshot.state.documents));
-        }
-        if changed {
-            self.current.store(snapshot.clone());
+        snapshot.reads += 1;
+        snapshot.oldest = page.oldest;
+        snapshot.caught_up |= at_end;
+        if at_end {
+            snapshot.read_to_ms = snapshot.read_to_ms.max(page.now_ms);
         }
+        let now = clock::unix_ms(self.sources.clock.wall());
+        snapshot.log_clock_ms = page.now_ms as i64 - now as i64;
+        self.refresh_view();
+        self.current.store(self.snapshot.clone());
         // Writers hear of their records only once the snapshot holds them, so that whoever is
         // told "accepted" finds the change in force on this process.
         for (record, offset, outcome) in decided {
@@ -93,10 +147,14 @@
         }
     }
 
-    fn fold_one(
-        &mut self,
-        entry: &Entry,
-    ) -> Option<(Record, u64, corianderstand_state::fold::Outcome)> {
+    fn refresh_view(&mut self) {
+        let snapshot = &mut self.snapshot;
+        if snapshot.view.version != snapshot.state.documents.version {
+            snapshot.view = Arc::new(View::new(&snapshot.state.documents));
+        }
+    }
+
+    fn fold_one(&mut self, entry: &Entry) -> Option<(Record, u64, Outcome)> {
         match postcard::from_bytes::<Record>(&entry.data) {
             Ok(record) => {
                 let outcome = self.snapshot.state.apply(entry.offset, entry.at_ms, &record);
--- a/crates/corianderstand_control/src/hosts.rs
+++ b/crates/corianderstand_control/src/hosts.rs
@@ -1,32 +1,46 @@
 //! Reads the host list at intervals.
 
-use crate::snapshot::Hosts;
-use corianderstand_edge::hosts::{HostEntry, HostList, HostState};
-use std::{sync::Arc, time::Duration};
+use crate::{
+    membership::Membership,
+    snapshot::{Current, Hosts},
+};
+use corianderstand_edge::hosts::HostList;
+use corianderstand_types::{clock::SharedClock, names::HostId};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::{sync::watch, time};
 
 /// Reads the list for ever and passes on each change.
-pub async fn run(list: Arc<dyn HostList>, every: Duration, tx: watch::Sender<Arc<Hosts>>) {
+pub async fn run(
+    list: Arc<dyn HostList>,
+    every: Duration,
+    clock: SharedClock,
+    current: Current,
+    tx: watch::Sender<Arc<Hosts>>,
+) {
+    let mut membership = Membership::default();
     let mut ticks = time::interval(every);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
+        let snapshot = current.load();
+        let targets = snapshot.state.targets.by_name.values();
+        let announced: BTreeSet<HostId> = targets.map(|t| t.record.host.clone()).collect();
+        membership.hear(clock.now(), &announced);
         match list.hosts().await {
-            Ok(entries) => update(&tx, &entries),
+            Ok(entries) => {
+                let lag = snapshot.view.deployment.host_list_lag_ms.0;
+                if !membership.take(clock.now(), lag, &entries) {
+                    let listed = entries.len();
+                    tracing::warn!(listed, "host list empty or greatly shrunken: not believed yet");
+                }
+            }
             Err(error) => tracing::warn!(%error, "host list not read"),
         }
+        update(&tx, membership.hosts());
     }
 }
 
-fn update(tx: &watch::Sender<Arc<Hosts>>, entries: &[HostEntry]) {
-    let mut hosts = Hosts::default();
-    for entry in entries {
-        let set = match entry.state {
-            HostState::Live => &mut hosts.live,
-            HostState::Leaving => &mut hosts.leaving,
-        };
-        set.insert(entry.host.clone());
-    }
+fn update(tx: &watch::Sender<Arc<Hosts>>, hosts: Hosts) {
     tx.send_if_modified(|current| {
         let changed = **current != hosts;
         if changed {
--- /dev/null
+++ b/crates/corianderstand_control/src/peers.rs
@@ -0,0 +1,69 @@
+//! State from another router, for a process that cannot get it from the log.
+
+use async_trait::async_trait;
+use corianderstand_edge::http::HttpSystem;
+use corianderstand_state::{checkpoint, fold::State};
+use rand::seq::SliceRandom;
+use smol_str::SmolStr;
+use std::time::Duration;
+
+/// Path at which a router gives its state.
+pub const STATE_PATH: &str = "/operator/state";
+/// Time a peer has to answer.
+const SILENCE: Duration = Duration::from_secs(3);
+/// Peers asked in one go: one may be down or starting too, all of them hardly.
+const MAX_ASKED: usize = 4;
+
+/// Where a process may get the state besides the log.
+#[async_trait]
+pub trait Peers: Send + Sync {
+    /// The newest state that some peers have.
+    async fn state(&self) -> Option<State>;
+}
+
+/// No peers.
+#[derive(Clone, Copy, Debug)]
+pub struct Nobody;
+
+#[async_trait]
+impl Peers for Nobody {
+    async fn state(&self) -> Option<State> {
+        None
+    }
+}
+
+/// Other routers, over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpPeers {
+    peers: Vec<HttpSystem>,
+    token: SmolStr,
+}
+
+impl HttpPeers {
+    /// The routers at `addresses`, which know this process by `token`.
+    pub fn new(addresses: &[SmolStr], token: SmolStr) -> Self {
+        let peer = |a: &SmolStr| HttpSystem::new("a peer router", &format!("http://{a}"), SILENCE);
+        Self { peers: addresses.iter().map(peer).collect(), token }
+    }
+
+    async fn ask(&self, peer: &HttpSystem) -> Option<State> {
+        let req = peer.request(reqwest::Method::GET, STATE_PATH).bearer_auth(&self.token);
+        let answer = peer.send(req).await;
+        let answer = answer.inspect_err(|error| tracing::info!(%error, "no state from a peer"));
+        let bytes = answer.ok()?.bytes().await.ok()?;
+        checkpoint::decode(&bytes)
+    }
+}
+
+#[async_trait]
+impl Peers for HttpPeers {
+    /// Asks a few peers taken at random, so that all processes that start in an outage do not
+    /// go to the same one.
+    async fn state(&self) -> Option<State> {
+        let mut order: Vec<&HttpSystem> = self.peers.iter().collect();
+        order.shuffle(&mut rand::rng());
+        let asked = order.into_iter().take(MAX_ASKED).map(|peer| self.ask(peer));
+        let states = futures::future::join_all(asked).await;
+        states.into_iter().flatten().max_by_key(|state| state.next)
+    }
+}
--- a/crates/corianderstand_control/src/snapshot.rs
+++ b/crates/corianderstand_control/src/snapshot.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeSet, sync::Arc};
 use tokio::sync::watch;
 
-/// The hosts as the list last told.
+/// The hosts, judged from the list.
 #[derives(data)]
 #[derive(Default, Eq)]
 pub struct Hosts {
@@ -15,6 +15,34 @@
     pub live: BTreeSet<HostId>,
     /// Hosts about to be taken back.
     pub leaving: BTreeSet<HostId>,
+    /// Hosts that have left the list for longer than it lags.
+    pub gone: BTreeSet<HostId>,
+}
+
+/// What a process that has no state yet waits for.
+#[derives(key)]
+#[derive(Default)]
+pub enum Waiting {
+    /// The log is being read.
+    #[default]
+    Start,
+    /// The log does not answer and no peer has given its state.
+    Log,
+    /// The log's beginning is gone and neither a checkpoint nor a peer was found.
+    Checkpoint,
+}
+
+impl Waiting {
+    /// Why the process is not ready, for people.
+    pub const fn reason(self) -> &'static str {
+        match self {
+            Self::Start => "it has no settings yet: it reads the log",
+            Self::Log => "it has no settings yet: the log does not answer and no peer has them",
+            Self::Checkpoint => {
+                "it has no settings yet: the log's beginning is gone, no checkpoint or peer has them"
+            }
+        }
+    }
 }
 
 /// One consistent picture; cheap to clone, as the state shares its parts.
@@ -28,6 +56,14 @@
     pub hosts: Arc<Hosts>,
     /// Whether the log has been read to its end at least once.
     pub caught_up: bool,
+    /// What it waits for until it has.
+    pub waiting: Waiting,
+    /// Reads of the log that succeeded.
+    pub reads: u64,
+    /// Oldest offset that the log still keeps.
+    pub oldest: u64,
+    /// Log time up to which every record has been folded.
+    pub read_to_ms: u64,
     /// Whether the last read of the log succeeded.
     pub log_up: bool,
     /// Estimate of the log's clock minus this host's, in milliseconds.
--- a/crates/corianderstand_control/src/start.rs
+++ b/crates/corianderstand_control/src/start.rs
@@ -2,14 +2,23 @@
 
 use crate::{
     appender::{self, Appender, Identity},
-    duty,
-    follower::Follower,
+    duty::Duty,
+    follower::{Follower, Sources},
     hosts,
+    peers::Peers,
     snapshot::Current,
 };
 use corianderstand_edge::{hosts::HostList, log::LogService};
+use corianderstand_schema::records::Body;
 use corianderstand_types::clock::SharedClock;
-use std::{sync::Arc, thread, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
 use tokio::{runtime, sync::watch};
 
 /// What the control thread needs.
@@ -20,6 +29,8 @@
     pub log: Arc<dyn LogService>,
     /// The host list.
     pub hosts: Arc<dyn HostList>,
+    /// Other processes to take state from.
+    pub peers: Arc<dyn Peers>,
     /// Time.
     pub clock: SharedClock,
     /// Longest wait of one read of the log.
@@ -37,6 +48,28 @@
     pub current: Current,
     /// Appends.
     pub appender: Appender,
+    identity: Identity,
+    resigned: Arc<AtomicBool>,
+}
+
+/// Time the log has to decide that the lease is given back.
+const RESIGN_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Handle {
+    /// Gives the control lease back for good, so that another takes it without waiting for it
+    /// to lapse.
+    pub async fn resign(&self) {
+        self.resigned.store(true, Ordering::Relaxed);
+        let snapshot = self.current.load();
+        let lease = &snapshot.state.lease;
+        if !lease.held_by(&self.identity.writer, self.identity.incarnation) {
+            return;
+        }
+        let body = Body::LeaseReleased { epoch: lease.epoch };
+        if let Err(error) = self.appender.append(body, RESIGN_TIMEOUT).await {
+            tracing::warn!(%error, "lease not given back: it lapses");
+        }
+    }
 }
 
 impl Control {
@@ -47,25 +80,29 @@
     /// Fails if the system gives no thread.
     pub fn start(self) -> std::io::Result<Handle> {
         let current = Current::default();
+        let resigned = Arc::new(AtomicBool::new(false));
         let (appender, queue, decisions) = appender::channel(self.identity.clone());
-        let handle = Handle { current: current.clone(), appender: appender.clone() };
+        let handle = Handle {
+            current: current.clone(),
+            appender: appender.clone(),
+            identity: self.identity.clone(),
+            resigned: resigned.clone(),
+        };
         let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
         thread::Builder::new().name("control".into()).spawn(move || {
             let (hosts_tx, hosts_rx) = watch::channel(Arc::default());
-            let log = self.log.clone();
-            let follower = Follower::new(
-                log,
-                self.log_poll,
-                self.clock.clone(),
-                current.clone(),
-                decisions,
-                hosts_rx,
-            );
+            let (log, clock) = (self.log.clone(), self.clock.clone());
+            let (wait, peers) = (self.log_poll, self.peers);
+            let sources = Sources { log, wait, peers, clock, hosts: hosts_rx };
+            let follower = Follower::new(sources, current.clone(), decisions);
+            let (clock, identity) = (self.clock.clone(), self.identity);
             runtime.block_on(async {
-                tokio::spawn(queue.run(self.log.clone()));
-                tokio::spawn(hosts::run(self.hosts, self.hosts_poll, hosts_tx));
+                tokio::spawn(queue.run(self.log));
+                let every = self.hosts_poll;
+                tokio::spawn(hosts::run(self.hosts, every, self.clock, current.clone(), hosts_tx));
                 if self.takes_lease {
-                    tokio::spawn(duty::run(self.identity, self.clock, current, appender));
+                    let duty = Duty { identity, clock, current, appender, resigned };
+                    tokio::spawn(duty.run());
                 }
                 follower.run().await;
             });
--- a/crates/corianderstand_decide/src/agent.rs
+++ b/crates/corianderstand_decide/src/agent.rs
@@ -90,9 +90,47 @@
         self.slots = slots;
     }
 
-    /// Takes no new work from now on.
-    pub const fn drain(&mut self) {
-        self.draining = true;
+    /// Settles orders of unknown outcome by what the engine says, asked as of a version of the
+    /// ledger.
+    pub fn reconcile(
+        &mut self,
+        now: Instant,
+        version: u64,
+        loaded: &[(Weights, Mib, bool)],
+        sizes: &dyn Sizes,
+    ) -> Vec<Action> {
+        self.ledger.reconcile(now, version, loaded);
+        self.step(now, sizes)
+    }
+
+    /// Models that a request held here needs.
+    pub fn models_in_use(&self) -> BTreeSet<ModelId> {
+        let bases = self.requests.values().filter_map(|held| held.work.weights().next());
+        bases.map(|base| base.model.clone()).collect()
+    }
+
+    /// Unloads what no slot allows any more, and refuses requests that wait for it.
+    ///
+    /// A slot is given back only after its model is out of the engine's memory. Requests that
+    /// wait for such a model can only be served elsewhere, so they are told at once.
+    pub fn drop_unowned(&mut self) -> Vec<Action> {
+        let slots = &self.slots;
+        let unowned = |key: &RequestKey| {
+            let base = self.requests.get(*key).and_then(|held| held.work.weights().next());
+            base.is_some_and(|base| !slots.contains(&base.model))
+        };
+        let keys: Vec<RequestKey> = self.queue.iter().filter(unowned).collect();
+        let idle = self.ledger.drop_idle(|model| slots.contains(model));
+        let refusal = Refusal { reason: RefusalReason::NotLoaded, retry_after: MIN_RETRY_AFTER };
+        let mut actions: Vec<Action> =
+            keys.into_iter().map(|key| self.refuse(key, refusal)).collect();
+        actions.extend(idle.into_iter().map(|(weights, memory)| Action::Unload(weights, memory)));
+        actions
+    }
+
+    /// Sets whether new work is refused.
+    pub const fn set_draining(&mut self, draining: bool) {
+        self.draining = draining;
     }
 
     /// Whether nothing waits or runs.
--- a/crates/corianderstand_decide/src/ledger.rs
+++ b/crates/corianderstand_decide/src/ledger.rs
@@ -5,8 +5,11 @@
 //! two orders into the same memory; the ledger counts an order of unknown outcome as loaded.
 
 use corianderstand_derives::derives;
-use corianderstand_types::{units::Mib, weights::Weights};
-use std::{collections::BTreeMap, time::Instant};
+use corianderstand_types::{names::ModelId, units::Mib, weights::Weights};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 /// How far an entry has come.
 #[derives(key)]
@@ -32,8 +35,18 @@
     pub users: u32,
     /// When it was last used.
     pub last_used: Option<Instant>,
+    /// Version of the ledger at which its stage was set.
+    pub changed: u64,
+    /// Since when the engine has said that it is not there, while its stage is unknown.
+    pub absent_since: Option<Instant>,
 }
 
+/// Time for which the engine must say that something is not loaded before an order of unknown
+/// outcome is believed to have failed. An order whose connection broke may still lie in the
+/// engine's socket and be carried out after a later question was answered; giving its memory
+/// away at once would let the next load go beyond what the engine has.
+pub const SETTLE: Duration = Duration::from_secs(2);
+
 /// No room for a load.
 #[derives(data)]
 #[derive(Copy, Eq, displaydoc::Display)]
@@ -54,12 +67,13 @@
 pub struct Ledger {
     capacity: Mib,
     entries: BTreeMap<Weights, Entry>,
+    version: u64,
 }
 
 impl Ledger {
     /// An empty engine with this much memory.
     pub const fn new(capacity: Mib) -> Self {
-        Self { capacity, entries: BTreeMap::new() }
+        Self { capacity, entries: BTreeMap::new(), version: 0 }
     }
 
     /// Memory committed, orders of unknown outcome included.
@@ -104,20 +118,61 @@
         if memory > self.free() {
             return Err(LedgerError::NoRoom { missing: Mib(memory.0 - self.free().0) });
         }
-        let entry = Entry { memory, stage: Stage::Loading, users: 0, last_used: None };
-        self.entries.insert(weights.clone(), entry);
+        self.insert(weights.clone(), memory, Stage::Loading);
         Ok(())
     }
 
+    fn insert(&mut self, weights: Weights, memory: Mib, stage: Stage) {
+        self.version += 1;
+        let (changed, absent_since) = (self.version, None);
+        let entry = Entry { memory, stage, users: 0, last_used: None, changed, absent_since };
+        self.entries.insert(weights, entry);
+    }
+
     /// Notes how far an entry has come.
     pub fn set_stage(&mut self, weights: &Weights, stage: Stage) {
+        self.version += 1;
         if let Some(entry) = self.entries.get_mut(weights) {
-            entry.stage = stage;
+            (entry.stage, entry.changed, entry.absent_since) = (stage, self.version, None);
+        }
+    }
+
+    /// Counts changes; a question to the engine is asked as of a version.
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Whether an order's outcome is unknown, so that the engine must be asked.
+    pub fn has_unknown(&self) -> bool {
+        self.entries.values().any(|entry| entry.stage == Stage::Unknown)
+    }
+
+    /// Models of which something is counted, whatever its stage.
+    pub fn holds(&self, model: &ModelId) -> bool {
+        self.entries.keys().any(|weights| weights.model == *model)
+    }
+
+    /// Marks as unloading what is ready and in no use and whose model `keep` does not want;
+    /// adapters before the model that they stand on.
+    pub fn drop_idle(&mut self, keep: impl Fn(&ModelId) -> bool) -> Vec<(Weights, Mib)> {
+        let has_adapters = |model: &ModelId| {
+            self.entries.keys().any(|weights| weights.model == *model && weights.adapter.is_some())
+        };
+        let idle = |(weights, entry): &(&Weights, &Entry)| {
+            let free = entry.stage == Stage::Ready && entry.users == 0 && !keep(&weights.model);
+            free && (weights.adapter.is_some() || !has_adapters(&weights.model))
+        };
+        let idle = self.entries.iter().filter(idle);
+        let idle: Vec<(Weights, Mib)> = idle.map(|(w, e)| (w.clone(), e.memory)).collect();
+        for (weights, _) in &idle {
+            self.set_stage(weights, Stage::Unloading);
         }
+        idle
     }
 
     /// Gives memory back, after the engine confirmed that it is free.
     pub fn remove(&mut self, weights: &Weights) {
+        self.version += 1;
         self.entries.remove(weights);
     }
 
@@ -145,8 +200,54 @@
     pub fn rebuild(&mut self, loaded: impl IntoIterator<Item = (Weights, Mib, bool)>) {
         self.entries.clear();
         for (weights, memory, ready) in loaded {
-            let stage = if ready { Stage::Ready } else { Stage::Unknown };
-            self.entries.insert(weights, Entry { memory, stage, users: 0, last_used: None });
+            self.insert(weights, memory, reported(ready));
+        }
+    }
+
+    /// Settles what is unknown by the engine's answer to a question asked as of `version`.
+    ///
+    /// An entry that changed since the question is left alone: the answer may be older than the
+    /// change. What the engine has and the ledger does not is counted from now on; what it no
+    /// longer has although it was confirmed, as after its own restart, is given back.
+    pub fn reconcile(&mut self, now: Instant, version: u64, loaded: &[(Weights, Mib, bool)]) {
+        let unchanged = version == self.version;
+        for (weights, memory, ready) in loaded {
+            if unchanged && !self.entries.contains_key(weights) {
+                self.insert(weights.clone(), *memory, reported(*ready));
+            }
+        }
+        let answers: BTreeMap<&Weights, bool> = loaded.iter().map(|(w, _, r)| (w, *r)).collect();
+        let old = |entry: &Entry| entry.changed <= version;
+        let names: Vec<Weights> =
+            self.entries.iter().filter(|(_, e)| old(e)).map(|(w, _)| w.clone()).collect();
+        for weights in names {
+            self.settle(now, &weights, answers.get(&weights).copied());
+        }
+    }
+
+    fn settle(&mut self, now: Instant, weights: &Weights, answer: Option<bool>) {
+        let Some(entry) = self.entries.get_mut(weights) else { return };
+        match (entry.stage, answer) {
+            (Stage::Unknown, Some(true)) => self.set_stage(weights, Stage::Ready),
+            (Stage::Unknown, Some(false)) => entry.absent_since = None,
+            (Stage::Unknown, None) => {
+                let since = *entry.absent_since.get_or_insert(now);
+                if now >= since + SETTLE {
+                    self.remove(weights);
+                }
+            }
+            (Stage::Ready, None) => self.remove(weights),
+            (Stage::Ready, Some(false)) => self.set_stage(weights, Stage::Unknown),
+            (Stage::Ready, Some(true)) | (Stage::Loading | Stage::Unloading, _) => {}
         }
     }
 }
+
+/// The stage of what the engine reports; something not ready may have been ordered by an agent
+/// that died, so how that order ends is not known.
+const fn reported(ready: bool) -> Stage {
+    if ready { Stage::Ready } else { Stage::Unknown }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/corianderstand_edge/src/engine.rs
+++ b/crates/corianderstand_edge/src/engine.rs
@@ -137,7 +137,9 @@
 
     async fn order(&self, order: &Order) -> Result<(), EdgeError> {
         let req = self.http.request(reqwest::Method::POST, "/orders").json(order);
-        self.http.send(req).await.map(drop)
+        // An answer that breaks off confirms nothing, whatever its head said.
+        let answer = self.http.send(req).await?;
+        answer.bytes().await.map(drop).map_err(|error| self.http.unreachable(&error))
     }
 
     async fn generate(&self, generate: Generate) -> Result<EngineStream, EdgeError> {
--- a/crates/corianderstand_router/src/decide.rs
+++ b/crates/corianderstand_router/src/decide.rs
@@ -4,7 +4,7 @@
     event::{Call, Command, Event, Update},
     link,
 };
-use corianderstand_control::snapshot::{Current, Snapshot};
+use corianderstand_control::snapshot::{Current, Hosts, Snapshot};
 use corianderstand_decide::{
     router::{Decision, Router, TargetKey},
     work::{Refusal, RequestKey},
@@ -15,7 +15,7 @@
     names::{ModelId, ServiceId, TargetId},
 };
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::{
         atomic::{AtomicUsize, Ordering},
         mpsc::{Receiver, RecvTimeoutError},
@@ -43,6 +43,10 @@
     pub connections: HashMap<TargetId, mpsc::Sender<Command>>,
     /// Versions of the targets, slots and settings that the logic knows.
     pub versions: (u64, u64, u64),
+    /// Hosts that the logic knows.
+    pub hosts: std::sync::Arc<Hosts>,
+    /// Targets whose agents said that they take no new work.
+    pub told: BTreeSet<TargetId>,
     /// Requests held, for the limit and for a planned stop.
     pub held: std::sync::Arc<AtomicUsize>,
 }
@@ -66,10 +70,11 @@
         let snapshot = self.current.load();
         let state = &snapshot.state;
         let versions = (state.targets.version, state.slots.version, state.documents.version);
-        if versions == self.versions {
+        if versions == self.versions && self.hosts == snapshot.hosts {
             return;
         }
         self.versions = versions;
+        self.hosts = snapshot.hosts.clone();
         self.refresh_targets(&snapshot);
         let mut owners: BTreeMap<ModelId, Vec<TargetKey>> = BTreeMap::new();
         for (slot, owner) in &state.slots.by_key {
@@ -85,11 +90,15 @@
         let names: Vec<TargetId> = self.router.targets().map(|t| t.name.clone()).collect();
         for name in names.iter().filter(|name| !targets.contains_key(*name)) {
             self.router.remove_target(name);
+            self.told.remove(name);
         }
         let mut services: BTreeMap<ServiceId, Vec<TargetKey>> = BTreeMap::new();
         for (name, target) in targets {
             let key = self.router.add_target(name, &target.record.place);
             self.router.set_connected(key, self.connections.contains_key(name));
+            // The host list may tell a router before the agent does, or while it cannot.
+            let leaving = self.hosts.leaving.contains(&target.record.host);
+            self.router.set_draining(key, leaving || self.told.contains(name));
             if let Some(service) = &target.record.service {
                 services.entry(service.clone()).or_default().push(key);
             }
@@ -97,6 +106,12 @@
         self.router.set_services(services);
     }
 
+    fn is_leaving(&self, target: &TargetId) -> bool {
+        let snapshot = self.current.load();
+        let known = snapshot.state.targets.by_name.get(target);
+        known.is_some_and(|known| snapshot.hosts.leaving.contains(&known.record.host))
+    }
+
     fn take(&mut self, event: Event) {
         let now = self.clock.now();
         match event {
@@ -108,9 +123,14 @@
             }
             Event::Connected { target, draining, commands } => {
                 self.connections.insert(target.clone(), commands);
+                if draining {
+                    self.told.insert(target.clone());
+                } else {
+                    self.told.remove(&target);
+                }
                 if let Some(key) = self.router.target(&target) {
                     self.router.set_connected(key, true);
-                    self.router.set_draining(key, draining);
+                    self.router.set_draining(key, draining || self.is_leaving(&target));
                 }
             }
             Event::Disconnected(target) => {
@@ -120,6 +140,7 @@
                 }
             }
             Event::Draining(target) => {
+                self.told.insert(target.clone());
                 if let Some(key) = self.router.target(&target) {
                     self.router.set_draining(key, true);
                 }
@@ -172,6 +193,8 @@
         let (Some(connection), Some(call)) = (connection, self.calls.get(&key)) else { return };
         let mut call = call.clone();
         call.open.stream = link::stream_of(key);
+        // The target may fold the slot a little later than this router did; it waits for this.
+        call.open.as_of = self.versions.1.max(self.versions.2);
         if connection.try_send(Command::Open(Box::new(call))).is_err() {
             // The connection is gone or far behind: its ring is as good as a refusal.
             let refusal = Refusal { reason: RefusalReason::QueueFull, retry_after: RETRY_LOST };
--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -47,6 +47,8 @@
     pub hasher: Hasher,
     /// Hash of the operators' key.
     pub operator_key_hash: SmolStr,
+    /// Other routers.
+    pub peers: Vec<SmolStr>,
     /// Longest body, in bytes.
     pub max_body_bytes: usize,
     /// Longest time a body may take to come.
@@ -97,6 +99,12 @@
         .push(Router::with_path("v1/chat/completions").post(at(Kind::Chat)))
         .push(Router::with_path("v1/models").get(at(Kind::Models)))
         .push(Router::with_path("services/{service}/{**rest}").goal(at(Kind::Service)))
+        .push(Router::with_path("operator/state").get(at(Kind::Operator(operator::Kind::State))))
+        .push(Router::with_path("operator/ticket").get(at(Kind::Operator(operator::Kind::Ticket))))
+        .push(Router::with_path("operator/spread").get(at(Kind::Operator(operator::Kind::Spread))))
+        .push(
+            Router::with_path("operator/history").get(at(Kind::Operator(operator::Kind::History))),
+        )
         .push(Router::with_path("operator/apply").post(at(Kind::Operator(operator::Kind::Apply))))
         .push(Router::with_path("operator/get").get(at(Kind::Operator(operator::Kind::Get))))
         .push(Router::with_path("operator/status").get(at(Kind::Operator(operator::Kind::Status))))
@@ -134,7 +142,12 @@
     req.headers().get(name).and_then(|value| value.to_str().ok())
 }
 
-fn bearer(req: &Request) -> Result<&str, Problem> {
+/// The caller's bearer key.
+///
+/// # Errors
+///
+/// [`Problem::Unauthorized`] without one.
+pub fn bearer(req: &Request) -> Result<&str, Problem> {
     let value = header(req, "authorization").ok_or(Problem::Unauthorized)?;
     value.strip_prefix("Bearer ").map(str::trim).ok_or(Problem::Unauthorized)
 }
@@ -158,7 +171,10 @@
                 Ok(())
             }
             Kind::Operator(kind) => {
-                self.check_operator(req)?;
+                match kind {
+                    operator::Kind::State => self.check_peer(req)?,
+                    _ => self.check_operator(req)?,
+                }
                 operator::answer(self, kind, req, res).await
             }
             _ => self.answer_caller(kind, request, req, res).await,
@@ -212,11 +228,16 @@
             return Err(Problem::NotReady("it is stopping"));
         }
         if !snapshot.caught_up {
-            return Err(Problem::NotReady("it has no settings yet, as the log is not read"));
+            return Err(Problem::NotReady(snapshot.waiting.reason()));
         }
         Ok(())
     }
 
+    fn check_peer(&self, req: &Request) -> Result<(), Problem> {
+        let token = self.hasher.hash(operator::PEER_LABEL);
+        if bearer(req)? == token { Ok(()) } else { Err(Problem::Forbidden) }
+    }
+
     fn check_operator(&self, req: &Request) -> Result<(), Problem> {
         let hash = self.hasher.hash(bearer(req)?);
         if hash == self.operator_key_hash { Ok(()) } else { Err(Problem::Forbidden) }
@@ -309,6 +330,7 @@
             position: 0,
             window: 0,
             traceparent: self.trace.header(),
+            as_of: 0,
         };
         (work, open)
     }
--- a/crates/corianderstand_router/src/operator.rs
+++ b/crates/corianderstand_router/src/operator.rs
@@ -1,18 +1,23 @@
 //! What operators ask: apply settings, read them, see what is in force.
 
 use crate::{
-    http::Door,
+    http::{self, Door},
     problem::{self, Problem},
 };
+use corianderstand_control::{appender::AppendError, snapshot::Snapshot};
 use corianderstand_derives::derives;
+use corianderstand_edge::http::HttpSystem;
 use corianderstand_schema::records::{Body, Change};
 use corianderstand_state::{
+    checkpoint,
     fold::{Outcome, Void},
+    history::MAX_ENTRIES,
     view,
 };
+use corianderstand_types::clock::{self, SharedClock};
 use salvo::{Request, Response};
 use serde_json::{Value, json};
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 use std::time::Duration;
 
 /// What an operator's path is for.
@@ -24,6 +29,14 @@
     Get,
     /// `GET /operator/status`.
     Status,
+    /// `GET /operator/ticket?ticket=`.
+    Ticket,
+    /// `GET /operator/history?prefix=`.
+    History,
+    /// `GET /operator/spread?version=`.
+    Spread,
+    /// `GET /operator/state`, for other processes.
+    State,
 }
 
 /// Body of `POST /operator/apply`.
@@ -48,7 +61,15 @@
     pub value: Option<Value>,
 }
 
-/// Time the log has to decide a change.
+/// Word whose hash proves a process to its peers.
+pub const PEER_LABEL: &str = "peer";
+/// Log time for which a change may take force after it was asked for. Longer, and an operator
+/// who was told "not known yet" would wait long for certainty; shorter, and a log that is merely
+/// slow would refuse changes.
+pub const FORCE_WINDOW: Duration = Duration::from_secs(8);
+/// Time a peer has to say which version it has.
+const PEER_SILENCE: Duration = Duration::from_secs(2);
+/// Time the log has to decide a change: the window and a little for reading it back.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Answers an operator.
@@ -62,10 +83,19 @@
     req: &mut Request,
     res: &mut Response,
 ) -> Result<(), Problem> {
+    if kind == Kind::State {
+        problem::set_header(res, "content-type", "application/octet-stream");
+        drop(res.write_body(state(door)?));
+        return Ok(());
+    }
+    let text = |name: &str| req.query::<String>(name).unwrap_or_default();
     let value = match kind {
         Kind::Apply => apply(door, req).await?,
-        Kind::Get => get(door, req.query::<String>("prefix").unwrap_or_default().as_str()),
-        Kind::Status => status(door),
+        Kind::Get => get(door, &text("prefix")),
+        Kind::Ticket => ticket(door, &text("ticket"))?,
+        Kind::History => history(door, &text("prefix")),
+        Kind::Spread => spread(door, req).await?,
+        Kind::Status | Kind::State => status(door),
     };
     problem::set_header(res, "content-type", "application/json");
     drop(res.write_body(value.to_string()));
@@ -77,14 +107,99 @@
     let asked: ApplyRequest = serde_json::from_slice(&body)
         .map_err(|error| Problem::Invalid(format!("the change cannot be read: {error}")))?;
     let changes = asked.changes.into_iter().map(change).collect::<Result<Vec<_>, _>>()?;
-    let body = Body::Settings { changes, author: asked.author };
-    let decided = door.control.appender.append(body, APPLY_TIMEOUT).await;
-    let decided = decided.map_err(|_| Problem::Undecided)?;
+    let snapshot = door.control.current.load();
+    if !snapshot.log_up {
+        return Err(Problem::LogDown("the log does not answer"));
+    }
+    let ticket = new_ticket(&snapshot, &door.clock);
+    let (author, not_after_ms) = (asked.author, not_after_ms(&ticket).unwrap_or_default());
+    let body = Body::Settings { changes, author, ticket: ticket.clone(), not_after_ms };
+    let decided = match door.control.appender.append(body, APPLY_TIMEOUT).await {
+        Ok(decided) => decided,
+        Err(AppendError::Full) => return Err(Problem::LogDown("too many records wait for it")),
+        Err(AppendError::Undecided) => return Err(Problem::Undecided(ticket)),
+    };
     match decided.outcome {
-        Outcome::Applied => Ok(json!({ "version": decided.offset })),
+        Outcome::Applied => Ok(json!({ "version": decided.offset, "ticket": ticket })),
         Outcome::Void(void @ Void::Conflict { .. }) => Err(Problem::Conflict(void.to_string())),
-        _ => Err(Problem::Undecided),
+        Outcome::Void(Void::Late { .. }) => Err(Problem::LogDown("it took the change too late")),
+        _ => Err(Problem::Undecided(ticket)),
+    }
+}
+
+/// A name for a change that also tells when it can no longer take force.
+fn new_ticket(snapshot: &Snapshot, clock: &SharedClock) -> SmolStr {
+    let now_ms = clock::unix_ms(clock.wall()).saturating_add_signed(snapshot.log_clock_ms);
+    let not_after_ms = now_ms + FORCE_WINDOW.as_millis() as u64;
+    format_smolstr!("{not_after_ms}-{:016x}", rand::random::<u64>())
+}
+
+fn not_after_ms(ticket: &str) -> Option<u64> {
+    ticket.split_once('-')?.0.parse().ok()
+}
+
+/// What became of a change.
+///
+/// "Refused" is said of a change that is not in the log only once the log has been read beyond
+/// the time after which the fold voids it; before that it is not known yet.
+fn ticket(door: &Door, ticket: &str) -> Result<Value, Problem> {
+    let unknown = || Problem::Invalid("`ticket` is not one that a router gave".into());
+    let not_after_ms = not_after_ms(ticket).ok_or_else(unknown)?;
+    let snapshot = door.control.current.load();
+    let history = &snapshot.state.history;
+    if let Some(entry) = history.find(ticket) {
+        return Ok(match &entry.refused {
+            None => json!({ "outcome": "accepted", "version": entry.offset }),
+            Some(reason) => json!({ "outcome": "refused", "reason": reason }),
+        });
+    }
+    let window_ms = FORCE_WINDOW.as_millis() as u64;
+    let forgotten = history.entries.len() >= MAX_ENTRIES
+        && history.entries.front().is_some_and(|first| first.at_ms + window_ms >= not_after_ms);
+    Ok(if forgotten {
+        json!({ "outcome": "forgotten", "reason": "it is too old: see what is in force" })
+    } else if snapshot.read_to_ms > not_after_ms {
+        json!({ "outcome": "refused", "reason": "it did not reach the log in time: apply again" })
+    } else {
+        json!({ "outcome": "unknown", "reason": "not known yet: ask again in a few seconds" })
+    })
+}
+
+fn history(door: &Door, prefix: &str) -> Value {
+    let snapshot = door.control.current.load();
+    let entries: Vec<Value> =
+        snapshot.state.history.of_path(prefix).map(|entry| json!(entry)).collect();
+    json!({ "entries": entries })
+}
+
+/// On how many routers a version is in force, as they say themselves.
+async fn spread(door: &Door, req: &Request) -> Result<Value, Problem> {
+    let wanted = req.query::<u64>("version").unwrap_or_default();
+    let bearer = http::bearer(req)?;
+    let asked = door.peers.iter().map(|peer| version_of(peer, bearer));
+    let versions = futures::future::join_all(asked).await;
+    let own = door.control.current.load().state.documents.version;
+    let known: Vec<u64> = versions.iter().flatten().copied().chain([own]).collect();
+    let in_force = known.iter().filter(|version| **version >= wanted).count();
+    let routers = door.peers.len() + 1;
+    let silent = routers - known.len();
+    Ok(json!({ "version": wanted, "routers": routers, "in_force": in_force, "silent": silent }))
+}
+
+async fn version_of(peer: &str, bearer: &str) -> Option<u64> {
+    let system = HttpSystem::new("a peer router", &format!("http://{peer}"), PEER_SILENCE);
+    let req = system.request(reqwest::Method::GET, "/operator/get?prefix=-").bearer_auth(bearer);
+    let answer: Value = system.json(req).await.ok()?;
+    answer["version"].as_u64()
+}
+
+/// The whole state, for a process that starts while the log is down.
+fn state(door: &Door) -> Result<Vec<u8>, Problem> {
+    let snapshot = door.control.current.load();
+    if !snapshot.caught_up {
+        return Err(Problem::NotReady(snapshot.waiting.reason()));
     }
+    Ok(checkpoint::encode(&snapshot.state))
 }
 
 /// A change is checked here too: a document that does not follow its schema must not get into
@@ -136,6 +251,10 @@
     json!({
         "version": state.documents.version,
         "log_up": snapshot.log_up,
+        "next": state.next,
+        "checkpoint": state.checkpoints.last,
+        "hosts": { "live": snapshot.hosts.live.len(), "leaving": snapshot.hosts.leaving,
+            "gone": snapshot.hosts.gone },
         "lease": { "epoch": state.lease.epoch, "holder": state.lease.holder },
         "targets": targets,
         "slots": slots,
--- a/crates/corianderstand_router/src/problem.rs
+++ b/crates/corianderstand_router/src/problem.rs
@@ -39,8 +39,10 @@
     NotReady(&'static str),
     /// two operators changed the same settings: {0}
     Conflict(String),
-    /// whether the change is accepted is not known yet: ask with `corianderstand get`
-    Undecided,
+    /// whether the change is accepted is not known yet: ask for ticket {0} at any router
+    Undecided(SmolStr),
+    /// the change is refused, nothing was written ({0}): apply again later
+    LogDown(&'static str),
 }
 
 impl std::error::Error for Problem {}
@@ -72,7 +74,8 @@
             Self::Deadline => "deadline_passed",
             Self::NotReady(_) => "not_ready",
             Self::Conflict(_) => "conflict",
-            Self::Undecided => "undecided",
+            Self::Undecided(_) => "undecided",
+            Self::LogDown(_) => "log_down",
         }
     }
 
@@ -87,16 +90,18 @@
             Self::Conflict(_) | Self::Refused(RefusalReason::KeyConflict, _) => {
                 StatusCode::CONFLICT
             }
-            Self::Refused(..) | Self::NotReady(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Refused(..) | Self::NotReady(_) | Self::LogDown(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Failed(_) => StatusCode::BAD_GATEWAY,
-            Self::Unknown(_) | Self::Deadline | Self::Undecided => StatusCode::GATEWAY_TIMEOUT,
+            Self::Unknown(_) | Self::Deadline | Self::Undecided(_) => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
     /// What became of the request: `not-run` only where that is certain.
     pub const fn outcome(&self) -> &'static str {
         match self {
-            Self::Failed(_) | Self::Unknown(_) | Self::Deadline | Self::Undecided => "unknown",
+            Self::Failed(_) | Self::Unknown(_) | Self::Deadline | Self::Undecided(_) => "unknown",
             _ => "not-run",
         }
     }
@@ -105,8 +110,10 @@
     pub const fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::Refused(_, after) => Some(*after),
-            Self::NotReady(_) | Self::Failed(_) | Self::Deadline => Some(DEFAULT_RETRY),
-            Self::Unknown(_) | Self::Undecided => Some(DEFAULT_RETRY),
+            Self::NotReady(_) | Self::LogDown(_) | Self::Failed(_) | Self::Deadline => {
+                Some(DEFAULT_RETRY)
+            }
+            Self::Unknown(_) | Self::Undecided(_) => Some(DEFAULT_RETRY),
             _ => None,
         }
     }
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -6,9 +6,11 @@
     event::Event,
     http::{self, Door},
     link::{self, Shared},
+    operator,
 };
 use corianderstand_control::{
     appender::Identity,
+    peers::HttpPeers,
     start::{Control, Handle},
 };
 use corianderstand_decide::router::Router;
@@ -17,7 +19,7 @@
 use corianderstand_types::clock::{self, SharedClock};
 use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -51,6 +53,7 @@
     draining: Arc<AtomicBool>,
     held: Arc<AtomicUsize>,
     server: ServerHandle,
+    control: Handle,
     drain_limit: Duration,
 }
 
@@ -62,7 +65,7 @@
 pub fn start(settings: RouterSettings, clock: SharedClock) -> Result<RouterHandle, RouterError> {
     let incarnation = clock::unix_ms(clock.wall());
     let hasher = Hasher::new(&settings.auth_key).map_err(RouterError::Auth)?;
-    let control = start_control(&settings, incarnation, clock.clone())?;
+    let control = start_control(&settings, incarnation, &hasher, clock.clone())?;
     let (events, events_rx) = mpsc::sync_channel(EVENT_RING);
     let held = Arc::new(AtomicUsize::new(0));
     let draining = Arc::new(AtomicBool::new(false));
@@ -74,6 +77,8 @@
         calls: HashMap::new(),
         connections: HashMap::new(),
         versions: (u64::MAX, 0, 0),
+        hosts: Arc::default(),
+        told: BTreeSet::new(),
         held: held.clone(),
     };
     spawn("decide", move || decider.run(&events_rx))?;
@@ -81,8 +86,9 @@
 
     let door = Arc::new(Door {
         events,
-        control,
+        control: control.clone(),
         hasher,
+        peers: settings.peers.clone(),
         operator_key_hash: settings.operator_key_hash.clone(),
         max_body_bytes: settings.limits.max_body_bytes as usize,
         read_timeout: settings.limits.read_timeout_ms.0,
@@ -92,7 +98,8 @@
         clock,
     });
     let server = start_http(&settings, &door)?;
-    Ok(RouterHandle { draining, held, server, drain_limit: settings.timing.drain_ms.0 })
+    let drain_limit = settings.timing.drain_ms.0;
+    Ok(RouterHandle { draining, held, server, control, drain_limit })
 }
 
 fn runtime() -> Result<runtime::Runtime, RouterError> {
@@ -107,6 +114,7 @@
 fn start_control(
     settings: &RouterSettings,
     incarnation: u64,
+    hasher: &Hasher,
     clock: SharedClock,
 ) -> Result<Handle, RouterError> {
     let poll = settings.timing.log_poll_ms.0;
@@ -114,6 +122,7 @@
         identity: Identity { writer: settings.name.clone(), incarnation },
         log: Arc::new(HttpLog::new(&settings.log_url, poll)),
         hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
+        peers: Arc::new(HttpPeers::new(&settings.peers, hasher.hash(operator::PEER_LABEL))),
         clock,
         log_poll: poll,
         hosts_poll: settings.timing.host_list_poll_ms.0,
@@ -160,6 +169,9 @@
 
     /// Waits until nothing is in flight, or the limit has passed.
     pub fn join(self) {
+        if let Ok(runtime) = runtime() {
+            runtime.block_on(self.control.resign());
+        }
         let began = Instant::now();
         loop {
             thread::sleep(STOP_PAUSE);
--- /dev/null
+++ b/crates/corianderstand_state/src/expiry.rs
@@ -0,0 +1,52 @@
+//! What the state forgets, so that it stays bounded.
+//!
+//! Forgetting goes by the log's own time and at fixed steps of it, so every process forgets the
+//! same at the same record, whenever it folds it.
+
+use crate::{calls::Call, fold::State};
+use corianderstand_schema::settings;
+
+/// Step of log time at which the state is swept.
+pub const SWEEP_MS: u64 = 60_000;
+/// Time without a record after which a writer's progress is forgotten. A repeat of an append
+/// comes within the time that one process tries it; a process that was away for a day and then
+/// repeats one meets the record's own condition, as every record has one.
+pub const WRITER_TTL_MS: u64 = 86_400_000;
+/// Path of the settings that hold for the whole deployment.
+const DEPLOYMENT: &str = "system/deployment";
+
+/// Whether a sweep is due between two log times.
+pub const fn is_due(before_ms: u64, now_ms: u64) -> bool {
+    before_ms / SWEEP_MS != now_ms / SWEEP_MS
+}
+
+const fn began_ms(call: &Call) -> u64 {
+    match call {
+        Call::Claimed { at_ms, .. } | Call::Ended { at_ms, .. } | Call::Voided { at_ms } => *at_ms,
+    }
+}
+
+fn deployment(state: &State) -> settings::Deployment {
+    let doc = state.documents.by_path.get(DEPLOYMENT);
+    doc.and_then(|doc| serde_json::from_str(&doc.text).ok()).unwrap_or_default()
+}
+
+/// Drops calls, writers and former owners of slots that are too old.
+pub fn sweep(state: &mut State) {
+    let now = state.time_ms;
+    let ttl = deployment(state).idempotency_ttl_ms.as_millis();
+    let old = state.calls.by_key.iter().filter(|(_, call)| began_ms(call) + ttl <= now);
+    for key in old.map(|(key, _)| key.clone()).collect::<Vec<_>>() {
+        state.calls.by_key.remove(&key);
+    }
+    let old = state.writers.iter().filter(|(_, known)| known.at_ms + WRITER_TTL_MS <= now);
+    for writer in old.map(|(writer, _)| writer.clone()).collect::<Vec<_>>() {
+        state.writers.remove(&writer);
+    }
+    let documents = &state.documents;
+    let known = |model: &str| documents.by_path.contains_key(&*format!("shared/models/{model}"));
+    let former = state.slots.former.keys().filter(|key| !known(key.model.as_str()));
+    for key in former.cloned().collect::<Vec<_>>() {
+        state.slots.former.remove(&key);
+    }
+}
--- a/crates/corianderstand_state/src/fold.rs
+++ b/crates/corianderstand_state/src/fold.rs
@@ -1,8 +1,8 @@
 //! The fold itself: repeats and order are settled here, each record's meaning in its module.
 
-use crate::{calls, documents, lease, slots, targets};
+use crate::{calls, checkpoint, documents, expiry, history, lease, slots, targets};
 use corianderstand_derives::derives;
-use corianderstand_schema::records::{Body, Record};
+use corianderstand_schema::records::{Body, Change, Record};
 use corianderstand_types::names::WriterId;
 
 /// What a record did.
@@ -30,6 +30,11 @@
         /// Version the change was made from.
         base: u64,
     },
+    /// the change reached the log after its time ({until}): apply it again
+    Late {
+        /// Last log time at which it would have had effect.
+        until: u64,
+    },
     /// the lease is held or has moved on: the writer no longer decides
     Lease,
     /// the slot is taken or has moved on
@@ -38,6 +43,8 @@
     Target,
     /// another record for this call came first
     Call,
+    /// a part of the checkpoint is missing: another one follows
+    Checkpoint,
 }
 
 /// Last record folded from one writer.
@@ -48,6 +55,8 @@
     pub incarnation: u64,
     /// Last sequence folded.
     pub sequence: u64,
+    /// Log time of its last record.
+    pub at_ms: u64,
 }
 
 /// Everything agreed, as of one offset.
@@ -60,6 +69,10 @@
     pub time_ms: u64,
     /// Settings documents by path.
     pub documents: documents::Documents,
+    /// What became of the last changes to them.
+    pub history: history::History,
+    /// Checkpoints in the log.
+    pub checkpoints: checkpoint::Checkpoints,
     /// Announced targets.
     pub targets: targets::Targets,
     /// Slots and their owners.
@@ -82,7 +95,11 @@
             return Outcome::Repeated;
         }
         self.next = offset + 1;
+        let before_ms = self.time_ms;
         self.time_ms = self.time_ms.max(at_ms);
+        if expiry::is_due(before_ms, self.time_ms) {
+            expiry::sweep(self);
+        }
         if !self.advance(record) {
             return Outcome::Repeated;
         }
@@ -97,7 +114,8 @@
     /// An append whose answer was lost is sent again and so may stand in the log twice. The
     /// writer numbers its records, so the second copy is recognised and skipped.
     fn advance(&mut self, record: &Record) -> bool {
-        let now = Progress { incarnation: record.incarnation, sequence: record.sequence };
+        let (incarnation, sequence) = (record.incarnation, record.sequence);
+        let now = Progress { incarnation, sequence, at_ms: self.time_ms };
         let known = self.writers.get(&record.writer);
         let newer = known.is_none_or(|known| {
             (now.incarnation, now.sequence) > (known.incarnation, known.sequence)
@@ -111,7 +129,11 @@
     fn apply_body(&mut self, offset: u64, record: &Record) -> Result<(), Void> {
         let now = self.time_ms;
         match &record.body {
-            Body::Settings { changes, author } => self.documents.change(offset, changes, author),
+            Body::Settings { changes, author, ticket, not_after_ms } => {
+                let result = self.change(offset, changes, author, *not_after_ms);
+                self.history.note((offset, now), ticket, author, changes, &result);
+                result
+            }
             Body::LeaseTaken { epoch, ttl_ms } => self.lease.take(*epoch, *ttl_ms, now, record),
             Body::LeaseRenewed { epoch } => self.lease.renew(*epoch, now, record),
             Body::LeaseReleased { epoch } => self.lease.release(*epoch, record),
@@ -119,7 +141,7 @@
                 self.targets.announce(offset, target, record);
                 Ok(())
             }
-            Body::TargetDown { target } => self.targets.withdraw(target, record),
+            Body::TargetDown { target } => self.targets.withdraw(offset, target, record),
             Body::SlotAssigned { epoch, model, index, target, target_offset } => {
                 self.lease.check(*epoch, record)?;
                 self.targets.check(target, *target_offset)?;
@@ -129,7 +151,7 @@
                 if let Some(epoch) = epoch {
                     self.lease.check(*epoch, record)?;
                 }
-                self.slots.release(model, *index, *assigned, epoch.is_some(), record)
+                self.slots.release(offset, model, *index, *assigned, epoch.is_some(), record)
             }
             Body::Claimed { key, digest, target } => {
                 self.calls.claim(offset, now, key, *digest, target, record)
@@ -138,6 +160,33 @@
                 self.calls.end(key, *claim, *status, body)
             }
             Body::CallVoided { key } => self.calls.void(offset, now, key),
+            Body::TargetGone { epoch, target, target_offset } => {
+                self.lease.check(*epoch, record)?;
+                self.targets.remove(offset, target, *target_offset)?;
+                self.slots.remove_target(offset, target);
+                Ok(())
+            }
+            Body::CheckpointPart { epoch, as_of, part, parts, .. } => {
+                self.lease.check(*epoch, record)?;
+                self.checkpoints.part((offset, now), *as_of, *part, *parts)
+            }
+        }
+    }
+
+    /// Changes settings, unless the record came into the log too late.
+    ///
+    /// An operator may have been told "not known yet" and have asked again after the record's
+    /// time: it is then called refused, so a copy that reaches the log later must do nothing.
+    fn change(
+        &mut self,
+        offset: u64,
+        changes: &[Change],
+        author: &str,
+        not_after_ms: u64,
+    ) -> Result<(), Void> {
+        if self.time_ms > not_after_ms {
+            return Err(Void::Late { until: not_after_ms });
         }
+        self.documents.change(offset, changes, author)
     }
 }
--- a/crates/corianderstand_state/src/lib.rs
+++ b/crates/corianderstand_state/src/lib.rs
@@ -11,7 +11,8 @@
 //!
 //! let mut state = State::default();
 //! let change = Change { path: "system/deployment".into(), base: 0, value: Some("{}".into()) };
-//! let body = Body::Settings { changes: vec![change], author: "ana".into() };
+//! let (author, ticket) = ("ana".into(), "t-1".into());
+//! let body = Body::Settings { changes: vec![change], author, ticket, not_after_ms: 1000 };
 //! let record = Record { writer: "router-1".into(), incarnation: 1, sequence: 1, body };
 //! assert_eq!(state.apply(1, 0, &record), Outcome::Applied);
 //! // The same record again, after a lost answer, has no effect.
@@ -19,8 +20,11 @@
 //! ```
 
 pub mod calls;
+pub mod checkpoint;
 pub mod documents;
+pub mod expiry;
 pub mod fold;
+pub mod history;
 pub mod lease;
 pub mod plan;
 pub mod slots;
--- a/crates/corianderstand_state/src/plan.rs
+++ b/crates/corianderstand_state/src/plan.rs
@@ -1,6 +1,6 @@
 //! Which slots to assign: pure, run by the holder of the control lease.
 
-use crate::{fold::State, view::View};
+use crate::{fold::State, slots::SlotKey, view::View};
 use corianderstand_schema::records::Body;
 use corianderstand_types::names::{HostId, ModelId, PlaceId, TargetId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,89 +10,111 @@
 
 /// Load of one engine as the planner counts it.
 struct Engine<'a> {
+    name: &'a TargetId,
     place: &'a PlaceId,
     offset: u64,
     memory_mib: u64,
     planned_mib: u64,
 }
 
+impl Engine<'_> {
+    /// Memory promised, in thousandths of what there is.
+    fn promised(&self) -> u64 {
+        self.planned_mib * 1000 / self.memory_mib.max(1)
+    }
+}
+
+/// Where one model's slots are so far.
+#[derive(Default)]
+struct Spread<'a> {
+    owners: BTreeSet<&'a TargetId>,
+    in_place: BTreeMap<&'a PlaceId, u32>,
+}
+
 /// Assignments that fill the empty slots of all models.
 ///
-/// Engines on hosts in `leaving` get none. A model's slots spread over places first, then go
-/// to the engine whose memory is least promised, so that one host's loss takes few replicas.
-pub fn plan(state: &State, view: &View, leaving: &BTreeSet<HostId>) -> Vec<Body> {
-    let mut engines = engines(state, view, leaving);
+/// Engines on hosts in `avoid`, which leave or are gone, get none. A slot that has an owner
+/// stays where it is, so a host that comes moves nothing and one that goes moves only its own
+/// slots. A model's slots spread over places first, so that one place's loss takes few
+/// replicas; then a slot goes back to its former owner, whose disk may still hold the
+/// checkpoint; then to the engine whose memory is least promised.
+pub fn plan(state: &State, view: &View, avoid: &BTreeSet<HostId>) -> Vec<Body> {
+    let mut engines = engines(state, view, avoid);
     let mut bodies = Vec::new();
     for (model, facts) in &view.models {
-        let wanted = view.replicas(model);
-        let mut owners: Vec<TargetId> =
-            state.slots.of_model(model).map(|(_, slot)| slot.target.clone()).collect();
         let taken: BTreeSet<u32> = state.slots.of_model(model).map(|(index, _)| index).collect();
-        for index in (0..wanted).filter(|index| !taken.contains(index)) {
+        let empty = (0..view.replicas(model)).filter(|index| !taken.contains(index));
+        let mut spread = None;
+        for index in empty {
             if bodies.len() >= MAX_ASSIGNMENTS_PER_ROUND {
                 return bodies;
             }
-            let Some(target) = choose(&engines, &owners, facts.memory_mib.0) else { break };
-            let engine = engines.get_mut(&target).expect("chosen from this map");
+            let spread = spread.get_or_insert_with(|| spread_of(state, model));
+            let former = state.slots.former.get(&SlotKey { model: model.clone(), index });
+            let Some(chosen) = choose(&engines, spread, former, facts.memory_mib.0) else { break };
+            let engine = &mut engines[chosen];
             engine.planned_mib += facts.memory_mib.0;
-            bodies.push(assignment(state, model, index, &target, engine.offset));
-            owners.push(target);
+            bodies.push(assignment(state, model, index, engine));
+            spread.owners.insert(engine.name);
+            *spread.in_place.entry(engine.place).or_default() += 1;
         }
     }
     bodies
 }
 
-fn assignment(state: &State, model: &ModelId, index: u32, target: &TargetId, offset: u64) -> Body {
+fn assignment(state: &State, model: &ModelId, index: u32, engine: &Engine<'_>) -> Body {
     Body::SlotAssigned {
         epoch: state.lease.epoch,
         model: model.clone(),
         index,
-        target: target.clone(),
-        target_offset: offset,
+        target: engine.name.clone(),
+        target_offset: engine.offset,
     }
 }
 
-fn engines<'a>(
-    state: &'a State,
-    view: &View,
-    leaving: &BTreeSet<HostId>,
-) -> BTreeMap<TargetId, Engine<'a>> {
-    let mut engines: BTreeMap<TargetId, Engine<'a>> = state
-        .targets
-        .by_name
-        .iter()
-        .filter(|(_, t)| t.record.service.is_none() && !leaving.contains(&t.record.host))
-        .map(|(name, t)| {
-            let memory_mib = t.record.memory_mib.0;
-            let engine =
-                Engine { place: &t.record.place, offset: t.offset, memory_mib, planned_mib: 0 };
-            (name.clone(), engine)
-        })
-        .collect();
+fn spread_of<'a>(state: &'a State, model: &'a ModelId) -> Spread<'a> {
+    let mut spread = Spread::default();
+    for (_, slot) in state.slots.of_model(model) {
+        spread.owners.insert(&slot.target);
+        if let Some(target) = state.targets.by_name.get(&slot.target) {
+            *spread.in_place.entry(&target.record.place).or_default() += 1;
+        }
+    }
+    spread
+}
+
+fn engines<'a>(state: &'a State, view: &View, avoid: &BTreeSet<HostId>) -> Vec<Engine<'a>> {
+    let mut planned: BTreeMap<&TargetId, u64> = BTreeMap::new();
     for (key, slot) in &state.slots.by_key {
         let memory = view.models.get(&key.model).map_or(0, |model| model.memory_mib.0);
-        if let Some(engine) = engines.get_mut(&slot.target) {
-            engine.planned_mib += memory;
-        }
+        *planned.entry(&slot.target).or_default() += memory;
     }
-    engines
+    let targets = state.targets.by_name.iter();
+    targets
+        .filter(|(_, t)| t.record.service.is_none() && !avoid.contains(&t.record.host))
+        .map(|(name, t)| Engine {
+            name,
+            place: &t.record.place,
+            offset: t.offset,
+            memory_mib: t.record.memory_mib.0,
+            planned_mib: planned.get(name).copied().unwrap_or_default(),
+        })
+        .collect()
 }
 
-/// The engine for one more replica: in a place with the fewest, then the least promised.
+/// The engine for one more replica, as a place in `engines`.
 fn choose(
-    engines: &BTreeMap<TargetId, Engine<'_>>,
-    owners: &[TargetId],
+    engines: &[Engine<'_>],
+    spread: &Spread<'_>,
+    former: Option<&TargetId>,
     memory_mib: u64,
-) -> Option<TargetId> {
-    let in_place = |place: &PlaceId| {
-        owners.iter().filter(|o| engines.get(*o).is_some_and(|e| e.place == place)).count()
+) -> Option<usize> {
+    let in_place = |engine: &Engine<'_>| spread.in_place.get(engine.place).copied().unwrap_or(0);
+    let fits = |engine: &Engine<'_>| {
+        engine.memory_mib >= memory_mib && !spread.owners.contains(engine.name)
     };
-    engines
-        .iter()
-        .filter(|(name, engine)| engine.memory_mib >= memory_mib && !owners.contains(name))
-        .min_by_key(|(name, engine)| {
-            let promised = engine.planned_mib * 1000 / engine.memory_mib.max(1);
-            (in_place(engine.place), promised, (*name).clone())
-        })
-        .map(|(name, _)| name.clone())
+    (0..engines.len()).filter(|&i| fits(&engines[i])).min_by_key(|&i| {
+        let engine = &engines[i];
+        (in_place(engine), former != Some(engine.name), engine.promised(), i)
+    })
 }
--- a/crates/corianderstand_state/src/slots.rs
+++ b/crates/corianderstand_state/src/slots.rs
@@ -34,6 +34,8 @@
 pub struct Slots {
     /// Slots by key.
     pub by_key: imbl::OrdMap<SlotKey, Slot>,
+    /// Who owned a slot last, while nobody owns it: the checkpoint may still be near it.
+    pub former: imbl::OrdMap<SlotKey, TargetId>,
     /// Offset of the last change.
     pub version: u64,
 }
@@ -51,6 +53,7 @@
         if self.by_key.contains_key(&key) {
             return Err(Void::Slot);
         }
+        self.former.remove(&key);
         self.by_key.insert(key, Slot { target: target.clone(), assigned: offset });
         self.version = offset;
         Ok(())
@@ -59,6 +62,7 @@
     /// Ends the assignment made at offset `assigned`.
     pub fn release(
         &mut self,
+        offset: u64,
         model: &ModelId,
         index: u32,
         assigned: u64,
@@ -71,11 +75,22 @@
         if slot.assigned != assigned || !(by_holder || by_owner) {
             return Err(Void::Slot);
         }
+        let owner = slot.target.clone();
         self.by_key.remove(&key);
-        self.version += 1;
+        self.former.insert(key, owner);
+        self.version = offset;
         Ok(())
     }
 
+    /// Ends all assignments to a target whose host is gone.
+    pub fn remove_target(&mut self, offset: u64, target: &TargetId) {
+        let theirs = self.by_key.iter().filter(|(_, slot)| slot.target == *target);
+        for key in theirs.map(|(key, _)| key.clone()).collect::<Vec<_>>() {
+            self.by_key.remove(&key);
+            self.version = offset;
+        }
+    }
+
     /// Slots of one model, in order.
     pub fn of_model<'a>(
         &'a self,
--- a/crates/corianderstand_state/src/targets.rs
+++ b/crates/corianderstand_state/src/targets.rs
@@ -22,7 +22,7 @@
 pub struct Targets {
     /// Targets by name.
     pub by_name: imbl::OrdMap<TargetId, Target>,
-    /// Changes so far, for followers that copy the map.
+    /// Offset of the last change, for followers that copy the map.
     pub version: u64,
 }
 
@@ -35,14 +35,27 @@
     }
 
     /// Removes a target whose agent stopped as planned.
-    pub fn withdraw(&mut self, target: &TargetId, record: &Record) -> Result<(), Void> {
+    pub fn withdraw(
+        &mut self,
+        offset: u64,
+        target: &TargetId,
+        record: &Record,
+    ) -> Result<(), Void> {
         let current = self.by_name.get(target).ok_or(Void::Target)?;
         // A late farewell of an agent that has been restarted must not remove its successor.
         if current.incarnation != record.incarnation {
             return Err(Void::Target);
         }
         self.by_name.remove(target);
-        self.version += 1;
+        self.version = offset;
+        Ok(())
+    }
+
+    /// Removes a target whose host is gone, if it was not announced anew since.
+    pub fn remove(&mut self, offset: u64, target: &TargetId, announced: u64) -> Result<(), Void> {
+        self.check(target, announced)?;
+        self.by_name.remove(target);
+        self.version = offset;
         Ok(())
     }
 
--- a/examples/fold.rs
+++ b/examples/fold.rs
@@ -7,9 +7,10 @@
     let mut state = State::default();
     for (offset, author) in [(1, "ana"), (2, "ken")] {
         let change = Change { path: "system/deployment".into(), base: 0, value: Some("{}".into()) };
-        let body = Body::Settings { changes: vec![change], author: author.into() };
+        let (author, ticket) = (author.into(), format!("t-{offset}").into());
+        let body = Body::Settings { changes: vec![change], author, ticket, not_after_ms: 1000 };
         let writer = format!("router-{offset}").as_str().into();
         let record = Record { writer, incarnation: 1, sequence: 1, body };
-        println!("{author}: {:?}", state.apply(offset, 0, &record));
+        println!("record {offset}: {:?}", state.apply(offset, 0, &record));
     }
 }
