--- a/crates/corianderstand_decide/src/agent/mod.rs
+++ b/crates/corianderstand_decide/src/agent/mod.rs
@@ -191,9 +191,34 @@
         self.keep.merge(histories);
     }
 
-    /// Takes no new work from now on.
-    pub const fn drain(&mut self) {
-        self.draining = true;
+    /// Settles orders of unknown outcome by what the engine says, asked as of a version of the
+    /// ledger.
+    pub fn reconcile(
+        &mut self,
+        now: Instant,
+        version: u64,
+        loaded: &[(Weights, Mib, bool)],
+        sizes: &dyn Sizes,
+    ) -> Vec<Action> {
+        self.ledger.reconcile(now, version, loaded);
+        if self.ledger.version() != version {
+            self.keep.look_at_all();
+            let keys: Vec<RequestKey> = self.requests.keys().collect();
+            for key in keys {
+                self.refresh_missing(key);
+            }
+        }
+        self.step(now, sizes)
+    }
+
+    /// Models that a request held here needs.
+    pub fn models_in_use(&self) -> BTreeSet<ModelId> {
+        self.users.keys().cloned().collect()
+    }
+
+    /// Sets whether new work is refused.
+    pub const fn set_draining(&mut self, draining: bool) {
+        self.draining = draining;
     }
 
     /// Whether nothing waits or runs.
--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -55,6 +55,8 @@
     pub connections: Arc<Connections>,
     /// Longest head, in bytes.
     pub max_header_bytes: usize,
+    /// Other routers.
+    pub peers: Vec<SmolStr>,
     /// Longest body, in bytes.
     pub max_body_bytes: usize,
     /// Longest time a body may take to come.
@@ -103,13 +105,17 @@
 const POST: &str = "POST";
 
 /// All paths with a method.
-const PATHS: [(&str, &str, Kind); 8] = [
+const PATHS: [(&str, &str, Kind); 12] = [
     ("v1/completions", POST, Kind::Completion),
     ("v1/chat/completions", POST, Kind::Chat),
     ("v1/models", GET, Kind::Models),
     ("operator/apply", POST, Kind::Operator(operator::Kind::Apply)),
     ("operator/get", GET, Kind::Operator(operator::Kind::Get)),
     ("operator/status", GET, Kind::Operator(operator::Kind::Status)),
+    ("operator/state", GET, Kind::Operator(operator::Kind::State)),
+    ("operator/ticket", GET, Kind::Operator(operator::Kind::Ticket)),
+    ("operator/spread", GET, Kind::Operator(operator::Kind::Spread)),
+    ("operator/history", GET, Kind::Operator(operator::Kind::History)),
     ("healthz", GET, Kind::Healthy),
     ("readyz", GET, Kind::Ready),
 ];
@@ -163,7 +169,12 @@
     req.headers().get(name).and_then(|value| value.to_str().ok())
 }
 
-fn bearer(req: &Request) -> Result<&str, Problem> {
+/// The caller's bearer key.
+///
+/// # Errors
+///
+/// [`Problem::Unauthorized`] without one.
+pub fn bearer(req: &Request) -> Result<&str, Problem> {
     let value = header(req, "authorization").ok_or(Problem::Unauthorized)?;
     value.strip_prefix("Bearer ").map(str::trim).ok_or(Problem::Unauthorized)
 }
@@ -190,7 +201,10 @@
                 Ok(())
             }
             Kind::Operator(kind) => {
-                self.check_operator(req)?;
+                match kind {
+                    operator::Kind::State => self.check_peer(req)?,
+                    _ => self.check_operator(req)?,
+                }
                 operator::answer(self, kind, req, res).await
             }
             _ => self.answer_caller(kind, request, req, res).await,
@@ -257,11 +271,16 @@
             return Err(Problem::NotReady("it is stopping"));
         }
         if !snapshot.caught_up {
-            return Err(Problem::NotReady("it has no settings yet, as the log is not read"));
+            return Err(Problem::NotReady(snapshot.waiting.reason()));
         }
         Ok(())
     }
 
+    fn check_peer(&self, req: &Request) -> Result<(), Problem> {
+        let token = self.hasher.hash(operator::PEER_LABEL);
+        if bearer(req)? == token { Ok(()) } else { Err(Problem::Forbidden) }
+    }
+
     fn check_operator(&self, req: &Request) -> Result<(), Problem> {
         let hash = self.hasher.hash(bearer(req)?);
         if hash == self.operator_key_hash { Ok(()) } else { Err(Problem::Forbidden) }
@@ -358,6 +377,7 @@
             position: 0,
             window: 0,
             traceparent: self.trace.header(),
+            as_of: 0,
         };
         (work, open)
     }
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -7,9 +7,11 @@
     event::Event,
     http::{self, Door},
     link::{self, Shared},
+    operator,
 };
 use corianderstand_control::{
     appender::Identity,
+    peers::HttpPeers,
     start::{Control, Handle},
 };
 use corianderstand_decide::router::Router;
@@ -18,7 +20,7 @@
 use corianderstand_types::clock::{self, SharedClock};
 use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -55,6 +57,7 @@
     draining: Arc<AtomicBool>,
     held: Arc<AtomicUsize>,
     server: ServerHandle,
+    control: Handle,
     drain_limit: Duration,
 }
 
@@ -66,7 +69,7 @@
 pub fn start(settings: RouterSettings, clock: SharedClock) -> Result<RouterHandle, RouterError> {
     let incarnation = clock::unix_ms(clock.wall());
     let hasher = Hasher::new(&settings.auth_key).map_err(RouterError::Auth)?;
-    let control = start_control(&settings, incarnation, clock.clone())?;
+    let control = start_control(&settings, incarnation, &hasher, clock.clone())?;
     let (events, events_rx) = mpsc::sync_channel(EVENT_RING);
     let held = Arc::new(AtomicUsize::new(0));
     let draining = Arc::new(AtomicBool::new(false));
@@ -78,6 +81,8 @@
         calls: HashMap::new(),
         connections: HashMap::new(),
         versions: (u64::MAX, 0, 0),
+        hosts: Arc::default(),
+        told: BTreeSet::new(),
         held: held.clone(),
     };
     spawn("decide", move || decider.run(&events_rx))?;
@@ -85,8 +90,9 @@
 
     let door = Arc::new(Door {
         events,
-        control,
+        control: control.clone(),
         hasher,
+        peers: settings.peers.clone(),
         operator_key_hash: settings.operator_key_hash.clone(),
         connections: Connections::new(&settings.limits),
         max_header_bytes: settings.limits.max_header_bytes as usize,
@@ -98,7 +104,8 @@
         clock,
     });
     let server = start_http(&settings, &door)?;
-    Ok(RouterHandle { draining, held, server, drain_limit: settings.timing.drain_ms.0 })
+    let drain_limit = settings.timing.drain_ms.0;
+    Ok(RouterHandle { draining, held, server, control, drain_limit })
 }
 
 fn runtime() -> Result<runtime::Runtime, RouterError> {
@@ -113,6 +120,7 @@
 fn start_control(
     settings: &RouterSettings,
     incarnation: u64,
+    hasher: &Hasher,
     clock: SharedClock,
 ) -> Result<Handle, RouterError> {
     let poll = settings.timing.log_poll_ms.0;
@@ -120,6 +128,7 @@
         identity: Identity { writer: settings.name.clone(), incarnation },
         log: Arc::new(HttpLog::new(&settings.log_url, poll)),
         hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
+        peers: Arc::new(HttpPeers::new(&settings.peers, hasher.hash(operator::PEER_LABEL))),
         clock,
         log_poll: poll,
         hosts_poll: settings.timing.host_list_poll_ms.0,
@@ -167,6 +176,9 @@
 
     /// Waits until nothing is in flight, or the limit has passed.
     pub fn join(self) {
+        if let Ok(runtime) = runtime() {
+            runtime.block_on(self.control.resign());
+        }
         let began = Instant::now();
         loop {
             thread::sleep(STOP_PAUSE);
