--- a/crates/corianderstand_control/src/snapshot.rs
+++ b/crates/corianderstand_control/src/snapshot.rs
@@ -3,8 +3,8 @@
 use arc_swap::ArcSwap;
 use corianderstand_derives::derives;
 use corianderstand_state::{fold::State, view::View};
-use corianderstand_types::names::HostId;
-use std::{collections::BTreeSet, sync::Arc};
+use corianderstand_types::{clock, names::HostId};
+use std::{collections::BTreeSet, sync::Arc, time::SystemTime};
 use tokio::sync::watch;
 
 /// The hosts, judged from the list.
@@ -70,6 +70,13 @@
     pub log_clock_ms: i64,
 }
 
+impl Snapshot {
+    /// The log's clock, estimated, in milliseconds since the Unix epoch.
+    pub fn log_now_ms(&self, wall: SystemTime) -> u64 {
+        clock::unix_ms(wall).saturating_add_signed(self.log_clock_ms)
+    }
+}
+
 /// The current snapshot, and word of each new one.
 #[derive(Clone, Debug)]
 pub struct Current {
--- a/crates/corianderstand_router/src/lib.rs
+++ b/crates/corianderstand_router/src/lib.rs
@@ -23,6 +23,7 @@
 mod event;
 mod http;
 mod link;
+mod once;
 mod operator;
 mod params;
 mod problem;
--- a/tools/capacity/src/size.rs
+++ b/tools/capacity/src/size.rs
@@ -1,7 +1,7 @@
 //! A deployment's size, and log records that bring a state of that size about.
 
 use corianderstand_derives::derives;
-use corianderstand_schema::records::{Body, CallKey, Change, Record, TargetRecord};
+use corianderstand_schema::records::{Body, CallAnswer, CallKey, Change, Record, TargetRecord};
 use corianderstand_types::{names, units::Mib};
 use serde_json::json;
 use smol_str::{SmolStr, format_smolstr};
@@ -197,5 +197,7 @@
 
 /// The outcome of a call.
 pub fn ended(index: usize, claim: u64) -> Body {
-    Body::CallEnded { key: key(index), claim, status: 200, body: vec![b'x'; OUTCOME_BYTES] }
+    let body = Some(vec![b'x'; OUTCOME_BYTES]);
+    let answer = CallAnswer { status: 200, content_type: "application/json".into(), body };
+    Body::CallEnded { key: key(index), claim, answer: Some(answer) }
 }
