--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -7,9 +7,11 @@
     event::Event,
     http::{self, Door},
     link::{self, Shared},
+    operator,
 };
 use corianderstand_control::{
     appender::Identity,
+    peers::HttpPeers,
     start::{Control, Handle},
 };
 use corianderstand_decide::router::Router;
@@ -18,7 +20,7 @@
 use corianderstand_types::clock::{self, SharedClock};
 use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -56,6 +58,7 @@
     held: Arc<AtomicUsize>,
     server: ServerHandle,
     http: thread::JoinHandle<()>,
+    control: Handle,
     grace: Duration,
     drain_limit: Duration,
 }
@@ -68,7 +71,7 @@
 pub fn start(settings: RouterSettings, clock: SharedClock) -> Result<RouterHandle, RouterError> {
     let incarnation = clock::unix_ms(clock.wall());
     let hasher = Hasher::new(&settings.auth_key).map_err(RouterError::Auth)?;
-    let control = start_control(&settings, incarnation, clock.clone())?;
+    let control = start_control(&settings, incarnation, &hasher, clock.clone())?;
     let (events, events_rx) = mpsc::sync_channel(EVENT_RING);
     let held = Arc::new(AtomicUsize::new(0));
     let draining = Arc::new(AtomicBool::new(false));
@@ -80,6 +83,8 @@
         calls: HashMap::new(),
         connections: HashMap::new(),
         versions: (u64::MAX, 0, 0),
+        hosts: Arc::default(),
+        told: BTreeSet::new(),
         held: held.clone(),
     };
     spawn("decide", move || decider.run(&events_rx))?;
@@ -87,8 +92,9 @@
 
     let door = Arc::new(Door {
         events,
-        control,
+        control: control.clone(),
         hasher,
+        peers: settings.peers.clone(),
         operator_key_hash: settings.operator_key_hash.clone(),
         connections: Connections::new(&settings.limits),
         max_header_bytes: settings.limits.max_header_bytes as usize,
@@ -101,7 +107,7 @@
     });
     let (server, http) = start_http(&settings, &door)?;
     let (grace, drain_limit) = (settings.timing.grace_ms.0, settings.timing.drain_ms.0);
-    Ok(RouterHandle { draining, held, server, http, grace, drain_limit })
+    Ok(RouterHandle { draining, held, server, http, control, grace, drain_limit })
 }
 
 fn runtime() -> Result<runtime::Runtime, RouterError> {
@@ -119,6 +125,7 @@
 fn start_control(
     settings: &RouterSettings,
     incarnation: u64,
+    hasher: &Hasher,
     clock: SharedClock,
 ) -> Result<Handle, RouterError> {
     let poll = settings.timing.log_poll_ms.0;
@@ -126,6 +133,7 @@
         identity: Identity { writer: settings.name.clone(), incarnation },
         log: Arc::new(HttpLog::new(&settings.log_url, poll)),
         hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
+        peers: Arc::new(HttpPeers::new(&settings.peers, hasher.hash(operator::PEER_LABEL))),
         clock,
         log_poll: poll,
         hosts_poll: settings.timing.host_list_poll_ms.0,
@@ -187,6 +195,9 @@
     /// A caller that reads slowly still has much of its answer to come when its target is done,
     /// so the connections decide when this ends, not the requests held.
     pub fn join(self) {
+        if let Ok(runtime) = runtime() {
+            runtime.block_on(self.control.resign());
+        }
         thread::sleep(self.grace);
         self.server.stop_graceful(None);
         let began = Instant::now();
