Planned stops proved: a rolling restart under load is seen by nobody

Cause: there was no proof.

Change: a load of callers behind a balancer that looks at readiness (testbed::load), and tests of a rolling restart of all routers and agents, a slow answer during a stop, and the second signal.

--- /dev/null
+++ b/tests/stops_planned.rs
@@ -0,0 +1,137 @@
+//! Planned stops over real processes under load.
+
+use futures::StreamExt;
+use nix::sys::signal::Signal;
+use rstest::rstest;
+use serde_json::json;
+use std::time::Duration;
+use testbed::{Deployment, Plan, deployment::wait_for, load::Load, plan::HINOKUNI_KEY};
+
+/// Longest time that a planned stop may take here.
+const STOP_LIMIT: Duration = Duration::from_secs(40);
+const CALLERS: usize = 24;
+
+fn block_on<T>(run: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("the system gives a runtime").block_on(run)
+}
+
+async fn start() -> Deployment {
+    let options = ["--token-us", "5000", "--load-ms", "100"];
+    let plan =
+        Plan { services: 2, engine_options: options.map(str::to_owned).into(), ..Plan::default() };
+    Deployment::start(plan).await
+}
+
+fn load(deployment: &Deployment) -> Load {
+    let routers = (0..deployment.plan.routers).map(|i| format!("router-{i}"));
+    Load::start(routers.map(|name| deployment.address(&name).to_owned()).collect(), CALLERS)
+}
+
+async fn flowing(load: &Load, more: usize) {
+    let before = load.seen();
+    wait_for("answers of both kinds", async || {
+        let seen = load.seen();
+        seen.whole >= before.whole + more && seen.ran >= before.ran + more
+    })
+    .await;
+}
+
+/// All routers and agents are restarted in turn, as in an upgrade, while callers are at work.
+/// None of them may see an error, a cut answer or a booking refused.
+#[rstest]
+fn a_rolling_restart_under_load_is_seen_by_nobody() {
+    block_on(async {
+        let mut deployment = start().await;
+        let load = load(&deployment);
+        wait_for("all models awake", async || load.seen().whole > 100).await;
+        let cold = load.seen().errors;
+        assert!(cold.is_empty(), "{} errors before any stop: {:?}", cold.len(), cold.first());
+        let names = deployment.running();
+        let ours = names.iter().filter(|n| n.starts_with("router-") || n.starts_with("agent-"));
+        for name in ours {
+            deployment.process(name).signal(Signal::SIGTERM);
+            let began = std::time::Instant::now();
+            wait_for("the end of a planned stop", async || !deployment.process(name).is_running())
+                .await;
+            println!("{name} stopped in {:?}", began.elapsed());
+            assert_eq!(deployment.process(name).wait(STOP_LIMIT), Some(0), "{name}");
+            deployment.run(name);
+            if name.starts_with("router-") {
+                deployment.wait_for_answer(name, "/readyz").await;
+            }
+            flowing(&load, 20).await;
+        }
+        let seen = load.finish().await;
+        println!("{} answers whole, {} bookings ran", seen.whole, seen.ran);
+        let errors = &seen.errors;
+        assert!(
+            errors.is_empty(),
+            "{} errors: {:#?}",
+            errors.len(),
+            &errors[..errors.len().min(5)]
+        );
+    });
+}
+
+/// A router is told to stop while a caller reads a long answer slowly. The caller still gets it
+/// to the end, and the router ends after that, not before.
+#[rstest]
+fn a_router_ends_only_when_its_last_answer_was_read() {
+    block_on(async {
+        let mut deployment = start().await;
+        let body = json!({ "model": "design-13b", "prompt": "stripes", "max_tokens": 400,
+            "stream": true });
+        let url = deployment.url("router-0", "/v1/completions");
+        let mut answer = None;
+        wait_for("a stream that begins", async || {
+            let req = deployment.http.post(&url).bearer_auth(HINOKUNI_KEY).json(&body);
+            answer = req.send().await.ok().filter(|answer| answer.status().is_success());
+            answer.is_some()
+        })
+        .await;
+        let mut parts = answer.expect("it has begun").bytes_stream();
+        let mut text = String::new();
+        deployment.process("router-0").signal(Signal::SIGTERM);
+        wait_for("not ready", async || {
+            let ready = deployment.http.get(deployment.url("router-0", "/readyz")).send().await;
+            !ready.is_ok_and(|ready| ready.status().is_success())
+        })
+        .await;
+        while let Some(Ok(part)) = parts.next().await {
+            text.push_str(&String::from_utf8_lossy(&part));
+        }
+        assert!(text.contains("[DONE]"), "cut after {} bytes", text.len());
+        assert_eq!(text.matches("\nid: ").count() + 1, 400);
+        assert_eq!(deployment.process("router-0").wait(STOP_LIMIT), Some(0));
+    });
+}
+
+/// Somebody cannot wait and signals a second time. The process ends at once, and its log says
+/// how many requests that cut; their callers see an answer without its end.
+#[rstest]
+#[case::router("router-0")]
+#[case::agent("agent-service-0")]
+fn a_second_signal_ends_at_once_and_says_what_it_cut(#[case] name: &str) {
+    block_on(async {
+        let plan = Plan { engines: 2, ..Plan::default() };
+        let mut deployment = Deployment::start(plan).await;
+        deployment.fault("service-0", &json!({ "after_ms": 20_000 })).await;
+        let booking = testbed::booking::Booking::new("b-1", 15_000);
+        let url = deployment.url("router-0", "/services/agenda/bookings");
+        let http = deployment.http.clone();
+        let asked = tokio::spawn(async move { booking.send(&http, url).await });
+        wait_for("the booking runs", async || deployment.ran("b-1").await == 1).await;
+        deployment.process(name).signal(Signal::SIGTERM);
+        wait_for("the second signal is heard", async || {
+            deployment.process(name).signal(Signal::SIGTERM);
+            !deployment.process(name).is_running()
+        })
+        .await;
+        assert_ne!(deployment.process(name).wait(STOP_LIMIT), Some(0));
+        assert!(deployment.log_of(name).contains("\"cut\":1"), "{}", deployment.log_of(name));
+        if let Some(answer) = asked.await.expect("the task ends") {
+            assert_eq!(answer.outcome, "unknown", "{answer:?}");
+        }
+    });
+}
--- a/tools/testbed/src/lib.rs
+++ b/tools/testbed/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod booking;
 pub mod caller;
 pub mod deployment;
+pub mod load;
 pub mod plan;
 pub mod process;
 pub mod script;
--- /dev/null
+++ b/tools/testbed/src/load.rs
@@ -0,0 +1,143 @@
+//! A steady load of callers behind a balancer that looks at readiness, for planned stops.
+
+use crate::{
+    booking::Booking,
+    plan::{HINOKUNI_KEY, VIDRIO_KEY},
+};
+use serde_json::json;
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{task::JoinHandle, time};
+
+/// Time between two looks of the balancer.
+const LOOK: Duration = Duration::from_millis(50);
+/// Pause of a caller between an answer and its next request.
+const THINK: Duration = Duration::from_millis(20);
+/// Deadline of every request, in milliseconds.
+const DEADLINE_MS: u64 = 20_000;
+
+/// What the callers saw.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// Whole answers of models.
+    pub whole: usize,
+    /// Bookings that ran.
+    pub ran: usize,
+    /// Everything else, as text.
+    pub errors: Vec<String>,
+}
+
+struct Shared {
+    http: reqwest::Client,
+    routers: Vec<String>,
+    ready: Mutex<Vec<String>>,
+    seen: Mutex<Seen>,
+    stop: AtomicBool,
+}
+
+/// Callers at work.
+pub struct Load {
+    shared: Arc<Shared>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    /// Starts callers at the routers' addresses; half of them ask models, half book.
+    pub fn start(routers: Vec<String>, callers: usize) -> Self {
+        let shared = Arc::new(Shared {
+            http: reqwest::Client::builder().no_proxy().build().expect("a plain client"),
+            ready: Mutex::new(routers.clone()),
+            routers,
+            seen: Mutex::default(),
+            stop: AtomicBool::new(false),
+        });
+        let mut tasks = vec![tokio::spawn(balance(shared.clone()))];
+        tasks.extend((0..callers).map(|number| tokio::spawn(call(shared.clone(), number))));
+        Self { shared, callers: tasks }
+    }
+
+    /// What was seen so far.
+    ///
+    /// # Panics
+    ///
+    /// Never: no holder of the lock panics.
+    pub fn seen(&self) -> Seen {
+        self.shared.seen.lock().expect("no holder of this lock panics").clone()
+    }
+
+    /// Lets every caller finish its request; what they saw.
+    pub async fn finish(self) -> Seen {
+        self.shared.stop.store(true, Ordering::Relaxed);
+        for caller in self.callers {
+            drop(caller.await);
+        }
+        self.shared.seen.lock().expect("no holder of this lock panics").clone()
+    }
+}
+
+async fn balance(shared: Arc<Shared>) {
+    while !shared.stop.load(Ordering::Relaxed) {
+        let mut ready = Vec::new();
+        for router in &shared.routers {
+            let look = shared.http.get(format!("http://{router}/readyz")).timeout(LOOK * 10);
+            if look.send().await.is_ok_and(|answer| answer.status().is_success()) {
+                ready.push(router.clone());
+            }
+        }
+        *shared.ready.lock().expect("no holder of this lock panics") = ready;
+        time::sleep(LOOK).await;
+    }
+}
+
+async fn call(shared: Arc<Shared>, number: usize) {
+    let mut turn = number;
+    while !shared.stop.load(Ordering::Relaxed) {
+        let router = {
+            let ready = shared.ready.lock().expect("no holder of this lock panics");
+            ready.get(turn % ready.len().max(1)).cloned()
+        };
+        turn += 1;
+        if let Some(router) = router {
+            let result = if number.is_multiple_of(2) {
+                ask(&shared.http, &router, number).await.map(|()| true)
+            } else {
+                book(&shared.http, &router, &format!("load-{number}-{turn}")).await.map(|()| false)
+            };
+            let mut seen = shared.seen.lock().expect("no holder of this lock panics");
+            match result {
+                Ok(true) => seen.whole += 1,
+                Ok(false) => seen.ran += 1,
+                Err(error) => seen.errors.push(error),
+            }
+        }
+        time::sleep(THINK).await;
+    }
+}
+
+async fn ask(http: &reqwest::Client, router: &str, number: usize) -> Result<(), String> {
+    let (model, key) = match number % 3 {
+        0 => ("design-13b", HINOKUNI_KEY),
+        1 => ("quotes-7b", VIDRIO_KEY),
+        _ => ("rounds-3b", VIDRIO_KEY),
+    };
+    let body = json!({ "model": model, "prompt": "stripes", "max_tokens": 40, "stream": true });
+    let req = http.post(format!("http://{router}/v1/completions")).bearer_auth(key).json(&body);
+    let answer = req.header("x-deadline-ms", DEADLINE_MS).send().await;
+    let answer = answer.map_err(|error| format!("{model}: {error:?}"))?;
+    let text = answer.text().await.map_err(|error| format!("{model}: {error:?}"))?;
+    if text.contains("[DONE]") { Ok(()) } else { Err(format!("{model}: {text}")) }
+}
+
+async fn book(http: &reqwest::Client, router: &str, key: &str) -> Result<(), String> {
+    let url = format!("http://{router}/services/agenda/bookings");
+    match Booking::new(key, DEADLINE_MS).send(http, url).await {
+        Some(answer) if answer.outcome == "ran" => Ok(()),
+        Some(answer) => Err(format!("{key}: {answer:?}")),
+        None => Err(format!("{key}: no answer")),
+    }
+}
