--- /dev/null
+++ b/tools/chaos/src/faults.rs
@@ -0,0 +1,90 @@
+//! Faults, drawn at random, begun and healed.
+
+use corianderstand_derives::derives;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use testbed::Deployment;
+
+/// One fault.
+#[derives(data)]
+pub enum Fault {
+    /// A router or agent is killed, and started again on healing.
+    Kill(String),
+    /// A process is frozen until healing.
+    Freeze(String),
+    /// A stand-in misbehaves until healing.
+    Misbehave(String, Value),
+    /// Open connections of a relay fall silent for good, or are cut.
+    Relay(String, Value),
+}
+
+fn pick(rng: &mut ChaCha8Rng, names: &[String]) -> String {
+    names[rng.random_range(0..names.len())].clone()
+}
+
+impl Fault {
+    /// Draws a fault of a running deployment.
+    pub fn draw(deployment: &Deployment, rng: &mut ChaCha8Rng) -> Self {
+        let all = deployment.running();
+        let of = |prefixes: &[&str]| -> Vec<String> {
+            all.iter().filter(|n| prefixes.iter().any(|p| n.starts_with(p))).cloned().collect()
+        };
+        match rng.random_range(0..10) {
+            0 | 1 => Self::Kill(pick(rng, &of(&["router-", "agent-"]))),
+            2 => Self::Kill(pick(rng, &of(&["agent-service-"]))),
+            3 => Self::Freeze(pick(rng, &of(&["router-", "agent-"]))),
+            4 => Self::Freeze(pick(rng, &of(&["agent-service-", "service-", "engine-"]))),
+            5 => {
+                let faults = [
+                    json!({ "down": true }),
+                    json!({ "slow_ms": 700 }),
+                    json!({ "lose_answers": 3 }),
+                ];
+                Self::Misbehave("log".into(), faults[rng.random_range(0..3)].clone())
+            }
+            6 => {
+                let faults = [json!({ "before_ms": 900 }), json!({ "after_ms": 900 })];
+                let fault = faults[rng.random_range(0..2)].clone();
+                Self::Misbehave(pick(rng, &of(&["service-"])), fault)
+            }
+            7 => {
+                let fault = json!({ "break_after": rng.random_range(0..30) });
+                Self::Misbehave(pick(rng, &of(&["engine-"])), fault)
+            }
+            8 => Self::Relay(pick(rng, &of(&["relay-"])), json!({ "silence_open": true })),
+            _ => Self::Relay(pick(rng, &of(&["relay-"])), json!({ "cut_open": true })),
+        }
+    }
+
+    /// Brings it about.
+    pub async fn begin(&self, deployment: &mut Deployment) {
+        match self {
+            Self::Kill(name) => deployment.process(name).kill(),
+            Self::Freeze(name) => deployment.process(name).freeze(),
+            Self::Misbehave(name, fault) => send(deployment, name, fault).await,
+            Self::Relay(name, fault) => deployment.fault(name, fault).await,
+        }
+    }
+
+    /// Ends it.
+    pub async fn heal(&self, deployment: &mut Deployment) {
+        match self {
+            Self::Kill(name) => {
+                if !deployment.process(name).is_running() {
+                    deployment.run(name);
+                }
+            }
+            Self::Freeze(name) => deployment.process(name).resume(),
+            Self::Misbehave(name, _) => send(deployment, name, &json!({})).await,
+            // What has fallen silent stays so; new connections work.
+            Self::Relay(..) => {}
+        }
+    }
+}
+
+/// Tells a stand-in to misbehave, first waking it, as a frozen one takes no orders.
+async fn send(deployment: &mut Deployment, name: &str, fault: &Value) {
+    deployment.process(name).resume();
+    deployment.fault(name, fault).await;
+}
