Operators see what is warm where, what changes per field, and who changed it

Ruled out: agents reporting to all routers (730 agents x 340 routers is above 16 KB/s a node); piggybacking on heartbeats, for the same reason.

--- a/crates/corianderstand_agent/src/accept.rs
+++ b/crates/corianderstand_agent/src/accept.rs
@@ -122,6 +122,7 @@
                 self.credits.remove(&stream);
                 self.tell(Event::Cancelled { connection: self.id, stream })
             }
+            ToAgent::List => self.tell(Event::List(self.out.clone())),
             ToAgent::Ping { nonce } => {
                 let load = self.shared.load.borrow().clone();
                 self.send(&ToRouter::Pong { nonce, load }).await;
--- a/crates/corianderstand_agent/src/decide.rs
+++ b/crates/corianderstand_agent/src/decide.rs
@@ -4,12 +4,15 @@
     event::{ConnectionId, Event, Job, Request},
     sizes::ViewSizes,
 };
+use bytes::Bytes;
 use corianderstand_control::snapshot::{Current, Snapshot};
 use corianderstand_decide::{
     agent::{Action, Agent},
+    ledger::Stage,
     work::{Refusal, RequestKey},
 };
-use corianderstand_schema::messages::{Load, ToRouter};
+use corianderstand_link::frame;
+use corianderstand_schema::messages::{Holding, HoldingStage, Load, ToRouter};
 use corianderstand_types::{clock::SharedClock, names::TargetId, weights::Weights};
 use std::{
     collections::{BTreeSet, HashMap},
@@ -114,6 +117,10 @@
                 self.agent.rebuild(loaded);
                 Vec::new()
             }
+            Event::List(out) => {
+                self.list(&out, snapshot);
+                Vec::new()
+            }
             Event::Drain => {
                 self.agent.drain();
                 Vec::new()
@@ -122,6 +129,26 @@
         self.perform(actions, snapshot);
     }
 
+    fn list(&self, out: &mpsc::Sender<Bytes>, snapshot: &Snapshot) {
+        let holdings = self.agent.ledger().entries().map(|(weights, entry)| Holding {
+            weights: weights.to_string().into(),
+            stage: match entry.stage {
+                Stage::Loading => HoldingStage::Loading,
+                Stage::Ready => HoldingStage::Warm,
+                Stage::Unloading => HoldingStage::Unloading,
+                Stage::Unknown => HoldingStage::Unknown,
+            },
+            memory_mib: entry.memory.0,
+            users: entry.users,
+        });
+        let holdings = holdings.collect();
+        let version = snapshot.state.documents.version;
+        if let Ok(frame) = frame::encode(&ToRouter::Holdings { version, holdings }, b"") {
+            // An operator whose connection takes nothing more asks again.
+            drop(out.try_send(frame));
+        }
+    }
+
     /// A request that runs is ended by the `target` thread, which sees its credit closed; one
     /// that waits is simply forgotten.
     fn cancel(&mut self, key: RequestKey, sizes: &ViewSizes<'_>) -> Vec<Action> {
--- a/crates/corianderstand_agent/src/event.rs
+++ b/crates/corianderstand_agent/src/event.rs
@@ -69,6 +69,8 @@
     Unloaded(Weights, bool),
     /// What the engine says is loaded.
     Rebuilt(Vec<(Weights, Mib, bool)>),
+    /// Tell what the target holds, on this connection.
+    List(mpsc::Sender<Bytes>),
     /// Take no new work.
     Drain,
 }
--- a/crates/corianderstand_cli/src/args.rs
+++ b/crates/corianderstand_cli/src/args.rs
@@ -18,19 +18,22 @@
     Apply,
     /// Shows documents in force.
     Get,
+    /// Shows the changes of one document.
+    History,
     /// Shows the deployment.
     Status,
     /// Hashes a bearer key.
     HashKey,
 }
 
-const ALL: [Command; 8] = [
+const ALL: [Command; 9] = [
     Command::Router,
     Command::Agent,
     Command::Check,
     Command::Diff,
     Command::Apply,
     Command::Get,
+    Command::History,
     Command::Status,
     Command::HashKey,
 ];
@@ -44,6 +47,7 @@
             Self::Diff => "diff",
             Self::Apply => "apply",
             Self::Get => "get",
+            Self::History => "history",
             Self::Status => "status",
             Self::HashKey => "hash-key",
         }
@@ -57,7 +61,12 @@
             Self::Diff => ("DIR", "show what applying DIR would change"),
             Self::Apply => ("DIR", "put the settings in DIR in force"),
             Self::Get => ("[PATH]", "show the documents in force at or below PATH"),
-            Self::Status => ("", "show targets, slots, the lease and what is in force"),
+            Self::History => ("PATH", "show who changed the document at PATH, when and what"),
+            Self::Status => (
+                "",
+                "show what is in force where, which models are warm, loading or cold, and who \
+                holds the lease",
+            ),
             Self::HashKey => (
                 "FILE",
                 "hash the bearer key on standard input for the settings; \
@@ -72,7 +81,7 @@
     }
 
     const fn asks_router(self) -> bool {
-        matches!(self, Self::Diff | Self::Apply | Self::Get | Self::Status)
+        matches!(self, Self::Diff | Self::Apply | Self::Get | Self::History | Self::Status)
     }
 }
 
@@ -103,6 +112,10 @@
         options.optopt("a", "author", "who asks, for the history", "NAME");
         options.optflag("", "prune", "also remove documents that DIR does not have");
     }
+    if command == Command::Status {
+        options.optflag("w", "watch", "show it again and again until interrupted");
+        options.optopt("i", "interval-ms", "pause of --watch, 2000 if not given", "MILLISECONDS");
+    }
     options
 }
 
--- a/crates/corianderstand_cli/src/check.rs
+++ b/crates/corianderstand_cli/src/check.rs
@@ -15,10 +15,10 @@
 pub enum FileFault {
     /// {0}
     Unread(String),
-    /// {file_name} {fault}
+    /// {file} {fault}
     Faulty {
         /// The file, as shown.
-        file_name: String,
+        file: String,
         /// Its fault.
         fault: Fault,
     },
@@ -26,13 +26,13 @@
 
 impl FileFault {
     fn new(file: &Path, fault: Fault) -> Self {
-        Self::Faulty { file_name: file.display().to_string(), fault }
+        Self::Faulty { file: file.display().to_string(), fault }
     }
 
     fn json(&self) -> Value {
         match self {
             Self::Unread(message) => json!({ "problem": message }),
-            Self::Faulty { file_name, fault } => json!({ "file": file_name, "path": fault.path,
+            Self::Faulty { file, fault } => json!({ "file": file, "path": fault.path,
                 "problem": fault.problem, "remedy": fault.remedy }),
         }
     }
--- a/crates/corianderstand_cli/src/lib.rs
+++ b/crates/corianderstand_cli/src/lib.rs
@@ -9,9 +9,11 @@
 pub mod check;
 mod client;
 mod directory;
+mod fields;
 mod logging;
 mod operate;
 mod process;
+mod status;
 mod together;
 
 use args::Command;
@@ -76,7 +78,8 @@
         Command::Diff => operate::diff(matches),
         Command::Apply => operate::apply(matches),
         Command::Get => operate::get(matches),
-        Command::Status => operate::status(matches),
+        Command::History => operate::history(matches),
+        Command::Status => status::run(matches),
         Command::HashKey => process::hash_key(matches),
     }
 }
--- a/crates/corianderstand_cli/src/operate.rs
+++ b/crates/corianderstand_cli/src/operate.rs
@@ -1,16 +1,18 @@
-//! `diff`, `apply`, `get` and `status`.
+//! `diff`, `apply`, `get` and `history`.
 
 use crate::{
     Exit, check,
     client::{Client, ClientError},
     directory::{self, Documents},
+    fields,
 };
 use getopts::Matches;
 use reqwest::Method;
 use serde_json::{Value, json};
 use std::{collections::BTreeMap, path::Path};
 
-fn report(result: Result<Exit, ClientError>) -> Exit {
+/// The exit code of an answered question; an unanswered one is told.
+pub fn report(result: Result<Exit, ClientError>) -> Exit {
     result.unwrap_or_else(|error| {
         eprintln!("{error}");
         error.exit()
@@ -19,7 +21,7 @@
 
 /// What is in force: version and document by path.
 fn in_force(client: &Client, prefix: &str) -> Result<BTreeMap<String, (u64, Value)>, ClientError> {
-    let answer = client.ask(Method::GET, &format!("/operator/get?prefix={prefix}"), None)?;
+    let answer = client.ask(Method::GET, &query("/operator/get", "prefix", prefix), None)?;
     let documents = answer["documents"].as_array().cloned().unwrap_or_default();
     let read = |doc: Value| {
         let path = doc["path"].as_str().unwrap_or_default().to_owned();
@@ -49,17 +51,32 @@
     changes
 }
 
-fn print_changes(changes: &[Value]) {
+fn print_changes(changes: &[Value], current: &BTreeMap<String, (u64, Value)>) {
     for change in changes {
-        let mark = match (&change["base"], &change["value"]) {
+        let path = change["path"].as_str().unwrap_or_default();
+        let old = current.get(path).map_or(&Value::Null, |(_, value)| value);
+        let mark = match (old, &change["value"]) {
             (_, Value::Null) => '-',
-            (base, _) if *base == json!(0) => '+',
+            (Value::Null, _) => '+',
             _ => '~',
         };
-        println!("{mark} {}", change["path"].as_str().unwrap_or_default());
+        println!("{mark} {path}");
+        for field in fields::changed(old, &change["value"]) {
+            println!("    {field}");
+        }
     }
 }
 
+/// Changes as programs read them.
+fn changes_json(changes: &[Value], current: &BTreeMap<String, (u64, Value)>) -> Value {
+    let with_old = |change: &Value| {
+        let path = change["path"].as_str().unwrap_or_default();
+        let old = current.get(path).map_or(&Value::Null, |(_, value)| value);
+        json!({ "path": path, "base": change["base"], "old": old, "new": change["value"] })
+    };
+    changes.iter().map(with_old).collect()
+}
+
 /// The directory's documents, or all its faults.
 fn read_checked(matches: &Matches) -> Result<Documents, Exit> {
     let root = Path::new(&matches.free[0]);
@@ -77,8 +94,15 @@
         Err(exit) => return exit,
     };
     report(Client::new(matches).and_then(|client| {
-        let changes = changes(&documents, &in_force(&client, "")?, true);
-        print_changes(&changes);
+        let current = in_force(&client, "")?;
+        let changes = changes(&documents, &current, true);
+        if matches.opt_present("json") {
+            println!("{}", changes_json(&changes, &current));
+        } else if changes.is_empty() {
+            println!("no difference");
+        } else {
+            print_changes(&changes, &current);
+        }
         Ok(Exit::Success)
     }))
 }
@@ -92,15 +116,25 @@
     report(Client::new(matches).and_then(|client| {
         let current = in_force(&client, "")?;
         let changes = changes(&documents, &current, matches.opt_present("prune"));
+        let as_json = matches.opt_present("json");
         if changes.is_empty() {
-            println!("nothing to change");
+            let unchanged = json!({ "version": null, "changes": [] });
+            println!(
+                "{}",
+                if as_json { unchanged.to_string() } else { "nothing to change".into() }
+            );
             return Ok(Exit::Success);
         }
         let author = matches.opt_str("author").unwrap_or_else(|| "operator".into());
         let body = json!({ "changes": changes, "author": author });
         let answer = client.ask(Method::POST, "/operator/apply", Some(&body))?;
-        print_changes(&changes);
-        println!("accepted as version {}", answer["version"]);
+        if as_json {
+            let changes = changes_json(&changes, &current);
+            println!("{}", json!({ "version": answer["version"], "changes": changes }));
+        } else {
+            print_changes(&changes, &current);
+            println!("accepted as version {}", answer["version"]);
+        }
         Ok(Exit::Success)
     }))
 }
@@ -109,43 +143,48 @@
 pub fn get(matches: &Matches) -> Exit {
     let prefix = matches.free.first().cloned().unwrap_or_default();
     report(Client::new(matches).and_then(|client| {
-        for (path, (version, value)) in in_force(&client, &prefix)? {
-            println!("{}", json!({ "path": path, "version": version, "value": value }));
+        let documents = in_force(&client, &prefix)?;
+        if documents.is_empty() {
+            eprintln!("no document is in force at or below `{prefix}`: see `corianderstand get`");
+            return Ok(Exit::Fault);
+        }
+        for (path, (version, value)) in documents {
+            if matches.opt_present("json") {
+                println!("{}", json!({ "path": path, "version": version, "value": value }));
+            } else {
+                println!("{path} (version {version})\n{value:#}");
+            }
         }
         Ok(Exit::Success)
     }))
 }
 
-/// Shows the deployment.
-pub fn status(matches: &Matches) -> Exit {
+/// Shows the changes of one document.
+pub fn history(matches: &Matches) -> Exit {
+    let path = &matches.free[0];
     report(Client::new(matches).and_then(|client| {
-        let status = client.ask(Method::GET, "/operator/status", None)?;
+        let answer = client.ask(Method::GET, &query("/operator/history", "path", path), None)?;
         if matches.opt_present("json") {
-            println!("{status}");
-        } else {
-            print_status(&status);
+            println!("{answer}");
+            return Ok(Exit::Success);
+        }
+        let mut old = Value::Null;
+        for change in answer["changes"].as_array().into_iter().flatten() {
+            let author = change["author"].as_str().unwrap_or_default();
+            let at = change["at_ms"].as_u64().unwrap_or_default();
+            println!("version {} by {author}, {at} ms after 1970", change["version"]);
+            for field in fields::changed(&old, &change["value"]) {
+                println!("    {field}");
+            }
+            old = change["value"].clone();
         }
         Ok(Exit::Success)
     }))
 }
 
-fn print_status(status: &Value) {
-    println!("settings version {}, log up: {}", status["version"], status["log_up"]);
-    println!("control lease {}: {}", status["lease"]["epoch"], status["lease"]["holder"][0]);
-    println!("\n{:<20} {:<16} {:<14} address", "target", "host", "place");
-    for target in status["targets"].as_array().into_iter().flatten() {
-        let text = |name: &str| target[name].as_str().unwrap_or_default().to_owned();
-        println!(
-            "{:<20} {:<16} {:<14} {}",
-            text("target"),
-            text("host"),
-            text("place"),
-            text("address")
-        );
-    }
-    println!("\n{:<28} {:>4}  target", "model", "slot");
-    for slot in status["slots"].as_array().into_iter().flatten() {
-        let text = |name: &str| slot[name].as_str().unwrap_or_default().to_owned();
-        println!("{:<28} {:>4}  {}", text("model"), slot["slot"], text("target"));
-    }
+/// A path with one query parameter.
+fn query(path: &str, name: &str, value: &str) -> String {
+    let query = reqwest::Url::parse_with_params("http://router/", [(name, value)]);
+    let query = query.ok().and_then(|url| url.query().map(str::to_owned)).unwrap_or_default();
+    format!("{path}?{query}")
 }
--- /dev/null
+++ b/crates/corianderstand_cli/src/status.rs
@@ -0,0 +1,88 @@
+//! `corianderstand status`: the deployment as a router sees it.
+
+use crate::{Exit, client::Client, operate};
+use getopts::Matches;
+use reqwest::Method;
+use serde_json::Value;
+use std::{thread, time::Duration};
+
+/// Pause between two pictures of `--watch`.
+const INTERVAL_MS: u64 = 2000;
+/// Clears a terminal and goes to its upper left corner.
+const CLEAR: &str = "\x1b[2J\x1b[H";
+
+/// Shows the deployment, once or again and again.
+pub fn run(matches: &Matches) -> Exit {
+    let interval = match matches.opt_get_default("interval-ms", INTERVAL_MS) {
+        Ok(ms) => Duration::from_millis(ms),
+        Err(error) => {
+            eprintln!("--interval-ms: {error}: give a whole number of milliseconds");
+            return Exit::Usage;
+        }
+    };
+    operate::report(Client::new(matches).and_then(|client| {
+        loop {
+            let status = client.ask(Method::GET, "/operator/status", None);
+            let watch = matches.opt_present("watch");
+            match status {
+                // While it is watched, a router that is away for a moment may come back.
+                Err(error) if watch => println!("{error}"),
+                Err(error) => return Err(error),
+                Ok(status) if matches.opt_present("json") => println!("{status}"),
+                Ok(status) => {
+                    let clear = if watch { CLEAR } else { "" };
+                    println!("{clear}{}", table(&status));
+                }
+            }
+            if !watch {
+                return Ok(Exit::Success);
+            }
+            thread::sleep(interval);
+        }
+    }))
+}
+
+/// One cell: text as it is, anything else as JSON, nothing as a dash.
+fn cell(value: &Value) -> String {
+    match value {
+        Value::Null => "-".into(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+/// Rows of a list, each cell as wide as the widest of its column.
+fn rows(title: &str, columns: &[&str], list: &Value) -> String {
+    let head: Vec<String> = columns.iter().map(|column| (*column).to_owned()).collect();
+    let list = list.as_array().into_iter().flatten();
+    let cells = |item: &Value| columns.iter().map(|column| cell(&item[*column])).collect();
+    let all: Vec<Vec<String>> = std::iter::once(head).chain(list.map(cells)).collect();
+    let widths: Vec<usize> = (0..columns.len())
+        .map(|i| all.iter().map(|row| row[i].chars().count()).max().unwrap_or_default())
+        .collect();
+    let mut text = format!("\n{title}\n");
+    for row in all {
+        let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+        let line = cells.collect::<Vec<_>>().join("  ");
+        text.push_str(&format!("  {}\n", line.trim_end()));
+    }
+    text
+}
+
+fn table(status: &Value) -> String {
+    let lease = &status["lease"];
+    let mut text =
+        format!("settings version {}, log up: {}\n", status["version"], status["log_up"]);
+    text.push_str(&format!(
+        "control lease, epoch {}: {} (plans slots, paces loads, writes checkpoints)\n",
+        lease["epoch"],
+        cell(&lease["holder"][0])
+    ));
+    text.push_str(&rows("routers", &["router", "reached", "version"], &status["routers"]));
+    let columns = ["target", "host", "place", "address", "service", "reached", "version"];
+    text.push_str(&rows("targets", &columns, &status["targets"]));
+    text.push_str(&rows("slots", &["model", "slot", "target", "stage"], &status["slots"]));
+    let columns = ["target", "weights", "stage", "memory_mib", "users"];
+    text.push_str(&rows("loaded", &columns, &status["holdings"]));
+    text
+}
--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -20,7 +20,7 @@
 use corianderstand_state::view::TeamView;
 use corianderstand_types::{
     clock::SharedClock,
-    names::{self, TeamId},
+    names::{self, TeamId, WriterId},
 };
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::ParseError};
 use smol_str::{SmolStr, format_smolstr};
@@ -43,6 +43,12 @@
 
 /// What the handlers share.
 pub struct Door {
+    /// Name of this router.
+    pub name: WriterId,
+    /// Addresses of other routers.
+    pub peers: Vec<SmolStr>,
+    /// Asks other routers.
+    pub peer_client: reqwest::Client,
     /// To the `decide` thread.
     pub events: SyncSender<Event>,
     /// The log.
@@ -103,13 +109,14 @@
 const POST: &str = "POST";
 
 /// All paths with a method.
-const PATHS: [(&str, &str, Kind); 8] = [
+const PATHS: [(&str, &str, Kind); 9] = [
     ("v1/completions", POST, Kind::Completion),
     ("v1/chat/completions", POST, Kind::Chat),
     ("v1/models", GET, Kind::Models),
     ("operator/apply", POST, Kind::Operator(operator::Kind::Apply)),
     ("operator/get", GET, Kind::Operator(operator::Kind::Get)),
     ("operator/status", GET, Kind::Operator(operator::Kind::Status)),
+    ("operator/version", GET, Kind::Operator(operator::Kind::Version)),
     ("healthz", GET, Kind::Healthy),
     ("readyz", GET, Kind::Ready),
 ];
--- a/crates/corianderstand_router/src/lib.rs
+++ b/crates/corianderstand_router/src/lib.rs
@@ -28,5 +28,6 @@
 mod problem;
 mod services;
 mod start;
+mod status;
 
 pub use start::{RouterError, RouterHandle, start};
--- a/crates/corianderstand_router/src/link.rs
+++ b/crates/corianderstand_router/src/link.rs
@@ -231,7 +231,7 @@
                 let refusal = Refusal { reason, retry_after };
                 self.tell(Event::Refused { key: key(stream), refusal, load });
             }
-            ToRouter::Pong { .. } => {}
+            ToRouter::Pong { .. } | ToRouter::Holdings { .. } => {}
             ToRouter::Draining => self.tell(Event::Draining(self.target.clone())),
         }
         Ok(())
--- a/crates/corianderstand_router/src/operator.rs
+++ b/crates/corianderstand_router/src/operator.rs
@@ -3,6 +3,7 @@
 use crate::{
     http::Door,
     problem::{self, Problem},
+    status,
 };
 use corianderstand_derives::derives;
 use corianderstand_schema::records::{Body, Change};
@@ -24,6 +25,8 @@
     Get,
     /// `GET /operator/status`.
     Status,
+    /// `GET /operator/version`.
+    Version,
 }
 
 /// Body of `POST /operator/apply`.
@@ -65,7 +68,12 @@
     let value = match kind {
         Kind::Apply => apply(door, req).await?,
         Kind::Get => get(door, req.query::<String>("prefix").unwrap_or_default().as_str()),
-        Kind::Status => status(door),
+        Kind::Status => {
+            let authorization = req.headers().get("authorization");
+            let authorization = authorization.and_then(|value| value.to_str().ok());
+            status::whole(door, authorization.unwrap_or_default()).await
+        }
+        Kind::Version => status::version(door),
     };
     problem::set_header(res, "content-type", "application/json");
     drop(res.write_body(value.to_string()));
@@ -114,30 +122,3 @@
         .collect();
     json!({ "version": snapshot.state.documents.version, "documents": documents })
 }
-
-fn status(door: &Door) -> Value {
-    let snapshot = door.control.current.load();
-    let state = &snapshot.state;
-    let targets: Vec<Value> = state
-        .targets
-        .by_name
-        .iter()
-        .map(|(name, t)| {
-            json!({ "target": name, "host": t.record.host, "place": t.record.place,
-                "address": t.record.address, "service": t.record.service })
-        })
-        .collect();
-    let slots: Vec<Value> = state
-        .slots
-        .by_key
-        .iter()
-        .map(|(key, slot)| json!({ "model": key.model, "slot": key.index, "target": slot.target }))
-        .collect();
-    json!({
-        "version": state.documents.version,
-        "log_up": snapshot.log_up,
-        "lease": { "epoch": state.lease.epoch, "holder": state.lease.holder },
-        "targets": targets,
-        "slots": slots,
-    })
-}
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -83,7 +83,11 @@
     spawn("decide", move || decider.run(&events_rx))?;
     start_link(&settings, incarnation, &control, events.clone())?;
 
+    let peer_client = reqwest::Client::builder().no_proxy().build();
     let door = Arc::new(Door {
+        name: settings.name.clone(),
+        peers: settings.peers.clone(),
+        peer_client: peer_client.expect("the client has no settings that can fail"),
         events,
         control,
         hasher,
