--- a/crates/corianderstand_agent/src/decide.rs
+++ b/crates/corianderstand_agent/src/decide.rs
@@ -13,7 +13,11 @@
 };
 use corianderstand_link::frame;
 use corianderstand_schema::messages::{Holding, HoldingStage, Load, ToRouter};
-use corianderstand_types::{clock::SharedClock, names::TargetId, weights::Weights};
+use corianderstand_types::{
+    clock::{self, SharedClock},
+    names::TargetId,
+    weights::Weights,
+};
 use std::{
     collections::{BTreeSet, HashMap},
     sync::mpsc::{Receiver, RecvTimeoutError},
@@ -23,6 +27,7 @@
 
 /// Longest time between two looks at the snapshot.
 const LONGEST_WAIT: Duration = Duration::from_millis(100);
+const MS_PER_SECOND: u64 = 1000;
 
 /// The thread's state.
 pub struct Decider {
@@ -68,7 +73,9 @@
 
     fn step(&mut self, snapshot: &Snapshot) {
         self.refresh_slots(snapshot);
-        let actions = self.agent.step(self.clock.now(), &ViewSizes(&snapshot.view));
+        let now = self.clock.now();
+        self.agent.set_wall(now, clock::unix_ms(self.clock.wall()) / MS_PER_SECOND);
+        let actions = self.agent.step(now, &ViewSizes(&snapshot.view));
         self.perform(actions, snapshot);
     }
 
@@ -86,6 +93,7 @@
     fn take(&mut self, event: Event, snapshot: &Snapshot) {
         self.refresh_slots(snapshot);
         let now = self.clock.now();
+        self.agent.set_wall(now, clock::unix_ms(self.clock.wall()) / MS_PER_SECOND);
         let sizes = ViewSizes(&snapshot.view);
         let actions = match event {
             Event::Submit(submitted) => {
@@ -104,8 +112,7 @@
                 let keys: Vec<RequestKey> = gone.map(|(_, key)| *key).collect();
                 keys.into_iter().flat_map(|key| self.cancel(key, &sizes)).collect()
             }
-            Event::Ended { key, took } => {
-                self.agent.observe_run(took);
+            Event::Ended { key } => {
                 self.forget(key);
                 self.agent.finished(now, key, &sizes)
             }
@@ -185,6 +192,8 @@
                     let fence = self.fence(&weights, snapshot);
                     Job::Unload { weights, memory, fence }
                 }
+                // Asked for only under a coordinator, which no process is yet.
+                Action::AskLoad(_) => continue,
             };
             // The number of jobs is bounded by the requests and models that the logic holds.
             drop(self.jobs.send(job));
--- a/crates/corianderstand_router/src/completions.rs
+++ b/crates/corianderstand_router/src/completions.rs
@@ -8,7 +8,7 @@
     problem::{self, Problem},
 };
 use bytes::Bytes;
-use corianderstand_decide::work::{Need, Work};
+use corianderstand_decide::work::{self, Need, Work};
 use corianderstand_schema::{
     messages::{AdapterRef, OpenStream, Operation},
     settings,
@@ -30,6 +30,7 @@
     adapter: Option<Weights>,
     name: String,
     stream: bool,
+    shape: work::Shape,
     usage: bool,
     body: Bytes,
 }
@@ -76,7 +77,8 @@
     let limit = team.team.max_deadline_ms.0;
     let budget = asked.deadline(req, team.team.default_deadline_ms.0, limit)?;
     let deadline = Instant::now() + budget;
-    let (work, open) = open(asked, &wanted, chat, urgency, budget);
+    let (mut work, open) = open(asked, &wanted, chat, urgency, budget);
+    work.shape = wanted.shape;
     let call = CallInProgress::submit(&door.events, work, open, wanted.body)?;
     let shape = Shape {
         chat,
@@ -116,8 +118,9 @@
 fn read(body: Bytes, chat: bool, team: &TeamView, view: &View) -> Result<Wanted, Problem> {
     let params = Params::read(&body, chat)?;
     let (base, adapter) = resolve(&params.model, team, view)?;
+    let shape = params.shape(chat);
     let (stream, usage) = (params.is_streamed(), params.includes_usage());
-    Ok(Wanted { base, adapter, name: params.model, stream, usage, body })
+    Ok(Wanted { base, adapter, name: params.model, stream, shape, usage, body })
 }
 
 /// Finds what `model`, `model:adapter`, `model@version` or `model:adapter@version` names.
--- a/crates/corianderstand_router/src/params.rs
+++ b/crates/corianderstand_router/src/params.rs
@@ -6,7 +6,9 @@
 //! that is null counts as absent.
 
 use crate::problem::Problem;
+use corianderstand_decide::work;
 use serde::{Deserialize, de::IgnoredAny};
+use serde_json::Value;
 use std::ops::RangeInclusive;
 
 /// Most sequences that end an answer.
@@ -60,8 +62,7 @@
 struct Message {
     #[serde(rename = "role")]
     _role: String,
-    #[serde(rename = "content")]
-    _content: IgnoredAny,
+    content: Option<Value>,
 }
 
 #[derive(Deserialize)]
@@ -118,6 +119,17 @@
         options.and_then(|options| options.include_usage).unwrap_or(false)
     }
 
+    /// What decisions know of the request; a session keeps its first messages, so they tell
+    /// where its prompt may be cached.
+    pub fn shape(&self, chat: bool) -> work::Shape {
+        let message = |index: usize| self.messages.as_ref().and_then(|all| all.get(index));
+        let content = |index: usize| message(index)?.content.as_ref()?.as_str();
+        let text = |index: usize| content(index).unwrap_or_default();
+        let beginning = format!("{}\n{}", text(0), text(1));
+        let tokens = self.max_completion_tokens.or(self.max_tokens).map(u64::from);
+        work::Shape::of(tokens, chat, beginning.as_bytes())
+    }
+
     fn check(&self, chat: bool) -> Result<(), Problem> {
         match (chat, &self.messages, &self.prompt) {
             (true, Some(messages), None) if !messages.is_empty() => {}
--- /dev/null
+++ b/tools/capacity/src/emulate.rs
@@ -0,0 +1,163 @@
+//! The many peers of one process, emulated in this program with the project's own frames.
+
+use crate::{forward::Count, size};
+use corianderstand_edge::log::{HttpLog, LogService};
+use corianderstand_link::{
+    PROTOCOL, connection,
+    frame::{self, FrameError},
+};
+use corianderstand_schema::messages::{Load, ToAgent, ToRouter};
+use corianderstand_types::names::{TargetId, WriterId};
+use serde::Serialize;
+use smol_str::{SmolStr, format_smolstr};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    time,
+};
+
+/// Frames that wait to be written.
+const RING: usize = 64;
+/// Bytes that frame a message.
+const LENGTH_BYTES: u64 = 4;
+/// Longest silence before a peer gives up.
+const SILENCE: Duration = Duration::from_secs(60);
+
+/// Agents that a router connects to.
+#[derive(Clone, Debug, Default)]
+pub struct Agents {
+    /// Their addresses, in the order of targets.
+    pub addresses: Vec<SmolStr>,
+    /// Bytes on all connections.
+    pub count: Arc<Count>,
+    /// Connections that are up.
+    pub connected: Arc<AtomicUsize>,
+}
+
+fn bytes_of(message: &impl Serialize) -> u64 {
+    let frame = frame::encode(message, b"").expect("messages are plain data");
+    frame.len() as u64 + LENGTH_BYTES
+}
+
+impl Agents {
+    /// Starts `count` of them.
+    ///
+    /// # Panics
+    ///
+    /// Panics if loopback has no free port.
+    pub async fn start(count: usize) -> Self {
+        let mut agents = Self::default();
+        for i in 0..count {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a port");
+            let address = listener.local_addr().expect("it is bound");
+            agents.addresses.push(format_smolstr!("{address}"));
+            let (count, connected) = (agents.count.clone(), agents.connected.clone());
+            tokio::spawn(accept(listener, size::target(i), count, connected));
+        }
+        agents
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    target: TargetId,
+    count: Arc<Count>,
+    connected: Arc<AtomicUsize>,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let (target, count, connected) = (target.clone(), count.clone(), connected.clone());
+        tokio::spawn(async move {
+            connected.fetch_add(1, Ordering::Relaxed);
+            drop(answer(stream, target, &count).await);
+            connected.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+async fn answer(stream: TcpStream, target: TargetId, count: &Count) -> Result<(), FrameError> {
+    let (mut reader, writer) = connection::split(stream, SILENCE)?;
+    let (tx, rx) = mpsc::channel(RING);
+    tokio::spawn(writer.run(rx));
+    loop {
+        let (message, _) = reader.next::<ToAgent>().await?;
+        count.sent.fetch_add(bytes_of(&message), Ordering::Relaxed);
+        let reply = match message {
+            ToAgent::Hello { .. } => {
+                ToRouter::Welcome { target: target.clone(), incarnation: 1, draining: false }
+            }
+            ToAgent::Ping { nonce } => {
+                let load = Load { running: 3, queued: 1, wait_ms: 20 };
+                ToRouter::Pong { nonce, load }
+            }
+            _ => continue,
+        };
+        count.received.fetch_add(bytes_of(&reply), Ordering::Relaxed);
+        tx.send(frame::encode(&reply, b"")?).await.map_err(|_| FrameError::Closed)?;
+    }
+}
+
+/// Connects as `routers` routers would, each with a heartbeat `every` so often.
+pub fn routers(agent: &str, routers: usize, every: Duration, count: &Arc<Count>) {
+    for i in 0..routers {
+        tokio::spawn(connect(agent.to_owned(), i, every, count.clone()));
+    }
+}
+
+async fn connect(
+    agent: String,
+    index: usize,
+    every: Duration,
+    count: Arc<Count>,
+) -> Result<(), FrameError> {
+    let stream = TcpStream::connect(&agent).await?;
+    let (mut reader, writer) = connection::split(stream, SILENCE)?;
+    let (tx, rx) = mpsc::channel(RING);
+    tokio::spawn(writer.run(rx));
+    let router = WriterId(format_smolstr!("router-{index:04}"));
+    let hello = ToAgent::Hello { router, incarnation: 1, protocol: PROTOCOL };
+    count.received.fetch_add(bytes_of(&hello), Ordering::Relaxed);
+    tx.send(frame::encode(&hello, b"")?).await.map_err(|_| FrameError::Closed)?;
+    // Routers do not beat together.
+    time::sleep(every.mul_f64(f64::from(index as u32 % 100) / 100.0)).await;
+    let mut ticks = time::interval(every);
+    let mut nonce = 0;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {
+                nonce += 1;
+                let ping = ToAgent::Ping { nonce };
+                count.received.fetch_add(bytes_of(&ping), Ordering::Relaxed);
+                tx.send(frame::encode(&ping, b"")?).await.map_err(|_| FrameError::Closed)?;
+            }
+            next = reader.next::<ToRouter>() => {
+                let (message, _) = next?;
+                count.sent.fetch_add(bytes_of(&message), Ordering::Relaxed);
+            }
+        }
+    }
+}
+
+/// Reads the log from `base` as `followers` processes would, from offset `from` on.
+pub fn followers(base: &str, followers: usize, from: u64, wait: Duration) {
+    for _ in 0..followers {
+        let log = HttpLog::new(base, wait);
+        tokio::spawn(follow(log, from, wait));
+    }
+}
+
+async fn follow(log: HttpLog, from: u64, wait: Duration) {
+    let mut next = from;
+    loop {
+        match log.read(next, 1024, wait).await {
+            Ok(page) => next = page.entries.last().map_or(next, |entry| entry.offset + 1),
+            Err(_) => time::sleep(Duration::from_millis(200)).await,
+        }
+    }
+}
