Testbed: addresses that no outgoing connection can take

Cause: one run of tests/callers.rs failed after 60 s in its start: the router's log says 'cannot listen on 127.0.0.1:45743, address already in use'. Ports are chosen by binding port 0 and letting go; until the process binds it, another test's outgoing connection may get the port.

Ruled out: SO_REUSEPORT (forbidden by design), a second try (the settings name the port). Change: each test process takes a loopback IP number of its own, made from its process id.

--- a/tools/testbed/src/process.rs
+++ b/tools/testbed/src/process.rs
@@ -7,7 +7,7 @@
 };
 use std::{
     fs::File,
-    net::TcpListener,
+    net::{Ipv4Addr, TcpListener},
     os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -118,13 +118,21 @@
     }
 }
 
-/// Loopback addresses with ports that are free now.
+/// Loopback addresses with ports that are free now, on an IP number of this process alone.
+///
+/// On 127.0.0.1 a port that was free a moment ago may meanwhile be the local end of somebody's
+/// outgoing connection; the process that is to listen there then fails to start, and the test
+/// waits for it until its limit. Outgoing connections never have this IP number, and no other
+/// test listens on it.
 ///
 /// # Panics
 ///
 /// Panics if loopback has no free port.
 pub fn free_addresses(count: usize) -> Vec<String> {
-    let bind = || TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    let pid = std::process::id();
+    let part = |shift: u32| (pid >> shift & 0x7f) as u8;
+    let ip = Ipv4Addr::new(127, 1 + part(14), part(7), 1 + part(0));
+    let bind = || TcpListener::bind((ip, 0)).expect("loopback has a free port");
     let listeners: Vec<TcpListener> = (0..count).map(|_| bind()).collect();
     let address = |l: &TcpListener| l.local_addr().expect("it is bound").to_string();
     listeners.iter().map(address).collect()
