Metrics of router, agent and control, each sent, documented and tested

Cause: a statsd client was made and never used.

Ruled out: a metric for each chunk (100,000 a second through one router); gauges on every change (one report a second instead). The log's use is measured by a wrapper around its trait, so that the appender and the follower stay as they are.

--- a/crates/corianderstand_agent/src/decide.rs
+++ b/crates/corianderstand_agent/src/decide.rs
@@ -5,7 +5,10 @@
     sizes::ViewSizes,
 };
 use bytes::Bytes;
-use corianderstand_control::snapshot::{Current, Snapshot};
+use corianderstand_control::{
+    metrics::{Metric, Metrics},
+    snapshot::{Current, Snapshot},
+};
 use corianderstand_decide::{
     agent::{Action, Agent},
     ledger::Stage,
@@ -21,7 +24,7 @@
 use std::{
     collections::{BTreeSet, HashMap},
     sync::mpsc::{Receiver, RecvTimeoutError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::sync::{mpsc, watch};
 
@@ -51,6 +54,10 @@
     pub streams: HashMap<(ConnectionId, u64), RequestKey>,
     /// Version of the slots that the logic knows.
     pub slots_version: u64,
+    /// When each request that waits came.
+    pub since: HashMap<RequestKey, Instant>,
+    /// Where measures go.
+    pub metrics: Metrics,
 }
 
 impl Decider {
@@ -101,6 +108,7 @@
                 let (key, actions) = self.agent.submit(now, work, &sizes);
                 self.streams.insert((request.end.connection, request.end.stream), key);
                 self.requests.insert(key, request);
+                self.since.insert(key, now);
                 actions
             }
             Event::Cancelled { connection, stream } => {
@@ -167,6 +175,7 @@
     }
 
     fn forget(&mut self, key: RequestKey) -> Option<Request> {
+        self.since.remove(&key);
         let request = self.requests.remove(&key)?;
         self.streams.remove(&(request.end.connection, request.end.stream));
         Some(request)
@@ -177,14 +186,23 @@
             let job = match action {
                 Action::Run(key) => {
                     let Some(request) = self.requests.get(&key) else { continue };
-                    Job::Run(key, Box::new(request.clone()))
+                    let job = Job::Run(key, Box::new(request.clone()));
+                    if let Some(since) = self.since.remove(&key) {
+                        self.metrics.time(Metric::AgentWait, self.clock.now() - since);
+                    }
+                    job
                 }
                 Action::Refuse(key, refusal) => {
                     let Some(request) = self.forget(key) else { continue };
+                    let reason = refusal.reason.to_string();
+                    self.metrics.count_as(Metric::AgentRefusals, 1, "reason", &reason);
                     let refused = self.refused(&request, refusal);
                     Job::Refuse(Box::new(request), refused)
                 }
                 Action::Load(weights, memory) => {
+                    if weights.adapter.is_none() {
+                        self.metrics.count(Metric::AgentColdStarts, 1);
+                    }
                     let fence = self.fence(&weights, snapshot);
                     Job::Load { weights, memory, fence }
                 }
--- a/crates/corianderstand_agent/src/run.rs
+++ b/crates/corianderstand_agent/src/run.rs
@@ -4,7 +4,10 @@
     calls,
     event::{Event, Job, Request, StreamEnd},
 };
-use corianderstand_control::start::Handle;
+use corianderstand_control::{
+    metrics::{Metric, Metrics},
+    start::Handle,
+};
 use corianderstand_decide::work::RequestKey;
 use corianderstand_edge::{
     EdgeError,
@@ -41,6 +44,8 @@
     pub control: Handle,
     /// Time.
     pub clock: SharedClock,
+    /// Where measures go.
+    pub metrics: Metrics,
 }
 
 impl Runner {
@@ -69,6 +74,7 @@
     async fn order(&self, action: OrderAction, weights: Weights, memory: Mib, fence: u64) {
         let Target::Engine(engine) = &self.target else { return };
         let order = Order { action, weights: weights.clone(), memory_mib: memory.0, fence };
+        let began = self.clock.now();
         let answer = engine.order(&order).await;
         if let Err(error) = &answer {
             tracing::warn!(%weights, ?action, %error, "order not confirmed");
@@ -79,6 +85,19 @@
             Err(error) if error.never_sent() => Some(false),
             Err(_) => None,
         };
+        let told = match outcome {
+            Some(true) => "done",
+            Some(false) => "failed",
+            None => "unknown",
+        };
+        let metric = match action {
+            OrderAction::Load => Metric::AgentLoads,
+            OrderAction::Unload => Metric::AgentUnloads,
+        };
+        self.metrics.count_as(metric, 1, "outcome", told);
+        if action == OrderAction::Load {
+            self.metrics.time(Metric::AgentLoadTime, self.clock.now() - began);
+        }
         self.tell(match action {
             OrderAction::Load => Event::Loaded(weights, outcome),
             OrderAction::Unload => Event::Unloaded(weights, outcome == Some(true)),
@@ -100,6 +119,8 @@
             _ => self.generate(&request, trace).await,
         };
         let took = self.clock.now() - began;
+        self.metrics.time(Metric::AgentRun, took);
+        self.metrics.count(Metric::AgentTokens, position);
         tracing::info!(
             trace_id = %format_args!("{:032x}", trace.trace),
             span_id = %format_args!("{:016x}", trace.span),
--- a/crates/corianderstand_agent/src/start.rs
+++ b/crates/corianderstand_agent/src/start.rs
@@ -8,6 +8,8 @@
 };
 use corianderstand_control::{
     appender::Identity,
+    measured::{self, MeasuredLog},
+    metrics::{Metric, Metrics},
     snapshot::Current,
     start::{Control, Handle},
 };
@@ -51,6 +53,8 @@
 pub enum AgentError {
     /// cannot listen on {0} ({1}): another agent runs beside this target, or the address in `listen` is wrong
     Listen(String, std::io::Error),
+    /// cannot send metrics ({0}): mend `statsd`, or leave it out
+    Statsd(std::io::Error),
     /// cannot start a thread ({0}): raise the host's limits
     Thread(std::io::Error),
 }
@@ -76,7 +80,9 @@
 pub fn start(settings: AgentSettings, clock: SharedClock) -> Result<AgentHandle, AgentError> {
     let listener = listen(&settings.listen)?;
     let incarnation = clock::unix_ms(clock.wall());
-    let control = start_control(&settings, incarnation, clock.clone())?;
+    let metrics = Metrics::new(settings.statsd.as_deref(), settings.name.as_str());
+    let metrics = metrics.map_err(AgentError::Statsd)?;
+    let control = start_control(&settings, incarnation, clock.clone(), &metrics)?;
     let (events, events_rx) = std_mpsc::sync_channel(EVENT_RING);
     let (jobs, jobs_rx) = mpsc::unbounded_channel();
     let (load, load_rx) = watch::channel(Load { running: 0, queued: 0, wait_ms: 0 });
@@ -95,6 +101,8 @@
         requests: HashMap::new(),
         streams: HashMap::new(),
         slots_version: 0,
+        since: HashMap::new(),
+        metrics: metrics.clone(),
     };
     spawn("decide", move || decider.run(&events_rx))?;
 
@@ -105,8 +113,10 @@
         load: load_rx.clone(),
         control: control.clone(),
         clock: clock.clone(),
+        metrics: metrics.clone(),
     };
     let target_runtime = runtime()?;
+    target_runtime.spawn(report(&settings, incarnation, &control, metrics, load_rx.clone()));
     spawn("target", move || target_runtime.block_on(runner.run(jobs_rx)))?;
 
     let shared = Shared {
@@ -137,6 +147,23 @@
     Ok(AgentHandle { events, draining, idle: idle_rx, control, target, drain_limit })
 }
 
+fn report(
+    settings: &AgentSettings,
+    incarnation: u64,
+    control: &Handle,
+    metrics: Metrics,
+    load: watch::Receiver<Load>,
+) -> impl Future<Output = ()> + Send + use<> {
+    let identity = Identity { writer: settings.name.clone(), incarnation };
+    let more = move |metrics: &Metrics| {
+        let load = load.borrow();
+        metrics.gauge(Metric::AgentRunning, u64::from(load.running));
+        metrics.gauge(Metric::AgentQueue, u64::from(load.queued));
+        metrics.gauge(Metric::AgentWaitEstimate, load.wait_ms);
+    };
+    measured::report(metrics, identity, control.current.clone(), more)
+}
+
 /// Binds the port that is also the lock against a second agent beside the same target.
 ///
 /// Two agents would each commit the engine's memory as if it were alone. The kernel gives the
@@ -164,11 +191,16 @@
     settings: &AgentSettings,
     incarnation: u64,
     clock: SharedClock,
+    metrics: &Metrics,
 ) -> Result<Handle, AgentError> {
     let poll = settings.timing.log_poll_ms.0;
     let control = Control {
         identity: Identity { writer: settings.name.clone(), incarnation },
-        log: Arc::new(HttpLog::new(&settings.log_url, poll)),
+        log: Arc::new(MeasuredLog {
+            log: Arc::new(HttpLog::new(&settings.log_url, poll)),
+            metrics: metrics.clone(),
+            clock: clock.clone(),
+        }),
         hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
         clock,
         log_poll: poll,
--- a/crates/corianderstand_cli/src/args.rs
+++ b/crates/corianderstand_cli/src/args.rs
@@ -119,6 +119,22 @@
     options
 }
 
+fn usage(command: Command) -> String {
+    let (operand, about) = command.about();
+    let brief = format!("corianderstand {} {operand} [options]\n\n{about}", command.name());
+    options(command).usage(&brief)
+}
+
+/// The overview and every command's help, as a page.
+pub fn reference() -> String {
+    let mut text = format!("```text\n{}\n```\n", overview());
+    for command in ALL {
+        let usage = usage(command);
+        text.push_str(&format!("\n## {}\n\n```text\n{}\n```\n", command.name(), usage.trim()));
+    }
+    text
+}
+
 /// Parses a sub-command's arguments; `None` if help was asked for and printed.
 ///
 /// # Errors
@@ -128,11 +144,8 @@
     command: Command,
     args: impl Iterator<Item = String>,
 ) -> Result<Option<Matches>, String> {
-    let options = options(command);
-    let (operand, about) = command.about();
-    let usage =
-        options.usage(&format!("corianderstand {} {operand} [options]\n\n{about}", command.name()));
-    let matches = options.parse(args).map_err(|error| format!("{error}\n\n{usage}"))?;
+    let usage = usage(command);
+    let matches = options(command).parse(args).map_err(|error| format!("{error}\n\n{usage}"))?;
     if matches.opt_present("help") {
         println!("{usage}");
         return Ok(None);
--- a/crates/corianderstand_cli/src/lib.rs
+++ b/crates/corianderstand_cli/src/lib.rs
@@ -17,6 +17,7 @@
 mod together;
 
 use args::Command;
+pub use args::reference;
 
 /// How a command ended; the number is the process's exit code.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/corianderstand_control/src/lib.rs
+++ b/crates/corianderstand_control/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod duty;
 pub mod follower;
 pub mod hosts;
+pub mod measured;
 pub mod metrics;
 pub mod snapshot;
 pub mod start;
--- a/crates/corianderstand_control/src/metrics.rs
+++ b/crates/corianderstand_control/src/metrics.rs
@@ -1,24 +1,163 @@
-//! Metrics to statsd.
+//! Metrics to statsd: one table of all that are sent, with unit and meaning.
+//!
+//! Sending never holds anybody up: metrics wait in a bounded queue for a thread of their own, and
+//! those beyond are dropped. Nothing is sent for each chunk or token, only for each request.
 
-use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
-use std::net::UdpSocket;
+use cadence::{
+    BufferedUdpMetricSink, Counted, Gauged, MetricSink, NopMetricSink, QueuingMetricSink,
+    StatsdClient, Timed,
+};
+use corianderstand_derives::derives;
+use std::{fmt, net::UdpSocket, sync::Arc, time::Duration};
 
 /// Metrics that wait to be sent; more are dropped and never hold anybody up.
 const QUEUE: usize = 4096;
+/// Beginning of every name.
+const PREFIX: &str = "corianderstand";
+/// Time between two reports of gauges.
+pub const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// A client for the sink at `address`, or one that drops everything.
-///
-/// # Errors
-///
-/// Fails if the address cannot be used.
-pub fn client(address: Option<&str>, process: &str) -> std::io::Result<StatsdClient> {
-    let Some(address) = address else {
-        return Ok(StatsdClient::from_sink("corianderstand", NopMetricSink));
+/// How a metric is summed up.
+#[derives(key)]
+pub enum Kind {
+    /// Adds up.
+    Counter,
+    /// The last value holds.
+    Gauge,
+    /// A distribution of durations, in milliseconds.
+    Timer,
+}
+
+macro_rules! metrics {
+    ($($variant:ident, $kind:ident, $name:literal, $unit:literal, $meaning:literal;)*) => {
+        /// Everything that is measured.
+        #[derives(key)]
+        pub enum Metric {
+            $(#[doc = $meaning] $variant,)*
+        }
+
+        impl Metric {
+            /// All of them, in the order of the documentation.
+            pub const ALL: &[Self] = &[$(Self::$variant,)*];
+
+            /// Its name, without the common beginning.
+            pub const fn name(self) -> &'static str {
+                match self { $(Self::$variant => $name,)* }
+            }
+
+            /// How it is summed up.
+            pub const fn kind(self) -> Kind {
+                match self { $(Self::$variant => Kind::$kind,)* }
+            }
+
+            /// Its unit.
+            pub const fn unit(self) -> &'static str {
+                match self { $(Self::$variant => $unit,)* }
+            }
+
+            /// What it tells.
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Self::$variant => $meaning,)* }
+            }
+        }
     };
-    let socket = UdpSocket::bind("0.0.0.0:0")?;
-    socket.set_nonblocking(true)?;
-    let sink = BufferedUdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
-    let sink = QueuingMetricSink::with_capacity(sink, QUEUE);
-    let client = StatsdClient::builder("corianderstand", sink).with_tag("process", process);
-    Ok(client.build())
+}
+
+metrics! {
+    RouterRequests, Counter, "router.requests", "requests", "Callers' requests that were judged.";
+    RouterRefusals, Counter, "router.refusals", "requests", "Requests not answered; tag `reason` is the error's code.";
+    RouterCalls, Counter, "router.calls", "calls", "Calls to plain services; tag `outcome` is ran, not-run or unknown.";
+    RouterTime, Timer, "router.time", "ms", "From a request to its whole answer, or to the first part of a stream.";
+    RouterFirstChunk, Timer, "router.first_chunk", "ms", "From a request to the first part of its stream.";
+    RouterHeld, Gauge, "router.held", "requests", "Requests waiting or running.";
+    RouterConnections, Gauge, "router.connections", "connections", "Connections from callers.";
+    RouterRetries, Counter, "router.retries", "requests", "Requests sent to a second target.";
+    RouterLost, Counter, "router.lost_connections", "connections", "Connections to agents that ended.";
+    AgentRunning, Gauge, "agent.running", "requests", "Requests that run on the target.";
+    AgentQueue, Gauge, "agent.queue", "requests", "Requests that wait at the agent.";
+    AgentWaitEstimate, Gauge, "agent.wait_estimate", "ms", "Wait that a new request has to expect.";
+    AgentWait, Timer, "agent.wait", "ms", "From a request's coming to its start on the target.";
+    AgentRun, Timer, "agent.run", "ms", "From a request's start on the target to its end.";
+    AgentRefusals, Counter, "agent.refusals", "requests", "Requests refused; tag `reason`.";
+    AgentTokens, Counter, "agent.tokens", "tokens", "Parts of answers passed on; one token each at an engine.";
+    AgentLoads, Counter, "agent.loads", "loads", "Answered orders to load; tag `outcome` is done, failed or unknown.";
+    AgentLoadTime, Timer, "agent.load_time", "ms", "From an order to load to its answer.";
+    AgentColdStarts, Counter, "agent.cold_starts", "loads", "Models loaded because a request wanted them.";
+    AgentUnloads, Counter, "agent.unloads", "orders", "Answered orders to unload; tag `outcome`.";
+    ControlAppends, Counter, "control.appends", "appends", "Appends to the log; tag `outcome` is done or unknown.";
+    ControlRecords, Counter, "control.records", "records", "Records in those appends.";
+    ControlAppendTime, Timer, "control.append_time", "ms", "From an append to its answer.";
+    ControlReadFailures, Counter, "control.read_failures", "reads", "Reads of the log that failed.";
+    ControlFoldLag, Timer, "control.fold_lag", "ms", "Age of the newest record of a read when it came, by the log's clock.";
+    ControlLogUp, Gauge, "control.log_up", "0 or 1", "Whether the last read of the log succeeded.";
+    ControlOffset, Gauge, "control.offset", "records", "Offset of the log up to which it is folded.";
+    ControlVersion, Gauge, "control.settings_version", "offset", "Version of the settings in force here.";
+    ControlLeaseHeld, Gauge, "control.lease_held", "0 or 1", "Whether this process holds the control lease.";
+    ControlLeaseEpoch, Gauge, "control.lease_epoch", "epochs", "Epoch of the control lease; it grows when the lease changes hands.";
+}
+
+/// Sends metrics; cheap to clone.
+#[derive(Clone)]
+pub struct Metrics(Arc<StatsdClient>);
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::with_sink(NopMetricSink, "none")
+    }
+}
+
+impl Metrics {
+    /// Sends to the sink at `address`, or drops everything if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be used.
+    pub fn new(address: Option<&str>, process: &str) -> std::io::Result<Self> {
+        let Some(address) = address else { return Ok(Self::default()) };
+        let socket = UdpSocket::bind("0.0.0.0:0")?;
+        socket.set_nonblocking(true)?;
+        let sink = BufferedUdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
+        Ok(Self::with_sink(QueuingMetricSink::with_capacity(sink, QUEUE), process))
+    }
+
+    /// Sends to a sink of one's own, as tests do.
+    pub fn with_sink<S>(sink: S, process: &str) -> Self
+    where
+        S: MetricSink + Sync + Send + std::panic::RefUnwindSafe + 'static,
+    {
+        let client = StatsdClient::builder(PREFIX, sink).with_tag("process", process);
+        // A metric that cannot be sent is of no use to anybody, also not as a log line each time.
+        Self(Arc::new(client.with_error_handler(|_| {}).build()))
+    }
+
+    /// Adds to a counter.
+    pub fn count(&self, metric: Metric, count: u64) {
+        self.0.count_with_tags(metric.name(), count).send();
+    }
+
+    /// Adds to a counter under a tag.
+    pub fn count_as(&self, metric: Metric, count: u64, tag: &str, value: &str) {
+        self.0.count_with_tags(metric.name(), count).with_tag(tag, value).send();
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, metric: Metric, value: u64) {
+        self.0.gauge_with_tags(metric.name(), value).send();
+    }
+
+    /// Adds a duration to a distribution.
+    pub fn time(&self, metric: Metric, took: Duration) {
+        self.0.time_with_tags(metric.name(), took).send();
+    }
+
+    /// Sends what has gathered.
+    pub fn flush(&self) {
+        drop(self.0.flush());
+    }
 }
--- a/crates/corianderstand_router/src/completions.rs
+++ b/crates/corianderstand_router/src/completions.rs
@@ -8,6 +8,7 @@
     problem::{self, Problem},
 };
 use bytes::Bytes;
+use corianderstand_control::metrics::Metric;
 use corianderstand_decide::work::{self, Need, Work};
 use corianderstand_schema::{
     messages::{AdapterRef, OpenStream, Operation},
@@ -88,7 +89,12 @@
         created: clock::unix_ms(SystemTime::now()) / 1000,
     };
     if wanted.stream {
-        answer::stream(call, shape, deadline, res).await
+        let began = door.clock.now();
+        let streamed = answer::stream(call, shape, deadline, res).await;
+        if streamed.is_ok() {
+            door.metrics.time(Metric::RouterFirstChunk, door.clock.now() - began);
+        }
+        streamed
     } else {
         answer::whole(call, &shape, deadline, res).await
     }
--- a/crates/corianderstand_router/src/connections.rs
+++ b/crates/corianderstand_router/src/connections.rs
@@ -44,6 +44,11 @@
         Arc::new(Self { limit, fuse, held: AtomicUsize::new(0), excess: Mutex::default() })
     }
 
+    /// How many there are.
+    pub fn held(&self) -> usize {
+        self.held.load(Ordering::Relaxed)
+    }
+
     /// Whether a connection came when as many as allowed were held already.
     pub fn is_excess(&self, remote: Option<SocketAddr>) -> bool {
         remote.is_some_and(|remote| self.lock().contains(&remote))
--- a/crates/corianderstand_router/src/decide.rs
+++ b/crates/corianderstand_router/src/decide.rs
@@ -4,7 +4,10 @@
     event::{Call, Command, Event, Update},
     link,
 };
-use corianderstand_control::snapshot::{Current, Snapshot};
+use corianderstand_control::{
+    metrics::{Metric, Metrics},
+    snapshot::{Current, Snapshot},
+};
 use corianderstand_decide::{
     router::{Decision, Router, TargetKey},
     work::{Refusal, RequestKey},
@@ -45,6 +48,8 @@
     pub versions: (u64, u64, u64),
     /// Requests held, for the limit and for a planned stop.
     pub held: std::sync::Arc<AtomicUsize>,
+    /// Where measures go.
+    pub metrics: Metrics,
 }
 
 impl Decider {
@@ -114,6 +119,7 @@
                 }
             }
             Event::Disconnected(target) => {
+                self.metrics.count(Metric::RouterLost, 1);
                 self.connections.remove(&target);
                 if let Some(key) = self.router.target(&target) {
                     self.router.set_connected(key, false);
@@ -127,7 +133,7 @@
             Event::Refused { key, refusal, load } => {
                 if self.calls.contains_key(&key) {
                     let decision = self.router.refused(now, key, refusal, load);
-                    self.perform(key, decision);
+                    self.perform_again(key, decision);
                 }
             }
             Event::Ended { key, load } => {
@@ -153,6 +159,14 @@
         }
     }
 
+    /// As [`Self::perform`], for a request that was with a target already.
+    fn perform_again(&mut self, key: RequestKey, decision: Decision) {
+        if matches!(decision, Decision::Send(_)) {
+            self.metrics.count(Metric::RouterRetries, 1);
+        }
+        self.perform(key, decision);
+    }
+
     fn perform(&mut self, key: RequestKey, decision: Decision) {
         match decision {
             Decision::Send(target) => self.send(key, target),
@@ -175,7 +189,7 @@
             let refusal = Refusal { reason: RefusalReason::QueueFull, retry_after: RETRY_LOST };
             let load = Load { running: 0, queued: 0, wait_ms: 0 };
             let decision = self.router.refused(self.clock.now(), key, refusal, load);
-            self.perform(key, decision);
+            self.perform_again(key, decision);
         }
     }
 }
--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -10,7 +10,11 @@
     services,
 };
 use bytes::Bytes;
-use corianderstand_control::{snapshot::Snapshot, start::Handle};
+use corianderstand_control::{
+    metrics::{Metric, Metrics},
+    snapshot::Snapshot,
+    start::Handle,
+};
 use corianderstand_decide::work::{Need, Shape, Work};
 use corianderstand_link::trace::TraceContext;
 use corianderstand_schema::{
@@ -57,6 +61,8 @@
     pub hasher: Hasher,
     /// Hash of the operators' key.
     pub operator_key_hash: SmolStr,
+    /// Where measures go.
+    pub metrics: Metrics,
     /// Connections held now.
     pub connections: Arc<Connections>,
     /// Longest head, in bytes.
@@ -149,6 +155,7 @@
         problem::set_header(res, problem::REQUEST_ID_HEADER, &request);
         if let Err(problem) = door.answer(*kind, request.clone(), req, res).await {
             tracing::info!(%request, code = problem.code(), "request not answered");
+            door.metrics.count_as(Metric::RouterRefusals, 1, "reason", problem.code());
             problem.write(&request, res);
         }
     }
@@ -224,6 +231,7 @@
         res: &mut Response,
     ) -> Result<(), Problem> {
         let began = self.clock.now();
+        self.metrics.count(Metric::RouterRequests, 1);
         let asked = self.ask(request, req)?;
         let done = match kind {
             Kind::Chat => completions::complete(self, &asked, true, req, res).await,
@@ -234,13 +242,19 @@
             Kind::Service => services::call(self, &asked, req, res).await,
             _ => completions::complete(self, &asked, false, req, res).await,
         };
+        let took = self.clock.now() - began;
+        self.metrics.time(Metric::RouterTime, took);
+        if matches!(kind, Kind::Service) {
+            let outcome = done.as_ref().map_or_else(Problem::outcome, |()| "ran");
+            self.metrics.count_as(Metric::RouterCalls, 1, "outcome", outcome);
+        }
         tracing::info!(
             trace_id = %format_args!("{:032x}", asked.trace.trace),
             span_id = %format_args!("{:016x}", asked.trace.span),
             request = %asked.request,
             caller_request = caller_id(req).ok().flatten(),
             team = %asked.team,
-            took_us = (self.clock.now() - began).as_micros() as u64,
+            took_us = took.as_micros() as u64,
             outcome = done.as_ref().map_or_else(Problem::code, |()| "answered"),
             "hop router"
         );
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -10,6 +10,8 @@
 };
 use corianderstand_control::{
     appender::Identity,
+    measured::{self, MeasuredLog},
+    metrics::{Metric, Metrics},
     start::{Control, Handle},
 };
 use corianderstand_decide::router::Router;
@@ -42,6 +44,8 @@
 pub enum RouterError {
     /// cannot listen on {0} ({1}): free the address, or change `listen`
     Listen(String, std::io::Error),
+    /// cannot send metrics ({0}): mend `statsd`, or leave it out
+    Statsd(std::io::Error),
     /// cannot start a thread ({0}): raise the host's limits
     Thread(std::io::Error),
     /// {0}
@@ -66,7 +70,9 @@
 pub fn start(settings: RouterSettings, clock: SharedClock) -> Result<RouterHandle, RouterError> {
     let incarnation = clock::unix_ms(clock.wall());
     let hasher = Hasher::new(&settings.auth_key).map_err(RouterError::Auth)?;
-    let control = start_control(&settings, incarnation, clock.clone())?;
+    let metrics = Metrics::new(settings.statsd.as_deref(), settings.name.as_str());
+    let metrics = metrics.map_err(RouterError::Statsd)?;
+    let control = start_control(&settings, incarnation, clock.clone(), &metrics)?;
     let (events, events_rx) = mpsc::sync_channel(EVENT_RING);
     let held = Arc::new(AtomicUsize::new(0));
     let draining = Arc::new(AtomicBool::new(false));
@@ -79,6 +85,7 @@
         connections: HashMap::new(),
         versions: (u64::MAX, 0, 0),
         held: held.clone(),
+        metrics: metrics.clone(),
     };
     spawn("decide", move || decider.run(&events_rx))?;
     start_link(&settings, incarnation, &control, events.clone())?;
@@ -92,6 +99,7 @@
         control,
         hasher,
         operator_key_hash: settings.operator_key_hash.clone(),
+        metrics,
         connections: Connections::new(&settings.limits),
         max_header_bytes: settings.limits.max_header_bytes as usize,
         max_body_bytes: settings.limits.max_body_bytes as usize,
@@ -101,7 +109,7 @@
         draining: draining.clone(),
         clock,
     });
-    let server = start_http(&settings, &door)?;
+    let server = start_http(&settings, incarnation, &door)?;
     Ok(RouterHandle { draining, held, server, drain_limit: settings.timing.drain_ms.0 })
 }
 
@@ -118,11 +126,16 @@
     settings: &RouterSettings,
     incarnation: u64,
     clock: SharedClock,
+    metrics: &Metrics,
 ) -> Result<Handle, RouterError> {
     let poll = settings.timing.log_poll_ms.0;
     let control = Control {
         identity: Identity { writer: settings.name.clone(), incarnation },
-        log: Arc::new(HttpLog::new(&settings.log_url, poll)),
+        log: Arc::new(MeasuredLog {
+            log: Arc::new(HttpLog::new(&settings.log_url, poll)),
+            metrics: metrics.clone(),
+            clock: clock.clone(),
+        }),
         hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
         clock,
         log_poll: poll,
@@ -145,7 +158,11 @@
     spawn("link", move || runtime.block_on(link::run(shared, current)))
 }
 
-fn start_http(settings: &RouterSettings, door: &Arc<Door>) -> Result<ServerHandle, RouterError> {
+fn start_http(
+    settings: &RouterSettings,
+    incarnation: u64,
+    door: &Arc<Door>,
+) -> Result<ServerHandle, RouterError> {
     let listen_error = |error| RouterError::Listen(settings.listen.to_string(), error);
     let listener = std::net::TcpListener::bind(settings.listen.as_str()).map_err(listen_error)?;
     listener.set_nonblocking(true).map_err(listen_error)?;
@@ -159,7 +176,18 @@
     server.http1_mut().max_header_size(door.max_header_bytes * HEAD_SLACK);
     let handle = server.handle();
     let routes = http::routes(door);
-    spawn("http", move || runtime.block_on(server.serve(routes)))?;
+    let identity = Identity { writer: settings.name.clone(), incarnation };
+    let reported = door.clone();
+    let more = move |metrics: &Metrics| {
+        metrics.gauge(Metric::RouterHeld, reported.held.load(Ordering::Relaxed) as u64);
+        metrics.gauge(Metric::RouterConnections, reported.connections.held() as u64);
+    };
+    let report =
+        measured::report(door.metrics.clone(), identity, door.control.current.clone(), more);
+    spawn("http", move || {
+        runtime.spawn(report);
+        runtime.block_on(server.serve(routes));
+    })?;
     Ok(handle)
 }
 
--- a/crates/corianderstand_schema/src/check.rs
+++ b/crates/corianderstand_schema/src/check.rs
@@ -2,6 +2,8 @@
 
 mod explain;
 
+pub use explain::type_of;
+
 use corianderstand_types::names;
 use serde_json::Value;
 use std::sync::LazyLock;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 //! ```
 
 pub use corianderstand_cli as cli;
+pub use corianderstand_control as control;
 pub use corianderstand_decide as decide;
 pub use corianderstand_state as state;
 pub use corianderstand_types as types;
--- /dev/null
+++ b/tests/metrics.rs
@@ -0,0 +1,76 @@
+//! Metrics as a statsd sink gets them from real processes.
+
+use corianderstand::control::metrics::Metric;
+use rstest::rstest;
+use serde_json::json;
+use std::{collections::BTreeSet, net::UdpSocket, time::Duration};
+use testbed::{Deployment, Plan, deployment::wait_for, plan::VIDRIO_KEY};
+
+/// Datagrams longer than this are not sent by the library.
+const MAX_DATAGRAM: usize = 64 * 1024;
+
+fn take(sink: &UdpSocket, seen: &mut BTreeSet<String>) {
+    let mut buf = vec![0; MAX_DATAGRAM];
+    while let Ok(length) = sink.recv(&mut buf) {
+        let text = String::from_utf8_lossy(&buf[..length]).into_owned();
+        for line in text.lines() {
+            let name = line.split(':').next().unwrap_or_default();
+            seen.insert(name.trim_start_matches("corianderstand.").to_owned());
+        }
+    }
+}
+
+/// An operator's dashboard stays empty although the deployment serves: a metric is in the table
+/// and on the page, and no process ever sends it.
+#[rstest]
+fn a_served_and_a_refused_request_show_in_the_sink() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("the system gives a runtime").block_on(async {
+        let sink = UdpSocket::bind("127.0.0.1:0").expect("loopback has a free port");
+        sink.set_read_timeout(Some(Duration::from_millis(1))).expect("a timeout can be set");
+        let statsd = json!(sink.local_addr().expect("it is bound").to_string());
+        let plan = Plan { routers: 1, engines: 2, statsd, ..Plan::default() };
+        let mut deployment = Deployment::start(plan).await;
+        let url = deployment.url("router-0", "/v1/completions");
+        let mut seen = BTreeSet::new();
+        for stream in [false, true] {
+            let body = json!({ "model": "quotes-7b", "prompt": "x", "max_tokens": 2,
+                "stream": stream });
+            wait_for("an answer", async || {
+                take(&sink, &mut seen);
+                let req = deployment.http.post(&url).bearer_auth(VIDRIO_KEY).json(&body);
+                req.send().await.is_ok_and(|answer| answer.status() == 200)
+            })
+            .await;
+        }
+        let call = deployment.url("router-0", "/services/agenda/bookings");
+        let call = deployment.http.post(call).bearer_auth(VIDRIO_KEY);
+        let call = call.header("idempotency-key", "m-1").json(&json!({ "day": 1 })).send().await;
+        assert_eq!(call.expect("the router answers").status(), 200);
+        let refused = deployment.http.post(&url).bearer_auth("no-such-key").send().await;
+        assert_eq!(refused.expect("the router answers").status(), 401);
+        deployment.process("agent-engine-1").kill();
+        // These need a failure of another kind, or an idle hour.
+        let not_here = [
+            Metric::RouterRetries,
+            Metric::AgentRefusals,
+            Metric::AgentUnloads,
+            Metric::ControlReadFailures,
+        ];
+        let missing = |seen: &BTreeSet<String>| -> Vec<Metric> {
+            let all = Metric::ALL.iter().copied();
+            all.filter(|m| !not_here.contains(m) && !seen.contains(m.name())).collect()
+        };
+        for metric in not_here {
+            assert!(Metric::ALL.contains(&metric));
+        }
+        wait_for("all other metrics", async || {
+            take(&sink, &mut seen);
+            missing(&seen).is_empty()
+        })
+        .await;
+        let known: BTreeSet<&str> = Metric::ALL.iter().map(|metric| metric.name()).collect();
+        let unknown: Vec<_> = seen.iter().filter(|name| !known.contains(name.as_str())).collect();
+        assert!(unknown.is_empty(), "sent but not documented: {unknown:?}");
+    });
+}
--- a/tools/ci/src/main.rs
+++ b/tools/ci/src/main.rs
@@ -6,7 +6,13 @@
 
 const STEPS: [(&str, &[&[&str]]); 5] = [
     ("format", &[&["fmt", "--all", "--check"]]),
-    ("generated", &[&["run", "--quiet", "--locked", "-p", "generate", "--", "--check"]]),
+    (
+        "generated",
+        &[
+            &["run", "--quiet", "--locked", "-p", "generate", "--", "--check"],
+            &["run", "--quiet", "--locked", "-p", "reference", "--", "--check"],
+        ],
+    ),
     (
         "lint",
         &[&[
--- /dev/null
+++ b/tools/reference/src/lib.rs
@@ -0,0 +1,64 @@
+//! Writes the reference parts of the operators' pages: settings from the schema, commands from
+//! their arguments, metrics from their table.
+//!
+//! A page is written by hand but for the parts between `<!-- reference: NAME -->` and
+//! `<!-- end -->`, which are filled in here, so that they cannot fall behind the code.
+
+mod settings;
+
+use corianderstand_control::metrics::{Kind, Metric};
+use std::{fs, path::Path};
+
+const BEGIN: &str = "<!-- reference: ";
+const BEGIN_END: &str = " -->\n";
+const END: &str = "<!-- end -->";
+
+/// Pages with reference parts.
+pub const PAGES: [&str; 3] = [
+    "docs/operators/settings.md",
+    "docs/operators/commands.md",
+    "docs/operators/metrics-logs-traces.md",
+];
+
+/// A page as it should be.
+///
+/// # Panics
+///
+/// Panics if a page cannot be read or names a part that there is not.
+pub fn page(root: &Path, name: &str) -> String {
+    let text = fs::read_to_string(root.join(name)).expect("the page can be read");
+    let mut rest = text.as_str();
+    let mut filled = String::new();
+    while let Some((before, after)) = rest.split_once(BEGIN) {
+        let (part, after) = after.split_once(BEGIN_END).expect("a part has a name");
+        let (_, after) = after.split_once(END).expect("a part has an end");
+        filled.push_str(&format!("{before}{BEGIN}{part}{BEGIN_END}\n{}\n{END}", fill(part)));
+        rest = after;
+    }
+    filled.push_str(rest);
+    filled
+}
+
+fn fill(part: &str) -> String {
+    match part {
+        "metrics" => metrics(),
+        "commands" => corianderstand_cli::reference(),
+        "process" => settings::process(),
+        "settings" => settings::documents(),
+        _ => panic!("there is no part `{part}`"),
+    }
+}
+
+fn metrics() -> String {
+    let mut text = String::from("| name | kind | unit | meaning |\n|---|---|---|---|\n");
+    for metric in Metric::ALL {
+        let kind = match metric.kind() {
+            Kind::Counter => "counter",
+            Kind::Gauge => "gauge",
+            Kind::Timer => "timer",
+        };
+        let (name, unit, meaning) = (metric.name(), metric.unit(), metric.meaning());
+        text.push_str(&format!("| `{name}` | {kind} | {unit} | {meaning} |\n"));
+    }
+    text
+}
--- /dev/null
+++ b/tools/reference/src/settings.rs
@@ -0,0 +1,93 @@
+//! Tables of settings, from their schema.
+
+use corianderstand_schema::check::{self, Document};
+use serde_json::Value;
+
+const DOCUMENTS: [Document; 6] = [
+    Document::Deployment,
+    Document::Model,
+    Document::Service,
+    Document::Team,
+    Document::TeamModel,
+    Document::TeamService,
+];
+
+/// Documents under settings paths.
+pub fn documents() -> String {
+    DOCUMENTS.iter().map(|kind| section(&kind.schema())).collect::<Vec<_>>().join("\n")
+}
+
+/// Process settings.
+pub fn process() -> String {
+    let router = Document::Router.schema();
+    let agent = Document::Agent.schema();
+    format!("{}\n{}", section(&router), section(&agent))
+}
+
+fn section(schema: &Value) -> String {
+    let definition = resolve(schema, schema);
+    let title = definition["description"].as_str().unwrap_or_default();
+    let (subject, rest) = title.split_once(": ").unwrap_or((title, ""));
+    let subject = subject.trim_end_matches('.');
+    let about = if rest.is_empty() { String::new() } else { format!("{}\n\n", capital(rest)) };
+    let mut text = format!("### {subject}\n\n{about}");
+    text.push_str("| field | value | default | meaning |\n|---|---|---|---|\n");
+    rows(schema, definition, "", &mut text);
+    text
+}
+
+fn capital(text: &str) -> String {
+    let mut chars = text.chars();
+    let first = chars.next().map(char::to_uppercase);
+    first.into_iter().flatten().chain(chars).collect()
+}
+
+fn resolve<'a>(root: &'a Value, schema: &'a Value) -> &'a Value {
+    let reference = schema["$ref"].as_str().or_else(|| schema["allOf"][0]["$ref"].as_str());
+    match reference.and_then(|reference| root.pointer(reference.trim_start_matches('#'))) {
+        Some(target) => resolve(root, target),
+        None => schema,
+    }
+}
+
+/// The fields of an object, those of objects inside it with their path.
+fn rows(root: &Value, definition: &Value, prefix: &str, text: &mut String) {
+    let required = definition["required"].as_array().cloned().unwrap_or_default();
+    for (name, property) in definition["properties"].as_object().into_iter().flatten() {
+        let field = resolve(root, property);
+        let path = format!("{prefix}{name}");
+        let default = match &property["default"] {
+            Value::Null if required.contains(&Value::from(name.as_str())) => "required".to_owned(),
+            Value::Null => "none".to_owned(),
+            value => format!("`{value}`"),
+        };
+        let about = property["description"].as_str().or(field["description"].as_str());
+        let about = about.unwrap_or_default();
+        text.push_str(&format!("| `{path}` | {} | {default} | {about} |\n", value(root, field)));
+        rows(root, field, &format!("{path}."), text);
+        for item in [&field["items"]] {
+            rows(root, resolve(root, item), &format!("{path}[]."), text);
+        }
+        for alternative in field["oneOf"].as_array().into_iter().flatten() {
+            rows(root, resolve(root, alternative), &format!("{path}."), text);
+        }
+    }
+}
+
+/// What a field may hold.
+fn value(root: &Value, field: &Value) -> String {
+    if let Some(alternatives) = field["oneOf"].as_array() {
+        let alternatives = alternatives.iter().map(|inner| value(root, resolve(root, inner)));
+        return alternatives.collect::<Vec<_>>().join(" or ");
+    }
+    let kind = check::type_of(field);
+    match (&field["minimum"], &field["maximum"], &field["minItems"], &field["maxItems"]) {
+        (Value::Null, _, Value::Null, Value::Null) => kind,
+        (Value::Null, _, low, high) => {
+            let low = low.as_u64().unwrap_or_default();
+            let inner = value(root, resolve(root, &field["items"]));
+            format!("{low} to {high} items, each: {inner}")
+        }
+        (low, high, ..) => format!("{kind}, {low} to {high}"),
+    }
+}
--- /dev/null
+++ b/tools/reference/tests/current.rs
@@ -0,0 +1,47 @@
+//! The operators' pages tell what the code does.
+
+use corianderstand_control::metrics::Metric;
+use rstest::rstest;
+use std::{fs, path::Path};
+
+fn root() -> &'static Path {
+    Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../.."))
+}
+
+/// A metric or a setting is added and its page is not: an operator looks for it at night and
+/// finds nothing.
+#[rstest]
+fn the_reference_is_current() {
+    for name in reference::PAGES {
+        let text = fs::read_to_string(root().join(name)).expect("the page can be read");
+        let wanted = reference::page(root(), name);
+        assert!(text == wanted, "{name} is not current: run `cargo run -p reference`");
+    }
+}
+
+#[rstest]
+fn every_metric_has_unit_and_meaning_and_a_name_of_its_own() {
+    let page = fs::read_to_string(root().join("docs/operators/metrics-logs-traces.md"));
+    let page = page.expect("the page can be read");
+    for (i, metric) in Metric::ALL.iter().enumerate() {
+        assert!(!metric.unit().is_empty() && metric.meaning().ends_with('.'), "{metric:?}");
+        assert!(Metric::ALL[..i].iter().all(|other| other.name() != metric.name()), "{metric:?}");
+        let row = format!("| `{}` |", metric.name());
+        assert!(page.contains(&row), "{metric:?} is not documented");
+    }
+}
+
+/// A metric that nothing sends looks like a quiet system on a dashboard.
+#[rstest]
+fn every_metric_is_sent_somewhere() {
+    let mut code = String::new();
+    for krate in ["router", "agent", "control"] {
+        let dir = root().join(format!("crates/corianderstand_{krate}/src"));
+        for file in fs::read_dir(dir).expect("the folder can be read").filter_map(Result::ok) {
+            code.push_str(&fs::read_to_string(file.path()).unwrap_or_default());
+        }
+    }
+    for metric in Metric::ALL {
+        assert!(code.contains(&format!("Metric::{metric:?}")), "nothing sends {metric:?}");
+    }
+}
--- a/tools/testbed/src/deployment.rs
+++ b/tools/testbed/src/deployment.rs
@@ -144,6 +144,7 @@
             "host_list_url": self.url("hosts", ""),
             "target": { "url": self.url(target, ""), "kind": kind },
             "timing": self.plan.timing,
+            "statsd": self.plan.statsd,
         });
         if !advertised.is_null() {
             settings["advertise"] = advertised;
@@ -168,6 +169,7 @@
             "operator_key_hash": hash(OPERATOR_KEY),
             "limits": self.plan.limits,
             "timing": self.plan.timing,
+            "statsd": self.plan.statsd,
         });
         let args = vec!["router".into(), self.write(&name, &settings)];
         self.recipe(&name, "corianderstand", args);
