--- a/crates/corianderstand_agent/src/event.rs
+++ b/crates/corianderstand_agent/src/event.rs
@@ -68,6 +68,14 @@
     Rebuilt(Vec<(Weights, Mib, bool)>),
     /// Tell what the target holds, on this connection.
     List(mpsc::Sender<Bytes>),
+    /// What the engine says is loaded, asked as of a version of the ledger; `None` if it did
+    /// not say.
+    Asked {
+        /// Version of the ledger.
+        version: u64,
+        /// The answer.
+        loaded: Option<Vec<(Weights, Mib, bool)>>,
+    },
     /// Take no new work.
     Drain,
 }
@@ -79,6 +87,11 @@
     Run(RequestKey, Box<Request>),
     /// Refuse a request.
     Refuse(Box<Request>, ToRouter),
+    /// Ask the engine what is loaded.
+    Ask {
+        /// Version of the ledger.
+        version: u64,
+    },
     /// Load under a fencing number.
     Load {
         /// What.
--- a/crates/corianderstand_cli/src/args.rs
+++ b/crates/corianderstand_cli/src/args.rs
@@ -61,7 +61,9 @@
             Self::Diff => ("DIR", "show what applying DIR would change"),
             Self::Apply => ("DIR", "put the settings in DIR in force"),
             Self::Get => ("[PATH]", "show the documents in force at or below PATH"),
-            Self::History => ("PATH", "show who changed the document at PATH, when and what"),
+            Self::History => {
+                ("PATH", "show the last changes at or below PATH: when, by whom, accepted or not")
+            }
             Self::Status => (
                 "",
                 "show what is in force where, which models are warm, loading or cold, and who \
--- a/crates/corianderstand_cli/src/operate.rs
+++ b/crates/corianderstand_cli/src/operate.rs
@@ -159,24 +159,25 @@
     }))
 }
 
-/// Shows the changes of one document.
+/// Shows the last changes at or below a path, newest first.
 pub fn history(matches: &Matches) -> Exit {
     let path = &matches.free[0];
     report(Client::new(matches).and_then(|client| {
-        let answer = client.ask(Method::GET, &query("/operator/history", "path", path), None)?;
+        let answer = client.ask(Method::GET, &query("/operator/history", "prefix", path), None)?;
         if matches.opt_present("json") {
             println!("{answer}");
             return Ok(Exit::Success);
         }
-        let mut old = Value::Null;
-        for change in answer["changes"].as_array().into_iter().flatten() {
-            let author = change["author"].as_str().unwrap_or_default();
-            let at = change["at_ms"].as_u64().unwrap_or_default();
-            println!("version {} by {author}, {at} ms after 1970", change["version"]);
-            for field in fields::changed(&old, &change["value"]) {
-                println!("    {field}");
+        for entry in answer["entries"].as_array().into_iter().flatten() {
+            let author = entry["author"].as_str().unwrap_or_default();
+            let became = match entry["refused"].as_str() {
+                Some(reason) => format!("refused: {reason}"),
+                None => format!("accepted as version {}", entry["offset"]),
+            };
+            println!("{} ms after 1970, {author}: {became}", entry["at_ms"]);
+            for path in entry["paths"].as_array().into_iter().flatten() {
+                println!("    {}", path.as_str().unwrap_or_default());
             }
-            old = change["value"].clone();
         }
         Ok(Exit::Success)
     }))
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -7,11 +7,13 @@
     event::Event,
     http::{self, Door},
     link::{self, Shared},
+    operator,
 };
 use corianderstand_control::{
     appender::Identity,
     measured::{self, MeasuredLog},
     metrics::{Metric, Metrics},
+    peers::HttpPeers,
     start::{Control, Handle},
 };
 use corianderstand_decide::router::Router;
@@ -20,7 +22,7 @@
 use corianderstand_types::clock::{self, SharedClock};
 use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -59,6 +61,7 @@
     draining: Arc<AtomicBool>,
     held: Arc<AtomicUsize>,
     server: ServerHandle,
+    control: Handle,
     drain_limit: Duration,
 }
 
@@ -72,7 +75,7 @@
     let hasher = Hasher::new(&settings.auth_key).map_err(RouterError::Auth)?;
     let metrics = Metrics::new(settings.statsd.as_deref(), settings.name.as_str());
     let metrics = metrics.map_err(RouterError::Statsd)?;
-    let control = start_control(&settings, incarnation, clock.clone(), &metrics)?;
+    let control = start_control(&settings, incarnation, &hasher, clock.clone(), &metrics)?;
     let (events, events_rx) = mpsc::sync_channel(EVENT_RING);
     let held = Arc::new(AtomicUsize::new(0));
     let draining = Arc::new(AtomicBool::new(false));
@@ -84,6 +87,8 @@
         calls: HashMap::new(),
         connections: HashMap::new(),
         versions: (u64::MAX, 0, 0),
+        hosts: Arc::default(),
+        told: BTreeSet::new(),
         held: held.clone(),
         metrics: metrics.clone(),
     };
@@ -93,11 +98,11 @@
     let peer_client = reqwest::Client::builder().no_proxy().build();
     let door = Arc::new(Door {
         name: settings.name.clone(),
-        peers: settings.peers.clone(),
         peer_client: peer_client.expect("the client has no settings that can fail"),
         events,
-        control,
+        control: control.clone(),
         hasher,
+        peers: settings.peers.clone(),
         operator_key_hash: settings.operator_key_hash.clone(),
         metrics,
         connections: Connections::new(&settings.limits),
@@ -110,7 +115,8 @@
         clock,
     });
     let server = start_http(&settings, incarnation, &door)?;
-    Ok(RouterHandle { draining, held, server, drain_limit: settings.timing.drain_ms.0 })
+    let drain_limit = settings.timing.drain_ms.0;
+    Ok(RouterHandle { draining, held, server, control, drain_limit })
 }
 
 fn runtime() -> Result<runtime::Runtime, RouterError> {
@@ -125,6 +131,7 @@
 fn start_control(
     settings: &RouterSettings,
     incarnation: u64,
+    hasher: &Hasher,
     clock: SharedClock,
     metrics: &Metrics,
 ) -> Result<Handle, RouterError> {
@@ -137,6 +144,7 @@
             clock: clock.clone(),
         }),
         hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
+        peers: Arc::new(HttpPeers::new(&settings.peers, hasher.hash(operator::PEER_LABEL))),
         clock,
         log_poll: poll,
         hosts_poll: settings.timing.host_list_poll_ms.0,
@@ -199,6 +207,9 @@
 
     /// Waits until nothing is in flight, or the limit has passed.
     pub fn join(self) {
+        if let Ok(runtime) = runtime() {
+            runtime.block_on(self.control.resign());
+        }
         let began = Instant::now();
         loop {
             thread::sleep(STOP_PAUSE);
--- a/crates/corianderstand_router/src/status.rs
+++ b/crates/corianderstand_router/src/status.rs
@@ -65,6 +65,10 @@
     json!({
         "version": state.documents.version,
         "log_up": snapshot.log_up,
+        "next": state.next,
+        "checkpoint": state.checkpoints.last,
+        "hosts": { "live": snapshot.hosts.live.len(), "leaving": snapshot.hosts.leaving,
+            "gone": snapshot.hosts.gone },
         "lease": { "epoch": state.lease.epoch, "holder": state.lease.holder },
         "routers": all_routers,
         "targets": targets_json,
--- a/tools/capacity/src/size.rs
+++ b/tools/capacity/src/size.rs
@@ -89,7 +89,8 @@
 
 fn settings(path: &str, value: &serde_json::Value) -> Body {
     let change = Change { path: path.into(), base: 0, value: Some(value.to_string()) };
-    Body::Settings { changes: vec![change], author: "capacity".into() }
+    let (author, ticket) = ("capacity".into(), "capacity".into());
+    Body::Settings { changes: vec![change], author, ticket, not_after_ms: u64::MAX }
 }
 
 /// All records, in order from offset 1; `address` gives the address of a target's agent.
--- a/tools/reference/src/settings.rs
+++ b/tools/reference/src/settings.rs
@@ -65,9 +65,7 @@
         let about = about.unwrap_or_default();
         text.push_str(&format!("| `{path}` | {} | {default} | {about} |\n", value(root, field)));
         rows(root, field, &format!("{path}."), text);
-        for item in [&field["items"]] {
-            rows(root, resolve(root, item), &format!("{path}[]."), text);
-        }
+        rows(root, resolve(root, &field["items"]), &format!("{path}[]."), text);
         for alternative in field["oneOf"].as_array().into_iter().flatten() {
             rows(root, resolve(root, alternative), &format!("{path}."), text);
         }
