--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -106,6 +106,9 @@
         let got: Value = serde_json::from_str(&output).expect("--json prints JSON");
         assert_eq!(got["value"]["replicas"], 1);
         assert_eq!(deployment.command(&["get", "teams/nobody"]).0, Some(1));
+        let (code, output) = deployment.command(&["history", "teams/vidrio/models/quotes-7b"]);
+        assert_eq!(code, Some(0), "{output}");
+        assert!(output.contains("ana: accepted as version"), "{output}");
 
         value["replicas"] = json!("many");
         fs::write(&file, value.to_string()).expect("writable");
