--- a/crates/corianderstand_agent/src/run.rs
+++ b/crates/corianderstand_agent/src/run.rs
@@ -138,6 +138,7 @@
         tracing::info!(
             trace_id = %format_args!("{:032x}", trace.trace),
             span_id = %format_args!("{:016x}", trace.span),
+            parent_id = %format_args!("{:016x}", trace.parent),
             request = %request.open.request,
             took_us = took.as_micros() as u64,
             chunks = position,
--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -263,6 +263,7 @@
         tracing::info!(
             trace_id = %format_args!("{:032x}", asked.trace.trace),
             span_id = %format_args!("{:016x}", asked.trace.span),
+            parent_id = %format_args!("{:016x}", asked.trace.parent),
             request = %asked.request,
             caller_request = caller_id(req).ok().flatten(),
             team = %asked.team,
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -1,8 +1,8 @@
-//! Metrics as a statsd sink gets them from real processes.
+//! Metrics and traces as real processes send them.
 
 use corianderstand::control::metrics::Metric;
 use rstest::rstest;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::{collections::BTreeSet, net::UdpSocket, time::Duration};
 use testbed::{Deployment, Plan, deployment::wait_for, plan::VIDRIO_KEY};
 
@@ -74,3 +74,37 @@
         assert!(unknown.is_empty(), "sent but not documented: {unknown:?}");
     });
 }
+
+/// The line that a process logged for its hop of a trace.
+fn hop(deployment: &Deployment, process: &str, trace: &str) -> Option<Value> {
+    let log = deployment.log_of(process);
+    let mut lines = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    lines.find(|line| line["trace_id"] == trace)
+}
+
+/// A user's request is slow and nobody can tell where: the hops' lines cannot be joined.
+#[rstest]
+fn hops_of_one_request_join_to_one_trace() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("the system gives a runtime").block_on(async {
+        let plan = Plan { routers: 1, ..Plan::default() };
+        let deployment = Deployment::start(plan).await;
+        let trace = "0af7651916cd43dd8448eb211c80319c";
+        let call = deployment.url("router-0", "/services/agenda/bookings");
+        let call = deployment.http.post(call).bearer_auth(VIDRIO_KEY);
+        let call = call.header("traceparent", format!("00-{trace}-b7ad6b7169203331-01"));
+        let call = call.header("idempotency-key", "t-1").json(&json!({ "day": 1 })).send().await;
+        assert_eq!(call.expect("the router answers").status(), 200);
+        let mut hops = (None, None);
+        wait_for("both hops", async || {
+            let agent = hop(&deployment, "agent-service-0", trace);
+            hops = (hop(&deployment, "router-0", trace), agent);
+            hops.0.is_some() && hops.1.is_some()
+        })
+        .await;
+        let (router, agent) = (hops.0.unwrap_or_default(), hops.1.unwrap_or_default());
+        assert_eq!(router["parent_id"], "b7ad6b7169203331");
+        assert_eq!(agent["parent_id"], router["span_id"]);
+        assert_eq!(agent["request"], router["request"]);
+    });
+}
