--- a/crates/corianderstand_agent/src/start.rs
+++ b/crates/corianderstand_agent/src/start.rs
@@ -129,6 +129,7 @@
         control: control.clone(),
         clock: clock.clone(),
         metrics: metrics.clone(),
+        stalled: Arc::default(),
     };
     let target_runtime = runtime()?;
     target_runtime.spawn(report(&settings, incarnation, &control, metrics, load_rx.clone()));
--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -398,6 +398,7 @@
             window: 0,
             traceparent: self.trace.header(),
             as_of: 0,
+            expires_ms: 0,
         };
         (work, open)
     }
--- a/crates/corianderstand_router/src/problem.rs
+++ b/crates/corianderstand_router/src/problem.rs
@@ -43,6 +43,10 @@
     Failed(SmolStr),
     /// whether the call ran is not known ({0}): ask again with the same `Idempotency-Key`
     Unknown(SmolStr),
+    /// the call did not run and never will under this key ({0}): send it under a new key
+    NotRun(SmolStr),
+    /// the key is older than keys are remembered, so whether its call ran is not known: look it up at the service
+    KeyForgotten,
     /// no answer came by the deadline: ask again, or allow more time
     Deadline,
     /// this process is not ready ({0}): use another router, or come back
@@ -88,6 +92,8 @@
             Self::Refused(..) => "refused",
             Self::Failed(_) => "answer_broke_off",
             Self::Unknown(_) => "outcome_unknown",
+            Self::NotRun(_) => "call_not_run",
+            Self::KeyForgotten => "key_forgotten",
             Self::Deadline => "deadline_passed",
             Self::NotReady(_) => "not_ready",
             Self::Conflict(_) => "conflict",
@@ -107,6 +113,7 @@
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::Forbidden => StatusCode::FORBIDDEN,
             Self::NotFound | Self::NoSuchPath => StatusCode::NOT_FOUND,
+            Self::NotRun(_) | Self::KeyForgotten => StatusCode::GONE,
             Self::Conflict(_) | Self::Refused(RefusalReason::KeyConflict, _) => {
                 StatusCode::CONFLICT
             }
@@ -122,6 +129,7 @@
     pub const fn outcome(&self) -> &'static str {
         match self {
             Self::Failed(_) | Self::Unknown(_) | Self::Deadline | Self::Undecided(_) => "unknown",
+            Self::KeyForgotten => "unknown",
             _ => "not-run",
         }
     }
