--- a/crates/corianderstand_agent/src/decide.rs
+++ b/crates/corianderstand_agent/src/decide.rs
@@ -8,12 +8,18 @@
     release::{Release, Releases},
     sizes::ViewSizes,
 };
-use corianderstand_control::snapshot::{Current, Snapshot};
+use bytes::Bytes;
+use corianderstand_control::{
+    metrics::{Metric, Metrics},
+    snapshot::{Current, Snapshot},
+};
 use corianderstand_decide::{
     agent::{Action, Agent},
+    ledger::Stage,
     work::{Refusal, RequestKey, Work},
 };
-use corianderstand_schema::messages::{Load, ToRouter};
+use corianderstand_link::frame;
+use corianderstand_schema::messages::{Holding, HoldingStage, Load, ToRouter};
 use corianderstand_types::{
     clock::{self, SharedClock},
     names::{HostId, ModelId, TargetId},
@@ -22,7 +28,7 @@
 use std::{
     collections::{BTreeSet, HashMap},
     sync::mpsc::{Receiver, RecvTimeoutError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::sync::{mpsc, watch};
 
@@ -52,6 +58,10 @@
     pub requests: HashMap<RequestKey, Request>,
     /// Their keys by stream.
     pub streams: HashMap<(ConnectionId, u64), RequestKey>,
+    /// When each request that waits came.
+    pub since: HashMap<RequestKey, Instant>,
+    /// Where measures go.
+    pub metrics: Metrics,
     /// Whether the ledger has been taken over from the engine.
     pub rebuilt: bool,
     /// Models that may be loaded under the slots in force.
@@ -150,7 +160,9 @@
 
     fn submit(&mut self, submitted: (Work, Request), snapshot: &Snapshot) -> Vec<Action> {
         let (work, request) = submitted;
-        let (key, actions) = self.agent.submit(self.clock.now(), work, &ViewSizes(&snapshot.view));
+        let now = self.clock.now();
+        let (key, actions) = self.agent.submit(now, work, &ViewSizes(&snapshot.view));
+        self.since.insert(key, now);
         self.streams.insert((request.end.connection, request.end.stream), key);
         self.requests.insert(key, request);
         actions
@@ -195,6 +207,10 @@
                 self.rebuilt = true;
                 Vec::new()
             }
+            Event::List(out) => {
+                self.list(&out, snapshot);
+                Vec::new()
+            }
             Event::Asked { version, loaded } => {
                 let actions = loaded
                     .map(|loaded| self.agent.reconcile(now, version, &loaded, &sizes))
@@ -211,6 +227,26 @@
         self.perform(actions, snapshot);
     }
 
+    fn list(&self, out: &mpsc::Sender<Bytes>, snapshot: &Snapshot) {
+        let holdings = self.agent.ledger().entries().map(|(weights, entry)| Holding {
+            weights: weights.to_string().into(),
+            stage: match entry.stage {
+                Stage::Loading => HoldingStage::Loading,
+                Stage::Ready => HoldingStage::Warm,
+                Stage::Unloading => HoldingStage::Unloading,
+                Stage::Unknown => HoldingStage::Unknown,
+            },
+            memory_mib: entry.memory.0,
+            users: entry.users,
+        });
+        let holdings = holdings.collect();
+        let version = snapshot.state.documents.version;
+        if let Ok(frame) = frame::encode(&ToRouter::Holdings { version, holdings }, b"") {
+            // An operator whose connection takes nothing more asks again.
+            drop(out.try_send(frame));
+        }
+    }
+
     /// A request that runs is ended by the `target` thread, which sees its credit closed; one
     /// that waits is simply forgotten.
     fn cancel(&mut self, key: RequestKey, sizes: &ViewSizes<'_>) -> Vec<Action> {
@@ -222,6 +258,7 @@
     }
 
     fn forget(&mut self, key: RequestKey) -> Option<Request> {
+        self.since.remove(&key);
         let request = self.requests.remove(&key)?;
         self.streams.remove(&(request.end.connection, request.end.stream));
         Some(request)
@@ -232,10 +269,16 @@
             let job = match action {
                 Action::Run(key) => {
                     let Some(request) = self.requests.get(&key) else { continue };
-                    Job::Run(key, Box::new(request.clone()))
+                    let job = Job::Run(key, Box::new(request.clone()));
+                    if let Some(since) = self.since.remove(&key) {
+                        self.metrics.time(Metric::AgentWait, self.clock.now() - since);
+                    }
+                    job
                 }
                 Action::Refuse(key, refusal) => {
                     let Some(request) = self.forget(key) else { continue };
+                    let reason = refusal.reason.to_string();
+                    self.metrics.count_as(Metric::AgentRefusals, 1, "reason", &reason);
                     let refused = self.refused(&request, refusal);
                     Job::Refuse(Box::new(request), refused)
                 }
@@ -248,6 +291,9 @@
                     continue;
                 }
                 Action::Load(weights, memory) => {
+                    if weights.adapter.is_none() {
+                        self.metrics.count(Metric::AgentColdStarts, 1);
+                    }
                     let fence = self.fence(&weights, snapshot);
                     Job::Load { weights, memory, fence }
                 }
--- a/crates/corianderstand_router/src/lib.rs
+++ b/crates/corianderstand_router/src/lib.rs
@@ -29,5 +29,6 @@
 mod problem;
 mod services;
 mod start;
+mod status;
 
 pub use start::{RouterError, RouterHandle, start};
