--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -10,7 +10,11 @@
     services,
 };
 use bytes::Bytes;
-use corianderstand_control::{snapshot::Snapshot, start::Handle};
+use corianderstand_control::{
+    metrics::{Metric, Metrics},
+    snapshot::Snapshot,
+    start::Handle,
+};
 use corianderstand_decide::work::{Need, Shape, Work};
 use corianderstand_link::trace::TraceContext;
 use corianderstand_schema::{
@@ -20,7 +24,7 @@
 use corianderstand_state::view::TeamView;
 use corianderstand_types::{
     clock::SharedClock,
-    names::{self, TeamId},
+    names::{self, TeamId, WriterId},
 };
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::ParseError};
 use smol_str::{SmolStr, format_smolstr};
@@ -43,6 +47,10 @@
 
 /// What the handlers share.
 pub struct Door {
+    /// Name of this router.
+    pub name: WriterId,
+    /// Asks other routers.
+    pub peer_client: reqwest::Client,
     /// To the `decide` thread.
     pub events: SyncSender<Event>,
     /// The log.
@@ -51,6 +59,8 @@
     pub hasher: Hasher,
     /// Hash of the operators' key.
     pub operator_key_hash: SmolStr,
+    /// Where measures go.
+    pub metrics: Metrics,
     /// Connections held now.
     pub connections: Arc<Connections>,
     /// Longest head, in bytes.
@@ -105,13 +115,14 @@
 const POST: &str = "POST";
 
 /// All paths with a method.
-const PATHS: [(&str, &str, Kind); 12] = [
+const PATHS: [(&str, &str, Kind); 13] = [
     ("v1/completions", POST, Kind::Completion),
     ("v1/chat/completions", POST, Kind::Chat),
     ("v1/models", GET, Kind::Models),
     ("operator/apply", POST, Kind::Operator(operator::Kind::Apply)),
     ("operator/get", GET, Kind::Operator(operator::Kind::Get)),
     ("operator/status", GET, Kind::Operator(operator::Kind::Status)),
+    ("operator/version", GET, Kind::Operator(operator::Kind::Version)),
     ("operator/state", GET, Kind::Operator(operator::Kind::State)),
     ("operator/ticket", GET, Kind::Operator(operator::Kind::Ticket)),
     ("operator/spread", GET, Kind::Operator(operator::Kind::Spread)),
@@ -153,6 +164,7 @@
         }
         if let Err(problem) = door.answer(*kind, request.clone(), req, res).await {
             tracing::info!(%request, code = problem.code(), "request not answered");
+            door.metrics.count_as(Metric::RouterRefusals, 1, "reason", problem.code());
             problem.write(&request, res);
         }
     }
@@ -236,6 +248,7 @@
         res: &mut Response,
     ) -> Result<(), Problem> {
         let began = self.clock.now();
+        self.metrics.count(Metric::RouterRequests, 1);
         let asked = self.ask(request, req)?;
         let done = match kind {
             Kind::Chat => completions::complete(self, &asked, true, req, res).await,
@@ -246,13 +259,20 @@
             Kind::Service => services::call(self, &asked, req, res).await,
             _ => completions::complete(self, &asked, false, req, res).await,
         };
+        let took = self.clock.now() - began;
+        self.metrics.time(Metric::RouterTime, took);
+        if matches!(kind, Kind::Service) {
+            let outcome = done.as_ref().map_or_else(Problem::outcome, |()| "ran");
+            self.metrics.count_as(Metric::RouterCalls, 1, "outcome", outcome);
+        }
         tracing::info!(
             trace_id = %format_args!("{:032x}", asked.trace.trace),
             span_id = %format_args!("{:016x}", asked.trace.span),
+            parent_id = %format_args!("{:016x}", asked.trace.parent),
             request = %asked.request,
             caller_request = caller_id(req).ok().flatten(),
             team = %asked.team,
-            took_us = (self.clock.now() - began).as_micros() as u64,
+            took_us = took.as_micros() as u64,
             outcome = done.as_ref().map_or_else(Problem::code, |()| "answered"),
             "hop router"
         );
