--- /dev/null
+++ b/scenarios/agent-killed-and-log-down-in-a-booking.rhai
@@ -0,0 +1,21 @@
+// The agent is killed while its booking is at the service, and the log goes down before the outcome
+// can be recorded. The booking ran. The user must never be told that it did not.
+
+deploy(#{ engines: 2 });
+wait_until("bookings run", || book("router-0", "vidrio", "warm", #{ day: 1 }).outcome == "ran");
+
+fault("service-0", #{ after_ms: 3000 });
+let number = begin_booking("router-0", "vidrio", "b-1", #{ day: 3 });
+wait_until("it runs", || counters("service-0").by_key["b-1"] == 1);
+fault("log", #{ down: true });
+kill("agent-service-0");
+let first = finish(number);
+check(first.outcome == "unknown", "unknown while nobody can tell: " + first.body);
+
+fault("log", #{});
+fault("service-0", #{});
+start("agent-service-0");
+wait_until("bookings go on", || book("router-1", "vidrio", "b-2", #{ day: 3 }).outcome == "ran");
+let again = book("router-1", "vidrio", "b-1", #{ day: 3 });
+check(again.outcome == "unknown", "still unknown, and never not run: " + again.body);
+check(counters("service-0").by_key["b-1"] == 1, "it ran once");
--- /dev/null
+++ b/scenarios/booking-while-log-is-lost-and-agent-frozen.rhai
@@ -0,0 +1,20 @@
+// The agent beside the bookings service is frozen, and the log loses its answers at the same time.
+// A user who books is told in time, and once all is well again each booking has one outcome.
+
+deploy(#{ engines: 2 });
+wait_until("bookings run", || book("router-0", "vidrio", "warm", #{ day: 1 }).outcome == "ran");
+
+fault("log", #{ lose_answers: 3 });
+freeze("agent-service-0");
+let first = book("router-0", "vidrio", "b-1", #{ day: 3 });
+check(first.outcome == "not-run" || first.outcome == "unknown", "an honest answer: " + first.body);
+check(counters("service-0").by_key["b-1"] == (), "nothing ran while the agent was frozen");
+
+thaw("agent-service-0");
+fault("log", #{});
+wait_until("bookings go on", || book("router-1", "vidrio", "b-2", #{ day: 3 }).outcome == "ran");
+if first.outcome == "not-run" && first.status == 410 {
+    let again = book("router-1", "vidrio", "b-1", #{ day: 3 });
+    check(again.outcome == "not-run", "not run stays true: " + again.body);
+    check(counters("service-0").by_key["b-1"] == (), "and nothing ran later");
+}
--- a/tools/chaos/src/main.rs
+++ b/tools/chaos/src/main.rs
@@ -8,6 +8,7 @@
 
 mod callers;
 mod faults;
+mod measure;
 mod tally;
 
 use callers::{Asked, Kept};
@@ -39,6 +40,7 @@
 fn main() -> ExitCode {
     let mut options = Options::new();
     options.optopt("", "rounds", "how many rounds (default 200)", "N");
+    options.optflag("", "measure", "measure what bookings cost, in place of rounds");
     options.optopt("", "seed", "seed of the random choices (default: drawn)", "N");
     let matches = match options.parse(std::env::args().skip(1)) {
         Ok(matches) => matches,
@@ -47,12 +49,17 @@
             return ExitCode::from(2);
         }
     };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("the system gives a runtime");
+    if matches.opt_present("measure") {
+        runtime.block_on(measure::run());
+        return ExitCode::SUCCESS;
+    }
     let number = |name: &str| matches.opt_str(name).and_then(|text| text.parse::<u64>().ok());
     let rounds = number("rounds").unwrap_or(200);
     let seed = number("seed").unwrap_or_else(|| rand::random_range(0..1_000_000));
     println!("seed {seed}, {rounds} rounds");
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let tally = runtime.expect("the system gives a runtime").block_on(run(rounds, seed));
+    let tally = runtime.block_on(run(rounds, seed));
     println!("{tally}");
     if tally.is_clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- /dev/null
+++ b/tools/chaos/src/measure.rs
@@ -0,0 +1,166 @@
+//! What calls that may not be repeated cost: appends, latency, memory, refusals in an outage.
+
+use serde_json::json;
+use std::{
+    fs,
+    time::{Duration, Instant},
+};
+use testbed::{
+    Deployment, Plan,
+    booking::{Answer, Booking},
+    deployment::wait_for,
+};
+
+use corianderstand_schema::records::{Body, CallAnswer, CallKey, Record};
+use corianderstand_state::fold::State;
+use corianderstand_types::names::{ServiceId, TargetId, TeamId};
+
+/// Calls of one measurement.
+const CALLS: usize = 2_000;
+/// Calls of the measurement of an outage.
+const OUTAGE_CALLS: usize = 500;
+/// Keys whose memory is measured.
+const KEYS: u64 = 50_000;
+/// Bytes of an answer that is kept.
+const ANSWER_BYTES: usize = 120;
+const DEADLINE_MS: u64 = 5_000;
+
+struct Times(Vec<Duration>);
+
+impl Times {
+    fn at(&self, share: f64) -> f64 {
+        let index = ((self.0.len() - 1) as f64 * share) as usize;
+        self.0[index].as_secs_f64() * 1000.0
+    }
+}
+
+/// Asks `calls` times with so many callers at once; sorted times and all answers.
+async fn ask(
+    deployment: &Deployment,
+    path: &str,
+    prefix: &str,
+    callers: usize,
+    calls: usize,
+) -> (Times, Vec<Answer>) {
+    let mut tasks = Vec::new();
+    for caller in 0..callers {
+        let (http, prefix) = (deployment.http.clone(), prefix.to_owned());
+        let url = deployment.url(&format!("router-{}", caller % deployment.plan.routers), path);
+        tasks.push(tokio::spawn(async move {
+            let mut seen = Vec::new();
+            for number in 0..calls / callers {
+                let booking = Booking::new(&format!("{prefix}-{caller}-{number}"), DEADLINE_MS);
+                let began = Instant::now();
+                let answer = booking.send(&http, url.clone()).await;
+                seen.push((began.elapsed(), answer));
+            }
+            seen
+        }));
+    }
+    let (mut times, mut answers) = (Vec::new(), Vec::new());
+    for task in tasks {
+        for (took, answer) in task.await.unwrap_or_default() {
+            times.push(took);
+            answers.extend(answer);
+        }
+    }
+    times.sort();
+    (Times(times), answers)
+}
+
+async fn log_counts(deployment: &Deployment) -> (u64, u64, u64) {
+    let counters = deployment.counters("log").await;
+    let count = |name: &str| counters[name].as_u64().unwrap_or_default();
+    (count("appends"), count("records"), count("bytes_in"))
+}
+
+/// Prints all measurements.
+pub async fn run() {
+    let deployment = Deployment::start(Plan { services: 2, engines: 2, ..Plan::default() }).await;
+    let warm = Booking::new("warm", DEADLINE_MS);
+    wait_for("a first booking", async || {
+        warm.ask(&deployment, "router-0").await.is_some_and(|answer| answer.outcome == "ran")
+    })
+    .await;
+    for callers in [1, 16, 64] {
+        let calls = if callers == 1 { CALLS / 4 } else { CALLS };
+        let (plain, _) = ask(&deployment, "/services/agenda/rounds", "plain", callers, calls).await;
+        let before = log_counts(&deployment).await;
+        let began = Instant::now();
+        let prefix = format!("once-{callers}");
+        let path = "/services/agenda/bookings";
+        let (once, answers) = ask(&deployment, path, &prefix, callers, calls).await;
+        let rate = once.0.len() as f64 / began.elapsed().as_secs_f64();
+        let after = log_counts(&deployment).await;
+        let each = |a: u64, b: u64| (a - b) as f64 / once.0.len() as f64;
+        let ran = answers.iter().filter(|answer| answer.outcome == "ran").count();
+        println!(
+            "{callers} callers: {ran} of {} ran, {rate:.0}/s; p50 {:.1} ms, p99 {:.1} ms; \
+             not under a key p50 {:.1} ms, p99 {:.1} ms; \
+             {:.2} appends, {:.2} records, {:.0} bytes a call",
+            once.0.len(),
+            once.at(0.5),
+            once.at(0.99),
+            plain.at(0.5),
+            plain.at(0.99),
+            each(after.0, before.0),
+            each(after.1, before.1),
+            each(after.2, before.2),
+        );
+    }
+    outage(&deployment).await;
+    memory();
+}
+
+async fn outage(deployment: &Deployment) {
+    deployment.fault("log", &json!({ "down": true })).await;
+    let path = "/services/agenda/bookings";
+    let (times, answers) = ask(deployment, path, "outage", 16, OUTAGE_CALLS).await;
+    let told = |outcome: &str| answers.iter().filter(|a| a.outcome == outcome).count();
+    println!(
+        "log down: {} asked, {} not run, {} unknown, {} ran; p50 {:.1} ms, p99 {:.1} ms, longest {:.0} ms",
+        answers.len(),
+        told("not-run"),
+        told("unknown"),
+        told("ran"),
+        times.at(0.5),
+        times.at(0.99),
+        times.at(1.0),
+    );
+}
+
+fn resident_kib() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or_default()
+}
+
+fn record(sequence: u64, body: Body) -> Record {
+    Record { writer: "agent-service-0".into(), incarnation: 1, sequence, body }
+}
+
+fn memory() {
+    let before = resident_kib();
+    let mut state = State::default();
+    for number in 0..KEYS {
+        let key = CallKey {
+            team: TeamId::new("vidrio").expect("a good name"),
+            service: ServiceId::new("agenda").expect("a good name"),
+            key: format!("018f3b2c-4d5e-7abc-8def-{number:012x}").into(),
+        };
+        let target = TargetId("service-0".into());
+        let claim = 2 * number + 1;
+        let claimed = Body::Claimed { key: key.clone(), digest: number, target };
+        state.apply(claim, claim, &record(claim, claimed));
+        let body = Some(vec![b'x'; ANSWER_BYTES]);
+        let answer = CallAnswer { status: 200, content_type: "application/json".into(), body };
+        let ended = Body::CallEnded { key, claim, answer: Some(answer) };
+        state.apply(claim + 1, claim + 1, &record(claim + 1, ended));
+    }
+    let used = (resident_kib() - before) * 1024;
+    println!(
+        "memory: {} keys with answers of {ANSWER_BYTES} bytes take {} bytes each",
+        state.calls.len(),
+        used / KEYS
+    );
+}
--- a/tools/ci/src/main.rs
+++ b/tools/ci/src/main.rs
@@ -4,7 +4,7 @@
 
 use std::process::{Command, ExitCode};
 
-const STEPS: [(&str, &[&[&str]]); 5] = [
+const STEPS: [(&str, &[&[&str]]); 6] = [
     ("format", &[&["fmt", "--all", "--check"]]),
     (
         "generated",
@@ -34,6 +34,15 @@
             &["nextest", "run", "--workspace", "--locked", "--no-fail-fast"],
         ],
     ),
+    // A short form with fixed seeds; it waits for states, so its verdict depends on no speed.
+    (
+        "chaos",
+        &[
+            &["build", "--workspace", "--locked", "--quiet"],
+            &["run", "--quiet", "--locked", "-p", "chaos", "--", "--rounds", "6", "--seed", "1"],
+            &["run", "--quiet", "--locked", "-p", "chaos", "--", "--rounds", "6", "--seed", "2"],
+        ],
+    ),
 ];
 
 fn main() -> ExitCode {
