--- a/crates/corianderstand_router/src/call.rs
+++ b/crates/corianderstand_router/src/call.rs
@@ -313,3 +313,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/corianderstand_router/src/call/tests.rs
@@ -0,0 +1,180 @@
+use super::{CallInProgress, Part};
+use crate::{
+    event::{Call, Event, Update},
+    problem::Problem,
+};
+use bytes::Bytes;
+use corianderstand_decide::work::{Need, Refusal, Shape, Work};
+use corianderstand_schema::messages::{Ending, OpenStream, Operation, RefusalReason};
+use corianderstand_types::names::{ServiceId, TeamId};
+use rstest::rstest;
+use std::{sync::mpsc, time::Duration};
+use tokio::time::Instant;
+
+struct Fake {
+    call: CallInProgress,
+    events: mpsc::Receiver<Event>,
+    handed_in: Call,
+}
+
+impl Fake {
+    fn new(repeatable: bool) -> Self {
+        let service = ServiceId::new("agenda").expect("a good name");
+        let team = TeamId::new("vidrio").expect("a good name");
+        let deadline = Instant::now().into_std() + Duration::from_secs(60);
+        let need = Need::Service(service.clone());
+        let work = Work {
+            team: team.clone(),
+            need,
+            urgency: 1,
+            deadline,
+            repeatable,
+            shape: Shape::default(),
+        };
+        let operation = Operation::Call {
+            service,
+            method: "POST".into(),
+            path: "/".into(),
+            content_type: "".into(),
+            idempotency_key: None,
+        };
+        let open = OpenStream {
+            stream: 0,
+            request: "r-1".into(),
+            team,
+            operation,
+            urgency: 1,
+            deadline_ms: 60_000,
+            position: 0,
+            window: 0,
+            traceparent: "".into(),
+            expires_ms: 0,
+            as_of: 0,
+        };
+        let (tx, events) = mpsc::sync_channel(64);
+        let call = CallInProgress::submit(&tx, work, open, Bytes::new()).expect("there is room");
+        let handed_in = submitted(&events);
+        Self { call, events, handed_in }
+    }
+
+    fn send(&self, update: Update) {
+        self.handed_in.reply.try_send(update).expect("there is room");
+    }
+
+    fn chunk(&self, position: u64) {
+        let body = Bytes::from(format!("{position} "));
+        self.send(Update::Chunk { position, body });
+    }
+
+    fn end(&self, position: u64) {
+        let (prompt_tokens, completion_tokens) = (1, position);
+        let finish_reason = "stop".into();
+        let ending = Ending::Whole { prompt_tokens, completion_tokens, finish_reason };
+        self.send(Update::End { position, ending });
+    }
+
+    /// Reads to the end; the text, or the problem that ended it.
+    async fn read(&mut self) -> Result<String, Problem> {
+        let mut text = String::new();
+        loop {
+            match self.call.next(Instant::now() + Duration::from_secs(30)).await? {
+                Part::Chunk(body) => text.push_str(&String::from_utf8_lossy(&body)),
+                Part::Whole { .. } => return Ok(text),
+                Part::Head { .. } => {}
+            }
+        }
+    }
+}
+
+fn submitted(events: &mpsc::Receiver<Event>) -> Call {
+    match events.recv().expect("the call was handed in") {
+        Event::Submit(submitted) => submitted.1,
+        other => panic!("not a call: {other:?}"),
+    }
+}
+
+fn block_on<T>(run: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("the system gives a runtime").block_on(run)
+}
+
+/// Parts come twice, after a connection was replaced. A user would read words twice.
+#[rstest]
+fn repeated_parts_are_handed_out_once() {
+    block_on(async {
+        let mut fake = Fake::new(true);
+        for position in [0, 1, 0, 1, 2, 2] {
+            fake.chunk(position);
+        }
+        fake.end(3);
+        assert_eq!(fake.read().await, Ok("0 1 2 ".into()));
+    });
+}
+
+/// A part is lost or comes too early, or the end is said to come earlier or later than it does.
+/// The answer would have a hole that nobody sees; of a call that may not be repeated the caller
+/// hears that it broke off.
+#[rstest]
+#[case::hole(&[0, 2], 3)]
+#[case::reordered(&[1, 0], 2)]
+#[case::end_too_early(&[0, 1], 1)]
+#[case::end_too_late(&[0, 1], 5)]
+fn an_answer_with_a_hole_is_never_whole(#[case] positions: &[u64], #[case] end: u64) {
+    block_on(async {
+        let mut fake = Fake::new(false);
+        positions.iter().for_each(|position| fake.chunk(*position));
+        fake.end(end);
+        assert!(matches!(fake.read().await, Err(Problem::Failed(_))));
+    });
+}
+
+/// A target is lost in the midst of an answer. The call is handed in again from the position
+/// reached, and what the lost target still sends does not come through.
+#[rstest]
+fn a_lost_answer_is_taken_up_at_its_position() {
+    block_on(async {
+        let mut fake = Fake::new(true);
+        fake.chunk(0);
+        fake.chunk(1);
+        fake.send(Update::Lost { failed: false });
+        fake.chunk(2);
+        let events = std::mem::replace(&mut fake.events, mpsc::sync_channel(1).1);
+        let second = std::thread::spawn(move || {
+            let call = submitted(&events);
+            let finish_reason = "stop".into();
+            let ending = Ending::Whole { prompt_tokens: 1, completion_tokens: 3, finish_reason };
+            let body = Bytes::from("second ");
+            call.reply.try_send(Update::Chunk { position: 2, body }).expect("there is room");
+            call.reply.try_send(Update::End { position: 3, ending }).expect("there is room");
+            call.open.position
+        });
+        assert_eq!(fake.read().await, Ok("0 1 second ".into()));
+        assert_eq!(second.join().expect("it ends"), 2);
+    });
+}
+
+/// A call that may not be repeated loses its target. Handed in again it might run twice, so its
+/// handler hears of the loss and asks the log.
+#[rstest]
+fn a_call_that_may_not_be_repeated_is_not_handed_in_again() {
+    block_on(async {
+        let mut fake = Fake::new(false);
+        fake.send(Update::Lost { failed: false });
+        assert!(matches!(fake.read().await, Err(Problem::Failed(_))));
+        assert!(fake.events.try_recv().is_err());
+    });
+}
+
+/// A refusal is final unless a replica is out of service for a moment; a caller who is refused
+/// hears it at once and can go elsewhere.
+#[rstest]
+fn a_refusal_is_passed_on_at_once() {
+    block_on(async {
+        let mut fake = Fake::new(true);
+        let reason = RefusalReason::QueueFull;
+        let retry_after = Duration::from_secs(1);
+        fake.send(Update::Refused { refusal: Refusal { reason, retry_after }, moving: false });
+        assert_eq!(fake.read().await, Err(Problem::Refused(reason, retry_after)));
+        assert!(fake.events.try_recv().is_err());
+    });
+}
--- /dev/null
+++ b/crates/corianderstand_state/tests/calls.rs
@@ -0,0 +1,82 @@
+//! What is remembered of calls that may not be repeated, and for how long.
+
+use corianderstand_schema::records::{Body, CallAnswer, CallKey, Record};
+use corianderstand_state::{
+    calls::{self, Known},
+    fold::{Outcome, State, Void},
+};
+use corianderstand_types::names::{ServiceId, TargetId, TeamId};
+use rstest::rstest;
+
+fn key(name: &str) -> CallKey {
+    let team = TeamId::new("vidrio").expect("a good name");
+    let service = ServiceId::new("agenda").expect("a good name");
+    CallKey { team, service, key: name.into() }
+}
+
+#[derive(Default)]
+struct Log {
+    state: State,
+    offset: u64,
+    now_ms: u64,
+}
+
+impl Log {
+    fn write(&mut self, body: Body) -> Outcome {
+        self.offset += 1;
+        let (writer, sequence) = ("agent-1".into(), self.offset);
+        let record = Record { writer, incarnation: 1, sequence, body };
+        self.state.apply(self.offset, self.now_ms, &record)
+    }
+
+    fn claim(&mut self, name: &str) -> Outcome {
+        let target = TargetId("service-0".into());
+        self.write(Body::Claimed { key: key(name), digest: 7, target })
+    }
+
+    fn known(&self, name: &str, digest: u64) -> Known {
+        self.state.calls.known(&key(name), digest)
+    }
+}
+
+/// A repeat comes "the same time tomorrow", a little late. Forgotten by then, it would book again.
+#[rstest]
+fn a_key_is_remembered_for_a_day_and_then_forgotten() {
+    let mut log = Log::default();
+    assert_eq!(log.claim("b-1"), Outcome::Applied);
+    log.now_ms = 24 * 3600 * 1000 + 1000;
+    assert_eq!(log.claim("b-1"), Outcome::Void(Void::Call));
+    log.now_ms = calls::KEEP_MS;
+    assert_eq!(log.claim("b-2"), Outcome::Applied);
+    assert_eq!(log.known("b-1", 7), Known::Nothing);
+    assert_eq!(log.state.calls.len(), 1);
+}
+
+/// More keys come in a day than there is memory for. New calls are refused; none that is
+/// remembered is forgotten early or told as "not run", and routers can still void.
+#[rstest]
+fn a_full_memory_refuses_new_claims_and_keeps_the_old() {
+    let mut log = Log::default();
+    for number in 0..calls::MAX_KEYS {
+        assert_eq!(log.claim(&format!("b-{number}")), Outcome::Applied);
+    }
+    assert_eq!(log.claim("one-more"), Outcome::Void(Void::CallsFull));
+    assert_eq!(log.claim("b-0"), Outcome::Void(Void::Call));
+    assert_eq!(log.known("b-0", 7), Known::Claimed);
+    assert_eq!(log.write(Body::CallVoided { key: key("other") }), Outcome::Applied);
+}
+
+/// An outcome comes twice, or from a claim that did not take effect. The first outcome stands.
+#[rstest]
+fn an_outcome_never_changes() {
+    let mut log = Log::default();
+    log.claim("b-1");
+    let answer = |status| Some(CallAnswer { status, content_type: "".into(), body: None });
+    let ended = |claim, answer| Body::CallEnded { key: key("b-1"), claim, answer };
+    assert_eq!(log.write(ended(9, answer(500))), Outcome::Void(Void::Call));
+    assert_eq!(log.write(ended(1, answer(200))), Outcome::Applied);
+    assert_eq!(log.write(ended(1, None)), Outcome::Void(Void::Call));
+    assert_eq!(log.write(Body::CallVoided { key: key("b-1") }), Outcome::Void(Void::Call));
+    assert!(matches!(log.known("b-1", 7), Known::Ran(answer) if answer.status == 200));
+    assert_eq!(log.known("b-1", 8), Known::Conflict);
+}
