Rules of the agreed state under test; faults found by scenarios mended

Scenarios over real processes found, each red first: - order-answers-lost: an order beyond the engine's memory. `loads` repeated an order of unknown outcome after asking had settled it and the model had been evicted again. It is repeated only while unknown, and counts as on its way meanwhile. - host-list-emptied-and-flapping: an empty list and then a cut one added up to the time after which a shrunken list is believed. An empty reading now starts that time anew. - agent-dies-in-the-midst-of-a-load: the stand-in engine dropped an order with its connection and showed the model as loading for ever; a taken order is now carried out.

--- a/crates/corianderstand_agent/src/release/tests/random.rs
+++ b/crates/corianderstand_agent/src/release/tests/random.rs
@@ -120,6 +120,9 @@
     /// decided for it.
     fn check(&self) {
         let slots = &self.world.head.slots;
+        let targets = &self.world.head.targets.by_name;
+        let orphan = slots.by_key.iter().find(|(_, slot)| !targets.contains_key(&slot.target));
+        assert!(orphan.is_none(), "a slot whose owner is gone: {orphan:?}");
         for agent in self.agents.iter().filter(|agent| agent.dead_since.is_none()) {
             let target = TargetId::from(agent.reader.name.as_str());
             for weights in agent.engine.loaded.keys() {
--- a/crates/corianderstand_control/src/membership.rs
+++ b/crates/corianderstand_control/src/membership.rs
@@ -102,8 +102,13 @@
             self.shrunken_since = None;
             return true;
         }
+        if shown == 0 {
+            // A list that was empty in between is at fault; what it shows next counts anew.
+            self.shrunken_since = None;
+            return false;
+        }
         let since = *self.shrunken_since.get_or_insert(now);
-        shown > 0 && now >= since + lag * SHRINK_LAGS
+        now >= since + lag * SHRINK_LAGS
     }
 }
 
--- a/crates/corianderstand_decide/src/agent/loads.rs
+++ b/crates/corianderstand_decide/src/agent/loads.rs
@@ -324,9 +324,12 @@
         let due: Vec<(Weights, bool)> = due.map(|(w, (_, load))| (w.clone(), *load)).collect();
         for (weights, load) in due {
             self.loads.repeats.remove(&weights);
-            let Some(memory) = self.ledger.find(&weights).map(|entry| entry.memory) else {
-                continue;
-            };
+            // Settled meanwhile by asking the engine: a repeat could undo what followed.
+            let unknown = self.ledger.find(&weights).filter(|e| e.stage == Stage::Unknown);
+            let Some(memory) = unknown.map(|entry| entry.memory) else { continue };
+            // It is on its way again, so an older answer of the engine settles nothing.
+            let stage = if load { Stage::Loading } else { Stage::Unloading };
+            self.ledger.set_stage(&weights, stage);
             if load {
                 let expected = sizes.load_time(&weights);
                 let started = Started { at: now, expected, by_gate: false };
--- a/crates/corianderstand_standins/src/engine.rs
+++ b/crates/corianderstand_standins/src/engine.rs
@@ -174,10 +174,15 @@
     if let Err(reply) = engine.check_fence(&order) {
         return reply;
     }
-    let reply = match order.action {
-        OrderAction::Load => engine.load(&order).await,
-        OrderAction::Unload => engine.unload(&order),
-    };
+    // An order that was taken is carried out although who gave it is gone.
+    let (own, order) = (engine.clone(), order);
+    let carried_out = tokio::spawn(async move {
+        match order.action {
+            OrderAction::Load => own.load(&order).await,
+            OrderAction::Unload => own.unload(&order),
+        }
+    });
+    let Ok(reply) = carried_out.await else { return Reply::text(500, "the order failed") };
     let mut inner = engine.lock();
     if inner.fault.lose_order_answers > 0 {
         inner.fault.lose_order_answers -= 1;
--- /dev/null
+++ b/crates/corianderstand_state/tests/plan.rs
@@ -0,0 +1,123 @@
+//! Where the planner puts slots, and what moves when hosts come and go.
+
+use corianderstand_schema::records::{Body, Change, Record, TargetRecord};
+use corianderstand_state::{
+    fold::{Outcome, State},
+    plan,
+    view::View,
+};
+use corianderstand_types::{
+    names::{HostId, TargetId},
+    units::Mib,
+};
+use rstest::rstest;
+use serde_json::json;
+use std::collections::{BTreeMap, BTreeSet};
+
+struct Bench {
+    state: State,
+}
+
+impl Bench {
+    fn new(engines: usize, models: usize, replicas: u32) -> Self {
+        let mut bench = Self { state: State { next: 1, ..State::default() } };
+        bench.append(Body::LeaseTaken { epoch: 1, ttl_ms: 1000 });
+        for engine in 0..engines {
+            bench.announce(engine);
+        }
+        let change = |path: String, value: serde_json::Value| {
+            let (path, value) = (path.into(), Some(value.to_string()));
+            Change { path, base: 0, value }
+        };
+        let team = json!({ "key_hashes": ["0".repeat(64)], "default_urgency": "normal" });
+        let mut changes = vec![change("teams/t/team".into(), team)];
+        for model in 0..models {
+            let facts = json!({ "memory_mib": 100, "versions": ["1"], "adapter_memory_mib": 1 });
+            changes.push(change(format!("shared/models/m{model}"), facts));
+            let wanted = json!({ "replicas": replicas });
+            changes.push(change(format!("teams/t/models/m{model}"), wanted));
+        }
+        let (author, ticket) = ("ana".into(), "t".into());
+        bench.append(Body::Settings { changes, author, ticket, not_after_ms: u64::MAX });
+        bench
+    }
+
+    fn append(&mut self, body: Body) {
+        let offset = self.state.next;
+        let record = Record { writer: "r".into(), incarnation: 1, sequence: offset, body };
+        assert_eq!(self.state.apply(offset, 0, &record), Outcome::Applied);
+    }
+
+    fn announce(&mut self, engine: usize) {
+        let target = TargetRecord {
+            target: format!("e{engine}").as_str().into(),
+            host: format!("h{engine}").as_str().into(),
+            place: format!("p{}", engine % 3).as_str().into(),
+            address: "a".into(),
+            memory_mib: Mib(1000),
+            accelerators: 8,
+            service: None,
+        };
+        self.append(Body::TargetUp { target });
+    }
+
+    fn settle(&mut self, avoid: &[&str]) -> usize {
+        let avoid: BTreeSet<HostId> = avoid.iter().map(|host| HostId::from(*host)).collect();
+        let mut moves = 0;
+        loop {
+            let bodies = plan::plan(&self.state, &View::new(&self.state.documents), &avoid);
+            if bodies.is_empty() {
+                return moves;
+            }
+            moves += bodies.len();
+            bodies.into_iter().for_each(|body| self.append(body));
+        }
+    }
+
+    fn slots_of(&self, target: &str) -> usize {
+        self.state.slots.by_key.values().filter(|slot| slot.target.as_str() == target).count()
+    }
+}
+
+/// Hosts come and go all day. Each slot that moves costs a cold start, so no more may move than
+/// were on the host that went, and none for one that comes.
+#[rstest]
+fn only_the_slots_of_a_host_that_goes_are_moved() {
+    let mut bench = Bench::new(12, 30, 3);
+    assert_eq!(bench.settle(&[]), 90);
+    bench.announce(12);
+    assert_eq!(bench.settle(&[]), 0, "a host that comes moves nothing");
+    let lost = bench.slots_of("e4");
+    let offset = bench.state.targets.by_name[&TargetId::from("e4")].offset;
+    bench.append(Body::TargetGone { epoch: 1, target: "e4".into(), target_offset: offset });
+    assert_eq!(bench.settle(&["h4"]), lost, "the minimum");
+}
+
+/// A place is lost. A model whose replicas all stood there could not be served at all.
+#[rstest]
+fn replicas_spread_over_places_and_evenly_over_engines() {
+    let mut bench = Bench::new(12, 30, 3);
+    bench.settle(&[]);
+    let mut places: BTreeMap<_, BTreeSet<_>> = BTreeMap::new();
+    for (key, slot) in &bench.state.slots.by_key {
+        let place = &bench.state.targets.by_name[&slot.target].record.place;
+        places.entry(key.model.clone()).or_default().insert(place.clone());
+    }
+    assert!(places.values().all(|places| places.len() == 3));
+    let counts: Vec<usize> = (0..12).map(|e| bench.slots_of(&format!("e{e}"))).collect();
+    assert!(counts.iter().max() <= counts.iter().min().map(|least| least + 1).as_ref());
+}
+
+/// A host is shown as leaving and stays after all. Its disk still holds the checkpoint, so its
+/// slot goes back there rather than to a host that must fetch it.
+#[rstest]
+fn a_slot_goes_back_to_where_its_checkpoint_is() {
+    let mut bench = Bench::new(6, 1, 1);
+    bench.settle(&[]);
+    let (key, slot) = bench.state.slots.by_key.iter().next().expect("it is assigned");
+    let (key, slot) = (key.clone(), slot.clone());
+    let (model, index) = (key.model.clone(), key.index);
+    bench.append(Body::SlotReleased { model, index, assigned: slot.assigned, epoch: Some(1) });
+    bench.settle(&[]);
+    assert_eq!(bench.state.slots.by_key[&key].target, slot.target);
+}
--- /dev/null
+++ b/crates/corianderstand_state/tests/rules.rs
@@ -0,0 +1,197 @@
+//! The rules by which the fold judges records.
+
+use corianderstand_schema::records::{Body, CallKey, Change, Record, TargetRecord};
+use corianderstand_state::{
+    checkpoint::{self, Collector},
+    expiry,
+    fold::{Outcome, State, Void},
+};
+use corianderstand_types::{names::WriterId, units::Mib};
+use rstest::rstest;
+
+/// A log of one test: appends number themselves.
+struct Log {
+    state: State,
+    entries: Vec<(u64, u64, Record)>,
+    now_ms: u64,
+}
+
+impl Log {
+    fn new() -> Self {
+        let state = State { next: 1, ..State::default() };
+        Self { state, entries: Vec::new(), now_ms: 0 }
+    }
+
+    fn append(&mut self, writer: &str, body: Body) -> Outcome {
+        let sequence = self.state.next;
+        self.append_record(Record { writer: writer.into(), incarnation: 1, sequence, body })
+    }
+
+    fn append_record(&mut self, record: Record) -> Outcome {
+        let offset = self.state.next;
+        self.entries.push((offset, self.now_ms, record.clone()));
+        self.state.apply(offset, self.now_ms, &record)
+    }
+}
+
+fn settings(path: &str, base: u64, text: &str, not_after_ms: u64) -> Body {
+    let change = Change { path: path.into(), base, value: Some(text.into()) };
+    let ticket = format!("{path}-{base}-{text}").into();
+    Body::Settings { changes: vec![change], author: "ana".into(), ticket, not_after_ms }
+}
+
+fn target(name: &str) -> Body {
+    let target = TargetRecord {
+        target: name.into(),
+        host: "h".into(),
+        place: "p".into(),
+        address: "a".into(),
+        memory_mib: Mib(100),
+        accelerators: 1,
+        service: None,
+    };
+    Body::TargetUp { target }
+}
+
+fn assigned(epoch: u64, index: u32, target_offset: u64) -> Body {
+    let (model, target) = ("m".into(), "e".into());
+    Body::SlotAssigned { epoch, model, index, target, target_offset }
+}
+
+const TTL: u64 = 1000;
+
+/// The holder of the lease is paused, another takes it, and the first goes on and writes what it
+/// had decided. Two planners at once would give one slot to two engines.
+#[rstest]
+fn a_holder_that_was_paused_past_its_lease_is_voided() {
+    let mut log = Log::new();
+    log.append("e", target("e"));
+    assert_eq!(log.append("r1", Body::LeaseTaken { epoch: 1, ttl_ms: TTL }), Outcome::Applied);
+    let early = log.append("r2", Body::LeaseTaken { epoch: 2, ttl_ms: TTL });
+    assert_eq!(early, Outcome::Void(Void::Lease), "it has not lapsed yet");
+    log.now_ms = TTL;
+    assert_eq!(log.append("r2", Body::LeaseTaken { epoch: 2, ttl_ms: TTL }), Outcome::Applied);
+    for stale in [assigned(1, 0, 1), assigned(2, 0, 1), Body::LeaseRenewed { epoch: 1 }] {
+        assert_eq!(log.append("r1", stale), Outcome::Void(Void::Lease));
+    }
+    assert_eq!(log.append("r2", assigned(2, 0, 1)), Outcome::Applied);
+}
+
+/// A target is announced anew, or removed, between the planner's look and its record. The slot
+/// would belong to a process that is gone, and the model would never be served.
+#[rstest]
+fn a_slot_is_not_given_to_a_target_that_has_changed() {
+    let mut log = Log::new();
+    log.append("e", target("e"));
+    log.append("r1", Body::LeaseTaken { epoch: 1, ttl_ms: TTL });
+    log.append("e", target("e"));
+    assert_eq!(log.append("r1", assigned(1, 0, 1)), Outcome::Void(Void::Target));
+    assert_eq!(log.append("r1", assigned(1, 0, 3)), Outcome::Applied);
+    let gone = Body::TargetGone { epoch: 1, target: "e".into(), target_offset: 3 };
+    assert_eq!(log.append("r1", gone), Outcome::Applied);
+    assert!(log.state.slots.by_key.is_empty(), "its slots go with it");
+    assert_eq!(log.append("r1", assigned(1, 0, 3)), Outcome::Void(Void::Target));
+}
+
+/// Two operators change the same document at the same moment. Without the version in the record
+/// the second would undo the first, and the first would never learn it.
+#[rstest]
+fn of_two_operators_one_wins_and_the_other_learns_the_version_in_the_way() {
+    let mut log = Log::new();
+    assert_eq!(log.append("r1", settings("a", 0, "{}", 9)), Outcome::Applied);
+    let conflict = Void::Conflict { path: "a".into(), version: 1, base: 0 };
+    assert_eq!(log.append("r2", settings("a", 0, "[]", 9)), Outcome::Void(conflict));
+    let entry = log.state.history.find("a-0-[]").expect("it is remembered");
+    assert!(entry.refused.as_ref().is_some_and(|reason| reason.contains("version 1")));
+}
+
+/// The log is slow; an operator is told "not known yet", asks again after the change's time and is
+/// told "refused". A record that comes into the log later still must not take force then.
+#[rstest]
+fn a_change_that_reaches_the_log_too_late_has_no_effect() {
+    let mut log = Log::new();
+    log.now_ms = 500;
+    let late = log.append("r1", settings("a", 0, "{}", 499));
+    assert_eq!(late, Outcome::Void(Void::Late { until: 499 }));
+    assert_eq!(log.state.documents.version, 0);
+    assert_eq!(log.append("r1", settings("a", 0, "{}", 500)), Outcome::Applied);
+}
+
+/// An append's answer is lost and the writer repeats it after others have written. Folded twice,
+/// a change would undo what came in between.
+#[rstest]
+fn a_repeat_after_a_lost_answer_is_folded_once() {
+    let mut log = Log::new();
+    let body = settings("a", 0, "{}", 9);
+    let record = Record { writer: "r1".into(), incarnation: 1, sequence: 1, body };
+    assert_eq!(log.append_record(record.clone()), Outcome::Applied);
+    log.append("r2", settings("b", 0, "{}", 9));
+    assert_eq!(log.append_record(record), Outcome::Repeated);
+}
+
+/// A reader starts after the log has dropped its beginning. With a checkpoint it must come to the
+/// same state as one that read everything, part by part and with records in between.
+#[rstest]
+fn a_checkpoint_and_the_records_after_it_give_the_same_state() {
+    let mut log = Log::new();
+    let long = format!("\"{}\"", "x".repeat(3 * checkpoint::PART_BYTES));
+    log.append("r1", settings("a", 0, &long, 9));
+    log.append("r1", Body::LeaseTaken { epoch: 1, ttl_ms: TTL });
+    let parts = checkpoint::split(&log.state);
+    assert!(parts.len() > 3);
+    for (at, part) in parts.into_iter().enumerate() {
+        assert_eq!(log.append("r1", part), Outcome::Applied);
+        log.append("r2", settings(&format!("b{at}"), 0, "{}", 9));
+    }
+    let last = log.state.checkpoints.last.expect("it is whole");
+    let mut collector = Collector::default();
+    let kept = log.entries.iter().filter(|(offset, ..)| *offset >= last.as_of);
+    let mut restored = None;
+    for (_, _, record) in kept.clone() {
+        restored = collector.take(record).or(restored);
+    }
+    let mut restored = restored.expect("the parts are whole");
+    for (offset, at_ms, record) in kept {
+        restored.apply(*offset, *at_ms, record);
+    }
+    assert_eq!(checkpoint::encode(&restored), checkpoint::encode(&log.state));
+}
+
+/// A holder dies while it writes a checkpoint and its successor writes another. A reader that put
+/// parts of both together would hold a state that never was.
+#[rstest]
+fn parts_of_two_checkpoints_are_not_put_together() {
+    let mut log = Log::new();
+    let long = format!("\"{}\"", "x".repeat(2 * checkpoint::PART_BYTES));
+    log.append("r1", settings("a", 0, &long, 9));
+    log.append("r1", Body::LeaseTaken { epoch: 1, ttl_ms: TTL });
+    let first = checkpoint::split(&log.state);
+    log.append("r2", settings("b", 0, "{}", 9));
+    let second = checkpoint::split(&log.state);
+    let mut collector = Collector::default();
+    let mixed = first[..1].iter().chain(&second[1..]);
+    for body in mixed {
+        let (writer, incarnation) = ("r1".into(), 1);
+        let record = Record { writer, incarnation, sequence: 1, body: body.clone() };
+        assert_eq!(collector.take(&record), None);
+        log.append("r1", body.clone());
+    }
+    assert_eq!(log.state.checkpoints.last, None);
+}
+
+/// Bookings and restarted writers come every day for years. Without an end to their memory every
+/// process would grow until its host has no room.
+#[rstest]
+fn old_calls_and_writers_are_forgotten_by_log_time() {
+    let mut log = Log::new();
+    let key = CallKey { team: "t".into(), service: "s".into(), key: "k".into() };
+    log.append("r1", Body::CallVoided { key: key.clone() });
+    let ttl = corianderstand_schema::settings::Deployment::default().idempotency_ttl_ms.as_millis();
+    log.now_ms = ttl - 1;
+    log.append("r2", settings("a", 0, "{}", u64::MAX));
+    assert!(log.state.calls.find(&key).is_some());
+    assert!(!log.state.writers.contains_key(&WriterId::from("r1")), "silent for more than a day");
+    log.now_ms = ttl + expiry::SWEEP_MS;
+    log.append("r2", settings("a", 2, "{}", u64::MAX));
+    assert!(log.state.calls.find(&key).is_none());
+}
--- /dev/null
+++ b/scenarios/host-list-emptied-and-flapping.rhai
@@ -0,0 +1,20 @@
+// The host list answers with no hosts at all for some seconds, then with one host of seven, then
+// fails, then is right again. Believing any of that would take every slot away and refuse every
+// caller.
+
+deploy(#{ documents: #{ "system/deployment": #{ lease_ttl_ms: 1500, host_list_lag_ms: 500 } } });
+wait_until("warm", || ask("router-0", "vidrio", "quotes-7b", #{ tokens: 1 }).whole);
+let assigned = status("router-0").slots;
+fault("hosts", #{ empty: true });
+pause(2000);
+check(ask("router-0", "vidrio", "quotes-7b", #{ tokens: 5 }).whole, "served with an empty list");
+fault("hosts", #{});
+unlist(["engine-0", "engine-1", "engine-2", "service-0", "router-1"]);
+pause(1500);
+check(ask("router-1", "vidrio", "quotes-7b", #{ tokens: 5 }).whole, "served with a cut list");
+fault("hosts", #{ down: true });
+pause(1000);
+fault("hosts", #{});
+leaving([]);
+pause(700);
+check(status("router-1").slots == assigned, "no slot has moved");
--- /dev/null
+++ b/scenarios/leaving-host.rhai
@@ -0,0 +1,33 @@
+// The host list shows an engine's host as leaving while a long answer runs on it. New work that
+// went there would be cut when the host is taken; unloading at once would cut the answer.
+
+deploy(#{ engine_options: ["--token-us", "20000", "--load-ms", "100"] });
+let owner = "";
+wait_until("the model has an owner", || {
+    for slot in status("router-0").slots {
+        if slot.model == "design-13b" { owner = slot.target; }
+    }
+    owner != ""
+});
+wait_until("warm", || ask("router-0", "hinokuni", "design-13b", #{ tokens: 1 }).whole);
+let long = begin("router-0", "hinokuni", "design-13b", #{ tokens: 150, stream: true });
+wait_until("it runs", || counters(owner).requests >= 2);
+
+leaving([owner]);
+wait_until("no new work goes there", || {
+    let before = counters(owner).requests;
+    ask("router-1", "hinokuni", "design-13b", #{ tokens: 1 });
+    counters(owner).requests == before
+});
+let answer = finish(long);
+check(answer.whole, "the answer in flight is whole");
+wait_until("its slots are with others", || {
+    let left = 0;
+    for slot in status("router-0").slots {
+        if slot.target == owner { left += 1; }
+    }
+    left == 0
+});
+check(loaded(owner).len() == 0, "nothing is loaded there any more");
+wait_until("another engine serves the model",
+    || ask("router-0", "hinokuni", "design-13b", #{ tokens: 1 }).whole);
--- /dev/null
+++ b/scenarios/order-answers-lost.rhai
@@ -0,0 +1,15 @@
+// An engine carries out orders but the answers are lost. Taking them for failed would load the
+// next model into memory that is in use; taking them for done would send requests to a model that
+// may not be there. The caller notices a load that takes a little longer.
+
+deploy(#{ engines: 1, engine_options: ["--token-us", "1000", "--load-ms", "100",
+    "--memory-mib", "40000"], documents: #{
+    "teams/vidrio/models/quotes-7b": #{ replicas: 1 },
+    "shared/models/design-13b": #{ memory_mib: 30000, versions: ["1"], load_ms: 500,
+        adapter_memory_mib: 500 } } });
+fault("engine-0", #{ lose_order_answers: 2 });
+wait_until("the first model answers", || ask("router-0", "vidrio", "quotes-7b", #{ tokens: 2 }).whole);
+fault("engine-0", #{ lose_order_answers: 2 });
+wait_until("the second answers", || ask("router-1", "hinokuni", "design-13b", #{ tokens: 2 }).whole);
+wait_until("the first again", || ask("router-0", "vidrio", "quotes-7b", #{ tokens: 2 }).whole);
+check(counters("engine-0").over_memory == 0, "no order went beyond the engine's memory");
--- /dev/null
+++ b/scenarios/state-from-a-peer-while-the-log-is-down.rhai
@@ -0,0 +1,16 @@
+// The log service is down when a router's host is replaced. The new process cannot read the
+// settings from the log; without another source it would refuse every caller until the log is
+// back, which may be long.
+
+deploy(#{});
+let version_of = |router| {
+    let state = status(router);
+    if state == () { -1 } else { state.version }
+};
+let version = version_of.call("router-0");
+fault("log", #{ down: true });
+kill("router-1");
+start("router-1");
+wait_until("the new router has the settings", || version_of.call("router-1") == version);
+check(logged("router-1", "state taken from a peer"), "it took them from the other router");
+wait_until("a whole answer", || ask("router-1", "vidrio", "quotes-7b", #{ tokens: 5 }).whole);
--- /dev/null
+++ b/scenarios/state-unavailable-says-why.rhai
@@ -0,0 +1,16 @@
+// The log is down and all routers are replaced at once: nobody has the state. A router that took
+// callers then would refuse their keys as wrong, and they would look for a fault of their own.
+
+deploy(#{});
+fault("log", #{ down: true });
+kill("router-0");
+kill("router-1");
+start("router-0");
+let answer = #{ status: 0 };
+wait_until("the router answers", || {
+    answer = ask("router-0", "vidrio", "quotes-7b", #{ tokens: 5 });
+    answer.status != 0
+});
+check(answer.status == 503 && answer.code == "not_ready", "not ready rather than a wrong key");
+fault("log", #{});
+wait_until("a whole answer", || ask("router-0", "vidrio", "quotes-7b", #{ tokens: 5 }).whole);
