--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -51,12 +51,12 @@
     pub hasher: Hasher,
     /// Hash of the operators' key.
     pub operator_key_hash: SmolStr,
-    /// Other routers.
-    pub peers: Vec<SmolStr>,
     /// Connections held now.
     pub connections: Arc<Connections>,
     /// Longest head, in bytes.
     pub max_header_bytes: usize,
+    /// Other routers.
+    pub peers: Vec<SmolStr>,
     /// Longest body, in bytes.
     pub max_body_bytes: usize,
     /// Longest time a body may take to come.
@@ -112,10 +112,10 @@
     ("operator/apply", POST, Kind::Operator(operator::Kind::Apply)),
     ("operator/get", GET, Kind::Operator(operator::Kind::Get)),
     ("operator/status", GET, Kind::Operator(operator::Kind::Status)),
+    ("operator/state", GET, Kind::Operator(operator::Kind::State)),
     ("operator/ticket", GET, Kind::Operator(operator::Kind::Ticket)),
-    ("operator/history", GET, Kind::Operator(operator::Kind::History)),
     ("operator/spread", GET, Kind::Operator(operator::Kind::Spread)),
-    ("operator/state", GET, Kind::Operator(operator::Kind::State)),
+    ("operator/history", GET, Kind::Operator(operator::Kind::History)),
     ("healthz", GET, Kind::Healthy),
     ("readyz", GET, Kind::Ready),
 ];
@@ -378,6 +378,7 @@
             window: 0,
             traceparent: self.trace.header(),
             as_of: 0,
+            expires_ms: 0,
         };
         (work, open)
     }
--- a/crates/corianderstand_state/src/fold.rs
+++ b/crates/corianderstand_state/src/fold.rs
@@ -45,6 +45,8 @@
     Call,
     /// a part of the checkpoint is missing: another one follows
     Checkpoint,
+    /// as many calls are remembered as may be: come back later
+    CallsFull,
 }
 
 /// Last record folded from one writer.
@@ -156,9 +158,7 @@
             Body::Claimed { key, digest, target } => {
                 self.calls.claim(offset, now, key, *digest, target, record)
             }
-            Body::CallEnded { key, claim, status, body } => {
-                self.calls.end(key, *claim, *status, body)
-            }
+            Body::CallEnded { key, claim, answer } => self.calls.end(key, *claim, answer.as_ref()),
             Body::CallVoided { key } => self.calls.void(offset, now, key),
             Body::TargetGone { epoch, target, target_offset } => {
                 self.lease.check(*epoch, record)?;
--- a/crates/corianderstand_state/src/lib.rs
+++ b/crates/corianderstand_state/src/lib.rs
@@ -21,6 +21,7 @@
 
 pub mod calls;
 pub mod checkpoint;
+pub mod claim;
 pub mod documents;
 pub mod expiry;
 pub mod fold;
--- a/crates/corianderstand_state/tests/rules.rs
+++ b/crates/corianderstand_state/tests/rules.rs
@@ -2,6 +2,7 @@
 
 use corianderstand_schema::records::{Body, CallKey, Change, Record, TargetRecord};
 use corianderstand_state::{
+    calls,
     checkpoint::{self, Collector},
     expiry,
     fold::{Outcome, State, Void},
@@ -186,12 +187,13 @@
     let mut log = Log::new();
     let key = CallKey { team: "t".into(), service: "s".into(), key: "k".into() };
     log.append("r1", Body::CallVoided { key: key.clone() });
-    let ttl = corianderstand_schema::settings::Deployment::default().idempotency_ttl_ms.as_millis();
+    let ttl = calls::KEEP_MS;
     log.now_ms = ttl - 1;
     log.append("r2", settings("a", 0, "{}", u64::MAX));
     assert!(log.state.calls.find(&key).is_some());
     assert!(!log.state.writers.contains_key(&WriterId::from("r1")), "silent for more than a day");
     log.now_ms = ttl + expiry::SWEEP_MS;
-    log.append("r2", settings("a", 2, "{}", u64::MAX));
+    let other = CallKey { key: "other".into(), ..key.clone() };
+    log.append("r2", Body::CallVoided { key: other });
     assert!(log.state.calls.find(&key).is_none());
 }
