Stand-in engine: prefix cache, cache events late and with gaps, lagging reports, priorities

Cause: the stand-in ran any number at once, reported the present and had no cache, so decisions that rely on reports or on cached prefixes met a better engine than the real one. Change: a batch that the more urgent enter first; a prefix cache of limited blocks with numbered events, some of them lost; reports of a set age. The trait gets cache_events with a count of lost ones, and its fake takes reports and events from the test.

--- a/crates/corianderstand_edge/src/engine.rs
+++ b/crates/corianderstand_edge/src/engine.rs
@@ -98,6 +98,49 @@
     pub memory_mib: u64,
 }
 
+/// What happened to a block of an engine's prefix cache.
+#[derives(wire)]
+#[derive(Eq)]
+pub struct CacheEvent {
+    /// Its number; a number that is left out is an event that was lost.
+    pub sequence: u64,
+    /// Hash of the block and all that precedes it.
+    pub block: u64,
+    /// What happened.
+    pub change: CacheChange,
+}
+
+/// What happened to a block.
+#[derives(key)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CacheChange {
+    /// It was taken in.
+    Stored,
+    /// It made room for another.
+    Evicted,
+}
+
+/// Some of an engine's cache events.
+#[derives(wire)]
+#[derive(Default, Eq)]
+pub struct CacheEvents {
+    /// Number to ask from next time.
+    pub next: u64,
+    /// Events in order, late and with gaps.
+    pub events: Vec<CacheEvent>,
+}
+
+impl CacheEvents {
+    /// How many events were lost, if it was asked from `from`.
+    ///
+    /// Whoever follows the events cannot know what the lost ones said, so after a gap its
+    /// picture of the cache may be too full as well as too empty.
+    pub fn lost(&self, from: u64) -> u64 {
+        self.next.saturating_sub(from).saturating_sub(self.events.len() as u64)
+    }
+}
+
 /// A model engine.
 #[async_trait]
 pub trait Engine: Send + Sync {
@@ -109,8 +152,10 @@
     async fn generate(&self, generate: Generate) -> Result<EngineStream, EdgeError>;
     /// Stops a request and gives its memory back.
     async fn cancel(&self, request: &str) -> Result<(), EdgeError>;
-    /// How busy the engine says it is.
+    /// How busy the engine says it is; it lags.
     async fn report(&self) -> Result<EngineReport, EdgeError>;
+    /// Events of its prefix cache from a sequence number; they are late and have gaps.
+    async fn cache_events(&self, from: u64) -> Result<CacheEvents, EdgeError>;
 }
 
 /// Longest pause between two parts of an engine's answer.
@@ -171,6 +216,11 @@
     async fn report(&self) -> Result<EngineReport, EdgeError> {
         self.http.json(self.http.request(reqwest::Method::GET, "/load")).await
     }
+
+    async fn cache_events(&self, from: u64) -> Result<CacheEvents, EdgeError> {
+        let path = format!("/cache-events?from={from}");
+        self.http.json(self.http.request(reqwest::Method::GET, &path)).await
+    }
 }
 
 /// The caller's body with the model as the engine names it, and streaming switched on.
@@ -213,8 +263,8 @@
     //! An engine in memory, for tests.
 
     use super::{
-        BoxStream, EdgeError, Engine, EngineEvent, EngineReport, EngineStream, Generate, Loaded,
-        Order, OrderAction, async_trait,
+        BoxStream, CacheEvent, CacheEvents, EdgeError, Engine, EngineEvent, EngineReport,
+        EngineStream, Generate, Loaded, Order, OrderAction, async_trait,
     };
     use futures::{StreamExt, stream};
     use std::sync::{Mutex, MutexGuard};
@@ -230,6 +280,8 @@
         loaded: Vec<Loaded>,
         orders: Vec<Order>,
         lose_answers: u32,
+        report: EngineReport,
+        cache_events: Vec<CacheEvent>,
     }
 
     impl MemoryEngine {
@@ -242,6 +294,16 @@
             self.lock().orders.clone()
         }
 
+        /// Sets the report, however old it is to be.
+        pub fn set_report(&self, report: EngineReport) {
+            self.lock().report = report;
+        }
+
+        /// Publishes a cache event; leave out numbers for gaps.
+        pub fn publish(&self, event: CacheEvent) {
+            self.lock().cache_events.push(event);
+        }
+
         /// Makes the next orders take effect but lose their answers.
         pub fn lose_answers(&self, count: u32) {
             self.lock().lose_answers = count;
@@ -290,7 +352,14 @@
         }
 
         async fn report(&self) -> Result<EngineReport, EdgeError> {
-            Ok(EngineReport::default())
+            Ok(self.lock().report.clone())
+        }
+
+        async fn cache_events(&self, from: u64) -> Result<CacheEvents, EdgeError> {
+            let events = self.lock().cache_events.clone().into_iter();
+            let events: Vec<CacheEvent> = events.filter(|e| e.sequence >= from).collect();
+            let next = events.last().map_or(from, |event| event.sequence + 1);
+            Ok(CacheEvents { next, events })
         }
     }
 }
--- a/crates/corianderstand_standins/src/engine.rs
+++ b/crates/corianderstand_standins/src/engine.rs
@@ -1,7 +1,9 @@
 //! A stand-in for a model engine: continuous batching at a set rate, limited memory, orders,
-//! cancelling, resuming.
+//! cancelling, resuming, a prefix cache, reports that lag.
 
 use crate::{
+    batch::{Batch, Place},
+    cache::PrefixCache,
     serve::{self, Ask, At, Reply},
     text,
 };
@@ -13,14 +15,18 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
-use tokio::time;
+use tokio::time::{self, Instant};
 
 /// Tokens of an answer that names no `max_tokens`.
 const DEFAULT_TOKENS: u64 = 16;
+/// Time between two notes of how busy the engine is.
+const REPORT_INTERVAL: Duration = Duration::from_millis(20);
+/// Notes kept: twenty seconds of lag.
+const MAX_REPORTS: usize = 1000;
 
 /// How it misbehaves.
 #[derive(Clone, Copy, Deserialize)]
@@ -34,11 +40,14 @@
     lose_order_answers: u32,
     /// Whether nothing is answered any more.
     hang: bool,
+    /// Every how many cache events one is lost; 0 for none.
+    lose_cache_events: u64,
 }
 
 impl Default for Fault {
     fn default() -> Self {
-        Self { slow: 1.0, break_after: None, lose_order_answers: 0, hang: false }
+        let (break_after, lose_order_answers, hang, lose_cache_events) = Default::default();
+        Self { slow: 1.0, break_after, lose_order_answers, hang, lose_cache_events }
     }
 }
 
@@ -52,13 +61,17 @@
     unloads: u64,
     over_memory: u64,
     old_fences: u64,
+    cached_prompt_tokens: u64,
     most_memory_mib: u64,
 }
 
 struct Engine {
     memory_mib: u64,
     token: Duration,
-    batch: u32,
+    prefill: Duration,
+    batch: Arc<Batch>,
+    report_lag: Duration,
+    event_lag: Duration,
     load_ms: u64,
     weights: Option<String>,
     check_fencing: bool,
@@ -66,12 +79,12 @@
     inner: Mutex<Inner>,
 }
 
-#[derive(Default)]
 struct Inner {
+    cache: PrefixCache,
+    reports: VecDeque<(Instant, EngineReport)>,
     loaded: Vec<Loaded>,
     fences: BTreeMap<String, u64>,
     cancelled: BTreeSet<String>,
-    running: u32,
     fault: Fault,
     counters: Counters,
 }
@@ -158,10 +171,12 @@
         Ok(())
     }
 
+    fn is_ready(&self, model: &str) -> bool {
+        self.lock().loaded.iter().any(|l| l.ready && l.weights.to_string() == model)
+    }
+
     fn pace(&self) -> Duration {
-        let inner = self.lock();
-        let crowd = (f64::from(inner.running) / f64::from(self.batch)).max(1.0);
-        self.token.mul_f64(crowd * inner.fault.slow)
+        self.token.mul_f64(self.lock().fault.slow)
     }
 }
 
@@ -191,9 +206,35 @@
     Reply::json(&engine.lock().loaded)
 }
 
+/// How busy the engine was a while ago: the newest report that is old enough.
 async fn load_report(engine: Arc<Engine>, _ask: Ask) -> Reply {
-    let inner = engine.lock();
-    Reply::json(&EngineReport { running: inner.running, waiting: 0, memory_mib: inner.memory() })
+    let mut inner = engine.lock();
+    let old = |(at, _): &(Instant, EngineReport)| at.elapsed() >= engine.report_lag;
+    while inner.reports.len() > 1 && old(&inner.reports[1]) {
+        inner.reports.pop_front();
+    }
+    let report = inner.reports.front().filter(|report| old(report));
+    Reply::json(&report.map(|(_, report)| report.clone()).unwrap_or_default())
+}
+
+/// Notes how busy the engine is, again and again.
+async fn watch_load(engine: Arc<Engine>) {
+    loop {
+        let (running, waiting) = engine.batch.counts();
+        {
+            let mut inner = engine.lock();
+            let report = EngineReport { running, waiting, memory_mib: inner.memory() };
+            inner.reports.push_back((Instant::now(), report));
+            while inner.reports.len() > MAX_REPORTS {
+                inner.reports.pop_front();
+            }
+        }
+        time::sleep(REPORT_INTERVAL).await;
+    }
+}
+
+async fn cache_events(engine: Arc<Engine>, ask: Ask) -> Reply {
+    Reply::json(&engine.lock().cache.events(ask.param("from"), engine.event_lag))
 }
 
 async fn counters(engine: Arc<Engine>, _ask: Ask) -> Reply {
@@ -210,7 +251,10 @@
 async fn fault(engine: Arc<Engine>, ask: Ask) -> Reply {
     match ask.json() {
         Ok(fault) => {
-            engine.lock().fault = fault;
+            let fault: Fault = fault;
+            let mut inner = engine.lock();
+            inner.cache.lose_every = fault.lose_cache_events;
+            inner.fault = fault;
             Reply::text(200, "set")
         }
         Err(reply) => reply,
@@ -226,14 +270,14 @@
     chat: bool,
     position: u64,
     tokens: u64,
+    cached: usize,
     ended: bool,
+    _place: Place,
 }
 
 impl Drop for Generation {
     fn drop(&mut self) {
-        let mut inner = self.engine.lock();
-        inner.running -= 1;
-        inner.cancelled.remove(&self.request);
+        self.engine.lock().cancelled.remove(&self.request);
     }
 }
 
@@ -279,7 +323,8 @@
             "id": self.request,
             "choices": [{ "index": 0, "text": "", "delta": {}, "finish_reason": "length" }],
             "usage": { "prompt_tokens": prompt_tokens, "completion_tokens": self.tokens,
-                "total_tokens": prompt_tokens as u64 + self.tokens },
+                "total_tokens": prompt_tokens as u64 + self.tokens,
+                "prompt_tokens_details": { "cached_tokens": self.cached } },
         });
         let mut end = serve::event(&value.to_string()).to_vec();
         end.extend_from_slice(&serve::event("[DONE]"));
@@ -298,14 +343,21 @@
         Some(prompt) => prompt.as_bytes().to_vec(),
         None => body["messages"].to_string().into_bytes(),
     };
-    {
+    if !engine.is_ready(&model) {
+        return Reply::text(404, "the model is not loaded");
+    }
+    engine.lock().counters.requests += 1;
+    let place = engine.batch.enter(ask.header("x-priority")).await;
+    let cached = {
         let mut inner = engine.lock();
-        let ready = inner.loaded.iter().any(|l| l.ready && l.weights.to_string() == model);
-        if !ready {
-            return Reply::text(404, "the model is not loaded");
-        }
-        inner.running += 1;
-        inner.counters.requests += 1;
+        let cached = inner.cache.take(&model, &prompt);
+        inner.counters.cached_prompt_tokens += cached as u64;
+        cached
+    };
+    let words = prompt.split(u8::is_ascii_whitespace).count();
+    let prefill = engine.prefill * words.saturating_sub(cached) as u32;
+    if !prefill.is_zero() {
+        time::sleep(prefill).await;
     }
     let generation = Generation {
         engine,
@@ -315,7 +367,9 @@
         chat: ask.path.contains("chat"),
         position: ask.header("x-resume-from"),
         tokens: body["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS),
+        cached,
         ended: false,
+        _place: place,
     };
     Reply::Events(stream::unfold(generation, Generation::step).boxed())
 }
@@ -326,13 +380,25 @@
     let engine = Arc::new(Engine {
         memory_mib: serve::opt(matches, "memory-mib", 80_000)?,
         token: Duration::from_micros(serve::opt(matches, "token-us", 5_000)?),
-        batch: serve::opt(matches, "batch", 32)?,
+        prefill: Duration::from_micros(serve::opt(matches, "prefill-us", 0)?),
+        batch: Batch::new(serve::opt(matches, "batch", 32)?),
+        report_lag: Duration::from_millis(serve::opt(matches, "report-lag-ms", 0)?),
+        event_lag: Duration::from_millis(serve::opt(matches, "event-lag-ms", 0)?),
         load_ms: serve::opt(matches, "load-ms", 500)?,
         weights: matches.opt_str("weights"),
         check_fencing: matches.opt_present("check-fencing"),
         client,
-        inner: Mutex::default(),
+        inner: Mutex::new(Inner {
+            cache: PrefixCache::new(serve::opt(matches, "cache-blocks", 4096)?),
+            reports: VecDeque::new(),
+            loaded: Vec::new(),
+            fences: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
+            fault: Fault::default(),
+            counters: Counters::default(),
+        }),
     });
+    tokio::spawn(watch_load(engine.clone()));
     let at = |operation| At(engine.clone(), operation);
     let routes = Router::new()
         .push(Router::with_path("v1/completions").post(at(|s, a| generate(s, a).boxed())))
@@ -340,6 +406,7 @@
         .push(Router::with_path("orders").post(at(|s, a| orders(s, a).boxed())))
         .push(Router::with_path("loaded").get(at(|s, a| loaded(s, a).boxed())))
         .push(Router::with_path("load").get(at(|s, a| load_report(s, a).boxed())))
+        .push(Router::with_path("cache-events").get(at(|s, a| cache_events(s, a).boxed())))
         .push(Router::with_path("counters").get(at(|s, a| counters(s, a).boxed())))
         .push(Router::with_path("cancel/{request}").post(at(|s, a| cancel(s, a).boxed())))
         .push(Router::with_path("fault").post(at(|s, a| fault(s, a).boxed())));
--- a/crates/corianderstand_standins/src/main.rs
+++ b/crates/corianderstand_standins/src/main.rs
@@ -4,6 +4,8 @@
 //! `relay`. Each listens on loopback and can be told over HTTP to misbehave: `POST /fault` with
 //! a JSON object of the fields of its `Fault` type. Not shipped.
 
+mod batch;
+mod cache;
 mod engine;
 mod hosts;
 mod log;
@@ -23,7 +25,11 @@
     options.optopt("", "listen", "address and port to listen on", "ADDRESS");
     options.optopt("", "memory-mib", "engine: memory for models", "MIB");
     options.optopt("", "token-us", "engine: time of one token", "MICROSECONDS");
-    options.optopt("", "batch", "engine: requests that run at full speed", "COUNT");
+    options.optopt("", "batch", "engine: requests that run at once", "COUNT");
+    options.optopt("", "prefill-us", "engine: time of one prompt token", "MICROSECONDS");
+    options.optopt("", "cache-blocks", "engine: blocks of 16 tokens cached", "COUNT");
+    options.optopt("", "event-lag-ms", "engine: how late cache events are", "MILLISECONDS");
+    options.optopt("", "report-lag-ms", "engine: how late load reports are", "MILLISECONDS");
     options.optopt("", "load-ms", "engine: time of one load", "MILLISECONDS");
     options.optopt("", "weights", "engine: base URL of the weight store", "URL");
     options.optflag("", "check-fencing", "engine: refuse old fencing numbers");
--- /dev/null
+++ b/tests/standin_engine.rs
@@ -0,0 +1,140 @@
+//! The stand-in engine through the real adapter: what the outside system is known to do.
+
+use corianderstand::types::weights::Weights;
+use corianderstand_edge::engine::{Engine, EngineEvent, Generate, HttpEngine, Order, OrderAction};
+use futures::StreamExt;
+use rstest::rstest;
+use serde_json::json;
+use std::{path::PathBuf, time::Duration};
+use testbed::{
+    deployment::wait_for,
+    process::{Process, free_addresses},
+};
+
+/// An engine process with one model loaded.
+struct Running {
+    engine: HttpEngine,
+    address: String,
+    dir: PathBuf,
+    _process: Process,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        drop(std::fs::remove_dir_all(&self.dir));
+    }
+}
+
+fn weights() -> Weights {
+    Weights::model("m".into(), "1".into())
+}
+
+async fn start(options: &[&str]) -> Running {
+    let address = free_addresses(1).remove(0);
+    let dir = std::env::temp_dir().join(format!("engine-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("the temporary folder can be written");
+    let mut args = vec!["engine", "--listen", &address, "--load-ms", "1"];
+    args.extend(options);
+    let args: Vec<String> = args.into_iter().map(str::to_owned).collect();
+    let process = Process::start("engine", "corianderstand-standins", &args, &dir);
+    let engine = HttpEngine::new(&format!("http://{address}"));
+    wait_for("the engine", async || engine.loaded().await.is_ok()).await;
+    let order = Order { action: OrderAction::Load, weights: weights(), memory_mib: 100, fence: 1 };
+    engine.order(&order).await.expect("there is room");
+    Running { engine, address, dir, _process: process }
+}
+
+fn generate(prompt: &str, request: &str, priority: u8, tokens: u32) -> Generate {
+    let body = json!({ "prompt": prompt, "max_tokens": tokens }).to_string().into();
+    let (request, traceparent) = (request.into(), "".into());
+    Generate { chat: false, weights: weights(), body, request, priority, position: 0, traceparent }
+}
+
+async fn run(engine: &HttpEngine, generate: Generate) -> u64 {
+    let mut stream = engine.generate(generate).await.expect("the model is loaded");
+    while let Some(event) = stream.next().await {
+        if let EngineEvent::Finished { completion_tokens, .. } = event.expect("it goes on") {
+            return completion_tokens;
+        }
+    }
+    panic!("the answer has no end");
+}
+
+fn block_on<T>(run: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("the system gives a runtime").block_on(run)
+}
+
+/// Cache events come late, and some are lost. Who follows them must be able to tell that its
+/// picture is not whole.
+#[rstest]
+fn cache_events_are_late_and_their_gaps_can_be_seen() {
+    block_on(async {
+        let options = ["--token-us", "0", "--event-lag-ms", "300", "--cache-blocks", "4"];
+        let running = start(&options).await;
+        let engine = &running.engine;
+        let fault = reqwest::Client::new().post(format!("http://{}/fault", running.address));
+        let set = fault.json(&json!({ "lose_cache_events": 3 })).send().await;
+        assert!(set.expect("the engine answers").status().is_success());
+        let prompt = |word: &str| [word; 64].join(" ");
+        assert_eq!(run(engine, generate(&prompt("a"), "r-1", 1, 2)).await, 2);
+        let early = engine.cache_events(1).await.expect("the engine answers");
+        assert!(early.events.is_empty(), "events that are not late: {early:?}");
+        assert_eq!(run(engine, generate(&prompt("a"), "r-2", 1, 2)).await, 2);
+        assert_eq!(run(engine, generate(&prompt("b"), "r-3", 1, 2)).await, 2);
+        // Four blocks in, then four others in and the first four out: twelve events.
+        let mut late = early;
+        wait_for("late events", async || {
+            late = engine.cache_events(1).await.expect("the engine answers");
+            late.next >= 12
+        })
+        .await;
+        assert!(late.lost(1) >= 3, "{late:?}");
+        assert!(late.events.iter().all(|event| event.sequence % 3 != 0));
+        let counters = reqwest::get(format!("http://{}/counters", running.address)).await;
+        let counters: serde_json::Value =
+            counters.expect("the engine answers").json().await.expect("counters are JSON");
+        assert_eq!(counters["cached_prompt_tokens"], 64, "the second prompt was cached");
+    });
+}
+
+/// An engine's report is of a while ago: a router that trusts it sends a burst to an engine that
+/// is full by now.
+#[rstest]
+fn reports_lag_and_urgent_requests_go_first() {
+    block_on(async {
+        let options = ["--token-us", "20000", "--batch", "1", "--report-lag-ms", "200"];
+        let running = start(&options).await;
+        let ask = |request: &'static str, priority, tokens| {
+            let engine = running.engine.clone();
+            tokio::spawn(async move {
+                run(&engine, generate("x", request, priority, tokens)).await;
+                tokio::time::Instant::now()
+            })
+        };
+        let first = ask("r-1", 0, 30);
+        let requests = async || {
+            let url = format!("http://{}/counters", running.address);
+            let counters = reqwest::get(url).await.expect("the engine answers").text().await;
+            serde_json::from_str::<serde_json::Value>(&counters.unwrap_or_default())
+                .unwrap_or_default()["requests"]
+                .as_u64()
+        };
+        wait_for("the first", async || requests().await == Some(1)).await;
+        let report = running.engine.report().await.expect("the engine answers");
+        assert_eq!(report.running, 0, "the report is of a while ago");
+        let low = ask("r-2", 0, 2);
+        wait_for("the second", async || requests().await == Some(2)).await;
+        let urgent = ask("r-3", 2, 2);
+        wait_for("the report", async || {
+            let report = running.engine.report().await.expect("the engine answers");
+            (report.running, report.waiting) == (1, 2)
+        })
+        .await;
+        let (first, low, urgent) = tokio::join!(first, low, urgent);
+        let at = |ended: Result<tokio::time::Instant, _>| ended.expect("the task ends");
+        let (first, low, urgent) = (at(first), at(low), at(urgent));
+        assert!(first < urgent && urgent < low, "the urgent one goes before the earlier low one");
+        assert!(first + Duration::from_millis(10) < low);
+    });
+}
