--- a/crates/corianderstand_agent/src/start.rs
+++ b/crates/corianderstand_agent/src/start.rs
@@ -8,7 +8,10 @@
 };
 use corianderstand_control::{
     appender::Identity,
+    budget::Budget,
+    relay::Tail,
     snapshot::Current,
+    source::Source,
     start::{Control, Handle},
 };
 use corianderstand_decide::agent::{Agent, Limits};
@@ -41,6 +44,8 @@
 const EVENT_RING: usize = 8192;
 /// Time a plain service has to answer one call.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Bytes of records an agent keeps for others: nobody follows an agent.
+const NO_TAIL: usize = 0;
 /// Pause between two tries at start.
 const START_PAUSE: Duration = Duration::from_millis(100);
 /// Time the log has to decide an announcement before it is tried again.
@@ -160,6 +165,16 @@
     builder.spawn(run).map(drop).map_err(AgentError::Thread)
 }
 
+/// Where this agent reads the log: from a router, if it was given some and a token.
+fn source(settings: &AgentSettings, clock: &SharedClock) -> Source {
+    let log = Arc::new(HttpLog::new(&settings.log_url, settings.timing.log_poll_ms.0));
+    let budget = Arc::new(Budget::new(clock.clone()));
+    let tail = Tail::new(clock.clone(), budget, NO_TAIL);
+    let token = settings.peer_token.clone().unwrap_or_default();
+    let peers = if token.is_empty() { &[] } else { settings.peers.as_slice() };
+    Source::for_process(log, &settings.name, None, peers, &token, tail)
+}
+
 fn start_control(
     settings: &AgentSettings,
     incarnation: u64,
@@ -168,7 +183,7 @@
     let poll = settings.timing.log_poll_ms.0;
     let control = Control {
         identity: Identity { writer: settings.name.clone(), incarnation },
-        log: Arc::new(HttpLog::new(&settings.log_url, poll)),
+        log: Arc::new(source(settings, &clock)),
         hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
         clock,
         log_poll: poll,
--- /dev/null
+++ b/crates/corianderstand_control/src/budget.rs
@@ -0,0 +1,225 @@
+//! What control traffic may cost one process: a limit in bytes and messages a second.
+//!
+//! Made for two loads. A burst of appends would wake every follower for each record: beyond the
+//! limit a follower waits a little before it reads again, and the records gather in one page.
+//! A failed relay sends its followers to the next one, which would spend its host's network and
+//! processor on them: beyond the limit it refuses, and they read elsewhere. Requests of callers
+//! are never counted here, and what is in the log is never dropped.
+
+#[cfg(test)]
+mod tests;
+
+use corianderstand_derives::derives;
+use corianderstand_types::clock::SharedClock;
+use std::{
+    sync::{Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+/// A rate of control traffic.
+#[derives(key)]
+pub struct Rate {
+    /// Bytes a second, both ways.
+    pub bytes: u64,
+    /// Messages a second.
+    pub messages: u64,
+}
+
+/// What one process may spend on control: 16 KB a second, as its users ask.
+pub const NODE: Rate = Rate { bytes: 16_000, messages: 128 };
+/// The part of it that serving followers may take; the rest is for this process's own reading,
+/// its appends and its heartbeats.
+pub const SERVE: Rate = Rate { bytes: 11_000, messages: 64 };
+/// How many seconds' worth may be spent at once. A burst of settings or the followers of a
+/// relay that died fit; more would be felt by callers on the same host.
+pub const BURST_SECONDS: u64 = 4;
+/// Longest time that a read is put off. A change of settings must be in force within seconds
+/// on every process, over at most three reads one after another.
+pub const MAX_DELAY: Duration = Duration::from_millis(500);
+
+/// What traffic is for.
+#[derives(key)]
+pub enum Duty {
+    /// Reading the log or a relay.
+    Follow,
+    /// Giving records to followers.
+    Serve,
+    /// Heartbeats and greetings on connections.
+    Link,
+}
+
+/// What has been spent since the start, for metrics.
+#[derives(key)]
+#[derive(Default)]
+pub struct Spent {
+    /// Messages.
+    pub messages: u64,
+    /// Bytes.
+    pub bytes: u64,
+    /// Times that something was put off or refused.
+    pub limited: u64,
+}
+
+/// All that has been spent, by duty.
+#[derives(key)]
+#[derive(Default)]
+pub struct Totals {
+    /// Reading.
+    pub follow: Spent,
+    /// Giving to followers.
+    pub serve: Spent,
+    /// Heartbeats.
+    pub link: Spent,
+}
+
+/// A token bucket that may go into debt, as the size of an answer is known only afterwards.
+#[derive(Debug)]
+struct Bucket {
+    rate: Rate,
+    bytes: f64,
+    messages: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    fn new(rate: Rate, now: Instant) -> Self {
+        let burst = BURST_SECONDS as f64;
+        Self {
+            rate,
+            bytes: rate.bytes as f64 * burst,
+            messages: rate.messages as f64 * burst,
+            at: now,
+        }
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.at = now;
+        let (bytes, messages) = (self.rate.bytes as f64, self.rate.messages as f64);
+        let burst = BURST_SECONDS as f64;
+        self.bytes = (self.bytes + bytes * passed).min(bytes * burst);
+        self.messages = (self.messages + messages * passed).min(messages * burst);
+    }
+
+    fn spend(&mut self, bytes: u64) {
+        self.bytes -= bytes as f64;
+        self.messages -= 1.0;
+    }
+
+    /// Time until nothing is owed.
+    fn owed(&self) -> Duration {
+        let bytes = -self.bytes / self.rate.bytes as f64;
+        let messages = (1.0 - self.messages) / self.rate.messages as f64;
+        Duration::from_secs_f64(bytes.max(messages).max(0.0))
+    }
+}
+
+#[derive(Debug)]
+struct Inner {
+    node: Bucket,
+    serve: Bucket,
+    totals: Totals,
+}
+
+/// The budget of one process, shared by its threads.
+#[derive(Debug)]
+pub struct Budget {
+    clock: BudgetClock,
+    inner: Mutex<Inner>,
+}
+
+impl Inner {
+    fn spend(&mut self, duty: Duty, bytes: u64) {
+        self.node.spend(bytes);
+        if duty == Duty::Serve {
+            self.serve.spend(bytes);
+        }
+        let spent = self.totals.of(duty);
+        spent.messages += 1;
+        spent.bytes += bytes;
+    }
+}
+
+struct BudgetClock(SharedClock);
+
+impl std::fmt::Debug for BudgetClock {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("BudgetClock")
+    }
+}
+
+impl Budget {
+    /// A full budget.
+    pub fn new(clock: SharedClock) -> Self {
+        let now = clock.now();
+        let (node, serve) = (Bucket::new(NODE, now), Bucket::new(SERVE, now));
+        let inner = Mutex::new(Inner { node, serve, totals: Totals::default() });
+        Self { clock: BudgetClock(clock), inner }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        let mut inner = self.inner.lock().expect("no holder of this lock panics");
+        let now = self.clock.0.now();
+        inner.node.refill(now);
+        inner.serve.refill(now);
+        inner
+    }
+
+    /// Counts one message that has been sent or received.
+    pub fn spend(&self, duty: Duty, bytes: u64) {
+        self.lock().spend(duty, bytes);
+    }
+
+    /// How long to put off the next read; none while the budget lasts.
+    ///
+    /// A read is put off, never left out: what is in the log has to be folded everywhere.
+    pub fn read_delay(&self) -> Duration {
+        let mut inner = self.lock();
+        let delay = inner.node.owed().min(MAX_DELAY);
+        if !delay.is_zero() {
+            inner.totals.follow.limited += 1;
+        }
+        delay
+    }
+
+    /// Counts further bytes of a message that was counted before.
+    pub fn add(&self, duty: Duty, bytes: u64) {
+        let mut inner = self.lock();
+        inner.node.bytes -= bytes as f64;
+        if duty == Duty::Serve {
+            inner.serve.bytes -= bytes as f64;
+        }
+        inner.totals.of(duty).bytes += bytes;
+    }
+
+    /// Admits one read of a follower and counts it with the `bytes` that it costs at the least.
+    ///
+    /// # Errors
+    ///
+    /// The time after which the follower may come back, if the budget is spent.
+    pub fn admit_follower(&self, bytes: u64) -> Result<(), Duration> {
+        let mut inner = self.lock();
+        let owed = inner.serve.owed().max(inner.node.owed());
+        if owed.is_zero() {
+            inner.spend(Duty::Serve, bytes);
+            return Ok(());
+        }
+        inner.totals.serve.limited += 1;
+        Err(owed)
+    }
+
+    /// What has been spent since the start.
+    pub fn totals(&self) -> Totals {
+        self.lock().totals
+    }
+}
+
+impl Totals {
+    const fn of(&mut self, duty: Duty) -> &mut Spent {
+        match duty {
+            Duty::Follow => &mut self.follow,
+            Duty::Serve => &mut self.serve,
+            Duty::Link => &mut self.link,
+        }
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_control/src/budget/tests.rs
@@ -0,0 +1,67 @@
+//! The budget under bursts.
+
+use super::{BURST_SECONDS, Budget, Duty, MAX_DELAY, NODE, SERVE};
+use corianderstand_types::clock::ManualClock;
+use rstest::rstest;
+use std::{sync::Arc, time::Duration};
+
+/// Seconds over which the storms last.
+const SECONDS: u64 = 60;
+
+fn budget() -> (ManualClock, Budget) {
+    let clock = ManualClock::default();
+    let budget = Budget::new(Arc::new(clock.clone()));
+    (clock, budget)
+}
+
+/// Two relays of a place die and a thousand followers turn to the third, each reading again as
+/// soon as it was refused. Callers on the third relay's host would find it slow, as its network
+/// and processor go into control traffic.
+#[rstest]
+#[case::small(400)]
+#[case::large(30_000)]
+fn a_large_fan_in_stays_within_the_budget(#[case] bytes: u64) {
+    let (clock, budget) = budget();
+    for _ in 0..SECONDS * 10 {
+        for _ in 0..1000 {
+            if budget.admit_follower(400).is_ok() {
+                budget.add(Duty::Serve, bytes - 400);
+            }
+        }
+        clock.advance(Duration::from_millis(100));
+    }
+    let spent = budget.totals().serve;
+    let most = SERVE.bytes * (SECONDS + BURST_SECONDS) + bytes;
+    assert!(spent.bytes <= most, "{} bytes served, at most {most}", spent.bytes);
+    assert!(spent.messages <= SERVE.messages * (SECONDS + BURST_SECONDS) + 1);
+    assert!(spent.limited > 0, "refusals are counted");
+    assert!(spent.bytes >= SERVE.bytes * SECONDS / 2, "the budget is used, not shut");
+}
+
+/// A storm of appends, each of which wakes all followers. Without the delay a process would
+/// read once for each record, and all its time would go into reading.
+#[rstest]
+fn a_storm_of_records_is_read_in_few_messages() {
+    let (clock, budget) = budget();
+    let (end, began) = (Duration::from_secs(SECONDS), clock.elapsed());
+    while clock.elapsed() - began < end {
+        let delay = budget.read_delay();
+        clock.advance(delay + Duration::from_millis(1));
+        budget.spend(Duty::Follow, 400);
+    }
+    let spent = budget.totals().follow;
+    let allowed = SECONDS + BURST_SECONDS;
+    assert!(spent.messages <= NODE.messages * allowed + 1, "{} reads", spent.messages);
+    assert!(spent.bytes <= NODE.bytes * allowed + 400, "{} bytes", spent.bytes);
+    assert!(spent.limited > 0, "delays are counted");
+}
+
+/// A single page that is larger than the budget of many seconds puts the budget deep into debt.
+/// Changes of settings that follow it must still be in force within seconds.
+#[rstest]
+fn a_debt_never_puts_a_read_off_for_long() {
+    let (_clock, budget) = budget();
+    budget.spend(Duty::Follow, NODE.bytes * 1000);
+    assert_eq!(budget.read_delay(), MAX_DELAY);
+    assert!(budget.admit_follower(400).is_err(), "followers read elsewhere meanwhile");
+}
--- a/crates/corianderstand_control/src/lib.rs
+++ b/crates/corianderstand_control/src/lib.rs
@@ -12,9 +12,12 @@
 //! ```
 
 pub mod appender;
+pub mod budget;
 pub mod duty;
 pub mod follower;
 pub mod hosts;
 pub mod metrics;
+pub mod relay;
 pub mod snapshot;
+pub mod source;
 pub mod start;
--- /dev/null
+++ b/crates/corianderstand_control/src/relay.rs
@@ -0,0 +1,197 @@
+//! Gives the records that this process has read to processes that follow it.
+//!
+//! At a thousand processes the log cannot have a thousand readers: each record would leave it a
+//! thousand times. A few routers of each place read the log; the other routers read from those,
+//! and agents from routers. A router keeps the newest records as it read them, in bounded
+//! memory, and answers the same reads as the log does. It decides nothing: whoever follows it
+//! folds the same records in the same order.
+//!
+//! [`crate::source`] is the other end: it chooses whom to follow.
+
+#[cfg(test)]
+mod tests;
+
+use crate::budget::{Budget, Duty};
+use corianderstand_edge::log::{Entry, Page};
+use corianderstand_types::clock::SharedClock;
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+use tokio::{sync::watch, time};
+
+/// Path under which a router answers reads, in the place of the log's base URL.
+pub const RELAY_PATH: &str = "/internal";
+/// Bytes of records kept; older ones are read from the log. At the size to design for it holds
+/// several hours of changes, and minutes of a burst of calls that may not be repeated.
+pub const MAX_TAIL_BYTES: usize = 4 * 1024 * 1024;
+/// Longest time since the log itself answered, beyond which a relay says that it is stale.
+///
+/// A relay that is cut off from the log goes on answering, and its followers would take
+/// silence for quiet. They must notice within a few seconds. A read of the log waits for a
+/// second, and one may be late.
+pub const MAX_AGE: Duration = Duration::from_millis(2500);
+/// Relays between the log and a process: one that reads the log, and one that reads that one.
+pub const MAX_HOPS: u8 = 2;
+/// Longest wait that a follower may ask for.
+const MAX_WAIT: Duration = Duration::from_secs(2);
+/// Bytes of a request and the head of its answer over HTTP, as measured by `tools/capacity`.
+pub const HTTP_BYTES: u64 = 330;
+/// Bytes that JSON adds to each record, besides its base64.
+const ENTRY_BYTES: u64 = 48;
+
+/// Why a relay gives no page.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum RelayError {
+    /// the log has not answered this router for a while: follow another one, or read the log
+    Stale,
+    /// the records asked for are not kept here any more: read the log
+    Gone,
+    /// too many processes follow this router: come back in {0:?}, or follow another one
+    Busy(Duration),
+}
+
+impl std::error::Error for RelayError {}
+
+#[derive(Debug, Default)]
+struct Inner {
+    entries: VecDeque<Entry>,
+    bytes: usize,
+    next: u64,
+    heard: Option<Heard>,
+}
+
+/// The last time that the log answered, directly or over another relay.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Instant,
+    log_ms: u64,
+    hops: u8,
+}
+
+/// The newest records, for followers.
+#[derive(Clone)]
+pub struct Tail {
+    inner: Arc<Mutex<Inner>>,
+    grown: watch::Sender<u64>,
+    clock: SharedClock,
+    budget: Arc<Budget>,
+    max_bytes: usize,
+}
+
+impl std::fmt::Debug for Tail {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.inner.fmt(f)
+    }
+}
+
+/// Bytes of a page on the wire, and of the request for it.
+pub fn wire_bytes(page: &Page) -> u64 {
+    let records = page.entries.iter().map(|entry| entry.data.len() as u64 * 4 / 3 + ENTRY_BYTES);
+    HTTP_BYTES + records.sum::<u64>()
+}
+
+impl Tail {
+    /// An empty tail that keeps up to `max_bytes` of records.
+    pub fn new(clock: SharedClock, budget: Arc<Budget>, max_bytes: usize) -> Self {
+        Self { inner: Arc::default(), grown: watch::Sender::new(0), clock, budget, max_bytes }
+    }
+
+    /// Time.
+    pub const fn clock(&self) -> &SharedClock {
+        &self.clock
+    }
+
+    /// The budget of this process.
+    pub const fn budget(&self) -> &Arc<Budget> {
+        &self.budget
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of this lock panics")
+    }
+
+    fn next(&self) -> u64 {
+        self.lock().next
+    }
+
+    /// Takes what this process has just read, if it continues what is kept.
+    pub fn take(&self, page: &Page) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let age = Duration::from_millis(page.age_ms);
+        let at = now.checked_sub(age).unwrap_or(now);
+        inner.heard = Some(Heard { at, log_ms: page.now_ms, hops: page.hops });
+        for entry in &page.entries {
+            inner.push(entry, self.max_bytes);
+        }
+        if inner.entries.is_empty() {
+            inner.next = inner.next.max(page.next);
+        }
+        let next = inner.next;
+        drop(inner);
+        self.grown.send_if_modified(|known| std::mem::replace(known, next) != next);
+    }
+
+    /// Records from an offset, after waiting up to `wait` for the first.
+    ///
+    /// # Errors
+    ///
+    /// See [`RelayError`].
+    pub async fn read(&self, from: u64, max: u32, wait: Duration) -> Result<Page, RelayError> {
+        // Paid before the wait: a thousand readers that are let in to wait would all be woken,
+        // and paid for, by the same record.
+        self.budget.admit_follower(HTTP_BYTES).map_err(RelayError::Busy)?;
+        let mut grown = self.grown.subscribe();
+        let waited = time::timeout(wait.min(MAX_WAIT), async {
+            while self.next() <= from && grown.changed().await.is_ok() {}
+        });
+        // Without a record in time the page is empty, which tells that nothing has come.
+        let _in_time = waited.await;
+        let page = self.page(from, max)?;
+        self.budget.add(Duty::Serve, wire_bytes(&page) - HTTP_BYTES);
+        Ok(page)
+    }
+
+    fn page(&self, from: u64, max: u32) -> Result<Page, RelayError> {
+        let now = self.clock.now();
+        let inner = self.lock();
+        let heard = inner.heard.ok_or(RelayError::Stale)?;
+        let oldest = inner.entries.front().map_or(inner.next, |entry| entry.offset);
+        if from < oldest {
+            return Err(RelayError::Gone);
+        }
+        let entries = inner.entries.iter().skip((from - oldest) as usize).take(max as usize);
+        let entries: Vec<Entry> = entries.cloned().collect();
+        let age = now.saturating_duration_since(heard.at);
+        // What is known is given even if the log is down, so that a change which one process
+        // has read comes into force on all; only silence must not pass for quiet.
+        if entries.is_empty() && age > MAX_AGE {
+            return Err(RelayError::Stale);
+        }
+        let (age_ms, hops) = (age.as_millis() as u64, heard.hops + 1);
+        let now_ms = heard.log_ms + age_ms;
+        Ok(Page { oldest, next: inner.next, now_ms, entries, age_ms, hops })
+    }
+}
+
+impl Inner {
+    fn push(&mut self, entry: &Entry, max_bytes: usize) {
+        if !self.entries.is_empty() && entry.offset < self.next {
+            return;
+        }
+        // A gap means that state came from a checkpoint; what was kept does not lead there.
+        if entry.offset != self.next {
+            self.entries.clear();
+            self.bytes = 0;
+        }
+        self.next = entry.offset + 1;
+        self.bytes += entry.data.len() + size_of::<Entry>();
+        self.entries.push_back(entry.clone());
+        while self.bytes > max_bytes {
+            let Some(oldest) = self.entries.pop_front() else { break };
+            self.bytes -= oldest.data.len() + size_of::<Entry>();
+        }
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_control/src/relay/tests.rs
@@ -0,0 +1,125 @@
+//! What a relay gives, and what it must not.
+
+use super::{HTTP_BYTES, MAX_AGE, RelayError, Tail};
+use crate::budget::{BURST_SECONDS, Budget, SERVE};
+use corianderstand_edge::log::{Entry, Page};
+use corianderstand_types::clock::ManualClock;
+use rstest::rstest;
+use std::{sync::Arc, time::Duration};
+
+const MANY: u32 = 1024;
+
+fn block_on<T>(run: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("the system gives a runtime").block_on(run)
+}
+
+fn tail(max_bytes: usize) -> (ManualClock, Tail) {
+    let clock = ManualClock::default();
+    clock.advance(Duration::from_secs(100));
+    let shared = Arc::new(clock.clone());
+    let budget = Arc::new(Budget::new(shared.clone()));
+    (clock, Tail::new(shared, budget, max_bytes))
+}
+
+fn page(offsets: std::ops::Range<u64>) -> Page {
+    let next = offsets.end;
+    let entry = |offset| Entry { offset, at_ms: offset, data: vec![0; 100] };
+    let entries = offsets.map(entry).collect();
+    Page { oldest: 1, next, now_ms: 5000, entries, ..Page::default() }
+}
+
+async fn offsets(tail: &Tail, from: u64) -> Result<Vec<u64>, RelayError> {
+    let page = tail.read(from, MANY, Duration::ZERO).await?;
+    Ok(page.entries.iter().map(|entry| entry.offset).collect())
+}
+
+#[rstest]
+fn records_are_given_in_order_from_any_offset_kept() {
+    let (_clock, tail) = tail(1 << 20);
+    tail.take(&page(5..9));
+    tail.take(&page(9..12));
+    block_on(async {
+        assert_eq!(offsets(&tail, 5).await, Ok((5..12).collect()));
+        assert_eq!(offsets(&tail, 10).await, Ok(vec![10, 11]));
+        assert_eq!(offsets(&tail, 12).await, Ok(vec![]));
+        assert_eq!(offsets(&tail, 4).await, Err(RelayError::Gone));
+    });
+}
+
+#[rstest]
+fn a_waiting_reader_gets_a_record_as_soon_as_it_comes() {
+    let (_clock, tail) = tail(1 << 20);
+    tail.take(&page(1..2));
+    block_on(async {
+        let reader = tail.clone();
+        let read = tokio::spawn(async move { reader.read(2, MANY, Duration::from_secs(2)).await });
+        tokio::task::yield_now().await;
+        tail.take(&page(2..3));
+        let page = read.await.expect("the task ends").expect("a page");
+        assert_eq!(page.entries.len(), 1);
+    });
+}
+
+#[rstest]
+fn memory_is_bounded_and_what_is_gone_is_said_to_be_gone() {
+    let (_clock, tail) = tail(10_000);
+    tail.take(&page(1..1000));
+    block_on(async {
+        assert_eq!(offsets(&tail, 1).await, Err(RelayError::Gone));
+        let kept = offsets(&tail, 990).await.expect("the newest are kept");
+        assert_eq!(kept.last(), Some(&999));
+    });
+}
+
+/// A relay loses its way to the log but not to its followers. They would take its silence for
+/// quiet, and an accepted change would not come into force on them.
+#[rstest]
+fn a_relay_cut_off_from_the_log_gives_what_it_has_and_then_says_that_it_is_stale() {
+    let (clock, tail) = tail(1 << 20);
+    tail.take(&page(1..3));
+    clock.advance(MAX_AGE * 2);
+    block_on(async {
+        assert_eq!(offsets(&tail, 1).await, Ok(vec![1, 2]), "known records are passed on");
+        assert_eq!(offsets(&tail, 3).await, Err(RelayError::Stale));
+    });
+}
+
+/// A relay that had fallen behind takes its state from a checkpoint and reads on from there. A
+/// follower that was given records across the gap would fold a state that nobody else has.
+#[rstest]
+fn no_page_reaches_over_a_gap() {
+    let (_clock, tail) = tail(1 << 20);
+    tail.take(&page(1..5));
+    tail.take(&page(50..52));
+    block_on(async {
+        assert_eq!(offsets(&tail, 3).await, Err(RelayError::Gone));
+        assert_eq!(offsets(&tail, 50).await, Ok(vec![50, 51]));
+    });
+}
+
+/// A thousand processes follow one relay after the others died. All wait for the next record,
+/// and one record would wake them all: its host's network would be taken from the callers.
+#[rstest]
+fn a_large_fan_in_is_refused_beyond_the_budget() {
+    let (_clock, tail) = tail(1 << 20);
+    tail.take(&page(1..3));
+    block_on(async {
+        let read = |_| {
+            let tail = tail.clone();
+            tokio::spawn(async move { tail.read(3, MANY, Duration::from_secs(2)).await })
+        };
+        let reads: Vec<_> = (0..1000).map(read).collect();
+        tokio::task::yield_now().await;
+        tail.take(&page(3..4));
+        let mut served = 0;
+        for read in reads {
+            match read.await.expect("the task ends") {
+                Ok(_) => served += 1,
+                Err(error) => assert!(matches!(error, RelayError::Busy(_)), "{error}"),
+            }
+        }
+        let most = (SERVE.bytes * BURST_SECONDS / HTTP_BYTES) as usize;
+        assert!((10..=most + 1).contains(&served), "{served} reads served at once");
+    });
+}
--- /dev/null
+++ b/crates/corianderstand_control/src/source.rs
@@ -0,0 +1,252 @@
+//! Chooses whom to read records from: the log, or a router that relays it.
+//!
+//! Which routers read the log follows from the addresses of the routers of a place alone, so it
+//! needs no agreement. Each process judges what it is given by two numbers that travel with
+//! it: how long ago the log itself answered, and over how many relays the page came. Settings
+//! that differ for a while, even so that routers follow each other in a circle, are noticed by
+//! these, and the process reads the log until a relay is good again.
+//!
+//! A change is in force within seconds whatever fails. A relay that is dead is left at once, a
+//! silent one after [`PEER_WAIT`] + [`PEER_GRACE`], a stale one when it says so or after
+//! [`relay::MAX_AGE`]; after [`TRIED`] of them the log itself is read. With [`relay::MAX_HOPS`]
+//! relays on the way, each silent at the same moment, that makes six seconds.
+
+#[cfg(test)]
+mod tests;
+
+use crate::{
+    budget::{Budget, Duty},
+    relay::{self, Tail},
+};
+use async_trait::async_trait;
+use corianderstand_edge::{
+    EdgeError,
+    log::{HttpLog, LogService, Page},
+};
+use corianderstand_types::{clock::SharedClock, names::WriterId};
+use rand::RngExt;
+use smol_str::SmolStr;
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+use tokio::time;
+use xxhash_rust::xxh3;
+
+/// Routers among the peers that read the log: one may be lost and one restarted at the same
+/// time, and the log has a dozen readers for four places.
+pub const LOG_READERS: usize = 3;
+/// Relays that are tried before the log.
+pub const TRIED: usize = 2;
+/// Longest wait of one read from a relay.
+pub const PEER_WAIT: Duration = Duration::from_secs(1);
+/// Time a relay's answer may take beyond that.
+pub const PEER_GRACE: Duration = Duration::from_millis(500);
+/// How long a relay that failed is left alone, within a factor of a half up and down.
+const PEER_REST: Duration = Duration::from_secs(5);
+/// How long the log is left alone after it failed, by a process that normally follows a relay.
+///
+/// Made for an outage of the log: every relay is stale then, and a thousand processes that ask
+/// the log several times a second would keep it down when it comes back.
+const LOG_REST: Duration = Duration::from_secs(2);
+
+/// A router that may be followed.
+pub struct Peer {
+    /// Its address, for the order of choice.
+    pub address: SmolStr,
+    /// Reads from it.
+    pub reads: Arc<dyn LogService>,
+}
+
+impl Peer {
+    /// A router at an address, which knows this process by `token`.
+    pub fn new(address: &SmolStr, token: &str) -> Self {
+        let base = format!("http://{address}{}", relay::RELAY_PATH);
+        let reads = Arc::new(HttpLog::new(&base, PEER_WAIT).with_bearer(token));
+        Self { address: address.clone(), reads }
+    }
+}
+
+struct Candidate {
+    peer: Peer,
+    rests_until: Option<Instant>,
+    asked_at: Option<Instant>,
+}
+
+/// Reads from relays where there are any, and from the log; appends to the log. What it reads
+/// it puts into this process's own tail, for others to follow.
+pub struct Source {
+    log: Arc<dyn LogService>,
+    tail: Tail,
+    candidates: Mutex<Vec<Candidate>>,
+    log_rests_until: Mutex<Option<Instant>>,
+    clock: SharedClock,
+    budget: Arc<Budget>,
+}
+
+impl Candidate {
+    fn rest(&mut self, now: Instant) {
+        let spread = rand::rng().random_range(0.5..1.5);
+        self.rests_until = Some(now + PEER_REST.mul_f64(spread));
+        self.asked_at = None;
+    }
+}
+
+/// Order of routers that is the same on every process.
+fn rank(address: &str) -> u64 {
+    xxh3::xxh3_64(address.as_bytes())
+}
+
+/// Order of routers for one follower, so that followers spread over them.
+fn preference(follower: &str, address: &str) -> u64 {
+    xxh3::xxh3_64_with_seed(address.as_bytes(), rank(follower))
+}
+
+/// Addresses that a process follows, in order; none if it reads the log.
+///
+/// `own` is its address if it is a router. Routers follow those that read the log; agents
+/// follow the others, so that those which read the log serve only routers.
+pub fn choose(name: &WriterId, own: Option<&SmolStr>, peers: &[SmolStr]) -> Vec<SmolStr> {
+    let mut all: Vec<&SmolStr> = peers.iter().chain(own).collect();
+    all.sort_by_key(|address| (rank(address), (*address).clone()));
+    all.dedup();
+    let readers = all.len().min(LOG_READERS);
+    let (readers, others) = all.split_at(readers);
+    if own.is_some_and(|own| readers.contains(&own)) {
+        return Vec::new();
+    }
+    let follows = if own.is_some() || others.len() < TRIED { readers } else { others };
+    let mut follows: Vec<SmolStr> = follows.iter().map(|address| (*address).clone()).collect();
+    follows.sort_by_key(|address| preference(&name.0, address));
+    follows.truncate(TRIED);
+    follows
+}
+
+impl Source {
+    /// Reads from `peers` in order, then from `log`.
+    pub fn new(log: Arc<dyn LogService>, peers: Vec<Peer>, tail: Tail) -> Self {
+        let (clock, budget) = (tail.clock().clone(), tail.budget().clone());
+        let candidates =
+            peers.into_iter().map(|peer| Candidate { peer, rests_until: None, asked_at: None });
+        let candidates = Mutex::new(candidates.collect());
+        Self { log, tail, candidates, log_rests_until: Mutex::new(None), clock, budget }
+    }
+
+    /// A source for one process: `own` is its address if it is a router, `token` proves it to
+    /// the routers at `peers`.
+    pub fn for_process(
+        log: Arc<dyn LogService>,
+        name: &WriterId,
+        own: Option<&SmolStr>,
+        peers: &[SmolStr],
+        token: &str,
+        tail: Tail,
+    ) -> Self {
+        let follows = choose(name, own, peers);
+        tracing::info!(?follows, "relays of the log; with none the log itself is read");
+        let peers = follows.iter().map(|address| Peer::new(address, token)).collect();
+        Self::new(log, peers, tail)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Candidate>> {
+        self.candidates.lock().expect("no holder of this lock panics")
+    }
+
+    /// The first relay that does not rest, noted as asked.
+    ///
+    /// A read may be dropped half way, as the follower also waits for other news. Without the
+    /// note a silent relay would be asked anew each time and its silence never be noticed.
+    fn candidate(&self) -> Option<(usize, Arc<dyn LogService>)> {
+        let now = self.clock.now();
+        let mut candidates = self.lock();
+        for (index, candidate) in candidates.iter_mut().enumerate() {
+            let silent = candidate.asked_at.is_some_and(|at| now >= at + PEER_WAIT + PEER_GRACE);
+            if silent {
+                candidate.rest(now);
+            }
+            if candidate.rests_until.is_none_or(|until| now >= until) {
+                candidate.asked_at.get_or_insert(now);
+                return Some((index, candidate.peer.reads.clone()));
+            }
+        }
+        None
+    }
+
+    fn answered(&self, index: usize, good: bool) {
+        let mut candidates = self.lock();
+        candidates[index].asked_at = None;
+        if !good {
+            candidates[index].rest(self.clock.now());
+        }
+    }
+
+    async fn read_relay(&self, from: u64, max: u32, wait: Duration) -> Option<Page> {
+        while let Some((index, relay)) = self.candidate() {
+            let read = relay.read(from, max, wait.min(PEER_WAIT));
+            let answer = time::timeout(PEER_WAIT + PEER_GRACE, read).await;
+            let gone = matches!(answer, Ok(Err(EdgeError::Status { status: GONE, .. })));
+            let page = answer.ok().and_then(Result::ok).filter(|page| is_good(page, from));
+            self.answered(index, gone || page.is_some());
+            if gone || page.is_some() {
+                return page;
+            }
+            tracing::info!(relay = index, "relay left for a while: dead, silent, stale or behind");
+        }
+        None
+    }
+
+    async fn read_log(&self, from: u64, max: u32, wait: Duration) -> Result<Page, EdgeError> {
+        self.wait_for_log().await;
+        let page = self.log.read(from, max, wait).await;
+        let follows_relays = !self.lock().is_empty();
+        if page.is_err() && follows_relays {
+            let spread = rand::rng().random_range(0.5..1.5);
+            *self.log_rests() = Some(self.clock.now() + LOG_REST.mul_f64(spread));
+        }
+        page
+    }
+
+    fn log_rests(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.log_rests_until.lock().expect("no holder of this lock panics")
+    }
+
+    async fn wait_for_log(&self) {
+        let until = *self.log_rests();
+        if let Some(until) = until {
+            time::sleep(until.saturating_duration_since(self.clock.now())).await;
+        }
+    }
+}
+
+/// Status with which a relay says that it does not keep what was asked for.
+pub const GONE: u16 = 410;
+
+/// Whether a page leads on from `from`, comes over few enough relays and is fresh.
+///
+/// A relay that is behind this process would make it take old state for the newest.
+fn is_good(page: &Page, from: u64) -> bool {
+    let fresh = !page.entries.is_empty() || Duration::from_millis(page.age_ms) <= relay::MAX_AGE;
+    page.oldest <= from && page.next >= from && page.hops <= relay::MAX_HOPS && fresh
+}
+
+#[async_trait]
+impl LogService for Source {
+    async fn append(&self, records: Vec<Vec<u8>>) -> Result<u64, EdgeError> {
+        self.log.append(records).await
+    }
+
+    async fn read(&self, from: u64, max: u32, wait: Duration) -> Result<Page, EdgeError> {
+        time::sleep(self.budget.read_delay()).await;
+        let page = match self.read_relay(from, max, wait).await {
+            Some(page) => page,
+            None => self.read_log(from, max, wait).await?,
+        };
+        self.tail.take(&page);
+        // Catching up at a start is a single transfer, not a rate: charged to the budget, it
+        // would keep a new process from its settings for minutes.
+        if page.entries.len() < max as usize {
+            self.budget.spend(Duty::Follow, relay::wire_bytes(&page));
+        }
+        Ok(page)
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_control/src/source/tests.rs
@@ -0,0 +1,181 @@
+//! The choice of a relay, and what happens when it fails.
+
+use super::{GONE, LOG_READERS, Peer, Source, TRIED, choose};
+use crate::{
+    budget::Budget,
+    relay::{MAX_HOPS, Tail},
+};
+use async_trait::async_trait;
+use corianderstand_edge::{
+    EdgeError,
+    log::{LogService, MemoryLog, Page},
+};
+use corianderstand_types::{clock::SystemClock, names::WriterId};
+use rstest::rstest;
+use smol_str::{SmolStr, format_smolstr};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+const ROUTERS: usize = 85;
+const AGENTS: usize = 182;
+
+fn addresses(count: usize) -> Vec<SmolStr> {
+    (0..count).map(|i| format_smolstr!("10.0.0.{i}:8080")).collect()
+}
+
+fn choose_as_router(own: &SmolStr, all: &[SmolStr]) -> Vec<SmolStr> {
+    let others: Vec<SmolStr> = all.iter().filter(|address| *address != own).cloned().collect();
+    choose(&WriterId(format_smolstr!("router-{own}")), Some(own), &others)
+}
+
+/// Whether a way leads to the log from an address in at most `hops` more relays.
+fn reaches_log(from: &SmolStr, all: &[SmolStr], hops: u8) -> bool {
+    let follows = choose_as_router(from, all);
+    follows.is_empty() || (hops > 0 && follows.iter().all(|next| reaches_log(next, all, hops - 1)))
+}
+
+#[rstest]
+fn a_place_has_few_readers_of_the_log_and_short_ways_to_it() {
+    let all = addresses(ROUTERS);
+    let readers = all.iter().filter(|own| choose_as_router(own, &all).is_empty()).count();
+    assert_eq!(readers, LOG_READERS);
+    let mut followers = BTreeMap::<SmolStr, usize>::new();
+    for own in &all {
+        assert!(reaches_log(own, &all, MAX_HOPS - 1), "{own}");
+        for first in choose_as_router(own, &all).into_iter().take(1) {
+            *followers.entry(first).or_default() += 1;
+        }
+    }
+    for agent in 0..AGENTS {
+        let follows = choose(&WriterId(format_smolstr!("engine-{agent}")), None, &all);
+        assert_eq!(follows.len(), TRIED);
+        assert!(follows.iter().all(|router| reaches_log(router, &all, MAX_HOPS - 1)));
+        *followers.entry(follows[0].clone()).or_default() += 1;
+    }
+    let most = followers.values().max().copied().unwrap_or_default();
+    assert!(most <= 40, "{most} followers of one relay");
+}
+
+#[rstest]
+fn a_process_without_peers_reads_the_log() {
+    let own = addresses(1);
+    assert!(choose(&WriterId("router-0".into()), own.first(), &[]).is_empty());
+    assert!(choose(&WriterId("engine-0".into()), None, &[]).is_empty());
+}
+
+/// How a relay answers.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    Good,
+    Dead,
+    Silent,
+    Behind,
+    TooFar,
+    Old,
+    Gone,
+}
+
+struct FakeRelay {
+    way: Way,
+    asked: Arc<AtomicUsize>,
+}
+
+#[async_trait]
+impl LogService for FakeRelay {
+    async fn append(&self, _records: Vec<Vec<u8>>) -> Result<u64, EdgeError> {
+        unreachable!("nobody appends to a relay")
+    }
+
+    async fn read(&self, from: u64, _max: u32, _wait: Duration) -> Result<Page, EdgeError> {
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        let good = Page { oldest: 1, next: from, now_ms: 77, hops: 1, ..Page::default() };
+        let error = |status| EdgeError::Status { system: "a relay", status, detail: String::new() };
+        match self.way {
+            Way::Good => Ok(good),
+            Way::Dead => Err(error(503)),
+            Way::Silent => std::future::pending().await,
+            Way::Behind => Ok(Page { next: from - 1, ..good }),
+            Way::TooFar => Ok(Page { hops: MAX_HOPS + 1, ..good }),
+            Way::Old => Ok(Page { age_ms: 60_000, ..good }),
+            Way::Gone => Err(error(GONE)),
+        }
+    }
+}
+
+fn source(ways: &[Way]) -> (Source, Arc<MemoryLog>, Vec<Arc<AtomicUsize>>) {
+    let log = Arc::new(MemoryLog::default());
+    log.set_time_ms(11);
+    let clock = Arc::new(SystemClock);
+    let budget = Arc::new(Budget::new(clock.clone()));
+    let asked: Vec<Arc<AtomicUsize>> = ways.iter().map(|_| Arc::default()).collect();
+    let peer = |(way, asked): (&Way, &Arc<AtomicUsize>)| Peer {
+        address: format_smolstr!("{way:?}"),
+        reads: Arc::new(FakeRelay { way: *way, asked: asked.clone() }),
+    };
+    let peers = ways.iter().zip(&asked).map(peer).collect();
+    let tail = Tail::new(clock, budget, 1 << 20);
+    (Source::new(log.clone(), peers, tail), log, asked)
+}
+
+/// A relay dies, falls silent, falls behind, is cut off from the log, or routers with differing
+/// settings follow each other in a circle. Its followers would miss changes that were accepted,
+/// or take an old state for the newest.
+#[rstest]
+#[case::dead(Way::Dead)]
+#[case::silent(Way::Silent)]
+#[case::behind(Way::Behind)]
+#[case::in_a_circle(Way::TooFar)]
+#[case::cut_off(Way::Old)]
+fn a_relay_that_fails_is_left_for_the_next_one_and_then_for_the_log(#[case] way: Way) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
+    runtime.expect("the system gives a runtime").block_on(async {
+        let (source, _log, asked) = source(&[way, Way::Good]);
+        let page = source.read(5, 10, Duration::ZERO).await.expect("a page");
+        assert_eq!(page.now_ms, 77, "the second relay answers");
+        drop(source.read(5, 10, Duration::ZERO).await);
+        assert_eq!(asked[0].load(Ordering::Relaxed), 1, "the first rests");
+        let (source, _log, _asked) = self::source(&[way, way]);
+        let page = source.read(5, 10, Duration::ZERO).await.expect("a page");
+        assert_eq!(page.now_ms, 11, "the log answers");
+    });
+}
+
+#[rstest]
+fn what_a_relay_does_not_keep_is_read_from_the_log_and_the_relay_stays() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
+    runtime.expect("the system gives a runtime").block_on(async {
+        let (source, _log, asked) = source(&[Way::Gone]);
+        for _ in 0..2 {
+            let page = source.read(5, 10, Duration::ZERO).await.expect("a page");
+            assert_eq!(page.now_ms, 11);
+        }
+        assert_eq!(asked[0].load(Ordering::Relaxed), 2);
+    });
+}
+
+/// The follower also waits for news of hosts and drops a read half way when some come. A relay
+/// that is silent would be asked anew each time, and its silence never be noticed.
+#[rstest]
+fn reads_that_are_dropped_do_not_hide_a_silent_relay() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
+    runtime.expect("the system gives a runtime").block_on(async {
+        let (source, _log, asked) = source(&[Way::Silent]);
+        let mut answered = false;
+        for _ in 0..100 {
+            let read = source.read(5, 10, Duration::ZERO);
+            let read = tokio::time::timeout(Duration::from_millis(100), read).await;
+            answered = read.is_ok();
+            if answered {
+                break;
+            }
+        }
+        assert!(answered, "the log answers in the end");
+        assert!(asked[0].load(Ordering::Relaxed) < 30);
+    });
+}
--- a/crates/corianderstand_edge/src/log.rs
+++ b/crates/corianderstand_edge/src/log.rs
@@ -35,6 +35,12 @@
     pub now_ms: u64,
     /// Records in order, from the offset asked for or from `oldest` if that is later.
     pub entries: Vec<Entry>,
+    /// Time since the log itself answered, in milliseconds; 0 from the log.
+    #[serde(default)]
+    pub age_ms: u64,
+    /// Routers that relayed this page; 0 from the log.
+    #[serde(default)]
+    pub hops: u8,
 }
 
 /// The append-only log.
@@ -69,6 +75,7 @@
 #[derive(Clone, Debug)]
 pub struct HttpLog {
     http: HttpSystem,
+    bearer: Option<String>,
 }
 
 /// Time an answer of the log may take beyond the wait that was asked for.
@@ -77,7 +84,14 @@
 impl HttpLog {
     /// The log at `base`; `longest_wait` is the longest that reads will ask to wait.
     pub fn new(base: &str, longest_wait: Duration) -> Self {
-        Self { http: HttpSystem::new("the log service", base, longest_wait + LOG_SILENCE) }
+        let http = HttpSystem::new("the log service", base, longest_wait + LOG_SILENCE);
+        Self { http, bearer: None }
+    }
+
+    /// Sends a bearer token with each read, as a router that relays the log wants it.
+    #[must_use]
+    pub fn with_bearer(self, token: &str) -> Self {
+        Self { bearer: Some(token.to_owned()), ..self }
     }
 }
 
@@ -91,7 +105,12 @@
 
     async fn read(&self, from: u64, max: u32, wait: Duration) -> Result<Page, EdgeError> {
         let path = format!("/read?from={from}&max={max}&wait_ms={}", wait.as_millis());
-        self.http.json(self.http.request(reqwest::Method::GET, &path)).await
+        let req = self.http.request(reqwest::Method::GET, &path);
+        let req = match &self.bearer {
+            Some(token) => req.bearer_auth(token),
+            None => req,
+        };
+        self.http.json(req).await
     }
 }
 
@@ -179,6 +198,7 @@
             next: inner.next(),
             now_ms: inner.now_ms,
             entries: entries.take(max as usize).cloned().collect(),
+            ..Page::default()
         })
     }
 }
--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -6,10 +6,10 @@
     event::Event,
     operator,
     problem::{self, Problem},
-    services,
+    relay, services,
 };
 use bytes::Bytes;
-use corianderstand_control::{snapshot::Snapshot, start::Handle};
+use corianderstand_control::{relay::Tail, snapshot::Snapshot, start::Handle};
 use corianderstand_decide::work::{Need, Work};
 use corianderstand_link::trace::TraceContext;
 use corianderstand_schema::{
@@ -43,6 +43,8 @@
     pub events: SyncSender<Event>,
     /// The log.
     pub control: Handle,
+    /// Records for processes that follow this router.
+    pub tail: Tail,
     /// Hashes bearer keys.
     pub hasher: Hasher,
     /// Hash of the operators' key.
@@ -83,6 +85,7 @@
     Models,
     Service,
     Operator(operator::Kind),
+    Relay,
     Healthy,
     Ready,
 }
@@ -100,6 +103,7 @@
         .push(Router::with_path("operator/apply").post(at(Kind::Operator(operator::Kind::Apply))))
         .push(Router::with_path("operator/get").get(at(Kind::Operator(operator::Kind::Get))))
         .push(Router::with_path("operator/status").get(at(Kind::Operator(operator::Kind::Status))))
+        .push(Router::with_path("internal/read").get(at(Kind::Relay)))
         .push(Router::with_path("healthz").get(at(Kind::Healthy)))
         .push(Router::with_path("readyz").get(at(Kind::Ready)))
 }
@@ -157,6 +161,11 @@
                 drop(res.write_body("ready\n"));
                 Ok(())
             }
+            Kind::Relay => {
+                self.check_peer(req)?;
+                relay::answer(&self.tail, req, res).await;
+                Ok(())
+            }
             Kind::Operator(kind) => {
                 self.check_operator(req)?;
                 operator::answer(self, kind, req, res).await
@@ -217,6 +226,11 @@
         Ok(())
     }
 
+    fn check_peer(&self, req: &Request) -> Result<(), Problem> {
+        let token = self.hasher.hash(operator::PEER_LABEL);
+        if bearer(req)? == token { Ok(()) } else { Err(Problem::Forbidden) }
+    }
+
     fn check_operator(&self, req: &Request) -> Result<(), Problem> {
         let hash = self.hasher.hash(bearer(req)?);
         if hash == self.operator_key_hash { Ok(()) } else { Err(Problem::Forbidden) }
--- a/crates/corianderstand_router/src/lib.rs
+++ b/crates/corianderstand_router/src/lib.rs
@@ -24,6 +24,7 @@
 mod link;
 mod operator;
 mod problem;
+mod relay;
 mod services;
 mod start;
 
--- a/crates/corianderstand_router/src/operator.rs
+++ b/crates/corianderstand_router/src/operator.rs
@@ -48,6 +48,8 @@
     pub value: Option<Value>,
 }
 
+/// Word whose hash proves a process to its peers.
+pub const PEER_LABEL: &str = "peer";
 /// Time the log has to decide a change.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(10);
 
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -6,9 +6,13 @@
     event::Event,
     http::{self, Door},
     link::{self, Shared},
+    operator,
 };
 use corianderstand_control::{
     appender::Identity,
+    budget::Budget,
+    relay::{self, Tail},
+    source::Source,
     start::{Control, Handle},
 };
 use corianderstand_decide::router::Router;
@@ -62,7 +66,10 @@
 pub fn start(settings: RouterSettings, clock: SharedClock) -> Result<RouterHandle, RouterError> {
     let incarnation = clock::unix_ms(clock.wall());
     let hasher = Hasher::new(&settings.auth_key).map_err(RouterError::Auth)?;
-    let control = start_control(&settings, incarnation, clock.clone())?;
+    let budget = Arc::new(Budget::new(clock.clone()));
+    let tail = Tail::new(clock.clone(), budget, relay::MAX_TAIL_BYTES);
+    let source = source(&settings, &hasher, tail.clone());
+    let control = start_control(&settings, incarnation, source, clock.clone())?;
     let (events, events_rx) = mpsc::sync_channel(EVENT_RING);
     let held = Arc::new(AtomicUsize::new(0));
     let draining = Arc::new(AtomicBool::new(false));
@@ -82,6 +89,7 @@
     let door = Arc::new(Door {
         events,
         control,
+        tail,
         hasher,
         operator_key_hash: settings.operator_key_hash.clone(),
         max_body_bytes: settings.limits.max_body_bytes as usize,
@@ -104,15 +112,24 @@
     builder.spawn(run).map(drop).map_err(RouterError::Thread)
 }
 
+/// Where this router reads the log: itself, or from another router.
+fn source(settings: &RouterSettings, hasher: &Hasher, tail: Tail) -> Source {
+    let log = Arc::new(HttpLog::new(&settings.log_url, settings.timing.log_poll_ms.0));
+    let token = hasher.hash(operator::PEER_LABEL);
+    let own = Some(&settings.listen);
+    Source::for_process(log, &settings.name, own, &settings.peers, &token, tail)
+}
+
 fn start_control(
     settings: &RouterSettings,
     incarnation: u64,
+    source: Source,
     clock: SharedClock,
 ) -> Result<Handle, RouterError> {
     let poll = settings.timing.log_poll_ms.0;
     let control = Control {
         identity: Identity { writer: settings.name.clone(), incarnation },
-        log: Arc::new(HttpLog::new(&settings.log_url, poll)),
+        log: Arc::new(source),
         hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
         clock,
         log_poll: poll,
--- a/crates/corianderstand_standins/src/log.rs
+++ b/crates/corianderstand_standins/src/log.rs
@@ -74,7 +74,7 @@
         let entries = inner.entries.iter().filter(|entry| entry.offset >= from);
         let entries: Vec<Entry> = entries.take(max).cloned().collect();
         inner.counters.bytes_out += entries.iter().map(|e| e.data.len() as u64).sum::<u64>();
-        Page { oldest, next: inner.next, now_ms: now_ms(), entries }
+        Page { oldest, next: inner.next, now_ms: now_ms(), entries, ..Page::default() }
     }
 }
 
--- /dev/null
+++ b/tests/relays.rs
@@ -0,0 +1,129 @@
+//! Relays of the log over real processes: few read it, all hear of it.
+
+use corianderstand_control::source;
+use corianderstand_types::names::WriterId;
+use nix::sys::signal::Signal;
+use rstest::rstest;
+use serde_json::json;
+use smol_str::{SmolStr, format_smolstr};
+use std::time::{Duration, Instant};
+use testbed::{Deployment, Plan, deployment::wait_for, plan::OPERATOR_KEY, plan::VIDRIO_KEY};
+
+const ROUTERS: usize = 5;
+/// Time in which an accepted change must be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(7);
+
+fn block_on<T>(run: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("the system gives a runtime").block_on(run)
+}
+
+fn plan() -> Plan {
+    let engine_options = ["--token-us", "2000", "--load-ms", "100"].map(str::to_owned).into();
+    Plan { routers: ROUTERS, engines: 2, follow_routers: true, engine_options, ..Plan::default() }
+}
+
+fn routers() -> Vec<String> {
+    (0..ROUTERS).map(|i| format!("router-{i}")).collect()
+}
+
+/// Names of the routers that read the log, and of those that follow them.
+fn readers_and_followers(deployment: &Deployment) -> (Vec<String>, Vec<String>) {
+    let peers: Vec<SmolStr> = routers().iter().map(|r| deployment.address(r).into()).collect();
+    routers().into_iter().partition(|name| {
+        let own: SmolStr = deployment.address(name).into();
+        source::choose(&WriterId(format_smolstr!("{name}")), Some(&own), &peers).is_empty()
+    })
+}
+
+async fn version(deployment: &Deployment, router: &str) -> Option<u64> {
+    deployment.status(router).await["version"].as_u64()
+}
+
+/// Changes a document through a router; the version that was accepted.
+async fn change(deployment: &Deployment, router: &str, lag_ms: u64) -> u64 {
+    let get = deployment.http.get(deployment.url(router, "/operator/get?prefix=system/"));
+    let current = get.bearer_auth(OPERATOR_KEY).send().await.expect("the router answers");
+    let current: serde_json::Value = current.json().await.expect("answers are JSON");
+    let base = current["documents"][0]["version"].as_u64().expect("the document exists");
+    let mut value = current["documents"][0]["value"].clone();
+    value["host_list_lag_ms"] = json!(lag_ms);
+    let change = json!({ "path": "system/deployment", "base": base, "value": value });
+    let body = json!({ "author": "test", "changes": [change] });
+    let post = deployment.http.post(deployment.url(router, "/operator/apply"));
+    let answer = post.bearer_auth(OPERATOR_KEY).json(&body).send().await;
+    let answer: serde_json::Value =
+        answer.expect("the router answers").json().await.expect("answers are JSON");
+    answer["version"].as_u64().unwrap_or_else(|| panic!("accepted: {answer}"))
+}
+
+async fn in_force(deployment: &Deployment, names: &[String], version_wanted: u64) -> Duration {
+    let began = Instant::now();
+    for name in names {
+        wait_for(&format!("version {version_wanted} at {name}"), async || {
+            version(deployment, name).await.is_some_and(|version| version >= version_wanted)
+        })
+        .await;
+    }
+    began.elapsed()
+}
+
+/// Hosts with the routers that read the log are all frozen at once, as when their network goes
+/// silent. The routers that followed them would never hear of a change that was accepted, and
+/// callers of a team that has lost a permission would still be served.
+#[rstest]
+fn a_change_is_in_force_in_time_although_all_relays_fall_silent() {
+    block_on(async {
+        let mut deployment = Deployment::start(plan()).await;
+        let (readers, followers) = readers_and_followers(&deployment);
+        assert_eq!(readers.len(), source::LOG_READERS);
+        let accepted = change(&deployment, &readers[0], 11_000).await;
+        let all = in_force(&deployment, &routers(), accepted).await;
+        assert!(all < IN_FORCE, "through relays: {all:?}");
+        for name in &readers {
+            deployment.process(name).signal(Signal::SIGSTOP);
+        }
+        let began = Instant::now();
+        let accepted = change(&deployment, &followers[0], 12_000).await;
+        in_force(&deployment, &followers, accepted).await;
+        let took = began.elapsed();
+        assert!(took < IN_FORCE, "past silent relays: {took:?}");
+    });
+}
+
+/// A booking is claimed in the log and read back through two relays; one of them is killed. The
+/// caller would wait for an answer that never comes, or see its booking run twice.
+#[rstest]
+fn a_booking_runs_once_although_the_relays_on_its_way_are_killed() {
+    block_on(async {
+        let mut deployment = Deployment::start(plan()).await;
+        let (readers, followers) = readers_and_followers(&deployment);
+        for name in &readers[..2] {
+            deployment.process(name).kill();
+        }
+        let mut last = 0;
+        wait_for("the booking's answer", async || {
+            let url = deployment.url(&followers[0], "/services/agenda/bookings");
+            let req = deployment.http.post(url).bearer_auth(VIDRIO_KEY);
+            let req = req.header("idempotency-key", "b-7").json(&json!({ "day": 3 }));
+            last = req.send().await.expect("the router answers").status().as_u16();
+            last == 200
+        })
+        .await;
+        assert_eq!(deployment.counters("service-0").await["by_key"]["b-7"], 1);
+    });
+}
+
+/// Somebody who is neither a router nor an agent asks a router for the records of the log, in
+/// which the settings and answers of all teams stand.
+#[rstest]
+fn records_are_given_to_peers_only() {
+    block_on(async {
+        let deployment = Deployment::start(plan()).await;
+        let url = deployment.url("router-0", "/internal/read?from=1&max=10&wait_ms=0");
+        for key in [VIDRIO_KEY, OPERATOR_KEY] {
+            let answer = deployment.http.get(&url).bearer_auth(key).send().await;
+            assert_eq!(answer.expect("the router answers").status().as_u16(), 403);
+        }
+    });
+}
--- a/tools/capacity/src/emulate.rs
+++ b/tools/capacity/src/emulate.rs
@@ -17,6 +17,7 @@
     },
     time::Duration,
 };
+use testbed::plan;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
@@ -147,7 +148,7 @@
 /// Reads the log from `base` as `followers` processes would, from offset `from` on.
 pub fn followers(base: &str, followers: usize, from: u64, wait: Duration) {
     for _ in 0..followers {
-        let log = HttpLog::new(base, wait);
+        let log = HttpLog::new(base, wait).with_bearer(&plan::hash("peer"));
         tokio::spawn(follow(log, from, wait));
     }
 }
--- a/tools/capacity/src/main.rs
+++ b/tools/capacity/src/main.rs
@@ -33,6 +33,9 @@
     series: Vec<Series>,
 }
 
+/// A measure by name, taken from a cost.
+type Measure<T> = (&'static str, fn(&T) -> f64);
+
 fn main() -> ExitCode {
     let mut options = Options::new();
     options.optopt("", "repeats", "repeats of each point", "COUNT");
@@ -76,7 +79,7 @@
     for percent in STEPS {
         report.state.push((0..report.repeats).map(|_| one_state(percent)).collect());
     }
-    let measures: [(&str, fn(&state::StateCost) -> f64); 9] = [
+    let measures: [Measure<state::StateCost>; 9] = [
         ("checkpoint, bytes", |cost| cost.checkpoint_bytes as f64),
         ("state resident, KiB", |cost| cost.state_kib as f64),
         ("view resident, KiB", |cost| cost.view_kib as f64),
@@ -145,7 +148,7 @@
         sizes: &[usize],
         costs: &[Vec<node::NodeCost>],
     ) {
-        let measures: [(&str, fn(&node::NodeCost) -> f64); 7] = [
+        let measures: [Measure<node::NodeCost>; 7] = [
             ("all control, bytes/s", node::NodeCost::bytes),
             ("log, bytes/s", |cost| cost.log_bytes),
             ("host list, bytes/s", |cost| cost.hosts_bytes),
--- a/tools/testbed/src/deployment.rs
+++ b/tools/testbed/src/deployment.rs
@@ -148,6 +148,12 @@
         if !advertised.is_null() {
             settings["advertise"] = advertised;
         }
+        if self.plan.follow_routers {
+            let routers = (0..self.plan.routers).map(|i| format!("router-{i}"));
+            let peers: Vec<&str> = routers.map(|router| self.address(&router)).collect();
+            settings["peers"] = json!(peers);
+            settings["peer_token"] = json!(hash("peer"));
+        }
         let args = vec!["agent".into(), self.write(&name, &settings)];
         self.recipe(&name, "corianderstand", args);
     }
--- a/tools/testbed/src/plan.rs
+++ b/tools/testbed/src/plan.rs
@@ -21,6 +21,8 @@
     pub timing: Value,
     /// Whether a relay that can be cut stands before each agent.
     pub relays: bool,
+    /// Whether agents follow routers instead of reading the log.
+    pub follow_routers: bool,
     /// Settings documents by path.
     pub documents: Vec<(String, Value)>,
 }
@@ -57,6 +59,7 @@
             timing: json!({ "heartbeat_ms": 100, "silence_ms": 1000, "reconnect_ms": 200,
                 "log_poll_ms": 500, "host_list_poll_ms": 200, "drain_ms": 30000 }),
             relays: false,
+            follow_routers: false,
             documents: documents(),
         }
     }
