Open connections on demand, heartbeats only where nothing is said, host list seldom

Cause: a router kept a connection with a 500 ms heartbeat to each agent, every process read the whole host list each second, and a follower's reads were mostly empty. Found on the way: the router's limit on silence was a timeout that began anew after each heartbeat, so a silent connection was never noticed. It is now counted in ticks. Ruled out: longer heartbeats alone (silence is noticed late when it matters); connections planned by models asked for lately (wrong in a burst); a cached list (the platform gives it whole). Change: dial.rs opens a connection for the first request and closes it when idle; pulse.rs decides on heartbeats; a request that was never sent goes elsewhere, also one that may not be repeated; agents do not read the host list, routers as often as 3 KB/s allow; four relays a place, and reads of them wait longer than the lease is renewed. A host list that is read each 19 s does not show a leaving host within a few seconds at that size; see docs/CAPACITY.md.

--- a/crates/corianderstand_agent/src/start.rs
+++ b/crates/corianderstand_agent/src/start.rs
@@ -9,15 +9,14 @@
 use corianderstand_control::{
     appender::Identity,
     budget::Budget,
+    paced::Unread,
     relay::Tail,
     snapshot::Current,
     source::Source,
     start::{Control, Handle},
 };
 use corianderstand_decide::agent::{Agent, Limits};
-use corianderstand_edge::{
-    engine::HttpEngine, hosts::HttpHostList, log::HttpLog, service::HttpService,
-};
+use corianderstand_edge::{engine::HttpEngine, log::HttpLog, service::HttpService};
 use corianderstand_schema::{
     messages::Load,
     process::{AgentSettings, TargetKind},
@@ -184,7 +183,7 @@
     let control = Control {
         identity: Identity { writer: settings.name.clone(), incarnation },
         log: Arc::new(source(settings, &clock)),
-        hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
+        hosts: Arc::new(Unread),
         clock,
         log_poll: poll,
         hosts_poll: settings.timing.host_list_poll_ms.0,
--- a/crates/corianderstand_control/src/budget.rs
+++ b/crates/corianderstand_control/src/budget.rs
@@ -37,6 +37,20 @@
 /// on every process, over at most three reads one after another.
 pub const MAX_DELAY: Duration = Duration::from_millis(500);
 
+/// Bytes a second that reading the host list may take on one process.
+pub const HOST_LIST_BYTES: u64 = 3_000;
+/// Bytes of one entry of the host list, as measured by `tools/capacity`.
+const HOST_ENTRY_BYTES: u64 = 54;
+
+/// Pause between two readings of the host list of so many entries.
+///
+/// The list comes whole each time. At a thousand hosts it has 57 KB: read each second, it alone
+/// would take three times what a process may spend on control.
+pub fn host_list_pause(every: Duration, entries: usize) -> Duration {
+    let bytes = entries as u64 * HOST_ENTRY_BYTES;
+    every.max(Duration::from_millis(bytes * 1000 / HOST_LIST_BYTES))
+}
+
 /// What traffic is for.
 #[derives(key)]
 pub enum Duty {
--- a/crates/corianderstand_control/src/budget/tests.rs
+++ b/crates/corianderstand_control/src/budget/tests.rs
@@ -1,6 +1,8 @@
 //! The budget under bursts.
 
-use super::{BURST_SECONDS, Budget, Duty, MAX_DELAY, NODE, SERVE};
+use super::{
+    BURST_SECONDS, Budget, Duty, HOST_LIST_BYTES, MAX_DELAY, NODE, SERVE, host_list_pause,
+};
 use corianderstand_types::clock::ManualClock;
 use rstest::rstest;
 use std::{sync::Arc, time::Duration};
@@ -65,3 +67,11 @@
     assert_eq!(budget.read_delay(), MAX_DELAY);
     assert!(budget.admit_follower(400).is_err(), "followers read elsewhere meanwhile");
 }
+
+#[rstest]
+fn the_host_list_is_read_as_set_while_it_is_short_and_seldom_when_it_is_long() {
+    let every = Duration::from_secs(1);
+    assert_eq!(host_list_pause(every, 24), every);
+    let pause = host_list_pause(every, 1070);
+    assert!(1070 * 54 / pause.as_secs() <= HOST_LIST_BYTES + 200, "{pause:?}");
+}
--- a/crates/corianderstand_control/src/lib.rs
+++ b/crates/corianderstand_control/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod follower;
 pub mod hosts;
 pub mod metrics;
+pub mod paced;
 pub mod relay;
 pub mod snapshot;
 pub mod source;
--- a/crates/corianderstand_control/src/relay.rs
+++ b/crates/corianderstand_control/src/relay.rs
@@ -29,9 +29,9 @@
 /// Longest time since the log itself answered, beyond which a relay says that it is stale.
 ///
 /// A relay that is cut off from the log goes on answering, and its followers would take
-/// silence for quiet. They must notice within a few seconds. A read of the log waits for a
-/// second, and one may be late.
-pub const MAX_AGE: Duration = Duration::from_millis(2500);
+/// silence for quiet. They must notice within a few seconds. When nothing happens, a read of the
+/// log waits for a second and one of a relay for two, and one may be late.
+pub const MAX_AGE: Duration = Duration::from_secs(4);
 /// Relays between the log and a process: one that reads the log, and one that reads that one.
 pub const MAX_HOPS: u8 = 2;
 /// Longest wait that a follower may ask for.
--- a/crates/corianderstand_control/src/source.rs
+++ b/crates/corianderstand_control/src/source.rs
@@ -6,10 +6,11 @@
 //! that differ for a while, even so that routers follow each other in a circle, are noticed by
 //! these, and the process reads the log until a relay is good again.
 //!
-//! A change is in force within seconds whatever fails. A relay that is dead is left at once, a
-//! silent one after [`PEER_WAIT`] + [`PEER_GRACE`], a stale one when it says so or after
-//! [`relay::MAX_AGE`]; after [`TRIED`] of them the log itself is read. With [`relay::MAX_HOPS`]
-//! relays on the way, each silent at the same moment, that makes six seconds.
+//! A change is in force within seconds whatever fails. A relay that is dead is left at once for
+//! the next; after [`TRIED`] of them the log itself is read. A silent one is left after
+//! [`PEER_WAIT`] + [`PEER_GRACE`] for the log, so that two silent relays do not add up. With
+//! [`relay::MAX_HOPS`] relays on the way, one after the other silent, that makes five seconds; a
+//! relay cut off from the log is left after [`relay::MAX_AGE`].
 
 #[cfg(test)]
 mod tests;
@@ -34,12 +35,14 @@
 use xxhash_rust::xxh3;
 
 /// Routers among the peers that read the log: one may be lost and one restarted at the same
-/// time, and the log has a dozen readers for four places.
-pub const LOG_READERS: usize = 3;
+/// time, and the others can still serve all followers of a place within their budget.
+pub const LOG_READERS: usize = 4;
 /// Relays that are tried before the log.
 pub const TRIED: usize = 2;
-/// Longest wait of one read from a relay.
-pub const PEER_WAIT: Duration = Duration::from_secs(1);
+/// Longest wait of one read from a relay. Longer than the time between two renewals of the
+/// control lease, so that a read brings a record and few are empty: what a follower costs its
+/// relay is the number of its reads.
+pub const PEER_WAIT: Duration = Duration::from_secs(2);
 /// Time a relay's answer may take beyond that.
 pub const PEER_GRACE: Duration = Duration::from_millis(500);
 /// How long a relay that failed is left alone, within a factor of a half up and down.
@@ -184,13 +187,17 @@
         while let Some((index, relay)) = self.candidate() {
             let read = relay.read(from, max, wait.min(PEER_WAIT));
             let answer = time::timeout(PEER_WAIT + PEER_GRACE, read).await;
+            let silent = answer.is_err();
             let gone = matches!(answer, Ok(Err(EdgeError::Status { status: GONE, .. })));
             let page = answer.ok().and_then(Result::ok).filter(|page| is_good(page, from));
             self.answered(index, gone || page.is_some());
             if gone || page.is_some() {
                 return page;
             }
-            tracing::info!(relay = index, "relay left for a while: dead, silent, stale or behind");
+            tracing::info!(relay = index, silent, "relay left for a while");
+            if silent {
+                return None;
+            }
         }
         None
     }
--- a/crates/corianderstand_router/src/link.rs
+++ b/crates/corianderstand_router/src/link.rs
@@ -1,8 +1,13 @@
-//! The `link` thread: one connection to each agent, kept alive with heartbeats.
+//! One connection to an agent: streams of requests, heartbeats when nothing else is said.
+//!
+//! [`crate::dial`] opens and closes it; both run on the `link` thread.
 
-use crate::event::{Attachment, Call, Command, Event, Update};
+use crate::{
+    event::{Attachment, Call, Command, Event, Update},
+    pulse::{Beat, Pulse},
+};
 use bytes::Bytes;
-use corianderstand_control::snapshot::Current;
+use corianderstand_control::budget::{Budget, Duty};
 use corianderstand_decide::work::{Refusal, RequestKey};
 use corianderstand_link::{
     PROTOCOL,
@@ -14,20 +19,16 @@
     process::Timing,
 };
 use corianderstand_types::names::{TargetId, WriterId};
-use rand::RngExt;
 use slotmap::{Key, KeyData};
-use smol_str::SmolStr;
 use std::{
-    collections::{BTreeMap, HashMap},
-    sync::mpsc::SyncSender,
+    collections::HashMap,
+    sync::{Arc, mpsc::SyncSender},
     time::Duration,
 };
-use tokio::{net::TcpStream, sync::mpsc, task::JoinHandle, time};
+use tokio::{net::TcpStream, sync::mpsc, time};
 
 /// Frames and commands that wait on one connection.
-const RING: usize = 4096;
-/// Shortest pause before a connection is tried again.
-const MIN_RECONNECT: Duration = Duration::from_millis(20);
+pub const RING: usize = 4096;
 
 /// What every connection needs.
 #[derive(Clone)]
@@ -40,57 +41,24 @@
     pub timing: Timing,
     /// To the `decide` thread.
     pub events: SyncSender<Event>,
+    /// What control traffic may cost.
+    pub budget: Arc<Budget>,
 }
 
-/// Keeps connections to all targets of the snapshot, for ever.
-pub async fn run(shared: Shared, current: Current) {
-    let mut changed = current.subscribe();
-    let mut version = u64::MAX;
-    let mut tasks: BTreeMap<TargetId, (SmolStr, JoinHandle<()>)> = BTreeMap::new();
-    loop {
-        let snapshot = current.load();
-        if snapshot.state.targets.version != version {
-            version = snapshot.state.targets.version;
-            tasks.retain(|name, (address, task)| {
-                let target = snapshot.state.targets.by_name.get(name);
-                let keep = target.is_some_and(|target| target.record.address == *address);
-                if !keep {
-                    task.abort();
-                }
-                keep
-            });
-            for (name, target) in &snapshot.state.targets.by_name {
-                tasks.entry(name.clone()).or_insert_with(|| {
-                    let address = target.record.address.clone();
-                    let keep = keep(shared.clone(), name.clone(), address.clone());
-                    (address, tokio::spawn(keep))
-                });
-            }
-        }
-        if changed.changed().await.is_err() {
-            return;
-        }
+impl Shared {
+    /// Tells the `decide` thread.
+    pub fn tell(&self, event: Event) {
+        // The ring is bounded and its reader never waits for this thread, so this ends soon.
+        drop(self.events.send(event));
     }
 }
 
-/// Connects again and again; the pause is random, so that routers do not return together.
-async fn keep(shared: Shared, target: TargetId, address: SmolStr) {
-    let longest = shared.timing.reconnect_ms.0;
-    let mut pause = MIN_RECONNECT;
-    loop {
-        match time::timeout(shared.timing.silence_ms.0, TcpStream::connect(&*address)).await {
-            Ok(Ok(stream)) => {
-                pause = MIN_RECONNECT;
-                let ended = serve(stream, &shared, &target).await;
-                tracing::warn!(%target, error = %ended, "connection to an agent ended");
-            }
-            Ok(Err(error)) => tracing::debug!(%target, %error, "agent not reached"),
-            Err(_) => tracing::debug!(%target, "agent not reached in time"),
-        }
-        let spread = rand::rng().random_range(0.5..1.5);
-        time::sleep(pause.mul_f64(spread)).await;
-        pause = (pause * 2).min(longest);
-    }
+/// Why a connection is over.
+pub enum Ended {
+    /// It carried nothing for a while.
+    Idle,
+    /// It broke.
+    Broken(FrameError),
 }
 
 /// A stream as the connection holds it.
@@ -107,24 +75,35 @@
     streams: HashMap<u64, Stream>,
 }
 
-async fn serve(stream: TcpStream, shared: &Shared, target: &TargetId) -> FrameError {
-    let (reader, writer) = match connection::split(stream, shared.timing.silence_ms.0) {
-        Ok(halves) => halves,
-        Err(error) => return FrameError::Io(error),
-    };
+/// Serves one connection until it is idle or broken; `first` is sent at once.
+pub async fn serve(
+    stream: TcpStream,
+    shared: &Shared,
+    target: &TargetId,
+    commands: &mpsc::Sender<Command>,
+    rx: &mut mpsc::Receiver<Command>,
+    first: Option<Command>,
+) -> Ended {
     let (out, frames) = mpsc::channel(RING);
-    let (commands, commands_rx) = mpsc::channel(RING);
-    let streams = HashMap::new();
+    let (commands, streams) = (commands.clone(), HashMap::new());
     let mut connection = Connection { shared, target, out, commands, streams };
-    let ended = tokio::select! {
-        ended = connection.run(reader, commands_rx) => ended,
-        written = writer.run(frames) => written.err().unwrap_or(FrameError::Closed),
+    let ended = match connection::split(stream, shared.timing.silence_ms.0) {
+        Ok((reader, writer)) => tokio::select! {
+            ended = connection.run(reader, rx, first) => ended,
+            written = writer.run(frames) => {
+                Ended::Broken(written.err().unwrap_or(FrameError::Closed))
+            }
+        },
+        Err(error) => Ended::Broken(FrameError::Io(error)),
     };
-    connection.give_up();
+    if let Ended::Broken(_) = &ended {
+        connection.give_up();
+    }
     ended
 }
 
-fn key(stream: u64) -> RequestKey {
+/// The request of a stream number.
+pub fn key(stream: u64) -> RequestKey {
     KeyData::from_ffi(stream).into()
 }
 
@@ -132,40 +111,61 @@
     async fn run(
         &mut self,
         mut reader: Reader,
-        mut commands: mpsc::Receiver<Command>,
-    ) -> FrameError {
-        let hello = ToAgent::Hello {
-            router: self.shared.router.clone(),
-            incarnation: self.shared.incarnation,
-            protocol: PROTOCOL,
-        };
-        if let Err(error) = self.send(&hello, b"").await {
-            return error;
+        commands: &mut mpsc::Receiver<Command>,
+        first: Option<Command>,
+    ) -> Ended {
+        if let Err(error) = self.greet(first).await {
+            return Ended::Broken(error);
         }
-        let mut heartbeat = time::interval(self.shared.timing.heartbeat_ms.0);
-        heartbeat.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-        let mut nonce = 0;
+        let mut pulse = Pulse::new(&self.shared.timing);
+        let mut ticks = time::interval(self.shared.timing.heartbeat_ms.0);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         loop {
             let done = tokio::select! {
                 next = reader.next::<ToRouter>() => match next {
-                    Ok((message, body)) => self.take(message, body),
+                    Ok((message, body)) => {
+                        pulse.heard();
+                        self.take(message, body)
+                    }
                     Err(error) => Err(error),
                 },
                 command = commands.recv() => match command {
-                    Some(command) => self.command(command).await,
+                    Some(command) => {
+                        pulse.sent();
+                        self.command(command).await
+                    }
                     None => Err(FrameError::Closed),
                 },
-                _ = heartbeat.tick() => {
-                    nonce += 1;
-                    self.send(&ToAgent::Ping { nonce }, b"").await
+                _ = ticks.tick() => match pulse.beat(!self.streams.is_empty()) {
+                    Beat::Rest => Ok(()),
+                    Beat::Ping(nonce) => self.control(&ToAgent::Ping { nonce }).await,
+                    Beat::Idle => return Ended::Idle,
+                    Beat::Silent(silence) => Err(FrameError::Silent(silence.as_millis())),
                 }
             };
             if let Err(error) = done {
-                return error;
+                return Ended::Broken(error);
             }
         }
     }
 
+    async fn greet(&mut self, first: Option<Command>) -> Result<(), FrameError> {
+        let router = self.shared.router.clone();
+        let incarnation = self.shared.incarnation;
+        self.control(&ToAgent::Hello { router, incarnation, protocol: PROTOCOL }).await?;
+        match first {
+            Some(command) => self.command(command).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Sends what is not part of a caller's request.
+    async fn control(&self, message: &ToAgent) -> Result<(), FrameError> {
+        let frame = frame::encode(message, b"")?;
+        self.shared.budget.spend(Duty::Link, frame.len() as u64);
+        self.out.send(frame).await.map_err(|_| FrameError::Closed)
+    }
+
     async fn send(&self, message: &ToAgent, body: &[u8]) -> Result<(), FrameError> {
         let frame = frame::encode(message, body)?;
         self.out.send(frame).await.map_err(|_| FrameError::Closed)
@@ -200,8 +200,7 @@
     }
 
     fn tell(&self, event: Event) {
-        // The ring is bounded and its reader never waits for this thread, so this ends soon.
-        drop(self.shared.events.send(event));
+        self.shared.tell(event);
     }
 
     fn take(&mut self, message: ToRouter, body: Bytes) -> Result<(), FrameError> {
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -4,14 +4,16 @@
     auth::{AuthError, Hasher},
     connections::{Connections, Policy},
     decide::Decider,
+    dial,
     event::Event,
     http::{self, Door},
-    link::{self, Shared},
+    link::Shared,
     operator,
 };
 use corianderstand_control::{
     appender::Identity,
     budget::Budget,
+    paced::Paced,
     relay::{self, Tail},
     source::Source,
     start::{Control, Handle},
@@ -71,7 +73,7 @@
     let incarnation = clock::unix_ms(clock.wall());
     let hasher = Hasher::new(&settings.auth_key).map_err(RouterError::Auth)?;
     let budget = Arc::new(Budget::new(clock.clone()));
-    let tail = Tail::new(clock.clone(), budget, relay::MAX_TAIL_BYTES);
+    let tail = Tail::new(clock.clone(), budget.clone(), relay::MAX_TAIL_BYTES);
     let source = source(&settings, &hasher, tail.clone());
     let control = start_control(&settings, incarnation, source, clock.clone())?;
     let (events, events_rx) = mpsc::sync_channel(EVENT_RING);
@@ -88,7 +90,7 @@
         held: held.clone(),
     };
     spawn("decide", move || decider.run(&events_rx))?;
-    start_link(&settings, incarnation, &control, events.clone())?;
+    start_link(&settings, incarnation, &control, events.clone(), budget)?;
 
     let door = Arc::new(Door {
         events,
@@ -136,7 +138,7 @@
     let control = Control {
         identity: Identity { writer: settings.name.clone(), incarnation },
         log: Arc::new(source),
-        hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
+        hosts: Arc::new(Paced::new(HttpHostList::new(&settings.host_list_url), clock.clone())),
         clock,
         log_poll: poll,
         hosts_poll: settings.timing.host_list_poll_ms.0,
@@ -150,12 +152,13 @@
     incarnation: u64,
     control: &Handle,
     events: mpsc::SyncSender<Event>,
+    budget: Arc<Budget>,
 ) -> Result<(), RouterError> {
     let timing = settings.timing.clone();
-    let shared = Shared { router: settings.name.clone(), incarnation, timing, events };
+    let shared = Shared { router: settings.name.clone(), incarnation, timing, events, budget };
     let current = control.current.clone();
     let runtime = runtime()?;
-    spawn("link", move || runtime.block_on(link::run(shared, current)))
+    spawn("link", move || runtime.block_on(dial::run(shared, current)))
 }
 
 fn start_http(settings: &RouterSettings, door: &Arc<Door>) -> Result<ServerHandle, RouterError> {
--- a/tools/capacity/src/emulate.rs
+++ b/tools/capacity/src/emulate.rs
@@ -158,7 +158,7 @@
     loop {
         match log.read(next, 1024, wait).await {
             Ok(page) => next = page.entries.last().map_or(next, |entry| entry.offset + 1),
-            Err(_) => time::sleep(Duration::from_millis(200)).await,
+            Err(_) => time::sleep(Duration::from_secs(5)).await,
         }
     }
 }
--- a/tools/capacity/src/node.rs
+++ b/tools/capacity/src/node.rs
@@ -1,6 +1,7 @@
 //! One process under measure, with the platform's stand-ins and its peers emulated.
 
 use crate::{emulate, forward, process, size};
+use corianderstand_control::source;
 use corianderstand_derives::derives;
 use corianderstand_edge::{
     hosts::{HostEntry, HostState},
@@ -281,7 +282,7 @@
     let count: Arc<forward::Count> = Arc::default();
     let near = forward::start(listen, count.clone()).await;
     let base = format!("http://{near}/internal");
-    emulate::followers(&base, followers, records.len() as u64 + 1, POLL);
+    emulate::followers(&base, followers, records.len() as u64 + 1, source::PEER_WAIT);
     steady(|| 0).await;
     let cost = platform.measure(&process, &count).await;
     NodeCost { connections: followers as f64, ..cost }
