--- /dev/null
+++ b/tests/promises.rs
@@ -0,0 +1,108 @@
+//! Every test, scenario and trace that `docs/PROMISES.md` names exists.
+
+use rstest::rstest;
+use std::{
+    collections::BTreeSet,
+    fs,
+    path::{Path, PathBuf},
+};
+
+const PAGE: &str = "docs/PROMISES.md";
+/// Folders with sources of tests.
+const SOURCES: [&str; 4] = ["tests", "crates", "tools", "src"];
+/// Folders of files that the page may name.
+const NAMED: [&str; 2] = ["scenarios/", "traces/"];
+/// Extensions of files that the page may name.
+const EXTENSIONS: [&str; 3] = ["rhai", "json", "jsonl"];
+
+fn root() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+}
+
+/// Text in backticks, without fenced blocks.
+fn quoted(page: &str) -> Vec<&str> {
+    let fenced = page.split("```").step_by(2);
+    fenced.flat_map(|text| text.split('`').skip(1).step_by(2)).collect()
+}
+
+fn is_name(text: &str) -> bool {
+    !text.is_empty() && text.chars().all(|c| c.is_ascii_alphanumeric() || c == '_')
+}
+
+/// The function of a test in nextest's naming, `crate::binary test` or `crate test`, where the
+/// test may have modules before it and a case after it.
+fn function(text: &str) -> Option<&str> {
+    let (binary, test) = text.split_once(' ')?;
+    let is_binary = binary.split("::").all(is_name) && binary.contains("corianderstand");
+    let parts: Vec<&str> = test.split("::").collect();
+    if !is_binary || !parts.iter().all(|part| is_name(part)) {
+        return None;
+    }
+    let without_case: Vec<&str> =
+        parts.iter().filter(|part| !part.starts_with("case_")).copied().collect();
+    without_case.last().copied()
+}
+
+fn functions_in(dir: &Path, found: &mut BTreeSet<String>) {
+    let Ok(entries) = fs::read_dir(dir) else { return };
+    for path in entries.flatten().map(|entry| entry.path()) {
+        if path.is_dir() {
+            functions_in(&path, found);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            let text = fs::read_to_string(&path).unwrap_or_default();
+            let starts = text.split("fn ").skip(1);
+            let names = starts.filter_map(|rest| rest.split(['(', '<']).next());
+            found.extend(names.filter(|name| is_name(name)).map(str::to_owned));
+        }
+    }
+}
+
+fn functions() -> BTreeSet<String> {
+    let mut found = BTreeSet::new();
+    SOURCES.iter().for_each(|dir| functions_in(&root().join(dir), &mut found));
+    found
+}
+
+/// What a page names that does not exist.
+fn missing(page: &str, functions: &BTreeSet<String>) -> Vec<String> {
+    let is_file = |text: &str| {
+        let extension = Path::new(text).extension().and_then(|extension| extension.to_str());
+        let in_folder = NAMED.iter().any(|dir| text.contains(dir));
+        in_folder && extension.is_some_and(|extension| EXTENSIONS.contains(&extension))
+    };
+    let mut missing = Vec::new();
+    for text in quoted(page) {
+        let gone = match function(text) {
+            Some(name) => !functions.contains(name),
+            None => is_file(text) && !root().join(text).exists(),
+        };
+        if gone {
+            missing.push(text.to_owned());
+        }
+    }
+    missing
+}
+
+/// A test is renamed or removed and the page goes on naming it. Whoever reads the page believes
+/// that something is proved which is not.
+#[rstest]
+fn every_test_and_file_named_on_the_page_of_promises_exists() {
+    let page = fs::read_to_string(root().join(PAGE)).expect("the page can be read");
+    let gone = missing(&page, &functions());
+    assert!(gone.is_empty(), "named in {PAGE}, but not in the tree: {gone:#?}");
+    let tests = quoted(&page).into_iter().filter(|text| function(text).is_some()).count();
+    assert!(tests > 0, "the page names tests");
+}
+
+#[rstest]
+#[case::a_test("`corianderstand::path a_booking_sent_twice_runs_once`", true)]
+#[case::a_case("`corianderstand::relays records_are_given_to_peers_only::case_1`", true)]
+#[case::in_a_module("`corianderstand_control relay::tests::no_page_reaches_over_a_gap`", true)]
+#[case::a_scenario("`scenarios/router-killed-while-log-is-down.rhai`", true)]
+#[case::a_command("`cargo nextest run --test path`", true)]
+#[case::a_setting("`peers` and `log_url`", true)]
+#[case::no_such_test("`corianderstand::path a_test_that_nobody_wrote`", false)]
+#[case::no_such_scenario("`scenarios/nobody-wrote-this.rhai`", false)]
+fn the_check_finds_what_is_missing_and_only_that(#[case] page: &str, #[case] good: bool) {
+    assert_eq!(missing(page, &functions()).is_empty(), good);
+}
