--- a/tools/capacity/src/main.rs
+++ b/tools/capacity/src/main.rs
@@ -1,6 +1,6 @@
 //! Measures what one process costs against the size of the deployment.
 //!
-//! `cargo run --release -p capacity -- [state|router|agent|relay] [--repeats N] [--out NAME]`
+//! `cargo run --release -p capacity -- [state|router|agent|relay|streams|requests] [--repeats N] [--out NAME]`
 //! writes `docs/measurements/NAME.json` and `NAME.svg`. Without a part all are measured.
 
 mod emulate;
@@ -8,6 +8,7 @@
 mod node;
 mod plot;
 mod process;
+mod requests;
 mod size;
 mod slope;
 mod state;
@@ -30,6 +31,8 @@
     routers: Vec<Vec<node::NodeCost>>,
     agents: Vec<Vec<node::NodeCost>>,
     relays: Vec<Vec<node::NodeCost>>,
+    streams: Vec<Vec<node::NodeCost>>,
+    loads: Vec<Vec<requests::LoadCost>>,
     series: Vec<Series>,
 }
 
@@ -44,7 +47,10 @@
     let matches = match options.parse(std::env::args().skip(1)) {
         Ok(matches) => matches,
         Err(error) => {
-            eprintln!("{error}\n{}", options.usage("capacity [state|router|agent|relay]"));
+            eprintln!(
+                "{error}\n{}",
+                options.usage("capacity [state|router|agent|relay|streams|requests]")
+            );
             return ExitCode::from(2);
         }
     };
@@ -71,6 +77,12 @@
     if wants("relay") {
         runtime.block_on(measure_relays(&mut report));
     }
+    if wants("streams") {
+        runtime.block_on(measure_streams(&mut report));
+    }
+    if wants("requests") {
+        runtime.block_on(measure_requests(&mut report));
+    }
     write(&name, &report);
     ExitCode::SUCCESS
 }
@@ -140,6 +152,54 @@
     report.add_nodes("relay", "followers", &FOLLOWERS, &costs);
 }
 
+/// Streams in flight at one router, as steps.
+const STREAMS: [usize; 4] = [0, 50, 100, 200];
+/// Requests a second and tokens of each, as steps.
+const LOADS: [(u32, u64); 7] = [(10, 1), (20, 1), (40, 1), (80, 1), (20, 25), (20, 50), (20, 100)];
+
+async fn measure_streams(report: &mut Report) {
+    for count in STREAMS {
+        let mut costs = Vec::new();
+        for _ in 0..report.repeats {
+            costs.push(requests::streams(count).await);
+        }
+        report.streams.push(costs);
+    }
+    let costs = report.streams.clone();
+    report.add_nodes("router with streams", "streams in flight", &STREAMS, &costs);
+}
+
+async fn measure_requests(report: &mut Report) {
+    for (rate, tokens) in LOADS {
+        let mut costs = Vec::new();
+        for _ in 0..report.repeats {
+            costs.push(requests::load(rate, tokens).await);
+        }
+        report.loads.push(costs);
+    }
+    let (by_rate, by_tokens) = report.loads.split_at(4);
+    let roles: [Measure<requests::LoadCost>; 2] =
+        [("router", |cost| cost.router_percent), ("agent", |cost| cost.agent_percent)];
+    let mut series = Vec::new();
+    for (role, measure) in roles {
+        let points = |costs: &[Vec<requests::LoadCost>], size: fn(&requests::LoadCost) -> f64| {
+            let point = |costs: &Vec<requests::LoadCost>| {
+                let sizes: Vec<f64> = costs.iter().map(size).collect();
+                (slope::median(&sizes), costs.iter().map(measure).collect())
+            };
+            costs.iter().map(point).collect()
+        };
+        let name = format!("{role}: processor, % of a core");
+        series.push(Series::new(&name, "requests/s of one token", points(by_rate, |c| c.requests)));
+        series.push(Series::new(
+            &name,
+            "tokens/s at 20 requests/s",
+            points(by_tokens, |c| c.tokens),
+        ));
+    }
+    report.series.extend(series);
+}
+
 impl Report {
     fn add_nodes(
         &mut self,
--- a/tools/capacity/src/node.rs
+++ b/tools/capacity/src/node.rs
@@ -226,7 +226,7 @@
 }
 
 /// Waits until a number has not changed for a while.
-async fn steady(read: impl Fn() -> usize) {
+pub async fn steady(read: impl Fn() -> usize) {
     let (mut last, mut since) = (read(), Instant::now());
     while since.elapsed() < STEADY {
         time::sleep(Duration::from_millis(50)).await;
--- /dev/null
+++ b/tools/capacity/src/requests.rs
@@ -0,0 +1,130 @@
+//! What requests and tokens cost a router and an agent, and what streams in flight cost a
+//! router in heartbeats.
+
+use crate::{
+    emulate,
+    node::{self, NodeCost, Platform},
+    process, size,
+};
+use corianderstand_derives::derives;
+use serde_json::json;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+use testbed::process::PATIENCE;
+use tokio::time;
+
+/// Time of one token at the engine stand-in.
+const TOKEN_US: &str = "500";
+/// Deadline of a request that is to stay in flight.
+const LONG_MS: u64 = 120_000;
+
+/// Processor time under a load of requests.
+#[derives(wire)]
+#[derive(Copy, Default)]
+pub struct LoadCost {
+    /// Requests answered a second.
+    pub requests: f64,
+    /// Tokens answered a second.
+    pub tokens: f64,
+    /// Processor time of the router, in percent of a core.
+    pub router_percent: f64,
+    /// Processor time of the agent, in percent of a core.
+    pub agent_percent: f64,
+}
+
+/// Asks for a completion as a team; whether it was answered.
+async fn ask(http: &reqwest::Client, router: &str, team: usize, body: &serde_json::Value) -> bool {
+    let req = http.post(format!("http://{router}/v1/completions"));
+    let req = req.bearer_auth(format!("key-{team}")).header("x-deadline-ms", LONG_MS);
+    let Ok(answer) = req.json(body).send().await else { return false };
+    let answered = answer.status().is_success();
+    answer.bytes().await.is_ok() && answered
+}
+
+fn body(model: usize, tokens: u64) -> serde_json::Value {
+    json!({ "model": format!("model-{model:03}-7b"), "prompt": "nine floors",
+        "max_tokens": tokens, "stream": true })
+}
+
+/// A router and an agent with one model under `rate` requests a second of `tokens` tokens.
+///
+/// # Panics
+///
+/// Panics if the model is not served within the limit.
+pub async fn load(rate: u32, tokens: u64) -> LoadCost {
+    let size = size::Size { targets: 0, slots: 0, calls: 0, writers: 0, ..size::DESIGN };
+    let platform = Platform::start().await;
+    platform.append(&size::records(size, |_| "".into())).await;
+    platform.list_hosts(1).await;
+    let (_engine, url) =
+        platform.engine(&["--token-us", TOKEN_US, "--load-ms", "10", "--batch", "1000"]).await;
+    let (agent, _) = platform.agent("engine-000", &url).await;
+    let (router, listen, _) = platform.router("router-0").await;
+    let http = reqwest::Client::builder().no_proxy().build().expect("a plain client");
+    let began = Instant::now();
+    while !ask(&http, &listen, 0, &body(0, 1)).await {
+        assert!(began.elapsed() < PATIENCE, "the model is not served");
+        time::sleep(Duration::from_millis(50)).await;
+    }
+    let answered = Arc::new(AtomicUsize::new(0));
+    let sender = tokio::spawn(send(http, listen, rate, tokens, answered.clone()));
+    time::sleep(Duration::from_secs(2)).await;
+    let before = (process::cpu(router.pid()), process::cpu(agent.pid()));
+    let (count, began) = (answered.load(Ordering::Relaxed), Instant::now());
+    time::sleep(node::WINDOW).await;
+    let seconds = began.elapsed().as_secs_f64();
+    let requests = (answered.load(Ordering::Relaxed) - count) as f64 / seconds;
+    let percent = |now: Duration, then: Duration| (now - then).as_secs_f64() / seconds * 100.0;
+    let cost = LoadCost {
+        requests,
+        tokens: requests * tokens as f64,
+        router_percent: percent(process::cpu(router.pid()), before.0),
+        agent_percent: percent(process::cpu(agent.pid()), before.1),
+    };
+    sender.abort();
+    cost
+}
+
+async fn send(
+    http: reqwest::Client,
+    router: String,
+    rate: u32,
+    tokens: u64,
+    answered: Arc<AtomicUsize>,
+) {
+    let mut ticks = time::interval(Duration::from_secs(1) / rate);
+    loop {
+        ticks.tick().await;
+        let (http, router, answered) = (http.clone(), router.clone(), answered.clone());
+        tokio::spawn(async move {
+            if ask(&http, &router, 0, &body(0, tokens)).await {
+                answered.fetch_add(1, Ordering::Relaxed);
+            }
+        });
+    }
+}
+
+/// A router at full size with so many streams in flight that wait for their first token, each
+/// of another model: the dearest state of its connections.
+pub async fn streams(count: usize) -> NodeCost {
+    let size = size::DESIGN;
+    let platform = Platform::start().await;
+    let agents = emulate::Agents::start(size.targets).await;
+    platform.append(&size::records(size, |i| agents.addresses[i].clone())).await;
+    platform.list_hosts(size.writers).await;
+    let (process, listen, _) = platform.router("router-0").await;
+    let http = reqwest::Client::builder().no_proxy().build().expect("a plain client");
+    for team in 0..count {
+        let (http, listen) = (http.clone(), listen.clone());
+        tokio::spawn(async move { ask(&http, &listen, team, &body(team, 4)).await });
+    }
+    let connected = agents.connected.clone();
+    node::steady(|| connected.load(Ordering::Relaxed)).await;
+    let cost = platform.measure(&process, &agents.count).await;
+    NodeCost { connections: connected.load(Ordering::Relaxed) as f64, ..cost }
+}
