--- a/crates/corianderstand_agent/src/event.rs
+++ b/crates/corianderstand_agent/src/event.rs
@@ -4,6 +4,7 @@
 use corianderstand_decide::work::{RequestKey, Work};
 use corianderstand_schema::messages::{OpenStream, ToRouter};
 use corianderstand_types::{units::Mib, weights::Weights};
+use std::time::Instant;
 use tokio::sync::{mpsc, watch};
 
 /// Identity of a connection within this process.
@@ -39,6 +40,8 @@
     pub body: Bytes,
     /// Where its answer goes.
     pub end: StreamEnd,
+    /// When its caller must have an answer.
+    pub deadline: Instant,
 }
 
 /// To the `decide` thread.
@@ -66,6 +69,14 @@
     Unloaded(Weights, bool),
     /// What the engine says is loaded.
     Rebuilt(Vec<(Weights, Mib, bool)>),
+    /// What the engine says is loaded, asked as of a version of the ledger; `None` if it did
+    /// not say.
+    Asked {
+        /// Version of the ledger.
+        version: u64,
+        /// The answer.
+        loaded: Option<Vec<(Weights, Mib, bool)>>,
+    },
     /// Take no new work.
     Drain,
 }
@@ -77,6 +88,11 @@
     Run(RequestKey, Box<Request>),
     /// Refuse a request.
     Refuse(Box<Request>, ToRouter),
+    /// Ask the engine what is loaded.
+    Ask {
+        /// Version of the ledger.
+        version: u64,
+    },
     /// Load under a fencing number.
     Load {
         /// What.
--- a/crates/corianderstand_agent/src/run.rs
+++ b/crates/corianderstand_agent/src/run.rs
@@ -6,15 +6,19 @@
 };
 use corianderstand_control::start::Handle;
 use corianderstand_decide::work::RequestKey;
+use corianderstand_derives::derives;
 use corianderstand_edge::{
     EdgeError,
     engine::{Engine, EngineEvent, EngineStream, Generate, Order, OrderAction},
     service::PlainService,
 };
-use corianderstand_schema::messages::{Ending, Load, Operation, ToRouter};
+use corianderstand_schema::messages::{Ending, Load, Operation, RefusalReason, ToRouter};
 use corianderstand_types::{clock::SharedClock, names::TargetId, units::Mib, weights::Weights};
 use futures::StreamExt;
-use std::sync::{Arc, mpsc::SyncSender};
+use std::{
+    sync::{Arc, atomic::AtomicUsize, mpsc::SyncSender},
+    time::Duration,
+};
 use tokio::sync::{mpsc, watch};
 
 /// The target, as far as this process speaks to it.
@@ -41,6 +45,17 @@
     pub control: Handle,
     /// Time.
     pub clock: SharedClock,
+    /// Claims that were given up while the log had not decided them.
+    pub stalled: Arc<AtomicUsize>,
+}
+
+/// How a request is done with.
+#[derives(data)]
+pub enum Finish {
+    /// It ended, after so many chunks.
+    Ended(Ending, u64),
+    /// It is not run; when to come back.
+    Refused(RefusalReason, Duration),
 }
 
 impl Runner {
@@ -63,6 +78,7 @@
             Job::Unload { weights, memory, fence } => {
                 self.order(OrderAction::Unload, weights, memory, fence).await;
             }
+            Job::Ask { version } => self.ask(version).await,
         }
     }
 
@@ -75,7 +91,8 @@
         }
         let outcome = match answer {
             Ok(()) => Some(true),
-            Err(EdgeError::Status { .. }) => Some(false),
+            // An error of the engine's own says nothing of how far the order came.
+            Err(EdgeError::Status { status, .. }) if status < 500 => Some(false),
             Err(error) if error.never_sent() => Some(false),
             Err(_) => None,
         };
@@ -85,6 +102,18 @@
         });
     }
 
+    async fn ask(&self, version: u64) {
+        let Target::Engine(engine) = &self.target else { return };
+        let loaded = engine.loaded().await;
+        if let Err(error) = &loaded {
+            tracing::warn!(%error, "engine not asked what is loaded");
+        }
+        let loaded = loaded.ok().map(|loaded| {
+            loaded.into_iter().map(|l| (l.weights, Mib(l.memory_mib), l.ready)).collect()
+        });
+        self.tell(Event::Asked { version, loaded });
+    }
+
     /// The ring is bounded and its reader never waits for this thread, so this ends soon.
     fn tell(&self, event: Event) {
         drop(self.events.send(event));
@@ -95,9 +124,12 @@
         let trace = corianderstand_link::trace::TraceContext::continue_from(Some(
             request.open.traceparent.as_str(),
         ));
-        let (ending, position) = match &request.open.operation {
+        let finish = match &request.open.operation {
             Operation::Call { .. } => calls::run(self, &request, trace).await,
-            _ => self.generate(&request, trace).await,
+            _ => {
+                let (ending, position) = self.generate(&request, trace).await;
+                Finish::Ended(ending, position)
+            }
         };
         let took = self.clock.now() - began;
         tracing::info!(
@@ -105,13 +137,19 @@
             span_id = %format_args!("{:016x}", trace.span),
             request = %request.open.request,
             took_us = took.as_micros() as u64,
-            chunks = position,
-            ending = ?ending,
+            finish = ?finish,
             "hop agent"
         );
         self.tell(Event::Ended { key });
         let (stream, load) = (request.end.stream, self.load.borrow().clone());
-        request.end.send(&ToRouter::End { stream, position, ending, load }, b"").await;
+        let message = match finish {
+            Finish::Ended(ending, position) => ToRouter::End { stream, position, ending, load },
+            Finish::Refused(reason, retry_after) => {
+                let retry_after_ms = retry_after.as_millis() as u64;
+                ToRouter::Refused { stream, reason, retry_after_ms, load }
+            }
+        };
+        request.end.send(&message, b"").await;
     }
 
     async fn generate(
--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -57,6 +57,8 @@
     pub connections: Arc<Connections>,
     /// Longest head, in bytes.
     pub max_header_bytes: usize,
+    /// Other routers.
+    pub peers: Vec<SmolStr>,
     /// Longest body, in bytes.
     pub max_body_bytes: usize,
     /// Longest time a body may take to come.
@@ -106,7 +108,7 @@
 const POST: &str = "POST";
 
 /// All paths with a method.
-const PATHS: [(&str, &str, Kind); 9] = [
+const PATHS: [(&str, &str, Kind); 13] = [
     ("v1/completions", POST, Kind::Completion),
     ("v1/chat/completions", POST, Kind::Chat),
     ("v1/models", GET, Kind::Models),
@@ -114,6 +116,10 @@
     ("operator/get", GET, Kind::Operator(operator::Kind::Get)),
     ("operator/status", GET, Kind::Operator(operator::Kind::Status)),
     ("internal/read", GET, Kind::Relay),
+    ("operator/state", GET, Kind::Operator(operator::Kind::State)),
+    ("operator/ticket", GET, Kind::Operator(operator::Kind::Ticket)),
+    ("operator/spread", GET, Kind::Operator(operator::Kind::Spread)),
+    ("operator/history", GET, Kind::Operator(operator::Kind::History)),
     ("healthz", GET, Kind::Healthy),
     ("readyz", GET, Kind::Ready),
 ];
@@ -167,7 +173,12 @@
     req.headers().get(name).and_then(|value| value.to_str().ok())
 }
 
-fn bearer(req: &Request) -> Result<&str, Problem> {
+/// The caller's bearer key.
+///
+/// # Errors
+///
+/// [`Problem::Unauthorized`] without one.
+pub fn bearer(req: &Request) -> Result<&str, Problem> {
     let value = header(req, "authorization").ok_or(Problem::Unauthorized)?;
     value.strip_prefix("Bearer ").map(str::trim).ok_or(Problem::Unauthorized)
 }
@@ -199,7 +210,10 @@
                 Ok(())
             }
             Kind::Operator(kind) => {
-                self.check_operator(req)?;
+                match kind {
+                    operator::Kind::State => self.check_peer(req)?,
+                    _ => self.check_operator(req)?,
+                }
                 operator::answer(self, kind, req, res).await
             }
             _ => self.answer_caller(kind, request, req, res).await,
@@ -266,7 +280,7 @@
             return Err(Problem::NotReady("it is stopping"));
         }
         if !snapshot.caught_up {
-            return Err(Problem::NotReady("it has no settings yet, as the log is not read"));
+            return Err(Problem::NotReady(snapshot.waiting.reason()));
         }
         Ok(())
     }
@@ -372,6 +386,8 @@
             position: 0,
             window: 0,
             traceparent: self.trace.header(),
+            as_of: 0,
+            expires_ms: 0,
         };
         (work, open)
     }
--- a/crates/corianderstand_router/src/lib.rs
+++ b/crates/corianderstand_router/src/lib.rs
@@ -24,6 +24,7 @@
 mod event;
 mod http;
 mod link;
+mod once;
 mod operator;
 mod params;
 mod problem;
--- a/crates/corianderstand_router/src/problem.rs
+++ b/crates/corianderstand_router/src/problem.rs
@@ -43,14 +43,20 @@
     Failed(SmolStr),
     /// whether the call ran is not known ({0}): ask again with the same `Idempotency-Key`
     Unknown(SmolStr),
+    /// the call did not run and never will under this key ({0}): send it under a new key
+    NotRun(SmolStr),
+    /// the key is older than keys are remembered, so whether its call ran is not known: look it up at the service
+    KeyForgotten,
     /// no answer came by the deadline: ask again, or allow more time
     Deadline,
     /// this process is not ready ({0}): use another router, or come back
     NotReady(&'static str),
     /// two operators changed the same settings: {0}
     Conflict(String),
-    /// whether the change is accepted is not known yet: ask with `corianderstand get`
-    Undecided,
+    /// whether the change is accepted is not known yet: ask for ticket {0} at any router
+    Undecided(SmolStr),
+    /// the change is refused, nothing was written ({0}): apply again later
+    LogDown(&'static str),
 }
 
 impl std::error::Error for Problem {}
@@ -86,10 +92,13 @@
             Self::Refused(..) => "refused",
             Self::Failed(_) => "answer_broke_off",
             Self::Unknown(_) => "outcome_unknown",
+            Self::NotRun(_) => "call_not_run",
+            Self::KeyForgotten => "key_forgotten",
             Self::Deadline => "deadline_passed",
             Self::NotReady(_) => "not_ready",
             Self::Conflict(_) => "conflict",
-            Self::Undecided => "undecided",
+            Self::Undecided(_) => "undecided",
+            Self::LogDown(_) => "log_down",
         }
     }
 
@@ -104,21 +113,23 @@
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::Forbidden => StatusCode::FORBIDDEN,
             Self::NotFound | Self::NoSuchPath => StatusCode::NOT_FOUND,
+            Self::NotRun(_) | Self::KeyForgotten => StatusCode::GONE,
             Self::Conflict(_) | Self::Refused(RefusalReason::KeyConflict, _) => {
                 StatusCode::CONFLICT
             }
-            Self::Refused(..) | Self::NotReady(_) | Self::TooManyConnections => {
+            Self::Refused(..) | Self::NotReady(_) | Self::LogDown(_) | Self::TooManyConnections => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Failed(_) => StatusCode::BAD_GATEWAY,
-            Self::Unknown(_) | Self::Deadline | Self::Undecided => StatusCode::GATEWAY_TIMEOUT,
+            Self::Unknown(_) | Self::Deadline | Self::Undecided(_) => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
     /// What became of the request: `not-run` only where that is certain.
     pub const fn outcome(&self) -> &'static str {
         match self {
-            Self::Failed(_) | Self::Unknown(_) | Self::Deadline | Self::Undecided => "unknown",
+            Self::Failed(_) | Self::Unknown(_) | Self::Deadline | Self::Undecided(_) => "unknown",
+            Self::KeyForgotten => "unknown",
             _ => "not-run",
         }
     }
@@ -127,8 +138,10 @@
     pub const fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::Refused(_, after) => Some(*after),
-            Self::NotReady(_) | Self::Failed(_) | Self::Deadline => Some(DEFAULT_RETRY),
-            Self::Unknown(_) | Self::Undecided => Some(DEFAULT_RETRY),
+            Self::NotReady(_) | Self::LogDown(_) | Self::Failed(_) | Self::Deadline => {
+                Some(DEFAULT_RETRY)
+            }
+            Self::Unknown(_) | Self::Undecided(_) => Some(DEFAULT_RETRY),
             Self::TooManyConnections | Self::TooSlow(_) => Some(DEFAULT_RETRY),
             _ => None,
         }
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -14,6 +14,7 @@
     appender::Identity,
     budget::Budget,
     paced::Paced,
+    peers::HttpPeers,
     relay::{self, Tail},
     source::Source,
     start::{Control, Handle},
@@ -24,7 +25,7 @@
 use corianderstand_types::clock::{self, SharedClock};
 use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -61,6 +62,7 @@
     draining: Arc<AtomicBool>,
     held: Arc<AtomicUsize>,
     server: ServerHandle,
+    control: Handle,
     drain_limit: Duration,
 }
 
@@ -75,7 +77,7 @@
     let budget = Arc::new(Budget::new(clock.clone()));
     let tail = Tail::new(clock.clone(), budget.clone(), relay::MAX_TAIL_BYTES);
     let source = source(&settings, &hasher, tail.clone());
-    let control = start_control(&settings, incarnation, source, clock.clone())?;
+    let control = start_control(&settings, incarnation, &hasher, source, clock.clone())?;
     let (events, events_rx) = mpsc::sync_channel(EVENT_RING);
     let held = Arc::new(AtomicUsize::new(0));
     let draining = Arc::new(AtomicBool::new(false));
@@ -87,6 +89,8 @@
         calls: HashMap::new(),
         connections: HashMap::new(),
         versions: (u64::MAX, 0, 0),
+        hosts: Arc::default(),
+        told: BTreeSet::new(),
         held: held.clone(),
     };
     spawn("decide", move || decider.run(&events_rx))?;
@@ -94,9 +98,10 @@
 
     let door = Arc::new(Door {
         events,
-        control,
+        control: control.clone(),
         tail,
         hasher,
+        peers: settings.peers.clone(),
         operator_key_hash: settings.operator_key_hash.clone(),
         connections: Connections::new(&settings.limits),
         max_header_bytes: settings.limits.max_header_bytes as usize,
@@ -108,7 +113,8 @@
         clock,
     });
     let server = start_http(&settings, &door)?;
-    Ok(RouterHandle { draining, held, server, drain_limit: settings.timing.drain_ms.0 })
+    let drain_limit = settings.timing.drain_ms.0;
+    Ok(RouterHandle { draining, held, server, control, drain_limit })
 }
 
 fn runtime() -> Result<runtime::Runtime, RouterError> {
@@ -131,6 +137,7 @@
 fn start_control(
     settings: &RouterSettings,
     incarnation: u64,
+    hasher: &Hasher,
     source: Source,
     clock: SharedClock,
 ) -> Result<Handle, RouterError> {
@@ -139,6 +146,7 @@
         identity: Identity { writer: settings.name.clone(), incarnation },
         log: Arc::new(source),
         hosts: Arc::new(Paced::new(HttpHostList::new(&settings.host_list_url), clock.clone())),
+        peers: Arc::new(HttpPeers::new(&settings.peers, hasher.hash(operator::PEER_LABEL))),
         clock,
         log_poll: poll,
         hosts_poll: settings.timing.host_list_poll_ms.0,
@@ -187,6 +195,9 @@
 
     /// Waits until nothing is in flight, or the limit has passed.
     pub fn join(self) {
+        if let Ok(runtime) = runtime() {
+            runtime.block_on(self.control.resign());
+        }
         let began = Instant::now();
         loop {
             thread::sleep(STOP_PAUSE);
