--- a/crates/corianderstand_cli/src/lib.rs
+++ b/crates/corianderstand_cli/src/lib.rs
@@ -9,12 +9,15 @@
 pub mod check;
 mod client;
 mod directory;
+mod fields;
 mod logging;
 mod operate;
 mod process;
+mod status;
 mod together;
 
 use args::Command;
+pub use args::reference;
 
 /// How a command ended; the number is the process's exit code.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,7 +79,8 @@
         Command::Diff => operate::diff(matches),
         Command::Apply => operate::apply(matches),
         Command::Get => operate::get(matches),
-        Command::Status => operate::status(matches),
+        Command::History => operate::history(matches),
+        Command::Status => status::run(matches),
         Command::HashKey => process::hash_key(matches),
     }
 }
--- a/crates/corianderstand_control/src/lib.rs
+++ b/crates/corianderstand_control/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod duty;
 pub mod follower;
 pub mod hosts;
+pub mod measured;
 pub mod membership;
 pub mod metrics;
 pub mod paced;
--- a/crates/corianderstand_router/src/lib.rs
+++ b/crates/corianderstand_router/src/lib.rs
@@ -32,5 +32,6 @@
 mod relay;
 mod services;
 mod start;
+mod status;
 
 pub use start::{RouterError, RouterHandle, start};
--- a/crates/corianderstand_router/src/operator.rs
+++ b/crates/corianderstand_router/src/operator.rs
@@ -3,6 +3,7 @@
 use crate::{
     http::{self, Door},
     problem::{self, Problem},
+    status,
 };
 use corianderstand_control::{appender::AppendError, snapshot::Snapshot};
 use corianderstand_derives::derives;
@@ -29,6 +30,8 @@
     Get,
     /// `GET /operator/status`.
     Status,
+    /// `GET /operator/version`.
+    Version,
     /// `GET /operator/ticket?ticket=`.
     Ticket,
     /// `GET /operator/history?prefix=`.
@@ -95,7 +98,12 @@
         Kind::Ticket => ticket(door, &text("ticket"))?,
         Kind::History => history(door, &text("prefix")),
         Kind::Spread => spread(door, req).await?,
-        Kind::Status | Kind::State => status(door),
+        Kind::Version => status::version(door),
+        Kind::Status | Kind::State => {
+            let authorization = req.headers().get("authorization");
+            let authorization = authorization.and_then(|value| value.to_str().ok());
+            status::whole(door, authorization.unwrap_or_default()).await
+        }
     };
     problem::set_header(res, "content-type", "application/json");
     drop(res.write_body(value.to_string()));
@@ -229,34 +237,3 @@
         .collect();
     json!({ "version": snapshot.state.documents.version, "documents": documents })
 }
-
-fn status(door: &Door) -> Value {
-    let snapshot = door.control.current.load();
-    let state = &snapshot.state;
-    let targets: Vec<Value> = state
-        .targets
-        .by_name
-        .iter()
-        .map(|(name, t)| {
-            json!({ "target": name, "host": t.record.host, "place": t.record.place,
-                "address": t.record.address, "service": t.record.service })
-        })
-        .collect();
-    let slots: Vec<Value> = state
-        .slots
-        .by_key
-        .iter()
-        .map(|(key, slot)| json!({ "model": key.model, "slot": key.index, "target": slot.target }))
-        .collect();
-    json!({
-        "version": state.documents.version,
-        "log_up": snapshot.log_up,
-        "next": state.next,
-        "checkpoint": state.checkpoints.last,
-        "hosts": { "live": snapshot.hosts.live.len(), "leaving": snapshot.hosts.leaving,
-            "gone": snapshot.hosts.gone },
-        "lease": { "epoch": state.lease.epoch, "holder": state.lease.holder },
-        "targets": targets,
-        "slots": slots,
-    })
-}
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -13,6 +13,8 @@
 use corianderstand_control::{
     appender::Identity,
     budget::Budget,
+    measured::{self, MeasuredLog},
+    metrics::{Metric, Metrics},
     paced::Paced,
     peers::HttpPeers,
     relay::{self, Tail},
@@ -49,6 +51,8 @@
 pub enum RouterError {
     /// cannot listen on {0} ({1}): free the address, or change `listen`
     Listen(String, std::io::Error),
+    /// cannot send metrics ({0}): mend `statsd`, or leave it out
+    Statsd(std::io::Error),
     /// cannot start a thread ({0}): raise the host's limits
     Thread(std::io::Error),
     /// {0}
@@ -77,7 +81,9 @@
     let budget = Arc::new(Budget::new(clock.clone()));
     let tail = Tail::new(clock.clone(), budget.clone(), relay::MAX_TAIL_BYTES);
     let source = source(&settings, &hasher, tail.clone());
-    let control = start_control(&settings, incarnation, &hasher, source, clock.clone())?;
+    let metrics = Metrics::new(settings.statsd.as_deref(), settings.name.as_str());
+    let metrics = metrics.map_err(RouterError::Statsd)?;
+    let control = start_control(&settings, incarnation, &hasher, source, clock.clone(), &metrics)?;
     let (events, events_rx) = mpsc::sync_channel(EVENT_RING);
     let held = Arc::new(AtomicUsize::new(0));
     let draining = Arc::new(AtomicBool::new(false));
@@ -92,17 +98,22 @@
         hosts: Arc::default(),
         told: BTreeSet::new(),
         held: held.clone(),
+        metrics: metrics.clone(),
     };
     spawn("decide", move || decider.run(&events_rx))?;
     start_link(&settings, incarnation, &control, events.clone(), budget)?;
 
+    let peer_client = reqwest::Client::builder().no_proxy().build();
     let door = Arc::new(Door {
+        name: settings.name.clone(),
+        peer_client: peer_client.expect("the client has no settings that can fail"),
         events,
         control: control.clone(),
         tail,
         hasher,
         peers: settings.peers.clone(),
         operator_key_hash: settings.operator_key_hash.clone(),
+        metrics,
         connections: Connections::new(&settings.limits),
         max_header_bytes: settings.limits.max_header_bytes as usize,
         max_body_bytes: settings.limits.max_body_bytes as usize,
@@ -112,7 +123,7 @@
         draining: draining.clone(),
         clock,
     });
-    let server = start_http(&settings, &door)?;
+    let server = start_http(&settings, incarnation, &door)?;
     let drain_limit = settings.timing.drain_ms.0;
     Ok(RouterHandle { draining, held, server, control, drain_limit })
 }
@@ -140,11 +151,16 @@
     hasher: &Hasher,
     source: Source,
     clock: SharedClock,
+    metrics: &Metrics,
 ) -> Result<Handle, RouterError> {
     let poll = settings.timing.log_poll_ms.0;
     let control = Control {
         identity: Identity { writer: settings.name.clone(), incarnation },
-        log: Arc::new(source),
+        log: Arc::new(MeasuredLog {
+            log: Arc::new(source),
+            metrics: metrics.clone(),
+            clock: clock.clone(),
+        }),
         hosts: Arc::new(Paced::new(HttpHostList::new(&settings.host_list_url), clock.clone())),
         peers: Arc::new(HttpPeers::new(&settings.peers, hasher.hash(operator::PEER_LABEL))),
         clock,
@@ -169,7 +185,11 @@
     spawn("link", move || runtime.block_on(dial::run(shared, current)))
 }
 
-fn start_http(settings: &RouterSettings, door: &Arc<Door>) -> Result<ServerHandle, RouterError> {
+fn start_http(
+    settings: &RouterSettings,
+    incarnation: u64,
+    door: &Arc<Door>,
+) -> Result<ServerHandle, RouterError> {
     let listen_error = |error| RouterError::Listen(settings.listen.to_string(), error);
     let listener = std::net::TcpListener::bind(settings.listen.as_str()).map_err(listen_error)?;
     listener.set_nonblocking(true).map_err(listen_error)?;
@@ -183,7 +203,18 @@
     server.http1_mut().max_header_size(door.max_header_bytes * HEAD_SLACK);
     let handle = server.handle();
     let routes = http::routes(door);
-    spawn("http", move || runtime.block_on(server.serve(routes)))?;
+    let identity = Identity { writer: settings.name.clone(), incarnation };
+    let reported = door.clone();
+    let more = move |metrics: &Metrics| {
+        metrics.gauge(Metric::RouterHeld, reported.held.load(Ordering::Relaxed) as u64);
+        metrics.gauge(Metric::RouterConnections, reported.connections.held() as u64);
+    };
+    let report =
+        measured::report(door.metrics.clone(), identity, door.control.current.clone(), more);
+    spawn("http", move || {
+        runtime.spawn(report);
+        runtime.block_on(server.serve(routes));
+    })?;
     Ok(handle)
 }
 
