--- a/crates/corianderstand_agent/src/start.rs
+++ b/crates/corianderstand_agent/src/start.rs
@@ -13,16 +13,18 @@
 };
 use corianderstand_control::{
     appender::Identity,
+    budget::Budget,
     measured::{self, MeasuredLog},
     metrics::{Metric, Metrics},
+    paced::Unread,
     peers::{HttpPeers, Nobody, Peers},
+    relay::Tail,
     snapshot::Current,
+    source::Source,
     start::{Control, Handle},
 };
 use corianderstand_decide::agent::{Agent, Limits};
-use corianderstand_edge::{
-    engine::HttpEngine, hosts::HttpHostList, log::HttpLog, service::HttpService,
-};
+use corianderstand_edge::{engine::HttpEngine, log::HttpLog, service::HttpService};
 use corianderstand_schema::{
     messages::Load,
     process::{AgentSettings, TargetKind},
@@ -49,6 +51,8 @@
 const EVENT_RING: usize = 8192;
 /// Time a plain service has to answer one call.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Bytes of records an agent keeps for others: nobody follows an agent.
+const NO_TAIL: usize = 0;
 /// Pause between two questions to the engine at start.
 const REBUILD_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between two looks at a planned stop.
@@ -204,6 +208,16 @@
     builder.spawn(run).map(drop).map_err(AgentError::Thread)
 }
 
+/// Where this agent reads the log: from a router, if it was given some and a token.
+fn source(settings: &AgentSettings, clock: &SharedClock) -> Source {
+    let log = Arc::new(HttpLog::new(&settings.log_url, settings.timing.log_poll_ms.0));
+    let budget = Arc::new(Budget::new(clock.clone()));
+    let tail = Tail::new(clock.clone(), budget, NO_TAIL);
+    let token = settings.peer_token.clone().unwrap_or_default();
+    let peers = if token.is_empty() { &[] } else { settings.peers.as_slice() };
+    Source::for_process(log, &settings.name, None, peers, &token, tail)
+}
+
 fn start_control(
     settings: &AgentSettings,
     incarnation: u64,
@@ -214,11 +228,11 @@
     let control = Control {
         identity: Identity { writer: settings.name.clone(), incarnation },
         log: Arc::new(MeasuredLog {
-            log: Arc::new(HttpLog::new(&settings.log_url, poll)),
+            log: Arc::new(source(settings, &clock)),
             metrics: metrics.clone(),
             clock: clock.clone(),
         }),
-        hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
+        hosts: Arc::new(Unread),
         peers: peers(settings),
         clock,
         log_poll: poll,
--- a/crates/corianderstand_control/src/lib.rs
+++ b/crates/corianderstand_control/src/lib.rs
@@ -12,13 +12,17 @@
 //! ```
 
 pub mod appender;
+pub mod budget;
 pub mod duty;
 pub mod follower;
 pub mod hosts;
 pub mod measured;
 pub mod membership;
 pub mod metrics;
+pub mod paced;
 pub mod peers;
+pub mod relay;
 pub mod restore;
 pub mod snapshot;
+pub mod source;
 pub mod start;
