--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -7,11 +7,12 @@
     event::Event,
     operator,
     problem::{self, Problem},
-    services,
+    relay, services,
 };
 use bytes::Bytes;
 use corianderstand_control::{
     metrics::{Metric, Metrics},
+    relay::Tail,
     snapshot::Snapshot,
     start::Handle,
 };
@@ -55,6 +56,8 @@
     pub events: SyncSender<Event>,
     /// The log.
     pub control: Handle,
+    /// Records for processes that follow this router.
+    pub tail: Tail,
     /// Hashes bearer keys.
     pub hasher: Hasher,
     /// Hash of the operators' key.
@@ -103,6 +106,7 @@
     Models,
     Service,
     Operator(operator::Kind),
+    Relay,
     Healthy,
     Ready,
     OtherMethod(&'static str),
@@ -115,13 +119,14 @@
 const POST: &str = "POST";
 
 /// All paths with a method.
-const PATHS: [(&str, &str, Kind); 13] = [
+const PATHS: [(&str, &str, Kind); 14] = [
     ("v1/completions", POST, Kind::Completion),
     ("v1/chat/completions", POST, Kind::Chat),
     ("v1/models", GET, Kind::Models),
     ("operator/apply", POST, Kind::Operator(operator::Kind::Apply)),
     ("operator/get", GET, Kind::Operator(operator::Kind::Get)),
     ("operator/status", GET, Kind::Operator(operator::Kind::Status)),
+    ("internal/read", GET, Kind::Relay),
     ("operator/version", GET, Kind::Operator(operator::Kind::Version)),
     ("operator/state", GET, Kind::Operator(operator::Kind::State)),
     ("operator/ticket", GET, Kind::Operator(operator::Kind::Ticket)),
@@ -217,6 +222,11 @@
                 drop(res.write_body("ready\n"));
                 Ok(())
             }
+            Kind::Relay => {
+                self.check_peer(req)?;
+                relay::answer(&self.tail, req, res).await;
+                Ok(())
+            }
             Kind::Operator(kind) => {
                 match kind {
                     operator::Kind::State => self.check_peer(req)?,
--- a/tools/capacity/src/emulate.rs
+++ b/tools/capacity/src/emulate.rs
@@ -17,6 +17,7 @@
     },
     time::Duration,
 };
+use testbed::plan;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
@@ -147,7 +148,7 @@
 /// Reads the log from `base` as `followers` processes would, from offset `from` on.
 pub fn followers(base: &str, followers: usize, from: u64, wait: Duration) {
     for _ in 0..followers {
-        let log = HttpLog::new(base, wait);
+        let log = HttpLog::new(base, wait).with_bearer(&plan::hash("peer"));
         tokio::spawn(follow(log, from, wait));
     }
 }
@@ -157,7 +158,7 @@
     loop {
         match log.read(next, 1024, wait).await {
             Ok(page) => next = page.entries.last().map_or(next, |entry| entry.offset + 1),
-            Err(_) => time::sleep(Duration::from_millis(200)).await,
+            Err(_) => time::sleep(Duration::from_secs(5)).await,
         }
     }
 }
