A router that stood still runs no booking that it reads late

Cause: a frozen router reads what waited in its sockets as if it had just come, and gives it a fresh deadline; nothing in the request tells its age.

Ruled out: "not run" in that moment (its copy of the log is as old as the pause: the test of the dead agent showed it denying a booking that had run).

Before: the booking ran after its deadline (200, ran).

--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -6,6 +6,7 @@
     connections::Connections,
     event::Event,
     operator,
+    pause::PauseWatch,
     problem::{self, Problem},
     relay, services,
 };
@@ -80,6 +81,8 @@
     pub held: Arc<AtomicUsize>,
     /// Whether a planned stop has begun.
     pub draining: Arc<AtomicBool>,
+    /// Whether this process stood still.
+    pub pause: PauseWatch,
     /// Time.
     pub clock: SharedClock,
 }
--- a/crates/corianderstand_router/src/lib.rs
+++ b/crates/corianderstand_router/src/lib.rs
@@ -27,6 +27,7 @@
 mod once;
 mod operator;
 mod params;
+mod pause;
 mod problem;
 mod pulse;
 mod relay;
--- a/crates/corianderstand_router/src/services.rs
+++ b/crates/corianderstand_router/src/services.rs
@@ -66,6 +66,10 @@
     let submit = || CallInProgress::submit(&door.events, work, open, body);
     let answer = match idempotency_key {
         None => once::read(&mut submit()?, deadline).await?,
+        Some(_) if door.pause.is_doubtful(door.clock.now()) => {
+            // Its copy of the log is as old as the pause, so "not run" would say too much.
+            return Err(Problem::Unknown("this router stood still for a while".into()));
+        }
         Some(key) => {
             let key = CallKey { team: asked.team.clone(), service, key };
             let once = Once { control: &door.control, key, digest, deadline };
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -9,6 +9,7 @@
     http::{self, Door},
     link::Shared,
     operator,
+    pause::{self, PauseWatch},
 };
 use corianderstand_control::{
     appender::Identity,
@@ -36,7 +37,7 @@
     thread,
     time::{Duration, Instant},
 };
-use tokio::runtime;
+use tokio::{runtime, time};
 
 /// Events that wait for the `decide` thread.
 const EVENT_RING: usize = 16384;
@@ -123,6 +124,7 @@
         max_in_flight: settings.limits.max_in_flight as usize,
         held: held.clone(),
         draining: draining.clone(),
+        pause: PauseWatch::new(clock.now()),
         clock,
     });
     let (server, http) = start_http(&settings, incarnation, &door)?;
@@ -217,13 +219,23 @@
     };
     let report =
         measured::report(door.metrics.clone(), identity, door.control.current.clone(), more);
+    let watched = door.clone();
     let http = spawn("http", move || {
         runtime.spawn(report);
+        runtime.spawn(watch(watched));
         runtime.block_on(server.serve(routes));
     })?;
     Ok((handle, http))
 }
 
+/// Turns the watch for pauses on the thread that reads requests.
+async fn watch(door: Arc<Door>) {
+    loop {
+        door.pause.is_doubtful(door.clock.now());
+        time::sleep(pause::TURN).await;
+    }
+}
+
 impl RouterHandle {
     /// Begins a planned stop: not ready any more, requests in flight go on.
     pub fn drain(&self) {
--- a/tests/calls_faults.rs
+++ b/tests/calls_faults.rs
@@ -257,3 +257,29 @@
         }
     });
 }
+
+/// A router is frozen with a booking unread in its socket, while a device between keeps the
+/// connection open. Long after its deadline the user has booked by telephone, and the router
+/// goes on. Run then, the building would be cleaned twice.
+#[rstest]
+fn a_router_that_was_frozen_runs_no_booking_that_it_reads_late() {
+    block_on(async {
+        let mut deployment = start().await;
+        deployment.process("router-0").freeze();
+        let booking = Booking::new("b-1", 1_000);
+        let url = deployment.url("router-0", "/services/agenda/bookings");
+        let http = deployment.http.clone();
+        let asked = tokio::spawn(async move { booking.send(&http, url).await });
+        // The pause has to last beyond the deadline; no state tells that.
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        deployment.process("router-0").resume();
+        let late = asked.await.expect("the task ends").expect("the router answers");
+        assert_eq!((late.status, late.outcome.as_str()), (504, "unknown"), "{late:?}");
+        assert_eq!(deployment.ran("b-1").await, 0);
+        let after = Booking::new("b-2", DEADLINE_MS);
+        wait_for("the router takes bookings again", async || {
+            ask(&deployment, "router-0", &after).await.outcome == "ran"
+        })
+        .await;
+    });
+}
