--- a/crates/corianderstand_agent/src/accept.rs
+++ b/crates/corianderstand_agent/src/accept.rs
@@ -66,12 +66,14 @@
     let Ok((reader, writer)) = connection::split(stream, shared.silence) else { return };
     let (out, rx) = mpsc::channel(OUT_RING);
     let events = shared.events.clone();
-    let connection = Connection { id, out, shared, credits: HashMap::new() };
+    let mut connection = Connection { id, out, shared, credits: HashMap::new(), greeted: false };
     let ended = tokio::select! {
         ended = connection.read(reader) => ended,
         written = writer.run(rx) => written.err().unwrap_or(FrameError::Closed),
     };
-    tracing::info!(connection = id, error = %ended, "connection from a router ended");
+    if connection.greeted {
+        tracing::info!(connection = id, error = %ended, "connection from a router ended");
+    }
     // The ring is bounded and its reader never waits for this thread, so this ends soon.
     drop(events.send(Event::Gone(id)));
 }
@@ -81,10 +83,12 @@
     out: mpsc::Sender<Bytes>,
     shared: Shared,
     credits: HashMap<u64, watch::Sender<u64>>,
+    /// Whether a router greeted to send requests, not only to ask what is loaded.
+    greeted: bool,
 }
 
 impl Connection {
-    async fn read(mut self, mut reader: Reader) -> FrameError {
+    async fn read(&mut self, mut reader: Reader) -> FrameError {
         let mut draining = self.shared.draining.clone();
         loop {
             let next = tokio::select! {
@@ -113,7 +117,10 @@
 
     async fn take(&mut self, message: ToAgent, body: Bytes) -> Result<(), FrameError> {
         match message {
-            ToAgent::Hello { router, protocol, .. } => self.welcome(&router.0, protocol).await,
+            ToAgent::Hello { router, incarnation, protocol } => {
+                self.greeted = incarnation != corianderstand_link::ASKING;
+                self.welcome(&router.0, protocol).await
+            }
             ToAgent::Open(open) => self.open(open, body),
             ToAgent::Credit { stream, upto } => {
                 if let Some(credit) = self.credits.get(&stream) {
--- a/crates/corianderstand_link/src/lib.rs
+++ b/crates/corianderstand_link/src/lib.rs
@@ -21,3 +21,6 @@
 
 /// Version of the messages; both ends must have the same.
 pub const PROTOCOL: u32 = 2;
+
+/// Incarnation of a router in the greeting of a connection that only asks what is loaded.
+pub const ASKING: u64 = 0;
