--- a/crates/corianderstand_router/src/dial.rs
+++ b/crates/corianderstand_router/src/dial.rs
@@ -104,13 +104,14 @@
     target: TargetId,
     address: SmolStr,
     commands: mpsc::Sender<Command>,
-    mut rx: mpsc::Receiver<Command>,
+    rx: mpsc::Receiver<Command>,
 ) {
     let mut pause = MIN_RECONNECT;
     let mut reachable = true;
+    let mut waiting = Waiting { shared: shared.clone(), first: None, rx };
     loop {
-        let first = if reachable {
-            first_request(&mut rx).await
+        waiting.first = if reachable {
+            first_request(&mut waiting.rx).await
         } else {
             let spread = rand::rng().random_range(0.5..1.5);
             time::sleep(pause.mul_f64(spread)).await;
@@ -120,7 +121,9 @@
         match time::timeout(CONNECT_TIMEOUT, TcpStream::connect(&*address)).await {
             Ok(Ok(stream)) => {
                 pause = MIN_RECONNECT;
-                let ended = link::serve(stream, &shared, &target, &commands, &mut rx, first).await;
+                let first = waiting.first.take();
+                let rx = &mut waiting.rx;
+                let ended = link::serve(stream, &shared, &target, &commands, rx, first).await;
                 reachable = matches!(ended, Ended::Idle);
                 if let Ended::Broken(error) = ended {
                     tracing::warn!(%target, %error, "connection to an agent broke");
@@ -131,15 +134,35 @@
                 tracing::debug!(%target, error, "agent not reached");
                 shared.tell(Event::Disconnected(target.clone()));
                 reachable = false;
-                refuse(&shared, first);
+                refuse(&shared, waiting.first.take());
             }
         }
-        while !reachable && let Ok(command) = rx.try_recv() {
+        while !reachable && let Ok(command) = waiting.rx.try_recv() {
             refuse(&shared, Some(command));
         }
     }
 }
 
+/// Requests that wait for a connection.
+///
+/// The task ends in the midst when its target is withdrawn. A request that waits then would be
+/// forgotten and its caller hear nothing until its deadline; it is given back on the way out.
+struct Waiting {
+    shared: Shared,
+    first: Option<Command>,
+    rx: mpsc::Receiver<Command>,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        refuse(&self.shared, self.first.take());
+        self.rx.close();
+        while let Ok(command) = self.rx.try_recv() {
+            refuse(&self.shared, Some(command));
+        }
+    }
+}
+
 /// Waits for a request; credit and cancelling of streams that are over concern nobody.
 async fn first_request(rx: &mut mpsc::Receiver<Command>) -> Option<Command> {
     while let Some(command) = rx.recv().await {
--- a/crates/corianderstand_router/src/link.rs
+++ b/crates/corianderstand_router/src/link.rs
@@ -15,7 +15,7 @@
     frame::{self, FrameError},
 };
 use corianderstand_schema::{
-    messages::{ToAgent, ToRouter},
+    messages::{Ending, ToAgent, ToRouter},
     process::Timing,
 };
 use corianderstand_types::names::{TargetId, WriterId};
@@ -64,7 +64,7 @@
 /// A stream as the connection holds it.
 struct Stream {
     reply: mpsc::Sender<Update>,
-    begun: bool,
+    position: u64,
 }
 
 struct Connection<'a> {
@@ -97,7 +97,7 @@
         Err(error) => Ended::Broken(FrameError::Io(error)),
     };
     if let Ended::Broken(_) = &ended {
-        connection.give_up();
+        connection.tell(Event::Disconnected(target.clone()));
     }
     ended
 }
@@ -195,7 +195,8 @@
             self.tell(Event::Ended { key: key(stream), load: None });
             return Ok(());
         }
-        self.streams.insert(stream, Stream { reply: call.reply, begun: false });
+        let position = call.open.position;
+        self.streams.insert(stream, Stream { reply: call.reply, position });
         self.send(&ToAgent::Open(call.open), &call.body).await
     }
 
@@ -203,6 +204,10 @@
         self.shared.tell(event);
     }
 
+    fn lost(&self, stream: u64, position: u64, failed: bool) {
+        self.tell(Event::Lost { key: key(stream), position, failed });
+    }
+
     fn take(&mut self, message: ToRouter, body: Bytes) -> Result<(), FrameError> {
         match message {
             ToRouter::Welcome { draining, target, .. } => {
@@ -217,8 +222,17 @@
                 self.update(stream, Update::Head { status, content_type });
             }
             ToRouter::Chunk { stream, position } => {
+                if let Some(held) = self.streams.get_mut(&stream) {
+                    held.position = held.position.max(position + 1);
+                }
                 self.update(stream, Update::Chunk { position, body });
             }
+            ToRouter::End { stream, ending: Ending::Failed { reason }, .. } => {
+                tracing::info!(stream, %reason, "answer broke off at its target");
+                if let Some(held) = self.streams.remove(&stream) {
+                    self.lost(stream, held.position, true);
+                }
+            }
             ToRouter::End { stream, position, ending, load } => {
                 self.update(stream, Update::End { position, ending });
                 self.streams.remove(&stream);
@@ -239,24 +253,20 @@
     /// Hands an update to its caller; a stream that is not known was cancelled before.
     fn update(&mut self, stream: u64, update: Update) {
         let Some(held) = self.streams.get_mut(&stream) else { return };
-        held.begun = true;
         // The agent keeps to the window, so there is room; a caller that is gone cancels.
         if held.reply.try_send(update).is_err() {
             self.streams.remove(&stream);
         }
     }
+}
 
-    /// The connection is gone: each request on it is tried elsewhere if nothing of its answer
-    /// came, else its caller is told that the answer broke off.
-    fn give_up(&mut self) {
-        self.tell(Event::Disconnected(self.target.clone()));
+impl Drop for Connection<'_> {
+    /// The connection is gone, or its target was withdrawn and its task ended in the midst:
+    /// each request on it is taken up elsewhere, or its handler is told. One that was forgotten
+    /// here would leave its caller waiting until the deadline.
+    fn drop(&mut self) {
         for (stream, held) in std::mem::take(&mut self.streams) {
-            if held.begun {
-                drop(held.reply.try_send(Update::Lost));
-                self.tell(Event::Ended { key: key(stream), load: None });
-            } else {
-                self.tell(Event::Lost(key(stream)));
-            }
+            self.lost(stream, held.position, false);
         }
     }
 }
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -9,6 +9,7 @@
     http::{self, Door},
     link::Shared,
     operator,
+    pause::{self, PauseWatch},
 };
 use corianderstand_control::{
     appender::Identity,
@@ -36,7 +37,7 @@
     thread,
     time::{Duration, Instant},
 };
-use tokio::runtime;
+use tokio::{runtime, time};
 
 /// Events that wait for the `decide` thread.
 const EVENT_RING: usize = 16384;
@@ -66,7 +67,9 @@
     draining: Arc<AtomicBool>,
     held: Arc<AtomicUsize>,
     server: ServerHandle,
+    http: thread::JoinHandle<()>,
     control: Handle,
+    grace: Duration,
     drain_limit: Duration,
 }
 
@@ -121,20 +124,24 @@
         max_in_flight: settings.limits.max_in_flight as usize,
         held: held.clone(),
         draining: draining.clone(),
+        pause: PauseWatch::new(clock.now()),
         clock,
     });
-    let server = start_http(&settings, incarnation, &door)?;
-    let drain_limit = settings.timing.drain_ms.0;
-    Ok(RouterHandle { draining, held, server, control, drain_limit })
+    let (server, http) = start_http(&settings, incarnation, &door)?;
+    let (grace, drain_limit) = (settings.timing.grace_ms.0, settings.timing.drain_ms.0);
+    Ok(RouterHandle { draining, held, server, http, control, grace, drain_limit })
 }
 
 fn runtime() -> Result<runtime::Runtime, RouterError> {
     runtime::Builder::new_current_thread().enable_all().build().map_err(RouterError::Thread)
 }
 
-fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), RouterError> {
+fn spawn(
+    name: &str,
+    run: impl FnOnce() + Send + 'static,
+) -> Result<thread::JoinHandle<()>, RouterError> {
     let builder = thread::Builder::new().name(name.to_owned());
-    builder.spawn(run).map(drop).map_err(RouterError::Thread)
+    builder.spawn(run).map_err(RouterError::Thread)
 }
 
 /// Where this router reads the log: itself, or from another router.
@@ -182,14 +189,15 @@
     let shared = Shared { router: settings.name.clone(), incarnation, timing, events, budget };
     let current = control.current.clone();
     let runtime = runtime()?;
-    spawn("link", move || runtime.block_on(dial::run(shared, current)))
+    spawn("link", move || runtime.block_on(dial::run(shared, current)))?;
+    Ok(())
 }
 
 fn start_http(
     settings: &RouterSettings,
     incarnation: u64,
     door: &Arc<Door>,
-) -> Result<ServerHandle, RouterError> {
+) -> Result<(ServerHandle, thread::JoinHandle<()>), RouterError> {
     let listen_error = |error| RouterError::Listen(settings.listen.to_string(), error);
     let listener = std::net::TcpListener::bind(settings.listen.as_str()).map_err(listen_error)?;
     listener.set_nonblocking(true).map_err(listen_error)?;
@@ -211,11 +219,21 @@
     };
     let report =
         measured::report(door.metrics.clone(), identity, door.control.current.clone(), more);
-    spawn("http", move || {
+    let watched = door.clone();
+    let http = spawn("http", move || {
         runtime.spawn(report);
+        runtime.spawn(watch(watched));
         runtime.block_on(server.serve(routes));
     })?;
-    Ok(handle)
+    Ok((handle, http))
+}
+
+/// Turns the watch for pauses on the thread that reads requests.
+async fn watch(door: Arc<Door>) {
+    loop {
+        door.pause.is_doubtful(door.clock.now());
+        time::sleep(pause::TURN).await;
+    }
 }
 
 impl RouterHandle {
@@ -224,25 +242,32 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
-    /// Waits until nothing is in flight, or the limit has passed.
+    /// Requests with targets now, for who ends the process before they are done.
+    pub fn in_flight(&self) -> Arc<AtomicUsize> {
+        self.held.clone()
+    }
+
+    /// Stops as planned: serves on until balancers have seen that this router is not ready,
+    /// then takes no connection, and waits until each answer was read by its caller, or for
+    /// the limit.
+    ///
+    /// A caller that reads slowly still has much of its answer to come when its target is done,
+    /// so the connections decide when this ends, not the requests held.
     pub fn join(self) {
         if let Ok(runtime) = runtime() {
             runtime.block_on(self.control.resign());
         }
+        thread::sleep(self.grace);
+        self.server.stop_graceful(None);
         let began = Instant::now();
-        loop {
-            thread::sleep(STOP_PAUSE);
-            if self.held.load(Ordering::Relaxed) == 0 {
-                break;
-            }
+        while !self.http.is_finished() {
             if began.elapsed() >= self.drain_limit {
                 let held = self.held.load(Ordering::Relaxed);
                 tracing::warn!(held, "planned stop: limit reached with requests in flight");
+                self.server.stop_forceful();
                 break;
             }
+            thread::sleep(STOP_PAUSE);
         }
-        // The last answers are handed to the callers' connections before the process ends.
-        self.server.stop_graceful(STOP_PAUSE);
-        thread::sleep(STOP_PAUSE * 2);
     }
 }
