--- a/crates/corianderstand_decide/src/agent/keep.rs
+++ b/crates/corianderstand_decide/src/agent/keep.rs
@@ -166,10 +166,12 @@
             }
         }
         self.unload_leaving(actions);
-        if self.policy.keep == Keep::Learned && self.keep.next_plan.is_some_and(|at| now >= at) {
+        if self.keep.next_plan.is_some_and(|at| now >= at) {
             self.keep.next_plan = Some(now + PLAN_INTERVAL);
             self.loads.drop_unwanted(now);
-            self.load_ahead(now, sizes);
+            if self.policy.keep == Keep::Learned {
+                self.load_ahead(now, sizes);
+            }
         }
     }
 
--- a/crates/corianderstand_decide/src/agent/loads.rs
+++ b/crates/corianderstand_decide/src/agent/loads.rs
@@ -123,20 +123,28 @@
         }
     }
 
+    /// When orders may be due without any other event. Never a time at which nothing would be
+    /// done: the caller would come back at once, for ever.
     pub fn next_wake(&self) -> Option<Instant> {
-        let patience = |pending: &Pending| {
-            if self.coordinated {
-                Some(pending.asked + GRANT_PATIENCE)
-            } else {
-                self.gate.next_start()
-            }
-        };
-        let pending = self.pending.values().filter_map(patience);
+        let pending = self.pending.values().filter_map(|pending| self.turn_of(pending));
         let repeats = self.repeats.values().map(|(at, _)| *at);
         let room = self.without_room.values().map(|since| *since + ROOM_PATIENCE);
         pending.chain(repeats).chain(room).min()
     }
 
+    fn turn_of(&self, pending: &Pending) -> Option<Instant> {
+        let gate = self.gate.next_start();
+        if !self.coordinated {
+            return gate;
+        }
+        let patience = pending.asked + GRANT_PATIENCE;
+        if self.gate.is_full() {
+            None
+        } else {
+            Some(gate.map_or(patience, |gate| gate.max(patience)))
+        }
+    }
+
     pub fn want(&mut self, weights: &Weights, wanted: Wanted) {
         self.unordered.insert(weights.clone());
         self.wanted.insert(weights.clone(), wanted);
@@ -183,7 +191,7 @@
         sizes: &dyn Sizes,
         actions: &mut Vec<Action>,
     ) {
-        if !self.loads.unordered.is_empty() {
+        if !self.loads.unordered.is_empty() || !self.loads.without_room.is_empty() {
             self.reserve_unordered(now, sizes, actions);
         }
         self.start_pending(now, actions);
@@ -207,6 +215,7 @@
             }
         }
         self.loads.unordered.retain(|weights| ranked.iter().any(|(.., kept)| kept == weights));
+        self.loads.without_room.retain(|weights, _| self.loads.unordered.contains(weights));
         ranked.sort();
         for (less_urgent, deadline, load_time, weights) in ranked {
             let Some(memory) = sizes.memory(&weights) else {
--- a/crates/corianderstand_decide/src/agent/mod.rs
+++ b/crates/corianderstand_decide/src/agent/mod.rs
@@ -155,6 +155,11 @@
         self.queue.running_of(team)
     }
 
+    /// Requests of a team that wait here for room only.
+    pub fn ready_of(&self, team: &TeamId) -> usize {
+        self.queue.ready_of(team)
+    }
+
     /// Takes over what the engine says is loaded.
     pub fn rebuild(&mut self, loaded: impl IntoIterator<Item = (Weights, Mib, bool)>) {
         self.ledger.rebuild(loaded);
--- a/crates/corianderstand_decide/src/pacing.rs
+++ b/crates/corianderstand_decide/src/pacing.rs
@@ -66,6 +66,11 @@
         true
     }
 
+    /// Whether no load may start until one has ended.
+    pub const fn is_full(&self) -> bool {
+        self.running >= self.limit
+    }
+
     /// When [`Gate::try_start`] is worth another try; `None` until a load has ended.
     pub fn next_start(&self) -> Option<Instant> {
         (self.running < self.limit).then_some(self.next_start).flatten()
@@ -170,6 +175,15 @@
         }
     }
 
+    /// An agent is gone, and its loads with it.
+    pub fn gone(&mut self, target: &TargetId) {
+        let of_target = |load: &&Load| load.0 == *target;
+        let loads = self.ranks.keys().chain(self.running.keys()).filter(of_target);
+        for (target, weights) in loads.cloned().collect::<Vec<Load>>() {
+            self.done(&target, &weights);
+        }
+    }
+
     /// Loads that may start now.
     pub fn step(&mut self, now: Instant) -> Vec<Ask> {
         self.drop_expired(now);
--- a/crates/corianderstand_decide/src/queue.rs
+++ b/crates/corianderstand_decide/src/queue.rs
@@ -260,6 +260,11 @@
         self.teams.get(team).map_or(0, |team| team.running)
     }
 
+    /// Requests of a team that wait for room only.
+    pub fn ready_of(&self, team: &TeamId) -> usize {
+        self.teams.get(team).map_or(0, |team| team.ready.iter().map(BTreeSet::len).sum())
+    }
+
     /// Requests of a team that wait.
     pub fn waiting_of(&self, team: &TeamId) -> u32 {
         self.teams.get(team).map_or(0, |team| team.waiting)
--- a/crates/corianderstand_decide/src/router/choose.rs
+++ b/crates/corianderstand_decide/src/router/choose.rs
@@ -34,6 +34,9 @@
 const URGENT: u8 = 2;
 /// Slow targets looked at for one request, so that its decision takes bounded time.
 const MAX_PROBED: usize = 4;
+/// The same for a target that would have to load the model: a second replica is woken only if
+/// the first has more to do than this.
+const COLD_STEP_COST: Duration = Duration::from_secs(1);
 /// What each step along the ring costs: just enough that routers agree when all else is alike.
 const STEP_COST: Duration = Duration::from_micros(100);
 
@@ -175,12 +178,14 @@
         let target = &self.targets[key];
         let run = (ORDINARY_RUN + wait(now, target)).mul_f64(target.health.slowness(now));
         let mut cost = run + STEP_COST * rank;
+        // Where a model is loaded, routers of all places must agree; a round trip is nothing to
+        // a load, and each place for itself would load it once more.
+        if matches!(work.need, Need::Weights { .. }) && !owners.is_warm(now, key) {
+            return cost + WAKING_COST + COLD_STEP_COST * rank;
+        }
         if target.place != self.place {
             cost += OTHER_PLACE_COST;
         }
-        if matches!(work.need, Need::Weights { .. }) && !owners.is_warm(now, key) {
-            cost += WAKING_COST;
-        }
         let cached = work.shape.prefix.and_then(|prefix| self.prefixes.find(prefix));
         if work.shape.prefix.is_some() && cached != Some(key) {
             cost += PREFIX_WORTH;
--- /dev/null
+++ b/crates/corianderstand_replay/src/bound.rs
@@ -0,0 +1,84 @@
+//! What no way to decide can beat.
+
+use crate::{
+    measures::WAKE_GAP,
+    trace::{Happening, Trace},
+};
+use corianderstand_types::names::ModelId;
+use std::{collections::BTreeMap, time::Duration};
+
+/// The longest wait for a load that the weight store forces, if all is cold at the beginning and
+/// nothing is loaded ahead or twice.
+///
+/// The loads that become wanted between two moments cannot all have ended before the store has
+/// passed them; whoever is last waits since its own moment, which is no later than the second.
+pub fn store(trace: &Trace) -> Duration {
+    let firsts = first_calls(trace);
+    let store = trace.header.store;
+    let mut bound = Duration::ZERO;
+    for (index, (from, _)) in firsts.iter().enumerate() {
+        let mut work = Duration::ZERO;
+        for (count, (until, load)) in firsts[index..].iter().enumerate() {
+            work += *load;
+            let passed = *from + work / store.concurrent;
+            let started = *from + Duration::from_secs(1) / store.per_second * count as u32 + *load;
+            bound = bound.max(passed.max(started).saturating_sub(*until)).max(*load);
+        }
+    }
+    bound
+}
+
+/// The first call of each model, and the time of its load, in order of time.
+fn first_calls(trace: &Trace) -> Vec<(Duration, Duration)> {
+    let mut firsts: BTreeMap<&ModelId, Duration> = BTreeMap::new();
+    for line in &trace.lines {
+        if let Happening::Call(call) = &line.what {
+            firsts.entry(&call.model).or_insert(Duration::from_millis(line.at_ms));
+        }
+    }
+    let load = |model: &ModelId| {
+        let line = trace.header.models.iter().find(|line| line.name == *model);
+        line.map_or(Duration::ZERO, |line| Duration::from_millis(line.load_ms))
+    };
+    let mut firsts: Vec<_> = firsts.into_iter().map(|(model, at)| (at, load(model))).collect();
+    firsts.sort_unstable();
+    firsts
+}
+
+/// Fewest idle accelerator hours for this number of cold wakes, if all calls were known ahead.
+///
+/// One replica of each model, kept through the shortest gaps between calls and loaded just in
+/// time after none: with so many cold wakes allowed, the longest gaps are not kept.
+pub fn clairvoyant_hours(trace: &Trace, cold: usize) -> f64 {
+    let mut gaps: Vec<(f64, Duration)> = Vec::new();
+    let mut ends: BTreeMap<&ModelId, Duration> = BTreeMap::new();
+    for line in &trace.lines {
+        let Happening::Call(call) = &line.what else { continue };
+        let at = Duration::from_millis(line.at_ms);
+        let end = at + Duration::from_millis(call.tokens * token_ms(trace, &call.model));
+        let before = ends.get(&call.model).copied();
+        ends.insert(&call.model, before.map_or(end, |before| before.max(end)));
+        if let Some(before) = before {
+            let gap = at.saturating_sub(before);
+            gaps.push((gap.as_secs_f64() / 3600.0 * part(trace, &call.model), gap));
+        }
+    }
+    let allowed = cold.saturating_sub(ends.len());
+    gaps.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let (wakes, within): (Vec<_>, Vec<_>) = gaps.into_iter().partition(|(_, gap)| *gap >= WAKE_GAP);
+    let kept = wakes.iter().skip(allowed).chain(&within);
+    kept.map(|(hours, _)| hours).sum()
+}
+
+fn token_ms(trace: &Trace, model: &ModelId) -> u64 {
+    let line = trace.header.models.iter().find(|line| line.name == *model);
+    line.map_or(0, |line| line.token_ms)
+}
+
+/// Accelerators that a replica of a model takes.
+fn part(trace: &Trace, model: &ModelId) -> f64 {
+    let line = trace.header.models.iter().find(|line| line.name == *model);
+    let engine = &trace.header.engines[0];
+    let memory = line.map_or(0, |line| line.memory_mib) as f64;
+    memory / engine.memory_mib as f64 * f64::from(engine.accelerators)
+}
--- /dev/null
+++ b/crates/corianderstand_replay/src/engines.rs
@@ -0,0 +1,160 @@
+//! Real agents beside fake engines.
+
+use crate::{
+    trace::{EngineLine, Header},
+    ways::Way,
+};
+use corianderstand_decide::{
+    agent::{Agent, Limits},
+    ledger::Stage,
+    work::{RequestKey, Sizes, Store, Weighing},
+};
+use corianderstand_types::{
+    names::{ModelId, TeamId},
+    units::Mib,
+    weights::Weights,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::{Duration, Instant},
+};
+
+/// Requests that wait at one agent.
+const QUEUE: u32 = 256;
+/// Memory of an adapter.
+const ADAPTER_MIB: u64 = 200;
+/// Time of an adapter's load.
+const ADAPTER_LOAD: Duration = Duration::from_secs(1);
+const SECONDS_PER_HOUR: f64 = 3600.0;
+
+/// What a trace says of models and teams.
+pub struct TraceSizes {
+    models: BTreeMap<ModelId, (u64, Duration, Weighing)>,
+    shares: BTreeMap<TeamId, u32>,
+    store: Store,
+}
+
+impl TraceSizes {
+    /// Sizes of a trace, seen one way.
+    pub fn new(header: &Header, way: &Way) -> Self {
+        let models = header.models.iter().map(|model| {
+            let (tail, idle) = way.weighing.unwrap_or((model.weight_tail, model.weight_idle));
+            let load = Duration::from_millis(model.load_ms);
+            (model.name.clone(), (model.memory_mib, load, Weighing { tail, idle }))
+        });
+        let shares = header.teams.iter().map(|team| (team.name.clone(), team.share));
+        let store = Store {
+            per_second: header.store.per_second,
+            concurrent: header.store.concurrent,
+            engines: header.engines.len() as u32,
+        };
+        Self { models: models.collect(), shares: shares.collect(), store }
+    }
+}
+
+impl Sizes for TraceSizes {
+    fn memory(&self, weights: &Weights) -> Option<Mib> {
+        let (memory, ..) = self.models.get(&weights.model)?;
+        Some(Mib(if weights.adapter.is_some() { ADAPTER_MIB } else { *memory }))
+    }
+
+    fn load_time(&self, weights: &Weights) -> Duration {
+        if weights.adapter.is_some() {
+            return ADAPTER_LOAD;
+        }
+        self.models.get(&weights.model).map_or(Duration::ZERO, |(_, load, _)| *load)
+    }
+
+    fn share(&self, team: &TeamId) -> u32 {
+        self.shares.get(team).copied().unwrap_or(100)
+    }
+
+    fn total_shares(&self) -> u32 {
+        self.shares.values().sum()
+    }
+
+    fn weighing(&self, model: &ModelId) -> Weighing {
+        self.models.get(model).map_or_else(Weighing::default, |(.., weighing)| *weighing)
+    }
+
+    fn store(&self) -> Store {
+        self.store
+    }
+}
+
+/// Where the answer to a request goes.
+#[derive(Clone, Copy, Debug)]
+pub struct Flight {
+    /// Number of the caller.
+    pub caller: usize,
+    /// Number of the router.
+    pub router: usize,
+    /// The router's key.
+    pub key: RequestKey,
+    /// When it began to run.
+    pub began: Option<Duration>,
+}
+
+/// An agent and its fake engine.
+pub struct Engine {
+    /// What the trace says of it.
+    pub line: EngineLine,
+    /// The agent.
+    pub agent: Agent,
+    /// Times that its answers take longer.
+    pub slower: f64,
+    /// Whether its host is still there.
+    pub alive: bool,
+    /// Requests that it holds.
+    pub flights: HashMap<RequestKey, Flight>,
+    /// The earliest wake that is already planned.
+    pub wake: Option<Duration>,
+    /// Accelerator hours that loaded models stood unused.
+    pub idle_hours: f64,
+    /// Since when a team with ready work has been below its share.
+    pub below: BTreeMap<TeamId, Duration>,
+    at: Duration,
+}
+
+impl Engine {
+    /// An empty engine that owns slots of these models.
+    pub fn new(line: &EngineLine, way: &Way, slots: BTreeSet<ModelId>) -> Self {
+        let limits = Limits { concurrency: line.concurrency, queue: QUEUE };
+        let mut agent = Agent::with_policy(limits, Mib(line.memory_mib), way.policy);
+        agent.set_slots(slots);
+        agent.set_coordinated(way.coordinated);
+        Self {
+            line: line.clone(),
+            agent,
+            slower: 1.0,
+            alive: true,
+            flights: HashMap::new(),
+            below: BTreeMap::new(),
+            wake: None,
+            idle_hours: 0.0,
+            at: Duration::ZERO,
+        }
+    }
+
+    /// Counts the time since the last call as idle for all that was loaded and not used.
+    pub fn count_idle(&mut self, now: Duration) {
+        let hours = (now - self.at).as_secs_f64() / SECONDS_PER_HOUR;
+        self.at = now;
+        if !self.alive || hours <= 0.0 {
+            return;
+        }
+        let idle = self
+            .agent
+            .ledger()
+            .entries()
+            .filter(|(_, entry)| entry.users == 0 && entry.stage != Stage::Loading);
+        let memory: u64 = idle.map(|(_, entry)| entry.memory.0).sum();
+        let part = memory as f64 / self.line.memory_mib as f64;
+        self.idle_hours += hours * part * f64::from(self.line.accelerators);
+    }
+
+    /// When its agent wants to be called next.
+    pub fn next_wake(&self, start: Instant) -> Option<Duration> {
+        self.agent.next_wake().map(|at| at.saturating_duration_since(start))
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_replay/src/generate.rs
@@ -0,0 +1,297 @@
+//! Makes the committed traces from the sizes of the two deployments.
+//!
+//! The same seed gives the same trace. Load times, lengths and habits are assumptions, as no
+//! recording of the users' own is at hand; they are named here, and a recorded trace in the same
+//! format replaces them.
+
+use crate::trace::{
+    Call, EngineLine, Fault, Happening, Header, Line, ModelLine, StoreLine, TeamLine, Trace,
+};
+use corianderstand_types::names::{ModelId, TargetId};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SECOND: u64 = 1000;
+const MINUTE: u64 = 60 * SECOND;
+const HOUR: u64 = 60 * MINUTE;
+const DAY: u64 = 24 * HOUR;
+/// Memory of one accelerator.
+const ENGINE_MIB: u64 = 81_920;
+const GIB: u64 = 1024;
+/// Days of the traces that show habits.
+const DAYS: u64 = 10;
+
+/// What differs between the two deployments.
+struct Deployment {
+    places: [&'static str; 3],
+    engine: &'static str,
+    models: usize,
+    teams: &'static [(&'static str, u32)],
+    store: StoreLine,
+    weights: (u32, u32),
+}
+
+const VIDRIO: Deployment = Deployment {
+    places: ["conce", "talca-hall", "losangeles"],
+    engine: "redactor",
+    models: 30,
+    teams: &[("crews", 600), ("office", 400)],
+    store: StoreLine { per_second: 2, concurrent: 4 },
+    weights: (80, 20),
+};
+
+const HINOKUNI: Deployment = Deployment {
+    places: ["kumamoto-a", "kumamoto-b", "fukuoka-c"],
+    engine: "kit-assistant",
+    models: 20,
+    teams: &[("design", 500), ("managers", 300), ("parents", 200)],
+    store: StoreLine { per_second: 3, concurrent: 4 },
+    weights: (20, 80),
+};
+
+/// Engines of either deployment.
+const ENGINES: usize = 9;
+/// Engines that own a slot of each model.
+const SLOTS: usize = 2;
+
+fn header(of: &Deployment, trace: &str, about: &str, begins: u64) -> Header {
+    let engine = |number: usize| -> TargetId { format!("{}-{number}", of.engine).as_str().into() };
+    let engines = (0..ENGINES).map(|number| EngineLine {
+        name: engine(number),
+        place: of.places[number % of.places.len()].into(),
+        memory_mib: ENGINE_MIB,
+        concurrency: 16,
+        accelerators: 1,
+    });
+    let models = (0..of.models).map(|number| ModelLine {
+        name: model(number),
+        memory_mib: (12 + number as u64 * 7 % 20) * GIB,
+        load_ms: (12 + number as u64 * 7 % 20) * SECOND,
+        token_ms: 20,
+        slots: (0..SLOTS).map(|slot| engine((number + slot * 4) % ENGINES)).collect(),
+        weight_tail: of.weights.0,
+        weight_idle: of.weights.1,
+    });
+    Header {
+        trace: trace.into(),
+        about: about.into(),
+        begins: begins / SECOND,
+        routers: of.places.iter().map(|place| (*place).into()).collect(),
+        engines: engines.collect(),
+        models: models.collect(),
+        teams: of
+            .teams
+            .iter()
+            .map(|(name, share)| TeamLine { name: (*name).into(), share: *share })
+            .collect(),
+        store: of.store,
+    }
+}
+
+fn model(number: usize) -> ModelId {
+    format!("model-{number}").as_str().into()
+}
+
+struct Maker {
+    rng: ChaCha8Rng,
+    header: Header,
+    lines: Vec<Line>,
+}
+
+impl Maker {
+    fn new(seed: u64, header: Header) -> Self {
+        Self { rng: ChaCha8Rng::seed_from_u64(seed), header, lines: Vec::new() }
+    }
+
+    fn call(&mut self, at_ms: u64, number: usize, tokens: u64, deadline_ms: u64) {
+        let team = self.rng.random_range(0..self.header.teams.len());
+        let call = Call {
+            router: self.rng.random_range(0..self.header.routers.len()),
+            team: self.header.teams[team].name.clone(),
+            model: model(number),
+            adapter: None,
+            tokens,
+            urgency: 1,
+            deadline_ms,
+            session: None,
+        };
+        self.lines.push(Line { at_ms, what: Happening::Call(call) });
+    }
+
+    fn fault(&mut self, at_ms: u64, fault: Fault) {
+        self.lines.push(Line { at_ms, what: Happening::Fault(fault) });
+    }
+
+    /// Calls of one model within a time, at random moments.
+    fn burst(&mut self, at_ms: u64, within: u64, number: usize, calls: usize) {
+        for _ in 0..calls {
+            let at = at_ms + self.rng.random_range(0..within);
+            let tokens = self.rng.random_range(40..160);
+            self.call(at, number, tokens, 120 * SECOND);
+        }
+    }
+
+    fn trace(mut self) -> Trace {
+        self.lines.sort_by_key(|line| line.at_ms);
+        Trace { header: self.header, lines: self.lines }
+    }
+}
+
+/// First requests for sixteen models within a minute and a half, all cold.
+pub fn crew_morning(seed: u64) -> Trace {
+    let about = "a crew's morning at Vidrio Sur: sixteen cold models within 90 s";
+    let mut maker = Maker::new(seed, header(&VIDRIO, "crew-morning", about, 7 * HOUR));
+    crew_burst(&mut maker);
+    maker.trace()
+}
+
+fn crew_burst(maker: &mut Maker) {
+    for number in 0..16 {
+        let first = maker.rng.random_range(0..20 * SECOND);
+        maker.burst(first, 70 * SECOND, number, 15);
+    }
+}
+
+/// A team's evening meeting: long design chats and short summaries, with adapters.
+pub fn evening_meeting(seed: u64) -> Trace {
+    let about = "an evening meeting at Hinokuni: long chats with adapters, short summaries";
+    let mut maker = Maker::new(seed, header(&HINOKUNI, "evening-meeting", about, 18 * HOUR));
+    for session in 0..60 {
+        let number = (session % 8) as usize;
+        let mut at = maker.rng.random_range(0..2 * MINUTE);
+        for _ in 0..4 {
+            let tokens = maker.rng.random_range(400..1200);
+            maker.call(at, number, tokens, 10 * MINUTE);
+            if let Some(Line { what: Happening::Call(call), .. }) = maker.lines.last_mut() {
+                call.session = Some(session);
+                call.adapter = Some(format!("club-{}", session % 14).into());
+                call.team = "design".into();
+            }
+            at += tokens * 20 + maker.rng.random_range(10 * SECOND..60 * SECOND);
+        }
+    }
+    (0..8).for_each(|number| maker.burst(10 * SECOND, 8 * MINUTE, number, 30));
+    maker.trace()
+}
+
+/// Ten days with a morning and an evening, and quiet nights between.
+pub fn quiet_nights(seed: u64) -> Trace {
+    let about = "ten days at Hinokuni: mornings and evenings by habit, quiet nights";
+    let mut maker = Maker::new(seed, header(&HINOKUNI, "quiet-nights", about, 0));
+    for day in 0..DAYS {
+        for number in 0..10 {
+            let scatter = maker.rng.random_range(0..10 * MINUTE);
+            let morning = 8 * HOUR + 30 * MINUTE + number as u64 * 2 * MINUTE;
+            maker.burst(day * DAY + morning + scatter, 15 * MINUTE, number, 6);
+            let scatter = maker.rng.random_range(0..12 * MINUTE);
+            let evening = 18 * HOUR + number as u64 * 2 * MINUTE;
+            maker.burst(day * DAY + evening + scatter, 40 * MINUTE, number, 6);
+        }
+    }
+    maker.trace()
+}
+
+/// Ten days of calls without pattern, in sessions of a few calls.
+pub fn market_days(seed: u64) -> Trace {
+    let about = "ten market days at Vidrio Sur: sessions at any time, without pattern";
+    let mut maker = Maker::new(seed, header(&VIDRIO, "market-days", about, 0));
+    for number in 0..12 {
+        let mean = (2 + number as u64) * HOUR;
+        let mut at = maker.rng.random_range(0..mean);
+        while at < DAYS * DAY {
+            maker.burst(at, 8 * MINUTE, number, 4);
+            at += exponential(&mut maker.rng, mean);
+        }
+    }
+    maker.trace()
+}
+
+fn exponential(rng: &mut impl Rng, mean: u64) -> u64 {
+    let uniform: f64 = rng.random_range(1e-9..1.0);
+    (-uniform.ln() * mean as f64) as u64
+}
+
+/// The crew's morning, and a host is reclaimed in the middle of it.
+pub fn reclaimed_host(seed: u64) -> Trace {
+    let about = "a crew's morning at Vidrio Sur, in which a host is reclaimed";
+    let mut maker = Maker::new(seed, header(&VIDRIO, "reclaimed-host", about, 7 * HOUR));
+    crew_burst(&mut maker);
+    maker.fault(30 * SECOND, Fault::HostGone("redactor-2".into()));
+    maker.trace()
+}
+
+/// The crew's morning with a weight store four times slower than stated.
+pub fn slow_store(seed: u64) -> Trace {
+    let about = "a crew's morning at Vidrio Sur, with a weight store four times slower than stated";
+    let mut maker = Maker::new(seed, header(&VIDRIO, "slow-store", about, 7 * HOUR));
+    maker.fault(0, Fault::StoreSlower(4.0));
+    crew_burst(&mut maker);
+    maker.trace()
+}
+
+/// Calls at so many times what all engines together can serve, for a few minutes.
+pub fn overload(seed: u64, times: f64) -> Trace {
+    let about = "all engines of Vidrio Sur warm, and calls at a multiple of what they can serve";
+    let mut maker = Maker::new(seed, header(&VIDRIO, "overload", about, 12 * HOUR));
+    // 9 engines, 16 at once, 100 tokens of 20 ms each: 72 a second.
+    let per_second = 72.0 * times;
+    let first = 2 * MINUTE;
+    (0..ENGINES).for_each(|number| maker.call(0, number, 100, 300 * SECOND));
+    for index in 0..(per_second * 180.0) as u64 {
+        let at = first + (index as f64 * 1000.0 / per_second) as u64;
+        let number = maker.rng.random_range(0..ENGINES);
+        maker.call(at, number, 100, 10 * SECOND);
+    }
+    maker.trace()
+}
+
+/// One engine becomes eight times slower under steady calls.
+pub fn slow_engine(seed: u64) -> Trace {
+    let about = "steady calls at Vidrio Sur; after a while one engine is eight times slower";
+    let mut maker = Maker::new(seed, header(&VIDRIO, "slow-engine", about, 12 * HOUR));
+    for index in 0..6000 {
+        let number = maker.rng.random_range(0..ENGINES);
+        maker.call(index * 100, number, 100, 30 * SECOND);
+    }
+    let engine = "redactor-3".into();
+    maker.fault(3 * MINUTE, Fault::EngineSlower { engine, times: 8.0 });
+    maker.trace()
+}
+
+/// Skewed demand: one team's flood on one model, while the other has its steady work.
+pub fn flood(seed: u64) -> Trace {
+    let about = "the office floods a model of Vidrio Sur that the crews use too";
+    let mut maker = Maker::new(seed, header(&VIDRIO, "flood", about, 12 * HOUR));
+    for index in 0..1200 {
+        maker.call(index * 200, 0, 100, 20 * SECOND);
+    }
+    for line in &mut maker.lines {
+        if let Happening::Call(call) = &mut line.what {
+            call.team = "crews".into();
+        }
+    }
+    let steady = maker.lines.len();
+    for _ in 0..12_000 {
+        let at = maker.rng.random_range(60 * SECOND..180 * SECOND);
+        maker.call(at, 0, 100, 20 * SECOND);
+    }
+    for line in &mut maker.lines[steady..] {
+        if let Happening::Call(call) = &mut line.what {
+            call.team = "office".into();
+            call.urgency = 2;
+        }
+    }
+    maker.trace()
+}
+
+/// The traces that are committed.
+pub fn committed() -> Vec<Trace> {
+    vec![
+        crew_morning(1),
+        evening_meeting(1),
+        quiet_nights(1),
+        market_days(1),
+        reclaimed_host(1),
+        slow_store(1),
+    ]
+}
--- /dev/null
+++ b/crates/corianderstand_replay/src/replay.rs
@@ -0,0 +1,510 @@
+//! Moves the clock from event to event and hands them to routers and agents.
+
+use crate::{
+    callers::{Caller, PATIENCE},
+    engines::{Engine, Flight, TraceSizes},
+    measures::{Outcome, WAKE_GAP},
+    store::Store,
+    trace::{Call, Fault, Happening, Trace},
+    ways::Way,
+};
+use corianderstand_decide::{
+    agent::Action,
+    pacing::Coordinator,
+    queue::Length,
+    router::{Decision, Router, TargetKey},
+    work::{self, LONG_ANSWER_TOKENS, Need, Refusal, RequestKey, Shape, Sizes, Work},
+};
+use corianderstand_schema::messages::RefusalReason;
+use corianderstand_types::{
+    clock::{Clock, ManualClock},
+    names::{ModelId, TargetId, TeamId},
+    weights::Weights,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::{Duration, Instant},
+};
+
+/// Time of an unload.
+const UNLOAD: Duration = Duration::from_millis(100);
+/// Time until the host list shows a lost host and its slots are planned anew.
+const REPLAN: Duration = Duration::from_secs(12);
+/// When to come back after the connection to the only target broke.
+const RETRY_LOST: Duration = Duration::from_millis(500);
+/// After the last line of a trace, until the replay ends.
+const TAIL: Duration = Duration::from_secs(600);
+
+/// What is going to happen.
+enum Event {
+    Line(usize),
+    Ask(usize),
+    Ended { engine: usize, key: RequestKey },
+    Cut { engine: usize, key: RequestKey },
+    Store,
+    Coordinate,
+    Wake(usize),
+    Unloaded { engine: usize, weights: Weights },
+    SlotsMoved(usize),
+}
+
+struct Replay<'a> {
+    trace: &'a Trace,
+    sizes: TraceSizes,
+    clock: ManualClock,
+    start: Instant,
+    routers: Vec<Router>,
+    keys: Vec<TargetKey>,
+    engines: Vec<Engine>,
+    slots: BTreeMap<ModelId, Vec<usize>>,
+    store: Store,
+    coordinator: Option<Coordinator>,
+    callers: Vec<Caller>,
+    events: BTreeMap<(Duration, u64), Event>,
+    number: u64,
+    last_calls: HashMap<ModelId, Duration>,
+    outcome: Outcome,
+}
+
+/// Replays a trace one way.
+pub fn run(trace: &Trace, way: &Way) -> Outcome {
+    let mut replay = Replay::new(trace, way);
+    let last = trace.lines.last().map_or(0, |line| line.at_ms);
+    let end = Duration::from_millis(last) + PATIENCE + TAIL;
+    while let Some(((at, _), event)) = replay.events.pop_first() {
+        if at > end {
+            break;
+        }
+        replay.clock.advance(at - replay.clock.elapsed());
+        replay.take(event);
+    }
+    replay.finish(end)
+}
+
+impl<'a> Replay<'a> {
+    fn new(trace: &'a Trace, way: &Way) -> Self {
+        let clock = ManualClock::default();
+        let start = clock.now();
+        let header = &trace.header;
+        let index = |name: &TargetId| header.engines.iter().position(|engine| engine.name == *name);
+        let slots: BTreeMap<ModelId, Vec<usize>> = header
+            .models
+            .iter()
+            .map(|model| (model.name.clone(), model.slots.iter().filter_map(index).collect()))
+            .collect();
+        let engines = header.engines.iter().enumerate().map(|(number, line)| {
+            let mut engine = Engine::new(line, way, owned(&slots, number));
+            engine.agent.set_wall(start, header.begins);
+            engine
+        });
+        let mut keys = Vec::new();
+        let mut routers = Vec::new();
+        for (seed, place) in header.routers.iter().enumerate() {
+            let mut router = Router::with_placement(place.clone(), seed as u64, way.placement);
+            let add = |line: &crate::trace::EngineLine| router.add_target(&line.name, &line.place);
+            keys = header.engines.iter().map(add).collect();
+            keys.iter().for_each(|key| router.set_connected(*key, true));
+            routers.push(router);
+        }
+        let sizes = TraceSizes::new(header, way);
+        let coordinator = way.coordinated.then(|| Coordinator::new(start, sizes.store()));
+        let mut replay = Self {
+            trace,
+            store: Store::new(header.store.per_second, header.store.concurrent),
+            sizes,
+            clock,
+            start,
+            routers,
+            keys,
+            engines: engines.collect(),
+            slots,
+            coordinator,
+            callers: Vec::new(),
+            events: BTreeMap::new(),
+            number: 0,
+            last_calls: HashMap::new(),
+            outcome: Outcome { way: way.name.clone(), ..Outcome::default() },
+        };
+        replay.set_owners();
+        replay.plan_line(0);
+        (0..replay.engines.len()).for_each(|engine| replay.plan_wake(engine));
+        replay
+    }
+
+    fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    fn plan(&mut self, at: Duration, event: Event) {
+        self.number += 1;
+        self.events.insert((at.max(self.clock.elapsed()), self.number), event);
+    }
+
+    fn plan_line(&mut self, index: usize) {
+        if let Some(line) = self.trace.lines.get(index) {
+            self.plan(Duration::from_millis(line.at_ms), Event::Line(index));
+        }
+    }
+
+    fn plan_wake(&mut self, engine: usize) {
+        let state = &mut self.engines[engine];
+        let Some(at) = state.next_wake(self.start) else { return };
+        if state.wake.is_none_or(|planned| at < planned) {
+            state.wake = Some(at);
+            self.plan(at, Event::Wake(engine));
+        }
+    }
+
+    fn set_owners(&mut self) {
+        let owners: BTreeMap<ModelId, Vec<TargetKey>> = self
+            .slots
+            .iter()
+            .map(|(model, engines)| {
+                (model.clone(), engines.iter().map(|e| self.keys[*e]).collect())
+            })
+            .collect();
+        self.routers.iter_mut().for_each(|router| router.set_owners(owners.clone()));
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Line(index) => self.line(index),
+            Event::Ask(caller) => {
+                let now = self.clock.elapsed();
+                self.callers[caller].ask_again(now);
+                self.ask(caller);
+            }
+            Event::Ended { engine, key } => self.ended(engine, key),
+            Event::Cut { engine, key } => self.cut(engine, key),
+            Event::Store => self.store_moved(),
+            Event::Coordinate => self.coordinate(),
+            Event::Wake(engine) => {
+                self.engines[engine].wake = None;
+                self.drive(engine, |engine, now, sizes| engine.agent.step(now, sizes));
+            }
+            Event::Unloaded { engine, weights } => {
+                self.drive(engine, |engine, now, sizes| {
+                    engine.agent.unloaded(now, &weights, true, sizes)
+                });
+            }
+            Event::SlotsMoved(engine) => self.move_slots(engine),
+        }
+    }
+
+    fn line(&mut self, index: usize) {
+        self.plan_line(index + 1);
+        let trace = self.trace;
+        match &trace.lines[index].what {
+            Happening::Call(call) => self.first_asked(call),
+            Happening::Fault(Fault::StoreSlower(times)) => {
+                self.store.set_slower(self.clock.elapsed(), *times);
+                self.plan_store();
+            }
+            Happening::Fault(Fault::EngineSlower { engine, times }) => {
+                let engine = self.engine(engine);
+                self.engines[engine].slower = *times;
+            }
+            Happening::Fault(Fault::HostGone(engine)) => self.host_gone(self.engine(engine)),
+        }
+    }
+
+    fn engine(&self, name: &TargetId) -> usize {
+        let found = self.engines.iter().position(|engine| engine.line.name == *name);
+        found.expect("the trace was checked to name its engines")
+    }
+
+    fn first_asked(&mut self, call: &Call) {
+        let now = self.clock.elapsed();
+        let last = self.last_calls.insert(call.model.clone(), now);
+        let wakes = last.is_none_or(|last| now - last >= WAKE_GAP);
+        self.outcome.calls += 1;
+        self.callers.push(Caller::new(call, now, wakes));
+        self.ask(self.callers.len() - 1);
+    }
+
+    fn work(&self, caller: &Caller) -> Work {
+        let call = &caller.call;
+        let base = Weights::model(call.model.clone(), "1".into());
+        let adapter = call
+            .adapter
+            .as_ref()
+            .map(|name| Weights { adapter: Some(name.as_str().into()), ..base.clone() });
+        let long = call.tokens > LONG_ANSWER_TOKENS;
+        let length = if long { Length::Long } else { Length::Short };
+        Work {
+            team: call.team.clone(),
+            need: Need::Weights { base, adapter },
+            urgency: call.urgency,
+            deadline: self.start + caller.deadline,
+            repeatable: true,
+            shape: Shape { length, prefix: call.session },
+        }
+    }
+
+    fn ask(&mut self, caller: usize) {
+        let work = self.work(&self.callers[caller]);
+        let router = self.callers[caller].call.router;
+        let now = self.now();
+        let (key, decision) = self.routers[router].submit(now, work);
+        self.decided(caller, router, key, decision);
+    }
+
+    fn decided(&mut self, caller: usize, router: usize, key: RequestKey, decision: Decision) {
+        match decision {
+            Decision::Refuse(refusal) => self.refused(caller, refusal),
+            Decision::Send(target) => {
+                let engine = self.keys.iter().position(|known| *known == target);
+                let engine = engine.expect("routers know the engines of the trace only");
+                let work = self.work(&self.callers[caller]);
+                self.drive(engine, |engine, now, sizes| {
+                    let (agent_key, actions) = engine.agent.submit(now, work, sizes);
+                    let flight = Flight { caller, router, key, began: None };
+                    engine.flights.insert(agent_key, flight);
+                    actions
+                });
+            }
+        }
+    }
+
+    /// Lets an agent decide, and does what it decided.
+    fn drive(
+        &mut self,
+        engine: usize,
+        decide: impl FnOnce(&mut Engine, Instant, &dyn Sizes) -> Vec<Action>,
+    ) {
+        let (elapsed, now) = (self.clock.elapsed(), self.now());
+        let state = &mut self.engines[engine];
+        if !state.alive {
+            return;
+        }
+        state.count_idle(elapsed);
+        let actions = decide(state, now, &self.sizes);
+        for action in actions {
+            self.perform(engine, action);
+        }
+        self.watch_shares(engine);
+        self.plan_wake(engine);
+    }
+
+    fn perform(&mut self, engine: usize, action: Action) {
+        let now = self.clock.elapsed();
+        match action {
+            Action::Run(key) => self.run(engine, key),
+            Action::Refuse(key, refusal) => {
+                let load = self.engines[engine].agent.load();
+                let Some(flight) = self.engines[engine].flights.remove(&key) else { return };
+                let now = self.now();
+                let decision = self.routers[flight.router].refused(now, flight.key, refusal, load);
+                self.decided(flight.caller, flight.router, flight.key, decision);
+            }
+            Action::Load(weights, _) => {
+                self.outcome.loads += 1;
+                let seconds = self.sizes.load_time(&weights).as_secs_f64();
+                self.store.start(now, (engine, weights), seconds);
+                self.plan_store();
+            }
+            Action::Unload(weights, _) => {
+                self.plan(now + UNLOAD, Event::Unloaded { engine, weights });
+            }
+            Action::AskLoad(mut ask) => {
+                ask.target = self.engines[engine].line.name.clone();
+                if let Some(coordinator) = &mut self.coordinator {
+                    coordinator.ask(ask);
+                }
+                self.plan(now, Event::Coordinate);
+            }
+        }
+    }
+
+    fn run(&mut self, engine: usize, key: RequestKey) {
+        let now = self.clock.elapsed();
+        let slower = self.engines[engine].slower;
+        let Some(flight) = self.engines[engine].flights.get_mut(&key) else { return };
+        flight.began = Some(now);
+        let caller = &mut self.callers[flight.caller];
+        if !std::mem::replace(&mut caller.started, true) {
+            self.outcome.note_start(caller.wakes, now - caller.first);
+        }
+        let token_ms = self.trace.token_ms(&caller.call.model);
+        let took = Duration::from_millis(caller.call.tokens * token_ms).mul_f64(slower);
+        let deadline = caller.deadline;
+        if now + took <= deadline {
+            self.plan(now + took, Event::Ended { engine, key });
+        } else {
+            self.plan(deadline, Event::Cut { engine, key });
+        }
+    }
+
+    fn ended(&mut self, engine: usize, key: RequestKey) {
+        let (elapsed, now) = (self.clock.elapsed(), self.now());
+        let Some(flight) = self.engines[engine].flights.remove(&key) else { return };
+        let caller = &mut self.callers[flight.caller];
+        caller.waits = false;
+        let tokens = caller.call.tokens;
+        self.outcome.served += 1;
+        *self.outcome.served_by_minute.entry(elapsed.as_secs() / 60).or_default() += 1;
+        let took = elapsed - flight.began.unwrap_or(elapsed);
+        self.routers[flight.router].progressed(now, flight.key, tokens, took);
+        self.drive(engine, |engine, now, sizes| engine.agent.finished(now, key, sizes));
+        let load = self.engines[engine].agent.load();
+        self.routers[flight.router].finished(now, flight.key, Some(load));
+    }
+
+    /// The router gives a running request up at its deadline, and says so.
+    fn cut(&mut self, engine: usize, key: RequestKey) {
+        let Some(flight) = self.engines[engine].flights.remove(&key) else { return };
+        self.callers[flight.caller].waits = false;
+        self.outcome.late += 1;
+        let now = self.now();
+        self.routers[flight.router].finished(now, flight.key, None);
+        self.drive(engine, |engine, now, sizes| engine.agent.finished(now, key, sizes));
+    }
+
+    fn refused(&mut self, caller: usize, refusal: Refusal) {
+        let now = self.clock.elapsed();
+        let at = now + refusal.retry_after;
+        let caller_state = &mut self.callers[caller];
+        caller_state.waits = false;
+        self.outcome.refusals += 1;
+        if now > caller_state.deadline {
+            self.outcome.silent += 1;
+        }
+        if caller_state.comes_back(at) {
+            self.plan(at, Event::Ask(caller));
+        } else {
+            self.outcome.given_up += 1;
+        }
+    }
+
+    fn plan_store(&mut self) {
+        if let Some(at) = self.store.next() {
+            self.plan(at, Event::Store);
+        }
+    }
+
+    fn store_moved(&mut self) {
+        let ended = self.store.ended(self.clock.elapsed());
+        for (engine, weights) in ended {
+            if let Some(coordinator) = &mut self.coordinator {
+                coordinator.done(&self.engines[engine].line.name, &weights);
+            }
+            self.drive(engine, |engine, now, sizes| {
+                engine.agent.loaded(now, &weights, Some(true), sizes)
+            });
+            self.plan(self.clock.elapsed(), Event::Coordinate);
+        }
+        self.plan_store();
+    }
+
+    fn coordinate(&mut self) {
+        let now = self.now();
+        let Some(coordinator) = &mut self.coordinator else { return };
+        let granted = coordinator.step(now);
+        let next = coordinator.next_wake();
+        for ask in granted {
+            let engine = self.engine(&ask.target);
+            self.drive(engine, |engine, now, sizes| engine.agent.granted(now, &ask.weights, sizes));
+        }
+        if let Some(at) = next.filter(|at| *at > now) {
+            self.plan(at - self.start, Event::Coordinate);
+        }
+    }
+
+    fn host_gone(&mut self, engine: usize) {
+        let elapsed = self.clock.elapsed();
+        self.engines[engine].count_idle(elapsed);
+        self.engines[engine].alive = false;
+        self.store.forget(elapsed, engine);
+        let (name, key) = (self.engines[engine].line.name.clone(), self.keys[engine]);
+        if let Some(coordinator) = &mut self.coordinator {
+            coordinator.gone(&name);
+        }
+        self.routers.iter_mut().for_each(|router| router.set_connected(key, false));
+        let flights = std::mem::take(&mut self.engines[engine].flights);
+        let mut flights: Vec<Flight> = flights.into_values().collect();
+        flights.sort_by_key(|flight| flight.caller);
+        for flight in flights {
+            self.lost(flight);
+        }
+        self.plan(elapsed + REPLAN, Event::SlotsMoved(engine));
+        self.plan(elapsed, Event::Coordinate);
+    }
+
+    fn lost(&mut self, flight: Flight) {
+        let refusal = Refusal { reason: RefusalReason::NotLoaded, retry_after: RETRY_LOST };
+        let now = self.now();
+        match self.routers[flight.router].lost(now, flight.key, refusal) {
+            Some(decision) => self.decided(flight.caller, flight.router, flight.key, decision),
+            None => {
+                self.callers[flight.caller].waits = false;
+                self.outcome.broken += 1;
+            }
+        }
+    }
+
+    fn move_slots(&mut self, gone: usize) {
+        let models: Vec<ModelId> = self.slots.keys().cloned().collect();
+        for model in models {
+            let owners = &self.slots[&model];
+            if !owners.contains(&gone) {
+                continue;
+            }
+            let count =
+                |engine: usize| self.slots.values().flatten().filter(|e| **e == engine).count();
+            let free =
+                (0..self.engines.len()).filter(|e| self.engines[*e].alive && !owners.contains(e));
+            let chosen = free.min_by_key(|engine| (count(*engine), *engine));
+            let owners = self.slots.get_mut(&model).expect("it was just there");
+            owners.retain(|engine| *engine != gone);
+            owners.extend(chosen);
+        }
+        for engine in 0..self.engines.len() {
+            let slots = owned(&self.slots, engine);
+            self.engines[engine].agent.set_slots(slots);
+        }
+        self.set_owners();
+    }
+
+    /// How long a team with ready work is below what it is owed.
+    fn watch_shares(&mut self, engine: usize) {
+        let now = self.clock.elapsed();
+        let total = self.sizes.total_shares().max(work::DEFAULT_SHARE);
+        let state = &mut self.engines[engine];
+        for team in &self.trace.header.teams {
+            let owed = state.line.concurrency * team.share / total.max(1000);
+            let running = state.agent.running_of(&team.name);
+            let below = state.agent.ready_of(&team.name) > 0 && running < owed;
+            note_below(&mut state.below, &mut self.outcome, &team.name, now, below);
+        }
+    }
+
+    fn finish(mut self, end: Duration) -> Outcome {
+        for engine in &mut self.engines {
+            engine.count_idle(end);
+            self.outcome.idle_hours += engine.idle_hours;
+        }
+        self.outcome.silent += self.callers.iter().filter(|caller| caller.waits).count() as u64;
+        self.outcome.finish();
+        self.outcome
+    }
+}
+
+fn note_below(
+    since: &mut BTreeMap<TeamId, Duration>,
+    outcome: &mut Outcome,
+    team: &TeamId,
+    now: Duration,
+    below: bool,
+) {
+    if below {
+        since.entry(team.clone()).or_insert(now);
+    } else if let Some(since) = since.remove(team) {
+        let longest = outcome.share_back_ms.entry(team.0.clone()).or_default();
+        *longest = (*longest).max((now - since).as_millis() as u64);
+    }
+}
+
+fn owned(slots: &BTreeMap<ModelId, Vec<usize>>, engine: usize) -> BTreeSet<ModelId> {
+    let owned = slots.iter().filter(|(_, engines)| engines.contains(&engine));
+    owned.map(|(model, _)| model.clone()).collect()
+}
--- /dev/null
+++ b/crates/corianderstand_replay/src/report.rs
@@ -0,0 +1,75 @@
+//! Prints outcomes side by side.
+
+use crate::{bound, measures::Outcome, trace::Trace};
+use corianderstand_derives::derives;
+use std::fmt::Write;
+
+/// Outcomes of one trace, and what none can beat.
+#[derives(wire)]
+pub struct Report {
+    /// Name of the trace.
+    pub trace: String,
+    /// Longest wait for a load that the weight store forces.
+    pub store_bound_ms: u64,
+    /// Fewest idle hours at the cold wakes of the first outcome.
+    pub clairvoyant_idle_hours: f64,
+    /// One for each way to decide.
+    pub outcomes: Vec<Outcome>,
+}
+
+impl Report {
+    /// Puts outcomes beside their bounds.
+    pub fn new(trace: &Trace, outcomes: Vec<Outcome>) -> Self {
+        let cold = outcomes.first().map_or(0, |outcome| outcome.cold as usize);
+        Self {
+            trace: trace.header.trace.to_string(),
+            store_bound_ms: bound::store(trace).as_millis() as u64,
+            clairvoyant_idle_hours: bound::clairvoyant_hours(trace, cold),
+            outcomes,
+        }
+    }
+
+    /// A table for people.
+    pub fn table(&self) -> String {
+        let mut text = format!(
+            "{}: the store's bound for a burst {} ms; clairvoyant {:.2} idle hours at as many \
+             cold wakes as the first line\n",
+            self.trace, self.store_bound_ms, self.clairvoyant_idle_hours
+        );
+        let heads = [
+            "way", "calls", "served", "given up", "late", "silent", "refusals", "loads", "wakes",
+            "cold", "p50 ms", "p99 ms", "mean ms", "idle h",
+        ];
+        text.push_str(&row(&heads.map(str::to_owned)));
+        for o in &self.outcomes {
+            text.push_str(&row(&[
+                o.way.to_string(),
+                o.calls.to_string(),
+                o.served.to_string(),
+                o.given_up.to_string(),
+                o.late.to_string(),
+                o.silent.to_string(),
+                o.refusals.to_string(),
+                o.loads.to_string(),
+                o.wake_count.to_string(),
+                o.cold.to_string(),
+                o.cold_p50_ms.to_string(),
+                o.cold_p99_ms.to_string(),
+                o.cold_mean_ms.to_string(),
+                format!("{:.2}", o.idle_hours),
+            ]));
+        }
+        text
+    }
+}
+
+fn row(cells: &[String; 14]) -> String {
+    let mut line = String::new();
+    for (index, cell) in cells.iter().enumerate() {
+        let written =
+            if index == 0 { write!(line, "{cell:<14}") } else { write!(line, " {cell:>8}") };
+        written.expect("writing to a string succeeds");
+    }
+    line.push('\n');
+    line
+}
--- /dev/null
+++ b/crates/corianderstand_replay/src/store.rs
@@ -0,0 +1,94 @@
+//! A fake weight store: so many starts a second, and so many loads side by side at full speed;
+//! beyond them all share its speed.
+
+use corianderstand_types::weights::Weights;
+use std::{collections::BTreeMap, time::Duration};
+
+/// An engine's number, and what it loads.
+pub type Load = (usize, Weights);
+
+/// The store; times are since the beginning of the replay.
+pub struct Store {
+    per_second: u32,
+    concurrent: u32,
+    slower: f64,
+    remaining: BTreeMap<Load, f64>,
+    queued: Vec<(Load, f64)>,
+    at: Duration,
+    next_start: Duration,
+}
+
+impl Store {
+    /// An idle store.
+    pub const fn new(per_second: u32, concurrent: u32) -> Self {
+        Self {
+            per_second,
+            concurrent,
+            slower: 1.0,
+            remaining: BTreeMap::new(),
+            queued: Vec::new(),
+            at: Duration::ZERO,
+            next_start: Duration::ZERO,
+        }
+    }
+
+    /// From now on loads take this many times as long.
+    pub fn set_slower(&mut self, now: Duration, times: f64) {
+        self.advance(now);
+        self.slower = times;
+    }
+
+    /// Starts a load that takes so many seconds at full speed.
+    pub fn start(&mut self, now: Duration, load: Load, seconds: f64) {
+        self.advance(now);
+        self.queued.push((load, seconds));
+        self.admit(now);
+    }
+
+    /// An engine is gone, and its loads with it.
+    pub fn forget(&mut self, now: Duration, engine: usize) {
+        self.advance(now);
+        self.remaining.retain(|(of, _), _| *of != engine);
+        self.queued.retain(|((of, _), _)| *of != engine);
+    }
+
+    fn admit(&mut self, now: Duration) {
+        while !self.queued.is_empty() && now >= self.next_start {
+            let (load, seconds) = self.queued.remove(0);
+            self.remaining.insert(load, seconds);
+            self.next_start = now + Duration::from_secs(1) / self.per_second;
+        }
+    }
+
+    fn speed(&self) -> f64 {
+        let active = self.remaining.len().max(1) as f64;
+        (f64::from(self.concurrent) / active).min(1.0) / self.slower
+    }
+
+    fn advance(&mut self, now: Duration) {
+        let done = (now - self.at).as_secs_f64() * self.speed();
+        self.remaining.values_mut().for_each(|left| *left -= done);
+        self.at = now;
+    }
+
+    /// Loads that have ended by now.
+    pub fn ended(&mut self, now: Duration) -> Vec<Load> {
+        self.advance(now);
+        self.admit(now);
+        let ended = self.remaining.iter().filter(|(_, left)| **left <= 1e-6);
+        let ended: Vec<Load> = ended.map(|(load, _)| load.clone()).collect();
+        for load in &ended {
+            self.remaining.remove(load);
+        }
+        ended
+    }
+
+    /// When the next load ends or may start, if nothing changes.
+    pub fn next(&self) -> Option<Duration> {
+        let left = self.remaining.values().copied().min_by(f64::total_cmp);
+        let end = left
+            .map(|left| self.at + Duration::from_secs_f64((left / self.speed()).max(0.0) + 1e-6));
+        let start = (!self.queued.is_empty()).then_some(self.next_start);
+        end.into_iter().chain(start).min()
+    }
+}
--- /dev/null
+++ b/tools/measure/src/cost.rs
@@ -0,0 +1,157 @@
+//! The time of one decision, as targets and adapters grow.
+
+use corianderstand_decide::{
+    agent::{Action, Agent, Limits},
+    router::{Decision, Router, TargetKey},
+    work::{Need, Shape, Sizes, Work},
+};
+use corianderstand_schema::messages::Load;
+use corianderstand_types::{
+    clock::{Clock, ManualClock},
+    names::ModelId,
+    units::Mib,
+    weights::Weights,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+const ROUNDS: u32 = 200_000;
+/// Repeats; the best is printed, as others share the machine.
+const REPEATS: usize = 5;
+const IDLE: Load = Load { running: 0, queued: 0, wait_ms: 0 };
+
+struct Plain;
+
+impl Sizes for Plain {
+    fn memory(&self, weights: &Weights) -> Option<Mib> {
+        Some(Mib(if weights.adapter.is_some() { 1 } else { 1000 }))
+    }
+
+    fn load_time(&self, _: &Weights) -> Duration {
+        Duration::from_secs(20)
+    }
+}
+
+fn work(clock: &ManualClock, model: usize, adapter: Option<usize>, prefix: Option<u64>) -> Work {
+    let base = Weights::model(format!("model-{model}").as_str().into(), "1".into());
+    let adapter = adapter.map(|number| Weights {
+        adapter: Some(format!("adapter-{number}").as_str().into()),
+        ..base.clone()
+    });
+    Work {
+        team: "crew".into(),
+        need: Need::Weights { base, adapter },
+        urgency: 1,
+        deadline: clock.now() + Duration::from_secs(600),
+        repeatable: true,
+        shape: Shape { prefix, ..Shape::default() },
+    }
+}
+
+/// Best time of one round, in nanoseconds.
+fn best(mut round: impl FnMut(u32)) -> f64 {
+    let time = |_| {
+        let began = Instant::now();
+        (0..ROUNDS).for_each(&mut round);
+        began.elapsed().as_nanos() as f64 / f64::from(ROUNDS)
+    };
+    (0..REPEATS).map(time).fold(f64::MAX, f64::min)
+}
+
+/// A router's choice and the end of its request; half of the targets own the model asked for.
+fn router_cost(targets: usize, models: usize, adapters: usize) -> f64 {
+    let clock = ManualClock::default();
+    let mut router = Router::new("conce".into(), 1);
+    let name = |number: usize| format!("engine-{number}");
+    let keys: Vec<TargetKey> = (0..targets)
+        .map(|number| router.add_target(&name(number).as_str().into(), &"conce".into()))
+        .collect();
+    keys.iter().for_each(|key| router.set_connected(*key, true));
+    let owners = |model: usize| {
+        let owners = keys.iter().skip(model % 2).step_by(2).copied().collect();
+        (ModelId::from(format!("model-{model}").as_str()), owners)
+    };
+    router.set_owners((0..models).map(owners).collect::<BTreeMap<_, _>>());
+    let works: Vec<Work> = (0..1024)
+        .map(|number| {
+            work(&clock, number % models, Some(number * 53 % adapters), Some(number as u64 * 7919))
+        })
+        .collect();
+    best(|round| {
+        let work = works[round as usize % works.len()].clone();
+        let (key, decision) = router.submit(clock.now(), work);
+        if let Decision::Send(target) = black_box(decision) {
+            black_box(target);
+        }
+        router.finished(clock.now(), key, Some(IDLE));
+    })
+}
+
+/// An agent's admission, start and end, with so many waiting and so many adapters loaded.
+fn agent_cost(waiting: usize, adapters: usize) -> f64 {
+    let clock = ManualClock::default();
+    let limits = Limits { concurrency: 16, queue: waiting as u32 + 64 };
+    let mut agent = Agent::new(limits, Mib(1_000_000));
+    agent.set_slots(BTreeSet::from(["model-0".into()]));
+    let base = Weights::model("model-0".into(), "1".into());
+    let adapter = |number: usize| Weights {
+        adapter: Some(format!("adapter-{number}").as_str().into()),
+        ..base.clone()
+    };
+    let loaded = (0..adapters).map(|number| (adapter(number), Mib(1), true));
+    agent.rebuild(std::iter::once((base.clone(), Mib(1000), true)).chain(loaded));
+    let mut running = std::collections::VecDeque::new();
+    let mut note = |actions: Vec<Action>| {
+        running.extend(actions.into_iter().filter_map(|action| match action {
+            Action::Run(key) => Some(key),
+            _ => None,
+        }));
+        running.pop_front()
+    };
+    for number in 0..waiting + 16 {
+        let (_, actions) =
+            agent.submit(clock.now(), work(&clock, 0, Some(number % adapters), None), &Plain);
+        for action in actions {
+            if let Action::Run(_) = action {
+                note(vec![action]).into_iter().for_each(drop);
+            }
+        }
+    }
+    let works: Vec<Work> =
+        (0..1024).map(|n| work(&clock, 0, Some(n * 53 % adapters), None)).collect();
+    best(|round| {
+        let work = works[round as usize % works.len()].clone();
+        let (_, actions) = agent.submit(clock.now(), work, &Plain);
+        if let Some(key) = note(actions) {
+            let actions = agent.finished(clock.now(), key, &Plain);
+            note(actions);
+        }
+    })
+}
+
+/// Prints the table.
+pub fn print() {
+    println!("router: choice and end of one request");
+    let mut first = None;
+    for (targets, models, adapters) in [(10, 5, 500), (100, 50, 5_000), (730, 350, 54_000)] {
+        let cost = router_cost(targets, models, adapters);
+        let first = *first.get_or_insert(cost);
+        println!(
+            "  {targets:>4} targets {adapters:>6} adapters  {cost:>7.0} ns  x{:.2}",
+            cost / first
+        );
+    }
+    println!("agent: admission, start and end of one request");
+    let mut first = None;
+    for (waiting, adapters) in [(10, 10), (100, 74), (1000, 740)] {
+        let cost = agent_cost(waiting, adapters);
+        let first = *first.get_or_insert(cost);
+        println!(
+            "  {waiting:>4} waiting {adapters:>6} adapters  {cost:>7.0} ns  x{:.2}",
+            cost / first
+        );
+    }
+}
--- /dev/null
+++ b/tools/measure/src/curve.rs
@@ -0,0 +1,85 @@
+//! Cold-start tail against idle hours, as weights and fixed times move them.
+
+use corianderstand_replay::{generate, replay, trace::Trace, ways::Way};
+use plotters::prelude::{
+    BLACK, BLUE, ChartBuilder, Circle, Color, IntoDrawingArea, LineSeries, RED, SVGBackend, WHITE,
+};
+use std::{path::Path, time::Duration};
+
+/// Ratios of the weights of tail and idle hours.
+const WEIGHTS: [(u32, u32); 9] =
+    [(1, 99), (5, 95), (10, 90), (20, 80), (35, 65), (50, 50), (65, 35), (80, 20), (95, 5)];
+/// Fixed times in minutes.
+const FIXED: [u64; 9] = [1, 2, 5, 10, 20, 40, 80, 160, 320];
+
+/// One way's outcome.
+struct Point {
+    name: String,
+    idle_hours: f64,
+    mean_ms: u64,
+    p99_ms: u64,
+    cold: u64,
+}
+
+fn points(trace: &Trace, ways: impl Iterator<Item = Way>) -> Vec<Point> {
+    ways.map(|way| {
+        let outcome = replay::run(trace, &way);
+        Point {
+            name: way.name.to_string(),
+            idle_hours: outcome.idle_hours,
+            mean_ms: outcome.cold_mean_ms,
+            p99_ms: outcome.cold_p99_ms,
+            cold: outcome.cold,
+        }
+    })
+    .collect()
+}
+
+/// Prints the points of both traces with habits and without, and draws the one with.
+pub fn draw(path: &Path) {
+    for trace in [generate::market_days(1), generate::quiet_nights(1)] {
+        let ours = points(&trace, WEIGHTS.into_iter().map(|(tail, idle)| Way::weighed(tail, idle)));
+        let fixed = FIXED.into_iter().map(|minutes| Way::fixed(Duration::from_secs(minutes * 60)));
+        let fixed = points(&trace, fixed);
+        println!("{}", trace.header.trace);
+        for point in ours.iter().chain(&fixed) {
+            println!(
+                "  {:<14} idle {:>8.2} h  mean {:>6} ms  p99 {:>6} ms  cold {:>5}",
+                point.name, point.idle_hours, point.mean_ms, point.p99_ms, point.cold
+            );
+        }
+        chart(path, &trace, &ours, &fixed);
+    }
+}
+
+fn chart(path: &Path, trace: &Trace, ours: &[Point], fixed: &[Point]) {
+    let all = || ours.iter().chain(fixed);
+    let most_hours = all().map(|point| point.idle_hours).fold(1.0, f64::max);
+    let most_ms = all().map(|point| point.mean_ms).max().unwrap_or(1) as f64;
+    let root = SVGBackend::new(path, (800, 500)).into_drawing_area();
+    root.fill(&WHITE).expect("the file can be written");
+    let caption = format!("{}: blue by history, red fixed time", trace.header.trace);
+    let mut chart = ChartBuilder::on(&root)
+        .caption(caption, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..most_hours * 1.05, 0.0..most_ms * 1.05)
+        .expect("the ranges are not empty");
+    chart
+        .configure_mesh()
+        .x_desc("idle accelerator hours")
+        .y_desc("mean cold-start latency of wakes, ms")
+        .axis_style(BLACK)
+        .draw()
+        .expect("the file can be written");
+    for (points, color) in [(ours, BLUE), (fixed, RED)] {
+        let mut line: Vec<(f64, f64)> =
+            points.iter().map(|point| (point.idle_hours, point.mean_ms as f64)).collect();
+        line.sort_by(|a, b| a.0.total_cmp(&b.0));
+        chart.draw_series(LineSeries::new(line.clone(), color)).expect("the file can be written");
+        let dots = line.into_iter().map(|at| Circle::new(at, 4, color.filled()));
+        chart.draw_series(dots).expect("the file can be written");
+    }
+    root.present().expect("the file can be written");
+}
--- /dev/null
+++ b/tools/measure/src/main.rs
@@ -0,0 +1,56 @@
+//! Maintainers' measurements.
+//!
+//! `measure traces DIR` writes the committed traces; `measure compare [NAME…]` replays generated
+//! ones in all ways; `measure curve FILE.svg` draws tail against idle hours; `measure cost`
+//! times one decision as targets and adapters grow.
+
+mod cost;
+mod curve;
+
+use corianderstand_replay::{generate, replay, report::Report, trace::Trace, ways::Way};
+use std::{env, fs, path::Path, process::ExitCode};
+
+fn main() -> ExitCode {
+    let args: Vec<String> = env::args().skip(1).collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    match args.as_slice() {
+        ["traces", dir] => traces(Path::new(dir)),
+        ["compare", names @ ..] => compare(names),
+        ["curve", file] => curve::draw(Path::new(file)),
+        ["cost"] => cost::print(),
+        _ => {
+            eprintln!("measure traces DIR | compare [NAME…] | curve FILE.svg | cost");
+            return ExitCode::from(2);
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+fn traces(dir: &Path) {
+    for trace in generate::committed() {
+        let path = dir.join(format!("{}.jsonl", trace.header.trace));
+        fs::write(&path, trace.text()).expect("the directory can be written");
+        println!("{} {} lines", path.display(), trace.lines.len());
+    }
+}
+
+fn compare(names: &[&str]) {
+    let others = [
+        generate::overload(1, 1.0),
+        generate::overload(1, 3.0),
+        generate::overload(1, 10.0),
+        generate::slow_engine(1),
+        generate::flood(1),
+    ];
+    let all: Vec<Trace> = generate::committed().into_iter().chain(others).collect();
+    let wanted = |trace: &&Trace| names.is_empty() || names.contains(&trace.header.trace.as_str());
+    for trace in all.iter().filter(wanted) {
+        let outcomes: Vec<_> = Way::all().iter().map(|way| replay::run(trace, way)).collect();
+        for outcome in &outcomes {
+            if !outcome.share_back_ms.is_empty() {
+                println!("{}: longest below share {:?}", outcome.way, outcome.share_back_ms);
+            }
+        }
+        println!("{}", Report::new(trace, outcomes).table());
+    }
+}
