Refused loads wake no second replica; late starts are refused; slow stores are learnt

Cause: replay of a slow store showed 31 loads for 16 models and 70 of 240 callers given up. A caller refused for the time of a load was tried at the model's other owner, which loaded it too. Under saturation 349 of 12,969 admitted calls were cut at their deadline.

The replay plans one event of each kind, where its own chains of events had multiplied.

--- a/crates/corianderstand_decide/src/agent/admit.rs
+++ b/crates/corianderstand_decide/src/agent/admit.rs
@@ -29,22 +29,34 @@
 /// Expected length of a run.
 #[derives(data)]
 #[derive(Copy)]
-pub struct MeanRun(Duration);
+pub struct MeanRun {
+    mean: Duration,
+    deviation: Duration,
+}
 
 impl MeanRun {
     /// Expectations for short and long work.
     pub const fn both() -> [Self; 2] {
-        [Self(FIRST_SHORT_RUN), Self(FIRST_LONG_RUN)]
+        let deviation = Duration::ZERO;
+        let short = Self { mean: FIRST_SHORT_RUN, deviation };
+        [short, Self { mean: FIRST_LONG_RUN, deviation }]
+    }
+
+    /// A length that a run has at the least, as far as can be expected.
+    pub const fn least(self) -> Duration {
+        self.mean.saturating_sub(self.deviation)
     }
 
     /// The expectation.
     pub const fn mean(self) -> Duration {
-        self.0
+        self.mean
     }
 
     /// Folds the length of a run into it.
     pub fn observe(&mut self, took: Duration) {
-        self.0 = (self.0 * (RUN_SMOOTHING - 1) + took) / RUN_SMOOTHING;
+        let off = took.abs_diff(self.mean);
+        self.deviation = (self.deviation * (RUN_SMOOTHING - 1) + off) / RUN_SMOOTHING;
+        self.mean = (self.mean * (RUN_SMOOTHING - 1) + took) / RUN_SMOOTHING;
     }
 }
 
--- a/crates/corianderstand_decide/src/agent/keep.rs
+++ b/crates/corianderstand_decide/src/agent/keep.rs
@@ -27,8 +27,20 @@
     leaving: BTreeSet<Weights>,
     next_plan: Option<Instant>,
     look_at_all: bool,
+    windows: BTreeMap<Weights, Known>,
 }
 
+/// A window that was worked out, and until when that holds: until the model is called again or
+/// the window is over.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    window: Option<Window>,
+    until: u64,
+}
+
+/// Without a window, it is looked for again after this time, in seconds.
+const NO_WINDOW_FOR: u64 = 3600;
+
 impl Keeping {
     pub fn set_wall(&mut self, now: Instant, wall: u64) {
         self.origin = Some((now, wall));
@@ -55,6 +67,7 @@
         self.origin.get_or_insert((now, 0));
         let wall = self.wall(now);
         self.histories.called(weights, wall);
+        self.windows.remove(weights);
         self.forget(weights);
     }
 
@@ -137,20 +150,32 @@
 
     /// The window in which a model should be loaded now, if there is one.
     fn due(
-        &self,
+        &mut self,
         now: Instant,
         weights: &Weights,
         sizes: &dyn Sizes,
     ) -> Option<(Instant, Instant)> {
         let wall = self.keep.wall(now);
-        let history = self.keep.histories.find(weights)?;
-        let Window { from, until } = history.window(wall, self.cold_cost(weights, sizes))?;
+        let Window { from, until } = self.window(wall, weights, sizes)?;
         let lead = sizes.load_time(weights) * LEAD_LOADS;
         let begin = Duration::from_secs(from.saturating_sub(wall)).saturating_sub(lead);
         let end = Duration::from_secs(until.saturating_sub(wall));
         begin.is_zero().then_some((now + begin, now + end))
     }
 
+    fn window(&mut self, wall: u64, weights: &Weights, sizes: &dyn Sizes) -> Option<Window> {
+        if let Some(known) = self.keep.windows.get(weights)
+            && wall < known.until
+        {
+            return known.window;
+        }
+        let history = self.keep.histories.find(weights)?;
+        let window = history.window(wall, self.cold_cost(weights, sizes));
+        let until = window.map_or(wall + NO_WINDOW_FOR, |window| window.until);
+        self.keep.windows.insert(weights.clone(), Known { window, until });
+        window
+    }
+
     /// Drops what was kept long enough and loads what is due soon.
     pub(super) fn drop_idle(&mut self, now: Instant, sizes: &dyn Sizes, actions: &mut Vec<Action>) {
         if std::mem::take(&mut self.keep.look_at_all) {
--- a/crates/corianderstand_decide/src/agent/loads.rs
+++ b/crates/corianderstand_decide/src/agent/loads.rs
@@ -67,8 +67,12 @@
     repeats: BTreeMap<Weights, (Instant, bool)>,
     without_room: BTreeMap<Weights, Instant>,
     waiting: BTreeMap<Weights, u32>,
+    slowness: f64,
 }
 
+/// Part of the difference by which one load moves what the next is expected to take.
+const SLOWNESS_STEP: f64 = 0.5;
+
 impl Default for Loads {
     fn default() -> Self {
         Self {
@@ -81,6 +85,7 @@
             repeats: BTreeMap::new(),
             without_room: BTreeMap::new(),
             waiting: BTreeMap::new(),
+            slowness: 1.0,
         }
     }
 }
@@ -117,9 +122,10 @@
             // Overdue: the store is slow, and may need as long again as it already took.
             Some(started) => {
                 let took = now.saturating_duration_since(started.at);
-                started.expected.checked_sub(took).unwrap_or(took)
+                let expected = started.expected.mul_f64(self.slowness);
+                expected.checked_sub(took).unwrap_or(took)
             }
-            None => load_time,
+            None => load_time.mul_f64(self.slowness),
         }
     }
 
@@ -145,6 +151,13 @@
         }
     }
 
+    /// Made for a store that is slower than stated: callers told the stated time would come back
+    /// too early, again and again.
+    fn observe(&mut self, took: Duration, expected: Duration) {
+        let times = took.as_secs_f64() / expected.as_secs_f64().max(1e-3);
+        self.slowness += (times.max(1.0) - self.slowness) * SLOWNESS_STEP;
+    }
+
     pub fn want(&mut self, weights: &Weights, wanted: Wanted) {
         self.unordered.insert(weights.clone());
         self.wanted.insert(weights.clone(), wanted);
@@ -355,11 +368,12 @@
         outcome: Option<bool>,
         sizes: &dyn Sizes,
     ) -> Vec<Action> {
-        if let Some(started) = self.loads.started.remove(weights)
-            && started.by_gate
-        {
+        if let Some(started) = self.loads.started.remove(weights) {
             let took = now.saturating_duration_since(started.at);
-            self.loads.gate.ended(took, started.expected, outcome == Some(true));
+            self.loads.observe(took, started.expected);
+            if started.by_gate {
+                self.loads.gate.ended(took, started.expected, outcome == Some(true));
+            }
         }
         let mut actions = Vec::new();
         match outcome {
--- a/crates/corianderstand_decide/src/agent/mod.rs
+++ b/crates/corianderstand_decide/src/agent/mod.rs
@@ -353,11 +353,36 @@
         self.order_loads(now, sizes, &mut actions);
         while let Some(key) = self.queue.pop() {
             self.run(now, key);
-            actions.push(Action::Run(key));
+            if self.is_too_late(now, key) {
+                actions.push(self.refuse_late(now, key, sizes));
+            } else {
+                actions.push(Action::Run(key));
+            }
         }
         actions
     }
 
+    /// Made for saturation: whoever waited until too little time was left even for a short run
+    /// is told now. Run all the same, it would be cut at its deadline, and its room is lost to
+    /// another that could still be answered.
+    fn is_too_late(&self, now: Instant, key: RequestKey) -> bool {
+        let work = &self.requests[key].work;
+        let least = self.runs[work.shape.length as usize].least();
+        self.policy.order == Order::Fair && now + least > work.deadline
+    }
+
+    fn refuse_late(&mut self, now: Instant, key: RequestKey, sizes: &dyn Sizes) -> Action {
+        let length = self.requests[key].work.shape.length;
+        let retry_after = self.book_return(now, MIN_RETRY_AFTER, length);
+        self.requests[key].since = None;
+        let team = self.requests[key].work.team.clone();
+        self.queue.ended(&team, length);
+        for weights in self.requests[key].work.clone().weights() {
+            self.ledger.end_use(weights, now);
+        }
+        self.refuse(now, key, Refusal { reason: RefusalReason::Deadline, retry_after }, sizes)
+    }
+
     fn run(&mut self, now: Instant, key: RequestKey) {
         self.requests[key].since = Some(now);
         let work = self.requests[key].work.clone();
--- a/crates/corianderstand_decide/src/router/choose.rs
+++ b/crates/corianderstand_decide/src/router/choose.rs
@@ -72,6 +72,7 @@
         let held = &self.requests[key];
         let over = held.tried.len() >= MAX_TRIES || now >= held.work.deadline;
         let chosen = if over { None } else { self.best(now, key) };
+        let chosen = chosen.filter(|chosen| !self.would_wake_in_vain(now, key, *chosen, last));
         let Some(chosen) = chosen else {
             self.requests.remove(key);
             return Decision::Refuse(refusal);
@@ -80,6 +81,22 @@
         Decision::Send(chosen)
     }
 
+    /// Made for a burst of first requests behind a slow store: a request that came too late for
+    /// the load at one replica is too late for a load at another, and asking there would only
+    /// load the model once more for nobody.
+    fn would_wake_in_vain(
+        &self,
+        now: Instant,
+        key: RequestKey,
+        chosen: TargetKey,
+        last: Option<Refusal>,
+    ) -> bool {
+        let held = &self.requests[key];
+        let too_late = last.is_some_and(|refusal| refusal.reason == RefusalReason::Deadline);
+        let loaded = || self.owners(&held.work).is_some_and(|owners| owners.is_warm(now, chosen));
+        too_late && matches!(held.work.need, Need::Weights { .. }) && !loaded()
+    }
+
     fn note_sent(&mut self, now: Instant, key: RequestKey, chosen: TargetKey) {
         let target = &mut self.targets[chosen];
         target.outstanding += 1;
--- a/crates/corianderstand_replay/src/generate.rs
+++ b/crates/corianderstand_replay/src/generate.rs
@@ -216,7 +216,7 @@
     let about = "a crew's morning at Vidrio Sur, in which a host is reclaimed";
     let mut maker = Maker::new(seed, header(&VIDRIO, "reclaimed-host", about, 7 * HOUR));
     crew_burst(&mut maker);
-    maker.fault(30 * SECOND, Fault::HostGone("redactor-2".into()));
+    maker.fault(30 * SECOND, Fault::HostGone("redactor-5".into()));
     maker.trace()
 }
 
--- a/crates/corianderstand_replay/src/replay.rs
+++ b/crates/corianderstand_replay/src/replay.rs
@@ -62,6 +62,8 @@
     callers: Vec<Caller>,
     events: BTreeMap<(Duration, u64), Event>,
     number: u64,
+    store_at: Option<Duration>,
+    coordinate_at: Option<Duration>,
     last_calls: HashMap<ModelId, Duration>,
     outcome: Outcome,
 }
@@ -122,6 +124,8 @@
             callers: Vec::new(),
             events: BTreeMap::new(),
             number: 0,
+            store_at: None,
+            coordinate_at: None,
             last_calls: HashMap::new(),
             outcome: Outcome { way: way.name.clone(), ..Outcome::default() },
         };
@@ -149,6 +153,7 @@
     fn plan_wake(&mut self, engine: usize) {
         let state = &mut self.engines[engine];
         let Some(at) = state.next_wake(self.start) else { return };
+        let at = at.max(self.clock.elapsed());
         if state.wake.is_none_or(|planned| at < planned) {
             state.wake = Some(at);
             self.plan(at, Event::Wake(engine));
@@ -179,6 +184,10 @@
             Event::Store => self.store_moved(),
             Event::Coordinate => self.coordinate(),
             Event::Wake(engine) => {
+                // An earlier one was planned since; if this one planned too, they would multiply.
+                if self.engines[engine].wake != Some(self.clock.elapsed()) {
+                    return;
+                }
                 self.engines[engine].wake = None;
                 self.drive(engine, |engine, now, sizes| engine.agent.step(now, sizes));
             }
@@ -311,7 +320,7 @@
                 if let Some(coordinator) = &mut self.coordinator {
                     coordinator.ask(ask);
                 }
-                self.plan(now, Event::Coordinate);
+                self.plan_coordinate(now);
             }
         }
     }
@@ -377,12 +386,20 @@
     }
 
     fn plan_store(&mut self) {
-        if let Some(at) = self.store.next() {
+        let next = self.store.next().map(|at| at.max(self.clock.elapsed()));
+        if let Some(at) = next
+            && self.store_at.is_none_or(|planned| at < planned)
+        {
+            self.store_at = Some(at);
             self.plan(at, Event::Store);
         }
     }
 
     fn store_moved(&mut self) {
+        if self.store_at != Some(self.clock.elapsed()) {
+            return;
+        }
+        self.store_at = None;
         let ended = self.store.ended(self.clock.elapsed());
         for (engine, weights) in ended {
             if let Some(coordinator) = &mut self.coordinator {
@@ -391,12 +408,24 @@
             self.drive(engine, |engine, now, sizes| {
                 engine.agent.loaded(now, &weights, Some(true), sizes)
             });
-            self.plan(self.clock.elapsed(), Event::Coordinate);
+            self.plan_coordinate(self.clock.elapsed());
         }
         self.plan_store();
     }
 
+    /// One event at a time is planned; each planning its own next one would let them multiply.
+    fn plan_coordinate(&mut self, at: Duration) {
+        if self.coordinate_at.is_none_or(|planned| at < planned) {
+            self.coordinate_at = Some(at);
+            self.plan(at, Event::Coordinate);
+        }
+    }
+
     fn coordinate(&mut self) {
+        if self.coordinate_at != Some(self.clock.elapsed()) {
+            return;
+        }
+        self.coordinate_at = None;
         let now = self.now();
         let Some(coordinator) = &mut self.coordinator else { return };
         let granted = coordinator.step(now);
@@ -406,7 +435,7 @@
             self.drive(engine, |engine, now, sizes| engine.agent.granted(now, &ask.weights, sizes));
         }
         if let Some(at) = next.filter(|at| *at > now) {
-            self.plan(at - self.start, Event::Coordinate);
+            self.plan_coordinate(at - self.start);
         }
     }
 
@@ -427,7 +456,7 @@
             self.lost(flight);
         }
         self.plan(elapsed + REPLAN, Event::SlotsMoved(engine));
-        self.plan(elapsed, Event::Coordinate);
+        self.plan_coordinate(elapsed);
     }
 
     fn lost(&mut self, flight: Flight) {
