--- a/crates/corianderstand_agent/src/accept.rs
+++ b/crates/corianderstand_agent/src/accept.rs
@@ -125,6 +125,7 @@
                 self.credits.remove(&stream);
                 self.tell(Event::Cancelled { connection: self.id, stream })
             }
+            ToAgent::List => self.tell(Event::List(self.out.clone())),
             ToAgent::Ping { nonce } => {
                 let load = self.shared.load.borrow().clone();
                 self.send(&ToRouter::Pong { nonce, load }).await;
@@ -152,7 +153,8 @@
         let end = StreamEnd { connection: self.id, stream, out: self.out.clone(), credit: rx };
         self.credits.insert(stream, credit);
         let work = work(&open, &body, self.shared.clock.now());
-        let request = Request { open, body, end };
+        let deadline = work.deadline;
+        let request = Request { open, body, end, deadline };
         self.tell(Event::Submit(Box::new((work, request))))
     }
 
--- a/crates/corianderstand_agent/src/start.rs
+++ b/crates/corianderstand_agent/src/start.rs
@@ -2,23 +2,33 @@
 
 use crate::{
     accept::{self, Shared},
+    announce,
     decide::Decider,
+    early::Early,
     event::Event,
+    pause::PauseWatch,
+    reconcile::Asking,
+    release::{Release, Releases},
     run::{Runner, Target},
 };
 use corianderstand_control::{
     appender::Identity,
+    budget::Budget,
+    measured::{self, MeasuredLog},
+    metrics::{Metric, Metrics},
+    paced::Unread,
+    peers::{HttpPeers, Nobody, Peers},
+    relay::Tail,
     snapshot::Current,
+    source::Source,
     start::{Control, Handle},
 };
 use corianderstand_decide::agent::{Agent, Limits};
-use corianderstand_edge::{
-    engine::HttpEngine, hosts::HttpHostList, log::HttpLog, service::HttpService,
-};
+use corianderstand_edge::{engine::HttpEngine, log::HttpLog, service::HttpService};
 use corianderstand_schema::{
     messages::Load,
     process::{AgentSettings, TargetKind},
-    records::{Body, TargetRecord},
+    records::TargetRecord,
 };
 use corianderstand_types::{
     clock::{self, SharedClock},
@@ -26,7 +36,7 @@
     units::Mib,
 };
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{Arc, mpsc as std_mpsc},
     thread,
     time::Duration,
@@ -41,16 +51,20 @@
 const EVENT_RING: usize = 8192;
 /// Time a plain service has to answer one call.
 const SERVICE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Pause between two tries at start.
-const START_PAUSE: Duration = Duration::from_millis(100);
-/// Time the log has to decide an announcement before it is tried again.
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Bytes of records an agent keeps for others: nobody follows an agent.
+const NO_TAIL: usize = 0;
+/// Pause between two questions to the engine at start.
+const REBUILD_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two looks at a planned stop.
+const STOP_PAUSE: Duration = Duration::from_millis(100);
 
 /// An agent that cannot start.
 #[derive(Debug, displaydoc::Display)]
 pub enum AgentError {
     /// cannot listen on {0} ({1}): another agent runs beside this target, or the address in `listen` is wrong
     Listen(String, std::io::Error),
+    /// cannot send metrics ({0}): mend `statsd`, or leave it out
+    Statsd(std::io::Error),
     /// cannot start a thread ({0}): raise the host's limits
     Thread(std::io::Error),
 }
@@ -76,17 +90,21 @@
 pub fn start(settings: AgentSettings, clock: SharedClock) -> Result<AgentHandle, AgentError> {
     let listener = listen(&settings.listen)?;
     let incarnation = clock::unix_ms(clock.wall());
-    let control = start_control(&settings, incarnation, clock.clone())?;
+    let metrics = Metrics::new(settings.statsd.as_deref(), settings.name.as_str());
+    let metrics = metrics.map_err(AgentError::Statsd)?;
+    let control = start_control(&settings, incarnation, clock.clone(), &metrics)?;
     let (events, events_rx) = std_mpsc::sync_channel(EVENT_RING);
     let (jobs, jobs_rx) = mpsc::unbounded_channel();
     let (load, load_rx) = watch::channel(Load { running: 0, queued: 0, wait_ms: 0 });
     let (idle, idle_rx) = watch::channel(true);
     let (draining, draining_rx) = watch::channel(false);
+    let (releases, releases_rx) = watch::channel(Releases::new());
     let target = TargetId(settings.name.0.clone());
 
     let decider = Decider {
         agent: Agent::new(limits(&settings), memory(&settings)),
         target: target.clone(),
+        host: settings.host.clone(),
         current: control.current.clone(),
         clock: clock.clone(),
         jobs,
@@ -94,7 +112,16 @@
         idle,
         requests: HashMap::new(),
         streams: HashMap::new(),
-        slots_version: 0,
+        since: HashMap::new(),
+        metrics: metrics.clone(),
+        rebuilt: matches!(settings.target.kind, TargetKind::Service { .. }),
+        kept: BTreeSet::new(),
+        release: Release::default(),
+        releases,
+        stopping: false,
+        pause: PauseWatch::new(clock.now()),
+        asking: Asking::new(clock.now()),
+        early: Early::default(),
     };
     spawn("decide", move || decider.run(&events_rx))?;
 
@@ -105,8 +132,11 @@
         load: load_rx.clone(),
         control: control.clone(),
         clock: clock.clone(),
+        metrics: metrics.clone(),
+        stalled: Arc::default(),
     };
     let target_runtime = runtime()?;
+    target_runtime.spawn(report(&settings, incarnation, &control, metrics, load_rx.clone()));
     spawn("target", move || target_runtime.block_on(runner.run(jobs_rx)))?;
 
     let shared = Shared {
@@ -115,7 +145,7 @@
         silence: settings.timing.silence_ms.0,
         events: events.clone(),
         load: load_rx,
-        draining: draining_rx,
+        draining: draining_rx.clone(),
         clock,
     };
     let link_runtime = runtime()?;
@@ -126,7 +156,8 @@
         link_runtime.block_on(async move {
             // The engine is asked before any router can reach this process.
             rebuild(&link_target, &link_events).await;
-            announce(&link_control, record).await;
+            tokio::spawn(announce::release(link_control.clone(), releases_rx));
+            tokio::spawn(announce::keep_announced(link_control, record, incarnation, draining_rx));
             match tokio::net::TcpListener::from_std(listener) {
                 Ok(listener) => accept::run(listener, shared).await,
                 Err(error) => tracing::error!(%error, "the bound port cannot be used"),
@@ -137,6 +168,23 @@
     Ok(AgentHandle { events, draining, idle: idle_rx, control, target, drain_limit })
 }
 
+fn report(
+    settings: &AgentSettings,
+    incarnation: u64,
+    control: &Handle,
+    metrics: Metrics,
+    load: watch::Receiver<Load>,
+) -> impl Future<Output = ()> + Send + use<> {
+    let identity = Identity { writer: settings.name.clone(), incarnation };
+    let more = move |metrics: &Metrics| {
+        let load = load.borrow();
+        metrics.gauge(Metric::AgentRunning, u64::from(load.running));
+        metrics.gauge(Metric::AgentQueue, u64::from(load.queued));
+        metrics.gauge(Metric::AgentWaitEstimate, load.wait_ms);
+    };
+    measured::report(metrics, identity, control.current.clone(), more)
+}
+
 /// Binds the port that is also the lock against a second agent beside the same target.
 ///
 /// Two agents would each commit the engine's memory as if it were alone. The kernel gives the
@@ -160,16 +208,32 @@
     builder.spawn(run).map(drop).map_err(AgentError::Thread)
 }
 
+/// Where this agent reads the log: from a router, if it was given some and a token.
+fn source(settings: &AgentSettings, clock: &SharedClock) -> Source {
+    let log = Arc::new(HttpLog::new(&settings.log_url, settings.timing.log_poll_ms.0));
+    let budget = Arc::new(Budget::new(clock.clone()));
+    let tail = Tail::new(clock.clone(), budget, NO_TAIL);
+    let token = settings.peer_token.clone().unwrap_or_default();
+    let peers = if token.is_empty() { &[] } else { settings.peers.as_slice() };
+    Source::for_process(log, &settings.name, None, peers, &token, tail)
+}
+
 fn start_control(
     settings: &AgentSettings,
     incarnation: u64,
     clock: SharedClock,
+    metrics: &Metrics,
 ) -> Result<Handle, AgentError> {
     let poll = settings.timing.log_poll_ms.0;
     let control = Control {
         identity: Identity { writer: settings.name.clone(), incarnation },
-        log: Arc::new(HttpLog::new(&settings.log_url, poll)),
-        hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
+        log: Arc::new(MeasuredLog {
+            log: Arc::new(source(settings, &clock)),
+            metrics: metrics.clone(),
+            clock: clock.clone(),
+        }),
+        hosts: Arc::new(Unread),
+        peers: peers(settings),
         clock,
         log_poll: poll,
         hosts_poll: settings.timing.host_list_poll_ms.0,
@@ -178,6 +242,14 @@
     control.start().map_err(AgentError::Thread)
 }
 
+/// Routers to take state from; an agent that was given no token has none.
+fn peers(settings: &AgentSettings) -> Arc<dyn Peers> {
+    match &settings.peer_token {
+        Some(token) => Arc::new(HttpPeers::new(&settings.peers, token.clone())),
+        None => Arc::new(Nobody),
+    }
+}
+
 fn limits(settings: &AgentSettings) -> Limits {
     Limits { concurrency: settings.target.concurrency, queue: settings.target.queue }
 }
@@ -215,10 +287,17 @@
     }
 }
 
+/// Asks the engine what is loaded, twice.
+///
+/// An order of an agent that died may lie in the engine's socket and be carried out just after
+/// the first answer; the pause lets it show in the second. Ordering by the first answer alone
+/// would commit that memory twice.
 async fn rebuild(target: &Target, events: &std_mpsc::SyncSender<Event>) {
     let Target::Engine(engine) = target else { return };
+    let mut answers = 0;
     loop {
         match engine.loaded().await {
+            Ok(_) if answers == 0 => answers = 1,
             Ok(loaded) => {
                 let loaded = loaded.into_iter();
                 let loaded = loaded.map(|l| (l.weights, Mib(l.memory_mib), l.ready)).collect();
@@ -227,20 +306,7 @@
             }
             Err(error) => tracing::warn!(%error, "engine not asked what is loaded yet"),
         }
-        time::sleep(START_PAUSE).await;
-    }
-}
-
-async fn announce(control: &Handle, record: TargetRecord) {
-    while !control.current.load().caught_up {
-        time::sleep(START_PAUSE).await;
-    }
-    loop {
-        let body = Body::TargetUp { target: record.clone() };
-        match control.appender.append(body, ANNOUNCE_TIMEOUT).await {
-            Ok(_) => return,
-            Err(error) => tracing::warn!(%error, "target not announced yet"),
-        }
+        time::sleep(REBUILD_PAUSE).await;
     }
 }
 
@@ -256,15 +322,12 @@
         let Ok(runtime) = runtime() else { return };
         runtime.block_on(async {
             // One turn of the decide loop, so that what has just come is counted.
-            time::sleep(START_PAUSE * 2).await;
+            time::sleep(STOP_PAUSE * 2).await;
             let idle = self.idle.wait_for(|idle| *idle);
             if time::timeout(self.drain_limit, idle).await.is_err() {
                 tracing::warn!("planned stop: limit reached with work in flight");
             }
-            let body = Body::TargetDown { target: self.target.clone() };
-            if let Err(error) = self.control.appender.append(body, ANNOUNCE_TIMEOUT).await {
-                tracing::warn!(%error, "goodbye not decided");
-            }
+            announce::farewell(&self.control, &self.target).await;
         });
     }
 
--- a/crates/corianderstand_decide/src/agent/keep.rs
+++ b/crates/corianderstand_decide/src/agent/keep.rs
@@ -123,6 +123,11 @@
         {
             return;
         }
+        if !self.slots.contains(&base.model) {
+            // Kept without a slot it would be a replica more than was decided.
+            self.keep.keep_until(&base, now);
+            return;
+        }
         let mut until = now + self.keep_time(&base, sizes);
         if self.policy.keep == Keep::Learned {
             let window = self.due(now, &base, sizes);
@@ -206,12 +211,7 @@
             self.ledger.entries().filter(|(w, e)| e.stage == Stage::Ready && w.adapter.is_none());
         let bases: Vec<Weights> = ready.map(|(weights, _)| weights.clone()).collect();
         for base in bases {
-            if self.slots.contains(&base.model) {
-                self.note_idle(now, &base, sizes);
-            } else {
-                // Kept without a slot it would be a replica more than was decided.
-                self.keep.keep_until(&base, now);
-            }
+            self.note_idle(now, &base, sizes);
         }
     }
 
--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -3,13 +3,19 @@
 use crate::{
     auth::Hasher,
     completions,
+    connections::Connections,
     event::Event,
     operator,
     problem::{self, Problem},
-    services,
+    relay, services,
 };
 use bytes::Bytes;
-use corianderstand_control::{snapshot::Snapshot, start::Handle};
+use corianderstand_control::{
+    metrics::{Metric, Metrics},
+    relay::Tail,
+    snapshot::Snapshot,
+    start::Handle,
+};
 use corianderstand_decide::work::{Need, Shape, Work};
 use corianderstand_link::trace::TraceContext;
 use corianderstand_schema::{
@@ -17,8 +23,11 @@
     settings::Urgency,
 };
 use corianderstand_state::view::TeamView;
-use corianderstand_types::{clock::SharedClock, names::TeamId};
-use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
+use corianderstand_types::{
+    clock::SharedClock,
+    names::{self, TeamId, WriterId},
+};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::ParseError};
 use smol_str::{SmolStr, format_smolstr};
 use std::{
     sync::{
@@ -39,14 +48,28 @@
 
 /// What the handlers share.
 pub struct Door {
+    /// Name of this router.
+    pub name: WriterId,
+    /// Asks other routers.
+    pub peer_client: reqwest::Client,
     /// To the `decide` thread.
     pub events: SyncSender<Event>,
     /// The log.
     pub control: Handle,
+    /// Records for processes that follow this router.
+    pub tail: Tail,
     /// Hashes bearer keys.
     pub hasher: Hasher,
     /// Hash of the operators' key.
     pub operator_key_hash: SmolStr,
+    /// Where measures go.
+    pub metrics: Metrics,
+    /// Connections held now.
+    pub connections: Arc<Connections>,
+    /// Longest head, in bytes.
+    pub max_header_bytes: usize,
+    /// Other routers.
+    pub peers: Vec<SmolStr>,
     /// Longest body, in bytes.
     pub max_body_bytes: usize,
     /// Longest time a body may take to come.
@@ -83,25 +106,48 @@
     Models,
     Service,
     Operator(operator::Kind),
+    Relay,
     Healthy,
     Ready,
+    OtherMethod(&'static str),
+    NoSuchPath,
 }
 
 struct Endpoint(Arc<Door>, Kind);
 
-/// All paths.
+const GET: &str = "GET";
+const POST: &str = "POST";
+
+/// All paths with a method.
+const PATHS: [(&str, &str, Kind); 14] = [
+    ("v1/completions", POST, Kind::Completion),
+    ("v1/chat/completions", POST, Kind::Chat),
+    ("v1/models", GET, Kind::Models),
+    ("operator/apply", POST, Kind::Operator(operator::Kind::Apply)),
+    ("operator/get", GET, Kind::Operator(operator::Kind::Get)),
+    ("operator/status", GET, Kind::Operator(operator::Kind::Status)),
+    ("internal/read", GET, Kind::Relay),
+    ("operator/version", GET, Kind::Operator(operator::Kind::Version)),
+    ("operator/state", GET, Kind::Operator(operator::Kind::State)),
+    ("operator/ticket", GET, Kind::Operator(operator::Kind::Ticket)),
+    ("operator/spread", GET, Kind::Operator(operator::Kind::Spread)),
+    ("operator/history", GET, Kind::Operator(operator::Kind::History)),
+    ("healthz", GET, Kind::Healthy),
+    ("readyz", GET, Kind::Ready),
+];
+
+/// All paths; what is none of them is answered in the same form.
 pub fn routes(door: &Arc<Door>) -> Router {
     let at = |kind| Endpoint(door.clone(), kind);
-    Router::new()
-        .push(Router::with_path("v1/completions").post(at(Kind::Completion)))
-        .push(Router::with_path("v1/chat/completions").post(at(Kind::Chat)))
-        .push(Router::with_path("v1/models").get(at(Kind::Models)))
-        .push(Router::with_path("services/{service}/{**rest}").goal(at(Kind::Service)))
-        .push(Router::with_path("operator/apply").post(at(Kind::Operator(operator::Kind::Apply))))
-        .push(Router::with_path("operator/get").get(at(Kind::Operator(operator::Kind::Get))))
-        .push(Router::with_path("operator/status").get(at(Kind::Operator(operator::Kind::Status))))
-        .push(Router::with_path("healthz").get(at(Kind::Healthy)))
-        .push(Router::with_path("readyz").get(at(Kind::Ready)))
+    let services = Router::with_path("services/{service}/{**rest}").goal(at(Kind::Service));
+    let known = PATHS.into_iter().fold(Router::new().push(services), |routes, path| {
+        let (path, method, kind) = path;
+        let own = Router::with_path(path);
+        let own = if method == GET { own.get(at(kind)) } else { own.post(at(kind)) };
+        let other = Router::with_path(path).goal(at(Kind::OtherMethod(method)));
+        routes.push(own).push(other)
+    });
+    known.push(Router::with_path("{**rest}").goal(at(Kind::NoSuchPath)))
 }
 
 #[async_trait]
@@ -114,27 +160,38 @@
         _ctrl: &mut FlowCtrl,
     ) {
         let Self(door, kind) = self;
-        let request = request_id(req);
+        let request = format_smolstr!("r-{:032x}", rand::random::<u128>());
         problem::set_header(res, problem::REQUEST_ID_HEADER, &request);
         if let Err(problem) = door.answer(*kind, request.clone(), req, res).await {
             tracing::info!(%request, code = problem.code(), "request not answered");
+            door.metrics.count_as(Metric::RouterRefusals, 1, "reason", problem.code());
             problem.write(&request, res);
         }
     }
 }
 
-/// The caller's own id if it can be used, else a new one.
-fn request_id(req: &Request) -> SmolStr {
-    let given = header(req, problem::REQUEST_ID_HEADER);
-    let usable = given.filter(|id| corianderstand_types::names::check(id).is_ok());
-    usable.map_or_else(|| format_smolstr!("r-{:032x}", rand::random::<u128>()), SmolStr::new)
+/// The caller's own id, for the log only.
+///
+/// A request's identity is always made here. Engines cancel by it; if callers chose it, one who
+/// picked another's, by chance or not, would end the other's answer by hanging up.
+fn caller_id(req: &Request) -> Result<Option<&str>, Problem> {
+    let Some(id) = header(req, problem::REQUEST_ID_HEADER) else { return Ok(None) };
+    names::check(id).map_err(|error| {
+        Problem::Invalid(format!("`{}` cannot be used: {error}", problem::REQUEST_ID_HEADER))
+    })?;
+    Ok(Some(id))
 }
 
 fn header<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
     req.headers().get(name).and_then(|value| value.to_str().ok())
 }
 
-fn bearer(req: &Request) -> Result<&str, Problem> {
+/// The caller's bearer key.
+///
+/// # Errors
+///
+/// [`Problem::Unauthorized`] without one.
+pub fn bearer(req: &Request) -> Result<&str, Problem> {
     let value = header(req, "authorization").ok_or(Problem::Unauthorized)?;
     value.strip_prefix("Bearer ").map(str::trim).ok_or(Problem::Unauthorized)
 }
@@ -147,7 +204,10 @@
         req: &mut Request,
         res: &mut Response,
     ) -> Result<(), Problem> {
+        self.check_head(req)?;
         match kind {
+            Kind::OtherMethod(allowed) => Err(Problem::Method(allowed)),
+            Kind::NoSuchPath => Err(Problem::NoSuchPath),
             Kind::Healthy => {
                 drop(res.write_body("ok\n"));
                 Ok(())
@@ -157,14 +217,34 @@
                 drop(res.write_body("ready\n"));
                 Ok(())
             }
+            Kind::Relay => {
+                self.check_peer(req)?;
+                relay::answer(&self.tail, req, res).await;
+                Ok(())
+            }
             Kind::Operator(kind) => {
-                self.check_operator(req)?;
+                match kind {
+                    operator::Kind::State => self.check_peer(req)?,
+                    _ => self.check_operator(req)?,
+                }
                 operator::answer(self, kind, req, res).await
             }
             _ => self.answer_caller(kind, request, req, res).await,
         }
     }
 
+    /// Checks what every request has to keep to, before anything is done for it.
+    fn check_head(&self, req: &Request) -> Result<(), Problem> {
+        if self.connections.is_excess(req.remote_addr().clone().into_std()) {
+            return Err(Problem::TooManyConnections);
+        }
+        let headers = req.headers().iter().map(|(name, value)| name.as_str().len() + value.len());
+        if headers.sum::<usize>() + req.uri().path().len() > self.max_header_bytes {
+            return Err(Problem::HeadTooLong(self.max_header_bytes));
+        }
+        caller_id(req).map(drop)
+    }
+
     async fn answer_caller(
         &self,
         kind: Kind,
@@ -173,22 +253,31 @@
         res: &mut Response,
     ) -> Result<(), Problem> {
         let began = self.clock.now();
+        self.metrics.count(Metric::RouterRequests, 1);
         let asked = self.ask(request, req)?;
         let done = match kind {
             Kind::Chat => completions::complete(self, &asked, true, req, res).await,
             Kind::Models => {
-                completions::models(asked.team_view()?, &asked.snapshot.view, res);
+                completions::models(&asked.team, asked.team_view()?, &asked.snapshot.view, res);
                 Ok(())
             }
             Kind::Service => services::call(self, &asked, req, res).await,
             _ => completions::complete(self, &asked, false, req, res).await,
         };
+        let took = self.clock.now() - began;
+        self.metrics.time(Metric::RouterTime, took);
+        if matches!(kind, Kind::Service) {
+            let outcome = done.as_ref().map_or_else(Problem::outcome, |()| "ran");
+            self.metrics.count_as(Metric::RouterCalls, 1, "outcome", outcome);
+        }
         tracing::info!(
             trace_id = %format_args!("{:032x}", asked.trace.trace),
             span_id = %format_args!("{:016x}", asked.trace.span),
+            parent_id = %format_args!("{:016x}", asked.trace.parent),
             request = %asked.request,
+            caller_request = caller_id(req).ok().flatten(),
             team = %asked.team,
-            took_us = (self.clock.now() - began).as_micros() as u64,
+            took_us = took.as_micros() as u64,
             outcome = done.as_ref().map_or_else(Problem::code, |()| "answered"),
             "hop router"
         );
@@ -212,11 +301,16 @@
             return Err(Problem::NotReady("it is stopping"));
         }
         if !snapshot.caught_up {
-            return Err(Problem::NotReady("it has no settings yet, as the log is not read"));
+            return Err(Problem::NotReady(snapshot.waiting.reason()));
         }
         Ok(())
     }
 
+    fn check_peer(&self, req: &Request) -> Result<(), Problem> {
+        let token = self.hasher.hash(operator::PEER_LABEL);
+        if bearer(req)? == token { Ok(()) } else { Err(Problem::Forbidden) }
+    }
+
     fn check_operator(&self, req: &Request) -> Result<(), Problem> {
         let hash = self.hasher.hash(bearer(req)?);
         if hash == self.operator_key_hash { Ok(()) } else { Err(Problem::Forbidden) }
@@ -234,8 +328,11 @@
         }
         let read = time::timeout(self.read_timeout, req.payload_with_max_size(longest)).await;
         match read {
-            Err(_) => Err(Problem::Invalid("the body took too long: send it faster".into())),
-            Ok(Err(_)) => Err(Problem::TooLong(longest)),
+            Err(_) => Err(Problem::TooSlow(self.read_timeout.as_millis())),
+            Ok(Err(ParseError::PayloadTooLarge)) => Err(Problem::TooLong(longest)),
+            Ok(Err(error)) => {
+                Err(Problem::Invalid(format!("the body cannot be read ({error}): send it again")))
+            }
             Ok(Ok(body)) => Ok(body.clone()),
         }
     }
@@ -310,6 +407,8 @@
             position: 0,
             window: 0,
             traceparent: self.trace.header(),
+            as_of: 0,
+            expires_ms: 0,
         };
         (work, open)
     }
--- a/crates/corianderstand_router/src/problem.rs
+++ b/crates/corianderstand_router/src/problem.rs
@@ -19,6 +19,16 @@
     Invalid(String),
     /// the body has more than {0} bytes: send a shorter one
     TooLong(usize),
+    /// the head has more than {0} bytes: send fewer or shorter headers
+    HeadTooLong(usize),
+    /// the body did not come within {0} ms: send it faster, or send less
+    TooSlow(u128),
+    /// this router holds as many connections as it may: come back after the time in `Retry-After`, or use another router
+    TooManyConnections,
+    /// there is no such path: see the callers' page for the paths
+    NoSuchPath,
+    /// this path does not take that method: use {0}
+    Method(&'static str),
     /// a bearer key is missing or wrong: send `Authorization: Bearer` with your team's key
     Unauthorized,
     /// your team may not call this: ask your operators to allow it in the team's settings
@@ -33,14 +43,20 @@
     Failed(SmolStr),
     /// whether the call ran is not known ({0}): ask again with the same `Idempotency-Key`
     Unknown(SmolStr),
+    /// the call did not run and never will under this key ({0}): send it under a new key
+    NotRun(SmolStr),
+    /// the key is older than keys are remembered, so whether its call ran is not known: look it up at the service
+    KeyForgotten,
     /// no answer came by the deadline: ask again, or allow more time
     Deadline,
     /// this process is not ready ({0}): use another router, or come back
     NotReady(&'static str),
     /// two operators changed the same settings: {0}
     Conflict(String),
-    /// whether the change is accepted is not known yet: ask with `corianderstand get`
-    Undecided,
+    /// whether the change is accepted is not known yet: ask for ticket {0} at any router
+    Undecided(SmolStr),
+    /// the change is refused, nothing was written ({0}): apply again later
+    LogDown(&'static str),
 }
 
 impl std::error::Error for Problem {}
@@ -51,6 +67,8 @@
     }
 }
 
+/// How a caller proves its team.
+const CHALLENGE: &str = "Bearer realm=\"corianderstand\"";
 /// When to come back where no other time is known.
 const DEFAULT_RETRY: Duration = Duration::from_secs(1);
 
@@ -60,6 +78,11 @@
         match self {
             Self::Invalid(_) => "invalid_request",
             Self::TooLong(_) => "body_too_long",
+            Self::HeadTooLong(_) => "head_too_long",
+            Self::TooSlow(_) => "request_timeout",
+            Self::TooManyConnections => "too_many_connections",
+            Self::NoSuchPath => "no_such_path",
+            Self::Method(_) => "method_not_allowed",
             Self::Unauthorized => "unauthorized",
             Self::Forbidden => "forbidden",
             Self::NotFound => "not_found",
@@ -69,10 +92,13 @@
             Self::Refused(..) => "refused",
             Self::Failed(_) => "answer_broke_off",
             Self::Unknown(_) => "outcome_unknown",
+            Self::NotRun(_) => "call_not_run",
+            Self::KeyForgotten => "key_forgotten",
             Self::Deadline => "deadline_passed",
             Self::NotReady(_) => "not_ready",
             Self::Conflict(_) => "conflict",
-            Self::Undecided => "undecided",
+            Self::Undecided(_) => "undecided",
+            Self::LogDown(_) => "log_down",
         }
     }
 
@@ -81,22 +107,29 @@
         match self {
             Self::Invalid(_) | Self::KeyRequired => StatusCode::BAD_REQUEST,
             Self::TooLong(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::HeadTooLong(_) => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::TooSlow(_) => StatusCode::REQUEST_TIMEOUT,
+            Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::Forbidden => StatusCode::FORBIDDEN,
-            Self::NotFound => StatusCode::NOT_FOUND,
+            Self::NotFound | Self::NoSuchPath => StatusCode::NOT_FOUND,
+            Self::NotRun(_) | Self::KeyForgotten => StatusCode::GONE,
             Self::Conflict(_) | Self::Refused(RefusalReason::KeyConflict, _) => {
                 StatusCode::CONFLICT
             }
-            Self::Refused(..) | Self::NotReady(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Refused(..) | Self::NotReady(_) | Self::LogDown(_) | Self::TooManyConnections => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Failed(_) => StatusCode::BAD_GATEWAY,
-            Self::Unknown(_) | Self::Deadline | Self::Undecided => StatusCode::GATEWAY_TIMEOUT,
+            Self::Unknown(_) | Self::Deadline | Self::Undecided(_) => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
     /// What became of the request: `not-run` only where that is certain.
     pub const fn outcome(&self) -> &'static str {
         match self {
-            Self::Failed(_) | Self::Unknown(_) | Self::Deadline | Self::Undecided => "unknown",
+            Self::Failed(_) | Self::Unknown(_) | Self::Deadline | Self::Undecided(_) => "unknown",
+            Self::KeyForgotten => "unknown",
             _ => "not-run",
         }
     }
@@ -105,8 +138,11 @@
     pub const fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::Refused(_, after) => Some(*after),
-            Self::NotReady(_) | Self::Failed(_) | Self::Deadline => Some(DEFAULT_RETRY),
-            Self::Unknown(_) | Self::Undecided => Some(DEFAULT_RETRY),
+            Self::NotReady(_) | Self::LogDown(_) | Self::Failed(_) | Self::Deadline => {
+                Some(DEFAULT_RETRY)
+            }
+            Self::Unknown(_) | Self::Undecided(_) => Some(DEFAULT_RETRY),
+            Self::TooManyConnections | Self::TooSlow(_) => Some(DEFAULT_RETRY),
             _ => None,
         }
     }
@@ -129,6 +165,13 @@
             let seconds = after.as_millis().div_ceil(1000).max(1);
             set_header(res, "retry-after", &seconds.to_string());
         }
+        match self {
+            Self::Unauthorized => set_header(res, "www-authenticate", CHALLENGE),
+            Self::Method(allowed) => set_header(res, "allow", allowed),
+            // What is left unread of the request must not be taken for the next one.
+            Self::TooSlow(_) | Self::TooManyConnections => set_header(res, "connection", "close"),
+            _ => {}
+        }
         set_header(res, OUTCOME_HEADER, self.outcome());
         set_header(res, "content-type", "application/json");
         drop(res.write_body(self.body(request).to_string()));
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -2,13 +2,23 @@
 
 use crate::{
     auth::{AuthError, Hasher},
+    connections::{Connections, Policy},
     decide::Decider,
+    dial,
     event::Event,
     http::{self, Door},
-    link::{self, Shared},
+    link::Shared,
+    operator,
 };
 use corianderstand_control::{
     appender::Identity,
+    budget::Budget,
+    measured::{self, MeasuredLog},
+    metrics::{Metric, Metrics},
+    paced::Paced,
+    peers::HttpPeers,
+    relay::{self, Tail},
+    source::Source,
     start::{Control, Handle},
 };
 use corianderstand_decide::router::Router;
@@ -17,7 +27,7 @@
 use corianderstand_types::clock::{self, SharedClock};
 use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -30,6 +40,9 @@
 
 /// Events that wait for the `decide` thread.
 const EVENT_RING: usize = 16384;
+/// How many times the limit a head may be long to be refused in our own form; the HTTP library
+/// refuses a longer one with an empty body.
+const HEAD_SLACK: usize = 8;
 /// Time between two looks during a planned stop.
 const STOP_PAUSE: Duration = Duration::from_millis(50);
 
@@ -38,6 +51,8 @@
 pub enum RouterError {
     /// cannot listen on {0} ({1}): free the address, or change `listen`
     Listen(String, std::io::Error),
+    /// cannot send metrics ({0}): mend `statsd`, or leave it out
+    Statsd(std::io::Error),
     /// cannot start a thread ({0}): raise the host's limits
     Thread(std::io::Error),
     /// {0}
@@ -51,6 +66,7 @@
     draining: Arc<AtomicBool>,
     held: Arc<AtomicUsize>,
     server: ServerHandle,
+    control: Handle,
     drain_limit: Duration,
 }
 
@@ -62,7 +78,12 @@
 pub fn start(settings: RouterSettings, clock: SharedClock) -> Result<RouterHandle, RouterError> {
     let incarnation = clock::unix_ms(clock.wall());
     let hasher = Hasher::new(&settings.auth_key).map_err(RouterError::Auth)?;
-    let control = start_control(&settings, incarnation, clock.clone())?;
+    let budget = Arc::new(Budget::new(clock.clone()));
+    let tail = Tail::new(clock.clone(), budget.clone(), relay::MAX_TAIL_BYTES);
+    let source = source(&settings, &hasher, tail.clone());
+    let metrics = Metrics::new(settings.statsd.as_deref(), settings.name.as_str());
+    let metrics = metrics.map_err(RouterError::Statsd)?;
+    let control = start_control(&settings, incarnation, &hasher, source, clock.clone(), &metrics)?;
     let (events, events_rx) = mpsc::sync_channel(EVENT_RING);
     let held = Arc::new(AtomicUsize::new(0));
     let draining = Arc::new(AtomicBool::new(false));
@@ -74,16 +95,27 @@
         calls: HashMap::new(),
         connections: HashMap::new(),
         versions: (u64::MAX, 0, 0),
+        hosts: Arc::default(),
+        told: BTreeSet::new(),
         held: held.clone(),
+        metrics: metrics.clone(),
     };
     spawn("decide", move || decider.run(&events_rx))?;
-    start_link(&settings, incarnation, &control, events.clone())?;
+    start_link(&settings, incarnation, &control, events.clone(), budget)?;
 
+    let peer_client = reqwest::Client::builder().no_proxy().build();
     let door = Arc::new(Door {
+        name: settings.name.clone(),
+        peer_client: peer_client.expect("the client has no settings that can fail"),
         events,
-        control,
+        control: control.clone(),
+        tail,
         hasher,
+        peers: settings.peers.clone(),
         operator_key_hash: settings.operator_key_hash.clone(),
+        metrics,
+        connections: Connections::new(&settings.limits),
+        max_header_bytes: settings.limits.max_header_bytes as usize,
         max_body_bytes: settings.limits.max_body_bytes as usize,
         read_timeout: settings.limits.read_timeout_ms.0,
         max_in_flight: settings.limits.max_in_flight as usize,
@@ -91,8 +123,9 @@
         draining: draining.clone(),
         clock,
     });
-    let server = start_http(&settings, &door)?;
-    Ok(RouterHandle { draining, held, server, drain_limit: settings.timing.drain_ms.0 })
+    let server = start_http(&settings, incarnation, &door)?;
+    let drain_limit = settings.timing.drain_ms.0;
+    Ok(RouterHandle { draining, held, server, control, drain_limit })
 }
 
 fn runtime() -> Result<runtime::Runtime, RouterError> {
@@ -104,16 +137,32 @@
     builder.spawn(run).map(drop).map_err(RouterError::Thread)
 }
 
+/// Where this router reads the log: itself, or from another router.
+fn source(settings: &RouterSettings, hasher: &Hasher, tail: Tail) -> Source {
+    let log = Arc::new(HttpLog::new(&settings.log_url, settings.timing.log_poll_ms.0));
+    let token = hasher.hash(operator::PEER_LABEL);
+    let own = Some(&settings.listen);
+    Source::for_process(log, &settings.name, own, &settings.peers, &token, tail)
+}
+
 fn start_control(
     settings: &RouterSettings,
     incarnation: u64,
+    hasher: &Hasher,
+    source: Source,
     clock: SharedClock,
+    metrics: &Metrics,
 ) -> Result<Handle, RouterError> {
     let poll = settings.timing.log_poll_ms.0;
     let control = Control {
         identity: Identity { writer: settings.name.clone(), incarnation },
-        log: Arc::new(HttpLog::new(&settings.log_url, poll)),
-        hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
+        log: Arc::new(MeasuredLog {
+            log: Arc::new(source),
+            metrics: metrics.clone(),
+            clock: clock.clone(),
+        }),
+        hosts: Arc::new(Paced::new(HttpHostList::new(&settings.host_list_url), clock.clone())),
+        peers: Arc::new(HttpPeers::new(&settings.peers, hasher.hash(operator::PEER_LABEL))),
         clock,
         log_poll: poll,
         hosts_poll: settings.timing.host_list_poll_ms.0,
@@ -127,15 +176,20 @@
     incarnation: u64,
     control: &Handle,
     events: mpsc::SyncSender<Event>,
+    budget: Arc<Budget>,
 ) -> Result<(), RouterError> {
     let timing = settings.timing.clone();
-    let shared = Shared { router: settings.name.clone(), incarnation, timing, events };
+    let shared = Shared { router: settings.name.clone(), incarnation, timing, events, budget };
     let current = control.current.clone();
     let runtime = runtime()?;
-    spawn("link", move || runtime.block_on(link::run(shared, current)))
+    spawn("link", move || runtime.block_on(dial::run(shared, current)))
 }
 
-fn start_http(settings: &RouterSettings, door: &Arc<Door>) -> Result<ServerHandle, RouterError> {
+fn start_http(
+    settings: &RouterSettings,
+    incarnation: u64,
+    door: &Arc<Door>,
+) -> Result<ServerHandle, RouterError> {
     let listen_error = |error| RouterError::Listen(settings.listen.to_string(), error);
     let listener = std::net::TcpListener::bind(settings.listen.as_str()).map_err(listen_error)?;
     listener.set_nonblocking(true).map_err(listen_error)?;
@@ -145,10 +199,22 @@
         let listener = tokio::net::TcpListener::from_std(listener).map_err(listen_error)?;
         TcpAcceptor::try_from(listener).map_err(listen_error)?
     };
-    let server = Server::new(acceptor).max_connections(settings.limits.max_connections as usize);
+    let mut server = Server::new(acceptor).fuse_policy(Policy(door.connections.clone()));
+    server.http1_mut().max_header_size(door.max_header_bytes * HEAD_SLACK);
     let handle = server.handle();
     let routes = http::routes(door);
-    spawn("http", move || runtime.block_on(server.serve(routes)))?;
+    let identity = Identity { writer: settings.name.clone(), incarnation };
+    let reported = door.clone();
+    let more = move |metrics: &Metrics| {
+        metrics.gauge(Metric::RouterHeld, reported.held.load(Ordering::Relaxed) as u64);
+        metrics.gauge(Metric::RouterConnections, reported.connections.held() as u64);
+    };
+    let report =
+        measured::report(door.metrics.clone(), identity, door.control.current.clone(), more);
+    spawn("http", move || {
+        runtime.spawn(report);
+        runtime.block_on(server.serve(routes));
+    })?;
     Ok(handle)
 }
 
@@ -160,6 +226,9 @@
 
     /// Waits until nothing is in flight, or the limit has passed.
     pub fn join(self) {
+        if let Ok(runtime) = runtime() {
+            runtime.block_on(self.control.resign());
+        }
         let began = Instant::now();
         loop {
             thread::sleep(STOP_PAUSE);
--- a/tools/testbed/src/script.rs
+++ b/tools/testbed/src/script.rs
@@ -158,6 +158,12 @@
         s.with(|d, runtime| runtime.block_on(d.fault(name, &fault)))
     });
     let s = stage.clone();
+    engine.register_fn("unlist", move |names: Array| -> Fallible<()> {
+        let names: Vec<String> = names.into_iter().map(|name| name.to_string()).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        s.with(|d, runtime| runtime.block_on(d.set_host_list(&[], &names)))
+    });
+    let s = stage.clone();
     engine.register_fn("leaving", move |names: Array| -> Fallible<()> {
         let names: Vec<String> = names.into_iter().map(|name| name.to_string()).collect();
         let names: Vec<&str> = names.iter().map(String::as_str).collect();
@@ -283,6 +289,10 @@
         dynamic(&s.with(|d, runtime| runtime.block_on(d.counters(name)))?)
     });
     let s = stage.clone();
+    engine.register_fn("loaded", move |engine: &str| -> Fallible<Dynamic> {
+        dynamic(&s.with(|d, runtime| runtime.block_on(d.loaded(engine)))?)
+    });
+    let s = stage.clone();
     engine.register_fn("status", move |router: &str| -> Fallible<Dynamic> {
         dynamic(&s.with(|d, runtime| runtime.block_on(d.status(router)))?)
     });
