--- a/crates/corianderstand_cli/src/args.rs
+++ b/crates/corianderstand_cli/src/args.rs
@@ -24,9 +24,11 @@
     Status,
     /// Hashes a bearer key.
     HashKey,
+    /// Replays a trace.
+    Replay,
 }
 
-const ALL: [Command; 9] = [
+const ALL: [Command; 10] = [
     Command::Router,
     Command::Agent,
     Command::Check,
@@ -36,6 +38,7 @@
     Command::History,
     Command::Status,
     Command::HashKey,
+    Command::Replay,
 ];
 
 impl Command {
@@ -50,6 +53,7 @@
             Self::History => "history",
             Self::Status => "status",
             Self::HashKey => "hash-key",
+            Self::Replay => "replay",
         }
     }
 
@@ -69,6 +73,9 @@
                 "show what is in force where, which models are warm, loading or cold, and who \
                 holds the lease",
             ),
+            Self::Replay => {
+                ("FILE", "replay a trace through the decisions and print both measures")
+            }
             Self::HashKey => (
                 "FILE",
                 "hash the bearer key on standard input for the settings; \
@@ -110,6 +117,11 @@
         options.optopt("r", "router", "address and port of any router", "ADDRESS");
         options.optopt("k", "key-file", "file with the operators' bearer key", "FILE");
     }
+    if command == Command::Replay {
+        options.optopt("s", "settings", "settings in place of those of the trace", "DIR");
+        options.optflag("c", "compare", "also replay all baselines");
+        options.optflag("j", "json", "print JSON");
+    }
     if command == Command::Apply {
         options.optopt("a", "author", "who asks, for the history", "NAME");
         options.optflag("", "prune", "also remove documents that DIR does not have");
--- a/crates/corianderstand_cli/src/lib.rs
+++ b/crates/corianderstand_cli/src/lib.rs
@@ -13,6 +13,7 @@
 mod logging;
 mod operate;
 mod process;
+mod replay;
 mod status;
 mod together;
 
@@ -82,5 +83,6 @@
         Command::History => operate::history(matches),
         Command::Status => status::run(matches),
         Command::HashKey => process::hash_key(matches),
+        Command::Replay => replay::run(matches),
     }
 }
--- a/crates/corianderstand_replay/src/measures.rs
+++ b/crates/corianderstand_replay/src/measures.rs
@@ -50,7 +50,6 @@
     /// Accelerator hours that loaded models stood unused.
     pub idle_hours: f64,
     /// Calls served in time, in each minute.
-    #[serde(skip)]
     pub served_by_minute: BTreeMap<u64, u64>,
     /// Longest time that a team with waiting work was below its share, by team.
     pub share_back_ms: BTreeMap<SmolStr, u64>,
--- a/crates/corianderstand_replay/src/report.rs
+++ b/crates/corianderstand_replay/src/report.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// One JSON object.
+    pub fn json(&self) -> String {
+        serde_json::to_string(self).expect("a report is JSON")
+    }
+
     /// A table for people.
     pub fn table(&self) -> String {
         let mut text = format!(
--- /dev/null
+++ b/crates/corianderstand_replay/tests/outcomes.rs
@@ -0,0 +1,122 @@
+//! Stated outcomes of the committed and generated traces, for callers and for both measures.
+
+use corianderstand_replay::{
+    bound, generate,
+    measures::Outcome,
+    replay,
+    trace::Trace,
+    ways::{FIXED_KEEP, Way},
+};
+use rstest::rstest;
+use std::path::{Path, PathBuf};
+
+fn committed(name: &str) -> Trace {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../traces");
+    Trace::read(&dir.join(format!("{name}.jsonl"))).expect("the trace is committed")
+}
+
+fn ours(trace: &Trace) -> Outcome {
+    replay::run(trace, &Way::ours())
+}
+
+/// The generator and the committed traces must not part ways.
+#[rstest]
+fn the_committed_traces_are_those_of_the_generator() {
+    for trace in generate::committed() {
+        assert_eq!(committed(&trace.header.trace), trace);
+    }
+}
+
+/// Whatever happens in a trace, nobody's deadline passes without an answer.
+#[rstest]
+fn no_deadline_passes_in_silence(#[files("../../traces/*.jsonl")] path: PathBuf) {
+    let trace = Trace::read(&path).expect("the trace is committed");
+    for way in [Way::ours(), Way::alone()] {
+        let outcome = replay::run(&trace, &way);
+        assert_eq!(outcome.silent, 0, "{}", way.name);
+        assert_eq!(
+            outcome.served + outcome.given_up + outcome.late + outcome.broken,
+            outcome.calls
+        );
+    }
+}
+
+/// First requests for sixteen cold models come through three routers within 90 s. Each model is
+/// loaded once; loaded twice, the last crews would wait for the store twice as long.
+#[rstest]
+#[case::coordinated(Way::ours())]
+#[case::nobody_coordinates(Way::alone())]
+fn a_crews_morning_loads_each_model_once(#[case] way: Way) {
+    let trace = committed("crew-morning");
+    let outcome = replay::run(&trace, &way);
+    assert_eq!(outcome.loads, 16);
+    assert_eq!(outcome.served, outcome.calls);
+    let bound = bound::store(&trace).as_millis() as u64;
+    assert!(outcome.cold_p99_ms * 100 <= bound * 140, "{} of {bound}", outcome.cold_p99_ms);
+}
+
+/// A host is reclaimed while its engine loads. Its callers are served elsewhere.
+#[rstest]
+fn a_reclaimed_host_costs_no_call() {
+    let outcome = ours(&committed("reclaimed-host"));
+    assert_eq!((outcome.served, outcome.late), (outcome.calls, 0));
+}
+
+/// The weight store is four times slower than stated. Callers come back when told and nearly all
+/// are served; loading each model at a second owner too would leave a third without.
+#[rstest]
+fn a_slow_store_is_not_asked_twice() {
+    let outcome = ours(&committed("slow-store"));
+    assert_eq!(outcome.loads, 16);
+    assert!(outcome.served * 100 >= outcome.calls * 98, "{}", outcome.served);
+}
+
+/// Quiet nights with habits: fewer cold wakes than a fixed time of 160 minutes, for less than
+/// half of its idle hours, if the team minds cold starts.
+#[rstest]
+fn habits_cost_less_than_half_the_idle_hours() {
+    let trace = committed("quiet-nights");
+    let ours = replay::run(&trace, &Way::weighed(80, 20));
+    let fixed = replay::run(&trace, &Way::fixed(FIXED_KEEP * 16));
+    assert!(ours.cold_mean_ms <= fixed.cold_mean_ms);
+    assert!(ours.idle_hours * 2.0 <= fixed.idle_hours);
+}
+
+/// Ten times more calls come than can be served. As many are answered in time as at the limit;
+/// first come first served, nearly all run too late.
+#[rstest]
+fn goodput_stays_flat_in_overload() {
+    let minute = 3;
+    let good = |times, way: &Way| {
+        let outcome = replay::run(&generate::overload(1, times), way);
+        assert_eq!(outcome.silent, 0);
+        outcome.served_by_minute.get(&minute).copied().unwrap_or(0)
+    };
+    let best = good(2.0, &Way::ours());
+    let at_ten = good(10.0, &Way::ours());
+    let first_come = good(10.0, &Way::first_come());
+    println!("served in a minute: {best} at twice, {at_ten} at ten times, fcfs {first_come}");
+    assert!(at_ten * 100 >= best * 95, "{at_ten} against {best}");
+    assert!(first_come * 2 < at_ten);
+}
+
+/// One team floods a model with urgent calls. The other, owed 60 in 100, is never below its
+/// share for longer than one run takes; first come first served it was for ten times as long.
+#[rstest]
+fn a_flood_takes_no_share_for_longer_than_one_run() {
+    let trace = generate::flood(1);
+    let longest = |way: &Way| replay::run(&trace, way).share_back_ms["crews"];
+    let (ours, first_come) = (longest(&Way::ours()), longest(&Way::first_come()));
+    println!("longest below share: {ours} ms, fcfs {first_come} ms");
+    assert!(ours <= 2000, "{ours}");
+    assert!(first_come > ours * 5, "{first_come}");
+}
+
+/// A trace that is not as the format says is refused with the line and what to do.
+#[rstest]
+#[case::empty("", "first line")]
+#[case::not_json("{", "line 1")]
+fn a_faulty_trace_names_its_line(#[case] text: &str, #[case] names: &str) {
+    let error = Trace::parse(text).expect_err("it is faulty").to_string();
+    assert!(error.contains(names), "{error}");
+}
--- /dev/null
+++ b/crates/corianderstand_replay/tests/scenarios.rs
@@ -0,0 +1,64 @@
+//! Scripted scenarios of decisions under load, in rhai: one test for each file in
+//! `scenarios/decide/`. A script replays a generated trace in named ways and states outcomes.
+
+use corianderstand_replay::{
+    bound, generate, replay,
+    trace::Trace,
+    ways::{FIXED_KEEP, Way},
+};
+use rhai::{Engine, EvalAltResult, Map};
+use rstest::rstest;
+use std::path::PathBuf;
+
+type Fallible<T> = Result<T, Box<EvalAltResult>>;
+
+fn trace(name: &str) -> Fallible<Trace> {
+    let others = [generate::slow_engine(1), generate::flood(1), generate::overload(1, 10.0)];
+    let mut all = generate::committed().into_iter().chain(others);
+    Ok(all.find(|trace| trace.header.trace == name).ok_or("there is no trace of that name")?)
+}
+
+fn way(name: &str) -> Fallible<Way> {
+    Ok(match name {
+        "ours" => Way::ours(),
+        "alone" => Way::alone(),
+        "fixed" => Way::fixed(FIXED_KEEP),
+        "lru" => Way::least_recent(),
+        "fcfs" => Way::first_come(),
+        "random" => Way::random(),
+        _ => return Err("there is no way of that name".into()),
+    })
+}
+
+fn outcome(name: &str, by: &str) -> Fallible<Map> {
+    let trace = trace(name)?;
+    let outcome = replay::run(&trace, &way(by)?);
+    let numbers = [
+        ("calls", outcome.calls),
+        ("served", outcome.served),
+        ("given_up", outcome.given_up),
+        ("late", outcome.late),
+        ("silent", outcome.silent),
+        ("loads", outcome.loads),
+        ("cold", outcome.cold),
+        ("cold_p99_ms", outcome.cold_p99_ms),
+        ("start_p99_ms", outcome.start_p99_ms),
+        ("bound_ms", bound::store(&trace).as_millis() as u64),
+    ];
+    let mut map: Map = numbers.into_iter().map(|(k, v)| (k.into(), (v as i64).into())).collect();
+    map.insert("idle_hours".into(), outcome.idle_hours.into());
+    Ok(map)
+}
+
+fn check(holds: bool, what: &str) -> Fallible<()> {
+    if holds { Ok(()) } else { Err(format!("does not hold: {what}").into()) }
+}
+
+#[rstest]
+fn scenario(#[files("../../scenarios/decide/*.rhai")] path: PathBuf) {
+    let mut engine = Engine::new();
+    engine.register_fn("outcome", outcome).register_fn("check", check);
+    if let Err(error) = engine.run_file(path) {
+        panic!("{error}");
+    }
+}
