--- a/tools/testbed/src/process.rs
+++ b/tools/testbed/src/process.rs
@@ -82,6 +82,11 @@
         self.signal(Signal::SIGCONT);
     }
 
+    /// Tells it to stop as planned.
+    pub fn stop(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
     /// Ends it at once and waits.
     pub fn kill(&mut self) {
         self.signal(Signal::SIGKILL);
