--- a/crates/corianderstand_cli/src/args.rs
+++ b/crates/corianderstand_cli/src/args.rs
@@ -113,6 +113,7 @@
     if command == Command::Apply {
         options.optopt("a", "author", "who asks, for the history", "NAME");
         options.optflag("", "prune", "also remove documents that DIR does not have");
+        options.optflag("", "wait", "wait until it is in force on all routers that answer");
     }
     if command == Command::Status {
         options.optflag("w", "watch", "show it again and again until interrupted");
--- a/crates/corianderstand_cli/src/operate.rs
+++ b/crates/corianderstand_cli/src/operate.rs
@@ -9,7 +9,11 @@
 use getopts::Matches;
 use reqwest::Method;
 use serde_json::{Value, json};
-use std::{collections::BTreeMap, path::Path};
+use std::{
+    collections::BTreeMap,
+    path::Path,
+    time::{Duration, Instant},
+};
 
 /// The exit code of an answered question; an unanswered one is told.
 pub fn report(result: Result<Exit, ClientError>) -> Exit {
@@ -107,6 +111,33 @@
     }))
 }
 
+/// Time that `--wait` waits at the longest; a change is to be in force within 7 s.
+const WAIT_LIMIT: Duration = Duration::from_secs(15);
+/// Pause between two questions.
+const WAIT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Asks until all routers that answer have a version, or the limit has passed.
+fn wait_in_force(client: &Client, version: &Value) -> Result<Value, ClientError> {
+    let began = Instant::now();
+    loop {
+        let path = format!("/operator/spread?version={version}");
+        let spread = client.ask(Method::GET, &path, None)?;
+        let count = |name: &str| spread[name].as_u64().unwrap_or_default();
+        let all = count("in_force") + count("silent") >= count("routers");
+        if all || began.elapsed() >= WAIT_LIMIT {
+            return Ok(spread);
+        }
+        std::thread::sleep(WAIT_PAUSE);
+    }
+}
+
+fn print_spread(spread: &Value) {
+    if spread.is_object() {
+        let (in_force, routers) = (&spread["in_force"], &spread["routers"]);
+        println!("in force on {in_force} of {routers} routers, {} silent", spread["silent"]);
+    }
+}
+
 /// Puts a directory in force.
 pub fn apply(matches: &Matches) -> Exit {
     let documents = match read_checked(matches) {
@@ -127,13 +158,21 @@
         }
         let author = matches.opt_str("author").unwrap_or_else(|| "operator".into());
         let body = json!({ "changes": changes, "author": author });
-        let answer = client.ask(Method::POST, "/operator/apply", Some(&body))?;
+        let mut answer = client.ask(Method::POST, "/operator/apply", Some(&body))?;
+        if matches.opt_present("wait") {
+            answer["spread"] = wait_in_force(&client, &answer["version"])?;
+        }
         if as_json {
             let changes = changes_json(&changes, &current);
-            println!("{}", json!({ "version": answer["version"], "changes": changes }));
+            println!(
+                "{}",
+                json!({ "version": answer["version"], "changes": changes,
+                "spread": answer["spread"] })
+            );
         } else {
             print_changes(&changes, &current);
             println!("accepted as version {}", answer["version"]);
+            print_spread(&answer["spread"]);
         }
         Ok(Exit::Success)
     }))
--- /dev/null
+++ b/tools/agreed/src/main.rs
@@ -0,0 +1,142 @@
+//! Measures the agreed state over real processes on loopback: the time until a change is in force
+//! on every router, in the calm and under faults, the time until a lease is taken over, and the
+//! planner at the size to design for.
+//!
+//! `cargo run --release -p agreed`; the figures are in docs/design/0002-agreed-state.md.
+
+mod planner;
+
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+use testbed::{Deployment, Plan, plan::OPERATOR_KEY};
+
+/// Changes in a series.
+const CHANGES: u64 = 200;
+/// Changes in the series with a slow log.
+const SLOW_CHANGES: u64 = 30;
+/// Leases taken over.
+const TAKE_OVERS: u64 = 8;
+/// Pause between two looks.
+const LOOK: Duration = Duration::from_millis(2);
+const ROUTERS: usize = 3;
+
+fn routers() -> impl Iterator<Item = String> {
+    (0..ROUTERS).map(|i| format!("router-{i}"))
+}
+
+async fn version_at(deployment: &Deployment, router: &str) -> u64 {
+    let url = deployment.url(router, "/operator/get?prefix=-");
+    let answer = deployment.http.get(url).bearer_auth(OPERATOR_KEY).send().await;
+    let Ok(answer) = answer else { return 0 };
+    let value: Value = answer.json().await.unwrap_or_default();
+    value["version"].as_u64().unwrap_or_default()
+}
+
+/// Changes one document through a router; its new version once accepted.
+async fn apply(deployment: &Deployment, router: &str, base: u64, load_ms: u64) -> Option<u64> {
+    let value = json!({ "memory_mib": 8000, "versions": ["1", "2"], "load_ms": load_ms,
+        "adapter_memory_mib": 500 });
+    let change = json!({ "path": "shared/models/rounds-3b", "base": base, "value": value });
+    let body = json!({ "changes": [change], "author": "measurement" });
+    let post = deployment.http.post(deployment.url(router, "/operator/apply"));
+    let answer = post.bearer_auth(OPERATOR_KEY).json(&body).send().await.ok()?;
+    answer.json::<Value>().await.ok()?["version"].as_u64()
+}
+
+async fn base_version(deployment: &Deployment) -> u64 {
+    let url = deployment.url("router-0", "/operator/get?prefix=shared/models/rounds-3b");
+    let answer = deployment.http.get(url).bearer_auth(OPERATOR_KEY).send().await;
+    let value: Value = answer.expect("it answers").json().await.expect("it is JSON");
+    value["documents"][0]["version"].as_u64().unwrap_or_default()
+}
+
+/// Time from the operator's request until every router has the change.
+async fn in_force(deployment: &Deployment, changes: u64, fault: Option<Value>) -> Histogram<u64> {
+    let mut times = Histogram::new(3).expect("three digits are allowed");
+    let mut base = base_version(deployment).await;
+    for change in 0..changes {
+        if let Some(fault) = &fault {
+            deployment.fault("log", fault).await;
+        }
+        let began = Instant::now();
+        let version = apply(deployment, "router-1", base, 1000 + change).await;
+        base = version.expect("the change is accepted");
+        for router in routers() {
+            while version_at(deployment, &router).await < base {
+                tokio::time::sleep(LOOK).await;
+            }
+        }
+        times.record(began.elapsed().as_micros() as u64).expect("it is in range");
+    }
+    deployment.fault("log", &json!({})).await;
+    times
+}
+
+async fn holder(deployment: &Deployment, asked: &str) -> (u64, String) {
+    let status = deployment.status(asked).await;
+    let lease = &status["lease"];
+    let name = lease["holder"][0].as_str().unwrap_or_default().to_owned();
+    (lease["epoch"].as_u64().unwrap_or_default(), name)
+}
+
+/// Time from the holder's end until another holds the lease.
+async fn take_overs(deployment: &mut Deployment, planned: bool) -> Histogram<u64> {
+    let mut times = Histogram::new(3).expect("three digits are allowed");
+    for _ in 0..TAKE_OVERS {
+        let (epoch, name) = holder(deployment, "router-0").await;
+        let other = routers().find(|router| *router != name).expect("there are three");
+        let began = Instant::now();
+        if planned {
+            deployment.process(&name).stop();
+        } else {
+            deployment.process(&name).kill();
+        }
+        loop {
+            let (now, holder) = holder(deployment, &other).await;
+            if now > epoch && !holder.is_empty() {
+                break;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        times.record(began.elapsed().as_micros() as u64).expect("it is in range");
+        deployment.process(&name).wait(Duration::from_secs(10));
+        deployment.run(&name);
+        deployment.wait_for_answer(&name, "/readyz").await;
+    }
+    times
+}
+
+fn print(name: &str, times: &Histogram<u64>) {
+    let ms = |us: u64| us as f64 / 1000.0;
+    let (p50, p99) = (times.value_at_quantile(0.5), times.value_at_quantile(0.99));
+    let (worst, count) = (ms(times.max()), times.len());
+    println!(
+        "{name}: p50 {:.1} ms, p99 {:.1} ms, worst {worst:.1} ms, of {count}",
+        ms(p50),
+        ms(p99)
+    );
+}
+
+fn main() {
+    planner::measure();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("the system gives a runtime").block_on(async {
+        let mut deployment = Deployment::start(Plan { routers: ROUTERS, ..Plan::default() }).await;
+        print("in force, calm", &in_force(&deployment, CHANGES, None).await);
+        let lost = json!({ "lose_answers": 1 });
+        print(
+            "in force, the append's answer lost",
+            &in_force(&deployment, CHANGES, Some(lost)).await,
+        );
+        let slow = json!({ "slow_ms": 300 });
+        print(
+            "in force, the log slow by 300 ms",
+            &in_force(&deployment, SLOW_CHANGES, Some(slow)).await,
+        );
+        print("lease taken over after a kill", &take_overs(&mut deployment, false).await);
+        print("lease taken over after a planned stop", &take_overs(&mut deployment, true).await);
+        let appends = deployment.counters("log").await;
+        println!("log: {appends}");
+    });
+}
--- /dev/null
+++ b/tools/agreed/src/planner.rs
@@ -0,0 +1,99 @@
+//! The planner at the size to design for.
+
+use corianderstand_schema::records::{Body, Change, Record, TargetRecord};
+use corianderstand_state::{fold::State, plan, view::View};
+use corianderstand_types::{names::TargetId, units::Mib};
+use serde_json::json;
+use std::{collections::BTreeSet, time::Instant};
+
+const ENGINES: usize = 730;
+const MODELS: usize = 350;
+const REPLICAS: u32 = 3;
+const PLACES: usize = 4;
+/// Hosts that go, one after the other.
+const LOSSES: usize = 20;
+
+fn append(state: &mut State, body: Body) {
+    let offset = state.next;
+    let record = Record { writer: "router".into(), incarnation: 1, sequence: offset, body };
+    state.apply(offset, 0, &record);
+}
+
+fn target(engine: usize) -> Body {
+    let text = |kind: &str, number: usize| format!("{kind}-{number}");
+    Body::TargetUp {
+        target: TargetRecord {
+            target: text("engine", engine).as_str().into(),
+            host: text("host", engine).as_str().into(),
+            place: text("place", engine % PLACES).as_str().into(),
+            address: "127.0.0.1:1".into(),
+            memory_mib: Mib(640_000),
+            accelerators: 8,
+            service: None,
+        },
+    }
+}
+
+fn full_state() -> State {
+    let mut state = State { next: 1, ..State::default() };
+    append(&mut state, Body::LeaseTaken { epoch: 1, ttl_ms: 3000 });
+    (0..ENGINES).for_each(|engine| append(&mut state, target(engine)));
+    let change = |path: String, value: serde_json::Value| {
+        let (path, value) = (path.into(), Some(value.to_string()));
+        Change { path, base: 0, value }
+    };
+    let team = json!({ "key_hashes": ["0".repeat(64)], "default_urgency": "normal" });
+    let mut changes = vec![change("teams/t/team".into(), team)];
+    for model in 0..MODELS {
+        let facts = json!({ "memory_mib": 40_000, "versions": ["1"], "adapter_memory_mib": 1 });
+        changes.push(change(format!("shared/models/m{model}"), facts));
+        let wanted = json!({ "replicas": REPLICAS });
+        changes.push(change(format!("teams/t/models/m{model}"), wanted));
+    }
+    let (author, ticket) = ("measurement".into(), "t".into());
+    append(&mut state, Body::Settings { changes, author, ticket, not_after_ms: u64::MAX });
+    state
+}
+
+/// Plans until nothing is missing; slots given.
+fn settle(state: &mut State, view: &View) -> usize {
+    let mut given = 0;
+    loop {
+        let bodies = plan::plan(state, view, &BTreeSet::new());
+        if bodies.is_empty() {
+            return given;
+        }
+        given += bodies.len();
+        bodies.into_iter().for_each(|body| append(state, body));
+    }
+}
+
+fn lose(state: &mut State, engine: usize) -> usize {
+    let name = TargetId::from(format!("engine-{engine}").as_str());
+    let slots = state.slots.by_key.values().filter(|slot| slot.target == name).count();
+    let target_offset = state.targets.by_name[&name].offset;
+    append(state, Body::TargetGone { epoch: 1, target: name, target_offset });
+    slots
+}
+
+/// Prints times and moves.
+pub fn measure() {
+    let mut state = full_state();
+    let view = View::new(&state.documents);
+    let began = Instant::now();
+    let given = settle(&mut state, &view);
+    println!("planner: {given} slots from nothing in {:.1?}", began.elapsed());
+    let began = Instant::now();
+    settle(&mut state, &view);
+    println!("planner: one look with nothing to do {:.1?}", began.elapsed());
+    let (mut lost, mut moved) = (0, 0);
+    let began = Instant::now();
+    for engine in 0..LOSSES {
+        lost += lose(&mut state, engine);
+        moved += settle(&mut state, &view);
+    }
+    let each = began.elapsed() / LOSSES as u32;
+    println!("planner: {LOSSES} hosts lost: {moved} moves, minimum {lost}, {each:.1?} each");
+    append(&mut state, target(ENGINES));
+    println!("planner: one host comes: {} moves, minimum 0", settle(&mut state, &view));
+}
