--- a/crates/corianderstand_control/src/follower.rs
+++ b/crates/corianderstand_control/src/follower.rs
@@ -1,7 +1,7 @@
 //! Reads the log and folds it.
 
 use crate::{
-    appender::Decisions,
+    appender::{Appender, Decisions},
     peers::Peers,
     restore::{self, Search},
     snapshot::{Current, Hosts, Snapshot, Waiting},
@@ -16,7 +16,11 @@
     view::View,
 };
 use corianderstand_types::clock::{self, SharedClock};
-use std::{sync::Arc, time::Duration};
+use rand::RngExt;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use tokio::{sync::watch, time};
 
 /// Records in one read.
@@ -36,6 +40,8 @@
     pub clock: SharedClock,
     /// The hosts.
     pub hosts: watch::Receiver<Arc<Hosts>>,
+    /// Where a router writes a state that the log has lost; nothing for agents.
+    pub rescue: Option<Appender>,
 }
 
 /// Folds the log and publishes snapshots.
@@ -45,6 +51,7 @@
     decisions: Decisions,
     snapshot: Snapshot,
     search: Option<Search>,
+    rescue_at: Option<Instant>,
 }
 
 impl Follower {
@@ -52,7 +59,7 @@
     pub fn new(sources: Sources, current: Current, decisions: Decisions) -> Self {
         let mut snapshot = Snapshot::default();
         snapshot.state.next = 1;
-        Self { sources, current, decisions, snapshot, search: None }
+        Self { sources, current, decisions, snapshot, search: None, rescue_at: None }
     }
 
     /// Follows for ever.
@@ -118,13 +125,34 @@
             None => {
                 self.snapshot.waiting = Waiting::Checkpoint;
                 self.snapshot.caught_up = false;
+                self.rescue(page);
             }
         }
         self.current.store(self.snapshot.clone());
     }
 
+    /// Writes this router's state if nobody else has one; see [`restore::rescue`].
+    fn rescue(&mut self, page: &Page) {
+        let Some(appender) = self.sources.rescue.clone() else { return };
+        let now = self.sources.clock.now();
+        let part: f64 = rand::rng().random_range(1.0..2.0);
+        let due = *self.rescue_at.get_or_insert(now + restore::RESCUE_AFTER.mul_f64(part));
+        if now < due || self.snapshot.state.documents.version == 0 {
+            return;
+        }
+        tracing::error!("records were dropped unread: writing the state without them");
+        self.rescue_at = Some(now + restore::RESCUE_AFTER);
+        let bodies = restore::rescue(&self.snapshot.state, page);
+        // They are read back by the search, not by the fold, so nobody waits for them.
+        tokio::spawn(async move {
+            let appends = bodies.into_iter().map(|body| appender.append(body, RETRY_PAUSE));
+            drop(futures::future::join_all(appends).await);
+        });
+    }
+
     fn fold(&mut self, page: &Page) {
         self.search = None;
+        self.rescue_at = None;
         let decided: Vec<_> =
             page.entries.iter().filter_map(|entry| self.fold_one(entry)).collect();
         let at_end = self.snapshot.state.next >= page.next;
--- a/crates/corianderstand_control/src/restore.rs
+++ b/crates/corianderstand_control/src/restore.rs
@@ -6,8 +6,12 @@
 //! lower offset than its own.
 
 use corianderstand_edge::log::Page;
-use corianderstand_schema::records::Record;
-use corianderstand_state::{checkpoint::Collector, fold::State};
+use corianderstand_schema::records::{Body, Record};
+use corianderstand_state::{
+    checkpoint::{self, Collector},
+    fold::State,
+};
+use std::time::Duration;
 
 /// Looks through the log for a checkpoint.
 #[derive(Debug)]
@@ -23,19 +27,37 @@
         Self { cursor: oldest, collector: Collector::default() }
     }
 
-    /// Looks through a page; gives the newest whole checkpoint in it that the log continues.
+    /// Looks through a page; gives the first whole checkpoint in it that the log continues. All
+    /// but those of a [`rescue`] are alike, and of these the first in the log counts for all.
     pub fn take(&mut self, page: &Page) -> Option<State> {
         let mut found = None;
         for entry in &page.entries {
             self.cursor = entry.offset + 1;
             let Ok(record) = postcard::from_bytes::<Record>(&entry.data) else { continue };
             let whole = self.collector.take(&record);
-            found = whole.filter(|state| state.next >= page.oldest).or(found);
+            found = found.or(whole.filter(|state| state.next >= page.oldest));
         }
         found
     }
 }
 
+/// Shortest time with a gap and without any other state before a router writes its own.
+pub const RESCUE_AFTER: Duration = Duration::from_secs(20);
+
+/// The records that declare what the log dropped unread as lost.
+///
+/// If an outage begins before any router has read the last records and lasts longer than the log
+/// keeps them, every router has a gap that no checkpoint covers, and all would stay not ready for
+/// ever. After [`RESCUE_AFTER`] one that has settings writes its state as of the oldest record
+/// left; the others, which wait too, take the first such state in the log. What was lost had not
+/// been read back by any router, so no operator was told "accepted" of it.
+pub fn rescue(state: &State, page: &Page) -> Vec<Body> {
+    let mut state = state.clone();
+    state.next = page.oldest;
+    state.checkpoints.underway = None;
+    checkpoint::split(&state)
+}
+
 /// Whether records between the state and the log's oldest are missing.
 pub const fn has_gap(state: &State, page: &Page) -> bool {
     page.oldest > state.next
