--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -4,16 +4,21 @@
     auth::{AuthError, Hasher},
     connections::{Connections, Policy},
     decide::Decider,
+    dial,
     event::Event,
     http::{self, Door},
-    link::{self, Shared},
+    link::Shared,
     operator,
 };
 use corianderstand_control::{
     appender::Identity,
+    budget::Budget,
     measured::{self, MeasuredLog},
     metrics::{Metric, Metrics},
+    paced::Paced,
     peers::HttpPeers,
+    relay::{self, Tail},
+    source::Source,
     start::{Control, Handle},
 };
 use corianderstand_decide::router::Router;
@@ -73,9 +78,12 @@
 pub fn start(settings: RouterSettings, clock: SharedClock) -> Result<RouterHandle, RouterError> {
     let incarnation = clock::unix_ms(clock.wall());
     let hasher = Hasher::new(&settings.auth_key).map_err(RouterError::Auth)?;
+    let budget = Arc::new(Budget::new(clock.clone()));
+    let tail = Tail::new(clock.clone(), budget.clone(), relay::MAX_TAIL_BYTES);
+    let source = source(&settings, &hasher, tail.clone());
     let metrics = Metrics::new(settings.statsd.as_deref(), settings.name.as_str());
     let metrics = metrics.map_err(RouterError::Statsd)?;
-    let control = start_control(&settings, incarnation, &hasher, clock.clone(), &metrics)?;
+    let control = start_control(&settings, incarnation, &hasher, source, clock.clone(), &metrics)?;
     let (events, events_rx) = mpsc::sync_channel(EVENT_RING);
     let held = Arc::new(AtomicUsize::new(0));
     let draining = Arc::new(AtomicBool::new(false));
@@ -93,7 +101,7 @@
         metrics: metrics.clone(),
     };
     spawn("decide", move || decider.run(&events_rx))?;
-    start_link(&settings, incarnation, &control, events.clone())?;
+    start_link(&settings, incarnation, &control, events.clone(), budget)?;
 
     let peer_client = reqwest::Client::builder().no_proxy().build();
     let door = Arc::new(Door {
@@ -101,6 +109,7 @@
         peer_client: peer_client.expect("the client has no settings that can fail"),
         events,
         control: control.clone(),
+        tail,
         hasher,
         peers: settings.peers.clone(),
         operator_key_hash: settings.operator_key_hash.clone(),
@@ -128,10 +137,19 @@
     builder.spawn(run).map(drop).map_err(RouterError::Thread)
 }
 
+/// Where this router reads the log: itself, or from another router.
+fn source(settings: &RouterSettings, hasher: &Hasher, tail: Tail) -> Source {
+    let log = Arc::new(HttpLog::new(&settings.log_url, settings.timing.log_poll_ms.0));
+    let token = hasher.hash(operator::PEER_LABEL);
+    let own = Some(&settings.listen);
+    Source::for_process(log, &settings.name, own, &settings.peers, &token, tail)
+}
+
 fn start_control(
     settings: &RouterSettings,
     incarnation: u64,
     hasher: &Hasher,
+    source: Source,
     clock: SharedClock,
     metrics: &Metrics,
 ) -> Result<Handle, RouterError> {
@@ -139,11 +157,11 @@
     let control = Control {
         identity: Identity { writer: settings.name.clone(), incarnation },
         log: Arc::new(MeasuredLog {
-            log: Arc::new(HttpLog::new(&settings.log_url, poll)),
+            log: Arc::new(source),
             metrics: metrics.clone(),
             clock: clock.clone(),
         }),
-        hosts: Arc::new(HttpHostList::new(&settings.host_list_url)),
+        hosts: Arc::new(Paced::new(HttpHostList::new(&settings.host_list_url), clock.clone())),
         peers: Arc::new(HttpPeers::new(&settings.peers, hasher.hash(operator::PEER_LABEL))),
         clock,
         log_poll: poll,
@@ -158,12 +176,13 @@
     incarnation: u64,
     control: &Handle,
     events: mpsc::SyncSender<Event>,
+    budget: Arc<Budget>,
 ) -> Result<(), RouterError> {
     let timing = settings.timing.clone();
-    let shared = Shared { router: settings.name.clone(), incarnation, timing, events };
+    let shared = Shared { router: settings.name.clone(), incarnation, timing, events, budget };
     let current = control.current.clone();
     let runtime = runtime()?;
-    spawn("link", move || runtime.block_on(link::run(shared, current)))
+    spawn("link", move || runtime.block_on(dial::run(shared, current)))
 }
 
 fn start_http(
