--- a/tools/testbed/src/deployment.rs
+++ b/tools/testbed/src/deployment.rs
@@ -146,6 +146,9 @@
             "timing": self.plan.timing,
             "statsd": self.plan.statsd,
         });
+        if let Some(concurrency) = self.plan.concurrency {
+            settings["target"]["concurrency"] = json!(concurrency);
+        }
         if !advertised.is_null() {
             settings["advertise"] = advertised;
         }
--- a/tools/testbed/src/plan.rs
+++ b/tools/testbed/src/plan.rs
@@ -19,6 +19,8 @@
     pub hosts_options: Vec<String>,
     /// Timing of every process.
     pub timing: Value,
+    /// Requests that each target runs at once, if not the default.
+    pub concurrency: Option<u32>,
     /// Address of the statsd sink of every process, or null.
     pub statsd: Value,
     /// Limits of every router.
@@ -60,6 +62,7 @@
             hosts_options: Vec::new(),
             timing: json!({ "heartbeat_ms": 100, "silence_ms": 1000, "reconnect_ms": 200,
                 "log_poll_ms": 500, "host_list_poll_ms": 200, "drain_ms": 30000 }),
+            concurrency: None,
             statsd: Value::Null,
             limits: json!({}),
             relays: false,
