--- a/tools/bench/src/main.rs
+++ b/tools/bench/src/main.rs
@@ -48,31 +48,38 @@
         engine_options: options.map(str::to_owned).into(),
         ..Plan::default()
     };
-    for (path, value) in &mut plan.documents {
-        if path == "teams/vidrio/models/quotes-7b" {
-            value["replicas"] = json!(ENGINES);
-        }
+    plan.documents.retain(|(path, _)| !path.contains("/models/"));
+    // One model fits on an engine, so that each engine has its own.
+    let facts = json!({ "memory_mib": 70_000, "versions": ["1"], "adapter_memory_mib": 1 });
+    for i in 0..ENGINES {
+        plan.documents.push((format!("shared/models/m{i}"), facts.clone()));
+        plan.documents.push((format!("teams/vidrio/models/m{i}"), json!({ "replicas": 1 })));
     }
     plan
 }
 
-/// Loads the model on every engine.
-async fn warm(deployment: &Deployment) {
-    let body = json!({ "model": "quotes-7b", "prompt": "warm", "max_tokens": 20 });
-    let is_loaded = async |i: usize| {
-        let loaded = deployment.http.get(deployment.url(&format!("engine-{i}"), "/loaded"));
-        let loaded = loaded.send().await.expect("the engine answers").json::<Value>().await;
-        loaded.is_ok_and(|list| list.as_array().is_some_and(|list| !list.is_empty()))
-    };
-    wait_for("all engines warm", async || {
-        let ask = || {
+/// Loads every model; the engine of each.
+async fn warm(deployment: &Deployment) -> Vec<String> {
+    let mut engines = Vec::new();
+    for i in 0..ENGINES {
+        let body = json!({ "model": format!("m{i}"), "prompt": "warm", "max_tokens": 1 });
+        wait_for("a warm model", async || {
             let req = deployment.http.post(deployment.url("router-0", "/v1/completions"));
-            req.bearer_auth(VIDRIO_KEY).json(&body).send()
-        };
-        futures::future::join_all((0..64 * ENGINES).map(|_| ask())).await;
-        futures::future::join_all((0..ENGINES).map(is_loaded)).await.into_iter().all(|warm| warm)
-    })
-    .await;
+            let answer = req.bearer_auth(VIDRIO_KEY).json(&body).send().await;
+            answer.is_ok_and(|answer| answer.status().is_success())
+        })
+        .await;
+        for j in 0..ENGINES {
+            let name = format!("engine-{j}");
+            let loaded = deployment.http.get(deployment.url(&name, "/loaded")).send().await;
+            let loaded = loaded.expect("the engine answers").text().await.unwrap_or_default();
+            if loaded.contains(&format!("\"m{i}\"")) {
+                engines.push(name);
+            }
+        }
+    }
+    assert_eq!(engines.len(), ENGINES, "each model is on one engine: {engines:?}");
+    engines
 }
 
 /// Processor time that a process has used, in seconds.
@@ -86,6 +93,7 @@
 
 async fn part(
     deployment: &Deployment,
+    engines: &[String],
     routed: bool,
     streams: usize,
     until: Duration,
@@ -93,23 +101,27 @@
 ) -> Seen {
     let client = reqwest::Client::builder().no_proxy().tcp_nodelay(true).build();
     let client = client.expect("a plain client");
-    let name = |i: usize| if routed { "router-0".into() } else { format!("engine-{i}") };
+    let name = |i: usize| if routed { "router-0" } else { engines[i].as_str() };
     let urls: Vec<String> =
-        (0..ENGINES).map(|i| deployment.url(&name(i), "/v1/completions")).collect();
-    let model = if routed { "quotes-7b" } else { "quotes-7b@1" };
-    let body = json!({ "model": model, "prompt": "A quote for nine floors", "stream": true,
-        "max_tokens": tokens });
+        (0..ENGINES).map(|i| deployment.url(name(i), "/v1/completions")).collect();
+    let version = if routed { "" } else { "@1" };
+    let body = |i: usize| {
+        json!({ "model": format!("m{i}{version}"), "prompt": "A quote for nine floors",
+            "stream": true, "max_tokens": tokens })
+    };
+    let bodies: Vec<Value> = (0..ENGINES).map(body).collect();
     let request = move |caller: usize| {
-        client.post(&urls[caller % ENGINES]).bearer_auth(VIDRIO_KEY).json(&body)
+        let i = caller % ENGINES;
+        client.post(&urls[i]).bearer_auth(VIDRIO_KEY).json(&bodies[i])
     };
     load::run(streams, until, request).await
 }
 
-async fn compare(deployment: &Deployment, streams: usize) -> Value {
+async fn compare(deployment: &Deployment, engines: &[String], streams: usize) -> Value {
     let mut seen: [Vec<Seen>; 2] = Default::default();
     for _ in 0..ROUNDS {
         for (routed, seen) in seen.iter_mut().enumerate() {
-            seen.push(part(deployment, routed == 1, streams, PART, TOKENS).await);
+            seen.push(part(deployment, engines, routed == 1, streams, PART, TOKENS).await);
         }
     }
     let [direct, routed] = seen;
@@ -129,13 +141,13 @@
 }
 
 /// The most chunks a second, with engines that generate as fast as they can.
-async fn flood(deployment: &mut Deployment) -> Value {
+async fn flood(deployment: &mut Deployment, engines: &[String]) -> Value {
     for i in 0..ENGINES {
         deployment.fault(&format!("engine-{i}"), &json!({ "slow": 0.0 })).await;
     }
-    let direct = part(deployment, false, FLOOD_STREAMS, PART, FLOOD_TOKENS).await;
+    let direct = part(deployment, engines, false, FLOOD_STREAMS, PART, FLOOD_TOKENS).await;
     let before = cpu(deployment, "router-0");
-    let routed = part(deployment, true, FLOOD_STREAMS, PART, FLOOD_TOKENS).await;
+    let routed = part(deployment, engines, true, FLOOD_STREAMS, PART, FLOOD_TOKENS).await;
     let used = cpu(deployment, "router-0") - before;
     let rate = |seen: &Seen| seen.chunks as f64 / seen.took.as_secs_f64();
     json!({
@@ -149,9 +161,9 @@
 }
 
 /// Processor time of the router for one short request.
-async fn short(deployment: &mut Deployment) -> Value {
+async fn short(deployment: &mut Deployment, engines: &[String]) -> Value {
     let before = cpu(deployment, "router-0");
-    let seen = part(deployment, true, SHORT_CALLERS, PART, 1).await;
+    let seen = part(deployment, engines, true, SHORT_CALLERS, PART, 1).await;
     let used = cpu(deployment, "router-0") - before;
     json!({
         "callers": SHORT_CALLERS,
@@ -163,16 +175,16 @@
 
 async fn run() {
     let mut deployment = Deployment::start(plan()).await;
-    warm(&deployment).await;
+    let engines = warm(&deployment).await;
     let mut latency = Vec::new();
     for streams in STREAMS {
-        let compared = compare(&deployment, streams).await;
+        let compared = compare(&deployment, &engines, streams).await;
         println!("{compared}");
         latency.push(compared);
     }
-    let chunks = flood(&mut deployment).await;
+    let chunks = flood(&mut deployment, &engines).await;
     println!("{chunks}");
-    let short = short(&mut deployment).await;
+    let short = short(&mut deployment, &engines).await;
     println!("{short}");
     let load = fs::read_to_string("/proc/loadavg").unwrap_or_default();
     let result = json!({
