Answers are not held back for the caller's acknowledgement

Cause: the HTTP library does not set TCP_NODELAY on accepted connections. The second small write of an answer waits for the acknowledgement of the first, which the caller's system delays by 40 ms: a first part ready after 20 ms came after 42, direct and routed alike. Ruled out: pacing of the stand-in engine (its tokens were ready); the links between router and agent and the agent's client, which set the option already. Change: the option on the listening sockets of router and stand-ins; connections inherit it.

--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -174,6 +174,10 @@
     let listen_error = |error| RouterError::Listen(settings.listen.to_string(), error);
     let listener = std::net::TcpListener::bind(settings.listen.as_str()).map_err(listen_error)?;
     listener.set_nonblocking(true).map_err(listen_error)?;
+    // Connections inherit this. Without it a part of an answer waits until the caller has
+    // acknowledged the one before, which its system delays by 40 ms: a stream then comes in
+    // pairs of tokens with pauses between them, however fast the engine is.
+    socket2::SockRef::from(&listener).set_tcp_nodelay(true).map_err(listen_error)?;
     let runtime = runtime()?;
     let acceptor = {
         let _entered = runtime.enter();
--- a/crates/corianderstand_standins/src/serve.rs
+++ b/crates/corianderstand_standins/src/serve.rs
@@ -119,6 +119,8 @@
 pub async fn serve(listen: &str, routes: Router) -> Result<(), String> {
     let acceptor = TcpListener::new(listen.to_owned()).try_bind().await;
     let acceptor = acceptor.map_err(|error| format!("cannot listen on {listen}: {error}"))?;
+    let nodelay = socket2::SockRef::from(acceptor.inner()).set_tcp_nodelay(true);
+    nodelay.map_err(|error| format!("cannot set up {listen}: {error}"))?;
     Server::new(acceptor).serve(routes).await;
     Ok(())
 }
