--- a/tools/testbed/src/deployment.rs
+++ b/tools/testbed/src/deployment.rs
@@ -152,6 +152,12 @@
         if !advertised.is_null() {
             settings["advertise"] = advertised;
         }
+        if self.plan.follow_routers {
+            let routers = (0..self.plan.routers).map(|i| format!("router-{i}"));
+            let peers: Vec<&str> = routers.map(|router| self.address(&router)).collect();
+            settings["peers"] = json!(peers);
+            settings["peer_token"] = json!(hash("peer"));
+        }
         let args = vec!["agent".into(), self.write(&name, &settings)];
         self.recipe(&name, "corianderstand", args);
     }
@@ -225,10 +231,20 @@
     ///
     /// Panics if the stand-in does not answer.
     pub async fn set_hosts(&self, leaving: &[&str]) {
+        self.set_host_list(leaving, &[]).await;
+    }
+
+    /// Lists all hosts but those in `missing`, those in `leaving` as leaving.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-in does not answer.
+    pub async fn set_host_list(&self, leaving: &[&str], missing: &[&str]) {
         let target = |name: &String| name.strip_prefix("agent-").map(str::to_owned);
         let routers = (0..self.plan.routers).map(|i| format!("router-{i}"));
         let names = self.recipes.keys().filter_map(target).chain(routers);
         let hosts: Vec<Value> = names
+            .filter(|name| !missing.contains(&name.as_str()))
             .map(|name| {
                 let state = if leaving.contains(&name.as_str()) { "leaving" } else { "live" };
                 json!({ "host": format!("host-{name}"), "place": "conce", "state": state })
@@ -391,6 +407,18 @@
         &self.dir
     }
 
+    /// What an engine has loaded or is loading: names, in order.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not answer.
+    pub async fn loaded(&self, engine: &str) -> Vec<String> {
+        let answer = self.http.get(self.url(engine, "/loaded")).send().await;
+        let answer: Value = answer.expect("it answers").json().await.expect("it is JSON");
+        let weights = answer.as_array().into_iter().flatten().map(|loaded| &loaded["weights"]);
+        weights.map(|w| w["model"].as_str().unwrap_or_default().to_owned()).collect()
+    }
+
     /// What a process has logged.
     pub fn log_of(&self, name: &str) -> String {
         fs::read_to_string(self.dir.join(format!("{name}.log"))).unwrap_or_default()
--- a/tools/testbed/src/plan.rs
+++ b/tools/testbed/src/plan.rs
@@ -27,6 +27,8 @@
     pub limits: Value,
     /// Whether a relay that can be cut stands before each agent.
     pub relays: bool,
+    /// Whether agents follow routers instead of reading the log.
+    pub follow_routers: bool,
     /// Settings documents by path.
     pub documents: Vec<(String, Value)>,
 }
@@ -66,6 +68,7 @@
             statsd: Value::Null,
             limits: json!({}),
             relays: false,
+            follow_routers: false,
             documents: documents(),
         }
     }
