--- a/crates/corianderstand_agent/src/start.rs
+++ b/crates/corianderstand_agent/src/start.rs
@@ -92,7 +92,9 @@
     let incarnation = clock::unix_ms(clock.wall());
     let metrics = Metrics::new(settings.statsd.as_deref(), settings.name.as_str());
     let metrics = metrics.map_err(AgentError::Statsd)?;
-    let control = start_control(&settings, incarnation, clock.clone(), &metrics)?;
+    let budget = Arc::new(Budget::new(clock.clone()));
+    let source = source(&settings, &clock, budget.clone());
+    let control = start_control(&settings, incarnation, source, clock.clone(), &metrics)?;
     let (events, events_rx) = std_mpsc::sync_channel(EVENT_RING);
     let (jobs, jobs_rx) = mpsc::unbounded_channel();
     let (load, load_rx) = watch::channel(Load { running: 0, queued: 0, wait_ms: 0 });
@@ -136,7 +138,14 @@
         stalled: Arc::default(),
     };
     let target_runtime = runtime()?;
-    target_runtime.spawn(report(&settings, incarnation, &control, metrics, load_rx.clone()));
+    target_runtime.spawn(report(
+        &settings,
+        incarnation,
+        &control,
+        metrics,
+        load_rx.clone(),
+        budget,
+    ));
     spawn("target", move || target_runtime.block_on(runner.run(jobs_rx)))?;
 
     let shared = Shared {
@@ -174,6 +183,7 @@
     control: &Handle,
     metrics: Metrics,
     load: watch::Receiver<Load>,
+    budget: Arc<Budget>,
 ) -> impl Future<Output = ()> + Send + use<> {
     let identity = Identity { writer: settings.name.clone(), incarnation };
     let more = move |metrics: &Metrics| {
@@ -181,6 +191,7 @@
         metrics.gauge(Metric::AgentRunning, u64::from(load.running));
         metrics.gauge(Metric::AgentQueue, u64::from(load.queued));
         metrics.gauge(Metric::AgentWaitEstimate, load.wait_ms);
+        budget.report(metrics);
     };
     measured::report(metrics, identity, control.current.clone(), more)
 }
@@ -209,9 +220,8 @@
 }
 
 /// Where this agent reads the log: from a router, if it was given some and a token.
-fn source(settings: &AgentSettings, clock: &SharedClock) -> Source {
+fn source(settings: &AgentSettings, clock: &SharedClock, budget: Arc<Budget>) -> Source {
     let log = Arc::new(HttpLog::new(&settings.log_url, settings.timing.log_poll_ms.0));
-    let budget = Arc::new(Budget::new(clock.clone()));
     let tail = Tail::new(clock.clone(), budget, NO_TAIL);
     let token = settings.peer_token.clone().unwrap_or_default();
     let peers = if token.is_empty() { &[] } else { settings.peers.as_slice() };
@@ -221,6 +231,7 @@
 fn start_control(
     settings: &AgentSettings,
     incarnation: u64,
+    source: Source,
     clock: SharedClock,
     metrics: &Metrics,
 ) -> Result<Handle, AgentError> {
@@ -228,7 +239,7 @@
     let control = Control {
         identity: Identity { writer: settings.name.clone(), incarnation },
         log: Arc::new(MeasuredLog {
-            log: Arc::new(source(settings, &clock)),
+            log: Arc::new(source),
             metrics: metrics.clone(),
             clock: clock.clone(),
         }),
--- a/crates/corianderstand_control/src/budget.rs
+++ b/crates/corianderstand_control/src/budget.rs
@@ -9,6 +9,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::metrics::{Metric, Metrics};
 use corianderstand_derives::derives;
 use corianderstand_types::clock::SharedClock;
 use std::{
@@ -62,6 +63,17 @@
     Link,
 }
 
+impl Duty {
+    /// Its name in metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Follow => "follow",
+            Self::Serve => "serve",
+            Self::Link => "link",
+        }
+    }
+}
+
 /// What has been spent since the start, for metrics.
 #[derives(key)]
 #[derive(Default)]
@@ -133,6 +145,7 @@
     node: Bucket,
     serve: Bucket,
     totals: Totals,
+    reported: Totals,
 }
 
 /// The budget of one process, shared by its threads.
@@ -167,7 +180,12 @@
     pub fn new(clock: SharedClock) -> Self {
         let now = clock.now();
         let (node, serve) = (Bucket::new(NODE, now), Bucket::new(SERVE, now));
-        let inner = Mutex::new(Inner { node, serve, totals: Totals::default() });
+        let inner = Mutex::new(Inner {
+            node,
+            serve,
+            totals: Totals::default(),
+            reported: Totals::default(),
+        });
         Self { clock: BudgetClock(clock), inner }
     }
 
@@ -226,6 +244,22 @@
     pub fn totals(&self) -> Totals {
         self.lock().totals
     }
+
+    /// Sends what has been spent since the last report.
+    pub fn report(&self, metrics: &Metrics) {
+        let (mut now, mut then) = {
+            let mut inner = self.lock();
+            let now = inner.totals;
+            (now, std::mem::replace(&mut inner.reported, now))
+        };
+        for duty in [Duty::Follow, Duty::Serve, Duty::Link] {
+            let (now, then) = (*now.of(duty), *then.of(duty));
+            let count = |metric, count| metrics.count_as(metric, count, "duty", duty.name());
+            count(Metric::ControlTrafficBytes, now.bytes - then.bytes);
+            count(Metric::ControlTrafficMessages, now.messages - then.messages);
+            count(Metric::ControlTrafficLimited, now.limited - then.limited);
+        }
+    }
 }
 
 impl Totals {
--- a/crates/corianderstand_control/src/metrics.rs
+++ b/crates/corianderstand_control/src/metrics.rs
@@ -94,6 +94,9 @@
     ControlVersion, Gauge, "control.settings_version", "offset", "Version of the settings in force here.";
     ControlLeaseHeld, Gauge, "control.lease_held", "0 or 1", "Whether this process holds the control lease.";
     ControlLeaseEpoch, Gauge, "control.lease_epoch", "epochs", "Epoch of the control lease; it grows when the lease changes hands.";
+    ControlTrafficBytes, Counter, "control.traffic_bytes", "bytes", "Control traffic both ways; tag `duty` is follow, serve or link.";
+    ControlTrafficMessages, Counter, "control.traffic_messages", "messages", "Messages of control traffic; tag `duty`.";
+    ControlTrafficLimited, Counter, "control.traffic_limited", "times", "Reads put off and followers refused, as the budget was spent; tag `duty`.";
 }
 
 /// Sends metrics; cheap to clone.
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -208,6 +208,7 @@
     let more = move |metrics: &Metrics| {
         metrics.gauge(Metric::RouterHeld, reported.held.load(Ordering::Relaxed) as u64);
         metrics.gauge(Metric::RouterConnections, reported.connections.held() as u64);
+        reported.tail.budget().report(metrics);
     };
     let report =
         measured::report(door.metrics.clone(), identity, door.control.current.clone(), more);
--- a/tools/capacity/src/main.rs
+++ b/tools/capacity/src/main.rs
@@ -110,7 +110,7 @@
 }
 
 /// Routers that keep a connection to one agent, as steps.
-const ROUTERS: [usize; 4] = [0, 85, 170, 340];
+const ROUTERS: [usize; 3] = [0, 170, 340];
 /// Heartbeat of an emulated router.
 const HEARTBEAT: Duration = Duration::from_millis(500);
 /// Followers that read from one relay, as steps.
@@ -153,9 +153,9 @@
 }
 
 /// Streams in flight at one router, as steps.
-const STREAMS: [usize; 4] = [0, 50, 100, 200];
+const STREAMS: [usize; 3] = [0, 100, 200];
 /// Requests a second and tokens of each, as steps.
-const LOADS: [(u32, u64); 7] = [(10, 1), (20, 1), (40, 1), (80, 1), (20, 25), (20, 50), (20, 100)];
+const LOADS: [(u32, u64); 6] = [(10, 1), (40, 1), (80, 1), (20, 1), (20, 25), (20, 100)];
 
 async fn measure_streams(report: &mut Report) {
     for count in STREAMS {
@@ -177,7 +177,7 @@
         }
         report.loads.push(costs);
     }
-    let (by_rate, by_tokens) = report.loads.split_at(4);
+    let (by_rate, by_tokens) = report.loads.split_at(3);
     let roles: [Measure<requests::LoadCost>; 2] =
         [("router", |cost| cost.router_percent), ("agent", |cost| cost.agent_percent)];
     let mut series = Vec::new();
--- a/tools/capacity/src/node.rs
+++ b/tools/capacity/src/node.rs
@@ -26,9 +26,9 @@
 /// Records in one append while the state is built up.
 const PACK: usize = 256;
 /// Time over which a steady state is measured.
-pub const WINDOW: Duration = Duration::from_secs(6);
+pub const WINDOW: Duration = Duration::from_secs(4);
 /// How long nothing may change before a state counts as steady.
-const STEADY: Duration = Duration::from_secs(2);
+const STEADY: Duration = Duration::from_secs(1);
 /// Longest wait of one read of the log.
 pub const POLL: Duration = Duration::from_secs(1);
 
