Spread the parts of a routine checkpoint over half its interval

Ruled out for now: relays that leave the parts out, as a follower would then fold another record than the others do; needs a change of the state that is agreed. Change: a pause between parts, none if the log could not give the state without them.

--- a/crates/corianderstand_control/src/budget.rs
+++ b/crates/corianderstand_control/src/budget.rs
@@ -52,6 +52,15 @@
     every.max(Duration::from_millis(bytes * 1000 / HOST_LIST_BYTES))
 }
 
+/// Pause between two parts of a checkpoint that is written at each `interval`.
+///
+/// Every process reads the parts as they come. A large state written at one go takes many times
+/// what a process may spend; spread over half the interval it takes twice the average, and the
+/// checkpoint is still whole long before the next one is due.
+pub fn checkpoint_pause(interval: Duration, parts: usize) -> Duration {
+    interval / 2 / u32::try_from(parts.max(1)).unwrap_or(u32::MAX)
+}
+
 /// What traffic is for.
 #[derives(key)]
 pub enum Duty {
--- a/crates/corianderstand_control/src/budget/tests.rs
+++ b/crates/corianderstand_control/src/budget/tests.rs
@@ -1,7 +1,8 @@
 //! The budget under bursts.
 
 use super::{
-    BURST_SECONDS, Budget, Duty, HOST_LIST_BYTES, MAX_DELAY, NODE, SERVE, host_list_pause,
+    BURST_SECONDS, Budget, Duty, HOST_LIST_BYTES, MAX_DELAY, NODE, SERVE, checkpoint_pause,
+    host_list_pause,
 };
 use corianderstand_types::clock::ManualClock;
 use rstest::rstest;
@@ -75,3 +76,16 @@
     let pause = host_list_pause(every, 1070);
     assert!(1070 * 54 / pause.as_secs() <= HOST_LIST_BYTES + 200, "{pause:?}");
 }
+
+/// The state of a thousand processes is written again. At one go it would take the network of
+/// every host for a minute.
+#[rstest]
+fn reading_a_checkpoint_at_full_size_each_hour_fits_the_budget() {
+    const PARTS: usize = 100;
+    const PART_WIRE_BYTES: u64 = 48 * 1024 * 4 / 3 + 400;
+    let interval = Duration::from_secs(3600);
+    let pause = checkpoint_pause(interval, PARTS);
+    assert!(pause * PARTS as u32 <= interval / 2, "whole before the next is due");
+    let rate = PART_WIRE_BYTES * 1000 / pause.as_millis() as u64;
+    assert!(rate < NODE.bytes / 4, "{rate} bytes a second");
+}
--- a/crates/corianderstand_control/src/duty.rs
+++ b/crates/corianderstand_control/src/duty.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     appender::{Appender, Identity},
+    budget,
     snapshot::{Current, Snapshot},
 };
 use corianderstand_schema::records::Body;
@@ -133,10 +134,22 @@
             return;
         }
         let bodies = checkpoint::split(&snapshot.state);
-        *running = Some(tokio::spawn(write_checkpoint(self.appender.clone(), bodies)));
+        let interval = snapshot.view.deployment.checkpoint_interval_ms.0;
+        let pause = if is_checkpoint_urgent(snapshot) {
+            Duration::ZERO
+        } else {
+            budget::checkpoint_pause(interval, bodies.len())
+        };
+        *running = Some(tokio::spawn(write_checkpoint(self.appender.clone(), bodies, pause)));
     }
 }
 
+/// Whether the log alone could not give the state to a process that starts now.
+fn is_checkpoint_urgent(snapshot: &Snapshot) -> bool {
+    let last = snapshot.state.checkpoints.last;
+    last.is_none_or(|last| snapshot.oldest > last.as_of.min(last.first))
+}
+
 /// Whether the state must be written again.
 ///
 /// Besides at intervals, that is so when the log no longer has what the last checkpoint needs:
@@ -145,12 +158,16 @@
 pub fn is_checkpoint_due(snapshot: &Snapshot, log_now_ms: u64) -> bool {
     let Some(last) = snapshot.state.checkpoints.last else { return true };
     let interval = snapshot.view.deployment.checkpoint_interval_ms.as_millis();
-    log_now_ms >= last.at_ms + interval || snapshot.oldest > last.as_of.min(last.first)
+    log_now_ms >= last.at_ms + interval || is_checkpoint_urgent(snapshot)
 }
 
-async fn write_checkpoint(appender: Appender, bodies: Vec<Body>) {
+/// Writes all parts, with a pause between two of them.
+async fn write_checkpoint(appender: Appender, bodies: Vec<Body>, pause: Duration) {
     let parts = bodies.len();
-    for body in bodies {
+    for (part, body) in bodies.into_iter().enumerate() {
+        if part > 0 {
+            time::sleep(pause).await;
+        }
         match appender.append(body, PART_TIMEOUT).await {
             Ok(decided) if decided.outcome == Outcome::Applied => {}
             Ok(decided) => {
