--- a/crates/corianderstand_control/src/budget.rs
+++ b/crates/corianderstand_control/src/budget.rs
@@ -9,6 +9,7 @@
 #[cfg(test)]
 mod tests;
 
+use crate::metrics::{Metric, Metrics};
 use corianderstand_derives::derives;
 use corianderstand_types::clock::SharedClock;
 use std::{
@@ -51,6 +52,15 @@
     every.max(Duration::from_millis(bytes * 1000 / HOST_LIST_BYTES))
 }
 
+/// Pause between two parts of a checkpoint that is written at each `interval`.
+///
+/// Every process reads the parts as they come. A large state written at one go takes many times
+/// what a process may spend; spread over half the interval it takes twice the average, and the
+/// checkpoint is still whole long before the next one is due.
+pub fn checkpoint_pause(interval: Duration, parts: usize) -> Duration {
+    interval / 2 / u32::try_from(parts.max(1)).unwrap_or(u32::MAX)
+}
+
 /// What traffic is for.
 #[derives(key)]
 pub enum Duty {
@@ -62,6 +72,17 @@
     Link,
 }
 
+impl Duty {
+    /// Its name in metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Follow => "follow",
+            Self::Serve => "serve",
+            Self::Link => "link",
+        }
+    }
+}
+
 /// What has been spent since the start, for metrics.
 #[derives(key)]
 #[derive(Default)]
@@ -133,6 +154,7 @@
     node: Bucket,
     serve: Bucket,
     totals: Totals,
+    reported: Totals,
 }
 
 /// The budget of one process, shared by its threads.
@@ -167,7 +189,12 @@
     pub fn new(clock: SharedClock) -> Self {
         let now = clock.now();
         let (node, serve) = (Bucket::new(NODE, now), Bucket::new(SERVE, now));
-        let inner = Mutex::new(Inner { node, serve, totals: Totals::default() });
+        let inner = Mutex::new(Inner {
+            node,
+            serve,
+            totals: Totals::default(),
+            reported: Totals::default(),
+        });
         Self { clock: BudgetClock(clock), inner }
     }
 
@@ -226,6 +253,22 @@
     pub fn totals(&self) -> Totals {
         self.lock().totals
     }
+
+    /// Sends what has been spent since the last report.
+    pub fn report(&self, metrics: &Metrics) {
+        let (mut now, mut then) = {
+            let mut inner = self.lock();
+            let now = inner.totals;
+            (now, std::mem::replace(&mut inner.reported, now))
+        };
+        for duty in [Duty::Follow, Duty::Serve, Duty::Link] {
+            let (now, then) = (*now.of(duty), *then.of(duty));
+            let count = |metric, count| metrics.count_as(metric, count, "duty", duty.name());
+            count(Metric::ControlTrafficBytes, now.bytes - then.bytes);
+            count(Metric::ControlTrafficMessages, now.messages - then.messages);
+            count(Metric::ControlTrafficLimited, now.limited - then.limited);
+        }
+    }
 }
 
 impl Totals {
