Test: an agent frozen around its claim runs nothing when it goes on

Cause: this was proved by generated interleavings only.

Change: the log is slow, the agent is frozen 200 ms after the request, its caller is answered, and the agent goes on: nothing runs, and a repeat gets 410.

--- a/tests/calls_faults.rs
+++ b/tests/calls_faults.rs
@@ -283,3 +283,33 @@
         .await;
     });
 }
+
+/// The log is slow, and the agent is frozen after it has sent its claim and before it reads that
+/// the claim stands. It goes on when its caller was answered. The claim must not be run then,
+/// and the user, asking again, gets a definite answer rather than "unknown" for a day.
+#[rstest]
+fn a_claim_of_a_frozen_agent_is_withdrawn_when_it_goes_on() {
+    block_on(async {
+        let mut deployment = start().await;
+        deployment.fault("log", &json!({ "slow_ms": 600 })).await;
+        let booking = Booking::new("b-1", 3_000);
+        let url = deployment.url("router-0", "/services/agenda/bookings");
+        let (http, first) = (deployment.http.clone(), booking.clone());
+        let first = tokio::spawn(async move { first.send(&http, url).await });
+        // Time for the claim to be on its way; if it is not, the void comes first instead.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        deployment.process("agent-service-0").freeze();
+        let first = first.await.expect("the task ends").expect("the router answers");
+        assert_ne!(first.outcome, "ran", "{first:?}");
+        // The pause has to last beyond the deadline; no state tells that.
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        deployment.process("agent-service-0").resume();
+        deployment.fault("log", &json!({})).await;
+        wait_for("a definite answer", async || {
+            let again = ask(&deployment, "router-1", &Booking::new("b-1", 1_000)).await;
+            again.outcome != "unknown" && again.status == 410
+        })
+        .await;
+        assert_eq!(deployment.ran("b-1").await, 0);
+    });
+}
