--- a/crates/corianderstand_decide/src/router/choose.rs
+++ b/crates/corianderstand_decide/src/router/choose.rs
@@ -34,6 +34,9 @@
 const URGENT: u8 = 2;
 /// Slow targets looked at for one request, so that its decision takes bounded time.
 const MAX_PROBED: usize = 4;
+/// The same for a target that would have to load the model: a second replica is woken only if
+/// the first has more to do than this.
+const COLD_STEP_COST: Duration = Duration::from_secs(1);
 /// What each step along the ring costs: just enough that routers agree when all else is alike.
 const STEP_COST: Duration = Duration::from_micros(100);
 
@@ -69,6 +72,7 @@
         let held = &self.requests[key];
         let over = held.tried.len() >= MAX_TRIES || now >= held.work.deadline;
         let chosen = if over { None } else { self.best(now, key) };
+        let chosen = chosen.filter(|chosen| !self.would_wake_in_vain(now, key, *chosen, last));
         let Some(chosen) = chosen else {
             self.requests.remove(key);
             return Decision::Refuse(refusal);
@@ -77,6 +81,22 @@
         Decision::Send(chosen)
     }
 
+    /// Made for a burst of first requests behind a slow store: a request that came too late for
+    /// the load at one replica is too late for a load at another, and asking there would only
+    /// load the model once more for nobody.
+    fn would_wake_in_vain(
+        &self,
+        now: Instant,
+        key: RequestKey,
+        chosen: TargetKey,
+        last: Option<Refusal>,
+    ) -> bool {
+        let held = &self.requests[key];
+        let too_late = last.is_some_and(|refusal| refusal.reason == RefusalReason::Deadline);
+        let loaded = || self.owners(&held.work).is_some_and(|owners| owners.is_warm(now, chosen));
+        too_late && matches!(held.work.need, Need::Weights { .. }) && !loaded()
+    }
+
     fn note_sent(&mut self, now: Instant, key: RequestKey, chosen: TargetKey) {
         let target = &mut self.targets[chosen];
         target.outstanding += 1;
@@ -175,12 +195,14 @@
         let target = &self.targets[key];
         let run = (ORDINARY_RUN + wait(now, target)).mul_f64(target.health.slowness(now));
         let mut cost = run + STEP_COST * rank;
+        // Where a model is loaded, routers of all places must agree; a round trip is nothing to
+        // a load, and each place for itself would load it once more.
+        if matches!(work.need, Need::Weights { .. }) && !owners.is_warm(now, key) {
+            return cost + WAKING_COST + COLD_STEP_COST * rank;
+        }
         if target.place != self.place {
             cost += OTHER_PLACE_COST;
         }
-        if matches!(work.need, Need::Weights { .. }) && !owners.is_warm(now, key) {
-            cost += WAKING_COST;
-        }
         let cached = work.shape.prefix.and_then(|prefix| self.prefixes.find(prefix));
         if work.shape.prefix.is_some() && cached != Some(key) {
             cost += PREFIX_WORTH;
