--- a/tools/testbed/src/plan.rs
+++ b/tools/testbed/src/plan.rs
@@ -19,6 +19,8 @@
     pub hosts_options: Vec<String>,
     /// Timing of every process.
     pub timing: Value,
+    /// Requests that each target runs at once, if not the default.
+    pub concurrency: Option<u32>,
     /// Address of the statsd sink of every process, or null.
     pub statsd: Value,
     /// Limits of every router.
@@ -61,7 +63,8 @@
             log_options: Vec::new(),
             hosts_options: Vec::new(),
             timing: json!({ "heartbeat_ms": 100, "silence_ms": 1000, "reconnect_ms": 200,
-                "log_poll_ms": 500, "host_list_poll_ms": 200, "drain_ms": 30000 }),
+                "log_poll_ms": 500, "host_list_poll_ms": 200, "drain_ms": 30000, "grace_ms": 500 }),
+            concurrency: None,
             statsd: Value::Null,
             limits: json!({}),
             relays: false,
