--- a/crates/corianderstand_decide/src/agent/loads.rs
+++ b/crates/corianderstand_decide/src/agent/loads.rs
@@ -67,8 +67,12 @@
     repeats: BTreeMap<Weights, (Instant, bool)>,
     without_room: BTreeMap<Weights, Instant>,
     waiting: BTreeMap<Weights, u32>,
+    slowness: f64,
 }
 
+/// Part of the difference by which one load moves what the next is expected to take.
+const SLOWNESS_STEP: f64 = 0.5;
+
 impl Default for Loads {
     fn default() -> Self {
         Self {
@@ -81,6 +85,7 @@
             repeats: BTreeMap::new(),
             without_room: BTreeMap::new(),
             waiting: BTreeMap::new(),
+            slowness: 1.0,
         }
     }
 }
@@ -117,26 +122,42 @@
             // Overdue: the store is slow, and may need as long again as it already took.
             Some(started) => {
                 let took = now.saturating_duration_since(started.at);
-                started.expected.checked_sub(took).unwrap_or(took)
+                let expected = started.expected.mul_f64(self.slowness);
+                expected.checked_sub(took).unwrap_or(took)
             }
-            None => load_time,
+            None => load_time.mul_f64(self.slowness),
         }
     }
 
+    /// When orders may be due without any other event. Never a time at which nothing would be
+    /// done: the caller would come back at once, for ever.
     pub fn next_wake(&self) -> Option<Instant> {
-        let patience = |pending: &Pending| {
-            if self.coordinated {
-                Some(pending.asked + GRANT_PATIENCE)
-            } else {
-                self.gate.next_start()
-            }
-        };
-        let pending = self.pending.values().filter_map(patience);
+        let pending = self.pending.values().filter_map(|pending| self.turn_of(pending));
         let repeats = self.repeats.values().map(|(at, _)| *at);
         let room = self.without_room.values().map(|since| *since + ROOM_PATIENCE);
         pending.chain(repeats).chain(room).min()
     }
 
+    fn turn_of(&self, pending: &Pending) -> Option<Instant> {
+        let gate = self.gate.next_start();
+        if !self.coordinated {
+            return gate;
+        }
+        let patience = pending.asked + GRANT_PATIENCE;
+        if self.gate.is_full() {
+            None
+        } else {
+            Some(gate.map_or(patience, |gate| gate.max(patience)))
+        }
+    }
+
+    /// Made for a store that is slower than stated: callers told the stated time would come back
+    /// too early, again and again.
+    fn observe(&mut self, took: Duration, expected: Duration) {
+        let times = took.as_secs_f64() / expected.as_secs_f64().max(1e-3);
+        self.slowness += (times.max(1.0) - self.slowness) * SLOWNESS_STEP;
+    }
+
     pub fn want(&mut self, weights: &Weights, wanted: Wanted) {
         self.unordered.insert(weights.clone());
         self.wanted.insert(weights.clone(), wanted);
@@ -183,7 +204,7 @@
         sizes: &dyn Sizes,
         actions: &mut Vec<Action>,
     ) {
-        if !self.loads.unordered.is_empty() {
+        if !self.loads.unordered.is_empty() || !self.loads.without_room.is_empty() {
             self.reserve_unordered(now, sizes, actions);
         }
         self.start_pending(now, actions);
@@ -207,6 +228,7 @@
             }
         }
         self.loads.unordered.retain(|weights| ranked.iter().any(|(.., kept)| kept == weights));
+        self.loads.without_room.retain(|weights, _| self.loads.unordered.contains(weights));
         ranked.sort();
         for (less_urgent, deadline, load_time, weights) in ranked {
             let Some(memory) = sizes.memory(&weights) else {
@@ -349,11 +371,12 @@
         outcome: Option<bool>,
         sizes: &dyn Sizes,
     ) -> Vec<Action> {
-        if let Some(started) = self.loads.started.remove(weights)
-            && started.by_gate
-        {
+        if let Some(started) = self.loads.started.remove(weights) {
             let took = now.saturating_duration_since(started.at);
-            self.loads.gate.ended(took, started.expected, outcome == Some(true));
+            self.loads.observe(took, started.expected);
+            if started.by_gate {
+                self.loads.gate.ended(took, started.expected, outcome == Some(true));
+            }
         }
         let mut actions = Vec::new();
         match outcome {
