--- a/scenarios/host-list-emptied-and-flapping.rhai
+++ b/scenarios/host-list-emptied-and-flapping.rhai
@@ -4,7 +4,12 @@
 
 deploy(#{ documents: #{ "system/deployment": #{ lease_ttl_ms: 1500, host_list_lag_ms: 500 } } });
 wait_until("warm", || ask("router-0", "vidrio", "quotes-7b", #{ tokens: 1 }).whole);
-let assigned = status("router-0").slots;
+let owners = |router| {
+    let owners = [];
+    for slot in status(router).slots { owners.push(slot.model + slot.slot + slot.target); }
+    owners
+};
+let assigned = owners.call("router-0");
 fault("hosts", #{ empty: true });
 pause(2000);
 check(ask("router-0", "vidrio", "quotes-7b", #{ tokens: 5 }).whole, "served with an empty list");
@@ -17,4 +22,4 @@
 fault("hosts", #{});
 leaving([]);
 pause(700);
-check(status("router-1").slots == assigned, "no slot has moved");
+check(owners.call("router-1") == assigned, "no slot has moved");
