--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -47,10 +47,16 @@
         let call = deployment.http.post(call).bearer_auth(VIDRIO_KEY);
         let call = call.header("idempotency-key", "m-1").json(&json!({ "day": 1 })).send().await;
         assert_eq!(call.expect("the router answers").status(), 200);
-        // Its connection has just been used, so it is there to be lost.
-        deployment.process("agent-service-0").kill();
         let refused = deployment.http.post(&url).bearer_auth("no-such-key").send().await;
         assert_eq!(refused.expect("the router answers").status(), 401);
+        // Connections are open only while they are used: the agents die in the midst of a stream.
+        let body = json!({ "model": "quotes-7b", "prompt": "x", "max_tokens": 10000,
+            "stream": true });
+        let stream = deployment.http.post(&url).bearer_auth(VIDRIO_KEY).json(&body).send().await;
+        assert_eq!(stream.expect("the router answers").status(), 200);
+        for agent in ["agent-engine-0", "agent-engine-1"] {
+            deployment.process(agent).kill();
+        }
         // These need a failure of another kind, or an idle hour.
         let not_here = [
             Metric::RouterRetries,
