--- a/crates/corianderstand_agent/src/start.rs
+++ b/crates/corianderstand_agent/src/start.rs
@@ -37,7 +37,7 @@
 };
 use std::{
     collections::{BTreeSet, HashMap},
-    sync::{Arc, mpsc as std_mpsc},
+    sync::{Arc, atomic::AtomicUsize, mpsc as std_mpsc},
     thread,
     time::Duration,
 };
@@ -77,6 +77,7 @@
     events: std_mpsc::SyncSender<Event>,
     draining: watch::Sender<bool>,
     idle: watch::Receiver<bool>,
+    held: Arc<AtomicUsize>,
     control: Handle,
     target: TargetId,
     drain_limit: Duration,
@@ -99,6 +100,7 @@
     let (jobs, jobs_rx) = mpsc::unbounded_channel();
     let (load, load_rx) = watch::channel(Load { running: 0, queued: 0, wait_ms: 0 });
     let (idle, idle_rx) = watch::channel(true);
+    let held = Arc::new(AtomicUsize::new(0));
     let (draining, draining_rx) = watch::channel(false);
     let (releases, releases_rx) = watch::channel(Releases::new());
     let target = TargetId(settings.name.0.clone());
@@ -112,6 +114,7 @@
         jobs,
         load,
         idle,
+        held: held.clone(),
         requests: HashMap::new(),
         streams: HashMap::new(),
         since: HashMap::new(),
@@ -174,7 +177,7 @@
         });
     })?;
     let drain_limit = settings.timing.drain_ms.0;
-    Ok(AgentHandle { events, draining, idle: idle_rx, control, target, drain_limit })
+    Ok(AgentHandle { events, draining, idle: idle_rx, held, control, target, drain_limit })
 }
 
 fn report(
@@ -328,6 +331,11 @@
         drop(self.events.send(Event::Drain));
     }
 
+    /// Requests waiting or running, for who ends the process before they are done.
+    pub fn in_flight(&self) -> Arc<AtomicUsize> {
+        self.held.clone()
+    }
+
     /// Waits until nothing is in flight, or the limit has passed, and says goodbye in the log.
     pub fn join(mut self) {
         let Ok(runtime) = runtime() else { return };
