A leaving host is told in the log, so agents need not read the host list

Cause: scenarios/leaving-host.rhai failed after two parts met: agents no longer read the host list (1,070 entries each second are 66 KB/s a node), but an agent learnt only there that its host leaves, so it went on holding its slots, and routers read a long list only each 19 s. Ruled out: reading the list at the agents again (does not fit the limit); asking routers to tell their agents (a router without a connection tells nobody); a fault in the release of slots (the same test passed before the list was taken away). Change: the holder of the control lease, which reads the list, writes TargetMarked when a target's host leaves or stays after all; every process folds it. The mark falls with a new announcement. A holder that has not read the list marks nothing. Left: the holder itself reads the list no more often than 3 KB/s allow.

--- a/crates/corianderstand_agent/src/decide.rs
+++ b/crates/corianderstand_agent/src/decide.rs
@@ -22,7 +22,7 @@
 use corianderstand_schema::messages::{Holding, HoldingStage, Load, ToRouter};
 use corianderstand_types::{
     clock::{self, SharedClock},
-    names::{HostId, ModelId, TargetId},
+    names::{ModelId, TargetId},
     weights::Weights,
 };
 use std::{
@@ -46,8 +46,6 @@
     pub agent: Agent,
     /// Name of the target.
     pub target: TargetId,
-    /// Its host.
-    pub host: HostId,
     /// Snapshots.
     pub current: Current,
     /// Time.
@@ -134,7 +132,7 @@
         if !snapshot.caught_up || !self.rebuilt {
             return;
         }
-        let leaving = self.stopping || snapshot.hosts.leaving.contains(&self.host);
+        let leaving = self.stopping || snapshot.state.targets.is_leaving(&self.target);
         self.agent.set_draining(leaving);
         let (state, in_use) = (&snapshot.state, self.agent.models_in_use());
         let kept = self.release.kept(state, &snapshot.view, &self.target, leaving, &in_use);
--- a/crates/corianderstand_agent/src/start.rs
+++ b/crates/corianderstand_agent/src/start.rs
@@ -108,7 +108,6 @@
     let decider = Decider {
         agent: Agent::new(limits(&settings), memory(&settings)),
         target: target.clone(),
-        host: settings.host.clone(),
         current: control.current.clone(),
         clock: clock.clone(),
         jobs,
--- a/crates/corianderstand_control/src/duty.rs
+++ b/crates/corianderstand_control/src/duty.rs
@@ -111,6 +111,7 @@
                 target_offset: target.offset,
             })
             .collect();
+        bodies.extend(marks(snapshot));
         let avoid: BTreeSet<_> =
             snapshot.hosts.leaving.union(&snapshot.hosts.gone).cloned().collect();
         bodies.extend(plan::plan(state, &snapshot.view, &avoid));
@@ -144,6 +145,27 @@
     }
 }
 
+/// Records for targets whose host leaves, or stays after all, by what this process read.
+///
+/// A holder that has not read the host list yet knows neither, and so marks nothing.
+pub fn marks(snapshot: &Snapshot) -> Vec<Body> {
+    let (state, hosts) = (&snapshot.state, &snapshot.hosts);
+    let marked = state.targets.by_name.iter().filter_map(|(name, target)| {
+        let (host, epoch) = (&target.record.host, state.lease.epoch);
+        let leaving = hosts.leaving.contains(host);
+        let told = leaving || hosts.live.contains(host);
+        let (target_offset, known) = (target.offset, target.leaving);
+        let target = name.clone();
+        (told && leaving != known).then_some(Body::TargetMarked {
+            epoch,
+            target,
+            target_offset,
+            leaving,
+        })
+    });
+    marked.collect()
+}
+
 /// Whether the log alone could not give the state to a process that starts now.
 fn is_checkpoint_urgent(snapshot: &Snapshot) -> bool {
     let last = snapshot.state.checkpoints.last;
--- a/crates/corianderstand_router/src/decide.rs
+++ b/crates/corianderstand_router/src/decide.rs
@@ -102,7 +102,7 @@
             let key = self.router.add_target(name, &target.record.place);
             self.router.set_connected(key, self.connections.contains_key(name));
             // The host list may tell a router before the agent does, or while it cannot.
-            let leaving = self.hosts.leaving.contains(&target.record.host);
+            let leaving = target.leaving || self.hosts.leaving.contains(&target.record.host);
             self.router.set_draining(key, leaving || self.told.contains(name));
             if let Some(service) = &target.record.service {
                 services.entry(service.clone()).or_default().push(key);
@@ -114,7 +114,9 @@
     fn is_leaving(&self, target: &TargetId) -> bool {
         let snapshot = self.current.load();
         let known = snapshot.state.targets.by_name.get(target);
-        known.is_some_and(|known| snapshot.hosts.leaving.contains(&known.record.host))
+        known.is_some_and(|known| {
+            known.leaving || snapshot.hosts.leaving.contains(&known.record.host)
+        })
     }
 
     fn take(&mut self, event: Event) {
--- a/crates/corianderstand_state/src/fold.rs
+++ b/crates/corianderstand_state/src/fold.rs
@@ -166,6 +166,10 @@
                 self.slots.remove_target(offset, target);
                 Ok(())
             }
+            Body::TargetMarked { epoch, target, target_offset, leaving } => {
+                self.lease.check(*epoch, record)?;
+                self.targets.mark(offset, target, *target_offset, *leaving)
+            }
             Body::CheckpointPart { epoch, as_of, part, parts, .. } => {
                 self.lease.check(*epoch, record)?;
                 self.checkpoints.part((offset, now), *as_of, *part, *parts)
--- a/crates/corianderstand_state/src/targets.rs
+++ b/crates/corianderstand_state/src/targets.rs
@@ -14,6 +14,8 @@
     pub offset: u64,
     /// Start of the agent that announced it.
     pub incarnation: u64,
+    /// Whether its host leaves, by the host list as the lease holder read it.
+    pub leaving: bool,
 }
 
 /// All announced targets.
@@ -29,7 +31,8 @@
 impl Targets {
     /// Notes an announcement; a later one of the same target replaces it.
     pub fn announce(&mut self, offset: u64, target: &TargetRecord, record: &Record) {
-        let entry = Target { record: target.clone(), offset, incarnation: record.incarnation };
+        let (record, incarnation) = (target.clone(), record.incarnation);
+        let entry = Target { record, offset, incarnation, leaving: false };
         self.by_name.insert(target.target.clone(), entry);
         self.version = offset;
     }
@@ -59,6 +62,30 @@
         Ok(())
     }
 
+    /// Notes whether a target's host leaves, if it was not announced anew since.
+    ///
+    /// The host list is long, so agents do not read it and routers read it seldom. Without this
+    /// record a leaving target would get new work until they did, and would keep its slots.
+    pub fn mark(
+        &mut self,
+        offset: u64,
+        target: &TargetId,
+        announced: u64,
+        leaving: bool,
+    ) -> Result<(), Void> {
+        self.check(target, announced)?;
+        if let Some(entry) = self.by_name.get_mut(target) {
+            entry.leaving = leaving;
+            self.version = offset;
+        }
+        Ok(())
+    }
+
+    /// Whether a target's host leaves.
+    pub fn is_leaving(&self, target: &TargetId) -> bool {
+        self.by_name.get(target).is_some_and(|entry| entry.leaving)
+    }
+
     /// Whether `target` is still announced as a planner saw it.
     pub fn check(&self, target: &TargetId, offset: u64) -> Result<(), Void> {
         let current = self.by_name.get(target).ok_or(Void::Target)?;
