replicas-lowered: a set-up and an end that do not rest on what is left open

Cause: the scenario expected that one call through each router wakes both replicas, and that the last replica stays loaded without use. Ruled out: a replica too many (the count was 0, not 2); a second replica that never wakes under load (200 requests at once wake it; 80 each turn did not overfill the queue). Change: a burst wakes the second replica; the model stays in use while the slot is given back; the check says the count. The check itself, exactly one replica after the release, is as before.

--- a/scenarios/replicas-lowered.rhai
+++ b/scenarios/replicas-lowered.rhai
@@ -10,14 +10,26 @@
     }
     count
 };
+// Routers meet at one replica as long as its queue is short; a burst that overfills it wakes the
+// other one.
+let asked = [];
 wait_until("both replicas are loaded", || {
-    ask("router-0", "vidrio", "quotes-7b", #{ tokens: 1 });
-    ask("router-1", "vidrio", "quotes-7b", #{ tokens: 1 });
+    for n in 0..100 {
+        asked.push(begin("router-0", "vidrio", "quotes-7b", #{ tokens: 500 }));
+        asked.push(begin("router-1", "vidrio", "quotes-7b", #{ tokens: 500 }));
+    }
+    pause(100);
     holders.call() == 2
 });
+for number in asked { finish(number); }
 set_document("teams/vidrio/models/quotes-7b", #{ replicas: 1 });
 let applied = operate("router-1", ["apply", settings_dir()]);
 check(applied.code == 0, applied.output);
-wait_until("a slot is released", || status("router-0").slots.len() == 3);
-check(holders.call() == 1, "its replica was unloaded before");
+// The model stays in use, or the last replica would be dropped for idleness.
+wait_until("a slot is released", || {
+    ask("router-0", "vidrio", "quotes-7b", #{ tokens: 1 });
+    status("router-0").slots.len() == 3
+});
 check(ask("router-0", "vidrio", "quotes-7b", #{ tokens: 1 }).whole, "the other goes on");
+let left = holders.call();
+check(left == 1, "its replica was unloaded before, left: " + left);
