--- a/crates/corianderstand_agent/src/decide.rs
+++ b/crates/corianderstand_agent/src/decide.rs
@@ -309,7 +309,7 @@
                 // Asked for only under a coordinator, which no process is yet.
                 Action::AskLoad(_) => continue,
             };
-            // The number of jobs is bounded by the requests and models that the logic holds.
+            // The logic bounds runs and orders; refusals are as many as requests come (docs/design/0007).
             drop(self.jobs.send(job));
         }
     }
--- a/crates/corianderstand_agent/src/lib.rs
+++ b/crates/corianderstand_agent/src/lib.rs
@@ -6,13 +6,15 @@
 //! `target` (calls and orders to the target) and `control` (the log), joined by bounded rings.
 //!
 //! ```no_run
+//! use corianderstand_schema::process::AgentSettings;
 //! use corianderstand_types::clock::SystemClock;
 //!
-//! # fn settings() -> corianderstand_schema::process::AgentSettings { todo!() }
-//! let agent = corianderstand_agent::start(settings(), std::sync::Arc::new(SystemClock))?;
-//! agent.drain();
-//! agent.join();
-//! # Ok::<(), corianderstand_agent::AgentError>(())
+//! fn run(settings: AgentSettings) -> Result<(), corianderstand_agent::AgentError> {
+//!     let agent = corianderstand_agent::start(settings, std::sync::Arc::new(SystemClock))?;
+//!     agent.drain();
+//!     agent.join();
+//!     Ok(())
+//! }
 //! ```
 
 mod accept;
--- a/crates/corianderstand_router/src/lib.rs
+++ b/crates/corianderstand_router/src/lib.rs
@@ -5,13 +5,15 @@
 //! bounded rings. Chunks of an answer go from `link` straight to the caller's handler.
 //!
 //! ```no_run
+//! use corianderstand_schema::process::RouterSettings;
 //! use corianderstand_types::clock::SystemClock;
 //!
-//! # fn settings() -> corianderstand_schema::process::RouterSettings { todo!() }
-//! let router = corianderstand_router::start(settings(), std::sync::Arc::new(SystemClock))?;
-//! router.drain();
-//! router.join();
-//! # Ok::<(), corianderstand_router::RouterError>(())
+//! fn run(settings: RouterSettings) -> Result<(), corianderstand_router::RouterError> {
+//!     let router = corianderstand_router::start(settings, std::sync::Arc::new(SystemClock))?;
+//!     router.drain();
+//!     router.join();
+//!     Ok(())
+//! }
 //! ```
 
 mod answer;
