One way to run a process for router and agent

Cause: the two functions stood twice in the command line, alike but for types. Change: one generic function reads the settings, starts the log and runs. Ruled out: a trait for both handles, for two uses.

--- a/crates/corianderstand_cli/src/process.rs
+++ b/crates/corianderstand_cli/src/process.rs
@@ -73,39 +73,39 @@
 
 /// Runs a router until it is told to stop.
 pub fn router(matches: &Matches) -> Exit {
-    let settings: RouterSettings = match settings(Document::Router, matches) {
-        Ok(settings) => settings,
-        Err(exit) => return exit,
-    };
-    logging::start();
-    match corianderstand_router::start(settings, clock()) {
-        Ok(handle) => {
-            wait_for_stop(handle.in_flight());
-            handle.drain();
-            handle.join();
-            Exit::Success
-        }
-        Err(error) => {
-            eprintln!("{error}");
-            Exit::Fault
-        }
-    }
+    run(Document::Router, matches, |settings: RouterSettings| {
+        let handle = corianderstand_router::start(settings, clock())?;
+        wait_for_stop(handle.in_flight());
+        handle.drain();
+        handle.join();
+        Ok::<(), corianderstand_router::RouterError>(())
+    })
 }
 
 /// Runs an agent until it is told to stop.
 pub fn agent(matches: &Matches) -> Exit {
-    let settings: AgentSettings = match settings(Document::Agent, matches) {
+    run(Document::Agent, matches, |settings: AgentSettings| {
+        let handle = corianderstand_agent::start(settings, clock())?;
+        wait_for_stop(handle.in_flight());
+        handle.drain();
+        handle.join();
+        Ok::<(), corianderstand_agent::AgentError>(())
+    })
+}
+
+/// Runs a process with the settings that the command line names; faults are printed.
+fn run<S: DeserializeOwned, E: std::fmt::Display>(
+    kind: Document,
+    matches: &Matches,
+    process: impl FnOnce(S) -> Result<(), E>,
+) -> Exit {
+    let settings = match settings(kind, matches) {
         Ok(settings) => settings,
         Err(exit) => return exit,
     };
     logging::start();
-    match corianderstand_agent::start(settings, clock()) {
-        Ok(handle) => {
-            wait_for_stop(handle.in_flight());
-            handle.drain();
-            handle.join();
-            Exit::Success
-        }
+    match process(settings) {
+        Ok(()) => Exit::Success,
         Err(error) => {
             eprintln!("{error}");
             Exit::Fault
