A caller who leaves while parts arrive is forgotten on all sides

Cause: found by reading. When a part met a handler that was gone before its cancel was taken, the link removed the stream; the cancel then found nothing and told neither the agent nor the decide thread. The engine went on until its window was full, the request counted as in flight for ever, and enough of them would have the router refuse everybody. Ruled out: the order of close and cancel in the handler alone, as the ring of cancels may be full too. Change: the stream stays until a cancel is taken; a part that finds its handler gone sends one.

--- a/crates/corianderstand_router/src/link.rs
+++ b/crates/corianderstand_router/src/link.rs
@@ -253,9 +253,12 @@
     /// Hands an update to its caller; a stream that is not known was cancelled before.
     fn update(&mut self, stream: u64, update: Update) {
         let Some(held) = self.streams.get_mut(&stream) else { return };
-        // The agent keeps to the window, so there is room; a caller that is gone cancels.
+        // The agent keeps to the window, so there is room unless the caller is gone. Its own word
+        // of that may still be on its way, or have found the ring full. The stream stays until a
+        // cancel is taken, which tells the agent and the `decide` thread; removed here, it would
+        // be forgotten on this side only, and count as in flight on the others for ever.
         if held.reply.try_send(update).is_err() {
-            self.streams.remove(&stream);
+            drop(self.commands.try_send(Command::Cancel { stream }));
         }
     }
 }
