What teams ask together is summed once, not at each decision

At each event it summed shares, weights and replicas over all 600 teams, for each model it holds. Change: View sums them when it is made, for each version of the settings.

--- a/crates/corianderstand_agent/src/sizes.rs
+++ b/crates/corianderstand_agent/src/sizes.rs
@@ -28,19 +28,17 @@
     }
 
     fn total_shares(&self) -> u32 {
-        self.0.teams.values().map(|team| team.team.share).sum()
+        self.0.total_shares
     }
 
     /// The mean of the teams that may hold replicas of the model.
     fn weighing(&self, model: &ModelId) -> Weighing {
-        let teams = self.0.teams.values().filter(|team| team.models.contains_key(model));
-        let (tail, idle, count) = teams.fold((0, 0, 0), |(tail, idle, count), team| {
-            (tail + team.team.weight_tail, idle + team.team.weight_idle, count + 1)
-        });
-        if count == 0 {
+        let demand = self.0.demand(model);
+        if demand.teams == 0 {
             return Weighing::default();
         }
-        Weighing { tail: tail / count, idle: idle / count }
+        let (tail, idle) = (demand.weight_tail / demand.teams, demand.weight_idle / demand.teams);
+        Weighing { tail, idle }
     }
 
     fn store(&self) -> Store {
--- a/crates/corianderstand_state/src/view.rs
+++ b/crates/corianderstand_state/src/view.rs
@@ -22,6 +22,20 @@
     pub services: BTreeMap<ServiceId, settings::TeamService>,
 }
 
+/// What all teams together ask of one model.
+#[derives(data)]
+#[derive(Copy, Default)]
+pub struct Demand {
+    /// Replicas they may hold.
+    pub replicas: u32,
+    /// Teams that may hold some.
+    pub teams: u32,
+    /// Sum of their weights of a slow cold start.
+    pub weight_tail: u32,
+    /// Sum of their weights of idle accelerator hours.
+    pub weight_idle: u32,
+}
+
 /// All settings in force.
 #[derives(data)]
 #[derive(Default)]
@@ -38,6 +52,10 @@
     pub teams: BTreeMap<TeamId, TeamView>,
     /// Team of each key hash.
     pub keys: BTreeMap<SmolStr, TeamId>,
+    /// What all teams together ask of each model; summed once, as decisions ask for it often.
+    pub demands: BTreeMap<ModelId, Demand>,
+    /// Sum of the shares of all teams.
+    pub total_shares: u32,
 }
 
 /// What a settings path names.
@@ -115,6 +133,7 @@
             }
         }
         view.add_team_documents(documents);
+        view.sum();
         view
     }
 
@@ -157,9 +176,27 @@
         }
     }
 
+    fn sum(&mut self) {
+        for view in self.teams.values() {
+            self.total_shares += view.team.share;
+            for (model, allowed) in &view.models {
+                let demand = self.demands.entry(model.clone()).or_default();
+                demand.replicas += allowed.replicas;
+                demand.teams += 1;
+                demand.weight_tail += view.team.weight_tail;
+                demand.weight_idle += view.team.weight_idle;
+            }
+        }
+    }
+
+    /// What all teams together ask of a model.
+    pub fn demand(&self, model: &ModelId) -> Demand {
+        self.demands.get(model).copied().unwrap_or_default()
+    }
+
     /// Replicas decided for a model: what all teams together may hold.
     pub fn replicas(&self, model: &ModelId) -> u32 {
-        self.teams.values().filter_map(|team| team.models.get(model)).map(|m| m.replicas).sum()
+        self.demand(model).replicas
     }
 }
 
