--- a/crates/corianderstand_cli/src/status.rs
+++ b/crates/corianderstand_cli/src/status.rs
@@ -74,7 +74,7 @@
     let mut text =
         format!("settings version {}, log up: {}\n", status["version"], status["log_up"]);
     text.push_str(&format!(
-        "control lease, epoch {}: {} (plans slots, paces loads, writes checkpoints)\n",
+        "control lease, epoch {}: {} (plans slots, writes checkpoints)\n",
         lease["epoch"],
         cell(&lease["holder"][0])
     ));
--- a/crates/corianderstand_state/src/lease.rs
+++ b/crates/corianderstand_state/src/lease.rs
@@ -1,4 +1,4 @@
-//! The control lease: who plans, paces loads and writes checkpoints.
+//! The control lease: who plans, tells which targets leave and writes checkpoints.
 //!
 //! Time in the fold is the log's own append time, so every process judges alike whether the
 //! lease had lapsed when another writer took it.
