--- a/crates/corianderstand_agent/src/sizes.rs
+++ b/crates/corianderstand_agent/src/sizes.rs
@@ -3,7 +3,7 @@
 use corianderstand_decide::work::{DEFAULT_SHARE, Sizes, Store, Weighing};
 use corianderstand_state::view::View;
 use corianderstand_types::{
-    names::{ModelId, TeamId},
+    names::{ModelId, WorkspaceId},
     units::Mib,
     weights::Weights,
 };
@@ -23,7 +23,7 @@
         self.0.models.get(&weights.model).map_or(Duration::ZERO, |model| model.load_ms.0)
     }
 
-    fn share(&self, team: &TeamId) -> u32 {
+    fn share(&self, team: &WorkspaceId) -> u32 {
         self.0.teams.get(team).map_or(DEFAULT_SHARE, |team| team.team.share)
     }
 
--- a/crates/corianderstand_cli/src/args.rs
+++ b/crates/corianderstand_cli/src/args.rs
@@ -89,6 +89,10 @@
         ALL.into_iter().find(|command| command.name() == name)
     }
 
+    const fn runs_process(self) -> bool {
+        matches!(self, Self::Router | Self::Agent)
+    }
+
     const fn asks_router(self) -> bool {
         matches!(self, Self::Diff | Self::Apply | Self::Get | Self::History | Self::Status)
     }
@@ -110,6 +114,9 @@
 fn options(command: Command) -> Options {
     let mut options = Options::new();
     options.optflag("h", "help", "show this help");
+    if command.runs_process() {
+        options.optflag("p", "platform", "run on the users' platform, with its settings file");
+    }
     if command.asks_router() || command == Command::Check {
         options.optflag("j", "json", "print JSON");
     }
@@ -166,6 +173,7 @@
         return Ok(None);
     }
     let operands = match command {
+        _ if command.runs_process() && matches.opt_present("platform") => 0..=0,
         Command::Check => 1..=usize::MAX,
         Command::Get => 0..=1,
         Command::Status => 0..=0,
--- a/crates/corianderstand_cli/src/lib.rs
+++ b/crates/corianderstand_cli/src/lib.rs
@@ -12,6 +12,7 @@
 mod fields;
 mod logging;
 mod operate;
+mod platform;
 mod process;
 mod replay;
 mod status;
@@ -74,6 +75,8 @@
 
 fn dispatch(command: Command, matches: &getopts::Matches) -> Exit {
     match command {
+        Command::Router if matches.opt_present("platform") => platform::router(),
+        Command::Agent if matches.opt_present("platform") => platform::agent(),
         Command::Router => process::router(matches),
         Command::Agent => process::agent(matches),
         Command::Check => check::run(matches),
--- a/crates/corianderstand_decide/src/agent/admit.rs
+++ b/crates/corianderstand_decide/src/agent/admit.rs
@@ -7,7 +7,7 @@
 };
 use corianderstand_derives::derives;
 use corianderstand_schema::messages::RefusalReason;
-use corianderstand_types::names::TeamId;
+use corianderstand_types::names::WorkspaceId;
 use std::time::{Duration, Instant};
 
 /// Expected run of short work before any was seen.
@@ -142,7 +142,7 @@
 
     /// Made for one team's flood: it may fill the queue, but a team that has less waiting than
     /// its share of the queue still gets in. The queue grows to twice its limit at most.
-    fn is_full_for(&self, team: &TeamId, share: u32, total_shares: u32) -> bool {
+    fn is_full_for(&self, team: &WorkspaceId, share: u32, total_shares: u32) -> bool {
         if self.queue.len() < self.limits.queue as usize {
             return false;
         }
--- a/crates/corianderstand_decide/src/agent/mod.rs
+++ b/crates/corianderstand_decide/src/agent/mod.rs
@@ -21,7 +21,7 @@
 use corianderstand_derives::derives;
 use corianderstand_schema::messages::{Load, RefusalReason};
 use corianderstand_types::{
-    names::{ModelId, TeamId},
+    names::{ModelId, WorkspaceId},
     units::Mib,
     weights::Weights,
 };
@@ -152,12 +152,12 @@
     }
 
     /// Requests of a team that run here.
-    pub fn running_of(&self, team: &TeamId) -> u32 {
+    pub fn running_of(&self, team: &WorkspaceId) -> u32 {
         self.queue.running_of(team)
     }
 
     /// Requests of a team that wait here for room only.
-    pub fn ready_of(&self, team: &TeamId) -> usize {
+    pub fn ready_of(&self, team: &WorkspaceId) -> usize {
         self.queue.ready_of(team)
     }
 
--- a/crates/corianderstand_decide/src/agent/tests.rs
+++ b/crates/corianderstand_decide/src/agent/tests.rs
@@ -8,7 +8,7 @@
 use corianderstand_schema::messages::RefusalReason;
 use corianderstand_types::{
     clock::{Clock, ManualClock},
-    names::{ModelId, TeamId},
+    names::{ModelId, WorkspaceId},
     units::Mib,
     weights::Weights,
 };
@@ -23,7 +23,7 @@
 
 #[derive(Default)]
 struct TestSizes {
-    shares: BTreeMap<TeamId, u32>,
+    shares: BTreeMap<WorkspaceId, u32>,
     weighing: Weighing,
 }
 
@@ -36,7 +36,7 @@
         if weights.adapter.is_some() { Duration::from_secs(1) } else { LOAD }
     }
 
-    fn share(&self, team: &TeamId) -> u32 {
+    fn share(&self, team: &WorkspaceId) -> u32 {
         self.shares.get(team).copied().unwrap_or(100)
     }
 
--- a/crates/corianderstand_decide/src/queue.rs
+++ b/crates/corianderstand_decide/src/queue.rs
@@ -12,7 +12,7 @@
 use crate::work::RequestKey;
 use backlog::Backlog;
 use corianderstand_derives::derives;
-use corianderstand_types::{names::TeamId, weights::Weights};
+use corianderstand_types::{names::WorkspaceId, weights::Weights};
 use slotmap::SecondaryMap;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -67,7 +67,7 @@
 #[derives(data)]
 pub struct Waiting {
     /// Whose it is.
-    pub team: TeamId,
+    pub team: WorkspaceId,
     /// How long it holds its room.
     pub length: Length,
     /// 0 low, 1 normal, 2 urgent.
@@ -116,7 +116,7 @@
     concurrency: u32,
     order: Order,
     total_shares: u32,
-    teams: BTreeMap<TeamId, TeamQueue>,
+    teams: BTreeMap<WorkspaceId, TeamQueue>,
     missing: BTreeMap<Weights, BTreeSet<Place>>,
     entries: SecondaryMap<RequestKey, Entry>,
     deadlines: BTreeSet<(Instant, RequestKey)>,
@@ -199,7 +199,7 @@
         }
     }
 
-    fn drop_unused(&mut self, team: &TeamId) {
+    fn drop_unused(&mut self, team: &WorkspaceId) {
         if self.teams.get(team).is_some_and(TeamQueue::is_unused) {
             self.teams.remove(team);
         }
@@ -256,17 +256,17 @@
     }
 
     /// Requests of a team that run.
-    pub fn running_of(&self, team: &TeamId) -> u32 {
+    pub fn running_of(&self, team: &WorkspaceId) -> u32 {
         self.teams.get(team).map_or(0, |team| team.running)
     }
 
     /// Requests of a team that wait for room only.
-    pub fn ready_of(&self, team: &TeamId) -> usize {
+    pub fn ready_of(&self, team: &WorkspaceId) -> usize {
         self.teams.get(team).map_or(0, |team| team.ready.iter().map(BTreeSet::len).sum())
     }
 
     /// Requests of a team that wait.
-    pub fn waiting_of(&self, team: &TeamId) -> u32 {
+    pub fn waiting_of(&self, team: &WorkspaceId) -> u32 {
         self.teams.get(team).map_or(0, |team| team.waiting)
     }
 
@@ -350,7 +350,7 @@
     }
 
     /// A running request has ended.
-    pub fn ended(&mut self, team: &TeamId, length: Length) {
+    pub fn ended(&mut self, team: &WorkspaceId, length: Length) {
         let running = &mut self.running[length as usize];
         *running = running.saturating_sub(1);
         if let Some(team) = self.teams.get_mut(team) {
@@ -405,7 +405,7 @@
         places.sort_unstable();
         let mut lost = Vec::new();
         let mut ahead = 0;
-        let mut ahead_of_own: BTreeMap<&TeamId, u32> = BTreeMap::new();
+        let mut ahead_of_own: BTreeMap<&WorkspaceId, u32> = BTreeMap::new();
         for place in places {
             let waiting = &self.entries[place.key].waiting;
             let own = ahead_of_own.entry(&waiting.team).or_default();
--- a/crates/corianderstand_decide/src/router/mod.rs
+++ b/crates/corianderstand_decide/src/router/mod.rs
@@ -17,7 +17,7 @@
 use budget::Budget;
 use corianderstand_derives::derives;
 use corianderstand_schema::messages::{Load, RefusalReason};
-use corianderstand_types::names::{ModelId, PlaceId, ServiceId, TargetId};
+use corianderstand_types::names::{AvailabilityZoneId, ModelId, ServiceId, TargetId};
 use health::Health;
 use owners::Owners;
 pub use prefixes::CacheEvent;
@@ -42,7 +42,7 @@
     /// Its name.
     pub name: TargetId,
     /// Its availability zone.
-    pub place: PlaceId,
+    pub place: AvailabilityZoneId,
     /// Whether there is a live connection to its agent.
     pub connected: bool,
     /// Whether it takes no new work.
@@ -106,7 +106,7 @@
 /// The state of a router's decisions.
 #[derive(Clone, Debug)]
 pub struct Router {
-    place: PlaceId,
+    place: AvailabilityZoneId,
     targets: SlotMap<TargetKey, Target>,
     by_name: BTreeMap<TargetId, TargetKey>,
     placement: Placement,
@@ -121,12 +121,12 @@
 
 impl Router {
     /// A router in `place`; `seed` fixes its random choices.
-    pub fn new(place: PlaceId, seed: u64) -> Self {
+    pub fn new(place: AvailabilityZoneId, seed: u64) -> Self {
         Self::with_placement(place, seed, Placement::default())
     }
 
     /// A router that chooses in one of the ways compared in the measurements.
-    pub fn with_placement(place: PlaceId, seed: u64, placement: Placement) -> Self {
+    pub fn with_placement(place: AvailabilityZoneId, seed: u64, placement: Placement) -> Self {
         Self {
             place,
             placement,
@@ -143,7 +143,7 @@
     }
 
     /// Notes a target; one that is known keeps its counts.
-    pub fn add_target(&mut self, name: &TargetId, place: &PlaceId) -> TargetKey {
+    pub fn add_target(&mut self, name: &TargetId, place: &AvailabilityZoneId) -> TargetKey {
         if let Some(key) = self.by_name.get(name) {
             return *key;
         }
--- a/crates/corianderstand_decide/src/work.rs
+++ b/crates/corianderstand_decide/src/work.rs
@@ -4,7 +4,7 @@
 use corianderstand_derives::derives;
 use corianderstand_schema::messages::RefusalReason;
 use corianderstand_types::{
-    names::{ModelId, ServiceId, TeamId},
+    names::{ModelId, ServiceId, WorkspaceId},
     units::Mib,
     weights::Weights,
 };
@@ -36,7 +36,7 @@
 #[derive(Eq)]
 pub struct Work {
     /// The team that asks.
-    pub team: TeamId,
+    pub team: WorkspaceId,
     /// What it needs.
     pub need: Need,
     /// 0 low, 1 normal, 2 urgent.
@@ -100,7 +100,7 @@
     /// Time a load is expected to take.
     fn load_time(&self, weights: &Weights) -> Duration;
     /// Guaranteed share of a team, in thousandths.
-    fn share(&self, _team: &TeamId) -> u32 {
+    fn share(&self, _team: &WorkspaceId) -> u32 {
         DEFAULT_SHARE
     }
     /// Sum of all teams' shares.
--- a/crates/corianderstand_edge/src/hosts.rs
+++ b/crates/corianderstand_edge/src/hosts.rs
@@ -3,7 +3,7 @@
 use crate::http::{EdgeError, HttpSystem};
 use async_trait::async_trait;
 use corianderstand_derives::derives;
-use corianderstand_types::names::{HostId, PlaceId};
+use corianderstand_types::names::{AvailabilityZoneId, HostId};
 use std::{sync::Mutex, time::Duration};
 
 /// What the list says of a host.
@@ -24,7 +24,7 @@
     /// Its name.
     pub host: HostId,
     /// Its availability zone.
-    pub place: PlaceId,
+    pub place: AvailabilityZoneId,
     /// Its state as far as the list knows.
     pub state: HostState,
 }
--- /dev/null
+++ b/crates/corianderstand_fleet/src/choose.rs
@@ -0,0 +1,163 @@
+//! Which target gets one attempt of a request.
+//!
+//! The load it is made for: a few engines with large batches, of which some hold the model that is
+//! wanted; a few plain services with few places each. The harm it prevents: requests to engines
+//! that do not have the model, batches that slow every stream in them while others are half empty,
+//! and requests that go on meeting a target that fails. Costs are in shares of a full batch, so
+//! that each weight below can be read as "worth this much of a batch".
+
+use crate::{health, targets};
+use corianderstand_derives::derives;
+use corianderstand_types::names;
+use std::time::Instant;
+use xxhash_rust::xxh3;
+
+/// Another availability zone costs 1.4 ms each way and is charged by the byte; a twentieth of a
+/// batch slows a step by less than that, so load goes first when it differs by more.
+const OTHER_ZONE: f64 = 0.05;
+/// What a prompt's parts that a target has read are worth, for each thousand tokens: reading them
+/// again takes about 26 ms, the work of some three steps of a full batch.
+const READ_BEFORE_PER_THOUSAND: f64 = 0.12;
+/// Weight of a target's trouble beyond that of its peers. One with half of its requests failing
+/// costs more than a full batch.
+const TROUBLE: f64 = 3.0;
+/// Share of a batch that differs between two targets without meaning: less is decided by hash, so
+/// that routers with the same view do not all take the same target.
+const JITTER: f64 = 0.03;
+
+/// A model that a request wants.
+#[derives(name)]
+pub struct Wanted {
+    /// The model.
+    pub model: names::ModelId,
+    /// An adapter of it.
+    pub adapter: Option<names::AdapterId>,
+}
+
+/// One attempt that needs a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The service that the route leads to.
+    pub service: &'a names::ServiceId,
+    /// The model it wants, if any.
+    pub wanted: Option<&'a Wanted>,
+    /// Tokens that it is expected to need in all.
+    pub tokens: u64,
+    /// Cache memory of one engine, in tokens.
+    pub cache_tokens: u64,
+    /// Where this process stands.
+    pub zone: &'a names::AvailabilityZoneId,
+    /// Targets that the request has been to.
+    pub tried: &'a [targets::TargetKey],
+    /// A hash of the request.
+    pub hash: u64,
+    /// The target that last read parts of the prompt, and how many tokens.
+    pub read_before: Option<(targets::TargetKey, u64)>,
+}
+
+/// What to do with the attempt.
+#[derives(key)]
+pub enum Choice {
+    /// Send it there.
+    Send(targets::TargetKey),
+    /// Have the adapter loaded there, then send it.
+    LoadAdapter(targets::TargetKey),
+    /// Targets hold the model, and none has room.
+    Full,
+    /// No target of the service holds the model.
+    Cold,
+    /// The service has no target that may be used.
+    NoTarget,
+}
+
+/// Chooses a target.
+pub fn choose(now: Instant, targets: &targets::Targets, ask: &Ask) -> Choice {
+    let usable: Vec<_> = targets
+        .iter()
+        .filter(|(key, target)| {
+            target.entry.service == *ask.service && target.takes_work() && !ask.tried.contains(key)
+        })
+        .collect();
+    if usable.is_empty() {
+        return Choice::NoTarget;
+    }
+    let holders: Vec<_> = match ask.wanted {
+        None => usable,
+        Some(wanted) => {
+            usable.into_iter().filter(|(_, target)| target.serves(now, &wanted.model)).collect()
+        }
+    };
+    if holders.is_empty() {
+        return Choice::Cold;
+    }
+    let with_room: Vec<_> =
+        holders.into_iter().filter(|(_, target)| has_room(target, ask)).collect();
+    if with_room.is_empty() {
+        return Choice::Full;
+    }
+    match ask.wanted.and_then(|wanted| wanted.adapter.as_ref().map(|adapter| (wanted, adapter))) {
+        None => best(now, &with_room, ask).map_or(Choice::Full, Choice::Send),
+        Some((wanted, adapter)) => with_adapter(now, &with_room, ask, wanted, adapter),
+    }
+}
+
+/// Prefers engines that have the adapter; without any, the adapter's own place by hash, so that
+/// all routers have it loaded at the same engine.
+fn with_adapter(
+    now: Instant,
+    holders: &[(targets::TargetKey, &targets::Target)],
+    ask: &Ask,
+    wanted: &Wanted,
+    adapter: &names::AdapterId,
+) -> Choice {
+    let has = |target: &targets::Target| {
+        let resident = target.entry.holdings.resident(&wanted.model);
+        resident.is_some_and(|resident| resident.adapters.contains(adapter))
+    };
+    let ready: Vec<_> = holders.iter().copied().filter(|(_, target)| has(target)).collect();
+    if let Some(key) = best(now, &ready, ask) {
+        return Choice::Send(key);
+    }
+    let place = |target: &targets::Target| {
+        let name = format!("{}/{}/{}", target.entry.id, wanted.model, adapter);
+        xxh3::xxh3_64(name.as_bytes())
+    };
+    let well = holders.iter().filter(|(_, target)| target.health.trouble(now) < health::OUT);
+    let home = well.max_by_key(|(_, target)| place(target)).or(holders.first());
+    home.map_or(Choice::Full, |(key, _)| Choice::LoadAdapter(*key))
+}
+
+/// Whether it can take the request without making it wait for another to end.
+fn has_room(target: &targets::Target, ask: &Ask) -> bool {
+    let memory = ask.cache_tokens == 0 || target.tokens() + ask.tokens <= ask.cache_tokens;
+    target.occupied() < target.entry.slots.max(1) && memory
+}
+
+fn best(
+    now: Instant,
+    holders: &[(targets::TargetKey, &targets::Target)],
+    ask: &Ask,
+) -> Option<targets::TargetKey> {
+    let trouble = holders.iter().map(|(_, target)| target.health.trouble(now));
+    let least_trouble = trouble.fold(f64::INFINITY, f64::min);
+    let cost = |key: targets::TargetKey, target: &targets::Target| {
+        let slots = f64::from(target.entry.slots.max(1));
+        let batch = f64::from(target.occupied()) / slots;
+        let memory = match ask.cache_tokens {
+            0 => 0.0,
+            all => (target.tokens() + ask.tokens) as f64 / all as f64,
+        };
+        let zone = if target.entry.zone == *ask.zone { 0.0 } else { OTHER_ZONE };
+        let trouble = (target.health.trouble(now) - least_trouble) * TROUBLE;
+        let read = match ask.read_before {
+            Some((there, tokens)) if there == key => {
+                tokens as f64 / 1_000.0 * READ_BEFORE_PER_THOUSAND
+            }
+            _ => 0.0,
+        };
+        let jitter = (ask.hash ^ xxh3::xxh3_64(target.entry.id.as_str().as_bytes())) % 1_000;
+        batch.max(memory) + zone + trouble - read + jitter as f64 / 1_000.0 * JITTER
+    };
+    let costs = holders.iter().map(|&(key, target)| (cost(key, target), key));
+    costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
+}
--- /dev/null
+++ b/crates/corianderstand_fleet/src/health.rs
@@ -0,0 +1,48 @@
+//! How much trouble a target has given lately.
+//!
+//! A target may answer its health check and fail part of its requests, so only what requests met
+//! counts. Trouble is forgotten with time: what gives trouble gets less work, and would else never
+//! be seen to have recovered.
+
+use std::time::{Duration, Instant};
+
+/// Part of the distance to "all fail" that one failure moves a target. Three failures in a row
+/// bring it to 0.66, which is past [`OUT`].
+const FAILURE_STEP: f64 = 0.3;
+/// Part of the distance to "none fail" that one success moves it. Smaller than the failure's, so
+/// that a target that fails two requests in five stays out.
+const SUCCESS_STEP: f64 = 0.12;
+/// Time in which half of the trouble is forgotten. Faults here last 3 to 8 s; with a longer time
+/// a target is avoided after it is well, with a shorter one it is tried again in each fault.
+const HALF_LIFE: Duration = Duration::from_secs(4);
+/// Beyond this a target gets work only if no other has room.
+pub const OUT: f64 = 0.5;
+
+/// Trouble of one target, from 0 (none) to 1 (each request fails).
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    trouble: f64,
+    seen: Option<Instant>,
+}
+
+impl Health {
+    /// Trouble as it counts now.
+    pub fn trouble(&self, now: Instant) -> f64 {
+        let Some(seen) = self.seen else { return 0.0 };
+        let age = now.saturating_duration_since(seen).as_secs_f64();
+        self.trouble * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+    }
+
+    /// A request was answered as it should be.
+    pub fn succeeded(&mut self, now: Instant) {
+        self.trouble = self.trouble(now) * (1.0 - SUCCESS_STEP);
+        self.seen = Some(now);
+    }
+
+    /// A request failed, was not answered, or its connection broke.
+    pub fn failed(&mut self, now: Instant) {
+        let trouble = self.trouble(now);
+        self.trouble = trouble + (1.0 - trouble) * FAILURE_STEP;
+        self.seen = Some(now);
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_fleet/src/patience.rs
@@ -0,0 +1,74 @@
+//! How long a request waits for a model or for room, and when it is refused.
+//!
+//! The load it is made for: first requests for models that are on no engine, in bursts and from
+//! many routers, while the weight store gives a load every second or so. The harm it prevents: a
+//! caller who waits until its deadline for an answer that could not come. A request is held only
+//! while its model can be there in time, and is told at once when it cannot, with the time at
+//! which it can.
+
+use corianderstand_derives::derives;
+use std::time::{Duration, Instant};
+
+/// Time for an engine to read a prompt and for the first event to arrive, beyond the load.
+const FIRST_ANSWER: Duration = Duration::from_millis(150);
+/// Unless a model is known to be on its way, this much is allowed for the decision to load it and
+/// for dropping another: a run that has to end first takes about 1.4 s.
+const DECISION: Duration = Duration::from_millis(500);
+/// Part of the time to come back that callers are spread over, so that they do not return at once.
+const SPREAD: f64 = 0.3;
+/// Least time to come back: below it the caller's new connection costs more than the pause.
+const LEAST_RETURN: Duration = Duration::from_millis(150);
+
+/// Time to come back while a service has no target at all: one that crashed takes 2 to 4 s.
+const WITHOUT_TARGET: Duration = Duration::from_secs(1);
+
+/// What is known of the model that a request waits for.
+#[derives(key)]
+pub enum Expected {
+    /// An engine is loading it and is done then.
+    Ready(Instant),
+    /// No engine is loading it; loading it takes this long.
+    Takes(Duration),
+    /// Targets hold it, and are full.
+    Room,
+    /// No target of the service can be used.
+    Unknown,
+}
+
+/// What becomes of the request.
+#[derives(key)]
+pub enum Verdict {
+    /// Held until then at the latest; asked again when something changes.
+    Hold {
+        /// When to give up.
+        until: Instant,
+    },
+    /// Refused at once.
+    Refuse {
+        /// When to come back.
+        after: Duration,
+    },
+}
+
+/// Decides on a request that cannot be sent now. `latest` is when its caller or its route gives
+/// up; `spread` is between 0 and 1, from the request's hash.
+pub fn judge(now: Instant, latest: Instant, expected: Expected, spread: f64) -> Verdict {
+    let ready = match expected {
+        Expected::Ready(at) => at.max(now),
+        Expected::Takes(time) => now + DECISION + time,
+        Expected::Room => now,
+        Expected::Unknown => {
+            return Verdict::Refuse { after: return_after(WITHOUT_TARGET, spread) };
+        }
+    };
+    let until = latest.checked_sub(FIRST_ANSWER).unwrap_or(now);
+    if ready < until {
+        return Verdict::Hold { until };
+    }
+    Verdict::Refuse { after: return_after(ready.saturating_duration_since(now), spread) }
+}
+
+/// A time to come back, spread so that those refused together do not return together.
+pub fn return_after(ready_in: Duration, spread: f64) -> Duration {
+    ready_in.max(LEAST_RETURN).mul_f64(1.0 + SPREAD * spread)
+}
--- /dev/null
+++ b/crates/corianderstand_fleet/src/routes.rs
@@ -0,0 +1,43 @@
+//! Finding the route of a request: by host, then by the longest prefix of its path.
+
+use crate::config;
+use corianderstand_derives::derives;
+use smol_str::SmolStr;
+use std::{collections::HashMap, sync::Arc};
+
+/// A configuration with its routes sorted for look-ups.
+#[derives(data)]
+pub struct Table {
+    config: Arc<config::Config>,
+    by_host: HashMap<SmolStr, Vec<usize>>,
+}
+
+impl Table {
+    /// Sorts the routes of a configuration.
+    pub fn new(config: Arc<config::Config>) -> Self {
+        let mut by_host: HashMap<SmolStr, Vec<usize>> = HashMap::new();
+        for (index, route) in config.routes.iter().enumerate() {
+            by_host.entry(route.host.clone()).or_default().push(index);
+        }
+        for indexes in by_host.values_mut() {
+            indexes.sort_by_key(|&index| std::cmp::Reverse(config.routes[index].prefix.len()));
+        }
+        Self { config, by_host }
+    }
+
+    /// The configuration.
+    pub const fn config(&self) -> &Arc<config::Config> {
+        &self.config
+    }
+
+    /// The route for a host, with or without a port, and a path without its query.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<config::Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let indexes = match self.by_host.get(name) {
+            Some(indexes) => indexes,
+            None => self.by_host.get(name.to_ascii_lowercase().as_str())?,
+        };
+        let mut routes = indexes.iter().map(|&index| &self.config.routes[index]);
+        routes.find(|route| path.starts_with(route.prefix.as_str()))
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_fleet/src/steps.rs
@@ -0,0 +1,119 @@
+//! The next order to an engine, from what it should hold and what it holds.
+//!
+//! An engine carries out one order at a time, and crashes when it is ordered to hold more than fits.
+//! So each step is worked out from the engine's own account, and carries the number of orders that
+//! this account was made at: an order that arrives late, after another was accepted, is refused by
+//! the engine instead of being carried out on a state that it was not meant for.
+
+use crate::targets;
+use corianderstand_derives::derives;
+use corianderstand_types::names;
+use std::time::{Duration, Instant};
+
+/// An adapter that was asked for stays at least this long, so that the request it was loaded for
+/// finds it; a datagram and a request take some 10 ms, and a router may be slowed five times.
+const ADAPTER_STAY: Duration = Duration::from_millis(1_000);
+
+/// An order to an engine.
+#[derives(name)]
+pub enum Order {
+    /// Load a model.
+    Load(names::ModelId),
+    /// Drop a model once its runs have ended.
+    Unload(names::ModelId),
+    /// Load an adapter of a model that is there.
+    LoadAdapter(names::ModelId, names::AdapterId),
+    /// Drop an adapter.
+    UnloadAdapter(names::ModelId, names::AdapterId),
+}
+
+/// Size of a model on this engine, and whether it is wanted.
+#[derives(data)]
+pub struct Part {
+    /// The model.
+    pub model: names::ModelId,
+    /// Memory of its weights, in MB.
+    pub weights_mb: u64,
+    /// Memory of one of its adapters, in MB.
+    pub adapter_mb: u64,
+    /// Whether the plan wants it here.
+    pub wanted: bool,
+}
+
+/// What an engine has room for.
+#[derives(data)]
+#[derive(Copy, Default)]
+pub struct Room {
+    /// Memory for weights and adapters, in MB.
+    pub weights_mb: u64,
+    /// Adapters at once.
+    pub adapter_places: usize,
+}
+
+/// An adapter that routers asked for.
+#[derives(data)]
+pub struct AskedAdapter {
+    /// Its model.
+    pub model: names::ModelId,
+    /// The adapter.
+    pub adapter: names::AdapterId,
+    /// When it was last asked for.
+    pub at: Instant,
+}
+
+/// The next order for a model; none if all that is wanted is there, or sizes are not known.
+pub fn next_model(room: Room, parts: &[Part], holdings: &targets::Holdings) -> Option<Order> {
+    let missing =
+        parts.iter().find(|part| part.wanted && holdings.resident(&part.model).is_none())?;
+    let used = used_mb(parts, holdings)?;
+    if used + missing.weights_mb <= room.weights_mb {
+        return Some(Order::Load(missing.model.clone()));
+    }
+    let wanted =
+        |model: &names::ModelId| parts.iter().any(|part| part.wanted && part.model == *model);
+    let victim = holdings.resident.iter().find(|resident| !wanted(&resident.model))?;
+    Some(Order::Unload(victim.model.clone()))
+}
+
+/// The next order for an adapter: the newest request first, in place of the adapter that was not
+/// asked for the longest.
+pub fn next_adapter(
+    now: Instant,
+    room: Room,
+    parts: &[Part],
+    holdings: &targets::Holdings,
+    coming: usize,
+    asked: &[AskedAdapter],
+) -> Option<Order> {
+    let missing = asked.iter().find(|ask| {
+        let resident = holdings.resident(&ask.model);
+        resident.is_some_and(|resident| !resident.adapters.contains(&ask.adapter))
+    })?;
+    let size = parts.iter().find(|part| part.model == missing.model)?.adapter_mb;
+    let held: usize = holdings.resident.iter().map(|resident| resident.adapters.len()).sum();
+    let fits_memory = used_mb(parts, holdings)? + size * (coming as u64 + 1) <= room.weights_mb;
+    if held + coming < room.adapter_places && fits_memory {
+        return Some(Order::LoadAdapter(missing.model.clone(), missing.adapter.clone()));
+    }
+    let asked_at = |model: &names::ModelId, adapter: &names::AdapterId| {
+        let ask = asked.iter().find(|ask| ask.model == *model && ask.adapter == *adapter);
+        ask.map(|ask| ask.at)
+    };
+    let pairs = holdings.resident.iter().flat_map(|resident| {
+        resident.adapters.iter().map(move |adapter| (&resident.model, adapter))
+    });
+    let oldest = pairs.min_by_key(|(model, adapter)| asked_at(model, adapter))?;
+    let stays = asked_at(oldest.0, oldest.1)
+        .is_some_and(|at| now.saturating_duration_since(at) < ADAPTER_STAY);
+    (!stays).then(|| Order::UnloadAdapter(oldest.0.clone(), oldest.1.clone()))
+}
+
+/// Memory that is used, in MB; none if the size of something that is held is not known.
+fn used_mb(parts: &[Part], holdings: &targets::Holdings) -> Option<u64> {
+    let mut used = 0;
+    for resident in &holdings.resident {
+        let part = parts.iter().find(|part| part.model == resident.model)?;
+        used += part.weights_mb + part.adapter_mb * resident.adapters.len() as u64;
+    }
+    Some(used)
+}
--- /dev/null
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -0,0 +1,397 @@
+//! What is known of each target: what it registered, what its agent reports, what requests met.
+//!
+//! Three sources speak of one target, each with its own delay, and one of them may be wrong: a
+//! registered entry can be stale, or written by somebody else. An incarnation of a target is told
+//! by the time of its start, and the order of its entries by the number of their renewal. What its
+//! agent says of its memory comes straight from the engine and goes before what an entry says, as
+//! long as the agent is heard. Nothing older replaces anything newer, and a target that was leaving
+//! never comes back in the same incarnation.
+
+use crate::health;
+use corianderstand_derives::derives;
+use corianderstand_types::names;
+use slotmap::SlotMap;
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+slotmap::new_key_type! {
+    /// One target in [`Targets`].
+    pub struct TargetKey;
+}
+
+/// After an engine refused a model for not having it, it is asked again after this time at the
+/// latest; a newer account of its memory ends it sooner. A load from memory takes 0.4 s.
+const ABSENT_FOR: Duration = Duration::from_millis(400);
+/// An agent that was not heard of for this long counts as gone; its reports come each half second
+/// and a datagram may be lost.
+pub const AGENT_SILENT_AFTER: Duration = Duration::from_millis(1_800);
+
+/// A model in an engine's memory, with its adapters.
+#[derives(data)]
+#[derive(Default, Eq)]
+pub struct Resident {
+    /// The model.
+    pub model: names::ModelId,
+    /// Adapters loaded beside it.
+    pub adapters: Vec<names::AdapterId>,
+}
+
+/// What an engine holds, and what it could load quickly.
+#[derives(data)]
+#[derive(Default, Eq)]
+pub struct Holdings {
+    /// Orders accepted since its start.
+    pub orders: u64,
+    /// Ready to be asked for.
+    pub resident: Vec<Resident>,
+    /// Copies in its host memory.
+    pub in_memory: Vec<names::ModelId>,
+    /// Copies on its disk.
+    pub on_disk: Vec<names::ModelId>,
+}
+
+impl Holdings {
+    /// The model, if it is resident.
+    pub fn resident(&self, model: &names::ModelId) -> Option<&Resident> {
+        self.resident.iter().find(|resident| resident.model == *model)
+    }
+}
+
+/// What a target has registered of itself.
+#[derives(data)]
+pub struct Entry {
+    /// Its name; a new one at each start as a rule.
+    pub id: names::TargetId,
+    /// Unix milliseconds of its start; tells two starts under one name apart. 0 where targets do
+    /// not say it and take a new name at each start.
+    pub born: u64,
+    /// Rises each time that the entry is renewed.
+    pub renewals: u64,
+    /// The service that it belongs to.
+    pub service: names::ServiceId,
+    /// Where it takes requests.
+    pub addr: SocketAddr,
+    /// Where it stands.
+    pub zone: names::AvailabilityZoneId,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// It takes no new requests and will end.
+    pub draining: bool,
+    /// Time until it is gone, if it said so.
+    pub leaves_in: Option<Duration>,
+    /// What it holds.
+    pub holdings: Holdings,
+}
+
+/// An order that an engine is carrying out.
+#[derives(data)]
+pub enum Ongoing {
+    /// It loads a model, which is there after about this time.
+    Loading {
+        /// The model.
+        model: names::ModelId,
+        /// When it is expected to be ready.
+        ready_at: Instant,
+        /// The weights come from the weight store.
+        from_store: bool,
+    },
+    /// It drops a model once its last run ended.
+    Unloading {
+        /// The model.
+        model: names::ModelId,
+    },
+}
+
+/// What the agent beside an engine says of it.
+#[derives(data)]
+pub struct Report {
+    /// The engine.
+    pub id: names::TargetId,
+    /// Its start, as in [`Entry::born`].
+    pub born: u64,
+    /// What it holds.
+    pub holdings: Holdings,
+    /// The order that it is carrying out.
+    pub ongoing: Option<Ongoing>,
+    /// How busy it is.
+    pub load: Load,
+}
+
+/// How busy a target says that it is.
+#[derives(data)]
+#[derive(Copy, Default)]
+pub struct Load {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait at it.
+    pub waiting: u32,
+    /// Tokens in its cache memory that cannot yield; none if unknown.
+    pub cache_used: Option<u64>,
+}
+
+/// One target.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// What it registered last.
+    pub entry: Entry,
+    /// The order that it is carrying out, as its agent says.
+    pub ongoing: Option<Ongoing>,
+    /// When its agent was last heard.
+    pub agent_at: Option<Instant>,
+    /// Trouble that requests met.
+    pub health: health::Health,
+    /// Requests of this process that are at it, by model.
+    pub in_flight: BTreeMap<names::ModelId, u32>,
+    /// Requests of this process that are at it.
+    pub ours: u32,
+    /// Tokens that these are expected to need.
+    pub our_tokens: u64,
+    /// When it is gone, if that is known.
+    pub leaves_at: Option<Instant>,
+    load: Load,
+    ours_at_load: u32,
+    tokens_at_load: u64,
+    absent: HashMap<names::ModelId, Instant>,
+    missing_since: Option<Instant>,
+}
+
+impl Target {
+    fn new(entry: Entry) -> Self {
+        Self {
+            entry,
+            ongoing: None,
+            agent_at: None,
+            health: health::Health::default(),
+            in_flight: BTreeMap::new(),
+            ours: 0,
+            our_tokens: 0,
+            leaves_at: None,
+            load: Load::default(),
+            ours_at_load: 0,
+            tokens_at_load: 0,
+            absent: HashMap::new(),
+            missing_since: None,
+        }
+    }
+
+    /// Whether it may be given new requests.
+    pub const fn takes_work(&self) -> bool {
+        !self.entry.draining
+    }
+
+    /// Whether its agent was heard lately.
+    pub fn has_agent(&self, now: Instant) -> bool {
+        self.agent_at.is_some_and(|at| now.saturating_duration_since(at) < AGENT_SILENT_AFTER)
+    }
+
+    /// Whether a model is there to be asked for.
+    pub fn serves(&self, now: Instant, model: &names::ModelId) -> bool {
+        let leaving =
+            matches!(&self.ongoing, Some(Ongoing::Unloading { model: gone }) if gone == model);
+        let absent = self.absent.get(model).is_some_and(|until| now < *until);
+        !leaving && !absent && self.entry.holdings.resident(model).is_some()
+    }
+
+    /// Requests at it, of all routers, as far as is known: what it said last, and what this
+    /// process has sent and got back since.
+    pub fn occupied(&self) -> u32 {
+        let said = self.load.running + self.load.waiting;
+        (said + self.ours).saturating_sub(self.ours_at_load).max(self.ours)
+    }
+
+    /// Tokens in its cache memory, by the same reckoning.
+    pub fn tokens(&self) -> u64 {
+        let said = self.load.cache_used.unwrap_or(0);
+        (said + self.our_tokens).saturating_sub(self.tokens_at_load).max(self.our_tokens)
+    }
+
+    /// Takes what it says of its load.
+    pub fn note_load(&mut self, load: Load) {
+        let cache_used = load.cache_used.or(self.load.cache_used);
+        self.load = Load { cache_used, ..load };
+        self.ours_at_load = self.ours;
+        self.tokens_at_load = self.our_tokens;
+    }
+
+    /// It has refused a model for not having it.
+    pub fn note_absent(&mut self, now: Instant, model: &names::ModelId) {
+        self.absent.insert(model.clone(), now + ABSENT_FOR);
+    }
+
+    fn take_holdings(&mut self, holdings: Holdings) {
+        if holdings != self.entry.holdings {
+            self.absent.clear();
+            self.entry.holdings = holdings;
+        }
+    }
+}
+
+/// What changed with an entry.
+#[derives(key)]
+pub enum Change {
+    /// A target or an incarnation that was not known.
+    New,
+    /// It began to leave.
+    Draining,
+    /// What it holds changed.
+    Holdings,
+    /// Nothing that matters.
+    Nothing,
+    /// The entry is older than what is known, and was left out.
+    Stale,
+}
+
+/// All targets.
+#[derive(Clone, Debug, Default)]
+pub struct Targets {
+    arena: SlotMap<TargetKey, Target>,
+    by_id: HashMap<names::TargetId, TargetKey>,
+    left: HashMap<names::TargetId, u64>,
+}
+
+impl Targets {
+    /// One target.
+    pub fn get(&self, key: TargetKey) -> Option<&Target> {
+        self.arena.get(key)
+    }
+
+    /// One target, to change it.
+    pub fn get_mut(&mut self, key: TargetKey) -> Option<&mut Target> {
+        self.arena.get_mut(key)
+    }
+
+    /// The target of that name.
+    pub fn key(&self, id: &names::TargetId) -> Option<TargetKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// All targets.
+    pub fn iter(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
+        self.arena.iter()
+    }
+
+    /// Number of targets.
+    pub fn len(&self) -> usize {
+        self.arena.len()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.arena.is_empty()
+    }
+
+    /// Takes an entry.
+    pub fn register(&mut self, now: Instant, entry: Entry) -> Change {
+        if self.left.get(&entry.id).is_some_and(|&born| entry.born <= born) {
+            return Change::Stale;
+        }
+        let Some(key) = self.key(&entry.id) else {
+            self.insert(now, entry);
+            return Change::New;
+        };
+        let target = &mut self.arena[key];
+        if entry.born < target.entry.born
+            || (entry.born == target.entry.born && entry.renewals < target.entry.renewals)
+        {
+            return Change::Stale;
+        }
+        if entry.born > target.entry.born {
+            self.forget(key);
+            self.insert(now, entry);
+            return Change::New;
+        }
+        target.missing_since = None;
+        let changed = target.entry.holdings != entry.holdings;
+        let drains = entry.draining && !target.entry.draining;
+        target.entry.draining |= entry.draining;
+        target.entry.slots = entry.slots;
+        if let Some(leaves_in) = entry.leaves_in {
+            target.leaves_at.get_or_insert(now + leaves_in);
+        }
+        target.entry.renewals = entry.renewals;
+        let changed = changed && !target.has_agent(now);
+        if changed {
+            target.take_holdings(entry.holdings);
+        }
+        match (drains, changed) {
+            (true, _) => Change::Draining,
+            (false, true) => Change::Holdings,
+            (false, false) => Change::Nothing,
+        }
+    }
+
+    /// Takes what an agent says; false if the engine is not known or this is old.
+    pub fn report(&mut self, now: Instant, report: Report) -> bool {
+        let Some(key) = self.key(&report.id) else { return false };
+        let target = &mut self.arena[key];
+        let told = report.born > 0 && target.entry.born > 0;
+        if told && report.born < target.entry.born {
+            return false;
+        }
+        if told && report.born > target.entry.born {
+            // The engine has started again under its name; its entry will follow.
+            let entry = Entry {
+                born: report.born,
+                renewals: 0,
+                holdings: Holdings::default(),
+                draining: false,
+                leaves_in: None,
+                ..target.entry.clone()
+            };
+            self.forget(key);
+            self.insert(now, entry);
+            return self.report(now, report);
+        }
+        // Datagrams may overtake each other.
+        let heard = target.has_agent(now);
+        if heard && report.holdings.orders < target.entry.holdings.orders {
+            return false;
+        }
+        target.agent_at = Some(now);
+        target.ongoing = report.ongoing;
+        target.note_load(report.load);
+        target.take_holdings(report.holdings);
+        true
+    }
+
+    /// Its entry was removed: it is gone at once, or, with `grace`, unless it registers again
+    /// within that time.
+    pub fn remove(&mut self, now: Instant, id: &names::TargetId, grace: bool) {
+        let Some(key) = self.key(id) else { return };
+        if grace {
+            self.arena[key].missing_since.get_or_insert(now);
+        } else {
+            self.forget(key);
+        }
+    }
+
+    /// Forgets those that have been missing for `grace`; returns their names.
+    pub fn expire(&mut self, now: Instant, grace: Duration) -> Vec<names::TargetId> {
+        let over = |target: &Target| {
+            target.missing_since.is_some_and(|at| now.saturating_duration_since(at) >= grace)
+        };
+        let gone = self.arena.iter().filter(|(_, target)| over(target));
+        let gone: Vec<TargetKey> = gone.map(|(key, _)| key).collect();
+        let ids = gone.iter().map(|&key| self.arena[key].entry.id.clone()).collect();
+        gone.into_iter().for_each(|key| self.forget(key));
+        ids
+    }
+
+    fn insert(&mut self, now: Instant, entry: Entry) {
+        let id = entry.id.clone();
+        let leaves_at = entry.leaves_in.map(|left| now + left);
+        let key = self.arena.insert(Target { leaves_at, ..Target::new(entry) });
+        self.by_id.insert(id, key);
+    }
+
+    fn forget(&mut self, key: TargetKey) {
+        let Some(target) = self.arena.remove(key) else { return };
+        self.by_id.remove(&target.entry.id);
+        if target.entry.draining {
+            self.left.insert(target.entry.id, target.entry.born);
+        }
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -0,0 +1,385 @@
+//! The agent process: beside one engine, and the only one that gives it orders.
+//!
+//! It asks its engine for its account of itself, tells routers of it, and works off the plan that
+//! the planning router sends, one order at a time. It is not on the way of requests: when it is
+//! frozen or killed, the engine goes on serving what it holds. Because each engine is ordered from
+//! one host only, no two holders can take turns at it, and no lease is needed.
+
+use crate::{control, dialect, router};
+use corianderstand_derives::derives;
+use corianderstand_fleet::{steps, targets};
+use corianderstand_schema::peers::{self, PeerMessage};
+use corianderstand_types::{clock, names};
+use smol_str::SmolStr;
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::sync::Notify;
+
+/// Pause between two looks at the engine while nothing is under way.
+const IDLE_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between two looks while an order is carried out: a load from memory takes 0.4 s, and each
+/// millisecond after its end is a millisecond that requests wait.
+const BUSY_PAUSE: Duration = Duration::from_millis(30);
+/// Pause between two messages to routers if nothing changes.
+const NEWS_PAUSE: Duration = Duration::from_millis(500);
+/// A planner that was not heard for this long is no longer the one to follow.
+const PLANNER_SILENT: Duration = Duration::from_millis(1_300);
+/// Adapters that were asked for within this time are kept in mind.
+const ASKED_FOR: Duration = Duration::from_secs(8);
+/// An order without an answer is taken as lost when the engine shows nothing of it for this long.
+/// The next one carries the same number of orders, so the engine carries out one of them at most.
+const LOST_AFTER: Duration = Duration::from_millis(700);
+
+/// What an agent is told at its start.
+#[derives(data)]
+pub struct Settings {
+    /// Its name.
+    pub name: SmolStr,
+    /// Where routers reach it.
+    pub listen: SocketAddr,
+}
+
+/// An order that is under way.
+#[derive(Clone, Debug)]
+struct Ongoing {
+    order: steps::Order,
+    since: Instant,
+    takes: Duration,
+    from_store: bool,
+    answered: bool,
+    after_orders: u64,
+}
+
+/// A plan that is being followed.
+#[derive(Clone, Debug)]
+struct Plan {
+    plan: peers::EnginePlan,
+    heard: Instant,
+}
+
+#[derive(Default)]
+struct State {
+    plan: Option<Plan>,
+    asked: Vec<steps::AskedAdapter>,
+    ongoing: Option<Ongoing>,
+    said: Option<(Instant, peers::EngineNews)>,
+}
+
+struct Agent<E> {
+    settings: Settings,
+    clock: clock::SharedClock,
+    engine: E,
+    outbox: control::Outbox,
+    state: RefCell<State>,
+    wake: Notify,
+}
+
+/// Runs an agent until `stop` is done.
+///
+/// # Errors
+///
+/// See [`router::StartError`].
+pub fn run<E: dialect::EngineCalls + 'static>(
+    settings: Settings,
+    clock: clock::SharedClock,
+    engine: impl FnOnce(crate::client::Client) -> E,
+    stop: impl Future<Output = ()>,
+) -> Result<(), router::StartError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(router::StartError::Runtime)?;
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, async move {
+        let socket = control::bind(settings.listen).await?;
+        let pool = Rc::new(crate::pool::Pool::default());
+        let agent = Rc::new(Agent {
+            engine: engine(crate::client::Client::new(pool, clock.clone())),
+            outbox: control::Outbox::new(socket.clone()),
+            state: RefCell::default(),
+            wake: Notify::new(),
+            settings,
+            clock,
+        });
+        tracing::info!(name = %agent.settings.name, "agent started");
+        let listening = agent.clone();
+        tokio::task::spawn_local(async move {
+            control::receive(&socket, |from, message| listening.take(from, message)).await;
+        });
+        tokio::select! {
+            () = agent.work() => {}
+            () = stop => {}
+        }
+        tracing::info!("agent stopped");
+        Ok(())
+    })
+}
+
+impl<E: dialect::EngineCalls> Agent<E> {
+    fn take(&self, from: SocketAddr, message: PeerMessage) {
+        let now = self.clock.now();
+        match message {
+            PeerMessage::EnginePlan(plan) => self.take_plan(now, plan),
+            PeerMessage::AdaptersAsked(asked) => self.take_asked(now, asked),
+            PeerMessage::RouterNews(_) | PeerMessage::EngineNews(_) => {
+                tracing::debug!(%from, "message that is for routers");
+            }
+        }
+    }
+
+    /// Follows the planner with the least name of those heard lately.
+    fn take_plan(&self, now: Instant, plan: peers::EnginePlan) {
+        let mut state = self.state.borrow_mut();
+        if let Some(last) = &state.plan {
+            let live = now.saturating_duration_since(last.heard) < PLANNER_SILENT;
+            let other = last.plan.planner != plan.planner;
+            if live && other && last.plan.planner < plan.planner {
+                return;
+            }
+            if !other && plan.serial < last.plan.serial && live {
+                return;
+            }
+            if other {
+                tracing::info!(planner = %plan.planner, before = %last.plan.planner, "another planner");
+            }
+        }
+        let changed = state.plan.as_ref().is_none_or(|last| last.plan.parts != plan.parts);
+        state.plan = Some(Plan { plan, heard: now });
+        if changed {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Keeps in mind what is asked for, the newest first.
+    fn take_asked(&self, now: Instant, asked: peers::AdaptersAsked) {
+        let mut state = self.state.borrow_mut();
+        for ask in asked.adapters {
+            state.asked.retain(|old| old.model != ask.model || old.adapter != ask.adapter);
+            let ask = steps::AskedAdapter { model: ask.model, adapter: ask.adapter, at: now };
+            state.asked.insert(0, ask);
+        }
+        state.asked.retain(|ask| now.saturating_duration_since(ask.at) < ASKED_FOR);
+        self.wake.notify_one();
+    }
+
+    async fn work(&self) {
+        let mut lost = false;
+        loop {
+            let pause = match self.engine.report().await {
+                Ok(report) => {
+                    if std::mem::take(&mut lost) {
+                        tracing::info!("the engine answers again");
+                    }
+                    self.look(report).await
+                }
+                Err(error) => {
+                    if !std::mem::replace(&mut lost, true) {
+                        tracing::warn!(%error, "the engine does not answer: it is asked again");
+                    }
+                    self.state.borrow_mut().ongoing = None;
+                    IDLE_PAUSE
+                }
+            };
+            tokio::select! {
+                () = self.wake.notified() => {}
+                () = tokio::time::sleep(pause) => {}
+            }
+        }
+    }
+
+    /// Acts on the engine's account of itself; returns when to look again.
+    async fn look(&self, report: dialect::EngineReport) -> Duration {
+        let now = self.clock.now();
+        self.settle(now, &report);
+        let Some(plan) = self.state.borrow().plan.clone() else { return IDLE_PAUSE };
+        self.say(now, &plan.plan, &report);
+        let Some(order) = self.next(now, &plan.plan, &report) else {
+            let busy = report.busy || report.adapters_coming > 0;
+            let waits = self.state.borrow().ongoing.is_some() || busy;
+            return if waits { BUSY_PAUSE } else { IDLE_PAUSE };
+        };
+        self.give(now, &plan.plan, &report, order).await;
+        BUSY_PAUSE
+    }
+
+    /// Sees whether what is under way has ended.
+    fn settle(&self, now: Instant, report: &dialect::EngineReport) {
+        let mut state = self.state.borrow_mut();
+        let Some(ongoing) = &state.ongoing else { return };
+        let shows = report.holdings.orders > ongoing.after_orders;
+        let silent = now.saturating_duration_since(ongoing.since) > LOST_AFTER;
+        let over = (shows && !report.busy) || (!report.busy && silent);
+        if over {
+            let ms = now.saturating_duration_since(ongoing.since).as_millis() as u64;
+            tracing::info!(order = ?ongoing.order, ms, shows, answered = ongoing.answered, "order ended");
+            state.ongoing = None;
+        }
+    }
+
+    fn next(
+        &self,
+        now: Instant,
+        plan: &peers::EnginePlan,
+        report: &dialect::EngineReport,
+    ) -> Option<steps::Order> {
+        let state = self.state.borrow();
+        if state.ongoing.is_some() {
+            return None;
+        }
+        let room = steps::Room {
+            weights_mb: plan.weights_mb,
+            adapter_places: plan.adapter_places as usize,
+        };
+        let parts = parts(plan);
+        let coming = report.adapters_coming;
+        let adapter =
+            || steps::next_adapter(now, room, &parts, &report.holdings, coming, &state.asked);
+        let model = || match report.busy {
+            true => None,
+            false => steps::next_model(room, &parts, &report.holdings),
+        };
+        // An adapter takes some ms and its request waits; a model takes a second and more.
+        if report.busy { None } else { adapter().or_else(model) }
+    }
+
+    async fn give(
+        &self,
+        now: Instant,
+        plan: &peers::EnginePlan,
+        report: &dialect::EngineReport,
+        order: steps::Order,
+    ) {
+        let (takes, from_store) = takes(plan, report, &order);
+        let after_orders = report.holdings.orders;
+        let ongoing = Ongoing {
+            order: order.clone(),
+            since: now,
+            takes,
+            from_store,
+            answered: false,
+            after_orders,
+        };
+        let model_order = matches!(order, steps::Order::Load(_) | steps::Order::Unload(_));
+        if model_order {
+            self.state.borrow_mut().ongoing = Some(ongoing);
+            // Routers hear that a model goes before it does, and send nothing there any more.
+            self.say(now, plan, report);
+        }
+        let target = &plan.target;
+        let end =
+            self.engine.order(dialect::SafeOrder { target, order: &order, after_orders }).await;
+        tracing::info!(%target, ?order, ?end, after_orders, from_store, "order given");
+        let mut state = self.state.borrow_mut();
+        match end {
+            dialect::OrderEnd::Accepted | dialect::OrderEnd::Unknown => {
+                if let Some(ongoing) = &mut state.ongoing {
+                    ongoing.answered = end == dialect::OrderEnd::Accepted;
+                }
+            }
+            _ => state.ongoing = None,
+        }
+    }
+
+    /// Tells routers of the engine, if something changed or they have not heard for a while.
+    fn say(&self, now: Instant, plan: &peers::EnginePlan, report: &dialect::EngineReport) {
+        let mut state = self.state.borrow_mut();
+        let news = news(now, plan, report, state.ongoing.as_ref());
+        let due = state.said.as_ref().is_none_or(|(at, said)| {
+            now.saturating_duration_since(*at) >= NEWS_PAUSE || differs(said, &news)
+        });
+        if !due {
+            return;
+        }
+        let message = PeerMessage::EngineNews(news.clone());
+        for router in &plan.routers {
+            match router.parse() {
+                Ok(addr) => self.outbox.send(addr, &message),
+                Err(_) => tracing::debug!(%router, "address of a router cannot be read"),
+            }
+        }
+        state.said = Some((now, news));
+    }
+}
+
+/// Whether routers should hear at once: load changes all the time and can wait.
+fn differs(said: &peers::EngineNews, news: &peers::EngineNews) -> bool {
+    let order = |news: &peers::EngineNews| {
+        news.ongoing.first().map(|order| (order.model.clone(), order.loads))
+    };
+    said.orders != news.orders
+        || said.born != news.born
+        || said.target != news.target
+        || said.resident != news.resident
+        || order(said) != order(news)
+}
+
+fn parts(plan: &peers::EnginePlan) -> Vec<steps::Part> {
+    let parts = plan.parts.iter().map(|part| steps::Part {
+        model: part.model.clone(),
+        weights_mb: part.weights_mb,
+        adapter_mb: part.adapter_mb,
+        wanted: part.wanted,
+    });
+    parts.collect()
+}
+
+/// How long an order takes, and whether it loads from the weight store.
+fn takes(
+    plan: &peers::EnginePlan,
+    report: &dialect::EngineReport,
+    order: &steps::Order,
+) -> (Duration, bool) {
+    let steps::Order::Load(model) = order else { return (Duration::from_millis(100), false) };
+    let Some(part) = plan.parts.iter().find(|part| part.model == *model) else {
+        return (Duration::from_secs(1), true);
+    };
+    let (ms, from_store) = if report.holdings.in_memory.contains(model) {
+        (part.memory_ms, false)
+    } else if report.holdings.on_disk.contains(model) {
+        (part.disk_ms, false)
+    } else {
+        (part.load_ms, true)
+    };
+    (Duration::from_millis(u64::from(ms)), from_store)
+}
+
+fn news(
+    now: Instant,
+    plan: &peers::EnginePlan,
+    report: &dialect::EngineReport,
+    ongoing: Option<&Ongoing>,
+) -> peers::EngineNews {
+    let resident = report.holdings.resident.iter().map(|resident| peers::ResidentModel {
+        model: resident.model.clone(),
+        adapters: resident.adapters.clone(),
+    });
+    let ongoing = ongoing.and_then(|ongoing| {
+        let (model, loads): (&names::ModelId, bool) = match &ongoing.order {
+            steps::Order::Load(model) => (model, true),
+            steps::Order::Unload(model) => (model, false),
+            _ => return None,
+        };
+        let passed = now.saturating_duration_since(ongoing.since);
+        Some(peers::OngoingOrder {
+            model: model.clone(),
+            loads,
+            from_store: ongoing.from_store,
+            remaining_ms: ongoing.takes.saturating_sub(passed).as_millis() as u32,
+        })
+    });
+    let targets::Load { running, waiting, cache_used } = report.load;
+    peers::EngineNews {
+        target: plan.target.clone(),
+        born: report.born.unwrap_or(0),
+        orders: report.holdings.orders,
+        resident: resident.collect(),
+        in_memory: report.holdings.in_memory.clone(),
+        on_disk: report.holdings.on_disk.clone(),
+        ongoing: ongoing.into_iter().collect(),
+        running,
+        waiting,
+        cache_used: cache_used.unwrap_or(0),
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_forward/src/body.rs
@@ -0,0 +1,72 @@
+//! Bodies of answers to callers.
+
+use crate::exchange::Broken;
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::Full;
+use std::{
+    any::Any,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+/// A body that is there as a whole, or comes as events do.
+pub struct AnswerBody {
+    source: Source,
+    /// Held for its drop alone: with the body, when it has gone out or the caller has left.
+    _guard: Option<Box<dyn Any>>,
+}
+
+enum Source {
+    Whole(Full<Bytes>),
+    Stream(Pin<Box<dyn Body<Data = Bytes, Error = Broken>>>),
+}
+
+impl AnswerBody {
+    /// A body that is there as a whole.
+    pub fn whole(bytes: Bytes) -> Self {
+        Self { source: Source::Whole(Full::new(bytes)), _guard: None }
+    }
+
+    /// A body that comes in pieces.
+    pub fn stream(body: impl Body<Data = Bytes, Error = Broken> + 'static) -> Self {
+        Self { source: Source::Stream(Box::pin(body)), _guard: None }
+    }
+
+    /// Keeps something until the body has gone out.
+    #[must_use]
+    pub fn with_guard(self, guard: impl Any) -> Self {
+        Self { _guard: Some(Box::new(guard)), ..self }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match &mut self.source {
+            Source::Whole(full) => Pin::new(full)
+                .poll_frame(cx)
+                .map(|frame| frame.map(|f| f.map_err(|never| match never {}))),
+            Source::Stream(body) => body.as_mut().poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.source {
+            Source::Whole(full) => full.is_end_stream(),
+            Source::Stream(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            Source::Whole(full) => full.size_hint(),
+            Source::Stream(body) => body.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/corianderstand_forward/src/control.rs
@@ -0,0 +1,466 @@
+//! The conversation between routers and agents, and the router that plans.
+//!
+//! Datagrams carry it: each is whole in itself and said again after a while, so one that is lost
+//! costs a little time. Nothing waits for an answer.
+
+use crate::{dialect, follow, router, transfer};
+use corianderstand_fleet::{choose, config, health, plan, targets};
+use corianderstand_schema::peers::{self, PeerMessage};
+use corianderstand_types::names;
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::net::UdpSocket;
+
+/// Pause between two messages to other routers.
+const NEWS_PAUSE: Duration = Duration::from_millis(250);
+/// Least pause between two plans: a burst of first requests is planned for together.
+const LEAST_PAUSE: Duration = Duration::from_millis(15);
+/// A plan that has not changed is said again after this time, in case it was lost, and so that
+/// agents know that the planner is there.
+const REPEAT_PLAN: Duration = Duration::from_millis(500);
+/// Adapters that were in use within this time are named again to their agents, so that they stay.
+const ADAPTERS_IN_USE: Duration = Duration::from_secs(3);
+/// Pause between two such messages.
+const ADAPTERS_PAUSE: Duration = Duration::from_millis(500);
+/// Largest datagram; beyond it the link's packets would be cut up.
+const MOST_BYTES: usize = 60_000;
+
+/// Sends datagrams.
+pub struct Outbox {
+    socket: Rc<UdpSocket>,
+    dropped: Cell<u64>,
+}
+
+impl Outbox {
+    /// Sends from a socket.
+    pub const fn new(socket: Rc<UdpSocket>) -> Self {
+        Self { socket, dropped: Cell::new(0) }
+    }
+
+    /// Sends a message; it is dropped if the socket has no room, and said again later anyway.
+    pub fn send(&self, addr: SocketAddr, message: &PeerMessage) {
+        let bytes = match postcard::to_stdvec(message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                tracing::warn!(%error, "a message to a peer cannot be encoded");
+                return;
+            }
+        };
+        if let Err(error) = self.socket.try_send_to(&bytes, addr) {
+            self.dropped.set(self.dropped.get() + 1);
+            tracing::debug!(%addr, %error, dropped = self.dropped.get(), "message to a peer dropped");
+        }
+    }
+}
+
+/// Opens the socket for datagrams.
+///
+/// # Errors
+///
+/// The address cannot be bound.
+pub async fn bind(addr: SocketAddr) -> Result<Rc<UdpSocket>, router::StartError> {
+    let socket = UdpSocket::bind(addr).await;
+    socket.map(Rc::new).map_err(|error| router::StartError::Listen { addr, error })
+}
+
+/// Reads messages from a socket for ever.
+pub async fn receive(socket: &UdpSocket, mut take: impl FnMut(SocketAddr, PeerMessage)) {
+    let mut buf = vec![0; MOST_BYTES];
+    loop {
+        match socket.recv_from(&mut buf).await {
+            Ok((len, from)) => match postcard::from_bytes(&buf[..len]) {
+                Ok(message) => take(from, message),
+                Err(error) => tracing::debug!(%from, %error, "message of a peer cannot be read"),
+            },
+            Err(error) => {
+                // An earlier datagram found nobody at its address, as a rule.
+                tracing::debug!(%error, "no message of a peer");
+            }
+        }
+    }
+}
+
+/// Begins the conversation.
+pub fn start<P: router::Platform>(shared: &Rc<router::Shared<P>>) {
+    let here = shared.clone();
+    tokio::task::spawn_local(async move {
+        let socket = here.outbox.socket.clone();
+        receive(&socket, |from, message| take(&here, from, message)).await;
+    });
+    tokio::task::spawn_local(run(shared.clone()));
+}
+
+fn take<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    from: SocketAddr,
+    message: PeerMessage,
+) {
+    let now = shared.clock.now();
+    match message {
+        PeerMessage::RouterNews(news) => {
+            if news.router.as_str() == shared.settings.name {
+                return;
+            }
+            let waits = news.models.iter().any(|model| model.waiting > 0);
+            shared.peers.borrow_mut().hear(now, from, news);
+            if waits {
+                shared.tell_planner.notify_one();
+            }
+        }
+        PeerMessage::EngineNews(news) => take_engine(shared, now, news),
+        PeerMessage::EnginePlan(_) | PeerMessage::AdaptersAsked(_) => {
+            tracing::debug!(%from, "message that is for agents");
+        }
+    }
+}
+
+fn take_engine<P: router::Platform>(
+    shared: &router::Shared<P>,
+    now: Instant,
+    news: peers::EngineNews,
+) {
+    let report = report(now, news);
+    let mut view = shared.view.borrow_mut();
+    let Some(key) = view.targets.key(&report.id) else { return };
+    let before = view.targets.get(key).map(|t| (t.entry.holdings.clone(), t.ongoing.clone()));
+    if !view.targets.report(now, report) {
+        return;
+    }
+    let after = view.targets.get(key).map(|t| (t.entry.holdings.clone(), t.ongoing.clone()));
+    let Some((holdings, ongoing)) = after else { return };
+    let changed =
+        before.as_ref().is_none_or(|(h, o)| *h != holdings || o.is_some() != ongoing.is_some());
+    if changed {
+        for resident in &holdings.resident {
+            view.wake(&resident.model);
+        }
+        drop(view);
+        shared.tell_planner.notify_one();
+    }
+}
+
+fn report(now: Instant, news: peers::EngineNews) -> targets::Report {
+    let ongoing = news.ongoing.into_iter().next().map(|order| {
+        if order.loads {
+            let ready_at = now + Duration::from_millis(u64::from(order.remaining_ms));
+            targets::Ongoing::Loading { model: order.model, ready_at, from_store: order.from_store }
+        } else {
+            targets::Ongoing::Unloading { model: order.model }
+        }
+    });
+    let resident = news.resident.into_iter();
+    let resident = resident
+        .map(|part| targets::Resident { model: part.model, adapters: part.adapters })
+        .collect();
+    targets::Report {
+        id: news.target,
+        born: news.born,
+        holdings: targets::Holdings {
+            orders: news.orders,
+            resident,
+            in_memory: news.in_memory,
+            on_disk: news.on_disk,
+        },
+        ongoing,
+        load: targets::Load {
+            running: news.running,
+            waiting: news.waiting,
+            cache_used: Some(news.cache_used),
+        },
+    }
+}
+
+async fn run<P: router::Platform>(shared: Rc<router::Shared<P>>) {
+    let mut planning = Planning::default();
+    loop {
+        let now = shared.clock.now();
+        say_news(&shared);
+        name_adapters(&shared, now, &mut planning);
+        catch_up(&shared, now);
+        if is_fit(&shared) && shared.peers.borrow().plans(now, &shared.settings.name) {
+            planning.plan(&shared, now);
+        }
+        shared.pool.sweep(now);
+        follow::expire(&shared, now);
+        shared.peers.borrow_mut().expire(now);
+        tokio::time::sleep(LEAST_PAUSE).await;
+        tokio::select! {
+            () = shared.tell_planner.notified() => {}
+            () = tokio::time::sleep(NEWS_PAUSE) => {}
+        }
+    }
+}
+
+/// Whether this router knows enough to plan.
+fn is_fit<P>(shared: &router::Shared<P>) -> bool {
+    let view = shared.view.borrow();
+    view.table.is_some() && !view.targets.is_empty() && !shared.stopping.get()
+}
+
+/// Tells the other routers what is asked for here.
+pub fn say_news<P: router::Platform>(shared: &router::Shared<P>) {
+    let message = PeerMessage::RouterNews(news(shared));
+    let peers = shared.peers.borrow();
+    let known: Vec<SocketAddr> = peers.addresses().collect();
+    let seeds = shared
+        .settings
+        .seeds
+        .iter()
+        .copied()
+        .filter(|seed| *seed != shared.settings.peers && !known.contains(seed));
+    for addr in known.iter().copied().chain(seeds) {
+        shared.outbox.send(addr, &message);
+    }
+}
+
+fn news<P: router::Platform>(shared: &router::Shared<P>) -> peers::RouterNews {
+    let now = shared.clock.now();
+    let fit = is_fit(shared);
+    let copies = shared.copies.borrow();
+    let mut view = shared.view.borrow_mut();
+    let mut models: BTreeMap<names::ModelId, (f64, u32)> =
+        view.demand.all(now).into_iter().map(|(model, per_s)| (model, (per_s, 0))).collect();
+    for (model, waiting) in &view.waiting {
+        models.entry(model.clone()).or_default().1 = *waiting;
+    }
+    let models = models.into_iter().map(|(model, (per_s, waiting))| peers::ModelDemand {
+        model,
+        per_1000_s: (per_s * 1_000.0) as u32,
+        waiting,
+    });
+    let running = view.targets.iter().flat_map(|(_, target)| {
+        target.in_flight.iter().map(|(model, count)| peers::RunningCount {
+            target: target.entry.id.clone(),
+            model: model.clone(),
+            count: *count,
+        })
+    });
+    peers::RouterNews {
+        router: shared.settings.name.as_str().into(),
+        incarnation: shared.incarnation,
+        fit,
+        config_next: copies.next(dialect::Subject::Config),
+        targets_next: copies.next(dialect::Subject::Targets),
+        models: models.collect(),
+        running: running.collect(),
+    }
+}
+
+/// Takes from a peer what it has read and this router could not.
+fn catch_up<P: router::Platform>(shared: &Rc<router::Shared<P>>, now: Instant) {
+    for subject in [dialect::Subject::Config, dialect::Subject::Targets] {
+        let copies = shared.copies.borrow();
+        // The targets change all the time: a peer is always a little ahead.
+        if subject == dialect::Subject::Targets && copies.is_fresh(now, subject) {
+            continue;
+        }
+        let known = copies.next(subject);
+        let peers = shared.peers.borrow();
+        let ahead = peers.live(now).filter_map(|(_, peer)| {
+            let news = peer.news.as_ref()?;
+            let next = match subject {
+                dialect::Subject::Config => news.config_next,
+                _ => news.targets_next,
+            };
+            (next > known).then_some((next, peer.addr))
+        });
+        if let Some((_, addr)) = ahead.max() {
+            let shared = shared.clone();
+            tokio::task::spawn_local(async move {
+                transfer::fetch(&shared, addr, subject).await;
+            });
+        }
+    }
+}
+
+/// Asks an agent for adapters.
+pub fn ask_for_adapters<'a, P>(
+    shared: &router::Shared<P>,
+    key: targets::TargetKey,
+    wanted: impl Iterator<Item = &'a choose::Wanted>,
+) {
+    let view = shared.view.borrow();
+    let Some(target) = view.targets.get(key) else { return };
+    let adapters = wanted.filter_map(|wanted| {
+        Some(peers::AskedAdapter { model: wanted.model.clone(), adapter: wanted.adapter.clone()? })
+    });
+    let asked =
+        peers::AdaptersAsked { target: target.entry.id.clone(), adapters: adapters.collect() };
+    let agent = SocketAddr::new(target.entry.addr.ip(), shared.settings.agent_port);
+    shared.outbox.send(agent, &PeerMessage::AdaptersAsked(asked));
+}
+
+/// Names to the agents the adapters that are in use, so that they are not dropped.
+fn name_adapters<P>(shared: &router::Shared<P>, now: Instant, planning: &mut Planning) {
+    let due =
+        planning.adapters_at.is_none_or(|at| now.saturating_duration_since(at) >= ADAPTERS_PAUSE);
+    if !due {
+        return;
+    }
+    planning.adapters_at = Some(now);
+    let mut used = {
+        let mut view = shared.view.borrow_mut();
+        for wanted in view.adapters.values_mut() {
+            wanted.retain(|_, at| now.saturating_duration_since(*at) < ADAPTERS_IN_USE);
+        }
+        view.adapters.retain(|_, wanted| !wanted.is_empty());
+        view.adapters.clone()
+    };
+    for (key, wanted) in used.drain() {
+        ask_for_adapters(shared, key, wanted.keys());
+    }
+}
+
+/// What the planning router remembers.
+#[derive(Default)]
+struct Planning {
+    planner: plan::Planner,
+    serial: u64,
+    sent: HashMap<targets::TargetKey, (Instant, Vec<peers::PlanPart>)>,
+    adapters_at: Option<Instant>,
+}
+
+impl Planning {
+    fn plan<P: router::Platform>(&mut self, shared: &router::Shared<P>, now: Instant) {
+        let view = shared.view.borrow();
+        let Some(table) = view.table.clone() else { return };
+        drop(view);
+        for service in &table.config().services {
+            if let Some(engine) = &service.engine {
+                self.plan_service(shared, now, &service.name, engine);
+            }
+        }
+    }
+
+    fn plan_service<P: router::Platform>(
+        &mut self,
+        shared: &router::Shared<P>,
+        now: Instant,
+        service: &names::ServiceId,
+        spec: &config::Engine,
+    ) {
+        let engines = engines(shared, now, service, spec);
+        let models = models(shared, now, spec);
+        let wants = self.planner.plan(now, &engines, &models);
+        // An agent that was not heard yet learns from its first plan whom to tell of its engine.
+        for engine in &engines {
+            let Some(wants) = wants.get(&engine.key) else { continue };
+            let parts = parts(engine, wants, &models);
+            let same = self.sent.get(&engine.key).is_some_and(|(at, sent)| {
+                *sent == parts && now.saturating_duration_since(*at) < REPEAT_PLAN
+            });
+            if !same {
+                self.serial += 1;
+                send_plan(shared, self.serial, engine, spec, parts.clone());
+                self.sent.insert(engine.key, (now, parts));
+            }
+        }
+        self.sent.retain(|key, _| engines.iter().any(|engine| engine.key == *key));
+    }
+}
+
+fn engines<P: router::Platform>(
+    shared: &router::Shared<P>,
+    now: Instant,
+    service: &names::ServiceId,
+    spec: &config::Engine,
+) -> Vec<plan::EngineView> {
+    let view = shared.view.borrow();
+    let peers = shared.peers.borrow();
+    let mut running: HashMap<&names::TargetId, BTreeMap<names::ModelId, u32>> = HashMap::new();
+    for count in peers.news(now).flat_map(|news| &news.running) {
+        let models = running.entry(&count.target).or_default();
+        *models.entry(count.model.clone()).or_default() += count.count;
+    }
+    let engines = view.targets.iter().filter(|(_, target)| {
+        target.entry.service == *service
+            && target.takes_work()
+            && (target.has_agent(now) || target.health.trouble(now) < health::OUT)
+    });
+    let engines = engines.map(|(key, target)| {
+        let mut running = running.remove(&target.entry.id).unwrap_or_default();
+        for (model, count) in &target.in_flight {
+            *running.entry(model.clone()).or_default() += count;
+        }
+        plan::EngineView {
+            key,
+            orderable: target.has_agent(now),
+            weights_mb: spec.weights_mb,
+            slots: target.entry.slots,
+            holdings: target.entry.holdings.clone(),
+            ongoing: target.ongoing.clone(),
+            running,
+        }
+    });
+    engines.collect()
+}
+
+fn models<P: router::Platform>(
+    shared: &router::Shared<P>,
+    now: Instant,
+    spec: &config::Engine,
+) -> BTreeMap<names::ModelId, plan::ModelView> {
+    let view = shared.view.borrow();
+    let others = shared.peers.borrow().demand(now);
+    let models = spec.models.iter().map(|model| {
+        let (per_s, waiting) = others.get(&model.name).copied().unwrap_or_default();
+        let own = view.waiting.get(&model.name).copied().unwrap_or(0);
+        let per_s = per_s + view.demand.per_s(now, &model.name);
+        (model.name.clone(), plan::ModelView { spec: model.clone(), per_s, waiting: waiting + own })
+    });
+    models.collect()
+}
+
+/// What an agent is told: sizes of all that is there or should be.
+fn parts(
+    engine: &plan::EngineView,
+    wants: &[names::ModelId],
+    models: &BTreeMap<names::ModelId, plan::ModelView>,
+) -> Vec<peers::PlanPart> {
+    let held = engine.holdings.resident.iter().map(|resident| &resident.model);
+    let held = held.filter(|name| !wants.contains(name));
+    let millis = |time: Duration| time.as_millis() as u32;
+    let parts = wants.iter().chain(held).filter_map(|name| {
+        let spec = &models.get(name)?.spec;
+        Some(peers::PlanPart {
+            model: name.clone(),
+            weights_mb: spec.weights_mb,
+            adapter_mb: spec.adapter_mb,
+            wanted: wants.contains(name),
+            load_ms: millis(spec.load),
+            disk_ms: millis(spec.load_from_disk),
+            memory_ms: millis(spec.load_from_memory),
+        })
+    });
+    parts.collect()
+}
+
+fn send_plan<P: router::Platform>(
+    shared: &router::Shared<P>,
+    serial: u64,
+    engine: &plan::EngineView,
+    spec: &config::Engine,
+    parts: Vec<peers::PlanPart>,
+) {
+    let view = shared.view.borrow();
+    let Some(target) = view.targets.get(engine.key) else { return };
+    let agent = SocketAddr::new(target.entry.addr.ip(), shared.settings.agent_port);
+    let peers = shared.peers.borrow();
+    let routers = peers.addresses().chain([shared.settings.peers]);
+    let plan = peers::EnginePlan {
+        planner: shared.settings.name.as_str().into(),
+        serial,
+        target: target.entry.id.clone(),
+        weights_mb: spec.weights_mb,
+        adapter_places: spec.adapter_places as u32,
+        parts,
+        routers: routers.map(|addr| addr.to_string().into()).collect(),
+    };
+    tracing::trace!(target = %plan.target, serial, "plan sent");
+    shared.outbox.send(agent, &PeerMessage::EnginePlan(plan));
+}
--- /dev/null
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -0,0 +1,136 @@
+//! The log of what became of requests, and what the process came to believe.
+//!
+//! One line for each decision, with what decided it. Lines are limited by kind: a flood of one kind
+//! leaves out its own lines beyond a number a second, says how many, and takes no room from others.
+
+use crate::{exchange, stream};
+use corianderstand_fleet::targets;
+use corianderstand_types::names;
+use http::StatusCode;
+use smol_str::SmolStr;
+use std::{
+    cell::RefCell,
+    time::{Duration, Instant},
+};
+
+/// Lines of one kind in a second. Requests come at some 30 a second to a host; ten times that in a
+/// burst would be 60 KB of log a second.
+const LINES_PER_S: u32 = 60;
+/// Over this time the number is counted.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// How a stream ended.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamEnd<'a> {
+    /// Whole, or why not.
+    pub how: &'a str,
+    /// Events that were passed on.
+    pub events: u64,
+    /// Times that another target took it up.
+    pub resumes: u32,
+    /// How the events came.
+    pub pace: stream::Pace,
+}
+
+/// Kinds of lines, each with its own limit.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Kind {
+    Placed,
+    Answered,
+    Failed,
+    Refused,
+    Left,
+}
+
+const KINDS: usize = 5;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    since: Option<Instant>,
+    lines: u32,
+    left_out: u64,
+}
+
+/// Writes the lines.
+#[derive(Debug, Default)]
+pub struct Log {
+    counts: RefCell<[Count; KINDS]>,
+}
+
+impl Log {
+    /// A request goes to a target.
+    pub fn placed(&self, job: &exchange::Job, key: targets::TargetKey, waited: bool, now: Instant) {
+        if self.allows(Kind::Placed, now) {
+            let ms = ms(now, job.arrived);
+            tracing::debug!(id = %job.call.id, route = %job.route.name, target = ?key, waited, ms, "placed");
+        }
+    }
+
+    /// A request was answered with what a target said, or with a failure.
+    pub fn answered(&self, job: &exchange::Job, status: StatusCode, how: &str, now: Instant) {
+        let kind = if status.is_server_error() { Kind::Failed } else { Kind::Answered };
+        if self.allows(kind, now) {
+            let (ms, tried, status) = (ms(now, job.arrived), job.tried.len(), status.as_u16());
+            let trouble = job.last_trouble;
+            tracing::info!(id = %job.call.id, route = %job.route.name, status, how, trouble, tried, ms, "answered");
+        }
+    }
+
+    /// A stream has ended.
+    pub fn streamed(&self, job: &exchange::Job, end: &StreamEnd, now: Instant) {
+        let kind = if end.how == "whole" { Kind::Answered } else { Kind::Failed };
+        if self.allows(kind, now) {
+            let (how, events, resumes) = (end.how, end.events, end.resumes);
+            let (total_ms, tried) = (ms(now, job.arrived), job.tried.len());
+            let first_ms = end.pace.first.map(|first| ms(first, job.arrived));
+            let longest_pause_ms = end.pace.longest.as_millis() as u64;
+            let target = job.last_target.as_str();
+            let model = job.model().map(names::ModelId::as_str);
+            tracing::info!(id = %job.call.id, route = %job.route.name, at = target, model, how, events, resumes, tried, first_ms, longest_pause_ms, ms = total_ms, "streamed");
+        }
+    }
+
+    /// A request was refused.
+    pub fn refused(
+        &self,
+        id: &SmolStr,
+        route: &str,
+        status: StatusCode,
+        why: &str,
+        arrived: Instant,
+        now: Instant,
+    ) {
+        if self.allows(Kind::Refused, now) {
+            let (ms, status) = (ms(now, arrived), status.as_u16());
+            tracing::info!(%id, route, status, why, ms, "refused");
+        }
+    }
+
+    /// A caller has left before its answer was whole.
+    pub fn left(&self, id: &SmolStr, events: u64, now: Instant) {
+        if self.allows(Kind::Left, now) {
+            tracing::info!(%id, events, "caller left");
+        }
+    }
+
+    fn allows(&self, kind: Kind, now: Instant) -> bool {
+        let count = &mut self.counts.borrow_mut()[kind as usize];
+        let over = count.since.is_none_or(|at| now.saturating_duration_since(at) >= WINDOW);
+        if over {
+            if count.left_out > 0 {
+                tracing::warn!(?kind, left_out = count.left_out, "lines left out");
+            }
+            *count = Count { since: Some(now), lines: 0, left_out: 0 };
+        }
+        if count.lines >= LINES_PER_S {
+            count.left_out += 1;
+            return false;
+        }
+        count.lines += 1;
+        true
+    }
+}
+
+fn ms(now: Instant, since: Instant) -> u64 {
+    now.saturating_duration_since(since).as_millis() as u64
+}
--- /dev/null
+++ b/crates/corianderstand_forward/src/router.rs
@@ -0,0 +1,264 @@
+//! The router process: its settings, what its parts share, and its start and stop.
+
+use crate::{
+    client, control, decisions, dialect, exchange, follow, peers, pool, server, transfer, view,
+};
+use corianderstand_derives::derives;
+use corianderstand_fleet::{budget, choose, patience, targets};
+use corianderstand_types::{clock, names};
+use http::StatusCode;
+use smol_str::SmolStr;
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::sync::Notify;
+
+/// What a router needs of a platform.
+pub trait Platform: dialect::Dialect + dialect::Store + 'static {}
+
+impl<T: dialect::Dialect + dialect::Store + 'static> Platform for T {}
+
+/// What a router is told at its start.
+#[derives(data)]
+pub struct Settings {
+    /// Its name, unlike that of any other router.
+    pub name: SmolStr,
+    /// Where it stands.
+    pub zone: names::AvailabilityZoneId,
+    /// Where callers reach it.
+    pub front: SocketAddr,
+    /// Where its readiness is asked for.
+    pub ready: SocketAddr,
+    /// Path of the readiness check.
+    pub ready_path: SmolStr,
+    /// Where its metrics are asked for.
+    pub metrics: Option<SocketAddr>,
+    /// Where other processes reach it.
+    pub peers: SocketAddr,
+    /// Port at which agents are reached, on their engine's address.
+    pub agent_port: u16,
+    /// Other routers that may be there at the start.
+    pub seeds: Vec<SocketAddr>,
+    /// Second attempts that the deployment allows.
+    pub allowance: budget::Allowance,
+    /// Time that a stop may take.
+    pub stop_within: Duration,
+}
+
+/// What the parts of a router share.
+pub struct Shared<P> {
+    /// The platform's dialect and store.
+    pub platform: P,
+    /// Its settings.
+    pub settings: Settings,
+    /// Time.
+    pub clock: clock::SharedClock,
+    /// Start of this process, in Unix milliseconds.
+    pub incarnation: u64,
+    /// What it believes of the fleet.
+    pub view: RefCell<view::View>,
+    /// What it knows of other routers.
+    pub peers: RefCell<peers::Peers>,
+    /// What it has read of the store.
+    pub copies: RefCell<follow::Copies>,
+    /// Connections to targets.
+    pub pool: Rc<pool::Pool>,
+    /// What became of requests.
+    pub log: decisions::Log,
+    /// A request waits: the planner should hear of it now.
+    pub tell_planner: Notify,
+    /// Datagrams to be sent.
+    pub outbox: control::Outbox,
+    /// It is stopping.
+    pub stopping: Cell<bool>,
+    /// Requests that are being answered.
+    pub open: Cell<usize>,
+}
+
+impl<P: Platform> Shared<P> {
+    /// A request has come.
+    pub fn note_arrival(&self, job: &exchange::Job) {
+        let now = self.clock.now();
+        let mut view = self.view.borrow_mut();
+        if let Some(wanted) = &job.call.wanted {
+            view.demand.add(now, &wanted.model, 1.0);
+        }
+        let allowance = self.settings.allowance;
+        view.budgets.entry(job.service.clone()).or_default().earn(now, &allowance);
+    }
+
+    /// Takes one second attempt from the budget.
+    pub fn spend_repeat(&self, service: &names::ServiceId) -> bool {
+        let now = self.clock.now();
+        let routers = 1 + self.peers.borrow().live(now).count();
+        let mut view = self.view.borrow_mut();
+        let budget = view.budgets.entry(service.clone()).or_default();
+        budget.spend(now, &self.settings.allowance, routers)
+    }
+
+    /// Chooses a target for a request.
+    pub fn choose(&self, now: Instant, job: &exchange::Job) -> choose::Choice {
+        let view = self.view.borrow();
+        let engine = view.service(&job.service).and_then(|service| service.engine.as_ref());
+        let ask = choose::Ask {
+            service: &job.service,
+            wanted: job.call.wanted.as_ref(),
+            tokens: job.tokens(),
+            cache_tokens: engine.map_or(0, |engine| engine.cache_tokens),
+            zone: &self.settings.zone,
+            tried: &job.tried,
+            hash: job.hash,
+            read_before: view.prefixes.find(&job.chain),
+        };
+        choose::choose(now, &view.targets, &ask)
+    }
+
+    /// Whether another target could take a request now that is at `key`.
+    pub fn has_alternative(
+        &self,
+        now: Instant,
+        job: &exchange::Job,
+        key: targets::TargetKey,
+    ) -> bool {
+        debug_assert!(job.tried.contains(&key));
+        (job.tried.len() as u32) < job.route.most_targets
+            && matches!(self.choose(now, job), choose::Choice::Send(_))
+    }
+
+    /// Decides whether a request waits.
+    pub fn judge(
+        &self,
+        now: Instant,
+        job: &exchange::Job,
+        choice: choose::Choice,
+    ) -> patience::Verdict {
+        let view = self.view.borrow();
+        let expected = match choice {
+            choose::Choice::NoTarget => patience::Expected::Unknown,
+            choose::Choice::Full => patience::Expected::Room,
+            _ => view.expected(now, &job.service, job.call.wanted.as_ref()),
+        };
+        patience::judge(now, job.latest, expected, job.spread())
+    }
+
+    /// Where a target is, and its name.
+    pub fn address(&self, key: targets::TargetKey) -> Option<(SocketAddr, names::TargetId)> {
+        let view = self.view.borrow();
+        view.targets.get(key).map(|target| (target.entry.addr, target.entry.id.clone()))
+    }
+
+    /// A request met trouble at a target.
+    pub fn target_failed(&self, key: targets::TargetKey, why: &'static str) {
+        let now = self.clock.now();
+        let mut view = self.view.borrow_mut();
+        let Some(target) = view.targets.get_mut(key) else { return };
+        target.health.failed(now);
+        let trouble = target.health.trouble(now);
+        tracing::debug!(target = %target.entry.id, trouble, why, "target failed");
+    }
+
+    /// A target answered as it should.
+    pub fn target_succeeded(&self, key: targets::TargetKey) {
+        let now = self.clock.now();
+        if let Some(target) = self.view.borrow_mut().targets.get_mut(key) {
+            target.health.succeeded(now);
+        }
+    }
+
+    /// A target told its load.
+    pub fn note_load(&self, key: targets::TargetKey, load: targets::Load) {
+        if let Some(target) = self.view.borrow_mut().targets.get_mut(key) {
+            target.note_load(load);
+        }
+    }
+
+    /// A target did not run a request: it does not hold the model, is another one, or is full.
+    pub fn not_run(&self, key: targets::TargetKey, job: &exchange::Job, status: StatusCode) {
+        let now = self.clock.now();
+        let mut view = self.view.borrow_mut();
+        let Some(target) = view.targets.get_mut(key) else { return };
+        tracing::debug!(id = %job.call.id, target = %target.entry.id, status = status.as_u16(), "not run");
+        match &job.call.wanted {
+            Some(wanted) => target.note_absent(now, &wanted.model),
+            None => target.health.failed(now),
+        }
+    }
+
+    /// Has an adapter loaded at a target.
+    pub fn ask_for_adapter(&self, now: Instant, key: targets::TargetKey, job: &exchange::Job) {
+        let Some(wanted) = &job.call.wanted else { return };
+        let mut view = self.view.borrow_mut();
+        view.adapters.entry(key).or_default().insert(wanted.clone(), now);
+        drop(view);
+        control::ask_for_adapters(self, key, std::iter::once(wanted));
+    }
+}
+
+/// A router that cannot start.
+#[derive(Debug, displaydoc::Display)]
+pub enum StartError {
+    /// cannot listen on {addr} ({error}): check that no other process uses the port
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// What the system says.
+        error: std::io::Error,
+    },
+    /// the runtime cannot be started ({0}): check the limits on threads and descriptors
+    Runtime(std::io::Error),
+}
+
+impl std::error::Error for StartError {}
+
+/// Runs a router until `stop` is done and all that it has begun is answered.
+///
+/// # Errors
+///
+/// See [`StartError`].
+pub fn run<P: Platform>(
+    settings: Settings,
+    clock: clock::SharedClock,
+    platform: impl FnOnce(client::Client) -> P,
+    stop: impl Future<Output = ()> + 'static,
+) -> Result<(), StartError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(StartError::Runtime)?;
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, async move {
+        let store_pool = Rc::new(pool::Pool::default());
+        let platform = platform(client::Client::new(store_pool, clock.clone()));
+        let udp = control::bind(settings.peers).await?;
+        let shared = Rc::new(Shared {
+            platform,
+            incarnation: clock::unix_ms(clock.wall()),
+            clock,
+            view: RefCell::default(),
+            peers: RefCell::default(),
+            copies: RefCell::default(),
+            pool: Rc::default(),
+            log: decisions::Log::default(),
+            tell_planner: Notify::new(),
+            outbox: control::Outbox::new(udp),
+            stopping: Cell::new(false),
+            open: Cell::new(0),
+            settings,
+        });
+        let ready = server::listen(shared.settings.ready)?;
+        let front = server::listen(shared.settings.front)?;
+        let transfers = server::listen(shared.settings.peers)?;
+        follow::start(&shared);
+        control::start(&shared);
+        transfer::start(&shared, transfers);
+        server::serve_ready(&shared, ready);
+        tracing::info!(name = %shared.settings.name, front = %shared.settings.front, "router started");
+        server::serve(&shared, front, stop).await;
+        if let Err(error) = shared.platform.withdraw(&shared.settings.name).await {
+            tracing::warn!(%error, "other routers were not told of the stop");
+        }
+        tracing::info!("router stopped");
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/corianderstand_forward/src/server.rs
@@ -0,0 +1,206 @@
+//! Callers' connections: taken, served, and ended without cutting a request.
+
+use crate::{body, exchange, router};
+use bytes::Bytes;
+use corianderstand_fleet::config;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+/// Connections that may wait to be taken. A burst of clients after a host is gone brings some
+/// hundred at once; one that finds no room tries again only after a second.
+const BACKLOG: u32 = 1_024;
+/// Time for which a stopping router still takes connections: whoever sends callers here asks once
+/// a second whether it is ready and goes by two answers.
+const LEAVE_TIME: Duration = Duration::from_millis(2_600);
+/// Time before the end of a stop at which what is still open is cut, so that callers see a closed
+/// connection and not a dead host.
+const CUT_BEFORE: Duration = Duration::from_millis(400);
+/// Pause between looks at what is still open during a stop.
+const LOOK: Duration = Duration::from_millis(50);
+/// Least room for the head of a request that the HTTP library takes.
+const LEAST_HEAD: usize = 8_192;
+
+/// Opens a listening socket.
+///
+/// # Errors
+///
+/// The address cannot be bound.
+pub fn listen(addr: SocketAddr) -> Result<TcpListener, router::StartError> {
+    let open = || {
+        let socket = tokio::net::TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(addr)?;
+        socket.listen(BACKLOG)
+    };
+    open().map_err(|error| router::StartError::Listen { addr, error })
+}
+
+/// Answers the readiness check.
+pub fn serve_ready<P: router::Platform>(shared: &Rc<router::Shared<P>>, listener: TcpListener) {
+    let shared = shared.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            let Some(stream) = accept(&listener).await else { continue };
+            let shared = shared.clone();
+            let service = service_fn(move |req: Request<Incoming>| {
+                let answer = readiness(&shared, req.uri().path());
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            tokio::task::spawn_local(async move {
+                let connection =
+                    http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+                if let Err(error) = connection.await {
+                    tracing::debug!(%error, "readiness connection ended");
+                }
+            });
+        }
+    });
+}
+
+fn readiness<P: router::Platform>(shared: &router::Shared<P>, path: &str) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::default());
+    if path != shared.settings.ready_path {
+        *answer.status_mut() = StatusCode::NOT_FOUND;
+    } else if !is_ready(shared) {
+        *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    answer
+}
+
+/// Whether callers should be sent here.
+pub fn is_ready<P: router::Platform>(shared: &router::Shared<P>) -> bool {
+    let view = shared.view.borrow();
+    view.table.is_some() && !view.targets.is_empty() && !shared.stopping.get()
+}
+
+async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+    match listener.accept().await {
+        Ok((stream, _)) => {
+            if let Err(error) = stream.set_nodelay(true) {
+                tracing::debug!(%error, "connection without nodelay");
+            }
+            Some(stream)
+        }
+        Err(error) => {
+            // Out of descriptors, as a rule: others have to be closed first.
+            tracing::warn!(%error, "a connection could not be taken");
+            tokio::time::sleep(LOOK).await;
+            None
+        }
+    }
+}
+
+/// Serves callers until `stop` is done and what was begun is answered.
+pub async fn serve<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    listener: TcpListener,
+    stop: impl Future<Output = ()>,
+) {
+    let (closing, _) = watch::channel(false);
+    tokio::pin!(stop);
+    loop {
+        tokio::select! {
+            stream = accept(&listener) => {
+                if let Some(stream) = stream {
+                    connection(shared, stream, closing.subscribe());
+                }
+            }
+            () = &mut stop => break,
+        }
+    }
+    shared.stopping.set(true);
+    let began = shared.clock.now();
+    tracing::info!(open = shared.open.get(), "stopping: no longer ready");
+    // Each open connection ends with the answer that it is giving; unused ones end now. A request
+    // that crosses the end of its connection was not read, and its caller may repeat it.
+    closing.send_replace(true);
+    loop {
+        let now = shared.clock.now();
+        let passed = now.saturating_duration_since(began);
+        let cut = shared.settings.stop_within.saturating_sub(CUT_BEFORE);
+        if passed >= cut || (passed >= LEAVE_TIME && shared.open.get() == 0) {
+            break;
+        }
+        let look = tokio::time::timeout(LOOK, accept(&listener)).await;
+        if let Ok(Some(stream)) = look {
+            connection(shared, stream, closing.subscribe());
+        }
+    }
+    if shared.open.get() > 0 {
+        tracing::warn!(
+            cut = shared.open.get(),
+            "stopped with requests that were not answered in time"
+        );
+    }
+}
+
+/// Serves one connection.
+fn connection<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    stream: TcpStream,
+    mut closing: watch::Receiver<bool>,
+) {
+    let shared = shared.clone();
+    let limits = shared.view.borrow().table.as_ref().map(|table| table.config().limits.clone());
+    let limits = limits.unwrap_or_default();
+    tokio::task::spawn_local(async move {
+        let service = service_fn(|req| one(shared.clone(), req));
+        let connection = builder(&limits).serve_connection(TokioIo::new(stream), service);
+        tokio::pin!(connection);
+        let mut told = false;
+        loop {
+            tokio::select! {
+                end = connection.as_mut() => {
+                    if let Err(error) = end {
+                        tracing::debug!(%error, "caller's connection ended");
+                    }
+                    return;
+                }
+                _ = closing.wait_for(|closing| *closing), if !told => {
+                    told = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    });
+}
+
+fn builder(limits: &config::Limits) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        // The time runs from the end of the last answer, so it bounds unused connections too.
+        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
+        .max_buf_size(limits.header_bytes.max(LEAST_HEAD))
+        .half_close(false);
+    builder
+}
+
+/// Counts a request while it is being answered.
+struct OpenCount<P>(Rc<router::Shared<P>>);
+
+impl<P> Drop for OpenCount<P> {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+async fn one<P: router::Platform>(
+    shared: Rc<router::Shared<P>>,
+    req: Request<Incoming>,
+) -> Result<Response<body::AnswerBody>, exchange::Broken> {
+    shared.open.set(shared.open.get() + 1);
+    let count = OpenCount(shared.clone());
+    let mut answer = exchange::answer(shared.clone(), req).await?;
+    if shared.stopping.get() {
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(answer.map(|body| body.with_guard(count)))
+}
--- /dev/null
+++ b/crates/corianderstand_forward/src/view.rs
@@ -0,0 +1,101 @@
+//! What one router believes, and who waits for a change of it.
+
+use corianderstand_fleet::{
+    budget, choose, config, demand, patience, plan, prefixes, routes, targets,
+};
+use corianderstand_types::names;
+use std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::Instant,
+};
+use tokio::sync::Notify;
+
+/// A router's beliefs. One thread owns them.
+#[derive(Default)]
+pub struct View {
+    /// The configuration in force, once one is known.
+    pub table: Option<Rc<routes::Table>>,
+    /// The targets.
+    pub targets: targets::Targets,
+    /// What callers ask this router for.
+    pub demand: demand::Demand,
+    /// Requests that wait for a model.
+    pub waiting: BTreeMap<names::ModelId, u32>,
+    /// Which target read which parts of prompts.
+    pub prefixes: prefixes::Prefixes,
+    /// Second attempts, by service.
+    pub budgets: HashMap<names::ServiceId, budget::Budget>,
+    /// Adapters that requests want, by target.
+    pub adapters: HashMap<targets::TargetKey, BTreeMap<choose::Wanted, Instant>>,
+    wakers: HashMap<names::ModelId, Rc<Notify>>,
+    changed: Rc<Notify>,
+}
+
+impl View {
+    /// What wakes those that wait for a model, or for any target if there is no model.
+    pub fn waker(&mut self, model: Option<&names::ModelId>) -> Rc<Notify> {
+        match model {
+            Some(model) => self.wakers.entry(model.clone()).or_default().clone(),
+            None => self.changed.clone(),
+        }
+    }
+
+    /// Wakes those that wait for a model.
+    pub fn wake(&self, model: &names::ModelId) {
+        if let Some(waker) = self.wakers.get(model) {
+            waker.notify_waiters();
+        }
+    }
+
+    /// Wakes all that wait.
+    pub fn wake_all(&self) {
+        self.changed.notify_waiters();
+        self.wakers.values().for_each(|waker| waker.notify_waiters());
+    }
+
+    /// The configuration of a service.
+    pub fn service(&self, name: &names::ServiceId) -> Option<&config::Service> {
+        self.table.as_ref()?.config().service(name)
+    }
+
+    /// When a model may be expected on some engine of a service.
+    pub fn expected(
+        &self,
+        now: Instant,
+        service: &names::ServiceId,
+        wanted: Option<&choose::Wanted>,
+    ) -> patience::Expected {
+        let Some(wanted) = wanted else { return patience::Expected::Unknown };
+        let spec = self.service(service).and_then(|service| service.engine.as_ref());
+        let Some(model) = spec.and_then(|engine| engine.model(&wanted.model)) else {
+            return patience::Expected::Unknown;
+        };
+        let mut fastest: Option<std::time::Duration> = None;
+        for (key, target) in self.targets.iter() {
+            if target.entry.service != *service || !target.takes_work() {
+                continue;
+            }
+            if target.serves(now, &wanted.model) {
+                return patience::Expected::Room;
+            }
+            if let Some(targets::Ongoing::Loading { model, ready_at, .. }) = &target.ongoing {
+                if *model == wanted.model {
+                    return patience::Expected::Ready(*ready_at);
+                }
+            }
+            let view = plan::EngineView {
+                key,
+                orderable: true,
+                weights_mb: 0,
+                slots: 0,
+                holdings: target.entry.holdings.clone(),
+                ongoing: None,
+                running: BTreeMap::new(),
+            };
+            let (time, _) = plan::source(&view, model);
+            fastest = Some(fastest.map_or(time, |least| least.min(time)));
+        }
+        fastest.map_or(patience::Expected::Unknown, patience::Expected::Takes)
+    }
+}
--- a/crates/corianderstand_replay/src/engines.rs
+++ b/crates/corianderstand_replay/src/engines.rs
@@ -10,7 +10,7 @@
     work::{RequestKey, Sizes, Store, Weighing},
 };
 use corianderstand_types::{
-    names::{ModelId, TeamId},
+    names::{ModelId, WorkspaceId},
     units::Mib,
     weights::Weights,
 };
@@ -30,7 +30,7 @@
 /// What a trace says of models and teams.
 pub struct TraceSizes {
     models: BTreeMap<ModelId, (u64, Duration, Weighing)>,
-    shares: BTreeMap<TeamId, u32>,
+    shares: BTreeMap<WorkspaceId, u32>,
     store: Store,
 }
 
@@ -65,7 +65,7 @@
         self.models.get(&weights.model).map_or(Duration::ZERO, |(_, load, _)| *load)
     }
 
-    fn share(&self, team: &TeamId) -> u32 {
+    fn share(&self, team: &WorkspaceId) -> u32 {
         self.shares.get(team).copied().unwrap_or(100)
     }
 
@@ -112,7 +112,7 @@
     /// Accelerator hours that loaded models stood unused.
     pub idle_hours: f64,
     /// Since when a team with ready work has been below its share.
-    pub below: BTreeMap<TeamId, Duration>,
+    pub below: BTreeMap<WorkspaceId, Duration>,
     at: Duration,
 }
 
--- a/crates/corianderstand_replay/src/replay.rs
+++ b/crates/corianderstand_replay/src/replay.rs
@@ -19,7 +19,7 @@
 };
 use corianderstand_types::{
     clock::{Clock, ManualClock},
-    names::{ModelId, TargetId, TeamId},
+    names::{ModelId, TargetId, WorkspaceId},
     weights::Weights,
 };
 use std::{
@@ -461,9 +461,9 @@
 }
 
 fn note_below(
-    since: &mut BTreeMap<TeamId, Duration>,
+    since: &mut BTreeMap<WorkspaceId, Duration>,
     outcome: &mut Outcome,
-    team: &TeamId,
+    team: &WorkspaceId,
     now: Duration,
     below: bool,
 ) {
--- a/crates/corianderstand_replay/src/trace.rs
+++ b/crates/corianderstand_replay/src/trace.rs
@@ -5,7 +5,7 @@
 
 use corianderstand_derives::derives;
 use corianderstand_state::view::View;
-use corianderstand_types::names::{ModelId, PlaceId, TargetId, TeamId};
+use corianderstand_types::names::{AvailabilityZoneId, ModelId, TargetId, WorkspaceId};
 use smol_str::SmolStr;
 use std::{fs, io, path::Path};
 
@@ -15,7 +15,7 @@
     /// Its name.
     pub name: TargetId,
     /// Its availability zone.
-    pub place: PlaceId,
+    pub place: AvailabilityZoneId,
     /// Its memory.
     pub memory_mib: u64,
     /// Requests that it runs at once.
@@ -47,7 +47,7 @@
 #[derives(wire)]
 pub struct TeamLine {
     /// Its name.
-    pub name: TeamId,
+    pub name: WorkspaceId,
     /// Its guaranteed share in thousandths.
     pub share: u32,
 }
@@ -72,7 +72,7 @@
     /// Time of day at which it begins, in seconds since midnight.
     pub begins: u64,
     /// Availability zone of each router.
-    pub routers: Vec<PlaceId>,
+    pub routers: Vec<AvailabilityZoneId>,
     /// Engines.
     pub engines: Vec<EngineLine>,
     /// Models.
@@ -89,7 +89,7 @@
     /// Number of the router that it comes through.
     pub router: usize,
     /// Who asks.
-    pub team: TeamId,
+    pub team: WorkspaceId,
     /// Which model.
     pub model: ModelId,
     /// Which of its adapters.
--- a/crates/corianderstand_router/src/auth.rs
+++ b/crates/corianderstand_router/src/auth.rs
@@ -1,7 +1,7 @@
 //! Bearer keys: only their keyed hashes are kept.
 
 use corianderstand_state::view::View;
-use corianderstand_types::names::TeamId;
+use corianderstand_types::names::WorkspaceId;
 use smol_str::SmolStr;
 
 /// The deployment's hashing key.
@@ -38,7 +38,7 @@
     /// The team that a bearer key proves.
     ///
     /// The look-up is by hash, so its timing tells nothing about keys that exist.
-    pub fn team(&self, view: &View, bearer: &str) -> Option<TeamId> {
+    pub fn team(&self, view: &View, bearer: &str) -> Option<WorkspaceId> {
         view.keys.get(&self.hash(bearer)).cloned()
     }
 }
--- a/crates/corianderstand_router/src/call/tests.rs
+++ b/crates/corianderstand_router/src/call/tests.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use corianderstand_decide::work::{Need, Refusal, Shape, Work};
 use corianderstand_schema::messages::{Ending, OpenStream, Operation, RefusalReason};
-use corianderstand_types::names::{ServiceId, TeamId};
+use corianderstand_types::names::{ServiceId, WorkspaceId};
 use rstest::rstest;
 use std::{sync::mpsc, time::Duration};
 use tokio::time::Instant;
@@ -20,7 +20,7 @@
 impl Fake {
     fn new(repeatable: bool) -> Self {
         let service = ServiceId::new("agenda").expect("a good name");
-        let team = TeamId::new("vidrio").expect("a good name");
+        let team = WorkspaceId::new("vidrio").expect("a good name");
         let deadline = Instant::now().into_std() + Duration::from_secs(60);
         let need = Need::Service(service.clone());
         let work = Work {
--- a/crates/corianderstand_router/src/completions.rs
+++ b/crates/corianderstand_router/src/completions.rs
@@ -17,7 +17,7 @@
 use corianderstand_state::view::{TeamView, View};
 use corianderstand_types::{
     clock,
-    names::{AdapterId, ModelId, TeamId, VersionId},
+    names::{AdapterId, ModelId, VersionId, WorkspaceId},
     weights::Weights,
 };
 use salvo::{Request, Response};
@@ -37,7 +37,7 @@
 }
 
 /// Answers `GET /v1/models`.
-pub fn models(name: &TeamId, team: &TeamView, view: &View, res: &mut Response) {
+pub fn models(name: &WorkspaceId, team: &TeamView, view: &View, res: &mut Response) {
     let created = clock::unix_ms(SystemTime::now()) / 1000;
     let mut data = Vec::new();
     let mut add = |id: String, version: &str| {
--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -26,7 +26,7 @@
 use corianderstand_state::view::TeamView;
 use corianderstand_types::{
     clock::SharedClock,
-    names::{self, TeamId, WriterId},
+    names::{self, WorkspaceId, WriterId},
 };
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::ParseError};
 use smol_str::{SmolStr, format_smolstr};
@@ -92,7 +92,7 @@
     /// The request's identity.
     pub request: SmolStr,
     /// The caller's team.
-    pub team: TeamId,
+    pub team: WorkspaceId,
     /// The state it is judged by.
     pub snapshot: Arc<Snapshot>,
     /// The trace that this hop belongs to.
--- a/crates/corianderstand_schema/src/lib.rs
+++ b/crates/corianderstand_schema/src/lib.rs
@@ -17,9 +17,10 @@
 #[rustfmt::skip]
 mod generated {
     pub mod messages;
+    pub mod peers;
     pub mod process;
     pub mod records;
     pub mod settings;
 }
 
-pub use generated::{messages, process, records, settings};
+pub use generated::{messages, peers, process, records, settings};
--- a/crates/corianderstand_state/src/calls.rs
+++ b/crates/corianderstand_state/src/calls.rs
@@ -8,7 +8,7 @@
 use crate::fold::Void;
 use corianderstand_derives::derives;
 use corianderstand_schema::records::{CallAnswer, CallKey, Record};
-use corianderstand_types::names::{ServiceId, TargetId, TeamId};
+use corianderstand_types::names::{ServiceId, TargetId, WorkspaceId};
 use smol_str::SmolStr;
 use std::sync::Arc;
 use xxhash_rust::xxh3::Xxh3;
@@ -30,7 +30,7 @@
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Key {
     /// The team.
-    pub team: TeamId,
+    pub team: WorkspaceId,
     /// The service.
     pub service: ServiceId,
     /// The caller's key.
--- a/crates/corianderstand_state/src/plan.rs
+++ b/crates/corianderstand_state/src/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::{fold::State, slots::SlotKey, view::View};
 use corianderstand_schema::records::Body;
-use corianderstand_types::names::{HostId, ModelId, PlaceId, TargetId};
+use corianderstand_types::names::{AvailabilityZoneId, HostId, ModelId, TargetId};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Assignments in one round, so that one append stays small.
@@ -11,7 +11,7 @@
 /// Load of one engine as the planner counts it.
 struct Engine<'a> {
     name: &'a TargetId,
-    place: &'a PlaceId,
+    place: &'a AvailabilityZoneId,
     offset: u64,
     memory_mib: u64,
     planned_mib: u64,
@@ -28,7 +28,7 @@
 #[derive(Default)]
 struct Spread<'a> {
     owners: BTreeSet<&'a TargetId>,
-    in_place: BTreeMap<&'a PlaceId, u32>,
+    in_place: BTreeMap<&'a AvailabilityZoneId, u32>,
 }
 
 /// Assignments that fill the empty slots of all models.
--- a/crates/corianderstand_state/src/view.rs
+++ b/crates/corianderstand_state/src/view.rs
@@ -6,7 +6,7 @@
     check::{self, Document, Fault},
     settings,
 };
-use corianderstand_types::names::{ModelId, ServiceId, TeamId};
+use corianderstand_types::names::{ModelId, ServiceId, WorkspaceId};
 use serde_json::Value;
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
@@ -49,9 +49,9 @@
     /// Facts about plain services.
     pub services: BTreeMap<ServiceId, settings::Service>,
     /// Teams.
-    pub teams: BTreeMap<TeamId, TeamView>,
+    pub teams: BTreeMap<WorkspaceId, TeamView>,
     /// Team of each key hash.
-    pub keys: BTreeMap<SmolStr, TeamId>,
+    pub keys: BTreeMap<SmolStr, WorkspaceId>,
     /// What all teams together ask of each model; summed once, as decisions ask for it often.
     pub demands: BTreeMap<ModelId, Demand>,
     /// Sum of the shares of all teams.
@@ -69,11 +69,11 @@
     /// `shared/services/{service}`.
     Service(ServiceId),
     /// `teams/{team}/team`.
-    Team(TeamId),
+    Team(WorkspaceId),
     /// `teams/{team}/models/{model}`.
-    TeamModel(TeamId, ModelId),
+    TeamModel(WorkspaceId, ModelId),
     /// `teams/{team}/services/{service}`.
-    TeamService(TeamId, ServiceId),
+    TeamService(WorkspaceId, ServiceId),
 }
 
 impl PathKind {
@@ -84,12 +84,12 @@
             ["system", "deployment"] => Some(Self::Deployment),
             ["shared", "models", model] => Some(Self::Model(ModelId::new(model).ok()?)),
             ["shared", "services", name] => Some(Self::Service(ServiceId::new(name).ok()?)),
-            ["teams", team, "team"] => Some(Self::Team(TeamId::new(team).ok()?)),
+            ["teams", team, "team"] => Some(Self::Team(WorkspaceId::new(team).ok()?)),
             ["teams", team, "models", model] => {
-                Some(Self::TeamModel(TeamId::new(team).ok()?, ModelId::new(model).ok()?))
+                Some(Self::TeamModel(WorkspaceId::new(team).ok()?, ModelId::new(model).ok()?))
             }
             ["teams", team, "services", name] => {
-                Some(Self::TeamService(TeamId::new(team).ok()?, ServiceId::new(name).ok()?))
+                Some(Self::TeamService(WorkspaceId::new(team).ok()?, ServiceId::new(name).ok()?))
             }
             _ => None,
         }
@@ -151,7 +151,7 @@
         }
     }
 
-    fn add_team(&mut self, name: TeamId, text: &str) {
+    fn add_team(&mut self, name: WorkspaceId, text: &str) {
         let Some(team) = parse::<settings::Team>(text) else { return };
         for hash in &team.key_hashes {
             self.keys.insert(hash.clone(), name.clone());
--- a/crates/corianderstand_state/tests/calls.rs
+++ b/crates/corianderstand_state/tests/calls.rs
@@ -5,11 +5,11 @@
     calls::{self, Known},
     fold::{Outcome, State, Void},
 };
-use corianderstand_types::names::{ServiceId, TargetId, TeamId};
+use corianderstand_types::names::{ServiceId, TargetId, WorkspaceId};
 use rstest::rstest;
 
 fn key(name: &str) -> CallKey {
-    let team = TeamId::new("vidrio").expect("a good name");
+    let team = WorkspaceId::new("vidrio").expect("a good name");
     let service = ServiceId::new("agenda").expect("a good name");
     CallKey { team, service, key: name.into() }
 }
--- a/crates/corianderstand_state/tests/claim_interleavings.rs
+++ b/crates/corianderstand_state/tests/claim_interleavings.rs
@@ -10,7 +10,7 @@
     claim::{self, Next, Verdict},
     fold::{Outcome, State},
 };
-use corianderstand_types::names::{ServiceId, TargetId, TeamId};
+use corianderstand_types::names::{ServiceId, TargetId, WorkspaceId};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -76,7 +76,7 @@
 }
 
 fn call_key(key: usize) -> CallKey {
-    let team = TeamId::new("vidrio").expect("a good name");
+    let team = WorkspaceId::new("vidrio").expect("a good name");
     let service = ServiceId::new("agenda").expect("a good name");
     CallKey { team, service, key: format!("b-{key}").into() }
 }
--- a/crates/corianderstand_types/src/names.rs
+++ b/crates/corianderstand_types/src/names.rs
@@ -89,9 +89,9 @@
     /// A rented machine.
     HostId;
     /// An availability zone.
-    PlaceId;
-    /// A customer.
-    TeamId;
+    AvailabilityZoneId;
+    /// A customer of the deployment: one subtree of settings each.
+    WorkspaceId;
     /// A back end: an engine or a plain service.
     TargetId;
     /// A base model.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,9 +4,9 @@
 //! its arguments to [`cli`]. `docs/ARCHITECTURE.md` tells how they fit together.
 //!
 //! ```
-//! use corianderstand::types::names::TeamId;
+//! use corianderstand::types::names::WorkspaceId;
 //!
-//! assert!(TeamId::new("vidrio-sur").is_ok());
+//! assert!(WorkspaceId::new("vidrio-sur").is_ok());
 //! ```
 
 pub use corianderstand_cli as cli;
--- a/tools/capacity/src/size.rs
+++ b/tools/capacity/src/size.rs
@@ -142,7 +142,7 @@
         let record = TargetRecord {
             target: name.clone(),
             host: names::HostId(format_smolstr!("host-{i:03}")),
-            place: names::PlaceId(format_smolstr!("place-{}", i % PLACES)),
+            place: names::AvailabilityZoneId(format_smolstr!("place-{}", i % PLACES)),
             address: address(i),
             memory_mib: Mib(ENGINE_MIB),
             accelerators: 8,
@@ -183,7 +183,7 @@
 
 fn key(index: usize) -> CallKey {
     CallKey {
-        team: names::TeamId("team-0001".into()),
+        team: names::WorkspaceId("team-0001".into()),
         service: names::ServiceId("agenda".into()),
         key: format_smolstr!("0f6c1f3a-92a4-4ac8-9d2f-{index:012}"),
     }
--- a/tools/chaos/src/measure.rs
+++ b/tools/chaos/src/measure.rs
@@ -13,7 +13,7 @@
 
 use corianderstand_schema::records::{Body, CallAnswer, CallKey, Record};
 use corianderstand_state::fold::State;
-use corianderstand_types::names::{ServiceId, TargetId, TeamId};
+use corianderstand_types::names::{ServiceId, TargetId, WorkspaceId};
 
 /// Calls of one measurement.
 const CALLS: usize = 2_000;
@@ -144,7 +144,7 @@
     let mut state = State::default();
     for number in 0..KEYS {
         let key = CallKey {
-            team: TeamId::new("vidrio").expect("a good name"),
+            team: WorkspaceId::new("vidrio").expect("a good name"),
             service: ServiceId::new("agenda").expect("a good name"),
             key: format!("018f3b2c-4d5e-7abc-8def-{number:012x}").into(),
         };
--- a/tools/generate/src/main.rs
+++ b/tools/generate/src/main.rs
@@ -7,7 +7,7 @@
 use serde_json::{Value, json};
 use std::{fs, path::Path, process::ExitCode};
 
-const FILES: [&str; 4] = ["settings", "process", "records", "messages"];
+const FILES: [&str; 5] = ["settings", "process", "records", "messages", "peers"];
 const OUT: &str = "crates/corianderstand_schema/src/generated";
 
 /// Formats with a type of our own: format, name in the schema, Rust path.
@@ -16,8 +16,8 @@
     ("mib", "Mib", "corianderstand_types::units::Mib"),
     ("text", "Text", "smol_str::SmolStr"),
     ("host", "HostId", "corianderstand_types::names::HostId"),
-    ("place", "PlaceId", "corianderstand_types::names::PlaceId"),
-    ("team", "TeamId", "corianderstand_types::names::TeamId"),
+    ("place", "AvailabilityZoneId", "corianderstand_types::names::AvailabilityZoneId"),
+    ("team", "WorkspaceId", "corianderstand_types::names::WorkspaceId"),
     ("target", "TargetId", "corianderstand_types::names::TargetId"),
     ("model", "ModelId", "corianderstand_types::names::ModelId"),
     ("adapter", "AdapterId", "corianderstand_types::names::AdapterId"),
