--- a/crates/corianderstand_fleet/src/choose.rs
+++ b/crates/corianderstand_fleet/src/choose.rs
@@ -21,6 +21,12 @@
 /// Weight of a target's trouble beyond that of its peers. One with half of its requests failing
 /// costs more than a full batch.
 const TROUBLE: f64 = 3.0;
+/// Weight of a target's streams coming slower than those of the quickest that is considered: some
+/// engines are 1.3 times slower, and one at whose streams others' prompts are read in between shows
+/// it here first.
+const SLOWER: f64 = 0.4;
+/// A target counts as at most this many times slower.
+const MOST_SLOWER: f64 = 4.0;
 /// Share of a batch that differs between two targets without meaning: less is decided by hash, so
 /// that routers with the same view do not all take the same target.
 const JITTER: f64 = 0.03;
@@ -45,6 +51,8 @@
     pub tokens: u64,
     /// Cache memory of one engine, in tokens.
     pub cache_tokens: u64,
+    /// Adapters that one engine holds at once.
+    pub adapter_places: usize,
     /// Where this process stands.
     pub zone: &'a names::AvailabilityZoneId,
     /// Targets that the request has been to.
@@ -101,8 +109,8 @@
     }
 }
 
-/// Prefers engines that have the adapter; without any, the adapter's own place by hash, so that
-/// all routers have it loaded at the same engine.
+/// Prefers engines that have the adapter; then those with a place left for it, and among them by
+/// hash, so that all routers have it loaded at the same engine.
 fn with_adapter(
     now: Instant,
     holders: &[(targets::TargetKey, &targets::Target)],
@@ -122,8 +130,13 @@
         let name = format!("{}/{}/{}", target.entry.id, wanted.model, adapter);
         xxh3::xxh3_64(name.as_bytes())
     };
+    let has_place = |target: &targets::Target| {
+        let resident = target.entry.holdings.resident.iter();
+        resident.map(|resident| resident.adapters.len()).sum::<usize>() < ask.adapter_places
+    };
     let well = holders.iter().filter(|(_, target)| target.health.trouble(now) < health::OUT);
-    let home = well.max_by_key(|(_, target)| place(target)).or(holders.first());
+    let home = well.max_by_key(|(_, target)| (has_place(target), place(target)));
+    let home = home.or(holders.first());
     home.map_or(Choice::Full, |(key, _)| Choice::LoadAdapter(*key))
 }
 
@@ -140,6 +153,8 @@
 ) -> Option<targets::TargetKey> {
     let trouble = holders.iter().map(|(_, target)| target.health.trouble(now));
     let least_trouble = trouble.fold(f64::INFINITY, f64::min);
+    let paces = holders.iter().filter_map(|(_, target)| target.pace.between(now));
+    let quickest = paces.min().map_or(f64::INFINITY, |pace| pace.as_secs_f64());
     let cost = |key: targets::TargetKey, target: &targets::Target| {
         let slots = f64::from(target.entry.slots.max(1));
         let batch = f64::from(target.occupied()) / slots;
@@ -155,8 +170,11 @@
             }
             _ => 0.0,
         };
+        let slower =
+            target.pace.between(now).map_or(0.0, |pace| pace.as_secs_f64() / quickest - 1.0);
+        let slower = slower.clamp(0.0, MOST_SLOWER) * SLOWER;
         let jitter = (ask.hash ^ xxh3::xxh3_64(target.entry.id.as_str().as_bytes())) % 1_000;
-        batch.max(memory) + zone + trouble - read + jitter as f64 / 1_000.0 * JITTER
+        batch.max(memory) + zone + trouble + slower - read + jitter as f64 / 1_000.0 * JITTER
     };
     let costs = holders.iter().map(|&(key, target)| (cost(key, target), key));
     costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
--- a/crates/corianderstand_fleet/src/demand.rs
+++ b/crates/corianderstand_fleet/src/demand.rs
@@ -2,8 +2,11 @@
 //!
 //! Two averages of the arrivals are kept, one over a few seconds and one over some ten: the larger
 //! counts. A model that is asked for rarely keeps a rate between its requests, and one that is
-//! suddenly asked for shows at once.
+//! suddenly asked for shows at once. Beside the number of requests, what they weigh is kept: the
+//! tokens of their prompts, which an engine reads at a limited rate, and how soon they want an
+//! answer.
 
+use corianderstand_derives::derives;
 use corianderstand_types::names;
 use std::{
     collections::BTreeMap,
@@ -15,6 +18,18 @@
 /// Time of the slow average. A model asked for every two seconds is then seen as such with a
 /// spread of a quarter.
 const SLOW: Duration = Duration::from_secs(12);
+/// Time that an engine takes to read a prompt token where none was seen yet: 38 tokens in a ms.
+pub const USUAL_READ_S: f64 = 26e-6;
+/// Time to the first event that is not spent on reading the prompt: two ways and a step.
+const BEFORE_READING: Duration = Duration::from_millis(7);
+/// Prompts below this many tokens tell little of the time to read one.
+const LEAST_PROMPT: u64 = 250;
+/// Part of the distance that a shorter time moves what is known by; the least of some ten is taken.
+const SHORTER_STEP: f64 = 0.3;
+/// The same for a longer one, which may come from others' prompts.
+const LONGER_STEP: f64 = 0.03;
+/// Part of the distance that one request moves the aim by.
+const AIM_STEP: f64 = 0.2;
 /// Requests below which a rate is taken as none, a second.
 const NEGLIGIBLE: f64 = 0.004;
 
@@ -41,6 +56,55 @@
 struct Rate {
     quick: Fading,
     slow: Fading,
+    adapted: Fading,
+    prompt_tokens: Fading,
+    read_s_per_token: f64,
+    aim: Duration,
+}
+
+/// What one request weighs.
+#[derives(data)]
+#[derive(Copy)]
+pub struct Weight {
+    /// Tokens of its prompt.
+    pub prompt_tokens: u64,
+    /// It wants an adapter.
+    pub adapted: bool,
+    /// Time to its first event.
+    pub aim: Duration,
+}
+
+/// How much one model is asked for.
+#[derives(data)]
+#[derive(Copy, Default)]
+pub struct Asked {
+    /// Requests a second.
+    pub per_s: f64,
+    /// Of these, those that want an adapter.
+    pub adapted_per_s: f64,
+    /// Tokens of prompts a second.
+    pub prompt_tokens_per_s: f64,
+    /// Time that an engine takes to read one prompt token, in seconds.
+    pub read_s_per_token: f64,
+    /// Time to the first event within which most of the requests are of full use.
+    pub aim: Duration,
+}
+
+impl Asked {
+    /// Both together, as from two routers.
+    #[must_use]
+    pub fn and(self, other: Self) -> Self {
+        let aim = if self.per_s >= other.per_s { self.aim } else { other.aim };
+        let known = [self.read_s_per_token, other.read_s_per_token];
+        let known = known.into_iter().filter(|time| *time > 0.0);
+        Self {
+            read_s_per_token: known.reduce(f64::min).unwrap_or(0.0),
+            per_s: self.per_s + other.per_s,
+            adapted_per_s: self.adapted_per_s + other.adapted_per_s,
+            prompt_tokens_per_s: self.prompt_tokens_per_s + other.prompt_tokens_per_s,
+            aim,
+        }
+    }
 }
 
 /// Arrivals by model.
@@ -50,31 +114,70 @@
 }
 
 impl Demand {
-    /// `count` requests for a model have come.
-    pub fn add(&mut self, now: Instant, model: &names::ModelId, count: f64) {
+    /// A request for a model has come.
+    pub fn add(&mut self, now: Instant, model: &names::ModelId, weight: Weight) {
+        let Weight { prompt_tokens, adapted, aim } = weight;
         let none = Fading { per_s: 0.0, at: now };
+        let fresh = Rate {
+            quick: none,
+            slow: none,
+            adapted: none,
+            prompt_tokens: none,
+            read_s_per_token: 0.0,
+            aim,
+        };
         let rate = match self.rates.get_mut(model) {
             Some(rate) => rate,
-            None => self.rates.entry(model.clone()).or_insert(Rate { quick: none, slow: none }),
+            None => self.rates.entry(model.clone()).or_insert(fresh),
         };
-        rate.quick.add(now, QUICK, count);
-        rate.slow.add(now, SLOW, count);
+        rate.quick.add(now, QUICK, 1.0);
+        rate.slow.add(now, SLOW, 1.0);
+        rate.prompt_tokens.add(now, QUICK, prompt_tokens as f64);
+        if adapted {
+            rate.adapted.add(now, QUICK, 1.0);
+        }
+        rate.aim = rate.aim.mul_f64(1.0 - AIM_STEP) + aim.mul_f64(AIM_STEP);
     }
 
-    /// Requests a second.
-    pub fn per_s(&self, now: Instant, model: &names::ModelId) -> f64 {
-        self.rates.get(model).map_or(0.0, |rate| rate.per_s(now))
+    /// A request's first event came this long after it was sent to an engine that had room.
+    ///
+    /// What shortens the time says more than what lengthens it: a request that met others waited
+    /// for their prompts as well.
+    pub fn note_first(&mut self, model: &names::ModelId, prompt_tokens: u64, took: Duration) {
+        let Some(rate) = self.rates.get_mut(model) else { return };
+        if prompt_tokens < LEAST_PROMPT {
+            return;
+        }
+        let seen = took.saturating_sub(BEFORE_READING).as_secs_f64() / prompt_tokens as f64;
+        let seen = seen.clamp(USUAL_READ_S / 8.0, USUAL_READ_S * 4.0);
+        let known = &mut rate.read_s_per_token;
+        if *known == 0.0 {
+            *known = seen;
+        }
+        let step = if seen < *known { SHORTER_STEP } else { LONGER_STEP };
+        *known += (seen - *known) * step;
+    }
+
+    /// How much a model is asked for.
+    pub fn asked(&self, now: Instant, model: &names::ModelId) -> Asked {
+        self.rates.get(model).map_or_else(Asked::default, |rate| rate.asked(now))
     }
 
-    /// All models that are asked for, with requests a second.
-    pub fn all(&mut self, now: Instant) -> Vec<(names::ModelId, f64)> {
-        self.rates.retain(|_, rate| rate.per_s(now) >= NEGLIGIBLE);
-        self.rates.iter().map(|(model, rate)| (model.clone(), rate.per_s(now))).collect()
+    /// All models that are asked for.
+    pub fn all(&mut self, now: Instant) -> Vec<(names::ModelId, Asked)> {
+        self.rates.retain(|_, rate| rate.asked(now).per_s >= NEGLIGIBLE);
+        self.rates.iter().map(|(model, rate)| (model.clone(), rate.asked(now))).collect()
     }
 }
 
 impl Rate {
-    fn per_s(&self, now: Instant) -> f64 {
-        self.quick.value(now, QUICK).max(self.slow.value(now, SLOW))
+    fn asked(&self, now: Instant) -> Asked {
+        Asked {
+            per_s: self.quick.value(now, QUICK).max(self.slow.value(now, SLOW)),
+            adapted_per_s: self.adapted.value(now, QUICK),
+            prompt_tokens_per_s: self.prompt_tokens.value(now, QUICK),
+            read_s_per_token: self.read_s_per_token,
+            aim: self.aim,
+        }
     }
 }
--- a/crates/corianderstand_fleet/src/health.rs
+++ b/crates/corianderstand_fleet/src/health.rs
@@ -46,3 +46,36 @@
         self.seen = Some(now);
     }
 }
+
+/// Part of the distance that one event moves a target's pace by: some 25 events count, which is a
+/// tenth of a second of a busy engine.
+const PACE_STEP: f64 = 0.04;
+/// A pace that was last seen this long ago tells nothing of now.
+const PACE_AGE: Duration = Duration::from_secs(3);
+/// One pause counts at most this long, so that a stream that stood still is not all that counts.
+const PACE_CLIP: Duration = Duration::from_millis(400);
+
+/// Time between two events of a target's streams.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    between: Duration,
+    seen: Option<Instant>,
+}
+
+impl Pace {
+    /// An event came this long after the one before.
+    pub fn note(&mut self, now: Instant, pause: Duration) {
+        let pause = pause.min(PACE_CLIP);
+        self.between = match self.between(now) {
+            Some(between) => between.mul_f64(1.0 - PACE_STEP) + pause.mul_f64(PACE_STEP),
+            None => pause,
+        };
+        self.seen = Some(now);
+    }
+
+    /// Time between two events; none if it was not seen lately.
+    pub fn between(&self, now: Instant) -> Option<Duration> {
+        let seen = self.seen?;
+        (now.saturating_duration_since(seen) < PACE_AGE).then_some(self.between)
+    }
+}
--- a/crates/corianderstand_fleet/src/plan.rs
+++ b/crates/corianderstand_fleet/src/plan.rs
@@ -11,7 +11,7 @@
 //! more than it says; only what stands in the way of something wanted is dropped. So a plan that is
 //! late, lost or made twice from different knowledge costs a load and breaks nothing.
 
-use crate::{config, targets};
+use crate::{config, demand, targets};
 use corianderstand_derives::derives;
 use corianderstand_types::names;
 use std::{
@@ -23,26 +23,54 @@
 /// anybody asks. Far below one request in ten seconds, so that a model that is asked for is worth
 /// more.
 const PRIOR_PER_S: f64 = 0.01;
-/// Time over which a place is given: what a model gains or loses is its rate times this. Demand
-/// moves on within some ten seconds.
-const HORIZON: f64 = 10.0;
-/// A model takes the place of another only if it is asked for this many times as much; rates are
-/// known to a third, and without a margin two models would take turns.
-const MARGIN: f64 = 1.6;
-/// A model that somebody waits for counts as asked for this many times a second more for each that
-/// waits.
-const WAITING_PER_S: f64 = 2.0;
+/// Time over which gains and losses are counted, in seconds. Demand moves on within some ten
+/// seconds.
+const HORIZON_S: f64 = 10.0;
+/// What a request loses when its model has to be loaded first although it could have been there in
+/// time: engines carry out one order at a time and wait for runs to end, so that with four swaps a
+/// second over nine engines one request in three came too late.
+const PATIENT_MISS: f64 = 0.35;
+/// What a request loses when its model comes too late for its aim: it is served late.
+const URGENT_MISS: f64 = 0.7;
+/// Misses that a model which leaves its last engine has before it is back: its first requests come
+/// together while it is loaded anew.
+const MISSES: f64 = 2.0;
+/// Time from a request for a model that is on no engine to its load: telling the planner, dropping
+/// another model.
+const DECISION: Duration = Duration::from_millis(250);
+/// What a request loses when its stream pauses for too long.
+const PAUSED: f64 = 0.7;
+/// Of the streams on an engine that spends a part of its time on reading prompts, this many times
+/// the square of that part pause for too long: two long prompts at once make a pause, and one in
+/// twenty paused at 0.2, one in three at 0.5.
+const PAUSES: f64 = 1.4;
+/// A replica beyond those needed is worth this much, as a part of the model's requests: it is there
+/// when an engine crashes, which a few in a hundred do within [`HORIZON_S`].
+const SPARE: f64 = 0.02;
+/// A model with requests at the engine is dropped only when they have ended; until then the engine
+/// takes no other order. Counted as half a request each, up to two.
+const RUNNING: f64 = 0.5;
+/// A replica that gains less than this many requests is not worth an order.
+const LEAST_GAIN: f64 = 0.5;
+/// Gain has to be this many times the loss: rates are known to a third, and without a margin two
+/// models would take turns.
+const MARGIN: f64 = 1.5;
 /// A model stays this long before another may take its place; a swap costs a second of serving
 /// neither.
-const LEAST_STAY: Duration = Duration::from_millis(1_500);
+const LEAST_STAY: Duration = Duration::from_millis(1_200);
 /// Part of a batch that one replica is meant to work at. Beyond it steps grow slower and a burst of
 /// twice the usual finds no room.
 const TARGET_SHARE: f64 = 0.5;
+/// Load at which an engine's batch or its adapter places count as much as half of its time spent on
+/// reading prompts.
+const FULL: f64 = 0.5;
+/// Time for which a request keeps an adapter's place: its run of 0.3 to 2 s and the time for which
+/// an agent leaves an adapter alone.
+const ADAPTER_TIME_S: f64 = 1.3;
+/// Part of the adapter places that is meant to be in use; the rest is room for the next one.
+const ADAPTER_SHARE: f64 = 0.8;
 /// Time of a run that an unload has to wait for: some 300 tokens at 5 ms.
 const RUN: Duration = Duration::from_millis(1_400);
-/// What the second replica of a model is worth, as part of its rate: it is there when an engine
-/// crashes, which a few in a hundred do within [`HORIZON`].
-const SPARE_WORTH: f64 = 0.05;
 /// Loads from the weight store at once, until the time that loads take tells how many it carries.
 const STORE_AT_ONCE: u32 = 4;
 /// A load that took this many times as long as it says shares the store with too many others.
@@ -59,6 +87,8 @@
     pub weights_mb: u64,
     /// Requests in one batch.
     pub slots: u32,
+    /// Adapters that fit at once.
+    pub adapter_places: usize,
     /// What it holds.
     pub holdings: targets::Holdings,
     /// The order that it is carrying out.
@@ -72,8 +102,8 @@
 pub struct ModelView {
     /// What is configured of it.
     pub spec: config::Model,
-    /// Requests a second, of all routers.
-    pub per_s: f64,
+    /// How much all routers are asked for it.
+    pub asked: demand::Asked,
     /// Requests that wait for it.
     pub waiting: u32,
 }
@@ -155,6 +185,8 @@
 struct Place {
     engine: usize,
     victims: Vec<names::ModelId>,
+    /// The engine is carrying out something else first.
+    later: bool,
     ready_in: Duration,
     from_store: bool,
     loss: f64,
@@ -169,12 +201,12 @@
         models: &Models,
     ) -> &HashMap<targets::TargetKey, Vec<names::ModelId>> {
         self.store.observe(now, engines, models);
-        self.follow(now, engines, models);
+        self.follow(engines, models);
         let mut wishes: Vec<(f64, &ModelView)> =
             models.values().filter_map(|model| self.wish(engines, model)).collect();
         wishes.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.spec.name.cmp(&b.1.spec.name)));
-        for (worth, model) in wishes {
-            if let Some(place) = self.place(now, engines, models, model, worth) {
+        for (gain, model) in wishes {
+            if let Some(place) = self.place(now, engines, models, model, gain) {
                 self.take(now, engines, &place, &model.spec.name);
             }
         }
@@ -183,7 +215,7 @@
 
     /// Starts from what engines hold and are loading, so that a new planner changes nothing that
     /// needs no change.
-    fn follow(&mut self, now: Instant, engines: &[EngineView], models: &Models) {
+    fn follow(&mut self, engines: &[EngineView], models: &Models) {
         self.wants.retain(|key, _| engines.iter().any(|engine| engine.key == *key));
         self.placed.retain(|(key, _), _| engines.iter().any(|engine| engine.key == *key));
         for engine in engines {
@@ -199,7 +231,6 @@
                 let used: u64 = wants.iter().map(|name| models[name].spec.weights_mb).sum();
                 if !wants.contains(model) && used + view.spec.weights_mb <= engine.weights_mb {
                     wants.push(model.clone());
-                    self.placed.insert((engine.key, model.clone()), now);
                 }
             }
         }
@@ -209,22 +240,23 @@
         self.wants.values().filter(|wants| wants.contains(model)).count()
     }
 
-    /// What one more replica of the model is worth, in requests a second; none if it needs none.
+    /// What one more replica of the model gains within [`HORIZON_S`], in requests; none if it needs
+    /// no more.
     fn wish<'a>(
         &self,
         engines: &[EngineView],
         model: &'a ModelView,
     ) -> Option<(f64, &'a ModelView)> {
         let replicas = self.replicas(&model.spec.name);
+        let requests = model.asked.per_s.max(PRIOR_PER_S) * HORIZON_S;
         if replicas == 0 {
-            let waiting = f64::from(model.waiting) * WAITING_PER_S;
-            return Some((model.per_s.max(PRIOR_PER_S) + waiting, model));
+            return Some((f64::from(model.waiting) + away(model), model));
         }
-        if replicas >= needed(engines, model) {
-            return None;
-        }
-        // Shared by so many, each further one takes a smaller part of the load.
-        Some((model.per_s / (replicas + 1) as f64, model))
+        let load = load(engines, model);
+        let gain = requests
+            * PAUSED
+            * (paused(load / replicas as f64) - paused(load / (replicas + 1) as f64));
+        (gain > LEAST_GAIN).then_some((gain, model))
     }
 
     fn place(
@@ -233,19 +265,24 @@
         engines: &[EngineView],
         models: &Models,
         model: &ModelView,
-        worth: f64,
+        gain: f64,
     ) -> Option<Place> {
         let store_full = self.store_loads(engines, models) >= self.store.at_once;
+        let name = &model.spec.name;
         let places = (0..engines.len()).filter_map(|index| {
             let engine = &engines[index];
-            let free =
-                self.is_settled(engine) && !self.wants[&engine.key].contains(&model.spec.name);
+            let free = engine.orderable && !self.wants[&engine.key].contains(name);
             free.then(|| self.place_on(now, engines, index, models, model)).flatten()
         });
         let places = places.filter(|place| !(place.from_store && store_full));
-        let places = places.filter(|place| worth > place.loss * MARGIN || place.victims.is_empty());
-        let cost = |place: &Place| worth * place.ready_in.as_secs_f64() + place.loss * HORIZON;
-        places.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+        let places = places.filter(|place| place.victims.is_empty() || gain > place.loss * MARGIN);
+        // While it is on its way, its requests wait or are refused.
+        let rate = f64::from(model.waiting) + model.asked.per_s.max(PRIOR_PER_S);
+        let cost = |place: &Place| rate * place.ready_in.as_secs_f64() + place.loss;
+        let best = places.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
+        // Better to wait for an engine that is nearly free and has a copy than to begin a load from
+        // the store elsewhere.
+        (!best.later).then_some(best)
     }
 
     /// Loads from the store that are under way or planned.
@@ -260,11 +297,19 @@
         engines.iter().filter(|engine| coming(engine)).count() as u32
     }
 
-    /// Whether the engine holds all that it should and nothing is under way.
-    fn is_settled(&self, engine: &EngineView) -> bool {
+    /// Time until the engine holds all that it should, and can be given another order.
+    fn settled_in(&self, now: Instant, engine: &EngineView, models: &Models) -> Duration {
         let wants = &self.wants[&engine.key];
-        let held = |name: &names::ModelId| engine.holdings.resident(name).is_some();
-        engine.orderable && engine.ongoing.is_none() && wants.iter().all(held)
+        let missing = wants.iter().filter(|name| engine.holdings.resident(name).is_none());
+        let missing = missing.filter_map(|name| models.get(name));
+        let loads: Duration = missing.map(|view| source(engine, &view.spec).0).sum();
+        match &engine.ongoing {
+            Some(targets::Ongoing::Loading { ready_at, .. }) => {
+                ready_at.saturating_duration_since(now).max(DECISION)
+            }
+            Some(targets::Ongoing::Unloading { .. }) => loads + RUN / 2,
+            None => loads,
+        }
     }
 
     fn place_on(
@@ -277,29 +322,35 @@
     ) -> Option<Place> {
         let engine = &engines[index];
         let wants = &self.wants[&engine.key];
-        let (mut ready_in, from_store) = source(engine, &model.spec);
-        let mut used: u64 =
-            wants.iter().filter_map(|n| models.get(n)).map(|m| m.spec.weights_mb).sum();
+        let settled_in = self.settled_in(now, engine, models);
+        let (load, from_store) = source(engine, &model.spec);
+        let mut place = Place {
+            engine: index,
+            victims: Vec::new(),
+            later: !settled_in.is_zero(),
+            ready_in: settled_in + load,
+            from_store,
+            loss: self.crowding(engine, models, model),
+        };
+        let size = |name: &names::ModelId| models.get(name).map_or(0, |view| view.spec.weights_mb);
+        let mut used: u64 = wants.iter().map(size).sum();
         let mut others: Vec<(f64, &names::ModelId)> = wants
             .iter()
             .filter(|name| self.may_go(now, engine.key, name))
             .filter_map(|name| Some((self.loss(engines, engine, models.get(name)?), name)))
             .collect();
         others.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut place =
-            Place { engine: index, victims: Vec::new(), ready_in, from_store, loss: 0.0 };
         for (loss, name) in others {
             if used + model.spec.weights_mb <= engine.weights_mb {
                 break;
             }
-            used -= models[name].spec.weights_mb;
+            used -= size(name);
             place.loss += loss;
             place.victims.push(name.clone());
             if engine.running.get(name).is_some_and(|&running| running > 0) {
-                ready_in += RUN;
+                place.ready_in += RUN;
             }
         }
-        place.ready_in = ready_in;
         (used + model.spec.weights_mb <= engine.weights_mb).then_some(place)
     }
 
@@ -308,20 +359,30 @@
         since.is_none_or(|&since| now.saturating_duration_since(since) >= LEAST_STAY)
     }
 
-    /// What is lost, in requests a second, when the model leaves this engine.
+    /// What is lost within [`HORIZON_S`], in requests, when the model leaves this engine.
     fn loss(&self, engines: &[EngineView], engine: &EngineView, model: &ModelView) -> f64 {
         let others = self.replicas(&model.spec.name).saturating_sub(1);
+        let requests = model.asked.per_s.max(PRIOR_PER_S) * HORIZON_S;
         let running = engine.running.get(&model.spec.name).copied().unwrap_or(0);
-        let rate = model.per_s.max(PRIOR_PER_S);
-        if others >= needed(engines, model) {
-            return rate * SPARE_WORTH / others as f64;
+        let running = f64::from(running.min(2)) * RUNNING;
+        if others == 0 {
+            return f64::from(model.waiting) + away(model) + running;
         }
-        if others > 0 {
-            return rate / (others + 1) as f64;
-        }
-        // It can be back within a second, so a model that somebody waits for takes the place of
-        // one that is asked for as much and has nothing to do just now.
-        rate + f64::from(model.waiting + running) * WAITING_PER_S
+        let load = load(engines, model);
+        let more = paused(load / others as f64) - paused(load / (others + 1) as f64);
+        requests * (more * PAUSED + SPARE / others as f64) + running
+    }
+
+    /// What is lost within [`HORIZON_S`], in requests, because the engine has other work to do as
+    /// well: beyond [`PROMPT_TOKENS_PER_S`] the streams of both pause.
+    fn crowding(&self, engine: &EngineView, models: &Models, model: &ModelView) -> f64 {
+        let share = |view: &ModelView, replicas: usize| reading(view) / replicas.max(1) as f64;
+        let wants = self.wants[&engine.key].iter().filter_map(|name| models.get(name));
+        let others: f64 = wants.map(|view| share(view, self.replicas(&view.spec.name))).sum();
+        let replicas = self.replicas(&model.spec.name) + 1;
+        let own = share(model, replicas);
+        let requests = model.asked.per_s / replicas as f64 * HORIZON_S;
+        requests * PAUSED * (paused(others + own) - paused(own))
     }
 
     fn take(
@@ -342,13 +403,39 @@
     }
 }
 
-/// Replicas that a model's requests keep at [`TARGET_SHARE`] of a batch.
-fn needed(engines: &[EngineView], model: &ModelView) -> usize {
+/// What is lost within [`HORIZON_S`], in requests, when the model is on no engine: the same whether
+/// it leaves or comes, so that a model that has just left does not push out the next one at once.
+fn away(model: &ModelView) -> f64 {
+    (model.asked.per_s.max(PRIOR_PER_S) * HORIZON_S).min(MISSES) * miss(model)
+}
+
+/// What one request loses when the model is on no engine: little if it is loaded within the aim.
+fn miss(model: &ModelView) -> f64 {
+    let ready = model.spec.load_from_disk + DECISION;
+    if ready < model.asked.aim { PATIENT_MISS } else { URGENT_MISS }
+}
+
+/// A model's load, in engines that spend all of their time on its prompts.
+fn load(engines: &[EngineView], model: &ModelView) -> f64 {
     let name = &model.spec.name;
     let running: u32 = engines.iter().filter_map(|engine| engine.running.get(name)).sum();
     let slots = engines.iter().map(|engine| engine.slots).min().unwrap_or(1).max(1);
-    let share = f64::from(running + model.waiting) / (f64::from(slots) * TARGET_SHARE);
-    (share.ceil() as usize).max(1)
+    let batches = f64::from(running + model.waiting) / (f64::from(slots) * TARGET_SHARE);
+    let places = engines.iter().map(|engine| engine.adapter_places).min().unwrap_or(1).max(1);
+    let adapters = model.asked.adapted_per_s * ADAPTER_TIME_S / (places as f64 * ADAPTER_SHARE);
+    reading(model).max(batches.max(adapters) * FULL)
+}
+
+/// Engines that reading the model's prompts keeps busy.
+fn reading(model: &ModelView) -> f64 {
+    let known = model.asked.read_s_per_token;
+    let read_s = if known > 0.0 { known } else { demand::USUAL_READ_S };
+    model.asked.prompt_tokens_per_s * read_s
+}
+
+/// Part of the streams that pause for too long on an engine at a load.
+fn paused(load: f64) -> f64 {
+    (PAUSES * load * load).min(1.0)
 }
 
 /// How long an engine takes to load a model, and whether from the weight store.
--- a/crates/corianderstand_fleet/src/steps.rs
+++ b/crates/corianderstand_fleet/src/steps.rs
@@ -11,8 +11,8 @@
 use std::time::{Duration, Instant};
 
 /// An adapter that was asked for stays at least this long, so that the request it was loaded for
-/// finds it; a datagram and a request take some 10 ms, and a router may be slowed five times.
-const ADAPTER_STAY: Duration = Duration::from_millis(1_000);
+/// finds it; routers name those that are in use more often than that.
+const ADAPTER_STAY: Duration = Duration::from_millis(600);
 
 /// An order to an engine.
 #[derives(name)]
--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -7,7 +7,7 @@
 //! long as the agent is heard. Nothing older replaces anything newer, and a target that was leaving
 //! never comes back in the same incarnation.
 
-use crate::health;
+use crate::{choose, health};
 use corianderstand_derives::derives;
 use corianderstand_types::names;
 use slotmap::SlotMap;
@@ -143,12 +143,14 @@
     pub agent_at: Option<Instant>,
     /// Trouble that requests met.
     pub health: health::Health,
-    /// Requests of this process that are at it, by model.
-    pub in_flight: BTreeMap<names::ModelId, u32>,
+    /// Requests of this process that are at it, by what they want.
+    pub in_flight: BTreeMap<choose::Wanted, u32>,
     /// Requests of this process that are at it.
     pub ours: u32,
     /// Tokens that these are expected to need.
     pub our_tokens: u64,
+    /// How slowly its streams come.
+    pub pace: health::Pace,
     /// When it is gone, if that is known.
     pub leaves_at: Option<Instant>,
     load: Load,
@@ -168,6 +170,7 @@
             in_flight: BTreeMap::new(),
             ours: 0,
             our_tokens: 0,
+            pace: health::Pace::default(),
             leaves_at: None,
             load: Load::default(),
             ours_at_load: 0,
@@ -182,6 +185,15 @@
         !self.entry.draining
     }
 
+    /// Requests of this process that are at it, by model.
+    pub fn running(&self) -> BTreeMap<names::ModelId, u32> {
+        let mut running = BTreeMap::new();
+        for (wanted, count) in &self.in_flight {
+            *running.entry(wanted.model.clone()).or_default() += count;
+        }
+        running
+    }
+
     /// Whether its agent was heard lately.
     pub fn has_agent(&self, now: Instant) -> bool {
         self.agent_at.is_some_and(|at| now.saturating_duration_since(at) < AGENT_SILENT_AFTER)
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -4,7 +4,7 @@
 //! costs a little time. Nothing waits for an answer.
 
 use crate::{dialect, follow, router, transfer};
-use corianderstand_fleet::{choose, config, health, plan, targets};
+use corianderstand_fleet::{choose, config, demand, health, plan, targets};
 use corianderstand_schema::peers::{self, PeerMessage};
 use corianderstand_types::names;
 use std::{
@@ -23,10 +23,9 @@
 /// A plan that has not changed is said again after this time, in case it was lost, and so that
 /// agents know that the planner is there.
 const REPEAT_PLAN: Duration = Duration::from_millis(500);
-/// Adapters that were in use within this time are named again to their agents, so that they stay.
-const ADAPTERS_IN_USE: Duration = Duration::from_secs(3);
-/// Pause between two such messages.
-const ADAPTERS_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two messages that name the adapters in use; shorter than the time for which an
+/// agent leaves an adapter alone.
+const ADAPTERS_PAUSE: Duration = Duration::from_millis(250);
 /// Largest datagram; beyond it the link's packets would be cut up.
 const MOST_BYTES: usize = 60_000;
 
@@ -223,21 +222,26 @@
     let fit = is_fit(shared);
     let copies = shared.copies.borrow();
     let mut view = shared.view.borrow_mut();
-    let mut models: BTreeMap<names::ModelId, (f64, u32)> =
-        view.demand.all(now).into_iter().map(|(model, per_s)| (model, (per_s, 0))).collect();
+    let mut models: BTreeMap<names::ModelId, (demand::Asked, u32)> =
+        view.demand.all(now).into_iter().map(|(model, asked)| (model, (asked, 0))).collect();
     for (model, waiting) in &view.waiting {
         models.entry(model.clone()).or_default().1 = *waiting;
     }
-    let models = models.into_iter().map(|(model, (per_s, waiting))| peers::ModelDemand {
+    let models = models.into_iter().map(|(model, (asked, waiting))| peers::ModelDemand {
         model,
-        per_1000_s: (per_s * 1_000.0) as u32,
+        per_1000_s: (asked.per_s * 1_000.0) as u32,
+        adapted_per_1000_s: (asked.adapted_per_s * 1_000.0) as u32,
+        prompt_tokens_per_s: asked.prompt_tokens_per_s as u32,
+        read_ns_per_token: (asked.read_s_per_token * 1e9) as u32,
+        aim_ms: asked.aim.as_millis() as u32,
         waiting,
     });
     let running = view.targets.iter().flat_map(|(_, target)| {
-        target.in_flight.iter().map(|(model, count)| peers::RunningCount {
-            target: target.entry.id.clone(),
-            model: model.clone(),
-            count: *count,
+        let id = &target.entry.id;
+        target.running().into_iter().map(|(model, count)| peers::RunningCount {
+            target: id.clone(),
+            model,
+            count,
         })
     });
     peers::RouterNews {
@@ -279,23 +283,25 @@
 }
 
 /// Asks an agent for adapters.
-pub fn ask_for_adapters<'a, P>(
+pub fn ask_for_adapters<P>(
     shared: &router::Shared<P>,
     key: targets::TargetKey,
-    wanted: impl Iterator<Item = &'a choose::Wanted>,
+    adapters: Vec<peers::AskedAdapter>,
 ) {
     let view = shared.view.borrow();
     let Some(target) = view.targets.get(key) else { return };
-    let adapters = wanted.filter_map(|wanted| {
-        Some(peers::AskedAdapter { model: wanted.model.clone(), adapter: wanted.adapter.clone()? })
-    });
-    let asked =
-        peers::AdaptersAsked { target: target.entry.id.clone(), adapters: adapters.collect() };
+    let asked = peers::AdaptersAsked { target: target.entry.id.clone(), adapters };
     let agent = SocketAddr::new(target.entry.addr.ip(), shared.settings.agent_port);
     shared.outbox.send(agent, &PeerMessage::AdaptersAsked(asked));
 }
 
-/// Names to the agents the adapters that are in use, so that they are not dropped.
+/// An adapter as it is named to an agent.
+pub fn asked_adapter(wanted: &choose::Wanted) -> Option<peers::AskedAdapter> {
+    let adapter = wanted.adapter.clone()?;
+    Some(peers::AskedAdapter { model: wanted.model.clone(), adapter })
+}
+
+/// Names to the agents the adapters of requests at their engines, so that they are not dropped.
 fn name_adapters<P>(shared: &router::Shared<P>, now: Instant, planning: &mut Planning) {
     let due =
         planning.adapters_at.is_none_or(|at| now.saturating_duration_since(at) >= ADAPTERS_PAUSE);
@@ -303,16 +309,16 @@
         return;
     }
     planning.adapters_at = Some(now);
-    let mut used = {
-        let mut view = shared.view.borrow_mut();
-        for wanted in view.adapters.values_mut() {
-            wanted.retain(|_, at| now.saturating_duration_since(*at) < ADAPTERS_IN_USE);
-        }
-        view.adapters.retain(|_, wanted| !wanted.is_empty());
-        view.adapters.clone()
+    let used: Vec<_> = {
+        let view = shared.view.borrow();
+        let used = view.targets.iter().map(|(key, target)| {
+            let adapters = target.in_flight.keys().filter_map(asked_adapter);
+            (key, adapters.collect::<Vec<_>>())
+        });
+        used.filter(|(_, adapters)| !adapters.is_empty()).collect()
     };
-    for (key, wanted) in used.drain() {
-        ask_for_adapters(shared, key, wanted.keys());
+    for (key, adapters) in used {
+        ask_for_adapters(shared, key, adapters);
     }
 }
 
@@ -384,14 +390,15 @@
     });
     let engines = engines.map(|(key, target)| {
         let mut running = running.remove(&target.entry.id).unwrap_or_default();
-        for (model, count) in &target.in_flight {
-            *running.entry(model.clone()).or_default() += count;
+        for (model, count) in target.running() {
+            *running.entry(model).or_default() += count;
         }
         plan::EngineView {
             key,
             orderable: target.has_agent(now),
             weights_mb: spec.weights_mb,
             slots: target.entry.slots,
+            adapter_places: spec.adapter_places,
             holdings: target.entry.holdings.clone(),
             ongoing: target.ongoing.clone(),
             running,
@@ -408,10 +415,10 @@
     let view = shared.view.borrow();
     let others = shared.peers.borrow().demand(now);
     let models = spec.models.iter().map(|model| {
-        let (per_s, waiting) = others.get(&model.name).copied().unwrap_or_default();
+        let (asked, waiting) = others.get(&model.name).copied().unwrap_or_default();
         let own = view.waiting.get(&model.name).copied().unwrap_or(0);
-        let per_s = per_s + view.demand.per_s(now, &model.name);
-        (model.name.clone(), plan::ModelView { spec: model.clone(), per_s, waiting: waiting + own })
+        let asked = asked.and(view.demand.asked(now, &model.name));
+        (model.name.clone(), plan::ModelView { spec: model.clone(), asked, waiting: waiting + own })
     });
     models.collect()
 }
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -86,7 +86,7 @@
             let longest_pause_ms = end.pace.longest.as_millis() as u64;
             let target = job.last_target.as_str();
             let model = job.model().map(names::ModelId::as_str);
-            tracing::info!(id = %job.call.id, route = %job.route.name, at = target, model, how, events, resumes, tried, first_ms, longest_pause_ms, ms = total_ms, "streamed");
+            tracing::info!(id = %job.call.id, route = %job.route.name, at = target, model, prompt = job.call.prompt_tokens, how, events, resumes, tried, first_ms, longest_pause_ms, ms = total_ms, "streamed");
         }
     }
 
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -56,6 +56,11 @@
 const STARTING_RETURN: Duration = Duration::from_millis(700);
 /// Time to come back after a target refused and no other may be tried.
 const REFUSED_RETURN: Duration = Duration::from_millis(200);
+/// Callers leave a stream that has said nothing for this long, or for this many of the route's aims
+/// or pauses, whichever is longest.
+const LEFT_AFTER: Duration = Duration::from_secs(2);
+const LEFT_AFTER_AIMS: u32 = 4;
+const LEFT_AFTER_PAUSES: u32 = 8;
 /// Tokens of an answer whose length nobody guesses.
 const USUAL_OUTPUT: u64 = 300;
 /// Most targets that did not run a request that it is offered to; each costs a way there and back.
@@ -91,6 +96,8 @@
     pub offers: u32,
     /// An attempt was written to a target and its fate is not known.
     pub may_have_run: bool,
+    /// When it was last sent.
+    pub sent: Option<Instant>,
     /// The target that it was last sent to, for the log.
     pub last_target: names::TargetId,
     /// Why it was last not answered.
@@ -110,6 +117,17 @@
         self.call.prompt_tokens + self.call.output_hint.unwrap_or(USUAL_OUTPUT).min(most)
     }
 
+    /// When a request that got nothing yet is of no more use: its caller leaves a stream that says
+    /// nothing for too long.
+    pub fn held_until(&self) -> Instant {
+        if !self.route.streams {
+            return self.latest;
+        }
+        let pause = self.route.pause_aim.unwrap_or_default() * LEFT_AFTER_PAUSES;
+        let silence = LEFT_AFTER.max(self.route.aim * LEFT_AFTER_AIMS).max(pause);
+        self.latest.min(self.arrived + silence)
+    }
+
     /// A number between 0 and 1 that spreads requests.
     pub fn spread(&self) -> f64 {
         (self.hash >> 11) as f64 / (1_u64 << 53) as f64
@@ -125,21 +143,21 @@
 pub struct Flight<P: router::Platform> {
     shared: Rc<router::Shared<P>>,
     key: targets::TargetKey,
-    model: Option<names::ModelId>,
+    wanted: Option<choose::Wanted>,
     tokens: u64,
 }
 
 impl<P: router::Platform> Flight<P> {
     /// Counts a request at a target.
     pub fn begin(shared: &Rc<router::Shared<P>>, key: targets::TargetKey, job: &Job) -> Self {
-        let flight =
-            Self { shared: shared.clone(), key, model: job.model().cloned(), tokens: job.tokens() };
+        let wanted = job.call.wanted.clone();
+        let flight = Self { shared: shared.clone(), key, wanted, tokens: job.tokens() };
         let mut view = shared.view.borrow_mut();
         if let Some(target) = view.targets.get_mut(key) {
             target.ours += 1;
             target.our_tokens += flight.tokens;
-            if let Some(model) = &flight.model {
-                *target.in_flight.entry(model.clone()).or_default() += 1;
+            if let Some(wanted) = &flight.wanted {
+                *target.in_flight.entry(wanted.clone()).or_default() += 1;
             }
         }
         view.prefixes.note(&job.chain, key);
@@ -159,14 +177,14 @@
         let Some(target) = view.targets.get_mut(self.key) else { return };
         target.ours = target.ours.saturating_sub(1);
         target.our_tokens = target.our_tokens.saturating_sub(self.tokens);
-        let Some(model) = &self.model else { return };
-        if let Some(count) = target.in_flight.get_mut(model) {
+        let Some(wanted) = &self.wanted else { return };
+        if let Some(count) = target.in_flight.get_mut(wanted) {
             *count -= 1;
             if *count == 0 {
-                target.in_flight.remove(model);
+                target.in_flight.remove(wanted);
             }
         }
-        view.wake(model);
+        view.wake(&wanted.model);
     }
 }
 
@@ -278,6 +296,7 @@
         tried: Vec::new(),
         offers: 0,
         may_have_run: false,
+        sent: None,
         last_target: names::TargetId::default(),
         last_trouble: "",
     };
@@ -391,7 +410,7 @@
                 return Ok(key);
             }
             choose::Choice::LoadAdapter(key) => {
-                shared.ask_for_adapter(now, key, job);
+                shared.ask_for_adapter(key, job);
                 (job.latest, ASK_AGAIN)
             }
             choose::Choice::Full | choose::Choice::Cold | choose::Choice::NoTarget => {
@@ -446,6 +465,7 @@
     let now = shared.clock.now();
     let Some((addr, id)) = shared.address(key) else { return Attempt::NotSent };
     job.last_target = id.clone();
+    job.sent = Some(now);
     let left = job.latest.saturating_duration_since(now).saturating_sub(ANSWER_WAY);
     if left.is_zero() {
         return Attempt::TimeOver;
--- a/crates/corianderstand_forward/src/peers.rs
+++ b/crates/corianderstand_forward/src/peers.rs
@@ -5,6 +5,7 @@
 //! at most a needless load: each engine has one agent, which follows the planner with the least
 //! name that it hears.
 
+use corianderstand_fleet::demand;
 use corianderstand_schema::peers;
 use corianderstand_types::names;
 use smol_str::SmolStr;
@@ -96,13 +97,19 @@
         });
     }
 
-    /// Requests a second for a model at the other routers, and how many wait there.
-    pub fn demand(&self, now: Instant) -> BTreeMap<names::ModelId, (f64, u32)> {
-        let mut sums: BTreeMap<names::ModelId, (f64, u32)> = BTreeMap::new();
-        for demand in self.news(now).flat_map(|news| &news.models) {
-            let sum = sums.entry(demand.model.clone()).or_default();
-            sum.0 += f64::from(demand.per_1000_s) / 1_000.0;
-            sum.1 += demand.waiting;
+    /// What the other routers are asked for, and how many requests wait there.
+    pub fn demand(&self, now: Instant) -> BTreeMap<names::ModelId, (demand::Asked, u32)> {
+        let mut sums: BTreeMap<names::ModelId, (demand::Asked, u32)> = BTreeMap::new();
+        for said in self.news(now).flat_map(|news| &news.models) {
+            let sum = sums.entry(said.model.clone()).or_default();
+            sum.0 = sum.0.and(demand::Asked {
+                per_s: f64::from(said.per_1000_s) / 1_000.0,
+                adapted_per_s: f64::from(said.adapted_per_1000_s) / 1_000.0,
+                prompt_tokens_per_s: f64::from(said.prompt_tokens_per_s),
+                read_s_per_token: f64::from(said.read_ns_per_token) / 1e9,
+                aim: Duration::from_millis(u64::from(said.aim_ms)),
+            });
+            sum.1 += said.waiting;
         }
         sums
     }
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -4,7 +4,7 @@
     client, control, decisions, dialect, exchange, follow, peers, pool, server, transfer, view,
 };
 use corianderstand_derives::derives;
-use corianderstand_fleet::{budget, choose, patience, targets};
+use corianderstand_fleet::{budget, choose, demand, patience, targets};
 use corianderstand_types::{clock, names};
 use http::StatusCode;
 use smol_str::SmolStr;
@@ -84,7 +84,12 @@
         let now = self.clock.now();
         let mut view = self.view.borrow_mut();
         if let Some(wanted) = &job.call.wanted {
-            view.demand.add(now, &wanted.model, 1.0);
+            let weight = demand::Weight {
+                prompt_tokens: job.call.prompt_tokens,
+                adapted: wanted.adapter.is_some(),
+                aim: job.route.aim,
+            };
+            view.demand.add(now, &wanted.model, weight);
         }
         let allowance = self.settings.allowance;
         view.budgets.entry(job.service.clone()).or_default().earn(now, &allowance);
@@ -108,6 +113,7 @@
             wanted: job.call.wanted.as_ref(),
             tokens: job.tokens(),
             cache_tokens: engine.map_or(0, |engine| engine.cache_tokens),
+            adapter_places: engine.map_or(0, |engine| engine.adapter_places),
             zone: &self.settings.zone,
             tried: &job.tried,
             hash: job.hash,
@@ -141,7 +147,7 @@
             choose::Choice::Full => patience::Expected::Room,
             _ => view.expected(now, &job.service, job.call.wanted.as_ref()),
         };
-        patience::judge(now, job.latest, expected, job.spread())
+        patience::judge(now, job.held_until(), expected, job.spread())
     }
 
     /// Where a target is, and its name.
@@ -168,6 +174,20 @@
         }
     }
 
+    /// An event of a stream came after another.
+    pub fn note_pause(&self, key: targets::TargetKey, now: Instant, last: Instant) {
+        if let Some(target) = self.view.borrow_mut().targets.get_mut(key) {
+            target.pace.note(now, now.saturating_duration_since(last));
+        }
+    }
+
+    /// The first event of a stream came.
+    pub fn note_first(&self, job: &exchange::Job, now: Instant) {
+        let (Some(model), Some(sent)) = (job.model(), job.sent) else { return };
+        let took = now.saturating_duration_since(sent);
+        self.view.borrow_mut().demand.note_first(model, job.call.prompt_tokens, took);
+    }
+
     /// A target told its load.
     pub fn note_load(&self, key: targets::TargetKey, load: targets::Load) {
         if let Some(target) = self.view.borrow_mut().targets.get_mut(key) {
@@ -188,12 +208,9 @@
     }
 
     /// Has an adapter loaded at a target.
-    pub fn ask_for_adapter(&self, now: Instant, key: targets::TargetKey, job: &exchange::Job) {
-        let Some(wanted) = &job.call.wanted else { return };
-        let mut view = self.view.borrow_mut();
-        view.adapters.entry(key).or_default().insert(wanted.clone(), now);
-        drop(view);
-        control::ask_for_adapters(self, key, std::iter::once(wanted));
+    pub fn ask_for_adapter(&self, key: targets::TargetKey, job: &exchange::Job) {
+        let asked = job.call.wanted.as_ref().and_then(control::asked_adapter);
+        control::ask_for_adapters(self, key, asked.into_iter().collect());
     }
 }
 
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -175,7 +175,12 @@
                 Ok(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) if data.is_empty() => {}
                     Ok(data) => {
-                        self.pace.note(self.shared.clock.now());
+                        let now = self.shared.clock.now();
+                        match self.pace.last {
+                            Some(last) => self.shared.note_pause(source.flight.key(), now, last),
+                            None => self.shared.note_first(&self.job, now),
+                        }
+                        self.pace.note(now);
                         return Step::Data(data);
                     }
                     Err(_trailers) => {}
--- a/crates/corianderstand_forward/src/view.rs
+++ b/crates/corianderstand_forward/src/view.rs
@@ -26,8 +26,6 @@
     pub prefixes: prefixes::Prefixes,
     /// Second attempts, by service.
     pub budgets: HashMap<names::ServiceId, budget::Budget>,
-    /// Adapters that requests want, by target.
-    pub adapters: HashMap<targets::TargetKey, BTreeMap<choose::Wanted, Instant>>,
     wakers: HashMap<names::ModelId, Rc<Notify>>,
     changed: Rc<Notify>,
 }
@@ -89,6 +87,7 @@
                 orderable: true,
                 weights_mb: 0,
                 slots: 0,
+                adapter_places: 0,
                 holdings: target.entry.holdings.clone(),
                 ongoing: None,
                 running: BTreeMap::new(),
