--- a/crates/corianderstand_fleet/src/plan.rs
+++ b/crates/corianderstand_fleet/src/plan.rs
@@ -27,11 +27,11 @@
 /// seconds.
 const HORIZON_S: f64 = 10.0;
 /// What a request loses when its model has to be loaded first although it could have been there in
-/// time: engines carry out one order at a time and wait for runs to end, so that with four swaps a
-/// second over nine engines one request in three came too late.
-const PATIENT_MISS: f64 = 0.35;
+/// time: engines carry out one order at a time and wait for runs to end, so that many such loads
+/// come too late.
+const PATIENT_MISS: f64 = 0.8;
 /// What a request loses when its model comes too late for its aim: it is served late.
-const URGENT_MISS: f64 = 0.7;
+const URGENT_MISS: f64 = 1.0;
 /// Misses that a model which leaves its last engine has before it is back: its first requests come
 /// together while it is loaded anew.
 const MISSES: f64 = 2.0;
@@ -52,9 +52,9 @@
 const RUNNING: f64 = 0.5;
 /// A replica that gains less than this many requests is not worth an order.
 const LEAST_GAIN: f64 = 0.5;
-/// Gain has to be this many times the loss: rates are known to a third, and without a margin two
-/// models would take turns.
-const MARGIN: f64 = 1.5;
+/// Gain has to exceed the loss by this many requests: rates are known to a third, and without a
+/// margin two models would take turns.
+const MARGIN: f64 = 0.3;
 /// A model stays this long before another may take its place; a swap costs a second of serving
 /// neither.
 const LEAST_STAY: Duration = Duration::from_millis(1_200);
@@ -275,7 +275,7 @@
             free.then(|| self.place_on(now, engines, index, models, model)).flatten()
         });
         let places = places.filter(|place| !(place.from_store && store_full));
-        let places = places.filter(|place| place.victims.is_empty() || gain > place.loss * MARGIN);
+        let places = places.filter(|place| place.victims.is_empty() || gain > place.loss + MARGIN);
         // While it is on its way, its requests wait or are refused.
         let rate = f64::from(model.waiting) + model.asked.per_s.max(PRIOR_PER_S);
         let cost = |place: &Place| rate * place.ready_in.as_secs_f64() + place.loss;
@@ -406,7 +406,8 @@
 /// What is lost within [`HORIZON_S`], in requests, when the model is on no engine: the same whether
 /// it leaves or comes, so that a model that has just left does not push out the next one at once.
 fn away(model: &ModelView) -> f64 {
-    (model.asked.per_s.max(PRIOR_PER_S) * HORIZON_S).min(MISSES) * miss(model)
+    let requests = model.asked.per_s.max(PRIOR_PER_S) * HORIZON_S;
+    MISSES * (1.0 - (-requests / MISSES).exp()) * miss(model)
 }
 
 /// What one request loses when the model is on no engine: little if it is loaded within the aim.
--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -210,7 +210,7 @@
         let Some(ongoing) = &state.ongoing else { return };
         let shows = report.holdings.orders > ongoing.after_orders;
         let silent = now.saturating_duration_since(ongoing.since) > LOST_AFTER;
-        let over = (shows && !report.busy) || (!report.busy && silent);
+        let over = !report.busy && (shows || silent);
         if over {
             let ms = now.saturating_duration_since(ongoing.since).as_millis() as u64;
             tracing::info!(order = ?ongoing.order, ms, shows, answered = ongoing.answered, "order ended");
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -198,7 +198,7 @@
 /// Whether this router knows enough to plan.
 fn is_fit<P>(shared: &router::Shared<P>) -> bool {
     let view = shared.view.borrow();
-    view.table.is_some() && !view.targets.is_empty() && !shared.stopping.get()
+    view.table.is_some() && !view.targets.is_empty() && shared.stopping.get().is_none()
 }
 
 /// Tells the other routers what is asked for here.
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -51,8 +51,9 @@
 const ASK_AGAIN: Duration = Duration::from_millis(60);
 /// Time after which a request that waits looks again although nobody woke it.
 const LOOK_AGAIN: Duration = Duration::from_millis(250);
-/// Time to come back while no configuration is known: a process that starts learns it within half a
-/// second of reaching the store.
+/// Time to come back while no configuration is known, or from a router that ends: a process that
+/// starts learns the configuration within half a second of reaching the store, and a new connection
+/// leads to another router.
 const STARTING_RETURN: Duration = Duration::from_millis(700);
 /// Time to come back after a target refused and no other may be tried.
 const REFUSED_RETURN: Duration = Duration::from_millis(200);
@@ -219,7 +220,7 @@
 /// How one attempt ended.
 enum Attempt<P: router::Platform> {
     /// The head of an answer came.
-    Answered(Answered<P>),
+    Answered(Box<Answered<P>>),
     /// Nothing was written to the target.
     NotSent,
     /// The target says that it did not run the request.
@@ -326,6 +327,9 @@
     shared: &router::Shared<P>,
     parts: &http::request::Parts,
 ) -> Result<(Arc<config::Route>, usize), (StatusCode, &'static str)> {
+    if shared.refuses(shared.clock.now()) {
+        return Err((StatusCode::SERVICE_UNAVAILABLE, "this router is stopping"));
+    }
     let view = shared.view.borrow();
     let Some(table) = &view.table else {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "no configuration is known yet"));
@@ -349,7 +353,7 @@
         };
         job.tried.push(key);
         match attempt(&shared, &mut job, key, None).await {
-            Attempt::Answered(answered) => match finish(&shared, job, answered).await {
+            Attempt::Answered(answered) => match finish(&shared, job, *answered).await {
                 Ok(answer) => return answer,
                 Err(again) => job = *again,
             },
@@ -411,11 +415,11 @@
             }
             choose::Choice::LoadAdapter(key) => {
                 shared.ask_for_adapter(key, job);
-                (job.latest, ASK_AGAIN)
+                (shared.latest(job), ASK_AGAIN)
             }
             choose::Choice::Full | choose::Choice::Cold | choose::Choice::NoTarget => {
                 match shared.judge(now, job, choice) {
-                    patience::Verdict::Hold { until } => (until, LOOK_AGAIN),
+                    patience::Verdict::Hold { until } => (until.min(shared.latest(job)), LOOK_AGAIN),
                     patience::Verdict::Refuse { after } => {
                         return Err(give_up(shared, job, choice, after));
                     }
@@ -425,10 +429,8 @@
         if now >= until {
             return Err(give_up(shared, job, choice, REFUSED_RETURN));
         }
-        if waiting.is_none() {
-            if let Some(model) = job.model() {
-                waiting = Some(Waiting::begin(shared, model));
-            }
+        if let (None, Some(model)) = (&waiting, job.model()) {
+            waiting = Some(Waiting::begin(shared, model));
         }
         let look = (now + look).min(until);
         tokio::select! {
@@ -551,7 +553,7 @@
         shared.target_failed(key, "answer without signature");
         return Attempt::Unknown("the answer was not the target's");
     }
-    Attempt::Answered(Answered { head, info, body, lease, flight })
+    Attempt::Answered(Box::new(Answered { head, info, body, lease, flight }))
 }
 
 /// What came of waiting for the head of an answer.
@@ -573,7 +575,7 @@
 ) -> Head {
     tokio::pin!(sending);
     let silence = (job.route.aim * SILENT_AIMS).max(LEAST_SILENCE);
-    let mut look = (shared.clock.now() + silence).min(job.latest);
+    let mut look = (shared.clock.now() + silence).min(shared.latest(job));
     loop {
         tokio::select! {
             sent = &mut sending => {
@@ -588,13 +590,13 @@
             () = tokio::time::sleep_until(look.into()) => {}
         }
         let now = shared.clock.now();
-        if now >= job.latest {
+        if now >= shared.latest(job) {
             return Head::TimeOver;
         }
         if job.route.may_repeat() && shared.has_alternative(now, job, key) {
             return Head::Silent;
         }
-        look = (now + silence).min(job.latest);
+        look = (now + silence).min(shared.latest(job));
     }
 }
 
@@ -631,7 +633,7 @@
     }
     let Answered { mut head, info, body, lease, flight } = answered;
     let reading = Limited::new(body, MOST_ANSWER_BYTES).collect();
-    let body = match tokio::time::timeout_at(job.latest.into(), reading).await {
+    let body = match tokio::time::timeout_at(shared.latest(&job).into(), reading).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(_)) => return again_or_fail(shared, job, key, "the target broke off its answer"),
         Err(_) => return Ok(fail(shared, &job, StatusCode::GATEWAY_TIMEOUT, "the time is over")),
@@ -723,7 +725,7 @@
     let key = find_target(shared, job).await.map_err(|_| "no other target")?;
     job.tried.push(key);
     match attempt(shared, job, key, last_event).await {
-        Attempt::Answered(answered) if answered.head.status.is_success() => Ok(answered),
+        Attempt::Answered(answered) if answered.head.status.is_success() => Ok(*answered),
         Attempt::Answered(_) => Err("the other target failed"),
         Attempt::NotSent | Attempt::NotRun => Err("the other target did not take it"),
         Attempt::Unknown(why) => Err(why),
--- a/crates/corianderstand_forward/src/pool.rs
+++ b/crates/corianderstand_forward/src/pool.rs
@@ -77,7 +77,11 @@
     pub async fn open(&self, addr: SocketAddr) -> Result<Lease, std::io::Error> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
         stream.set_nodelay(true)?;
-        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+        let socket = socket2::SockRef::from(&stream);
+        socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+        // A connection that is closed takes back what it has not delivered. Else a request that is
+        // held up on a link that is cut arrives when the link is back, long after its caller left.
+        socket.set_linger(Some(Duration::ZERO))?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(std::io::Error::other)?;
         tokio::task::spawn_local(async move {
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -48,6 +48,16 @@
     pub stop_within: Duration,
 }
 
+/// The times of a stop.
+#[derives(key)]
+pub struct Stop {
+    /// Requests that come from then on are refused: callers have been sent elsewhere, and what
+    /// begins later would be cut.
+    pub refuses_from: Instant,
+    /// Requests that have no head of an answer by then get one of the router's own.
+    pub answers_by: Instant,
+}
+
 /// What the parts of a router share.
 pub struct Shared<P> {
     /// The platform's dialect and store.
@@ -72,13 +82,24 @@
     pub tell_planner: Notify,
     /// Datagrams to be sent.
     pub outbox: control::Outbox,
-    /// It is stopping.
-    pub stopping: Cell<bool>,
+    /// It is stopping, and how.
+    pub stopping: Cell<Option<Stop>>,
     /// Requests that are being answered.
     pub open: Cell<usize>,
 }
 
 impl<P: Platform> Shared<P> {
+    /// Whether a request that comes now is refused because this router is about to end.
+    pub fn refuses(&self, now: Instant) -> bool {
+        self.stopping.get().is_some_and(|stop| now >= stop.refuses_from)
+    }
+
+    /// When a request that has nothing yet is given up: sooner than its own time if this router
+    /// stops.
+    pub fn latest(&self, job: &exchange::Job) -> Instant {
+        self.stopping.get().map_or(job.latest, |stop| job.latest.min(stop.answers_by))
+    }
+
     /// A request has come.
     pub fn note_arrival(&self, job: &exchange::Job) {
         let now = self.clock.now();
@@ -147,7 +168,7 @@
             choose::Choice::Full => patience::Expected::Room,
             _ => view.expected(now, &job.service, job.call.wanted.as_ref()),
         };
-        patience::judge(now, job.held_until(), expected, job.spread())
+        patience::judge(now, job.held_until().min(self.latest(job)), expected, job.spread())
     }
 
     /// Where a target is, and its name.
@@ -259,7 +280,7 @@
             log: decisions::Log::default(),
             tell_planner: Notify::new(),
             outbox: control::Outbox::new(udp),
-            stopping: Cell::new(false),
+            stopping: Cell::new(None),
             open: Cell::new(0),
             settings,
         });
--- a/crates/corianderstand_forward/src/server.rs
+++ b/crates/corianderstand_forward/src/server.rs
@@ -19,6 +19,9 @@
 /// Time for which a stopping router still takes connections: whoever sends callers here asks once
 /// a second whether it is ready and goes by two answers.
 const LEAVE_TIME: Duration = Duration::from_millis(2_600);
+/// Time before the end of a stop at which requests without the head of an answer are answered: they
+/// would else end with a closed connection, which tells their callers nothing.
+const ANSWER_BEFORE: Duration = Duration::from_millis(900);
 /// Time before the end of a stop at which what is still open is cut, so that callers see a closed
 /// connection and not a dead host.
 const CUT_BEFORE: Duration = Duration::from_millis(400);
@@ -77,7 +80,7 @@
 /// Whether callers should be sent here.
 pub fn is_ready<P: router::Platform>(shared: &router::Shared<P>) -> bool {
     let view = shared.view.borrow();
-    view.table.is_some() && !view.targets.is_empty() && !shared.stopping.get()
+    view.table.is_some() && !view.targets.is_empty() && shared.stopping.get().is_none()
 }
 
 async fn accept(listener: &TcpListener) -> Option<TcpStream> {
@@ -115,8 +118,12 @@
             () = &mut stop => break,
         }
     }
-    shared.stopping.set(true);
     let began = shared.clock.now();
+    let within = shared.settings.stop_within;
+    shared.stopping.set(Some(router::Stop {
+        refuses_from: began + LEAVE_TIME.min(within / 2),
+        answers_by: began + within.saturating_sub(ANSWER_BEFORE),
+    }));
     tracing::info!(open = shared.open.get(), "stopping: no longer ready");
     // Each open connection ends with the answer that it is giving; unused ones end now. A request
     // that crosses the end of its connection was not read, and its caller may repeat it.
@@ -199,7 +206,7 @@
     shared.open.set(shared.open.get() + 1);
     let count = OpenCount(shared.clone());
     let mut answer = exchange::answer(shared.clone(), req).await?;
-    if shared.stopping.get() {
+    if shared.stopping.get().is_some() {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(answer.map(|body| body.with_guard(count)))
--- a/crates/corianderstand_forward/src/view.rs
+++ b/crates/corianderstand_forward/src/view.rs
@@ -77,10 +77,10 @@
             if target.serves(now, &wanted.model) {
                 return patience::Expected::Room;
             }
-            if let Some(targets::Ongoing::Loading { model, ready_at, .. }) = &target.ongoing {
-                if *model == wanted.model {
-                    return patience::Expected::Ready(*ready_at);
-                }
+            if let Some(targets::Ongoing::Loading { model, ready_at, .. }) = &target.ongoing
+                && *model == wanted.model
+            {
+                return patience::Expected::Ready(*ready_at);
             }
             let view = plan::EngineView {
                 key,
