--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -419,7 +419,9 @@
             }
             choose::Choice::Full | choose::Choice::Cold | choose::Choice::NoTarget => {
                 match shared.judge(now, job, choice) {
-                    patience::Verdict::Hold { until } => (until.min(shared.latest(job)), LOOK_AGAIN),
+                    patience::Verdict::Hold { until } => {
+                        (until.min(shared.latest(job)), LOOK_AGAIN)
+                    }
                     patience::Verdict::Refuse { after } => {
                         return Err(give_up(shared, job, choice, after));
                     }
--- a/crates/corianderstand_forward/src/pool.rs
+++ b/crates/corianderstand_forward/src/pool.rs
@@ -7,12 +7,15 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1;
+use hyper::{client::conn::http1, rt};
 use hyper_util::rt::TokioIo;
 use std::{
     cell::RefCell,
     collections::{HashMap, VecDeque},
+    io,
     net::SocketAddr,
+    pin::Pin,
+    task::{Context, Poll},
     time::{Duration, Instant},
 };
 use tokio::net::TcpStream;
@@ -50,6 +53,49 @@
     pub used: bool,
 }
 
+/// A stream whose end is its reset: it is dropped without saying first that no more will come.
+struct Abrupt(TokioIo<TcpStream>);
+
+impl rt::Read for Abrupt {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: rt::ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_read(cx, buf)
+    }
+}
+
+impl rt::Write for Abrupt {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write_vectored(cx, bufs)
+    }
+}
+
 /// Connections that wait for their next request.
 #[derive(Default)]
 pub struct Pool {
@@ -62,7 +108,7 @@
     /// # Errors
     ///
     /// What kept a new one from being opened.
-    pub async fn lease(&self, now: Instant, addr: SocketAddr) -> Result<Lease, std::io::Error> {
+    pub async fn lease(&self, now: Instant, addr: SocketAddr) -> Result<Lease, io::Error> {
         match self.take(now, addr) {
             Some(sender) => Ok(Lease { sender, addr, used: true }),
             None => self.open(addr).await,
@@ -74,7 +120,7 @@
     /// # Errors
     ///
     /// What kept it from being opened.
-    pub async fn open(&self, addr: SocketAddr) -> Result<Lease, std::io::Error> {
+    pub async fn open(&self, addr: SocketAddr) -> Result<Lease, io::Error> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
         stream.set_nodelay(true)?;
         let socket = socket2::SockRef::from(&stream);
@@ -82,8 +128,8 @@
         // A connection that is closed takes back what it has not delivered. Else a request that is
         // held up on a link that is cut arrives when the link is back, long after its caller left.
         socket.set_linger(Some(Duration::ZERO))?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(std::io::Error::other)?;
+        let handshake = http1::handshake(Abrupt(TokioIo::new(stream))).await;
+        let (sender, connection) = handshake.map_err(io::Error::other)?;
         tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%addr, %error, "connection ended");
--- /dev/null
+++ b/crates/corianderstand_forward/tests/answers.rs
@@ -0,0 +1,181 @@
+//! Answers to callers when targets fail, break off or fall silent.
+
+mod common;
+
+use common::{Got, MemoryStore, Running, Target};
+use corianderstand_fleet::config::{Repeats, Route};
+use tokio::io::AsyncReadExt;
+
+const ID: &str = "request-1";
+
+/// Two targets of one service behind one route, and a router before them.
+async fn pair(route: Route) -> (Running, Target, Target) {
+    let store = MemoryStore::default();
+    let (one, two) = (Target::start().await, Target::start().await);
+    store.config(common::config(1, vec![route]));
+    store.target(one.entry("target-1", "desk"));
+    store.target(two.entry("target-2", "desk"));
+    let router = Running::start(&store);
+    router.wait_ready().await;
+    (router, one, two)
+}
+
+/// The request at whichever target got it, and the other target.
+async fn first<'a>(one: &'a Target, two: &'a Target) -> (Got, &'a Target) {
+    tokio::select! {
+        got = one.next() => (got, two),
+        got = two.next() => (got, one),
+    }
+}
+
+fn once() -> Route {
+    common::route("/pay/", "desk")
+}
+
+fn repeatable() -> Route {
+    Route { repeats: Repeats::Allowed, ..once() }
+}
+
+fn resumable() -> Route {
+    Route { streams: true, resumable: true, ..once() }
+}
+
+#[tokio::test]
+async fn a_request_goes_on_unchanged_and_its_answer_comes_back() {
+    let (router, one, two) = pair(once()).await;
+    let headers = [("x-id", ID), ("x-deadline-ms", "5000"), ("x-own", "kept")];
+    let mut caller =
+        common::send(router.front, "POST", "/pay/1?n=2", &headers, "body").await.unwrap();
+    let (got, _) = first(&one, &two).await;
+    assert!(got.head.starts_with("post /pay/1?n=2 http/1.1"), "{}", got.head);
+    assert_eq!(got.header("x-own"), Some("kept"));
+    let left: u64 = got.header("x-left-ms").unwrap().parse().unwrap();
+    assert!((4_000..5_000).contains(&left), "the target gets what is left: {left}");
+    got.answer_whole(ID, "paid").await;
+    let answer = common::read_all(&mut caller).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("paid"), "{answer}");
+}
+
+/// A target takes a payment and its connection breaks before the answer. Whether it was paid is not
+/// known. A caller that is told "not run" pays twice.
+#[tokio::test]
+async fn a_payment_whose_fate_is_unknown_is_not_called_not_run() {
+    let (router, one, two) = pair(once()).await;
+    let mut caller =
+        common::send(router.front, "POST", "/pay/1", &[("x-id", ID)], "").await.unwrap();
+    let (got, other) = first(&one, &two).await;
+    drop(got);
+    let answer = common::read_all(&mut caller).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    let none = tokio::time::timeout(std::time::Duration::from_millis(300), other.next()).await;
+    assert!(none.is_err(), "it is not sent again");
+}
+
+/// A target says that it did not run a payment, so another one may.
+#[tokio::test]
+async fn a_payment_that_was_not_run_goes_to_another_target() {
+    let (router, one, two) = pair(once()).await;
+    let mut caller =
+        common::send(router.front, "POST", "/pay/1", &[("x-id", ID)], "").await.unwrap();
+    let (got, other) = first(&one, &two).await;
+    let full = "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-id: request-1\r\nContent-Length: 0\r\n\r\n";
+    got.answer(full).await;
+    other.next().await.answer_whole(ID, "paid").await;
+    assert!(common::read_all(&mut caller).await.unwrap().ends_with("paid"));
+}
+
+/// A target's connection breaks before the answer to a look-up, which may run any number of times.
+#[tokio::test]
+async fn a_lookup_whose_target_is_lost_goes_to_another() {
+    let (router, one, two) = pair(repeatable()).await;
+    let mut caller =
+        common::send(router.front, "GET", "/pay/1", &[("x-id", ID)], "").await.unwrap();
+    let (got, other) = first(&one, &two).await;
+    drop(got);
+    other.next().await.answer_whole(ID, "found").await;
+    assert!(common::read_all(&mut caller).await.unwrap().ends_with("found"));
+}
+
+/// A target sends the answer to an earlier request where this one's is due. A caller would get
+/// somebody else's data.
+#[tokio::test]
+async fn an_answer_to_another_request_reaches_nobody() {
+    let (router, one, two) = pair(once()).await;
+    let mut caller =
+        common::send(router.front, "POST", "/pay/1", &[("x-id", ID)], "").await.unwrap();
+    let (got, _) = first(&one, &two).await;
+    got.answer_whole("request-0", "of somebody else").await;
+    let answer = common::read_all(&mut caller).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 502") && !answer.contains("somebody"), "{answer}");
+}
+
+/// A target crashes in the middle of an event. The other goes on after the last whole event; the
+/// caller sees each event once and the stream's end.
+#[tokio::test]
+async fn a_stream_goes_on_at_another_target_after_its_last_whole_event() {
+    let (router, one, two) = pair(resumable()).await;
+    let mut caller =
+        common::send(router.front, "POST", "/pay/1", &[("x-id", ID)], "").await.unwrap();
+    let (mut got, other) = first(&one, &two).await;
+    got.begin_stream(ID).await;
+    got.piece("id: 0\ndata: a\n\n").await;
+    got.piece("id: 1\ndata: b\n\nid: 2\nda").await;
+    drop(got);
+    let mut next = other.next().await;
+    assert_eq!(next.header("x-last-event"), Some("1"));
+    next.begin_stream(ID).await;
+    next.piece("id: 2\ndata: c\n\n").await;
+    next.end().await;
+    let answer = common::read_all(&mut caller).await.unwrap();
+    let events: Vec<_> = answer.lines().filter(|line| line.starts_with("data")).collect();
+    assert_eq!(events, ["data: a", "data: b", "data: c"], "{answer}");
+    assert!(answer.ends_with("0\r\n\r\n"), "the end is marked");
+}
+
+/// The target that takes a stream up begins with another event than the next. Passed on, the caller
+/// would miss a piece without knowing.
+#[tokio::test]
+async fn a_stream_with_a_hole_is_broken_off() {
+    let (router, one, two) = pair(resumable()).await;
+    let mut caller =
+        common::send(router.front, "POST", "/pay/1", &[("x-id", ID)], "").await.unwrap();
+    let (mut got, other) = first(&one, &two).await;
+    got.begin_stream(ID).await;
+    got.piece("id: 0\ndata: a\n\n").await;
+    drop(got);
+    let mut next = other.next().await;
+    next.begin_stream(ID).await;
+    next.piece("id: 5\ndata: f\n\n").await;
+    next.end().await;
+    let answer = common::read_all(&mut caller).await.unwrap_or_default();
+    assert!(!answer.contains("data: f") && !answer.ends_with("0\r\n\r\n"), "{answer}");
+}
+
+/// A stream that may not be taken up breaks off. It must not look whole to its caller.
+#[tokio::test]
+async fn a_stream_that_breaks_off_does_not_look_whole() {
+    let route = Route { streams: true, ..once() };
+    let (router, one, two) = pair(route).await;
+    let mut caller =
+        common::send(router.front, "POST", "/pay/1", &[("x-id", ID)], "").await.unwrap();
+    let (mut got, _) = first(&one, &two).await;
+    got.begin_stream(ID).await;
+    got.piece("id: 0\ndata: a\n\n").await;
+    drop(got);
+    let answer = common::read_all(&mut caller).await.unwrap_or_default();
+    assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+}
+
+/// A caller leaves while its request is at a target, on a link that may hold up what is sent. The
+/// target must hear of it at once, and nothing undelivered may arrive later: the router resets the
+/// connection, which takes back what is on its way, and does not merely end it.
+#[tokio::test]
+async fn a_caller_who_leaves_takes_the_request_back() {
+    let (router, one, two) = pair(once()).await;
+    let caller = common::send(router.front, "POST", "/pay/1", &[("x-id", ID)], "").await.unwrap();
+    let (mut got, _) = first(&one, &two).await;
+    drop(caller);
+    let read = tokio::time::timeout(common::PATIENCE, got.stream.read(&mut [0; 16])).await;
+    let error = read.expect("the target hears of it").expect_err("a reset, not an end");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
--- /dev/null
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -0,0 +1,410 @@
+//! A router in a thread of its own, a store in memory, and targets that the tests script.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use bytes::Bytes;
+use corianderstand_fleet::{budget, choose, config, targets};
+use corianderstand_forward::{dialect, router};
+use corianderstand_types::clock::SystemClock;
+use dialect::{News, Page, Record, RecordError, RouterEntry, StoreError, Subject};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::oneshot,
+};
+
+/// Longest wait for something that should happen; only a broken build meets it.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What the store holds.
+#[derive(Default)]
+pub struct Shelf {
+    news: BTreeMap<u64, (Subject, Record, Option<News>)>,
+    next: u64,
+    down: bool,
+}
+
+/// The store in memory; tests write to it and take it down.
+#[derive(Clone, Default)]
+pub struct MemoryStore {
+    shelf: Arc<Mutex<Shelf>>,
+    turned_away: bool,
+}
+
+impl MemoryStore {
+    /// The same store for a process that it turns away.
+    #[must_use]
+    pub fn turned_away(&self) -> Self {
+        Self { turned_away: true, ..self.clone() }
+    }
+
+    fn put(&self, subject: Subject, key: &str, news: Option<News>) {
+        let mut shelf = self.shelf.lock().unwrap();
+        let offset = shelf.next;
+        let value = Some(Bytes::from(offset.to_string()));
+        let record = Record { key: key.into(), value, offset };
+        shelf.news.insert(offset, (subject, record, news));
+        shelf.next += 1;
+    }
+
+    pub fn config(&self, config: config::Config) {
+        self.put(Subject::Config, "config", Some(News::Config(Arc::new(config))));
+    }
+
+    pub fn target(&self, entry: targets::Entry) {
+        let key = entry.id.to_string();
+        self.put(Subject::Targets, &key, Some(News::Target(entry)));
+    }
+
+    pub fn target_gone(&self, id: &str) {
+        self.put(Subject::Targets, id, Some(News::TargetGone(id.into())));
+    }
+
+    /// A record that nobody can read.
+    pub fn garbage(&self, subject: Subject, key: &str) {
+        self.put(subject, key, None);
+    }
+
+    pub fn set_down(&self, down: bool) {
+        self.shelf.lock().unwrap().down = down;
+    }
+
+    fn page(&self, subject: Subject, from: u64) -> Result<Page, StoreError> {
+        let shelf = self.shelf.lock().unwrap();
+        if shelf.down || self.turned_away {
+            return Err(StoreError::Refused(503));
+        }
+        let records = shelf.news.range(from..).filter(|(_, (own, ..))| *own == subject);
+        let records = records.map(|(_, (_, record, _))| record.clone()).collect();
+        Ok(Page { records, next: shelf.next, whole: false })
+    }
+}
+
+/// A dialect of plain names, over the store in memory.
+pub struct PlainPlatform(pub MemoryStore);
+
+impl dialect::Dialect for PlainPlatform {
+    fn read_call(&self, headers: &HeaderMap) -> dialect::Call {
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let millis = |name: &str| text(name)?.parse().ok().map(Duration::from_millis);
+        let wanted = text("x-model").map(|model| choose::Wanted {
+            model: model.into(),
+            adapter: text("x-adapter").map(Into::into),
+        });
+        dialect::Call {
+            id: text("x-id").unwrap_or_default().into(),
+            deadline: millis("x-deadline-ms"),
+            wanted,
+            ..Default::default()
+        }
+    }
+
+    fn pass_on(&self, headers: &mut HeaderMap, passing: &dialect::Passing) {
+        headers.remove(http::header::CONNECTION);
+        headers.remove(http::header::CONTENT_LENGTH);
+        headers.insert("x-target", HeaderValue::from_str(passing.target.as_str()).unwrap());
+        headers.insert("x-left-ms", HeaderValue::from(passing.time_left.as_millis() as u64));
+        if let Some(last) = passing.last_event {
+            headers.insert("x-last-event", HeaderValue::from(last));
+        }
+    }
+
+    fn read_answer(&self, _: StatusCode, headers: &HeaderMap) -> dialect::AnswerHead {
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        dialect::AnswerHead {
+            not_run: headers.contains_key("x-not-run"),
+            signed: headers.contains_key("x-signed"),
+            request: text("x-id").map(Into::into),
+            ..Default::default()
+        }
+    }
+
+    fn hand_back(&self, headers: &mut HeaderMap) {
+        headers.remove(http::header::CONNECTION);
+        headers.remove(http::header::TRANSFER_ENCODING);
+    }
+}
+
+impl dialect::Store for PlainPlatform {
+    async fn newest(&self, subject: Subject) -> Result<Page, StoreError> {
+        self.0.page(subject, 0)
+    }
+
+    async fn read(&self, subject: Subject, from: u64, _: Duration) -> Result<Page, StoreError> {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        self.0.page(subject, from)
+    }
+
+    async fn announce(&self, _: &RouterEntry) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    async fn withdraw(&self, _: &str) -> Result<(), StoreError> {
+        Ok(())
+    }
+
+    fn decode(&self, _: Subject, record: &Record) -> Result<Option<News>, RecordError> {
+        let shelf = self.0.shelf.lock().unwrap();
+        let (_, _, news) = &shelf.news[&record.offset];
+        let unreadable =
+            || RecordError::Unreadable { key: record.key.clone(), reason: "garbage".into() };
+        news.clone().map(Some).ok_or_else(unreadable)
+    }
+}
+
+/// A port that nobody uses now.
+fn free_port() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// A router that runs in a thread.
+pub struct Running {
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub peers: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Running {
+    /// Starts a router on the store.
+    pub fn start(store: &MemoryStore) -> Self {
+        Self::start_with(store, "router-a", Vec::new(), Duration::from_secs(8))
+    }
+
+    pub fn start_with(
+        store: &MemoryStore,
+        name: &str,
+        seeds: Vec<SocketAddr>,
+        stop_within: Duration,
+    ) -> Self {
+        let (front, ready, peers) = (free_port(), free_port(), free_port());
+        let settings = router::Settings {
+            name: name.into(),
+            zone: "here".into(),
+            front,
+            ready,
+            ready_path: "/ready".into(),
+            metrics: None,
+            peers,
+            agent_port: peers.port(),
+            seeds,
+            allowance: budget::Allowance::default(),
+            stop_within,
+        };
+        let store = store.clone();
+        let (stop, stopped) = oneshot::channel::<()>();
+        let thread = std::thread::spawn(move || {
+            let wait = async move { drop(stopped.await) };
+            let platform = |_| PlainPlatform(store);
+            router::run(settings, Arc::new(SystemClock), platform, wait).unwrap();
+        });
+        Self { front, ready, peers, stop: Some(stop), thread: Some(thread) }
+    }
+
+    /// Waits until it says that it is ready.
+    pub async fn wait_ready(&self) {
+        let ask = async {
+            loop {
+                if let Ok(answer) = get(self.ready, "/ready", &[]).await
+                    && answer.starts_with("HTTP/1.1 200")
+                {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, ask).await.expect("the router becomes ready");
+    }
+
+    /// Tells it to stop.
+    pub fn stop(&mut self) {
+        drop(self.stop.take().expect("it was not stopped before").send(()));
+    }
+
+    /// Whether its process would have ended.
+    pub fn has_ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(std::thread::JoinHandle::is_finished)
+    }
+}
+
+/// A request in HTTP/1.1 that closes its connection; its whole answer as text.
+pub async fn get(
+    addr: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> std::io::Result<String> {
+    let mut stream = send(addr, "GET", path, headers, "").await?;
+    read_all(&mut stream).await
+}
+
+/// Sends a request and leaves its answer to be read.
+pub async fn send(
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> std::io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(addr).await?;
+    let mut text =
+        format!("{method} {path} HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n");
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str(&format!("Content-Length: {}\r\n\r\n{body}", body.len()));
+    stream.write_all(text.as_bytes()).await?;
+    Ok(stream)
+}
+
+/// Reads an answer to the end of its connection.
+pub async fn read_all(stream: &mut TcpStream) -> std::io::Result<String> {
+    let mut bytes = Vec::new();
+    tokio::time::timeout(PATIENCE, stream.read_to_end(&mut bytes)).await??;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+/// A request that a target got, and the connection to answer it on.
+pub struct Got {
+    pub head: String,
+    pub stream: TcpStream,
+}
+
+impl Got {
+    /// Answers with bytes as they are, and closes.
+    pub async fn answer(mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).await.unwrap();
+        self.stream.shutdown().await.unwrap();
+    }
+
+    /// Answers with a whole body.
+    pub async fn answer_whole(self, id: &str, body: &str) {
+        let len = body.len();
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nx-signed: 1\r\nx-id: {id}\r\nContent-Length: {len}\r\nConnection: close\r\n\r\n{body}"
+        );
+        self.answer(&text).await;
+    }
+
+    /// Begins a stream of events.
+    pub async fn begin_stream(&mut self, id: &str) {
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nx-signed: 1\r\nx-id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        self.stream.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    /// Sends bytes of a stream.
+    pub async fn piece(&mut self, text: &str) {
+        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        self.stream.write_all(chunk.as_bytes()).await.unwrap();
+    }
+
+    /// Ends a stream as whole.
+    pub async fn end(mut self) {
+        self.stream.write_all(b"0\r\n\r\n").await.unwrap();
+        self.stream.shutdown().await.unwrap();
+    }
+
+    /// Value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines();
+        lines.find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+    }
+}
+
+/// A target that a test answers for.
+pub struct Target {
+    pub addr: SocketAddr,
+    listener: TcpListener,
+}
+
+impl Target {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Self { addr: listener.local_addr().unwrap(), listener }
+    }
+
+    /// The next request.
+    pub async fn next(&self) -> Got {
+        let next = async {
+            loop {
+                let (mut stream, _) = self.listener.accept().await.unwrap();
+                if let Some(head) = read_head(&mut stream).await {
+                    return Got { head, stream };
+                }
+            }
+        };
+        tokio::time::timeout(PATIENCE, next).await.expect("a request arrives")
+    }
+
+    /// Its entry in the store.
+    pub fn entry(&self, id: &str, service: &str) -> targets::Entry {
+        targets::Entry {
+            id: id.into(),
+            born: 1,
+            renewals: 1,
+            service: service.into(),
+            addr: self.addr,
+            zone: "here".into(),
+            slots: 8,
+            draining: false,
+            leaves_in: None,
+            holdings: targets::Holdings::default(),
+        }
+    }
+}
+
+/// A request's head and body as text; none if the connection ends before.
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut buf = [0; 4_096];
+    loop {
+        let len = stream.read(&mut buf).await.ok()?;
+        if len == 0 {
+            return None;
+        }
+        bytes.extend_from_slice(&buf[..len]);
+        if bytes.windows(4).any(|window| window == b"\r\n\r\n") {
+            return Some(String::from_utf8_lossy(&bytes).to_lowercase());
+        }
+    }
+}
+
+/// A route for all paths of a kind.
+pub fn route(prefix: &str, service: &str) -> config::Route {
+    config::Route {
+        name: prefix.into(),
+        host: "desk.example".into(),
+        prefix: prefix.into(),
+        timeout: Duration::from_secs(10),
+        aim: Duration::from_millis(300),
+        most_targets: 2,
+        services: vec![(service.into(), 1)],
+        ..Default::default()
+    }
+}
+
+/// A configuration of routes and services without engines.
+pub fn config(version: u64, routes: Vec<config::Route>) -> config::Config {
+    let mut services: Vec<_> =
+        routes.iter().flat_map(|route| &route.services).map(|(name, _)| name.clone()).collect();
+    services.dedup();
+    let services = services
+        .into_iter()
+        .map(|name| config::Service { name, connections: 100, engine: None })
+        .collect();
+    config::Config {
+        version,
+        routes: routes.into_iter().map(Arc::new).collect(),
+        services,
+        limits: config::Limits::default(),
+    }
+}
