--- a/crates/corianderstand_fleet/src/plan.rs
+++ b/crates/corianderstand_fleet/src/plan.rs
@@ -29,7 +29,7 @@
 /// What a request loses when its model has to be loaded first although it could have been there in
 /// time: engines carry out one order at a time and wait for runs to end, so that many such loads
 /// come too late.
-const PATIENT_MISS: f64 = 0.8;
+const PATIENT_MISS: f64 = 0.7;
 /// What a request loses when its model comes too late for its aim: it is served late.
 const URGENT_MISS: f64 = 1.0;
 /// Misses that a model which leaves its last engine has before it is back: its first requests come
@@ -180,6 +180,24 @@
 
 type Models = BTreeMap<names::ModelId, ModelView>;
 
+/// Why a model should get one more place.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Cause {
+    /// It has none: it takes turns with the others for the places that there are.
+    Absent,
+    /// Its load wants one more: there is one place less for the others from then on.
+    Load,
+}
+
+/// A model that should get one more place.
+#[derive(Clone, Copy, Debug)]
+struct Wish<'a> {
+    model: &'a ModelView,
+    cause: Cause,
+    /// What that gains within [`HORIZON_S`], in requests.
+    gain: f64,
+}
+
 /// A place for a model on an engine, and what has to go for it.
 #[derive(Clone, Debug)]
 struct Place {
@@ -202,12 +220,13 @@
     ) -> &HashMap<targets::TargetKey, Vec<names::ModelId>> {
         self.store.observe(now, engines, models);
         self.follow(engines, models);
-        let mut wishes: Vec<(f64, &ModelView)> =
+        let mut wishes: Vec<Wish> =
             models.values().filter_map(|model| self.wish(engines, model)).collect();
-        wishes.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.spec.name.cmp(&b.1.spec.name)));
-        for (gain, model) in wishes {
-            if let Some(place) = self.place(now, engines, models, model, gain) {
-                self.take(now, engines, &place, &model.spec.name);
+        let name = |wish: &Wish| wish.model.spec.name.clone();
+        wishes.sort_by(|a, b| b.gain.total_cmp(&a.gain).then_with(|| name(a).cmp(&name(b))));
+        for wish in wishes {
+            if let Some(place) = self.place(now, engines, models, &wish) {
+                self.take(now, engines, &place, &wish.model.spec.name);
             }
         }
         &self.wants
@@ -240,23 +259,17 @@
         self.wants.values().filter(|wants| wants.contains(model)).count()
     }
 
-    /// What one more replica of the model gains within [`HORIZON_S`], in requests; none if it needs
-    /// no more.
-    fn wish<'a>(
-        &self,
-        engines: &[EngineView],
-        model: &'a ModelView,
-    ) -> Option<(f64, &'a ModelView)> {
+    /// What one more replica of the model gains; none if it needs no more.
+    fn wish<'a>(&self, engines: &[EngineView], model: &'a ModelView) -> Option<Wish<'a>> {
         let replicas = self.replicas(&model.spec.name);
-        let requests = model.asked.per_s.max(PRIOR_PER_S) * HORIZON_S;
         if replicas == 0 {
-            return Some((f64::from(model.waiting) + away(model), model));
+            let gain = f64::from(model.waiting) + away(model);
+            return Some(Wish { model, cause: Cause::Absent, gain });
         }
         let load = load(engines, model);
-        let gain = requests
-            * PAUSED
-            * (paused(load / replicas as f64) - paused(load / (replicas + 1) as f64));
-        (gain > LEAST_GAIN).then_some((gain, model))
+        let share = |replicas: usize| paused(load / replicas as f64);
+        let gain = requests(model) * PAUSED * (share(replicas) - share(replicas + 1));
+        (gain > LEAST_GAIN).then_some(Wish { model, cause: Cause::Load, gain })
     }
 
     fn place(
@@ -264,24 +277,27 @@
         now: Instant,
         engines: &[EngineView],
         models: &Models,
-        model: &ModelView,
-        gain: f64,
+        wish: &Wish,
     ) -> Option<Place> {
-        let store_full = self.store_loads(engines, models) >= self.store.at_once;
-        let name = &model.spec.name;
+        let name = &wish.model.spec.name;
         let places = (0..engines.len()).filter_map(|index| {
             let engine = &engines[index];
             let free = engine.orderable && !self.wants[&engine.key].contains(name);
-            free.then(|| self.place_on(now, engines, index, models, model)).flatten()
+            free.then(|| self.place_on(now, engines, index, models, wish)).flatten()
         });
-        let places = places.filter(|place| !(place.from_store && store_full));
-        let places = places.filter(|place| place.victims.is_empty() || gain > place.loss + MARGIN);
+        let mut places: Vec<Place> = places.collect();
+        // A copy on some engine's disk is there in a second, also if that engine has to end another
+        // order first; the store takes six, and serves few at once.
+        if places.iter().any(|place| !place.from_store) {
+            places.retain(|place| !place.from_store);
+        } else if self.store_loads(engines, models) >= self.store.at_once {
+            return None;
+        }
+        places.retain(|place| place.victims.is_empty() || wish.gain > place.loss + MARGIN);
         // While it is on its way, its requests wait or are refused.
-        let rate = f64::from(model.waiting) + model.asked.per_s.max(PRIOR_PER_S);
+        let rate = f64::from(wish.model.waiting) + wish.model.asked.per_s.max(PRIOR_PER_S);
         let cost = |place: &Place| rate * place.ready_in.as_secs_f64() + place.loss;
-        let best = places.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
-        // Better to wait for an engine that is nearly free and has a copy than to begin a load from
-        // the store elsewhere.
+        let best = places.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
         (!best.later).then_some(best)
     }
 
@@ -318,8 +334,9 @@
         engines: &[EngineView],
         index: usize,
         models: &Models,
-        model: &ModelView,
+        wish: &Wish,
     ) -> Option<Place> {
+        let model = wish.model;
         let engine = &engines[index];
         let wants = &self.wants[&engine.key];
         let settled_in = self.settled_in(now, engine, models);
@@ -337,7 +354,9 @@
         let mut others: Vec<(f64, &names::ModelId)> = wants
             .iter()
             .filter(|name| self.may_go(now, engine.key, name))
-            .filter_map(|name| Some((self.loss(engines, engine, models.get(name)?), name)))
+            .filter_map(|name| {
+                Some((self.loss(engines, engine, models.get(name)?, wish.cause), name))
+            })
             .collect();
         others.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (loss, name) in others {
@@ -360,17 +379,26 @@
     }
 
     /// What is lost within [`HORIZON_S`], in requests, when the model leaves this engine.
-    fn loss(&self, engines: &[EngineView], engine: &EngineView, model: &ModelView) -> f64 {
+    fn loss(
+        &self,
+        engines: &[EngineView],
+        engine: &EngineView,
+        model: &ModelView,
+        cause: Cause,
+    ) -> f64 {
         let others = self.replicas(&model.spec.name).saturating_sub(1);
-        let requests = model.asked.per_s.max(PRIOR_PER_S) * HORIZON_S;
         let running = engine.running.get(&model.spec.name).copied().unwrap_or(0);
         let running = f64::from(running.min(2)) * RUNNING;
         if others == 0 {
-            return f64::from(model.waiting) + away(model) + running;
+            let gone = match cause {
+                Cause::Absent => away(model),
+                Cause::Load => requests(model) * miss(model),
+            };
+            return f64::from(model.waiting) + gone + running;
         }
         let load = load(engines, model);
         let more = paused(load / others as f64) - paused(load / (others + 1) as f64);
-        requests * (more * PAUSED + SPARE / others as f64) + running
+        requests(model) * (more * PAUSED + SPARE / others as f64) + running
     }
 
     /// What is lost within [`HORIZON_S`], in requests, because the engine has other work to do as
@@ -406,8 +434,12 @@
 /// What is lost within [`HORIZON_S`], in requests, when the model is on no engine: the same whether
 /// it leaves or comes, so that a model that has just left does not push out the next one at once.
 fn away(model: &ModelView) -> f64 {
-    let requests = model.asked.per_s.max(PRIOR_PER_S) * HORIZON_S;
-    MISSES * (1.0 - (-requests / MISSES).exp()) * miss(model)
+    MISSES * (1.0 - (-requests(model) / MISSES).exp()) * miss(model)
+}
+
+/// Requests within [`HORIZON_S`].
+fn requests(model: &ModelView) -> f64 {
+    model.asked.per_s.max(PRIOR_PER_S) * HORIZON_S
 }
 
 /// What one request loses when the model is on no engine: little if it is loaded within the aim.
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -367,6 +367,9 @@
                 }
             }
             Attempt::NotRun => {
+                // It has run nowhere, so it does not count as one of the route's targets; the
+                // target itself is left out for a while, as it does not hold the model.
+                job.tried.pop();
                 job.offers += 1;
                 job.last_trouble = "the target did not run it";
                 if !may_try_another(&shared, &job) {
