--- /dev/null
+++ b/crates/corianderstand_fleet/tests/decisions.rs
@@ -0,0 +1,325 @@
+//! Routes, targets, budgets, patience and steps.
+
+mod common;
+
+use common::id;
+use corianderstand_fleet::{budget, choose, config, health, patience, routes, steps, targets};
+use corianderstand_types::names::ModelId;
+use rand::RngExt;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use targets::{Change, Entry, Holdings, Load, Report, Resident, Targets};
+
+fn table(prefixes: &[&str]) -> routes::Table {
+    let routes = prefixes.iter().map(|prefix| {
+        Arc::new(config::Route {
+            name: (*prefix).into(),
+            host: "desk.example".into(),
+            prefix: (*prefix).into(),
+            ..Default::default()
+        })
+    });
+    routes::Table::new(Arc::new(config::Config { routes: routes.collect(), ..Default::default() }))
+}
+
+#[rstest::rstest]
+#[case("desk.example", "/a/b/c", Some("/a/b/"))]
+#[case("desk.example:8080", "/a/x", Some("/a/"))]
+#[case("DESK.example", "/a/b", Some("/a/"))]
+#[case("desk.example", "/ab/", None)]
+#[case("other.example", "/a/", None)]
+fn the_longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] wanted: Option<&str>,
+) {
+    let table = table(&["/a/", "/a/b/"]);
+    let found = table.find(host, path).map(|route| route.prefix.as_str());
+    assert_eq!(found, wanted);
+}
+
+#[test]
+fn a_split_route_gives_each_service_its_share() {
+    let services = vec![("one".into(), 90), ("two".into(), 10)];
+    let route = config::Route { services, ..Default::default() };
+    let two = (0..1_000).filter(|&hash| route.service(hash).unwrap().as_str() == "two").count();
+    assert_eq!(two, 100);
+}
+
+fn entry(name: &str) -> Entry {
+    Entry {
+        id: id(name),
+        born: 10,
+        renewals: 5,
+        service: "models".into(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        zone: "here".into(),
+        slots: 4,
+        draining: false,
+        leaves_in: None,
+        holdings: holdings(&["m"]),
+    }
+}
+
+fn holdings(models: &[&str]) -> Holdings {
+    let resident = models.iter().map(|model| Resident { model: (*model).into(), adapters: vec![] });
+    Holdings { resident: resident.collect(), ..Default::default() }
+}
+
+/// The store returns an entry that was written before the newest one. Taken, requests would go to an
+/// engine that is leaving.
+#[test]
+fn an_entry_from_before_is_left_out() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    let draining = Entry { renewals: 6, draining: true, ..entry("e") };
+    assert_eq!(targets.register(now, draining), Change::Draining);
+    assert_eq!(targets.register(now, entry("e")), Change::Stale);
+    let key = targets.key(&id("e")).unwrap();
+    assert!(!targets.get(key).unwrap().takes_work());
+    targets.remove(now, &id("e"), false);
+    assert_eq!(targets.register(now, entry("e")), Change::Stale, "it has left for good");
+}
+
+/// An engine starts again under its name and has forgotten its models. Requests for these would be
+/// refused there.
+#[test]
+fn a_new_start_under_the_same_name_holds_nothing_of_before() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    let again = Entry { born: 20, renewals: 1, holdings: holdings(&[]), ..entry("e") };
+    assert_eq!(targets.register(now, again), Change::New);
+    let key = targets.key(&id("e")).unwrap();
+    assert!(!targets.get(key).unwrap().serves(now, &"m".into()));
+}
+
+/// The store was away and has forgotten an engine that lives. It is back in the store within two
+/// seconds; until then it goes on serving.
+#[test]
+fn an_entry_that_lapsed_has_time_to_return() {
+    let now = Instant::now();
+    let grace = Duration::from_secs(2);
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    targets.register(now, entry("f"));
+    targets.remove(now, &id("e"), true);
+    targets.remove(now, &id("f"), true);
+    assert!(targets.expire(now + grace / 2, grace).is_empty());
+    targets.register(now + grace / 2, Entry { renewals: 6, ..entry("e") });
+    assert_eq!(targets.expire(now + grace, grace), [id("f")]);
+    assert!(targets.key(&id("e")).is_some());
+}
+
+/// An agent reports from beside its engine; the entry in the store lags behind it by a second.
+#[test]
+fn what_the_agent_says_goes_before_the_entry() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    let report = Report {
+        id: id("e"),
+        born: 10,
+        holdings: Holdings { orders: 2, ..holdings(&["n"]) },
+        ongoing: None,
+        load: Load::default(),
+    };
+    assert!(targets.report(now, report.clone()));
+    targets.register(now, Entry { renewals: 6, ..entry("e") });
+    let key = targets.key(&id("e")).unwrap();
+    assert!(targets.get(key).unwrap().serves(now, &"n".into()));
+    let older = Report { holdings: Holdings { orders: 1, ..holdings(&["m"]) }, ..report };
+    assert!(!targets.report(now, older), "datagrams overtake each other");
+}
+
+fn ask<'a>(
+    wanted: &'a choose::Wanted,
+    service: &'a corianderstand_types::names::ServiceId,
+    zone: &'a corianderstand_types::names::AvailabilityZoneId,
+) -> choose::Ask<'a> {
+    choose::Ask {
+        service,
+        wanted: Some(wanted),
+        tokens: 1_000,
+        cache_tokens: 10_000,
+        adapter_places: 2,
+        zone,
+        tried: &[],
+        hash: 7,
+        read_before: None,
+    }
+}
+
+fn wanted() -> choose::Wanted {
+    choose::Wanted { model: "m".into(), adapter: None }
+}
+
+#[test]
+fn only_an_engine_that_holds_the_model_gets_the_request() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, Entry { holdings: holdings(&["n"]), ..entry("e") });
+    let (wanted, service, zone) = (wanted(), "models".into(), "here".into());
+    let ask = ask(&wanted, &service, &zone);
+    assert_eq!(choose::choose(now, &targets, &ask), choose::Choice::Cold);
+    targets.register(now, entry("f"));
+    let key = targets.key(&id("f")).unwrap();
+    assert_eq!(choose::choose(now, &targets, &ask), choose::Choice::Send(key));
+    targets.get_mut(key).unwrap().note_absent(now, &ModelId::from("m"));
+    assert_eq!(choose::choose(now, &targets, &ask), choose::Choice::Cold, "it said it has it not");
+}
+
+/// One engine fails every other request while it says that it is well. Callers must not go on
+/// meeting it, and it must not be left out for ever.
+#[test]
+fn a_target_that_fails_gets_little_and_is_tried_again_later() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    targets.register(now, entry("f"));
+    let bad = targets.key(&id("e")).unwrap();
+    let health = &mut targets.get_mut(bad).unwrap().health;
+    for _ in 0..3 {
+        health.failed(now);
+    }
+    assert!(health.trouble(now) > health::OUT);
+    let (wanted, service, zone) = (wanted(), "models".into(), "here".into());
+    let sent = |now: Instant, targets: &Targets| {
+        let mut rng = common::rng(1);
+        let hits = (0..100).filter(|_| {
+            let ask = choose::Ask { hash: rng.random(), ..ask(&wanted, &service, &zone) };
+            choose::choose(now, targets, &ask) == choose::Choice::Send(bad)
+        });
+        hits.count()
+    };
+    assert_eq!(sent(now, &targets), 0);
+    assert!(sent(now + Duration::from_secs(60), &targets) > 20);
+}
+
+#[test]
+fn a_full_engine_gets_no_more() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    let key = targets.key(&id("e")).unwrap();
+    let (wanted, service, zone) = (wanted(), "models".into(), "here".into());
+    let ask = ask(&wanted, &service, &zone);
+    targets.get_mut(key).unwrap().note_load(Load { running: 4, waiting: 0, cache_used: None });
+    assert_eq!(choose::choose(now, &targets, &ask), choose::Choice::Full);
+    let load = Load { running: 1, waiting: 0, cache_used: Some(9_500) };
+    targets.get_mut(key).unwrap().note_load(load);
+    assert_eq!(choose::choose(now, &targets, &ask), choose::Choice::Full, "its memory is full");
+}
+
+#[test]
+fn adapters_go_where_they_are_then_where_there_is_a_place() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    let with = |adapters: &[&str]| Holdings {
+        resident: vec![Resident {
+            model: "m".into(),
+            adapters: adapters.iter().map(|name| (*name).into()).collect(),
+        }],
+        ..Default::default()
+    };
+    targets.register(now, Entry { holdings: with(&["a", "b"]), ..entry("full") });
+    targets.register(now, Entry { holdings: with(&["c"]), ..entry("free") });
+    let (service, zone) = ("models".into(), "here".into());
+    let choose = |adapter: &str| {
+        let wanted = choose::Wanted { model: "m".into(), adapter: Some(adapter.into()) };
+        choose::choose(now, &targets, &ask(&wanted, &service, &zone))
+    };
+    let key = |name: &str| targets.key(&id(name)).unwrap();
+    assert_eq!(choose("a"), choose::Choice::Send(key("full")));
+    assert_eq!(choose("d"), choose::Choice::LoadAdapter(key("free")));
+}
+
+/// All targets fail at once. Each second attempt adds load to what is left; beyond the allowance
+/// there are none, and two routers together stay within it too.
+#[test]
+fn second_attempts_stay_within_the_shared_allowance() {
+    let now = Instant::now();
+    let window = Duration::from_secs(10);
+    let allowance = budget::Allowance { ratio: 0.2, fixed: 50.0, window };
+    let mut spent = 0;
+    for _ in 0..2 {
+        let mut budget = budget::Budget::default();
+        for step in 0..200 {
+            let at = now + window / 200 * step;
+            budget.earn(at, &allowance);
+            spent += u32::from(budget.spend(at, &allowance, 2));
+        }
+    }
+    assert!(spent <= 130 && spent > 100, "{spent} of 0.2 x 400 + 50");
+}
+
+#[rstest::rstest]
+#[case(patience::Expected::Takes(Duration::from_millis(800)), true)]
+#[case(patience::Expected::Takes(Duration::from_secs(6)), false)]
+#[case(patience::Expected::Room, true)]
+#[case(patience::Expected::Unknown, false)]
+fn a_request_is_held_only_if_its_model_can_be_there(
+    #[case] expected: patience::Expected,
+    #[case] held: bool,
+) {
+    let now = Instant::now();
+    let verdict = patience::judge(now, now + Duration::from_secs(2), expected, 0.5);
+    assert_eq!(matches!(verdict, patience::Verdict::Hold { .. }), held, "{verdict:?}");
+    if let patience::Verdict::Refuse { after } = verdict {
+        assert!(after >= Duration::from_secs(1), "it says when the model is there: {after:?}");
+    }
+}
+
+fn parts(models: &[(&str, bool)]) -> Vec<steps::Part> {
+    let parts = models.iter().map(|(model, wanted)| steps::Part {
+        model: (*model).into(),
+        weights_mb: 70,
+        adapter_mb: 5,
+        wanted: *wanted,
+    });
+    parts.collect()
+}
+
+const ROOM: steps::Room = steps::Room { weights_mb: 150, adapter_places: 2 };
+
+#[test]
+fn what_is_not_wanted_goes_before_what_is_wanted_comes() {
+    let parts = parts(&[("new", true), ("keep", true), ("old", false)]);
+    let order = steps::next_model(ROOM, &parts, &holdings(&["keep", "old"]));
+    assert_eq!(order, Some(steps::Order::Unload("old".into())));
+    let order = steps::next_model(ROOM, &parts, &holdings(&["keep"]));
+    assert_eq!(order, Some(steps::Order::Load("new".into())));
+    assert_eq!(steps::next_model(ROOM, &parts, &holdings(&["keep", "new"])), None);
+}
+
+/// The plan is older than what the engine holds: the size of a model that it holds is not in it. An
+/// engine that is ordered to hold too much crashes.
+#[test]
+fn nothing_is_loaded_beside_a_model_of_unknown_size() {
+    let parts = parts(&[("new", true)]);
+    assert_eq!(steps::next_model(ROOM, &parts, &holdings(&["stranger"])), None);
+}
+
+#[test]
+fn an_adapter_takes_the_place_of_the_one_not_asked_for_the_longest() {
+    let now = Instant::now();
+    let parts = parts(&[("m", true)]);
+    let asked = |name: &str, ago: u64| steps::AskedAdapter {
+        model: "m".into(),
+        adapter: name.into(),
+        at: now - Duration::from_millis(ago),
+    };
+    let held = Holdings {
+        resident: vec![Resident { model: "m".into(), adapters: vec!["a".into(), "b".into()] }],
+        ..Default::default()
+    };
+    let next =
+        |asked: &[steps::AskedAdapter]| steps::next_adapter(now, ROOM, &parts, &held, 0, asked);
+    let order = next(&[asked("c", 0), asked("a", 5_000), asked("b", 10)]);
+    assert_eq!(order, Some(steps::Order::UnloadAdapter("m".into(), "a".into())));
+    let order = next(&[asked("c", 0), asked("a", 100), asked("b", 10)]);
+    assert_eq!(order, None, "both are in use: routers have just named them");
+}
--- /dev/null
+++ b/crates/corianderstand_fleet/tests/plan.rs
@@ -0,0 +1,128 @@
+//! Plans under load: what callers get when models want more places than there are.
+
+mod common;
+
+use common::{Asked, World, busy, rare};
+use std::time::Duration;
+
+fn world(engines: usize, models: Vec<(String, Asked)>, copies: usize, seed: u64) -> World {
+    let models: Vec<(&str, Asked)> =
+        models.iter().map(|(name, asked)| (name.as_str(), asked.clone())).collect();
+    World::new(engines, &models, copies, seed)
+}
+
+fn is_rare(name: &str) -> bool {
+    name.starts_with("rare")
+}
+
+/// Twenty-five rare models and two busy ones want places on nine engines of three. All get their
+/// turn: the rare ones within two and a half seconds, the busy ones at once.
+#[rstest::rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn a_calm_day_serves_rare_and_busy_models(#[case] seed: u64) {
+    let mut models = rare(25, 0.5);
+    models.extend([busy("busy-0", 25.0), busy("busy-1", 12.0)]);
+    let mut world = world(9, models, 12, seed);
+    world.run(Duration::from_secs(15));
+    world.forget();
+    world.run(Duration::from_secs(40));
+    let (rare, busy) = (world.tally(is_rare), world.tally(|name| !is_rare(name)));
+    println!("rare {rare:?}, busy {busy:?}, {} orders", world.orders);
+    assert!(rare.share_in_aim() > 0.85, "rare models in time: {}", rare.share_in_aim());
+    assert!(busy.share_in_aim() > 0.97, "busy models at once: {}", busy.share_in_aim());
+    assert!(world.most_mb <= 220_000, "an engine was ordered to hold {} MB", world.most_mb);
+}
+
+/// Demand leaves one busy model and another that was on no engine rises within seconds. Its first
+/// requests wait for a load; after that it is served like the one before.
+#[test]
+fn a_shift_of_demand_is_followed_within_seconds() {
+    let mut models = rare(20, 0.5);
+    models.extend([busy("old", 25.0), busy("new", 0.0)]);
+    let mut world = world(9, models, 12, 4);
+    world.run(Duration::from_secs(20));
+    world.models.get_mut(&"old".into()).unwrap().per_s = 0.0;
+    world.models.get_mut(&"new".into()).unwrap().per_s = 25.0;
+    world.run(Duration::from_secs(4));
+    world.forget();
+    world.run(Duration::from_secs(15));
+    let new = world.tally(|name| name == "new");
+    assert!(new.share_in_aim() > 0.97, "after four seconds: {new:?}");
+    assert!(world.holders("new") >= 2, "one engine alone would make its streams pause");
+}
+
+/// All callers of rare models come at once, with twice the usual requests. The busy model does not
+/// lose its places to them.
+#[test]
+fn a_burst_for_rare_models_leaves_busy_ones_alone() {
+    let mut models = rare(25, 0.5);
+    models.push(busy("busy-0", 25.0));
+    let mut world = world(9, models, 12, 5);
+    world.run(Duration::from_secs(15));
+    for index in 0..25 {
+        world.models.get_mut(&format!("rare-{index:02}").as_str().into()).unwrap().per_s = 1.2;
+    }
+    world.forget();
+    world.run(Duration::from_secs(10));
+    let (rare, busy) = (world.tally(is_rare), world.tally(|name| !is_rare(name)));
+    println!("rare {rare:?}, busy {busy:?}");
+    assert!(busy.share_in_aim() > 0.97, "{busy:?}");
+    assert!(rare.share_left() < 0.1, "{rare:?}");
+}
+
+/// An engine crashes and with it three models that were nowhere else. Other engines have copies on
+/// their disks, so callers wait a second and not for the weight store.
+#[test]
+fn models_of_a_crashed_engine_come_back_from_disks() {
+    let mut models = rare(24, 0.5);
+    models.push(busy("busy-0", 20.0));
+    let mut world = world(9, models, 12, 6);
+    world.run(Duration::from_secs(15));
+    world.forget();
+    world.crash(4);
+    world.run(Duration::from_secs(8));
+    let rare = world.tally(is_rare);
+    assert!(rare.share_left() < 0.05, "{rare:?}");
+    assert_eq!(world.store_loads, 0, "all had copies on other disks");
+}
+
+/// Each model that leaves an engine used to push out the next one at once, as its return was worth
+/// ten seconds of requests and its leave only two: engines did nothing but load, and callers waited.
+#[test]
+fn a_model_that_left_does_not_push_out_the_next() {
+    let mut models = rare(30, 0.3);
+    models.push(busy("busy-0", 20.0));
+    let mut world = world(9, models, 12, 7);
+    world.run(Duration::from_secs(15));
+    world.forget();
+    world.run(Duration::from_secs(30));
+    // Thirty-one models on twenty-seven places: some turns are needed, two orders each.
+    assert!(world.orders < 240, "{} orders in 30 s", world.orders);
+}
+
+/// Nobody asks for anything yet, as before a deployment opens. Models that are on no engine come to
+/// one, in place of copies that are on several.
+#[test]
+fn before_the_first_request_every_model_finds_a_place() {
+    let models = rare(26, 0.0);
+    let mut world = world(9, models, 12, 8);
+    world.run(Duration::from_secs(10));
+    let missing: Vec<_> = (0..26)
+        .map(|index| format!("rare-{index:02}"))
+        .filter(|name| world.holders(name) == 0)
+        .collect();
+    assert!(missing.is_empty(), "on no engine: {missing:?}");
+}
+
+/// A deployment with one engine and more models than it can hold still serves all of them in turn.
+#[test]
+fn one_engine_serves_more_models_than_it_holds() {
+    let mut world = world(1, rare(5, 0.1), 5, 9);
+    world.run(Duration::from_secs(10));
+    world.forget();
+    world.run(Duration::from_secs(60));
+    let rare = world.tally(is_rare);
+    assert!(rare.share_left() < 0.1, "{rare:?}");
+}
