--- a/crates/corianderstand_forward/tests/answers.rs
+++ b/crates/corianderstand_forward/tests/answers.rs
@@ -3,7 +3,11 @@
 mod common;
 
 use common::{Got, MemoryStore, Running, Target};
-use corianderstand_fleet::config::{Repeats, Route};
+use corianderstand_fleet::{
+    config::{Repeats, Route},
+    targets,
+};
+use std::time::Duration;
 use tokio::io::AsyncReadExt;
 
 const ID: &str = "request-1";
@@ -67,7 +71,7 @@
     drop(got);
     let answer = common::read_all(&mut caller).await.unwrap();
     assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
-    let none = tokio::time::timeout(std::time::Duration::from_millis(300), other.next()).await;
+    let none = tokio::time::timeout(Duration::from_millis(300), other.next()).await;
     assert!(none.is_err(), "it is not sent again");
 }
 
@@ -180,29 +184,46 @@
     assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
 }
 
-/// A target has ended and another has its address, while its entry stays because the store is away.
-/// Each request sent there is refused, and callers see refusals although the other target is free.
+/// An engine has ended and another has its address, while its entry stays because the store is away.
+/// Each request sent there is refused, and callers see refusals although the other engine is free.
 #[tokio::test]
 async fn a_target_whose_address_belongs_to_another_gets_no_more() {
-    let (router, one, two) = pair(once()).await;
-    let mut other: Option<&Target> = None;
-    for round in 0..3 {
+    let store = MemoryStore::default();
+    let (one, two) = (Target::start().await, Target::start().await);
+    store.config(common::config(1, vec![once()]));
+    for (target, id) in [(&one, "target-1"), (&two, "target-2")] {
+        let resident = targets::Resident { model: "m".into(), adapters: Vec::new() };
+        let holdings = targets::Holdings { resident: vec![resident], ..Default::default() };
+        store.target(targets::Entry { holdings, ..target.entry(id, "desk") });
+    }
+    let router = Running::start(&store);
+    router.wait_ready().await;
+    let mut left = None;
+    for round in 0..12 {
         let id = format!("request-{round}");
-        let headers = [("x-id", id.as_str())];
+        let headers = [("x-id", id.as_str()), ("x-model", "m")];
         let mut caller = common::send(router.front, "POST", "/pay/1", &headers, "").await.unwrap();
-        if let Some(other) = other {
-            let got = Target::next(other).await;
-            got.answer_whole(&id, "paid").await;
-        } else {
-            let (got, rest) = first(&one, &two).await;
-            let refusal = format!(
-                "HTTP/1.1 421 Another\r\nx-not-run: 1\r\nx-id: {id}\r\nx-target: target-9\r\nContent-Length: 0\r\n\r\n"
-            );
-            got.answer(&refusal).await;
-            rest.next().await.answer_whole(&id, "paid").await;
-            other = Some(rest);
+        match left {
+            None => {
+                let (got, rest) = first(&one, &two).await;
+                let refusal = format!(
+                    "HTTP/1.1 421 Another\r\nx-not-run: 1\r\nx-id: {id}\r\nx-target: target-9\r\nContent-Length: 0\r\n\r\n"
+                );
+                got.answer(&refusal).await;
+                rest.next().await.answer_whole(&id, "paid").await;
+                left = Some(rest);
+            }
+            Some(rest) => {
+                let gone = if std::ptr::eq(rest, &one) { &two } else { &one };
+                tokio::select! {
+                    got = rest.next() => got.answer_whole(&id, "paid").await,
+                    _ = gone.next() => panic!("{id} went to the target that is gone"),
+                }
+            }
         }
         assert!(common::read_all(&mut caller).await.unwrap().ends_with("paid"));
+        // A refusal for a model that is not there is forgotten after less.
+        tokio::time::sleep(Duration::from_millis(450)).await;
     }
 }
 
