--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -87,6 +87,8 @@
     pub arrived: Instant,
     /// When its caller or its route gives up.
     pub latest: Instant,
+    /// Since when its caller has heard nothing: its arrival, or a stream's last event.
+    pub silent_since: Instant,
     /// Hash of its id.
     pub hash: u64,
     /// Its prompt's parts.
@@ -126,7 +128,7 @@
         }
         let pause = self.route.pause_aim.unwrap_or_default() * LEFT_AFTER_PAUSES;
         let silence = LEFT_AFTER.max(self.route.aim * LEFT_AFTER_AIMS).max(pause);
-        self.latest.min(self.arrived + silence)
+        self.latest.min(self.silent_since + silence)
     }
 
     /// A number between 0 and 1 that spreads requests.
@@ -292,6 +294,7 @@
         body,
         arrived,
         latest,
+        silent_since: arrived,
         hash,
         chain,
         tried: Vec::new(),
@@ -349,7 +352,7 @@
     loop {
         let key = match find_target(&shared, &mut job).await {
             Ok(key) => key,
-            Err(answer) => return answer,
+            Err(given_up) => return refuse(&shared, &job, given_up.why, given_up.after),
         };
         job.tried.push(key);
         match attempt(&shared, &mut job, key, None).await {
@@ -399,11 +402,18 @@
         && shared.spend_repeat(&job.service)
 }
 
-/// A target for the request, after waiting for one if that is of use; or the final answer.
+/// A request that no target can take.
+struct GivenUp {
+    why: &'static str,
+    /// When to come back.
+    after: Duration,
+}
+
+/// A target for the request, after waiting for one if that is of use.
 async fn find_target<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
     job: &mut Job,
-) -> Result<targets::TargetKey, Response<AnswerBody>> {
+) -> Result<targets::TargetKey, GivenUp> {
     let mut waiting = None;
     loop {
         let now = shared.clock.now();
@@ -433,13 +443,13 @@
                         (until.min(shared.latest(job)), LOOK_AGAIN)
                     }
                     patience::Verdict::Refuse { after } => {
-                        return Err(give_up(shared, job, choice, after));
+                        return Err(GivenUp { why: reason(choice), after });
                     }
                 }
             }
         };
         if now >= until {
-            return Err(give_up(shared, job, choice, REFUSED_RETURN));
+            return Err(GivenUp { why: reason(choice), after: REFUSED_RETURN });
         }
         if let (None, Some(model)) = (&waiting, job.model()) {
             waiting = Some(Waiting::begin(shared, model));
@@ -452,16 +462,6 @@
     }
 }
 
-/// Ends a request that no target can take. It has not run, unless an attempt's fate is unknown.
-fn give_up<P: router::Platform>(
-    shared: &router::Shared<P>,
-    job: &Job,
-    choice: choose::Choice,
-    after: Duration,
-) -> Response<AnswerBody> {
-    refuse(shared, job, reason(choice), after)
-}
-
 /// Why a request has no target.
 const fn reason(choice: choose::Choice) -> &'static str {
     match choice {
@@ -739,7 +739,7 @@
     if !may_try_another(shared, job) {
         return Err("no further target is allowed");
     }
-    let key = find_target(shared, job).await.map_err(|_| "no other target")?;
+    let key = find_target(shared, job).await.map_err(|given_up| given_up.why)?;
     job.tried.push(key);
     match attempt(shared, job, key, last_event).await {
         Attempt::Answered(answered) if answered.head.status.is_success() => Ok(*answered),
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -255,6 +255,7 @@
             return false;
         }
         self.splitter.restart();
+        self.job.silent_since = self.pace.last.unwrap_or(self.job.arrived);
         let last = self.splitter.last().or(self.job.call.last_event);
         let shared = self.shared.clone();
         match exchange::resume(&shared, &mut self.job, last).await {
--- a/crates/corianderstand_forward/tests/answers.rs
+++ b/crates/corianderstand_forward/tests/answers.rs
@@ -4,7 +4,7 @@
 
 use common::{Got, MemoryStore, Running, Target};
 use corianderstand_fleet::{
-    config::{Repeats, Route},
+    config::{self, Repeats, Route},
     targets,
 };
 use std::time::Duration;
@@ -245,3 +245,47 @@
     assert!(text.contains(lost), "{text}");
     assert!(text.contains("request_seconds_bucket"), "{text}");
 }
+
+/// An engine crashes in the middle of a stream while no other holds the model; one has it a second
+/// later. The wait for it used to be counted from the request's arrival, so a stream that had run for
+/// two seconds was broken off at once although its caller would have had the rest.
+#[tokio::test]
+async fn a_long_stream_waits_for_its_model_elsewhere() {
+    let store = MemoryStore::default();
+    let (one, two) = (Target::start().await, Target::start().await);
+    let mut config = common::config(1, vec![resumable()]);
+    let model = config::Model { name: "m".into(), ..Default::default() };
+    let engine = config::Engine { slots: 8, models: vec![model], ..Default::default() };
+    config.services =
+        vec![config::Service { name: "desk".into(), connections: 9, engine: Some(engine) }];
+    store.config(config);
+    let holds = |target: &Target, id: &str, renewals: u64, models: &[&str]| {
+        let resident = models
+            .iter()
+            .map(|model| targets::Resident { model: (*model).into(), adapters: Vec::new() });
+        let holdings = targets::Holdings { resident: resident.collect(), ..Default::default() };
+        targets::Entry { renewals, holdings, ..target.entry(id, "desk") }
+    };
+    store.target(holds(&one, "target-1", 1, &["m"]));
+    store.target(holds(&two, "target-2", 1, &[]));
+    let router = Running::start(&store);
+    router.wait_ready().await;
+    let headers = [("x-id", ID), ("x-model", "m")];
+    let mut caller = common::send(router.front, "POST", "/pay/1", &headers, "").await.unwrap();
+    let mut got = one.next().await;
+    got.begin_stream(ID).await;
+    for event in 0..5 {
+        got.piece(&format!("id: {event}\ndata: x\n\n")).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    drop(got);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    store.target(holds(&two, "target-2", 2, &["m"]));
+    let mut next = two.next().await;
+    assert_eq!(next.header("x-last-event"), Some("4"));
+    next.begin_stream(ID).await;
+    next.piece("id: 5\ndata: y\n\n").await;
+    next.end().await;
+    let answer = common::read_all(&mut caller).await.unwrap();
+    assert!(answer.contains("data: y") && answer.ends_with("0\r\n\r\n"), "{answer}");
+}
