--- a/crates/corianderstand_cli/src/args.rs
+++ b/crates/corianderstand_cli/src/args.rs
@@ -124,6 +124,9 @@
     if command.runs_process() {
         options.optflag("p", "platform", "run on the users' platform, with its settings file");
     }
+    if command == Command::Check {
+        options.optflag("p", "platform", "the files are settings of the users' platform");
+    }
     if command.asks_router() || matches!(command, Command::Check | Command::Explain) {
         options.optflag("j", "json", "print JSON");
     }
--- a/crates/corianderstand_cli/src/lib.rs
+++ b/crates/corianderstand_cli/src/lib.rs
@@ -80,6 +80,7 @@
         Command::Agent if matches.opt_present("platform") => platform::agent(),
         Command::Router => process::router(matches),
         Command::Agent => process::agent(matches),
+        Command::Check if matches.opt_present("platform") => platform::check(matches),
         Command::Check => check::run(matches),
         Command::Diff => operate::diff(matches),
         Command::Apply => operate::apply(matches),
--- a/crates/corianderstand_cli/src/platform.rs
+++ b/crates/corianderstand_cli/src/platform.rs
@@ -1,9 +1,10 @@
-//! `router --platform` and `agent --platform`: processes on the users' platform.
+//! `router --platform`, `agent --platform` and `check --platform`: the users' platform.
 
 use crate::{Exit, logging};
 use corianderstand_forward::{agent, router};
 use corianderstand_platform::{Platform, engine, settings};
 use corianderstand_types::clock::SystemClock;
+use getopts::Matches;
 use std::{fmt::Display, sync::Arc};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -26,6 +27,26 @@
     })
 }
 
+/// Checks settings files of the platform; a file that names an engine is an agent's.
+pub fn check(matches: &Matches) -> Exit {
+    let mut exit = Exit::Success;
+    for path in &matches.free {
+        let checked =
+            settings::Fields::load_from(path.into()).and_then(|fields| match fields.engine() {
+                Ok(_) => fields.agent().map(|_| "an agent's settings"),
+                Err(_) => fields.store().and(fields.router()).map(|_| "a router's settings"),
+            });
+        match checked {
+            Ok(what) => println!("{path}: {what}, no fault"),
+            Err(error) => {
+                eprintln!("{path}: {error}");
+                exit = Exit::Fault;
+            }
+        }
+    }
+    exit
+}
+
 /// Waits for the signal to stop.
 async fn stop() {
     tokio::task::spawn_local(reloads());
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -64,3 +64,22 @@
     assert_eq!(value["lines"][0]["message"], "streamed");
     assert!(value["cause"].as_str().unwrap().contains("longest pause 200 ms"), "{value}");
 }
+
+/// Somebody hands over a settings file of the platform in which a field is missing. The check names the
+/// field and what to write.
+#[test]
+fn settings_of_the_platform_are_checked() {
+    let good = "node=e\nzone=z\nip=10.0.0.1\nlisten.front=10.0.0.1:1\nlisten.ready=10.0.0.1:2\n\
+        port_range=7380,7395\nplatform.address=10.0.0.9:1\n";
+    let (whole, cut) = (file("good.conf", &[good]), file("bad.conf", &[&good[..40]]));
+    let check = |path: &PathBuf| {
+        let binary = env!("CARGO_BIN_EXE_corianderstand");
+        let args = ["check", "--platform", path.to_str().unwrap()];
+        let out = Command::new(binary).args(args).output().unwrap();
+        (out.status.code().unwrap(), String::from_utf8(out.stderr).unwrap())
+    };
+    assert_eq!(check(&whole).0, 0, "{}", check(&whole).1);
+    let (code, said) = check(&cut);
+    assert_eq!(code, 1);
+    assert!(said.contains("is missing: add a line"), "{said}");
+}
--- a/tests/promises.rs
+++ b/tests/promises.rs
@@ -9,7 +9,7 @@
 
 const PAGE: &str = "docs/PROMISES.md";
 /// Folders with sources of tests.
-const SOURCES: [&str; 4] = ["tests", "crates", "tools", "src"];
+const SOURCES: [&str; 5] = ["tests", "crates", "platform", "tools", "src"];
 /// Folders of files that the page may name.
 const NAMED: [&str; 2] = ["scenarios/", "traces/"];
 /// Extensions of files that the page may name.
