--- /dev/null
+++ b/crates/corianderstand_forward/src/attempt.rs
@@ -0,0 +1,208 @@
+//! One sending of a request to one target.
+
+use crate::{dialect, job, pool, router};
+use corianderstand_fleet::targets;
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use std::{rc::Rc, time::Duration};
+
+/// The target is given this much less than is left, so that its own answer to an expired request
+/// arrives before ours is due.
+const ANSWER_WAY: Duration = Duration::from_millis(25);
+/// A target that has said nothing for this many times the route's aim is given up for another, if
+/// the request may be repeated. At twice the aim it is late already, and three targets in four
+/// answer within one.
+const SILENT_AIMS: u32 = 2;
+/// Least time before a silent target is given up: work that takes five times as long as usual (0.3
+/// s) is slow, not lost.
+const LEAST_SILENCE: Duration = Duration::from_millis(600);
+
+/// How one attempt ended.
+pub enum Attempt<P: router::Platform> {
+    /// The head of an answer came.
+    Answered(Box<Answered<P>>),
+    /// Nothing was written to the target.
+    NotSent,
+    /// The target says that it did not run the request.
+    NotRun,
+    /// It may have run.
+    Unknown(&'static str),
+    /// The request's time is over.
+    TimeOver,
+}
+
+/// The head of an answer, with what the rest comes over.
+pub struct Answered<P: router::Platform> {
+    /// Status and headers as the target sent them.
+    pub head: http::response::Parts,
+    /// What they say.
+    pub info: dialect::AnswerHead,
+    /// The rest.
+    pub body: Incoming,
+    /// The connection.
+    pub lease: pool::Lease,
+    /// Counts the request at the target.
+    pub flight: job::Flight<P>,
+}
+
+/// Sends the request to a target and waits for the head of its answer.
+pub async fn attempt<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    job: &mut job::Job,
+    key: targets::TargetKey,
+    last_event: Option<u64>,
+) -> Attempt<P> {
+    let now = shared.clock.now();
+    let Some((addr, id)) = shared.address(key) else { return Attempt::NotSent };
+    job.last_target = id.clone();
+    job.sent = Some(now);
+    let left = job.latest.saturating_duration_since(now).saturating_sub(ANSWER_WAY);
+    if left.is_zero() {
+        return Attempt::TimeOver;
+    }
+    let flight = job::Flight::begin(shared, key, job);
+    let passing = dialect::Passing {
+        target: &id,
+        time_left: left,
+        priority: job.call.wanted.is_some().then_some(job.route.priority),
+        last_event,
+    };
+    let req = request(shared, job, &passing);
+    let mut lease = match shared.pool.lease(now, addr).await {
+        Ok(lease) => lease,
+        Err(error) => {
+            shared.target_failed(key, "no connection");
+            tracing::debug!(%addr, %error, "no connection to the target");
+            return Attempt::NotSent;
+        }
+    };
+    let mut unsent = Some(req);
+    loop {
+        let Some(req) = unsent.take() else { return Attempt::NotSent };
+        let sending = lease.sender.try_send_request(req);
+        let answer = match wait_for_head(shared, job, key, sending).await {
+            Head::Came(answer) => answer,
+            Head::Unsent(req) if lease.used => {
+                // The target had closed the connection before anything was written.
+                match shared.pool.open(addr).await {
+                    Ok(new) => lease = new,
+                    Err(_) => {
+                        shared.target_failed(key, "no connection");
+                        return Attempt::NotSent;
+                    }
+                }
+                unsent = Some(*req);
+                continue;
+            }
+            Head::Unsent(_) => {
+                shared.target_failed(key, "connection closed at once");
+                return Attempt::NotSent;
+            }
+            Head::Lost => {
+                shared.target_failed(key, "connection lost");
+                return Attempt::Unknown("the target's connection was lost");
+            }
+            Head::Silent => {
+                shared.target_failed(key, "silent");
+                return Attempt::Unknown("the target was silent");
+            }
+            Head::TimeOver => {
+                shared.target_failed(key, "time over");
+                return Attempt::TimeOver;
+            }
+        };
+        return judge_head(shared, job, lease, flight, answer);
+    }
+}
+
+fn judge_head<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    job: &job::Job,
+    lease: pool::Lease,
+    flight: job::Flight<P>,
+    answer: Response<Incoming>,
+) -> Attempt<P> {
+    let key = flight.key();
+    let (head, body) = answer.into_parts();
+    let info = shared.platform.read_answer(head.status, &head.headers);
+    if info.request.as_ref().is_some_and(|id| *id != job.call.id) {
+        shared.target_failed(key, "answer to another request");
+        return Attempt::Unknown("the answer was to another request");
+    }
+    if let Some(load) = info.load {
+        shared.note_load(key, load);
+    }
+    if info.not_run {
+        shared.not_run(key, job, head.status, info.target.as_ref());
+        // Its short answer is not waited for; the connection is closed.
+        return Attempt::NotRun;
+    }
+    if !info.signed {
+        shared.target_failed(key, "answer without signature");
+        return Attempt::Unknown("the answer was not the target's");
+    }
+    Attempt::Answered(Box::new(Answered { head, info, body, lease, flight }))
+}
+
+/// What came of waiting for the head of an answer.
+enum Head {
+    Came(Response<Incoming>),
+    Unsent(Box<Request<pool::Body>>),
+    Lost,
+    Silent,
+    TimeOver,
+}
+
+async fn wait_for_head<P: router::Platform>(
+    shared: &router::Shared<P>,
+    job: &job::Job,
+    key: targets::TargetKey,
+    sending: impl Future<
+        Output = Result<Response<Incoming>, hyper::client::conn::TrySendError<Request<pool::Body>>>,
+    >,
+) -> Head {
+    tokio::pin!(sending);
+    let silence = (job.route.aim * SILENT_AIMS).max(LEAST_SILENCE);
+    let mut look = (shared.clock.now() + silence).min(shared.latest(job));
+    loop {
+        tokio::select! {
+            sent = &mut sending => {
+                return match sent {
+                    Ok(answer) => Head::Came(answer),
+                    Err(mut error) => match error.take_message() {
+                        Some(req) => Head::Unsent(Box::new(req)),
+                        None => Head::Lost,
+                    },
+                };
+            }
+            () = tokio::time::sleep_until(look.into()) => {}
+        }
+        let now = shared.clock.now();
+        if now >= shared.latest(job) {
+            return Head::TimeOver;
+        }
+        if job.route.may_repeat() && shared.has_alternative(now, job, key) {
+            return Head::Silent;
+        }
+        look = (now + silence).min(shared.latest(job));
+    }
+}
+
+/// The request as the target gets it.
+fn request<P: router::Platform>(
+    shared: &router::Shared<P>,
+    job: &job::Job,
+    passing: &dialect::Passing,
+) -> Request<pool::Body> {
+    let mut headers = job.headers.clone();
+    shared.platform.pass_on(&mut headers, passing);
+    if !job.body.is_empty() {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(job.body.len()));
+    }
+    let mut req = Request::new(Full::new(job.body.clone()));
+    *req.method_mut() = job.method.clone();
+    *req.uri_mut() = job.uri.clone();
+    *req.headers_mut() = headers;
+    req
+}
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -3,7 +3,7 @@
 //! One line for each decision, with what decided it. Lines are limited by kind: a flood of one kind
 //! leaves out its own lines beyond a number a second, says how many, and takes no room from others.
 
-use crate::{exchange, metrics, stream, view};
+use crate::{job, metrics, stream, view};
 use corianderstand_fleet::{patience, targets};
 use corianderstand_types::names;
 use http::StatusCode;
@@ -62,13 +62,7 @@
 
 impl Log {
     /// A request goes to a target.
-    pub fn placed(
-        &self,
-        job: &exchange::Job,
-        view: &view::View,
-        key: targets::TargetKey,
-        now: Instant,
-    ) {
+    pub fn placed(&self, job: &job::Job, view: &view::View, key: targets::TargetKey, now: Instant) {
         if !self.allows(Kind::Placed, now) {
             return;
         }
@@ -90,13 +84,7 @@
     }
 
     /// A request waits, or the reason for its wait has changed.
-    pub fn waits(
-        &self,
-        job: &exchange::Job,
-        why: &str,
-        expected: patience::Expected,
-        now: Instant,
-    ) {
+    pub fn waits(&self, job: &job::Job, why: &str, expected: patience::Expected, now: Instant) {
         if self.allows(Kind::Placed, now) {
             let waited_ms = ms(now, job.arrived);
             let ready_in_ms = match expected {
@@ -110,13 +98,7 @@
     }
 
     /// An attempt at a target has failed or was not run.
-    pub fn attempt_failed(
-        &self,
-        job: &exchange::Job,
-        why: &str,
-        status: Option<u16>,
-        now: Instant,
-    ) {
+    pub fn attempt_failed(&self, job: &job::Job, why: &str, status: Option<u16>, now: Instant) {
         self.metrics.attempt_failed(why);
         if self.allows(Kind::Attempt, now) {
             let (at, ms) = (job.last_target.as_str(), ms(now, job.arrived));
@@ -125,7 +107,7 @@
     }
 
     /// A request was answered with what a target said, or with a failure.
-    pub fn answered(&self, job: &exchange::Job, status: StatusCode, how: &str, now: Instant) {
+    pub fn answered(&self, job: &job::Job, status: StatusCode, how: &str, now: Instant) {
         let kind = if status.is_server_error() { Kind::Failed } else { Kind::Answered };
         self.metrics.ended(job, if kind == Kind::Failed { how } else { "answered" }, now);
         if self.allows(kind, now) {
@@ -136,7 +118,7 @@
     }
 
     /// A stream has ended.
-    pub fn streamed(&self, job: &exchange::Job, end: &StreamEnd, now: Instant) {
+    pub fn streamed(&self, job: &job::Job, end: &StreamEnd, now: Instant) {
         let kind = if end.how == "whole" { Kind::Answered } else { Kind::Failed };
         let outcome = if kind == Kind::Failed { end.how } else { "answered" };
         self.metrics.ended(job, outcome, now);
--- /dev/null
+++ b/crates/corianderstand_forward/src/job.rs
@@ -0,0 +1,144 @@
+//! A request while it is answered, and its count at the target that has it.
+
+use crate::{dialect, router};
+use bytes::Bytes;
+use corianderstand_fleet::{choose, config, prefixes, targets};
+use corianderstand_types::names;
+use http::{HeaderMap, Method, Uri};
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Callers leave a stream that has said nothing for this long, or for this many of the route's aims
+/// or pauses, whichever is longest.
+const LEFT_AFTER: Duration = Duration::from_secs(2);
+const LEFT_AFTER_AIMS: u32 = 4;
+const LEFT_AFTER_PAUSES: u32 = 8;
+/// Tokens of an answer whose length nobody guesses.
+const USUAL_OUTPUT: u64 = 300;
+
+/// A request that was read and is to be answered.
+pub struct Job {
+    /// What its headers say.
+    pub call: dialect::Call,
+    /// The route that it took.
+    pub route: Arc<config::Route>,
+    /// The service that it goes to.
+    pub service: names::ServiceId,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When its caller or its route gives up.
+    pub latest: Instant,
+    /// Since when its caller has heard nothing: its arrival, or a stream's last event.
+    pub silent_since: Instant,
+    /// Hash of its id.
+    pub hash: u64,
+    /// Its prompt's parts.
+    pub chain: prefixes::Chain,
+    /// Targets that it was sent to.
+    pub tried: Vec<targets::TargetKey>,
+    /// Targets that said that they did not run it.
+    pub offers: u32,
+    /// An attempt was written to a target and its fate is not known.
+    pub may_have_run: bool,
+    /// When it was last sent.
+    pub sent: Option<Instant>,
+    /// The target that it was last sent to, for the log.
+    pub last_target: names::TargetId,
+    /// Why it was last not answered.
+    pub last_trouble: &'static str,
+}
+
+impl Job {
+    /// Tokens that it is expected to need.
+    pub fn tokens(&self) -> u64 {
+        if self.call.wanted.is_none() {
+            return 0;
+        }
+        let most = match self.call.most_output_tokens {
+            0 => u64::MAX,
+            most => most,
+        };
+        self.call.prompt_tokens + self.call.output_hint.unwrap_or(USUAL_OUTPUT).min(most)
+    }
+
+    /// When a request that got nothing yet is of no more use: its caller leaves a stream that says
+    /// nothing for too long.
+    pub fn held_until(&self) -> Instant {
+        if !self.route.streams {
+            return self.latest;
+        }
+        let pause = self.route.pause_aim.unwrap_or_default() * LEFT_AFTER_PAUSES;
+        let silence = LEFT_AFTER.max(self.route.aim * LEFT_AFTER_AIMS).max(pause);
+        self.latest.min(self.silent_since + silence)
+    }
+
+    /// A number between 0 and 1 that spreads requests.
+    pub fn spread(&self) -> f64 {
+        (self.hash >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
+    /// The model that it wants.
+    pub fn model(&self) -> Option<&names::ModelId> {
+        self.call.wanted.as_ref().map(|wanted| &wanted.model)
+    }
+}
+
+/// A request that is at a target; counts there until it is dropped.
+pub struct Flight<P: router::Platform> {
+    shared: Rc<router::Shared<P>>,
+    key: targets::TargetKey,
+    wanted: Option<choose::Wanted>,
+    tokens: u64,
+}
+
+impl<P: router::Platform> Flight<P> {
+    /// Counts a request at a target.
+    pub fn begin(shared: &Rc<router::Shared<P>>, key: targets::TargetKey, job: &Job) -> Self {
+        let wanted = job.call.wanted.clone();
+        let flight = Self { shared: shared.clone(), key, wanted, tokens: job.tokens() };
+        let mut view = shared.view.borrow_mut();
+        if let Some(target) = view.targets.get_mut(key) {
+            target.ours += 1;
+            target.our_tokens += flight.tokens;
+            if let Some(wanted) = &flight.wanted {
+                *target.in_flight.entry(wanted.clone()).or_default() += 1;
+            }
+        }
+        view.prefixes.note(&job.chain, key);
+        drop(view);
+        flight
+    }
+
+    /// The target.
+    pub const fn key(&self) -> targets::TargetKey {
+        self.key
+    }
+}
+
+impl<P: router::Platform> Drop for Flight<P> {
+    fn drop(&mut self) {
+        let mut view = self.shared.view.borrow_mut();
+        let Some(target) = view.targets.get_mut(self.key) else { return };
+        target.ours = target.ours.saturating_sub(1);
+        target.our_tokens = target.our_tokens.saturating_sub(self.tokens);
+        let Some(wanted) = &self.wanted else { return };
+        if let Some(count) = target.in_flight.get_mut(wanted) {
+            *count -= 1;
+            if *count == 0 {
+                target.in_flight.remove(wanted);
+            }
+        }
+        view.wake(&wanted.model);
+    }
+}
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -2,7 +2,8 @@
 //! as they are made.
 //!
 //! A [`router`] stands on each entry host. It takes requests ([`server`]), finds a target for each
-//! ([`exchange`], which asks the decisions of `corianderstand_fleet`), and passes the answer on
+//! ([`exchange`], [`waiting`] and [`attempt`], which ask the decisions of `corianderstand_fleet`), and
+//! passes the answer on
 //! ([`relay`]) over connections that it keeps ([`pool`]). An [`agent`] stands beside each engine and
 //! alone gives it orders. What they believe comes from the deployment's store ([`follow`]) and from
 //! one another ([`peers`]). The wire names of a platform are not known here: they come through the
@@ -12,6 +13,7 @@
 //! through without being handed from thread to thread, each of which would cost a wake-up.
 
 pub mod agent;
+pub mod attempt;
 pub mod body;
 pub mod client;
 pub mod control;
@@ -19,8 +21,10 @@
 pub mod dialect;
 pub mod exchange;
 pub mod follow;
+pub mod job;
 pub mod metrics;
 pub mod peers;
+pub mod planning;
 pub mod pool;
 pub mod relay;
 pub mod router;
@@ -28,3 +32,4 @@
 pub mod stream;
 pub mod transfer;
 pub mod view;
+pub mod waiting;
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters and latency histograms of a router, in the usual text format.
 
-use crate::{exchange, router, server, stream};
+use crate::{job, router, server, stream};
 use corianderstand_fleet::config;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
@@ -110,7 +110,7 @@
     }
 
     /// A request has ended.
-    pub fn ended(&self, job: &exchange::Job, outcome: &str, now: Instant) {
+    pub fn ended(&self, job: &job::Job, outcome: &str, now: Instant) {
         let kind = kind(&job.route);
         self.requests.get_or_create(&Ended { kind, outcome: outcome.into() }).inc();
         let took = now.saturating_duration_since(job.arrived);
@@ -118,7 +118,7 @@
     }
 
     /// A stream has ended.
-    pub fn streamed(&self, job: &exchange::Job, pace: &stream::Pace) {
+    pub fn streamed(&self, job: &job::Job, pace: &stream::Pace) {
         let kind = Kind { kind: kind(&job.route) };
         if let Some(first) = pace.first {
             let took = first.saturating_duration_since(job.arrived);
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -1,8 +1,7 @@
 //! The router process: its settings, what its parts share, and its start and stop.
 
 use crate::{
-    client, control, decisions, dialect, exchange, follow, metrics, peers, pool, server, transfer,
-    view,
+    client, control, decisions, dialect, follow, job, metrics, peers, pool, server, transfer, view,
 };
 use corianderstand_derives::derives;
 use corianderstand_fleet::{budget, choose, demand, patience, targets};
@@ -103,12 +102,12 @@
 
     /// When a request that has nothing yet is given up: sooner than its own time if this router
     /// stops.
-    pub fn latest(&self, job: &exchange::Job) -> Instant {
+    pub fn latest(&self, job: &job::Job) -> Instant {
         self.stopping.get().map_or(job.latest, |stop| job.latest.min(stop.answers_by))
     }
 
     /// A request has come.
-    pub fn note_arrival(&self, job: &exchange::Job) {
+    pub fn note_arrival(&self, job: &job::Job) {
         let now = self.clock.now();
         let mut view = self.view.borrow_mut();
         if let Some(wanted) = &job.call.wanted {
@@ -133,7 +132,7 @@
     }
 
     /// Chooses a target for a request.
-    pub fn choose(&self, now: Instant, job: &exchange::Job) -> choose::Choice {
+    pub fn choose(&self, now: Instant, job: &job::Job) -> choose::Choice {
         let view = self.view.borrow();
         let engine = view.service(&job.service).and_then(|service| service.engine.as_ref());
         let ask = choose::Ask {
@@ -151,12 +150,7 @@
     }
 
     /// Whether another target could take a request now that is at `key`.
-    pub fn has_alternative(
-        &self,
-        now: Instant,
-        job: &exchange::Job,
-        key: targets::TargetKey,
-    ) -> bool {
+    pub fn has_alternative(&self, now: Instant, job: &job::Job, key: targets::TargetKey) -> bool {
         debug_assert!(job.tried.contains(&key));
         (job.tried.len() as u32) < job.route.most_targets
             && matches!(self.choose(now, job), choose::Choice::Send(_))
@@ -166,7 +160,7 @@
     pub fn expected(
         &self,
         now: Instant,
-        job: &exchange::Job,
+        job: &job::Job,
         choice: choose::Choice,
     ) -> patience::Expected {
         match choice {
@@ -208,7 +202,7 @@
     }
 
     /// The first event of a stream came.
-    pub fn note_first(&self, job: &exchange::Job, now: Instant) {
+    pub fn note_first(&self, job: &job::Job, now: Instant) {
         let (Some(model), Some(sent)) = (job.model(), job.sent) else { return };
         let took = now.saturating_duration_since(sent);
         self.view.borrow_mut().demand.note_first(model, job.call.prompt_tokens, took);
@@ -225,7 +219,7 @@
     pub fn not_run(
         &self,
         key: targets::TargetKey,
-        job: &exchange::Job,
+        job: &job::Job,
         status: StatusCode,
         answers: Option<&names::TargetId>,
     ) {
@@ -247,7 +241,7 @@
     }
 
     /// Has an adapter loaded at a target.
-    pub fn ask_for_adapter(&self, key: targets::TargetKey, job: &exchange::Job) {
+    pub fn ask_for_adapter(&self, key: targets::TargetKey, job: &job::Job) {
         let asked = job.call.wanted.as_ref().and_then(control::asked_adapter);
         control::ask_for_adapters(self, key, asked.into_iter().collect());
     }
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -1,6 +1,6 @@
 //! The events of one stream on their way to the caller.
 
-use crate::{body, decisions, dialect, exchange, pool, relay, router};
+use crate::{attempt, body, decisions, dialect, exchange, job, pool, relay, router};
 use bytes::Bytes;
 use futures::{StreamExt, stream};
 use http::Response;
@@ -22,7 +22,7 @@
 /// A stream that is being passed on.
 struct Passing<P: router::Platform> {
     shared: Rc<router::Shared<P>>,
-    job: exchange::Job,
+    job: job::Job,
     source: Option<Source<P>>,
     splitter: relay::Splitter,
     resumes: u32,
@@ -54,7 +54,7 @@
 struct Source<P: router::Platform> {
     body: Incoming,
     lease: pool::Lease,
-    flight: exchange::Flight<P>,
+    flight: job::Flight<P>,
     info: dialect::AnswerHead,
 }
 
@@ -86,10 +86,10 @@
 /// Why no event came; nothing has gone to the caller yet.
 pub async fn first<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
-    job: exchange::Job,
-    answered: exchange::Answered<P>,
-) -> Result<Response<body::AnswerBody>, (Box<exchange::Job>, &'static str)> {
-    let exchange::Answered { mut head, info, body: source, lease, flight } = answered;
+    job: job::Job,
+    answered: attempt::Answered<P>,
+) -> Result<Response<body::AnswerBody>, (Box<job::Job>, &'static str)> {
+    let attempt::Answered { mut head, info, body: source, lease, flight } = answered;
     let mut passing = Passing {
         shared: shared.clone(),
         job,
@@ -260,7 +260,7 @@
         let shared = self.shared.clone();
         match exchange::resume(&shared, &mut self.job, last).await {
             Ok(answered) => {
-                let exchange::Answered { info, body, lease, flight, .. } = answered;
+                let attempt::Answered { info, body, lease, flight, .. } = answered;
                 self.source = Some(Source { body, lease, flight, info });
                 self.resumes += 1;
                 true
