--- a/crates/corianderstand_fleet/src/plan.rs
+++ b/crates/corianderstand_fleet/src/plan.rs
@@ -269,8 +269,8 @@
             return Some(Wish { model, cause: Cause::Absent, gain });
         }
         let load = load(engines, model);
-        let share = |replicas: usize| paused(load / replicas as f64);
-        let gain = requests(model) * PAUSED * (share(replicas) - share(replicas + 1));
+        let share = |replicas: usize| lost(load / replicas as f64);
+        let gain = requests(model) * (share(replicas) - share(replicas + 1));
         (gain > LEAST_GAIN).then_some(Wish { model, cause: Cause::Load, gain })
     }
 
@@ -399,8 +399,8 @@
             return f64::from(model.waiting) + gone + running;
         }
         let load = load(engines, model);
-        let more = paused(load / others as f64) - paused(load / (others + 1) as f64);
-        requests(model) * (more * PAUSED + SPARE / others as f64) + running
+        let more = lost(load / others as f64) - lost(load / (others + 1) as f64);
+        requests(model) * (more + SPARE / others as f64) + running
     }
 
     /// What is lost within [`HORIZON_S`], in requests, because the engine has other work to do as
@@ -412,7 +412,7 @@
         let replicas = self.replicas(&model.spec.name) + 1;
         let own = share(model, replicas);
         let requests = model.asked.per_s / replicas as f64 * HORIZON_S;
-        requests * PAUSED * (paused(others + own) - paused(own))
+        requests * (lost(others + own) - lost(own))
     }
 
     fn take(
@@ -468,9 +468,16 @@
     model.asked.prompt_tokens_per_s * read_s
 }
 
-/// Part of the streams that pause for too long on an engine at a load.
-fn paused(load: f64) -> f64 {
-    (PAUSES * load * load).min(1.0)
+/// What a request loses on an engine at a load: its stream pauses for too long, or, beyond what the
+/// engine can do, it finds no room. It has to rise for ever: where one more replica of many that are
+/// missing seems to gain nothing, none is ever added.
+fn lost(load: f64) -> f64 {
+    let paused = PAUSES * load * load;
+    if paused < 1.0 {
+        return PAUSED * paused;
+    }
+    let served = (1.0 / PAUSES).sqrt() / load;
+    PAUSED * served + (1.0 - served)
 }
 
 /// How long an engine takes to load a model, and whether from the weight store.
--- a/crates/corianderstand_fleet/tests/plan.rs
+++ b/crates/corianderstand_fleet/tests/plan.rs
@@ -3,7 +3,13 @@
 mod common;
 
 use common::{Asked, World, busy, rare};
-use std::time::Duration;
+use corianderstand_fleet::{demand, plan, targets};
+use corianderstand_types::names::ModelId;
+use slotmap::SlotMap;
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 fn world(engines: usize, models: Vec<(String, Asked)>, copies: usize, seed: u64) -> World {
     let models: Vec<(&str, Asked)> =
@@ -126,3 +132,57 @@
     let rare = world.tally(is_rare);
     assert!(rare.share_left() < 0.1, "{rare:?}");
 }
+
+/// All engines have lost power and hold one of each model when traffic returns. A model that needs ten
+/// engines had one: a second seemed to gain nothing, as both would be overloaded, so callers were
+/// refused for as long as the load lasted.
+#[test]
+fn a_model_that_is_far_from_enough_places_gets_them() {
+    let mut now = Instant::now();
+    let mut keys: SlotMap<targets::TargetKey, ()> = SlotMap::with_key();
+    let keys: Vec<_> = (0..12).map(|_| keys.insert(())).collect();
+    let asked = demand::Asked {
+        per_s: 150.0,
+        prompt_tokens_per_s: 200_000.0,
+        aim: Duration::from_millis(300),
+        ..Default::default()
+    };
+    let idle: Vec<ModelId> = (0..12).map(|index| format!("idle-{index}").as_str().into()).collect();
+    let view =
+        |model: &ModelId, asked| plan::ModelView { spec: common::spec(model), asked, waiting: 0 };
+    let busy = ModelId::from("busy");
+    let mut models: BTreeMap<_, _> =
+        idle.iter().map(|model| (model.clone(), view(model, demand::Asked::default()))).collect();
+    models.insert(busy.clone(), view(&busy, asked));
+    let mut held: Vec<Vec<ModelId>> = idle.iter().map(|model| vec![model.clone()]).collect();
+    held[0] = vec![busy.clone()];
+    let mut planner = plan::Planner::default();
+    for _ in 0..10 {
+        now += Duration::from_secs(2);
+        let engines = keys.iter().zip(&held).map(|(&key, held)| {
+            let resident = held
+                .iter()
+                .map(|model| targets::Resident { model: model.clone(), adapters: Vec::new() });
+            let on_disk = idle.iter().cloned().chain([busy.clone()]).collect();
+            plan::EngineView {
+                key,
+                orderable: true,
+                weights_mb: 80_000,
+                slots: 64,
+                adapter_places: 8,
+                holdings: targets::Holdings {
+                    resident: resident.collect(),
+                    on_disk,
+                    ..Default::default()
+                },
+                ongoing: None,
+                running: BTreeMap::new(),
+            }
+        });
+        let engines: Vec<_> = engines.collect();
+        let wants = planner.plan(now, &engines, &models);
+        held = keys.iter().map(|key| wants[key].clone()).collect();
+    }
+    let holders = held.iter().filter(|held| held.contains(&busy)).count();
+    assert!(holders >= 6, "{holders} engines hold it");
+}
