--- a/crates/corianderstand_types/src/lib.rs
+++ b/crates/corianderstand_types/src/lib.rs
@@ -1,6 +1,6 @@
 //! Names, units and the clock: the vocabulary that all other crates share.
 //!
-//! A *host* is a rented machine, a *place* an availability zone, a *team* a customer and a
+//! A *host* is a rented machine, an *availability zone* the place where it stands, a *workspace* one subtree of settings and a
 //! *target* a back end; `docs/GLOSSARY.md` maps them to other terms in use. Identifiers are
 //! newtypes over `SmolStr`, so a team's name cannot be passed where a model's is expected.
 //!
--- a/crates/corianderstand_types/src/names.rs
+++ b/crates/corianderstand_types/src/names.rs
@@ -90,7 +90,7 @@
     HostId;
     /// An availability zone.
     AvailabilityZoneId;
-    /// A customer of the deployment: one subtree of settings each.
+    /// One subtree of settings, with the keys of those who call with them.
     WorkspaceId;
     /// A back end: an engine or a plain service.
     TargetId;
