--- a/crates/corianderstand_forward/src/server.rs
+++ b/crates/corianderstand_forward/src/server.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -185,7 +185,11 @@
     let limits = shared.view.borrow().table.as_ref().map(|table| table.config().limits.clone());
     let limits = limits.unwrap_or_default();
     tokio::task::spawn_local(async move {
-        let service = service_fn(|req| one(shared.clone(), req));
+        let served = Cell::new(false);
+        let service = service_fn(|req| {
+            served.set(true);
+            one(shared.clone(), req)
+        });
         let connection = builder(&limits).serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         let mut told = false;
@@ -199,7 +203,12 @@
                 }
                 _ = closing.wait_for(|closing| *closing), if !told => {
                     told = true;
-                    connection.as_mut().graceful_shutdown();
+                    // A connection that has carried nothing yet is new: its first request is on
+                    // its way, and its answer will say that the connection ends. Closed now, its
+                    // caller would get nothing.
+                    if served.get() {
+                        connection.as_mut().graceful_shutdown();
+                    }
                 }
             }
         }
--- a/crates/corianderstand_forward/tests/stops.rs
+++ b/crates/corianderstand_forward/tests/stops.rs
@@ -5,6 +5,7 @@
 use common::{MemoryStore, Running, Target};
 use corianderstand_fleet::config::{Engine, Model, Service};
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 
 const WITHIN: Duration = Duration::from_secs(3);
 
@@ -82,3 +83,25 @@
     let answer = common::read_all(&mut caller).await.unwrap();
     assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("paid"), "{answer}");
 }
+
+/// A caller is still sent to a router that has just been told to stop, and its request follows its
+/// connection a moment later. The connection used to be closed as unused, or not, as it happened: the
+/// caller got no answer.
+#[tokio::test]
+async fn a_connection_made_during_the_stop_is_answered() {
+    let store = MemoryStore::default();
+    let target = Target::start().await;
+    store.config(common::config(1, vec![common::route("/pay/", "desk")]));
+    store.target(target.entry("target-1", "desk"));
+    let mut router = Running::start_with(&store, "router-a", Vec::new(), WITHIN);
+    router.wait_ready().await;
+    router.stop();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let mut caller = tokio::net::TcpStream::connect(router.front).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let head = "POST /pay/1 HTTP/1.1\r\nHost: desk.example\r\nx-id: r\r\nContent-Length: 0\r\n\r\n";
+    caller.write_all(head.as_bytes()).await.unwrap();
+    target.next().await.answer_whole("r", "paid").await;
+    let answer = common::read_all(&mut caller).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("connection: close"), "{answer}");
+}
--- a/crates/corianderstand_types/src/lib.rs
+++ b/crates/corianderstand_types/src/lib.rs
@@ -1,8 +1,9 @@
 //! Names, units and the clock: the vocabulary that all other crates share.
 //!
-//! A *host* is a rented machine, an *availability zone* the place where it stands, a *workspace* one subtree of settings and a
-//! *target* a back end; `docs/GLOSSARY.md` maps them to other terms in use. Identifiers are
-//! newtypes over `SmolStr`, so a team's name cannot be passed where a model's is expected.
+//! A *host* is a rented machine, an *availability zone* the place where it stands, a *workspace* one
+//! subtree of settings and a *target* a back end; `docs/GLOSSARY.md` maps them to other terms in use.
+//! Identifiers are newtypes over `SmolStr`, so a workspace's name cannot be passed where a model's is
+//! expected.
 //!
 //! ```
 //! use corianderstand_types::{clock::{Clock, ManualClock}, names::ModelId};
