--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -160,9 +160,25 @@
     }
 }
 
-/// A port that nobody uses now.
+/// First of the ports that tests take, and how many a process has for itself. They lie below those
+/// that the system gives out, so that no other test is given one between the look and the use.
+const FIRST_PORT: u32 = 20_000;
+const PORTS_EACH: u32 = 12;
+const PROCESSES: u32 = 1_000;
+
+/// A port of this process that nobody uses, for connections and datagrams.
 fn free_port() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let own = FIRST_PORT + std::process::id() % PROCESSES * PORTS_EACH;
+    loop {
+        let next = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        assert!(next < PORTS_EACH, "a test starts two routers at most");
+        let addr = SocketAddr::from(([127, 0, 0, 1], (own + next) as u16));
+        let free = std::net::TcpListener::bind(addr).is_ok();
+        if free && std::net::UdpSocket::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 /// A router that runs in a thread.
