An engine whose process has ended counts for nothing at once

The planner saw it as a holder as long as its agent had been heard. Change: a refused connection (nobody listens, not one that times out) takes the target out for 0.7 s, and an agent that finds its engine so tells all routers, so that models are loaded elsewhere at once. Test: decisions::an_engine_whose_process_has_ended_counts_for_nothing, failed with the rule taken out.

--- a/crates/corianderstand_fleet/src/choose.rs
+++ b/crates/corianderstand_fleet/src/choose.rs
@@ -83,7 +83,9 @@
     let usable: Vec<_> = targets
         .iter()
         .filter(|(key, target)| {
-            target.entry.service == *ask.service && target.takes_work() && !ask.tried.contains(key)
+            target.entry.service == *ask.service
+                && target.takes_work(now)
+                && !ask.tried.contains(key)
         })
         .collect();
     if usable.is_empty() {
--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -29,6 +29,12 @@
 /// each 0.9 s where there are many routers, and a datagram may be lost.
 pub const AGENT_SILENT_AFTER: Duration = Duration::from_millis(2_000);
 
+/// A target at whose address nobody listens is left alone for this time. Its process has ended; one
+/// that starts again takes 2 to 4 s and says so. Meanwhile each request sent there would be refused,
+/// its caller's next one too, and no other engine would load its models. Asked again this often in
+/// case it was not true, it costs its callers one attempt in that time.
+const NOBODY_FOR: Duration = Duration::from_millis(700);
+
 /// A model in an engine's memory, with its adapters.
 #[derives(data)]
 #[derive(Default, Eq)]
@@ -160,6 +166,7 @@
     tokens_at_load: u64,
     absent: HashMap<names::ModelId, Instant>,
     missing_since: Option<Instant>,
+    nobody_until: Option<Instant>,
 }
 
 impl Target {
@@ -179,12 +186,18 @@
             tokens_at_load: 0,
             absent: HashMap::new(),
             missing_since: None,
+            nobody_until: None,
         }
     }
 
     /// Whether it may be given new requests.
-    pub const fn takes_work(&self) -> bool {
-        !self.entry.draining
+    pub fn takes_work(&self, now: Instant) -> bool {
+        !self.entry.draining && self.nobody_until.is_none_or(|until| now >= until)
+    }
+
+    /// Nobody listens at its address: its process has ended.
+    pub fn note_nobody(&mut self, now: Instant) {
+        self.nobody_until = Some(now + NOBODY_FOR);
     }
 
     /// Requests of this process that are at it, by model.
@@ -368,6 +381,7 @@
             return false;
         }
         target.agent_at = Some(now);
+        target.nobody_until = None;
         target.ongoing = report.ongoing;
         target.note_load(report.load);
         let mut holdings = report.holdings;
@@ -380,6 +394,18 @@
         true
     }
 
+    /// Its agent says that this start of it has ended; false if it is not known or has started
+    /// again since.
+    pub fn note_gone(&mut self, now: Instant, id: &names::TargetId, born: u64) -> bool {
+        let Some(key) = self.key(id) else { return false };
+        let target = &mut self.arena[key];
+        let same = born == target.entry.born || born == 0;
+        if same {
+            target.note_nobody(now);
+        }
+        same
+    }
+
     /// Its entry was removed: it is gone at once, or, with `grace`, unless it registers again
     /// within that time.
     pub fn remove(&mut self, now: Instant, id: &names::TargetId, grace: bool) {
--- a/crates/corianderstand_fleet/tests/decisions.rs
+++ b/crates/corianderstand_fleet/tests/decisions.rs
@@ -79,7 +79,7 @@
     assert_eq!(targets.register(now, draining), Change::Draining);
     assert_eq!(targets.register(now, entry("e")), Change::Stale);
     let key = targets.key(&id("e")).unwrap();
-    assert!(!targets.get(key).unwrap().takes_work());
+    assert!(!targets.get(key).unwrap().takes_work(now));
     targets.remove(now, &id("e"), false);
     assert_eq!(targets.register(now, entry("e")), Change::Stale, "it has left for good");
 }
@@ -173,6 +173,30 @@
     assert_eq!(choose::choose(now, &targets, &ask), choose::Choice::Cold, "it said it has it not");
 }
 
+/// An engine's process ends, and its entry stays in the store for some seconds. Requests for its
+/// models are sent to an address where nobody listens and refused, again and again, while another
+/// engine could have loaded them. What its agent says of its end holds until it has started again.
+#[test]
+fn an_engine_whose_process_has_ended_counts_for_nothing() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    let (wanted, service, zone) = (wanted(), "models".into(), "here".into());
+    let ask = ask(&wanted, &service, &zone);
+    let key = targets.key(&id("e")).unwrap();
+    targets.get_mut(key).unwrap().note_nobody(now);
+    assert_eq!(choose::choose(now, &targets, &ask), choose::Choice::NoTarget);
+    let later = now + Duration::from_secs(1);
+    assert_eq!(choose::choose(later, &targets, &ask), choose::Choice::Send(key), "tried again");
+    assert!(targets.note_gone(later, &id("e"), 10));
+    assert_eq!(choose::choose(later, &targets, &ask), choose::Choice::NoTarget);
+    targets.register(later, Entry { born: 20, renewals: 1, ..entry("e") });
+    let key = targets.key(&id("e")).unwrap();
+    assert_eq!(choose::choose(later, &targets, &ask), choose::Choice::Send(key));
+    assert!(!targets.note_gone(later, &id("e"), 10), "said of the start before");
+    assert_eq!(choose::choose(later, &targets, &ask), choose::Choice::Send(key));
+}
+
 /// One engine fails every other request while it says that it is well. Callers must not go on
 /// meeting it, and it must not be left out for ever.
 #[test]
--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -133,7 +133,9 @@
         match message {
             PeerMessage::EnginePlan(plan) => self.take_plan(now, plan),
             PeerMessage::AdaptersAsked(asked) => self.take_asked(now, from, asked),
-            PeerMessage::RouterNews(_) | PeerMessage::EngineNews(_) => {
+            PeerMessage::RouterNews(_)
+            | PeerMessage::EngineNews(_)
+            | PeerMessage::EngineGone(_) => {
                 tracing::debug!(%from, "message that is for routers");
             }
         }
@@ -191,6 +193,9 @@
                         tracing::warn!(%error, "the engine does not answer: it is asked again");
                     }
                     self.state.borrow_mut().ongoing = None;
+                    if matches!(error, dialect::ReportError::Ended(_)) {
+                        self.say_gone();
+                    }
                     IDLE_PAUSE
                 }
             };
@@ -216,6 +221,16 @@
         BUSY_PAUSE
     }
 
+    /// Tells all routers that the engine's process has ended, again each time that it is found so.
+    fn say_gone(&self) {
+        let state = self.state.borrow();
+        let (Some(plan), Some((_, said))) = (&state.plan, &state.said) else { return };
+        let gone = peers::EngineGone { target: said.target.clone(), born: said.born };
+        for addr in routers(&plan.plan) {
+            self.outbox.send(addr, &PeerMessage::EngineGone(gone.clone()));
+        }
+    }
+
     /// Sees whether what is under way has ended.
     fn settle(&self, now: Instant, report: &dialect::EngineReport) {
         let mut state = self.state.borrow_mut();
@@ -319,11 +334,7 @@
         let full =
             PeerMessage::EngineNews(peers::EngineNews { copies: vec![copies], ..news.clone() });
         let short = PeerMessage::EngineNews(news.clone());
-        for (index, router) in plan.routers.iter().enumerate() {
-            let Ok(addr) = router.parse() else {
-                tracing::debug!(%router, "address of a router cannot be read");
-                continue;
-            };
+        for (index, addr) in routers(plan).enumerate() {
             if to_all || state.askers.contains_key(&addr) {
                 self.outbox.send(addr, if index == 0 { &full } else { &short });
             }
@@ -336,6 +347,17 @@
     }
 }
 
+/// Addresses of the routers that a plan names.
+fn routers(plan: &peers::EnginePlan) -> impl Iterator<Item = SocketAddr> {
+    plan.routers.iter().filter_map(|router| match router.parse() {
+        Ok(addr) => Some(addr),
+        Err(error) => {
+            tracing::debug!(%router, %error, "address of a router cannot be read");
+            None
+        }
+    })
+}
+
 fn rank(plan: &peers::EnginePlan) -> crate::peers::Rank {
     crate::peers::Rank::new(plan.strength, plan.planner.as_str())
 }
--- a/crates/corianderstand_forward/src/attempt.rs
+++ b/crates/corianderstand_forward/src/attempt.rs
@@ -72,7 +72,7 @@
     let mut lease = match shared.pool.lease(now, addr).await {
         Ok(lease) => lease,
         Err(error) => {
-            shared.target_failed(key, "no connection");
+            shared.no_connection(key, &error);
             tracing::debug!(%addr, %error, "no connection to the target");
             return Attempt::NotSent;
         }
@@ -87,8 +87,8 @@
                 // The target had closed the connection before anything was written.
                 match shared.pool.open(addr).await {
                     Ok(new) => lease = new,
-                    Err(_) => {
-                        shared.target_failed(key, "no connection");
+                    Err(error) => {
+                        shared.no_connection(key, &error);
                         return Attempt::NotSent;
                     }
                 }
--- a/crates/corianderstand_forward/src/client.rs
+++ b/crates/corianderstand_forward/src/client.rs
@@ -13,6 +13,8 @@
 /// A call that got no whole answer.
 #[derive(Clone, PartialEq, Eq, Debug, displaydoc::Display)]
 pub enum CallError {
+    /// nobody listens at {0}
+    Nobody(SocketAddr),
     /// no connection ({0})
     NotSent(String),
     /// no answer within {0} ms
@@ -61,7 +63,10 @@
         keep: Option<Duration>,
     ) -> Result<Response<Bytes>, CallError> {
         let broken = |error: hyper::Error| CallError::Broken(error.to_string());
-        let not_sent = |error: std::io::Error| CallError::NotSent(error.to_string());
+        let not_sent = |error: std::io::Error| match error.kind() {
+            std::io::ErrorKind::ConnectionRefused => CallError::Nobody(addr),
+            _ => CallError::NotSent(error.to_string()),
+        };
         let mut lease = self.pool.lease(self.clock.now(), addr).await.map_err(not_sent)?;
         let sent = lease.sender.try_send_request(req).await;
         let answer = match sent {
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -114,6 +114,16 @@
             }
         }
         PeerMessage::EngineNews(news) => take_engine(shared, now, news),
+        PeerMessage::EngineGone(gone) => {
+            let mut view = shared.view.borrow_mut();
+            if view.targets.note_gone(now, &gone.target, gone.born) {
+                drop(view);
+                tracing::info!(target = %gone.target, "its agent says that the target has ended");
+                if planner(shared, now).is_none() {
+                    shared.tell_planner.notify_one();
+                }
+            }
+        }
         PeerMessage::EnginePlan(_) | PeerMessage::AdaptersAsked(_) => {
             tracing::debug!(%from, "message that is for agents");
         }
--- a/crates/corianderstand_forward/src/dialect.rs
+++ b/crates/corianderstand_forward/src/dialect.rs
@@ -2,10 +2,12 @@
 //!
 //! Each trait stands for one edge of the system. An adapter translates and decides nothing.
 
+use crate::client;
 use bytes::Bytes;
 use corianderstand_derives::derives;
 use corianderstand_fleet::{choose, config, targets};
 use corianderstand_types::names;
+use displaydoc::Display;
 use http::{HeaderMap, StatusCode};
 use smol_str::SmolStr;
 use std::{future::Future, sync::Arc, time::Duration};
@@ -243,10 +245,29 @@
     pub after_orders: u64,
 }
 
+/// Why an engine gave no account of itself.
+#[derive(Debug, Display)]
+pub enum ReportError {
+    /// its process has ended: {0}
+    Ended(client::CallError),
+    /// {0}
+    Call(client::CallError),
+    /// it answered {0}
+    Status(StatusCode),
+    /// its answer cannot be read: {0}
+    Unreadable(String),
+}
+
+impl std::error::Error for ReportError {}
+
 /// The engine beside an agent.
 pub trait EngineCalls {
     /// Asks for its account of itself.
-    fn report(&self) -> impl Future<Output = Result<EngineReport, String>>;
+    ///
+    /// # Errors
+    ///
+    /// See [`ReportError`].
+    fn report(&self) -> impl Future<Output = Result<EngineReport, ReportError>>;
     /// Gives it an order.
     fn order(&self, order: SafeOrder) -> impl Future<Output = OrderEnd>;
 }
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -10,6 +10,7 @@
 use smol_str::SmolStr;
 use std::{
     cell::{Cell, RefCell},
+    io,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -186,6 +187,19 @@
         tracing::debug!(target = %target.entry.id, trouble, why, "target failed");
     }
 
+    /// No connection to a target could be opened.
+    pub fn no_connection(&self, key: targets::TargetKey, error: &io::Error) {
+        if error.kind() == io::ErrorKind::ConnectionRefused {
+            let now = self.clock.now();
+            let mut view = self.view.borrow_mut();
+            if let Some(target) = view.targets.get_mut(key) {
+                target.note_nobody(now);
+                tracing::info!(target = %target.entry.id, "nobody listens at the target's address");
+            }
+        }
+        self.target_failed(key, "no connection");
+    }
+
     /// A target answered as it should.
     pub fn target_succeeded(&self, key: targets::TargetKey) {
         let now = self.clock.now();
@@ -255,10 +269,10 @@
         /// The address.
         addr: SocketAddr,
         /// What the system says.
-        error: std::io::Error,
+        error: io::Error,
     },
     /// the runtime cannot be started ({0}): check the limits on threads and descriptors
-    Runtime(std::io::Error),
+    Runtime(io::Error),
 }
 
 impl std::error::Error for StartError {}
