--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -167,7 +167,7 @@
 const PROCESSES: u32 = 1_000;
 
 /// A port of this process that nobody uses, for connections and datagrams.
-fn free_port() -> SocketAddr {
+pub fn free_port() -> SocketAddr {
     static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let own = FIRST_PORT + std::process::id() % PROCESSES * PORTS_EACH;
     loop {
