An agent asks its engine's name after each start and tells routers of it before it registers

Only the agent can vouch that it is the same engine's place. So a new start is told by fewer orders than before, a call that failed, or a 421, and the name is asked for at the health path, once a start.

--- a/crates/corianderstand_fleet/src/config.rs
+++ b/crates/corianderstand_fleet/src/config.rs
@@ -95,6 +95,8 @@
 pub struct Service {
     /// Its name.
     pub name: names::ServiceId,
+    /// Where a target answers whether it is well, and says its name.
+    pub health_path: SmolStr,
     /// Connections that one target takes from all callers together.
     pub connections: u32,
     /// What its engines are like; none for a plain service.
--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -35,6 +35,10 @@
 /// case it was not true, it costs its callers one attempt in that time.
 const NOBODY_FOR: Duration = Duration::from_millis(700);
 
+/// The last entry of a target that is gone is kept for this time, for one that starts again at its
+/// place under another name; that takes 2 to 4 s, and some more for its agent to say so.
+const REMEMBERED: Duration = Duration::from_secs(15);
+
 /// A model in an engine's memory, with its adapters.
 #[derives(data)]
 #[derive(Default, Eq)]
@@ -128,6 +132,17 @@
     pub load: Load,
 }
 
+/// A target that has started again at its place under another name.
+#[derives(data)]
+pub struct Replaced {
+    /// Its name.
+    pub id: names::TargetId,
+    /// Its start, as in [`Entry::born`].
+    pub born: u64,
+    /// Its name before.
+    pub before: names::TargetId,
+}
+
 /// How busy a target says that it is.
 #[derives(data)]
 #[derive(Copy, Default)]
@@ -277,6 +292,7 @@
     arena: SlotMap<TargetKey, Target>,
     by_id: HashMap<names::TargetId, TargetKey>,
     left: HashMap<names::TargetId, u64>,
+    gone: HashMap<names::TargetId, (Instant, Entry)>,
 }
 
 impl Targets {
@@ -310,6 +326,42 @@
         self.arena.is_empty()
     }
 
+    /// An agent says that its engine has started again under another name: what was known of its
+    /// place holds for the new one until that has registered, which takes a second or two. False if
+    /// that says nothing new.
+    ///
+    /// Each engine's agent speaks for it alone; without that word an engine that lost its power was
+    /// ordered nothing for up to 2.3 s after it was back.
+    pub fn replace(&mut self, now: Instant, replaced: &Replaced) -> bool {
+        let Replaced { id, born, before } = replaced;
+        if self.key(id).is_some() || self.left.contains_key(id) {
+            return false;
+        }
+        let known = self.key(before).map(|key| self.arena[key].entry.clone());
+        let Some(old) = known.or_else(|| self.gone.get(before).map(|(_, entry)| entry.clone()))
+        else {
+            return false;
+        };
+        if let Some(key) = self.key(before) {
+            self.forget(now, key);
+        }
+        self.gone.remove(before);
+        self.left.insert(before.clone(), old.born);
+        let holdings = Holdings { on_disk: old.holdings.on_disk.clone(), ..Default::default() };
+        let entry = Entry {
+            id: id.clone(),
+            born: *born,
+            renewals: 0,
+            draining: false,
+            leaves_in: None,
+            holdings,
+            ..old
+        };
+        let key = self.insert(now, entry);
+        self.arena[key].missing_since = Some(now);
+        true
+    }
+
     /// Takes an entry.
     pub fn register(&mut self, now: Instant, entry: Entry) -> Change {
         if self.left.get(&entry.id).is_some_and(|&born| entry.born <= born) {
@@ -326,7 +378,7 @@
             return Change::Stale;
         }
         if entry.born > target.entry.born {
-            self.forget(key);
+            self.forget(now, key);
             self.insert(now, entry);
             return Change::New;
         }
@@ -371,7 +423,7 @@
                 leaves_in: None,
                 ..target.entry.clone()
             };
-            self.forget(key);
+            self.forget(now, key);
             self.insert(now, entry);
             return self.report(now, report);
         }
@@ -381,6 +433,10 @@
             return false;
         }
         target.agent_at = Some(now);
+        if target.entry.renewals == 0 && target.missing_since.is_some() {
+            // It has not registered yet, and lives.
+            target.missing_since = Some(now);
+        }
         target.nobody_until = None;
         target.ongoing = report.ongoing;
         target.note_load(report.load);
@@ -413,7 +469,7 @@
         if grace {
             self.arena[key].missing_since.get_or_insert(now);
         } else {
-            self.forget(key);
+            self.forget(now, key);
         }
     }
 
@@ -425,22 +481,25 @@
         let gone = self.arena.iter().filter(|(_, target)| over(target));
         let gone: Vec<TargetKey> = gone.map(|(key, _)| key).collect();
         let ids = gone.iter().map(|&key| self.arena[key].entry.id.clone()).collect();
-        gone.into_iter().for_each(|key| self.forget(key));
+        gone.into_iter().for_each(|key| self.forget(now, key));
         ids
     }
 
-    fn insert(&mut self, now: Instant, entry: Entry) {
+    fn insert(&mut self, now: Instant, entry: Entry) -> TargetKey {
         let id = entry.id.clone();
         let leaves_at = entry.leaves_in.map(|left| now + left);
         let key = self.arena.insert(Target { leaves_at, ..Target::new(entry) });
         self.by_id.insert(id, key);
+        key
     }
 
-    fn forget(&mut self, key: TargetKey) {
+    fn forget(&mut self, now: Instant, key: TargetKey) {
         let Some(target) = self.arena.remove(key) else { return };
         self.by_id.remove(&target.entry.id);
         if target.entry.draining {
-            self.left.insert(target.entry.id, target.entry.born);
+            self.left.insert(target.entry.id.clone(), target.entry.born);
         }
+        self.gone.retain(|_, (since, _)| now.saturating_duration_since(*since) < REMEMBERED);
+        self.gone.insert(target.entry.id.clone(), (now, target.entry));
     }
 }
--- a/crates/corianderstand_fleet/tests/decisions.rs
+++ b/crates/corianderstand_fleet/tests/decisions.rs
@@ -197,6 +197,54 @@
     assert_eq!(choose::choose(later, &targets, &ask), choose::Choice::Send(key));
 }
 
+/// All hosts lose their power. An engine is back under a new name, and registers it up to two seconds
+/// later; until then nobody orders it anything, and callers of its models wait. Its agent knows it.
+#[test]
+fn an_engine_that_is_back_under_another_name_is_known_before_it_registers() {
+    let now = Instant::now();
+    let grace = Duration::from_secs(2);
+    let mut targets = Targets::default();
+    let on_disk = Holdings { on_disk: vec!["m".into()], ..holdings(&["m"]) };
+    targets.register(now, Entry { holdings: on_disk, ..entry("e") });
+    targets.remove(now, &id("e"), false);
+    let replaced = targets::Replaced { id: id("f"), born: 20, before: id("e") };
+    assert!(targets.replace(now, &replaced));
+    let found = |targets: &Targets| targets.get(targets.key(&id("f")).unwrap()).unwrap().clone();
+    assert_eq!(found(&targets).entry.addr, entry("e").addr);
+    assert_eq!(found(&targets).entry.holdings.on_disk, [ModelId::from("m")], "a disk stays");
+    assert!(!found(&targets).serves(now, &"m".into()), "it starts empty");
+    assert!(!targets.replace(now, &replaced), "said again");
+    assert_eq!(targets.register(now, entry("e")), Change::Stale, "the old name is over");
+    targets.register(now, Entry { born: 20, renewals: 1, ..entry("f") });
+    assert!(targets.expire(now + grace, grace).is_empty(), "it has registered");
+    targets.remove(now, &id("f"), false);
+    assert!(
+        !targets.replace(now, &replaced),
+        "of a name that has ended, nothing is known any more"
+    );
+}
+
+/// The agent's word stands in for an entry that never comes: it is over when the agent falls silent.
+#[test]
+fn an_engine_that_never_registers_is_forgotten_when_its_agent_falls_silent() {
+    let now = Instant::now();
+    let grace = Duration::from_secs(2);
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    assert!(targets.replace(now, &targets::Replaced { id: id("f"), born: 20, before: id("e") }));
+    let report = Report {
+        id: id("f"),
+        born: 20,
+        holdings: Holdings::default(),
+        copies_told: false,
+        ongoing: None,
+        load: Load::default(),
+    };
+    assert!(targets.report(now + grace / 2, report));
+    assert!(targets.expire(now + grace, grace).is_empty(), "its agent spoke a second ago");
+    assert_eq!(targets.expire(now + grace * 2, grace), [id("f")]);
+}
+
 /// One engine fails every other request while it says that it is well. Callers must not go on
 /// meeting it, and it must not be left out for ever.
 #[test]
--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -71,6 +71,15 @@
     heard: Instant,
 }
 
+/// What the engine said of itself when it was asked its name. Not all engines say when they started,
+/// so fewer orders than it had accepted before tell a new start as well.
+#[derive(Clone, Debug)]
+struct Named {
+    name: Option<names::TargetId>,
+    born: u64,
+    orders: u64,
+}
+
 #[derive(Default)]
 struct State {
     plan: Option<Plan>,
@@ -79,6 +88,8 @@
     said: Option<(Instant, peers::EngineNews)>,
     /// The engine said that it is not this one: the plan is for one that has ended.
     ended: Option<names::TargetId>,
+    /// The name that the engine said; none after it did not answer.
+    named: Option<Named>,
     askers: BTreeMap<SocketAddr, Instant>,
 }
 
@@ -138,7 +149,8 @@
             PeerMessage::AdaptersAsked(asked) => self.take_asked(now, from, asked),
             PeerMessage::RouterNews(_)
             | PeerMessage::EngineNews(_)
-            | PeerMessage::EngineGone(_) => {
+            | PeerMessage::EngineGone(_)
+            | PeerMessage::EngineReplaced(_) => {
                 tracing::debug!(%from, "message that is for routers");
             }
         }
@@ -195,7 +207,10 @@
                     if !std::mem::replace(&mut lost, true) {
                         tracing::warn!(%error, "the engine does not answer: it is asked again");
                     }
-                    self.state.borrow_mut().ongoing = None;
+                    let mut state = self.state.borrow_mut();
+                    state.ongoing = None;
+                    state.named = None;
+                    drop(state);
                     if matches!(error, dialect::ReportError::Ended(_)) {
                         self.say_gone();
                     }
@@ -214,6 +229,11 @@
         let now = self.clock.now();
         self.settle(now, &report);
         let Some(plan) = self.state.borrow().plan.clone() else { return IDLE_PAUSE };
+        let name = self.name(&plan.plan, &report).await;
+        if let Some(name) = name.filter(|name| *name != plan.plan.target) {
+            self.say_replaced(&plan.plan, &report, name);
+            return IDLE_PAUSE;
+        }
         self.say(now, &plan.plan, &report);
         let Some(order) = self.next(now, &plan.plan, &report) else {
             let busy = report.busy || report.adapters_coming > 0;
@@ -234,6 +254,51 @@
         }
     }
 
+    /// The engine's name, asked for once after each start of it.
+    async fn name(
+        &self,
+        plan: &peers::EnginePlan,
+        report: &dialect::EngineReport,
+    ) -> Option<names::TargetId> {
+        let born = report.born.unwrap_or(0);
+        let orders = report.holdings.orders;
+        if let Some(named) = &mut self.state.borrow_mut().named
+            && named.born == born
+            && named.orders <= orders
+        {
+            named.orders = orders;
+            return named.name.clone();
+        }
+        match self.engine.name(&plan.health_path).await {
+            Ok(name) => {
+                tracing::info!(?name, born, "the engine's name");
+                let named = Named { name: name.clone(), born, orders };
+                self.state.borrow_mut().named = Some(named);
+                name
+            }
+            Err(error) => {
+                tracing::warn!(%error, "the engine did not say its name: it is asked again");
+                None
+            }
+        }
+    }
+
+    /// Tells routers that this engine has replaced the one that the plan is for, so that they plan
+    /// for it before it has registered.
+    fn say_replaced(
+        &self,
+        plan: &peers::EnginePlan,
+        report: &dialect::EngineReport,
+        name: names::TargetId,
+    ) {
+        let replaced = PeerMessage::EngineReplaced(peers::EngineReplaced {
+            target: name,
+            born: report.born.unwrap_or(0),
+            before: plan.target.clone(),
+        });
+        routers(plan).for_each(|addr| self.outbox.send(addr, &replaced));
+    }
+
     /// Sees whether what is under way has ended.
     fn settle(&self, now: Instant, report: &dialect::EngineReport) {
         let mut state = self.state.borrow_mut();
@@ -311,6 +376,7 @@
             dialect::OrderEnd::OtherEngine => {
                 state.ongoing = None;
                 state.ended = Some(target.clone());
+                state.named = None;
             }
             _ => state.ongoing = None,
         }
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -109,19 +109,24 @@
             shared.peers.borrow_mut().hear(now, from, news);
             // Only the planner is told of what waits elsewhere; told on, each such message would
             // bring one of every router.
-            if waits && planner(shared, now).is_none() {
-                shared.tell_planner.notify_one();
+            if waits {
+                plan_soon(shared, now);
             }
         }
         PeerMessage::EngineNews(news) => take_engine(shared, now, news),
         PeerMessage::EngineGone(gone) => {
-            let mut view = shared.view.borrow_mut();
-            if view.targets.note_gone(now, &gone.target, gone.born) {
-                drop(view);
+            let known = shared.view.borrow_mut().targets.note_gone(now, &gone.target, gone.born);
+            if known {
                 tracing::info!(target = %gone.target, "its agent says that the target has ended");
-                if planner(shared, now).is_none() {
-                    shared.tell_planner.notify_one();
-                }
+                plan_soon(shared, now);
+            }
+        }
+        PeerMessage::EngineReplaced(wire::EngineReplaced { target, born, before }) => {
+            let replaced = targets::Replaced { id: target, born, before };
+            if shared.view.borrow_mut().targets.replace(now, &replaced) {
+                tracing::info!(target = %replaced.id, before = %replaced.before,
+                    "its agent says that the target has started again under another name");
+                plan_soon(shared, now);
             }
         }
         PeerMessage::EnginePlan(_) | PeerMessage::AdaptersAsked(_) => {
@@ -151,9 +156,14 @@
             view.wake(&resident.model);
         }
         drop(view);
-        if planner(shared, now).is_none() {
-            shared.tell_planner.notify_one();
-        }
+        plan_soon(shared, now);
+    }
+}
+
+/// Has the plan made anew, if this router plans.
+fn plan_soon<P>(shared: &router::Shared<P>, now: Instant) {
+    if planner(shared, now).is_none() {
+        shared.tell_planner.notify_one();
     }
 }
 
--- a/crates/corianderstand_forward/src/dialect.rs
+++ b/crates/corianderstand_forward/src/dialect.rs
@@ -268,6 +268,15 @@
     ///
     /// See [`ReportError`].
     fn report(&self) -> impl Future<Output = Result<EngineReport, ReportError>>;
+    /// Asks for its name, which it says at this path; none if it does not say it.
+    ///
+    /// # Errors
+    ///
+    /// The call was not answered.
+    fn name(
+        &self,
+        path: &str,
+    ) -> impl Future<Output = Result<Option<names::TargetId>, client::CallError>>;
     /// Gives it an order.
     fn order(&self, order: SafeOrder) -> impl Future<Output = OrderEnd>;
 }
--- a/crates/corianderstand_forward/src/planning.rs
+++ b/crates/corianderstand_forward/src/planning.rs
@@ -30,7 +30,7 @@
         drop(view);
         for service in &table.config().services {
             if let Some(engine) = &service.engine {
-                self.plan_service(shared, now, &service.name, engine);
+                self.plan_service(shared, now, service, engine);
             }
         }
     }
@@ -39,10 +39,10 @@
         &mut self,
         shared: &router::Shared<P>,
         now: Instant,
-        service: &names::ServiceId,
+        service: &config::Service,
         spec: &config::Engine,
     ) {
-        let engines = engines(shared, now, service, spec);
+        let engines = engines(shared, now, &service.name, spec);
         let models = models(shared, now, spec);
         let wants = self.planner.plan(now, &engines, &models);
         // An agent that was not heard yet learns from its first plan whom to tell of its engine.
@@ -54,7 +54,7 @@
             });
             if !same {
                 self.serial += 1;
-                send_plan(shared, self.serial, engine, spec, parts.clone());
+                send_plan(shared, self.serial, engine, (service, spec), parts.clone());
                 self.sent.insert(engine.key, (now, parts));
             }
         }
@@ -143,7 +143,7 @@
     shared: &router::Shared<P>,
     serial: u64,
     engine: &plan::EngineView,
-    spec: &config::Engine,
+    (service, spec): (&config::Service, &config::Engine),
     parts: Vec<wire::PlanPart>,
 ) {
     let view = shared.view.borrow();
@@ -156,6 +156,7 @@
         strength: shared.settings.strength,
         serial,
         target: target.entry.id.clone(),
+        health_path: service.health_path.clone(),
         weights_mb: spec.weights_mb,
         adapter_places: spec.adapter_places as u32,
         parts,
--- a/crates/corianderstand_forward/tests/agents.rs
+++ b/crates/corianderstand_forward/tests/agents.rs
@@ -4,8 +4,10 @@
 
 use corianderstand_fleet::{steps, targets};
 use corianderstand_forward::{agent, client, dialect};
-use corianderstand_schema::peers::{EngineGone, EngineNews, EnginePlan, PeerMessage, PlanPart};
-use corianderstand_types::clock::SystemClock;
+use corianderstand_schema::peers::{
+    EngineGone, EngineNews, EnginePlan, EngineReplaced, PeerMessage, PlanPart,
+};
+use corianderstand_types::{clock::SystemClock, names::TargetId};
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -24,11 +26,20 @@
     /// Orders that get no answer and are not carried out.
     to_lose: usize,
     has_ended: bool,
+    /// The engine's own name.
+    name: Option<TargetId>,
 }
 
 #[derive(Clone, Default)]
 struct Engine(Arc<Mutex<Shelf>>);
 
+impl Engine {
+    fn holds(&self, models: &[&str]) -> bool {
+        let shelf = self.0.lock().unwrap();
+        models.iter().all(|model| shelf.holdings.resident(&(*model).into()).is_some())
+    }
+}
+
 impl dialect::EngineCalls for Engine {
     async fn report(&self) -> Result<dialect::EngineReport, dialect::ReportError> {
         let shelf = self.0.lock().unwrap();
@@ -45,6 +56,11 @@
         })
     }
 
+    async fn name(&self, path: &str) -> Result<Option<TargetId>, client::CallError> {
+        assert_eq!(path, "/well");
+        Ok(self.0.lock().unwrap().name.clone())
+    }
+
     async fn order(&self, order: dialect::SafeOrder<'_>) -> dialect::OrderEnd {
         let mut shelf = self.0.lock().unwrap();
         shelf.given.push((Instant::now(), order.order.clone(), order.after_orders));
@@ -52,6 +68,9 @@
             shelf.to_lose -= 1;
             return dialect::OrderEnd::Unknown;
         }
+        if let Some(name) = shelf.name.as_ref().filter(|name| *name != order.target) {
+            panic!("{name} was given an order for {}", order.target);
+        }
         if order.after_orders != shelf.holdings.orders {
             return dialect::OrderEnd::Conflict;
         }
@@ -112,6 +131,7 @@
             strength: 1,
             serial,
             target: "engine".into(),
+            health_path: "/well".into(),
             weights_mb: 150,
             adapter_places: 2,
             parts: parts.collect(),
@@ -141,12 +161,9 @@
         let ask = async {
             loop {
                 self.plan("router", serial, models).await;
-                let shelf = self.engine.0.lock().unwrap();
-                let holds = |model: &&str| shelf.holdings.resident(&(*model).into()).is_some();
-                if models.iter().all(holds) {
+                if self.engine.holds(models) {
                     return;
                 }
-                drop(shelf);
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
         };
@@ -215,3 +232,24 @@
     let shelf = running.engine.0.lock().unwrap();
     assert_eq!(shelf.given.len(), 1, "given: {:?}", shelf.given);
 }
+
+/// The engine has started again under another name, and the plan is still for the one before. Nobody
+/// else can tell routers of it until it registers, a second or two later.
+#[tokio::test]
+async fn routers_hear_of_the_engine_s_new_name() {
+    let running = Running::start().await;
+    running.engine.0.lock().unwrap().name = Some("engine-2".into());
+    let replaced = async {
+        loop {
+            running.plan("router", 1, &["a"]).await;
+            let heard = tokio::time::timeout(Duration::from_millis(300), running.hear()).await;
+            if let Ok(PeerMessage::EngineReplaced(replaced)) = heard {
+                return replaced;
+            }
+        }
+    };
+    let replaced = tokio::time::timeout(common::PATIENCE, replaced).await.expect("it says so");
+    let expected =
+        EngineReplaced { target: "engine-2".into(), born: BORN, before: "engine".into() };
+    assert_eq!(replaced, expected);
+}
--- a/crates/corianderstand_forward/tests/answers.rs
+++ b/crates/corianderstand_forward/tests/answers.rs
@@ -256,8 +256,12 @@
     let mut config = common::config(1, vec![resumable()]);
     let model = config::Model { name: "m".into(), ..Default::default() };
     let engine = config::Engine { slots: 8, models: vec![model], ..Default::default() };
-    config.services =
-        vec![config::Service { name: "desk".into(), connections: 9, engine: Some(engine) }];
+    config.services = vec![config::Service {
+        name: "desk".into(),
+        connections: 9,
+        engine: Some(engine),
+        ..Default::default()
+    }];
     store.config(config);
     let holds = |target: &Target, id: &str, renewals: u64, models: &[&str]| {
         let resident = models
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -422,7 +422,12 @@
     services.dedup();
     let services = services
         .into_iter()
-        .map(|name| config::Service { name, connections: 100, engine: None })
+        .map(|name| config::Service {
+            name,
+            health_path: "/well".into(),
+            connections: 100,
+            engine: None,
+        })
         .collect();
     config::Config {
         version,
--- a/crates/corianderstand_forward/tests/stops.rs
+++ b/crates/corianderstand_forward/tests/stops.rs
@@ -20,8 +20,12 @@
         ..Default::default()
     };
     let engine = Engine { slots: 8, models: vec![model], ..Default::default() };
-    config.services =
-        vec![Service { name: "models".into(), connections: 10, engine: Some(engine) }];
+    config.services = vec![Service {
+        name: "models".into(),
+        connections: 10,
+        engine: Some(engine),
+        ..Default::default()
+    }];
     store.config(config);
     store.target(target.entry("target-1", "models"));
 }
