A fault soak: real routers and agents on stand-ins in the platform's dialect, with random faults

tools/soak starts routers and agents as processes, each at a loopback number of its own, against platform/standins (store, engines, plain service, a ledger of what ran), with a proxy on each way (callers to router, router to store, routers to engine) that delays, holds, cuts one way or resets. Faults are drawn from the seed, three at once at most: kills, SIGTERM with restart, SIGSTOP/SIGCONT, SIGHUP, all killed at once, engines that crash, drain, fail or lose orders, a store that is busy, silent, slow or forgets, unreadable entries, changed configurations. Afterwards each request's end is compared with what ran, and the deployment has to serve all kinds and models again within 12 s.

--- /dev/null
+++ b/tools/soak/src/callers.rs
@@ -0,0 +1,250 @@
+//! Callers that go on asking over kept connections, and what became of each request.
+
+use crate::world::{HOST, MODELS};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+use tokio::net::TcpStream;
+
+/// What a request asks for.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Kind {
+    /// A plain answer that may be made twice.
+    Look,
+    /// A plain answer that may not.
+    Pay,
+    /// A stream that may be taken up elsewhere.
+    Chat,
+    /// A stream that may not.
+    Draft,
+}
+
+impl Kind {
+    const ALL: [Self; 4] = [Self::Look, Self::Pay, Self::Chat, Self::Draft];
+
+    const fn path(self) -> &'static str {
+        match self {
+            Self::Look => "/look/1",
+            Self::Pay => "/pay/1",
+            Self::Chat => "/chat/1",
+            Self::Draft => "/draft/1",
+        }
+    }
+
+    /// Whether its answer is a stream.
+    pub const fn streams(self) -> bool {
+        matches!(self, Self::Chat | Self::Draft)
+    }
+
+    const fn deadline(self) -> Duration {
+        if self.streams() { Duration::from_secs(6) } else { Duration::from_secs(3) }
+    }
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum End {
+    /// An answer that was whole.
+    Whole(StatusCode, Bytes),
+    /// An answer that broke off after its head.
+    Cut(StatusCode, Bytes),
+    /// The connection ended without an answer.
+    Closed,
+    /// No connection could be made.
+    NoConnection,
+    /// Nothing came until well after the deadline.
+    Held,
+}
+
+/// One request and its end.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// Its id.
+    pub id: String,
+    /// What it asked for.
+    pub kind: Kind,
+    /// The model it named.
+    pub model: &'static str,
+    /// The router it went to.
+    pub router: usize,
+    /// When it began and ended.
+    pub began: Instant,
+    /// When it ended.
+    pub ended: Instant,
+    /// How.
+    pub end: End,
+}
+
+/// Time beyond the deadline after which a caller takes its request for held up.
+const PATIENCE: Duration = Duration::from_millis(1_000);
+/// Time for a connection to be made; callers of the platform give it a second.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Longest time that a caller waits before it comes back after a refusal.
+const LONGEST_RETURN: Duration = Duration::from_millis(500);
+/// Time that a caller waits after it found nobody.
+const AFTER_CLOSE: Duration = Duration::from_millis(100);
+/// Longest pause between two requests of a caller.
+const LONGEST_PAUSE_MS: u64 = 60;
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// Callers that ask until they are stopped.
+#[derive(Debug)]
+pub struct Callers {
+    asked: Arc<Mutex<Vec<Asked>>>,
+    stop: Arc<AtomicBool>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Callers {
+    /// Starts `count` callers.
+    pub fn start(count: usize, fronts: &[SocketAddr], seed: u64) -> Self {
+        let (asked, stop) = (Arc::<Mutex<Vec<Asked>>>::default(), Arc::<AtomicBool>::default());
+        let tasks = (0..count).map(|index| {
+            let (fronts, asked, stop) = (fronts.to_vec(), asked.clone(), stop.clone());
+            let rng = ChaCha8Rng::seed_from_u64(seed ^ (index as u64) << 32);
+            tokio::spawn(ask_on(index, fronts, rng, asked, stop))
+        });
+        let tasks = tasks.collect();
+        Self { asked, stop, tasks }
+    }
+
+    /// Lets them end what they are at; all that they asked.
+    pub async fn end(self) -> Vec<Asked> {
+        self.stop.store(true, Ordering::Relaxed);
+        for task in self.tasks {
+            task.await.expect("a caller does not fail");
+        }
+        std::mem::take(&mut self.asked.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+async fn ask_on(
+    caller: usize,
+    fronts: Vec<SocketAddr>,
+    mut rng: ChaCha8Rng,
+    asked: Arc<Mutex<Vec<Asked>>>,
+    stop: Arc<AtomicBool>,
+) {
+    let mut kept: Option<(usize, Sender)> = None;
+    let mut number = 0_u64;
+    while !stop.load(Ordering::Relaxed) {
+        number += 1;
+        let kind = Kind::ALL[rng.random_range(0..Kind::ALL.len())];
+        let model = MODELS[rng.random_range(0..MODELS.len())];
+        let id = format!("c{caller}-{number}");
+        let router = match &kept {
+            Some((router, sender)) if !sender.is_closed() => *router,
+            _ => rng.random_range(0..fronts.len()),
+        };
+        let sender = kept.take().map(|(_, sender)| sender).filter(|sender| !sender.is_closed());
+        let began = Instant::now();
+        let (end, headers, sender) = ask(fronts[router], sender, kind, &id, model).await;
+        let closes = headers.get("connection").is_some_and(|value| value == "close");
+        kept = sender.filter(|_| !closes).map(|sender| (router, sender));
+        let pause = match &end {
+            End::Whole(StatusCode::SERVICE_UNAVAILABLE, _) => retry_after(&headers),
+            End::Closed | End::NoConnection => AFTER_CLOSE,
+            _ => Duration::from_millis(rng.random_range(0..LONGEST_PAUSE_MS)),
+        };
+        let record = Asked { id, kind, model, router, began, ended: Instant::now(), end };
+        asked.lock().unwrap_or_else(PoisonError::into_inner).push(record);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn retry_after(headers: &HeaderMap) -> Duration {
+    let text = headers.get("retry-after").and_then(|value| value.to_str().ok());
+    let seconds: f64 = text.and_then(|text| text.parse().ok()).unwrap_or(0.1);
+    Duration::try_from_secs_f64(seconds).unwrap_or(LONGEST_RETURN).min(LONGEST_RETURN)
+}
+
+/// Asks once; the connection comes back if it can be used again.
+pub async fn ask(
+    front: SocketAddr,
+    kept: Option<Sender>,
+    kind: Kind,
+    id: &str,
+    model: &str,
+) -> (End, HeaderMap, Option<Sender>) {
+    let mut req = Request::builder().method(Method::POST).uri(kind.path()).header("host", HOST);
+    req = req.header("request-id", id);
+    req = req.header("deadline-ms", kind.deadline().as_millis() as u64);
+    if kind.streams() {
+        req = req.header("model", model).header("token-usage", "100,100");
+    }
+    let req = req.body(Full::default()).expect("the parts are valid");
+    let limit = kind.deadline() + PATIENCE;
+    match tokio::time::timeout(limit, exchange(front, kept, req)).await {
+        Ok(done) => done,
+        Err(_) => (End::Held, HeaderMap::new(), None),
+    }
+}
+
+/// Asks for a path without a kind; its status, if an answer came.
+pub async fn status(front: SocketAddr, path: &str, id: &str) -> Option<StatusCode> {
+    let req = Request::builder().uri(path).header("host", HOST).header("request-id", id);
+    let req = req.header("deadline-ms", 1_000).body(Full::default());
+    let req = req.expect("the parts are valid");
+    match tokio::time::timeout(PATIENCE * 2, exchange(front, None, req)).await {
+        Ok((End::Whole(status, _), ..)) => Some(status),
+        _ => None,
+    }
+}
+
+/// Whether a router says that it is ready.
+pub async fn is_ready(ready: SocketAddr) -> bool {
+    status(ready, "/-/readiness", "ready").await == Some(StatusCode::OK)
+}
+
+async fn exchange(
+    front: SocketAddr,
+    kept: Option<Sender>,
+    req: Request<Full<Bytes>>,
+) -> (End, HeaderMap, Option<Sender>) {
+    let none = HeaderMap::new;
+    let sender = match kept {
+        Some(sender) => Some(sender),
+        None => connect(front).await,
+    };
+    let Some(mut sender) = sender else { return (End::NoConnection, none(), None) };
+    let Ok(answer) = sender.send_request(req).await else { return (End::Closed, none(), None) };
+    let (head, body) = answer.into_parts();
+    let (whole, text) = read(body).await;
+    let end = match whole {
+        true => End::Whole(head.status, text),
+        false => End::Cut(head.status, text),
+    };
+    (end, head.headers, whole.then_some(sender))
+}
+
+async fn connect(front: SocketAddr) -> Option<Sender> {
+    let stream = tokio::time::timeout(CONNECT, TcpStream::connect(front)).await.ok()?.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    // Its end is seen by the request on it.
+    tokio::spawn(async move { connection.await.ok() });
+    Some(sender)
+}
+
+async fn read(mut body: Incoming) -> (bool, Bytes) {
+    let mut text = Vec::new();
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => text.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+            Err(_) => return (false, text.into()),
+        }
+    }
+    (true, text.into())
+}
--- /dev/null
+++ b/tools/soak/src/main.rs
@@ -0,0 +1,217 @@
+//! Random faults over real routers and agents, and what callers get meanwhile.
+//!
+//! `soak --seeds 1-50` plays one run after the other: a deployment of real processes on loopback, the
+//! platform's stand-ins around it, callers that never stop asking, and faults drawn from the seed, of
+//! which some overlap. During a run each request is written down with its end, and so is all that
+//! targets ran; afterwards both are compared. A run also breaks a promise if, when all faults are
+//! over, the deployment does not serve again. `kept.txt` holds the seeds that once failed.
+
+mod callers;
+mod checks;
+mod faults;
+mod proxy;
+mod world;
+
+use callers::{Callers, End, Kind};
+use checks::Trouble;
+use getopts::Options;
+use http::StatusCode;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::{
+    path::PathBuf,
+    process::ExitCode,
+    time::{Duration, Instant},
+};
+use world::{MODELS, Size, World};
+
+/// Seeds that once failed, each with its cause.
+const KEPT: &str = include_str!("../kept.txt");
+/// Faults of one run.
+const FAULTS: usize = 8;
+/// Faults that are under way at once, at most.
+const AT_ONCE: usize = 3;
+/// Longest pause before the next fault.
+const LONGEST_PAUSE_MS: u64 = 900;
+/// Callers of one run, for each router.
+const CALLERS_EACH: usize = 8;
+/// Time after the last fault within which the deployment serves again.
+const RECOVERED_WITHIN: Duration = Duration::from_secs(12);
+/// Time for late orders and runs to come to light.
+const SETTLE: Duration = Duration::from_secs(1);
+
+/// The usual deployment, and the largest: some ninety processes.
+const USUAL: Size = Size { routers: 3, engines: 4, desks: 2 };
+const LARGE: Size = Size { routers: 20, engines: 39, desks: 6 };
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.optopt(
+        "",
+        "seeds",
+        "seeds to play, such as 7 or 1-50 (default: one that is drawn)",
+        "A-B",
+    );
+    options.optflag("", "kept", "play the seeds that once failed");
+    options.optflag("", "large", "many processes");
+    options.optopt("", "faults", "faults of one run (default 8)", "N");
+    let matches = match options.parse(std::env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("{error}\n{}", options.usage("soak [--seeds A-B] [--kept] [--large]"));
+            return ExitCode::from(2);
+        }
+    };
+    let Some(seeds) = seeds(matches.opt_str("seeds").as_deref(), matches.opt_present("kept"))
+    else {
+        eprintln!("give seeds as one number or two, such as 7 or 1-50");
+        return ExitCode::from(2);
+    };
+    let size = if matches.opt_present("large") { LARGE } else { USUAL };
+    let faults = matches.opt_get_default("faults", FAULTS).unwrap_or(FAULTS);
+    let mut failed = Vec::new();
+    for seed in seeds {
+        // One runtime a run: it ends all stand-ins and proxies, which hold addresses.
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.expect("the system gives a runtime");
+        let broken = runtime.block_on(play(seed, size, faults));
+        broken.iter().for_each(|line| println!("seed {seed} BROKEN {line}"));
+        if !broken.is_empty() {
+            failed.push(seed);
+        }
+    }
+    println!("seeds with a broken promise: {failed:?}");
+    if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn seeds(text: Option<&str>, kept: bool) -> Option<Vec<u64>> {
+    if kept {
+        let lines = KEPT.lines().filter(|line| !line.starts_with('#'));
+        return lines.map(|line| line.split_whitespace().next()?.parse().ok()).collect();
+    }
+    let Some(text) = text else { return Some(vec![rand::random_range(1_000..1_000_000)]) };
+    match text.split_once('-') {
+        None => Some(vec![text.parse().ok()?]),
+        Some((first, last)) => Some((first.parse().ok()?..=last.parse().ok()?).collect()),
+    }
+}
+
+/// Plays one run; one line for each broken promise. The logs stay if there is one.
+async fn play(seed: u64, size: Size, faults: usize) -> Vec<String> {
+    let dir = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("the folder for temporary files can be written");
+    let mut world = World::start(size, &dir).await;
+    let fronts: Vec<_> = world.fronts.iter().map(|front| front.addr).collect();
+    let callers = Callers::start(CALLERS_EACH * size.routers, &fronts, seed);
+    let mut broken = Vec::new();
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let troubles = run_faults(&mut world, &mut rng, faults, &mut broken).await;
+    broken.extend(recovers(&mut world, seed).await);
+    let asked = callers.end().await;
+    tokio::time::sleep(SETTLE).await;
+    let report = checks::check(&asked, &world.ledger, &troubles);
+    broken.extend(report.broken);
+    let overfilled = world.engines.iter().filter(|engine| engine.target.was_overfilled());
+    broken.extend(overfilled.map(|engine| format!("ordered to hold too much: {engine:?}")));
+    println!("seed {seed}: {} requests {:?}", asked.len(), report.ends);
+    drop(world);
+    if broken.is_empty() {
+        std::fs::remove_dir_all(&dir).ok();
+    } else {
+        println!("seed {seed}: logs in {}", PathBuf::from(&dir).display());
+    }
+    broken
+}
+
+/// Makes faults in series, some of which overlap; returns when all are over.
+async fn run_faults(
+    world: &mut World,
+    rng: &mut ChaCha8Rng,
+    count: usize,
+    broken: &mut Vec<String>,
+) -> Vec<Trouble> {
+    let mut open: Vec<(faults::Fault, Instant, Instant)> = Vec::new();
+    let mut troubles = Vec::new();
+    for left in (0..=count).rev() {
+        if left > 0 {
+            let (fault, lasts) = faults::draw(rng, world);
+            // Two faults at one place would take each other back.
+            if open.iter().all(|(other, ..)| !overlaps(*other, fault)) {
+                println!("  {fault:?} for {lasts:?}");
+                let began = Instant::now();
+                fault.begin(world);
+                open.push((fault, began, began + lasts));
+            }
+            let pause = rng.random_range(0..LONGEST_PAUSE_MS);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+        let most = if left > 0 { AT_ONCE - 1 } else { 0 };
+        while open.len() > most || open.iter().any(|(.., until)| Instant::now() >= *until) {
+            let first = (0..open.len()).min_by_key(|&index| open[index].2).unwrap_or(0);
+            let (fault, began, until) = open.remove(first);
+            tokio::time::sleep_until(until.into()).await;
+            broken.extend(fault.end(world).await);
+            troubles.extend(fault.troubles(world.routers.len(), began, Instant::now()));
+        }
+    }
+    troubles
+}
+
+/// Whether two faults concern the same process or place.
+fn overlaps(one: faults::Fault, other: faults::Fault) -> bool {
+    use faults::Fault::{
+        CrashDesk, CrashEngine, DrainEngine, FailEngine, FreezeAgent, FreezeRouter, FrontLink,
+        HangUpRouter, KillAgent, KillAll, KillRouter, LoseOrders, StopRouter, Store,
+    };
+    let place = |fault| match fault {
+        KillRouter(n) | StopRouter(n) | FreezeRouter(n) | HangUpRouter(n) => Some((0, n)),
+        KillAgent(n) | FreezeAgent(n) => Some((1, n)),
+        CrashEngine(n) | DrainEngine(n) | FailEngine(n) => Some((2, n)),
+        FrontLink(n, _) => Some((3, n)),
+        CrashDesk(n) => Some((4, n)),
+        _ => None,
+    };
+    let processes = |fault| matches!(place(fault), Some((0 | 1, _)));
+    let all = |fault| matches!(fault, KillAll);
+    let ills = |fault| matches!(fault, LoseOrders | FailEngine(_));
+    let store = |fault| matches!(fault, Store(_));
+    (place(one).is_some() && place(one) == place(other))
+        || std::mem::discriminant(&one) == std::mem::discriminant(&other) && place(one).is_none()
+        || all(one) && (all(other) || processes(other))
+        || all(other) && processes(one)
+        || ills(one) && ills(other)
+        || store(one) && store(other)
+}
+
+/// Whether all routers serve all kinds and models again, and the newest configuration.
+async fn recovers(world: &mut World, seed: u64) -> Option<String> {
+    let own = world.configure();
+    let until = Instant::now() + RECOVERED_WITHIN;
+    let mut number = 0;
+    for router in 0..world.fronts.len() {
+        let front = world.fronts[router].addr;
+        let kinds = MODELS.map(|model| (Kind::Chat, model));
+        let kinds = kinds.into_iter().chain([(Kind::Look, MODELS[0]), (Kind::Pay, MODELS[0])]);
+        for (kind, model) in kinds {
+            loop {
+                number += 1;
+                let id = format!("probe-{seed}-{number}");
+                let (end, ..) = callers::ask(front, None, kind, &id, model).await;
+                if matches!(end, End::Whole(StatusCode::OK, _)) {
+                    break;
+                }
+                if Instant::now() >= until {
+                    let what = format!("router {router} {kind:?} {model}: {end:?}");
+                    return Some(format!("does not serve again: {what}"));
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+        number += 1;
+        let (path, id) = (format!("{own}x"), format!("probe-{seed}-{number}"));
+        if callers::status(front, &path, &id).await == Some(StatusCode::NOT_FOUND) {
+            return Some(format!("router {router} does not know the newest route {own}"));
+        }
+    }
+    None
+}
--- /dev/null
+++ b/tools/soak/src/world.rs
@@ -0,0 +1,281 @@
+//! A small deployment: real routers and agents, and the platform's stand-ins around them.
+
+use crate::proxy;
+use corianderstand_platform_standins::{
+    ledger::Ledger,
+    settings,
+    store::Store,
+    target::{ENTRIES, HEALTH, Spec, Target},
+};
+use serde_json::json;
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+use testbed::process::Process;
+
+/// Host that callers name.
+pub const HOST: &str = "soak.example";
+/// Models; two fit on an engine.
+pub const MODELS: [&str; 5] = ["m0", "m1", "m2", "m3", "m4"];
+const MODELS_EACH: usize = 2;
+/// Ports of stand-ins and proxies; each has an IP number of its own.
+const STORE_PORT: u16 = 8_142;
+const TARGET_PORT: u16 = 8_145;
+const PROXY_PORT: u16 = 8_245;
+/// Longest wait for the deployment to be ready.
+const READY_WITHIN: Duration = Duration::from_secs(20);
+
+/// How large a deployment is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Routers.
+    pub routers: usize,
+    /// Engines, each with an agent.
+    pub engines: usize,
+    /// Targets of the plain service.
+    pub desks: usize,
+}
+
+/// A process of the system that can be started again.
+#[derive(Debug)]
+pub struct Unit {
+    /// Its name.
+    pub name: String,
+    /// Its own IP number.
+    pub ip: IpAddr,
+    /// Between it and the store.
+    pub store: proxy::Proxy,
+    /// The process, while it runs.
+    pub process: Option<Process>,
+    role: &'static str,
+    config: PathBuf,
+    logs: PathBuf,
+}
+
+impl Unit {
+    /// Starts the process.
+    pub fn start(&mut self) {
+        let args = [self.role, "--platform"].map(str::to_owned);
+        let config = ("CORIANDERSTAND_CONFIG", self.config.as_path());
+        let process =
+            Process::start_with(&self.name, "corianderstand", &args, &self.logs, &[config]);
+        self.process = Some(process);
+    }
+}
+
+/// A target behind a proxy.
+#[derive(Debug)]
+pub struct Place {
+    /// What answers there.
+    pub target: Target,
+    /// Between routers and it.
+    pub link: proxy::Proxy,
+    /// How often it was started.
+    pub starts: u64,
+    name: String,
+}
+
+impl Place {
+    /// Starts the target under a new name.
+    pub async fn start(&mut self) {
+        self.starts += 1;
+        let name = format!("{}-{}", self.name, self.starts);
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let born = born.as_millis() as u64;
+        self.target.start(&name, born).await.expect("its address is its own");
+    }
+}
+
+/// The deployment.
+#[derive(Debug)]
+pub struct World {
+    /// The platform's store.
+    pub store: Store,
+    /// What targets really ran.
+    pub ledger: Ledger,
+    /// Routers.
+    pub routers: Vec<Unit>,
+    /// Proxies between callers and routers.
+    pub fronts: Vec<proxy::Proxy>,
+    /// Agents, one for each engine.
+    pub agents: Vec<Unit>,
+    /// Engines.
+    pub engines: Vec<Place>,
+    /// Targets of the plain service.
+    pub desks: Vec<Place>,
+    version: u64,
+    _store_open: corianderstand_platform_standins::serve::Open,
+}
+
+/// IP numbers that no other process on this host uses: a part of 127/8 by this process's id.
+fn ip(role: u8, index: usize) -> IpAddr {
+    let pid = std::process::id();
+    let part = |shift: u32| (pid >> shift & 0x7f) as u8;
+    IpAddr::V4(Ipv4Addr::new(
+        127,
+        128 + part(7),
+        part(0) * 2 + role / 128,
+        role % 128 + index as u8,
+    ))
+}
+
+/// Roles of IP numbers; a role has 24 of them at most.
+const ROUTER: u8 = 1;
+const AGENT: u8 = 25;
+const DESK: u8 = 65;
+const STORE: u8 = 120;
+
+impl World {
+    /// Starts a deployment; logs and settings go to `dir`.
+    pub async fn start(size: Size, dir: &Path) -> Self {
+        let (store, ledger) = (Store::default(), Ledger::default());
+        let store_addr = SocketAddr::new(ip(STORE, 0), STORE_PORT);
+        let store_open = store.open(store_addr).await.expect("its address is its own");
+        let mut engines = Vec::new();
+        for index in 0..size.engines {
+            // Each disk has copies of three models, so that each model is on some disk.
+            let disk = [0, 1, 2].map(|copy| MODELS[(index + copy) % MODELS.len()]);
+            let at = ip(AGENT, index);
+            engines.push(place(("models", "engine"), index, at, (&store, &ledger), &disk).await);
+        }
+        let mut desks = Vec::new();
+        for index in 0..size.desks {
+            let at = ip(DESK, index);
+            desks.push(place(("desk", "desk"), index, at, (&store, &ledger), &[]).await);
+        }
+        let seeds: Vec<_> = (0..size.routers.min(3)).map(|index| ip(ROUTER, index)).collect();
+        let (mut routers, mut fronts, mut agents) = (Vec::new(), Vec::new(), Vec::new());
+        for index in 0..size.routers {
+            let at = ip(ROUTER, index);
+            let unit = unit(("router", index), at, store_addr, dir, |name, store| {
+                settings::router(name, at, &seeds, store)
+            });
+            routers.push(unit.await);
+            let front = settings::front(at);
+            let near = SocketAddr::new(at, PROXY_PORT + 1);
+            fronts.push(proxy::Proxy::open(near, front).await.expect("its address is its own"));
+        }
+        for index in 0..size.engines {
+            let at = ip(AGENT, index);
+            let unit = unit(("agent", index), at, store_addr, dir, |name, store| {
+                settings::agent(name, at, SocketAddr::new(at, TARGET_PORT), store)
+            });
+            agents.push(unit.await);
+        }
+        let mut world = Self {
+            store,
+            ledger,
+            routers,
+            fronts,
+            agents,
+            engines,
+            desks,
+            version: 0,
+            _store_open: store_open,
+        };
+        world.configure();
+        world.wait_ready().await;
+        world
+    }
+
+    /// Writes the next configuration: the same routes, and one that only this version has.
+    pub fn configure(&mut self) -> String {
+        self.version += 7;
+        let own = format!("/only-{}/", self.version);
+        let route = |prefix: &str, kind: &str, service: &str, resumable: bool| {
+            json!({
+                "name": prefix.trim_matches('/'), "host": HOST, "path_prefix": prefix,
+                "kind": kind, "service": service, "timeout_ms": 8_000, "target_latency_ms": 300,
+                "priority": 1, "max_attempts": 2, "resumable": resumable, "gap_aim_ms": 150,
+            })
+        };
+        let models = MODELS.map(|name| {
+            json!({
+                "name": name, "weights_mb": 100, "load_time_s": 0.3, "disk_s": 0.3, "warm_s": 0.3,
+                "adapters": 0, "adapter_mb": 1,
+            })
+        });
+        let config = json!({
+            "version": self.version,
+            "routes": [
+                route("/look/", "idempotent", "desk", false),
+                route("/pay/", "non_idempotent", "desk", false),
+                route("/chat/", "streaming", "models", true),
+                route("/draft/", "streaming", "models", false),
+                route(&own, "idempotent", "desk", false),
+            ],
+            "services": [
+                { "name": "desk", "health_path": HEALTH, "max_conns": 500 },
+                { "name": "models", "health_path": HEALTH, "max_conns": 500, "engine": {
+                    "slots": 16, "kv_tokens": 100_000, "models": models,
+                    "weights_mb": 100 * MODELS_EACH + 50, "adapter_slots": 1, "loads_per_s": 100,
+                } },
+            ],
+            "limits": { "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
+        });
+        self.store.put("keyed.op", "config", Some(config.to_string().into()));
+        own
+    }
+
+    /// Writes an entry that nobody can read, as another writer might.
+    pub fn write_garbage(&self) {
+        self.store.put(ENTRIES, "stranger", Some("{\"service\":7".into()));
+    }
+
+    /// Waits until all routers say that they are ready.
+    pub async fn wait_ready(&mut self) {
+        let ask = async {
+            for unit in &self.routers {
+                while !crate::callers::is_ready(settings::ready(unit.ip)).await {
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        };
+        tokio::time::timeout(READY_WITHIN, ask).await.expect("all routers become ready");
+    }
+}
+
+async fn place(
+    (service, name): (&str, &str),
+    index: usize,
+    at: IpAddr,
+    (store, ledger): (&Store, &Ledger),
+    disk: &[&str],
+) -> Place {
+    let addr = SocketAddr::new(at, TARGET_PORT);
+    let link = proxy::Proxy::open(SocketAddr::new(at, PROXY_PORT), addr).await;
+    let link = link.expect("its address is its own");
+    let is_engine = service == "models";
+    let spec = Spec {
+        service: service.into(),
+        addr,
+        told: link.addr,
+        slots: 16,
+        models: is_engine.then_some(MODELS_EACH),
+    };
+    let target = Target::new(spec, store.clone(), ledger.clone(), disk);
+    let mut place = Place { target, link, starts: 0, name: format!("{name}-{index}") };
+    place.start().await;
+    place
+}
+
+async fn unit(
+    (role, index): (&'static str, usize),
+    at: IpAddr,
+    store: SocketAddr,
+    dir: &Path,
+    settings: impl FnOnce(&str, SocketAddr) -> String,
+) -> Unit {
+    let name = format!("{role}-{index}");
+    let near = SocketAddr::new(at, PROXY_PORT + 2);
+    let store = proxy::Proxy::open(near, store).await.expect("its address is its own");
+    let config = dir.join(format!("{name}.conf"));
+    std::fs::write(&config, settings(&name, store.addr)).expect("the folder can be written");
+    let logs = dir.to_owned();
+    let mut unit = Unit { name, ip: at, store, process: None, role, config, logs };
+    unit.start();
+    unit
+}
--- a/tools/testbed/src/process.rs
+++ b/tools/testbed/src/process.rs
@@ -45,6 +45,21 @@
     ///
     /// Panics if the program has not been built.
     pub fn start(name: &str, program: &str, args: &[String], logs: &Path) -> Self {
+        Self::start_with(name, program, args, logs, &[])
+    }
+
+    /// Starts a program of this workspace with variables in its environment.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program has not been built.
+    pub fn start_with(
+        name: &str,
+        program: &str,
+        args: &[String],
+        logs: &Path,
+        variables: &[(&str, &Path)],
+    ) -> Self {
         let path = binaries().join(program);
         let log = File::options()
             .create(true)
@@ -52,7 +67,7 @@
             .open(logs.join(format!("{name}.log")))
             .expect("the folder for logs can be written");
         let mut command = Command::new(&path);
-        command.args(args).stdin(Stdio::null());
+        command.args(args).envs(variables.iter().copied()).stdin(Stdio::null());
         command.stdout(log.try_clone().expect("a file can be shared")).stderr(log);
         end_with_parent(&mut command);
         let child = command
