A router's settings that change while it runs are put into force

Bounds (second attempts, time of a leave, of a configuration, of a stop) and seeds now hold from the next look on: at once after SIGHUP, else within 2 s. A file with a fault changes nothing and is said once, with the field; addresses and names hold from the next start on, and a line says that. An agent has nothing that can change while it runs. Tests: answers::changed_settings_hold_without_a_restart, settings_reload (the real program: signal, silent change, wrong file). Neither was run against the old code, which has no way to take settings. No measurement: a look every 2 s reads one small file.

--- a/crates/corianderstand_cli/src/platform.rs
+++ b/crates/corianderstand_cli/src/platform.rs
@@ -5,15 +5,16 @@
 use corianderstand_platform::{Platform, engine, settings};
 use corianderstand_types::clock::SystemClock;
 use getopts::Matches;
-use std::{fmt::Display, sync::Arc};
-use tokio::signal::unix::{SignalKind, signal};
+use std::{fmt::Display, sync::Arc, time::Duration};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Runs a router until it is told to stop.
 pub fn router() -> Exit {
     run(|fields| {
         let (settings, store) = (fields.router()?, fields.store()?);
         let platform = move |client| Platform::new(client, store);
-        router::run(settings, Arc::new(SystemClock), platform, stop()).map_err(Into::into)
+        let reload = SettingsFile::new(settings.clone());
+        router::run(settings, Arc::new(SystemClock), platform, stop(), reload).map_err(Into::into)
     })
 }
 
@@ -23,7 +24,8 @@
         let (settings, addr) = (fields.agent()?, fields.engine()?);
         let holder = settings.name.clone();
         let engine = move |client| engine::Engine::new(client, addr, holder);
-        agent::run(settings, Arc::new(SystemClock), engine, stop()).map_err(Into::into)
+        let clock = Arc::new(SystemClock);
+        agent::run(settings, clock, engine, stop_and_note_reloads()).map_err(Into::into)
     })
 }
 
@@ -47,9 +49,81 @@
     exit
 }
 
+/// Pause between two looks at the settings file, which may change without a signal. A look takes some
+/// tens of microseconds.
+const LOOK: Duration = Duration::from_secs(2);
+
+/// A router's settings file, read again after a signal and now and then.
+struct SettingsFile {
+    last: router::Settings,
+    /// The fault that was last said, so that it is said once.
+    fault: Option<settings::SettingsError>,
+    hangups: Option<Signal>,
+}
+
+impl SettingsFile {
+    const fn new(last: router::Settings) -> Self {
+        Self { last, fault: None, hangups: None }
+    }
+
+    /// Settings that differ from the last; a file with a fault changes nothing.
+    fn look(&mut self) -> Option<router::Settings> {
+        match settings::Fields::load().and_then(|fields| fields.router()) {
+            Ok(settings) => {
+                self.fault = None;
+                let differs = settings != self.last;
+                differs.then(|| self.last.clone_from(&settings))?;
+                Some(settings)
+            }
+            Err(fault) => {
+                if self.fault.as_ref() != Some(&fault) {
+                    tracing::error!(%fault, "the settings have a fault: those in force stay");
+                    self.fault = Some(fault);
+                }
+                None
+            }
+        }
+    }
+}
+
+impl router::Reload for SettingsFile {
+    async fn next(&mut self) -> router::Settings {
+        if self.hangups.is_none() {
+            self.hangups = hangups();
+        }
+        loop {
+            tokio::select! {
+                () = told(self.hangups.as_mut()) => {
+                    tracing::info!("told that the settings have changed");
+                }
+                () = tokio::time::sleep(LOOK) => {}
+            }
+            if let Some(settings) = self.look() {
+                return settings;
+            }
+        }
+    }
+}
+
+/// The signal that says that settings have changed; without a handler it would end the process.
+fn hangups() -> Option<Signal> {
+    let hangups = signal(SignalKind::hangup());
+    hangups
+        .inspect_err(|error| tracing::warn!(%error, "the signal to reload cannot be watched"))
+        .ok()
+}
+
+async fn told(hangups: Option<&mut Signal>) {
+    match hangups {
+        Some(hangups) => {
+            hangups.recv().await;
+        }
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits for the signal to stop.
 async fn stop() {
-    tokio::task::spawn_local(reloads());
     match signal(SignalKind::terminate()) {
         Ok(mut term) => {
             term.recv().await;
@@ -61,15 +135,19 @@
     }
 }
 
-/// Says when the settings file has changed: without a handler the signal would end the process.
-async fn reloads() {
-    match signal(SignalKind::hangup()) {
-        Ok(mut hangups) => {
-            while hangups.recv().await.is_some() {
-                tracing::info!("told that the settings have changed");
-            }
+/// Waits for the signal to stop. An agent's settings are its name and addresses, which hold until its
+/// next start.
+async fn stop_and_note_reloads() {
+    let mut hangups = hangups();
+    let note = async {
+        loop {
+            told(hangups.as_mut()).await;
+            tracing::info!("told that the settings have changed: they hold from the next start on");
         }
-        Err(error) => tracing::warn!(%error, "the signal to reload cannot be watched"),
+    };
+    tokio::select! {
+        () = stop() => {}
+        () = note => {}
     }
 }
 
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -257,7 +257,8 @@
     let peers = shared.peers.borrow();
     let known: Vec<SocketAddr> = peers.addresses().collect();
     let own = shared.settings.peers;
-    let seeds = shared.settings.seeds.iter().copied();
+    let bounds = shared.bounds.borrow();
+    let seeds = bounds.seeds.iter().copied();
     let seeds = seeds.filter(|seed| *seed != own && !known.contains(seed));
     for addr in known.iter().copied().chain(seeds) {
         shared.outbox.send(addr, &message);
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -108,8 +108,8 @@
                 match subject {
                     Subject::Config => {}
                     Subject::Targets => {
-                        tokio::time::sleep(shared.settings.drain_within.mul_f64(TARGETS_PART))
-                            .await;
+                        let within = shared.bounds.borrow().drain_within;
+                        tokio::time::sleep(within.mul_f64(TARGETS_PART)).await;
                     }
                     Subject::Routers => tokio::time::sleep(ROUTERS_PAUSE).await,
                 }
@@ -136,7 +136,8 @@
     match subject {
         Subject::Routers => Duration::ZERO,
         Subject::Config | Subject::Targets => {
-            shared.settings.config_within.saturating_sub(CONFIG_RESERVE).max(LEAST_WAIT)
+            let within = shared.bounds.borrow().config_within;
+            within.saturating_sub(CONFIG_RESERVE).max(LEAST_WAIT)
         }
     }
 }
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -43,7 +43,15 @@
     pub peers: SocketAddr,
     /// Port at which agents are reached, on their engine's address.
     pub agent_port: u16,
-    /// Other routers that may be there at the start.
+    /// What may change while it runs.
+    pub bounds: Bounds,
+}
+
+/// Settings that may change while a router runs.
+#[derives(data)]
+#[derive(Default)]
+pub struct Bounds {
+    /// Other routers that may be there.
     pub seeds: Vec<SocketAddr>,
     /// Second attempts that the deployment allows.
     pub allowance: budget::Allowance,
@@ -55,6 +63,21 @@
     pub stop_within: Duration,
 }
 
+/// Where settings that change while a router runs come from.
+pub trait Reload {
+    /// Waits for settings that differ from the last.
+    fn next(&mut self) -> impl Future<Output = Settings>;
+}
+
+/// Settings that never change.
+pub struct Fixed;
+
+impl Reload for Fixed {
+    async fn next(&mut self) -> Settings {
+        std::future::pending().await
+    }
+}
+
 /// The times of a stop.
 #[derives(key)]
 pub struct Stop {
@@ -69,8 +92,10 @@
 pub struct Shared<P> {
     /// The platform's dialect and store.
     pub platform: P,
-    /// Its settings.
+    /// Its settings at the start.
     pub settings: Settings,
+    /// Those of its settings that may change, as they are now.
+    pub bounds: RefCell<Bounds>,
     /// Time.
     pub clock: clock::SharedClock,
     /// Start of this process, in Unix milliseconds.
@@ -119,7 +144,7 @@
             };
             view.demand.add(now, &wanted.model, weight);
         }
-        let allowance = self.settings.allowance;
+        let allowance = self.bounds.borrow().allowance;
         view.budgets.entry(job.service.clone()).or_default().earn(now, &allowance);
     }
 
@@ -129,7 +154,7 @@
         let routers = 1 + self.peers.borrow().live(now).count();
         let mut view = self.view.borrow_mut();
         let budget = view.budgets.entry(service.clone()).or_default();
-        budget.spend(now, &self.settings.allowance, routers)
+        budget.spend(now, &self.bounds.borrow().allowance, routers)
     }
 
     /// Chooses a target for a request.
@@ -287,6 +312,7 @@
     clock: clock::SharedClock,
     platform: impl FnOnce(client::Client) -> P,
     stop: impl Future<Output = ()> + 'static,
+    reload: impl Reload + 'static,
 ) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(StartError::Runtime)?;
@@ -308,6 +334,7 @@
             outbox: control::Outbox::new(udp),
             stopping: Cell::new(None),
             open: Cell::new(0),
+            bounds: RefCell::new(settings.bounds.clone()),
             settings,
         });
         let ready = server::listen(shared.settings.ready)?;
@@ -316,6 +343,7 @@
         if let Some(addr) = shared.settings.metrics {
             metrics::serve(&shared, server::listen(addr)?);
         }
+        tokio::task::spawn_local(follow_settings(shared.clone(), reload));
         follow::start(&shared);
         control::start(&shared);
         transfer::start(&shared, transfers);
@@ -329,3 +357,19 @@
         Ok(())
     })
 }
+
+/// Puts settings that have changed into force.
+async fn follow_settings<P>(shared: Rc<Shared<P>>, mut reload: impl Reload) {
+    loop {
+        let settings = reload.next().await;
+        let bounds = settings.bounds.clone();
+        let same = Settings { bounds: shared.settings.bounds.clone(), ..settings };
+        if same != shared.settings {
+            tracing::warn!(
+                "settings other than bounds and seeds have changed: they hold from the next start on"
+            );
+        }
+        tracing::info!(?bounds, "settings reloaded");
+        *shared.bounds.borrow_mut() = bounds;
+    }
+}
--- a/crates/corianderstand_forward/src/server.rs
+++ b/crates/corianderstand_forward/src/server.rs
@@ -146,7 +146,7 @@
         }
     }
     let began = shared.clock.now();
-    let within = shared.settings.stop_within;
+    let within = shared.bounds.borrow().stop_within;
     shared.stopping.set(Some(router::Stop {
         refuses_from: began + LEAVE_TIME.min(within / 2),
         answers_by: began + within.saturating_sub(ANSWER_BEFORE),
@@ -158,7 +158,7 @@
     loop {
         let now = shared.clock.now();
         let passed = now.saturating_duration_since(began);
-        let cut = shared.settings.stop_within.saturating_sub(CUT_BEFORE);
+        let cut = within.saturating_sub(CUT_BEFORE);
         if passed >= cut || (passed >= LEAVE_TIME && shared.open.get() == 0) {
             break;
         }
--- a/crates/corianderstand_forward/tests/answers.rs
+++ b/crates/corianderstand_forward/tests/answers.rs
@@ -4,6 +4,7 @@
 
 use common::{Got, MemoryStore, Running, Target};
 use corianderstand_fleet::{
+    budget,
     config::{self, Repeats, Route},
     targets,
 };
@@ -293,3 +294,35 @@
     let answer = common::read_all(&mut caller).await.unwrap();
     assert!(answer.contains("data: y") && answer.ends_with("0\r\n\r\n"), "{answer}");
 }
+
+/// Operators take the budget for second attempts away because back ends are drowning, and give it
+/// back later, without a restart in between. A router that read its settings at its start only would
+/// go on repeating.
+#[tokio::test]
+async fn changed_settings_hold_without_a_restart() {
+    let (router, one, two) = pair(repeatable()).await;
+    let mut settings = router.settings.clone();
+    settings.bounds.allowance = budget::Allowance { ratio: 0.0, fixed: 0.0, ..Default::default() };
+    router.reload.send(settings).unwrap();
+    let answer = loop {
+        let mut caller =
+            common::send(router.front, "POST", "/pay/1", &[("x-id", ID)], "").await.unwrap();
+        let (got, other) = first(&one, &two).await;
+        drop(got);
+        // Until the change is in force, the other target is asked.
+        let again = tokio::time::timeout(Duration::from_millis(300), other.next()).await;
+        match again {
+            Ok(got) => got.answer_whole(ID, "paid").await,
+            Err(_) => break common::read_all(&mut caller).await.unwrap(),
+        }
+    };
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    router.reload.send(router.settings.clone()).unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut caller =
+        common::send(router.front, "POST", "/pay/1", &[("x-id", ID)], "").await.unwrap();
+    let (got, other) = first(&one, &two).await;
+    drop(got);
+    other.next().await.answer_whole(ID, "paid").await;
+    assert!(common::read_all(&mut caller).await.unwrap().ends_with("paid"));
+}
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -17,7 +17,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::oneshot,
+    sync::{mpsc, oneshot},
 };
 
 /// Longest wait for something that should happen; only a broken build meets it.
@@ -181,12 +181,28 @@
     }
 }
 
+/// Settings that a test changes.
+struct Changed(mpsc::UnboundedReceiver<router::Settings>);
+
+impl router::Reload for Changed {
+    async fn next(&mut self) -> router::Settings {
+        match self.0.recv().await {
+            Some(settings) => settings,
+            None => std::future::pending().await,
+        }
+    }
+}
+
 /// A router that runs in a thread.
 pub struct Running {
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub peers: SocketAddr,
     pub metrics: SocketAddr,
+    /// Settings at its start; changed ones go to `reload`.
+    pub settings: router::Settings,
+    /// Takes settings that have changed.
+    pub reload: mpsc::UnboundedSender<router::Settings>,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
@@ -215,20 +231,26 @@
             metrics: Some(metrics),
             peers,
             agent_port: peers.port(),
-            seeds,
-            allowance: budget::Allowance::default(),
-            drain_within: Duration::from_millis(200),
-            config_within: Duration::from_secs(2),
-            stop_within,
+            bounds: router::Bounds {
+                seeds,
+                allowance: budget::Allowance::default(),
+                drain_within: Duration::from_millis(200),
+                config_within: Duration::from_secs(2),
+                stop_within,
+            },
         };
         let store = store.clone();
         let (stop, stopped) = oneshot::channel::<()>();
+        let (reload, changed) = mpsc::unbounded_channel();
+        let at_start = settings.clone();
         let thread = std::thread::spawn(move || {
             let wait = async move { drop(stopped.await) };
             let platform = |_| PlainPlatform(store);
-            router::run(settings, Arc::new(SystemClock), platform, wait).unwrap();
+            let clock = Arc::new(SystemClock);
+            router::run(settings, clock, platform, wait, Changed(changed)).unwrap();
         });
-        Self { front, ready, peers, metrics, stop: Some(stop), thread: Some(thread) }
+        let (stop, thread) = (Some(stop), Some(thread));
+        Self { front, ready, peers, metrics, settings: at_start, reload, stop, thread }
     }
 
     /// Waits until it says that it is ready.
--- /dev/null
+++ b/tests/settings_reload.rs
@@ -0,0 +1,69 @@
+//! A router's settings file changes while it runs: with a signal, without one, and for the worse.
+
+use nix::sys::signal::Signal;
+use std::{
+    path::{Path, PathBuf},
+    time::{Duration, Instant},
+};
+use testbed::process::{PATIENCE, Process, free_addresses};
+
+/// Settings with a budget for second attempts; nobody answers at the store's address.
+fn settings(dir: &Path, budget: &str) -> PathBuf {
+    let addresses = free_addresses(4);
+    let (ip, _) = addresses[0].rsplit_once(':').unwrap();
+    let (_, first) = addresses[3].rsplit_once(':').unwrap();
+    let text = format!(
+        "node=router-a\nip={ip}\nzone=here\nlisten.front={}\nlisten.ready={}\n\
+         port_range={first},{first}\nplatform.address={}\nbounds.retry_budget={budget}\n",
+        addresses[0], addresses[1], addresses[2]
+    );
+    let path = dir.join("settings.conf");
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn change(path: &Path, from: &str, to: &str) {
+    let text = std::fs::read_to_string(path).unwrap();
+    assert!(text.contains(from));
+    std::fs::write(path, text.replace(from, to)).unwrap();
+}
+
+/// Waits for the log's next line that has this text, after `seen` bytes.
+fn wait_for(log: &Path, seen: &mut usize, text: &str) -> String {
+    let began = Instant::now();
+    while began.elapsed() < PATIENCE {
+        let all = std::fs::read_to_string(log).unwrap();
+        if let Some(line) = all[*seen..].lines().find(|line| line.contains(text)) {
+            *seen = all.len();
+            return line.to_owned();
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    panic!("no line with {text:?}: {}", std::fs::read_to_string(log).unwrap());
+}
+
+/// An operator changes the file, then writes a wrong one, then mends it. A router that ended at the
+/// wrong one, or took none of them up, would be noticed by callers hours later.
+#[test]
+fn a_changed_file_is_in_force_and_a_wrong_one_changes_nothing() {
+    let dir = std::env::temp_dir().join(format!("settings-reload-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let path = settings(&dir, "0.2");
+    let args = ["router", "--platform"].map(str::to_owned);
+    let variable = ("CORIANDERSTAND_CONFIG", path.as_path());
+    let mut router = Process::start_with("router-a", "corianderstand", &args, &dir, &[variable]);
+    let (log, mut seen) = (dir.join("router-a.log"), 0);
+    wait_for(&log, &mut seen, "router started");
+    change(&path, "retry_budget=0.2", "retry_budget=0.3");
+    router.signal(Signal::SIGHUP);
+    let line = wait_for(&log, &mut seen, "settings reloaded");
+    assert!(line.contains("ratio: 0.3"), "{line}");
+    change(&path, "retry_budget=0.3", "retry_budget=much");
+    let line = wait_for(&log, &mut seen, "the settings have a fault");
+    assert!(line.contains("bounds.retry_budget"), "the line names the field: {line}");
+    change(&path, "retry_budget=much", "retry_budget=0.4");
+    let line = wait_for(&log, &mut seen, "settings reloaded");
+    assert!(line.contains("ratio: 0.4"), "{line}");
+    assert!(router.is_running());
+    std::fs::remove_dir_all(&dir).unwrap();
+}
