--- a/crates/corianderstand_fleet/src/plan.rs
+++ b/crates/corianderstand_fleet/src/plan.rs
@@ -11,7 +11,7 @@
 //! more than it says; only what stands in the way of something wanted is dropped. So a plan that is
 //! late, lost or made twice from different knowledge costs a load and breaks nothing.
 
-use crate::{config, demand, fading, targets};
+use crate::{config, demand, fading, pace, targets, worth};
 use corianderstand_derives::derives;
 use corianderstand_types::names;
 use std::{
@@ -19,33 +19,8 @@
     time::{Duration, Instant},
 };
 
-/// Requests a second that a model without any counts as, so that models come to engines before
-/// anybody asks. Far below one request in ten seconds, so that a model that is asked for is worth
-/// more.
-const PRIOR_PER_S: f64 = 0.01;
-/// Time over which gains and losses are counted, in seconds. Demand moves on within some ten
-/// seconds.
-const HORIZON_S: f64 = 10.0;
-/// What a request loses when its model has to be loaded first although it could have been there in
-/// time: engines carry out one order at a time and wait for runs to end, so that many such loads
-/// come too late.
-const PATIENT_MISS: f64 = 0.7;
-/// What a request loses when its model comes too late for its aim: it is served late.
-const URGENT_MISS: f64 = 1.0;
-/// Misses that a model which leaves its last engine has before it is back: its first requests come
-/// together while it is loaded anew.
-const MISSES: f64 = 2.0;
-/// Time from a request for a model that is on no engine to its load: telling the planner, dropping
-/// another model.
-const DECISION: Duration = Duration::from_millis(250);
-/// What a request loses when its stream pauses for too long.
-const PAUSED: f64 = 0.7;
-/// Of the streams on an engine that spends a part of its time on reading prompts, this many times
-/// the square of that part pause for too long: two long prompts at once make a pause, and one in
-/// twenty paused at 0.2, one in three at 0.5.
-const PAUSES: f64 = 1.4;
 /// A replica beyond those needed is worth this much, as a part of the model's requests: it is there
-/// when an engine crashes, which a few in a hundred do within [`HORIZON_S`].
+/// when an engine crashes, which a few in a hundred do within [`worth::HORIZON_S`].
 const SPARE: f64 = 0.02;
 /// A model with requests at the engine is dropped only when they have ended; until then the engine
 /// takes no other order: half a second at the median, three seconds for one in ten. Each of up to two
@@ -62,24 +37,8 @@
 /// A model stays this long before another may take its place; a swap costs a second of serving
 /// neither.
 const LEAST_STAY: Duration = Duration::from_millis(1_200);
-/// Part of a batch that one replica is meant to work at. Beyond it steps grow slower and a burst of
-/// twice the usual finds no room.
-const TARGET_SHARE: f64 = 0.5;
-/// Load at which an engine's batch or its adapter places count as much as half of its time spent on
-/// reading prompts.
-const FULL: f64 = 0.5;
-/// Time for which a request keeps an adapter's place: its run of 0.3 to 2 s and the time for which
-/// an agent leaves an adapter alone.
-const ADAPTER_TIME_S: f64 = 1.3;
-/// Part of the adapter places that is meant to be in use; the rest is room for the next one.
-const ADAPTER_SHARE: f64 = 0.8;
 /// Time of a run that an unload has to wait for: some 300 tokens at 5 ms.
 const RUN: Duration = Duration::from_millis(1_400);
-/// Loads from the weight store at once, until the time that loads take tells how many it carries.
-const STORE_AT_ONCE: u32 = 4;
-/// A load that took this many times as long as it says shares the store with too many others.
-const SLOWED: f64 = 1.25;
-
 /// An engine as the plan sees it.
 #[derives(data)]
 pub struct EngineView {
@@ -117,74 +76,13 @@
 pub struct Planner {
     wants: HashMap<targets::TargetKey, Vec<names::ModelId>>,
     placed: HashMap<(targets::TargetKey, names::ModelId), Instant>,
-    store: StorePace,
+    store: pace::StorePace,
     /// What placing absent models gained, in requests.
     swaps: Option<fading::Fading>,
 }
 
-/// How many loads the weight store carries at once, learnt from the time that loads take.
-#[derive(Debug)]
-struct StorePace {
-    at_once: u32,
-    loads: HashMap<targets::TargetKey, StoreLoad>,
-}
-
-#[derive(Debug)]
-struct StoreLoad {
-    model: names::ModelId,
-    began: Instant,
-    most_beside: u32,
-}
-
-impl Default for StorePace {
-    fn default() -> Self {
-        Self { at_once: STORE_AT_ONCE, loads: HashMap::new() }
-    }
-}
-
-impl StorePace {
-    fn observe(&mut self, now: Instant, engines: &[EngineView], models: &Models) {
-        let loading: HashMap<_, _> = engines.iter().filter_map(store_load).collect();
-        let count = loading.len() as u32;
-        let ended = self.loads.iter().filter(|(key, load)| loading.get(*key) != Some(&&load.model));
-        let ended: Vec<_> = ended.map(|(key, _)| *key).collect();
-        for key in ended {
-            let Some(load) = self.loads.remove(&key) else { continue };
-            let there = engines.iter().find(|engine| engine.key == key);
-            let there = there.is_some_and(|e| e.holdings.resident(&load.model).is_some());
-            if let (true, Some(model)) = (there, models.get(&load.model)) {
-                self.learn(now, &load, model.spec.load);
-            }
-        }
-        for (key, model) in loading {
-            let load = StoreLoad { model: model.clone(), began: now, most_beside: count };
-            let load = self.loads.entry(key).or_insert(load);
-            load.most_beside = load.most_beside.max(count);
-        }
-    }
-
-    fn learn(&mut self, now: Instant, load: &StoreLoad, usual: Duration) {
-        let took = now.saturating_duration_since(load.began).as_secs_f64();
-        let slowed = took / usual.as_secs_f64().max(0.001);
-        if slowed > SLOWED {
-            let carried = (f64::from(load.most_beside) / slowed).round() as u32;
-            self.at_once = carried.clamp(1, self.at_once);
-        } else if load.most_beside >= self.at_once {
-            self.at_once = load.most_beside + 1;
-        }
-    }
-}
-
-fn store_load(engine: &EngineView) -> Option<(targets::TargetKey, &names::ModelId)> {
-    match &engine.ongoing {
-        Some(targets::Ongoing::Loading { model, from_store: true, .. }) => {
-            Some((engine.key, model))
-        }
-        _ => None,
-    }
-}
-
-type Models = BTreeMap<names::ModelId, ModelView>;
+/// Models by name.
+pub type Models = BTreeMap<names::ModelId, ModelView>;
 
 /// Why a model should get one more place.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -200,7 +98,7 @@
 struct Wish<'a> {
     model: &'a ModelView,
     cause: Cause,
-    /// What that gains within [`HORIZON_S`], in requests.
+    /// What that gains within [`worth::HORIZON_S`], in requests.
     gain: f64,
 }
 
@@ -273,12 +171,12 @@
     fn wish<'a>(&self, engines: &[EngineView], model: &'a ModelView) -> Option<Wish<'a>> {
         let replicas = self.replicas(&model.spec.name);
         if replicas == 0 {
-            let gain = f64::from(model.waiting) + away(model);
+            let gain = f64::from(model.waiting) + worth::away(model);
             return Some(Wish { model, cause: Cause::Absent, gain });
         }
-        let load = load(engines, model);
-        let share = |replicas: usize| lost(load / replicas as f64);
-        let gain = requests(model) * (share(replicas) - share(replicas + 1));
+        let load = worth::load(engines, model);
+        let share = |replicas: usize| worth::lost(load / replicas as f64);
+        let gain = worth::requests(model) * (share(replicas) - share(replicas + 1));
         (gain > LEAST_GAIN).then_some(Wish { model, cause: Cause::Load, gain })
     }
 
@@ -314,7 +212,7 @@
             }
         }
         let later = |place: &Place| match wish.cause {
-            Cause::Load => (1.0 - place.ready_in.as_secs_f64() / HORIZON_S).max(0.0),
+            Cause::Load => (1.0 - place.ready_in.as_secs_f64() / worth::HORIZON_S).max(0.0),
             Cause::Absent => 1.0,
         };
         places.retain(|place| {
@@ -322,7 +220,7 @@
             free || wish.gain * later(place) > place.loss + MARGIN
         });
         // While it is on its way, its requests wait or are refused.
-        let rate = f64::from(wish.model.waiting) + wish.model.asked.per_s.max(PRIOR_PER_S);
+        let rate = f64::from(wish.model.waiting) + wish.model.asked.per_s.max(worth::PRIOR_PER_S);
         let cost = |place: &Place| rate * place.ready_in.as_secs_f64() + place.loss;
         let best = places.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
         (!best.later).then_some(best)
@@ -355,7 +253,7 @@
         let loads: Duration = missing.map(|view| source(engine, &view.spec).0).sum();
         match &engine.ongoing {
             Some(targets::Ongoing::Loading { ready_at, .. }) => {
-                ready_at.saturating_duration_since(now).max(DECISION)
+                ready_at.saturating_duration_since(now).max(worth::DECISION)
             }
             Some(targets::Ongoing::Unloading { .. }) => loads + RUN / 2,
             None => loads,
@@ -412,7 +310,7 @@
         since.is_none_or(|&since| now.saturating_duration_since(since) >= LEAST_STAY)
     }
 
-    /// What is lost within [`HORIZON_S`], in requests, when the model leaves this engine.
+    /// What is lost within [`worth::HORIZON_S`], in requests, when the model leaves this engine.
     fn loss(
         &self,
         engines: &[EngineView],
@@ -425,26 +323,27 @@
         let running = f64::from(running.min(2)) * RUNNING;
         if others == 0 {
             let gone = match cause {
-                Cause::Absent => away(model),
-                Cause::Load => requests(model) * miss(model),
+                Cause::Absent => worth::away(model),
+                Cause::Load => worth::requests(model) * worth::miss(model),
             };
             return f64::from(model.waiting) + gone + running;
         }
-        let load = load(engines, model);
-        let more = lost(load / others as f64) - lost(load / (others + 1) as f64);
-        requests(model) * (more + SPARE / others as f64) + running
+        let load = worth::load(engines, model);
+        let more = worth::lost(load / others as f64) - worth::lost(load / (others + 1) as f64);
+        worth::requests(model) * (more + SPARE / others as f64) + running
     }
 
-    /// What is lost within [`HORIZON_S`], in requests, because the engine has other work to do as
+    /// What is lost within [`worth::HORIZON_S`], in requests, because the engine has other work to do as
     /// well: beyond [`PROMPT_TOKENS_PER_S`] the streams of both pause.
     fn crowding(&self, engine: &EngineView, models: &Models, model: &ModelView) -> f64 {
-        let share = |view: &ModelView, replicas: usize| reading(view) / replicas.max(1) as f64;
+        let share =
+            |view: &ModelView, replicas: usize| worth::reading(view) / replicas.max(1) as f64;
         let wants = self.wants[&engine.key].iter().filter_map(|name| models.get(name));
         let others: f64 = wants.map(|view| share(view, self.replicas(&view.spec.name))).sum();
         let replicas = self.replicas(&model.spec.name) + 1;
         let own = share(model, replicas);
-        let requests = model.asked.per_s / replicas as f64 * HORIZON_S;
-        requests * (lost(others + own) - lost(own))
+        let requests = model.asked.per_s / replicas as f64 * worth::HORIZON_S;
+        requests * (worth::lost(others + own) - worth::lost(own))
     }
 
     fn take(
@@ -465,53 +364,6 @@
     }
 }
 
-/// What is lost within [`HORIZON_S`], in requests, when the model is on no engine: the same whether
-/// it leaves or comes, so that a model that has just left does not push out the next one at once.
-fn away(model: &ModelView) -> f64 {
-    MISSES * (1.0 - (-requests(model) / MISSES).exp()) * miss(model)
-}
-
-/// Requests within [`HORIZON_S`].
-fn requests(model: &ModelView) -> f64 {
-    model.asked.per_s.max(PRIOR_PER_S) * HORIZON_S
-}
-
-/// What one request loses when the model is on no engine: little if it is loaded within the aim.
-fn miss(model: &ModelView) -> f64 {
-    let ready = model.spec.load_from_disk + DECISION;
-    if ready < model.asked.aim { PATIENT_MISS } else { URGENT_MISS }
-}
-
-/// A model's load, in engines that spend all of their time on its prompts.
-fn load(engines: &[EngineView], model: &ModelView) -> f64 {
-    let name = &model.spec.name;
-    let running: u32 = engines.iter().filter_map(|engine| engine.running.get(name)).sum();
-    let slots = engines.iter().map(|engine| engine.slots).min().unwrap_or(1).max(1);
-    let batches = f64::from(running + model.waiting) / (f64::from(slots) * TARGET_SHARE);
-    let places = engines.iter().map(|engine| engine.adapter_places).min().unwrap_or(1).max(1);
-    let adapters = model.asked.adapted_per_s * ADAPTER_TIME_S / (places as f64 * ADAPTER_SHARE);
-    reading(model).max(batches.max(adapters) * FULL)
-}
-
-/// Engines that reading the model's prompts keeps busy.
-fn reading(model: &ModelView) -> f64 {
-    let known = model.asked.read_s_per_token;
-    let read_s = if known > 0.0 { known } else { demand::USUAL_READ_S };
-    model.asked.prompt_tokens_per_s * read_s
-}
-
-/// What a request loses on an engine at a load: its stream pauses for too long, or, beyond what the
-/// engine can do, it finds no room. It has to rise for ever: where one more replica of many that are
-/// missing seems to gain nothing, none is ever added.
-fn lost(load: f64) -> f64 {
-    let paused = PAUSES * load * load;
-    if paused < 1.0 {
-        return PAUSED * paused;
-    }
-    let served = (1.0 / PAUSES).sqrt() / load;
-    PAUSED * served + (1.0 - served)
-}
-
 /// How long an engine takes to load a model, and whether from the weight store.
 pub fn source(engine: &EngineView, model: &config::Model) -> (Duration, bool) {
     if engine.holdings.in_memory.contains(&model.name) {
--- /dev/null
+++ b/crates/corianderstand_fleet/src/worth.rs
@@ -0,0 +1,91 @@
+//! What requests for a model gain and lose by where it is, in requests.
+
+use crate::{
+    demand,
+    plan::{EngineView, ModelView},
+};
+use std::time::Duration;
+
+/// Requests a second that a model without any counts as, so that models come to engines before
+/// anybody asks. Far below one request in ten seconds, so that a model that is asked for is worth
+/// more.
+pub const PRIOR_PER_S: f64 = 0.01;
+/// Time over which gains and losses are counted, in seconds. Demand moves on within some ten
+/// seconds.
+pub const HORIZON_S: f64 = 10.0;
+/// What a request loses when its model has to be loaded first although it could have been there in
+/// time: engines carry out one order at a time and wait for runs to end, so that many such loads
+/// come too late.
+const PATIENT_MISS: f64 = 0.7;
+/// What a request loses when its model comes too late for its aim: it is served late.
+const URGENT_MISS: f64 = 1.0;
+/// Misses that a model which leaves its last engine has before it is back: its first requests come
+/// together while it is loaded anew.
+const MISSES: f64 = 2.0;
+/// Time from a request for a model that is on no engine to its load: telling the planner, dropping
+/// another model.
+pub const DECISION: Duration = Duration::from_millis(250);
+/// What a request loses when its stream pauses for too long.
+const PAUSED: f64 = 0.7;
+/// Of the streams on an engine that spends a part of its time on reading prompts, this many times
+/// the square of that part pause for too long: two long prompts at once make a pause, and one in
+/// twenty paused at 0.2, one in three at 0.5.
+const PAUSES: f64 = 1.4;
+/// Part of a batch that one replica is meant to work at. Beyond it steps grow slower and a burst of
+/// twice the usual finds no room.
+const TARGET_SHARE: f64 = 0.5;
+/// Load at which an engine's batch or its adapter places count as much as half of its time spent on
+/// reading prompts.
+const FULL: f64 = 0.5;
+/// Time for which a request keeps an adapter's place: its run of 0.3 to 2 s and the time for which
+/// an agent leaves an adapter alone.
+const ADAPTER_TIME_S: f64 = 1.3;
+/// Part of the adapter places that is meant to be in use; the rest is room for the next one.
+const ADAPTER_SHARE: f64 = 0.8;
+
+/// What is lost within [`HORIZON_S`], in requests, when the model is on no engine: the same whether
+/// it leaves or comes, so that a model that has just left does not push out the next one at once.
+pub fn away(model: &ModelView) -> f64 {
+    MISSES * (1.0 - (-requests(model) / MISSES).exp()) * miss(model)
+}
+
+/// Requests within [`HORIZON_S`].
+pub fn requests(model: &ModelView) -> f64 {
+    model.asked.per_s.max(PRIOR_PER_S) * HORIZON_S
+}
+
+/// What one request loses when the model is on no engine: little if it is loaded within the aim.
+pub fn miss(model: &ModelView) -> f64 {
+    let ready = model.spec.load_from_disk + DECISION;
+    if ready < model.asked.aim { PATIENT_MISS } else { URGENT_MISS }
+}
+
+/// A model's load, in engines that spend all of their time on its prompts.
+pub fn load(engines: &[EngineView], model: &ModelView) -> f64 {
+    let name = &model.spec.name;
+    let running: u32 = engines.iter().filter_map(|engine| engine.running.get(name)).sum();
+    let slots = engines.iter().map(|engine| engine.slots).min().unwrap_or(1).max(1);
+    let batches = f64::from(running + model.waiting) / (f64::from(slots) * TARGET_SHARE);
+    let places = engines.iter().map(|engine| engine.adapter_places).min().unwrap_or(1).max(1);
+    let adapters = model.asked.adapted_per_s * ADAPTER_TIME_S / (places as f64 * ADAPTER_SHARE);
+    reading(model).max(batches.max(adapters) * FULL)
+}
+
+/// Engines that reading the model's prompts keeps busy.
+pub fn reading(model: &ModelView) -> f64 {
+    let known = model.asked.read_s_per_token;
+    let read_s = if known > 0.0 { known } else { demand::USUAL_READ_S };
+    model.asked.prompt_tokens_per_s * read_s
+}
+
+/// What a request loses on an engine at a load: its stream pauses for too long, or, beyond what the
+/// engine can do, it finds no room. It has to rise for ever: where one more replica of many that are
+/// missing seems to gain nothing, none is ever added.
+pub fn lost(load: f64) -> f64 {
+    let paused = PAUSES * load * load;
+    if paused < 1.0 {
+        return PAUSED * paused;
+    }
+    let served = (1.0 / PAUSES).sqrt() / load;
+    PAUSED * served + (1.0 - served)
+}
