--- a/crates/corianderstand_fleet/src/plan.rs
+++ b/crates/corianderstand_fleet/src/plan.rs
@@ -123,7 +123,7 @@
         models: &Models,
     ) -> &HashMap<targets::TargetKey, Vec<names::ModelId>> {
         self.store.observe(now, engines, models);
-        self.follow(engines, models);
+        self.follow(now, engines, models);
         let mut wishes: Vec<Wish> =
             models.values().filter_map(|model| self.wish(engines, model)).collect();
         let name = |wish: &Wish| wish.model.spec.name.clone();
@@ -142,7 +142,7 @@
 
     /// Starts from what engines hold and are loading, so that a new planner changes nothing that
     /// needs no change.
-    fn follow(&mut self, engines: &[EngineView], models: &Models) {
+    fn follow(&mut self, now: Instant, engines: &[EngineView], models: &Models) {
         self.wants.retain(|key, _| engines.iter().any(|engine| engine.key == *key));
         self.placed.retain(|(key, _), _| engines.iter().any(|engine| engine.key == *key));
         for engine in engines {
@@ -160,6 +160,10 @@
                     wants.push(model.clone());
                 }
             }
+            // Its stay begins when it is there, not when its load was planned.
+            for model in wants.iter().filter(|name| engine.holdings.resident(name).is_none()) {
+                self.placed.insert((engine.key, model.clone()), now);
+            }
         }
     }
 
--- a/crates/corianderstand_fleet/tests/plan.rs
+++ b/crates/corianderstand_fleet/tests/plan.rs
@@ -211,3 +211,46 @@
     println!("rare models in time {share:.3}");
     assert!(share > 0.93, "rare models in time: {share:.3}");
 }
+
+/// A model is loaded for the requests that wait for it, and the load takes a second. When its stay was
+/// counted from the plan, the next model pushed it out three tenths of a second after it was there,
+/// and its callers came back for another load.
+#[test]
+fn a_model_stays_for_a_while_after_it_is_there() {
+    let start = Instant::now();
+    let mut keys: SlotMap<targets::TargetKey, ()> = SlotMap::with_key();
+    let key = keys.insert(());
+    let (first, next) = (ModelId::from("first"), ModelId::from("next"));
+    let mut planner = plan::Planner::default();
+    let mut wanted = |after_ms: u64, resident: Option<&ModelId>, waiting: &ModelId| {
+        let resident = resident.into_iter();
+        let resident =
+            resident.map(|model| targets::Resident { model: model.clone(), adapters: Vec::new() });
+        let engine = plan::EngineView {
+            key,
+            orderable: true,
+            weights_mb: 80_000,
+            slots: 64,
+            adapter_places: 8,
+            holdings: targets::Holdings {
+                resident: resident.collect(),
+                on_disk: vec![first.clone(), next.clone()],
+                ..Default::default()
+            },
+            ongoing: None,
+            running: BTreeMap::new(),
+        };
+        let models = [&first, &next].map(|model| {
+            let waiting = if model == waiting { 5 } else { 0 };
+            let asked = demand::Asked::default();
+            (model.clone(), plan::ModelView { spec: common::spec(model), asked, waiting })
+        });
+        let now = start + Duration::from_millis(after_ms);
+        planner.plan(now, &[engine], &models.into())[&key].clone()
+    };
+    assert_eq!(wanted(0, None, &first), std::slice::from_ref(&first));
+    assert_eq!(wanted(900, None, &first), std::slice::from_ref(&first));
+    assert_eq!(wanted(1_000, Some(&first), &first), std::slice::from_ref(&first));
+    assert_eq!(wanted(1_300, Some(&first), &next), std::slice::from_ref(&first));
+    assert_eq!(wanted(2_300, Some(&first), &next), std::slice::from_ref(&next));
+}
