--- a/tools/ci/src/main.rs
+++ b/tools/ci/src/main.rs
@@ -4,7 +4,7 @@
 
 use std::process::{Command, ExitCode};
 
-const STEPS: [(&str, &[&[&str]]); 6] = [
+const STEPS: [(&str, &[&[&str]]); 7] = [
     ("format", &[&["fmt", "--all", "--check"]]),
     (
         "generated",
@@ -36,6 +36,17 @@
             &["run", "--quiet", "--locked", "-p", "chaos", "--", "--rounds", "6", "--seed", "2"],
         ],
     ),
+    // Real processes on the platform's stand-ins: two usual seeds, one that showed a fault put in by
+    // hand, and the seeds that once failed.
+    (
+        "soak",
+        &[
+            &["build", "--workspace", "--locked", "--quiet"],
+            &["run", "--quiet", "--locked", "-p", "soak", "--", "--seeds", "1-2"],
+            &["run", "--quiet", "--locked", "-p", "soak", "--", "--seeds", "11"],
+            &["run", "--quiet", "--locked", "-p", "soak", "--", "--kept"],
+        ],
+    ),
     (
         "test",
         &[
