--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -172,7 +172,7 @@
     let own = FIRST_PORT + std::process::id() % PROCESSES * PORTS_EACH;
     loop {
         let next = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        assert!(next < PORTS_EACH, "a test starts two routers at most");
+        assert!(next < PORTS_EACH, "a test starts two routers and an agent at most");
         let addr = SocketAddr::from(([127, 0, 0, 1], (own + next) as u16));
         let free = std::net::TcpListener::bind(addr).is_ok();
         if free && std::net::UdpSocket::bind(addr).is_ok() {
@@ -219,16 +219,20 @@
         seeds: Vec<SocketAddr>,
         stop_within: Duration,
     ) -> Self {
-        let (front, ready) = (free_port(), free_port());
-        let (peers, metrics) = (free_port(), free_port());
-        let settings = router::Settings {
+        Self::start_on(store, Self::settings(name, seeds, stop_within))
+    }
+
+    /// Settings of a router on ports of its own.
+    pub fn settings(name: &str, seeds: Vec<SocketAddr>, stop_within: Duration) -> router::Settings {
+        let peers = free_port();
+        router::Settings {
             name: name.into(),
             zone: "here".into(),
             strength: 1_000,
-            front,
-            ready,
+            front: free_port(),
+            ready: free_port(),
             ready_path: "/ready".into(),
-            metrics: Some(metrics),
+            metrics: Some(free_port()),
             peers,
             agent_port: peers.port(),
             bounds: router::Bounds {
@@ -238,7 +242,13 @@
                 config_within: Duration::from_secs(2),
                 stop_within,
             },
-        };
+        }
+    }
+
+    /// Starts a router with settings of its own.
+    pub fn start_on(store: &MemoryStore, settings: router::Settings) -> Self {
+        let (front, ready) = (settings.front, settings.ready);
+        let (peers, metrics) = (settings.peers, settings.metrics.unwrap_or(settings.ready));
         let store = store.clone();
         let (stop, stopped) = oneshot::channel::<()>();
         let (reload, changed) = mpsc::unbounded_channel();
