--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -121,6 +121,12 @@
         Self { asked, stop, tasks }
     }
 
+    /// Requests that have ended since `seen` of them had.
+    pub fn since(&self, seen: usize) -> Vec<Asked> {
+        let asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
+        asked.iter().skip(seen).cloned().collect()
+    }
+
     /// Lets them end what they are at; all that they asked.
     pub async fn end(self) -> Vec<Asked> {
         self.stop.store(true, Ordering::Relaxed);
--- a/tools/soak/src/checks.rs
+++ b/tools/soak/src/checks.rs
@@ -35,20 +35,30 @@
     pub ends: BTreeMap<String, usize>,
 }
 
+/// What is wrong with a request that has ended, whatever was done to its router. Checked while the run
+/// goes on, so that a broken promise stands in the output beside the faults of that moment.
+pub fn broken(one: &Asked, ledger: &Ledger) -> Vec<String> {
+    let faults = [
+        ran_twice(one, ledger),
+        ran_though_refused(one, ledger),
+        other_answer(one, ledger),
+        wrong_stream(one),
+    ];
+    faults.into_iter().flatten().map(|fault| line(&fault, one)).collect()
+}
+
+fn line(fault: &str, one: &Asked) -> String {
+    format!("{fault}: {} {:?} at router {}", one.id, one.kind, one.router)
+}
+
 /// Checks all requests against what ran.
 pub fn check(asked: &[Asked], ledger: &Ledger, troubles: &[Trouble]) -> Report {
     let mut report = Report::default();
     for one in asked {
         *report.ends.entry(name(&one.end)).or_default() += 1;
-        let faults = [
-            ran_twice(one, ledger),
-            ran_though_refused(one, ledger),
-            other_answer(one, ledger),
-            wrong_stream(one),
-            left_without_answer(one, ledger, troubles),
-        ];
-        let line = |fault| format!("{fault}: {} {:?} at router {}", one.id, one.kind, one.router);
-        report.broken.extend(faults.into_iter().flatten().map(line));
+        report.broken.extend(broken(one, ledger));
+        let left = left_without_answer(one, ledger, troubles);
+        report.broken.extend(left.map(|fault| line(&fault, one)));
     }
     let known: std::collections::BTreeSet<&str> = asked.iter().map(|one| one.id.as_str()).collect();
     for id in ledger.ids().iter().filter(|id| id.starts_with('c')) {
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -2,9 +2,9 @@
 //!
 //! `soak --seeds 1-50` plays one run after the other: a deployment of real processes on loopback, the
 //! platform's stand-ins around it, callers that never stop asking, and faults drawn from the seed, of
-//! which some overlap. During a run each request is written down with its end, and so is all that
-//! targets ran; afterwards both are compared. A run also breaks a promise if, when all faults are
-//! over, the deployment does not serve again. `kept.txt` holds the seeds that once failed.
+//! which some overlap. Each request is written down with its end, and so is all that targets ran; both
+//! are compared after each fault and, once late runs have come to light, at the end. A run also breaks
+//! a promise if, when all faults are over, the deployment does not serve again. `kept.txt` holds the seeds that once failed.
 
 mod callers;
 mod checks;
@@ -105,7 +105,7 @@
     let callers = Callers::start(CALLERS_EACH * size.routers, &fronts, seed);
     let mut broken = Vec::new();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let troubles = run_faults(&mut world, &mut rng, faults, &mut broken).await;
+    let troubles = run_faults(&mut world, &mut rng, faults, &callers, &mut broken).await;
     broken.extend(recovers(&mut world, seed).await);
     let asked = callers.end().await;
     tokio::time::sleep(SETTLE).await;
@@ -128,8 +128,10 @@
     world: &mut World,
     rng: &mut ChaCha8Rng,
     count: usize,
+    callers: &Callers,
     broken: &mut Vec<String>,
 ) -> Vec<Trouble> {
+    let mut seen = 0;
     let mut open: Vec<(faults::Fault, Instant, Instant)> = Vec::new();
     let mut troubles = Vec::new();
     for left in (0..=count).rev() {
@@ -152,6 +154,10 @@
             tokio::time::sleep_until(until.into()).await;
             broken.extend(fault.end(world).await);
             troubles.extend(fault.troubles(world.routers.len(), began, Instant::now()));
+            let ended = callers.since(seen);
+            seen += ended.len();
+            let lines = ended.iter().flat_map(|one| checks::broken(one, &world.ledger));
+            lines.for_each(|line| println!("  BROKEN so far: {line}"));
         }
     }
     troubles
