An agent that missed a start of its engine no longer tells routers the wrong way round

An engine that was back within one look, with no orders before and after, and whose new entry was planned for, would be called by its old name; routers would drop the new engine and refuse its entries for good. The name now belongs to the plan's engine it was asked for. Test: agents::an_agent_that_missed_a_start_believes_the_plan_s_name_after_asking, failed before.

--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -72,10 +72,13 @@
 }
 
 /// What the engine said of itself when it was asked its name. Not all engines say when they started,
-/// so fewer orders than it had accepted before tell a new start as well.
+/// so fewer orders than it had accepted before tell a new start as well, and so does a plan for another
+/// engine: an agent that has missed a start would else tell routers that the new engine is the old one.
 #[derive(Clone, Debug)]
 struct Named {
     name: Option<names::TargetId>,
+    /// The engine that the plan was for then.
+    planned: names::TargetId,
     born: u64,
     orders: u64,
 }
@@ -254,7 +257,7 @@
         }
     }
 
-    /// The engine's name, asked for once after each start of it.
+    /// The engine's name, asked for once after each start of it and each change of the plan's engine.
     async fn name(
         &self,
         plan: &peers::EnginePlan,
@@ -265,6 +268,7 @@
         if let Some(named) = &mut self.state.borrow_mut().named
             && named.born == born
             && named.orders <= orders
+            && named.planned == plan.target
         {
             named.orders = orders;
             return named.name.clone();
@@ -272,7 +276,8 @@
         match self.engine.name(&plan.health_path).await {
             Ok(name) => {
                 tracing::info!(?name, born, "the engine's name");
-                let named = Named { name: name.clone(), born, orders };
+                let planned = plan.target.clone();
+                let named = Named { name: name.clone(), planned, born, orders };
                 self.state.borrow_mut().named = Some(named);
                 name
             }
--- a/crates/corianderstand_forward/tests/agents.rs
+++ b/crates/corianderstand_forward/tests/agents.rs
@@ -114,6 +114,10 @@
 
     /// Says that the engine should hold these models and no others.
     async fn plan(&self, planner: &str, serial: u64, models: &[&str]) {
+        self.plan_for("engine", planner, serial, models).await;
+    }
+
+    async fn plan_for(&self, target: &str, planner: &str, serial: u64, models: &[&str]) {
         let held = self.engine.0.lock().unwrap().holdings.clone();
         let held: Vec<_> = held.resident.iter().map(|resident| resident.model.as_str()).collect();
         let extra = held.iter().filter(|model| !models.contains(model));
@@ -130,7 +134,7 @@
             planner: planner.into(),
             strength: 1,
             serial,
-            target: "engine".into(),
+            target: target.into(),
             health_path: "/well".into(),
             weights_mb: 150,
             adapter_places: 2,
@@ -253,3 +257,32 @@
         EngineReplaced { target: "engine-2".into(), born: BORN, before: "engine".into() };
     assert_eq!(replaced, expected);
 }
+
+/// The engine starts again under another name between two looks of its agent, and registers before the
+/// agent has noticed. An agent that went on believing the old name would tell routers that the new
+/// engine is the old one, and they would have neither.
+#[tokio::test]
+async fn an_agent_that_missed_a_start_believes_the_plan_s_name_after_asking() {
+    let running = Running::start().await;
+    running.engine.0.lock().unwrap().name = Some("engine".into());
+    let heard = async {
+        loop {
+            running.plan("router", 1, &[]).await;
+            let heard = tokio::time::timeout(Duration::from_millis(300), running.hear()).await;
+            if heard.is_ok() {
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(common::PATIENCE, heard).await.expect("the agent follows the plan");
+    running.engine.0.lock().unwrap().name = Some("engine-2".into());
+    let began = Instant::now();
+    while running.engine.0.lock().unwrap().given.is_empty() {
+        assert!(began.elapsed() < common::PATIENCE, "the new engine is never ordered anything");
+        running.plan_for("engine-2", "router", 2, &["a"]).await;
+        let heard = tokio::time::timeout(Duration::from_millis(50), running.hear()).await;
+        if let Ok(PeerMessage::EngineReplaced(replaced)) = heard {
+            panic!("{replaced:?} is the wrong way round");
+        }
+    }
+}
