A booking that lay in a frozen router's socket is known whenever it is read

Cause of the test that failed beside load: SIGSTOP takes hold only when a thread of the process gets the processor, so the router had read the booking before it stood still (hop began 2.50 s before it went on; the agent ran it 10 ms after it was sent, within the caller's time). The testbed's freeze now returns when each thread stands. Ruled out: two askers at once (one thread reads and watches), the aftermath's length (the request was not read late).

Found on the way: the guard went by time (500 ms after a pause) and by the steady clock, which does not count a suspension. Now each connection notes when its socket was last seen empty, and a call that runs once is not run from a connection that was not seen empty since the last pause; on both ways. Time is CLOCK_BOOTTIME.

New tests drive the interleavings by hand; the cases read 0.6 s and 30 s after fail with a guard by time alone.

--- a/crates/corianderstand_fleet/src/config.rs
+++ b/crates/corianderstand_fleet/src/config.rs
@@ -75,6 +75,11 @@
         if self.streams { self.resumable } else { self.repeats == Repeats::Allowed }
     }
 
+    /// Whether a request has an effect that must not come late or twice, such as a booking.
+    pub fn runs_once(&self) -> bool {
+        !self.streams && !self.may_repeat()
+    }
+
     /// The service for a request, by its hash: each service gets its share of the hashes.
     pub fn service(&self, hash: u64) -> Option<&names::ServiceId> {
         let total: u64 = self.services.iter().map(|(_, weight)| u64::from(*weight)).sum();
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -8,7 +8,7 @@
 use crate::{attempt, body::AnswerBody, job, router, stream, waiting};
 use bytes::Bytes;
 use corianderstand_fleet::{config, patience, prefixes, targets};
-use corianderstand_types::names;
+use corianderstand_types::{names, pause};
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -49,6 +49,7 @@
 /// [`Broken`] closes the caller's connection without an answer.
 pub async fn answer<P: router::Platform>(
     shared: Rc<router::Shared<P>>,
+    connection: &pause::Connection,
     req: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Broken> {
     let arrived = shared.clock.now();
@@ -72,6 +73,14 @@
         }
         Ok(Err(_)) | Err(_) => return Err(Broken::ByCaller),
     };
+    if route.runs_once() && shared.pauses.is_doubtful(shared.clock.since_boot(), connection) {
+        // It may have lain in the socket while this process stood still, and its caller may have
+        // given up and have booked elsewhere. Who still waits asks again.
+        let (now, why) = (shared.clock.now(), "this router stood still for a while");
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        shared.log.refused(&call.id, &route.name, status, why, arrived, now);
+        return Ok(own_answer(status, why, Some(REFUSED_RETURN)));
+    }
     let hash = xxh3::xxh3_64(call.id.as_bytes());
     let Some(service) = route.service(hash).cloned() else {
         return Ok(own_answer(StatusCode::SERVICE_UNAVAILABLE, "route without service", None));
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -5,7 +5,7 @@
 };
 use corianderstand_derives::derives;
 use corianderstand_fleet::{budget, choose, demand, patience, targets};
-use corianderstand_types::{clock, names};
+use corianderstand_types::{clock, names, pause};
 use http::StatusCode;
 use smol_str::SmolStr;
 use std::{
@@ -13,6 +13,7 @@
     io,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 use tokio::sync::Notify;
@@ -98,6 +99,8 @@
     pub bounds: RefCell<Bounds>,
     /// Time.
     pub clock: clock::SharedClock,
+    /// Callers' connections, and the pauses of this process.
+    pub pauses: Arc<pause::PauseWatch>,
     /// Start of this process, in Unix milliseconds.
     pub incarnation: u64,
     /// What it believes of the fleet.
@@ -324,6 +327,7 @@
         let shared = Rc::new(Shared {
             platform,
             incarnation: clock::unix_ms(clock.wall()),
+            pauses: Arc::new(pause::PauseWatch::new(clock.since_boot())),
             clock,
             view: RefCell::default(),
             peers: RefCell::default(),
@@ -348,6 +352,7 @@
         control::start(&shared);
         transfer::start(&shared, transfers);
         server::serve_ready(&shared, ready);
+        tokio::task::spawn_local(watch_pauses(shared.clone()));
         tracing::info!(name = %shared.settings.name, front = %shared.settings.front, "router started");
         server::serve(&shared, front, stop).await;
         if let Err(error) = shared.platform.withdraw(&shared.settings.name).await {
@@ -358,6 +363,14 @@
     })
 }
 
+/// Turns the watch for pauses on the thread that reads requests.
+async fn watch_pauses<P>(shared: Rc<Shared<P>>) {
+    loop {
+        shared.pauses.turn(shared.clock.since_boot());
+        tokio::time::sleep(pause::TURN).await;
+    }
+}
+
 /// Puts settings that have changed into force.
 async fn follow_settings<P>(shared: Rc<Shared<P>>, mut reload: impl Reload) {
     loop {
--- a/crates/corianderstand_forward/src/server.rs
+++ b/crates/corianderstand_forward/src/server.rs
@@ -3,11 +3,15 @@
 use crate::{body, exchange, router};
 use bytes::Bytes;
 use corianderstand_fleet::config;
+use corianderstand_types::pause::{self, PauseWatch};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, future, net::SocketAddr, pin::pin, rc::Rc, sync::Arc,
+    time::Duration,
+};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -110,6 +114,12 @@
     view.table.is_some() && !view.targets.is_empty() && shared.stopping.get().is_none()
 }
 
+/// Takes a caller's connection; notes when there is none.
+async fn accept_caller(watch: &PauseWatch, listener: &TcpListener) -> Option<TcpStream> {
+    let mut accept = pin!(accept(listener));
+    future::poll_fn(|cx| watch.poll_accept(cx, |cx| accept.as_mut().poll(cx))).await
+}
+
 async fn accept(listener: &TcpListener) -> Option<TcpStream> {
     match listener.accept().await {
         Ok((stream, _)) => {
@@ -137,7 +147,7 @@
     tokio::pin!(stop);
     loop {
         tokio::select! {
-            stream = accept(&listener) => {
+            stream = accept_caller(&shared.pauses, &listener) => {
                 if let Some(stream) = stream {
                     connection(shared, stream, closing.subscribe());
                 }
@@ -162,7 +172,7 @@
         if passed >= cut || (passed >= LEAVE_TIME && shared.open.get() == 0) {
             break;
         }
-        let look = tokio::time::timeout(LOOK, accept(&listener)).await;
+        let look = tokio::time::timeout(LOOK, accept_caller(&shared.pauses, &listener)).await;
         if let Ok(Some(stream)) = look {
             connection(shared, stream, closing.subscribe());
         }
@@ -186,9 +196,11 @@
     let limits = limits.unwrap_or_default();
     tokio::task::spawn_local(async move {
         let served = Cell::new(false);
+        let stream = pause::Watched::new(stream, shared.pauses.clone());
+        let seen = stream.connection();
         let service = service_fn(|req| {
             served.set(true);
-            one(shared.clone(), req)
+            one(shared.clone(), seen.clone(), req)
         });
         let connection = builder(&limits).serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
@@ -237,11 +249,12 @@
 
 async fn one<P: router::Platform>(
     shared: Rc<router::Shared<P>>,
+    connection: Arc<pause::Connection>,
     req: Request<Incoming>,
 ) -> Result<Response<body::AnswerBody>, exchange::Broken> {
     shared.open.set(shared.open.get() + 1);
     let count = OpenCount(shared.clone());
-    let mut answer = exchange::answer(shared.clone(), req).await?;
+    let mut answer = exchange::answer(shared.clone(), &connection, req).await?;
     if shared.stopping.get().is_some() {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- /dev/null
+++ b/crates/corianderstand_router/src/arrivals.rs
@@ -0,0 +1,93 @@
+//! Callers' connections as they are taken: each notes when its socket was last seen empty.
+//!
+//! A handler knows its connection by the caller's address only, so the two are joined here.
+
+use corianderstand_types::pause::{Connection, PauseWatch, Watched};
+use salvo::{
+    conn::{
+        Accepted, Acceptor, Holding, StraightStream,
+        tcp::{TcpAcceptor, TcpCoupler},
+    },
+    fuse::ArcFusePolicy,
+};
+use std::{
+    collections::HashMap,
+    future, io,
+    net::SocketAddr,
+    pin::pin,
+    sync::{Arc, Mutex, MutexGuard, Weak},
+    time::Duration,
+};
+use tokio::net::TcpStream;
+
+/// Connections held now, by their callers' addresses.
+#[derive(Debug)]
+pub struct Arrivals {
+    watch: Arc<PauseWatch>,
+    by_caller: Mutex<HashMap<SocketAddr, Weak<Connection>>>,
+}
+
+impl Arrivals {
+    /// None yet.
+    pub fn new(now: Duration) -> Arc<Self> {
+        Arc::new(Self { watch: Arc::new(PauseWatch::new(now)), by_caller: Mutex::default() })
+    }
+
+    /// Turns the watch for pauses.
+    pub fn turn(&self, now: Duration) {
+        self.watch.turn(now);
+        self.lock().retain(|_, connection| connection.strong_count() > 0);
+    }
+
+    /// Whether a request that was read now may have been sent before a pause of this process.
+    pub fn is_doubtful(&self, now: Duration, caller: Option<SocketAddr>) -> bool {
+        let connection = caller.and_then(|caller| self.lock().get(&caller)?.upgrade());
+        connection.is_none_or(|connection| self.watch.is_doubtful(now, &connection))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Weak<Connection>>> {
+        self.by_caller.lock().expect("no holder of this lock panics")
+    }
+}
+
+/// Takes callers' connections.
+pub struct WatchedAcceptor {
+    inner: TcpAcceptor,
+    arrivals: Arc<Arrivals>,
+}
+
+impl WatchedAcceptor {
+    /// Takes connections from `inner`.
+    pub const fn new(inner: TcpAcceptor, arrivals: Arc<Arrivals>) -> Self {
+        Self { inner, arrivals }
+    }
+}
+
+impl Acceptor for WatchedAcceptor {
+    type Coupler = TcpCoupler<Self::Stream>;
+    type Stream = Watched<StraightStream<TcpStream>>;
+
+    fn holdings(&self) -> &[Holding] {
+        self.inner.holdings()
+    }
+
+    async fn accept(
+        &mut self,
+        fuse_policy: Option<ArcFusePolicy>,
+    ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
+        let Self { inner, arrivals } = self;
+        let mut accept = pin!(inner.accept(fuse_policy));
+        let poll = |cx: &mut std::task::Context<'_>| {
+            arrivals.watch.poll_accept(cx, |cx| accept.as_mut().poll(cx))
+        };
+        let accepted = future::poll_fn(poll).await?;
+        let caller = accepted.remote_addr.clone().into_std();
+        let wrap = |stream| Watched::new(stream, arrivals.watch.clone());
+        let accepted = accepted.map_into(|_| TcpCoupler::new(), wrap);
+        if let Some(caller) = caller {
+            let connection = accepted.stream.connection();
+            arrivals.lock().insert(caller, Arc::downgrade(&connection));
+        }
+        Ok(accepted)
+    }
+}
--- a/crates/corianderstand_router/src/http.rs
+++ b/crates/corianderstand_router/src/http.rs
@@ -1,12 +1,12 @@
 //! The `http` thread: what callers and operators speak to.
 
 use crate::{
+    arrivals::Arrivals,
     auth::Hasher,
     completions,
     connections::Connections,
     event::Event,
     operator,
-    pause::PauseWatch,
     problem::{self, Problem},
     relay, services,
 };
@@ -81,8 +81,8 @@
     pub held: Arc<AtomicUsize>,
     /// Whether a planned stop has begun.
     pub draining: Arc<AtomicBool>,
-    /// Whether this process stood still.
-    pub pause: PauseWatch,
+    /// Callers' connections, and the pauses of this process.
+    pub arrivals: Arc<Arrivals>,
     /// Time.
     pub clock: SharedClock,
 }
--- a/crates/corianderstand_router/src/lib.rs
+++ b/crates/corianderstand_router/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 mod answer;
+mod arrivals;
 pub mod auth;
 mod call;
 mod completions;
@@ -29,7 +30,6 @@
 mod once;
 mod operator;
 mod params;
-mod pause;
 mod problem;
 mod pulse;
 mod relay;
--- a/crates/corianderstand_router/src/services.rs
+++ b/crates/corianderstand_router/src/services.rs
@@ -63,10 +63,11 @@
     if once {
         open.expires_ms = asked.snapshot.log_now_ms(SystemTime::now()) + budget.as_millis() as u64;
     }
+    let caller = req.remote_addr().clone().into_std();
     let submit = || CallInProgress::submit(&door.events, work, open, body);
     let answer = match idempotency_key {
         None => once::read(&mut submit()?, deadline).await?,
-        Some(_) if door.pause.is_doubtful(door.clock.now()) => {
+        Some(_) if door.arrivals.is_doubtful(door.clock.since_boot(), caller) => {
             // Its copy of the log is as old as the pause, so "not run" would say too much.
             return Err(Problem::Unknown("this router stood still for a while".into()));
         }
--- a/crates/corianderstand_router/src/start.rs
+++ b/crates/corianderstand_router/src/start.rs
@@ -1,6 +1,7 @@
 //! Starts a router's threads and stops them as planned.
 
 use crate::{
+    arrivals::{Arrivals, WatchedAcceptor},
     auth::{AuthError, Hasher},
     connections::{Connections, Policy},
     decide::Decider,
@@ -9,7 +10,6 @@
     http::{self, Door},
     link::Shared,
     operator,
-    pause::{self, PauseWatch},
 };
 use corianderstand_control::{
     appender::Identity,
@@ -25,7 +25,10 @@
 use corianderstand_decide::router::Router;
 use corianderstand_edge::{hosts::HttpHostList, log::HttpLog};
 use corianderstand_schema::process::RouterSettings;
-use corianderstand_types::clock::{self, SharedClock};
+use corianderstand_types::{
+    clock::{self, SharedClock},
+    pause,
+};
 use salvo::{Server, conn::tcp::TcpAcceptor, server::ServerHandle};
 use std::{
     collections::{BTreeSet, HashMap},
@@ -124,7 +127,7 @@
         max_in_flight: settings.limits.max_in_flight as usize,
         held: held.clone(),
         draining: draining.clone(),
-        pause: PauseWatch::new(clock.now()),
+        arrivals: Arrivals::new(clock.since_boot()),
         clock,
     });
     let (server, http) = start_http(&settings, incarnation, &door)?;
@@ -211,7 +214,8 @@
         let listener = tokio::net::TcpListener::from_std(listener).map_err(listen_error)?;
         TcpAcceptor::try_from(listener).map_err(listen_error)?
     };
-    let mut server = Server::new(acceptor).fuse_policy(Policy(door.connections.clone()));
+    let mut server = Server::new(WatchedAcceptor::new(acceptor, door.arrivals.clone()))
+        .fuse_policy(Policy(door.connections.clone()));
     server.http1_mut().max_header_size(door.max_header_bytes * HEAD_SLACK);
     let handle = server.handle();
     let routes = http::routes(door);
@@ -236,7 +240,7 @@
 /// Turns the watch for pauses on the thread that reads requests.
 async fn watch(door: Arc<Door>) {
     loop {
-        door.pause.is_doubtful(door.clock.now());
+        door.arrivals.turn(door.clock.since_boot());
         time::sleep(pause::TURN).await;
     }
 }
--- a/crates/corianderstand_types/src/clock.rs
+++ b/crates/corianderstand_types/src/clock.rs
@@ -2,6 +2,7 @@
 //!
 //! [`SystemClock`] is the machine's; [`ManualClock`] moves only when a test moves it.
 
+use nix::time;
 use std::{
     sync::{Arc, Mutex},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -13,6 +14,9 @@
     fn now(&self) -> Instant;
     /// Wall-clock time, for time of day and log lines.
     fn wall(&self) -> SystemTime;
+    /// Time since the host was started. Unlike [`Clock::now`] it also counts the time for which the
+    /// host was suspended, so it tells that this process stood still.
+    fn since_boot(&self) -> Duration;
 }
 
 /// A clock that may be shared between threads.
@@ -30,6 +34,11 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn since_boot(&self) -> Duration {
+        let read = time::clock_gettime(time::ClockId::CLOCK_BOOTTIME);
+        read.expect("each Linux kernel has this clock").into()
+    }
 }
 
 /// A clock that stands still until it is moved.
@@ -70,6 +79,10 @@
     fn wall(&self) -> SystemTime {
         self.start_wall + self.elapsed()
     }
+
+    fn since_boot(&self) -> Duration {
+        self.elapsed()
+    }
 }
 
 /// Milliseconds since the Unix epoch.
--- /dev/null
+++ b/crates/corianderstand_types/src/pause/tests.rs
@@ -0,0 +1,141 @@
+//! Sockets with requests from before a pause, read in each order that a scheduler may take.
+
+use super::{PAUSE, PauseWatch, TURN, Watched};
+use rstest::rstest;
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, Waker},
+    time::Duration,
+};
+use tokio::io::{AsyncRead, AsyncWrite, DuplexStream, ReadBuf};
+
+/// Longer than any host is busy; a guard by time would have let go long before.
+const LONG_AFTER: Duration = Duration::from_secs(30);
+
+struct Caller {
+    sends: DuplexStream,
+    connection: Watched<DuplexStream>,
+}
+
+fn connect(watch: &Arc<PauseWatch>) -> Caller {
+    let (sends, taken) = tokio::io::duplex(64);
+    Caller { sends, connection: Watched::new(taken, watch.clone()) }
+}
+
+impl Caller {
+    fn send(&mut self) {
+        let mut cx = Context::from_waker(Waker::noop());
+        let sent = Pin::new(&mut self.sends).poll_write(&mut cx, b"booking");
+        assert!(matches!(sent, Poll::Ready(Ok(7))), "{sent:?}");
+    }
+
+    /// Whether a request was there.
+    fn read(&mut self) -> bool {
+        let mut bytes = [0; 64];
+        let mut buf = ReadBuf::new(&mut bytes);
+        let mut cx = Context::from_waker(Waker::noop());
+        Pin::new(&mut self.connection).poll_read(&mut cx, &mut buf).is_ready()
+    }
+
+    fn is_doubtful(&self, watch: &PauseWatch, now: Duration) -> bool {
+        watch.is_doubtful(now, &self.connection.connection)
+    }
+}
+
+/// Turns as often as a running process does, and leaves time for none.
+fn run_until(watch: &PauseWatch, from: Duration, until: Duration) {
+    let mut now = from;
+    while now < until {
+        watch.turn(now);
+        now += TURN;
+    }
+}
+
+/// A router is frozen with a booking unread in its socket. It goes on on a busy host, where the watch
+/// has its turns at once and the connection is read only much later. Run then, the user who has
+/// booked elsewhere meanwhile has two vans at the door.
+#[rstest]
+#[case::read_at_once(Duration::ZERO)]
+#[case::read_after_half_a_second(Duration::from_millis(600))]
+#[case::read_long_after(LONG_AFTER)]
+fn a_request_from_before_a_pause_is_known_whenever_it_is_read(#[case] read_after: Duration) {
+    let began = Duration::ZERO;
+    let watch = Arc::new(PauseWatch::new(began));
+    let mut caller = connect(&watch);
+    caller.send();
+    let resumed = began + PAUSE * 3;
+    run_until(&watch, resumed, resumed + read_after);
+    assert!(caller.read());
+    assert!(caller.is_doubtful(&watch, resumed + read_after));
+}
+
+/// The process is frozen between reading a booking and looking at the time, and another request
+/// notices the pause first. Both lay there all the while; neither may run.
+#[rstest]
+fn two_requests_that_ask_at_once_are_both_doubtful() {
+    let began = Duration::ZERO;
+    let watch = Arc::new(PauseWatch::new(began));
+    let (mut first, mut second) = (connect(&watch), connect(&watch));
+    first.send();
+    second.send();
+    assert!(first.read());
+    let resumed = began + PAUSE * 3;
+    assert!(first.is_doubtful(&watch, resumed));
+    assert!(second.read());
+    assert!(second.is_doubtful(&watch, resumed));
+}
+
+/// After the pause the runtime polls a connection by what it knew of the socket before, and finds
+/// nothing although a booking is there. Taken for a look, it would make the booking seem new.
+#[rstest]
+fn a_look_before_the_system_was_asked_again_proves_nothing() {
+    let began = Duration::ZERO;
+    let watch = Arc::new(PauseWatch::new(began));
+    let mut caller = connect(&watch);
+    let resumed = began + PAUSE * 3;
+    // Another request notices the pause, then the watch has the turn that was due before it.
+    assert!(caller.is_doubtful(&watch, resumed));
+    watch.turn(resumed);
+    assert!(!caller.read(), "what was known before the pause");
+    caller.send();
+    watch.turn(resumed + TURN);
+    assert!(caller.read());
+    assert!(caller.is_doubtful(&watch, resumed + TURN));
+}
+
+/// A caller keeps a connection for its next booking while the router is frozen, and another connects
+/// after it. Both would be told "unknown" for a booking that is as new as any.
+#[rstest]
+fn later_requests_run_again() {
+    let began = Duration::ZERO;
+    let watch = Arc::new(PauseWatch::new(began));
+    let mut idle = connect(&watch);
+    assert!(!idle.read());
+    let resumed = began + PAUSE * 3;
+    run_until(&watch, resumed, resumed + TURN * 3);
+    // The watch wakes the connection and the listener, which look again.
+    assert!(!idle.read());
+    let mut cx = Context::from_waker(Waker::noop());
+    assert!(watch.poll_accept(&mut cx, |_| Poll::<()>::Pending).is_pending());
+    let mut new = connect(&watch);
+    for caller in [&mut idle, &mut new] {
+        caller.send();
+        assert!(caller.read());
+        assert!(!caller.is_doubtful(&watch, resumed + TURN * 3));
+    }
+}
+
+/// A connection was made while the process was frozen, and lies in the listener's queue with its
+/// booking. Taken after the pause it looks like a new one.
+#[rstest]
+fn a_connection_that_waited_to_be_taken_is_doubtful() {
+    let began = Duration::ZERO;
+    let watch = Arc::new(PauseWatch::new(began));
+    let resumed = began + PAUSE * 3;
+    run_until(&watch, resumed, resumed + LONG_AFTER);
+    let mut caller = connect(&watch);
+    caller.send();
+    assert!(caller.read());
+    assert!(caller.is_doubtful(&watch, resumed + LONG_AFTER));
+}
--- a/tests/relays.rs
+++ b/tests/relays.rs
@@ -2,7 +2,6 @@
 
 use corianderstand_control::source;
 use corianderstand_types::names::WriterId;
-use nix::sys::signal::Signal;
 use rstest::rstest;
 use serde_json::json;
 use smol_str::{SmolStr, format_smolstr};
@@ -81,7 +80,7 @@
         let all = in_force(&deployment, &routers(), accepted).await;
         assert!(all < IN_FORCE, "through relays: {all:?}");
         for name in &readers {
-            deployment.process(name).signal(Signal::SIGSTOP);
+            deployment.process(name).freeze();
         }
         let began = Instant::now();
         let accepted = change(&deployment, &followers[0], 12_000).await;
--- a/tools/soak/src/faults.rs
+++ b/tools/soak/src/faults.rs
@@ -108,10 +108,10 @@
         match self {
             Self::KillRouter(n) => kill(&mut world.routers[n].process),
             Self::StopRouter(n) => signal(&world.routers[n].process, Signal::SIGTERM),
-            Self::FreezeRouter(n) => signal(&world.routers[n].process, Signal::SIGSTOP),
+            Self::FreezeRouter(n) => freeze(&world.routers[n].process),
             Self::HangUpRouter(n) => signal(&world.routers[n].process, Signal::SIGHUP),
             Self::KillAgent(n) => kill(&mut world.agents[n].process),
-            Self::FreezeAgent(n) => signal(&world.agents[n].process, Signal::SIGSTOP),
+            Self::FreezeAgent(n) => freeze(&world.agents[n].process),
             Self::CrashEngine(n) => world.engines[n].target.crash(),
             Self::CrashDesk(n) => world.desks[n].target.crash(),
             Self::DrainEngine(n) => world.engines[n].target.drain(),
@@ -193,6 +193,12 @@
     *process = None;
 }
 
+fn freeze(process: &Option<testbed::process::Process>) {
+    if let Some(process) = process {
+        process.freeze();
+    }
+}
+
 fn signal(process: &Option<testbed::process::Process>, signal: Signal) {
     if let Some(process) = process {
         process.signal(signal);
--- a/tools/testbed/src/process.rs
+++ b/tools/testbed/src/process.rs
@@ -3,6 +3,7 @@
 use nix::{
     sys::prctl,
     sys::signal::{self, Signal},
+    sys::wait::{self, WaitPidFlag},
     unistd::Pid,
 };
 use std::{
@@ -87,9 +88,21 @@
         let _gone = signal::kill(Pid::from_raw(self.child.id().cast_signed()), signal);
     }
 
-    /// Stops it from running until [`Process::resume`].
+    /// Stops it from running until [`Process::resume`]; returns when each of its threads stands.
+    ///
+    /// The system lets threads run on until the one that takes the signal has had the processor. On a
+    /// busy host that took a router longer than reading a booking and having it run, so that a test
+    /// believed to have sent the booking to a frozen router.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system cannot tell.
     pub fn freeze(&self) {
         self.signal(Signal::SIGSTOP);
+        let pid = Pid::from_raw(self.child.id().cast_signed());
+        // A process that has ended meanwhile is left for whoever waits for its end.
+        let flags = WaitPidFlag::WSTOPPED | WaitPidFlag::WEXITED | WaitPidFlag::WNOWAIT;
+        wait::waitid(wait::Id::Pid(pid), flags).expect("the system tells of a process of ours");
     }
 
     /// Lets it run again.
--- a/tools/testbed/src/script.rs
+++ b/tools/testbed/src/script.rs
@@ -142,7 +142,7 @@
         engine.register_fn(name, move |process: &str| s.with(|d, _| act(d, process)));
     };
     on_process("kill", |d, name| d.process(name).kill());
-    on_process("freeze", |d, name| d.process(name).signal(Signal::SIGSTOP));
+    on_process("freeze", |d, name| d.process(name).freeze());
     on_process("thaw", |d, name| d.process(name).signal(Signal::SIGCONT));
     on_process("stop", |d, name| d.process(name).signal(Signal::SIGTERM));
     on_process("start", Deployment::run);
