A request for an adapter that cannot come in time is refused at once

Now they are judged as those are that wait for a model: an engine that loads a model takes no order for an adapter until it is done.

--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -198,6 +198,7 @@
         match choice {
             choose::Choice::NoTarget => patience::Expected::Unknown,
             choose::Choice::Full => patience::Expected::Room,
+            choose::Choice::LoadAdapter(key) => self.view.borrow().expected_adapter(key),
             _ => self.view.borrow().expected(now, &job.service, job.call.wanted.as_ref()),
         }
     }
--- a/crates/corianderstand_forward/src/view.rs
+++ b/crates/corianderstand_forward/src/view.rs
@@ -57,6 +57,17 @@
         self.table.as_ref()?.config().service(name)
     }
 
+    /// When an engine that holds the model can take an order for an adapter: it carries out one at a
+    /// time, and a model from the weight store keeps it for seconds.
+    pub fn expected_adapter(&self, key: targets::TargetKey) -> patience::Expected {
+        match self.targets.get(key).and_then(|target| target.ongoing.as_ref()) {
+            Some(targets::Ongoing::Loading { ready_at, .. }) => {
+                patience::Expected::Ready(*ready_at)
+            }
+            Some(targets::Ongoing::Unloading { .. }) | None => patience::Expected::Room,
+        }
+    }
+
     /// When a model may be expected on some engine of a service.
     pub fn expected(
         &self,
--- a/crates/corianderstand_forward/src/waiting.rs
+++ b/crates/corianderstand_forward/src/waiting.rs
@@ -51,11 +51,13 @@
                     }
                 }
             }
-            choose::Choice::LoadAdapter(key) => {
-                shared.ask_for_adapter(key, job);
-                (shared.latest(job), ASK_AGAIN)
-            }
-            choose::Choice::Full | choose::Choice::Cold | choose::Choice::NoTarget => {
+            choose::Choice::LoadAdapter(_)
+            | choose::Choice::Full
+            | choose::Choice::Cold
+            | choose::Choice::NoTarget => {
+                if let choose::Choice::LoadAdapter(key) = choice {
+                    shared.ask_for_adapter(key, job);
+                }
                 let expected = shared.expected(now, job, choice);
                 let until = job.held_until().min(shared.latest(job));
                 if waiting.is_none() {
@@ -63,7 +65,7 @@
                 }
                 match patience::judge(now, until, expected, job.spread()) {
                     patience::Verdict::Hold { until } => {
-                        (until.min(shared.latest(job)), LOOK_AGAIN)
+                        (until.min(shared.latest(job)), look_again(choice))
                     }
                     patience::Verdict::Refuse { after } => {
                         return Err(GivenUp { why: reason(choice), after });
@@ -85,6 +87,14 @@
     }
 }
 
+/// Time after which a request looks again although nobody woke it.
+const fn look_again(choice: choose::Choice) -> Duration {
+    match choice {
+        choose::Choice::LoadAdapter(_) => ASK_AGAIN,
+        _ => LOOK_AGAIN,
+    }
+}
+
 /// Why a request has no target.
 const fn reason(choice: choose::Choice) -> &'static str {
     match choice {
--- a/crates/corianderstand_forward/tests/answers.rs
+++ b/crates/corianderstand_forward/tests/answers.rs
@@ -8,8 +8,9 @@
     config::{self, Repeats, Route},
     targets,
 };
-use std::time::Duration;
-use tokio::io::AsyncReadExt;
+use corianderstand_schema::peers;
+use std::time::{Duration, Instant};
+use tokio::{io::AsyncReadExt, net::UdpSocket};
 
 const ID: &str = "request-1";
 
@@ -295,6 +296,61 @@
     assert!(answer.contains("data: y") && answer.ends_with("0\r\n\r\n"), "{answer}");
 }
 
+/// An engine that holds a model carries out another order for five seconds, and can load no adapter
+/// meanwhile. Requests for an adapter were held until their callers left after two seconds, without a
+/// word in the log; a caller that is told at once can come back when the engine is free.
+#[tokio::test]
+async fn a_request_for_an_adapter_that_cannot_come_in_time_is_refused_at_once() {
+    let store = MemoryStore::default();
+    let target = Target::start().await;
+    let mut config = common::config(1, vec![resumable()]);
+    let model = config::Model { name: "m".into(), adapters: 4, ..Default::default() };
+    let engine =
+        config::Engine { slots: 8, adapter_places: 4, models: vec![model], ..Default::default() };
+    config.services = vec![config::Service {
+        name: "desk".into(),
+        connections: 9,
+        engine: Some(engine),
+        ..Default::default()
+    }];
+    store.config(config);
+    let resident = targets::Resident { model: "m".into(), adapters: Vec::new() };
+    let holdings = targets::Holdings { resident: vec![resident], ..Default::default() };
+    store.target(targets::Entry { holdings, ..target.entry("target-1", "desk") });
+    let router = Running::start(&store);
+    router.wait_ready().await;
+    let news = peers::EngineNews {
+        target: "target-1".into(),
+        born: 0,
+        orders: 3,
+        resident: vec![peers::ResidentModel { model: "m".into(), adapters: Vec::new() }],
+        copies: Vec::new(),
+        ongoing: vec![peers::OngoingOrder {
+            model: "other".into(),
+            loads: true,
+            from_store: true,
+            remaining_ms: 5_000,
+        }],
+        running: 0,
+        waiting: 0,
+        cache_used: 0,
+    };
+    let agent = UdpSocket::bind(common::free_port()).await.unwrap();
+    let news = postcard::to_stdvec(&peers::PeerMessage::EngineNews(news)).unwrap();
+    agent.send_to(&news, router.peers).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let headers = [("x-id", ID), ("x-model", "m"), ("x-adapter", "a1")];
+    let began = Instant::now();
+    let mut caller = common::send(router.front, "POST", "/pay/1", &headers, "").await.unwrap();
+    let answer = common::read_all(&mut caller).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+    let after = answer.to_lowercase().lines().find_map(|line| {
+        line.strip_prefix("retry-after: ").map(|after| after.parse::<f64>().unwrap())
+    });
+    assert!(after.is_some_and(|after| after > 4.0), "when the engine is free: {answer}");
+}
+
 /// Operators take the budget for second attempts away because back ends are drowning, and give it
 /// back later, without a restart in between. A router that read its settings at its start only would
 /// go on repeating.
