The weight store's pace is found from below, and a replica that takes long still counts

And even a lone load of 13.2 s gained nothing, as gains ended after 10 s.

Change: two loads at once at first, twice as many after one that took its usual time; a replica's gain fades (e^-t/6.5 s: the same two fifths at 6 s as before, an eighth at 13 s).

--- a/crates/corianderstand_fleet/src/pace.rs
+++ b/crates/corianderstand_fleet/src/pace.rs
@@ -13,8 +13,12 @@
     time::{Duration, Instant},
 };
 
-/// Loads from the weight store at once, until the time that loads take tells how many it carries.
-const STORE_AT_ONCE: u32 = 4;
+/// Loads from the weight store at once, until the time that loads take tells how many it carries. One
+/// that carries a single load gives nothing sooner when more share it: of four begun at once, of 13
+/// seconds each, none was there before 53. One that carries four is known to after two loads.
+const STORE_AT_ONCE: u32 = 2;
+/// Factor by which more are tried after a load that took its usual time beside as many as allowed.
+const TRIED: u32 = 2;
 /// A load that took this many times as long as it says shares the store with too many others.
 const SLOWED: f64 = 1.25;
 
@@ -68,7 +72,7 @@
             let carried = (f64::from(load.most_beside) / slowed).round() as u32;
             self.at_once = carried.clamp(1, self.at_once);
         } else if load.most_beside >= self.at_once {
-            self.at_once = load.most_beside + 1;
+            self.at_once = load.most_beside * TRIED;
         }
     }
 }
--- a/crates/corianderstand_fleet/src/plan.rs
+++ b/crates/corianderstand_fleet/src/plan.rs
@@ -39,6 +39,11 @@
 const LEAST_STAY: Duration = Duration::from_millis(1_200);
 /// Time of a run that an unload has to wait for: some 300 tokens at 5 ms.
 const RUN: Duration = Duration::from_millis(1_400);
+/// What a replica gains fades with the time until it is there, as demand moves on: two fifths are left
+/// after the six seconds of a small deployment's weight store, an eighth after the 13 of a large one's.
+/// It must not end: where it did after ten seconds, models that had become busy stayed on three
+/// overloaded engines for as long as they were busy, and half of their callers were refused.
+const REPLICA_FADES: Duration = Duration::from_millis(6_500);
 /// An engine as the plan sees it.
 #[derives(data)]
 pub struct EngineView {
@@ -231,7 +236,7 @@
             }
         }
         let later = |place: &Place| match wish.cause {
-            Cause::Load => (1.0 - place.ready_in.as_secs_f64() / worth::HORIZON_S).max(0.0),
+            Cause::Load => (-place.ready_in.as_secs_f64() / REPLICA_FADES.as_secs_f64()).exp(),
             Cause::Absent => 1.0,
         };
         places.retain(|place| {
--- a/crates/corianderstand_fleet/src/prefill.rs
+++ b/crates/corianderstand_fleet/src/prefill.rs
@@ -9,7 +9,7 @@
 //!
 //! A turn is given while the reading under way stays within a part of the pause that streams may
 //! make. Prompts that can still be in time go first, the one whose aim comes first before the
-//! others; those that are late already go when none of these waits.
+//! others. One turn in four is for those that are late already.
 
 use std::{
     collections::VecDeque,
--- a/crates/corianderstand_fleet/tests/plan.rs
+++ b/crates/corianderstand_fleet/tests/plan.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Asked, World, busy, rare};
-use corianderstand_fleet::{demand, plan, targets};
+use corianderstand_fleet::{config, demand, plan, targets};
 use corianderstand_types::names::ModelId;
 use slotmap::SlotMap;
 use std::{
@@ -281,3 +281,41 @@
     let wants = planner.plan(Instant::now(), &[engine], &models.into());
     assert_eq!(wants[&key], [on_disk]);
 }
+
+/// A model has become busy and overloads the engines that hold it; other engines stand idle, but the
+/// weight store takes thirteen seconds. While a replica that late counted for nothing, half of the
+/// model's callers were refused for as long as it was busy.
+#[test]
+fn an_overloaded_model_gets_a_replica_although_its_load_is_long() {
+    let mut keys: SlotMap<targets::TargetKey, ()> = SlotMap::with_key();
+    let keys: Vec<_> = (0..6).map(|_| keys.insert(())).collect();
+    let busy = ModelId::from("busy");
+    let engines = keys.iter().enumerate().map(|(index, &key)| {
+        let resident = targets::Resident { model: busy.clone(), adapters: Vec::new() };
+        let resident = if index < 2 { vec![resident] } else { Vec::new() };
+        plan::EngineView {
+            key,
+            orderable: true,
+            weights_mb: 80_000,
+            slots: 64,
+            adapter_places: 8,
+            holdings: targets::Holdings { resident, ..Default::default() },
+            ongoing: None,
+            running: BTreeMap::new(),
+        }
+    });
+    let engines: Vec<_> = engines.collect();
+    let asked = demand::Asked {
+        per_s: 70.0,
+        prompt_tokens_per_s: 70.0 * 1_100.0,
+        read_s_per_token: 40e-6,
+        aim: Duration::from_millis(500),
+        ..Default::default()
+    };
+    let spec = config::Model { load: Duration::from_millis(13_200), ..common::spec(&busy) };
+    let models = BTreeMap::from([(busy.clone(), plan::ModelView { spec, asked, waiting: 0 })]);
+    let mut planner = plan::Planner::default();
+    let wants = planner.plan(Instant::now(), &engines, &models);
+    let replicas = wants.values().filter(|wants| wants.contains(&busy)).count();
+    assert!(replicas > 2, "{replicas} replicas for the work of three engines");
+}
--- a/crates/corianderstand_fleet/tests/prefill.rs
+++ b/crates/corianderstand_fleet/tests/prefill.rs
@@ -40,6 +40,9 @@
 const PIECE: Duration = Duration::from_millis(80);
 /// A step without any reading.
 const STEP: Duration = Duration::from_millis(8);
+/// Part of its time that the engine may spend on prompts: the share that turns leave, less what the
+/// steps themselves take of it (8 of 88 ms).
+const FOR_PROMPTS: f64 = 0.75;
 /// Tokens in one event.
 const TOKENS: usize = 3;
 
@@ -136,7 +139,7 @@
     let (before, after) = (play(&mixed, false), play(&mixed, true));
     // Within the aim, less half a pause for the first event, three quarters of the time go to
     // prompts, and three turns of four to those that can be in time.
-    let possible = (AIM - PAUSE / 2).mul_f64(0.75 * 0.75).div_duration_f64(WORK);
+    let possible = (AIM - PAUSE / 2).mul_f64(FOR_PROMPTS * 0.75).div_duration_f64(WORK);
     assert!(urgent(&after) >= possible as usize, "{} of {possible}", urgent(&after));
     assert!(urgent(&after) > urgent(&before), "{}, then {}", urgent(&before), urgent(&after));
     assert_eq!(after.in_time.len() - urgent(&after), 12, "all patient ones");
@@ -150,7 +153,7 @@
     let (before, after) = (play(&flood, false), play(&flood, true));
     // Of the time of the flood three quarters go to prompts, and of these three quarters to those
     // that can be in time.
-    let possible = (WORK / 2 * 200).mul_f64(0.75 * 0.75).div_duration_f64(WORK) as usize;
+    let possible = (WORK / 2 * 200).mul_f64(FOR_PROMPTS * 0.75).div_duration_f64(WORK) as usize;
     assert!(before.in_time.len() < possible / 2, "{}", before.in_time.len());
     assert!(after.in_time.len() >= possible * 9 / 10, "{} of {possible}", after.in_time.len());
 }
