--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -4,8 +4,8 @@
 //! is known of each target of those services: what it registered, what its agent says of it, and
 //! what this process itself has seen. On these rest the decisions, each in a module of its own and
 //! without input or output: [`choose`] picks a target for one attempt, [`patience`] says how long
-//! a request waits for a model and when it is refused, [`budget`] limits second attempts, and
-//! [`plan`] says which engine holds which models. [`steps`] turns an engine's part of the plan
+//! a request waits for a model and when it is refused, [`prefill`] says whose prompt an engine reads
+//! next, [`budget`] limits second attempts, and [`plan`] says which engine holds which models. [`steps`] turns an engine's part of the plan
 //! into one order at a time.
 //!
 //! ```
--- a/crates/corianderstand_fleet/src/prefill.rs
+++ b/crates/corianderstand_fleet/src/prefill.rs
@@ -17,8 +17,9 @@
 };
 
 /// Part of any stretch as long as a stream's longest useful pause that an engine may spend on prompts;
-/// the rest is for the tokens of one event. Of streams on engines that had more to read, a quarter
-/// paused for 270 ms where 250 are of use.
+/// the rest is for the tokens of one event. On a heavy day of a small deployment 417 of 1,752 streams
+/// paused for longer than the 250 ms of their routes when prompts were sent at once, and 116 of 1,769
+/// since; the mean of its five days with trouble rose from 0.445 of what could be earned to 0.48.
 const SHARE: f64 = 0.85;
 /// Of this many turns one is for a prompt that is late already, if one waits. Without, a prompt too
 /// long to be in time would not be read at all while many ask.
--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -5,9 +5,12 @@
 //! frozen or killed, the engine goes on serving what it holds. Because each engine is ordered from
 //! one host only, no two holders can take turns at it, and no lease is needed.
 
+mod account;
+mod turns;
+
 use crate::{control, dialect, router};
 use corianderstand_derives::derives;
-use corianderstand_fleet::{prefill, steps, targets};
+use corianderstand_fleet::{prefill, steps};
 use corianderstand_schema::peers::{self, PeerMessage};
 use corianderstand_types::{clock, names};
 use smol_str::SmolStr;
@@ -44,9 +47,6 @@
 /// of 700 ms raised the mean worth of three plays from 0.582 to 0.597.
 const LOST_AFTER: Duration = Duration::from_millis(250);
 
-/// Least pause between two looks at whose turn it is; reading a prompt takes some ten times as long.
-const LEAST_TURN_PAUSE: Duration = Duration::from_millis(2);
-
 /// What an agent is told at its start.
 #[derives(data)]
 pub struct Settings {
@@ -210,63 +210,6 @@
         self.wake.notify_one();
     }
 
-    /// Answers a router that asks for a turn at the engine.
-    fn take_prefill(&self, now: Instant, from: SocketAddr, asked: &peers::PrefillAsked) {
-        let millis = |ms: u32| Duration::from_millis(u64::from(ms));
-        let mut turns = self.turns.borrow_mut();
-        let answer = turns.ask(
-            now,
-            prefill::Ask {
-                id: asked.id,
-                asker: from,
-                work: Duration::from_micros(u64::from(asked.work_us)),
-                aim_at: now + millis(asked.aim_in_ms),
-                useful_until: now + millis(asked.useful_ms),
-                pause: (asked.pause_ms > 0).then(|| millis(asked.pause_ms)),
-            },
-        );
-        let reading = turns.level(now);
-        drop(turns);
-        match answer {
-            prefill::Answer::Given => self.tell_turn(from, asked.id, None, reading),
-            prefill::Answer::Wait(wait) => {
-                self.tell_turn(from, asked.id, Some(wait), reading);
-                self.turns_changed.notify_one();
-            }
-        }
-    }
-
-    fn tell_turn(&self, to: SocketAddr, id: u64, wait: Option<Duration>, reading: Duration) {
-        let answer = peers::PrefillAnswer {
-            id,
-            given: wait.is_none(),
-            wait_ms: wait.unwrap_or_default().as_millis() as u32,
-            reading_us: reading.as_micros() as u32,
-        };
-        self.outbox.send(to, &PeerMessage::PrefillAnswer(answer));
-    }
-
-    /// Gives turns as they come.
-    async fn give_turns(&self) {
-        loop {
-            let now = self.clock.now();
-            let due = self.turns.borrow_mut().due(now);
-            let reading = self.turns.borrow().level(now);
-            for (asker, id) in due {
-                self.tell_turn(asker, id, None, reading);
-            }
-            let next = self.turns.borrow().next_in(now);
-            let changed = self.turns_changed.notified();
-            match next {
-                None => changed.await,
-                Some(next) => {
-                    let next = next.max(LEAST_TURN_PAUSE);
-                    let _over = tokio::time::timeout(next, changed).await;
-                }
-            }
-        }
-    }
-
     async fn work(&self) {
         let mut lost = false;
         loop {
@@ -403,7 +346,7 @@
             weights_mb: plan.weights_mb,
             adapter_places: plan.adapter_places as usize,
         };
-        let parts = parts(plan);
+        let parts = account::parts(plan);
         let coming = report.adapters_coming;
         let adapter =
             || steps::next_adapter(now, room, &parts, &report.holdings, coming, &state.asked);
@@ -422,7 +365,7 @@
         report: &dialect::EngineReport,
         order: steps::Order,
     ) {
-        let (takes, from_store) = takes(plan, report, &order);
+        let (takes, from_store) = account::takes(plan, report, &order);
         let after_orders = report.holdings.orders;
         let ongoing = Ongoing {
             order: order.clone(),
@@ -462,11 +405,11 @@
     /// those that asked for adapters when these change.
     fn say(&self, now: Instant, plan: &peers::EnginePlan, report: &dialect::EngineReport) {
         let mut state = self.state.borrow_mut();
-        let news = news(now, plan, report, state.ongoing.as_ref());
+        let news = account::news(now, plan, report, state.ongoing.as_ref());
         let pause = NEWS_PAUSE.max(NEWS_PAUSE_EACH * plan.routers.len() as u32);
         let pause = pause.min(LONGEST_NEWS_PAUSE);
         let to_all = state.said.as_ref().is_none_or(|(at, said)| {
-            now.saturating_duration_since(*at) >= pause || differs(said, &news)
+            now.saturating_duration_since(*at) >= pause || account::differs(said, &news)
         });
         let adapters = state.said.as_ref().is_some_and(|(_, said)| said.resident != news.resident);
         if !to_all && !adapters {
@@ -506,85 +449,3 @@
 fn rank(plan: &peers::EnginePlan) -> crate::peers::Rank {
     crate::peers::Rank::new(plan.strength, plan.planner.as_str())
 }
-
-/// Whether routers should hear at once: load changes all the time and can wait.
-fn differs(said: &peers::EngineNews, news: &peers::EngineNews) -> bool {
-    let order = |news: &peers::EngineNews| {
-        news.ongoing.first().map(|order| (order.model.clone(), order.loads))
-    };
-    let models = |news: &peers::EngineNews| {
-        news.resident.iter().map(|resident| resident.model.clone()).collect::<Vec<_>>()
-    };
-    said.born != news.born
-        || said.target != news.target
-        || models(said) != models(news)
-        || order(said) != order(news)
-}
-
-fn parts(plan: &peers::EnginePlan) -> Vec<steps::Part> {
-    let parts = plan.parts.iter().map(|part| steps::Part {
-        model: part.model.clone(),
-        weights_mb: part.weights_mb,
-        adapter_mb: part.adapter_mb,
-        wanted: part.wanted,
-    });
-    parts.collect()
-}
-
-/// How long an order takes, and whether it loads from the weight store.
-fn takes(
-    plan: &peers::EnginePlan,
-    report: &dialect::EngineReport,
-    order: &steps::Order,
-) -> (Duration, bool) {
-    let steps::Order::Load(model) = order else { return (Duration::from_millis(100), false) };
-    let Some(part) = plan.parts.iter().find(|part| part.model == *model) else {
-        return (Duration::from_secs(1), true);
-    };
-    let (ms, from_store) = if report.holdings.in_memory.contains(model) {
-        (part.memory_ms, false)
-    } else if report.holdings.on_disk.contains(model) {
-        (part.disk_ms, false)
-    } else {
-        (part.load_ms, true)
-    };
-    (Duration::from_millis(u64::from(ms)), from_store)
-}
-
-fn news(
-    now: Instant,
-    plan: &peers::EnginePlan,
-    report: &dialect::EngineReport,
-    ongoing: Option<&Ongoing>,
-) -> peers::EngineNews {
-    let resident = report.holdings.resident.iter().map(|resident| peers::ResidentModel {
-        model: resident.model.clone(),
-        adapters: resident.adapters.clone(),
-    });
-    let ongoing = ongoing.and_then(|ongoing| {
-        let (model, loads): (&names::ModelId, bool) = match &ongoing.order {
-            steps::Order::Load(model) => (model, true),
-            steps::Order::Unload(model) => (model, false),
-            _ => return None,
-        };
-        let passed = now.saturating_duration_since(ongoing.since);
-        Some(peers::OngoingOrder {
-            model: model.clone(),
-            loads,
-            from_store: ongoing.from_store,
-            remaining_ms: ongoing.takes.saturating_sub(passed).as_millis() as u32,
-        })
-    });
-    let targets::Load { running, waiting, cache_used } = report.load;
-    peers::EngineNews {
-        target: plan.target.clone(),
-        born: report.born.unwrap_or(0),
-        orders: report.holdings.orders,
-        resident: resident.collect(),
-        copies: Vec::new(),
-        ongoing: ongoing.into_iter().collect(),
-        running,
-        waiting,
-        cache_used: cache_used.unwrap_or(0),
-    }
-}
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -2,9 +2,8 @@
 //! as they are made.
 //!
 //! A [`router`] stands on each entry host. It takes requests ([`server`]), finds a target for each
-//! ([`exchange`], [`waiting`] and [`attempt`], which ask the decisions of `corianderstand_fleet`), and
-//! passes the answer on
-//! ([`relay`]) over connections that it keeps ([`pool`]). An [`agent`] stands beside each engine and
+//! ([`exchange`], [`waiting`], [`prefill`] and [`attempt`], which ask the decisions of
+//! `corianderstand_fleet`), and passes the answer on ([`relay`]) over connections that it keeps ([`pool`]). An [`agent`] stands beside each engine and
 //! alone gives it orders. What they believe comes from the deployment's store ([`follow`]) and from
 //! one another ([`peers`]). The wire names of a platform are not known here: they come through the
 //! traits of [`dialect`].
