--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod link;
+
 use bytes::Bytes;
 use corianderstand_fleet::{budget, choose, config, targets};
 use corianderstand_forward::{dialect, router};
@@ -36,6 +38,7 @@
 pub struct MemoryStore {
     shelf: Arc<Mutex<Shelf>>,
     turned_away: bool,
+    link: Option<link::Link>,
 }
 
 impl MemoryStore {
@@ -45,10 +48,21 @@
         Self { turned_away: true, ..self.clone() }
     }
 
+    /// The same store for a process that reaches it over a link.
+    #[must_use]
+    pub fn over(&self, link: &link::Link) -> Self {
+        Self { link: Some(link.clone()), ..self.clone() }
+    }
+
     fn put(&self, subject: Subject, key: &str, news: Option<News>) {
+        self.put_large(subject, key, news, 1);
+    }
+
+    /// Writes a record whose value has this many bytes.
+    fn put_large(&self, subject: Subject, key: &str, news: Option<News>, len: usize) {
         let mut shelf = self.shelf.lock().unwrap();
         let offset = shelf.next;
-        let value = Some(Bytes::from(offset.to_string()));
+        let value = Some(Bytes::from(vec![b'x'; len]));
         let record = Record { key: key.into(), value, offset };
         shelf.news.insert(offset, (subject, record, news));
         shelf.next += 1;
@@ -58,6 +72,12 @@
         self.put(Subject::Config, "config", Some(News::Config(Arc::new(config))));
     }
 
+    /// Writes a configuration whose document has this many bytes.
+    pub fn large_config(&self, config: config::Config, len: usize) {
+        let news = News::Config(Arc::new(config));
+        self.put_large(Subject::Config, "config", Some(news), len);
+    }
+
     pub fn target(&self, entry: targets::Entry) {
         let key = entry.id.to_string();
         self.put(Subject::Targets, &key, Some(News::Target(entry)));
@@ -141,7 +161,12 @@
 
     async fn read(&self, subject: Subject, from: u64, _: Duration) -> Result<Page, StoreError> {
         tokio::time::sleep(Duration::from_millis(20)).await;
-        self.0.page(subject, from)
+        let page = self.0.page(subject, from)?;
+        if let Some(link) = &self.0.link {
+            let lens = page.records.iter().filter_map(|record| record.value.as_ref());
+            link.carry_all(lens.map(Bytes::len).sum()).await;
+        }
+        Ok(page)
     }
 
     async fn announce(&self, _: &RouterEntry) -> Result<(), StoreError> {
