A read of the store is given up for silence, not for the time that its answer takes

Callers met an older configuration on hosts with slow links: a read had 0.7 s beyond its wait for the whole answer, and what had come by then was thrown away. A document that a link carries in longer than that could only be had by luck, when it was written early in the wait.

- A long answer has a limit for its beginning and one between its parts (0.7 s each).
It cannot be lost while it comes.
Short calls (writes, an agent's calls to its engine) keep a time for the whole.
- What comes is noted, so that others can tell a read that brings something from a silent one.
- No pause after a silent read. wait + 0.7 s + 0.3 s used up the whole bound (2 s and 3 s) before the next read began; now 0.3 s are left for it.
Test: a_silent_read_is_followed_by_another_within_the_bound, by reading it fails before for each bound (2.0 s of 2, 3.0 of 3); it was not run against the old code, which had no such functions.

Ruled out: a longer limit.

--- a/crates/corianderstand_forward/src/client.rs
+++ b/crates/corianderstand_forward/src/client.rs
@@ -1,15 +1,27 @@
 //! One call over HTTP whose whole answer is wanted: to the store, or to the engine beside an agent.
+//!
+//! A short answer has a time for the whole of it. A long one, such as a large configuration on a slow
+//! link, has a time for silence only: given up by its whole time it would be begun again from nothing,
+//! and never be there where the link needs longer.
 
 use crate::pool;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use corianderstand_types::clock;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Limited};
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use hyper::body::Incoming;
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 /// Largest answer that is read. The newest records of a topic come in pages of 1 MB, encoded.
 const MOST_BYTES: usize = 4 << 20;
 
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
 /// A call that got no whole answer.
 #[derive(Clone, PartialEq, Eq, Debug, displaydoc::Display)]
 pub enum CallError {
@@ -17,7 +29,7 @@
     Nobody(SocketAddr),
     /// no connection ({0})
     NotSent(String),
-    /// no answer within {0} ms
+    /// nothing came for {0} ms
     Silent(u64),
     /// the answer broke off ({0})
     Broken(String),
@@ -25,6 +37,33 @@
 
 impl std::error::Error for CallError {}
 
+/// When something last came of an answer that is on its way.
+#[derive(Clone, Debug, Default)]
+pub struct Heard(Rc<Cell<Option<Instant>>>);
+
+impl Heard {
+    /// Something came.
+    pub fn note(&self, now: Instant) {
+        self.0.set(Some(now));
+    }
+
+    /// When it came; none if nothing ever did.
+    pub fn at(&self) -> Option<Instant> {
+        self.0.get()
+    }
+}
+
+/// How long the other end may be silent in a long answer.
+#[derive(Clone, Debug)]
+pub struct Silence {
+    /// Before the answer begins.
+    pub first: Duration,
+    /// Between two parts of it.
+    pub between: Duration,
+    /// Told of each part.
+    pub heard: Heard,
+}
+
 /// Makes calls.
 #[derive(Clone)]
 pub struct Client {
@@ -51,17 +90,54 @@
         limit: Duration,
         keep: Option<Duration>,
     ) -> Result<Response<Bytes>, CallError> {
-        let work = self.exchange(addr, req, keep);
-        let answer = tokio::time::timeout(limit, work).await;
-        answer.unwrap_or_else(|_| Err(CallError::Silent(limit.as_millis() as u64)))
+        let work = async {
+            let (lease, answer) = self.begin(addr, req).await?;
+            let (head, body) = answer.into_parts();
+            let body = Limited::new(body, MOST_BYTES).collect().await;
+            let body = body.map_err(|error| CallError::Broken(error.to_string()))?.to_bytes();
+            self.pool.give_back(self.clock.now(), lease, keep);
+            Ok(Response::from_parts(head, body))
+        };
+        within(limit, work).await
     }
 
-    async fn exchange(
+    /// Sends a request and reads its whole answer, however long that takes, for as long as parts of
+    /// it come.
+    ///
+    /// # Errors
+    ///
+    /// See [`CallError`]; after [`CallError::NotSent`] the call was not made.
+    pub async fn call_long(
         &self,
         addr: SocketAddr,
         req: Request<pool::Body>,
+        silence: &Silence,
         keep: Option<Duration>,
     ) -> Result<Response<Bytes>, CallError> {
+        let (lease, answer) = within(silence.first, self.begin(addr, req)).await?;
+        silence.heard.note(self.clock.now());
+        let (head, body) = answer.into_parts();
+        let mut body = Limited::new(body, MOST_BYTES);
+        let mut bytes = BytesMut::new();
+        let part = |part: Result<_, BoxError>| part.map_err(|e| CallError::Broken(e.to_string()));
+        while let Some(frame) =
+            within(silence.between, async { body.frame().await.map(part).transpose() }).await?
+        {
+            silence.heard.note(self.clock.now());
+            if let Ok(data) = frame.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+        }
+        self.pool.give_back(self.clock.now(), lease, keep);
+        Ok(Response::from_parts(head, bytes.freeze()))
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    async fn begin(
+        &self,
+        addr: SocketAddr,
+        req: Request<pool::Body>,
+    ) -> Result<(pool::Lease, Response<Incoming>), CallError> {
         let broken = |error: hyper::Error| CallError::Broken(error.to_string());
         let not_sent = |error: std::io::Error| match error.kind() {
             std::io::ErrorKind::ConnectionRefused => CallError::Nobody(addr),
@@ -80,10 +156,15 @@
                 None => return Err(broken(error.into_error())),
             },
         };
-        let (head, body) = answer.into_parts();
-        let body = Limited::new(body, MOST_BYTES).collect().await;
-        let body = body.map_err(|error| CallError::Broken(error.to_string()))?.to_bytes();
-        self.pool.give_back(self.clock.now(), lease, keep);
-        Ok(Response::from_parts(head, body))
+        Ok((lease, answer))
     }
 }
+
+/// What comes within a time, or [`CallError::Silent`].
+async fn within<T>(
+    limit: Duration,
+    work: impl Future<Output = Result<T, CallError>>,
+) -> Result<T, CallError> {
+    let silent = || CallError::Silent(limit.as_millis() as u64);
+    tokio::time::timeout(limit, work).await.map_err(|_| silent())?
+}
--- a/crates/corianderstand_forward/src/copies.rs
+++ b/crates/corianderstand_forward/src/copies.rs
@@ -5,7 +5,10 @@
 //! looks into that later has only the logs, so each change of belief names its source and the age of
 //! the last successful read.
 
-use crate::dialect::{self, Subject};
+use crate::{
+    client,
+    dialect::{self, Subject},
+};
 use corianderstand_derives::derives;
 use displaydoc::Display;
 use smol_str::SmolStr;
@@ -46,6 +49,7 @@
     next: Option<u64>,
     read_at: Option<Instant>,
     back_at: Option<Instant>,
+    heard: client::Heard,
     lost: bool,
 }
 
@@ -67,6 +71,11 @@
         Some(now.saturating_duration_since(at))
     }
 
+    /// What notes when something of a read comes.
+    pub fn heard(&mut self, subject: Subject) -> client::Heard {
+        self.by_subject.entry(subject).or_default().heard.clone()
+    }
+
     /// Whether the store itself was read lately.
     pub fn is_fresh(&self, now: Instant, subject: Subject) -> bool {
         self.since_read(now, subject).is_some_and(|age| age < AWAY_AFTER)
--- a/crates/corianderstand_forward/src/dialect.rs
+++ b/crates/corianderstand_forward/src/dialect.rs
@@ -157,6 +157,8 @@
     Refused(u16),
     /// the store cannot be reached ({0}): check `platform.address`, or wait, the call is repeated
     Unreachable(String),
+    /// nothing came from the store for {0} ms: wait, the call is repeated on another connection
+    Silent(u64),
     /// the store's answer cannot be read ({0}): check that `platform.address` is the store
     Garbled(String),
 }
@@ -177,16 +179,32 @@
 
 impl std::error::Error for RecordError {}
 
+/// How a read of the store is waited for.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// Longest time that the store waits for news.
+    pub wait: Duration,
+    /// Time beyond that after which a store that says nothing is given up, also in the middle of an
+    /// answer. An answer that comes, however slowly, is not.
+    pub silence: Duration,
+    /// Told of each part of the answer.
+    pub heard: client::Heard,
+}
+
 /// The deployment's store.
 pub trait Store {
     /// The newest record of each key of a subject.
-    fn newest(&self, subject: Subject) -> impl Future<Output = Result<Page, StoreError>>;
-    /// Records from an offset on; waits for the first up to `wait`.
+    fn newest(
+        &self,
+        subject: Subject,
+        waiting: &Waiting,
+    ) -> impl Future<Output = Result<Page, StoreError>>;
+    /// Records from an offset on; waits for the first.
     fn read(
         &self,
         subject: Subject,
         from: u64,
-        wait: Duration,
+        waiting: &Waiting,
     ) -> impl Future<Output = Result<Page, StoreError>>;
     /// Tells other routers of this one.
     fn announce(&self, entry: &RouterEntry) -> impl Future<Output = Result<(), StoreError>>;
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -14,9 +14,11 @@
     time::{Duration, Instant},
 };
 
-/// Time that is left of the bound in which a configuration is to be in force when a read of it is
-/// given up: a connection that has gone silent is noticed then, and the next read takes some ms.
+/// Time that is left of the bound in which a configuration is to be in force when a read of it has
+/// waited for news: what it has then for its answer is [`SILENCE`], and the next read has the rest.
 const CONFIG_RESERVE: Duration = Duration::from_millis(1_000);
+/// Time without a sign after which the store counts as silent. It answers within some ms.
+pub const SILENCE: Duration = Duration::from_millis(700);
 /// Part of the time in which a leaving target is to get no more requests that passes between two
 /// reads of the targets. All targets renew their entries each second or so; a read for each entry
 /// would cost ten calls a second.
@@ -48,9 +50,10 @@
 async fn follow<P: router::Platform>(shared: Rc<router::Shared<P>>, subject: Subject) {
     let mut from: Option<u64> = None;
     loop {
+        let waiting = waiting(&shared, subject);
         let read = match from {
-            None => shared.platform.newest(subject).await,
-            Some(at) => shared.platform.read(subject, at, wait(&shared, subject)).await,
+            None => shared.platform.newest(subject, &waiting).await,
+            Some(at) => shared.platform.read(subject, at, &waiting).await,
         };
         match read {
             Ok(page) => {
@@ -77,20 +80,33 @@
             }
             Err(error) => {
                 note_lost(&shared, subject, &error);
-                tokio::time::sleep(FAILED_PAUSE).await;
+                tokio::time::sleep(pause_after(&error)).await;
             }
         }
     }
 }
 
-/// How long a read waits for news.
-fn wait<P>(shared: &router::Shared<P>, subject: Subject) -> Duration {
-    match subject {
+fn waiting<P>(shared: &router::Shared<P>, subject: Subject) -> dialect::Waiting {
+    let wait = match subject {
         Subject::Routers => Duration::ZERO,
-        Subject::Config | Subject::Targets => {
-            let within = shared.bounds.borrow().config_within;
-            within.saturating_sub(CONFIG_RESERVE).max(LEAST_WAIT)
-        }
+        Subject::Config | Subject::Targets => wait(shared.bounds.borrow().config_within),
+    };
+    let heard = shared.copies.borrow_mut().heard(subject);
+    dialect::Waiting { wait, silence: SILENCE, heard }
+}
+
+/// How long a read waits for news, if these are to be in force within a time.
+pub fn wait(within: Duration) -> Duration {
+    within.saturating_sub(CONFIG_RESERVE).max(LEAST_WAIT)
+}
+
+/// Pause before the next read after one that failed. The store was silent for long enough already:
+/// a connection that has gone dead hides what was written meanwhile, and the bound in which that is to
+/// be in force is nearly over.
+pub const fn pause_after(error: &dialect::StoreError) -> Duration {
+    match error {
+        dialect::StoreError::Silent(_) => Duration::ZERO,
+        _ => FAILED_PAUSE,
     }
 }
 
--- a/crates/corianderstand_forward/tests/common/link.rs
+++ b/crates/corianderstand_forward/tests/common/link.rs
@@ -40,12 +40,13 @@
         self.carried.fetch_add(len, Ordering::Relaxed);
     }
 
-    /// Waits until so many bytes have crossed.
-    pub async fn carry_all(&self, len: usize) {
+    /// Waits until so many bytes have crossed; tells of each piece.
+    pub async fn carry_all(&self, len: usize, heard: impl Fn()) {
         let mut left = len;
         while left > 0 {
             let piece = left.min(PIECE);
             self.carry(piece).await;
+            heard();
             left -= piece;
         }
     }
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -8,13 +8,13 @@
 use corianderstand_fleet::{budget, choose, config, targets};
 use corianderstand_forward::{dialect, router};
 use corianderstand_types::clock::SystemClock;
-use dialect::{News, Page, Record, RecordError, RouterEntry, StoreError, Subject};
+use dialect::{News, Page, Record, RecordError, RouterEntry, StoreError, Subject, Waiting};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -155,16 +155,22 @@
 }
 
 impl dialect::Store for PlainPlatform {
-    async fn newest(&self, subject: Subject) -> Result<Page, StoreError> {
+    async fn newest(&self, subject: Subject, _: &Waiting) -> Result<Page, StoreError> {
         self.0.page(subject, 0)
     }
 
-    async fn read(&self, subject: Subject, from: u64, _: Duration) -> Result<Page, StoreError> {
+    async fn read(
+        &self,
+        subject: Subject,
+        from: u64,
+        waiting: &Waiting,
+    ) -> Result<Page, StoreError> {
         tokio::time::sleep(Duration::from_millis(20)).await;
         let page = self.0.page(subject, from)?;
         if let Some(link) = &self.0.link {
             let lens = page.records.iter().filter_map(|record| record.value.as_ref());
-            link.carry_all(lens.map(Bytes::len).sum()).await;
+            let len = lens.map(Bytes::len).sum();
+            link.carry_all(len, || waiting.heard.note(Instant::now())).await;
         }
         Ok(page)
     }
--- a/crates/corianderstand_forward/tests/following.rs
+++ b/crates/corianderstand_forward/tests/following.rs
@@ -3,7 +3,10 @@
 mod common;
 
 use common::{MemoryStore, Running, Target};
-use corianderstand_forward::dialect::Subject;
+use corianderstand_forward::{
+    dialect::{StoreError, Subject},
+    follow,
+};
 use std::time::Duration;
 
 async fn status(router: &Running, path: &str) -> String {
@@ -83,3 +86,16 @@
     router.wait_ready().await;
     wait_for(&router, "/other/", "404").await;
 }
+
+/// The connection of a read goes dead just before a change is written. If the read were given up only
+/// when the bound for the change is over, callers would meet the older configuration until after it.
+#[rstest::rstest]
+#[case::two_seconds(2)]
+#[case::three_seconds(3)]
+#[case::seven_seconds(7)]
+fn a_silent_read_is_followed_by_another_within_the_bound(#[case] seconds: u64) {
+    let within = Duration::from_secs(seconds);
+    let silent = StoreError::Silent(follow::SILENCE.as_millis() as u64);
+    let next = follow::wait(within) + follow::SILENCE + follow::pause_after(&silent);
+    assert!(next < within, "the next read begins after {next:?}");
+}
