--- a/crates/corianderstand_forward/src/copies.rs
+++ b/crates/corianderstand_forward/src/copies.rs
@@ -132,10 +132,12 @@
         newer
     }
 
-    /// All before this offset is known.
-    pub fn advance(&mut self, subject: Subject, next: u64) {
+    /// All before this offset is known. Whether it was not before.
+    pub fn advance(&mut self, subject: Subject, next: u64) -> bool {
         let copy = self.by_subject.entry(subject).or_default();
+        let further = copy.next < Some(next);
         copy.next = copy.next.max(Some(next));
+        further
     }
 
     /// Records that a page of all keys no longer has.
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -142,7 +142,12 @@
             take_record(shared, subject, source, &record);
         }
     }
-    shared.copies.borrow_mut().advance(subject, page.next);
+    let further = shared.copies.borrow_mut().advance(subject, page.next);
+    // A router that the store turns away learns of a change from a peer that says it has it. Said only
+    // at the next turn, up to a second of the bound would be over by then.
+    if further && subject == Subject::Config {
+        control::say_hello(shared);
+    }
 }
 
 fn take_record<P: router::Platform>(
--- a/crates/corianderstand_forward/tests/transfers.rs
+++ b/crates/corianderstand_forward/tests/transfers.rs
@@ -3,10 +3,14 @@
 mod common;
 
 use common::{MemoryStore, Running};
-use std::{net::SocketAddr, time::Duration};
+use corianderstand_schema::peers::{PeerMessage, RouterNews};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpSocket, TcpStream},
+    net::{TcpSocket, TcpStream, UdpSocket},
 };
 
 /// Asks for the configuration, in a frame of one byte.
@@ -68,3 +72,54 @@
     };
     tokio::time::timeout(common::PATIENCE, again).await.expect("the next one is served");
 }
+
+/// A stronger router that plans, for ever.
+async fn plan_instead_of(router: SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let news = RouterNews {
+        router: "planner".into(),
+        incarnation: 1,
+        strength: u32::MAX,
+        fit: true,
+        config_next: 0,
+        targets_next: 0,
+        models: Vec::new(),
+        running: Vec::new(),
+    };
+    let message = postcard::to_stdvec(&PeerMessage::RouterNews(news)).unwrap();
+    loop {
+        socket.send_to(&message, router).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
+/// The store turns a router away, and a peer has read a change. If the peer says so only at its next
+/// turn, once a second, callers of the first router meet the older configuration for that much longer.
+#[tokio::test]
+async fn a_change_is_told_at_once() {
+    const CHANGES: u64 = 10;
+    let store = MemoryStore::default();
+    let peer = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let seeds = vec![peer.local_addr().unwrap()];
+    let router = Running::start_with(&store, "reader", seeds, Duration::from_secs(8));
+    // One that plans says more often that it is there.
+    tokio::spawn(plan_instead_of(router.peers));
+    let began = Instant::now();
+    for version in 1..=CHANGES {
+        store.config(common::config(version, vec![common::route("/pay/", "desk")]));
+        let told = async {
+            let mut buf = vec![0; 60_000];
+            loop {
+                let len = peer.recv(&mut buf).await.unwrap();
+                let message = postcard::from_bytes(&buf[..len]);
+                if matches!(message, Ok(PeerMessage::RouterNews(news)) if news.config_next >= version)
+                {
+                    return;
+                }
+            }
+        };
+        tokio::time::timeout(common::PATIENCE, told).await.expect("the change is told");
+    }
+    let took = began.elapsed();
+    assert!(took < Duration::from_secs(CHANGES / 2), "{took:?} for {CHANGES} changes");
+}
