A router whose clock went back before its start is heard by its peers

Routers compare the time of a peer's start by its own clock, so that a late datagram of the start before is left out. After a step back of the clock the new start looks earlier, and the router was left out for as long as it ran: not asked for records, its demand not counted, not followed as planner.

--- a/crates/corianderstand_forward/src/peers.rs
+++ b/crates/corianderstand_forward/src/peers.rs
@@ -54,6 +54,12 @@
     known: Instant,
 }
 
+impl Peer {
+    fn is_silent(&self, now: Instant) -> bool {
+        self.heard.is_none_or(|at| now.saturating_duration_since(at) >= SILENT_AFTER)
+    }
+}
+
 /// The other routers.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
@@ -74,12 +80,16 @@
         self.by_name.remove(name);
     }
 
-    /// A router was heard. What an earlier start of it said, and arrives late, is left out.
+    /// A router was heard. What an earlier start of it said, and arrives late, is left out; but a clock
+    /// that has gone back makes a new start look earlier, and a router that was left out for that
+    /// would be neither followed nor asked for as long as it runs. A datagram is late by a moment
+    /// only, so what comes after a silence is of the start that runs now.
     pub fn hear(&mut self, now: Instant, addr: SocketAddr, news: peers::RouterNews) {
         let name = news.router.0.clone();
         self.add(now, name.clone(), addr);
         let Some(peer) = self.by_name.get_mut(&name) else { return };
-        if peer.news.as_ref().is_none_or(|last| last.incarnation <= news.incarnation) {
+        let silent = peer.is_silent(now);
+        if silent || peer.news.as_ref().is_none_or(|last| last.incarnation <= news.incarnation) {
             peer.heard = Some(now);
             peer.news = Some(news);
         }
@@ -92,9 +102,7 @@
 
     /// Those that were heard lately.
     pub fn live(&self, now: Instant) -> impl Iterator<Item = (&SmolStr, &Peer)> {
-        self.by_name.iter().filter(move |(_, peer)| {
-            peer.heard.is_some_and(|at| now.saturating_duration_since(at) < SILENT_AFTER)
-        })
+        self.by_name.iter().filter(move |(_, peer)| !peer.is_silent(now))
     }
 
     /// Those heard lately that have read more of a subject, and how far.
