A configuration of four megabytes can be read at a start

Found by asking how long a record may be where a record can be turned down as too long. The store takes configurations of 4 MB; in base64 the newest of each key is a third longer, and a router read 4 MB at most: it would never have known a configuration after its start.

--- a/crates/corianderstand_forward/src/client.rs
+++ b/crates/corianderstand_forward/src/client.rs
@@ -17,8 +17,9 @@
     time::{Duration, Instant},
 };
 
-/// Largest answer that is read. The newest records of a topic come in pages of 1 MB, encoded.
-const MOST_BYTES: usize = 4 << 20;
+/// Largest answer that is read. The newest records of a topic come in pages of 1 MB, or in one larger
+/// record; a configuration of 4 MB has a third more in base64.
+const MOST_BYTES: usize = 8 << 20;
 
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
