A router that knows nothing yet asks a peer at once

It refuses all that comes until it has a configuration; waiting an eighth of the bound for a store that is silent gains nothing there. Decided without a network: a_router_that_starts_asks_at_once (fails before the change, run).

--- a/crates/corianderstand_forward/src/catch_up.rs
+++ b/crates/corianderstand_forward/src/catch_up.rs
@@ -34,6 +34,8 @@
     pub heard: Option<Instant>,
     /// The last read of the store failed.
     pub lost: bool,
+    /// Nothing is known yet, so that callers are refused until it is.
+    pub starts: bool,
     /// Time in which news are to be in force.
     pub within: Duration,
 }
@@ -56,8 +58,8 @@
         let lags = now.saturating_duration_since(*self.since.get_or_insert(now));
         let stalled = look.within / STALLED_PART;
         let comes = look.heard.is_some_and(|at| now.saturating_duration_since(at) < stalled);
-        let due =
-            if comes { lags >= look.within / SLOW_PART } else { look.lost || lags >= stalled };
+        let at_once = look.lost || look.starts;
+        let due = if comes { lags >= look.within / SLOW_PART } else { at_once || lags >= stalled };
         if !due {
             return None;
         }
@@ -92,13 +94,14 @@
             if subject == Subject::Targets && copies.is_fresh(now, subject) {
                 continue;
             }
-            let ahead: Vec<_> =
-                shared.peers.borrow().ahead(now, subject, copies.next(subject)).collect();
+            let known = copies.next(subject);
+            let ahead: Vec<_> = shared.peers.borrow().ahead(now, subject, known).collect();
             let look = Look {
                 router: &shared.settings.name,
                 ahead: &ahead,
                 heard: copies.heard_at(subject),
                 lost: copies.is_lost(subject),
+                starts: known == 0,
                 within: shared.bounds.borrow().config_within,
             };
             if let Some((next, peer)) = lag.peer(now, &look) {
--- a/crates/corianderstand_forward/tests/catching_up.rs
+++ b/crates/corianderstand_forward/tests/catching_up.rs
@@ -16,7 +16,7 @@
 }
 
 fn look<'a>(ahead: &'a [(u64, SocketAddr)], heard: Option<Instant>, lost: bool) -> Look<'a> {
-    Look { router: "router-a", ahead, heard, lost, within: WITHIN }
+    Look { router: "router-a", ahead, heard, lost, starts: false, within: WITHIN }
 }
 
 /// How long after `start` a peer is asked; `heard` says when the store last brought something.
@@ -56,6 +56,16 @@
     assert!(Lag::default().peer(now, &look(&ahead, None, true)).is_some());
 }
 
+/// A router starts while the store is silent. Until it knows a configuration it refuses all that comes,
+/// so it asks a peer at once, unless the store is bringing it.
+#[test]
+fn a_router_that_starts_asks_at_once() {
+    let (now, ahead) = (Instant::now(), [(9, peer(1))]);
+    let start = |heard| Look { starts: true, ..look(&ahead, heard, false) };
+    assert!(Lag::default().peer(now, &start(None)).is_some());
+    assert!(Lag::default().peer(now, &start(Some(now))).is_none());
+}
+
 /// A router that lagged once and has caught up begins to count anew; else the next change would be
 /// asked of a peer while the store is bringing it.
 #[test]
