--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -3,21 +3,23 @@
 //! Each subject is read from where the last read ended, so nothing is missed and little is read
 //! twice. When the store has dropped what comes next, the newest record of each key is taken
 //! instead. While the store does not answer, what is known stays in force, and other routers may
-//! hand over what they have read since ([`crate::transfer`]).
+//! hand over what they have read since ([`crate::catch_up`]).
 
 use crate::{control, copies, dialect, router};
 use copies::Source;
-use corianderstand_fleet::{routes, targets};
+use corianderstand_fleet::{config, routes, targets};
 use dialect::Subject;
 use std::{
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
 /// Time that is left of the bound in which a configuration is to be in force when a read of it has
 /// waited for news: what it has then for its answer is [`SILENCE`], and the next read has the rest.
 const CONFIG_RESERVE: Duration = Duration::from_millis(1_000);
-/// Time without a sign after which the store counts as silent. It answers within some ms.
+/// Time without a sign after which the store, or a peer that hands records over, counts as silent. Both
+/// answer within some ms.
 pub const SILENCE: Duration = Duration::from_millis(700);
 /// Part of the time in which a leaving target is to get no more requests that passes between two
 /// reads of the targets. All targets renew their entries each second or so; a read for each entry
@@ -158,22 +160,28 @@
 ) {
     let offset = record.offset;
     match shared.platform.decode(subject, record) {
-        Ok(Some(dialect::News::Config(config))) => take_config(shared, source, offset, config),
-        Ok(Some(news)) => take_news(shared, subject, news),
+        Ok(Some(news)) => take_news(shared, subject, Origin { source, offset }, news),
         Ok(None) => {}
         Err(error) => tracing::warn!(?subject, %error, offset, %source, "record left out"),
     }
 }
 
+/// Where a piece of news stands.
+#[derive(Clone, Copy)]
+struct Origin {
+    source: Source,
+    offset: u64,
+}
+
 fn take_news<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
     subject: Subject,
+    origin: Origin,
     news: dialect::News,
 ) {
     let now = shared.clock.now();
     match news {
-        // Taken before, with where it came from.
-        dialect::News::Config(_) => {}
+        dialect::News::Config(config) => take_config(shared, origin, config),
         dialect::News::Target(entry) => {
             let id = entry.id.clone();
             let mut view = shared.view.borrow_mut();
@@ -200,9 +208,8 @@
 
 fn take_config<P: router::Platform>(
     shared: &router::Shared<P>,
-    source: Source,
-    offset: u64,
-    config: std::sync::Arc<corianderstand_fleet::config::Config>,
+    Origin { source, offset }: Origin,
+    config: Arc<config::Config>,
 ) {
     let age = shared.age(shared.clock.now(), Subject::Config);
     let age_ms = age.since_read.map(|age| age.as_millis() as u64);
--- a/crates/corianderstand_forward/src/transfer.rs
+++ b/crates/corianderstand_forward/src/transfer.rs
@@ -18,11 +18,9 @@
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-/// Longest time for a connection, and for each piece.
-const SILENCE: Duration = Duration::from_millis(700);
 /// Bytes of a piece: 13 ms of a link of 10 Mbit/s, so that one among many flows still moves.
 const PIECE: usize = 16 << 10;
-/// Most bytes of one transfer: 340 routes and 730 engines are under 1 MB.
+/// Most bytes of one transfer: a configuration has 4 MB at most, the entries of 730 engines under 1 MB.
 const MOST_BYTES: usize = 8 << 20;
 /// Transfers to peers at once. After all but one of the routers were killed while the store is away, all
 /// ask the one that is left: side by side none of them has a large configuration in time; two after two,
@@ -172,7 +170,7 @@
 }
 
 async fn in_time<T>(work: impl Future<Output = T>) -> Result<T, TransferError> {
-    tokio::time::timeout(SILENCE, work)
+    tokio::time::timeout(follow::SILENCE, work)
         .await
-        .map_err(|_| TransferError::Silent(SILENCE.as_millis()))
+        .map_err(|_| TransferError::Silent(follow::SILENCE.as_millis()))
 }
