The line of a configuration in force says how old the read before it was, also when the store brought it

A read counts as soon as it has ended, so its own age was always 0 ms; now a read that took long, or came after a silence, is seen.

--- a/crates/corianderstand_forward/src/copies.rs
+++ b/crates/corianderstand_forward/src/copies.rs
@@ -48,6 +48,7 @@
     records: BTreeMap<SmolStr, dialect::Record>,
     next: Option<u64>,
     read_at: Option<Instant>,
+    gap: Option<Duration>,
     back_at: Option<Instant>,
     heard: client::Heard,
     lost: bool,
@@ -71,6 +72,15 @@
         Some(now.saturating_duration_since(at))
     }
 
+    /// How old the read before was when records came from this source. The store's own read counts as
+    /// soon as it has ended, so for its records that is the time from the one before to it.
+    pub fn age_before(&self, now: Instant, subject: Subject, source: Source) -> Option<Duration> {
+        match source {
+            Source::Store => self.by_subject.get(&subject)?.gap,
+            Source::Peer(_) => self.since_read(now, subject),
+        }
+    }
+
     /// What notes when something of a read comes.
     pub fn heard(&mut self, subject: Subject) -> client::Heard {
         self.by_subject.entry(subject).or_default().heard.clone()
@@ -107,9 +117,9 @@
     /// A read of the store succeeded. Whether one before it had failed.
     pub fn note_read(&mut self, now: Instant, subject: Subject) -> bool {
         let copy = self.by_subject.entry(subject).or_default();
-        let away = copy.read_at.is_some_and(|at| now.saturating_duration_since(at) >= AWAY_AFTER);
+        copy.gap = copy.read_at.map(|at| now.saturating_duration_since(at));
         copy.read_at = Some(now);
-        if away {
+        if copy.gap.is_some_and(|gap| gap >= AWAY_AFTER) {
             copy.back_at = Some(now);
         }
         std::mem::take(&mut copy.lost)
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -211,8 +211,9 @@
     Origin { source, offset }: Origin,
     config: Arc<config::Config>,
 ) {
-    let age = shared.age(shared.clock.now(), Subject::Config);
-    let age_ms = age.since_read.map(|age| age.as_millis() as u64);
+    let now = shared.clock.now();
+    let age = shared.copies.borrow().age_before(now, Subject::Config, source);
+    let age_ms = age.map(|age| age.as_millis() as u64);
     let version = config.version;
     let mut view = shared.view.borrow_mut();
     let known = view.table.as_ref().map(|table| table.config().version);
