--- a/crates/corianderstand_fleet/src/plan.rs
+++ b/crates/corianderstand_fleet/src/plan.rs
@@ -227,9 +227,9 @@
         }
         if wish.cause == Cause::Load {
             // An engine that loads carries out no other order, and six seconds of one are worth more
-            // than most replicas gain while models take turns for places. Charging for them left
-            // 8 to 12 loads from the weight store in each of four plays of a crowded day, of 18 or
-            // 19, and raised the mean worth of two sites' twelve days from 0.626 to 0.669.
+            // than most replicas gain while models take turns for places. Not charged for them, a
+            // replica makes engines load one busy model from the weight store at once, and rare
+            // models are refused meanwhile.
             let worth = self.worth_of_orders(now, engines);
             for place in &mut places {
                 place.loss += worth * place.ready_in.as_secs_f64();
--- a/crates/corianderstand_fleet/src/steps.rs
+++ b/crates/corianderstand_fleet/src/steps.rs
@@ -79,8 +79,7 @@
 /// asked for the longest.
 ///
 /// One that was asked for earlier than all that are there makes none of them go. Otherwise two take
-/// turns for as long as both requests are remembered, at thirty orders a second: 994 to 1,943 orders
-/// in each of four plays of a crowded day, and 486 to 559 since.
+/// turns for as long as both requests are remembered, at thirty orders a second.
 pub fn next_adapter(
     now: Instant,
     room: Room,
--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -43,8 +43,7 @@
 /// An order without an answer is taken as lost when the engine shows nothing of it for this long.
 /// The next one carries the same number of orders, so the engine carries out one of them at most, and
 /// one given too early costs a refused call. An engine beside its agent answers within some ms, and
-/// meanwhile nothing else can be ordered. On a day with half of the orders lost for 18 s, 250 in place
-/// of 700 ms raised the mean worth of three plays from 0.582 to 0.597.
+/// meanwhile nothing else can be ordered.
 const LOST_AFTER: Duration = Duration::from_millis(250);
 
 /// What an agent is told at its start.
--- a/crates/corianderstand_forward/tests/large_configs.rs
+++ b/crates/corianderstand_forward/tests/large_configs.rs
@@ -9,8 +9,8 @@
 //!
 //! What proved it: in the seconds after each change the slow hosts took in two to five times the document's
 //! size while their processors were idle, and one router sent 27 MB, to nearly all of them. Where the
-//! document was larger, nearly all routers on slow links answered by the version before it. With one transfer
-//! at a time, and none while the store brings the document, it crosses each link once.
+//! document was larger, hundreds of requests were answered by the version before it. With one transfer at a
+//! time, and none while the store brings the document, the last host has it a second after the first.
 
 mod common;
 
