Routers know the engines that are back after a power cut from their agents and by their addresses

Each of 68 routers read the entries of 101 engines that had ended, sent requests to them and learnt of each by a 421 of its own: some 1,400 in two seconds (the log's limits leave some out), 740 callers refused with "the target did not run it" at a median of 8 ms. The agents had said that their engines were replaced, to the 12 routers that were up by then; the rest had no entry to replace yet. The next read of the store came 1.6 s later, and the old entries were removed after 3.6 s. 48 callers met "no configuration is known yet" and 89 "no target can be used", refused at once some 50 ms before it was. Ruled out: engines that registered late (their new entries lay in the store by the next read); the budget of second attempts as the cause (it refused them, but each attempt found the next ended engine). Change: an agent's word for an engine that is not known replaces the one known at its host; an entry that is new at an address ends the one before it there (records are taken in the order they were written); a 421 of another engine has the store read again at once; a request at a router that is still in its first reads waits for them, 0.6 s or a quarter of its time at most. Tests, failing without the change: an_engine_that_registers_at_an_address_ends_the_one_before, an_engine_is_known_by_its_agent_s_word_before_it_registers (whose function is new), a_request_that_comes_during_the_first_read_is_served. The entries of the tests' targets have an address each now, as two at one address cannot both live.

--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -13,7 +13,7 @@
 use slotmap::SlotMap;
 use std::{
     collections::{BTreeMap, HashMap},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     time::{Duration, Instant},
 };
 
@@ -375,12 +375,37 @@
         true
     }
 
-    /// Takes an entry.
+    /// An agent speaks for an engine that is not known. What is known at its host is then the engine
+    /// before, as an agent stands beside one engine only; false if that says nothing new.
+    ///
+    /// A router that starts together with all engines reads the entries of those that have ended, and
+    /// the agents' word that they were replaced came before it knew them. It would send requests to
+    /// engines that are no more until it reads the store again.
+    pub fn introduce(
+        &mut self,
+        now: Instant,
+        id: &names::TargetId,
+        born: u64,
+        host: IpAddr,
+    ) -> bool {
+        // What an engine that has ended said last may arrive after its follower is known.
+        if self.gone.contains_key(id) {
+            return false;
+        }
+        let mut there = self.arena.values().filter(|target| target.entry.addr.ip() == host);
+        let (Some(known), None) = (there.next(), there.next()) else { return false };
+        let before = known.entry.id.clone();
+        self.replace(now, &Replaced { id: id.clone(), born, before })
+    }
+
+    /// Takes an entry. Entries are to come in the order in which they were written: one that is new at
+    /// an address ends what was known there.
     pub fn register(&mut self, now: Instant, entry: Entry) -> Change {
         if self.left.get(&entry.id).is_some_and(|&born| entry.born <= born) {
             return Change::Stale;
         }
         let Some(key) = self.key(&entry.id) else {
+            self.end_at(now, entry.addr);
             self.insert(now, entry);
             return Change::New;
         };
@@ -498,6 +523,14 @@
         ids
     }
 
+    /// Forgets what was known at an address that belongs to another target now. Its entry stays in the
+    /// store for seconds after its end, or as long as the store is away.
+    fn end_at(&mut self, now: Instant, addr: SocketAddr) {
+        let ended = self.arena.iter().filter(|(_, target)| target.entry.addr == addr);
+        let ended: Vec<TargetKey> = ended.map(|(key, _)| key).collect();
+        ended.into_iter().for_each(|key| self.forget(now, key));
+    }
+
     fn insert(&mut self, now: Instant, entry: Entry) -> TargetKey {
         let id = entry.id.clone();
         let leaves_at = entry.leaves_in.map(|left| now + left);
--- a/crates/corianderstand_fleet/tests/decisions.rs
+++ b/crates/corianderstand_fleet/tests/decisions.rs
@@ -7,6 +7,7 @@
 use corianderstand_types::names::ModelId;
 use rand::RngExt;
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -48,13 +49,19 @@
     assert_eq!(two, 100);
 }
 
+/// An address for each name, on a host of its own.
+fn address(name: &str) -> SocketAddr {
+    let host = name.bytes().fold(0_u8, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte));
+    SocketAddr::from(([127, 0, 1, host], 1))
+}
+
 fn entry(name: &str) -> Entry {
     Entry {
         id: id(name),
         born: 10,
         renewals: 5,
         service: "models".into(),
-        addr: "127.0.0.1:1".parse().unwrap(),
+        addr: address(name),
         zone: "here".into(),
         slots: 4,
         draining: false,
@@ -68,6 +75,36 @@
     Holdings { resident: resident.collect(), ..Default::default() }
 }
 
+/// All hosts lose their power. The entries of the engines before stay in the store for seconds, and
+/// requests are sent to engines that have ended although those at their addresses have registered.
+#[test]
+fn an_engine_that_registers_at_an_address_ends_the_one_before() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("before"));
+    targets.register(now, entry("other"));
+    let after = Entry { addr: address("before"), ..entry("after") };
+    assert_eq!(targets.register(now, after), Change::New);
+    assert!(targets.key(&id("before")).is_none(), "requests would be refused there");
+    assert!(targets.key(&id("after")).is_some() && targets.key(&id("other")).is_some());
+}
+
+/// A router starts after the agents have said that their engines were replaced, and reads only entries
+/// of engines that have ended: its callers are refused until it reads the store again.
+#[test]
+fn an_engine_is_known_by_its_agent_s_word_before_it_registers() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("before"));
+    let host = address("before").ip();
+    assert!(targets.introduce(now, &id("after"), 0, host));
+    let known = targets.get(targets.key(&id("after")).unwrap()).unwrap();
+    assert_eq!(known.entry.addr, address("before"));
+    assert!(!targets.introduce(now, &id("before"), 0, host), "its word came late");
+    assert_eq!(targets.register(now, entry("before")), Change::Stale);
+    assert!(!targets.introduce(now, &id("stranger"), 0, address("nobody").ip()));
+}
+
 /// The store returns an entry that was written before the newest one. Taken, requests would go to an
 /// engine that is leaving.
 #[test]
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -113,7 +113,7 @@
                 plan_soon(shared, now);
             }
         }
-        PeerMessage::EngineNews(news) => take_engine(shared, now, news),
+        PeerMessage::EngineNews(news) => take_engine(shared, now, from, news),
         PeerMessage::EngineGone(gone) => {
             let known = shared.view.borrow_mut().targets.note_gone(now, &gone.target, gone.born);
             if known {
@@ -142,10 +142,14 @@
 fn take_engine<P: router::Platform>(
     shared: &router::Shared<P>,
     now: Instant,
+    from: SocketAddr,
     news: wire::EngineNews,
 ) {
     let report = report(now, news);
     let mut view = shared.view.borrow_mut();
+    if view.targets.introduce(now, &report.id, report.born, from.ip()) {
+        tracing::info!(target = %report.id, "a target is known from its agent");
+    }
     let Some(key) = view.targets.key(&report.id) else { return };
     let before = view.targets.get(key).map(|t| (t.entry.holdings.clone(), t.ongoing.clone()));
     if !view.targets.report(now, report) {
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -37,6 +37,10 @@
 /// starts learns the configuration within half a second of reaching the store, and a new connection
 /// leads to another router.
 const STARTING_RETURN: Duration = Duration::from_millis(700);
+/// Longest time that a request waits for a router that has just started to read what it needs, and the
+/// part of the caller's time that it may be.
+const STARTING_HOLD: Duration = Duration::from_millis(600);
+const STARTING_HOLD_PART: u32 = 4;
 /// Time to come back after a target refused and no other may be tried.
 pub const REFUSED_RETURN: Duration = Duration::from_millis(200);
 /// Most targets that did not run a request that it is offered to; each costs a way there and back.
@@ -55,6 +59,9 @@
     let arrived = shared.clock.now();
     let (parts, body) = req.into_parts();
     let call = shared.platform.read_call(&parts.headers);
+    let hold = STARTING_HOLD.min(call.deadline.unwrap_or(DEFAULT_TIMEOUT) / STARTING_HOLD_PART);
+    // When it is over, the request is judged by what is known.
+    drop(tokio::time::timeout(hold, first_knowledge(&shared)).await);
     let (route, limit) = match find_route(&shared, &parts) {
         Ok(found) => found,
         Err(Unrouted::NotNow(why)) => {
@@ -137,6 +144,22 @@
     }
 }
 
+/// Waits until a router that has just started knows the configuration and the targets. It reads both
+/// within a fraction of a second, and callers who were refused all come again at once. Where a read
+/// has failed nobody knows how long it takes, so they hear it.
+async fn first_knowledge<P: router::Platform>(shared: &router::Shared<P>) {
+    loop {
+        let changed = shared.view.borrow_mut().waker(None);
+        let changed = changed.notified();
+        tokio::pin!(changed);
+        changed.as_mut().enable();
+        if !shared.is_starting() {
+            return;
+        }
+        changed.await;
+    }
+}
+
 /// A request without a route.
 enum Unrouted {
     /// This router cannot say.
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -25,6 +25,8 @@
 /// reads of the targets. All targets renew their entries each second or so; a read for each entry
 /// would cost ten calls a second.
 const TARGETS_PART: f64 = 0.4;
+/// Least pause between two reads of the targets when what is known of them has proved to be out of date.
+const OUTDATED_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two reads of the routers: routers hear of one another directly, this finds those
 /// that could not.
 const ROUTERS_PAUSE: Duration = Duration::from_secs(8);
@@ -66,7 +68,7 @@
                     Subject::Config => {}
                     Subject::Targets => {
                         let within = shared.bounds.borrow().drain_within;
-                        tokio::time::sleep(within.mul_f64(TARGETS_PART)).await;
+                        pause_targets(&shared, within.mul_f64(TARGETS_PART)).await;
                     }
                     Subject::Routers => tokio::time::sleep(ROUTERS_PAUSE).await,
                 }
@@ -88,6 +90,16 @@
     }
 }
 
+/// Pauses between two reads of the targets, until one proves to be another than was thought.
+async fn pause_targets<P>(shared: &router::Shared<P>, pause: Duration) {
+    let outdated = async {
+        tokio::time::sleep(OUTDATED_PAUSE).await;
+        shared.targets_outdated.notified().await;
+    };
+    // Most pauses end without such news.
+    drop(tokio::time::timeout(pause, outdated).await);
+}
+
 fn waiting<P>(shared: &router::Shared<P>, subject: Subject) -> dialect::Waiting {
     let wait = match subject {
         Subject::Routers => Duration::ZERO,
@@ -128,6 +140,8 @@
     if copies.note_lost(subject) {
         tracing::warn!(?subject, %error, age_ms,
             "the store cannot be read: what is known stays in force");
+        drop(copies);
+        shared.view.borrow().wake_all();
     }
 }
 
@@ -139,12 +153,19 @@
     page: dialect::Page,
 ) {
     let gone = shared.copies.borrow().missing(subject, &page);
-    for record in page.records.into_iter().chain(gone) {
+    let mut records: Vec<_> = page.records.into_iter().chain(gone).collect();
+    // The newest record of each key comes by key, and the later of two targets at an address counts.
+    records.sort_by_key(|record| record.offset);
+    for record in records {
         if shared.copies.borrow_mut().keep(subject, &record) {
             take_record(shared, subject, source, &record);
         }
     }
     let further = shared.copies.borrow_mut().advance(subject, page.next);
+    if further && subject == Subject::Targets && shared.view.borrow().targets.is_empty() {
+        // There are none, and requests that wait for the first read are to hear it.
+        shared.view.borrow().wake_all();
+    }
     // A router that the store turns away learns of a change from a peer that says it has it. Said only
     // at the next turn, up to a second of the bound would be over by then.
     if further && subject == Subject::Config {
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -118,6 +118,8 @@
     pub log: decisions::Log,
     /// A request waits: the planner should hear of it now.
     pub tell_planner: Notify,
+    /// A target proved to be another than was thought: the store should be read now.
+    pub targets_outdated: Notify,
     /// Datagrams to be sent.
     pub outbox: control::Outbox,
     /// It is stopping, and how.
@@ -132,6 +134,20 @@
         self.stopping.get().is_some_and(|stop| now >= stop.refuses_from)
     }
 
+    /// Whether the first reads of the configuration and of the targets are still under way.
+    pub fn is_starting(&self) -> bool {
+        let view = self.view.borrow();
+        let copies = self.copies.borrow();
+        let failed = |subject| copies.is_lost(subject);
+        if self.stopping.get().is_some() {
+            return false;
+        }
+        (view.table.is_none() && !failed(dialect::Subject::Config))
+            || (view.targets.is_empty()
+                && copies.next(dialect::Subject::Targets) == 0
+                && !failed(dialect::Subject::Targets))
+    }
+
     /// When a request that has nothing yet is given up: sooner than its own time if this router
     /// stops.
     pub fn latest(&self, job: &job::Job) -> Instant {
@@ -300,6 +316,7 @@
             // as the store is away, and each request until then would be refused here.
             tracing::info!(target = %target.entry.id, by = ?answers, "target replaced");
             target.entry.draining = true;
+            self.targets_outdated.notify_one();
             return;
         }
         match &job.call.wanted {
@@ -362,6 +379,7 @@
             turns: prefill::Turns::default(),
             log: decisions::Log::default(),
             tell_planner: Notify::new(),
+            targets_outdated: Notify::new(),
             outbox: control::Outbox::new(udp),
             stopping: Cell::new(None),
             open: Cell::new(0),
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -32,6 +32,8 @@
     news: BTreeMap<u64, (Subject, Record, Option<News>)>,
     next: u64,
     down: bool,
+    /// Time that the newest records take to be read.
+    slow: Duration,
 }
 
 /// The store in memory; tests write to it and take it down.
@@ -97,6 +99,11 @@
         self.shelf.lock().unwrap().down = down;
     }
 
+    /// Has the newest records take this long.
+    pub fn set_slow(&self, slow: Duration) {
+        self.shelf.lock().unwrap().slow = slow;
+    }
+
     fn page(&self, subject: Subject, from: u64) -> Result<Page, StoreError> {
         let shelf = self.shelf.lock().unwrap();
         if shelf.down || self.turned_away {
@@ -157,6 +164,8 @@
 
 impl dialect::Store for PlainPlatform {
     async fn newest(&self, subject: Subject, _: &Waiting) -> Result<Page, StoreError> {
+        let slow = self.0.shelf.lock().unwrap().slow;
+        tokio::time::sleep(slow).await;
         self.0.page(subject, 0)
     }
 
--- a/crates/corianderstand_forward/tests/following.rs
+++ b/crates/corianderstand_forward/tests/following.rs
@@ -24,6 +24,30 @@
     tokio::time::timeout(common::PATIENCE, ask).await.expect("the answer changes");
 }
 
+/// All routers start together and their callers come at once: each is refused although its router has
+/// read what it needs a moment later.
+#[tokio::test]
+async fn a_request_that_comes_during_the_first_read_is_served() {
+    let store = MemoryStore::default();
+    let target = Target::start().await;
+    store.config(common::config(1, vec![common::route("/pay/", "desk")]));
+    store.target(target.entry("target-1", "desk"));
+    store.set_slow(Duration::from_millis(300));
+    let router = Running::start(&store);
+    let headers = [("x-id", "r"), ("x-deadline-ms", "4000")];
+    let ask = async {
+        loop {
+            match common::get(router.front, "/pay/1", &headers).await {
+                Ok(answer) => return answer,
+                Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        }
+    };
+    let serve = async { target.next().await.answer_whole("r", "paid").await };
+    let (answer, ()) = tokio::join!(ask, serve);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
 /// A process that has just started knows no configuration. Told 404, a caller takes its request for
 /// one that does not exist and gives up; 503 brings it back.
 #[tokio::test]
