In a zone with many routers two read the store, and the others take the records from them

Weighed: fewer and longer pauses alone (the bound in which a leaving target gets no more requests leaves half a second to win); changes since an offset in place of the whole (entries are renewed each 1.2 s, so all of them have changed by the next look); readers for the whole deployment (bytes between zones are charged). Change: the two strongest of a zone's routers that have not lost the store read, and say so with their word to the others; nobody votes, each works it out from what it hears. The rest take the targets' entries from one of them, each in its own order, a quarter of the bound apart; what is handed over says how long ago the store was read, and a follower reads the store itself at once when that is too long, when its reader is silent, or when both are busy. A configuration that a reader has seen is told at once, as before, and a follower fetches it at once. Zones with fewer than nine routers read as before.

--- a/crates/corianderstand_forward/src/catch_up.rs
+++ b/crates/corianderstand_forward/src/catch_up.rs
@@ -6,7 +6,7 @@
 //! time, and the peer that is asked by all has its own link full. So a peer is asked when the store
 //! brings nothing, for one transfer of a subject at a time, and not all routers ask the same one.
 
-use crate::{dialect::Subject, router, transfer};
+use crate::{dialect::Subject, readers, router, transfer};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -36,6 +36,8 @@
     pub lost: bool,
     /// Nothing is known yet, so that callers are refused until it is.
     pub starts: bool,
+    /// Others read the store for this router.
+    pub follows: bool,
     /// Time in which news are to be in force.
     pub within: Duration,
 }
@@ -58,7 +60,7 @@
         let lags = now.saturating_duration_since(*self.since.get_or_insert(now));
         let stalled = look.within / STALLED_PART;
         let comes = look.heard.is_some_and(|at| now.saturating_duration_since(at) < stalled);
-        let at_once = look.lost || look.starts;
+        let at_once = look.lost || look.starts || look.follows;
         let due = if comes { lags >= look.within / SLOW_PART } else { at_once || lags >= stalled };
         if !due {
             return None;
@@ -84,6 +86,7 @@
 impl CatchUp {
     /// Asks a peer for what it has read and the store does not bring.
     pub fn look<P: router::Platform>(&mut self, shared: &Rc<router::Shared<P>>, now: Instant) {
+        let follows = matches!(shared.role(now), readers::Role::Follows(_));
         for subject in [Subject::Config, Subject::Targets] {
             let (lag, transfer) = self.by_subject.entry(subject).or_default();
             if transfer.as_ref().is_some_and(|transfer| !transfer.is_finished()) {
@@ -102,6 +105,7 @@
                 heard: copies.heard_at(subject),
                 lost: copies.is_lost(subject),
                 starts: known == 0,
+                follows,
                 within: shared.bounds.borrow().config_within,
             };
             if let Some((next, peer)) = lag.peer(now, &look) {
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -106,6 +106,7 @@
                 return;
             }
             let waits = news.models.iter().any(|model| model.waiting > 0);
+            follow::hear(shared, now, &news);
             shared.peers.borrow_mut().hear(now, from, news);
             // Only the planner is told of what waits elsewhere; told on, each such message would
             // bring one of every router.
@@ -274,11 +275,14 @@
     }
 }
 
-fn hello<P>(shared: &router::Shared<P>) -> wire::RouterNews {
+fn hello<P: router::Platform>(shared: &router::Shared<P>) -> wire::RouterNews {
+    let store = shared.store_use(shared.clock.now());
     let copies = shared.copies.borrow();
     wire::RouterNews {
         router: shared.settings.name.as_str().into(),
         incarnation: shared.incarnation,
+        zone: shared.settings.zone.clone(),
+        store,
         strength: shared.settings.strength,
         fit: is_fit(shared),
         config_next: copies.next(dialect::Subject::Config),
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -5,11 +5,13 @@
 //! instead. While the store does not answer, what is known stays in force, and other routers may
 //! hand over what they have read since ([`crate::catch_up`]).
 
-use crate::{control, copies, dialect, router};
+use crate::{control, copies, dialect, readers, router, transfer};
 use copies::Source;
 use corianderstand_fleet::{config, routes, targets};
+use corianderstand_schema::peers as wire;
 use dialect::Subject;
 use std::{
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -25,6 +27,11 @@
 /// reads of the targets. All targets renew their entries each second or so; a read for each entry
 /// would cost ten calls a second.
 const TARGETS_PART: f64 = 0.4;
+/// The same part where others follow this router, and for those that follow: both pauses add up.
+const READER_PART: f64 = 0.2;
+const FOLLOWER_PART: f64 = 0.25;
+/// Pause after which a router that follows looks again whether others read for it.
+const FOLLOWER_LOOK: Duration = Duration::from_millis(250);
 /// Least pause between two reads of the targets when what is known of them has proved to be out of date.
 const OUTDATED_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two reads of the routers: routers hear of one another directly, this finds those
@@ -54,10 +61,17 @@
 async fn follow<P: router::Platform>(shared: Rc<router::Shared<P>>, subject: Subject) {
     let mut from: Option<u64> = None;
     loop {
+        if from.is_some() && follow_readers(&shared, subject).await {
+            continue;
+        }
         let waiting = waiting(&shared, subject);
         let read = match from {
             None => shared.platform.newest(subject, &waiting).await,
-            Some(at) => shared.platform.read(subject, at, &waiting).await,
+            Some(at) => {
+                // A router that follows others knows more than it has read itself.
+                let at = at.max(shared.copies.borrow().next(subject));
+                shared.platform.read(subject, at, &waiting).await
+            }
         };
         match read {
             Ok(page) => {
@@ -68,7 +82,11 @@
                     Subject::Config => {}
                     Subject::Targets => {
                         let within = shared.bounds.borrow().drain_within;
-                        pause_targets(&shared, within.mul_f64(TARGETS_PART)).await;
+                        let part = match shared.role(shared.clock.now()) {
+                            readers::Role::Reads => TARGETS_PART,
+                            _ => READER_PART,
+                        };
+                        pause_targets(&shared, within.mul_f64(part)).await;
                     }
                     Subject::Routers => tokio::time::sleep(ROUTERS_PAUSE).await,
                 }
@@ -90,6 +108,69 @@
     }
 }
 
+/// Lets other routers read the store for this one, until its next look. False if the store should be
+/// read now: nobody else does, or what they have read is no news.
+async fn follow_readers<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    subject: Subject,
+) -> bool {
+    let readers::Role::Follows(readers) = shared.role(shared.clock.now()) else { return false };
+    match subject {
+        // Whoever reads says at once that there is a change ([`crate::catch_up`]).
+        Subject::Config => tokio::time::sleep(FOLLOWER_LOOK).await,
+        // Routers tell one another that they are there.
+        Subject::Routers => tokio::time::sleep(FOLLOWER_LOOK).await,
+        Subject::Targets => {
+            let within = shared.bounds.borrow().drain_within;
+            pause_targets(shared, within.mul_f64(FOLLOWER_PART)).await;
+            return take_targets(shared, &readers).await;
+        }
+    }
+    true
+}
+
+/// Takes the targets' entries from routers that read them. False if what they have is too old: the
+/// reader has lost the store, and nobody has heard it yet.
+async fn take_targets<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    readers: &[SocketAddr],
+) -> bool {
+    let subject = Subject::Targets;
+    let most = shared.bounds.borrow().drain_within.mul_f64(TARGETS_PART);
+    for reader in readers {
+        match transfer::fetch(shared, *reader, subject, u64::MAX).await {
+            transfer::Fetched::Taken(Some(age)) if age <= most => {
+                note_read(shared, subject);
+                return true;
+            }
+            transfer::Fetched::Refused => {}
+            transfer::Fetched::Taken(_) | transfer::Fetched::Nothing => return false,
+        }
+    }
+    false
+}
+
+/// Another router says how far it has read. Where that one reads the store for this one and knows no newer
+/// configuration, the own one is as current as if the store had been read.
+pub fn hear<P: router::Platform>(
+    shared: &router::Shared<P>,
+    now: Instant,
+    news: &wire::RouterNews,
+) {
+    if news.store != wire::StoreUse::Reads || news.zone != shared.settings.zone {
+        return;
+    }
+    if !matches!(shared.role(now), readers::Role::Follows(_)) {
+        return;
+    }
+    let own = shared.copies.borrow().next(Subject::Config);
+    if news.config_next > own {
+        shared.tell_planner.notify_one();
+    } else {
+        note_read(shared, Subject::Config);
+    }
+}
+
 /// Pauses between two reads of the targets, until one proves to be another than was thought.
 async fn pause_targets<P>(shared: &router::Shared<P>, pause: Duration) {
     let outdated = async {
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod planning;
 pub mod pool;
 pub mod prefill;
+pub mod readers;
 pub mod relay;
 pub mod router;
 pub mod server;
--- a/crates/corianderstand_forward/src/peers.rs
+++ b/crates/corianderstand_forward/src/peers.rs
@@ -6,7 +6,7 @@
 //! told what each router is asked for; the others need to know that a router is there, which takes a
 //! hundredth of that. On links of 10 Mbit/s the whole of it to all used up the link.
 
-use crate::dialect;
+use crate::{dialect, readers};
 use corianderstand_derives::derives;
 use corianderstand_fleet::demand;
 use corianderstand_schema::peers;
@@ -123,6 +123,20 @@
         })
     }
 
+    /// Those heard lately in a zone.
+    pub fn neighbours(
+        &self,
+        now: Instant,
+        zone: &names::AvailabilityZoneId,
+    ) -> Vec<readers::Neighbour> {
+        let there = self.live(now).filter_map(|(name, peer)| {
+            let news = peer.news.as_ref().filter(|news| news.zone == *zone)?;
+            let rank = Rank::new(news.strength, name);
+            Some(readers::Neighbour { rank, addr: peer.addr, store: news.store })
+        });
+        there.collect()
+    }
+
     /// What those heard lately said.
     pub fn news(&self, now: Instant) -> impl Iterator<Item = &peers::RouterNews> {
         self.live(now).filter_map(|(_, peer)| peer.news.as_ref())
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -2,10 +2,11 @@
 
 use crate::{
     client, control, copies, decisions, dialect, follow, job, metrics, peers, pool, prefill,
-    server, transfer, view,
+    readers, server, transfer, view,
 };
 use corianderstand_derives::derives;
 use corianderstand_fleet::{budget, choose, demand, patience, targets};
+use corianderstand_schema::peers::StoreUse;
 use corianderstand_types::{clock, names, pause};
 use http::StatusCode;
 use smol_str::SmolStr;
@@ -170,6 +171,26 @@
         view.budgets.entry(job.service.clone()).or_default().earn(now, &allowance);
     }
 
+    /// What this router does about the store.
+    pub fn role(&self, now: Instant) -> readers::Role {
+        let own = peers::Rank::new(self.settings.strength, &self.settings.name);
+        let neighbours = self.peers.borrow().neighbours(now, &self.settings.zone);
+        readers::role(&own, &self.settings.name, &neighbours)
+    }
+
+    /// How this router learns what the store has.
+    pub fn store_use(&self, now: Instant) -> StoreUse {
+        let copies = self.copies.borrow();
+        let lost = |subject| copies.is_lost(subject);
+        if lost(dialect::Subject::Config) || lost(dialect::Subject::Targets) {
+            return StoreUse::Lost;
+        }
+        match self.role(now) {
+            readers::Role::Reads | readers::Role::ReadsForOthers => StoreUse::Reads,
+            readers::Role::Follows(_) => StoreUse::Follows,
+        }
+    }
+
     /// How current what is known of a subject is.
     pub fn age(&self, now: Instant, subject: dialect::Subject) -> copies::Age {
         let copies = self.copies.borrow();
--- a/crates/corianderstand_forward/src/transfer.rs
+++ b/crates/corianderstand_forward/src/transfer.rs
@@ -9,8 +9,10 @@
 
 use crate::{copies, dialect, follow, router};
 use bytes::{Bytes, BytesMut};
+use corianderstand_derives::derives;
 use displaydoc::Display;
 use futures::{SinkExt, StreamExt};
+use serde::{Deserialize, Serialize};
 use std::{io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -90,9 +92,8 @@
         Some(1) => dialect::Subject::Targets,
         _ => return Ok(()),
     };
-    let page = shared.copies.borrow().page(subject);
-    let page = postcard::to_stdvec(&page).map_err(TransferError::Garbled)?;
-    let page = Bytes::from(page);
+    let handed = postcard::to_stdvec(&handed(shared, subject)).map_err(TransferError::Garbled)?;
+    let page = Bytes::from(handed);
     let mut at = 0;
     while at < page.len() {
         let end = page.len().min(at + PIECE);
@@ -103,6 +104,32 @@
     send_piece(&mut pieces, Bytes::new()).await
 }
 
+/// What a router hands over.
+#[derive(Debug, Serialize, Deserialize)]
+struct Handed {
+    /// Time since the store was read.
+    age: Option<Duration>,
+    page: dialect::Page,
+}
+
+/// What became of a transfer.
+#[derives(key)]
+pub enum Fetched {
+    /// Records were taken, which the peer, or whom it follows, read of the store this long ago; none if
+    /// nobody has.
+    Taken(Option<Duration>),
+    /// The peer has no room for another transfer, or has ended.
+    Refused,
+    /// It brought nothing.
+    Nothing,
+}
+
+fn handed<P: router::Platform>(shared: &router::Shared<P>, subject: dialect::Subject) -> Handed {
+    let copies = shared.copies.borrow();
+    let age = copies.since_read(shared.clock.now(), subject);
+    Handed { age, page: copies.page(subject) }
+}
+
 /// Takes a peer's records of a subject, which reach up to `next` as the peer has said. It ends when the
 /// store has brought as much.
 pub async fn fetch<P: router::Platform>(
@@ -110,31 +137,34 @@
     peer: SocketAddr,
     subject: dialect::Subject,
     next: u64,
-) {
+) -> Fetched {
     let began = shared.clock.now();
     let is_known = || shared.copies.borrow().next(subject) >= next;
     let answer = ask(peer, subject, is_known).await;
     let ms = shared.clock.now().saturating_duration_since(began).as_millis() as u64;
-    let outcome = match answer {
-        Ok(page) => {
-            tracing::info!(%peer, ?subject, next = page.next, ms, "records taken from a peer");
+    let (outcome, fetched) = match answer {
+        Ok(Handed { age, page }) => {
+            let next = page.next;
+            tracing::debug!(%peer, ?subject, next, ms, "records taken from a peer");
             follow::take(shared, subject, copies::Source::Peer(peer), page);
-            "taken"
+            ("taken", Fetched::Taken(age))
         }
-        Err(TransferError::Overtaken) => "overtaken",
+        Err(TransferError::Overtaken) => ("overtaken", Fetched::Nothing),
         Err(error) => {
             tracing::info!(%peer, ?subject, next, %error, ms, "a peer gave no records");
-            "failed"
+            let refused = matches!(error, TransferError::Ended(_));
+            ("failed", if refused { Fetched::Refused } else { Fetched::Nothing })
         }
     };
     shared.log.metrics.transferred(subject, outcome);
+    fetched
 }
 
 async fn ask(
     peer: SocketAddr,
     subject: dialect::Subject,
     is_known: impl Fn() -> bool,
-) -> Result<dialect::Page, TransferError> {
+) -> Result<Handed, TransferError> {
     let stream = in_time(TcpStream::connect(peer)).await?.map_err(TransferError::Ended)?;
     let mut pieces = framed(stream);
     let code: &'static [u8] = match subject {
--- a/crates/corianderstand_forward/tests/catching_up.rs
+++ b/crates/corianderstand_forward/tests/catching_up.rs
@@ -16,7 +16,7 @@
 }
 
 fn look<'a>(ahead: &'a [(u64, SocketAddr)], heard: Option<Instant>, lost: bool) -> Look<'a> {
-    Look { router: "router-a", ahead, heard, lost, starts: false, within: WITHIN }
+    Look { router: "router-a", ahead, heard, lost, starts: false, follows: false, within: WITHIN }
 }
 
 /// How long after `start` a peer is asked; `heard` says when the store last brought something.
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -14,7 +14,10 @@
     collections::BTreeMap,
     io::ErrorKind,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 use tokio::{
@@ -40,7 +43,8 @@
 #[derive(Clone, Default)]
 pub struct MemoryStore {
     shelf: Arc<Mutex<Shelf>>,
-    turned_away: bool,
+    turned_away: Arc<AtomicBool>,
+    calls: Arc<AtomicUsize>,
     link: Option<link::Link>,
 }
 
@@ -48,7 +52,25 @@
     /// The same store for a process that it turns away.
     #[must_use]
     pub fn turned_away(&self) -> Self {
-        Self { turned_away: true, ..self.clone() }
+        let own = self.apart();
+        own.turn_away(true);
+        own
+    }
+
+    /// The same store for a process whose calls are counted apart, and which may be turned away alone.
+    #[must_use]
+    pub fn apart(&self) -> Self {
+        Self { turned_away: Arc::default(), calls: Arc::default(), ..self.clone() }
+    }
+
+    /// Has the store turn this process away, or no more.
+    pub fn turn_away(&self, away: bool) {
+        self.turned_away.store(away, Ordering::Relaxed);
+    }
+
+    /// Reads that this process has begun.
+    pub fn calls(&self) -> usize {
+        self.calls.load(Ordering::Relaxed)
     }
 
     /// The same store for a process that reaches it over a link.
@@ -105,8 +127,9 @@
     }
 
     fn page(&self, subject: Subject, from: u64) -> Result<Page, StoreError> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
         let shelf = self.shelf.lock().unwrap();
-        if shelf.down || self.turned_away {
+        if shelf.down || self.turned_away.load(Ordering::Relaxed) {
             return Err(StoreError::Refused(503));
         }
         let records = shelf.news.range(from..).filter(|(_, (own, ..))| *own == subject);
@@ -210,10 +233,10 @@
 
 /// A port of this process that nobody uses, for connections and datagrams.
 pub fn free_port() -> SocketAddr {
-    static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     let own = FIRST_PORT + std::process::id() % PROCESSES * PORTS_EACH;
     loop {
-        let next = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let next = NEXT.fetch_add(1, Ordering::Relaxed);
         assert!(next < PORTS_EACH, "a test starts two routers and an agent at most");
         let addr = SocketAddr::from(([127, 0, 0, 1], (own + next) as u16));
         let free = std::net::TcpListener::bind(addr).is_ok();
--- a/crates/corianderstand_forward/tests/peers.rs
+++ b/crates/corianderstand_forward/tests/peers.rs
@@ -1,7 +1,7 @@
 //! What a router believes of the others.
 
 use corianderstand_forward::{dialect::Subject, peers::Peers};
-use corianderstand_schema::peers::RouterNews;
+use corianderstand_schema::peers::{RouterNews, StoreUse};
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
@@ -15,6 +15,8 @@
     RouterNews {
         router: "router-b".into(),
         incarnation,
+        zone: "here".into(),
+        store: StoreUse::Reads,
         strength: 1,
         fit: true,
         config_next,
--- a/crates/corianderstand_forward/tests/transfers.rs
+++ b/crates/corianderstand_forward/tests/transfers.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{MemoryStore, Running};
-use corianderstand_schema::peers::{PeerMessage, RouterNews};
+use corianderstand_schema::peers::{PeerMessage, RouterNews, StoreUse};
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
@@ -79,6 +79,8 @@
     let news = RouterNews {
         router: "planner".into(),
         incarnation: 1,
+        zone: "here".into(),
+        store: StoreUse::Reads,
         strength: u32::MAX,
         fit: true,
         config_next: 0,
