Routers that follow take what has changed, without the renewals

Cause: the first form handed over all entries each time. Ruled out: what has changed since an offset alone, as each entry is renewed each 1.2 s and has changed by the next look. Change: of each key it is kept since when it says what it says, renewals aside (a hash of the decoded entry); a follower names the offset up to which it knows and gets what is news since, removals among it. Test: renewals_are_not_handed_over_again.

--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -40,7 +40,7 @@
 const REMEMBERED: Duration = Duration::from_secs(15);
 
 /// A model in an engine's memory, with its adapters.
-#[derives(data)]
+#[derives(wire)]
 #[derive(Default, Eq)]
 pub struct Resident {
     /// The model.
@@ -50,7 +50,7 @@
 }
 
 /// What an engine holds, and what it could load quickly.
-#[derives(data)]
+#[derives(wire)]
 #[derive(Default, Eq)]
 pub struct Holdings {
     /// Orders accepted since its start.
@@ -71,7 +71,7 @@
 }
 
 /// What a target has registered of itself.
-#[derives(data)]
+#[derives(wire)]
 pub struct Entry {
     /// Its name; a new one at each start as a rule.
     pub id: names::TargetId,
--- a/crates/corianderstand_forward/src/copies.rs
+++ b/crates/corianderstand_forward/src/copies.rs
@@ -13,7 +13,7 @@
 use displaydoc::Display;
 use smol_str::SmolStr;
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -42,10 +42,20 @@
     pub behind: bool,
 }
 
+/// The newest record of a key.
+#[derive(Debug)]
+struct Kept {
+    record: dialect::Record,
+    /// What it says, as a hash that a mere renewal leaves as it is.
+    content: u64,
+    /// Offset of the first record that said so.
+    changed: u64,
+}
+
 /// The newest record of each key of one subject.
 #[derive(Debug, Default)]
 struct Copy {
-    records: BTreeMap<SmolStr, dialect::Record>,
+    records: BTreeMap<SmolStr, Kept>,
     next: Option<u64>,
     read_at: Option<Instant>,
     gap: Option<Duration>,
@@ -104,10 +114,25 @@
     /// All records of a subject, for a peer.
     pub fn page(&self, subject: Subject) -> dialect::Page {
         let Some(copy) = self.by_subject.get(&subject) else { return dialect::Page::default() };
-        let records = copy.records.values().cloned().collect();
+        let records = copy.records.values().map(|kept| kept.record.clone()).collect();
         dialect::Page { records, next: copy.next.unwrap_or(0), whole: true }
     }
 
+    /// What has changed of a subject from an offset on, for a peer that knows what was before it.
+    /// Targets renew their entries each second or so, and such renewals are left out.
+    pub fn changes(&self, subject: Subject, from: u64) -> dialect::Page {
+        let Some(copy) = self.by_subject.get(&subject) else { return dialect::Page::default() };
+        let changed = copy.records.values().filter(|kept| kept.changed >= from);
+        let records = changed.map(|kept| kept.record.clone()).collect();
+        dialect::Page { records, next: copy.next.unwrap_or(0), whole: false }
+    }
+
+    /// Whether a record is newer than what is known of its key.
+    pub fn is_newer(&self, subject: Subject, record: &dialect::Record) -> bool {
+        let known = self.by_subject.get(&subject).and_then(|copy| copy.records.get(&record.key));
+        known.is_none_or(|known| known.record.offset < record.offset)
+    }
+
     /// Whether an entry that is missing may be back soon: the store was away and has returned.
     pub fn just_back(&self, now: Instant, subject: Subject) -> bool {
         let at = self.by_subject.get(&subject).and_then(|copy| copy.back_at);
@@ -131,15 +156,12 @@
         !std::mem::replace(&mut copy.lost, true)
     }
 
-    /// Keeps a record, unless one of the same key is as new.
-    pub fn keep(&mut self, subject: Subject, record: &dialect::Record) -> bool {
+    /// Keeps a record that is newer than what is known. `content` is a hash of what it says.
+    pub fn keep(&mut self, subject: Subject, record: dialect::Record, content: u64) {
         let copy = self.by_subject.entry(subject).or_default();
-        let known = copy.records.get(&record.key);
-        let newer = known.is_none_or(|known| known.offset < record.offset);
-        if newer {
-            copy.records.insert(record.key.clone(), record.clone());
-        }
-        newer
+        let same = copy.records.get(&record.key).filter(|known| known.content == content);
+        let changed = same.map_or(record.offset, |known| known.changed);
+        copy.records.insert(record.key.clone(), Kept { record, content, changed });
     }
 
     /// All before this offset is known. Whether it was not before.
@@ -155,10 +177,12 @@
         let Some(copy) = self.by_subject.get(&subject).filter(|_| page.whole) else {
             return Vec::new();
         };
-        let gone = copy.records.values().filter(|record| {
+        let there: HashSet<&str> = page.records.iter().map(|record| record.key.as_str()).collect();
+        let known = copy.records.values().map(|kept| &kept.record);
+        let gone = known.filter(|record| {
             record.value.is_some()
                 && record.offset < page.next
-                && !page.records.iter().any(|other| other.key == record.key)
+                && !there.contains(record.key.as_str())
         });
         let gone = gone.map(|record| dialect::Record {
             value: None,
--- a/crates/corianderstand_forward/src/dialect.rs
+++ b/crates/corianderstand_forward/src/dialect.rs
@@ -90,6 +90,7 @@
 
 /// What is followed in the store.
 #[derives(key)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub enum Subject {
     /// The configuration.
     Config,
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -16,6 +16,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
+use xxhash_rust::xxh3;
 
 /// Time that is left of the bound in which a configuration is to be in force when a read of it has
 /// waited for news: what it has then for its answer is [`SILENCE`], and the next read has the rest.
@@ -138,7 +139,7 @@
     let subject = Subject::Targets;
     let most = shared.bounds.borrow().drain_within.mul_f64(TARGETS_PART);
     for reader in readers {
-        match transfer::fetch(shared, *reader, subject, u64::MAX).await {
+        match transfer::follow(shared, *reader, subject).await {
             transfer::Fetched::Taken(Some(age)) if age <= most => {
                 note_read(shared, subject);
                 return true;
@@ -238,8 +239,8 @@
     // The newest record of each key comes by key, and the later of two targets at an address counts.
     records.sort_by_key(|record| record.offset);
     for record in records {
-        if shared.copies.borrow_mut().keep(subject, &record) {
-            take_record(shared, subject, source, &record);
+        if shared.copies.borrow().is_newer(subject, &record) {
+            take_record(shared, subject, source, record);
         }
     }
     let further = shared.copies.borrow_mut().advance(subject, page.next);
@@ -258,16 +259,31 @@
     shared: &Rc<router::Shared<P>>,
     subject: Subject,
     source: Source,
-    record: &dialect::Record,
+    record: dialect::Record,
 ) {
     let offset = record.offset;
-    match shared.platform.decode(subject, record) {
+    let decoded = shared.platform.decode(subject, &record);
+    let content = content(&record, decoded.as_ref().ok().and_then(Option::as_ref));
+    shared.copies.borrow_mut().keep(subject, record, content);
+    match decoded {
         Ok(Some(news)) => take_news(shared, subject, Origin { source, offset }, news),
         Ok(None) => {}
         Err(error) => tracing::warn!(?subject, %error, offset, %source, "record left out"),
     }
 }
 
+/// A hash of what a record says, the same for an entry and its mere renewal.
+fn content(record: &dialect::Record, news: Option<&dialect::News>) -> u64 {
+    if let Some(dialect::News::Target(entry)) = news {
+        let entry = targets::Entry { renewals: 0, ..entry.clone() };
+        match postcard::to_stdvec(&entry) {
+            Ok(bytes) => return xxh3::xxh3_64(&bytes),
+            Err(error) => tracing::warn!(%error, "an entry cannot be hashed: it counts as changed"),
+        }
+    }
+    record.value.as_ref().map_or(0, |value| xxh3::xxh3_64(value))
+}
+
 /// Where a piece of news stands.
 #[derive(Clone, Copy)]
 struct Origin {
--- a/crates/corianderstand_forward/src/transfer.rs
+++ b/crates/corianderstand_forward/src/transfer.rs
@@ -87,12 +87,8 @@
 ) -> Result<(), TransferError> {
     let mut pieces = framed(stream);
     let asked = next_piece(&mut pieces).await?;
-    let subject = match asked.first() {
-        Some(0) => dialect::Subject::Config,
-        Some(1) => dialect::Subject::Targets,
-        _ => return Ok(()),
-    };
-    let handed = postcard::to_stdvec(&handed(shared, subject)).map_err(TransferError::Garbled)?;
+    let asked = postcard::from_bytes(&asked).map_err(TransferError::Garbled)?;
+    let handed = postcard::to_stdvec(&handed(shared, asked)).map_err(TransferError::Garbled)?;
     let page = Bytes::from(handed);
     let mut at = 0;
     while at < page.len() {
@@ -104,6 +100,14 @@
     send_piece(&mut pieces, Bytes::new()).await
 }
 
+/// What a router asks for.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Asked {
+    subject: dialect::Subject,
+    /// Only what has changed from this offset on; none for all there is.
+    from: Option<u64>,
+}
+
 /// What a router hands over.
 #[derive(Debug, Serialize, Deserialize)]
 struct Handed {
@@ -124,10 +128,25 @@
     Nothing,
 }
 
-fn handed<P: router::Platform>(shared: &router::Shared<P>, subject: dialect::Subject) -> Handed {
+fn handed<P: router::Platform>(shared: &router::Shared<P>, asked: Asked) -> Handed {
     let copies = shared.copies.borrow();
-    let age = copies.since_read(shared.clock.now(), subject);
-    Handed { age, page: copies.page(subject) }
+    let age = copies.since_read(shared.clock.now(), asked.subject);
+    let page = match asked.from {
+        None => copies.page(asked.subject),
+        Some(from) => copies.changes(asked.subject, from),
+    };
+    Handed { age, page }
+}
+
+/// Takes what has changed from a router that reads the store for this one.
+pub async fn follow<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    reader: SocketAddr,
+    subject: dialect::Subject,
+) -> Fetched {
+    let from = shared.copies.borrow().next(subject);
+    let answer = ask(reader, Asked { subject, from: Some(from) }, || false).await;
+    take(shared, reader, subject, answer)
 }
 
 /// Takes a peer's records of a subject, which reach up to `next` as the peer has said. It ends when the
@@ -138,20 +157,28 @@
     subject: dialect::Subject,
     next: u64,
 ) -> Fetched {
-    let began = shared.clock.now();
     let is_known = || shared.copies.borrow().next(subject) >= next;
-    let answer = ask(peer, subject, is_known).await;
-    let ms = shared.clock.now().saturating_duration_since(began).as_millis() as u64;
+    let answer = ask(peer, Asked { subject, from: None }, is_known).await;
+    if let Ok(handed) = &answer {
+        tracing::info!(%peer, ?subject, next = handed.page.next, "all records taken from a peer");
+    }
+    take(shared, peer, subject, answer)
+}
+
+fn take<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    peer: SocketAddr,
+    subject: dialect::Subject,
+    answer: Result<Handed, TransferError>,
+) -> Fetched {
     let (outcome, fetched) = match answer {
         Ok(Handed { age, page }) => {
-            let next = page.next;
-            tracing::debug!(%peer, ?subject, next, ms, "records taken from a peer");
             follow::take(shared, subject, copies::Source::Peer(peer), page);
             ("taken", Fetched::Taken(age))
         }
         Err(TransferError::Overtaken) => ("overtaken", Fetched::Nothing),
         Err(error) => {
-            tracing::info!(%peer, ?subject, next, %error, ms, "a peer gave no records");
+            tracing::info!(%peer, ?subject, %error, "a peer gave no records");
             let refused = matches!(error, TransferError::Ended(_));
             ("failed", if refused { Fetched::Refused } else { Fetched::Nothing })
         }
@@ -162,17 +189,13 @@
 
 async fn ask(
     peer: SocketAddr,
-    subject: dialect::Subject,
+    asked: Asked,
     is_known: impl Fn() -> bool,
 ) -> Result<Handed, TransferError> {
     let stream = in_time(TcpStream::connect(peer)).await?.map_err(TransferError::Ended)?;
     let mut pieces = framed(stream);
-    let code: &'static [u8] = match subject {
-        dialect::Subject::Config => &[0],
-        dialect::Subject::Targets => &[1],
-        dialect::Subject::Routers => &[2],
-    };
-    send_piece(&mut pieces, Bytes::from_static(code)).await?;
+    let asked = postcard::to_stdvec(&asked).map_err(TransferError::Garbled)?;
+    send_piece(&mut pieces, Bytes::from(asked)).await?;
     let mut page = BytesMut::new();
     loop {
         let piece = next_piece(&mut pieces).await?;
--- a/crates/corianderstand_forward/tests/readers.rs
+++ b/crates/corianderstand_forward/tests/readers.rs
@@ -4,6 +4,8 @@
 
 use common::{MemoryStore, Running, Target};
 use corianderstand_forward::{
+    copies::Copies,
+    dialect::{Record, Subject},
     peers,
     readers::{Neighbour, Role, role},
     router,
@@ -213,3 +215,25 @@
         () = served => {}
     }
 }
+
+/// Hundreds of targets renew their entries each second, and each router that others read for takes all of
+/// them again each second: small hosts' links are full of what is known.
+#[test]
+fn renewals_are_not_handed_over_again() {
+    let record =
+        |key: &str, offset| Record { key: key.into(), value: Some("entry".into()), offset };
+    let (subject, mut copies) = (Subject::Targets, Copies::default());
+    copies.keep(subject, record("same", 1), 7);
+    copies.keep(subject, record("other", 2), 8);
+    copies.keep(subject, record("same", 3), 7);
+    copies.keep(subject, record("other", 4), 9);
+    let gone = Record { value: None, ..record("gone", 5) };
+    copies.keep(subject, gone.clone(), 0);
+    copies.advance(subject, 6);
+    let page = copies.changes(subject, 3);
+    let mut keys: Vec<_> = page.records.iter().map(|record| record.key.as_str()).collect();
+    keys.sort_unstable();
+    assert_eq!(keys, ["gone", "other"], "what was removed is news as well");
+    assert!(!page.whole && page.next == 6);
+    assert_eq!(copies.page(subject).records.len(), 3, "a router that starts takes all");
+}
--- a/crates/corianderstand_forward/tests/transfers.rs
+++ b/crates/corianderstand_forward/tests/transfers.rs
@@ -13,8 +13,8 @@
     net::{TcpSocket, TcpStream, UdpSocket},
 };
 
-/// Asks for the configuration, in a frame of one byte.
-const ASK: [u8; 5] = [0, 0, 0, 1, 0];
+/// Asks for the whole configuration, in a frame of two bytes.
+const ASK: [u8; 6] = [0, 0, 0, 2, 0, 0];
 /// Bytes that a slow peer takes at once, and how often.
 const SIP: usize = 16 << 10;
 const SIPS: Duration = Duration::from_millis(50);
