Targets are found by their host

Cause: an agent's word for its engine, and each new entry, looked through all targets: with 3,000 of them nine million looks at a router's start. Test: those of the two functions, unchanged.

--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -304,6 +304,7 @@
 pub struct Targets {
     arena: SlotMap<TargetKey, Target>,
     by_id: HashMap<names::TargetId, TargetKey>,
+    by_host: HashMap<IpAddr, Vec<TargetKey>>,
     left: HashMap<names::TargetId, u64>,
     gone: HashMap<names::TargetId, (Instant, Entry)>,
 }
@@ -389,12 +390,11 @@
         host: IpAddr,
     ) -> bool {
         // What an engine that has ended said last may arrive after its follower is known.
-        if self.gone.contains_key(id) {
+        if self.by_id.contains_key(id) || self.gone.contains_key(id) {
             return false;
         }
-        let mut there = self.arena.values().filter(|target| target.entry.addr.ip() == host);
-        let (Some(known), None) = (there.next(), there.next()) else { return false };
-        let before = known.entry.id.clone();
+        let Some([known]) = self.by_host.get(&host).map(Vec::as_slice) else { return false };
+        let before = self.arena[*known].entry.id.clone();
         self.replace(now, &Replaced { id: id.clone(), born, before })
     }
 
@@ -526,22 +526,30 @@
     /// Forgets what was known at an address that belongs to another target now. Its entry stays in the
     /// store for seconds after its end, or as long as the store is away.
     fn end_at(&mut self, now: Instant, addr: SocketAddr) {
-        let ended = self.arena.iter().filter(|(_, target)| target.entry.addr == addr);
-        let ended: Vec<TargetKey> = ended.map(|(key, _)| key).collect();
+        let there = self.by_host.get(&addr.ip()).into_iter().flatten().copied();
+        let ended: Vec<_> = there.filter(|key| self.arena[*key].entry.addr == addr).collect();
         ended.into_iter().for_each(|key| self.forget(now, key));
     }
 
     fn insert(&mut self, now: Instant, entry: Entry) -> TargetKey {
-        let id = entry.id.clone();
+        let (id, host) = (entry.id.clone(), entry.addr.ip());
         let leaves_at = entry.leaves_in.map(|left| now + left);
         let key = self.arena.insert(Target { leaves_at, ..Target::new(entry) });
         self.by_id.insert(id, key);
+        self.by_host.entry(host).or_default().push(key);
         key
     }
 
     fn forget(&mut self, now: Instant, key: TargetKey) {
         let Some(target) = self.arena.remove(key) else { return };
         self.by_id.remove(&target.entry.id);
+        let host = target.entry.addr.ip();
+        if let Some(there) = self.by_host.get_mut(&host) {
+            there.retain(|other| *other != key);
+            if there.is_empty() {
+                self.by_host.remove(&host);
+            }
+        }
         if target.entry.draining {
             self.left.insert(target.entry.id.clone(), target.entry.born);
         }
