Routers that others read for ask a store that is away seldom

Also, a router that the store turned away from its start never let others read for it. Change: while those that should read for it have lost the store, a router tries it each 1.5 s or so, and follows as soon as one reads again; what it has from a peer is enough to follow.

--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -33,6 +33,8 @@
 const FOLLOWER_PART: f64 = 0.25;
 /// Pause after which a router that follows looks again whether others read for it.
 const FOLLOWER_LOOK: Duration = Duration::from_millis(250);
+/// Looks after which such a router tries the store itself although nobody reads for it.
+const NEED_LOOKS: u32 = 5;
 /// Least pause between two reads of the targets when what is known of them has proved to be out of date.
 const OUTDATED_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two reads of the routers: routers hear of one another directly, this finds those
@@ -62,7 +64,8 @@
 async fn follow<P: router::Platform>(shared: Rc<router::Shared<P>>, subject: Subject) {
     let mut from: Option<u64> = None;
     loop {
-        if from.is_some() && follow_readers(&shared, subject).await {
+        let known = from.is_some() || shared.copies.borrow().next(subject) > 0;
+        if known && follow_readers(&shared, subject).await {
             continue;
         }
         let waiting = waiting(&shared, subject);
@@ -103,7 +106,7 @@
             }
             Err(error) => {
                 note_lost(&shared, subject, &error);
-                tokio::time::sleep(pause_after(&error)).await;
+                pause_lost(&shared, pause_after(&error)).await;
             }
         }
     }
@@ -206,6 +209,19 @@
     }
 }
 
+/// Pauses after a read that failed. A router that is not among those that read for others tries seldom:
+/// hundreds that ask a store which is away, or has no room for more, again and again keep it from coming
+/// back. It follows as soon as others read again.
+async fn pause_lost<P: router::Platform>(shared: &router::Shared<P>, pause: Duration) {
+    tokio::time::sleep(pause).await;
+    for _ in 0..NEED_LOOKS {
+        if shared.role(shared.clock.now()) != readers::Role::ReadsInNeed {
+            return;
+        }
+        tokio::time::sleep(FOLLOWER_LOOK).await;
+    }
+}
+
 fn note_read<P: router::Platform>(shared: &router::Shared<P>, subject: Subject) {
     let now = shared.clock.now();
     let mut copies = shared.copies.borrow_mut();
--- a/crates/corianderstand_forward/src/readers.rs
+++ b/crates/corianderstand_forward/src/readers.rs
@@ -40,6 +40,8 @@
     Reads,
     /// It reads, and others of its zone take the records from it.
     ReadsForOthers,
+    /// Others should read for it, and have lost the store: it tries now and then.
+    ReadsInNeed,
     /// It takes records from these, the one to be asked first before the others.
     Follows(Vec<SocketAddr>),
 }
@@ -49,13 +51,15 @@
     if neighbours.len() + 1 < LEAST_ROUTERS {
         return Role::Reads;
     }
-    let better =
-        neighbours.iter().filter(|other| other.store != StoreUse::Lost && other.rank > *own);
-    let mut better: Vec<_> = better.collect();
+    let mut better: Vec<_> = neighbours.iter().filter(|other| other.rank > *own).collect();
+    if better.len() < READERS {
+        return Role::ReadsForOthers;
+    }
+    better.retain(|other| other.store != StoreUse::Lost);
     better.sort_by(|a, b| b.rank.cmp(&a.rank));
     better.truncate(READERS);
     if better.len() < READERS {
-        return Role::ReadsForOthers;
+        return Role::ReadsInNeed;
     }
     // Each follower has an order of its own, so that each reader serves its share of them.
     let share = |addr: &SocketAddr| xxh3::xxh3_64(format!("{name} {addr}").as_bytes());
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -186,8 +186,8 @@
             return StoreUse::Lost;
         }
         match self.role(now) {
-            readers::Role::Reads | readers::Role::ReadsForOthers => StoreUse::Reads,
             readers::Role::Follows(_) => StoreUse::Follows,
+            _ => StoreUse::Reads,
         }
     }
 
