--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -3,7 +3,7 @@
 //! Datagrams carry it: each is whole in itself and said again after a while, so one that is lost
 //! costs a little time. Nothing waits for an answer.
 
-use crate::{catch_up, dialect, follow, peers, planning, router};
+use crate::{catch_up, dialect, follow, peers, planning, readers, router};
 use corianderstand_fleet::{choose, demand, targets};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
 use corianderstand_types::names;
@@ -222,6 +222,7 @@
         let planner = planner(&shared, now);
         say_news(&shared, now, planner, &mut said);
         name_adapters(&shared, now, &mut said);
+        note_role(&shared, now, &mut said);
         catch_up.look(&shared, now);
         if is_fit(&shared) && planner.is_none() {
             planning.plan(&shared, now);
@@ -360,9 +361,19 @@
     }
 }
 
+/// Writes who reads the store for this router when that changes.
+fn note_role<P: router::Platform>(shared: &router::Shared<P>, now: Instant, said: &mut Said) {
+    let role = shared.role(now);
+    if said.role.as_ref() != Some(&role) {
+        tracing::info!(?role, before = ?said.role, "who reads the store for this router has changed");
+        said.role = Some(role);
+    }
+}
+
 /// When something was last said that is said now and then.
 #[derive(Default)]
 struct Said {
     hello_at: Option<Instant>,
     adapters_at: Option<Instant>,
+    role: Option<readers::Role>,
 }
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::{dialect::Subject, job, router, server, stream};
 use corianderstand_fleet::config;
+use corianderstand_schema::peers::StoreUse;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -61,6 +62,7 @@
     reads_failed: Family<Read, Counter>,
     transfers: Family<Transfer, Counter>,
     store_fresh: Gauge,
+    store_use: Gauge,
     peers: Gauge,
 }
 
@@ -89,6 +91,7 @@
             reads_failed: Family::default(),
             transfers: Family::default(),
             store_fresh: Gauge::default(),
+            store_use: Gauge::default(),
             peers: Gauge::default(),
         };
         metrics.register();
@@ -145,6 +148,11 @@
             self.transfers.clone(),
         );
         r.register("store_fresh", "1 if the store was read lately", self.store_fresh.clone());
+        r.register(
+            "store_use",
+            "1 if this router reads the store, 2 if others of its zone read it for this one, 0 if it has lost it",
+            self.store_use.clone(),
+        );
         r.register("peers", "Other routers that were heard lately", self.peers.clone());
     }
 
@@ -220,6 +228,11 @@
         self.config_behind.set(i64::from(age.behind));
         self.config_read_age.set(age.since_read.map_or(-1.0, |age| age.as_secs_f64()));
         self.store_fresh.set(i64::from(fresh));
+        self.store_use.set(match shared.store_use(now) {
+            StoreUse::Lost => 0,
+            StoreUse::Reads => 1,
+            StoreUse::Follows => 2,
+        });
         self.peers.set(shared.peers.borrow().live(now).count() as i64);
     }
 }
--- a/crates/corianderstand_forward/src/transfer.rs
+++ b/crates/corianderstand_forward/src/transfer.rs
@@ -160,7 +160,7 @@
     let is_known = || shared.copies.borrow().next(subject) >= next;
     let answer = ask(peer, Asked { subject, from: None }, is_known).await;
     if let Ok(handed) = &answer {
-        tracing::info!(%peer, ?subject, next = handed.page.next, "all records taken from a peer");
+        tracing::info!(%peer, ?subject, next = handed.page.next, "records taken from a peer");
     }
     take(shared, peer, subject, answer)
 }
