account: what became of all requests, by route, cause and time, from the routers' logs

On-call could tell one request's life (explain), and had no way from the logs to how many were not served in time and for which reasons; scripts on the side did that so far. Reading of log lines is shared with explain.

--- /dev/null
+++ b/crates/corianderstand_cli/src/account.rs
@@ -0,0 +1,205 @@
+//! `account`: what became of all requests, by kind, cause and time, from the log files of routers.
+//!
+//! A request counts by the line that ends it. Why one came late is told by its earlier lines: what it waited
+//! for in its router, or a target that was given up. Routers leave out lines in floods and say how many,
+//! so counts are shares of what was written, and the number left out stands beside them.
+
+use crate::{
+    Exit,
+    log_lines::{self, LogLine},
+};
+use getopts::Matches;
+use serde_json::json;
+use std::{collections::BTreeMap, path::Path};
+
+/// Length of a window of the account, in seconds.
+const WINDOW_S: u64 = 2;
+/// Length of a time to the second in a line, as in `2026-01-01T00:00:02`.
+const SECOND_LEN: usize = 19;
+
+/// What is remembered of a request until it ends.
+#[derive(Default)]
+struct Open {
+    waited_for: Option<String>,
+    waited_ms: u64,
+    given_up: Option<String>,
+}
+
+/// What was read.
+#[derive(Default)]
+struct Account {
+    /// Ended requests by route and cause.
+    causes: BTreeMap<(String, String), u64>,
+    /// The same by window and cause; what was answered in time is one cause.
+    windows: BTreeMap<String, BTreeMap<String, u64>>,
+    open: BTreeMap<String, Open>,
+    left_out: u64,
+    unreadable: usize,
+}
+
+/// Shows what became of requests.
+pub fn run(matches: &Matches) -> Exit {
+    let mut account = Account::default();
+    for file in &matches.free {
+        match log_lines::read(Path::new(file), |line| account.take(&line)) {
+            Ok(unreadable) => account.unreadable += unreadable,
+            Err(error) => {
+                eprintln!("{file} cannot be read ({error}): check the path");
+                return Exit::Unreachable;
+            }
+        }
+    }
+    if matches.opt_present("json") {
+        println!("{}", account.json());
+    } else {
+        print!("{}", account.table());
+    }
+    if account.causes.is_empty() { Exit::Fault } else { Exit::Success }
+}
+
+impl Account {
+    fn take(&mut self, line: &LogLine) {
+        self.left_out += line.number("left_out").unwrap_or(0);
+        let (Some(message), Some(id)) = (line.text("message"), line.text("id")) else { return };
+        match message {
+            "waits" | "placed" | "attempt failed" => self.note(message, id, line),
+            "answered" | "streamed" | "refused" | "caller left" => {
+                let open = self.open.remove(id).unwrap_or_default();
+                self.end(line, cause(message, line, &open));
+            }
+            _ => {}
+        }
+    }
+
+    fn note(&mut self, message: &str, id: &str, line: &LogLine) {
+        let open = self.open.entry(id.to_owned()).or_default();
+        let why = line.text("why").unwrap_or_default();
+        match message {
+            "waits" => open.waited_for = Some(why.to_owned()),
+            "placed" => open.waited_ms = line.number("waited_ms").unwrap_or(0),
+            _ => open.given_up = Some(why.to_owned()),
+        }
+    }
+
+    fn end(&mut self, line: &LogLine, cause: String) {
+        let route = line.text("route").unwrap_or("(none)").to_owned();
+        let window = window(line.text("timestamp").unwrap_or_default());
+        *self.windows.entry(window).or_default().entry(cause.clone()).or_default() += 1;
+        *self.causes.entry((route, cause)).or_default() += 1;
+    }
+
+    fn table(&self) -> String {
+        let mut text = String::from("requests  route                 cause\n");
+        let mut rows: Vec<_> = self.causes.iter().collect();
+        rows.sort_by(|a, b| a.0.0.cmp(&b.0.0).then(b.1.cmp(a.1)));
+        for ((route, cause), count) in rows {
+            text.push_str(&format!("{count:>8}  {route:<20}  {cause}\n"));
+        }
+        text.push_str("\nwindow of 2 s         ended  in time  most of the rest\n");
+        for (window, causes) in &self.windows {
+            let ended: u64 = causes.values().sum();
+            let in_time = causes.get(IN_TIME).copied().unwrap_or(0);
+            let rest = causes.iter().filter(|(cause, _)| *cause != IN_TIME);
+            let most = rest.max_by_key(|(_, count)| **count);
+            let most = most.map_or(String::new(), |(cause, count)| format!("{count} {cause}"));
+            text.push_str(&format!("{window:<20}  {ended:>5}  {in_time:>7}  {most}\n"));
+        }
+        for note in self.notes() {
+            text.push_str(&format!("note: {note}\n"));
+        }
+        text
+    }
+
+    fn json(&self) -> serde_json::Value {
+        let causes = self.causes.iter().map(
+            |((route, cause), count)| json!({ "route": route, "cause": cause, "requests": count }),
+        );
+        json!({
+            "causes": causes.collect::<Vec<_>>(), "windows": self.windows, "notes": self.notes(),
+        })
+    }
+
+    fn notes(&self) -> Vec<String> {
+        let mut notes = Vec::new();
+        if self.left_out > 0 {
+            let left_out = self.left_out;
+            notes.push(format!(
+                "processes left out {left_out} lines in floods: the metrics have all"
+            ));
+        }
+        if self.unreadable > 0 {
+            notes.push(format!("{} lines cannot be read and were left out", self.unreadable));
+        }
+        if !self.open.is_empty() {
+            let open = self.open.len();
+            notes.push(format!(
+                "{open} requests have no end here: a process was killed, or its line left out"
+            ));
+        }
+        notes
+    }
+}
+
+/// The cause of those that were answered as they should be.
+const IN_TIME: &str = "in time";
+
+/// Start of the window of a time such as `2026-01-01T00:00:03.5Z`.
+fn window(timestamp: &str) -> String {
+    let Some(second) = timestamp.get(..SECOND_LEN) else { return timestamp.to_owned() };
+    let (minute, seconds) = second.split_at(SECOND_LEN - 2);
+    match seconds.parse::<u64>() {
+        Ok(seconds) => format!("{minute}{:02}", seconds / WINDOW_S * WINDOW_S),
+        Err(_) => second.to_owned(),
+    }
+}
+
+fn cause(message: &str, line: &LogLine, open: &Open) -> String {
+    let why = |name| line.text(name).unwrap_or("no reason was logged").to_owned();
+    match message {
+        "refused" => format!("refused: {}", why("why")),
+        "caller left" => match line.number("events") {
+            Some(0) | None => "caller left before its first event".to_owned(),
+            Some(_) => "caller left during its stream".to_owned(),
+        },
+        "streamed" if line.text("how") != Some("whole") => format!("broken off: {}", why("how")),
+        "streamed" => streamed(line, open),
+        _ => answered(line, open),
+    }
+}
+
+fn answered(line: &LogLine, open: &Open) -> String {
+    let status = line.number("status").unwrap_or(0);
+    let how = line.text("how").unwrap_or_default();
+    match (status, how) {
+        (500.., "whole") => format!("the target answered {status}"),
+        (500.., how) => format!("failed with {status}: {how}"),
+        _ => late(line.number("ms"), line.number("aim_ms"), open),
+    }
+}
+
+fn streamed(line: &LogLine, open: &Open) -> String {
+    let late = late(line.number("first_ms"), line.number("aim_ms"), open);
+    let pause = line.number("longest_pause_ms").zip(line.number("pause_aim_ms"));
+    match pause {
+        Some((pause, aim)) if late == IN_TIME && aim > 0 && pause > aim => "paused too long".into(),
+        _ => late,
+    }
+}
+
+/// Whether an answer came late, and where its time went.
+fn late(took_ms: Option<u64>, aim_ms: Option<u64>, open: &Open) -> String {
+    let (Some(took), Some(aim)) = (took_ms, aim_ms) else { return IN_TIME.to_owned() };
+    if took <= aim {
+        return IN_TIME.to_owned();
+    }
+    if let Some(why) = &open.given_up {
+        return format!("late: a first attempt failed, {why}");
+    }
+    if open.waited_ms * 2 < took {
+        return "late: at the target".to_owned();
+    }
+    match &open.waited_for {
+        Some(why) => format!("late: waited, {why}"),
+        None => "late: waited for its turn at the target".to_owned(),
+    }
+}
--- a/crates/corianderstand_cli/src/args.rs
+++ b/crates/corianderstand_cli/src/args.rs
@@ -28,9 +28,11 @@
     Replay,
     /// Tells what became of a request.
     Explain,
+    /// Tells what became of all requests.
+    Account,
 }
 
-const ALL: [Command; 11] = [
+const ALL: [Command; 12] = [
     Command::Router,
     Command::Agent,
     Command::Check,
@@ -42,6 +44,7 @@
     Command::HashKey,
     Command::Replay,
     Command::Explain,
+    Command::Account,
 ];
 
 impl Command {
@@ -58,6 +61,7 @@
             Self::HashKey => "hash-key",
             Self::Replay => "replay",
             Self::Explain => "explain",
+            Self::Account => "account",
         }
     }
 
@@ -83,6 +87,11 @@
             Self::Explain => {
                 ("ID FILE…", "tell what became of request ID, from the log files of processes")
             }
+            Self::Account => (
+                "FILE…",
+                "count what became of requests, by route, cause and time, from the log files of \
+                routers",
+            ),
             Self::HashKey => (
                 "FILE",
                 "hash the bearer key on standard input for the settings; \
@@ -127,7 +136,9 @@
     if command == Command::Check {
         options.optflag("p", "platform", "the files are settings of the users' platform");
     }
-    if command.asks_router() || matches!(command, Command::Check | Command::Explain) {
+    if command.asks_router()
+        || matches!(command, Command::Check | Command::Explain | Command::Account)
+    {
         options.optflag("j", "json", "print JSON");
     }
     if command.asks_router() {
@@ -184,7 +195,7 @@
     }
     let operands = match command {
         _ if command.runs_process() && matches.opt_present("platform") => 0..=0,
-        Command::Check => 1..=usize::MAX,
+        Command::Check | Command::Account => 1..=usize::MAX,
         Command::Explain => 2..=usize::MAX,
         Command::Get => 0..=1,
         Command::Status => 0..=0,
--- a/crates/corianderstand_cli/src/explain.rs
+++ b/crates/corianderstand_cli/src/explain.rs
@@ -1,9 +1,11 @@
 //! `explain`: the life of one request, from the log files of all processes.
 //!
-//! Lines are JSON, one each; what stands before the first brace (a time or a host that a collector
-//! put there) is shown as the line's source. Lines that cannot be read are counted and said.
+//! Lines that cannot be read are counted and said.
 
-use crate::Exit;
+use crate::{
+    Exit,
+    log_lines::{self, LogLine},
+};
 use getopts::Matches;
 use serde_json::{Map, Value};
 use std::{collections::BTreeSet, path::Path};
@@ -44,39 +46,28 @@
 }
 
 fn read_file(path: &Path, id: &str, read: &mut Read) -> std::io::Result<()> {
-    let name = path.file_stem().map(|name| name.to_string_lossy().into_owned());
-    let text = String::from_utf8_lossy(&std::fs::read(path)?).into_owned();
-    for line in text.lines().filter(|line| line.contains('{')) {
-        let (before, body) = line.split_at(line.find('{').unwrap_or(0));
-        match serde_json::from_str::<Map<String, Value>>(body) {
-            Ok(mut fields) => {
-                let text = |name: &str, fields: &mut Map<String, Value>| {
-                    let value = fields.remove(name);
-                    value.and_then(|value| value.as_str().map(str::to_owned)).unwrap_or_default()
-                };
-                if let Some(count) = fields.get("left_out").and_then(Value::as_u64) {
-                    read.left_out += count;
-                }
-                if fields.get("id").and_then(Value::as_str) != Some(id) {
-                    continue;
-                }
-                let source = match before.trim() {
-                    "" => name.clone().unwrap_or_default(),
-                    before => before.to_owned(),
-                };
-                let (time, message) =
-                    (text("timestamp", &mut fields), text("message", &mut fields));
-                for known in ["id", "level", "target"] {
-                    fields.remove(known);
-                }
-                read.lines.push(Line { time, source, message, fields });
-            }
-            Err(_) => read.unreadable += 1,
+    let unreadable = log_lines::read(path, |line| {
+        read.left_out += line.number("left_out").unwrap_or(0);
+        if line.text("id") == Some(id) {
+            read.lines.push(about_request(line));
         }
-    }
+    })?;
+    read.unreadable += unreadable;
     Ok(())
 }
 
+fn about_request(LogLine { source, mut fields }: LogLine) -> Line {
+    let mut take = |name: &str| {
+        let value = fields.remove(name);
+        value.and_then(|value| value.as_str().map(str::to_owned)).unwrap_or_default()
+    };
+    let (time, message) = (take("timestamp"), take("message"));
+    for known in ["id", "level", "target"] {
+        fields.remove(known);
+    }
+    Line { time, source, message, fields }
+}
+
 /// A field of a line as text.
 fn text(line: &Line, name: &str) -> Option<String> {
     line.fields.get(name).map(|value| value.as_str().map_or(value.to_string(), str::to_owned))
--- a/crates/corianderstand_cli/src/lib.rs
+++ b/crates/corianderstand_cli/src/lib.rs
@@ -5,12 +5,14 @@
 //! assert_eq!(help, corianderstand_cli::Exit::Success);
 //! ```
 
+mod account;
 mod args;
 pub mod check;
 mod client;
 mod directory;
 mod explain;
 mod fields;
+mod log_lines;
 mod logging;
 mod operate;
 mod platform;
@@ -90,5 +92,6 @@
         Command::HashKey => process::hash_key(matches),
         Command::Replay => replay::run(matches),
         Command::Explain => explain::run(matches),
+        Command::Account => account::run(matches),
     }
 }
