An adapter is asked of an engine that carries out no order, where one holds its model

The engine for it is drawn by a hash, also one that is loading a model for 1.2 s and takes no order meanwhile. Change: engines without an order go first; routers hear of orders at once, so they still mostly agree. Test: an_adapter_is_not_asked_of_an_engine_that_is_busy_with_an_order.

--- a/crates/corianderstand_fleet/src/choose.rs
+++ b/crates/corianderstand_fleet/src/choose.rs
@@ -115,8 +115,8 @@
     }
 }
 
-/// Prefers engines that have the adapter; then those with a place left for it, and among them by
-/// hash, so that all routers have it loaded at the same engine.
+/// Prefers engines that have the adapter; then those that can take an order for it and have a place left,
+/// and among them by hash, so that all routers have it loaded at the same engine.
 fn with_adapter(
     now: Instant,
     holders: &[(targets::TargetKey, &targets::Target)],
@@ -141,7 +141,9 @@
         resident.map(|resident| resident.adapters.len()).sum::<usize>() < ask.adapter_places
     };
     let well = holders.iter().filter(|(_, target)| target.health.trouble(now) < health::OUT);
-    let home = well.max_by_key(|(_, target)| (has_place(target), place(target)));
+    // An engine that is carrying out an order takes none for an adapter meanwhile.
+    let home =
+        well.max_by_key(|(_, target)| (target.ongoing.is_none(), has_place(target), place(target)));
     let home = home.or(holders.first());
     home.map_or(Choice::Full, |(key, _)| Choice::LoadAdapter(*key))
 }
--- a/crates/corianderstand_fleet/tests/decisions.rs
+++ b/crates/corianderstand_fleet/tests/decisions.rs
@@ -11,7 +11,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use targets::{Change, Entry, Holdings, Load, Report, Resident, Targets};
+use targets::{Change, Entry, Holdings, Load, Ongoing, Report, Resident, Targets};
 
 fn table(prefixes: &[&str]) -> routes::Table {
     let routes = prefixes.iter().map(|prefix| {
@@ -347,6 +347,35 @@
     assert_eq!(choose("d"), choose::Choice::LoadAdapter(key("free")));
 }
 
+/// An adapter is asked of an engine that loads a model for a second and more, while another engine that
+/// holds the adapter's model could have it within some ms. Its caller waits for the model of others.
+#[test]
+fn an_adapter_is_not_asked_of_an_engine_that_is_busy_with_an_order() {
+    let now = Instant::now();
+    let names = ["one", "two", "three"];
+    let mut targets = Targets::default();
+    for name in names {
+        targets.register(now, entry(name));
+    }
+    let (service, zone) = ("models".into(), "here".into());
+    let wanted = choose::Wanted { model: "m".into(), adapter: Some("a".into()) };
+    let home = |targets: &Targets| {
+        let choice = choose::choose(now, targets, &ask(&wanted, &service, &zone));
+        let choose::Choice::LoadAdapter(key) = choice else { panic!("nobody has it: {choice:?}") };
+        key
+    };
+    let usual = home(&targets);
+    let ready_at = now + Duration::from_secs(1);
+    let loading = Ongoing::Loading { model: "n".into(), ready_at, from_store: false };
+    targets.get_mut(usual).unwrap().ongoing = Some(loading.clone());
+    assert_ne!(home(&targets), usual);
+    for name in names {
+        let key = targets.key(&id(name)).unwrap();
+        targets.get_mut(key).unwrap().ongoing = Some(loading.clone());
+    }
+    assert_eq!(home(&targets), usual, "all are busy alike");
+}
+
 /// All targets fail at once. Each second attempt adds load to what is left; beyond the allowance
 /// there are none, and two routers together stay within it too.
 #[test]
