A planner that has just started drops no model for 1.5 s

Change: in a process that has just started only free places are given; that is what engines have after a power cut. Test: a_planner_that_has_just_started_drops_no_model.

--- a/crates/corianderstand_fleet/src/plan.rs
+++ b/crates/corianderstand_fleet/src/plan.rs
@@ -44,6 +44,11 @@
 /// It must not end: where it did after ten seconds, models that had become busy stayed on three
 /// overloaded engines for as long as they were busy, and half of their callers were refused.
 const REPLICA_FADES: Duration = Duration::from_millis(6_500);
+/// A planner in a process that has just started knows little of what is asked for, and of models that nobody
+/// seems to ask for all are worth the same: within this time it drops none. By then a model that is asked
+/// for once a second has mostly been seen.
+const LEARNS_FOR: Duration = Duration::from_millis(1_500);
+
 /// An engine as the plan sees it.
 #[derives(data)]
 pub struct EngineView {
@@ -82,6 +87,8 @@
     wants: HashMap<targets::TargetKey, Vec<names::ModelId>>,
     placed: HashMap<(targets::TargetKey, names::ModelId), Instant>,
     store: pace::StorePace,
+    /// Until then it learns what is asked for.
+    learns_until: Option<Instant>,
     /// What placing absent models gained, in requests.
     swaps: Option<fading::Fading>,
 }
@@ -120,6 +127,11 @@
 }
 
 impl Planner {
+    /// A planner in a process that starts now.
+    pub fn starting(now: Instant) -> Self {
+        Self { learns_until: Some(now + LEARNS_FOR), ..Self::default() }
+    }
+
     /// What each engine should hold, made anew from what is known now.
     pub fn plan(
         &mut self,
@@ -217,6 +229,9 @@
                 place.loss += worth * place.ready_in.as_secs_f64();
             }
         }
+        if self.learns_until.is_some_and(|until| now < until) {
+            places.retain(|place| place.victims.is_empty());
+        }
         let later = |place: &Place| match wish.cause {
             Cause::Load => (-place.ready_in.as_secs_f64() / REPLICA_FADES.as_secs_f64()).exp(),
             Cause::Absent => 1.0,
--- a/crates/corianderstand_fleet/tests/plan_size.rs
+++ b/crates/corianderstand_fleet/tests/plan_size.rs
@@ -85,6 +85,33 @@
     }
 }
 
+/// All routers are killed at once and engines go on. The router that plans hears of few requests at first, and
+/// engines drop busy models for the first rare one that somebody asks for.
+#[test]
+fn a_planner_that_has_just_started_drops_no_model() {
+    let mut fleet = Fleet::after_a_power_cut(1);
+    let mut now = Instant::now();
+    let mut planner = plan::Planner::default();
+    for _ in 0..FIT {
+        let wants = planner.plan(now, &fleet.engines, &fleet.models).clone();
+        fleet.follow(&wants);
+        now += Duration::from_millis(1_300);
+    }
+    let held: BTreeSet<_> = fleet.engines.iter().flat_map(resident).cloned().collect();
+    for (name, model) in &mut fleet.models {
+        model.asked = demand::Asked::default();
+        model.waiting = u32::from(!held.contains(name));
+    }
+    let keeps = |wants: &HashMap<targets::TargetKey, Vec<ModelId>>| {
+        let mut engines = fleet.engines.iter();
+        engines.all(|engine| resident(engine).all(|model| wants[&engine.key].contains(model)))
+    };
+    let mut starting = plan::Planner::starting(now);
+    assert!(keeps(starting.plan(now, &fleet.engines, &fleet.models)));
+    let later = now + Duration::from_secs(2);
+    assert!(!keeps(starting.plan(later, &fleet.engines, &fleet.models)), "others wait for places");
+}
+
 /// Models that an engine holds.
 fn resident(engine: &plan::EngineView) -> impl Iterator<Item = &ModelId> {
     engine.holdings.resident.iter().map(|resident| &resident.model)
--- a/crates/corianderstand_forward/src/planning.rs
+++ b/crates/corianderstand_forward/src/planning.rs
@@ -23,6 +23,11 @@
 }
 
 impl Planning {
+    /// The planning of a router that starts now.
+    pub fn starting(now: Instant) -> Self {
+        Self { planner: plan::Planner::starting(now), ..Self::default() }
+    }
+
     /// Makes a plan for each service with engines, and tells agents what is new to them.
     pub fn plan<P: router::Platform>(&mut self, shared: &router::Shared<P>, now: Instant) {
         let view = shared.view.borrow();
