Followers look each tenth of the bound; an agent's word ends no plain service's target and none for good

Now only engines' targets are replaced, and if the one before lives, its next entry ends the one introduced.

--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -361,18 +361,7 @@
         }
         self.gone.remove(before);
         self.left.insert(before.clone(), old.born);
-        let holdings = Holdings { on_disk: old.holdings.on_disk.clone(), ..Default::default() };
-        let entry = Entry {
-            id: id.clone(),
-            born: *born,
-            renewals: 0,
-            draining: false,
-            leaves_in: None,
-            holdings,
-            ..old
-        };
-        let key = self.insert(now, entry);
-        self.arena[key].missing_since = Some(now);
+        self.follow_on(now, id, *born, old);
         true
     }
 
@@ -381,21 +370,46 @@
     ///
     /// A router that starts together with all engines reads the entries of those that have ended, and
     /// the agents' word that they were replaced came before it knew them. It would send requests to
-    /// engines that are no more until it reads the store again.
+    /// engines that are no more until it reads the store again. `is_engines` tells the services of engines:
+    /// an agent has no word on a plain service's target at the same host. If the engine before lives after all,
+    /// its next entry ends the one introduced.
     pub fn introduce(
         &mut self,
         now: Instant,
         id: &names::TargetId,
         born: u64,
         host: IpAddr,
+        is_engines: impl Fn(&names::ServiceId) -> bool,
     ) -> bool {
         // What an engine that has ended said last may arrive after its follower is known.
-        if self.by_id.contains_key(id) || self.gone.contains_key(id) {
+        let over = self.gone.contains_key(id) || self.left.contains_key(id);
+        if over || self.by_id.contains_key(id) {
             return false;
         }
-        let Some([known]) = self.by_host.get(&host).map(Vec::as_slice) else { return false };
-        let before = self.arena[*known].entry.id.clone();
-        self.replace(now, &Replaced { id: id.clone(), born, before })
+        let Some(&[key]) = self.by_host.get(&host).map(Vec::as_slice) else { return false };
+        let old = self.arena[key].entry.clone();
+        if !is_engines(&old.service) {
+            return false;
+        }
+        self.forget(now, key);
+        self.follow_on(now, id, born, old);
+        true
+    }
+
+    /// What was known of an engine's place holds for the one that runs there now.
+    fn follow_on(&mut self, now: Instant, id: &names::TargetId, born: u64, old: Entry) {
+        let holdings = Holdings { on_disk: old.holdings.on_disk.clone(), ..Default::default() };
+        let entry = Entry {
+            id: id.clone(),
+            born,
+            renewals: 0,
+            draining: false,
+            leaves_in: None,
+            holdings,
+            ..old
+        };
+        let key = self.insert(now, entry);
+        self.arena[key].missing_since = Some(now);
     }
 
     /// Takes an entry. Entries are to come in the order in which they were written: one that is new at
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -148,7 +148,12 @@
 ) {
     let report = report(now, news);
     let mut view = shared.view.borrow_mut();
-    if view.targets.introduce(now, &report.id, report.born, from.ip()) {
+    let table = view.table.clone();
+    let is_engines = |name: &names::ServiceId| {
+        let service = table.as_ref().and_then(|table| table.config().service(name));
+        service.is_some_and(|service| service.engine.is_some())
+    };
+    if view.targets.introduce(now, &report.id, report.born, from.ip(), is_engines) {
         tracing::info!(target = %report.id, "a target is known from its agent");
     }
     let Some(key) = view.targets.key(&report.id) else { return };
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -30,7 +30,7 @@
 const TARGETS_PART: f64 = 0.4;
 /// The same part where others follow this router, and for those that follow: both pauses add up.
 const READER_PART: f64 = 0.2;
-const FOLLOWER_PART: f64 = 0.25;
+const FOLLOWER_PART: f64 = 0.1;
 /// Pause after which a router that follows looks again whether others read for it.
 const FOLLOWER_LOOK: Duration = Duration::from_millis(250);
 /// Looks after which such a router tries the store itself although nobody reads for it.
