--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod prefill;
 pub mod prefixes;
 pub mod routes;
+pub mod snapshot;
 pub mod steps;
 pub mod targets;
 mod worth;
--- a/crates/corianderstand_fleet/src/pace.rs
+++ b/crates/corianderstand_fleet/src/pace.rs
@@ -4,7 +4,7 @@
 //! others; as many that take their usual time show that the store carries one more.
 
 use crate::{
-    plan::{EngineView, Models},
+    snapshot::{EngineView, Models},
     targets,
 };
 use corianderstand_types::names;
--- a/crates/corianderstand_fleet/src/plan.rs
+++ b/crates/corianderstand_fleet/src/plan.rs
@@ -11,11 +11,10 @@
 //! more than it says; only what stands in the way of something wanted is dropped. So a plan that is
 //! late, lost or made twice from different knowledge costs a load and breaks nothing.
 
-use crate::{census, config, demand, fading, pace, targets, worth};
-use corianderstand_derives::derives;
+use crate::{census, fading, pace, snapshot, targets, worth};
 use corianderstand_types::names;
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::HashMap,
     time::{Duration, Instant},
 };
 
@@ -49,38 +48,6 @@
 /// for once a second has mostly been seen.
 const LEARNS_FOR: Duration = Duration::from_millis(1_500);
 
-/// An engine as the plan sees it.
-#[derives(data)]
-pub struct EngineView {
-    /// Its key.
-    pub key: targets::TargetKey,
-    /// Its agent is there to carry out orders; if not, it serves what it holds.
-    pub orderable: bool,
-    /// Memory for weights, in MB.
-    pub weights_mb: u64,
-    /// Requests in one batch.
-    pub slots: u32,
-    /// Adapters that fit at once.
-    pub adapter_places: usize,
-    /// What it holds.
-    pub holdings: targets::Holdings,
-    /// The order that it is carrying out.
-    pub ongoing: Option<targets::Ongoing>,
-    /// Requests at it by model, of all routers.
-    pub running: BTreeMap<names::ModelId, u32>,
-}
-
-/// A model as the plan sees it.
-#[derives(data)]
-pub struct ModelView {
-    /// What is configured of it.
-    pub spec: config::Model,
-    /// How much all routers are asked for it.
-    pub asked: demand::Asked,
-    /// Requests that wait for it.
-    pub waiting: u32,
-}
-
 /// The planner: the last plan, and what it has learnt of the weight store.
 #[derive(Debug, Default)]
 pub struct Planner {
@@ -93,9 +60,6 @@
     swaps: Option<fading::Fading>,
 }
 
-/// Models by name.
-pub type Models = BTreeMap<names::ModelId, ModelView>;
-
 /// Why a model should get one more place.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Cause {
@@ -108,7 +72,7 @@
 /// A model that should get one more place.
 #[derive(Clone, Copy, Debug)]
 struct Wish<'a> {
-    model: &'a ModelView,
+    model: &'a snapshot::ModelView,
     cause: Cause,
     /// What that gains within [`worth::HORIZON_S`], in requests.
     gain: f64,
@@ -136,8 +100,8 @@
     pub fn plan(
         &mut self,
         now: Instant,
-        engines: &[EngineView],
-        models: &Models,
+        engines: &[snapshot::EngineView],
+        models: &snapshot::Models,
     ) -> &HashMap<targets::TargetKey, Vec<names::ModelId>> {
         self.store.observe(now, engines, models);
         self.follow(now, engines, models);
@@ -170,7 +134,12 @@
 
     /// Starts from what engines hold and are loading, so that a new planner changes nothing that
     /// needs no change.
-    fn follow(&mut self, now: Instant, engines: &[EngineView], models: &Models) {
+    fn follow(
+        &mut self,
+        now: Instant,
+        engines: &[snapshot::EngineView],
+        models: &snapshot::Models,
+    ) {
         self.wants.retain(|key, _| engines.iter().any(|engine| engine.key == *key));
         self.placed.retain(|(key, _), _| engines.iter().any(|engine| engine.key == *key));
         for engine in engines {
@@ -198,8 +167,8 @@
     fn place(
         &self,
         now: Instant,
-        engines: &[EngineView],
-        models: &Models,
+        engines: &[snapshot::EngineView],
+        models: &snapshot::Models,
         census: &census::Census,
         wish: &Wish,
     ) -> Option<Place> {
@@ -254,11 +223,16 @@
     }
 
     /// Time until the engine holds all that it should, and can be given another order.
-    fn settled_in(&self, now: Instant, engine: &EngineView, models: &Models) -> Duration {
+    fn settled_in(
+        &self,
+        now: Instant,
+        engine: &snapshot::EngineView,
+        models: &snapshot::Models,
+    ) -> Duration {
         let wants = &self.wants[&engine.key];
         let missing = wants.iter().filter(|name| engine.holdings.resident(name).is_none());
         let missing = missing.filter_map(|name| models.get(name));
-        let loads: Duration = missing.map(|view| source(engine, &view.spec).0).sum();
+        let loads: Duration = missing.map(|view| snapshot::source(engine, &view.spec).0).sum();
         match &engine.ongoing {
             Some(targets::Ongoing::Loading { ready_at, .. }) => {
                 ready_at.saturating_duration_since(now).max(worth::DECISION)
@@ -271,16 +245,16 @@
     fn place_on(
         &self,
         now: Instant,
-        engine: &EngineView,
+        engine: &snapshot::EngineView,
         index: usize,
-        models: &Models,
+        models: &snapshot::Models,
         census: &census::Census,
         wish: &Wish,
     ) -> Option<Place> {
         let model = wish.model;
         let wants = &self.wants[&engine.key];
         let settled_in = self.settled_in(now, engine, models);
-        let (load, from_store) = source(engine, &model.spec);
+        let (load, from_store) = snapshot::source(engine, &model.spec);
         let mut place = Place {
             engine: index,
             victims: Vec::new(),
@@ -320,13 +294,14 @@
     /// well: the streams of both pause while it reads the prompts of both.
     fn crowding(
         &self,
-        engine: &EngineView,
-        models: &Models,
+        engine: &snapshot::EngineView,
+        models: &snapshot::Models,
         census: &census::Census,
-        model: &ModelView,
+        model: &snapshot::ModelView,
     ) -> f64 {
-        let share =
-            |view: &ModelView, replicas: usize| worth::reading(view) / replicas.max(1) as f64;
+        let share = |view: &snapshot::ModelView, replicas: usize| {
+            worth::reading(view) / replicas.max(1) as f64
+        };
         let wants = self.wants[&engine.key].iter().filter_map(|name| models.get(name));
         let others: f64 = wants.map(|view| share(view, census.replicas(&view.spec.name))).sum();
         let replicas = census.replicas(&model.spec.name) + 1;
@@ -338,7 +313,7 @@
     fn take(
         &mut self,
         now: Instant,
-        engines: &[EngineView],
+        engines: &[snapshot::EngineView],
         place: &Place,
         model: &names::ModelId,
     ) {
@@ -354,7 +329,7 @@
 }
 
 /// What one more replica of the model gains; none if it needs no more.
-fn wish<'a>(census: &census::Census, model: &'a ModelView) -> Option<Wish<'a>> {
+fn wish<'a>(census: &census::Census, model: &'a snapshot::ModelView) -> Option<Wish<'a>> {
     let replicas = census.replicas(&model.spec.name);
     if replicas == 0 {
         let gain = f64::from(model.waiting) + worth::away(model);
@@ -367,7 +342,12 @@
 }
 
 /// What is lost within [`worth::HORIZON_S`], in requests, when the model leaves this engine.
-fn loss(census: &census::Census, engine: &EngineView, model: &ModelView, cause: Cause) -> f64 {
+fn loss(
+    census: &census::Census,
+    engine: &snapshot::EngineView,
+    model: &snapshot::ModelView,
+    cause: Cause,
+) -> f64 {
     let others = census.replicas(&model.spec.name).saturating_sub(1);
     let running = engine.running.get(&model.spec.name).copied().unwrap_or(0);
     let running = f64::from(running.min(2)) * RUNNING;
@@ -382,14 +362,3 @@
     let more = worth::lost(load / others as f64) - worth::lost(load / (others + 1) as f64);
     worth::requests(model) * (more + SPARE / others as f64) + running
 }
-
-/// How long an engine takes to load a model, and whether from the weight store.
-pub fn source(engine: &EngineView, model: &config::Model) -> (Duration, bool) {
-    if engine.holdings.in_memory.contains(&model.name) {
-        (model.load_from_memory, false)
-    } else if engine.holdings.on_disk.contains(&model.name) {
-        (model.load_from_disk, false)
-    } else {
-        (model.load, true)
-    }
-}
--- a/crates/corianderstand_fleet/src/worth.rs
+++ b/crates/corianderstand_fleet/src/worth.rs
@@ -1,6 +1,6 @@
 //! What requests for a model gain and lose by where it is, in requests.
 
-use crate::{census, demand, plan::ModelView};
+use crate::{census, demand, snapshot::ModelView};
 use std::time::Duration;
 
 /// Requests a second that a model without any counts as, so that models come to engines before
--- a/crates/corianderstand_fleet/tests/common/mod.rs
+++ b/crates/corianderstand_fleet/tests/common/mod.rs
@@ -6,7 +6,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
-use corianderstand_fleet::{config, demand, plan, steps, targets};
+use corianderstand_fleet::{config, demand, plan, snapshot, steps, targets};
 use corianderstand_types::names::{ModelId, TargetId};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -260,16 +260,16 @@
         }
     }
 
-    fn model_views(&self) -> BTreeMap<ModelId, plan::ModelView> {
+    fn model_views(&self) -> BTreeMap<ModelId, snapshot::ModelView> {
         let views = self.models.keys().map(|name| {
             let waiting = self.waiting.iter().filter(|request| request.model == *name).count();
             let asked = self.demand.asked(self.now, name);
-            (name.clone(), plan::ModelView { spec: spec(name), asked, waiting: waiting as u32 })
+            (name.clone(), snapshot::ModelView { spec: spec(name), asked, waiting: waiting as u32 })
         });
         views.collect()
     }
 
-    fn engine_views(&self) -> Vec<plan::EngineView> {
+    fn engine_views(&self) -> Vec<snapshot::EngineView> {
         let up = self.engines.iter().filter(|engine| engine.up);
         let views = up.map(|engine| {
             let mut running: BTreeMap<ModelId, u32> = BTreeMap::new();
@@ -288,7 +288,7 @@
                     targets::Ongoing::Unloading { model: model.clone() }
                 }
             });
-            plan::EngineView {
+            snapshot::EngineView {
                 key: engine.key,
                 orderable: true,
                 weights_mb: ENGINE_MB,
--- a/crates/corianderstand_fleet/tests/plan.rs
+++ b/crates/corianderstand_fleet/tests/plan.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Asked, World, busy, rare};
-use corianderstand_fleet::{config, demand, plan, targets};
+use corianderstand_fleet::{config, demand, plan, snapshot, targets};
 use corianderstand_types::names::ModelId;
 use slotmap::SlotMap;
 use std::{
@@ -148,8 +148,11 @@
         ..Default::default()
     };
     let idle: Vec<ModelId> = (0..12).map(|index| format!("idle-{index}").as_str().into()).collect();
-    let view =
-        |model: &ModelId, asked| plan::ModelView { spec: common::spec(model), asked, waiting: 0 };
+    let view = |model: &ModelId, asked| snapshot::ModelView {
+        spec: common::spec(model),
+        asked,
+        waiting: 0,
+    };
     let busy = ModelId::from("busy");
     let mut models: BTreeMap<_, _> =
         idle.iter().map(|model| (model.clone(), view(model, demand::Asked::default()))).collect();
@@ -164,7 +167,7 @@
                 .iter()
                 .map(|model| targets::Resident { model: model.clone(), adapters: Vec::new() });
             let on_disk = idle.iter().cloned().chain([busy.clone()]).collect();
-            plan::EngineView {
+            snapshot::EngineView {
                 key,
                 orderable: true,
                 weights_mb: 80_000,
@@ -226,7 +229,7 @@
         let resident = resident.into_iter();
         let resident =
             resident.map(|model| targets::Resident { model: model.clone(), adapters: Vec::new() });
-        let engine = plan::EngineView {
+        let engine = snapshot::EngineView {
             key,
             orderable: true,
             weights_mb: 80_000,
@@ -243,7 +246,7 @@
         let models = [&first, &next].map(|model| {
             let waiting = if model == waiting { 5 } else { 0 };
             let asked = demand::Asked::default();
-            (model.clone(), plan::ModelView { spec: common::spec(model), asked, waiting })
+            (model.clone(), snapshot::ModelView { spec: common::spec(model), asked, waiting })
         });
         let now = start + Duration::from_millis(after_ms);
         planner.plan(now, &[engine], &models.into())[&key].clone()
@@ -263,7 +266,7 @@
     let mut keys: SlotMap<targets::TargetKey, ()> = SlotMap::with_key();
     let key = keys.insert(());
     let (stored, on_disk) = (ModelId::from("stored"), ModelId::from("on-disk"));
-    let engine = plan::EngineView {
+    let engine = snapshot::EngineView {
         key,
         orderable: true,
         weights_mb: 80_000,
@@ -275,7 +278,7 @@
     };
     let models = [(&stored, 2), (&on_disk, 1)].map(|(model, waiting)| {
         let asked = demand::Asked::default();
-        (model.clone(), plan::ModelView { spec: common::spec(model), asked, waiting })
+        (model.clone(), snapshot::ModelView { spec: common::spec(model), asked, waiting })
     });
     let mut planner = plan::Planner::default();
     let wants = planner.plan(Instant::now(), &[engine], &models.into());
@@ -293,7 +296,7 @@
     let engines = keys.iter().enumerate().map(|(index, &key)| {
         let resident = targets::Resident { model: busy.clone(), adapters: Vec::new() };
         let resident = if index < 2 { vec![resident] } else { Vec::new() };
-        plan::EngineView {
+        snapshot::EngineView {
             key,
             orderable: true,
             weights_mb: 80_000,
@@ -313,7 +316,7 @@
         ..Default::default()
     };
     let spec = config::Model { load: Duration::from_millis(13_200), ..common::spec(&busy) };
-    let models = BTreeMap::from([(busy.clone(), plan::ModelView { spec, asked, waiting: 0 })]);
+    let models = BTreeMap::from([(busy.clone(), snapshot::ModelView { spec, asked, waiting: 0 })]);
     let mut planner = plan::Planner::default();
     let wants = planner.plan(Instant::now(), &engines, &models);
     let replicas = wants.values().filter(|wants| wants.contains(&busy)).count();
--- a/crates/corianderstand_fleet/tests/plan_size.rs
+++ b/crates/corianderstand_fleet/tests/plan_size.rs
@@ -1,6 +1,6 @@
 //! Plans for a large fleet: how long one takes, and that engines are used.
 
-use corianderstand_fleet::{config, demand, plan, targets};
+use corianderstand_fleet::{config, demand, plan, snapshot, targets};
 use corianderstand_types::names::ModelId;
 use rand::{RngExt, SeedableRng, rngs};
 use slotmap::SlotMap;
@@ -20,15 +20,15 @@
 const PLANS: u32 = 12;
 
 struct Fleet {
-    engines: Vec<plan::EngineView>,
-    models: plan::Models,
+    engines: Vec<snapshot::EngineView>,
+    models: snapshot::Models,
 }
 
 fn name(index: usize) -> ModelId {
     format!("model-{index:03}").as_str().into()
 }
 
-fn model(index: usize, per_s: f64, waiting: u32) -> (ModelId, plan::ModelView) {
+fn model(index: usize, per_s: f64, waiting: u32) -> (ModelId, snapshot::ModelView) {
     let spec = config::Model {
         name: name(index),
         weights_mb: MODEL_MB,
@@ -43,7 +43,7 @@
         aim: Duration::from_millis(if index < 32 { 300 } else { 3_000 }),
         ..Default::default()
     };
-    (spec.name.clone(), plan::ModelView { spec, asked, waiting })
+    (spec.name.clone(), snapshot::ModelView { spec, asked, waiting })
 }
 
 impl Fleet {
@@ -53,7 +53,7 @@
         let mut keys = SlotMap::with_key();
         let engines = (0..ENGINES).map(|_| {
             let on_disk = (0..2 * FIT).map(|_| name(rng.random_range(0..MODELS))).collect();
-            plan::EngineView {
+            snapshot::EngineView {
                 key: keys.insert(()),
                 orderable: true,
                 weights_mb: FIT as u64 * MODEL_MB + MODEL_MB / 7,
@@ -113,7 +113,7 @@
 }
 
 /// Models that an engine holds.
-fn resident(engine: &plan::EngineView) -> impl Iterator<Item = &ModelId> {
+fn resident(engine: &snapshot::EngineView) -> impl Iterator<Item = &ModelId> {
     engine.holdings.resident.iter().map(|resident| &resident.model)
 }
 
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -5,13 +5,13 @@
 //! instead. While the store does not answer, what is known stays in force, and other routers may
 //! hand over what they have read since ([`crate::catch_up`]).
 
-use crate::{control, copies, dialect, readers, router, transfer};
+pub mod others;
+
+use crate::{control, copies, dialect, readers, router};
 use copies::Source;
 use corianderstand_fleet::{config, routes, targets};
-use corianderstand_schema::peers as wire;
 use dialect::Subject;
 use std::{
-    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -28,13 +28,8 @@
 /// reads of the targets. All targets renew their entries each second or so; a read for each entry
 /// would cost ten calls a second.
 const TARGETS_PART: f64 = 0.4;
-/// The same part where others follow this router, and for those that follow: both pauses add up.
+/// The same part where others follow this router; their own pauses come on top.
 const READER_PART: f64 = 0.2;
-const FOLLOWER_PART: f64 = 0.1;
-/// Pause after which a router that follows looks again whether others read for it.
-const FOLLOWER_LOOK: Duration = Duration::from_millis(250);
-/// Looks after which such a router tries the store itself although nobody reads for it.
-const NEED_LOOKS: u32 = 5;
 /// Least pause between two reads of the targets when what is known of them has proved to be out of date.
 const OUTDATED_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two reads of the routers: routers hear of one another directly, this finds those
@@ -44,6 +39,7 @@
 const LEAST_WAIT: Duration = Duration::from_millis(300);
 /// Pause after a call that failed, so that a store that is coming back is not flooded.
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
+
 /// Begins to follow all subjects.
 pub fn start<P: router::Platform>(shared: &Rc<router::Shared<P>>) {
     for subject in [Subject::Config, Subject::Targets, Subject::Routers] {
@@ -65,7 +61,7 @@
     let mut from: Option<u64> = None;
     loop {
         let known = from.is_some() || shared.copies.borrow().next(subject) > 0;
-        if known && follow_readers(&shared, subject).await {
+        if known && others::follow(&shared, subject).await {
             continue;
         }
         let waiting = waiting(&shared, subject);
@@ -106,73 +102,10 @@
             }
             Err(error) => {
                 note_lost(&shared, subject, &error);
-                pause_lost(&shared, pause_after(&error)).await;
-            }
-        }
-    }
-}
-
-/// Lets other routers read the store for this one, until its next look. False if the store should be
-/// read now: nobody else does, or what they have read is no news.
-async fn follow_readers<P: router::Platform>(
-    shared: &Rc<router::Shared<P>>,
-    subject: Subject,
-) -> bool {
-    let readers::Role::Follows(readers) = shared.role(shared.clock.now()) else { return false };
-    match subject {
-        // Whoever reads says at once that there is a change ([`crate::catch_up`]).
-        Subject::Config => tokio::time::sleep(FOLLOWER_LOOK).await,
-        // Routers tell one another that they are there.
-        Subject::Routers => tokio::time::sleep(FOLLOWER_LOOK).await,
-        Subject::Targets => {
-            let within = shared.bounds.borrow().drain_within;
-            pause_targets(shared, within.mul_f64(FOLLOWER_PART)).await;
-            return take_targets(shared, &readers).await;
-        }
-    }
-    true
-}
-
-/// Takes the targets' entries from routers that read them. False if what they have is too old: the
-/// reader has lost the store, and nobody has heard it yet.
-async fn take_targets<P: router::Platform>(
-    shared: &Rc<router::Shared<P>>,
-    readers: &[SocketAddr],
-) -> bool {
-    let subject = Subject::Targets;
-    let most = shared.bounds.borrow().drain_within.mul_f64(TARGETS_PART);
-    for reader in readers {
-        match transfer::follow(shared, *reader, subject).await {
-            transfer::Fetched::Taken(Some(age)) if age <= most => {
-                note_read(shared, subject);
-                return true;
+                others::pause_lost(&shared, pause_after(&error)).await;
             }
-            transfer::Fetched::Refused => {}
-            transfer::Fetched::Taken(_) | transfer::Fetched::Nothing => return false,
         }
     }
-    false
-}
-
-/// Another router says how far it has read. Where that one reads the store for this one and knows no newer
-/// configuration, the own one is as current as if the store had been read.
-pub fn hear<P: router::Platform>(
-    shared: &router::Shared<P>,
-    now: Instant,
-    news: &wire::RouterNews,
-) {
-    if news.store != wire::StoreUse::Reads || news.zone != shared.settings.zone {
-        return;
-    }
-    if !matches!(shared.role(now), readers::Role::Follows(_)) {
-        return;
-    }
-    let own = shared.copies.borrow().next(Subject::Config);
-    if news.config_next > own {
-        shared.tell_planner.notify_one();
-    } else {
-        note_read(shared, Subject::Config);
-    }
 }
 
 /// Pauses between two reads of the targets, until one proves to be another than was thought.
@@ -209,19 +142,6 @@
     }
 }
 
-/// Pauses after a read that failed. A router that is not among those that read for others tries seldom:
-/// hundreds that ask a store which is away, or has no room for more, again and again keep it from coming
-/// back. It follows as soon as others read again.
-async fn pause_lost<P: router::Platform>(shared: &router::Shared<P>, pause: Duration) {
-    tokio::time::sleep(pause).await;
-    for _ in 0..NEED_LOOKS {
-        if shared.role(shared.clock.now()) != readers::Role::ReadsInNeed {
-            return;
-        }
-        tokio::time::sleep(FOLLOWER_LOOK).await;
-    }
-}
-
 fn note_read<P: router::Platform>(shared: &router::Shared<P>, subject: Subject) {
     let now = shared.clock.now();
     let mut copies = shared.copies.borrow_mut();
--- a/crates/corianderstand_forward/src/planning.rs
+++ b/crates/corianderstand_forward/src/planning.rs
@@ -1,7 +1,7 @@
 //! The router that plans: what it sees of engines and models, and the plans that it sends.
 
 use crate::router;
-use corianderstand_fleet::{config, health, plan, targets};
+use corianderstand_fleet::{config, health, plan, snapshot, targets};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
 use corianderstand_types::names;
 use std::{
@@ -72,7 +72,7 @@
     now: Instant,
     service: &names::ServiceId,
     spec: &config::Engine,
-) -> Vec<plan::EngineView> {
+) -> Vec<snapshot::EngineView> {
     let view = shared.view.borrow();
     let peers = shared.peers.borrow();
     let mut running: HashMap<&names::TargetId, BTreeMap<names::ModelId, u32>> = HashMap::new();
@@ -90,7 +90,7 @@
         for (model, count) in target.running() {
             *running.entry(model).or_default() += count;
         }
-        plan::EngineView {
+        snapshot::EngineView {
             key,
             orderable: target.has_agent(now),
             weights_mb: spec.weights_mb,
@@ -108,23 +108,26 @@
     shared: &router::Shared<P>,
     now: Instant,
     spec: &config::Engine,
-) -> BTreeMap<names::ModelId, plan::ModelView> {
+) -> BTreeMap<names::ModelId, snapshot::ModelView> {
     let view = shared.view.borrow();
     let others = shared.peers.borrow().demand(now);
     let models = spec.models.iter().map(|model| {
         let (asked, waiting) = others.get(&model.name).copied().unwrap_or_default();
         let own = view.waiting.get(&model.name).copied().unwrap_or(0);
         let asked = asked.and(view.demand.asked(now, &model.name));
-        (model.name.clone(), plan::ModelView { spec: model.clone(), asked, waiting: waiting + own })
+        (
+            model.name.clone(),
+            snapshot::ModelView { spec: model.clone(), asked, waiting: waiting + own },
+        )
     });
     models.collect()
 }
 
 /// What an agent is told: sizes of all that is there or should be.
 fn parts(
-    engine: &plan::EngineView,
+    engine: &snapshot::EngineView,
     wants: &[names::ModelId],
-    models: &BTreeMap<names::ModelId, plan::ModelView>,
+    models: &BTreeMap<names::ModelId, snapshot::ModelView>,
 ) -> Vec<wire::PlanPart> {
     let held = engine.holdings.resident.iter().map(|resident| &resident.model);
     let held = held.filter(|name| !wants.contains(name));
@@ -147,7 +150,7 @@
 fn send_plan<P: router::Platform>(
     shared: &router::Shared<P>,
     serial: u64,
-    engine: &plan::EngineView,
+    engine: &snapshot::EngineView,
     (service, spec): (&config::Service, &config::Engine),
     parts: Vec<wire::PlanPart>,
 ) {
--- a/crates/corianderstand_forward/src/view.rs
+++ b/crates/corianderstand_forward/src/view.rs
@@ -1,7 +1,7 @@
 //! What one router believes, and who waits for a change of it.
 
 use corianderstand_fleet::{
-    budget, choose, config, demand, patience, plan, prefixes, routes, targets,
+    budget, choose, config, demand, patience, prefixes, routes, snapshot, targets,
 };
 use corianderstand_types::names;
 use std::{
@@ -93,7 +93,7 @@
             {
                 return patience::Expected::Ready(*ready_at);
             }
-            let view = plan::EngineView {
+            let view = snapshot::EngineView {
                 key,
                 orderable: true,
                 weights_mb: 0,
@@ -103,7 +103,7 @@
                 ongoing: None,
                 running: BTreeMap::new(),
             };
-            let (time, _) = plan::source(&view, model);
+            let (time, _) = snapshot::source(&view, model);
             fastest = Some(fastest.map_or(time, |least| least.min(time)));
         }
         fastest.map_or(patience::Expected::Unknown, patience::Expected::Takes)
