--- a/crates/corianderstand_cli/src/account.rs
+++ b/crates/corianderstand_cli/src/account.rs
@@ -1,6 +1,6 @@
 //! `account`: what became of all requests, by kind, cause and time, from the log files of routers.
 //!
-//! A request counts by the line that ends it. Why one came late is told by its earlier lines: what it waited
+//! A request counts by the line that ends it, so a caller who was refused and came back counts twice. Why one came late is told by its earlier lines: what it waited
 //! for in its router, or a target that was given up. Routers leave out lines in floods and say how many,
 //! so counts are shares of what was written, and the number left out stands beside them.
 
--- a/crates/corianderstand_forward/src/follow/others.rs
+++ b/crates/corianderstand_forward/src/follow/others.rs
@@ -18,7 +18,7 @@
 const NEED_LOOKS: u32 = 5;
 
 /// Lets other routers read the store for this one, until its next look. False if the store should be
-/// read now: nobody else does, or what they have read is no news.
+/// read now: nobody else does, or what they have is too old.
 pub(super) async fn follow<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
     subject: Subject,
