--- a/crates/corianderstand_fleet/tests/decisions.rs
+++ b/crates/corianderstand_fleet/tests/decisions.rs
@@ -75,8 +75,7 @@
     Holdings { resident: resident.collect(), ..Default::default() }
 }
 
-/// All hosts lose their power. The entries of the engines before stay in the store for seconds, and
-/// requests are sent to engines that have ended although those at their addresses have registered.
+/// Requests are sent to engines that have ended although others at their addresses have registered.
 #[test]
 fn an_engine_that_registers_at_an_address_ends_the_one_before() {
     let now = Instant::now();
@@ -89,8 +88,7 @@
     assert!(targets.key(&id("after")).is_some() && targets.key(&id("other")).is_some());
 }
 
-/// A router starts after the agents have said that their engines were replaced, and reads only entries
-/// of engines that have ended: its callers are refused until it reads the store again.
+/// A router that starts knows only engines that have ended, and its callers are refused.
 #[test]
 fn an_engine_is_known_by_its_agent_s_word_before_it_registers() {
     let now = Instant::now();
@@ -349,8 +347,7 @@
     assert_eq!(choose("d"), choose::Choice::LoadAdapter(key("free")));
 }
 
-/// An adapter is asked of an engine that loads a model for a second and more, while another engine that
-/// holds the adapter's model could have it within some ms. Its caller waits for the model of others.
+/// A caller waits for an adapter until its engine has loaded somebody else's model.
 #[test]
 fn an_adapter_is_not_asked_of_an_engine_that_is_busy_with_an_order() {
     let now = Instant::now();
--- a/crates/corianderstand_fleet/tests/plan_size.rs
+++ b/crates/corianderstand_fleet/tests/plan_size.rs
@@ -85,8 +85,7 @@
     }
 }
 
-/// All routers are killed at once and engines go on. The router that plans hears of few requests at first, and
-/// engines drop busy models for the first rare one that somebody asks for.
+/// Engines drop busy models for the first requests that a router hears of after all routers were killed.
 #[test]
 fn a_planner_that_has_just_started_drops_no_model() {
     let mut fleet = Fleet::after_a_power_cut(1);
@@ -117,8 +116,7 @@
     engine.holdings.resident.iter().map(|resident| &resident.model)
 }
 
-/// All hosts lose their power and come back with empty engines. While a plan takes longer than a load
-/// from a disk is worth waiting for, engines stand idle between their orders and callers are refused.
+/// Engines that come back empty stand idle while the next plan is made, and callers are refused.
 #[rstest::rstest]
 #[case(1)]
 #[case(2)]
--- a/crates/corianderstand_forward/tests/following.rs
+++ b/crates/corianderstand_forward/tests/following.rs
@@ -24,8 +24,7 @@
     tokio::time::timeout(common::PATIENCE, ask).await.expect("the answer changes");
 }
 
-/// All routers start together and their callers come at once: each is refused although its router has
-/// read what it needs a moment later.
+/// Callers are refused although their router has read what it needs a moment later.
 #[tokio::test]
 async fn a_request_that_comes_during_the_first_read_is_served() {
     let store = MemoryStore::default();
--- a/crates/corianderstand_forward/tests/readers.rs
+++ b/crates/corianderstand_forward/tests/readers.rs
@@ -60,8 +60,7 @@
     assert_eq!(follows, wanted.map(|ports| ports.to_vec()));
 }
 
-/// Both readers of a zone are turned away by the store, and the others go on taking their records,
-/// which grow older and older.
+/// Records of readers that the store turns away grow older and older.
 #[test]
 fn routers_that_have_lost_the_store_are_not_followed() {
     let mut zone = zone(12);
@@ -175,8 +174,7 @@
     }
 }
 
-/// Hundreds of routers read the store for themselves: its calls grow with their number, and a change of
-/// the configuration comes to all of them all the same.
+/// Calls to the store grow with the number of routers, or a change does not come to those that follow.
 #[tokio::test]
 async fn a_change_comes_to_a_router_that_others_read_for() {
     let zone = Zone::start().await;
@@ -221,8 +219,7 @@
     }
 }
 
-/// Hundreds of targets renew their entries each second, and each router that others read for takes all of
-/// them again each second: small hosts' links are full of what is known.
+/// Small hosts' links are full of renewals that say nothing new.
 #[test]
 fn renewals_are_not_handed_over_again() {
     let record =
@@ -243,8 +240,7 @@
     assert_eq!(copies.page(subject).records.len(), 3, "a router that starts takes all");
 }
 
-/// The store is away for seconds, and each of hundreds of routers asks it three times a second for
-/// each subject: calls that are charged, and that a store which is coming back has to refuse.
+/// A store that is coming back is asked by each of hundreds of routers three times a second.
 #[tokio::test]
 async fn a_router_that_others_read_for_asks_a_store_that_is_away_seldom() {
     let zone = Zone::start().await;
--- a/tests/account.rs
+++ b/tests/account.rs
@@ -16,8 +16,7 @@
     (out.status.code().unwrap(), String::from_utf8(out.stdout).unwrap())
 }
 
-/// After a bad hour on-call asks which requests were not served in time, and why: not one by one, but
-/// how many of each kind for each reason, and when.
+/// On-call cannot tell how many requests were not served in time, and for which reasons.
 #[test]
 fn requests_are_counted_by_route_cause_and_time() {
     let one = file(
