--- a/crates/corianderstand_fleet/src/census.rs
+++ b/crates/corianderstand_fleet/src/census.rs
@@ -1,8 +1,7 @@
 //! What a plan needs to know of all engines again and again, counted once for each plan.
 //!
-//! Asked of the engines each time, a plan for a hundred of them takes a tenth of a second of a whole
-//! core. The host that plans has half a core and serves callers meanwhile, so they wait, and engines
-//! stand idle until their next order.
+//! Asked of the engines each time, a plan's time would grow with their square. The host that plans serves
+//! callers meanwhile, so they would wait, and engines stand idle until their next order.
 
 use crate::{
     config,
