--- a/crates/corianderstand_fleet/src/plan.rs
+++ b/crates/corianderstand_fleet/src/plan.rs
@@ -22,9 +22,7 @@
 /// when an engine crashes, which a few in a hundred do within [`worth::HORIZON_S`].
 const SPARE: f64 = 0.02;
 /// A model with requests at the engine is dropped only when they have ended; until then the engine
-/// takes no other order: half a second at the median, three seconds for one in ten. Each of up to two
-/// counts as this many requests. Mean worth of a site's days at 0.5 and 0.9: 0.585 and 0.604, and
-/// 0.638 and 0.642 on the other.
+/// takes no other order. Each of up to two counts as this many requests.
 const RUNNING: f64 = 0.9;
 /// Time over which it is counted what placing absent models gains: some ten of them.
 const SWAPS: Duration = Duration::from_secs(4);
