Log and count the requests under which a target ended

On-call engineers could not tell which requests a target was running when its process ended: `attempt failed` has the same words for a crash, a cut connection and a reset, and the agent's report of the end names no request.

A broken attempt is now kept for 10 s and joined with the end of its target's incarnation, whichever is known first: reported by the agent, a refused connection (probed once after 350 ms, as engines without an agent have nobody to report it), or another incarnation in its place. An engine that is seen running 300 ms later did not break the connection. Targets that drain or leave are left out.

The line 'target ended under the request' has a fingerprint (128 bits of BLAKE3 over credentials, host, method, path, model and body), the caller's address, how the end was confirmed and how long after the break; a counter has them by confirmation; `explain` lists them.

--- a/crates/corianderstand_cli/src/explain.rs
+++ b/crates/corianderstand_cli/src/explain.rs
@@ -99,6 +99,15 @@
         true => String::new(),
         false => format!("; before: {}", failed.join(", ")),
     };
+    let ended: Vec<String> = lines
+        .iter()
+        .filter(|line| line.message == "target ended under the request")
+        .filter_map(|line| text(line, "at"))
+        .collect();
+    let ended = match ended.is_empty() {
+        true => String::new(),
+        false => format!("; targets that ended while they ran it: {}", ended.join(", ")),
+    };
     let outcome = match end.message.as_str() {
         "refused" => describe_refusal(end),
         "caller left" => "the caller left".to_owned(),
@@ -115,7 +124,7 @@
             (status, how) => format!("{} {}", status.unwrap_or_default(), how.unwrap_or_default()),
         },
     };
-    format!("{outcome} (after {ms} ms){waited}{failed}")
+    format!("{outcome} (after {ms} ms){waited}{failed}{ended}")
 }
 
 fn notes(log: &RequestLog) -> Vec<String> {
--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -25,6 +25,8 @@
 pub mod counts;
 mod decaying_rate;
 pub mod demand;
+pub mod exits;
+pub mod fingerprint;
 pub mod health;
 pub mod plan;
 pub mod prefill;
--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -7,7 +7,9 @@
 
 mod entry;
 
-pub use entry::{AgentReport, EngineReplacement, Entry, Holdings, Load, OngoingCommand, Resident};
+pub use entry::{
+    AgentReport, EngineReplacement, Entry, Holdings, Incarnation, Load, OngoingCommand, Resident,
+};
 
 use crate::{choose, health};
 use corianderstand_derives::derives;
@@ -190,6 +192,7 @@
     by_host: HashMap<IpAddr, Vec<TargetKey>>,
     drained: HashMap<names::TargetId, u64>,
     removed: HashMap<names::TargetId, (Instant, Entry)>,
+    replaced: Vec<Incarnation>,
 }
 
 impl Targets {
@@ -208,6 +211,21 @@
         self.by_id.get(id).copied()
     }
 
+    /// Returns the incarnations that were replaced by another since the last call.
+    pub fn take_replaced(&mut self) -> Vec<Incarnation> {
+        std::mem::take(&mut self.replaced)
+    }
+
+    /// Whether a target is expected to shut down, or has left without failing.
+    pub fn is_leaving(&self, id: &names::TargetId) -> bool {
+        let Some(key) = self.key(id) else { return self.drained.contains_key(id) };
+        let target = &self.arena[key];
+        let is_inferred = target.entry.renewals == 0;
+        target.entry.draining
+            || target.shutdown_at.is_some()
+            || (target.missing_since.is_some() && !is_inferred)
+    }
+
     /// Iterates over all targets.
     pub fn iter(&self) -> impl Iterator<Item = (TargetKey, &Target)> {
         self.arena.iter()
@@ -239,6 +257,7 @@
         if let Some(key) = self.key(previous_id) {
             self.remove_target(now, key);
         }
+        self.replaced.push(previous.incarnation());
         self.removed.remove(previous_id);
         self.drained.insert(previous_id.clone(), previous.started_at_ms);
         self.insert_successor(now, id, *started_at_ms, previous);
@@ -268,6 +287,7 @@
             return false;
         }
         self.remove_target(now, key);
+        self.replaced.push(previous.incarnation());
         self.insert_successor(now, id, started_at_ms, previous);
         true
     }
@@ -318,6 +338,7 @@
             return RegistrationChange::Stale;
         }
         if entry.started_at_ms > target.entry.started_at_ms {
+            self.replaced.push(target.entry.incarnation());
             self.remove_target(now, key);
             self.insert(now, entry);
             return RegistrationChange::New;
@@ -363,6 +384,7 @@
                 shutdown_in: None,
                 ..target.entry.clone()
             };
+            self.replaced.push(self.arena[key].entry.incarnation());
             self.remove_target(now, key);
             self.insert(now, entry);
             return self.report(now, report);
@@ -428,7 +450,10 @@
     fn remove_at_addr(&mut self, now: Instant, addr: SocketAddr) {
         let at_host = self.by_host.get(&addr.ip()).into_iter().flatten().copied();
         let ended: Vec<_> = at_host.filter(|key| self.arena[*key].entry.addr == addr).collect();
-        ended.into_iter().for_each(|key| self.remove_target(now, key));
+        for key in ended {
+            self.replaced.push(self.arena[key].entry.incarnation());
+            self.remove_target(now, key);
+        }
     }
 
     fn insert(&mut self, now: Instant, entry: Entry) -> TargetKey {
--- a/crates/corianderstand_fleet/src/targets/entry.rs
+++ b/crates/corianderstand_fleet/src/targets/entry.rs
@@ -39,6 +39,23 @@
     }
 }
 
+/// One start of a target.
+#[derives(name)]
+pub struct Incarnation {
+    /// Name of the target.
+    pub id: names::TargetId,
+    /// Start time as in [`Entry::started_at_ms`].
+    pub started_at_ms: u64,
+}
+
+impl Incarnation {
+    /// Whether this is the same start; an unknown start time matches any.
+    pub fn matches(&self, other: &Self) -> bool {
+        let starts_known = self.started_at_ms > 0 && other.started_at_ms > 0;
+        self.id == other.id && (!starts_known || self.started_at_ms == other.started_at_ms)
+    }
+}
+
 /// Registered entry of a target.
 #[derives(wire)]
 pub struct Entry {
@@ -66,6 +83,13 @@
     pub holdings: Holdings,
 }
 
+impl Entry {
+    /// The registered start of the target.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { id: self.id.clone(), started_at_ms: self.started_at_ms }
+    }
+}
+
 /// A command that an engine is executing.
 #[derives(data)]
 pub enum OngoingCommand {
--- a/crates/corianderstand_forward/src/attempt.rs
+++ b/crates/corianderstand_forward/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to send a request to a target.
 
-use crate::{dialect, job, pool, router};
+use crate::{dialect, ended_targets, job, pool, router};
 use corianderstand_fleet::targets;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::Full;
@@ -98,6 +98,7 @@
                 return AttemptOutcome::NotSent;
             }
             HeadOutcome::ConnectionLost => {
+                ended_targets::record_broken(shared, job, &in_flight, 0);
                 shared.record_target_failure(key, "connection lost");
                 return AttemptOutcome::Unknown("the target's connection was lost");
             }
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -2,8 +2,8 @@
 //!
 //! Each datagram is self-contained and sent periodically, so nothing is acknowledged.
 
-use crate::{catch_up, dialect, follow, peers, planning, readers, router};
-use corianderstand_fleet::{choose, demand, targets};
+use crate::{catch_up, dialect, ended_targets, follow, peers, planning, readers, router};
+use corianderstand_fleet::{choose, demand, exits, targets};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
 use corianderstand_types::names;
 use std::{
@@ -105,7 +105,10 @@
                 request_plan(shared, now);
             }
         }
-        PeerMessage::EngineNews(update) => on_engine_update(shared, now, from, update),
+        PeerMessage::EngineNews(update) => {
+            on_engine_update(shared, now, from, update);
+            ended_targets::record_replaced(shared, now);
+        }
         PeerMessage::EngineGone(exit) => {
             let is_known =
                 shared.view.borrow_mut().targets.record_exit(now, &exit.target, exit.born);
@@ -113,6 +116,8 @@
                 tracing::info!(target = %exit.target, "target exited, as its agent reports");
                 request_plan(shared, now);
             }
+            let ended = targets::Incarnation { id: exit.target.clone(), started_at_ms: exit.born };
+            ended_targets::record_exit(shared, now, &ended, exits::Confirmation::Agent);
         }
         PeerMessage::EngineReplaced(wire::EngineReplaced { target, born, before }) => {
             let replaced =
@@ -120,6 +125,7 @@
             if shared.view.borrow_mut().targets.replace(now, &replaced) {
                 tracing::info!(target = %replaced.id, before = %replaced.previous_id,
                     "target restarted under another name, as its agent reports");
+                ended_targets::record_replaced(shared, now);
                 request_plan(shared, now);
             }
         }
@@ -140,6 +146,7 @@
     update: wire::EngineUpdate,
 ) {
     let report = to_report(now, update);
+    let id = report.id.clone();
     let mut view = shared.view.borrow_mut();
     let table = view.route_table.clone();
     let has_engine = |name: &names::ServiceId| {
@@ -154,6 +161,9 @@
     if !view.targets.report(now, report) {
         return;
     }
+    let started_at_ms = view.targets.get(key).map_or(0, |t| t.entry.started_at_ms);
+    shared.exits.borrow_mut().record_alive(now, &id, started_at_ms);
+    let key = view.targets.key(&id).unwrap_or(key);
     let after = view.targets.get(key).map(|t| (t.entry.holdings.clone(), t.ongoing.clone()));
     let Some((holdings, ongoing)) = after else { return };
     let changed =
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -1,7 +1,7 @@
 //! Rate-limited logging of routing decisions and request outcomes.
 
 use crate::{job, metrics, replicated_records, stream, view};
-use corianderstand_fleet::{targets, wait_limit};
+use corianderstand_fleet::{exits, targets, wait_limit};
 use corianderstand_types::names;
 use http::StatusCode;
 use smol_str::SmolStr;
@@ -39,9 +39,10 @@
     Refused,
     Denied,
     Left,
+    TargetEnded,
 }
 
-const LINE_KINDS: usize = 7;
+const LINE_KINDS: usize = 8;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct LineCount {
@@ -104,6 +105,30 @@
         }
     }
 
+    /// Logs that a target ended while it ran a request.
+    pub fn target_ended(
+        &self,
+        attempt: &exits::BrokenAttempt,
+        confirmation: exits::Confirmation,
+        now: Instant,
+    ) {
+        self.metrics.target_ended(confirmation);
+        if self.may_log(LineKind::TargetEnded, now) {
+            tracing::info!(
+                id = %attempt.request_id,
+                fingerprint = %attempt.fingerprint,
+                caller = %attempt.caller,
+                at = %attempt.target.id,
+                born = attempt.target.started_at_ms,
+                ran_ms = millis_between(attempt.broke_at, attempt.sent_at),
+                events = attempt.events,
+                confirmed_by = confirmation.as_str(),
+                confirmed_ms = millis_between(now, attempt.broke_at),
+                "target ended under the request"
+            );
+        }
+    }
+
     /// Logs the response to a request, be it the target's or a failure.
     pub fn answered(&self, job: &job::Job, status: StatusCode, how: &str, now: Instant) {
         let kind = if status.is_server_error() { LineKind::Failed } else { LineKind::Answered };
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -3,7 +3,9 @@
 //! A request is sent to another target only if the first did not run it, or if its route allows
 //! retries, within the retry budget. A request with an unknown outcome is never reported as not run.
 
-use crate::{attempt, body::ResponseBody, decisions, dialect, job, router, stream, waiting};
+use crate::{
+    attempt, body::ResponseBody, decisions, dialect, ended_targets, job, router, stream, waiting,
+};
 use bytes::Bytes;
 use corianderstand_fleet::{config, prefixes, targets, wait_limit};
 use corianderstand_types::{names, pause};
@@ -11,7 +13,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use smol_str::SmolStr;
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::OnceCell, net::IpAddr, rc::Rc, sync::Arc, time::Duration};
 use xxhash_rust::xxh3;
 
 /// Why a response or a connection ended early.
@@ -43,6 +45,7 @@
 pub async fn handle_request<P: router::Platform>(
     shared: Rc<router::Shared<P>>,
     connection: &pause::Connection,
+    caller: IpAddr,
     req: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Aborted> {
     let arrived = shared.clock.now();
@@ -100,6 +103,7 @@
         service,
         method: parts.method,
         uri,
+        caller,
         headers: parts.headers,
         body,
         arrived_at: arrived,
@@ -114,6 +118,7 @@
         last_target: names::TargetId::default(),
         prefill_tokens: 0,
         last_failure: "",
+        fingerprint: OnceCell::new(),
     };
     shared.record_arrival(&job);
     let mut pending =
@@ -257,7 +262,10 @@
     let read = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
     let body = match tokio::time::timeout_at(shared.response_deadline(&job).into(), read).await {
         Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => return retry_or_fail(shared, job, key, "the target broke off its answer"),
+        Ok(Err(_)) => {
+            ended_targets::record_broken(shared, &job, &in_flight, 0);
+            return retry_or_fail(shared, job, key, "the target broke off its answer");
+        }
         Err(_) => return Ok(fail(shared, &job, StatusCode::GATEWAY_TIMEOUT, "the time is over")),
     };
     let keep_alive = if info.closes_connection { Some(Duration::ZERO) } else { info.keep_alive };
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -5,7 +5,7 @@
 
 pub mod via_readers;
 
-use crate::{control, dialect, readers, replicated_records, router};
+use crate::{control, dialect, ended_targets, readers, replicated_records, router};
 use corianderstand_fleet::{config, routes, targets};
 use dialect::Subject;
 use replicated_records::Source;
@@ -238,6 +238,8 @@
                 tracing::debug!(target = %id, ?change, "target changed");
                 view.wake_all();
             }
+            drop(view);
+            ended_targets::record_replaced(shared, now);
         }
         dialect::Update::TargetRemoved(id) => {
             let grace = shared.replicated_records.borrow().recovered_recently(now, subject);
--- a/crates/corianderstand_forward/src/job.rs
+++ b/crates/corianderstand_forward/src/job.rs
@@ -1,11 +1,13 @@
 //! A request that is being handled, and its count at the target that handles it.
 
-use crate::{dialect, router, view};
+use crate::{content, dialect, router, view};
 use bytes::Bytes;
-use corianderstand_fleet::{choose, config, demand, prefixes, targets};
+use corianderstand_fleet::{choose, config, demand, fingerprint, prefixes, targets};
 use corianderstand_types::names;
 use http::{HeaderMap, Method, Uri};
 use std::{
+    cell::OnceCell,
+    net::IpAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -30,6 +32,8 @@
     pub method: Method,
     /// Path and query.
     pub uri: Uri,
+    /// Address of the caller.
+    pub caller: IpAddr,
     /// The headers as received.
     pub headers: HeaderMap,
     /// The body.
@@ -58,9 +62,16 @@
     pub prefill_tokens: u64,
     /// Why the last attempt failed.
     pub last_failure: &'static str,
+    /// Computed when it is first needed.
+    pub fingerprint: OnceCell<fingerprint::Fingerprint>,
 }
 
 impl Job {
+    /// The fingerprint of the request's content.
+    pub fn fingerprint(&self) -> fingerprint::Fingerprint {
+        *self.fingerprint.get_or_init(|| content::fingerprint(self))
+    }
+
     /// Expected prompt and output tokens.
     pub fn expected_tokens(&self) -> u64 {
         if self.request.requested_model.is_none() {
@@ -123,6 +134,8 @@
 pub struct InFlight<P: router::Platform> {
     shared: Rc<router::Shared<P>>,
     key: targets::TargetKey,
+    target: Option<targets::Incarnation>,
+    started_at: Instant,
     requested: Option<choose::RequestedModel>,
     expected_tokens: u64,
 }
@@ -131,9 +144,15 @@
     /// Adds a request to a target's counts.
     pub fn begin(shared: &Rc<router::Shared<P>>, key: targets::TargetKey, job: &Job) -> Self {
         let requested = job.request.requested_model.clone();
-        let in_flight =
-            Self { shared: shared.clone(), key, requested, expected_tokens: job.expected_tokens() };
         let mut view = shared.view.borrow_mut();
+        let in_flight = Self {
+            shared: shared.clone(),
+            key,
+            target: view.targets.get(key).map(|target| target.entry.incarnation()),
+            started_at: shared.clock.now(),
+            requested,
+            expected_tokens: job.expected_tokens(),
+        };
         if let Some(target) = view.targets.get_mut(key) {
             target.local_requests += 1;
             target.local_tokens += in_flight.expected_tokens;
@@ -150,6 +169,16 @@
     pub const fn key(&self) -> targets::TargetKey {
         self.key
     }
+
+    /// The target's incarnation when the request was sent; none if it was gone by then.
+    pub const fn target(&self) -> Option<&targets::Incarnation> {
+        self.target.as_ref()
+    }
+
+    /// When the request was sent.
+    pub const fn started_at(&self) -> Instant {
+        self.started_at
+    }
 }
 
 impl<P: router::Platform> Drop for InFlight<P> {
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of a router, in the Prometheus text format.
 
 use crate::{dialect::Subject, job, router, server, stream};
-use corianderstand_fleet::config;
+use corianderstand_fleet::{config, exits};
 use corianderstand_schema::peers::StoreUse;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
@@ -36,6 +36,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct ConfirmationLabel {
+    confirmed_by: &'static str,
+}
+
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
 struct KindLabel {
     kind: &'static str,
@@ -48,6 +53,7 @@
     requests: Family<RequestLabels, Counter>,
     refusals: Family<ReasonLabel, Counter>,
     attempts_failed: Family<ReasonLabel, Counter>,
+    targets_ended_under_requests: Family<ConfirmationLabel, Counter>,
     callers_left: Counter,
     lines_suppressed: Counter,
     request_seconds: Family<KindLabel, Histogram>,
@@ -77,6 +83,7 @@
             requests: Family::default(),
             refusals: Family::default(),
             attempts_failed: Family::default(),
+            targets_ended_under_requests: Family::default(),
             callers_left: Counter::default(),
             lines_suppressed: Counter::default(),
             request_seconds: Family::new_with_constructor(histogram),
@@ -110,6 +117,11 @@
             "Attempts at targets that failed",
             self.attempts_failed.clone(),
         );
+        r.register(
+            "targets_ended_under_requests",
+            "Attempts whose target ended before its response was complete",
+            self.targets_ended_under_requests.clone(),
+        );
         r.register(
             "callers_left",
             "Callers that left before their answer",
@@ -212,6 +224,13 @@
             .inc();
     }
 
+    /// Counts an attempt whose target ended.
+    pub fn target_ended(&self, confirmation: exits::Confirmation) {
+        self.targets_ended_under_requests
+            .get_or_create(&ConfirmationLabel { confirmed_by: confirmation.as_str() })
+            .inc();
+    }
+
     /// Counts a caller that disconnected before its answer.
     pub fn caller_left(&self) {
         self.callers_left.inc();
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -1,11 +1,11 @@
 //! The router process: settings, shared state, startup and shutdown.
 
 use crate::{
-    client, control, decisions, dialect, follow, job, metrics, peers, pool, prefill, readers,
-    replicated_records, server, transfer, view,
+    client, control, decisions, dialect, ended_targets, follow, job, metrics, peers, pool, prefill,
+    readers, replicated_records, server, transfer, view,
 };
 use corianderstand_derives::derives;
-use corianderstand_fleet::{budget, choose, demand, targets, wait_limit};
+use corianderstand_fleet::{budget, choose, demand, exits, targets, wait_limit};
 use corianderstand_schema::peers::StoreUse;
 use corianderstand_types::{clock, names, pause};
 use http::StatusCode;
@@ -114,6 +114,8 @@
     pub connection_pool: Rc<pool::Pool>,
     /// Requests that wait for prefill permits.
     pub prefill_permits: prefill::PendingPermits,
+    /// Broken attempts and the ends of their targets.
+    pub exits: RefCell<exits::Exits>,
     /// Log of request outcomes.
     pub decision_log: decisions::Log,
     /// Wakes the control loop to send updates or to plan at once.
@@ -274,9 +276,14 @@
         if error.kind() == io::ErrorKind::ConnectionRefused {
             let now = self.clock.now();
             let mut view = self.view.borrow_mut();
-            if let Some(target) = view.targets.get_mut(key) {
+            let ended = view.targets.get_mut(key).map(|target| {
                 target.record_unreachable(now);
                 tracing::info!(target = %target.entry.id, "target refuses connections");
+                target.entry.incarnation()
+            });
+            drop(view);
+            if let Some(target) = ended {
+                ended_targets::record_exit(self, now, &target, exits::Confirmation::Refused);
             }
         }
         self.record_target_failure(key, "no connection");
@@ -287,6 +294,8 @@
         let now = self.clock.now();
         if let Some(target) = self.view.borrow_mut().targets.get_mut(key) {
             target.health.record_success(now);
+            let entry = &target.entry;
+            self.exits.borrow_mut().record_alive(now, &entry.id, entry.started_at_ms);
         }
     }
 
@@ -405,6 +414,7 @@
             replicated_records: RefCell::default(),
             connection_pool: Rc::default(),
             prefill_permits: prefill::PendingPermits::default(),
+            exits: RefCell::default(),
             decision_log: decisions::Log::default(),
             control_wake: Notify::new(),
             targets_outdated: Notify::new(),
--- a/crates/corianderstand_forward/src/server.rs
+++ b/crates/corianderstand_forward/src/server.rs
@@ -9,7 +9,13 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
-    cell::Cell, convert::Infallible, future, net::SocketAddr, pin::pin, rc::Rc, sync::Arc,
+    cell::Cell,
+    convert::Infallible,
+    future,
+    net::{IpAddr, SocketAddr},
+    pin::pin,
+    rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 use tokio::{
@@ -183,6 +189,13 @@
     mut closing: watch::Receiver<bool>,
 ) {
     let shared = shared.clone();
+    let caller = match stream.peer_addr() {
+        Ok(addr) => addr.ip(),
+        Err(error) => {
+            tracing::debug!(%error, "caller disconnected before its first request");
+            return;
+        }
+    };
     let limits =
         shared.view.borrow().route_table.as_ref().map(|table| table.config().limits.clone());
     let limits = limits.unwrap_or_default();
@@ -192,7 +205,7 @@
         let tracked = stream.connection();
         let service = service_fn(|req| {
             served.set(true);
-            serve_request(shared.clone(), tracked.clone(), req)
+            serve_request(shared.clone(), tracked.clone(), caller, req)
         });
         let connection = http_builder(&limits).serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
@@ -239,11 +252,12 @@
 async fn serve_request<P: router::Platform>(
     shared: Rc<router::Shared<P>>,
     connection: Arc<pause::Connection>,
+    caller: IpAddr,
     req: Request<Incoming>,
 ) -> Result<Response<body::ResponseBody>, exchange::Aborted> {
     shared.open_requests.set(shared.open_requests.get() + 1);
     let guard = OpenRequestGuard(shared.clone());
-    let mut response = exchange::handle_request(shared.clone(), &connection, req).await?;
+    let mut response = exchange::handle_request(shared.clone(), &connection, caller, req).await?;
     if shared.stopping.get().is_some() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -1,6 +1,6 @@
 //! Relays the events of one stream to the caller, and resumes it at another target when it breaks.
 
-use crate::{attempt, body, decisions, dialect, exchange, job, pool, relay, router};
+use crate::{attempt, body, decisions, dialect, ended_targets, exchange, job, pool, relay, router};
 use bytes::Bytes;
 use futures::{StreamExt, stream};
 use http::Response;
@@ -53,6 +53,8 @@
     lease: pool::Lease,
     in_flight: job::InFlight<P>,
     response_head: dialect::ResponseHead,
+    /// Events of the stream that earlier targets sent.
+    events_before: u64,
 }
 
 enum Step {
@@ -91,7 +93,13 @@
     let mut relayed = RelayedStream {
         shared: shared.clone(),
         job,
-        upstream: Some(Upstream { body: upstream, lease, in_flight, response_head: info }),
+        upstream: Some(Upstream {
+            body: upstream,
+            lease,
+            in_flight,
+            response_head: info,
+            events_before: 0,
+        }),
         splitter: relay::EventSplitter::default(),
         resumes: 0,
         has_ended: false,
@@ -134,6 +142,15 @@
                     return self.abort("the time is over", exchange::Aborted::DeadlineExceeded);
                 }
                 Step::Interrupted => {
+                    if let Some(upstream) = &self.upstream {
+                        let events = self.splitter.events() - upstream.events_before;
+                        ended_targets::record_broken(
+                            &self.shared,
+                            &self.job,
+                            &upstream.in_flight,
+                            events,
+                        );
+                    }
                     let why = "the target broke off its stream";
                     if !self.resume(why).await {
                         return self.abort(why, exchange::Aborted::ByTarget);
@@ -263,7 +280,13 @@
             Ok(answered) => {
                 let attempt::Answered { response_head: info, body, lease, in_flight, .. } =
                     answered;
-                self.upstream = Some(Upstream { body, lease, in_flight, response_head: info });
+                self.upstream = Some(Upstream {
+                    body,
+                    lease,
+                    in_flight,
+                    response_head: info,
+                    events_before: self.splitter.events(),
+                });
                 self.resumes += 1;
                 true
             }
