--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -398,6 +398,16 @@
         self.answer(&text).await;
     }
 
+    /// Like [`Self::answer_whole`], but tolerates a connection that the router has closed.
+    pub async fn answer_whole_unless_reset(mut self, id: &str, body: &str) {
+        let len = body.len();
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nx-signed: 1\r\nx-id: {id}\r\nContent-Length: {len}\r\nConnection: close\r\n\r\n{body}"
+        );
+        let sent = self.stream.write_all(text.as_bytes()).await;
+        drop(sent.and(self.stream.shutdown().await));
+    }
+
     /// Sends the head of a chunked response.
     pub async fn begin_stream(&mut self, id: &str) {
         let text = format!(
@@ -448,17 +458,20 @@
     }
 
     pub async fn next(&self) -> ReceivedRequest {
-        let next = async {
-            loop {
-                let (mut stream, _) = self.listener.accept().await.unwrap();
-                if let Some(head) = read_head(&mut stream).await {
-                    return ReceivedRequest { head, stream };
-                }
-            }
-        };
+        let next = self.next_or_wait();
         tokio::time::timeout(WAIT_LIMIT, next).await.expect("a request arrives")
     }
 
+    /// Like [`Self::next`], but without a time limit.
+    pub async fn next_or_wait(&self) -> ReceivedRequest {
+        loop {
+            let (mut stream, _) = self.listener.accept().await.unwrap();
+            if let Some(head) = read_head(&mut stream).await {
+                return ReceivedRequest { head, stream };
+            }
+        }
+    }
+
     pub fn entry(&self, id: &str, service: &str) -> targets::Entry {
         targets::Entry {
             id: id.into(),
