Block requests that end the targets that run them, on all routers

Callers saw half of a second's chat requests refused or failed for 15 to 20 s: one request, repeated under new ids, ended about 40 engines, with all that they ran.

Cause: the end of an engine was tied to the engine only. Its health fell and it was ejected; nothing was kept of the request, whose repeat has another id, and no message between routers names a request. Class: a fault that follows the request, counted against the place where it showed.

Ruled out: not noticed (agents report each end to all routers within 50 ms; with the joined log line an end is confirmed for each attempt).

The change: routers keep the confirmed ends of targets by fingerprint, exchange them and judge by the same rules (docs/design/0011): three consecutive ends block, six in total, five if another request explains them as well; a complete response clears. A blocked request is refused with 503 and the time until the block ends, on arrival, before each attempt and before a stream is taken up elsewhere.

Targets without a responsive agent are now probed after 10 ms, at the address they had (their entry may be gone), and another router's report confirms an end too.

--- a/crates/corianderstand_cli/src/explain.rs
+++ b/crates/corianderstand_cli/src/explain.rs
@@ -70,6 +70,12 @@
 /// Describes a refusal, with the age of the router's configuration if no route matched.
 fn describe_refusal(end: &Line) -> String {
     let why = text(end, "why").unwrap_or_default();
+    if let (Some(ends), Some(age)) = (text(end, "ends"), text(end, "last_end_ms")) {
+        let noticed_by = text(end, "noticed_by").unwrap_or_default();
+        return format!(
+            "refused as not run: {why}; {ends} ended, the last {age} ms before, noticed by {noticed_by}"
+        );
+    }
     let Some(version) = text(end, "config") else { return format!("refused as not run: {why}") };
     let age = text(end, "age_ms").map_or("never".to_owned(), |ms| format!("{ms} ms before"));
     let stale_note = match end.fields.get("behind").and_then(Value::as_bool) {
--- a/crates/corianderstand_fleet/src/exits.rs
+++ b/crates/corianderstand_fleet/src/exits.rs
@@ -32,6 +32,8 @@
     Refused,
     /// Another incarnation took its place.
     Replaced,
+    /// Another router reported it.
+    Router,
 }
 
 impl Confirmation {
@@ -41,6 +43,7 @@
             Self::Agent => "agent",
             Self::Refused => "refused connection",
             Self::Replaced => "new incarnation",
+            Self::Router => "another router",
         }
     }
 }
--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod choose;
 pub mod config;
 pub mod counts;
+pub mod crashes;
 mod decaying_rate;
 pub mod demand;
 pub mod exits;
--- /dev/null
+++ b/crates/corianderstand_fleet/tests/crashes.rs
@@ -0,0 +1,172 @@
+//! Which requests are blocked after targets ended, and which are not.
+
+use corianderstand_fleet::{
+    crashes::{Crash, Crashes},
+    fingerprint::Fingerprint,
+    targets::Incarnation,
+};
+use std::time::{Duration, Instant};
+
+const CRASHING: Fingerprint = Fingerprint(1);
+const NEIGHBOUR: Fingerprint = Fingerprint(2);
+
+struct History {
+    start: Instant,
+    crashes: Crashes,
+}
+
+impl History {
+    fn new() -> Self {
+        Self { start: Instant::now(), crashes: Crashes::default() }
+    }
+
+    fn at(&self, second: u64) -> Instant {
+        self.start + Duration::from_secs(second)
+    }
+
+    /// Target number `second` ends after it ran the requests for 100 ms.
+    fn end(&mut self, second: u64, requests: &[Fingerprint]) {
+        self.end_with(second, requests, false);
+    }
+
+    fn end_with(&mut self, second: u64, requests: &[Fingerprint], responded: bool) {
+        for &fingerprint in requests {
+            let crash = Crash {
+                fingerprint,
+                target: Incarnation {
+                    id: format!("target-{second}").as_str().into(),
+                    started_at_ms: 1,
+                },
+                sent_at: self.at(second),
+                ended_at: self.at(second) + Duration::from_millis(100),
+                responded,
+                observer: "router".into(),
+            };
+            self.crashes.record(self.at(second), crash);
+        }
+    }
+
+    fn is_blocked(&self, second: u64, fingerprint: Fingerprint) -> bool {
+        self.crashes.block(self.at(second), &fingerprint).is_some()
+    }
+}
+
+#[test]
+fn a_request_is_blocked_after_three_consecutive_ends() {
+    let mut history = History::new();
+    history.end(1, &[CRASHING]);
+    history.end(2, &[CRASHING]);
+    assert!(!history.is_blocked(3, CRASHING));
+    history.end(3, &[CRASHING]);
+    assert!(history.is_blocked(4, CRASHING));
+    assert!(!history.is_blocked(4, NEIGHBOUR));
+}
+
+/// Guards against blocking a request whose hosts failed, but which other targets run.
+#[test]
+fn a_complete_response_clears_a_request() {
+    let mut history = History::new();
+    history.end(1, &[NEIGHBOUR]);
+    history.end(2, &[NEIGHBOUR]);
+    assert!(history.crashes.clear(&NEIGHBOUR));
+    history.end(3, &[NEIGHBOUR]);
+    history.end(4, &[NEIGHBOUR]);
+    assert!(!history.is_blocked(5, NEIGHBOUR));
+}
+
+/// Guards against counting an end again that a late datagram reports after the request completed.
+#[test]
+fn an_end_before_a_complete_response_is_not_counted_again() {
+    let mut history = History::new();
+    history.end(1, &[NEIGHBOUR]);
+    history.end(2, &[NEIGHBOUR]);
+    history.crashes.clear(&NEIGHBOUR);
+    history.end(1, &[NEIGHBOUR]);
+    history.end(2, &[NEIGHBOUR]);
+    history.end(3, &[NEIGHBOUR]);
+    assert!(!history.is_blocked(4, NEIGHBOUR));
+}
+
+/// Guards against blocking a frequent request after one failure of many hosts.
+#[test]
+fn copies_that_ran_at_the_same_time_count_once() {
+    let mut history = History::new();
+    for target in 0..9 {
+        let crash = Crash {
+            fingerprint: NEIGHBOUR,
+            target: Incarnation {
+                id: format!("target-{target}").as_str().into(),
+                started_at_ms: 1,
+            },
+            sent_at: history.at(1),
+            ended_at: history.at(2),
+            responded: false,
+            observer: "router".into(),
+        };
+        history.crashes.record(history.at(2), crash);
+    }
+    assert!(!history.is_blocked(3, NEIGHBOUR));
+}
+
+/// Guards against blocking the requests that were sent on together with the crashing one.
+#[test]
+fn a_request_is_not_blocked_while_another_explains_the_same_ends() {
+    let mut history = History::new();
+    for second in 1..=3 {
+        history.end(second, &[CRASHING, NEIGHBOUR]);
+    }
+    assert!(!history.is_blocked(4, CRASHING) && !history.is_blocked(4, NEIGHBOUR));
+    history.end(4, &[CRASHING]);
+    assert!(history.is_blocked(5, CRASHING));
+    assert!(!history.is_blocked(5, NEIGHBOUR), "the crashing request explains its ends");
+}
+
+/// Guards against blocking a stream that ran well until another request ended its targets.
+#[test]
+fn a_request_that_got_responses_is_less_suspect() {
+    let mut history = History::new();
+    for second in 1..=3 {
+        history.end_with(second, &[NEIGHBOUR], true);
+        history.end(second, &[CRASHING]);
+    }
+    assert!(history.is_blocked(4, CRASHING));
+    assert!(!history.is_blocked(4, NEIGHBOUR));
+}
+
+/// Guards against two requests that hide behind each other for ever.
+#[test]
+fn ambiguity_ends_after_five_ends() {
+    let mut history = History::new();
+    for second in 1..=5 {
+        history.end(second, &[CRASHING, NEIGHBOUR]);
+    }
+    assert!(history.is_blocked(6, CRASHING));
+}
+
+/// Guards against a block that outlives what the request's caller changed, and against three further
+/// ends once it is over.
+#[test]
+fn a_block_ends_and_one_further_end_renews_it() {
+    const AFTER_BLOCK: u64 = 3 + 10 * 60 + 1;
+    let mut history = History::new();
+    for second in 1..=3 {
+        history.end(second, &[CRASHING]);
+    }
+    assert!(history.is_blocked(AFTER_BLOCK - 2, CRASHING));
+    assert!(!history.is_blocked(AFTER_BLOCK, CRASHING));
+    history.end(AFTER_BLOCK, &[CRASHING]);
+    assert!(history.is_blocked(AFTER_BLOCK + 1, CRASHING));
+}
+
+/// Guards against unbounded memory when endless different requests end targets.
+#[test]
+fn blocks_survive_a_flood_of_other_suspects() {
+    let mut history = History::new();
+    for second in 1..=3 {
+        history.end(second, &[CRASHING]);
+    }
+    for other in 0..1_000_u64 {
+        history.end(4 + other, &[Fingerprint(100 + u128::from(other))]);
+    }
+    assert!(history.is_blocked(5, CRASHING));
+}
--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -149,7 +149,8 @@
             | PeerMessage::PrefillAnswer(_)
             | PeerMessage::EngineNews(_)
             | PeerMessage::EngineGone(_)
-            | PeerMessage::EngineReplaced(_) => {
+            | PeerMessage::EngineReplaced(_)
+            | PeerMessage::TargetCrashes(_) => {
                 tracing::debug!(%from, "ignored a message addressed to routers");
             }
         }
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -2,7 +2,9 @@
 //!
 //! Each datagram is self-contained and sent periodically, so nothing is acknowledged.
 
-use crate::{catch_up, dialect, ended_targets, follow, peers, planning, readers, router};
+use crate::{
+    catch_up, crash_reports, dialect, ended_targets, follow, peers, planning, readers, router,
+};
 use corianderstand_fleet::{choose, demand, exits, targets};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
 use corianderstand_types::names;
@@ -99,7 +101,9 @@
             }
             let has_waiting = update.models.iter().any(|model| model.waiting > 0);
             follow::via_readers::on_router_update(shared, now, &update);
+            let name = update.router.clone();
             shared.peers.borrow_mut().on_update(now, from, update);
+            crash_reports::welcome(shared, now, name.as_str(), from);
             // Only the planner acts on this: if each router forwarded it, updates would multiply.
             if has_waiting {
                 request_plan(shared, now);
@@ -130,6 +134,7 @@
             }
         }
         PeerMessage::PrefillAnswer(response) => shared.prefill_permits.on_response(&response),
+        PeerMessage::TargetCrashes(update) => crash_reports::on_update(shared, now, update),
         PeerMessage::EnginePlan(_)
         | PeerMessage::AdaptersAsked(_)
         | PeerMessage::PrefillAsked(_)
@@ -238,6 +243,7 @@
         let planner = planner(&shared, now);
         send_updates(&shared, now, planner, &mut sent);
         send_adapters_in_use(&shared, now, &mut sent);
+        crash_reports::send(&shared, now);
         log_role_change(&shared, now, &mut sent);
         catch_up.poll(&shared, now);
         if can_plan(&shared) && planner.is_none() {
--- /dev/null
+++ b/crates/corianderstand_forward/src/crash_reports.rs
@@ -0,0 +1,219 @@
+//! Exchange of the ends of targets under requests ([`corianderstand_fleet::crashes`]) between routers.
+//!
+//! Datagrams may be lost, so each report is sent more than once. Nothing is sent while no target ends.
+
+use crate::{ended_targets, job, router};
+use corianderstand_derives::derives;
+use corianderstand_fleet::{crashes, exits, fingerprint, targets};
+use corianderstand_schema::peers::{self as wire, PeerMessage};
+use smol_str::SmolStr;
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use xxhash_rust::xxh3;
+
+/// How often each report is sent.
+const SENDS_PER_REPORT: u32 = 3;
+/// Keeps a datagram within the usual maximum transmission unit.
+const MAX_REPORTS_PER_DATAGRAM: usize = 16;
+const MAX_QUEUED_REPORTS: usize = 256;
+/// Limits the datagrams that a router receives while targets end all the time.
+const SEND_INTERVAL_PER_ROUTER: Duration = Duration::from_millis(5);
+/// A router that starts is sent the blocks with each of its updates for this long.
+const WELCOME_TIME: Duration = Duration::from_millis(3_500);
+/// Number of routers that send the blocks to one that starts.
+const WELCOMING_ROUTERS: usize = 2;
+
+#[derives(data)]
+enum Report {
+    Crash(crashes::Crash),
+    Cleared(fingerprint::Fingerprint),
+}
+
+/// Reports that are still to be sent.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    reports: VecDeque<(Report, u32)>,
+    sent_at: Option<Instant>,
+}
+
+impl Queue {
+    fn push(&mut self, report: Report) {
+        if self.reports.len() == MAX_QUEUED_REPORTS {
+            self.reports.pop_front();
+            tracing::warn!("a report of an ended target was dropped: too many targets end");
+        }
+        self.reports.push_back((report, SENDS_PER_REPORT));
+    }
+
+    /// Returns the next reports to send.
+    fn next(&mut self) -> Vec<Report> {
+        let count = self.reports.len().min(MAX_REPORTS_PER_DATAGRAM);
+        let batch: Vec<(Report, u32)> = self.reports.drain(..count).collect();
+        for (report, sends) in &batch {
+            if *sends > 1 {
+                self.reports.push_back((report.clone(), sends - 1));
+            }
+        }
+        batch.into_iter().map(|(report, _)| report).collect()
+    }
+}
+
+/// Records that a target ended while it ran a request of this router.
+pub fn record_crash<P: router::Platform>(
+    shared: &router::Shared<P>,
+    now: Instant,
+    attempt: &exits::BrokenAttempt,
+) {
+    let crash = crashes::Crash {
+        fingerprint: attempt.fingerprint,
+        target: attempt.target.clone(),
+        sent_at: attempt.sent_at,
+        ended_at: attempt.broke_at,
+        responded: attempt.events > 0,
+        observer: shared.settings.name.clone(),
+    };
+    if apply_crash(shared, now, crash.clone()) {
+        shared.crash_reports.borrow_mut().push(Report::Crash(crash));
+        shared.control_wake.notify_one();
+    }
+}
+
+/// Clears a request that got a complete response.
+pub fn record_completed<P: router::Platform>(shared: &router::Shared<P>, job: &job::Job) {
+    if shared.crashes.borrow().is_empty() {
+        return;
+    }
+    let fingerprint = job.fingerprint();
+    if shared.crashes.borrow_mut().clear(&fingerprint) {
+        tracing::info!(id = %job.request.id, %fingerprint, "suspected request completed");
+        shared.crash_reports.borrow_mut().push(Report::Cleared(fingerprint));
+        shared.control_wake.notify_one();
+    }
+}
+
+fn apply_crash<P: router::Platform>(
+    shared: &router::Shared<P>,
+    now: Instant,
+    crash: crashes::Crash,
+) -> bool {
+    let fingerprint = crash.fingerprint;
+    let mut crashes = shared.crashes.borrow_mut();
+    let was_blocked = crashes.block(now, &fingerprint).is_some();
+    let is_new = crashes.record(now, crash);
+    if let Some(block) = crashes.block(now, &fingerprint).filter(|_| is_new && !was_blocked) {
+        let last_end_ms = now.saturating_duration_since(block.last_end).as_millis() as u64;
+        tracing::warn!(%fingerprint, ends = block.ends, last_end_ms, noticed_by = ?block.observers,
+            "request blocked: it ended the targets that ran it");
+    }
+    is_new
+}
+
+/// Sends queued reports to the other routers.
+pub fn send<P: router::Platform>(shared: &router::Shared<P>, now: Instant) {
+    let addresses: Vec<SocketAddr> = shared.peers.borrow().addresses().collect();
+    let interval = SEND_INTERVAL_PER_ROUTER * addresses.len() as u32;
+    let mut queue = shared.crash_reports.borrow_mut();
+    let is_due = queue.sent_at.is_none_or(|at| now.saturating_duration_since(at) >= interval);
+    if queue.reports.is_empty() || !is_due {
+        return;
+    }
+    queue.sent_at = Some(now);
+    let message = PeerMessage::TargetCrashes(to_update(now, &queue.next()));
+    addresses.iter().for_each(|addr| shared.outbox.send(*addr, &message));
+}
+
+/// Sends the ends for which requests are blocked to a router that started, if it is one of the few
+/// routers that do.
+pub fn welcome<P: router::Platform>(
+    shared: &router::Shared<P>,
+    now: Instant,
+    name: &str,
+    addr: SocketAddr,
+) {
+    let crashes = shared.crashes.borrow();
+    let peers = shared.peers.borrow();
+    let Some(started_at) = peers.incarnation_seen_at(name) else { return };
+    let is_starting = now.saturating_duration_since(started_at) < WELCOME_TIME;
+    if !is_starting || !crashes.has_blocks() {
+        return;
+    }
+    let rank = |router: &str| xxh3::xxh3_64(format!("{name} {router}").as_bytes());
+    let own = rank(&shared.settings.name);
+    let others = peers.live(now).filter(|(other, _)| other.as_str() != name);
+    if others.filter(|(other, _)| rank(other) > own).count() >= WELCOMING_ROUTERS {
+        return;
+    }
+    let reports: Vec<Report> = crashes.blocking_crashes().cloned().map(Report::Crash).collect();
+    for batch in reports.chunks(MAX_REPORTS_PER_DATAGRAM) {
+        shared.outbox.send(addr, &PeerMessage::TargetCrashes(to_update(now, batch)));
+    }
+}
+
+/// Applies another router's reports.
+pub fn on_update<P: router::Platform>(
+    shared: &router::Shared<P>,
+    now: Instant,
+    update: wire::CrashUpdate,
+) {
+    for crash in update.crashes {
+        let Some(crash) = from_wire(now, crash) else { continue };
+        let target = crash.target.clone();
+        apply_crash(shared, now, crash);
+        ended_targets::record_exit(shared, now, &target, exits::Confirmation::Router);
+    }
+    for fingerprint in &update.cleared {
+        shared.crashes.borrow_mut().clear(&to_fingerprint(fingerprint));
+    }
+}
+
+fn to_update(now: Instant, reports: &[Report]) -> wire::CrashUpdate {
+    let mut update = wire::CrashUpdate { crashes: Vec::new(), cleared: Vec::new() };
+    for report in reports {
+        match report {
+            Report::Crash(crash) => update.crashes.push(to_wire(now, crash)),
+            Report::Cleared(fingerprint) => update.cleared.push(from_fingerprint(*fingerprint)),
+        }
+    }
+    update
+}
+
+fn to_wire(now: Instant, crash: &crashes::Crash) -> wire::TargetCrash {
+    let millis = |later: Instant, earlier: Instant| {
+        u32::try_from(later.saturating_duration_since(earlier).as_millis()).unwrap_or(u32::MAX)
+    };
+    wire::TargetCrash {
+        request: from_fingerprint(crash.fingerprint),
+        target: crash.target.id.clone(),
+        born: crash.target.started_at_ms,
+        ran_ms: millis(crash.ended_at, crash.sent_at),
+        ended_ms: millis(now, crash.ended_at),
+        responded: crash.responded,
+        observer: crash.observer.as_str().into(),
+    }
+}
+
+/// None if the end is too long ago to be represented.
+fn from_wire(now: Instant, crash: wire::TargetCrash) -> Option<crashes::Crash> {
+    let ended_at = now.checked_sub(Duration::from_millis(u64::from(crash.ended_ms)))?;
+    let sent_at = ended_at.checked_sub(Duration::from_millis(u64::from(crash.ran_ms)))?;
+    Some(crashes::Crash {
+        fingerprint: to_fingerprint(&crash.request),
+        target: targets::Incarnation { id: crash.target, started_at_ms: crash.born },
+        sent_at,
+        ended_at,
+        responded: crash.responded,
+        observer: SmolStr::new(crash.observer.as_str()),
+    })
+}
+
+const fn from_fingerprint(fingerprint: fingerprint::Fingerprint) -> wire::RequestFingerprint {
+    wire::RequestFingerprint { high: (fingerprint.0 >> 64) as u64, low: fingerprint.0 as u64 }
+}
+
+fn to_fingerprint(fingerprint: &wire::RequestFingerprint) -> fingerprint::Fingerprint {
+    let (high, low) = (u128::from(fingerprint.high), u128::from(fingerprint.low));
+    fingerprint::Fingerprint(high << 64 | low)
+}
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -1,7 +1,7 @@
 //! Rate-limited logging of routing decisions and request outcomes.
 
-use crate::{job, metrics, replicated_records, stream, view};
-use corianderstand_fleet::{exits, targets, wait_limit};
+use crate::{exchange, job, metrics, replicated_records, stream, view};
+use corianderstand_fleet::{crashes, exits, targets, wait_limit};
 use corianderstand_types::names;
 use http::StatusCode;
 use smol_str::SmolStr;
@@ -183,6 +183,26 @@
         }
     }
 
+    /// Logs a refused request that ended the targets that ran it.
+    pub fn blocked(&self, job: &job::Job, block: &crashes::Block, now: Instant) {
+        let why = exchange::BLOCKED;
+        self.metrics.request_refused(why);
+        if self.may_log(LineKind::Refused, now) {
+            tracing::info!(
+                id = %job.request.id,
+                route = %job.route.name,
+                status = StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+                why,
+                fingerprint = %job.fingerprint(),
+                ends = block.ends,
+                last_end_ms = millis_between(now, block.last_end),
+                noticed_by = ?block.observers,
+                ms = millis_between(now, job.arrived_at),
+                "refused"
+            );
+        }
+    }
+
     /// Logs a request that matches no route, apart from the other rejections' rate limit.
     pub fn no_route(
         &self,
--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -1,14 +1,18 @@
 //! Relates targets that ended to the requests that they were running.
 
-use crate::{job, router};
+use crate::{crash_reports, job, router};
 use corianderstand_fleet::{exits, targets};
 use std::{
+    io,
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 /// Time for an agent to report the end of its engine, before the address is probed.
-const PROBE_DELAY: Duration = Duration::from_millis(350);
+const AGENT_REPORT_TIME: Duration = Duration::from_millis(350);
+/// Time for a process that ends to close its listener.
+const PROBE_DELAY: Duration = Duration::from_millis(10);
 
 /// Records that the connection of an attempt broke before its response was complete.
 pub fn record_broken<P: router::Platform>(
@@ -18,7 +22,7 @@
     events: u64,
 ) {
     let now = shared.clock.now();
-    let Some(target) = in_flight.target() else { return };
+    let Some((target, addr)) = in_flight.target() else { return };
     if shared.view.borrow().targets.is_leaving(&target.id) {
         return;
     }
@@ -34,7 +38,7 @@
     let confirmation = shared.exits.borrow_mut().record_broken(now, attempt.clone());
     match confirmation {
         Some(confirmation) => record_ended_under(shared, now, &attempt, confirmation),
-        None => probe_later(shared, in_flight.key(), target.clone()),
+        None => probe_later(shared, now, in_flight.key(), target.clone(), *addr),
     }
 }
 
@@ -66,28 +70,36 @@
     confirmation: exits::Confirmation,
 ) {
     shared.decision_log.target_ended(attempt, confirmation, now);
+    crash_reports::record_crash(shared, now, attempt);
 }
 
-/// Probes the address of a target that has no responsive agent to report its end.
+/// Probes the address of a target whose end is unconfirmed.
 fn probe_later<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
+    now: Instant,
     key: targets::TargetKey,
     target: targets::Incarnation,
+    addr: SocketAddr,
 ) {
+    let has_agent = {
+        let view = shared.view.borrow();
+        view.targets.get(key).is_some_and(|target| target.agent_is_responsive(now))
+    };
     let shared = shared.clone();
     tokio::task::spawn_local(async move {
-        tokio::time::sleep(PROBE_DELAY).await;
+        tokio::time::sleep(if has_agent { AGENT_REPORT_TIME } else { PROBE_DELAY }).await;
         if !shared.exits.borrow_mut().start_probe(shared.clock.now(), &target) {
             return;
         }
-        let Some((addr, id)) = shared.target_address(key) else { return };
-        if id != target.id {
-            return;
-        }
-        let now = shared.clock.now();
-        match shared.connection_pool.lease(now, addr).await {
+        match shared.connection_pool.open(addr).await {
             Ok(lease) => shared.connection_pool.release(shared.clock.now(), lease, None),
-            Err(error) => shared.record_connection_failure(key, &error),
+            Err(error) => {
+                shared.record_connection_failure(key, &error);
+                if error.kind() == io::ErrorKind::ConnectionRefused {
+                    let now = shared.clock.now();
+                    record_exit(&shared, now, &target, exits::Confirmation::Refused);
+                }
+            }
         }
     });
 }
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -4,10 +4,11 @@
 //! retries, within the retry budget. A request with an unknown outcome is never reported as not run.
 
 use crate::{
-    attempt, body::ResponseBody, decisions, dialect, ended_targets, job, router, stream, waiting,
+    attempt, body::ResponseBody, crash_reports, decisions, dialect, ended_targets, job, router,
+    stream, waiting,
 };
 use bytes::Bytes;
-use corianderstand_fleet::{config, prefixes, targets, wait_limit};
+use corianderstand_fleet::{config, crashes, prefixes, targets, wait_limit};
 use corianderstand_types::{names, pause};
 use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Limited};
@@ -40,6 +41,8 @@
 /// `Retry-After` when a target refused and no other may be tried.
 pub const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(200);
 const MAX_UNEXECUTED_ATTEMPTS: u32 = 4;
+/// Reason of a refusal of a request that is blocked.
+pub const BLOCKED: &str = "the request ended the targets that ran it";
 
 /// Handles one request; [`Aborted`] closes the caller's connection without a response.
 pub async fn handle_request<P: router::Platform>(
@@ -120,6 +123,9 @@
         last_failure: "",
         fingerprint: OnceCell::new(),
     };
+    if let Some(block) = shared.block(arrived, &job) {
+        return Ok(refuse_blocked(&shared, &job, &block));
+    }
     shared.record_arrival(&job);
     let mut pending =
         PendingRequest { shared: shared.clone(), id: job.request.id.clone(), answered: false };
@@ -191,6 +197,9 @@
             Ok(key) => key,
             Err(rejected) => return refuse(&shared, &job, rejected.reason, rejected.retry_after),
         };
+        if let Some(block) = shared.block(shared.clock.now(), &job) {
+            return refuse_blocked(&shared, &job, &block);
+        }
         job.tried_targets.push(key);
         match attempt::attempt(&shared, &mut job, key, None).await {
             attempt::AttemptOutcome::Answered(answered) => {
@@ -279,6 +288,7 @@
     } else {
         shared.record_target_success(key);
     }
+    crash_reports::record_completed(shared, &job);
     shared.platform.rewrite_response(&mut head.headers);
     shared.decision_log.answered(&job, head.status, "whole", shared.clock.now());
     Ok(Response::from_parts(head, ResponseBody::buffered(body)))
@@ -323,6 +333,21 @@
     local_response(status, why, Some(wait_limit::retry_after(retry_after, job.jitter())))
 }
 
+/// Refuses a request that ended the targets that ran it.
+fn refuse_blocked<P: router::Platform>(
+    shared: &router::Shared<P>,
+    job: &job::Job,
+    block: &crashes::Block,
+) -> Response<ResponseBody> {
+    let now = shared.clock.now();
+    shared.decision_log.blocked(job, block, now);
+    if job.may_have_run {
+        return fail(shared, job, StatusCode::BAD_GATEWAY, BLOCKED);
+    }
+    let retry_after = block.until.saturating_duration_since(now);
+    local_response(StatusCode::SERVICE_UNAVAILABLE, BLOCKED, Some(retry_after))
+}
+
 fn fail<P: router::Platform>(
     shared: &router::Shared<P>,
     job: &job::Job,
@@ -360,6 +385,9 @@
         return Err("no further target is allowed");
     }
     let key = waiting::find_target(shared, job).await.map_err(|rejected| rejected.reason)?;
+    if shared.block(shared.clock.now(), job).is_some() {
+        return Err(BLOCKED);
+    }
     job.tried_targets.push(key);
     match attempt::attempt(shared, job, key, last_event).await {
         attempt::AttemptOutcome::Answered(answered) if answered.head.status.is_success() => {
--- a/crates/corianderstand_forward/src/job.rs
+++ b/crates/corianderstand_forward/src/job.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Method, Uri};
 use std::{
     cell::OnceCell,
-    net::IpAddr,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -134,7 +134,7 @@
 pub struct InFlight<P: router::Platform> {
     shared: Rc<router::Shared<P>>,
     key: targets::TargetKey,
-    target: Option<targets::Incarnation>,
+    target: Option<(targets::Incarnation, SocketAddr)>,
     started_at: Instant,
     requested: Option<choose::RequestedModel>,
     expected_tokens: u64,
@@ -148,7 +148,10 @@
         let in_flight = Self {
             shared: shared.clone(),
             key,
-            target: view.targets.get(key).map(|target| target.entry.incarnation()),
+            target: view
+                .targets
+                .get(key)
+                .map(|target| (target.entry.incarnation(), target.entry.addr)),
             started_at: shared.clock.now(),
             requested,
             expected_tokens: job.expected_tokens(),
@@ -170,8 +173,8 @@
         self.key
     }
 
-    /// The target's incarnation when the request was sent; none if it was gone by then.
-    pub const fn target(&self) -> Option<&targets::Incarnation> {
+    /// The target's incarnation and address when the request was sent; none if it was gone by then.
+    pub const fn target(&self) -> Option<&(targets::Incarnation, SocketAddr)> {
         self.target.as_ref()
     }
 
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod client;
 pub mod content;
 pub mod control;
+pub mod crash_reports;
 pub mod decisions;
 pub mod dialect;
 pub mod ended_targets;
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -54,6 +54,7 @@
     refusals: Family<ReasonLabel, Counter>,
     attempts_failed: Family<ReasonLabel, Counter>,
     targets_ended_under_requests: Family<ConfirmationLabel, Counter>,
+    blocked_requests: Gauge,
     callers_left: Counter,
     lines_suppressed: Counter,
     request_seconds: Family<KindLabel, Histogram>,
@@ -84,6 +85,7 @@
             refusals: Family::default(),
             attempts_failed: Family::default(),
             targets_ended_under_requests: Family::default(),
+            blocked_requests: Gauge::default(),
             callers_left: Counter::default(),
             lines_suppressed: Counter::default(),
             request_seconds: Family::new_with_constructor(histogram),
@@ -122,6 +124,11 @@
             "Attempts whose target ended before its response was complete",
             self.targets_ended_under_requests.clone(),
         );
+        r.register(
+            "blocked_requests",
+            "Requests that are refused because they ended the targets that ran them",
+            self.blocked_requests.clone(),
+        );
         r.register(
             "callers_left",
             "Callers that left before their answer",
@@ -270,6 +277,7 @@
             StoreUse::Reads => 1,
             StoreUse::Follows => 2,
         });
+        self.blocked_requests.set(shared.crashes.borrow().blocked_requests(now) as i64);
         self.peers.set(shared.peers.borrow().live(now).count() as i64);
     }
 }
--- a/crates/corianderstand_forward/src/peers.rs
+++ b/crates/corianderstand_forward/src/peers.rs
@@ -46,6 +46,8 @@
     /// Its last update.
     pub update: Option<peers::RouterUpdate>,
     announced_at: Instant,
+    /// When the first update of its current incarnation was received.
+    incarnation_seen_at: Option<Instant>,
 }
 
 impl Peer {
@@ -63,7 +65,13 @@
 impl Peers {
     /// Adds a router, or changes its address.
     pub fn add(&mut self, now: Instant, name: SmolStr, addr: SocketAddr) {
-        let peer = Peer { addr, last_received_at: None, update: None, announced_at: now };
+        let peer = Peer {
+            addr,
+            last_received_at: None,
+            update: None,
+            announced_at: now,
+            incarnation_seen_at: None,
+        };
         let peer = self.by_name.entry(name).or_insert(peer);
         peer.addr = addr;
         peer.announced_at = now;
@@ -84,11 +92,20 @@
         if unresponsive
             || peer.update.as_ref().is_none_or(|last| last.incarnation <= update.incarnation)
         {
+            let last = peer.update.as_ref().map(|last| last.incarnation);
+            if last != Some(update.incarnation) {
+                peer.incarnation_seen_at = Some(now);
+            }
             peer.last_received_at = Some(now);
             peer.update = Some(update);
         }
     }
 
+    /// When the first update of a router's current incarnation was received.
+    pub fn incarnation_seen_at(&self, name: &str) -> Option<Instant> {
+        self.by_name.get(name)?.incarnation_seen_at
+    }
+
     /// Addresses of all known routers.
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         self.by_name.values().map(|peer| peer.addr)
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -1,11 +1,11 @@
 //! The router process: settings, shared state, startup and shutdown.
 
 use crate::{
-    client, control, decisions, dialect, ended_targets, follow, job, metrics, peers, pool, prefill,
-    readers, replicated_records, server, transfer, view,
+    client, control, crash_reports, decisions, dialect, ended_targets, follow, job, metrics, peers,
+    pool, prefill, readers, replicated_records, server, transfer, view,
 };
 use corianderstand_derives::derives;
-use corianderstand_fleet::{budget, choose, demand, exits, targets, wait_limit};
+use corianderstand_fleet::{budget, choose, crashes, demand, exits, targets, wait_limit};
 use corianderstand_schema::peers::StoreUse;
 use corianderstand_types::{clock, names, pause};
 use http::StatusCode;
@@ -116,6 +116,10 @@
     pub prefill_permits: prefill::PendingPermits,
     /// Broken attempts and the ends of their targets.
     pub exits: RefCell<exits::Exits>,
+    /// Ends of targets by request, of all routers.
+    pub crashes: RefCell<crashes::Crashes>,
+    /// Ends of targets that the other routers are still to be told of.
+    pub crash_reports: RefCell<crash_reports::Queue>,
     /// Log of request outcomes.
     pub decision_log: decisions::Log,
     /// Wakes the control loop to send updates or to plan at once.
@@ -171,6 +175,15 @@
         view.retry_budgets.entry(job.service.clone()).or_default().earn(now, &allowance);
     }
 
+    /// Returns why a request is blocked, if it is.
+    pub fn block(&self, now: Instant, job: &job::Job) -> Option<crashes::Block> {
+        let crashes = self.crashes.borrow();
+        if !crashes.has_blocks() {
+            return None;
+        }
+        crashes.block(now, &job.fingerprint()).cloned()
+    }
+
     /// Returns this router's role in reading the store.
     pub fn role(&self, now: Instant) -> readers::Role {
         let own = peers::Rank::new(self.settings.cpu_millicores, &self.settings.name);
@@ -415,6 +428,8 @@
             connection_pool: Rc::default(),
             prefill_permits: prefill::PendingPermits::default(),
             exits: RefCell::default(),
+            crashes: RefCell::default(),
+            crash_reports: RefCell::default(),
             decision_log: decisions::Log::default(),
             control_wake: Notify::new(),
             targets_outdated: Notify::new(),
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -1,6 +1,9 @@
 //! Relays the events of one stream to the caller, and resumes it at another target when it breaks.
 
-use crate::{attempt, body, decisions, dialect, ended_targets, exchange, job, pool, relay, router};
+use crate::{
+    attempt, body, crash_reports, decisions, dialect, ended_targets, exchange, job, pool, relay,
+    router,
+};
 use bytes::Bytes;
 use futures::{StreamExt, stream};
 use http::Response;
@@ -15,6 +18,8 @@
 const IDLE_TIMEOUT_GAPS: u32 = 5;
 /// Idle timeout of streams whose route has no gap objective.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+/// A target that streams for this long is not ended by the request.
+const SURVIVAL_TIME: Duration = Duration::from_secs(2);
 /// Lets the target end the stream itself at the deadline.
 const DEADLINE_GRACE: Duration = Duration::from_millis(100);
 
@@ -72,6 +77,9 @@
     fn drop(&mut self) {
         if !self.0.has_ended {
             let now = self.0.shared.clock.now();
+            if self.0.has_survived(now) {
+                crash_reports::record_completed(&self.0.shared, &self.0.job);
+            }
             self.0.shared.decision_log.caller_left(
                 &self.0.job.request.id,
                 self.0.splitter.events(),
@@ -165,6 +173,15 @@
         }
     }
 
+    /// Whether the current target has been streaming for [`SURVIVAL_TIME`].
+    fn has_survived(&self, now: Instant) -> bool {
+        self.upstream.as_ref().is_some_and(|upstream| {
+            let started_at = upstream.in_flight.started_at();
+            self.splitter.events() > upstream.events_before
+                && now.saturating_duration_since(started_at) >= SURVIVAL_TIME
+        })
+    }
+
     fn forward(&mut self, chunk: Bytes) -> Result<Option<Bytes>, relay::EventGap> {
         let complete = self.splitter.push(chunk.clone())?;
         // A stream that can't be resumed needn't be cut at events.
@@ -239,6 +256,7 @@
         if let Some(upstream) = self.upstream.take() {
             let Upstream { lease, in_flight, response_head: info, .. } = upstream;
             self.shared.record_target_success(in_flight.key());
+            crash_reports::record_completed(&self.shared, &self.job);
             let keep_alive =
                 if info.closes_connection { Some(Duration::ZERO) } else { info.keep_alive };
             self.shared.connection_pool.release(self.shared.clock.now(), lease, keep_alive);
