Block all of the requests that can't be told apart after five ends

Of two requests that ended the same five targets only the one with the greater fingerprint was blocked, which then explained the other's ends, so that the guilty one might go on. Both are blocked now; the test asserts both.

--- a/crates/corianderstand_fleet/src/crashes.rs
+++ b/crates/corianderstand_fleet/src/crashes.rs
@@ -72,6 +72,35 @@
     }
 }
 
+impl Block {
+    fn new(suspect: &Suspect) -> Self {
+        Self {
+            ends: suspect.crashes.len(),
+            last_end: suspect.last_end,
+            until: suspect.last_end + BLOCK_TIME,
+            observers: suspect.crashes.iter().map(|crash| crash.observer.clone()).collect(),
+        }
+    }
+}
+
+/// Order in which requests are blocked: by most ends, then by fewest responses.
+#[derives(name)]
+struct GuiltRank {
+    ends: usize,
+    responses: std::cmp::Reverse<usize>,
+    targets: BTreeSet<Incarnation>,
+}
+
+impl GuiltRank {
+    fn new(crashes: &[&Crash]) -> Self {
+        Self {
+            ends: crashes.len(),
+            responses: std::cmp::Reverse(responses(crashes)),
+            targets: crashes.iter().map(|crash| crash.target.clone()).collect(),
+        }
+    }
+}
+
 /// Ends of targets by request.
 #[derive(Clone, Debug, Default)]
 pub struct Crashes {
@@ -147,31 +176,30 @@
         self.blocks.clear();
         let mut explained: BTreeSet<Incarnation> = BTreeSet::new();
         loop {
-            let candidates = self.suspects.iter().filter(|(key, _)| !self.blocks.contains_key(key));
-            let candidates = candidates.filter_map(|(key, suspect)| {
-                let unexplained: Vec<&Crash> = suspect
-                    .crashes
-                    .iter()
-                    .filter(|crash| !explained.contains(&crash.target))
-                    .collect();
-                self.is_guilty(*key, &unexplained).then_some((*key, unexplained))
-            });
-            let best = candidates.max_by_key(|(key, unexplained)| {
-                (unexplained.len(), std::cmp::Reverse(responses(unexplained)), *key)
-            });
-            let Some((key, unexplained)) = best else { return };
-            explained.extend(unexplained.iter().map(|crash| crash.target.clone()));
-            let suspect = &self.suspects[&key];
-            let block = Block {
-                ends: suspect.crashes.len(),
-                last_end: suspect.last_end,
-                until: suspect.last_end + BLOCK_TIME,
-                observers: suspect.crashes.iter().map(|crash| crash.observer.clone()).collect(),
-            };
-            self.blocks.insert(key, block);
+            let guilty = self.guilty_requests(&explained);
+            let Some(best) = guilty.iter().map(|(rank, _)| rank).max().cloned() else { return };
+            // Several requests that ended the same targets each time can't be told apart.
+            for (rank, key) in guilty {
+                if rank == best {
+                    self.blocks.insert(key, Block::new(&self.suspects[&key]));
+                }
+            }
+            explained.extend(best.targets);
         }
     }
 
+    /// Returns the requests to block for ends that no blocked request explains.
+    fn guilty_requests(&self, explained: &BTreeSet<Incarnation>) -> Vec<(GuiltRank, Fingerprint)> {
+        let open = self.suspects.iter().filter(|(key, _)| !self.blocks.contains_key(key));
+        let guilty = open.filter_map(|(key, suspect)| {
+            let crashes = suspect.crashes.iter();
+            let unexplained: Vec<&Crash> =
+                crashes.filter(|crash| !explained.contains(&crash.target)).collect();
+            self.is_guilty(*key, &unexplained).then(|| (GuiltRank::new(&unexplained), *key))
+        });
+        guilty.collect()
+    }
+
     fn is_guilty(&self, key: Fingerprint, unexplained: &[&Crash]) -> bool {
         let consecutive = consecutive_ends(unexplained);
         if consecutive >= MAX_AMBIGUOUS_ENDS {
--- a/crates/corianderstand_fleet/tests/crashes.rs
+++ b/crates/corianderstand_fleet/tests/crashes.rs
@@ -140,7 +140,7 @@
     for second in 1..=5 {
         history.end(second, &[CRASHING, NEIGHBOUR]);
     }
-    assert!(history.is_blocked(6, CRASHING));
+    assert!(history.is_blocked(6, CRASHING) && history.is_blocked(6, NEIGHBOUR));
 }
 
 /// Guards against a block that outlives what the request's caller changed, and against three further
