Stand-ins and soak: a request that ends each engine that begins to run it

In soak runs with an odd seed a caller repeats such a request, under new ids and at all routers, to the end. Callers' drafts now differ from one another, all other requests stay the same each time.

--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -2,6 +2,7 @@
 
 use crate::cluster::{HOST, MODELS};
 use bytes::Bytes;
+use corianderstand_platform_standins::target::CRASHING_BODY;
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
@@ -93,6 +94,13 @@
 }
 
 impl Callers {
+    /// Starts a caller that repeats a request that ends the engines that run it.
+    pub fn start_crashing(&mut self, router_addresses: &[SocketAddr], seed: u64) {
+        let (addresses, requests) = (router_addresses.to_vec(), self.requests.clone());
+        let (stop, rng) = (self.stop.clone(), ChaCha8Rng::seed_from_u64(!seed));
+        self.tasks.push(tokio::spawn(run_crashing_caller(addresses, rng, requests, stop)));
+    }
+
     pub fn start(caller_count: usize, router_addresses: &[SocketAddr], seed: u64) -> Self {
         let (requests, stop) =
             (Arc::<Mutex<Vec<RequestRecord>>>::default(), Arc::<AtomicBool>::default());
@@ -142,9 +150,11 @@
         };
         let sender =
             connection.take().map(|(_, sender)| sender).filter(|sender| !sender.is_closed());
+        // Drafts differ from one another; the other requests are the same each time.
+        let body = if kind == RequestKind::Draft { id.clone().into() } else { Bytes::new() };
         let started_at = Instant::now();
         let (outcome, headers, sender) =
-            send_request(router_addresses[router], sender, kind, &id, model).await;
+            send_request(router_addresses[router], sender, kind, &id, model, body).await;
         let closes = headers.get("connection").is_some_and(|value| value == "close");
         connection = sender.filter(|_| !closes).map(|sender| (router, sender));
         let delay = match &outcome {
@@ -166,6 +176,35 @@
     }
 }
 
+/// Prefix of the ids of requests that end the engines that run them.
+pub const CRASHING_ID_PREFIX: &str = "crash-";
+const MAX_CRASHING_REQUEST_PAUSE_MS: u64 = 500;
+
+async fn run_crashing_caller(
+    router_addresses: Vec<SocketAddr>,
+    mut rng: ChaCha8Rng,
+    requests: Arc<Mutex<Vec<RequestRecord>>>,
+    stop: Arc<AtomicBool>,
+) {
+    let model = MODELS[rng.random_range(0..MODELS.len())];
+    let mut request_number = 0_u64;
+    while !stop.load(Ordering::Relaxed) {
+        request_number += 1;
+        let id = format!("{CRASHING_ID_PREFIX}{request_number}");
+        let router_index = rng.random_range(0..router_addresses.len());
+        let started_at = Instant::now();
+        let kind = RequestKind::Chat;
+        let body = Bytes::from_static(CRASHING_BODY);
+        let (outcome, ..) =
+            send_request(router_addresses[router_index], None, kind, &id, model, body).await;
+        let ended_at = Instant::now();
+        let record = RequestRecord { id, kind, model, router_index, started_at, ended_at, outcome };
+        requests.lock().unwrap_or_else(PoisonError::into_inner).push(record);
+        let pause = rng.random_range(0..MAX_CRASHING_REQUEST_PAUSE_MS);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
 fn retry_after(headers: &HeaderMap) -> Duration {
     let text = headers.get("retry-after").and_then(|value| value.to_str().ok());
     let seconds: f64 = text.and_then(|text| text.parse().ok()).unwrap_or(0.1);
@@ -179,6 +218,7 @@
     kind: RequestKind,
     id: &str,
     model: &str,
+    body: Bytes,
 ) -> (Outcome, HeaderMap, Option<Sender>) {
     let mut req = Request::builder().method(Method::POST).uri(kind.path()).header("host", HOST);
     req = req.header("request-id", id);
@@ -186,7 +226,7 @@
     if kind.streams() {
         req = req.header("model", model).header("token-usage", "100,100");
     }
-    let req = req.body(Full::default()).expect("the parts are valid");
+    let req = req.body(Full::new(body)).expect("the parts are valid");
     let limit = kind.deadline() + DEADLINE_GRACE;
     match tokio::time::timeout(limit, send_and_receive(router_address, connection, req)).await {
         Ok(done) => done,
--- a/tools/soak/src/checks.rs
+++ b/tools/soak/src/checks.rs
@@ -1,6 +1,6 @@
 //! Guarantees that must hold for each request regardless of the injected faults.
 
-use crate::callers::{Outcome, RequestKind, RequestRecord};
+use crate::callers::{CRASHING_ID_PREFIX, Outcome, RequestKind, RequestRecord};
 use corianderstand_platform_standins::{ledger::Ledger, target::EVENTS_PER_STREAM};
 use http::StatusCode;
 use std::{
@@ -131,6 +131,55 @@
     (!correct).then(|| format!("wrong events in the stream (complete: {complete}): {text:?}"))
 }
 
+/// Text of the refusals of requests that ended their targets.
+const BLOCKED: &str = "ended the targets";
+/// Ends that are needed as evidence against a request.
+const EVIDENCE_ENDS: usize = 3;
+/// Arrivals at engines that are allowed after the evidence had time to spread.
+const MAX_LATE_ARRIVALS: usize = 3;
+
+/// Checks that a request that ends the engines that run it soon reaches none, and that nothing else is
+/// refused for it.
+pub fn crashing_request(
+    requests: &[RequestRecord],
+    ledger: &Ledger,
+    disruptions: &[Disruption],
+) -> Vec<String> {
+    let (crashing, others): (Vec<&RequestRecord>, Vec<&RequestRecord>) =
+        requests.iter().partition(|request| request.id.starts_with(CRASHING_ID_PREFIX));
+    let is_blocked = |request: &RequestRecord| {
+        let Outcome::Complete(_, body) = &request.outcome else { return false };
+        String::from_utf8_lossy(body).contains(BLOCKED)
+    };
+    let wrongly_blocked = others.into_iter().filter(|request| is_blocked(request));
+    let mut violations: Vec<String> = wrongly_blocked
+        .map(|request| describe_violation("blocked, but it ended no target", request))
+        .collect();
+    let Some(evidence_at) = ledger.crashes().get(EVIDENCE_ENDS - 1).copied() else {
+        return violations;
+    };
+    let late_arrivals = ledger.arrivals().into_iter().filter(|arrival| {
+        let sender = crashing.iter().find(|request| request.id == arrival.id);
+        arrival.at > evidence_at + DISRUPTION_AFTERMATH
+            && sender
+                .is_some_and(|sender| is_in_touch(sender.router_index, arrival.at, disruptions))
+    });
+    let late_arrivals: Vec<String> = late_arrivals.map(|arrival| arrival.id).collect();
+    if late_arrivals.len() > MAX_LATE_ARRIVALS {
+        violations.push(format!("reached engines after it ended three: {late_arrivals:?}"));
+    }
+    violations
+}
+
+/// Whether a router was not disrupted at a time and shortly before.
+fn is_in_touch(router_index: usize, at: Instant, disruptions: &[Disruption]) -> bool {
+    !disruptions.iter().any(|disruption| {
+        disruption.router_index == router_index
+            && at >= disruption.started_at
+            && at <= disruption.ended_at + DISRUPTION_AFTERMATH
+    })
+}
+
 /// Checks that an undisrupted router responds in time and that a router shutting down responds to
 /// every request that it forwarded.
 fn missing_response(
--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -65,6 +65,8 @@
 
 impl ProxiedTarget {
     pub async fn start(&mut self) {
+        // It may have started again by itself.
+        self.target.crash();
         self.start_count += 1;
         let name = format!("{}-{}", self.name, self.start_count);
         let started_at_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -246,6 +248,7 @@
         advertised_addr: target_proxy.addr,
         slots: 16,
         model_capacity: is_engine.then_some(MODELS_PER_ENGINE),
+        keeps_name: index.is_multiple_of(2),
     };
     let target = Target::new(spec, store.clone(), ledger.clone(), cached_models);
     let mut target =
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -11,6 +11,7 @@
 mod faults;
 mod proxy;
 
+use bytes::Bytes;
 use callers::{Callers, Outcome, RequestKind};
 use checks::Disruption;
 use cluster::{Cluster, ClusterSize, MODELS};
@@ -91,7 +92,10 @@
     std::fs::create_dir_all(&dir).expect("the temporary folder can be written");
     let mut cluster = Cluster::start(size, &dir).await;
     let router_addresses: Vec<_> = cluster.router_proxies.iter().map(|proxy| proxy.addr).collect();
-    let callers = Callers::start(CALLERS_PER_ROUTER * size.routers, &router_addresses, seed);
+    let mut callers = Callers::start(CALLERS_PER_ROUTER * size.routers, &router_addresses, seed);
+    if has_crashing_caller(seed) {
+        callers.start_crashing(&router_addresses, seed);
+    }
     let mut violations = Vec::new();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let disruptions = run_faults(&mut cluster, &mut rng, faults, &callers, &mut violations).await;
@@ -100,6 +104,7 @@
     tokio::time::sleep(SETTLE_TIME).await;
     let report = checks::check_guarantees(&requests, &cluster.ledger, &disruptions);
     violations.extend(report.violations);
+    violations.extend(checks::crashing_request(&requests, &cluster.ledger, &disruptions));
     let overfilled = cluster.engines.iter().filter(|engine| engine.target.exceeded_capacity());
     violations.extend(overfilled.map(|engine| format!("commanded to load too much: {engine:?}")));
     println!("seed {seed}: {} requests {:?}", requests.len(), report.outcome_counts);
@@ -112,6 +117,11 @@
     violations
 }
 
+/// Whether a caller repeats a request that ends the engines that run it.
+const fn has_crashing_caller(seed: u64) -> bool {
+    seed % 2 == 1
+}
+
 /// Injects `fault_count` faults, some of them overlapping, and reverts them all.
 async fn run_faults(
     cluster: &mut Cluster,
@@ -202,7 +212,8 @@
                 probe_number += 1;
                 let id = format!("probe-{seed}-{probe_number}");
                 let (outcome, ..) =
-                    callers::send_request(router_address, None, kind, &id, model).await;
+                    callers::send_request(router_address, None, kind, &id, model, Bytes::new())
+                        .await;
                 if matches!(outcome, Outcome::Complete(StatusCode::OK, _)) {
                     break;
                 }
