Tell requests apart that end their targets together

Callers of harmless chat requests were refused as the guilty one: requests that wait for a model are all sent in the millisecond in which an engine has it, the guilty one among them, so that a frequent one ended the same five engines.

Ruled out: late evidence of other routers (all three had the same ends), wrong confirmations (each was an agent's, within 210 ms).

The change: an end counts only if it came within 0.5 s of the first event; of several copies the one that survived longest counts; a stream of one second clears its request, as a complete response does; and from the second end on, requests that can't be told apart are sent in alternating turns, drawn by the bits of their position, so that the harmless ones complete without the guilty one. The caller's address is part of the fingerprint, as this platform's callers send no credentials.

--- a/crates/corianderstand_fleet/src/crashes.rs
+++ b/crates/corianderstand_fleet/src/crashes.rs
@@ -1,9 +1,13 @@
 //! Requests that end the targets that run them.
 //!
 //! When a target ends, all requests that it was running are suspects. A suspect that also ran on the
-//! targets that ended next is blocked, unless another suspect explains these ends as well. A complete
-//! response clears its request: one that ends each target that runs it never has any. All routers
-//! exchange their [`Crash`]es and judge by the same rules.
+//! targets that ended next is blocked, unless another suspect explains these ends as well. A target
+//! that had been streaming its response for a while had begun to run it without ending, so its end
+//! counts for little. A complete response clears its request. All routers exchange their [`Crash`]es
+//! and judge by the same rules.
+//!
+//! Requests that wait for a model are all sent when it is there, so the same ones may end together again
+//! and again. Those that can't be told apart are sent in alternating windows ([`Crashes::held_until`]).
 
 use crate::{fingerprint::Fingerprint, targets::Incarnation};
 use corianderstand_derives::derives;
@@ -13,10 +17,14 @@
     time::{Duration, Instant},
 };
 
-/// Consecutive ends after which a request is blocked.
+/// Consecutive early ends after which a request is blocked.
 const MAX_CONSECUTIVE_ENDS: usize = 3;
-/// Consecutive ends after which a request is blocked although another one explains them as well.
+/// Consecutive early ends after which a request is blocked although another one explains them as well.
 const MAX_AMBIGUOUS_ENDS: usize = 5;
+/// Consecutive ends, early or not, after which a request is blocked.
+const MAX_LATE_ENDS: usize = 8;
+/// An end is early if it comes within this time after the first event of the response.
+const EARLY_END_TIME: Duration = Duration::from_millis(500);
 /// Copies of a request may run at the same time: it is also blocked after this many ends in total,
 /// if some of them were consecutive.
 const MAX_TOTAL_ENDS: usize = 6;
@@ -25,6 +33,10 @@
 const BLOCK_TIME: Duration = Duration::from_mins(10);
 /// Time for which ends count. It exceeds [`BLOCK_TIME`], so that one further end blocks again.
 const RETENTION: Duration = Duration::from_mins(30);
+/// Interval at which the requests that can't be told apart take turns.
+const TURN_TIME: Duration = Duration::from_millis(1_000);
+/// Part of a turn in which they are sent, so that they have run for a while when the next turn begins.
+const SEND_WINDOW: Duration = Duration::from_millis(400);
 const MAX_SUSPECTS: usize = 256;
 const MAX_CRASHES_PER_SUSPECT: usize = 16;
 
@@ -39,12 +51,19 @@
     pub sent_at: Instant,
     /// When the target ended.
     pub ended_at: Instant,
-    /// Whether the target had sent a part of the response.
-    pub responded: bool,
+    /// Time from the first event of the response to the end, the longest of all copies of the request;
+    /// zero if there was no event.
+    pub survived: Duration,
     /// The router that had sent the request.
     pub observer: SmolStr,
 }
 
+impl Crash {
+    fn is_early(&self) -> bool {
+        self.survived < EARLY_END_TIME
+    }
+}
+
 /// Why a request is blocked.
 #[derives(data)]
 pub struct Block {
@@ -67,8 +86,31 @@
 }
 
 impl Suspect {
-    fn ended(&self, target: &Incarnation) -> bool {
-        self.crashes.iter().any(|crash| crash.target == *target)
+    fn unexplained(&self, explained: &BTreeSet<Incarnation>) -> Vec<&Crash> {
+        self.crashes.iter().filter(|crash| !explained.contains(&crash.target)).collect()
+    }
+
+    fn early_crashes(&self, explained: &BTreeSet<Incarnation>) -> Vec<&Crash> {
+        self.unexplained(explained).into_iter().filter(|crash| crash.is_early()).collect()
+    }
+
+    /// Records an end; false if it is known.
+    fn record(&mut self, crash: Crash) -> bool {
+        if self.cleared.contains(&crash.target) {
+            return false;
+        }
+        if let Some(known) = self.crashes.iter_mut().find(|known| known.target == crash.target) {
+            let was_early = known.is_early();
+            known.survived = known.survived.max(crash.survived);
+            return was_early != known.is_early();
+        }
+        self.last_end = self.last_end.max(crash.ended_at);
+        if self.crashes.len() == MAX_CRASHES_PER_SUSPECT {
+            self.crashes.remove(0);
+        }
+        self.crashes.push(crash);
+        self.crashes.sort_by_key(|crash| crash.ended_at);
+        true
     }
 }
 
@@ -83,29 +125,63 @@
     }
 }
 
-/// Order in which requests are blocked: by most ends, then by fewest responses.
+/// Order in which requests are blocked: by most early ends, then by fewest others.
 #[derives(name)]
 struct GuiltRank {
-    ends: usize,
-    responses: std::cmp::Reverse<usize>,
+    early_ends: usize,
+    late_ends: std::cmp::Reverse<usize>,
     targets: BTreeSet<Incarnation>,
 }
 
 impl GuiltRank {
     fn new(crashes: &[&Crash]) -> Self {
+        let early_ends = crashes.iter().filter(|crash| crash.is_early()).count();
         Self {
-            ends: crashes.len(),
-            responses: std::cmp::Reverse(responses(crashes)),
+            early_ends,
+            late_ends: std::cmp::Reverse(crashes.len() - early_ends),
             targets: crashes.iter().map(|crash| crash.target.clone()).collect(),
         }
     }
 }
 
+/// Requests that ended the same targets as another.
+#[derive(Clone, Debug, Default)]
+struct Ambiguous {
+    /// Sorted, so that all routers agree on the turns.
+    requests: Vec<Fingerprint>,
+    /// The last of the ends.
+    first_turn_at: Option<Instant>,
+}
+
+impl Ambiguous {
+    /// Whether a request is sent in a turn. Any two requests are apart in some turns: the bits of
+    /// their positions differ.
+    fn has_turn(&self, position: usize, turn: u32) -> bool {
+        let bits = usize::BITS - (self.requests.len().max(2) - 1).leading_zeros();
+        let bit = (turn / 2) % bits;
+        (position >> bit & 1) as u32 == turn % 2
+    }
+
+    fn held_until(&self, now: Instant, fingerprint: &Fingerprint) -> Option<Instant> {
+        let position = self.requests.binary_search(fingerprint).ok()?;
+        let first_turn_at = self.first_turn_at?;
+        let elapsed = now.saturating_duration_since(first_turn_at);
+        let turn = u32::try_from(elapsed.as_millis() / TURN_TIME.as_millis()).ok()?;
+        let in_window = now < first_turn_at + TURN_TIME * turn + SEND_WINDOW;
+        if in_window && self.has_turn(position, turn) {
+            return None;
+        }
+        let next = (turn + 1..).find(|turn| self.has_turn(position, *turn))?;
+        Some(first_turn_at + TURN_TIME * next)
+    }
+}
+
 /// Ends of targets by request.
 #[derive(Clone, Debug, Default)]
 pub struct Crashes {
     suspects: HashMap<Fingerprint, Suspect>,
     blocks: HashMap<Fingerprint, Block>,
+    ambiguous: Ambiguous,
 }
 
 impl Crashes {
@@ -120,17 +196,11 @@
             cleared: BTreeSet::new(),
             last_end: crash.ended_at,
         });
-        if suspect.ended(&crash.target) || suspect.cleared.contains(&crash.target) {
-            return false;
-        }
-        suspect.last_end = suspect.last_end.max(crash.ended_at);
-        if suspect.crashes.len() == MAX_CRASHES_PER_SUSPECT {
-            suspect.crashes.remove(0);
+        let is_news = suspect.record(crash);
+        if is_news {
+            self.judge();
         }
-        suspect.crashes.push(crash);
-        suspect.crashes.sort_by_key(|crash| crash.ended_at);
-        self.judge();
-        true
+        is_news
     }
 
     /// Clears a request that got a complete response; false if it was not suspected.
@@ -160,6 +230,11 @@
         self.blocks.get(fingerprint).filter(|block| now < block.until)
     }
 
+    /// When a request may be sent that can't be told apart from another; none if it may be sent now.
+    pub fn held_until(&self, now: Instant, fingerprint: &Fingerprint) -> Option<Instant> {
+        self.ambiguous.held_until(now, fingerprint)
+    }
+
     /// Number of blocked requests.
     pub fn blocked_requests(&self, now: Instant) -> usize {
         self.blocks.values().filter(|block| now < block.until).count()
@@ -177,7 +252,7 @@
         let mut explained: BTreeSet<Incarnation> = BTreeSet::new();
         loop {
             let guilty = self.guilty_requests(&explained);
-            let Some(best) = guilty.iter().map(|(rank, _)| rank).max().cloned() else { return };
+            let Some(best) = guilty.iter().map(|(rank, _)| rank).max().cloned() else { break };
             // Several requests that ended the same targets each time can't be told apart.
             for (rank, key) in guilty {
                 if rank == best {
@@ -186,41 +261,62 @@
             }
             explained.extend(best.targets);
         }
+        self.ambiguous = self.ambiguous_requests(&explained);
+    }
+
+    fn ambiguous_requests(&self, explained: &BTreeSet<Incarnation>) -> Ambiguous {
+        let open = self.suspects.iter().filter(|(key, _)| !self.blocks.contains_key(key));
+        let ambiguous: Vec<_> = open
+            .filter(|(key, suspect)| {
+                let early = suspect.early_crashes(explained);
+                consecutive_ends(&early) >= MIN_CONSECUTIVE_ENDS && self.has_rival(**key, &early)
+            })
+            .collect();
+        let first_turn_at = ambiguous.iter().map(|(_, suspect)| suspect.last_end).max();
+        let mut requests: Vec<Fingerprint> = ambiguous.iter().map(|(key, _)| **key).collect();
+        requests.sort_unstable();
+        Ambiguous { requests, first_turn_at }
     }
 
     /// Returns the requests to block for ends that no blocked request explains.
     fn guilty_requests(&self, explained: &BTreeSet<Incarnation>) -> Vec<(GuiltRank, Fingerprint)> {
         let open = self.suspects.iter().filter(|(key, _)| !self.blocks.contains_key(key));
         let guilty = open.filter_map(|(key, suspect)| {
-            let crashes = suspect.crashes.iter();
-            let unexplained: Vec<&Crash> =
-                crashes.filter(|crash| !explained.contains(&crash.target)).collect();
-            self.is_guilty(*key, &unexplained).then(|| (GuiltRank::new(&unexplained), *key))
+            let is_guilty = self.is_guilty(*key, suspect, explained);
+            is_guilty.then(|| (GuiltRank::new(&suspect.unexplained(explained)), *key))
         });
         guilty.collect()
     }
 
-    fn is_guilty(&self, key: Fingerprint, unexplained: &[&Crash]) -> bool {
-        let consecutive = consecutive_ends(unexplained);
+    fn is_guilty(
+        &self,
+        key: Fingerprint,
+        suspect: &Suspect,
+        explained: &BTreeSet<Incarnation>,
+    ) -> bool {
+        let early = suspect.early_crashes(explained);
+        let consecutive = consecutive_ends(&early);
         if consecutive >= MAX_AMBIGUOUS_ENDS {
             return true;
         }
         let enough = consecutive >= MAX_CONSECUTIVE_ENDS
-            || (consecutive >= MIN_CONSECUTIVE_ENDS && unexplained.len() >= MAX_TOTAL_ENDS);
-        enough && !self.has_rival(key, unexplained)
+            || (consecutive >= MIN_CONSECUTIVE_ENDS && early.len() >= MAX_TOTAL_ENDS);
+        if enough {
+            return !self.has_rival(key, &early);
+        }
+        let all = suspect.unexplained(explained);
+        consecutive_ends(&all) >= MAX_LATE_ENDS && !self.has_rival(key, &all)
     }
 
-    /// Whether another request ran on all of these targets and had no more responses from them.
-    fn has_rival(&self, key: Fingerprint, unexplained: &[&Crash]) -> bool {
-        let responses = responses(unexplained);
-        self.suspects.iter().any(|(other, suspect)| {
-            let shared: Vec<&Crash> = suspect
-                .crashes
-                .iter()
-                .filter(|crash| unexplained.iter().any(|own| own.target == crash.target))
-                .collect();
-            let is_open = *other != key && !self.blocks.contains_key(other);
-            is_open && shared.len() == unexplained.len() && self::responses(&shared) <= responses
+    /// Whether another request ran on all of these targets and did not survive longer on them.
+    fn has_rival(&self, key: Fingerprint, crashes: &[&Crash]) -> bool {
+        let open = self.suspects.iter().filter(|(other, _)| !self.blocks.contains_key(other));
+        let mut others = open.filter(|(other, _)| **other != key);
+        others.any(|(_, other)| {
+            crashes.iter().all(|own| {
+                let mut shared = other.crashes.iter().filter(|crash| crash.target == own.target);
+                shared.any(|crash| crash.is_early() || !own.is_early())
+            })
         })
     }
 
@@ -258,7 +354,3 @@
     }
     count
 }
-
-fn responses(crashes: &[&Crash]) -> usize {
-    crashes.iter().filter(|crash| crash.responded).count()
-}
--- a/crates/corianderstand_fleet/src/exits.rs
+++ b/crates/corianderstand_fleet/src/exits.rs
@@ -63,8 +63,8 @@
     pub sent_at: Instant,
     /// When the connection broke.
     pub broke_at: Instant,
-    /// Events that the target had sent.
-    pub events: u64,
+    /// Time from the first event of the response to the break; zero if there was no event.
+    pub survived: Duration,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/corianderstand_fleet/tests/crashes.rs
+++ b/crates/corianderstand_fleet/tests/crashes.rs
@@ -26,10 +26,10 @@
 
     /// Target number `second` ends after it ran the requests for 100 ms.
     fn end(&mut self, second: u64, requests: &[Fingerprint]) {
-        self.end_with(second, requests, false);
+        self.end_after(second, requests, Duration::ZERO);
     }
 
-    fn end_with(&mut self, second: u64, requests: &[Fingerprint], responded: bool) {
+    fn end_after(&mut self, second: u64, requests: &[Fingerprint], survived: Duration) {
         for &fingerprint in requests {
             let crash = Crash {
                 fingerprint,
@@ -39,7 +39,7 @@
                 },
                 sent_at: self.at(second),
                 ended_at: self.at(second) + Duration::from_millis(100),
-                responded,
+                survived,
                 observer: "router".into(),
             };
             self.crashes.record(self.at(second), crash);
@@ -100,7 +100,7 @@
             },
             sent_at: history.at(1),
             ended_at: history.at(2),
-            responded: false,
+            survived: Duration::ZERO,
             observer: "router".into(),
         };
         history.crashes.record(history.at(2), crash);
@@ -123,16 +123,59 @@
 
 /// Guards against blocking a stream that ran well until another request ended its targets.
 #[test]
-fn a_request_that_got_responses_is_less_suspect() {
+fn a_request_that_had_been_streaming_is_less_suspect() {
     let mut history = History::new();
     for second in 1..=3 {
-        history.end_with(second, &[NEIGHBOUR], true);
+        history.end_after(second, &[NEIGHBOUR], Duration::from_secs(1));
         history.end(second, &[CRASHING]);
     }
     assert!(history.is_blocked(4, CRASHING));
     assert!(!history.is_blocked(4, NEIGHBOUR));
 }
 
+/// Guards against blocking a frequent request because one of its copies had just begun each time.
+#[test]
+fn the_copy_that_survived_longest_counts() {
+    let mut history = History::new();
+    for second in 1..=5 {
+        history.end(second, &[NEIGHBOUR]);
+        history.end_after(second, &[NEIGHBOUR], Duration::from_secs(1));
+    }
+    assert!(!history.is_blocked(6, NEIGHBOUR));
+}
+
+/// Guards against a request that ends each target some time after it began to stream.
+#[test]
+fn many_late_ends_block_as_well() {
+    let mut history = History::new();
+    for second in 1..=8 {
+        assert!(!history.is_blocked(second, CRASHING));
+        history.end_after(second, &[CRASHING], Duration::from_millis(900));
+    }
+    assert!(history.is_blocked(9, CRASHING));
+}
+
+/// Guards against sending the same requests together again each time that a model is loaded.
+#[test]
+fn requests_that_cannot_be_told_apart_take_turns() {
+    let mut history = History::new();
+    for second in 1..=2 {
+        history.end(second, &[CRASHING, NEIGHBOUR]);
+    }
+    let may_be_sent = |fingerprint, at| history.crashes.held_until(at, &fingerprint).is_none();
+    let times: Vec<Instant> =
+        (0..400).map(|step| history.at(3) + Duration::from_millis(10) * step).collect();
+    for &at in &times {
+        assert!(!may_be_sent(CRASHING, at) || !may_be_sent(NEIGHBOUR, at), "never both");
+    }
+    for fingerprint in [CRASHING, NEIGHBOUR] {
+        assert!(times.iter().any(|&at| may_be_sent(fingerprint, at)));
+        let next = history.crashes.held_until(times[399], &fingerprint).unwrap_or(times[399]);
+        assert!(may_be_sent(fingerprint, next));
+    }
+    assert!(may_be_sent(Fingerprint(3), times[0]), "others aren't held");
+}
+
 /// Guards against two requests that hide behind each other for ever.
 #[test]
 fn ambiguity_ends_after_five_ends() {
--- a/crates/corianderstand_fleet/tests/exits.rs
+++ b/crates/corianderstand_fleet/tests/exits.rs
@@ -22,7 +22,7 @@
         target: incarnation(started_at_ms),
         sent_at: at,
         broke_at: at,
-        events: 0,
+        survived: Duration::ZERO,
     }
 }
 
--- a/crates/corianderstand_forward/src/attempt.rs
+++ b/crates/corianderstand_forward/src/attempt.rs
@@ -98,7 +98,7 @@
                 return AttemptOutcome::NotSent;
             }
             HeadOutcome::ConnectionLost => {
-                ended_targets::record_broken(shared, job, &in_flight, 0);
+                ended_targets::record_broken(shared, job, &in_flight, None);
                 shared.record_target_failure(key, "connection lost");
                 return AttemptOutcome::Unknown("the target's connection was lost");
             }
--- a/crates/corianderstand_forward/src/crash_reports.rs
+++ b/crates/corianderstand_forward/src/crash_reports.rs
@@ -72,7 +72,7 @@
         target: attempt.target.clone(),
         sent_at: attempt.sent_at,
         ended_at: attempt.broke_at,
-        responded: attempt.events > 0,
+        survived: attempt.survived,
         observer: shared.settings.name.clone(),
     };
     if apply_crash(shared, now, crash.clone()) {
@@ -81,7 +81,7 @@
     }
 }
 
-/// Clears a request that got a complete response.
+/// Clears a request that got a complete response, or that a target has been running for long.
 pub fn record_completed<P: router::Platform>(shared: &router::Shared<P>, job: &job::Job) {
     if shared.crashes.borrow().is_empty() {
         return;
@@ -181,20 +181,21 @@
 }
 
 fn to_wire(now: Instant, crash: &crashes::Crash) -> wire::TargetCrash {
-    let millis = |later: Instant, earlier: Instant| {
-        u32::try_from(later.saturating_duration_since(earlier).as_millis()).unwrap_or(u32::MAX)
-    };
     wire::TargetCrash {
         request: from_fingerprint(crash.fingerprint),
         target: crash.target.id.clone(),
         born: crash.target.started_at_ms,
-        ran_ms: millis(crash.ended_at, crash.sent_at),
-        ended_ms: millis(now, crash.ended_at),
-        responded: crash.responded,
+        ran_ms: to_millis(crash.ended_at.saturating_duration_since(crash.sent_at)),
+        ended_ms: to_millis(now.saturating_duration_since(crash.ended_at)),
+        survived_ms: to_millis(crash.survived),
         observer: crash.observer.as_str().into(),
     }
 }
 
+fn to_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// None if the end is too long ago to be represented.
 fn from_wire(now: Instant, crash: wire::TargetCrash) -> Option<crashes::Crash> {
     let ended_at = now.checked_sub(Duration::from_millis(u64::from(crash.ended_ms)))?;
@@ -204,7 +205,7 @@
         target: targets::Incarnation { id: crash.target, started_at_ms: crash.born },
         sent_at,
         ended_at,
-        responded: crash.responded,
+        survived: Duration::from_millis(u64::from(crash.survived_ms)),
         observer: SmolStr::new(crash.observer.as_str()),
     })
 }
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -96,6 +96,20 @@
         }
     }
 
+    /// Logs that a request waits because targets ended while they ran it.
+    pub fn held(&self, job: &job::Job, until: Instant, now: Instant) {
+        if self.may_log(LineKind::Placed, now) {
+            tracing::info!(
+                id = %job.request.id,
+                fingerprint = %job.fingerprint(),
+                why = "targets ended while they ran it or another request",
+                ready_in_ms = millis_between(until, now),
+                waited_ms = millis_between(now, job.arrived_at),
+                "waits"
+            );
+        }
+    }
+
     /// Logs an attempt that failed or that the target did not execute.
     pub fn attempt_failed(&self, job: &job::Job, why: &str, status: Option<u16>, now: Instant) {
         self.metrics.attempt_failed(why);
@@ -121,7 +135,7 @@
                 at = %attempt.target.id,
                 born = attempt.target.started_at_ms,
                 ran_ms = millis_between(attempt.broke_at, attempt.sent_at),
-                events = attempt.events,
+                survived_ms = attempt.survived.as_millis() as u64,
                 confirmed_by = confirmation.as_str(),
                 confirmed_ms = millis_between(now, attempt.broke_at),
                 "target ended under the request"
--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -19,7 +19,7 @@
     shared: &Rc<router::Shared<P>>,
     job: &job::Job,
     in_flight: &job::InFlight<P>,
-    events: u64,
+    first_event_at: Option<Instant>,
 ) {
     let now = shared.clock.now();
     let Some((target, addr)) = in_flight.target() else { return };
@@ -33,7 +33,7 @@
         target: target.clone(),
         sent_at: in_flight.started_at(),
         broke_at: now,
-        events,
+        survived: first_event_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at)),
     };
     let confirmation = shared.exits.borrow_mut().record_broken(now, attempt.clone());
     match confirmation {
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -272,7 +272,7 @@
     let body = match tokio::time::timeout_at(shared.response_deadline(&job).into(), read).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(_)) => {
-            ended_targets::record_broken(shared, &job, &in_flight, 0);
+            ended_targets::record_broken(shared, &job, &in_flight, None);
             return retry_or_fail(shared, job, key, "the target broke off its answer");
         }
         Err(_) => return Ok(fail(shared, &job, StatusCode::GATEWAY_TIMEOUT, "the time is over")),
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -184,6 +184,16 @@
         crashes.block(now, &job.fingerprint()).cloned()
     }
 
+    /// When a request may be sent that can't be told apart from one that ends its targets; none if it
+    /// may be sent now.
+    pub fn held_until(&self, now: Instant, job: &job::Job) -> Option<Instant> {
+        let crashes = self.crashes.borrow();
+        if crashes.is_empty() {
+            return None;
+        }
+        crashes.held_until(now, &job.fingerprint())
+    }
+
     /// Returns this router's role in reading the store.
     pub fn role(&self, now: Instant) -> readers::Role {
         let own = peers::Rank::new(self.settings.cpu_millicores, &self.settings.name);
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -19,7 +19,7 @@
 /// Idle timeout of streams whose route has no gap objective.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// A target that streams for this long is not ended by the request.
-const SURVIVAL_TIME: Duration = Duration::from_secs(2);
+const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 /// Lets the target end the stream itself at the deadline.
 const DEADLINE_GRACE: Duration = Duration::from_millis(100);
 
@@ -58,8 +58,10 @@
     lease: pool::Lease,
     in_flight: job::InFlight<P>,
     response_head: dialect::ResponseHead,
-    /// Events of the stream that earlier targets sent.
-    events_before: u64,
+    /// When its first event arrived.
+    first_event_at: Option<Instant>,
+    /// Whether it has been streaming for [`SURVIVAL_TIME`].
+    has_survived: bool,
 }
 
 enum Step {
@@ -77,9 +79,6 @@
     fn drop(&mut self) {
         if !self.0.has_ended {
             let now = self.0.shared.clock.now();
-            if self.0.has_survived(now) {
-                crash_reports::record_completed(&self.0.shared, &self.0.job);
-            }
             self.0.shared.decision_log.caller_left(
                 &self.0.job.request.id,
                 self.0.splitter.events(),
@@ -106,7 +105,8 @@
             lease,
             in_flight,
             response_head: info,
-            events_before: 0,
+            first_event_at: None,
+            has_survived: false,
         }),
         splitter: relay::EventSplitter::default(),
         resumes: 0,
@@ -151,12 +151,11 @@
                 }
                 Step::Interrupted => {
                     if let Some(upstream) = &self.upstream {
-                        let events = self.splitter.events() - upstream.events_before;
                         ended_targets::record_broken(
                             &self.shared,
                             &self.job,
                             &upstream.in_flight,
-                            events,
+                            upstream.first_event_at,
                         );
                     }
                     let why = "the target broke off its stream";
@@ -173,15 +172,6 @@
         }
     }
 
-    /// Whether the current target has been streaming for [`SURVIVAL_TIME`].
-    fn has_survived(&self, now: Instant) -> bool {
-        self.upstream.as_ref().is_some_and(|upstream| {
-            let started_at = upstream.in_flight.started_at();
-            self.splitter.events() > upstream.events_before
-                && now.saturating_duration_since(started_at) >= SURVIVAL_TIME
-        })
-    }
-
     fn forward(&mut self, chunk: Bytes) -> Result<Option<Bytes>, relay::EventGap> {
         let complete = self.splitter.push(chunk.clone())?;
         // A stream that can't be resumed needn't be cut at events.
@@ -216,6 +206,12 @@
                             }
                             None => self.shared.record_first_event(&self.job, now),
                         }
+                        let first_event_at = *upstream.first_event_at.get_or_insert(now);
+                        let streamed_for = now.saturating_duration_since(first_event_at);
+                        if !upstream.has_survived && streamed_for >= SURVIVAL_TIME {
+                            upstream.has_survived = true;
+                            crash_reports::record_completed(&self.shared, &self.job);
+                        }
                         self.timings.record(now);
                         return Step::Data(data);
                     }
@@ -303,7 +299,8 @@
                     lease,
                     in_flight,
                     response_head: info,
-                    events_before: self.splitter.events(),
+                    first_event_at: None,
+                    has_survived: false,
                 });
                 self.resumes += 1;
                 true
--- a/crates/corianderstand_forward/src/waiting.rs
+++ b/crates/corianderstand_forward/src/waiting.rs
@@ -3,7 +3,10 @@
 use crate::{exchange, job, prefill, router};
 use corianderstand_fleet::{choose, targets, wait_limit};
 use corianderstand_types::names;
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 /// Interval at which an adapter is requested again, as datagrams may be lost.
 const ADAPTER_REQUEST_INTERVAL: Duration = Duration::from_millis(60);
@@ -38,6 +41,10 @@
         let choice = shared.choose_target(now, job);
         let (until, interval) = match choice {
             choose::Choice::Send(key) => {
+                if let Some(until) = shared.held_until(now, job) {
+                    hold_suspect(shared, job, now, until).await?;
+                    continue;
+                }
                 choices += 1;
                 match prefill::acquire_permit(shared, job, key, choices > MAX_ABANDONED_CHOICES)
                     .await
@@ -95,6 +102,22 @@
     }
 }
 
+/// Waits for the turn of a request that may have ended its targets.
+async fn hold_suspect<P: router::Platform>(
+    shared: &router::Shared<P>,
+    job: &job::Job,
+    now: Instant,
+    until: Instant,
+) -> Result<(), PlacementError> {
+    shared.decision_log.held(job, until, now);
+    if until >= job.abandoned_at().min(shared.response_deadline(job)) {
+        let retry_after = until.saturating_duration_since(now);
+        return Err(PlacementError { reason: "targets ended while they ran it", retry_after });
+    }
+    tokio::time::sleep_until(until.into()).await;
+    Ok(())
+}
+
 const fn poll_interval(choice: choose::Choice) -> Duration {
     match choice {
         choose::Choice::LoadAdapter(_) => ADAPTER_REQUEST_INTERVAL,
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use std::{
     collections::BTreeMap,
     io::ErrorKind,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
@@ -22,7 +22,7 @@
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::{mpsc, oneshot},
 };
 
@@ -359,7 +359,21 @@
     headers: &[(&str, &str)],
     body: &str,
 ) -> std::io::Result<TcpStream> {
-    let mut stream = TcpStream::connect(addr).await?;
+    send_from(Ipv4Addr::LOCALHOST, addr, method, path, headers, body).await
+}
+
+/// Like [`send`], from a loopback address.
+pub async fn send_from(
+    caller: Ipv4Addr,
+    addr: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind((caller, 0).into())?;
+    let mut stream = socket.connect(addr).await?;
     let mut text =
         format!("{method} {path} HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n");
     for (name, value) in headers {
--- a/crates/corianderstand_forward/tests/crashing_requests.rs
+++ b/crates/corianderstand_forward/tests/crashing_requests.rs
@@ -6,13 +6,14 @@
 use corianderstand_fleet::config::{RetryPolicy, Route};
 use rstest::rstest;
 use std::{
+    net::Ipv4Addr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
-use tokio::{net::TcpStream, task::JoinSet};
+use tokio::task::JoinSet;
 
 const CRASHING_PATH: &str = "/desk/crash";
 const HARMLESS_PATH: &str = "/desk/harmless";
@@ -103,11 +104,16 @@
 
     /// Sends a request under a new id and returns the response.
     async fn ask(&self, router: usize, path: &str, headers: &[(&str, &str)]) -> String {
-        let mut caller = self.send(router, path, headers).await;
-        common::read_all(&mut caller).await.unwrap()
+        self.ask_from(Ipv4Addr::LOCALHOST, router, path, headers).await
     }
 
-    async fn send(&self, router: usize, path: &str, headers: &[(&str, &str)]) -> TcpStream {
+    async fn ask_from(
+        &self,
+        caller: Ipv4Addr,
+        router: usize,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> String {
         let id = {
             let mut next_id = self.next_id.lock().unwrap();
             *next_id += 1;
@@ -115,7 +121,9 @@
         };
         let mut all = vec![("x-id", id.as_str())];
         all.extend_from_slice(headers);
-        common::send(self.routers[router].front, "POST", path, &all, "content").await.unwrap()
+        let front = self.routers[router].front;
+        let response = common::send_from(caller, front, "POST", path, &all, "content").await;
+        common::read_all(&mut response.unwrap()).await.unwrap()
     }
 
     /// Repeats the crashing request at all routers in turn until each refuses it.
@@ -214,10 +222,16 @@
 }
 
 /// Guards against one caller that has another caller's request refused.
+#[rstest]
+#[case::of_other_credentials(&[("authorization", "Bearer other")], Ipv4Addr::LOCALHOST)]
+#[case::of_another_address(&[], Ipv4Addr::new(127, 0, 0, 2))]
 #[tokio::test]
-async fn the_same_request_of_another_caller_is_not_refused() {
+async fn the_same_request_of_another_caller_is_not_refused(
+    #[case] headers: &[(&str, &str)],
+    #[case] caller: Ipv4Addr,
+) {
     let deployment = Deployment::start(RetryPolicy::Never).await;
     deployment.repeat_until_refused().await;
-    let answer = deployment.ask(0, CRASHING_PATH, &[("authorization", "Bearer other")]).await;
+    let answer = deployment.ask_from(caller, 0, CRASHING_PATH, headers).await;
     assert!(!answer.contains("ended the targets"), "{answer}");
 }
