Read and log the limit of requests that a target names

Nothing in logs or metrics named a limit, so that the hypotheses of the incident (not read; each router takes the whole; not obeyed on some way) could not be told apart. The limit is now read from the head of each response, refusals and failures included, kept with the target until a signed response to a later request names none, logged when it changes and counted. No decision uses it yet.

--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -8,7 +8,8 @@
 mod entry;
 
 pub use entry::{
-    AgentReport, EngineReplacement, Entry, Holdings, Incarnation, Load, OngoingCommand, Resident,
+    AgentReport, EngineReplacement, Entry, Holdings, Incarnation, Load, OngoingCommand,
+    RequestLimit, Resident,
 };
 
 use crate::{choose, health};
@@ -56,6 +57,8 @@
     pub local_tokens: u64,
     /// Mean time between events of its streams.
     pub event_interval: health::EventInterval,
+    /// Limit of requests that it named in its last response, if any.
+    pub request_limit: Option<RequestLimit>,
     /// When it will have shut down, if known.
     pub shutdown_at: Option<Instant>,
     load: Load,
@@ -78,6 +81,7 @@
             local_requests: 0,
             local_tokens: 0,
             event_interval: health::EventInterval::default(),
+            request_limit: None,
             shutdown_at: None,
             load: Load::default(),
             local_requests_at_load: 0,
@@ -99,6 +103,19 @@
         self.ejected_until = Some(now + UNREACHABLE_EJECTION_TIME);
     }
 
+    /// Records the limit of requests that it named.
+    pub fn set_request_limit(&mut self, now: Instant, per_s: f64) {
+        let named_at = self.request_limit.map_or(now, |limit| limit.named_at);
+        self.request_limit = Some(RequestLimit { per_s, named_at });
+    }
+
+    /// Removes the limit after a response without one, unless the request was sent before it was
+    /// first named: that response may be older.
+    pub fn lift_request_limit(&mut self, sent_at: Option<Instant>) {
+        let is_older = |limit: &RequestLimit| sent_at.is_none_or(|at| at < limit.named_at);
+        self.request_limit = self.request_limit.filter(is_older);
+    }
+
     /// Number of in-flight requests of this process, by model.
     pub fn running(&self) -> BTreeMap<names::ModelId, u32> {
         let mut running = BTreeMap::new();
--- a/crates/corianderstand_forward/src/attempt.rs
+++ b/crates/corianderstand_forward/src/attempt.rs
@@ -132,6 +132,7 @@
     if let Some(load) = info.load {
         shared.record_load(key, load);
     }
+    shared.record_request_limit(key, job, &info);
     if info.not_run {
         shared.record_unexecuted(key, job, head.status, info.target.as_ref());
         // The body isn't read; dropping the lease closes the connection.
--- a/crates/corianderstand_forward/src/dialect.rs
+++ b/crates/corianderstand_forward/src/dialect.rs
@@ -68,6 +68,8 @@
     pub target: Option<names::TargetId>,
     /// Load of the target.
     pub load: Option<targets::Load>,
+    /// Requests per second that the target takes from all routers together, if it names a limit.
+    pub request_limit: Option<f64>,
     /// The target's keep-alive time.
     pub keep_alive: Option<Duration>,
     /// Whether the target closes the connection after this response.
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -63,6 +63,7 @@
     open_requests: Gauge,
     waiting_requests: Gauge,
     targets: Gauge,
+    limited_targets: Gauge,
     config_version: Gauge,
     config_behind: Gauge,
     config_read_age: Gauge<f64, AtomicU64>,
@@ -94,6 +95,7 @@
             open_requests: Gauge::default(),
             waiting_requests: Gauge::default(),
             targets: Gauge::default(),
+            limited_targets: Gauge::default(),
             config_version: Gauge::default(),
             config_behind: Gauge::default(),
             config_read_age: Gauge::default(),
@@ -157,6 +159,11 @@
             self.waiting_requests.clone(),
         );
         r.register("targets", "Targets that are known", self.targets.clone());
+        r.register(
+            "limited_targets",
+            "Targets that name a limit of requests",
+            self.limited_targets.clone(),
+        );
         r.register("config_version", "Version of the configuration", self.config_version.clone());
         r.register(
             "config_behind",
@@ -267,6 +274,8 @@
         self.waiting_requests
             .set(view.waiting_requests.values().map(|&count| i64::from(count)).sum());
         self.targets.set(view.targets.len() as i64);
+        let limited = view.targets.iter().filter(|(_, target)| target.request_limit.is_some());
+        self.limited_targets.set(limited.count() as i64);
         self.config_version.set(version as i64);
         let age = shared.age(now, Subject::Config);
         self.config_behind.set(i64::from(age.is_behind_peer));
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -359,6 +359,34 @@
         }
     }
 
+    /// Records the request limit that a response names, or that it names none any more.
+    pub fn record_request_limit(
+        &self,
+        key: targets::TargetKey,
+        job: &job::Job,
+        response: &dialect::ResponseHead,
+    ) {
+        let now = self.clock.now();
+        let mut view = self.view.borrow_mut();
+        let Some(target) = view.targets.get_mut(key) else { return };
+        if response.target.as_ref().is_some_and(|other| *other != target.entry.id) {
+            return;
+        }
+        let before = target.request_limit.map(|limit| limit.per_s);
+        match response.request_limit {
+            Some(per_s) => target.set_request_limit(now, per_s),
+            // Other responses may come from something else on the way.
+            None if response.is_signed || response.not_run => {
+                target.lift_request_limit(job.sent_at);
+            }
+            None => {}
+        }
+        let after = target.request_limit.map(|limit| limit.per_s);
+        if before != after {
+            tracing::info!(target = %target.entry.id, per_s = after, before, "target's request limit changed");
+        }
+    }
+
     /// Records that a target did not run a request: it lacks the model, was replaced, or is full.
     pub fn record_unexecuted(
         &self,
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -171,6 +171,7 @@
             is_signed: headers.contains_key("x-signed"),
             request_id: text("x-id").map(Into::into),
             target: text("x-target").map(Into::into),
+            request_limit: text("x-limit").and_then(|text| text.parse().ok()),
             ..Default::default()
         }
     }
@@ -413,10 +414,15 @@
     }
 
     /// Like [`Self::answer_whole`], but tolerates a connection that the router has closed.
-    pub async fn answer_whole_unless_reset(mut self, id: &str, body: &str) {
+    pub async fn answer_whole_unless_reset(self, id: &str, body: &str) {
+        self.answer_with_head(id, "", body).await;
+    }
+
+    /// Like [`Self::answer_whole_unless_reset`], with further header lines.
+    pub async fn answer_with_head(mut self, id: &str, head: &str, body: &str) {
         let len = body.len();
         let text = format!(
-            "HTTP/1.1 200 OK\r\nx-signed: 1\r\nx-id: {id}\r\nContent-Length: {len}\r\nConnection: close\r\n\r\n{body}"
+            "HTTP/1.1 200 OK\r\nx-signed: 1\r\nx-id: {id}\r\n{head}Content-Length: {len}\r\nConnection: close\r\n\r\n{body}"
         );
         let sent = self.stream.write_all(text.as_bytes()).await;
         drop(sent.and(self.stream.shutdown().await));
