Failing test: routers exceed the limit that a target names

The test also asks that the target is used for what it takes, and that what it doesn't take is refused at once with when to come back.

--- /dev/null
+++ b/crates/corianderstand_forward/tests/request_limits.rs
@@ -0,0 +1,99 @@
+//! Targets that limit the requests that they take from all routers together.
+
+mod common;
+
+use common::{MemoryStore, RouterThread, Target};
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+use tokio::task::JoinSet;
+
+/// Limit that the target names.
+const LIMIT_PER_S: f64 = 2.6;
+/// Span in which arrivals are counted, and what is allowed in it beyond the limit.
+const WINDOW: Duration = Duration::from_secs(4);
+const ALLOWED_RATIO: f64 = 1.5;
+const ALLOWED_MORE: f64 = 5.0;
+/// Time from the first response that names the limit until it must hold.
+const GRACE: Duration = Duration::from_secs(3);
+const LOAD_TIME: Duration = Duration::from_secs(9);
+const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
+
+type Arrivals = Arc<Mutex<Vec<Instant>>>;
+
+/// Serves requests with responses that name the limit, and records when they arrive.
+async fn run_limited(target: Target, arrivals: Arrivals) {
+    let mut responses = JoinSet::new();
+    loop {
+        let request = target.next_or_wait().await;
+        arrivals.lock().unwrap().push(Instant::now());
+        let id = request.header("x-id").unwrap_or_default().to_owned();
+        responses.spawn(async move {
+            let head = format!("x-limit: {LIMIT_PER_S}\r\n");
+            request.answer_with_head(&id, &head, "done").await;
+        });
+    }
+}
+
+/// Sends requests to each router at a steady rate, far above the limit, and returns the responses.
+async fn load(routers: &[RouterThread]) -> Vec<(Duration, String)> {
+    let started_at = Instant::now();
+    let mut callers = JoinSet::new();
+    let mut number = 0;
+    while started_at.elapsed() < LOAD_TIME {
+        for router in routers {
+            number += 1;
+            let (front, id) = (router.front, format!("request-{number}"));
+            callers.spawn(async move {
+                let sent_at = Instant::now();
+                let headers = [("x-id", id.as_str()), ("x-deadline-ms", "2000")];
+                let mut caller = common::send(front, "GET", "/desk/1", &headers, "").await.unwrap();
+                let answer = common::read_all(&mut caller).await.unwrap();
+                (sent_at.elapsed(), answer)
+            });
+        }
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    callers.join_all().await
+}
+
+fn most_in_a_window(arrivals: &[Instant]) -> usize {
+    let Some(first) = arrivals.first() else { return 0 };
+    let counted: Vec<&Instant> = arrivals.iter().filter(|at| **at >= *first + GRACE).collect();
+    let in_window =
+        |from: Instant| counted.iter().filter(|at| ***at >= from && ***at < from + WINDOW).count();
+    counted.iter().map(|at| in_window(**at)).max().unwrap_or(0)
+}
+
+/// Guards against routers that each take the whole of a limit, or none of it into account.
+#[tokio::test]
+async fn all_routers_together_keep_a_targets_limit() {
+    let store = MemoryStore::default();
+    let target = Target::start().await;
+    store.put_config(common::config(1, vec![common::route("/desk/", "desk")]));
+    store.put_target(target.entry("target-1", "desk"));
+    let first = RouterThread::start(&store);
+    let seeds = vec![first.peers];
+    let second = RouterThread::start_with(&store, "router-b", seeds, Duration::from_secs(8));
+    first.wait_ready().await;
+    second.wait_ready().await;
+    let arrivals = Arrivals::default();
+    let target = tokio::spawn(run_limited(target, arrivals.clone()));
+    let answers = load(&[first, second]).await;
+    target.abort();
+    let arrivals = arrivals.lock().unwrap().clone();
+    let allowed = LIMIT_PER_S * WINDOW.as_secs_f64() * ALLOWED_RATIO + ALLOWED_MORE;
+    let most = most_in_a_window(&arrivals);
+    assert!(most as f64 <= allowed, "{most} requests in {WINDOW:?}, {allowed} are allowed");
+    let served = answers.iter().filter(|(_, answer)| answer.starts_with("HTTP/1.1 200")).count();
+    let expected = (LIMIT_PER_S * LOAD_TIME.as_secs_f64() * 0.7) as usize;
+    assert!(served >= expected, "the target is used for what it takes: {served} of {expected}");
+    for (elapsed, answer) in answers {
+        let refused = answer.starts_with("HTTP/1.1 503");
+        assert!(refused || answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(!refused || answer.to_lowercase().contains("retry-after"), "{answer}");
+        let at_once = Duration::from_millis(500);
+        assert!(!refused || elapsed < at_once, "refused after {elapsed:?}");
+    }
+}
