Don't block a request while another explains all of three ends but one

Another request is a rival now if it lacks one of three ends. Both then take turns, the frequent one completes and is cleared. Tried first: lacking one of any number of ends; then the guilty one needed a fifth end in a test that asks for the fourth.

--- a/crates/corianderstand_fleet/src/crashes.rs
+++ b/crates/corianderstand_fleet/src/crashes.rs
@@ -86,6 +86,12 @@
 }
 
 impl Suspect {
+    /// Whether the request may have caused the end that another one is suspected of.
+    fn explains(&self, other: &Crash) -> bool {
+        let mut shared = self.crashes.iter().filter(|crash| crash.target == other.target);
+        shared.any(|crash| crash.is_early() || !other.is_early())
+    }
+
     fn unexplained(&self, explained: &BTreeSet<Incarnation>) -> Vec<&Crash> {
         self.crashes.iter().filter(|crash| !explained.contains(&crash.target)).collect()
     }
@@ -308,15 +314,15 @@
         consecutive_ends(&all) >= MAX_LATE_ENDS && !self.has_rival(key, &all)
     }
 
-    /// Whether another request ran on all of these targets and did not survive longer on them.
+    /// Whether another request ran on these targets too, and did not survive longer on them. Of three
+    /// it may lack one: a router that is killed takes with it what it alone had seen.
     fn has_rival(&self, key: Fingerprint, crashes: &[&Crash]) -> bool {
+        let max_missing = usize::from(crashes.len() == MAX_CONSECUTIVE_ENDS);
         let open = self.suspects.iter().filter(|(other, _)| !self.blocks.contains_key(other));
         let mut others = open.filter(|(other, _)| **other != key);
         others.any(|(_, other)| {
-            crashes.iter().all(|own| {
-                let mut shared = other.crashes.iter().filter(|crash| crash.target == own.target);
-                shared.any(|crash| crash.is_early() || !own.is_early())
-            })
+            let missing = crashes.iter().filter(|own| !other.explains(own)).count();
+            missing <= max_missing
         })
     }
 
--- a/crates/corianderstand_fleet/tests/crashes.rs
+++ b/crates/corianderstand_fleet/tests/crashes.rs
@@ -121,6 +121,19 @@
     assert!(!history.is_blocked(5, NEIGHBOUR), "the crashing request explains its ends");
 }
 
+/// Guards against blocking a request because the router that had seen the guilty one was killed.
+#[test]
+fn a_request_is_not_blocked_while_another_explains_all_ends_but_one() {
+    let mut history = History::new();
+    history.end(1, &[NEIGHBOUR]);
+    history.end(2, &[CRASHING, NEIGHBOUR]);
+    history.end(3, &[CRASHING, NEIGHBOUR]);
+    assert!(!history.is_blocked(4, NEIGHBOUR));
+    history.end(4, &[CRASHING]);
+    history.end(5, &[CRASHING]);
+    assert!(history.is_blocked(6, CRASHING) && !history.is_blocked(6, NEIGHBOUR));
+}
+
 /// Guards against blocking a stream that ran well until another request ended its targets.
 #[test]
 fn a_request_that_had_been_streaming_is_less_suspect() {
