Keep the request limits of targets, over all routers

Engines that asked for 1.2 and 3.2 requests a second went on to get 5 and 12; callers saw nothing, as the engines still answered.

Cause: the limit wasn't read. With it read, each router would have taken the whole. Class: a sum over routers that nobody keeps.

The change: one router keeps the schedule of each limited target, the others reserve a slot there for each request (docs/design/0012). The answer says how long to wait, so that a request is sent in time, goes to another replica, or is refused at once with the time to come back.

Waiting for a datagram's response, which prefill permits did by themselves, is one module for both now (pending).

--- a/crates/corianderstand_fleet/src/choose.rs
+++ b/crates/corianderstand_fleet/src/choose.rs
@@ -21,6 +21,9 @@
 /// Largest pseudo-random cost; spreads requests over targets of similar cost.
 const JITTER_WEIGHT: f64 = 0.03;
 
+/// Cost of a target that limits its requests; it is in need, and others take them at once.
+const REQUEST_LIMIT_COST: f64 = 0.5;
+
 /// Prefill backlog that costs as much as a full batch.
 const FULL_PREFILL_BACKLOG: Duration = Duration::from_millis(250);
 
@@ -98,6 +101,7 @@
     if with_capacity.is_empty() {
         return Choice::Full;
     }
+    let with_capacity = prefer_without_wait(now, with_capacity);
     match query
         .requested
         .and_then(|requested| requested.adapter.as_ref().map(|adapter| (requested, adapter)))
@@ -144,6 +148,16 @@
     preferred.map_or(Choice::Full, |(key, _)| Choice::LoadAdapter(*key))
 }
 
+/// Keeps the targets that need not wait for a slot, or those with the shortest wait if there are none.
+fn prefer_without_wait(
+    now: Instant,
+    holders: Vec<(targets::TargetKey, &targets::Target)>,
+) -> Vec<(targets::TargetKey, &targets::Target)> {
+    let shortest = holders.iter().map(|(_, target)| target.slot_wait(now)).min();
+    let is_shortest = |target: &targets::Target| Some(target.slot_wait(now)) == shortest;
+    holders.into_iter().filter(|(_, target)| is_shortest(target)).collect()
+}
+
 /// Whether the target can start the request without queueing it.
 fn has_capacity(target: &targets::Target, query: &Query) -> bool {
     let memory =
@@ -185,7 +199,8 @@
         let jitter = (query.hash ^ xxh3::xxh3_64(target.entry.id.as_str().as_bytes())) % 1_000;
         let prefill =
             target.prefill_backlog(now).as_secs_f64() / FULL_PREFILL_BACKLOG.as_secs_f64();
-        batch.max(memory) + prefill + zone + failure_score + slowdown - cached_prefix
+        let limit = if target.request_limit.is_some() { REQUEST_LIMIT_COST } else { 0.0 };
+        batch.max(memory) + prefill + limit + zone + failure_score + slowdown - cached_prefix
             + jitter as f64 / 1_000.0 * JITTER_WEIGHT
     };
     let costs = holders.iter().map(|&(key, target)| (cost(key, target), key));
--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod prefill;
 pub mod prefixes;
 pub mod reconcile;
+pub mod request_slots;
 pub mod routes;
 pub mod snapshot;
 mod store_concurrency;
--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -59,6 +59,8 @@
     pub event_interval: health::EventInterval,
     /// Limit of requests that it named in its last response, if any.
     pub request_limit: Option<RequestLimit>,
+    /// When the next request may be sent to it, if it limits them and the time is known.
+    next_slot_at: Option<Instant>,
     /// When it will have shut down, if known.
     pub shutdown_at: Option<Instant>,
     load: Load,
@@ -82,6 +84,7 @@
             local_tokens: 0,
             event_interval: health::EventInterval::default(),
             request_limit: None,
+            next_slot_at: None,
             shutdown_at: None,
             load: Load::default(),
             local_requests_at_load: 0,
@@ -109,6 +112,17 @@
         self.request_limit = Some(RequestLimit { per_s, named_at });
     }
 
+    /// Records when the next request may be sent to it.
+    pub fn set_next_slot(&mut self, at: Instant) {
+        self.next_slot_at = Some(at);
+    }
+
+    /// Expected time until a request may be sent to it, as it limits them.
+    pub fn slot_wait(&self, now: Instant) -> Duration {
+        let at = self.next_slot_at.filter(|_| self.request_limit.is_some());
+        at.map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
+    }
+
     /// Removes the limit after a response without one, unless the request was sent before it was
     /// first named: that response may be older.
     pub fn lift_request_limit(&mut self, sent_at: Option<Instant>) {
--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -150,7 +150,9 @@
             | PeerMessage::EngineNews(_)
             | PeerMessage::EngineGone(_)
             | PeerMessage::EngineReplaced(_)
-            | PeerMessage::TargetCrashes(_) => {
+            | PeerMessage::TargetCrashes(_)
+            | PeerMessage::SlotAsked(_)
+            | PeerMessage::SlotAnswer(_) => {
                 tracing::debug!(%from, "ignored a message addressed to routers");
             }
         }
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -3,7 +3,8 @@
 //! Each datagram is self-contained and sent periodically, so nothing is acknowledged.
 
 use crate::{
-    catch_up, crash_reports, dialect, ended_targets, follow, peers, planning, readers, router,
+    catch_up, crash_reports, dialect, ended_targets, follow, peers, planning, readers,
+    request_slots, router,
 };
 use corianderstand_fleet::{choose, demand, exits, targets};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
@@ -133,7 +134,13 @@
                 request_plan(shared, now);
             }
         }
-        PeerMessage::PrefillAnswer(response) => shared.prefill_permits.on_response(&response),
+        PeerMessage::PrefillAnswer(response) => {
+            shared.prefill_permits.resolve(response.id, (&response).into());
+        }
+        PeerMessage::SlotAsked(request) => {
+            request_slots::on_request(shared, now, from, &request);
+        }
+        PeerMessage::SlotAnswer(response) => request_slots::on_response(shared, &response),
         PeerMessage::TargetCrashes(update) => crash_reports::on_update(shared, now, update),
         PeerMessage::EnginePlan(_)
         | PeerMessage::AdaptersAsked(_)
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -96,6 +96,28 @@
         }
     }
 
+    /// Logs that a request waits for its slot at a target that limits its requests.
+    pub fn waits_for_slot(
+        &self,
+        job: &job::Job,
+        target: &names::TargetId,
+        per_s: f64,
+        wait: Duration,
+        now: Instant,
+    ) {
+        if self.may_log(LineKind::Placed, now) {
+            tracing::info!(
+                id = %job.request.id,
+                at = %target,
+                per_s,
+                why = "its target limits its requests",
+                ready_in_ms = wait.as_millis() as u64,
+                waited_ms = millis_between(now, job.arrived_at),
+                "waits"
+            );
+        }
+    }
+
     /// Logs that a request waits because targets ended while they ran it.
     pub fn held(&self, job: &job::Job, until: Instant, now: Instant) {
         if self.may_log(LineKind::Placed, now) {
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -41,6 +41,11 @@
     confirmed_by: &'static str,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct OutcomeLabel {
+    outcome: &'static str,
+}
+
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
 struct KindLabel {
     kind: &'static str,
@@ -64,6 +69,7 @@
     waiting_requests: Gauge,
     targets: Gauge,
     limited_targets: Gauge,
+    slots_asked: Family<OutcomeLabel, Counter>,
     config_version: Gauge,
     config_behind: Gauge,
     config_read_age: Gauge<f64, AtomicU64>,
@@ -96,6 +102,7 @@
             waiting_requests: Gauge::default(),
             targets: Gauge::default(),
             limited_targets: Gauge::default(),
+            slots_asked: Family::default(),
             config_version: Gauge::default(),
             config_behind: Gauge::default(),
             config_read_age: Gauge::default(),
@@ -164,6 +171,11 @@
             "Targets that name a limit of requests",
             self.limited_targets.clone(),
         );
+        r.register(
+            "slots_asked",
+            "Requests for a slot at a target that limits its requests, by outcome",
+            self.slots_asked.clone(),
+        );
         r.register("config_version", "Version of the configuration", self.config_version.clone());
         r.register(
             "config_behind",
@@ -245,6 +257,11 @@
             .inc();
     }
 
+    /// Counts a request for a slot at a target that limits its requests.
+    pub fn slot_asked(&self, outcome: &'static str) {
+        self.slots_asked.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts a caller that disconnected before its answer.
     pub fn caller_left(&self) {
         self.callers_left.inc();
--- a/crates/corianderstand_forward/src/prefill.rs
+++ b/crates/corianderstand_forward/src/prefill.rs
@@ -2,16 +2,10 @@
 //!
 //! If the agent does not respond, the request is sent without a permit.
 
-use crate::{job, router};
+use crate::{job, pending, router};
 use corianderstand_fleet::{targets, wait_limit};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
-    rc::Rc,
-    time::{Duration, Instant},
-};
-use tokio::sync::Notify;
+use std::time::{Duration, Instant};
 
 /// Time for an agent's response, across availability zones and from a busy host.
 const PERMIT_RESPONSE_TIMEOUT: Duration = Duration::from_millis(30);
@@ -36,44 +30,23 @@
 }
 
 /// Requests of this router that wait for a permit.
-#[derive(Debug, Default)]
-pub struct PendingPermits {
-    pending: RefCell<HashMap<u64, Rc<PendingResponse>>>,
-    last_sequence_number: Cell<u64>,
-}
-
-#[derive(Debug, Default)]
-struct PendingResponse {
-    response: Cell<Option<PermitStatus>>,
-    changed: Notify,
-}
+pub type PendingPermits = pending::Pending<PermitStatus>;
 
+/// An agent's response.
 #[derive(Clone, Copy, Debug)]
-struct PermitStatus {
+pub struct PermitStatus {
     granted: bool,
     expected_wait: Duration,
     prefill_backlog: Duration,
 }
 
-impl PendingPermits {
-    /// Forwards an agent's response to the request that waits for it.
-    pub fn on_response(&self, response: &wire::PrefillResponse) {
-        // The request may have been withdrawn in the meantime.
-        let Some(pending) = self.pending.borrow().get(&response.id).cloned() else { return };
-        pending.response.set(Some(PermitStatus {
+impl From<&wire::PrefillResponse> for PermitStatus {
+    fn from(response: &wire::PrefillResponse) -> Self {
+        Self {
             granted: response.given,
             expected_wait: Duration::from_millis(u64::from(response.wait_ms)),
             prefill_backlog: Duration::from_micros(u64::from(response.reading_us)),
-        }));
-        pending.changed.notify_one();
-    }
-
-    fn next_id(&self, incarnation: u64) -> u64 {
-        self.last_sequence_number.set(self.last_sequence_number.get() + 1);
-        xxhash_rust::xxh3::xxh3_64_with_seed(
-            &self.last_sequence_number.get().to_le_bytes(),
-            incarnation,
-        )
+        }
     }
 }
 
@@ -82,13 +55,12 @@
     shared: &'a router::Shared<P>,
     agent: std::net::SocketAddr,
     request: wire::PrefillRequest,
-    pending: Rc<PendingResponse>,
+    waiter: pending::Waiter<'a, PermitStatus>,
     granted: bool,
 }
 
 impl<P: router::Platform> Drop for PermitClaim<'_, P> {
     fn drop(&mut self) {
-        self.shared.prefill_permits.pending.borrow_mut().remove(&self.request.id);
         if !self.granted {
             let withdrawal = wire::PrefillCancellation { id: self.request.id };
             self.shared.outbox.send(self.agent, &PeerMessage::PrefillWithdrawn(withdrawal));
@@ -103,17 +75,15 @@
         let target = view.targets.get(key).filter(|target| target.agent_is_responsive(now))?;
         let prefill_time = job.prefill_time(&view, key, now)?;
         let agent = std::net::SocketAddr::new(target.entry.addr.ip(), shared.settings.agent_port);
-        let id = shared.prefill_permits.next_id(shared.incarnation);
-        let pending = Rc::<PendingResponse>::default();
-        shared.prefill_permits.pending.borrow_mut().insert(id, pending.clone());
+        let waiter = shared.prefill_permits.register(shared.incarnation);
         let request = wire::PrefillRequest {
-            id,
+            id: waiter.id(),
             work_us: prefill_time.as_micros() as u32,
             aim_in_ms: 0,
             useful_ms: 0,
             pause_ms: job.route.gap_objective.unwrap_or_default().as_millis() as u32,
         };
-        Some(Self { shared, agent, request, pending, granted: false })
+        Some(Self { shared, agent, request, waiter, granted: false })
     }
 
     fn send(&mut self, job: &job::Job) {
@@ -128,11 +98,6 @@
         job.abandoned_at().min(self.shared.response_deadline(job))
     }
 
-    async fn response(&self, timeout: Duration) -> Option<PermitStatus> {
-        tokio::time::timeout(timeout, self.pending.changed.notified()).await.ok()?;
-        self.pending.response.take()
-    }
-
     fn granted(&mut self) -> PermitOutcome {
         self.granted = true;
         PermitOutcome::Granted
@@ -150,7 +115,7 @@
     let mut unanswered = 0;
     while unanswered < MAX_UNANSWERED_REQUESTS {
         claim.send(job);
-        let Some(response) = claim.response(PERMIT_RESPONSE_TIMEOUT).await else {
+        let Some(response) = claim.waiter.response(PERMIT_RESPONSE_TIMEOUT).await else {
             unanswered += 1;
             continue;
         };
@@ -169,7 +134,12 @@
         {
             return PermitOutcome::ChooseAgain;
         }
-        if claim.response(PERMIT_RESEND_INTERVAL).await.is_some_and(|response| response.granted) {
+        if claim
+            .waiter
+            .response(PERMIT_RESEND_INTERVAL)
+            .await
+            .is_some_and(|response| response.granted)
+        {
             return claim.granted();
         }
         unanswered = 0;
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -2,10 +2,12 @@
 
 use crate::{
     client, control, crash_reports, decisions, dialect, ended_targets, follow, job, metrics, peers,
-    pool, prefill, readers, replicated_records, server, transfer, view,
+    pool, prefill, readers, replicated_records, request_slots, server, transfer, view,
 };
 use corianderstand_derives::derives;
-use corianderstand_fleet::{budget, choose, crashes, demand, exits, targets, wait_limit};
+use corianderstand_fleet::{
+    budget, choose, crashes, demand, exits, request_slots as slots, targets, wait_limit,
+};
 use corianderstand_schema::peers::StoreUse;
 use corianderstand_types::{clock, names, pause};
 use http::StatusCode;
@@ -120,6 +122,10 @@
     pub crashes: RefCell<crashes::Crashes>,
     /// Ends of targets that the other routers are still to be told of.
     pub crash_reports: RefCell<crash_reports::Queue>,
+    /// Slots of the targets that limit their requests and whose schedules this router keeps.
+    pub request_schedule: RefCell<slots::Schedule>,
+    /// Reservations that wait for another router's response.
+    pub pending_slots: request_slots::PendingSlots,
     /// Log of request outcomes.
     pub decision_log: decisions::Log,
     /// Wakes the control loop to send updates or to plan at once.
@@ -466,6 +472,8 @@
             connection_pool: Rc::default(),
             prefill_permits: prefill::PendingPermits::default(),
             exits: RefCell::default(),
+            request_schedule: RefCell::default(),
+            pending_slots: request_slots::PendingSlots::default(),
             crashes: RefCell::default(),
             crash_reports: RefCell::default(),
             decision_log: decisions::Log::default(),
--- a/crates/corianderstand_forward/src/waiting.rs
+++ b/crates/corianderstand_forward/src/waiting.rs
@@ -1,6 +1,6 @@
 //! Target selection for a request, with a bounded wait if no target is available.
 
-use crate::{exchange, job, prefill, router};
+use crate::{exchange, job, prefill, request_slots, router};
 use corianderstand_fleet::{choose, targets, wait_limit};
 use corianderstand_types::names;
 use std::{
@@ -45,6 +45,14 @@
                     hold_suspect(shared, job, now, until).await?;
                     continue;
                 }
+                match request_slots::acquire(shared, job, key).await {
+                    request_slots::SlotOutcome::Granted => {}
+                    request_slots::SlotOutcome::ChooseAgain => continue,
+                    request_slots::SlotOutcome::TooLate { retry_after } => {
+                        let reason = "its target limits its requests";
+                        return Err(PlacementError { reason, retry_after });
+                    }
+                }
                 choices += 1;
                 match prefill::acquire_permit(shared, job, key, choices > MAX_ABANDONED_CHOICES)
                     .await
