Stand-ins and soak: an engine that limits its requests

In soak runs with an even seed an engine names a limit of 1 to 4 requests a second from some moment on, again after each restart.

--- a/tools/soak/src/checks.rs
+++ b/tools/soak/src/checks.rs
@@ -171,6 +171,46 @@
     violations
 }
 
+/// Span in which requests to a target with a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// What is allowed in it.
+const ALLOWED_LIMIT_RATIO: f64 = 1.5;
+const ALLOWED_BEYOND_LIMIT: f64 = 5.0;
+
+/// Checks that targets get no more requests than the limit that they name allows.
+pub fn request_limits(
+    requests: &[RequestRecord],
+    ledger: &Ledger,
+    disruptions: &[Disruption],
+) -> Vec<String> {
+    let routers: BTreeMap<&str, usize> =
+        requests.iter().map(|request| (request.id.as_str(), request.router_index)).collect();
+    let arrivals = ledger.arrivals();
+    let mut violations = Vec::new();
+    for period in ledger.limits() {
+        let counted = arrivals.iter().filter(|arrival| {
+            let router = routers.get(arrival.id.as_str());
+            arrival.target == period.target
+                && arrival.at >= period.named_at + DISRUPTION_AFTERMATH
+                && period.ended_at.is_none_or(|end| arrival.at <= end)
+                && router.is_none_or(|router| is_in_touch(*router, arrival.at, disruptions))
+        });
+        let counted: Vec<Instant> = counted.map(|arrival| arrival.at).collect();
+        let in_window = |from: Instant| {
+            counted.iter().filter(move |at| **at >= from && **at < from + LIMIT_WINDOW)
+        };
+        let most = counted.iter().map(|from| in_window(*from).count()).max().unwrap_or(0);
+        let allowed =
+            period.per_s * LIMIT_WINDOW.as_secs_f64() * ALLOWED_LIMIT_RATIO + ALLOWED_BEYOND_LIMIT;
+        if most as f64 > allowed {
+            violations.push(format!(
+                "{most} requests in {LIMIT_WINDOW:?}, allowed {allowed}: {period:?}"
+            ));
+        }
+    }
+    violations
+}
+
 /// Whether a router was not disrupted at a time and shortly before.
 fn is_in_touch(router_index: usize, at: Instant, disruptions: &[Disruption]) -> bool {
     !disruptions.iter().any(|disruption| {
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -36,6 +36,11 @@
 /// Time for late commands and executions to complete before the final check.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
+const MIN_LIMIT_PER_1000_S: u32 = 1_000;
+const MAX_LIMIT_PER_1000_S: u32 = 4_000;
+const MAX_LIMIT_DELAY_MS: u64 = 2_000;
+const LIMIT_RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
+
 const DEFAULT_SIZE: ClusterSize = ClusterSize { routers: 3, engines: 4, service_targets: 2 };
 const LARGE_SIZE: ClusterSize = ClusterSize { routers: 20, engines: 39, service_targets: 6 };
 
@@ -96,15 +101,20 @@
     if has_crashing_caller(seed) {
         callers.start_crashing(&router_addresses, seed);
     }
+    let limiter = has_limited_engine(seed).then(|| limit_engine(&cluster, seed));
     let mut violations = Vec::new();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let disruptions = run_faults(&mut cluster, &mut rng, faults, &callers, &mut violations).await;
     violations.extend(check_recovery(&mut cluster, seed).await);
     let requests = callers.finish().await;
     tokio::time::sleep(SETTLE_TIME).await;
+    if let Some(limiter) = limiter {
+        limiter.abort();
+    }
     let report = checks::check_guarantees(&requests, &cluster.ledger, &disruptions);
     violations.extend(report.violations);
     violations.extend(checks::crashing_request(&requests, &cluster.ledger, &disruptions));
+    violations.extend(checks::request_limits(&requests, &cluster.ledger, &disruptions));
     let overfilled = cluster.engines.iter().filter(|engine| engine.target.exceeded_capacity());
     violations.extend(overfilled.map(|engine| format!("commanded to load too much: {engine:?}")));
     println!("seed {seed}: {} requests {:?}", requests.len(), report.outcome_counts);
@@ -119,7 +129,28 @@
 
 /// Whether a caller repeats a request that ends the engines that run it.
 const fn has_crashing_caller(seed: u64) -> bool {
-    seed % 2 == 1
+    !seed.is_multiple_of(2)
+}
+
+/// Whether an engine limits the requests that it takes.
+const fn has_limited_engine(seed: u64) -> bool {
+    seed.is_multiple_of(2)
+}
+
+/// Has an engine name a limit, also after it was started again, until the task is aborted.
+fn limit_engine(cluster: &Cluster, seed: u64) -> tokio::task::JoinHandle<()> {
+    let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+    let engine = cluster.engines[rng.random_range(0..cluster.engines.len())].target.clone();
+    let per_s = f64::from(rng.random_range(MIN_LIMIT_PER_1000_S..MAX_LIMIT_PER_1000_S)) / 1_000.0;
+    let delay = Duration::from_millis(rng.random_range(0..MAX_LIMIT_DELAY_MS));
+    println!("  an engine takes {per_s} requests/s");
+    tokio::spawn(async move {
+        tokio::time::sleep(delay).await;
+        loop {
+            engine.set_request_limit(Some(per_s));
+            tokio::time::sleep(LIMIT_RENEWAL_INTERVAL).await;
+        }
+    })
 }
 
 /// Injects `fault_count` faults, some of them overlapping, and reverts them all.
