Plan for what limited engines take, and tell other routers of limits

Routers now tell one another when a limit changes, by the reports that carry the ends of targets (one way for both; renamed from crash reports to target reports). An engine whose limit is below the demand for its models isn't counted as a holder of them, so that they are placed elsewhere too, and gets no further model.

--- a/crates/corianderstand_fleet/src/counts.rs
+++ b/crates/corianderstand_fleet/src/counts.rs
@@ -50,7 +50,9 @@
             }
         }
         let mut replicas: HashMap<_, usize> = HashMap::new();
-        for model in desired.values().flatten() {
+        let counted = engines.iter().filter_map(|engine| Some((engine, desired.get(&engine.key)?)));
+        let counted = counted.filter(|(engine, desired)| takes_demand(engine, models, desired));
+        for model in counted.flat_map(|(_, desired)| desired) {
             *replicas.entry(model.clone()).or_default() += 1;
         }
         Self {
@@ -103,6 +105,15 @@
     }
 }
 
+/// Whether an engine's limit of requests, if it names one, covers the demand for its models. If not, its
+/// replicas aren't counted, so that the models are placed elsewhere as well.
+fn takes_demand(engine: &EngineView, models: &Models, desired: &[names::ModelId]) -> bool {
+    let Some(limit) = engine.request_limit else { return true };
+    let views = desired.iter().filter_map(|name| models.get(name));
+    let demand: f64 = views.map(|view| view.demand.requests_per_s).sum();
+    demand <= limit
+}
+
 fn store_loads(
     engines: &[EngineView],
     models: &BTreeMap<names::ModelId, ModelView>,
--- a/crates/corianderstand_fleet/src/plan.rs
+++ b/crates/corianderstand_fleet/src/plan.rs
@@ -156,7 +156,10 @@
         let name = &candidate.model.spec.name;
         let placement_at = |engine_index: usize| {
             let engine = &engines[engine_index];
-            let free = engine.accepts_commands && !self.desired[&engine.key].contains(name);
+            // An engine that limits its requests is in need: it gets no further model.
+            let free = engine.accepts_commands
+                && engine.request_limit.is_none()
+                && !self.desired[&engine.key].contains(name);
             free.then(|| self.placement_on(now, engine, engine_index, models, counts, candidate))
                 .flatten()
         };
--- a/crates/corianderstand_fleet/src/snapshot.rs
+++ b/crates/corianderstand_fleet/src/snapshot.rs
@@ -22,6 +22,8 @@
     pub holdings: targets::Holdings,
     /// Command being executed.
     pub ongoing: Option<targets::OngoingCommand>,
+    /// Requests per second that it takes from all routers together, if it names a limit.
+    pub request_limit: Option<f64>,
     /// Running requests per model, from all routers.
     pub running: BTreeMap<names::ModelId, u32>,
 }
--- a/crates/corianderstand_fleet/tests/common/mod.rs
+++ b/crates/corianderstand_fleet/tests/common/mod.rs
@@ -311,6 +311,7 @@
                 adapter_slots: 8,
                 holdings: engine.holdings.clone(),
                 ongoing,
+                request_limit: None,
                 running,
             }
         });
--- a/crates/corianderstand_fleet/tests/plan.rs
+++ b/crates/corianderstand_fleet/tests/plan.rs
@@ -181,6 +181,7 @@
                     ..Default::default()
                 },
                 ongoing: None,
+                request_limit: None,
                 running: BTreeMap::new(),
             }
         });
@@ -239,6 +240,7 @@
                 ..Default::default()
             },
             ongoing: None,
+            request_limit: None,
             running: BTreeMap::new(),
         };
         let models = [&first, &next].map(|model| {
@@ -270,6 +272,7 @@
         adapter_slots: 8,
         holdings: targets::Holdings { on_disk: vec![on_disk.clone()], ..Default::default() },
         ongoing: None,
+        request_limit: None,
         running: BTreeMap::new(),
     };
     let models = [(&stored, 2), (&on_disk, 1)].map(|(model, waiting)| {
@@ -298,6 +301,7 @@
             adapter_slots: 8,
             holdings: targets::Holdings { resident, ..Default::default() },
             ongoing: None,
+            request_limit: None,
             running: BTreeMap::new(),
         }
     });
@@ -317,3 +321,40 @@
     let replicas = desired.values().filter(|desired| desired.contains(&busy)).count();
     assert!(replicas > 2, "{replicas} replicas for a load of three engines");
 }
+
+/// Guards against a model whose only engine takes a part of its requests, and that is placed nowhere else.
+#[rstest::rstest]
+#[case::above_the_limit(10.0, 2)]
+#[case::within_the_limit(1.0, 1)]
+fn a_limited_engine_counts_for_what_it_takes(#[case] requests_per_s: f64, #[case] expected: usize) {
+    const LIMIT_PER_S: f64 = 2.0;
+    let mut keys: SlotMap<targets::TargetKey, ()> = SlotMap::with_key();
+    let keys: Vec<_> = (0..3).map(|_| keys.insert(())).collect();
+    let model = ModelId::from("model");
+    let engines = keys.iter().enumerate().map(|(index, &key)| {
+        let resident = targets::Resident { model: model.clone(), adapters: Vec::new() };
+        let is_limited = index == 0;
+        snapshot::EngineView {
+            key,
+            accepts_commands: true,
+            weights_mb: 80_000,
+            slots: 64,
+            adapter_slots: 8,
+            holdings: targets::Holdings {
+                resident: if is_limited { vec![resident] } else { Vec::new() },
+                ..Default::default()
+            },
+            ongoing: None,
+            request_limit: is_limited.then_some(LIMIT_PER_S),
+            running: BTreeMap::new(),
+        }
+    });
+    let engines: Vec<_> = engines.collect();
+    let demand = demand::ModelDemand { requests_per_s, ..Default::default() };
+    let view = snapshot::ModelView { spec: common::spec(&model), demand, waiting: 0 };
+    let models = BTreeMap::from([(model.clone(), view)]);
+    let mut planner = plan::Planner::default();
+    let desired = planner.plan(Instant::now(), &engines, &models);
+    let replicas = desired.values().filter(|desired| desired.contains(&model)).count();
+    assert_eq!(replicas, expected);
+}
--- a/crates/corianderstand_fleet/tests/plan_size.rs
+++ b/crates/corianderstand_fleet/tests/plan_size.rs
@@ -62,6 +62,7 @@
                 adapter_slots: 8,
                 holdings: targets::Holdings { on_disk, ..Default::default() },
                 ongoing: None,
+                request_limit: None,
                 running: BTreeMap::new(),
             }
         });
--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -150,7 +150,7 @@
             | PeerMessage::EngineNews(_)
             | PeerMessage::EngineGone(_)
             | PeerMessage::EngineReplaced(_)
-            | PeerMessage::TargetCrashes(_)
+            | PeerMessage::TargetReports(_)
             | PeerMessage::SlotAsked(_)
             | PeerMessage::SlotAnswer(_) => {
                 tracing::debug!(%from, "ignored a message addressed to routers");
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -3,8 +3,8 @@
 //! Each datagram is self-contained and sent periodically, so nothing is acknowledged.
 
 use crate::{
-    catch_up, crash_reports, dialect, ended_targets, follow, peers, planning, readers,
-    request_slots, router,
+    catch_up, dialect, ended_targets, follow, peers, planning, readers, request_slots, router,
+    target_reports,
 };
 use corianderstand_fleet::{choose, demand, exits, targets};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
@@ -104,7 +104,7 @@
             follow::via_readers::on_router_update(shared, now, &update);
             let name = update.router.clone();
             shared.peers.borrow_mut().on_update(now, from, update);
-            crash_reports::welcome(shared, now, name.as_str(), from);
+            target_reports::welcome(shared, now, name.as_str(), from);
             // Only the planner acts on this: if each router forwarded it, updates would multiply.
             if has_waiting {
                 request_plan(shared, now);
@@ -141,7 +141,7 @@
             request_slots::on_request(shared, now, from, &request);
         }
         PeerMessage::SlotAnswer(response) => request_slots::on_response(shared, &response),
-        PeerMessage::TargetCrashes(update) => crash_reports::on_update(shared, now, update),
+        PeerMessage::TargetReports(update) => target_reports::on_update(shared, now, update),
         PeerMessage::EnginePlan(_)
         | PeerMessage::AdaptersAsked(_)
         | PeerMessage::PrefillAsked(_)
@@ -250,7 +250,7 @@
         let planner = planner(&shared, now);
         send_updates(&shared, now, planner, &mut sent);
         send_adapters_in_use(&shared, now, &mut sent);
-        crash_reports::send(&shared, now);
+        target_reports::send(&shared, now);
         log_role_change(&shared, now, &mut sent);
         catch_up.poll(&shared, now);
         if can_plan(&shared) && planner.is_none() {
--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -1,6 +1,6 @@
 //! Relates targets that ended to the requests that they were running.
 
-use crate::{crash_reports, job, router};
+use crate::{job, router, target_reports};
 use corianderstand_fleet::{exits, targets};
 use std::{
     io,
@@ -70,7 +70,7 @@
     confirmation: exits::Confirmation,
 ) {
     shared.decision_log.target_ended(attempt, confirmation, now);
-    crash_reports::record_crash(shared, now, attempt);
+    target_reports::record_crash(shared, now, attempt);
 }
 
 /// Probes the address of a target whose end is unconfirmed.
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -4,8 +4,8 @@
 //! retries, within the retry budget. A request with an unknown outcome is never reported as not run.
 
 use crate::{
-    attempt, body::ResponseBody, crash_reports, decisions, dialect, ended_targets, job, router,
-    stream, waiting,
+    attempt, body::ResponseBody, decisions, dialect, ended_targets, job, router, stream,
+    target_reports, waiting,
 };
 use bytes::Bytes;
 use corianderstand_fleet::{config, crashes, prefixes, targets, wait_limit};
@@ -288,7 +288,7 @@
     } else {
         shared.record_target_success(key);
     }
-    crash_reports::record_completed(shared, &job);
+    target_reports::record_completed(shared, &job);
     shared.platform.rewrite_response(&mut head.headers);
     shared.decision_log.answered(&job, head.status, "whole", shared.clock.now());
     Ok(Response::from_parts(head, ResponseBody::buffered(body)))
--- a/crates/corianderstand_forward/src/planning.rs
+++ b/crates/corianderstand_forward/src/planning.rs
@@ -98,6 +98,7 @@
             adapter_slots: spec.adapter_slots,
             holdings: target.entry.holdings.clone(),
             ongoing: target.ongoing.clone(),
+            request_limit: target.request_limit.map(|limit| limit.per_s),
             running,
         }
     });
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -1,8 +1,8 @@
 //! The router process: settings, shared state, startup and shutdown.
 
 use crate::{
-    client, control, crash_reports, decisions, dialect, ended_targets, follow, job, metrics, peers,
-    pool, prefill, readers, replicated_records, request_slots, server, transfer, view,
+    client, control, decisions, dialect, ended_targets, follow, job, metrics, peers, pool, prefill,
+    readers, replicated_records, request_slots, server, target_reports, transfer, view,
 };
 use corianderstand_derives::derives;
 use corianderstand_fleet::{
@@ -121,7 +121,7 @@
     /// Ends of targets by request, of all routers.
     pub crashes: RefCell<crashes::Crashes>,
     /// Ends of targets that the other routers are still to be told of.
-    pub crash_reports: RefCell<crash_reports::Queue>,
+    pub target_reports: RefCell<target_reports::Queue>,
     /// Slots of the targets that limit their requests and whose schedules this router keeps.
     pub request_schedule: RefCell<slots::Schedule>,
     /// Reservations that wait for another router's response.
@@ -389,7 +389,10 @@
         }
         let after = target.request_limit.map(|limit| limit.per_s);
         if before != after {
-            tracing::info!(target = %target.entry.id, per_s = after, before, "target's request limit changed");
+            let id = target.entry.id.clone();
+            tracing::info!(target = %id, per_s = after, before, "target's request limit changed");
+            drop(view);
+            target_reports::record_limit(self, &id, after);
         }
     }
 
@@ -475,7 +478,7 @@
             request_schedule: RefCell::default(),
             pending_slots: request_slots::PendingSlots::default(),
             crashes: RefCell::default(),
-            crash_reports: RefCell::default(),
+            target_reports: RefCell::default(),
             decision_log: decisions::Log::default(),
             control_wake: Notify::new(),
             targets_outdated: Notify::new(),
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -1,8 +1,8 @@
 //! Relays the events of one stream to the caller, and resumes it at another target when it breaks.
 
 use crate::{
-    attempt, body, crash_reports, decisions, dialect, ended_targets, exchange, job, pool, relay,
-    router,
+    attempt, body, decisions, dialect, ended_targets, exchange, job, pool, relay, router,
+    target_reports,
 };
 use bytes::Bytes;
 use futures::{StreamExt, stream};
@@ -210,7 +210,7 @@
                         let streamed_for = now.saturating_duration_since(first_event_at);
                         if !upstream.has_survived && streamed_for >= SURVIVAL_TIME {
                             upstream.has_survived = true;
-                            crash_reports::record_completed(&self.shared, &self.job);
+                            target_reports::record_completed(&self.shared, &self.job);
                         }
                         self.timings.record(now);
                         return Step::Data(data);
@@ -252,7 +252,7 @@
         if let Some(upstream) = self.upstream.take() {
             let Upstream { lease, in_flight, response_head: info, .. } = upstream;
             self.shared.record_target_success(in_flight.key());
-            crash_reports::record_completed(&self.shared, &self.job);
+            target_reports::record_completed(&self.shared, &self.job);
             let keep_alive =
                 if info.closes_connection { Some(Duration::ZERO) } else { info.keep_alive };
             self.shared.connection_pool.release(self.shared.clock.now(), lease, keep_alive);
--- a/crates/corianderstand_forward/src/crash_reports.rs
+++ b/crates/corianderstand_forward/src/target_reports.rs
@@ -1,11 +1,13 @@
-//! Exchange of the ends of targets under requests ([`corianderstand_fleet::crashes`]) between routers.
+//! Exchange between routers of what each learns from targets: their ends under requests
+//! ([`corianderstand_fleet::crashes`]) and the limits of requests that they name.
 //!
-//! Datagrams may be lost, so each report is sent more than once. Nothing is sent while no target ends.
+//! Datagrams may be lost, so each report is sent more than once. Nothing is sent while nothing changes.
 
 use crate::{ended_targets, job, router};
 use corianderstand_derives::derives;
 use corianderstand_fleet::{crashes, exits, fingerprint, targets};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
+use corianderstand_types::names;
 use smol_str::SmolStr;
 use std::{
     collections::VecDeque,
@@ -30,6 +32,7 @@
 enum Report {
     Crash(crashes::Crash),
     Cleared(fingerprint::Fingerprint),
+    Limit(names::TargetId, Option<f64>),
 }
 
 /// Reports that are still to be sent.
@@ -43,11 +46,18 @@
     fn push(&mut self, report: Report) {
         if self.reports.len() == MAX_QUEUED_REPORTS {
             self.reports.pop_front();
-            tracing::warn!("a report of an ended target was dropped: too many targets end");
+            tracing::warn!("a report of a target was dropped: too many targets change");
         }
         self.reports.push_back((report, SENDS_PER_REPORT));
     }
 
+    /// Drops the reports of a target's earlier limits.
+    fn drop_limits(&mut self, target: &names::TargetId) {
+        self.reports.retain(
+            |(report, _)| !matches!(report, Report::Limit(limited, _) if limited == target),
+        );
+    }
+
     /// Returns the next reports to send.
     fn next(&mut self) -> Vec<Report> {
         let count = self.reports.len().min(MAX_REPORTS_PER_DATAGRAM);
@@ -76,7 +86,7 @@
         observer: shared.settings.name.clone(),
     };
     if apply_crash(shared, now, crash.clone()) {
-        shared.crash_reports.borrow_mut().push(Report::Crash(crash));
+        shared.target_reports.borrow_mut().push(Report::Crash(crash));
         shared.control_wake.notify_one();
     }
 }
@@ -89,11 +99,32 @@
     let fingerprint = job.fingerprint();
     if shared.crashes.borrow_mut().clear(&fingerprint) {
         tracing::info!(id = %job.request.id, %fingerprint, "suspected request completed");
-        shared.crash_reports.borrow_mut().push(Report::Cleared(fingerprint));
+        shared.target_reports.borrow_mut().push(Report::Cleared(fingerprint));
         shared.control_wake.notify_one();
     }
 }
 
+/// Reports the limit of requests that a target names, or that it names none any more.
+pub fn record_limit<P>(shared: &router::Shared<P>, target: &names::TargetId, limit: Option<f64>) {
+    let report = Report::Limit(target.clone(), limit);
+    let mut queue = shared.target_reports.borrow_mut();
+    queue.drop_limits(target);
+    queue.push(report);
+    drop(queue);
+    shared.control_wake.notify_one();
+}
+
+fn apply_limit<P>(shared: &router::Shared<P>, now: Instant, limit: &wire::TargetLimit) {
+    let mut view = shared.view.borrow_mut();
+    let Some(key) = view.targets.key(&limit.target) else { return };
+    let Some(target) = view.targets.get_mut(key) else { return };
+    if limit.limited {
+        target.set_request_limit(now, f64::from(limit.per_1000_s) / 1_000.0);
+    } else {
+        target.request_limit = None;
+    }
+}
+
 fn apply_crash<P: router::Platform>(
     shared: &router::Shared<P>,
     now: Instant,
@@ -115,13 +146,13 @@
 pub fn send<P: router::Platform>(shared: &router::Shared<P>, now: Instant) {
     let addresses: Vec<SocketAddr> = shared.peers.borrow().addresses().collect();
     let interval = SEND_INTERVAL_PER_ROUTER * addresses.len() as u32;
-    let mut queue = shared.crash_reports.borrow_mut();
+    let mut queue = shared.target_reports.borrow_mut();
     let is_due = queue.sent_at.is_none_or(|at| now.saturating_duration_since(at) >= interval);
     if queue.reports.is_empty() || !is_due {
         return;
     }
     queue.sent_at = Some(now);
-    let message = PeerMessage::TargetCrashes(to_update(now, &queue.next()));
+    let message = PeerMessage::TargetReports(to_update(now, &queue.next()));
     addresses.iter().for_each(|addr| shared.outbox.send(*addr, &message));
 }
 
@@ -148,7 +179,7 @@
     }
     let reports: Vec<Report> = crashes.blocking_crashes().cloned().map(Report::Crash).collect();
     for batch in reports.chunks(MAX_REPORTS_PER_DATAGRAM) {
-        shared.outbox.send(addr, &PeerMessage::TargetCrashes(to_update(now, batch)));
+        shared.outbox.send(addr, &PeerMessage::TargetReports(to_update(now, batch)));
     }
 }
 
@@ -156,7 +187,7 @@
 pub fn on_update<P: router::Platform>(
     shared: &router::Shared<P>,
     now: Instant,
-    update: wire::CrashUpdate,
+    update: wire::TargetReports,
 ) {
     for crash in update.crashes {
         let Some(crash) = from_wire(now, crash) else { continue };
@@ -164,17 +195,26 @@
         apply_crash(shared, now, crash);
         ended_targets::record_exit(shared, now, &target, exits::Confirmation::Router);
     }
+    for limit in &update.limits {
+        apply_limit(shared, now, limit);
+    }
     for fingerprint in &update.cleared {
         shared.crashes.borrow_mut().clear(&to_fingerprint(fingerprint));
     }
 }
 
-fn to_update(now: Instant, reports: &[Report]) -> wire::CrashUpdate {
-    let mut update = wire::CrashUpdate { crashes: Vec::new(), cleared: Vec::new() };
+fn to_update(now: Instant, reports: &[Report]) -> wire::TargetReports {
+    let mut update =
+        wire::TargetReports { crashes: Vec::new(), cleared: Vec::new(), limits: Vec::new() };
     for report in reports {
         match report {
             Report::Crash(crash) => update.crashes.push(to_wire(now, crash)),
             Report::Cleared(fingerprint) => update.cleared.push(from_fingerprint(*fingerprint)),
+            Report::Limit(target, limit) => update.limits.push(wire::TargetLimit {
+                target: target.clone(),
+                limited: limit.is_some(),
+                per_1000_s: limit.map_or(0, |per_s| (per_s * 1_000.0) as u32),
+            }),
         }
     }
     update
--- a/crates/corianderstand_forward/src/view.rs
+++ b/crates/corianderstand_forward/src/view.rs
@@ -102,6 +102,7 @@
                 adapter_slots: 0,
                 holdings: target.entry.holdings.clone(),
                 ongoing: None,
+                request_limit: None,
                 running: BTreeMap::new(),
             };
             let (time, _) = snapshot::load_source(&view, model);
