Take the caller's address out of a request's fingerprint

With the caller's address as a part of the fingerprint a request that comes again from another address is another request, and its caller's requests come from several: each address had ends of its own, too few to block.

What identifies a caller is the credentials and the workspace's host name.

--- a/crates/corianderstand_forward/src/content.rs
+++ b/crates/corianderstand_forward/src/content.rs
@@ -3,9 +3,9 @@
 use crate::job;
 use corianderstand_fleet::fingerprint;
 use http::{HeaderName, header};
-use std::net::IpAddr;
 
-/// Headers that identify a caller, besides its address.
+/// Headers that identify a caller, besides its workspace's host name. Its address is no part of it: one
+/// caller's requests come from several.
 const CREDENTIAL_HEADERS: [HeaderName; 4] = [
     header::AUTHORIZATION,
     header::PROXY_AUTHORIZATION,
@@ -20,10 +20,6 @@
         hasher.update(&(field.len() as u64).to_le_bytes());
         hasher.update(field);
     };
-    match job.caller {
-        IpAddr::V4(addr) => update(&addr.octets()),
-        IpAddr::V6(addr) => update(&addr.octets()),
-    }
     update(job.method.as_str().as_bytes());
     update(job.headers.get(header::HOST).map_or(b"".as_slice(), |host| host.as_bytes()));
     update(job.uri.to_string().as_bytes());
