Blocked requests: true log lines, bounded warnings

A request that was blocked after an attempt of its id may have run is failed with 502, and was logged and counted as refused too; now only as failed. Dropped reports are counted and logged with the next datagram, instead of a line for each. `explain` has a test for blocked requests.

--- a/crates/corianderstand_fleet/src/crashes.rs
+++ b/crates/corianderstand_fleet/src/crashes.rs
@@ -38,7 +38,7 @@
 /// Part of a turn in which they are sent, so that they have run for a while when the next turn begins.
 const SEND_WINDOW: Duration = Duration::from_millis(400);
 const MAX_SUSPECTS: usize = 256;
-const MAX_CRASHES_PER_SUSPECT: usize = 16;
+const MAX_CRASHES_PER_SUSPECT: usize = MAX_LATE_ENDS;
 
 /// The end of a target while it ran a request.
 #[derives(data)]
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -333,17 +333,17 @@
     local_response(status, why, Some(wait_limit::retry_after(retry_after, job.jitter())))
 }
 
-/// Refuses a request that ended the targets that ran it.
+/// Refuses a request that ended the targets that ran it; fails it if this attempt may have run.
 fn refuse_blocked<P: router::Platform>(
     shared: &router::Shared<P>,
     job: &job::Job,
     block: &crashes::Block,
 ) -> Response<ResponseBody> {
-    let now = shared.clock.now();
-    shared.decision_log.blocked(job, block, now);
     if job.may_have_run {
         return fail(shared, job, StatusCode::BAD_GATEWAY, BLOCKED);
     }
+    let now = shared.clock.now();
+    shared.decision_log.blocked(job, block, now);
     let retry_after = block.until.saturating_duration_since(now);
     local_response(StatusCode::SERVICE_UNAVAILABLE, BLOCKED, Some(retry_after))
 }
--- a/crates/corianderstand_forward/src/target_reports.rs
+++ b/crates/corianderstand_forward/src/target_reports.rs
@@ -39,6 +39,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     reports: VecDeque<(Report, u32)>,
+    /// Reports dropped since the last datagram, as too many targets change at once.
+    dropped: u64,
     sent_at: Option<Instant>,
 }
 
@@ -46,7 +48,7 @@
     fn push(&mut self, report: Report) {
         if self.reports.len() == MAX_QUEUED_REPORTS {
             self.reports.pop_front();
-            tracing::warn!("a report of a target was dropped: too many targets change");
+            self.dropped += 1;
         }
         self.reports.push_back((report, SENDS_PER_REPORT));
     }
@@ -152,6 +154,10 @@
         return;
     }
     queue.sent_at = Some(now);
+    let dropped = std::mem::take(&mut queue.dropped);
+    if dropped > 0 {
+        tracing::warn!(dropped, "reports of targets dropped: too many targets change at once");
+    }
     let message = PeerMessage::TargetReports(to_update(now, &queue.next()));
     addresses.iter().for_each(|addr| shared.outbox.send(*addr, &message));
 }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -100,3 +100,21 @@
     let (_, out) = explain(&["r2", log.to_str().unwrap()]);
     assert!(out.contains("in configuration 20; store read 0 ms before (after"), "{out}");
 }
+
+/// The output must show why a request is blocked, who noticed it and how old that is.
+#[test]
+fn a_blocked_request_names_the_ends_of_its_targets() {
+    let log = file(
+        "router-e.log",
+        &[
+            r#"{"timestamp":"1","message":"target ended under the request","id":"r1","fingerprint":"f","at":"engine-1","confirmed_by":"agent"}"#,
+            r#"{"timestamp":"2","message":"answered","id":"r1","status":502,"how":"the target broke off its stream","ms":80}"#,
+            r#"{"timestamp":"3","message":"refused","id":"r2","status":503,"why":"the request ended the targets that ran it","fingerprint":"f","ends":3,"last_end_ms":2040,"noticed_by":"{\"router-a\"}","ms":0}"#,
+        ],
+    );
+    let (_, out) = explain(&["r1", log.to_str().unwrap()]);
+    assert!(out.contains("targets that ended while they ran it: engine-1"), "{out}");
+    let (_, out) = explain(&["r2", log.to_str().unwrap()]);
+    let cause = "refused as not run: the request ended the targets that ran it; 3 ended, the last 2040 ms before, noticed by {\"router-a\"}";
+    assert!(out.contains(cause), "{out}");
+}
