Hash requests only while one is blocked, held or suspected; bound the reports of limits

Reading the diff: after one end of a target each request was hashed for 30 minutes, and an engine that names another limit in each response had a log line and a report for each.

--- a/crates/corianderstand_fleet/src/crashes.rs
+++ b/crates/corianderstand_fleet/src/crashes.rs
@@ -31,8 +31,11 @@
 const MIN_CONSECUTIVE_ENDS: usize = 2;
 /// Time for which a request is blocked after the last end.
 const BLOCK_TIME: Duration = Duration::from_mins(10);
-/// Time for which ends count. It exceeds [`BLOCK_TIME`], so that one further end blocks again.
-const RETENTION: Duration = Duration::from_mins(30);
+/// Time for which the ends of a blocked request count. It exceeds [`BLOCK_TIME`], so that one further
+/// end blocks again.
+const BLOCK_RETENTION: Duration = Duration::from_mins(30);
+/// Time for which fewer ends count.
+const RETENTION: Duration = Duration::from_mins(5);
 /// Interval at which the requests that can't be told apart take turns.
 const TURN_TIME: Duration = Duration::from_millis(1_000);
 /// Part of a turn in which they are sent, so that they have run for a while when the next turn begins.
@@ -92,6 +95,12 @@
         shared.any(|crash| crash.is_early() || !other.is_early())
     }
 
+    fn is_recent(&self, now: Instant) -> bool {
+        let was_blocked = self.crashes.len() >= MAX_CONSECUTIVE_ENDS;
+        let retention = if was_blocked { BLOCK_RETENTION } else { RETENTION };
+        now.saturating_duration_since(self.last_end) < retention
+    }
+
     fn unexplained(&self, explained: &BTreeSet<Incarnation>) -> Vec<&Crash> {
         self.crashes.iter().filter(|crash| !explained.contains(&crash.target)).collect()
     }
@@ -221,9 +230,14 @@
         true
     }
 
-    /// Whether any request is suspected.
-    pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
+    /// Whether any request is suspected, so that complete responses matter.
+    pub fn has_suspects(&self) -> bool {
+        self.suspects.values().any(|suspect| !suspect.crashes.is_empty())
+    }
+
+    /// Whether any request is held.
+    pub fn has_held_requests(&self) -> bool {
+        !self.ambiguous.requests.is_empty()
     }
 
     /// Whether any request is blocked.
@@ -328,8 +342,7 @@
 
     fn expire(&mut self, now: Instant) {
         let count = self.suspects.len();
-        self.suspects
-            .retain(|_, suspect| now.saturating_duration_since(suspect.last_end) < RETENTION);
+        self.suspects.retain(|_, suspect| suspect.is_recent(now));
         if self.suspects.len() < count {
             self.judge();
         }
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -22,6 +22,9 @@
 };
 use tokio::sync::Notify;
 
+/// Bounds log lines and reports if a target names another limit in each response.
+const MIN_LIMIT_CHANGE_RATIO: f64 = 0.1;
+
 /// A platform that a router can run on.
 pub trait Platform: dialect::Dialect + dialect::Store + 'static {}
 
@@ -194,7 +197,7 @@
     /// may be sent now.
     pub fn held_until(&self, now: Instant, job: &job::Job) -> Option<Instant> {
         let crashes = self.crashes.borrow();
-        if crashes.is_empty() {
+        if !crashes.has_held_requests() {
             return None;
         }
         crashes.held_until(now, &job.fingerprint())
@@ -388,7 +391,7 @@
             None => {}
         }
         let after = target.request_limit.map(|limit| limit.per_s);
-        if before != after {
+        if is_notable_change(before, after) {
             let id = target.entry.id.clone();
             tracing::info!(target = %id, per_s = after, before, "target's request limit changed");
             drop(view);
@@ -433,6 +436,16 @@
     }
 }
 
+/// Whether a change of a target's request limit is logged and reported to other routers.
+fn is_notable_change(before: Option<f64>, after: Option<f64>) -> bool {
+    match (before, after) {
+        (Some(before), Some(after)) => {
+            (before - after).abs() > before.max(after) * MIN_LIMIT_CHANGE_RATIO
+        }
+        (before, after) => before.is_some() != after.is_some(),
+    }
+}
+
 /// Why a router or an agent cannot start.
 #[derive(Debug, displaydoc::Display)]
 pub enum StartError {
--- a/crates/corianderstand_forward/src/target_reports.rs
+++ b/crates/corianderstand_forward/src/target_reports.rs
@@ -95,7 +95,7 @@
 
 /// Clears a request that got a complete response, or that a target has been running for long.
 pub fn record_completed<P: router::Platform>(shared: &router::Shared<P>, job: &job::Job) {
-    if shared.crashes.borrow().is_empty() {
+    if !shared.crashes.borrow().has_suspects() {
         return;
     }
     let fingerprint = job.fingerprint();
