Refuse bookings at once when the log fails their claims

A caller waited 2.0 s for "refused at once" where its booking was the first to reach an agent after the log went down: the claim waits 2 s for the log to decide it, and whether the log is down was told by the reads alone, which notice it only when their own wait is over. The appender knew from the first failed attempt.

Ruled out: the router (`once.rs` goes by the same reads, and no 2 s limit lies on its way); load.

The appender now tells that the log has failed three attempts in a row (0.4 s; one or two lost responses are no outage, a test asks for that), claims stop waiting then, and later calls are refused before they claim. "Not run" stays true as before: a claim that is applied later is withdrawn.

--- a/crates/corianderstand_agent/src/calls.rs
+++ b/crates/corianderstand_agent/src/calls.rs
@@ -122,7 +122,8 @@
         }
         // A claim queued while the log is stalled would only be withdrawn later.
         let log_stalled = runner.undecided_claims.load(Ordering::Relaxed) > 0;
-        if log_stalled || !snapshot.log_up {
+        let log_down = !snapshot.log_up || runner.control.appender.is_failing();
+        if log_stalled || log_down {
             return Err(Finish::Refused(RefusalReason::LogDown, LOG_RETRY_AFTER));
         }
         let Some(FoldedAppend { offset, outcome }) = self.claim(runner, request).await else {
@@ -159,7 +160,13 @@
             }
         });
         let time_left = request.deadline.saturating_duration_since(runner.clock.now());
-        if let Ok(Ok(decided)) = time::timeout(CLAIM_TIMEOUT.min(time_left), &mut rx).await {
+        let decided = tokio::select! {
+            biased;
+            decided = time::timeout(CLAIM_TIMEOUT.min(time_left), &mut rx) => decided.ok(),
+            // The reads may notice the outage only after their wait.
+            () = runner.control.appender.wait_until_failing() => None,
+        };
+        if let Some(Ok(decided)) = decided {
             return decided.ok();
         }
         // Incremented before the channel is closed, so that the task never decrements first.
--- a/crates/corianderstand_control/src/appender.rs
+++ b/crates/corianderstand_control/src/appender.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{mpsc, oneshot, watch},
     time,
 };
 
@@ -21,6 +21,8 @@
 /// Minimum pause between two appends, during which records are batched.
 pub const MIN_APPEND_INTERVAL: Duration = Duration::from_millis(5);
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Failed attempts in a row after which the log counts as down; one or two responses may be lost.
+const MAX_FAILED_ATTEMPTS: u32 = 3;
 
 /// Why the outcome of an append is not known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
@@ -53,6 +55,7 @@
 #[derive(Clone, Debug)]
 pub struct Appender {
     tx: mpsc::Sender<QueuedAppend>,
+    failed_attempts: watch::Receiver<u32>,
 }
 
 impl std::fmt::Debug for QueuedAppend {
@@ -76,6 +79,20 @@
             _ => Err(AppendError::Undecided),
         }
     }
+
+    /// Whether the log has failed the last attempts.
+    pub fn is_failing(&self) -> bool {
+        *self.failed_attempts.borrow() >= MAX_FAILED_ATTEMPTS
+    }
+
+    /// Waits until the log has failed some attempts in a row.
+    pub async fn wait_until_failing(&self) {
+        let mut failed_attempts = self.failed_attempts.clone();
+        if failed_attempts.wait_for(|failed| *failed >= MAX_FAILED_ATTEMPTS).await.is_err() {
+            // The queue has ended, and with it all knowledge of the log.
+            std::future::pending::<()>().await;
+        }
+    }
 }
 
 /// The receiving end of the append queue.
@@ -83,6 +100,7 @@
     rx: mpsc::Receiver<QueuedAppend>,
     pending: Pending,
     identity: Identity,
+    failed_attempts: watch::Sender<u32>,
 }
 
 /// Identifies an incarnation of a process as a writer of the log.
@@ -105,8 +123,10 @@
 pub fn channel(identity: Identity) -> (Appender, AppendQueue, FoldNotifier) {
     let (tx, rx) = mpsc::channel(MAX_QUEUED_RECORDS);
     let pending = Pending::default();
+    let (failed_tx, failed_attempts) = watch::channel(0);
     let notifier = FoldNotifier { pending: pending.clone(), identity: identity.clone() };
-    (Appender { tx }, AppendQueue { rx, pending, identity }, notifier)
+    let queue = AppendQueue { rx, pending, identity, failed_attempts: failed_tx };
+    (Appender { tx, failed_attempts }, queue, notifier)
 }
 
 fn lock(pending: &Pending) -> MutexGuard<'_, BTreeMap<u64, oneshot::Sender<FoldedAppend>>> {
@@ -137,11 +157,21 @@
                 .drain(..)
                 .map(|append| self.assign_sequence(append, &mut sequence))
                 .collect();
-            append_until_answered(&*log, records).await;
+            self.append_until_answered(&*log, records).await;
             time::sleep(MIN_APPEND_INTERVAL).await;
         }
     }
 
+    /// Retries an append until the log responds; the fold ignores duplicates by sequence number.
+    async fn append_until_answered(&self, log: &dyn LogService, records: Vec<Vec<u8>>) {
+        while let Err(error) = log.append(records.clone()).await {
+            tracing::warn!(%error, "append failed, retrying");
+            self.failed_attempts.send_modify(|failed| *failed = failed.saturating_add(1));
+            time::sleep(RETRY_PAUSE).await;
+        }
+        self.failed_attempts.send_replace(0);
+    }
+
     fn assign_sequence(&self, queued: QueuedAppend, sequence: &mut u64) -> Vec<u8> {
         *sequence += 1;
         lock(&self.pending).insert(*sequence, queued.decided);
@@ -150,11 +180,3 @@
         postcard::to_stdvec(&record).expect("records are plain data")
     }
 }
-
-/// Retries an append until the log responds; the fold ignores duplicates by sequence number.
-async fn append_until_answered(log: &dyn LogService, records: Vec<Vec<u8>>) {
-    while let Err(error) = log.append(records.clone()).await {
-        tracing::warn!(%error, "append failed, retrying");
-        time::sleep(RETRY_PAUSE).await;
-    }
-}
