--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -6,11 +6,12 @@
 //! draining incarnation never becomes available again.
 
 mod entry;
+mod limit;
 
 pub use entry::{
-    AgentReport, EngineReplacement, Entry, Holdings, Incarnation, Load, OngoingCommand,
-    RequestLimit, Resident,
+    AgentReport, EngineReplacement, Entry, Holdings, Incarnation, Load, OngoingCommand, Resident,
 };
+pub use limit::RequestLimit;
 
 use crate::{choose, health};
 use corianderstand_derives::derives;
@@ -106,30 +107,6 @@
         self.ejected_until = Some(now + UNREACHABLE_EJECTION_TIME);
     }
 
-    /// Records the limit of requests that it named.
-    pub fn set_request_limit(&mut self, now: Instant, per_s: f64) {
-        let named_at = self.request_limit.map_or(now, |limit| limit.named_at);
-        self.request_limit = Some(RequestLimit { per_s, named_at });
-    }
-
-    /// Records when the next request may be sent to it.
-    pub fn set_next_slot(&mut self, at: Instant) {
-        self.next_slot_at = Some(at);
-    }
-
-    /// Expected time until a request may be sent to it, as it limits them.
-    pub fn slot_wait(&self, now: Instant) -> Duration {
-        let at = self.next_slot_at.filter(|_| self.request_limit.is_some());
-        at.map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
-    }
-
-    /// Removes the limit after a response without one, unless the request was sent before it was
-    /// first named: that response may be older.
-    pub fn lift_request_limit(&mut self, sent_at: Option<Instant>) {
-        let is_older = |limit: &RequestLimit| sent_at.is_none_or(|at| at < limit.named_at);
-        self.request_limit = self.request_limit.filter(is_older);
-    }
-
     /// Number of in-flight requests of this process, by model.
     pub fn running(&self) -> BTreeMap<names::ModelId, u32> {
         let mut running = BTreeMap::new();
--- a/crates/corianderstand_fleet/src/targets/entry.rs
+++ b/crates/corianderstand_fleet/src/targets/entry.rs
@@ -148,13 +148,3 @@
     /// Tokens in the KV cache that cannot be evicted; none if unknown.
     pub cache_used: Option<u64>,
 }
-
-/// Limit of requests that a target takes from all routers together.
-#[derives(data)]
-#[derive(Copy)]
-pub struct RequestLimit {
-    /// Requests per second.
-    pub per_s: f64,
-    /// When it was first named.
-    pub named_at: Instant,
-}
--- a/crates/corianderstand_forward/src/attempt.rs
+++ b/crates/corianderstand_forward/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to send a request to a target.
 
-use crate::{dialect, ended_targets, job, pool, router};
+use crate::{dialect, ended_targets, job, pool, request_slots, router};
 use corianderstand_fleet::targets;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::Full;
@@ -132,7 +132,7 @@
     if let Some(load) = info.load {
         shared.record_load(key, load);
     }
-    shared.record_request_limit(key, job, &info);
+    request_slots::record_limit(shared, key, job, &info);
     if info.not_run {
         shared.record_unexecuted(key, job, head.status, info.target.as_ref());
         // The body isn't read; dropping the lease closes the connection.
--- a/crates/corianderstand_forward/src/request_slots.rs
+++ b/crates/corianderstand_forward/src/request_slots.rs
@@ -3,7 +3,7 @@
 //! The router that ranks highest for a target keeps its schedule. If it does not answer, the next one is
 //! asked. A router that reaches neither sends nothing, as it can't know what the others send.
 
-use crate::{job, pending, router};
+use crate::{dialect, job, pending, router, target_reports};
 use corianderstand_fleet::{request_slots, targets, wait_limit};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
 use corianderstand_types::names;
@@ -25,6 +25,9 @@
 /// Time between sending a request and the first event of its response.
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(150);
 
+/// Bounds log lines and reports if a target names another limit in each response.
+const MIN_LIMIT_CHANGE_RATIO: f64 = 0.1;
+
 /// Reservations of this router that wait for a response.
 pub type PendingSlots = pending::Pending<request_slots::Reservation>;
 
@@ -209,3 +212,44 @@
     };
     shared.pending_slots.resolve(response.id, reservation);
 }
+
+/// Records the request limit that a response names, or that it names none any more.
+pub fn record_limit<P: router::Platform>(
+    shared: &router::Shared<P>,
+    key: targets::TargetKey,
+    job: &job::Job,
+    response: &dialect::ResponseHead,
+) {
+    let now = shared.clock.now();
+    let mut view = shared.view.borrow_mut();
+    let Some(target) = view.targets.get_mut(key) else { return };
+    if response.target.as_ref().is_some_and(|other| *other != target.entry.id) {
+        return;
+    }
+    let before = target.request_limit.map(|limit| limit.per_s);
+    match response.request_limit {
+        Some(per_s) => target.set_request_limit(now, per_s),
+        // Other responses may come from something else on the way.
+        None if response.is_signed || response.not_run => {
+            target.lift_request_limit(job.sent_at);
+        }
+        None => {}
+    }
+    let after = target.request_limit.map(|limit| limit.per_s);
+    if is_notable_change(before, after) {
+        let id = target.entry.id.clone();
+        tracing::info!(target = %id, per_s = after, before, "target's request limit changed");
+        drop(view);
+        target_reports::record_limit(shared, &id, after);
+    }
+}
+
+/// Whether a change of a target's request limit is logged and reported to other routers.
+fn is_notable_change(before: Option<f64>, after: Option<f64>) -> bool {
+    match (before, after) {
+        (Some(before), Some(after)) => {
+            (before - after).abs() > before.max(after) * MIN_LIMIT_CHANGE_RATIO
+        }
+        (before, after) => before.is_some() != after.is_some(),
+    }
+}
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -22,9 +22,6 @@
 };
 use tokio::sync::Notify;
 
-/// Bounds log lines and reports if a target names another limit in each response.
-const MIN_LIMIT_CHANGE_RATIO: f64 = 0.1;
-
 /// A platform that a router can run on.
 pub trait Platform: dialect::Dialect + dialect::Store + 'static {}
 
@@ -368,37 +365,6 @@
         }
     }
 
-    /// Records the request limit that a response names, or that it names none any more.
-    pub fn record_request_limit(
-        &self,
-        key: targets::TargetKey,
-        job: &job::Job,
-        response: &dialect::ResponseHead,
-    ) {
-        let now = self.clock.now();
-        let mut view = self.view.borrow_mut();
-        let Some(target) = view.targets.get_mut(key) else { return };
-        if response.target.as_ref().is_some_and(|other| *other != target.entry.id) {
-            return;
-        }
-        let before = target.request_limit.map(|limit| limit.per_s);
-        match response.request_limit {
-            Some(per_s) => target.set_request_limit(now, per_s),
-            // Other responses may come from something else on the way.
-            None if response.is_signed || response.not_run => {
-                target.lift_request_limit(job.sent_at);
-            }
-            None => {}
-        }
-        let after = target.request_limit.map(|limit| limit.per_s);
-        if is_notable_change(before, after) {
-            let id = target.entry.id.clone();
-            tracing::info!(target = %id, per_s = after, before, "target's request limit changed");
-            drop(view);
-            target_reports::record_limit(self, &id, after);
-        }
-    }
-
     /// Records that a target did not run a request: it lacks the model, was replaced, or is full.
     pub fn record_unexecuted(
         &self,
@@ -436,16 +402,6 @@
     }
 }
 
-/// Whether a change of a target's request limit is logged and reported to other routers.
-fn is_notable_change(before: Option<f64>, after: Option<f64>) -> bool {
-    match (before, after) {
-        (Some(before), Some(after)) => {
-            (before - after).abs() > before.max(after) * MIN_LIMIT_CHANGE_RATIO
-        }
-        (before, after) => before.is_some() != after.is_some(),
-    }
-}
-
 /// Why a router or an agent cannot start.
 #[derive(Debug, displaydoc::Display)]
 pub enum StartError {
