Report connections that broke early before the end of the target is confirmed

An early break is reported to the other routers at once, and each of them confirms it by what it hears of the target. The confirmed end replaces the report.

--- a/crates/corianderstand_fleet/src/crashes.rs
+++ b/crates/corianderstand_fleet/src/crashes.rs
@@ -24,7 +24,7 @@
 /// Consecutive ends, early or not, after which a request is blocked.
 const MAX_LATE_ENDS: usize = 8;
 /// An end is early if it comes within this time after the first event of the response.
-const EARLY_END_TIME: Duration = Duration::from_millis(500);
+pub const EARLY_END_TIME: Duration = Duration::from_millis(500);
 /// Copies of a request may run at the same time: it is also blocked after this many ends in total,
 /// if some of them were consecutive.
 const MAX_TOTAL_ENDS: usize = 6;
--- a/crates/corianderstand_fleet/src/exits.rs
+++ b/crates/corianderstand_fleet/src/exits.rs
@@ -65,6 +65,18 @@
     pub broke_at: Instant,
     /// Time from the first event of the response to the break; zero if there was no event.
     pub survived: Duration,
+    /// The router that had sent the request.
+    pub observer: SmolStr,
+}
+
+impl BrokenAttempt {
+    /// Whether this is another report of the same attempt; the times of reports differ.
+    fn is_same(&self, other: &Self) -> bool {
+        self.request_id == other.request_id
+            && self.fingerprint == other.fingerprint
+            && self.target == other.target
+            && self.observer == other.observer
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -92,7 +104,9 @@
             if self.broken.len() == MAX_BROKEN_ATTEMPTS {
                 self.broken.pop_front();
             }
-            self.broken.push_back(attempt);
+            if !self.broken.iter().any(|known| known.is_same(&attempt)) {
+                self.broken.push_back(attempt);
+            }
         }
         confirmation
     }
--- a/crates/corianderstand_fleet/tests/exits.rs
+++ b/crates/corianderstand_fleet/tests/exits.rs
@@ -23,6 +23,7 @@
         sent_at: at,
         broke_at: at,
         survived: Duration::ZERO,
+        observer: "router".into(),
     }
 }
 
@@ -65,3 +66,15 @@
     assert_eq!(exits.record_broken(now, broken(now, 5)), None);
     assert_eq!(exits.record_exit(later, &incarnation(5), Confirmation::Refused), []);
 }
+
+/// Guards against a list that grows with each repeat of a report.
+#[test]
+fn a_repeated_report_is_recorded_once() {
+    let now = Instant::now();
+    let later = now + Duration::from_millis(20);
+    let mut exits = Exits::default();
+    exits.record_broken(now, broken(now, 5));
+    exits.record_broken(later, broken(later, 5));
+    let confirmed = exits.record_exit(later, &incarnation(5), Confirmation::Agent);
+    assert_eq!(confirmed.len(), 1);
+}
--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -34,11 +34,27 @@
         sent_at: in_flight.started_at(),
         broke_at: now,
         survived: first_event_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at)),
+        observer: shared.settings.name.clone(),
     };
     let confirmation = shared.exits.borrow_mut().record_broken(now, attempt.clone());
     match confirmation {
         Some(confirmation) => record_ended_under(shared, now, &attempt, confirmation),
-        None => probe_later(shared, now, in_flight.key(), target.clone(), *addr),
+        None => {
+            target_reports::record_suspicion(shared, &attempt);
+            probe_later(shared, now, in_flight.key(), target.clone(), *addr);
+        }
+    }
+}
+
+/// Records a broken attempt that another router reported, so that its evidence outlives that router.
+pub fn record_reported<P: router::Platform>(
+    shared: &router::Shared<P>,
+    now: Instant,
+    attempt: exits::BrokenAttempt,
+) {
+    let confirmation = shared.exits.borrow_mut().record_broken(now, attempt.clone());
+    if let Some(confirmation) = confirmation {
+        record_ended_under(shared, now, &attempt, confirmation);
     }
 }
 
@@ -69,7 +85,9 @@
     attempt: &exits::BrokenAttempt,
     confirmation: exits::Confirmation,
 ) {
-    shared.decision_log.target_ended(attempt, confirmation, now);
+    if attempt.observer == shared.settings.name {
+        shared.decision_log.target_ended(attempt, confirmation, now);
+    }
     target_reports::record_crash(shared, now, attempt);
 }
 
--- a/crates/corianderstand_forward/src/target_reports.rs
+++ b/crates/corianderstand_forward/src/target_reports.rs
@@ -11,7 +11,7 @@
 use smol_str::SmolStr;
 use std::{
     collections::VecDeque,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     time::{Duration, Instant},
 };
 use xxhash_rust::xxh3;
@@ -31,6 +31,8 @@
 #[derives(data)]
 enum Report {
     Crash(crashes::Crash),
+    /// A connection that broke early, by the end of the target or not.
+    Suspicion(crashes::Crash),
     Cleared(fingerprint::Fingerprint),
     Limit(names::TargetId, Option<f64>),
 }
@@ -53,6 +55,14 @@
         self.reports.push_back((report, SENDS_PER_REPORT));
     }
 
+    /// Drops the report of a broken connection that a confirmed end replaces.
+    fn drop_suspicion(&mut self, crash: &crashes::Crash) {
+        self.reports.retain(|(report, _)| {
+            !matches!(report, Report::Suspicion(suspicion)
+                if suspicion.fingerprint == crash.fingerprint && suspicion.target == crash.target)
+        });
+    }
+
     /// Drops the reports of a target's earlier limits.
     fn drop_limits(&mut self, target: &names::TargetId) {
         self.reports.retain(
@@ -73,23 +83,41 @@
     }
 }
 
-/// Records that a target ended while it ran a request of this router.
+/// Records that a target ended while it ran a request.
 pub fn record_crash<P: router::Platform>(
     shared: &router::Shared<P>,
     now: Instant,
     attempt: &exits::BrokenAttempt,
 ) {
-    let crash = crashes::Crash {
+    let crash = to_crash(attempt);
+    let is_own = crash.observer == shared.settings.name;
+    if apply_crash(shared, now, crash.clone()) && is_own {
+        let mut queue = shared.target_reports.borrow_mut();
+        queue.drop_suspicion(&crash);
+        queue.push(Report::Crash(crash));
+        drop(queue);
+        shared.control_wake.notify_one();
+    }
+}
+
+/// Reports a connection that broke early before it is known whether its target ended: this router may
+/// be gone by then.
+pub fn record_suspicion<P>(shared: &router::Shared<P>, attempt: &exits::BrokenAttempt) {
+    if attempt.survived < crashes::EARLY_END_TIME {
+        let mut queue = shared.target_reports.borrow_mut();
+        queue.push(Report::Suspicion(to_crash(attempt)));
+        shared.control_wake.notify_one();
+    }
+}
+
+fn to_crash(attempt: &exits::BrokenAttempt) -> crashes::Crash {
+    crashes::Crash {
         fingerprint: attempt.fingerprint,
         target: attempt.target.clone(),
         sent_at: attempt.sent_at,
         ended_at: attempt.broke_at,
         survived: attempt.survived,
-        observer: shared.settings.name.clone(),
-    };
-    if apply_crash(shared, now, crash.clone()) {
-        shared.target_reports.borrow_mut().push(Report::Crash(crash));
-        shared.control_wake.notify_one();
+        observer: attempt.observer.clone(),
     }
 }
 
@@ -196,7 +224,12 @@
     update: wire::TargetReports,
 ) {
     for crash in update.crashes {
+        let is_confirmed = crash.confirmed;
         let Some(crash) = from_wire(now, crash) else { continue };
+        if !is_confirmed {
+            ended_targets::record_reported(shared, now, to_attempt(crash));
+            continue;
+        }
         let target = crash.target.clone();
         apply_crash(shared, now, crash);
         ended_targets::record_exit(shared, now, &target, exits::Confirmation::Router);
@@ -214,7 +247,8 @@
         wire::TargetReports { crashes: Vec::new(), cleared: Vec::new(), limits: Vec::new() };
     for report in reports {
         match report {
-            Report::Crash(crash) => update.crashes.push(to_wire(now, crash)),
+            Report::Crash(crash) => update.crashes.push(to_wire(now, crash, true)),
+            Report::Suspicion(crash) => update.crashes.push(to_wire(now, crash, false)),
             Report::Cleared(fingerprint) => update.cleared.push(from_fingerprint(*fingerprint)),
             Report::Limit(target, limit) => update.limits.push(wire::TargetLimit {
                 target: target.clone(),
@@ -226,7 +260,7 @@
     update
 }
 
-fn to_wire(now: Instant, crash: &crashes::Crash) -> wire::TargetCrash {
+fn to_wire(now: Instant, crash: &crashes::Crash, confirmed: bool) -> wire::TargetCrash {
     wire::TargetCrash {
         request: from_fingerprint(crash.fingerprint),
         target: crash.target.id.clone(),
@@ -235,6 +269,21 @@
         ended_ms: to_millis(now.saturating_duration_since(crash.ended_at)),
         survived_ms: to_millis(crash.survived),
         observer: crash.observer.as_str().into(),
+        confirmed,
+    }
+}
+
+/// The broken attempt behind another router's report; its request id and caller aren't reported.
+fn to_attempt(crash: crashes::Crash) -> exits::BrokenAttempt {
+    exits::BrokenAttempt {
+        request_id: SmolStr::default(),
+        fingerprint: crash.fingerprint,
+        caller: Ipv4Addr::UNSPECIFIED.into(),
+        target: crash.target,
+        sent_at: crash.sent_at,
+        broke_at: crash.ended_at,
+        survived: crash.survived,
+        observer: crash.observer,
     }
 }
 
