--- a/crates/corianderstand_fleet/src/crashes.rs
+++ b/crates/corianderstand_fleet/src/crashes.rs
@@ -20,7 +20,7 @@
 /// Consecutive early ends after which a request is blocked.
 const MAX_CONSECUTIVE_ENDS: usize = 3;
 /// Consecutive early ends after which a request is blocked although another one explains them as well.
-const MAX_AMBIGUOUS_ENDS: usize = 5;
+const MAX_AMBIGUOUS_ENDS: usize = 6;
 /// Consecutive ends, early or not, after which a request is blocked.
 const MAX_LATE_ENDS: usize = 8;
 /// An end is early if it comes within this time after the first event of the response.
@@ -260,9 +260,10 @@
         self.blocks.values().filter(|block| now < block.until).count()
     }
 
-    /// The ends for which requests are blocked, for a router that starts.
-    pub fn blocking_crashes(&self) -> impl Iterator<Item = &Crash> {
-        let suspects = self.blocks.keys().filter_map(|blocked| self.suspects.get(blocked));
+    /// The ends for which requests are blocked or held, for a router that starts.
+    pub fn relevant_crashes(&self) -> impl Iterator<Item = &Crash> {
+        let keys = self.blocks.keys().chain(&self.ambiguous.requests);
+        let suspects = keys.filter_map(|key| self.suspects.get(key));
         suspects.flat_map(|suspect| &suspect.crashes)
     }
 
--- a/crates/corianderstand_forward/src/target_reports.rs
+++ b/crates/corianderstand_forward/src/target_reports.rs
@@ -23,9 +23,9 @@
 const MAX_QUEUED_REPORTS: usize = 256;
 /// Limits the datagrams that a router receives while targets end all the time.
 const SEND_INTERVAL_PER_ROUTER: Duration = Duration::from_millis(5);
-/// A router that starts is sent the blocks with each of its updates for this long.
+/// A router that starts is sent the relevant ends with each of its updates for this long.
 const WELCOME_TIME: Duration = Duration::from_millis(3_500);
-/// Number of routers that send the blocks to one that starts.
+/// Number of routers that send them to one that starts.
 const WELCOMING_ROUTERS: usize = 2;
 
 #[derives(data)]
@@ -190,8 +190,8 @@
     addresses.iter().for_each(|addr| shared.outbox.send(*addr, &message));
 }
 
-/// Sends the ends for which requests are blocked to a router that started, if it is one of the few
-/// routers that do.
+/// Sends the ends for which requests are blocked or held to a router that started, if this is one of
+/// the few routers that do.
 pub fn welcome<P: router::Platform>(
     shared: &router::Shared<P>,
     now: Instant,
@@ -202,7 +202,7 @@
     let peers = shared.peers.borrow();
     let Some(started_at) = peers.incarnation_seen_at(name) else { return };
     let is_starting = now.saturating_duration_since(started_at) < WELCOME_TIME;
-    if !is_starting || !crashes.has_blocks() {
+    if !is_starting || !(crashes.has_blocks() || crashes.has_held_requests()) {
         return;
     }
     let rank = |router: &str| xxh3::xxh3_64(format!("{name} {router}").as_bytes());
@@ -211,7 +211,7 @@
     if others.filter(|(other, _)| rank(other) > own).count() >= WELCOMING_ROUTERS {
         return;
     }
-    let reports: Vec<Report> = crashes.blocking_crashes().cloned().map(Report::Crash).collect();
+    let reports: Vec<Report> = crashes.relevant_crashes().cloned().map(Report::Crash).collect();
     for batch in reports.chunks(MAX_REPORTS_PER_DATAGRAM) {
         shared.outbox.send(addr, &PeerMessage::TargetReports(to_update(now, batch)));
     }
