An error response doesn't clear a request; errors before an end are evidence

The 500 was a complete response, cleared it, and left the frequent request beside it as the only suspect.

Only responses that are no errors clear now, and an attempt that its target failed with an error counts like a broken connection if the target is then known to have ended (not reported, as errors are frequent).

an_error_does_not_clear_a_request fails with the clearing of before (5 ends where 4 may) and passes now.

--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -22,9 +22,43 @@
     first_event_at: Option<Instant>,
 ) {
     let now = shared.clock.now();
-    let Some((target, addr)) = in_flight.target() else { return };
-    if shared.view.borrow().targets.is_leaving(&target.id) {
+    let Some((attempt, addr)) = broken_attempt(shared, job, in_flight, first_event_at, now) else {
         return;
+    };
+    let confirmation = shared.exits.borrow_mut().record_broken(now, attempt.clone());
+    match confirmation {
+        Some(confirmation) => record_ended_under(shared, now, &attempt, confirmation),
+        None => {
+            target_reports::record_suspicion(shared, &attempt);
+            probe_later(shared, now, in_flight.key(), attempt.target, addr);
+        }
+    }
+}
+
+/// Records that a target failed an attempt with an error: it may end because of the request all the
+/// same.
+pub fn record_failed<P: router::Platform>(
+    shared: &router::Shared<P>,
+    job: &job::Job,
+    in_flight: &job::InFlight<P>,
+) {
+    let now = shared.clock.now();
+    if let Some((attempt, _)) = broken_attempt(shared, job, in_flight, None, now) {
+        record_reported(shared, now, attempt);
+    }
+}
+
+/// The attempt and the target's address; none if the target is leaving anyway.
+fn broken_attempt<P: router::Platform>(
+    shared: &router::Shared<P>,
+    job: &job::Job,
+    in_flight: &job::InFlight<P>,
+    first_event_at: Option<Instant>,
+    now: Instant,
+) -> Option<(exits::BrokenAttempt, SocketAddr)> {
+    let (target, addr) = in_flight.target()?;
+    if shared.view.borrow().targets.is_leaving(&target.id) {
+        return None;
     }
     let attempt = exits::BrokenAttempt {
         request_id: job.request.id.clone(),
@@ -36,17 +70,10 @@
         survived: first_event_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at)),
         observer: shared.settings.name.clone(),
     };
-    let confirmation = shared.exits.borrow_mut().record_broken(now, attempt.clone());
-    match confirmation {
-        Some(confirmation) => record_ended_under(shared, now, &attempt, confirmation),
-        None => {
-            target_reports::record_suspicion(shared, &attempt);
-            probe_later(shared, now, in_flight.key(), target.clone(), *addr);
-        }
-    }
+    Some((attempt, *addr))
 }
 
-/// Records a broken attempt that another router reported, so that its evidence outlives that router.
+/// Records a broken attempt without reporting it: another router's, or one that may be no evidence.
 pub fn record_reported<P: router::Platform>(
     shared: &router::Shared<P>,
     now: Instant,
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -279,6 +279,9 @@
     };
     let keep_alive = if info.closes_connection { Some(Duration::ZERO) } else { info.keep_alive };
     shared.connection_pool.release(shared.clock.now(), lease, keep_alive);
+    if head.status.is_server_error() {
+        ended_targets::record_failed(shared, &job, &in_flight);
+    }
     drop(in_flight);
     if head.status.is_server_error() {
         shared.record_target_failure(key, "error of the target");
@@ -287,8 +290,8 @@
         }
     } else {
         shared.record_target_success(key);
+        target_reports::record_completed(shared, &job);
     }
-    target_reports::record_completed(shared, &job);
     shared.platform.rewrite_response(&mut head.headers);
     shared.decision_log.answered(&job, head.status, "whole", shared.clock.now());
     Ok(Response::from_parts(head, ResponseBody::buffered(body)))
@@ -393,7 +396,10 @@
         attempt::AttemptOutcome::Answered(answered) if answered.head.status.is_success() => {
             Ok(*answered)
         }
-        attempt::AttemptOutcome::Answered(_) => Err("the other target failed"),
+        attempt::AttemptOutcome::Answered(answered) => {
+            ended_targets::record_failed(shared, job, &answered.in_flight);
+            Err("the other target failed")
+        }
         attempt::AttemptOutcome::NotSent | attempt::AttemptOutcome::NotRun => {
             Err("the other target did not take it")
         }
--- a/crates/corianderstand_forward/tests/crashing_requests.rs
+++ b/crates/corianderstand_forward/tests/crashing_requests.rs
@@ -16,6 +16,8 @@
 use tokio::task::JoinSet;
 
 const CRASHING_PATH: &str = "/desk/crash";
+/// Header of a request that its target answers with an error at once.
+const FAILING_HEADER: &str = "x-fail";
 const HARMLESS_PATH: &str = "/desk/harmless";
 /// Host name of another workspace.
 const OTHER_HOST: &str = "other.example";
@@ -71,6 +73,12 @@
     let mut responses = JoinSet::new();
     loop {
         let request = target.next_or_wait().await;
+        if request.header(FAILING_HEADER).is_some() {
+            let id = request.header("x-id").unwrap_or_default().to_owned();
+            let head = format!("HTTP/1.1 500 Failed\r\nx-signed: 1\r\nx-id: {id}\r\n");
+            request.answer(&format!("{head}Content-Length: 0\r\nConnection: close\r\n\r\n")).await;
+            continue;
+        }
         if request.head.contains(CRASHING_PATH) {
             return;
         }
@@ -242,3 +250,21 @@
     assert!(!answer.contains("ended the targets"), "{answer}");
     assert_eq!(deployment.service.ends(), ends + 1, "it reaches a target");
 }
+
+/// Guards against an engine's error that is taken for proof that the request does no harm.
+#[tokio::test]
+async fn an_error_does_not_clear_a_request() {
+    const MAX_ENDS_AT_ONE_ROUTER: usize = 4;
+    let deployment = Deployment::start(RetryPolicy::Never).await;
+    for headers in [&[][..], &[], &[(FAILING_HEADER, "1")]] {
+        deployment.ask(0, CRASHING_PATH, headers).await;
+        tokio::time::sleep(RESTART_DELAY).await;
+    }
+    let started_at = Instant::now();
+    while !deployment.ask(0, CRASHING_PATH, &[]).await.contains("ended the targets") {
+        assert!(started_at.elapsed() < common::WAIT_LIMIT, "it is refused at last");
+        tokio::time::sleep(RESTART_DELAY).await;
+    }
+    let ends = deployment.service.ends();
+    assert!(ends <= MAX_ENDS_AT_ONE_ROUTER, "{ends} targets ended");
+}
