--- a/crates/corianderstand_fleet/src/exits.rs
+++ b/crates/corianderstand_fleet/src/exits.rs
@@ -100,13 +100,12 @@
         self.expire(now);
         let ended = self.ended.iter().find(|ended| ended.target.matches(&attempt.target));
         let confirmation = ended.map(|ended| ended.confirmation);
-        if confirmation.is_none() {
+        let is_known = self.broken.iter().any(|known| known.is_same(&attempt));
+        if confirmation.is_none() && !is_known {
             if self.broken.len() == MAX_BROKEN_ATTEMPTS {
                 self.broken.pop_front();
             }
-            if !self.broken.iter().any(|known| known.is_same(&attempt)) {
-                self.broken.push_back(attempt);
-            }
+            self.broken.push_back(attempt);
         }
         confirmation
     }
@@ -128,7 +127,7 @@
         let (confirmed, rest) =
             self.broken.drain(..).partition(|attempt| attempt.target.matches(target));
         self.broken = rest;
-        Vec::from_iter::<VecDeque<_>>(confirmed)
+        Vec::from(confirmed)
     }
 
     /// Starts the probe of a target whose end is unconfirmed; false if there is nothing to probe for.
