An outdated load of a full target leaves room for one probe

Cause: a target's last reported load counted for ever. The class is a belief that stops what would correct it and has no age; the same held for the cache use that only agents report, and for a command (an unload, a load) that an agent reported before it ended, which kept its model out of use.

Change: from half a second on, a reported load leaves room for one request of this router beside its own, whose response brings the current load; cache use expires with the agent's silence; so does a command. A target that is really full gets one request at a time from each router. Of the other beliefs, these have an age already: ejections, absent models, health, event intervals, prefill backlog, request slots, peers.

--- a/crates/corianderstand_fleet/src/choose.rs
+++ b/crates/corianderstand_fleet/src/choose.rs
@@ -97,7 +97,7 @@
         return Choice::Cold;
     }
     let with_capacity: Vec<_> =
-        holders.into_iter().filter(|(_, target)| has_capacity(target, query)).collect();
+        holders.into_iter().filter(|(_, target)| has_capacity(now, target, query)).collect();
     if with_capacity.is_empty() {
         return Choice::Full;
     }
@@ -159,10 +159,10 @@
 }
 
 /// Whether the target can start the request without queueing it.
-fn has_capacity(target: &targets::Target, query: &Query) -> bool {
-    let memory =
-        query.cache_tokens == 0 || target.estimated_tokens() + query.tokens <= query.cache_tokens;
-    target.estimated_requests() < target.entry.slots.max(1) && memory
+fn has_capacity(now: Instant, target: &targets::Target, query: &Query) -> bool {
+    let memory = query.cache_tokens == 0
+        || target.estimated_tokens(now) + query.tokens <= query.cache_tokens;
+    target.estimated_requests(now) < target.entry.slots.max(1) && memory
 }
 
 fn cheapest(
@@ -177,10 +177,10 @@
         intervals.min().map_or(f64::INFINITY, |interval| interval.as_secs_f64());
     let cost = |key: targets::TargetKey, target: &targets::Target| {
         let slots = f64::from(target.entry.slots.max(1));
-        let batch = f64::from(target.estimated_requests()) / slots;
+        let batch = f64::from(target.estimated_requests(now)) / slots;
         let memory = match query.cache_tokens {
             0 => 0.0,
-            capacity => (target.estimated_tokens() + query.tokens) as f64 / capacity as f64,
+            capacity => (target.estimated_tokens(now) + query.tokens) as f64 / capacity as f64,
         };
         let zone = if target.entry.zone == *query.zone { 0.0 } else { CROSS_ZONE_COST };
         let failure_score =
--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -7,6 +7,7 @@
 
 mod entry;
 mod limit;
+mod load;
 
 pub use entry::{
     AgentReport, EngineReplacement, Entry, Holdings, Incarnation, Load, OngoingCommand, Resident,
@@ -64,9 +65,7 @@
     next_slot_at: Option<Instant>,
     /// When it will have shut down, if known.
     pub shutdown_at: Option<Instant>,
-    load: Load,
-    local_requests_at_load: u32,
-    local_tokens_at_load: u64,
+    reported_load: load::ReportedLoad,
     absent_until: HashMap<names::ModelId, Instant>,
     prefill_until: Option<Instant>,
     missing_since: Option<Instant>,
@@ -87,9 +86,7 @@
             request_limit: None,
             next_slot_at: None,
             shutdown_at: None,
-            load: Load::default(),
-            local_requests_at_load: 0,
-            local_tokens_at_load: 0,
+            reported_load: load::ReportedLoad::default(),
             absent_until: HashMap::new(),
             prefill_until: None,
             missing_since: None,
@@ -122,38 +119,20 @@
             .is_some_and(|at| now.saturating_duration_since(at) < AGENT_RESPONSE_TIMEOUT)
     }
 
+    /// Command that its engine is executing; none if its agent no longer reports.
+    pub fn ongoing_command(&self, now: Instant) -> Option<&OngoingCommand> {
+        self.ongoing.as_ref().filter(|_| self.agent_is_responsive(now))
+    }
+
     /// Whether requests for the model may be sent to it.
     pub fn serves(&self, now: Instant, model: &names::ModelId) -> bool {
-        let unloading =
-            matches!(&self.ongoing, Some(OngoingCommand::Unloading { model: own }) if own == model);
+        let unloading = matches!(
+            self.ongoing_command(now), Some(OngoingCommand::Unloading { model: own }) if own == model
+        );
         let absent = self.absent_until.get(model).is_some_and(|until| now < *until);
         !unloading && !absent && self.entry.holdings.resident(model).is_some()
     }
 
-    /// Estimated requests in progress: the reported load, adjusted by this process's later requests.
-    pub fn estimated_requests(&self) -> u32 {
-        let reported = self.load.running + self.load.waiting;
-        (reported + self.local_requests)
-            .saturating_sub(self.local_requests_at_load)
-            .max(self.local_requests)
-    }
-
-    /// Estimated tokens in its KV cache, as for [`Self::estimated_requests`].
-    pub fn estimated_tokens(&self) -> u64 {
-        let reported = self.load.cache_used.unwrap_or(0);
-        (reported + self.local_tokens)
-            .saturating_sub(self.local_tokens_at_load)
-            .max(self.local_tokens)
-    }
-
-    /// Records the reported load.
-    pub fn record_load(&mut self, load: Load) {
-        let cache_used = load.cache_used.or(self.load.cache_used);
-        self.load = Load { cache_used, ..load };
-        self.local_requests_at_load = self.local_requests;
-        self.local_tokens_at_load = self.local_tokens;
-    }
-
     /// Records the reported prefill backlog.
     pub fn record_prefill_backlog(&mut self, now: Instant, backlog: Duration) {
         self.prefill_until = Some(now + backlog);
@@ -410,7 +389,7 @@
         }
         target.ejected_until = None;
         target.ongoing = report.ongoing;
-        target.record_load(report.load);
+        target.record_load(now, report.load);
         let mut holdings = report.holdings;
         if !report.cached_weights_reported {
             let previous = &mut target.entry.holdings;
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -73,7 +73,7 @@
             route = %job.route.name,
             at = %target.entry.id,
             model = job.model().map(names::ModelId::as_str),
-            occupied = target.estimated_requests(),
+            occupied = target.estimated_requests(now),
             trouble = format_args!("{:.2}", target.health.failure_score(now)),
             agent_age_ms,
             config = version,
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -275,7 +275,7 @@
         match choice {
             choose::Choice::NoTarget => wait_limit::Readiness::Unknown,
             choose::Choice::Full => wait_limit::Readiness::AtCapacity,
-            choose::Choice::LoadAdapter(key) => self.view.borrow().adapter_readiness(key),
+            choose::Choice::LoadAdapter(key) => self.view.borrow().adapter_readiness(now, key),
             _ => self.view.borrow().model_readiness(
                 now,
                 &job.service,
@@ -360,8 +360,9 @@
 
     /// Records the load that a target reported.
     pub fn record_load(&self, key: targets::TargetKey, load: targets::Load) {
+        let now = self.clock.now();
         if let Some(target) = self.view.borrow_mut().targets.get_mut(key) {
-            target.record_load(load);
+            target.record_load(now, load);
         }
     }
 
--- a/crates/corianderstand_forward/src/view.rs
+++ b/crates/corianderstand_forward/src/view.rs
@@ -58,8 +58,12 @@
     }
 
     /// Estimates when an engine can load an adapter; it executes one command at a time.
-    pub fn adapter_readiness(&self, key: targets::TargetKey) -> wait_limit::Readiness {
-        match self.targets.get(key).and_then(|target| target.ongoing.as_ref()) {
+    pub fn adapter_readiness(
+        &self,
+        now: Instant,
+        key: targets::TargetKey,
+    ) -> wait_limit::Readiness {
+        match self.targets.get(key).and_then(|target| target.ongoing_command(now)) {
             Some(targets::OngoingCommand::Loading { ready_at, .. }) => {
                 wait_limit::Readiness::ReadyAt(*ready_at)
             }
@@ -89,7 +93,8 @@
             if target.serves(now, &requested.model) {
                 return wait_limit::Readiness::AtCapacity;
             }
-            if let Some(targets::OngoingCommand::Loading { model, ready_at, .. }) = &target.ongoing
+            if let Some(targets::OngoingCommand::Loading { model, ready_at, .. }) =
+                target.ongoing_command(now)
                 && *model == requested.model
             {
                 return wait_limit::Readiness::ReadyAt(*ready_at);
