Soak: keys, revocations and a quota, with strict checks

Each caller belongs to a workspace: one keeps its key, one has a quota that its callers exceed, one loses its key with every second configuration. Checks: no target sees a key or another workspace; a steady key gets no 401 from any router; no request that was sent 4 s or more after its key was taken away runs, on any router, disrupted or not; the runs of the limited workspace stay within its quota and tolerance in any window.

--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -1,6 +1,9 @@
 //! Callers that send requests over persistent connections and record each outcome.
 
-use crate::cluster::{HOST, MODELS};
+use crate::{
+    cluster::{HOST, MODELS},
+    workspaces::Workspace,
+};
 use bytes::Bytes;
 use corianderstand_platform_standins::target::CRASHING_BODY;
 use http::{HeaderMap, Method, Request, StatusCode};
@@ -69,6 +72,7 @@
 pub struct RequestRecord {
     pub id: String,
     pub kind: RequestKind,
+    pub workspace: Workspace,
     /// Requested model; only streams send it.
     pub model: &'static str,
     pub router_index: usize,
@@ -138,6 +142,7 @@
     stop: Arc<AtomicBool>,
 ) {
     let mut connection: Option<(usize, Sender)> = None;
+    let workspace = Workspace::of_caller(caller);
     let mut request_number = 0_u64;
     while !stop.load(Ordering::Relaxed) {
         request_number += 1;
@@ -154,17 +159,21 @@
         let body = if kind == RequestKind::Draft { id.clone().into() } else { Bytes::new() };
         let started_at = Instant::now();
         let (outcome, headers, sender) =
-            send_request(router_addresses[router], sender, kind, &id, model, body).await;
+            send_request(router_addresses[router], sender, kind, workspace, &id, model, body).await;
         let closes = headers.get("connection").is_some_and(|value| value == "close");
         connection = sender.filter(|_| !closes).map(|sender| (router, sender));
         let delay = match &outcome {
-            Outcome::Complete(StatusCode::SERVICE_UNAVAILABLE, _) => retry_after(&headers),
+            Outcome::Complete(
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS,
+                _,
+            ) => retry_after(&headers),
             Outcome::Closed | Outcome::NoConnection => RECONNECT_DELAY,
             _ => Duration::from_millis(rng.random_range(0..MAX_REQUEST_PAUSE_MS)),
         };
         let record = RequestRecord {
             id,
             kind,
+            workspace,
             model,
             router_index: router,
             started_at,
@@ -193,12 +202,22 @@
         let id = format!("{CRASHING_ID_PREFIX}{request_number}");
         let router_index = rng.random_range(0..router_addresses.len());
         let started_at = Instant::now();
-        let kind = RequestKind::Chat;
+        let (kind, workspace) = (RequestKind::Chat, Workspace::Steady);
         let body = Bytes::from_static(CRASHING_BODY);
         let (outcome, ..) =
-            send_request(router_addresses[router_index], None, kind, &id, model, body).await;
+            send_request(router_addresses[router_index], None, kind, workspace, &id, model, body)
+                .await;
         let ended_at = Instant::now();
-        let record = RequestRecord { id, kind, model, router_index, started_at, ended_at, outcome };
+        let record = RequestRecord {
+            id,
+            kind,
+            workspace,
+            model,
+            router_index,
+            started_at,
+            ended_at,
+            outcome,
+        };
         requests.lock().unwrap_or_else(PoisonError::into_inner).push(record);
         let pause = rng.random_range(0..MAX_CRASHING_REQUEST_PAUSE_MS);
         tokio::time::sleep(Duration::from_millis(pause)).await;
@@ -216,12 +235,14 @@
     router_address: SocketAddr,
     connection: Option<Sender>,
     kind: RequestKind,
+    workspace: Workspace,
     id: &str,
     model: &str,
     body: Bytes,
 ) -> (Outcome, HeaderMap, Option<Sender>) {
     let mut req = Request::builder().method(Method::POST).uri(kind.path()).header("host", HOST);
-    req = req.header("request-id", id);
+    req =
+        req.header("request-id", id).header("authorization", format!("Bearer {}", workspace.key()));
     req = req.header("deadline-ms", kind.deadline().as_millis() as u64);
     if kind.streams() {
         req = req.header("model", model).header("token-usage", "100,100");
@@ -241,6 +262,7 @@
     id: &str,
 ) -> Option<StatusCode> {
     let req = Request::builder().uri(path).header("host", HOST).header("request-id", id);
+    let req = req.header("authorization", format!("Bearer {}", Workspace::Steady.key()));
     let req = req.header("deadline-ms", 1_000).body(Full::default());
     let req = req.expect("the parts are valid");
     match tokio::time::timeout(DEADLINE_GRACE * 2, send_and_receive(router_address, None, req))
--- a/tools/soak/src/checks.rs
+++ b/tools/soak/src/checks.rs
@@ -1,6 +1,9 @@
 //! Guarantees that must hold for each request regardless of the injected faults.
 
-use crate::callers::{CRASHING_ID_PREFIX, Outcome, RequestKind, RequestRecord};
+use crate::{
+    callers::{CRASHING_ID_PREFIX, Outcome, RequestKind, RequestRecord},
+    workspaces,
+};
 use corianderstand_platform_standins::{ledger::Ledger, target::EVENTS_PER_STREAM};
 use http::StatusCode;
 use std::{
@@ -34,6 +37,7 @@
         executed_though_rejected(request, ledger),
         wrong_response(request, ledger),
         wrong_stream(request),
+        workspaces::credential_violation(request, ledger),
     ];
     violations
         .into_iter()
--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -1,6 +1,6 @@
 //! A small cluster: real routers and agents, and stand-ins for the platform.
 
-use crate::proxy;
+use crate::{proxy, workspaces};
 use corianderstand_platform_standins::{
     ledger::Ledger,
     settings,
@@ -11,7 +11,7 @@
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use testbed::process::Process;
 
@@ -85,6 +85,7 @@
     pub agents: Vec<ManagedProcess>,
     pub engines: Vec<ProxiedTarget>,
     pub service_targets: Vec<ProxiedTarget>,
+    pub revocations: Vec<workspaces::Revocation>,
     config_version: u64,
     _store_listener: corianderstand_platform_standins::serve::ListenerHandle,
 }
@@ -142,7 +143,7 @@
             let ip_addr = loopback_ip(ROUTER_IP_OFFSET, index);
             let process =
                 start_process(("router", index), ip_addr, store_addr, dir, |name, store| {
-                    settings::router(name, ip_addr, &seeds, store)
+                    settings::router(name, ip_addr, &seeds, store) + workspaces::settings().as_str()
                 });
             routers.push(process.await);
             let router_address = settings::front(ip_addr);
@@ -167,6 +168,7 @@
             agents,
             engines,
             service_targets,
+            revocations: Vec::new(),
             config_version: 0,
             _store_listener: store_listener,
         };
@@ -178,6 +180,8 @@
     /// Writes the next configuration and returns the path prefix of a route unique to it.
     pub fn configure(&mut self) -> String {
         self.config_version += 7;
+        // Each second configuration has the key that the others lack.
+        let is_revoked = self.config_version.is_multiple_of(2);
         let unique_prefix = format!("/only-{}/", self.config_version);
         let route = |prefix: &str, kind: &str, service: &str, resumable: bool| {
             json!({
@@ -210,8 +214,17 @@
             ],
             "limits": { "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
+            "tenants": workspaces::tenants(is_revoked),
         });
+        let restored_at = Instant::now();
         self.store.put("keyed.op", "config", Some(config.to_string().into()));
+        if is_revoked {
+            let acknowledged_at = Instant::now();
+            let revocation = workspaces::Revocation { acknowledged_at, restored_at: None };
+            self.revocations.push(revocation);
+        } else if let Some(revocation) = self.revocations.last_mut() {
+            revocation.restored_at.get_or_insert(restored_at);
+        }
         unique_prefix
     }
 
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -10,6 +10,7 @@
 mod cluster;
 mod faults;
 mod proxy;
+mod workspaces;
 
 use bytes::Bytes;
 use callers::{Callers, Outcome, RequestKind};
@@ -24,6 +25,7 @@
     process::ExitCode,
     time::{Duration, Instant},
 };
+use workspaces::Workspace;
 
 /// Seeds of past failures, each with its cause.
 const REGRESSION_SEEDS: &str = include_str!("../kept.txt");
@@ -115,6 +117,12 @@
     violations.extend(report.violations);
     violations.extend(checks::crashing_request(&requests, &cluster.ledger, &disruptions));
     violations.extend(checks::request_limits(&requests, &cluster.ledger, &disruptions));
+    violations.extend(workspaces::revocation_violations(
+        &requests,
+        &cluster.ledger,
+        &cluster.revocations,
+    ));
+    violations.extend(workspaces::quota_violation(&requests, &cluster.ledger));
     let overfilled = cluster.engines.iter().filter(|engine| engine.target.exceeded_capacity());
     violations.extend(overfilled.map(|engine| format!("commanded to load too much: {engine:?}")));
     println!("seed {seed}: {} requests {:?}", requests.len(), report.outcome_counts);
@@ -242,9 +250,16 @@
             loop {
                 probe_number += 1;
                 let id = format!("probe-{seed}-{probe_number}");
-                let (outcome, ..) =
-                    callers::send_request(router_address, None, kind, &id, model, Bytes::new())
-                        .await;
+                let (outcome, ..) = callers::send_request(
+                    router_address,
+                    None,
+                    kind,
+                    Workspace::Steady,
+                    &id,
+                    model,
+                    Bytes::new(),
+                )
+                .await;
                 if matches!(outcome, Outcome::Complete(StatusCode::OK, _)) {
                     break;
                 }
