Quotas: which routers keep them in a module of its own; soak: names of the platform in the stand-ins

No change of behaviour. The soak's settings and documents of workspaces are written by the stand-ins, which alone know the platform's names.

--- a/crates/corianderstand_forward/src/config_proof.rs
+++ b/crates/corianderstand_forward/src/config_proof.rs
@@ -8,7 +8,7 @@
 use corianderstand_fleet::freshness;
 use corianderstand_schema::peers::{self as wire, PeerMessage, StoreUse};
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -34,7 +34,7 @@
     changed: Notify,
     wanted: Notify,
     /// Since when the proof has been too old for the requests that arrive.
-    too_old_since: RefCell<Option<Instant>>,
+    too_old_since: Cell<Option<Instant>>,
 }
 
 /// Starts asking peers whenever the proof grows old.
@@ -152,17 +152,18 @@
     tokio::pin!(changed);
     changed.as_mut().enable();
     if is_proven_within(shared, max_age) {
-        *state.too_old_since.borrow_mut() = None;
+        state.too_old_since.set(None);
         return;
     }
     let now = shared.clock.now();
-    let since = *state.too_old_since.borrow_mut().get_or_insert(now);
+    let since = state.too_old_since.get().unwrap_or(now);
+    state.too_old_since.set(Some(since));
     state.wanted.notify_one();
     if now.saturating_duration_since(since) < ANSWER_TIME {
         drop(tokio::time::timeout(ANSWER_TIME, changed).await);
     }
     if is_proven_within(shared, max_age) {
-        *state.too_old_since.borrow_mut() = None;
+        state.too_old_since.set(None);
     }
 }
 
--- a/crates/corianderstand_forward/src/quotas.rs
+++ b/crates/corianderstand_forward/src/quotas.rs
@@ -1,10 +1,11 @@
 //! Keeps the quotas of workspaces over all routers ([`corianderstand_fleet::quota`]).
 //!
-//! The workspaces are spread over the strongest routers by rendezvous hashing; the router that ranks
-//! first keeps a workspace's bucket, and the next one hears the same claims, so that it can take over. A
-//! router that knows of more routers than it hears from may be cut off from them, and grants nothing.
+//! The router that ranks first for a workspace ([`keepers`]) keeps its bucket, and the next one hears the
+//! same claims, so that it can take over.
 
-use crate::{control, router};
+mod keepers;
+
+use crate::router;
 use corianderstand_fleet::{
     quota::{self, account, ledger},
     workspaces,
@@ -20,7 +21,6 @@
     time::{Duration, Instant},
 };
 use tokio::sync::{Notify, oneshot};
-use xxhash_rust::xxh3;
 
 /// Interval between claims of what was spent, if nothing is asked for.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -31,16 +31,8 @@
 const SUSPICION_TIME: Duration = Duration::from_millis(500);
 /// `Retry-After` while no keeper answers.
 const UNANSWERED_RETRY_AFTER: Duration = Duration::from_millis(250);
-/// Groups of workspaces with the same keepers; limits the messages of a router.
-const SHARDS: u64 = 8;
-/// A keeper and the one that takes over.
-const KEEPERS: usize = 2;
-/// Keepers have at least this share of the strongest router's processor capacity.
-const MIN_STRENGTH_RATIO: f64 = 0.5;
 /// Keeps a datagram within the usual maximum transmission unit.
 const MAX_CLAIMS_PER_DATAGRAM: usize = 24;
-/// Routers of which one may be missing without a majority.
-const MAX_ROUTERS_WITHOUT_MAJORITY: usize = 2;
 
 /// Why a request is not admitted.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -89,13 +81,10 @@
     }
 }
 
-/// The address of a keeper; none for this router.
-type Keeper = Option<SocketAddr>;
-
 struct Asked {
     sequence: u64,
     workspaces: Vec<names::WorkspaceId>,
-    keeper: Keeper,
+    keeper: keepers::Keeper,
     deadline: Instant,
 }
 
@@ -110,16 +99,7 @@
     suspects: RefCell<HashMap<SocketAddr, Instant>>,
     last_sequence: Cell<u64>,
     wake: Notify,
-    membership: RefCell<Membership>,
-}
-
-/// The routers that may keep quotas.
-#[derive(Default)]
-struct Membership {
-    keepers: Vec<Vec<Keeper>>,
-    members_hash: u64,
-    steady_since: Option<Instant>,
-    has_majority: bool,
+    membership: RefCell<keepers::Membership>,
 }
 
 /// The cost of a request, returned unless the request was sent.
@@ -229,7 +209,8 @@
             reported_at.is_none_or(|at| now.saturating_duration_since(at) >= REPORT_INTERVAL);
         if is_report_due {
             reported_at = Some(now);
-            update_membership(&shared, now);
+            keepers::update(&shared, now);
+            shared.quotas.suspects.borrow_mut().retain(|_, until| now < *until);
             shared.quotas.accounts.borrow_mut().expire(now);
             shared.quotas.ledger.borrow_mut().expire(now);
             report(&shared, now);
@@ -248,10 +229,10 @@
 /// Claims what waiting requests need, and what is wanted ahead of requests.
 fn ask<P: router::Platform>(shared: &Rc<router::Shared<P>>, now: Instant) {
     let due = shared.quotas.accounts.borrow().due(now);
-    if due.iter().any(|workspace| keepers(shared, workspace).is_empty()) {
-        update_membership(shared, now);
+    if due.iter().any(|workspace| keepers::of_workspace(shared, workspace).is_empty()) {
+        keepers::update(shared, now);
     }
-    let mut by_keeper: BTreeMap<Keeper, Vec<names::WorkspaceId>> = BTreeMap::new();
+    let mut by_keeper: BTreeMap<keepers::Keeper, Vec<names::WorkspaceId>> = BTreeMap::new();
     for workspace in due {
         match keeper(shared, now, &workspace) {
             Some(keeper) => by_keeper.entry(keeper).or_default().push(workspace),
@@ -268,15 +249,17 @@
 /// Claims what was spent lately at all routers that may have to grant the rest.
 fn report<P: router::Platform>(shared: &Rc<router::Shared<P>>, now: Instant) {
     let unreported = shared.quotas.accounts.borrow().unreported();
-    let mut by_keeper: BTreeMap<Keeper, Vec<names::WorkspaceId>> = BTreeMap::new();
+    let mut by_keeper: BTreeMap<keepers::Keeper, Vec<names::WorkspaceId>> = BTreeMap::new();
     let asked = shared.quotas.asked.borrow();
     for workspace in unreported {
-        let is_asked = |keeper: &Keeper| {
+        let is_asked = |keeper: &keepers::Keeper| {
             asked
                 .iter()
                 .any(|asked| asked.keeper == *keeper && asked.workspaces.contains(&workspace))
         };
-        for keeper in keepers(shared, &workspace).into_iter().filter(|keeper| !is_asked(keeper)) {
+        for keeper in
+            keepers::of_workspace(shared, &workspace).into_iter().filter(|keeper| !is_asked(keeper))
+        {
             by_keeper.entry(keeper).or_default().push(workspace.clone());
         }
     }
@@ -291,7 +274,7 @@
 fn send_claims<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
     now: Instant,
-    keeper: Keeper,
+    keeper: keepers::Keeper,
     workspaces: &[names::WorkspaceId],
     is_asking: bool,
 ) {
@@ -334,60 +317,12 @@
     shared: &router::Shared<P>,
     now: Instant,
     workspace: &names::WorkspaceId,
-) -> Option<Keeper> {
+) -> Option<keepers::Keeper> {
     let suspects = shared.quotas.suspects.borrow();
-    let is_suspect = |keeper: &Keeper| {
+    let is_suspect = |keeper: &keepers::Keeper| {
         keeper.is_some_and(|addr| suspects.get(&addr).is_some_and(|until| now < *until))
     };
-    keepers(shared, workspace).into_iter().min_by_key(is_suspect)
-}
-
-fn keepers<P: router::Platform>(
-    shared: &router::Shared<P>,
-    workspace: &names::WorkspaceId,
-) -> Vec<Keeper> {
-    let membership = shared.quotas.membership.borrow();
-    let shard = xxh3::xxh3_64(workspace.as_str().as_bytes()) % SHARDS;
-    membership.keepers.get(shard as usize).cloned().unwrap_or_default()
-}
-
-/// Determines the keepers of each shard.
-fn update_membership<P: router::Platform>(shared: &router::Shared<P>, now: Instant) {
-    let peers = shared.peers.borrow();
-    let live: Vec<_> = peers.live(now).collect();
-    let own = control::can_plan(shared).then_some((
-        &shared.settings.name,
-        shared.settings.cpu_millicores,
-        None,
-    ));
-    let fit = live.iter().filter_map(|(name, peer)| {
-        let update = peer.update.as_ref().filter(|update| update.fit)?;
-        Some((*name, update.strength, Some(peer.addr)))
-    });
-    let mut members: Vec<_> = fit.chain(own).collect();
-    let strongest = members.iter().map(|(_, strength, _)| *strength).max().unwrap_or_default();
-    let min_strength = f64::from(strongest) * MIN_STRENGTH_RATIO;
-    members.retain(|(_, strength, _)| f64::from(*strength) >= min_strength);
-    members.sort_unstable();
-    let names: Vec<&str> = members.iter().map(|(name, ..)| name.as_str()).collect();
-    let members_hash = xxh3::xxh3_64(names.join(" ").as_bytes());
-    let keepers = (0..SHARDS).map(|shard| {
-        let rank = |name: &str| xxh3::xxh3_64_with_seed(name.as_bytes(), shard);
-        let mut ranked: Vec<_> =
-            members.iter().map(|(name, _, addr)| (rank(name), *addr)).collect();
-        ranked.sort_unstable();
-        ranked.into_iter().map(|(_, addr)| addr).take(KEEPERS).collect()
-    });
-    let mut membership = shared.quotas.membership.borrow_mut();
-    membership.keepers = keepers.collect();
-    let total = 1 + peers.addresses().count();
-    membership.has_majority = total <= MAX_ROUTERS_WITHOUT_MAJORITY || 2 * (1 + live.len()) > total;
-    if membership.members_hash != members_hash || membership.steady_since.is_none() {
-        membership.members_hash = members_hash;
-        membership.steady_since = Some(now);
-    }
-    drop(membership);
-    shared.quotas.suspects.borrow_mut().retain(|_, until| now < *until);
+    keepers::of_workspace(shared, workspace).into_iter().min_by_key(is_suspect)
 }
 
 /// Applies a router's claims to the buckets that this router keeps; none if it must grant nothing.
@@ -396,8 +331,7 @@
     now: Instant,
     request: &wire::QuotaRequest,
 ) -> Option<wire::QuotaResponse> {
-    let membership = shared.quotas.membership.borrow();
-    let steady_since = membership.steady_since.filter(|_| membership.has_majority)?;
+    let steady_since = shared.quotas.membership.borrow().may_grant_since()?;
     let tolerance = shared.bounds.borrow().quota_tolerance.clone();
     let source = quota::ClaimSource {
         router: request.router.0.clone(),
--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -6,6 +6,7 @@
     settings,
     store::Store,
     target::{ENTRIES_TOPIC, HEALTH_PATH, Target, TargetSpec},
+    workspaces as standin_workspaces,
 };
 use serde_json::json;
 use std::{
@@ -196,7 +197,7 @@
                 "adapters": 0, "adapter_mb": 1,
             })
         });
-        let config = json!({
+        let mut config = json!({
             "version": self.config_version,
             "routes": [
                 route("/look/", "idempotent", "desk", false),
@@ -214,8 +215,8 @@
             ],
             "limits": { "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
-            "tenants": workspaces::tenants(is_revoked),
         });
+        standin_workspaces::add(&mut config, &workspaces::specs(is_revoked));
         let restored_at = Instant::now();
         self.store.put("keyed.op", "config", Some(config.to_string().into()));
         if is_revoked {
--- a/tools/soak/src/workspaces.rs
+++ b/tools/soak/src/workspaces.rs
@@ -1,9 +1,8 @@
 //! Workspaces of the callers, and what must hold for their credentials and quotas.
 
 use crate::callers::{Outcome, RequestKind, RequestRecord};
-use corianderstand_platform_standins::ledger::Ledger;
+use corianderstand_platform_standins::{ledger::Ledger, workspaces};
 use http::StatusCode;
-use serde_json::{Value, json};
 use std::time::{Duration, Instant};
 
 /// Limit for revocations, for routers out of touch too.
@@ -57,27 +56,29 @@
 
 /// Bounds in a router's settings.
 pub fn settings() -> String {
-    format!(
-        "bounds.fail_closed=true\nbounds.revoke_ms={}\nbounds.quota_window_s={}\n\
-         bounds.quota_over={QUOTA_OVER}\nbounds.quota_slack={QUOTA_SLACK}\n",
-        REVOKE_WITHIN.as_millis(),
-        QUOTA_WINDOW.as_secs(),
-    )
+    workspaces::settings(&workspaces::Bounds {
+        revoke_within: REVOKE_WITHIN,
+        quota_window: QUOTA_WINDOW,
+        quota_over: QUOTA_OVER,
+        quota_slack: QUOTA_SLACK,
+    })
 }
 
 /// The workspaces of a configuration.
-pub fn tenants(is_revoked: bool) -> Value {
-    let keys = |workspace: Workspace, is_present: bool| match is_present {
-        true => vec![workspace.key()],
-        false => Vec::new(),
+pub fn specs(is_revoked: bool) -> [workspaces::WorkspaceSpec; 3] {
+    let spec = |workspace: Workspace| workspaces::WorkspaceSpec {
+        name: workspace.name(),
+        key: Some(workspace.key()),
+        quota: None,
     };
-    json!([
-        { "name": Workspace::Steady.name(), "api_keys": keys(Workspace::Steady, true) },
-        { "name": Workspace::Revoked.name(), "api_keys": keys(Workspace::Revoked, !is_revoked) },
-        { "name": Workspace::Limited.name(), "api_keys": keys(Workspace::Limited, true),
-          "unit": "tokens", "plain_tokens": PLAIN_COST,
-          "rate_per_s": QUOTA_PER_S, "burst": QUOTA_BURST },
-    ])
+    let quota =
+        workspaces::Quota { per_s: QUOTA_PER_S, burst: QUOTA_BURST, plain_cost: PLAIN_COST };
+    let revoked = spec(Workspace::Revoked);
+    [
+        spec(Workspace::Steady),
+        workspaces::WorkspaceSpec { quota: Some(quota), ..spec(Workspace::Limited) },
+        workspaces::WorkspaceSpec { key: revoked.key.filter(|_| !is_revoked), ..revoked },
+    ]
 }
 
 /// A time without the key of [`Workspace::Revoked`].
