--- a/crates/corianderstand_forward/src/quotas.rs
+++ b/crates/corianderstand_forward/src/quotas.rs
@@ -381,15 +381,7 @@
     drop(asked);
     for grant in &response.grants {
         answered.workspaces.retain(|workspace| *workspace != grant.workspace);
-        state.unanswered.borrow_mut().remove(&grant.workspace);
-        let granted = quota::Grant {
-            granted: grant.granted,
-            wait: Duration::from_millis(u64::from(grant.wait_ms)),
-        };
-        let outcomes =
-            state.accounts.borrow_mut().apply(now, &grant.workspace, response.sequence, &granted);
-        deliver(shared, &grant.workspace, outcomes);
-        shared.decision_log.metrics.quota_granted(grant.granted);
+        apply_grant(shared, now, response.sequence, grant);
     }
     for workspace in &answered.workspaces {
         record_unanswered(shared, now, workspace, response.sequence);
@@ -397,6 +389,25 @@
     state.wake.notify_one();
 }
 
+fn apply_grant<P: router::Platform>(
+    shared: &router::Shared<P>,
+    now: Instant,
+    sequence: u64,
+    grant: &wire::QuotaGrant,
+) {
+    let state = &shared.quotas;
+    state.unanswered.borrow_mut().remove(&grant.workspace);
+    let granted = quota::Grant {
+        granted: grant.granted,
+        wait: Duration::from_millis(u64::from(grant.wait_ms)),
+    };
+    let mut accounts = state.accounts.borrow_mut();
+    let outcomes = accounts.apply(now, &grant.workspace, sequence, &granted);
+    drop(accounts);
+    deliver(shared, &grant.workspace, outcomes);
+    shared.decision_log.metrics.quota_granted(grant.granted);
+}
+
 fn deliver<P: router::Platform>(
     shared: &router::Shared<P>,
     workspace: &names::WorkspaceId,
--- a/crates/corianderstand_forward/src/readers.rs
+++ b/crates/corianderstand_forward/src/readers.rs
@@ -12,7 +12,7 @@
 /// store when it is lost.
 const READER_COUNT: usize = 2;
 /// In zones with fewer routers, each reads the store itself.
-const MIN_ROUTERS_WITH_READERS: usize = 9;
+const MIN_ROUTERS_WITH_READERS: usize = 5;
 
 /// Another router of the same zone with a recent update.
 #[derive(Clone, Debug)]
