Quotas: a keeper that has just started begins empty, and hears what others granted meanwhile

Cause: a router that becomes keeper counted on what had accumulated since it knew the set of routers, but the others learn of it up to 1.2 s later, and until then the keeper before it grants the whole rate; what that had granted was not charged at a router's first claim either. Each change of keepers gave up to 1.3 s of a quota twice. Change: a bucket starts empty at its first claim unless the set of routers has been the same for 4 s, and a first claim to a young bucket is charged with the router's recent rate (per_s, new in the claim) for the bucket's age. Advances take a tenth of the tolerance in place of 15%, and no longer widen the bucket.

--- a/crates/corianderstand_fleet/src/quota/account.rs
+++ b/crates/corianderstand_fleet/src/quota/account.rs
@@ -167,6 +167,7 @@
             first: 0,
             needed: 0,
             ahead: 0,
+            per_s: account.demand.value(now, DEMAND_WINDOW) as u64,
         };
         if let Some(sequence) = sequence {
             account.asked = Some(sequence);
--- a/crates/corianderstand_fleet/src/quota/ledger.rs
+++ b/crates/corianderstand_fleet/src/quota/ledger.rs
@@ -14,6 +14,8 @@
 /// Time in which the debt of a workspace is paid off at most, besides that of a large request. Covers what
 /// another keeper granted between two reports.
 const MAX_DEBT_TIME: Duration = Duration::from_secs(1);
+/// Time after a change of the set of routers in which all have learnt of it.
+const STEADY_TIME: Duration = Duration::from_secs(4);
 /// Time without claims after which another keeper may have granted what this one has not heard of yet.
 const UNHEARD_TIME: Duration = Duration::from_secs(1);
 /// Time in which routers then report what they spent; until then only part of a burst is granted at once.
@@ -38,6 +40,7 @@
     level: f64,
     /// Cost of the requests that were refused and are expected to return, in turn at the rate of the quota.
     refused: f64,
+    created_at: Instant,
     refilled_at: Instant,
     settling_until: Option<Instant>,
     claims: HashMap<SmolStr, RouterClaim>,
@@ -52,8 +55,8 @@
 impl Ledger {
     /// Applies a claim and grants what there is.
     ///
-    /// `steady_since` is when the set of routers last changed: a keeper that knows nothing of a workspace
-    /// counts on what has accumulated since then only, as another keeper may have granted the rest.
+    /// `steady_since` is when the set of routers last changed. If that was lately, another router has kept
+    /// the bucket until now and granted all that came in, so a new one starts empty.
     pub fn claim(
         &mut self,
         now: Instant,
@@ -63,14 +66,11 @@
         source: &ClaimSource,
         claim: &Claim,
     ) -> Option<Grant> {
-        let bucket = self.buckets.entry(claim.workspace.clone()).or_insert_with(|| Bucket {
-            level: 0.0,
-            refused: 0.0,
-            refilled_at: steady_since.min(now),
-            settling_until: None,
-            claims: HashMap::new(),
-        });
-        bucket.refill(now, quota, tolerance);
+        let bucket = self
+            .buckets
+            .entry(claim.workspace.clone())
+            .or_insert_with(|| Bucket::new(now, steady_since));
+        bucket.refill(now, quota);
         if !bucket.settle(now, source, claim) {
             return None;
         }
@@ -90,7 +90,19 @@
 }
 
 impl Bucket {
-    fn refill(&mut self, now: Instant, quota: &workspaces::Quota, tolerance: &Tolerance) {
+    fn new(now: Instant, steady_since: Instant) -> Self {
+        let is_steady = now.saturating_duration_since(steady_since) >= STEADY_TIME;
+        Self {
+            level: 0.0,
+            refused: 0.0,
+            created_at: now,
+            refilled_at: if is_steady { steady_since } else { now },
+            settling_until: None,
+            claims: HashMap::new(),
+        }
+    }
+
+    fn refill(&mut self, now: Instant, quota: &workspaces::Quota) {
         let elapsed = now.saturating_duration_since(self.refilled_at);
         self.refilled_at = self.refilled_at.max(now);
         self.level += elapsed.as_secs_f64() * quota.per_s;
@@ -100,10 +112,15 @@
         }
         // Until all routers have reported, the level includes what they spent.
         if !self.is_settling(now) {
-            self.level = self.level.min(quota.burst + tolerance.max_advance(quota));
+            self.level = self.level.min(quota.burst);
         }
     }
 
+    /// Age of a bucket that routers are still turning to.
+    fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.created_at).min(STEADY_TIME)
+    }
+
     fn is_settling(&self, now: Instant) -> bool {
         self.settling_until.is_some_and(|until| now < until)
     }
@@ -118,8 +135,9 @@
             return false;
         }
         let charged = match before {
-            // What a router spent before its first claim was granted by another keeper.
-            None => claimed,
+            // What another keeper granted before the first claim, but for the time that this bucket has
+            // been refilled meanwhile.
+            None => claimed.saturating_sub(claim.per_s * self.age(now).as_millis() as u64 / 1_000),
             Some(last) if last.incarnation == source.incarnation => last.claimed,
             // The previous incarnation keeps what it was charged for: it may have spent it.
             Some(_) => 0,
--- a/crates/corianderstand_fleet/src/quota/mod.rs
+++ b/crates/corianderstand_fleet/src/quota/mod.rs
@@ -35,7 +35,7 @@
 }
 
 /// Share of the tolerance for what routers hold unspent.
-const ADVANCE_RATIO: f64 = 0.15;
+const ADVANCE_RATIO: f64 = 0.1;
 /// Share of the fixed tolerance for the debt of a large request.
 const DEBT_RATIO: f64 = 0.3;
 
@@ -67,6 +67,8 @@
     pub needed: u64,
     /// Cost units wanted ahead of requests.
     pub ahead: u64,
+    /// Cost units spent per second in the last seconds.
+    pub per_s: u64,
 }
 
 /// Sender and order of a claim.
--- a/crates/corianderstand_fleet/tests/common/quotas.rs
+++ b/crates/corianderstand_fleet/tests/common/quotas.rs
@@ -17,6 +17,10 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
 const MAX_DELAY_STEPS: usize = 4;
 const LOSS_RATIO: f64 = 0.01;
+/// Longest time until a router learns that another has started or begins to stop.
+const MAX_VIEW_DELAY_MS: u64 = 1_200;
+/// Time until all routers notice that one has ended without a word.
+const PEER_TIMEOUT: Duration = Duration::from_millis(2_600);
 /// Time for which a router goes on asking a keeper that does not answer first.
 const SUSPICION_TIME: Duration = Duration::from_millis(500);
 
@@ -46,6 +50,8 @@
     incarnation: u64,
     sequence: u64,
     started_at: Instant,
+    /// When it ended or began to stop; others learn of it later.
+    left_at: Option<Instant>,
     is_up: bool,
     is_frozen: bool,
     asked: Option<(u64, Instant, usize)>,
@@ -71,6 +77,7 @@
     reported_at: Instant,
     rng: ChaCha8Rng,
     last_incarnation: u64,
+    initial_routers: u64,
 }
 
 fn router(now: Instant, incarnation: u64) -> Router {
@@ -80,6 +87,7 @@
         incarnation,
         sequence: 0,
         started_at: now,
+        left_at: None,
         is_up: true,
         is_frozen: false,
         asked: None,
@@ -116,6 +124,7 @@
             reported_at: now,
             rng: ChaCha8Rng::seed_from_u64(seed),
             last_incarnation: routers as u64,
+            initial_routers: routers as u64,
         }
     }
 
@@ -136,6 +145,12 @@
 
     pub fn kill(&mut self, index: usize) {
         self.routers[index].is_up = false;
+        self.routers[index].left_at = Some(self.now + PEER_TIMEOUT);
+    }
+
+    /// Tells the others that a router stops; it goes on answering them.
+    pub fn begin_stop(&mut self, index: usize) {
+        self.routers[index].left_at = Some(self.now);
     }
 
     pub fn start_again(&mut self, index: usize) {
@@ -222,10 +237,22 @@
         self.worst_window = self.worst_window.max(sum as f64 / allowed);
     }
 
-    /// The two first live routers keep the bucket; a frozen one counts as live.
-    fn keepers(&self) -> Vec<usize> {
-        let up = self.routers.iter().enumerate().filter(|(_, router)| router.is_up);
-        up.map(|(index, _)| index).take(2).collect()
+    /// The first two routers that one knows keep the bucket; a frozen one counts as well.
+    fn keepers(&self, viewer: usize) -> Vec<usize> {
+        self.known(viewer).into_iter().take(2).collect()
+    }
+
+    fn known(&self, viewer: usize) -> Vec<usize> {
+        let delay = Duration::from_millis(viewer as u64 * 331 % MAX_VIEW_DELAY_MS);
+        let is_known = |index: usize, router: &Router| {
+            let delay = if index == viewer { Duration::ZERO } else { delay };
+            let has_joined =
+                router.incarnation <= self.initial_routers || self.now >= router.started_at + delay;
+            has_joined && router.left_at.is_none_or(|at| self.now < at + delay)
+        };
+        let known =
+            self.routers.iter().enumerate().filter(|(index, router)| is_known(*index, router));
+        known.map(|(index, _)| index).collect()
     }
 
     fn send(&mut self, message: Message) {
@@ -241,9 +268,10 @@
             self.refill_shares();
             return;
         }
-        let (now, keepers) = (self.now, self.keepers());
+        let now = self.now;
         for index in 0..self.routers.len() {
             let workspace = self.workspace.clone();
+            let keepers = self.keepers(index);
             let router = &mut self.routers[index];
             if self.way == Way::EqualShares {
                 continue;
@@ -306,7 +334,7 @@
                 continue;
             }
             let asked = self.routers[index].asked.map(|(_, _, keeper)| keeper);
-            for keeper in self.keepers().into_iter().filter(|keeper| asked != Some(*keeper)) {
+            for keeper in self.keepers(index).into_iter().filter(|keeper| asked != Some(*keeper)) {
                 self.claim(index, keeper, false);
             }
         }
@@ -335,6 +363,9 @@
     fn receive(&mut self, message: Message) {
         match message {
             Message::Claim { keeper, source, claim, is_asking } => {
+                if 2 * self.known(keeper).len() <= self.routers.len() {
+                    return;
+                }
                 let steady_since = self.routers[keeper].started_at;
                 let (quota, tolerance) = (&self.quota, &self.tolerance);
                 let ledger = &mut self.routers[keeper].ledger;
--- a/crates/corianderstand_fleet/tests/quotas.rs
+++ b/crates/corianderstand_fleet/tests/quotas.rs
@@ -104,6 +104,26 @@
     cluster.assert_used(secs(8), MIN_USED_WITH_FAULT_RATIO);
 }
 
+/// Guards against a quota that each new keeper grants while the one before still does.
+#[rstest]
+fn keepers_that_stop_in_turn_grant_nothing_twice(
+    #[values(SMALL, LARGE)] per_s: f64,
+    #[values(1, 2, 3)] seed: u64,
+    #[values(USUAL, HOT)] demand: f64,
+) {
+    let mut cluster = cluster(per_s, seed);
+    cluster.run(secs(4), per_s * demand);
+    for index in [0, 1, 2, 0, 1, 3] {
+        cluster.begin_stop(index);
+        cluster.run(Duration::from_millis(1_500), per_s * demand);
+        cluster.start_again(index);
+        cluster.run(Duration::from_millis(700), per_s * demand);
+    }
+    assert!(cluster.worst_window <= 1.0, "{:.3} of a window", cluster.worst_window);
+    let time = Duration::from_millis(4_000 + 6 * 2_200);
+    cluster.assert_used(time, MIN_USED_WITH_FAULT_RATIO);
+}
+
 /// Guards against routers that join with a quota of their own.
 #[rstest]
 fn added_routers_share_the_quota(#[values(SMALL, LARGE)] per_s: f64, #[values(1, 2)] seed: u64) {
--- a/crates/corianderstand_forward/src/quotas.rs
+++ b/crates/corianderstand_forward/src/quotas.rs
@@ -479,11 +479,11 @@
 }
 
 fn to_wire(claim: quota::Claim) -> wire::QuotaClaim {
-    let quota::Claim { workspace, spent, held, first, needed, ahead } = claim;
-    wire::QuotaClaim { workspace, spent, held, first, needed, ahead }
+    let quota::Claim { workspace, spent, held, first, needed, ahead, per_s } = claim;
+    wire::QuotaClaim { workspace, spent, held, first, needed, ahead, per_s }
 }
 
 fn from_wire(claim: &wire::QuotaClaim) -> quota::Claim {
-    let wire::QuotaClaim { workspace, spent, held, first, needed, ahead } = claim.clone();
-    quota::Claim { workspace, spent, held, first, needed, ahead }
+    let wire::QuotaClaim { workspace, spent, held, first, needed, ahead, per_s } = claim.clone();
+    quota::Claim { workspace, spent, held, first, needed, ahead, per_s }
 }
