Quotas: a request of absurd size keeps nobody else away

Cause, found by reading: the cost of refused requests is kept so that each is told when its turn comes; a caller that states 2^64 tokens filled it for ever, and each later refusal of its workspace told the longest wait. Sums of costs could overflow as well. Change: what is kept is bounded by the longest wait, and the sums saturate. The test fails without the bound.

--- a/crates/corianderstand_fleet/src/quota/account.rs
+++ b/crates/corianderstand_fleet/src/quota/account.rs
@@ -172,7 +172,8 @@
         if let Some(sequence) = sequence {
             account.asked = Some(sequence);
             account.asked_at = Some(now);
-            let waiting: u64 = account.waiting.iter().map(|(_, cost)| cost).sum();
+            let costs = account.waiting.iter().map(|(_, cost)| *cost);
+            let waiting = costs.fold(0, u64::saturating_add);
             claim.first = account.waiting.front().map_or(0, |(_, cost)| *cost);
             claim.needed = waiting.saturating_sub(account.held);
             let left = account.held.saturating_sub(waiting);
--- a/crates/corianderstand_fleet/src/quota/ledger.rs
+++ b/crates/corianderstand_fleet/src/quota/ledger.rs
@@ -128,7 +128,7 @@
     /// Charges what a router claims beyond its last claim, or refunds what it never received. Returns
     /// false for an outdated claim.
     fn settle(&mut self, now: Instant, source: &ClaimSource, claim: &Claim) -> bool {
-        let claimed = claim.spent + claim.held;
+        let claimed = claim.spent.saturating_add(claim.held);
         let order = (source.incarnation, source.sequence);
         let before = self.claims.get(&source.router);
         if before.is_some_and(|last| order <= (last.incarnation, last.sequence)) {
@@ -137,7 +137,9 @@
         let charged = match before {
             // What another keeper granted before the first claim, but for the time that this bucket has
             // been refilled meanwhile.
-            None => claimed.saturating_sub(claim.per_s * self.age(now).as_millis() as u64 / 1_000),
+            None => claimed.saturating_sub(
+                claim.per_s.saturating_mul(self.age(now).as_millis() as u64) / 1_000,
+            ),
             Some(last) if last.incarnation == source.incarnation => last.claimed,
             // The previous incarnation keeps what it was charged for: it may have spent it.
             Some(_) => 0,
@@ -183,7 +185,7 @@
                 granted = 0.0;
                 let missing = (debt - tolerance.max_debt()).max(1.0 - level);
                 wait = (self.refused + missing) / quota.per_s.max(1.0);
-                self.refused += claim.needed as f64;
+                self.refused = (self.refused + claim.needed as f64).min(quota.per_s * MAX_WAIT_S);
             }
         }
         let spare = level - granted - reserved;
--- a/crates/corianderstand_fleet/tests/quotas.rs
+++ b/crates/corianderstand_fleet/tests/quotas.rs
@@ -3,9 +3,10 @@
 #[path = "common/quotas.rs"]
 mod simulation;
 
+use corianderstand_fleet::quota::{Claim, ClaimSource, ledger};
 use rstest::rstest;
 use simulation::{Cluster, Way};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const ROUTERS: usize = 26;
 /// Quotas of a small and of a large workspace, in tokens per second.
@@ -124,6 +125,31 @@
     cluster.assert_used(time, MIN_USED_WITH_FAULT_RATIO);
 }
 
+/// Guards against a request of absurd size that keeps its workspace's callers away for long.
+#[test]
+fn a_request_that_exceeds_the_quota_by_far_is_refused_alone() {
+    let (quota, tolerance) = (cluster(SMALL, 1).quota, cluster(SMALL, 1).tolerance);
+    let start = Instant::now();
+    let mut ledger = ledger::Ledger::default();
+    let mut wait = |sequence: u64, after: Duration, cost: u64| {
+        let source = ClaimSource { router: "r".into(), incarnation: 1, sequence };
+        let claim = Claim {
+            workspace: "w".into(),
+            spent: 0,
+            held: 0,
+            first: cost,
+            needed: cost,
+            ahead: 0,
+            per_s: 0,
+        };
+        ledger.claim(start + after, start, &quota, &tolerance, &source, &claim).unwrap().wait
+    };
+    let longest = secs(10);
+    assert_eq!(wait(1, secs(5), u64::MAX), longest);
+    assert!(wait(2, secs(16), SMALL as u64 * 3) < secs(2), "the absurd request has no turn");
+    assert_eq!(wait(3, secs(17), 700), Duration::ZERO, "usual requests are granted");
+}
+
 /// Guards against routers that join with a quota of their own.
 #[rstest]
 fn added_routers_share_the_quota(#[values(SMALL, LARGE)] per_s: f64, #[values(1, 2)] seed: u64) {
