Quotas: a router whose clock was set back is heard; proofs: two different peers are asked

Found by reading the diff. A router that starts with an earlier time of day has a lower incarnation, and the keeper took each of its claims for an outdated one for up to 60 s, so that its requests got 503. An earlier incarnation now counts once the last one has been silent for half a second, as among peers; the test fails on the code before (the claim is not heard). A follower could ask its reader twice in place of two peers.

--- a/crates/corianderstand_fleet/src/quota/ledger.rs
+++ b/crates/corianderstand_fleet/src/quota/ledger.rs
@@ -5,6 +5,7 @@
 use corianderstand_types::names;
 use smol_str::SmolStr;
 use std::{
+    cmp::Ordering,
     collections::HashMap,
     time::{Duration, Instant},
 };
@@ -22,6 +23,8 @@
 const SETTLING_TIME: Duration = Duration::from_millis(600);
 /// Longest wait that is stated, in seconds: until then a workspace may ask for less.
 const MAX_WAIT_S: f64 = 10.0;
+/// Time in which claims of an incarnation that has ended may still arrive.
+const REORDERING_TIME: Duration = Duration::from_millis(500);
 /// A router that sent no claim for this long is forgotten, with what it held.
 const CLAIM_TTL: Duration = Duration::from_secs(60);
 
@@ -35,6 +38,18 @@
     received_at: Instant,
 }
 
+impl RouterClaim {
+    /// Whether a claim was sent before this one. A router that starts after its clock was set back looks
+    /// older, so an earlier incarnation counts once the last one has been silent.
+    fn supersedes(&self, now: Instant, source: &ClaimSource) -> bool {
+        match source.incarnation.cmp(&self.incarnation) {
+            Ordering::Equal => source.sequence <= self.sequence,
+            Ordering::Less => now.saturating_duration_since(self.received_at) < REORDERING_TIME,
+            Ordering::Greater => false,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Bucket {
     level: f64,
@@ -129,9 +144,8 @@
     /// false for an outdated claim.
     fn settle(&mut self, now: Instant, source: &ClaimSource, claim: &Claim) -> bool {
         let claimed = claim.spent.saturating_add(claim.held);
-        let order = (source.incarnation, source.sequence);
         let before = self.claims.get(&source.router);
-        if before.is_some_and(|last| order <= (last.incarnation, last.sequence)) {
+        if before.is_some_and(|last| last.supersedes(now, source)) {
             return false;
         }
         let charged = match before {
--- a/crates/corianderstand_fleet/tests/quotas.rs
+++ b/crates/corianderstand_fleet/tests/quotas.rs
@@ -150,6 +150,32 @@
     assert_eq!(wait(3, secs(17), 700), Duration::ZERO, "usual requests are granted");
 }
 
+/// Guards against a router that gets nothing after it started with a clock set back.
+#[test]
+fn a_router_that_looks_older_after_a_restart_is_heard() {
+    let cluster = cluster(SMALL, 1);
+    let start = Instant::now();
+    let mut ledger = ledger::Ledger::default();
+    let mut is_heard = |after: Duration, incarnation: u64, sequence: u64| {
+        let source = ClaimSource { router: "r".into(), incarnation, sequence };
+        let claim = Claim {
+            workspace: "w".into(),
+            spent: 0,
+            held: 0,
+            first: 100,
+            needed: 100,
+            ahead: 0,
+            per_s: 0,
+        };
+        let (quota, tolerance) = (&cluster.quota, &cluster.tolerance);
+        ledger.claim(start + after, start, quota, tolerance, &source, &claim).is_some()
+    };
+    assert!(is_heard(secs(5), 9, 7));
+    assert!(!is_heard(secs(5), 9, 7), "a repeated claim");
+    assert!(!is_heard(secs(5), 8, 9), "a late claim of the incarnation before");
+    assert!(is_heard(secs(6), 8, 1), "the router has started again");
+}
+
 /// Guards against routers that join with a quota of their own.
 #[rstest]
 fn added_routers_share_the_quota(#[values(SMALL, LARGE)] per_s: f64, #[values(1, 2)] seed: u64) {
--- a/crates/corianderstand_forward/src/config_proof.rs
+++ b/crates/corianderstand_forward/src/config_proof.rs
@@ -78,18 +78,12 @@
     let mut others: Vec<_> =
         peers.live(now).map(|(name, peer)| ((!has_store(peer), rank(name)), peer.addr)).collect();
     others.sort_unstable();
-    let mut asked = match readers::role(
-        &peers::Rank::new(shared.settings.cpu_millicores, &shared.settings.name),
-        &shared.settings.name,
-        &peers.neighbours(now, &shared.settings.zone),
-    ) {
-        readers::Role::Follows(readers) => readers.into_iter().take(1).collect(),
-        _ => Vec::new(),
+    let reader = match shared.role(now) {
+        readers::Role::Follows(readers) => readers.into_iter().next(),
+        _ => None,
     };
-    asked.extend(others.into_iter().map(|(_, addr)| addr));
-    asked.dedup();
-    asked.truncate(ASKED_PEERS);
-    asked
+    let others = others.into_iter().map(|(_, addr)| addr).filter(|addr| Some(*addr) != reader);
+    reader.into_iter().chain(others).take(ASKED_PEERS).collect()
 }
 
 /// Answers a peer's question; without a proof there is nothing to answer.
