Proofs are asked for also where no limit for revocations is set

Without that limit routers that follow others or are turned away by the store never asked for a proof, so that an unknown key got 503 in place of 401 for good. Test: without_a_limit_unknown_credentials_are_told_by_a_peers_proof (not run on the code before).

--- a/crates/corianderstand_forward/src/config_proof.rs
+++ b/crates/corianderstand_forward/src/config_proof.rs
@@ -16,10 +16,11 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3;
 
-/// Share of the limit for revocations from which peers are asked for a younger proof.
-const ASK_AGE_RATIO: f64 = 0.4;
-/// Share of that limit for which a read of the configuration waits for a change.
-const LONG_POLL_RATIO: f64 = 0.2;
+/// Share of the limit for revocations from which peers are asked for a younger proof, and the same of the
+/// time for changes.
+const ASK_AGE_RATIOS: [f64; 2] = [0.4, 0.7];
+/// Shares of these for which a read of the configuration waits for a change.
+const LONG_POLL_RATIOS: [f64; 2] = [0.2, 0.35];
 const ASK_INTERVAL: Duration = Duration::from_millis(400);
 /// Limits the questions that requests cause.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(30);
@@ -47,8 +48,7 @@
     loop {
         let wanted = shared.config_proof.wanted.notified();
         drop(tokio::time::timeout(ASK_INTERVAL, wanted).await);
-        let max_age = shared.bounds.borrow().revoke_within;
-        let max_age = max_age.map(|max_age| max_age.mul_f64(ASK_AGE_RATIO));
+        let max_age = shares(&shared, ASK_AGE_RATIOS);
         if max_age.is_some_and(|max_age| !is_proven_within(&shared, max_age)) {
             round += 1;
             ask(&shared, round);
@@ -161,7 +161,18 @@
     }
 }
 
-/// How long a read of the configuration waits for a change, if keys must be revoked within a time.
-pub fn long_poll_wait(revoke_within: Option<Duration>) -> Duration {
-    revoke_within.map_or(Duration::MAX, |within| within.mul_f64(LONG_POLL_RATIO))
+/// How long a read of the configuration waits for a change, if a proof is needed.
+pub fn long_poll_wait<P: router::Platform>(shared: &router::Shared<P>) -> Option<Duration> {
+    shares(shared, LONG_POLL_RATIOS)
+}
+
+/// The lesser of the shares of the limit for revocations and of the time for changes; none if requests need
+/// no credential.
+fn shares<P: router::Platform>(shared: &router::Shared<P>, ratios: [f64; 2]) -> Option<Duration> {
+    let view = shared.view.borrow();
+    view.route_table.as_ref()?.workspaces()?;
+    let bounds = shared.bounds.borrow();
+    let for_changes = bounds.config_within.mul_f64(ratios[1]);
+    let for_revocations = bounds.revoke_within.map(|within| within.mul_f64(ratios[0]));
+    Some(for_revocations.map_or(for_changes, |within| within.min(for_changes)))
 }
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -116,14 +116,16 @@
     drop(tokio::time::timeout(delay, outdated).await);
 }
 
-fn read_options<P>(shared: &router::Shared<P>, subject: Subject) -> dialect::ReadOptions {
+fn read_options<P: router::Platform>(
+    shared: &router::Shared<P>,
+    subject: Subject,
+) -> dialect::ReadOptions {
     let wait = match subject {
         Subject::Routers => Duration::ZERO,
         Subject::Targets => long_poll_wait(shared.bounds.borrow().config_within),
         Subject::Config => {
-            let bounds = shared.bounds.borrow();
-            long_poll_wait(bounds.config_within)
-                .min(config_proof::long_poll_wait(bounds.revoke_within))
+            let wait = long_poll_wait(shared.bounds.borrow().config_within);
+            config_proof::long_poll_wait(shared).map_or(wait, |for_proof| wait.min(for_proof))
         }
     };
     let last_received = shared.replicated_records.borrow_mut().last_received(subject);
--- a/crates/corianderstand_forward/tests/credentials.rs
+++ b/crates/corianderstand_forward/tests/credentials.rs
@@ -166,6 +166,20 @@
     wait_for_status(&second, &[KEY], "401").await;
 }
 
+/// Guards against an unknown key that is told to come back for ever, where no limit for revocations is set.
+#[tokio::test]
+async fn without_a_limit_unknown_credentials_are_told_by_a_peers_proof() {
+    let (store, _target) = cluster(None).await;
+    let first = start(&store, "router-a", vec![], None).await;
+    let turned_away = store.isolated();
+    let second = start(&turned_away, "router-b", vec![first.peers], None).await;
+    wait_for_status(&second, &["other"], "401").await;
+    turned_away.set_unavailable(true);
+    // Longer than the time for changes, so that its own proof is of no use.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    wait_for_status(&second, &["other"], "401").await;
+}
+
 /// Guards against requests beyond a quota that reach targets, and against endless refusals.
 #[tokio::test]
 async fn requests_beyond_a_quota_are_refused_with_when_to_return() {
