A request whose target answered with an error is never told that it did not run

Cause: when a target answered with a whole 5xx and the route allows another target, the job went back to the choice of a target without a note that it may have run, and the response was thrown away. If no second target came of it, the caller got 503 (not run, and never will be), 401 where its key had been revoked meanwhile, or a 502 or 504 of ours in place of the error that the target had made.

The other places that hand a job back were read for the same: each sets the mark or has sent nothing.

Ruled out: quota refusals, which come before the first attempt only.

--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -41,6 +41,8 @@
 /// `Retry-After` when a target refused and no other may be tried.
 pub const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(200);
 const MAX_UNEXECUTED_ATTEMPTS: u32 = 4;
+/// Reason logged when a target answered with an error of its own.
+const TARGET_ERROR: &str = "error of the target";
 /// Reason of a refusal of a request that is blocked.
 pub const BLOCKED: &str = "the request ended the targets that ran it";
 
@@ -128,6 +130,7 @@
         last_target: names::TargetId::default(),
         prefill_tokens: 0,
         last_failure: "",
+        error_response: None,
         fingerprint: OnceCell::new(),
     };
     if let Some(block) = shared.block(arrived, &job) {
@@ -305,7 +308,7 @@
 /// Forwards the response, or returns the job if another target is to be tried.
 async fn forward_response<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
-    job: job::Job,
+    mut job: job::Job,
     answered: attempt::Answered<P>,
 ) -> Result<Response<ResponseBody>, Box<job::Job>> {
     let key = answered.in_flight.key();
@@ -331,16 +334,19 @@
         ended_targets::record_failed(shared, &job, &in_flight);
     }
     drop(in_flight);
+    shared.platform.rewrite_response(&mut head.headers);
     if head.status.is_server_error() {
-        shared.record_target_failure(key, "error of the target");
+        shared.record_target_failure(key, TARGET_ERROR);
         if job.route.may_retry() && may_try_another(shared, &job) {
+            job.last_failure = TARGET_ERROR;
+            job.may_have_run = true;
+            job.error_response = Some(job::ErrorResponse { head, body });
             return Err(Box::new(job));
         }
     } else {
         shared.record_target_success(key);
         target_reports::record_completed(shared, &job);
     }
-    shared.platform.rewrite_response(&mut head.headers);
     shared.decision_log.answered(&job, head.status, "whole", shared.clock.now());
     Ok(Response::from_parts(head, ResponseBody::buffered(body)))
 }
@@ -399,14 +405,21 @@
     local_response(StatusCode::SERVICE_UNAVAILABLE, BLOCKED, Some(retry_after))
 }
 
+/// Answers a request that may have run: with a target's error response if there is one, else with `status`.
 fn fail<P: router::Platform>(
     shared: &router::Shared<P>,
     job: &job::Job,
     status: StatusCode,
     why: &'static str,
 ) -> Response<ResponseBody> {
-    shared.decision_log.answered(job, status, why, shared.clock.now());
-    local_response(status, why, None)
+    let now = shared.clock.now();
+    let Some(job::ErrorResponse { head, body }) = job.error_response.clone() else {
+        shared.decision_log.answered(job, status, why, now);
+        return local_response(status, why, None);
+    };
+    shared.decision_log.attempt_failed(job, why, None, now);
+    shared.decision_log.answered(job, head.status, "whole", now);
+    Response::from_parts(head, ResponseBody::buffered(body))
 }
 
 /// A response of the router itself.
--- a/crates/corianderstand_forward/src/job.rs
+++ b/crates/corianderstand_forward/src/job.rs
@@ -20,6 +20,15 @@
 /// Estimate of output tokens if the caller sends none.
 const DEFAULT_OUTPUT_TOKENS: u64 = 300;
 
+/// A target's complete error response.
+#[derive(Clone, Debug)]
+pub struct ErrorResponse {
+    /// Status and headers, as callers receive them.
+    pub head: http::response::Parts,
+    /// The body.
+    pub body: Bytes,
+}
+
 /// A request that was read and awaits its response.
 pub struct Job {
     /// The parsed headers.
@@ -54,7 +63,7 @@
     pub tried_targets: Vec<targets::TargetKey>,
     /// Number of attempts that the target reported as not run.
     pub unexecuted_attempts: u32,
-    /// Whether an attempt has an unknown outcome.
+    /// Whether a target may have run the request.
     pub may_have_run: bool,
     /// Time of the last attempt.
     pub sent_at: Option<Instant>,
@@ -64,6 +73,8 @@
     pub prefill_tokens: u64,
     /// Why the last attempt failed.
     pub last_failure: &'static str,
+    /// The last complete error response of a target, for the caller if no other target does better.
+    pub error_response: Option<ErrorResponse>,
     /// Computed when it is first needed.
     pub fingerprint: OnceCell<fingerprint::Fingerprint>,
 }
--- a/crates/corianderstand_forward/tests/answers.rs
+++ b/crates/corianderstand_forward/tests/answers.rs
@@ -9,6 +9,7 @@
     targets,
 };
 use corianderstand_schema::peers;
+use rstest::rstest;
 use std::time::{Duration, Instant};
 use tokio::{io::AsyncReadExt, net::UdpSocket};
 
@@ -102,6 +103,63 @@
     assert!(common::read_all(&mut caller).await.unwrap().ends_with("found"));
 }
 
+/// What happens to the second attempt of a request whose first target answered with an error.
+#[derive(Clone, Copy, Debug)]
+enum SecondAttempt {
+    NoTarget,
+    Full,
+    ConnectionRefused,
+    ConnectionLost,
+    WrongAnswer,
+    UntilDeadline,
+}
+
+/// Guards against telling a caller that its request did not run, or withholding the error that a target made.
+#[rstest]
+#[case::no_other_target(SecondAttempt::NoTarget)]
+#[case::the_other_is_full(SecondAttempt::Full)]
+#[case::the_other_refuses_connections(SecondAttempt::ConnectionRefused)]
+#[case::the_other_breaks_off(SecondAttempt::ConnectionLost)]
+#[case::the_other_answers_another_request(SecondAttempt::WrongAnswer)]
+#[case::the_other_is_silent_until_the_deadline(SecondAttempt::UntilDeadline)]
+#[tokio::test]
+async fn a_targets_error_is_delivered_if_the_second_attempt_brings_nothing(
+    #[case] second: SecondAttempt,
+) {
+    let store = MemoryStore::default();
+    let (one, two) = (Target::start().await, Target::start().await);
+    store.put_config(common::config(1, vec![retryable()]));
+    store.put_target(one.entry("target-1", "desk"));
+    let refused = targets::Entry { addr: common::free_port(), ..two.entry("target-2", "desk") };
+    match second {
+        SecondAttempt::NoTarget => {}
+        SecondAttempt::ConnectionRefused => store.put_target(refused),
+        _ => store.put_target(two.entry("target-2", "desk")),
+    }
+    let router = RouterThread::start(&store);
+    router.wait_ready().await;
+    let headers = [("x-id", ID), ("x-deadline-ms", "1500")];
+    let mut caller = common::send(router.front, "GET", "/pay/1", &headers, "").await.unwrap();
+    let (request, other) = receive(&one, &two).await;
+    let error = "HTTP/1.1 500 Broken\r\nx-signed: 1\r\nx-id: request-1\r\nContent-Length: 6\r\nConnection: close\r\n\r\nbroken";
+    request.answer(error).await;
+    let mut held = None;
+    match second {
+        SecondAttempt::NoTarget | SecondAttempt::ConnectionRefused => {}
+        SecondAttempt::Full => {
+            let full =
+                "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-id: request-1\r\nContent-Length: 0\r\n\r\n";
+            other.next().await.answer(full).await;
+        }
+        SecondAttempt::ConnectionLost => drop(other.next().await),
+        SecondAttempt::WrongAnswer => other.next().await.answer_whole("request-0", "other").await,
+        SecondAttempt::UntilDeadline => held = Some(other.next().await),
+    }
+    let answer = common::read_all(&mut caller).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 500") && answer.ends_with("broken"), "{answer}");
+    drop(held);
+}
+
 /// Guards against sending one caller's data to another.
 #[tokio::test]
 async fn an_answer_to_another_request_reaches_nobody() {
--- a/crates/corianderstand_forward/tests/credentials.rs
+++ b/crates/corianderstand_forward/tests/credentials.rs
@@ -200,3 +200,42 @@
     assert_eq!(status(&router, "/desk/1", &["k-2"]).await, "200", "another workspace");
     wait_for_status(&router, &[KEY], "200").await;
 }
+
+/// Guards against telling a caller that its request did not run because its key was revoked after it had.
+#[tokio::test]
+async fn a_targets_error_is_delivered_although_the_credential_is_revoked_meanwhile() {
+    let store = MemoryStore::default();
+    let retryable = |version, keys: &[&str]| {
+        let route = config::Route {
+            retry_policy: config::RetryPolicy::Allowed,
+            ..common::route("/desk/", "desk")
+        };
+        config::Config { routes: vec![route.into()], ..config(version, keys, None) }
+    };
+    let (one, two) = (Target::start().await, Target::start().await);
+    store.put_config(retryable(1, &[KEY]));
+    store.put_target(one.entry("target-1", "desk"));
+    store.put_target(two.entry("target-2", "desk"));
+    let router = start(&store, "router-a", vec![], Some(Duration::from_secs(5))).await;
+    let headers = [("x-id", "r"), ("x-key", KEY), ("x-deadline-ms", "9000")];
+    let mut caller = common::send(router.front, "GET", "/desk/1", &headers, "").await.unwrap();
+    let request = tokio::select! {
+        request = one.next() => request,
+        request = two.next() => request,
+    };
+    store.put_config(retryable(2, &["k-3"]));
+    let poll = async {
+        while !common::get(router.metrics, "/metrics", &[])
+            .await
+            .unwrap()
+            .contains("config_version 2")
+        {
+            tokio::time::sleep(WAIT).await;
+        }
+    };
+    tokio::time::timeout(common::WAIT_LIMIT, poll).await.expect("the key is revoked");
+    let error = "HTTP/1.1 500 Broken\r\nx-signed: 1\r\nx-id: r\r\nContent-Length: 6\r\nConnection: close\r\n\r\nbroken";
+    request.answer(error).await;
+    let answer = common::read_all(&mut caller).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 500") && answer.ends_with("broken"), "{answer}");
+}
