Callers that read nothing of their response are disconnected after 5 s

Cause: a stream whose caller never reads fills the buffers of its connection; from then on nothing polls the response, so that neither the request's deadline nor its target's silence ends it. The connection, its buffers and its place at the target are held until the system gives up the connection.

Change: a caller's stream fails once nothing could be written for 5 s, with a log line; hyper then drops the response, which cancels the request at its target. What is held for one caller is bounded by hyper's write buffer (the limit of headers, 16 KB as a rule) and the system's buffers: events are read from the target only as the caller takes them.

Not run: a router's memory with 200 such callers.

--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -42,3 +42,4 @@
 pub mod transfer;
 pub mod view;
 pub mod waiting;
+pub mod write_timeout;
--- a/crates/corianderstand_forward/src/server.rs
+++ b/crates/corianderstand_forward/src/server.rs
@@ -1,6 +1,6 @@
 //! HTTP server for callers: accepts and serves connections, and drains them on shutdown.
 
-use crate::{admission, body, exchange, router};
+use crate::{admission, body, exchange, router, write_timeout};
 use bytes::Bytes;
 use corianderstand_fleet::config;
 use corianderstand_types::pause::{self, PauseDetector};
@@ -32,6 +32,9 @@
 /// Subtracted from the stop timeout: callers see a closed connection rather than a dead host.
 const STOP_CLOSE_MARGIN: Duration = Duration::from_millis(400);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after which a caller that reads nothing of its response is disconnected. Targets give up such a response
+/// after some seconds as well.
+pub const CALLER_WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Smallest header buffer that hyper accepts.
 const MIN_HEADER_BYTES: usize = 8_192;
 
@@ -206,6 +209,7 @@
         let served = Cell::new(false);
         let stream = pause::WatchedStream::new(stream, shared.pause_detector.clone());
         let tracked = stream.connection();
+        let stream = write_timeout::Stream::new(stream, caller, CALLER_WRITE_TIMEOUT);
         let service = service_fn(|req| {
             served.set(true);
             serve_request(shared.clone(), tracked.clone(), caller, req)
