--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -1,6 +1,6 @@
 //! Rate-limited logging of routing decisions and request outcomes.
 
-use crate::{admission, exchange, job, metrics, quotas, replicated_records, stream, view};
+use crate::{admission, dialect, exchange, job, metrics, quotas, replicated_records, stream, view};
 use corianderstand_fleet::{crashes, exits, targets, wait_limit};
 use corianderstand_types::names;
 use http::StatusCode;
@@ -42,9 +42,10 @@
     Denied,
     Left,
     TargetEnded,
+    RecordIgnored,
 }
 
-const LINE_KINDS: usize = 8;
+const LINE_KINDS: usize = 9;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct LineCount {
@@ -299,6 +300,20 @@
         }
     }
 
+    /// Logs a record of the store that can't be read.
+    pub fn record_ignored(
+        &self,
+        subject: dialect::Subject,
+        error: &dialect::RecordError,
+        offset: u64,
+        source: replicated_records::Source,
+        now: Instant,
+    ) {
+        if self.may_log(LineKind::RecordIgnored, now) {
+            tracing::warn!(?subject, %error, offset, %source, "record ignored");
+        }
+    }
+
     /// Logs a caller that disconnected before it had the whole response.
     pub fn caller_left(&self, id: &SmolStr, events: u64, now: Instant) {
         self.metrics.caller_left();
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -203,15 +203,21 @@
     source: Source,
     record: dialect::Record,
 ) {
-    let offset = record.offset;
+    let (offset, now) = (record.offset, shared.clock.now());
     let decoded = shared.platform.decode(subject, &record);
     let content_hash = content_hash(&record, decoded.as_ref().ok().and_then(Option::as_ref));
-    shared.replicated_records.borrow_mut().insert(subject, record, content_hash);
+    let mut records = shared.replicated_records.borrow_mut();
+    let is_known = records.has_content(subject, &record.key, content_hash);
+    records.insert(subject, record, content_hash);
+    drop(records);
     match decoded {
         Ok(Some(update)) => apply_update(shared, subject, Origin { source, offset }, update),
         Ok(None) => {}
         Err(error) => {
-            tracing::warn!(?subject, %error, offset, %source, "record ignored");
+            // Another writer may renew its record every second.
+            if !is_known {
+                shared.decision_log.record_ignored(subject, &error, offset, source, now);
+            }
             if subject == Subject::Config {
                 config_proof::record_applied(shared, false);
             }
--- a/crates/corianderstand_forward/src/replicated_records.rs
+++ b/crates/corianderstand_forward/src/replicated_records.rs
@@ -139,6 +139,13 @@
         known.is_none_or(|known| known.record.offset < record.offset)
     }
 
+    /// Whether the known record of a key has this content.
+    pub fn has_content(&self, subject: Subject, key: &str, content_hash: u64) -> bool {
+        let entry = self.by_subject.get(&subject);
+        let known = entry.and_then(|entry| entry.records.get(key));
+        known.is_some_and(|known| known.content_hash == content_hash)
+    }
+
     /// Whether the store recovered so recently that missing entries may still return.
     pub fn recovered_recently(&self, now: Instant, subject: Subject) -> bool {
         let at = self.by_subject.get(&subject).and_then(|entry| entry.recovered_at);
