--- a/crates/corianderstand_fleet/src/plan.rs
+++ b/crates/corianderstand_fleet/src/plan.rs
@@ -12,7 +12,7 @@
 use crate::{counts, decaying_rate, snapshot, store_concurrency, targets, utility};
 use corianderstand_types::names;
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
@@ -121,8 +121,9 @@
         engines: &[snapshot::EngineView],
         models: &snapshot::Models,
     ) {
-        self.desired.retain(|key, _| engines.iter().any(|engine| engine.key == *key));
-        self.placed_at.retain(|(key, _), _| engines.iter().any(|engine| engine.key == *key));
+        let known: HashSet<_> = engines.iter().map(|engine| engine.key).collect();
+        self.desired.retain(|key, _| known.contains(key));
+        self.placed_at.retain(|(key, _), _| known.contains(key));
         for engine in engines {
             let desired = self.desired.entry(engine.key).or_default();
             desired.retain(|name| models.contains_key(name));
--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -34,6 +34,9 @@
 /// Time without reports after which an agent counts as unresponsive.
 pub const AGENT_RESPONSE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Time after which an agent is asked again that did not answer and sends no reports.
+const AGENT_RETRY_INTERVAL: Duration = Duration::from_millis(5_000);
+
 /// Time for which a target that refused a connection is ejected, before it is probed again.
 const UNREACHABLE_EJECTION_TIME: Duration = Duration::from_millis(700);
 
@@ -49,6 +52,12 @@
     pub ongoing: Option<OngoingCommand>,
     /// When its agent's last report was received.
     pub agent_last_received_at: Option<Instant>,
+    /// Serial number of the plan that its agent follows; 0 if it has reported none.
+    pub confirmed_plan: u64,
+    /// When its agent was last asked in vain.
+    agent_unanswered_at: Option<Instant>,
+    /// Registered holdings that its agent's reports took precedence over.
+    superseded_holdings: Option<Holdings>,
     /// Failure score of recent requests.
     pub health: health::Health,
     /// In-flight requests of this process, by requested model.
@@ -78,6 +87,9 @@
             entry,
             ongoing: None,
             agent_last_received_at: None,
+            confirmed_plan: 0,
+            agent_unanswered_at: None,
+            superseded_holdings: None,
             health: health::Health::default(),
             in_flight: BTreeMap::new(),
             local_requests: 0,
@@ -119,9 +131,27 @@
             .is_some_and(|at| now.saturating_duration_since(at) < AGENT_RESPONSE_TIMEOUT)
     }
 
-    /// Command that its engine is executing; none if its agent no longer reports.
+    /// Whether its agent can be asked. Agents that report to few routers are asked without a report.
+    pub fn agent_may_answer(&self, now: Instant, reports_to_all: bool) -> bool {
+        let is_unanswering = self
+            .agent_unanswered_at
+            .is_some_and(|at| now.saturating_duration_since(at) < AGENT_RETRY_INTERVAL);
+        self.agent_is_responsive(now) || !(reports_to_all || is_unanswering)
+    }
+
+    /// Records that its agent did not answer.
+    pub fn record_agent_unanswered(&mut self, now: Instant) {
+        self.agent_unanswered_at = Some(now);
+    }
+
+    /// Command that its engine is executing. A load is expected to go on although its agent no longer
+    /// reports, or reports to few routers.
     pub fn ongoing_command(&self, now: Instant) -> Option<&OngoingCommand> {
-        self.ongoing.as_ref().filter(|_| self.agent_is_responsive(now))
+        self.ongoing.as_ref().filter(|ongoing| {
+            let is_loading =
+                matches!(ongoing, OngoingCommand::Loading { ready_at, .. } if now < *ready_at);
+            is_loading || self.agent_is_responsive(now)
+        })
     }
 
     /// Whether requests for the model may be sent to it.
@@ -339,7 +369,9 @@
             target.shutdown_at.get_or_insert(now + shutdown_in);
         }
         target.entry.renewals = entry.renewals;
-        let changed = changed && !target.agent_is_responsive(now);
+        let is_superseded = changed && target.agent_is_responsive(now);
+        let changed = changed && !is_superseded;
+        target.superseded_holdings = is_superseded.then(|| entry.holdings.clone());
         if changed {
             target.set_holdings(entry.holdings);
         } else {
@@ -383,6 +415,7 @@
             return false;
         }
         target.agent_last_received_at = Some(now);
+        target.superseded_holdings = None;
         if target.entry.renewals == 0 && target.missing_since.is_some() {
             // An inferred target stays known while its agent reports.
             target.missing_since = Some(now);
@@ -421,6 +454,18 @@
         }
     }
 
+    /// Applies registered holdings that agents' reports no longer supersede.
+    pub fn apply_superseded(&mut self, now: Instant) {
+        for target in self.arena.values_mut().filter(|target| target.superseded_holdings.is_some())
+        {
+            if !target.agent_is_responsive(now)
+                && let Some(holdings) = target.superseded_holdings.take()
+            {
+                target.set_holdings(holdings);
+            }
+        }
+    }
+
     /// Removes targets whose entries have been missing for `grace` and returns their names.
     pub fn expire(&mut self, now: Instant, grace: Duration) -> Vec<names::TargetId> {
         let expired = |target: &Target| {
--- a/crates/corianderstand_forward/src/agent/permits.rs
+++ b/crates/corianderstand_forward/src/agent/permits.rs
@@ -20,6 +20,7 @@
         request: &peers::PrefillRequest,
     ) {
         let millis = |ms: u32| Duration::from_millis(u64::from(ms));
+        self.state.borrow_mut().record_requester(now, from, false);
         let mut permits = self.permits.borrow_mut();
         let response = permits.request(
             now,
--- a/crates/corianderstand_forward/src/agent/report.rs
+++ b/crates/corianderstand_forward/src/agent/report.rs
@@ -91,5 +91,6 @@
         running,
         waiting,
         cache_used: cache_used.unwrap_or(0),
+        plan_serial: plan.serial,
     }
 }
--- a/crates/corianderstand_forward/src/catch_up.rs
+++ b/crates/corianderstand_forward/src/catch_up.rs
@@ -89,7 +89,7 @@
     /// Starts a transfer from a peer for each subject that is due.
     pub fn poll<P: router::Platform>(&mut self, shared: &Rc<router::Shared<P>>, now: Instant) {
         let is_follower = matches!(shared.role(now), readers::Role::Follows(_));
-        for subject in [Subject::Config, Subject::Targets] {
+        for subject in [Subject::Config, Subject::Targets, Subject::Routers] {
             let (lag, transfer) = self.by_subject.entry(subject).or_default();
             if transfer.as_ref().is_some_and(|transfer| !transfer.is_finished()) {
                 continue;
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -3,8 +3,8 @@
 //! Each datagram is self-contained and sent periodically, so nothing is acknowledged.
 
 use crate::{
-    catch_up, config_proof, dialect, ended_targets, follow, peers, planning, quotas, readers,
-    request_slots, router, target_reports,
+    broadcast, catch_up, config_proof, dialect, ended_targets, follow, peers, planning, quotas,
+    readers, request_slots, router, target_reports,
 };
 use corianderstand_fleet::{choose, demand, exits, targets};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
@@ -17,15 +17,25 @@
     time::{Duration, Instant},
 };
 use tokio::net::UdpSocket;
+use xxhash_rust::xxh3;
 
-/// Interval between updates to the planner, and between hellos of the planner itself.
+/// Interval between updates to the planner of a small deployment, and between the planner's hellos to hubs.
 const PLANNER_UPDATE_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval between hellos of a router that is not the planner.
+/// Interval between hellos to all contacts.
 const HELLO_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Bounds the updates that the planner of a large deployment receives.
+const DEMAND_INTERVAL_PER_ROUTER: Duration = Duration::from_millis(3);
+/// Must be shorter than the time after which an update counts as outdated.
+const MAX_DEMAND_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Batches a burst of first requests into one update and one plan.
 const MIN_SEND_INTERVAL: Duration = Duration::from_millis(20);
 /// Must be shorter than the time for which an agent keeps an adapter in use loaded.
 const ADAPTERS_IN_USE_INTERVAL: Duration = Duration::from_millis(250);
+/// Routers besides the hubs that learn from one router of a change, so that those that have it multiply.
+const ANNOUNCED_ROUTERS: usize = 4;
+/// Time for other work after each plan, as a multiple of the time that the plan took: a weak host may have to
+/// plan for hundreds of engines.
+const PLANNING_REST_RATIO: u32 = 4;
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
 /// Sends datagrams.
@@ -42,20 +52,27 @@
 
     /// Sends a message, or drops it if the socket's buffer is full.
     pub fn send(&self, addr: SocketAddr, message: &PeerMessage) {
-        let bytes = match postcard::to_stdvec(message) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                tracing::warn!(%error, "failed to encode a peer message");
-                return;
+        self.send_all(&[addr], message);
+    }
+
+    /// Sends a message to several processes, as [`Self::send`] does.
+    pub fn send_all(&self, addresses: &[SocketAddr], message: &PeerMessage) {
+        let Some(bytes) = encode(message).filter(|_| !addresses.is_empty()) else { return };
+        for addr in addresses {
+            if let Err(error) = self.socket.try_send_to(&bytes, *addr) {
+                self.dropped_datagrams.set(self.dropped_datagrams.get() + 1);
+                tracing::debug!(%addr, %error, dropped = self.dropped_datagrams.get(), "dropped a peer message");
             }
-        };
-        if let Err(error) = self.socket.try_send_to(&bytes, addr) {
-            self.dropped_datagrams.set(self.dropped_datagrams.get() + 1);
-            tracing::debug!(%addr, %error, dropped = self.dropped_datagrams.get(), "dropped a peer message");
         }
     }
 }
 
+/// Encodes a message; none if that fails.
+pub fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
+    let encoded = postcard::to_stdvec(message);
+    encoded.inspect_err(|error| tracing::warn!(%error, "failed to encode a peer message")).ok()
+}
+
 /// Binds the UDP socket.
 pub async fn bind(addr: SocketAddr) -> Result<Rc<UdpSocket>, router::StartError> {
     let socket = UdpSocket::bind(addr).await;
@@ -148,7 +165,16 @@
         PeerMessage::QuotaAsked(request) => quotas::on_request(shared, now, from, &request),
         PeerMessage::QuotaAnswer(response) => quotas::on_response(shared, now, &response),
         PeerMessage::TargetReports(update) => target_reports::on_update(shared, now, update),
+        PeerMessage::ToZone(request) => {
+            broadcast::pass_on(shared, from, &request);
+            on_relayed(shared, from, &request.message);
+        }
+        PeerMessage::Relayed(relayed) => match relayed.origin.parse() {
+            Ok(origin) => on_relayed(shared, origin, &relayed.message),
+            Err(error) => tracing::debug!(%from, %error, "ignored a message of unknown origin"),
+        },
         PeerMessage::EnginePlan(_)
+        | PeerMessage::PlanRenewed(_)
         | PeerMessage::AdaptersAsked(_)
         | PeerMessage::PrefillAsked(_)
         | PeerMessage::PrefillWithdrawn(_) => {
@@ -157,12 +183,28 @@
     }
 }
 
+fn on_relayed<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    origin: SocketAddr,
+    message: &[u8],
+) {
+    match postcard::from_bytes(message) {
+        // Nothing is passed on twice.
+        Ok(PeerMessage::ToZone(_) | PeerMessage::Relayed(_)) => {
+            tracing::debug!(%origin, "ignored a relayed message within another");
+        }
+        Ok(message) => on_message(shared, origin, message),
+        Err(error) => tracing::debug!(%origin, %error, "failed to decode a relayed message"),
+    }
+}
+
 fn on_engine_update<P: router::Platform>(
     shared: &router::Shared<P>,
     now: Instant,
     from: SocketAddr,
     update: wire::EngineUpdate,
 ) {
+    let plan_serial = update.plan_serial;
     let report = to_report(now, update);
     let id = report.id.clone();
     let mut view = shared.view.borrow_mut();
@@ -182,6 +224,9 @@
     let started_at_ms = view.targets.get(key).map_or(0, |t| t.entry.started_at_ms);
     shared.exits.borrow_mut().record_alive(now, &id, started_at_ms);
     let key = view.targets.key(&id).unwrap_or(key);
+    if let Some(target) = view.targets.get_mut(key) {
+        target.confirmed_plan = plan_serial;
+    }
     let after = view.targets.get(key).map(|t| (t.entry.holdings.clone(), t.ongoing.clone()));
     let Some((holdings, ongoing)) = after else { return };
     let changed =
@@ -196,17 +241,11 @@
 }
 
 fn request_plan<P>(shared: &router::Shared<P>, now: Instant) {
-    if planner(shared, now).is_none() {
+    if shared.peers.borrow().planner(now) == peers::Planner::Own {
         shared.control_wake.notify_one();
     }
 }
 
-/// None if this router is the planner.
-fn planner<P>(shared: &router::Shared<P>, now: Instant) -> Option<SocketAddr> {
-    let own = peers::Rank::new(shared.settings.cpu_millicores, &shared.settings.name);
-    shared.peers.borrow().planner(now, &own)
-}
-
 fn to_report(now: Instant, update: wire::EngineUpdate) -> targets::AgentReport {
     let ongoing = update.ongoing.into_iter().next().map(|command| {
         if command.loads {
@@ -251,16 +290,20 @@
     let mut planning = planning::PlanPublisher::new(shared.clock.now());
     let mut sent = SendState::default();
     let mut catch_up = catch_up::CatchUp::default();
+    let mut next_plan_at = shared.clock.now();
     loop {
         let now = shared.clock.now();
-        let planner = planner(&shared, now);
+        shared.peers.borrow_mut().select_hubs(now);
+        let planner = shared.peers.borrow().planner(now);
         send_updates(&shared, now, planner, &mut sent);
         send_adapters_in_use(&shared, now, &mut sent);
         target_reports::send(&shared, now);
         log_role_change(&shared, now, &mut sent);
         catch_up.poll(&shared, now);
-        if can_plan(&shared) && planner.is_none() {
+        if can_plan(&shared) && planner == peers::Planner::Own && now >= next_plan_at {
             planning.publish(&shared, now);
+            let end = shared.clock.now();
+            next_plan_at = end + end.saturating_duration_since(now) * PLANNING_REST_RATIO;
         }
         shared.connection_pool.sweep(now);
         follow::expire(&shared, now);
@@ -282,21 +325,48 @@
 fn send_updates<P: router::Platform>(
     shared: &router::Shared<P>,
     now: Instant,
-    planner: Option<SocketAddr>,
+    planner: peers::Planner,
     sent: &mut SendState,
 ) {
-    if let Some(planner) = planner {
+    if let peers::Planner::Other(Some(planner)) = planner
+        && is_demand_due(shared, now, sent)
+    {
         shared.outbox.send(planner, &PeerMessage::RouterNews(demand_update(shared)));
     }
-    let interval = if planner.is_some() { HELLO_INTERVAL } else { PLANNER_UPDATE_INTERVAL };
-    let due = sent.hello_sent_at.is_none_or(|at| now.saturating_duration_since(at) >= interval);
-    if due {
-        sent.hello_sent_at = Some(now);
+    let is_due = |sent_at: Option<Instant>, interval| {
+        sent_at.is_none_or(|at| now.saturating_duration_since(at) >= interval)
+    };
+    if is_due(sent.hello_sent_at, HELLO_INTERVAL) {
+        (sent.hello_sent_at, sent.planner_hello_sent_at) = (Some(now), Some(now));
         send_hello(shared);
+    } else if planner == peers::Planner::Own
+        && is_due(sent.planner_hello_sent_at, PLANNER_UPDATE_INTERVAL)
+    {
+        sent.planner_hello_sent_at = Some(now);
+        let hubs = shared.peers.borrow().hub_addresses();
+        shared.outbox.send_all(&hubs, &PeerMessage::RouterNews(hello(shared)));
     }
 }
 
-/// Announces this router to all known routers and seeds.
+/// In a large deployment, only changes of what waits are sent to the planner at once.
+fn is_demand_due<P>(shared: &router::Shared<P>, now: Instant, sent: &mut SendState) -> bool {
+    let peers = shared.peers.borrow();
+    let interval = match peers.is_mesh() {
+        true => Duration::ZERO,
+        false => DEMAND_INTERVAL_PER_ROUTER * peers.addresses().count() as u32,
+    };
+    let interval = interval.min(MAX_DEMAND_INTERVAL);
+    let view = shared.view.borrow();
+    let is_due = sent.demand_sent_at.is_none_or(|at| now.saturating_duration_since(at) >= interval)
+        || sent.waiting_requests != view.waiting_requests;
+    if is_due {
+        sent.demand_sent_at = Some(now);
+        sent.waiting_requests.clone_from(&view.waiting_requests);
+    }
+    is_due
+}
+
+/// Announces this router to its contacts and to seeds that are not known yet.
 pub fn send_hello<P: router::Platform>(shared: &router::Shared<P>) {
     let message = PeerMessage::RouterNews(hello(shared));
     let peers = shared.peers.borrow();
@@ -305,14 +375,30 @@
     let bounds = shared.bounds.borrow();
     let seeds = bounds.seeds.iter().copied();
     let seeds = seeds.filter(|seed| *seed != own && !known.contains(seed));
-    for addr in known.iter().copied().chain(seeds) {
-        shared.outbox.send(addr, &message);
+    let contacts = peers.contacts(shared.clock.now()).into_iter();
+    shared.outbox.send_all(&contacts.chain(seeds).collect::<Vec<_>>(), &message);
+}
+
+/// Announces that this router has newer records, so that others fetch them: from it as well as from hubs, whose
+/// links may be slow.
+pub fn announce_records<P: router::Platform>(shared: &router::Shared<P>) {
+    send_hello(shared);
+    if !shared.peers.borrow().is_mesh() {
+        let next = shared.replicated_records.borrow().next_offset(dialect::Subject::Config);
+        let round = xxh3::xxh3_64_with_seed(shared.settings.name.as_bytes(), next);
+        let sample = shared.peers.borrow().sample_of_zone(round, ANNOUNCED_ROUTERS);
+        shared.outbox.send_all(&sample, &PeerMessage::RouterNews(hello(shared)));
     }
 }
 
 fn hello<P: router::Platform>(shared: &router::Shared<P>) -> wire::RouterUpdate {
-    let store = shared.store_use(shared.clock.now());
+    let now = shared.clock.now();
+    let store = shared.store_use(now);
     let records = shared.replicated_records.borrow();
+    let planner = match shared.peers.borrow().planner(now) {
+        peers::Planner::Own => Some(shared.settings.peer_addr),
+        peers::Planner::Other(addr) => addr,
+    };
     wire::RouterUpdate {
         router: shared.settings.name.as_str().into(),
         incarnation: shared.incarnation,
@@ -322,6 +408,9 @@
         fit: can_plan(shared),
         config_next: records.next_offset(dialect::Subject::Config),
         targets_next: records.next_offset(dialect::Subject::Targets),
+        routers_next: records.next_offset(dialect::Subject::Routers),
+        planner: planner.map(|addr| addr.to_string()).unwrap_or_default().into(),
+        expects_updates: true,
         models: Vec::new(),
         running: Vec::new(),
     }
@@ -357,7 +446,12 @@
             count,
         })
     });
-    wire::RouterUpdate { models: models.collect(), running: running.collect(), ..hello }
+    wire::RouterUpdate {
+        models: models.collect(),
+        running: running.collect(),
+        expects_updates: false,
+        ..hello
+    }
 }
 
 /// Requests adapters from a target's agent.
@@ -416,6 +510,10 @@
 #[derive(Default)]
 struct SendState {
     hello_sent_at: Option<Instant>,
+    planner_hello_sent_at: Option<Instant>,
+    demand_sent_at: Option<Instant>,
+    /// As last sent to the planner.
+    waiting_requests: BTreeMap<names::ModelId, u32>,
     adapters_sent_at: Option<Instant>,
     role: Option<readers::Role>,
 }
--- a/crates/corianderstand_forward/src/dialect.rs
+++ b/crates/corianderstand_forward/src/dialect.rs
@@ -179,6 +179,12 @@
     pub router: SmolStr,
     /// Address for datagrams and transfers.
     pub addr: std::net::SocketAddr,
+    /// Its availability zone; none in entries of older versions.
+    #[serde(default)]
+    pub zone: Option<names::AvailabilityZoneId>,
+    /// Its processor capacity, in thousandths of a core.
+    #[serde(default)]
+    pub strength: u32,
 }
 
 /// Why a call to the store failed.
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -24,25 +24,46 @@
 const TARGETS_INTERVAL_RATIO: f64 = 0.4;
 /// Shorter for a reader, as its followers poll it at an interval of their own.
 const READER_INTERVAL_RATIO: f64 = 0.2;
+/// Longest time that a reader waits for a change, as followers go by its last read: a read that ends without a
+/// change tells them that there was none.
+const READER_WAIT_RATIO: f64 = 0.15;
 /// Minimum interval between reads of the targets when they are known to be outdated.
 const MIN_TARGETS_INTERVAL: Duration = Duration::from_millis(250);
 /// Routers learn of each other directly; reading them finds those that could not.
 const ROUTERS_INTERVAL: Duration = Duration::from_secs(8);
+/// Time in which the routers of a new deployment announce themselves, before they choose who reads for others.
+const FIRST_START_DELAY: Duration = Duration::from_millis(500);
+/// Interval after the start of a router of a large deployment, as others may be starting too.
+const MIN_ROUTERS_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest delay of a router's other first reads until it knows who may read for it.
+const ROUTERS_WAIT: Duration = Duration::from_millis(120);
+const ROUTERS_POLL_INTERVAL: Duration = Duration::from_millis(10);
 const MIN_LONG_POLL_WAIT: Duration = Duration::from_millis(300);
 /// Delay after a failed read, so that routers don't overload a recovering store.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// Starts following all subjects.
 pub fn start<P: router::Platform>(shared: &Rc<router::Shared<P>>) {
-    for subject in [Subject::Config, Subject::Targets, Subject::Routers] {
-        tokio::task::spawn_local(follow(shared.clone(), subject));
-    }
     tokio::task::spawn_local(announce(shared.clone()));
+    let shared = shared.clone();
+    tokio::task::spawn_local(async move {
+        if shared.settings.is_first_start {
+            tokio::time::sleep(FIRST_START_DELAY).await;
+        }
+        for subject in [Subject::Config, Subject::Targets, Subject::Routers] {
+            tokio::task::spawn_local(follow(shared.clone(), subject));
+        }
+    });
 }
 
 async fn announce<P: router::Platform>(shared: Rc<router::Shared<P>>) {
     let settings = &shared.settings;
-    let entry = dialect::RouterEntry { router: settings.name.clone(), addr: settings.peer_addr };
+    let entry = dialect::RouterEntry {
+        router: settings.name.clone(),
+        addr: settings.peer_addr,
+        zone: Some(settings.zone.clone()),
+        strength: settings.cpu_millicores,
+    };
     while let Err(error) = shared.platform.announce(&entry).await {
         tracing::debug!(%error, "announcing this router in the store failed, retrying");
         tokio::time::sleep(RETRY_DELAY * 4).await;
@@ -51,6 +72,11 @@
 
 async fn follow<P: router::Platform>(shared: Rc<router::Shared<P>>, subject: Subject) {
     let mut from: Option<u64> = None;
+    if subject != Subject::Routers {
+        wait_for_routers(&shared).await;
+        from = via_readers::first_offset(&shared, subject).await;
+    }
+    let mut routers_interval = MIN_ROUTERS_INTERVAL;
     loop {
         let known = from.is_some() || shared.replicated_records.borrow().next_offset(subject) > 0;
         if known && via_readers::follow(&shared, subject).await {
@@ -87,7 +113,13 @@
                         };
                         wait_before_targets_read(&shared, drain_within.mul_f64(ratio)).await;
                     }
-                    Subject::Routers => tokio::time::sleep(ROUTERS_INTERVAL).await,
+                    Subject::Routers => {
+                        if shared.peers.borrow().is_mesh() {
+                            routers_interval = ROUTERS_INTERVAL;
+                        }
+                        tokio::time::sleep(routers_interval).await;
+                        routers_interval = (routers_interval * 2).min(ROUTERS_INTERVAL);
+                    }
                 }
             }
             Err(dialect::StoreError::Compacted(first)) => {
@@ -107,6 +139,20 @@
     }
 }
 
+/// Waits for the first read of the routers, for a short time.
+async fn wait_for_routers<P: router::Platform>(shared: &router::Shared<P>) {
+    let is_read = || {
+        let records = shared.replicated_records.borrow();
+        let subject = Subject::Routers;
+        records.since_read(shared.clock.now(), subject).is_some()
+            || records.last_read_failed(subject)
+    };
+    let deadline = shared.clock.now() + ROUTERS_WAIT;
+    while !is_read() && shared.clock.now() < deadline {
+        tokio::time::sleep(ROUTERS_POLL_INTERVAL).await;
+    }
+}
+
 /// Waits for `delay`, or until a target turns out to be outdated.
 async fn wait_before_targets_read<P>(shared: &router::Shared<P>, delay: Duration) {
     let outdated = async {
@@ -122,7 +168,16 @@
 ) -> dialect::ReadOptions {
     let wait = match subject {
         Subject::Routers => Duration::ZERO,
-        Subject::Targets => long_poll_wait(shared.bounds.borrow().config_within),
+        Subject::Targets => {
+            let bounds = shared.bounds.borrow();
+            let wait = long_poll_wait(bounds.config_within);
+            match shared.role(shared.clock.now()) {
+                readers::Role::ReadsForOthers => {
+                    wait.min(bounds.drain_within.mul_f64(READER_WAIT_RATIO))
+                }
+                _ => wait,
+            }
+        }
         Subject::Config => {
             let wait = long_poll_wait(shared.bounds.borrow().config_within);
             config_proof::long_poll_wait(shared).map_or(wait, |for_proof| wait.min(for_proof))
@@ -186,14 +241,20 @@
             apply_record(shared, subject, source, record);
         }
     }
+    if subject == Subject::Routers {
+        shared.peers.borrow_mut().select_hubs(shared.clock.now());
+    }
     let advanced = shared.replicated_records.borrow_mut().advance_offset(subject, page.next);
     if advanced && subject == Subject::Targets && shared.view.borrow().targets.is_empty() {
         // There are no targets, so no record woke the requests that wait for the first read.
         shared.view.borrow().wake_all();
     }
-    // Reports the new offset to routers without access to the store, so that they fetch the change.
-    if advanced && subject == Subject::Config {
-        control::send_hello(shared);
+    // Reports the new offset to routers without access to the store, so that they fetch the change, and this
+    // router to those that it did not know.
+    match subject {
+        Subject::Config if advanced => control::announce_records(shared),
+        Subject::Routers if advanced => control::send_hello(shared),
+        _ => {}
     }
 }
 
@@ -276,8 +337,7 @@
         }
         dialect::Update::Router(entry) => {
             if entry.router != shared.settings.name {
-                shared.peers.borrow_mut().add(now, entry.router, entry.addr);
-                control::send_hello(shared);
+                shared.peers.borrow_mut().add_announced(now, entry);
             }
         }
         dialect::Update::RouterRemoved(name) => shared.peers.borrow_mut().remove(&name),
@@ -300,13 +360,18 @@
         return;
     }
     let routes = config.routes.len();
+    let has_quotas = config.workspaces.iter().flatten().any(|workspace| workspace.quota.is_some());
+    // The routers that keep a quota must agree on who they are.
+    shared.peers.borrow_mut().set_needs_mesh(has_quotas);
     tracing::info!(version, ?known, routes, offset, %source, age_ms, "configuration in force");
     view.route_table = Some(Rc::new(routes::Table::new(config)));
     view.wake_all();
 }
 
-/// Removes targets whose entries were not renewed within the grace period.
+/// Removes targets whose entries were not renewed within the grace period, and applies the entries of those
+/// whose agents report no more.
 pub fn expire<P>(shared: &router::Shared<P>, now: Instant) {
+    shared.view.borrow_mut().targets.apply_superseded(now);
     let expired = shared.view.borrow_mut().targets.expire(now, replicated_records::RECOVERY_GRACE);
     for id in expired {
         tracing::info!(target = %id, "target expired: its entry was not renewed");
--- a/crates/corianderstand_forward/src/follow/via_readers.rs
+++ b/crates/corianderstand_forward/src/follow/via_readers.rs
@@ -11,10 +11,36 @@
 
 /// Share of `drain_within` between requests to a reader.
 const FOLLOWER_INTERVAL_RATIO: f64 = 0.1;
+/// Time in which the readers of a router that starts are expected to have read the store, if they start too.
+const FIRST_FETCH_TIME: Duration = Duration::from_millis(1_500);
+const FIRST_FETCH_INTERVAL: Duration = Duration::from_millis(100);
 const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Polls after which a router without readers tries the store itself.
 const FALLBACK_POLLS: u32 = 5;
 
+/// Fetches the first records of a router that starts from its readers. Returns the offset after them, or none
+/// if this router should read the store.
+pub(super) async fn first_offset<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    subject: Subject,
+) -> Option<u64> {
+    let give_up_at = shared.clock.now() + FIRST_FETCH_TIME;
+    while let readers::Role::Follows(readers) = shared.role(shared.clock.now()) {
+        for reader in readers {
+            let outcome = transfer::fetch_changes(shared, reader, subject).await;
+            if let transfer::TransferOutcome::Applied(Some(_)) = outcome {
+                record_read(shared, subject);
+                return Some(shared.replicated_records.borrow().next_offset(subject));
+            }
+        }
+        if shared.clock.now() >= give_up_at {
+            return None;
+        }
+        tokio::time::sleep(FIRST_FETCH_INTERVAL).await;
+    }
+    None
+}
+
 /// Waits for one interval. Returns false if this router should read the store now, because it has no
 /// readers or their records are too old.
 pub(super) async fn follow<P: router::Platform>(
--- a/crates/corianderstand_forward/src/planning.rs
+++ b/crates/corianderstand_forward/src/planning.rs
@@ -1,24 +1,38 @@
 //! Collects the planner's inputs and publishes its plans to the agents.
 
-use crate::router;
+use crate::{peers, router};
 use corianderstand_fleet::{config, health, plan, snapshot, targets};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
 use corianderstand_types::names;
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
-/// Interval at which an unchanged plan is sent again, as a datagram may be lost.
-const PLAN_RESEND_INTERVAL: Duration = Duration::from_millis(500);
+/// Intervals at which a plan is renewed, or sent again if its agent does not confirm it.
+const MIN_RENEW_INTERVAL: Duration = Duration::from_millis(500);
+const MAX_RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Bounds the messages of a planner with many engines.
+const RENEW_INTERVAL_PER_ENGINE: Duration = Duration::from_micros(1_600);
+/// Serial numbers of one planner's plans, which begin at its start time: they must differ from another's.
+const SERIAL_BITS: u32 = 20;
+
+#[derive(Debug)]
+struct SentPlan {
+    at: Instant,
+    serial: u64,
+    parts: Vec<wire::PlanPart>,
+    recipients: Rc<peers::FanOut>,
+}
 
 /// Runs the planner and remembers which plan each engine was last sent.
 #[derive(Default)]
 pub struct PlanPublisher {
     planner: plan::Planner,
     last_plan_serial: u64,
-    last_sent_plans: HashMap<targets::TargetKey, (Instant, Vec<wire::PlanPart>)>,
+    last_sent_plans: HashMap<targets::TargetKey, SentPlan>,
 }
 
 impl PlanPublisher {
@@ -49,23 +63,57 @@
         let engines = engine_views(shared, now, &service.name, spec);
         let models = model_views(shared, now, spec);
         let planned = self.planner.plan(now, &engines, &models);
+        let renew_interval = (RENEW_INTERVAL_PER_ENGINE * engines.len() as u32)
+            .clamp(MIN_RENEW_INTERVAL, MAX_RENEW_INTERVAL);
+        let recipients = Rc::new(shared.peers.borrow().report_recipients());
         // Agents without a report are included, as their first plan contains the routers' addresses.
         for engine in &engines {
             let Some(planned) = planned.get(&engine.key) else { continue };
             let parts = plan_parts(engine, planned, &models);
-            let unchanged = self.last_sent_plans.get(&engine.key).is_some_and(|(at, sent)| {
-                *sent == parts && now.saturating_duration_since(*at) < PLAN_RESEND_INTERVAL
-            });
-            if !unchanged {
-                self.last_plan_serial += 1;
-                send_plan(shared, self.last_plan_serial, engine, (service, spec), parts.clone());
-                self.last_sent_plans.insert(engine.key, (now, parts));
+            let last = self.last_sent_plans.get(&engine.key);
+            let last = last.filter(|sent| sent.parts == parts && sent.recipients == recipients);
+            let is_due = |last: &SentPlan| now.saturating_duration_since(last.at) >= renew_interval;
+            if last.is_some_and(|last| !is_due(last)) {
+                continue;
             }
+            let serial = match last {
+                Some(last) => last.serial,
+                None => {
+                    self.last_plan_serial =
+                        (self.last_plan_serial + 1).max(shared.incarnation << SERIAL_BITS);
+                    self.last_plan_serial
+                }
+            };
+            if last.is_some() && is_confirmed(shared, engine.key, serial) {
+                send_renewal(shared, serial, engine);
+            } else {
+                let header =
+                    PlanHeader { serial, renew_interval, service, spec, recipients: &recipients };
+                send_plan(shared, engine, &header, parts.clone());
+            }
+            let sent = SentPlan { at: now, serial, parts, recipients: recipients.clone() };
+            self.last_sent_plans.insert(engine.key, sent);
         }
-        self.last_sent_plans.retain(|key, _| engines.iter().any(|engine| engine.key == *key));
+        let planned: HashSet<_> = engines.iter().map(|engine| engine.key).collect();
+        self.last_sent_plans.retain(|key, _| planned.contains(key));
     }
 }
 
+/// What plans of several engines have in common, and the serial number of one.
+struct PlanHeader<'a> {
+    serial: u64,
+    renew_interval: Duration,
+    service: &'a config::Service,
+    spec: &'a config::Engine,
+    recipients: &'a peers::FanOut,
+}
+
+/// Whether an engine's agent reported that it follows the plan.
+fn is_confirmed<P>(shared: &router::Shared<P>, key: targets::TargetKey, serial: u64) -> bool {
+    let view = shared.view.borrow();
+    view.targets.get(key).is_some_and(|target| target.confirmed_plan == serial)
+}
+
 fn engine_views<P: router::Platform>(
     shared: &router::Shared<P>,
     now: Instant,
@@ -148,29 +196,50 @@
     parts.collect()
 }
 
+/// Address of an engine's agent.
+fn agent_addr<P>(shared: &router::Shared<P>, key: targets::TargetKey) -> Option<SocketAddr> {
+    let view = shared.view.borrow();
+    let host = view.targets.get(key)?.entry.addr.ip();
+    Some(SocketAddr::new(host, shared.settings.agent_port))
+}
+
+fn send_renewal<P>(shared: &router::Shared<P>, serial: u64, engine: &snapshot::EngineView) {
+    let Some(agent) = agent_addr(shared, engine.key) else { return };
+    let renewal = wire::PlanRenewal {
+        planner: shared.settings.name.as_str().into(),
+        strength: shared.settings.cpu_millicores,
+        serial,
+    };
+    shared.outbox.send(agent, &PeerMessage::PlanRenewed(renewal));
+}
+
 fn send_plan<P: router::Platform>(
     shared: &router::Shared<P>,
-    serial: u64,
     engine: &snapshot::EngineView,
-    (service, spec): (&config::Service, &config::Engine),
+    header: &PlanHeader,
     parts: Vec<wire::PlanPart>,
 ) {
-    let view = shared.view.borrow();
-    let Some(target) = view.targets.get(engine.key) else { return };
-    let agent = SocketAddr::new(target.entry.addr.ip(), shared.settings.agent_port);
-    let peers = shared.peers.borrow();
-    let routers = [shared.settings.peer_addr].into_iter().chain(peers.addresses());
+    let Some(agent) = agent_addr(shared, engine.key) else { return };
+    let Some(target) = shared.view.borrow().targets.get(engine.key).map(|t| t.entry.id.clone())
+    else {
+        return;
+    };
+    let to_text = |addr: &SocketAddr| addr.to_string().into();
+    let routers = [shared.settings.peer_addr];
+    let routers = routers.iter().chain(&header.recipients.direct).map(to_text);
     let plan = wire::EnginePlan {
         planner: shared.settings.name.as_str().into(),
         strength: shared.settings.cpu_millicores,
-        serial,
-        target: target.entry.id.clone(),
-        health_path: service.health_path.clone(),
-        weights_mb: spec.weights_mb,
-        adapter_places: spec.adapter_slots as u32,
+        serial: header.serial,
+        target,
+        health_path: header.service.health_path.clone(),
+        weights_mb: header.spec.weights_mb,
+        adapter_places: header.spec.adapter_slots as u32,
         parts,
-        routers: routers.map(|addr| addr.to_string().into()).collect(),
+        routers: routers.collect(),
+        relays: header.recipients.relays.iter().map(to_text).collect(),
+        renew_ms: header.renew_interval.as_millis() as u32,
     };
-    tracing::trace!(target = %plan.target, serial, "plan sent");
+    tracing::trace!(target = %plan.target, serial = header.serial, "plan sent");
     shared.outbox.send(agent, &PeerMessage::EnginePlan(plan));
 }
--- a/crates/corianderstand_forward/src/prefill.rs
+++ b/crates/corianderstand_forward/src/prefill.rs
@@ -72,7 +72,9 @@
     fn new(shared: &'a router::Shared<P>, job: &job::Job, key: targets::TargetKey) -> Option<Self> {
         let now = shared.clock.now();
         let view = shared.view.borrow();
-        let target = view.targets.get(key).filter(|target| target.agent_is_responsive(now))?;
+        let reports_to_all = shared.peers.borrow().is_mesh();
+        let target = view.targets.get(key);
+        let target = target.filter(|target| target.agent_may_answer(now, reports_to_all))?;
         let prefill_time = job.prefill_time(&view, key, now)?;
         let agent = std::net::SocketAddr::new(target.entry.addr.ip(), shared.settings.agent_port);
         let waiter = shared.prefill_permits.register(shared.incarnation);
@@ -144,6 +146,9 @@
         }
         unanswered = 0;
     }
+    if let Some(target) = shared.view.borrow_mut().targets.get_mut(key) {
+        target.record_agent_unanswered(shared.clock.now());
+    }
     tracing::debug!(id = %job.request.id, "sent without a prefill permit: the agent does not respond");
     claim.granted()
 }
--- a/crates/corianderstand_forward/src/readers.rs
+++ b/crates/corianderstand_forward/src/readers.rs
@@ -38,9 +38,10 @@
     Follows(Vec<SocketAddr>),
 }
 
-/// Determines a router's role from its rank and its neighbours.
-pub fn role(own: &peers::Rank, name: &str, neighbours: &[Neighbour]) -> Role {
-    if neighbours.len() + 1 < MIN_ROUTERS_WITH_READERS {
+/// Determines a router's role from its rank, the number of routers of its zone and the neighbours that may
+/// read for it.
+pub fn role(own: &peers::Rank, name: &str, zone_size: usize, neighbours: &[Neighbour]) -> Role {
+    if zone_size < MIN_ROUTERS_WITH_READERS {
         return Role::Reads;
     }
     let mut stronger: Vec<_> = neighbours.iter().filter(|other| other.rank > *own).collect();
--- a/crates/corianderstand_forward/src/request_slots.rs
+++ b/crates/corianderstand_forward/src/request_slots.rs
@@ -152,7 +152,11 @@
     let now = shared.clock.now();
     let rank = |router: &str| Reverse(xxh3::xxh3_64(format!("{target} {router}").as_bytes()));
     let peers = shared.peers.borrow();
-    let fit = peers.live(now).filter(|(_, peer)| peer.update.as_ref().is_some_and(|up| up.fit));
+    let fit = peers.live(now).filter(|(_, peer)| match &peer.update {
+        Some(update) => update.fit,
+        // All routers of a large deployment must choose among the same ones, heard or not.
+        None => !peers.is_mesh(),
+    });
     let mut keepers: Vec<_> = fit.map(|(name, peer)| (rank(name), Some(peer.addr))).collect();
     if shared.stopping.get().is_none() {
         keepers.push((rank(&shared.settings.name), None));
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -49,6 +49,8 @@
     pub peer_addr: SocketAddr,
     /// UDP port of agents, at the address of their engine.
     pub agent_port: u16,
+    /// Whether all routers start for the first time, so that none has announced itself yet.
+    pub is_first_start: bool,
     /// Settings that can be reloaded.
     pub bounds: Bounds,
 }
@@ -220,9 +222,7 @@
 
     /// Returns this router's role in reading the store.
     pub fn role(&self, now: Instant) -> readers::Role {
-        let own = peers::Rank::new(self.settings.cpu_millicores, &self.settings.name);
-        let neighbours = self.peers.borrow().neighbours(now, &self.settings.zone);
-        readers::role(&own, &self.settings.name, &neighbours)
+        self.peers.borrow().role(now)
     }
 
     /// Returns how this router obtains the store's records.
@@ -452,13 +452,19 @@
         let store_pool = Rc::new(pool::Pool::default());
         let platform = platform(client::Client::new(store_pool, clock.clone()));
         let socket = control::bind(settings.peer_addr).await?;
+        let own = peers::Own {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            strength: settings.cpu_millicores,
+            addr: settings.peer_addr,
+        };
         let shared = Rc::new(Shared {
             platform,
             incarnation: clock::unix_ms(clock.wall()),
             pause_detector: Arc::new(pause::PauseDetector::new(clock.since_boot())),
             clock,
             view: RefCell::default(),
-            peers: RefCell::default(),
+            peers: RefCell::new(peers::Peers::new(own)),
             replicated_records: RefCell::default(),
             config_proof: config_proof::State::default(),
             quotas: quotas::State::default(),
@@ -514,7 +520,11 @@
     loop {
         let settings = reload.next().await;
         let bounds = settings.bounds.clone();
-        let other_settings = Settings { bounds: shared.settings.bounds.clone(), ..settings };
+        let other_settings = Settings {
+            bounds: shared.settings.bounds.clone(),
+            is_first_start: shared.settings.is_first_start,
+            ..settings
+        };
         if other_settings != shared.settings {
             tracing::warn!(
                 "settings other than bounds and seeds have changed: restart to apply them"
--- a/crates/corianderstand_forward/src/target_reports.rs
+++ b/crates/corianderstand_forward/src/target_reports.rs
@@ -3,7 +3,7 @@
 //!
 //! Datagrams may be lost, so each report is sent more than once. Nothing is sent while nothing changes.
 
-use crate::{ended_targets, job, router};
+use crate::{broadcast, ended_targets, job, router};
 use corianderstand_derives::derives;
 use corianderstand_fleet::{crashes, exits, fingerprint, targets};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
@@ -174,8 +174,7 @@
 
 /// Sends queued reports to the other routers.
 pub fn send<P: router::Platform>(shared: &router::Shared<P>, now: Instant) {
-    let addresses: Vec<SocketAddr> = shared.peers.borrow().addresses().collect();
-    let interval = SEND_INTERVAL_PER_ROUTER * addresses.len() as u32;
+    let interval = SEND_INTERVAL_PER_ROUTER * shared.peers.borrow().addresses().count() as u32;
     let mut queue = shared.target_reports.borrow_mut();
     let is_due = queue.sent_at.is_none_or(|at| now.saturating_duration_since(at) >= interval);
     if queue.reports.is_empty() || !is_due {
@@ -187,7 +186,8 @@
         tracing::warn!(dropped, "reports of targets dropped: too many targets change at once");
     }
     let message = PeerMessage::TargetReports(to_update(now, &queue.next()));
-    addresses.iter().for_each(|addr| shared.outbox.send(*addr, &message));
+    drop(queue);
+    broadcast::send(shared, &message);
 }
 
 /// Sends the ends for which requests are blocked or held to a router that started, if this is one of
@@ -207,8 +207,8 @@
     }
     let rank = |router: &str| xxh3::xxh3_64(format!("{name} {router}").as_bytes());
     let own = rank(&shared.settings.name);
-    let others = peers.live(now).filter(|(other, _)| other.as_str() != name);
-    if others.filter(|(other, _)| rank(other) > own).count() >= WELCOMING_ROUTERS {
+    let others = peers.greeters(now).filter(|other| other.as_str() != name);
+    if others.filter(|other| rank(other) > own).count() >= WELCOMING_ROUTERS {
         return;
     }
     let reports: Vec<Report> = crashes.relevant_crashes().cloned().map(Report::Crash).collect();
--- a/crates/corianderstand_forward/src/transfer.rs
+++ b/crates/corianderstand_forward/src/transfer.rs
@@ -21,8 +21,12 @@
 const CHUNK_BYTES: usize = 16 << 10;
 /// A configuration has 4 MB at most, the entries of 730 engines under 1 MB.
 const MAX_TRANSFER_BYTES: usize = 8 << 20;
-/// Limits the load on this router's link; peers beyond it query another router.
+/// Limits the load on this router's link.
 const MAX_CONCURRENT_TRANSFERS: usize = 2;
+/// Peers that may wait for their transfer; those beyond query another router.
+const MAX_WAITING_TRANSFERS: usize = 64;
+/// Shorter than the time after which a peer gives up.
+const MAX_TRANSFER_WAIT: Duration = Duration::from_millis(300);
 const ACCEPT_BACKOFF: Duration = Duration::from_secs(1);
 
 type Chunks = Framed<TcpStream, LengthDelimitedCodec>;
@@ -51,14 +55,21 @@
 pub fn serve<P: router::Platform>(shared: &Rc<router::Shared<P>>, listener: TcpListener) {
     let shared = shared.clone();
     let permits = Arc::new(Semaphore::new(MAX_CONCURRENT_TRANSFERS));
+    let places = Arc::new(Semaphore::new(MAX_CONCURRENT_TRANSFERS + MAX_WAITING_TRANSFERS));
     tokio::task::spawn_local(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, peer)) => {
-                    let Ok(permit) = permits.clone().try_acquire_owned() else { continue };
-                    let shared = shared.clone();
+                    let Ok(place) = places.clone().try_acquire_owned() else { continue };
+                    let (shared, permits) = (shared.clone(), permits.clone());
                     tokio::task::spawn_local(async move {
-                        let _permit = permit;
+                        let _place = place;
+                        let permit = permits.acquire();
+                        let Ok(Ok(_permit)) = tokio::time::timeout(MAX_TRANSFER_WAIT, permit).await
+                        else {
+                            tracing::debug!(%peer, "too many transfers: a peer was refused");
+                            return;
+                        };
                         if let Err(error) = send_records(&shared, stream).await {
                             tracing::debug!(%peer, %error, "transfer to a peer failed");
                         }
@@ -150,9 +161,12 @@
     subject: dialect::Subject,
     next: u64,
 ) -> TransferOutcome {
+    let known = shared.replicated_records.borrow().next_offset(subject);
     let is_superseded = || shared.replicated_records.borrow().next_offset(subject) >= next;
-    let response =
-        request_records(peer, RecordsRequest { subject, start_offset: None }, is_superseded).await;
+    // Routers come and go one by one, so that most of their entries are known.
+    let start_offset = (subject == dialect::Subject::Routers).then_some(known);
+    let request = RecordsRequest { subject, start_offset };
+    let response = request_records(peer, request, is_superseded).await;
     if let Ok(response) = &response {
         tracing::info!(%peer, ?subject, next = response.page.next, "records received from a peer");
     }
--- a/crates/corianderstand_forward/tests/agents.rs
+++ b/crates/corianderstand_forward/tests/agents.rs
@@ -5,7 +5,8 @@
 use corianderstand_fleet::{reconcile, targets};
 use corianderstand_forward::{agent, client, dialect};
 use corianderstand_schema::peers::{
-    EngineGone, EnginePlan, EngineReplaced, EngineUpdate, PeerMessage, PlanPart,
+    AdapterRequest, EngineGone, EnginePlan, EngineReplaced, EngineUpdate, PeerMessage, PlanPart,
+    PrefillRequest, RequestedAdapter,
 };
 use corianderstand_types::{clock::SystemClock, names::TargetId};
 use std::{
@@ -114,6 +115,17 @@
     }
 
     async fn plan_for(&self, target: &str, planner: &str, serial: u64, models: &[&str]) {
+        self.plan_with_relays(target, planner, serial, models, &[]).await;
+    }
+
+    async fn plan_with_relays(
+        &self,
+        target: &str,
+        planner: &str,
+        serial: u64,
+        models: &[&str],
+        relays: &[&UdpSocket],
+    ) {
         let holdings = self.engine.0.lock().unwrap().holdings.clone();
         let resident: Vec<_> =
             holdings.resident.iter().map(|resident| resident.model.as_str()).collect();
@@ -137,6 +149,11 @@
             adapter_places: 2,
             parts: parts.collect(),
             routers: vec![self.router.local_addr().unwrap().to_string().into()],
+            relays: relays
+                .iter()
+                .map(|relay| relay.local_addr().unwrap().to_string().into())
+                .collect(),
+            renew_ms: 500,
         });
         self.router.send_to(&postcard::to_stdvec(&plan).unwrap(), self.agent).await.unwrap();
     }
@@ -276,3 +293,123 @@
         }
     }
 }
+
+/// Receives what an agent sends to a hub, until there is nothing for a while.
+async fn relayed_messages(hub: &UdpSocket) -> Vec<PeerMessage> {
+    let mut buf = vec![0; 65_536];
+    let mut messages = Vec::new();
+    let pause = Duration::from_millis(1_500);
+    while let Ok(received) = tokio::time::timeout(pause, hub.recv_from(&mut buf)).await {
+        let (len, _) = received.unwrap();
+        let PeerMessage::ToZone(request) = postcard::from_bytes(&buf[..len]).unwrap() else {
+            panic!("a message that is not to be passed on");
+        };
+        messages.push(postcard::from_bytes(&request.message).unwrap());
+    }
+    messages
+}
+
+/// Guards against reports of each engine to each router, which small hosts cannot take in a large deployment.
+#[tokio::test]
+async fn hubs_receive_changes_only() {
+    let agent = AgentThread::start().await;
+    let hub = UdpSocket::bind(common::free_port()).await.unwrap();
+    let load = async {
+        while !agent.engine.holds(&["a"]) {
+            agent.plan_with_relays("engine", "router", 1, &["a"], &[&hub]).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(common::WAIT_LIMIT, load).await.expect("the plan is executed");
+    let messages = relayed_messages(&hub).await;
+    let is_loaded = |message: &PeerMessage| matches!(message, PeerMessage::EngineNews(update) if !update.resident.is_empty());
+    assert!(messages.iter().any(is_loaded), "{messages:?}");
+    let keep = async {
+        for _ in 0..5 {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            agent.plan_with_relays("engine", "router", 1, &["a"], &[&hub]).await;
+        }
+    };
+    let ((), messages) = tokio::join!(keep, relayed_messages(&hub));
+    assert!(messages.is_empty(), "nothing changes: {messages:?}");
+    agent.engine.0.lock().unwrap().has_exited = true;
+    let mut buf = vec![0; 65_536];
+    let exited = async {
+        let (len, _) = hub.recv_from(&mut buf).await.unwrap();
+        let PeerMessage::ToZone(request) = postcard::from_bytes(&buf[..len]).unwrap() else {
+            panic!("a message that is not to be passed on");
+        };
+        postcard::from_bytes::<PeerMessage>(&request.message).unwrap()
+    };
+    let exited = tokio::time::timeout(common::WAIT_LIMIT, exited).await.expect("its end is sent");
+    assert!(matches!(exited, PeerMessage::EngineGone(_)), "{exited:?}");
+}
+
+/// Guards against routers that don't know how busy the engine is to which they send requests.
+#[tokio::test]
+async fn a_router_that_asked_for_a_permit_receives_updates() {
+    let agent = AgentThread::start().await;
+    let hub = UdpSocket::bind(common::free_port()).await.unwrap();
+    let requester = UdpSocket::bind(common::free_port()).await.unwrap();
+    let follow = async {
+        loop {
+            agent.plan_with_relays("engine", "router", 1, &[], &[&hub]).await;
+            if tokio::time::timeout(Duration::from_millis(300), agent.receive()).await.is_ok() {
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(common::WAIT_LIMIT, follow).await.expect("the agent follows the plan");
+    let request = PeerMessage::PrefillAsked(PrefillRequest {
+        id: 1,
+        work_us: 1_000,
+        aim_in_ms: 100,
+        useful_ms: 1_000,
+        pause_ms: 0,
+    });
+    requester.send_to(&postcard::to_stdvec(&request).unwrap(), agent.agent).await.unwrap();
+    let update = async {
+        let mut buf = vec![0; 65_536];
+        loop {
+            let (len, _) = requester.recv_from(&mut buf).await.unwrap();
+            if let PeerMessage::EngineNews(update) = postcard::from_bytes(&buf[..len]).unwrap() {
+                return update;
+            }
+        }
+    };
+    let update = tokio::time::timeout(common::WAIT_LIMIT, update).await.expect("it is updated");
+    assert_eq!(update.plan_serial, 1);
+}
+
+/// Guards against requests that wait for an adapter that is loaded, as their router is not told so.
+#[tokio::test]
+async fn a_router_that_asks_for_a_loaded_adapter_is_answered_at_once() {
+    const ASKS: usize = 10;
+    let agent = AgentThread::start().await;
+    let hub = UdpSocket::bind(common::free_port()).await.unwrap();
+    let requester = UdpSocket::bind(common::free_port()).await.unwrap();
+    let resident = targets::Resident { model: "a".into(), adapters: vec!["a1".into()] };
+    agent.engine.0.lock().unwrap().holdings.resident.push(resident);
+    let follow = async {
+        loop {
+            agent.plan_with_relays("engine", "router", 1, &["a"], &[&hub]).await;
+            if tokio::time::timeout(Duration::from_millis(300), agent.receive()).await.is_ok() {
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(common::WAIT_LIMIT, follow).await.expect("the agent follows the plan");
+    let adapter = RequestedAdapter { model: "a".into(), adapter: "a1".into() };
+    let request = AdapterRequest { target: "engine".into(), adapters: vec![adapter] };
+    let request = postcard::to_stdvec(&PeerMessage::AdaptersAsked(request)).unwrap();
+    let mut answers = 0;
+    let mut buf = vec![0; 65_536];
+    for _ in 0..ASKS {
+        requester.send_to(&request, agent.agent).await.unwrap();
+        let answer = requester.recv_from(&mut buf);
+        // Shorter than the interval of periodic updates by far.
+        answers +=
+            usize::from(tokio::time::timeout(Duration::from_millis(100), answer).await.is_ok());
+    }
+    assert!(answers > ASKS / 2, "{answers} answers");
+}
--- a/crates/corianderstand_forward/tests/answers.rs
+++ b/crates/corianderstand_forward/tests/answers.rs
@@ -384,6 +384,7 @@
         running: 0,
         waiting: 0,
         cache_used: 0,
+        plan_serial: 0,
     };
     let agent = UdpSocket::bind(common::free_port()).await.unwrap();
     let update = postcard::to_stdvec(&peers::PeerMessage::EngineNews(update)).unwrap();
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -303,6 +303,7 @@
             metrics_addr: Some(free_port()),
             peer_addr: peers,
             agent_port: peers.port(),
+            is_first_start: false,
             bounds: router::Bounds {
                 seeds,
                 allowance: budget::Allowance::default(),
--- a/crates/corianderstand_forward/tests/peers.rs
+++ b/crates/corianderstand_forward/tests/peers.rs
@@ -21,6 +21,9 @@
         fit: true,
         config_next,
         targets_next: 0,
+        routers_next: 0,
+        planner: "".into(),
+        expects_updates: true,
         models: Vec::new(),
         running: Vec::new(),
     }
--- a/crates/corianderstand_forward/tests/prefill_permits.rs
+++ b/crates/corianderstand_forward/tests/prefill_permits.rs
@@ -52,6 +52,7 @@
         running: 0,
         waiting: 0,
         cache_used: 0,
+        plan_serial: 0,
     };
     let update = postcard::to_stdvec(&PeerMessage::EngineNews(update)).unwrap();
     agent.send_to(&update, router.peers).await.unwrap();
--- a/crates/corianderstand_forward/tests/readers.rs
+++ b/crates/corianderstand_forward/tests/readers.rs
@@ -48,7 +48,7 @@
     #[case] strength: u32,
     #[case] expected: Option<[u16; 2]>,
 ) {
-    let follows = match role(&own(strength), "own", &zone(others)) {
+    let follows = match role(&own(strength), "own", usize::from(others) + 1, &zone(others)) {
         Role::Follows(readers) => {
             let mut ports: Vec<_> = readers.iter().map(SocketAddr::port).collect();
             ports.sort_unstable();
@@ -65,18 +65,18 @@
     let mut zone = zone(12);
     zone[11].store_use = StoreUse::Lost;
     zone[10].store_use = StoreUse::Lost;
-    let Role::Follows(readers) = role(&own(0), "own", &zone) else { panic!("two others read") };
+    let Role::Follows(readers) = role(&own(0), "own", 13, &zone) else { panic!("two others read") };
     let mut ports: Vec<_> = readers.iter().map(SocketAddr::port).collect();
     ports.sort_unstable();
     assert_eq!(ports, [9, 10]);
     let all_lost: Vec<_> = (1..=12).map(|index| neighbour(index, StoreUse::Lost)).collect();
     assert_eq!(
-        role(&own(0), "own", &all_lost),
+        role(&own(0), "own", 13, &all_lost),
         Role::ReadsAsFallback,
         "it tries the store at a low rate"
     );
     assert_eq!(
-        role(&own(11), "own", &all_lost),
+        role(&own(11), "own", 13, &all_lost),
         Role::ReadsForOthers,
         "it keeps reading the store"
     );
@@ -92,6 +92,9 @@
         fit: false,
         config_next: 0,
         targets_next: 0,
+        routers_next: 0,
+        planner: "".into(),
+        expects_updates: true,
         models: Vec::new(),
         running: Vec::new(),
     })
--- a/crates/corianderstand_forward/tests/transfers.rs
+++ b/crates/corianderstand_forward/tests/transfers.rs
@@ -82,6 +82,9 @@
         fit: true,
         config_next: 0,
         targets_next: 0,
+        routers_next: 0,
+        planner: "".into(),
+        expects_updates: true,
         models: Vec::new(),
         running: Vec::new(),
     };
--- a/tools/capacity/src/main.rs
+++ b/tools/capacity/src/main.rs
@@ -1,6 +1,6 @@
 //! Measures the resource usage of one process by deployment size.
 //!
-//! `cargo run --release -p capacity -- [state|router|agent|relay|streams|requests] [--repeats N] [--out NAME]`
+//! `cargo run --release -p capacity -- [state|router|agent|relay|streams|requests|status] [--repeats N] [--out NAME]`
 //! writes `docs/measurements/NAME.json` and `NAME.svg`. Without a part, all parts are measured.
 
 mod emulate;
@@ -12,6 +12,7 @@
 mod size;
 mod slope;
 mod state;
+mod status;
 
 use getopts::Options;
 use serde::Serialize;
@@ -32,6 +33,7 @@
     relays: Vec<Vec<node::NodeCost>>,
     streams: Vec<Vec<node::NodeCost>>,
     loads: Vec<Vec<requests::LoadCost>>,
+    status: Vec<status::StatusCost>,
     series: Vec<Series>,
 }
 
@@ -52,7 +54,7 @@
         Err(error) => {
             eprintln!(
                 "{error}\n{}",
-                options.usage("capacity [state|router|agent|relay|streams|requests]")
+                options.usage("capacity [state|router|agent|relay|streams|requests|status]")
             );
             return ExitCode::from(2);
         }
@@ -70,6 +72,9 @@
     if is_selected("state") {
         measure_state(&mut report);
     }
+    if is_selected("status") {
+        simulate_status(&mut report);
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.expect("the runtime can be created");
     if is_selected("router") {
@@ -115,6 +120,22 @@
     }
 }
 
+fn simulate_status(report: &mut Report) {
+    report.status = status::simulate();
+    let measures: [Measure<status::StatusCost>; 2] = [
+        ("status, middle router, KB/s", |cost| cost.kb_middle),
+        ("status, busiest router, KB/s", |cost| cost.kb_busiest),
+    ];
+    for way in [status::Way::Mesh, status::Way::Hubs] {
+        for (name, measure) in measures {
+            let costs = report.status.iter().filter(|cost| cost.way == way);
+            let points = costs.map(|cost| (cost.routers as f64, vec![measure(cost)]));
+            let name = format!("{way:?}: {name}");
+            report.series.push(Series::new(&name, "routers", points.collect()));
+        }
+    }
+}
+
 /// Numbers of routers connected to one agent.
 const ROUTER_COUNTS: [usize; 3] = [0, 170, 340];
 const ROUTER_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
