Large deployments: one router of a zone reads the store, the second reader follows it

Cause: two readers of each zone made the same calls; a second one is needed only when the first has lost the store.

Records keep the time at which the store was read for them, so that they don't look younger at each router that they pass through, and a follower whose reader's records are too old asks the other reader before the store.

Tests: readers (roles with one reader of the store, ages).

--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -96,7 +96,7 @@
         match read {
             Ok(page) => {
                 from = Some(page.next);
-                record_read(&shared, subject);
+                record_read(&shared, subject, Duration::ZERO);
                 // A stale read ends before records that are known already.
                 let is_complete = page.reaches_end && page.next >= known_next;
                 apply_page(&shared, subject, Source::Store, page);
@@ -200,11 +200,13 @@
     }
 }
 
-fn record_read<P: router::Platform>(shared: &router::Shared<P>, subject: Subject) {
+/// Records that the store was read `age` ago.
+fn record_read<P: router::Platform>(shared: &router::Shared<P>, subject: Subject, age: Duration) {
     let now = shared.clock.now();
+    let read_at = now.checked_sub(age).unwrap_or(now);
     let mut records = shared.replicated_records.borrow_mut();
     let previous_read_age_ms = records.since_read(now, subject).map(|age| age.as_millis() as u64);
-    if records.record_read(now, subject) {
+    if records.record_read(now, read_at, subject) {
         tracing::info!(?subject, away_ms = previous_read_age_ms, "store reachable again");
     }
 }
--- a/crates/corianderstand_forward/src/follow/via_readers.rs
+++ b/crates/corianderstand_forward/src/follow/via_readers.rs
@@ -28,8 +28,8 @@
     while let readers::Role::Follows(readers) = shared.role(shared.clock.now()) {
         for reader in readers {
             let outcome = transfer::fetch_changes(shared, reader, subject).await;
-            if let transfer::TransferOutcome::Applied(Some(_)) = outcome {
-                record_read(shared, subject);
+            if let transfer::TransferOutcome::Applied(Some(age)) = outcome {
+                record_read(shared, subject, age);
                 return Some(shared.replicated_records.borrow().next_offset(subject));
             }
         }
@@ -72,13 +72,12 @@
     for reader in readers {
         match transfer::fetch_changes(shared, *reader, subject).await {
             transfer::TransferOutcome::Applied(Some(age)) if age <= max_age => {
-                record_read(shared, subject);
+                record_read(shared, subject, age);
                 return true;
             }
-            transfer::TransferOutcome::Refused => {}
-            transfer::TransferOutcome::Applied(_) | transfer::TransferOutcome::NoRecords => {
-                return false;
-            }
+            // Another reader may have read later.
+            transfer::TransferOutcome::Applied(_) | transfer::TransferOutcome::Refused => {}
+            transfer::TransferOutcome::NoRecords => return false,
         }
     }
     false
@@ -100,7 +99,7 @@
     if update.config_next > own {
         shared.control_wake.notify_one();
     } else {
-        record_read(shared, Subject::Config);
+        record_read(shared, Subject::Config, Duration::ZERO);
     }
 }
 
--- a/crates/corianderstand_forward/src/peers.rs
+++ b/crates/corianderstand_forward/src/peers.rs
@@ -394,7 +394,12 @@
             store_use: peer.update.as_ref().map_or(peers::StoreUse::Reads, |update| update.store),
         });
         let neighbours: Vec<_> = neighbours.collect();
-        readers::role(&own.rank(), &own.name, 1 + in_zone.len(), &neighbours)
+        let zone = readers::Zone {
+            size: 1 + in_zone.len(),
+            store_readers: if self.is_mesh { readers::READER_COUNT } else { 1 },
+            neighbours: &neighbours,
+        };
+        readers::role(&own.rank(), &own.name, &zone)
     }
 
     /// Last updates of responsive routers.
--- a/crates/corianderstand_forward/src/readers.rs
+++ b/crates/corianderstand_forward/src/readers.rs
@@ -10,7 +10,7 @@
 
 /// Number of routers per availability zone that read the store. With one alone, all others would turn to the
 /// store when it is lost.
-const READER_COUNT: usize = 2;
+pub const READER_COUNT: usize = 2;
 /// In zones with fewer routers, each reads the store itself.
 const MIN_ROUTERS_WITH_READERS: usize = 5;
 
@@ -38,20 +38,31 @@
     Follows(Vec<SocketAddr>),
 }
 
-/// Determines a router's role from its rank, the number of routers of its zone and the neighbours that may
-/// read for it.
-pub fn role(own: &peers::Rank, name: &str, zone_size: usize, neighbours: &[Neighbour]) -> Role {
-    if zone_size < MIN_ROUTERS_WITH_READERS {
+/// The routers of a zone, as one of them knows them.
+#[derive(Clone, Debug)]
+pub struct Zone<'a> {
+    /// Their number, this router among them.
+    pub size: usize,
+    /// How many of the readers read the store; the other ones follow these, and take over from them.
+    pub store_readers: usize,
+    /// The neighbours that may read for this router.
+    pub neighbours: &'a [Neighbour],
+}
+
+/// Determines a router's role from its rank and its zone.
+pub fn role(own: &peers::Rank, name: &str, zone: &Zone) -> Role {
+    if zone.size < MIN_ROUTERS_WITH_READERS {
         return Role::Reads;
     }
-    let mut stronger: Vec<_> = neighbours.iter().filter(|other| other.rank > *own).collect();
-    if stronger.len() < READER_COUNT {
+    let mut stronger: Vec<_> = zone.neighbours.iter().filter(|other| other.rank > *own).collect();
+    let is_reader = stronger.len() < READER_COUNT;
+    stronger.retain(|other| other.store_use != StoreUse::Lost);
+    if is_reader && stronger.len() < zone.store_readers {
         return Role::ReadsForOthers;
     }
-    stronger.retain(|other| other.store_use != StoreUse::Lost);
     stronger.sort_by(|a, b| b.rank.cmp(&a.rank));
     stronger.truncate(READER_COUNT);
-    if stronger.len() < READER_COUNT {
+    if !is_reader && stronger.len() < READER_COUNT {
         return Role::ReadsAsFallback;
     }
     // Spreads followers over the readers.
--- a/crates/corianderstand_forward/src/replicated_records.rs
+++ b/crates/corianderstand_forward/src/replicated_records.rs
@@ -49,7 +49,10 @@
 struct SubjectRecords {
     records: BTreeMap<SmolStr, StoredRecord>,
     next_offset: Option<u64>,
+    /// When the store was last read, or the router that this one follows.
     read_at: Option<Instant>,
+    /// When the store itself was read for the records that are known.
+    store_read_at: Option<Instant>,
     previous_read_age: Option<Duration>,
     recovered_at: Option<Instant>,
     last_received: client::LastReceived,
@@ -68,7 +71,13 @@
         self.by_subject.get(&subject).and_then(|entry| entry.next_offset).unwrap_or(0)
     }
 
-    /// Time since the last successful read of the store itself.
+    /// Time since the store itself was read, by whichever router, for the records that are known.
+    pub fn since_store_read(&self, now: Instant, subject: Subject) -> Option<Duration> {
+        let at = self.by_subject.get(&subject)?.store_read_at?;
+        Some(now.saturating_duration_since(at))
+    }
+
+    /// Time since the last successful read of the store, or of the router that this one follows.
     pub fn since_read(&self, now: Instant, subject: Subject) -> Option<Duration> {
         let at = self.by_subject.get(&subject)?.read_at?;
         Some(now.saturating_duration_since(at))
@@ -152,11 +161,13 @@
         at.is_some_and(|at| now.saturating_duration_since(at) < RECOVERY_GRACE)
     }
 
-    /// Records a successful read of the store. Returns whether the previous one had failed.
-    pub fn record_read(&mut self, now: Instant, subject: Subject) -> bool {
+    /// Records a successful read of the store, by this router or by the one that it follows. Returns whether the
+    /// previous one had failed.
+    pub fn record_read(&mut self, now: Instant, read_at: Instant, subject: Subject) -> bool {
         let entry = self.by_subject.entry(subject).or_default();
         entry.previous_read_age = entry.read_at.map(|at| now.saturating_duration_since(at));
         entry.read_at = Some(now);
+        entry.store_read_at = entry.store_read_at.max(Some(read_at));
         if entry.previous_read_age.is_some_and(|age| age >= STORE_LOST_AFTER) {
             entry.recovered_at = Some(now);
         }
--- a/crates/corianderstand_forward/src/transfer.rs
+++ b/crates/corianderstand_forward/src/transfer.rs
@@ -133,7 +133,7 @@
     request: RecordsRequest,
 ) -> RecordsResponse {
     let replicated = shared.replicated_records.borrow();
-    let age = replicated.since_read(shared.clock.now(), request.subject);
+    let age = replicated.since_store_read(shared.clock.now(), request.subject);
     let page = match request.start_offset {
         None => replicated.full_page(request.subject),
         Some(from) => replicated.changes(request.subject, from),
--- a/crates/corianderstand_forward/tests/readers.rs
+++ b/crates/corianderstand_forward/tests/readers.rs
@@ -6,13 +6,16 @@
 use corianderstand_forward::{
     dialect::{Record, Subject},
     peers,
-    readers::{Neighbour, Role, role},
+    readers::{self, Neighbour, READER_COUNT, Role},
     replicated_records::ReplicatedRecords,
     router,
 };
 use corianderstand_schema::peers::{PeerMessage, RouterUpdate, StoreUse};
 use rstest::rstest;
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 use tokio::{net::UdpSocket, sync::watch};
 
 /// Simulated routers in the zone, in addition to the running ones.
@@ -31,6 +34,12 @@
     (1..=count).map(|index| neighbour(index, StoreUse::Reads)).collect()
 }
 
+/// Role of a router in a zone of `neighbours` and itself.
+fn role(own: &peers::Rank, store_readers: usize, neighbours: &[Neighbour]) -> Role {
+    let zone = readers::Zone { size: neighbours.len() + 1, store_readers, neighbours };
+    readers::role(own, "own", &zone)
+}
+
 fn own(strength: u32) -> peers::Rank {
     peers::Rank::new(strength, "own")
 }
@@ -48,7 +57,7 @@
     #[case] strength: u32,
     #[case] expected: Option<[u16; 2]>,
 ) {
-    let follows = match role(&own(strength), "own", usize::from(others) + 1, &zone(others)) {
+    let follows = match role(&own(strength), READER_COUNT, &zone(others)) {
         Role::Follows(readers) => {
             let mut ports: Vec<_> = readers.iter().map(SocketAddr::port).collect();
             ports.sort_unstable();
@@ -65,23 +74,48 @@
     let mut zone = zone(12);
     zone[11].store_use = StoreUse::Lost;
     zone[10].store_use = StoreUse::Lost;
-    let Role::Follows(readers) = role(&own(0), "own", 13, &zone) else { panic!("two others read") };
+    let Role::Follows(readers) = role(&own(0), READER_COUNT, &zone) else {
+        panic!("two others read")
+    };
     let mut ports: Vec<_> = readers.iter().map(SocketAddr::port).collect();
     ports.sort_unstable();
     assert_eq!(ports, [9, 10]);
     let all_lost: Vec<_> = (1..=12).map(|index| neighbour(index, StoreUse::Lost)).collect();
     assert_eq!(
-        role(&own(0), "own", 13, &all_lost),
+        role(&own(0), READER_COUNT, &all_lost),
         Role::ReadsAsFallback,
         "it tries the store at a low rate"
     );
     assert_eq!(
-        role(&own(11), "own", 13, &all_lost),
+        role(&own(11), READER_COUNT, &all_lost),
         Role::ReadsForOthers,
         "it keeps reading the store"
     );
 }
 
+/// Guards against zones whose only reader of the store is lost, and against calls by a second one beside it.
+#[test]
+fn the_second_reader_follows_the_first_until_it_has_lost_the_store() {
+    let mut zone = zone(12);
+    assert_eq!(role(&own(20), 1, &zone), Role::ReadsForOthers);
+    assert_eq!(role(&own(11), 1, &zone), Role::Follows(vec![zone[11].addr]));
+    let Role::Follows(readers) = role(&own(0), 1, &zone) else { panic!("two others read") };
+    assert_eq!(readers.len(), READER_COUNT, "others may ask both");
+    zone[11].store_use = StoreUse::Lost;
+    assert_eq!(role(&own(11), 1, &zone), Role::ReadsForOthers);
+}
+
+/// Guards against records that look younger at each router that they pass through.
+#[test]
+fn records_keep_the_time_of_their_read() {
+    let (subject, now) = (Subject::Targets, Instant::now());
+    let mut records = ReplicatedRecords::default();
+    records.record_read(now, now - Duration::from_secs(2), subject);
+    assert_eq!(records.since_store_read(now, subject), Some(Duration::from_secs(2)));
+    records.record_read(now, now - Duration::from_secs(3), subject);
+    assert_eq!(records.since_store_read(now, subject), Some(Duration::from_secs(2)));
+}
+
 fn router_update(name: String, strength: u32, store: StoreUse) -> PeerMessage {
     PeerMessage::RouterNews(RouterUpdate {
         router: name.as_str().into(),
