Status messages and agents' updates in modules of their own; one status for tests

The router status that four test files wrote out stands in tests/common once. No change of behaviour.

--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -6,8 +6,9 @@
 
 mod permits;
 mod report;
+mod updates;
 
-use crate::{broadcast, control, dialect, router};
+use crate::{control, dialect, router};
 use corianderstand_derives::derives;
 use corianderstand_fleet::{prefill, reconcile};
 use corianderstand_schema::peers::{self, PeerMessage};
@@ -25,20 +26,8 @@
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval between polls of the engine while it executes a command that requests wait for.
 const BUSY_POLL_INTERVAL: Duration = Duration::from_millis(30);
-/// Interval between updates while nothing changes; grows with the number of routers.
-const MIN_UPDATE_INTERVAL: Duration = Duration::from_millis(500);
-const UPDATE_INTERVAL_PER_ROUTER: Duration = Duration::from_millis(25);
-/// Routers consider an agent unresponsive after three missed updates.
-const MAX_UPDATE_INTERVAL: Duration = Duration::from_millis(900);
-/// Routers that requested an adapter within this time are updated at once when adapters change.
-const ADAPTER_REQUESTER_RETENTION: Duration = Duration::from_millis(500);
-/// Routers that requested a prefill permit or an adapter within this time are sent periodic updates.
-const REQUESTER_RETENTION: Duration = Duration::from_millis(2_000);
-const MAX_REQUESTERS: usize = 64;
 /// A planner that renews nothing in this many of its intervals may be superseded by one of lower rank.
 const PLANNER_TIMEOUT_RENEWALS: f64 = 2.6;
-/// Interval at which hubs are sent the end or the new name of an engine again.
-const RELAY_INTERVAL: Duration = Duration::from_millis(1_000);
 const ADAPTER_REQUEST_RETENTION: Duration = Duration::from_secs(8);
 /// A command without effect is sent again, with the same `after_orders` so that it executes once.
 const COMMAND_RESPONSE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -87,40 +76,11 @@
     /// Target of a plan that the engine rejected as meant for another engine.
     mismatched_target: Option<names::TargetId>,
     identity: Option<EngineIdentity>,
-    recent_requesters: BTreeMap<SocketAddr, Requester>,
+    recent_requesters: BTreeMap<SocketAddr, updates::Requester>,
     /// When hubs were last sent the end or the new name of the engine.
     exit_relayed_at: Option<Instant>,
 }
 
-/// A router that sent requests to the engine lately.
-#[derive(Clone, Copy, Debug)]
-struct Requester {
-    requested_at: Instant,
-    adapter_requested_at: Option<Instant>,
-    /// Whether it asked for an adapter and has been sent no update since.
-    awaits_update: bool,
-}
-
-impl AgentState {
-    fn record_requester(&mut self, now: Instant, router: SocketAddr, is_for_adapter: bool) {
-        self.recent_requesters.retain(|_, requester| {
-            now.saturating_duration_since(requester.requested_at) < REQUESTER_RETENTION
-        });
-        if self.recent_requesters.len() >= MAX_REQUESTERS
-            && !self.recent_requesters.contains_key(&router)
-        {
-            return;
-        }
-        let new = Requester { requested_at: now, adapter_requested_at: None, awaits_update: false };
-        let requester = self.recent_requesters.entry(router).or_insert(new);
-        requester.requested_at = now;
-        if is_for_adapter {
-            requester.adapter_requested_at = Some(now);
-            requester.awaits_update = true;
-        }
-    }
-}
-
 struct Agent<E> {
     settings: Settings,
     clock: clock::SharedClock,
@@ -322,30 +282,6 @@
         self.send_identity_change(&plan.plan, &PeerMessage::EngineGone(exited));
     }
 
-    /// Sends the end or the new name of the engine to its routers, and to the hubs once in a while.
-    fn send_identity_change(&self, plan: &peers::EnginePlan, message: &PeerMessage) {
-        let now = self.clock.now();
-        let mut state = self.state.borrow_mut();
-        let relay = state
-            .exit_relayed_at
-            .is_none_or(|at| now.saturating_duration_since(at) >= RELAY_INTERVAL);
-        if relay {
-            state.exit_relayed_at = Some(now);
-        }
-        self.outbox.send_all(&recipients(plan, &state), message);
-        drop(state);
-        if relay {
-            self.send_to_relays(plan, message);
-        }
-    }
-
-    fn send_to_relays(&self, plan: &peers::EnginePlan, message: &PeerMessage) {
-        let relays: Vec<SocketAddr> = parse_addresses(&plan.relays).collect();
-        if let Some(request) = broadcast::to_zone(message).filter(|_| !relays.is_empty()) {
-            self.outbox.send_all(&relays, &request);
-        }
-    }
-
     /// Returns the engine's name, querying it only when the cached one may be stale.
     async fn engine_name(
         &self,
@@ -494,96 +430,6 @@
             _ => state.ongoing = None,
         }
     }
-
-    /// Sends changes of models and periodic updates to the plan's routers and to recent requesters, changes of
-    /// models to the hubs as well, and changes of adapters to those who requested some.
-    fn send_update(&self, now: Instant, plan: &peers::EnginePlan, report: &dialect::EngineReport) {
-        let mut state = self.state.borrow_mut();
-        let update = report::engine_update(now, plan, report, state.ongoing.as_ref());
-        let interval = update_interval(plan);
-        let last = state.last_update.as_ref();
-        let is_changed = last.is_none_or(|(_, last)| report::needs_immediate_update(last, &update));
-        let is_due = is_changed
-            || last.is_none_or(|(at, last)| {
-                now.saturating_duration_since(*at) >= interval
-                    || last.plan_serial != update.plan_serial
-            });
-        let adapters_changed = last.is_some_and(|(_, last)| last.resident != update.resident);
-        // Routers that are sent no periodic updates may ask for an adapter that is loaded already.
-        let is_awaited = !plan.relays.is_empty()
-            && state.recent_requesters.values().any(|requester| requester.awaits_update);
-        if !is_due && !adapters_changed && !is_awaited {
-            return;
-        }
-        let cached_weights = peers::CachedWeights {
-            in_memory: report.holdings.in_memory.clone(),
-            on_disk: report.holdings.on_disk.clone(),
-        };
-        let full = PeerMessage::EngineNews(peers::EngineUpdate {
-            copies: vec![cached_weights],
-            ..update.clone()
-        });
-        let short = PeerMessage::EngineNews(update.clone());
-        if is_due {
-            let addresses = recipients(plan, &state);
-            let (planner, others) = addresses.split_at(addresses.len().min(1));
-            self.outbox.send_all(planner, &full);
-            self.outbox.send_all(others, &short);
-        } else {
-            self.outbox.send_all(&adapter_requesters(now, &state), &short);
-        }
-        state.recent_requesters.values_mut().for_each(|requester| requester.awaits_update = false);
-        // The first update tells what the engine's entry in the store tells as well.
-        if is_changed && state.last_update.is_some() {
-            self.send_to_relays(plan, &short);
-        }
-        let sent_at = match &state.last_update {
-            Some((at, _)) if !is_due => *at,
-            _ => now,
-        };
-        state.last_update = Some((sent_at, update));
-    }
-}
-
-fn update_interval(plan: &peers::EnginePlan) -> Duration {
-    if !plan.relays.is_empty() {
-        return MAX_UPDATE_INTERVAL;
-    }
-    let interval = UPDATE_INTERVAL_PER_ROUTER * plan.routers.len() as u32;
-    interval.clamp(MIN_UPDATE_INTERVAL, MAX_UPDATE_INTERVAL)
-}
-
-/// The plan's routers, the planner first, and recent requesters.
-fn recipients(plan: &peers::EnginePlan, state: &AgentState) -> Vec<SocketAddr> {
-    let mut addresses: Vec<SocketAddr> = parse_addresses(&plan.routers).collect();
-    if !plan.relays.is_empty() {
-        let requesters = state.recent_requesters.keys().filter(|addr| !addresses.contains(addr));
-        let requesters: Vec<SocketAddr> = requesters.copied().collect();
-        addresses.extend(requesters);
-    }
-    addresses
-}
-
-fn adapter_requesters(now: Instant, state: &AgentState) -> Vec<SocketAddr> {
-    let is_recent = |requester: &Requester| {
-        requester
-            .adapter_requested_at
-            .is_some_and(|at| now.saturating_duration_since(at) < ADAPTER_REQUESTER_RETENTION)
-    };
-    let requesters = state.recent_requesters.iter().filter(|(_, requester)| is_recent(requester));
-    requesters.map(|(addr, _)| *addr).collect()
-}
-
-fn parse_addresses<A: std::fmt::Display + AsRef<str>>(
-    addresses: &[A],
-) -> impl Iterator<Item = SocketAddr> {
-    addresses.iter().filter_map(|router| match router.as_ref().parse() {
-        Ok(addr) => Some(addr),
-        Err(error) => {
-            tracing::debug!(%router, %error, "invalid router address in the plan");
-            None
-        }
-    })
 }
 
 fn planner_timeout(plan: &peers::EnginePlan) -> Duration {
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -3,36 +3,24 @@
 //! Each datagram is self-contained and sent periodically, so nothing is acknowledged.
 
 use crate::{
-    broadcast, catch_up, config_proof, dialect, ended_targets, follow, peers, planning, quotas,
-    readers, request_slots, router, target_reports,
+    broadcast, catch_up, config_proof, ended_targets, follow, peers, planning, quotas, readers,
+    request_slots, router, status, target_reports,
 };
-use corianderstand_fleet::{choose, demand, exits, targets};
+use corianderstand_fleet::{choose, exits, targets};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
 use corianderstand_types::names;
 use std::{
     cell::Cell,
-    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 use tokio::net::UdpSocket;
-use xxhash_rust::xxh3;
 
-/// Interval between updates to the planner of a small deployment, and between the planner's hellos to hubs.
-const PLANNER_UPDATE_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval between hellos to all contacts.
-const HELLO_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Bounds the updates that the planner of a large deployment receives.
-const DEMAND_INTERVAL_PER_ROUTER: Duration = Duration::from_millis(3);
-/// Must be shorter than the time after which an update counts as outdated.
-const MAX_DEMAND_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Batches a burst of first requests into one update and one plan.
 const MIN_SEND_INTERVAL: Duration = Duration::from_millis(20);
 /// Must be shorter than the time for which an agent keeps an adapter in use loaded.
 const ADAPTERS_IN_USE_INTERVAL: Duration = Duration::from_millis(250);
-/// Routers besides the hubs that learn from one router of a change, so that those that have it multiply.
-const ANNOUNCED_ROUTERS: usize = 4;
 /// Time for other work after each plan, as a multiple of the time that the plan took: a weak host may have to
 /// plan for hundreds of engines.
 const PLANNING_REST_RATIO: u32 = 4;
@@ -295,7 +283,7 @@
         let now = shared.clock.now();
         shared.peers.borrow_mut().select_hubs(now);
         let planner = shared.peers.borrow().planner(now);
-        send_updates(&shared, now, planner, &mut sent);
+        status::send(&shared, now, planner, &mut sent.status);
         send_adapters_in_use(&shared, now, &mut sent);
         target_reports::send(&shared, now);
         log_role_change(&shared, now, &mut sent);
@@ -311,7 +299,7 @@
         tokio::time::sleep(MIN_SEND_INTERVAL).await;
         tokio::select! {
             () = shared.control_wake.notified() => {}
-            () = tokio::time::sleep(PLANNER_UPDATE_INTERVAL) => {}
+            () = tokio::time::sleep(status::PLANNER_UPDATE_INTERVAL) => {}
         }
     }
 }
@@ -322,138 +310,6 @@
     view.route_table.is_some() && !view.targets.is_empty() && shared.stopping.get().is_none()
 }
 
-fn send_updates<P: router::Platform>(
-    shared: &router::Shared<P>,
-    now: Instant,
-    planner: peers::Planner,
-    sent: &mut SendState,
-) {
-    if let peers::Planner::Other(Some(planner)) = planner
-        && is_demand_due(shared, now, sent)
-    {
-        shared.outbox.send(planner, &PeerMessage::RouterNews(demand_update(shared)));
-    }
-    let is_due = |sent_at: Option<Instant>, interval| {
-        sent_at.is_none_or(|at| now.saturating_duration_since(at) >= interval)
-    };
-    if is_due(sent.hello_sent_at, HELLO_INTERVAL) {
-        (sent.hello_sent_at, sent.planner_hello_sent_at) = (Some(now), Some(now));
-        send_hello(shared);
-    } else if planner == peers::Planner::Own
-        && is_due(sent.planner_hello_sent_at, PLANNER_UPDATE_INTERVAL)
-    {
-        sent.planner_hello_sent_at = Some(now);
-        let hubs = shared.peers.borrow().hub_addresses();
-        shared.outbox.send_all(&hubs, &PeerMessage::RouterNews(hello(shared)));
-    }
-}
-
-/// In a large deployment, only changes of what waits are sent to the planner at once.
-fn is_demand_due<P>(shared: &router::Shared<P>, now: Instant, sent: &mut SendState) -> bool {
-    let peers = shared.peers.borrow();
-    let interval = match peers.is_mesh() {
-        true => Duration::ZERO,
-        false => DEMAND_INTERVAL_PER_ROUTER * peers.addresses().count() as u32,
-    };
-    let interval = interval.min(MAX_DEMAND_INTERVAL);
-    let view = shared.view.borrow();
-    let is_due = sent.demand_sent_at.is_none_or(|at| now.saturating_duration_since(at) >= interval)
-        || sent.waiting_requests != view.waiting_requests;
-    if is_due {
-        sent.demand_sent_at = Some(now);
-        sent.waiting_requests.clone_from(&view.waiting_requests);
-    }
-    is_due
-}
-
-/// Announces this router to its contacts and to seeds that are not known yet.
-pub fn send_hello<P: router::Platform>(shared: &router::Shared<P>) {
-    let message = PeerMessage::RouterNews(hello(shared));
-    let peers = shared.peers.borrow();
-    let known: Vec<SocketAddr> = peers.addresses().collect();
-    let own = shared.settings.peer_addr;
-    let bounds = shared.bounds.borrow();
-    let seeds = bounds.seeds.iter().copied();
-    let seeds = seeds.filter(|seed| *seed != own && !known.contains(seed));
-    let contacts = peers.contacts(shared.clock.now()).into_iter();
-    shared.outbox.send_all(&contacts.chain(seeds).collect::<Vec<_>>(), &message);
-}
-
-/// Announces that this router has newer records, so that others fetch them: from it as well as from hubs, whose
-/// links may be slow.
-pub fn announce_records<P: router::Platform>(shared: &router::Shared<P>) {
-    send_hello(shared);
-    if !shared.peers.borrow().is_mesh() {
-        let next = shared.replicated_records.borrow().next_offset(dialect::Subject::Config);
-        let round = xxh3::xxh3_64_with_seed(shared.settings.name.as_bytes(), next);
-        let sample = shared.peers.borrow().sample_of_zone(round, ANNOUNCED_ROUTERS);
-        shared.outbox.send_all(&sample, &PeerMessage::RouterNews(hello(shared)));
-    }
-}
-
-fn hello<P: router::Platform>(shared: &router::Shared<P>) -> wire::RouterUpdate {
-    let now = shared.clock.now();
-    let store = shared.store_use(now);
-    let records = shared.replicated_records.borrow();
-    let planner = match shared.peers.borrow().planner(now) {
-        peers::Planner::Own => Some(shared.settings.peer_addr),
-        peers::Planner::Other(addr) => addr,
-    };
-    wire::RouterUpdate {
-        router: shared.settings.name.as_str().into(),
-        incarnation: shared.incarnation,
-        zone: shared.settings.zone.clone(),
-        store,
-        strength: shared.settings.cpu_millicores,
-        fit: can_plan(shared),
-        config_next: records.next_offset(dialect::Subject::Config),
-        targets_next: records.next_offset(dialect::Subject::Targets),
-        routers_next: records.next_offset(dialect::Subject::Routers),
-        planner: planner.map(|addr| addr.to_string()).unwrap_or_default().into(),
-        expects_updates: true,
-        models: Vec::new(),
-        running: Vec::new(),
-    }
-}
-
-fn demand_update<P: router::Platform>(shared: &router::Shared<P>) -> wire::RouterUpdate {
-    let now = shared.clock.now();
-    let hello = hello(shared);
-    let mut view = shared.view.borrow_mut();
-    let mut models: BTreeMap<names::ModelId, (demand::ModelDemand, u32)> = view
-        .demand
-        .active_models(now)
-        .into_iter()
-        .map(|(model, demand)| (model, (demand, 0)))
-        .collect();
-    for (model, waiting) in &view.waiting_requests {
-        models.entry(model.clone()).or_default().1 = *waiting;
-    }
-    let models = models.into_iter().map(|(model, (demand, waiting))| wire::ModelDemand {
-        model,
-        per_1000_s: (demand.requests_per_s * 1_000.0) as u32,
-        adapted_per_1000_s: (demand.adapter_requests_per_s * 1_000.0) as u32,
-        prompt_tokens_per_s: demand.prompt_tokens_per_s as u32,
-        read_ns_per_token: (demand.prefill_s_per_token * 1e9) as u32,
-        aim_ms: demand.latency_objective.as_millis() as u32,
-        waiting,
-    });
-    let running = view.targets.iter().flat_map(|(_, target)| {
-        let id = &target.entry.id;
-        target.running().into_iter().map(|(model, count)| wire::RunningCount {
-            target: id.clone(),
-            model,
-            count,
-        })
-    });
-    wire::RouterUpdate {
-        models: models.collect(),
-        running: running.collect(),
-        expects_updates: false,
-        ..hello
-    }
-}
-
 /// Requests adapters from a target's agent.
 pub fn request_adapters<P>(
     shared: &router::Shared<P>,
@@ -509,11 +365,7 @@
 
 #[derive(Default)]
 struct SendState {
-    hello_sent_at: Option<Instant>,
-    planner_hello_sent_at: Option<Instant>,
-    demand_sent_at: Option<Instant>,
-    /// As last sent to the planner.
-    waiting_requests: BTreeMap<names::ModelId, u32>,
+    status: status::SendState,
     adapters_sent_at: Option<Instant>,
     role: Option<readers::Role>,
 }
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -5,7 +5,7 @@
 
 pub mod via_readers;
 
-use crate::{config_proof, control, dialect, ended_targets, readers, replicated_records, router};
+use crate::{config_proof, dialect, ended_targets, readers, replicated_records, router, status};
 use corianderstand_fleet::{config, routes, targets};
 use dialect::Subject;
 use replicated_records::Source;
@@ -254,8 +254,8 @@
     // Reports the new offset to routers without access to the store, so that they fetch the change, and this
     // router to those that it did not know.
     match subject {
-        Subject::Config if advanced => control::announce_records(shared),
-        Subject::Routers if advanced => control::send_hello(shared),
+        Subject::Config if advanced => status::announce_records(shared),
+        Subject::Routers if advanced => status::send_hello(shared),
         _ => {}
     }
 }
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod request_slots;
 pub mod router;
 pub mod server;
+pub mod status;
 pub mod stream;
 pub mod target_reports;
 pub mod transfer;
--- a/crates/corianderstand_forward/tests/broadcasts.rs
+++ b/crates/corianderstand_forward/tests/broadcasts.rs
@@ -15,19 +15,9 @@
 
 fn hello(name: &str, zone: &str) -> PeerMessage {
     PeerMessage::RouterNews(RouterUpdate {
-        router: name.into(),
-        incarnation: 1,
         zone: zone.into(),
         store: StoreUse::Follows,
-        strength: 1,
-        fit: false,
-        config_next: 0,
-        targets_next: 0,
-        routers_next: 0,
-        planner: "".into(),
-        expects_updates: true,
-        models: Vec::new(),
-        running: Vec::new(),
+        ..common::router_update(name)
     })
 }
 
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use corianderstand_fleet::{budget, choose, config, quota, targets, workspaces};
 use corianderstand_forward::{dialect, router};
+use corianderstand_schema::peers::{RouterUpdate, StoreUse};
 use corianderstand_types::clock::SystemClock;
 use dialect::{Page, ReadOptions, Record, RecordError, RouterEntry, StoreError, Subject, Update};
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -234,6 +235,25 @@
     }
 }
 
+/// The status of a router that knows no records and may not plan.
+pub fn router_update(name: &str) -> RouterUpdate {
+    RouterUpdate {
+        router: name.into(),
+        incarnation: 1,
+        zone: "here".into(),
+        store: StoreUse::Reads,
+        strength: 1,
+        fit: false,
+        config_next: 0,
+        targets_next: 0,
+        routers_next: 0,
+        planner: "".into(),
+        expects_updates: true,
+        models: Vec::new(),
+        running: Vec::new(),
+    }
+}
+
 /// Below the ephemeral range, so that the system assigns no port between the check and the bind.
 const FIRST_PORT: u32 = 20_000;
 const PORTS_PER_PROCESS: u32 = 12;
--- a/crates/corianderstand_forward/tests/peers.rs
+++ b/crates/corianderstand_forward/tests/peers.rs
@@ -1,7 +1,9 @@
 //! Tracking of the other routers.
 
+mod common;
+
 use corianderstand_forward::{dialect::Subject, peers::Peers};
-use corianderstand_schema::peers::{RouterUpdate, StoreUse};
+use corianderstand_schema::peers::RouterUpdate;
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
@@ -12,21 +14,7 @@
 const UPDATE_INTERVAL: Duration = Duration::from_millis(200);
 
 fn update(incarnation: u64, config_next: u64) -> RouterUpdate {
-    RouterUpdate {
-        router: "router-b".into(),
-        incarnation,
-        zone: "here".into(),
-        store: StoreUse::Reads,
-        strength: 1,
-        fit: true,
-        config_next,
-        targets_next: 0,
-        routers_next: 0,
-        planner: "".into(),
-        expects_updates: true,
-        models: Vec::new(),
-        running: Vec::new(),
-    }
+    RouterUpdate { incarnation, fit: true, config_next, ..common::router_update("router-b") }
 }
 
 fn ahead(peers: &Peers, now: Instant) -> Vec<u64> {
--- a/crates/corianderstand_forward/tests/readers.rs
+++ b/crates/corianderstand_forward/tests/readers.rs
@@ -117,21 +117,7 @@
 }
 
 fn router_update(name: String, strength: u32, store: StoreUse) -> PeerMessage {
-    PeerMessage::RouterNews(RouterUpdate {
-        router: name.as_str().into(),
-        incarnation: 1,
-        zone: "here".into(),
-        store,
-        strength,
-        fit: false,
-        config_next: 0,
-        targets_next: 0,
-        routers_next: 0,
-        planner: "".into(),
-        expects_updates: true,
-        models: Vec::new(),
-        running: Vec::new(),
-    })
+    PeerMessage::RouterNews(RouterUpdate { store, strength, ..common::router_update(&name) })
 }
 
 /// The strongest simulated router acts as the second reader and refuses all transfers.
--- a/crates/corianderstand_forward/tests/transfers.rs
+++ b/crates/corianderstand_forward/tests/transfers.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{MemoryStore, RouterThread};
-use corianderstand_schema::peers::{PeerMessage, RouterUpdate, StoreUse};
+use corianderstand_schema::peers::{PeerMessage, RouterUpdate};
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
@@ -73,21 +73,7 @@
 /// Keeps `router` from becoming the planner.
 async fn announce_planner(router: SocketAddr) {
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-    let update = RouterUpdate {
-        router: "planner".into(),
-        incarnation: 1,
-        zone: "here".into(),
-        store: StoreUse::Reads,
-        strength: u32::MAX,
-        fit: true,
-        config_next: 0,
-        targets_next: 0,
-        routers_next: 0,
-        planner: "".into(),
-        expects_updates: true,
-        models: Vec::new(),
-        running: Vec::new(),
-    };
+    let update = RouterUpdate { strength: u32::MAX, fit: true, ..common::router_update("planner") };
     let message = postcard::to_stdvec(&PeerMessage::RouterNews(update)).unwrap();
     loop {
         socket.send_to(&message, router).await.unwrap();
