A restarted agent is sent its plan again

Cause: the planner renews a plan that its agent has confirmed in place of sending it. An agent that restarts knows no plan, ignores renewals and reports nothing, but the confirmation of its life before still counted, so that its engine got no commands until its plan changed.

Change: a confirmation counts while the agent reports, for 1.2 s after the last report.

Measured: planning::an_agent_that_restarts_is_sent_its_plan_again fails on the code before and passes now.

--- a/crates/corianderstand_forward/src/planning.rs
+++ b/crates/corianderstand_forward/src/planning.rs
@@ -16,6 +16,8 @@
 const MAX_RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Bounds the messages of a planner with many engines.
 const RENEW_INTERVAL_PER_ENGINE: Duration = Duration::from_micros(1_600);
+/// Longer than the interval between an agent's reports.
+const CONFIRMATION_TTL: Duration = Duration::from_millis(1_200);
 /// Serial numbers of one planner's plans, which begin at its start time: they must differ from another's.
 const SERIAL_BITS: u32 = 20;
 
@@ -84,7 +86,7 @@
                     self.last_plan_serial
                 }
             };
-            if last.is_some() && is_confirmed(shared, engine.key, serial) {
+            if last.is_some() && is_confirmed(shared, now, engine.key, serial) {
                 send_renewal(shared, serial, engine);
             } else {
                 let header =
@@ -108,10 +110,18 @@
     recipients: &'a peers::FanOut,
 }
 
-/// Whether an engine's agent reported that it follows the plan.
-fn is_confirmed<P>(shared: &router::Shared<P>, key: targets::TargetKey, serial: u64) -> bool {
+/// Whether an engine's agent reported lately that it follows the plan. One that restarts knows no plan and is
+/// silent until it is sent one.
+fn is_confirmed<P>(
+    shared: &router::Shared<P>,
+    now: Instant,
+    key: targets::TargetKey,
+    serial: u64,
+) -> bool {
     let view = shared.view.borrow();
-    view.targets.get(key).is_some_and(|target| target.confirmed_plan == serial)
+    let Some(target) = view.targets.get(key) else { return false };
+    let is_recent = |at| now.saturating_duration_since(at) < CONFIRMATION_TTL;
+    target.confirmed_plan == serial && target.agent_last_received_at.is_some_and(is_recent)
 }
 
 fn engine_views<P: router::Platform>(
--- a/crates/corianderstand_forward/tests/planning.rs
+++ b/crates/corianderstand_forward/tests/planning.rs
@@ -4,7 +4,7 @@
 
 use common::{MemoryStore, RouterThread, Target};
 use corianderstand_fleet::config::{Engine, Model, Service};
-use corianderstand_schema::peers::{EnginePlan, PeerMessage};
+use corianderstand_schema::peers::{EnginePlan, EngineUpdate, PeerMessage};
 use std::time::Duration;
 use tokio::{net::UdpSocket, time::Instant};
 
@@ -26,6 +26,8 @@
     Service { name: "models".into(), engine: Some(engine), ..Default::default() }
 }
 
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+
 async fn plan(agent: &UdpSocket) -> EnginePlan {
     let mut buf = vec![0; 65_536];
     loop {
@@ -74,3 +76,55 @@
     let after = wait_for_planner(&agent, "router-b").await;
     assert_eq!(after.target, before.target);
 }
+
+/// Guards against an agent without a plan for good: the planner renews a plan that a restarted agent has lost.
+#[tokio::test]
+async fn an_agent_that_restarts_is_sent_its_plan_again() {
+    let store = MemoryStore::default();
+    let target = Target::start().await;
+    let mut config = common::config(1, vec![common::route("/ask/", "models")]);
+    config.services = vec![service()];
+    store.put_config(config);
+    store.put_target(target.entry("engine", "models"));
+    let agent = UdpSocket::bind(common::free_port()).await.unwrap();
+    let mut settings = RouterThread::settings("router-a", Vec::new(), CONFIG_WITHIN);
+    settings.agent_port = agent.local_addr().unwrap().port();
+    let router = RouterThread::start_on(&store, settings);
+    let mut serial = plan(&agent).await.serial;
+    let mut buf = vec![0; 65_536];
+    let renewed = async {
+        loop {
+            let report = PeerMessage::EngineNews(report(serial));
+            agent.send_to(&postcard::to_stdvec(&report).unwrap(), router.peers).await.unwrap();
+            let received = agent.recv_from(&mut buf);
+            let Ok(received) = tokio::time::timeout(REPORT_INTERVAL, received).await else {
+                continue;
+            };
+            let (len, _) = received.unwrap();
+            match postcard::from_bytes(&buf[..len]).unwrap() {
+                PeerMessage::EnginePlan(plan) => serial = plan.serial,
+                PeerMessage::PlanRenewed(renewal) => return renewal.serial,
+                _ => {}
+            }
+        }
+    };
+    let renewed = tokio::time::timeout(common::WAIT_LIMIT, renewed).await;
+    let renewed = renewed.expect("a confirmed plan is renewed");
+    // The agent restarts: it sends nothing until it has a plan.
+    assert_eq!(plan(&agent).await.serial, renewed);
+}
+
+fn report(plan_serial: u64) -> EngineUpdate {
+    EngineUpdate {
+        target: "engine".into(),
+        born: 1,
+        orders: 0,
+        resident: Vec::new(),
+        copies: Vec::new(),
+        ongoing: Vec::new(),
+        running: 0,
+        waiting: 0,
+        cache_used: 0,
+        plan_serial,
+    }
+}
