Requests that ended the same targets: no verdict by chance, one at a time while few

Traced from the routers' logs, three causes: - A request was blocked for four ends. Then one target failed by itself under its neighbour, which shared three of the four. Both had four ends, and the order of the targets' names decided: the neighbour was blocked, the guilty one set free, and it ended one or two targets more. - Three requests that can't be told apart took turns by bits of their positions, so two of them ran together in half of the turns; after six common ends both are blocked. - The stand-in of an engine that drains came back as not draining when it crashed meanwhile, and was ended at the end of the drain all the same, 12 ms after requests were sent to it: a coincidence that a host under notice doesn't give.

Change: of two requests that each ended all the other's targets but one, and one other, neither is blocked; they take turns, and who completes is cleared. Up to six (two for each bit) take turns one by one, in cycles not longer than before.

--- a/crates/corianderstand_fleet/src/crashes.rs
+++ b/crates/corianderstand_fleet/src/crashes.rs
@@ -154,7 +154,7 @@
         Self {
             early_ends,
             late_ends: std::cmp::Reverse(crashes.len() - early_ends),
-            targets: crashes.iter().map(|crash| crash.target.clone()).collect(),
+            targets: targets_of(crashes),
         }
     }
 }
@@ -169,10 +169,15 @@
 }
 
 impl Ambiguous {
-    /// Whether a request is sent in a turn. Any two requests are apart in some turns: the bits of
-    /// their positions differ.
+    /// Whether a request is sent in a turn: a few requests one by one; of many, any two are apart in some
+    /// turns, as the bits of their positions differ.
     fn has_turn(&self, position: usize, turn: u32) -> bool {
-        let bits = usize::BITS - (self.requests.len().max(2) - 1).leading_zeros();
+        let count = self.requests.len().max(2);
+        let bits = usize::BITS - (count - 1).leading_zeros();
+        let turns_by_bits = 2 * bits as usize;
+        if count <= turns_by_bits {
+            return turn as usize % count == position;
+        }
         let bit = (turn / 2) % bits;
         (position >> bit & 1) as u32 == turn % 2
     }
@@ -329,15 +334,17 @@
         consecutive_ends(&all) >= MAX_LATE_ENDS && !self.has_rival(key, &all)
     }
 
-    /// Whether another request ran on these targets too, and did not survive longer on them. Of three
-    /// it may lack one: a router that is killed takes with it what it alone had seen.
+    /// Whether another request ran on these targets too, and did not survive longer on them. It may lack one
+    /// of three, as a router that is killed takes with it what it alone had seen, and one of more if it
+    /// ended another target instead: each of them may have ended one that failed by itself.
     fn has_rival(&self, key: Fingerprint, crashes: &[&Crash]) -> bool {
-        let max_missing = usize::from(crashes.len() == MAX_CONSECUTIVE_ENDS);
         let open = self.suspects.iter().filter(|(other, _)| !self.blocks.contains_key(other));
         let mut others = open.filter(|(other, _)| **other != key);
         others.any(|(_, other)| {
             let missing = crashes.iter().filter(|own| !other.explains(own)).count();
-            missing <= max_missing
+            let ended_another = || other.early_crashes(&targets_of(crashes)).len() == 1;
+            missing == 0
+                || missing == 1 && (crashes.len() == MAX_CONSECUTIVE_ENDS || ended_another())
         })
     }
 
@@ -361,6 +368,10 @@
     }
 }
 
+fn targets_of(crashes: &[&Crash]) -> BTreeSet<Incarnation> {
+    crashes.iter().map(|crash| crash.target.clone()).collect()
+}
+
 /// Length of a chain of ends in which each run began after the end before it. Copies that ran at the
 /// same time count once: hosts may fail together, but not each time that a request is repeated.
 fn consecutive_ends(crashes: &[&Crash]) -> usize {
--- a/crates/corianderstand_fleet/tests/crashes.rs
+++ b/crates/corianderstand_fleet/tests/crashes.rs
@@ -134,6 +134,22 @@
     assert!(history.is_blocked(6, CRASHING) && !history.is_blocked(6, NEIGHBOUR));
 }
 
+/// Guards against blocking a request in place of another because one of its targets failed by itself.
+#[test]
+fn requests_that_each_lost_one_target_more_are_not_told_apart() {
+    let mut history = History::new();
+    history.end(1, &[CRASHING]);
+    for second in 2..=4 {
+        history.end(second, &[CRASHING, NEIGHBOUR]);
+    }
+    assert!(history.is_blocked(5, CRASHING));
+    history.end(5, &[NEIGHBOUR]);
+    assert!(!history.is_blocked(6, NEIGHBOUR));
+    assert!(history.crashes.has_held_requests(), "they take turns");
+    history.crashes.clear(&NEIGHBOUR);
+    assert!(history.is_blocked(7, CRASHING));
+}
+
 /// Guards against blocking a stream that ran well until another request ended its targets.
 #[test]
 fn a_request_that_had_been_streaming_is_less_suspect() {
@@ -189,6 +205,25 @@
     assert!(may_be_sent(Fingerprint(3), times[0]), "others aren't held");
 }
 
+/// Guards against a request that never runs apart from the one that ends targets.
+#[rstest::rstest]
+#[case(2)]
+#[case(3)]
+#[case(5)]
+fn few_requests_that_cannot_be_told_apart_take_turns_one_by_one(#[case] count: u64) {
+    let requests: Vec<Fingerprint> = (1..=count).map(|n| Fingerprint(n.into())).collect();
+    let mut history = History::new();
+    for second in 1..=2 {
+        history.end(second, &requests);
+    }
+    for step in 0..800 {
+        let at = history.at(3) + Duration::from_millis(10) * step;
+        let may_be_sent =
+            |request: &&Fingerprint| history.crashes.held_until(at, request).is_none();
+        assert!(requests.iter().filter(may_be_sent).count() <= 1);
+    }
+}
+
 /// Guards against two requests that hide behind each other for ever.
 #[test]
 fn ambiguity_ends_after_six_ends() {
