The list of routers comes from a seed where a deployment is large

Change: a router that starts asks its seeds first, for 100 ms at most, and 800 ms at the first start of a deployment, when the seeds read the list themselves. Test: fails on the code before (one read).

--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -35,7 +35,7 @@
 const FIRST_START_DELAY: Duration = Duration::from_millis(500);
 /// Interval after the start of a router of a large deployment, as others may be starting too.
 const MIN_ROUTERS_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest delay of a router's other first reads until it knows who may read for it.
+/// Longest time for which a router's other first reads wait for the store's list of routers.
 const ROUTERS_WAIT: Duration = Duration::from_millis(120);
 const ROUTERS_POLL_INTERVAL: Duration = Duration::from_millis(10);
 const MIN_LONG_POLL_WAIT: Duration = Duration::from_millis(300);
@@ -72,7 +72,9 @@
 
 async fn follow<P: router::Platform>(shared: Rc<router::Shared<P>>, subject: Subject) {
     let mut from: Option<u64> = None;
-    if subject != Subject::Routers {
+    if subject == Subject::Routers {
+        from = via_readers::first_routers(&shared).await;
+    } else {
         wait_for_routers(&shared).await;
         from = via_readers::first_offset(&shared, subject).await;
     }
@@ -147,7 +149,7 @@
         records.since_read(shared.clock.now(), subject).is_some()
             || records.last_read_failed(subject)
     };
-    let deadline = shared.clock.now() + ROUTERS_WAIT;
+    let deadline = shared.clock.now() + via_readers::seeds_wait(shared) + ROUTERS_WAIT;
     while !is_read() && shared.clock.now() < deadline {
         tokio::time::sleep(ROUTERS_POLL_INTERVAL).await;
     }
--- a/crates/corianderstand_forward/src/follow/via_readers.rs
+++ b/crates/corianderstand_forward/src/follow/via_readers.rs
@@ -8,16 +8,70 @@
     rc::Rc,
     time::{Duration, Instant},
 };
+use xxhash_rust::xxh3;
 
 /// Share of `drain_within` between requests to a reader.
 const FOLLOWER_INTERVAL_RATIO: f64 = 0.1;
 /// Time in which the readers of a router that starts are expected to have read the store, if they start too.
 const FIRST_FETCH_TIME: Duration = Duration::from_millis(1_500);
+/// Time for one answer. Routers that start together with their seeds read the store.
+const SEEDS_WAIT: Duration = Duration::from_millis(100);
+/// Time for the seeds of a new deployment to read the list themselves, and to serve the other routers.
+const FIRST_SEEDS_WAIT: Duration = Duration::from_millis(800);
+const SEEDS_INTERVAL: Duration = Duration::from_millis(50);
 const FIRST_FETCH_INTERVAL: Duration = Duration::from_millis(100);
 const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Polls after which a router without readers tries the store itself.
 const FALLBACK_POLLS: u32 = 5;
 
+/// Longest time in which a router that starts asks its seeds for the list of routers.
+pub(super) fn seeds_wait<P>(shared: &router::Shared<P>) -> Duration {
+    if shared.settings.is_first_start { FIRST_SEEDS_WAIT } else { SEEDS_WAIT }
+}
+
+/// Fetches the list of routers of a large deployment from a seed. Returns the offset after it, or none if this
+/// router should read the store, as the seeds themselves do.
+pub(super) async fn first_routers<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+) -> Option<u64> {
+    let mut seeds = shared.bounds.borrow().seeds.clone();
+    if seeds.contains(&shared.settings.peer_addr) {
+        return None;
+    }
+    // Spreads the routers over the seeds.
+    let order =
+        |seed: &SocketAddr| xxh3::xxh3_64(format!("{} {seed}", shared.settings.name).as_bytes());
+    seeds.sort_by_key(order);
+    let asked = ask_seeds(shared, &seeds);
+    tokio::time::timeout(seeds_wait(shared), asked).await.ok().flatten()
+}
+
+async fn ask_seeds<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    seeds: &[SocketAddr],
+) -> Option<u64> {
+    let subject = Subject::Routers;
+    loop {
+        for seed in seeds {
+            if let transfer::TransferOutcome::Applied(age) =
+                transfer::fetch_changes(shared, *seed, subject).await
+            {
+                let next = shared.replicated_records.borrow().next_offset(subject);
+                if next > 0 {
+                    let is_mesh = shared.peers.borrow().is_mesh();
+                    let age = age.filter(|_| !is_mesh)?;
+                    record_read(shared, subject, age);
+                    return Some(next);
+                }
+            }
+        }
+        if !shared.settings.is_first_start {
+            return None;
+        }
+        tokio::time::sleep(SEEDS_INTERVAL).await;
+    }
+}
+
 /// Fetches the first records of a router that starts from its readers. Returns the offset after them, or none
 /// if this router should read the store.
 pub(super) async fn first_offset<P: router::Platform>(
--- a/crates/corianderstand_forward/tests/readers.rs
+++ b/crates/corianderstand_forward/tests/readers.rs
@@ -4,8 +4,8 @@
 
 use common::{MemoryStore, RouterThread, Target};
 use corianderstand_forward::{
-    dialect::{Record, Subject},
-    peers,
+    dialect::{Record, RouterEntry, Subject},
+    hubs, peers,
     readers::{self, Neighbour, READER_COUNT, Role},
     replicated_records::ReplicatedRecords,
     router,
@@ -297,3 +297,28 @@
     let elapsed = zone.time_until_known("/two/").await;
     assert!(elapsed < zone.follower.settings.bounds.config_within, "in force after {elapsed:?}");
 }
+
+/// Guards against one read of the store for each router of a large deployment that starts.
+#[tokio::test]
+async fn the_list_of_routers_comes_from_a_seed() {
+    let store = MemoryStore::default();
+    let target = Target::start().await;
+    store.put_target(target.entry("target-1", "desk"));
+    for index in 0..hubs::MAX_MESH_ROUTERS {
+        store.put_router(RouterEntry {
+            router: format!("listed-{index}").into(),
+            addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+            zone: Some("here".into()),
+            strength: 2,
+        });
+    }
+    store.put_config(common::config(1, vec![common::route("/pay/", "desk")]));
+    let seed = RouterThread::start(&store);
+    seed.wait_ready().await;
+
+    let own_store = store.isolated();
+    let router = RouterThread::start_on(&own_store, settings("router-b", 1, vec![seed.peers]));
+    router.wait_ready().await;
+    tokio::time::sleep(COUNTING_TIME).await;
+    assert_eq!(own_store.router_list_reads(), 0);
+}
