--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -71,13 +71,12 @@
 }
 
 async fn follow<P: router::Platform>(shared: Rc<router::Shared<P>>, subject: Subject) {
-    let mut from: Option<u64> = None;
-    if subject == Subject::Routers {
-        from = via_readers::first_routers(&shared).await;
+    let mut from = if subject == Subject::Routers {
+        via_readers::first_routers(&shared).await
     } else {
         wait_for_routers(&shared).await;
-        from = via_readers::first_offset(&shared, subject).await;
-    }
+        via_readers::first_offset(&shared, subject).await
+    };
     let mut routers_interval = MIN_ROUTERS_INTERVAL;
     loop {
         let known = from.is_some() || shared.replicated_records.borrow().next_offset(subject) > 0;
--- a/crates/corianderstand_forward/src/follow/via_readers.rs
+++ b/crates/corianderstand_forward/src/follow/via_readers.rs
@@ -18,7 +18,7 @@
 const SEEDS_WAIT: Duration = Duration::from_millis(100);
 /// Time for the seeds of a new deployment to read the list themselves, and to serve the other routers.
 const FIRST_SEEDS_WAIT: Duration = Duration::from_millis(800);
-const SEEDS_INTERVAL: Duration = Duration::from_millis(50);
+const SEEDS_INTERVAL: Duration = Duration::from_millis(150);
 const FIRST_FETCH_INTERVAL: Duration = Duration::from_millis(100);
 const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Polls after which a router without readers tries the store itself.
@@ -51,25 +51,23 @@
     seeds: &[SocketAddr],
 ) -> Option<u64> {
     let subject = Subject::Routers;
-    loop {
-        for seed in seeds {
-            if let transfer::TransferOutcome::Applied(age) =
-                transfer::fetch_changes(shared, *seed, subject).await
-            {
-                let next = shared.replicated_records.borrow().next_offset(subject);
-                if next > 0 {
-                    let is_mesh = shared.peers.borrow().is_mesh();
-                    let age = age.filter(|_| !is_mesh)?;
-                    record_read(shared, subject, age);
-                    return Some(next);
-                }
-            }
+    let is_first_start = shared.settings.is_first_start;
+    let questions = if is_first_start { usize::MAX } else { seeds.len() };
+    for seed in seeds.iter().cycle().take(questions) {
+        let outcome = transfer::fetch_changes(shared, *seed, subject).await;
+        let next = shared.replicated_records.borrow().next_offset(subject);
+        if let transfer::TransferOutcome::Applied(age) = outcome
+            && next > 0
+        {
+            let is_mesh = shared.peers.borrow().is_mesh();
+            record_read(shared, subject, age.filter(|_| !is_mesh)?);
+            return Some(next);
         }
-        if !shared.settings.is_first_start {
-            return None;
+        if is_first_start {
+            tokio::time::sleep(SEEDS_INTERVAL).await;
         }
-        tokio::time::sleep(SEEDS_INTERVAL).await;
     }
+    None
 }
 
 /// Fetches the first records of a router that starts from its readers. Returns the offset after them, or none
