--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -1,6 +1,7 @@
 //! A small cluster: real routers and agents, and stand-ins for the platform.
 
 use crate::{proxy, workspaces};
+use bytes::Bytes;
 use corianderstand_platform_standins::{
     ledger::Ledger,
     settings,
@@ -24,6 +25,7 @@
 const STORE_PORT: u16 = 8_142;
 const TARGET_PORT: u16 = 8_145;
 const PROXY_PORT: u16 = 8_245;
+const FOREIGN_ENTRY_BYTES: usize = 100_000;
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
 #[derive(Clone, Copy, Debug)]
@@ -229,8 +231,21 @@
         unique_prefix
     }
 
-    pub fn write_invalid_entry(&self) {
-        self.store.put(ENTRIES_TOPIC, "stranger", Some("{\"service\":7".into()));
+    /// Writes entries that no engine of this deployment would write.
+    pub fn write_invalid_entries(&self) {
+        let long = format!("{{\"service\":\"{}\"}}", "x".repeat(FOREIGN_ENTRY_BYTES));
+        let entries: [&[u8]; 6] = [
+            b"{\"service\":7",
+            b"{}",
+            b"{\"service\":\"models\",\"state\":\"asleep\",\"born\":-1}",
+            b"{\"service\":\"nobody\",\"addr\":\"0.0.0.0:0\"}",
+            b"\xff\x00\xfe",
+            long.as_bytes(),
+        ];
+        for (index, entry) in entries.iter().enumerate() {
+            let key = format!("stranger-{index}");
+            self.store.put(ENTRIES_TOPIC, &key, Some(Bytes::copy_from_slice(entry)));
+        }
     }
 
     pub async fn wait_ready(&mut self) {
--- a/tools/soak/src/faults.rs
+++ b/tools/soak/src/faults.rs
@@ -48,7 +48,7 @@
     Store(FaultMode),
     DiscardHistory,
     Configure,
-    /// Write an entry that cannot be parsed.
+    /// Write entries that cannot be parsed or name no engine of this deployment.
     InvalidEntry,
     /// Kill and restart all routers and agents at once.
     KillAll,
@@ -125,7 +125,7 @@
             Self::Store(store_fault) => cluster.store.set_fault_mode(store_fault),
             Self::DiscardHistory => cluster.store.compact(),
             Self::Configure => drop(cluster.configure()),
-            Self::InvalidEntry => cluster.write_invalid_entry(),
+            Self::InvalidEntry => cluster.write_invalid_entries(),
             Self::KillAll => {
                 let processes = cluster.routers.iter_mut().chain(&mut cluster.agents);
                 processes.for_each(|managed| kill(&mut managed.process));
