A silent engine is kept until another one takes its stream

An engine was silent for 1 s, five times the gap aim; another one could take the stream as far as the choice goes, so the router closed the connection and then asked for a place there: it waited 0.78 s for a turn to read its prompt, had none in time, and cut the caller's stream. Another stream at the first engine paused for 952 ms and ended whole. Change: the place is sought while the first connection stays open; the stream goes on there if it sends first, or if no other can take it. Never two runs at once: the first is cancelled before the second is sent.

--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -445,10 +445,28 @@
     job: &mut job::Job,
     last_event: Option<u64>,
 ) -> Result<attempt::Answered<P>, &'static str> {
+    let key = find_other_target(shared, job).await?;
+    resume_stream_at(shared, job, key, last_event).await
+}
+
+/// Chooses another target for a stream, and waits for it as [`waiting::find_target`] does.
+pub async fn find_other_target<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    job: &mut job::Job,
+) -> Result<targets::TargetKey, &'static str> {
     if !may_try_another(shared, job) {
         return Err("no further target is allowed");
     }
-    let key = waiting::find_target(shared, job).await.map_err(|rejected| rejected.reason)?;
+    waiting::find_target(shared, job).await.map_err(|rejected| rejected.reason)
+}
+
+/// Continues a stream at a target that was found for it.
+pub async fn resume_stream_at<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    job: &mut job::Job,
+    key: targets::TargetKey,
+    last_event: Option<u64>,
+) -> Result<attempt::Answered<P>, &'static str> {
     if shared.block(shared.clock.now(), job).is_some() {
         return Err(BLOCKED);
     }
--- a/crates/corianderstand_forward/src/follow/via_readers.rs
+++ b/crates/corianderstand_forward/src/follow/via_readers.rs
@@ -29,8 +29,8 @@
     if shared.settings.is_first_start { FIRST_SEEDS_WAIT } else { SEEDS_WAIT }
 }
 
-/// Fetches the list of routers of a large deployment from a seed. Returns the offset after it, or none if this
-/// router should read the store, as the seeds themselves do.
+/// Fetches the list of routers from a seed. Returns the offset after it, or none if this router should read the
+/// store, as the seeds do, and all routers of a small deployment.
 pub(super) async fn first_routers<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
 ) -> Option<u64> {
@@ -59,8 +59,10 @@
         if let transfer::TransferOutcome::Applied(age) = outcome
             && next > 0
         {
-            let is_mesh = shared.peers.borrow().is_mesh();
-            record_read(shared, subject, age.filter(|_| !is_mesh)?);
+            if shared.peers.borrow().is_mesh() {
+                return None;
+            }
+            record_read(shared, subject, age?);
             return Some(next);
         }
         if is_first_start {
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -5,16 +5,20 @@
     target_reports,
 };
 use bytes::Bytes;
-use futures::{StreamExt, stream};
+use corianderstand_fleet::targets;
+use futures::{
+    StreamExt,
+    stream::{self, Peekable},
+};
 use http::Response;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::{BodyDataStream, BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use std::{
     rc::Rc,
     time::{Duration, Instant},
 };
 
-/// Multiple of the gap objective after which a stream is resumed at another target.
+/// Multiple of the gap objective after which another target is sought for a stream.
 const IDLE_TIMEOUT_GAPS: u32 = 5;
 /// Idle timeout of streams whose route has no gap objective.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -23,6 +27,8 @@
 /// Lets the target end the stream itself at the deadline.
 const DEADLINE_GRACE: Duration = Duration::from_millis(100);
 
+const SILENT: &str = "the target fell silent";
+
 struct RelayedStream<P: router::Platform> {
     shared: Rc<router::Shared<P>>,
     job: job::Job,
@@ -54,7 +60,7 @@
 }
 
 struct Upstream<P: router::Platform> {
-    body: Incoming,
+    body: Peekable<BodyDataStream<Incoming>>,
     lease: pool::Lease,
     in_flight: job::InFlight<P>,
     response_head: dialect::ResponseHead,
@@ -64,11 +70,21 @@
     has_survived: bool,
 }
 
+impl<P: router::Platform> Upstream<P> {
+    /// Splits a response into its head and its stream.
+    fn new(answered: attempt::Answered<P>) -> (http::response::Parts, Self) {
+        let attempt::Answered { head, response_head, body, lease, in_flight } = answered;
+        let body = body.into_data_stream().peekable();
+        let (first_event_at, has_survived) = (None, false);
+        (head, Self { body, lease, in_flight, response_head, first_event_at, has_survived })
+    }
+}
+
 enum Step {
     Data(Bytes),
     Complete,
     Interrupted,
-    TimedOut,
+    Silent,
     DeadlineExceeded,
 }
 
@@ -95,19 +111,11 @@
     job: job::Job,
     answered: attempt::Answered<P>,
 ) -> Result<Response<body::ResponseBody>, (Box<job::Job>, &'static str)> {
-    let attempt::Answered { mut head, response_head: info, body: upstream, lease, in_flight } =
-        answered;
+    let (mut head, upstream) = Upstream::new(answered);
     let mut relayed = RelayedStream {
         shared: shared.clone(),
         job,
-        upstream: Some(Upstream {
-            body: upstream,
-            lease,
-            in_flight,
-            response_head: info,
-            first_event_at: None,
-            has_survived: false,
-        }),
+        upstream: Some(upstream),
         splitter: relay::EventSplitter::default(),
         resumes: 0,
         has_ended: false,
@@ -163,9 +171,14 @@
                         return self.abort(why, exchange::Aborted::ByTarget);
                     }
                 }
-                Step::TimedOut => {
-                    if !self.resume("the target fell silent").await {
-                        return self.abort("the target fell silent", exchange::Aborted::ByTarget);
+                Step::Silent => {
+                    let Some(key) = self.find_other_target().await else { continue };
+                    self.leave_target(SILENT);
+                    let last = self.last_event();
+                    let resumed =
+                        exchange::resume_stream_at(&self.shared, &mut self.job, key, last).await;
+                    if !self.continue_at(resumed) {
+                        return self.abort(SILENT, exchange::Aborted::ByTarget);
                     }
                 }
             }
@@ -191,32 +204,25 @@
             }
             let Some(upstream) = &mut self.upstream else { return Step::Interrupted };
             let poll_at: Instant = (now + idle_timeout).min(end);
-            match tokio::time::timeout_at(poll_at.into(), upstream.body.frame()).await {
-                Ok(Some(Ok(frame))) => match frame.into_data() {
-                    Ok(data) if data.is_empty() => {}
-                    Ok(data) => {
-                        let now = self.shared.clock.now();
-                        match self.timings.last_event_at {
-                            Some(at) => {
-                                self.shared.record_event_interval(
-                                    upstream.in_flight.key(),
-                                    now,
-                                    at,
-                                );
-                            }
-                            None => self.shared.record_first_event(&self.job, now),
-                        }
-                        let first_event_at = *upstream.first_event_at.get_or_insert(now);
-                        let streamed_for = now.saturating_duration_since(first_event_at);
-                        if !upstream.has_survived && streamed_for >= SURVIVAL_TIME {
-                            upstream.has_survived = true;
-                            target_reports::record_completed(&self.shared, &self.job);
+            match tokio::time::timeout_at(poll_at.into(), upstream.body.next()).await {
+                Ok(Some(Ok(data))) if data.is_empty() => {}
+                Ok(Some(Ok(data))) => {
+                    let now = self.shared.clock.now();
+                    match self.timings.last_event_at {
+                        Some(at) => {
+                            self.shared.record_event_interval(upstream.in_flight.key(), now, at);
                         }
-                        self.timings.record(now);
-                        return Step::Data(data);
+                        None => self.shared.record_first_event(&self.job, now),
                     }
-                    Err(_trailers) => {}
-                },
+                    let first_event_at = *upstream.first_event_at.get_or_insert(now);
+                    let streamed_for = now.saturating_duration_since(first_event_at);
+                    if !upstream.has_survived && streamed_for >= SURVIVAL_TIME {
+                        upstream.has_survived = true;
+                        target_reports::record_completed(&self.shared, &self.job);
+                    }
+                    self.timings.record(now);
+                    return Step::Data(data);
+                }
                 Ok(None) if self.job.route.resumable && self.splitter.has_partial() => {
                     return Step::Interrupted;
                 }
@@ -230,7 +236,7 @@
                     let key = upstream.in_flight.key();
                     let resumable = self.splitter.events() > 0 && self.job.route.resumable;
                     if now < end && resumable && self.shared.has_alternative(now, &self.job, key) {
-                        return Step::TimedOut;
+                        return Step::Silent;
                     }
                 }
             }
@@ -274,34 +280,51 @@
         Some(Err(aborted))
     }
 
-    /// Continues at another target after the last whole event.
-    async fn resume(&mut self, why: &'static str) -> bool {
+    /// Finds another target for the stream of a silent one; none if that one goes on first, or no other can
+    /// take it: a target may be silent for long and still end its stream well.
+    async fn find_other_target(&mut self) -> Option<targets::TargetKey> {
+        self.job.idle_since = self.timings.last_event_at.unwrap_or(self.job.arrived_at);
+        let upstream = self.upstream.as_mut()?;
+        let found = tokio::select! {
+            biased;
+            _ = Pin::new(&mut upstream.body).peek() => return None,
+            found = exchange::find_other_target(&self.shared, &mut self.job) => found,
+        };
+        let id = &self.job.request.id;
+        found.inspect_err(|why| tracing::debug!(%id, why, "no other target for the stream")).ok()
+    }
+
+    /// Closes the connection to the target, which cancels the request there before it continues elsewhere.
+    fn leave_target(&mut self, why: &'static str) {
         let now = self.shared.clock.now();
         self.shared.decision_log.attempt_failed(&self.job, why, None, now);
         if let Some(upstream) = self.upstream.take() {
             self.shared.record_target_failure(upstream.in_flight.key(), why);
-            // Closing the connection cancels the request there before it continues elsewhere.
-            drop(upstream);
         }
+        self.splitter.resume();
+    }
+
+    fn last_event(&self) -> Option<u64> {
+        self.splitter.last_event().or(self.job.request.last_event_id)
+    }
+
+    /// Continues at another target after the last whole event.
+    async fn resume(&mut self, why: &'static str) -> bool {
+        self.leave_target(why);
         if !self.job.route.resumable {
             return false;
         }
-        self.splitter.resume();
         self.job.idle_since = self.timings.last_event_at.unwrap_or(self.job.arrived_at);
-        let last = self.splitter.last_event().or(self.job.request.last_event_id);
-        let shared = self.shared.clone();
-        match exchange::resume_stream(&shared, &mut self.job, last).await {
+        let last = self.last_event();
+        let resumed = exchange::resume_stream(&self.shared, &mut self.job, last).await;
+        self.continue_at(resumed)
+    }
+
+    /// Goes on with another target's response, if it sent one.
+    fn continue_at(&mut self, resumed: Result<attempt::Answered<P>, &'static str>) -> bool {
+        match resumed {
             Ok(answered) => {
-                let attempt::Answered { response_head: info, body, lease, in_flight, .. } =
-                    answered;
-                self.upstream = Some(Upstream {
-                    body,
-                    lease,
-                    in_flight,
-                    response_head: info,
-                    first_event_at: None,
-                    has_survived: false,
-                });
+                self.upstream = Some(Upstream::new(answered).1);
                 self.resumes += 1;
                 true
             }
--- a/crates/corianderstand_forward/tests/prefill_permits.rs
+++ b/crates/corianderstand_forward/tests/prefill_permits.rs
@@ -19,48 +19,64 @@
 const MAX_PROMPT_DELAY: Duration = Duration::from_millis(500);
 
 struct Setup {
+    store: MemoryStore,
     router: RouterThread,
     engine: Target,
     agent: UdpSocket,
 }
 
+fn entry(engine: &Target, name: &str) -> targets::Entry {
+    let resident = targets::Resident { model: "m".into(), adapters: Vec::new() };
+    let holdings = targets::Holdings { resident: vec![resident], ..Default::default() };
+    targets::Entry { holdings, ..engine.entry(name, "models") }
+}
+
 async fn setup() -> Setup {
     let store = MemoryStore::default();
     let engine = Target::start().await;
-    let streams = Route { streams: true, resumable: true, ..common::route("/ask/", "models") };
+    let streams = Route {
+        streams: true,
+        resumable: true,
+        gap_objective: Some(Duration::from_millis(60)),
+        ..common::route("/ask/", "models")
+    };
     let mut config = common::config(1, vec![streams]);
     let model = config::Model { name: "m".into(), ..Default::default() };
     let spec = config::Engine { slots: 8, models: vec![model], ..Default::default() };
     config.services =
         vec![config::Service { name: "models".into(), engine: Some(spec), ..Default::default() }];
     store.put_config(config);
-    let resident = targets::Resident { model: "m".into(), adapters: Vec::new() };
-    let holdings = targets::Holdings { resident: vec![resident], ..Default::default() };
-    store.put_target(targets::Entry { holdings, ..engine.entry("engine", "models") });
+    store.put_target(entry(&engine, "engine"));
     let agent = UdpSocket::bind(common::free_port()).await.unwrap();
     let mut settings = RouterThread::settings("router-a", Vec::new(), Duration::from_secs(8));
     settings.agent_port = agent.local_addr().unwrap().port();
     let router = RouterThread::start_on(&store, settings);
     router.wait_ready().await;
-    let update = peers::EngineUpdate {
-        target: "engine".into(),
-        born: 0,
-        orders: 1,
-        resident: vec![peers::ResidentModel { model: "m".into(), adapters: Vec::new() }],
-        copies: Vec::new(),
-        ongoing: Vec::new(),
-        running: 0,
-        waiting: 0,
-        cache_used: 0,
-        plan_serial: 0,
-    };
-    let update = postcard::to_stdvec(&PeerMessage::EngineNews(update)).unwrap();
-    agent.send_to(&update, router.peers).await.unwrap();
-    tokio::time::sleep(Duration::from_millis(100)).await;
-    Setup { router, engine, agent }
+    let setup = Setup { store, router, engine, agent };
+    setup.report("engine").await;
+    setup
 }
 
 impl Setup {
+    /// Has the agent tell the router of an engine.
+    async fn report(&self, name: &str) {
+        let update = peers::EngineUpdate {
+            target: name.into(),
+            born: 0,
+            orders: 1,
+            resident: vec![peers::ResidentModel { model: "m".into(), adapters: Vec::new() }],
+            copies: Vec::new(),
+            ongoing: Vec::new(),
+            running: 0,
+            waiting: 0,
+            cache_used: 0,
+            plan_serial: 0,
+        };
+        let update = postcard::to_stdvec(&PeerMessage::EngineNews(update)).unwrap();
+        self.agent.send_to(&update, self.router.peers).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+
     async fn send_request(&self) -> tokio::net::TcpStream {
         let headers = [("x-id", ID), ("x-model", "m"), ("x-prompt", "1000")];
         common::send(self.router.front, "POST", "/ask/1", &headers, "").await.unwrap()
@@ -133,3 +149,33 @@
     assert!(answer.to_lowercase().contains("retry-after: "), "{answer}");
     assert!(started_at.elapsed() < MAX_PROMPT_DELAY, "{:?}", started_at.elapsed());
 }
+
+/// Guards against a stream that is cut because no other engine takes it while its own is only slow.
+#[tokio::test]
+async fn a_silent_engine_is_kept_until_another_takes_the_stream() {
+    let setup = setup().await;
+    let mut caller = setup.send_request().await;
+    let (router, first) = setup.next_request().await;
+    setup.send_response(router, first.id, true, 0).await;
+    let mut run = setup.engine.next().await;
+    run.begin_stream(ID).await;
+    run.send_chunk("id: 1\ndata: a\n\n").await;
+    let other = Target::start().await;
+    setup.store.put_target(entry(&other, "other"));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    setup.report("other").await;
+
+    let second = loop {
+        let (_, request) = setup.next_request().await;
+        if request.id != first.id {
+            break request;
+        }
+    };
+    setup.send_response(router, second.id, false, 60_000).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    run.send_chunk("id: 2\ndata: b\n\n").await;
+    run.end().await;
+    let answer = tokio::time::timeout(common::WAIT_LIMIT, common::read_all(&mut caller));
+    let answer = answer.await.expect("the stream ends").unwrap();
+    assert!(answer.contains("data: b") && answer.ends_with("0\r\n\r\n"), "{answer}");
+}
