--- a/crates/corianderstand_forward/tests/prefill_permits.rs
+++ b/crates/corianderstand_forward/tests/prefill_permits.rs
@@ -9,6 +9,7 @@
 };
 use corianderstand_schema::peers::{self, PeerMessage, PrefillRequest, PrefillResponse};
 use std::{
+    cell::Cell,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -165,17 +166,29 @@
     tokio::time::sleep(Duration::from_millis(100)).await;
     setup.report("other").await;
 
-    let second = loop {
-        let (_, request) = setup.next_request().await;
-        if request.id != first.id {
-            break request;
+    let refusals = Cell::new(0);
+    let refuse_all = async {
+        loop {
+            let (router, request) = setup.next_request().await;
+            if request.id != first.id {
+                refusals.set(refusals.get() + 1);
+                setup.send_response(router, request.id, false, 60_000).await;
+            }
         }
     };
-    setup.send_response(router, second.id, false, 60_000).await;
-    tokio::time::sleep(Duration::from_millis(200)).await;
-    run.send_chunk("id: 2\ndata: b\n\n").await;
-    run.end().await;
-    let answer = tokio::time::timeout(common::WAIT_LIMIT, common::read_all(&mut caller));
-    let answer = answer.await.expect("the stream ends").unwrap();
+    let stream = async {
+        while refusals.get() == 0 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        run.send_chunk("id: 2\ndata: b\n\n").await;
+        run.end().await;
+        common::read_all(&mut caller).await.unwrap()
+    };
+    let answer = tokio::select! {
+        answer = tokio::time::timeout(common::WAIT_LIMIT, stream) => answer,
+        () = refuse_all => unreachable!("it refuses until the stream ends"),
+    };
+    let answer = answer.expect("the stream ends");
     assert!(answer.contains("data: b") && answer.ends_with("0\r\n\r\n"), "{answer}");
 }
