Logs and metrics: what a send rests on, and how late a leaving comes into force

A send named its target, but not who had sent the target's entry, at which offset, or how old the read was; a removal named neither source nor offset nor whether the target was known; other changes were logged at debug only; nothing said how long after its record a leaving came into force.

Metrics entries_age_seconds (at each send) and leaving_delay_seconds. Each stored record keeps its source. No decision changes.

--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -31,6 +31,15 @@
     pub timings: stream::EventTimings,
 }
 
+/// What a decision to send a request to a target rests on.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetKnowledge {
+    /// Where the target's entry came from; none if only its agent has reported it.
+    pub origin: Option<replicated_records::Origin>,
+    /// Time since the store was read for the entries of all targets.
+    pub age: Option<Duration>,
+}
+
 /// Each kind has its own rate limit, so that a flood of one does not suppress the others.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum LineKind {
@@ -43,9 +52,10 @@
     Left,
     TargetEnded,
     RecordIgnored,
+    TargetChanged,
 }
 
-const LINE_KINDS: usize = 9;
+const LINE_KINDS: usize = 10;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct LineCount {
@@ -64,10 +74,19 @@
 
 impl Log {
     /// Logs that a request is sent to a target.
-    pub fn placed(&self, job: &job::Job, view: &view::View, key: targets::TargetKey, now: Instant) {
+    pub fn placed(
+        &self,
+        job: &job::Job,
+        view: &view::View,
+        key: targets::TargetKey,
+        knowledge: TargetKnowledge,
+        now: Instant,
+    ) {
+        self.metrics.placed(knowledge.age);
         if !self.may_log(LineKind::Placed, now) {
             return;
         }
+        let entry_from = knowledge.origin.map(|origin| origin.source.to_string());
         let Some(target) = view.targets.get(key) else { return };
         let agent_age_ms = target.agent_last_received_at.map(|at| millis_between(now, at));
         let version = view.route_table.as_ref().map(|table| table.config().version);
@@ -81,6 +100,9 @@
             occupied = target.estimated_requests(now),
             trouble = format_args!("{:.2}", target.health.failure_score(now)),
             agent_age_ms,
+            entry_from,
+            entry_offset = knowledge.origin.map(|origin| origin.offset),
+            entries_age_ms = knowledge.age.map(|age| age.as_millis() as u64),
             config = version,
             waited_ms = millis_between(now, job.arrived_at),
             "placed"
@@ -314,6 +336,42 @@
         }
     }
 
+    /// Logs that the registered entry of a target changed.
+    pub fn target_changed(
+        &self,
+        id: &names::TargetId,
+        change: targets::RegistrationChange,
+        origin: replicated_records::Origin,
+        within: Option<Duration>,
+        now: Instant,
+    ) {
+        let replicated_records::Origin { source, offset } = origin;
+        let within_ms = within.map(|time| time.as_millis() as u64);
+        if change == targets::RegistrationChange::Draining {
+            self.metrics.target_left(within);
+            tracing::info!(target = %id, offset, %source, within_ms, "target is leaving");
+        } else if self.may_log(LineKind::TargetChanged, now) {
+            tracing::info!(target = %id, ?change, offset, %source, within_ms, "target changed");
+        }
+    }
+
+    /// Logs that the entry of a target was removed.
+    pub fn target_removed(
+        &self,
+        id: &names::TargetId,
+        known: bool,
+        grace: bool,
+        origin: replicated_records::Origin,
+        within: Option<Duration>,
+    ) {
+        let replicated_records::Origin { source, offset } = origin;
+        let within_ms = within.map(|time| time.as_millis() as u64);
+        if known {
+            self.metrics.target_left(within);
+        }
+        tracing::info!(target = %id, known, grace, offset, %source, within_ms, "target's entry removed");
+    }
+
     /// Logs a caller that disconnected before it had the whole response.
     pub fn caller_left(&self, id: &SmolStr, events: u64, now: Instant) {
         self.metrics.caller_left();
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -8,7 +8,7 @@
 use crate::{config_proof, dialect, ended_targets, readers, replicated_records, router, status};
 use corianderstand_fleet::{config, routes, targets};
 use dialect::Subject;
-use replicated_records::Source;
+use replicated_records::{Origin, Source};
 use std::{
     rc::Rc,
     sync::Arc,
@@ -272,7 +272,7 @@
     let content_hash = content_hash(&record, decoded.as_ref().ok().and_then(Option::as_ref));
     let mut records = shared.replicated_records.borrow_mut();
     let is_known = records.has_content(subject, &record.key, content_hash);
-    records.insert(subject, record, content_hash);
+    records.insert(subject, record, source, content_hash);
     drop(records);
     match decoded {
         Ok(Some(update)) => apply_update(shared, subject, Origin { source, offset }, update),
@@ -301,12 +301,6 @@
     record.value.as_ref().map_or(0, |value| xxh3::xxh3_64(value))
 }
 
-#[derive(Clone, Copy)]
-struct Origin {
-    source: Source,
-    offset: u64,
-}
-
 fn apply_update<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
     subject: Subject,
@@ -319,23 +313,12 @@
             config_proof::record_applied(shared, true);
             apply_config(shared, origin, config);
         }
-        dialect::Update::Target(entry) => {
-            let id = entry.id.clone();
-            let mut view = shared.view.borrow_mut();
-            let change = view.targets.register(now, entry);
-            if !matches!(
-                change,
-                targets::RegistrationChange::Nothing | targets::RegistrationChange::Stale
-            ) {
-                tracing::debug!(target = %id, ?change, "target changed");
-                view.wake_all();
-            }
-            drop(view);
-            ended_targets::record_replaced(shared, now);
-        }
+        dialect::Update::Target(entry) => apply_entry(shared, now, origin, entry),
         dialect::Update::TargetRemoved(id) => {
             let grace = shared.replicated_records.borrow().recovered_recently(now, subject);
-            tracing::info!(target = %id, grace, "target's entry removed");
+            let known = shared.view.borrow().targets.key(&id).is_some();
+            let within = unread_time(shared, now, subject, origin.source);
+            shared.decision_log.target_removed(&id, known, grace, origin, within);
             shared.view.borrow_mut().targets.remove(now, &id, grace);
         }
         dialect::Update::Router(entry) => {
@@ -347,6 +330,43 @@
     }
 }
 
+fn apply_entry<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    now: Instant,
+    origin: Origin,
+    entry: targets::Entry,
+) {
+    let id = entry.id.clone();
+    let mut view = shared.view.borrow_mut();
+    let change = view.targets.register(now, entry);
+    let is_relevant = !matches!(
+        change,
+        targets::RegistrationChange::Nothing | targets::RegistrationChange::Stale
+    );
+    if is_relevant {
+        let within = unread_time(shared, now, Subject::Targets, origin.source);
+        shared.decision_log.target_changed(&id, change, origin, within, now);
+        view.wake_all();
+    }
+    drop(view);
+    ended_targets::record_replaced(shared, now);
+}
+
+/// Time before a page of `source` in which the store was not read for the known records; a record of the page
+/// was written within it.
+fn unread_time<P>(
+    shared: &router::Shared<P>,
+    now: Instant,
+    subject: Subject,
+    source: Source,
+) -> Option<Duration> {
+    let records = shared.replicated_records.borrow();
+    match source {
+        Source::Store => records.previous_read_age(now, subject, source),
+        Source::Peer(_) => records.since_store_read(now, subject),
+    }
+}
+
 fn apply_config<P: router::Platform>(
     shared: &router::Shared<P>,
     Origin { source, offset }: Origin,
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -8,7 +8,12 @@
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
-use std::{cell::RefCell, rc::Rc, sync::atomic::AtomicU64, time::Instant};
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    sync::atomic::AtomicU64,
+    time::{Duration, Instant},
+};
 
 /// Histogram buckets; cover the usual latency objectives, gap objectives and timeouts of routes.
 const BUCKET_BOUNDS_S: [f64; 12] =
@@ -78,6 +83,8 @@
     config_read_age: Gauge<f64, AtomicU64>,
     store_reads_failed: Family<SubjectLabel, Counter>,
     transfers: Family<TransferLabels, Counter>,
+    entries_age_seconds: Histogram,
+    leaving_delay_seconds: Histogram,
     store_fresh: Gauge,
     store_use: Gauge,
     peers: Gauge,
@@ -114,6 +121,8 @@
             config_read_age: Gauge::default(),
             store_reads_failed: Family::default(),
             transfers: Family::default(),
+            entries_age_seconds: histogram(),
+            leaving_delay_seconds: histogram(),
             store_fresh: Gauge::default(),
             store_use: Gauge::default(),
             peers: Gauge::default(),
@@ -218,6 +227,16 @@
             "Records asked of other routers, by subject and outcome",
             self.transfers.clone(),
         );
+        r.register(
+            "entries_age_seconds",
+            "Time since the store was read for the targets' entries when a request is sent",
+            self.entries_age_seconds.clone(),
+        );
+        r.register(
+            "leaving_delay_seconds",
+            "Longest time from the store's record of a target's leaving until it is in force here",
+            self.leaving_delay_seconds.clone(),
+        );
         r.register("store_fresh", "1 if the store was read lately", self.store_fresh.clone());
         r.register(
             "store_use",
@@ -264,6 +283,20 @@
             .inc();
     }
 
+    /// Records how old the targets' entries are when a request is sent.
+    pub fn placed(&self, entries_age: Option<Duration>) {
+        if let Some(age) = entries_age {
+            self.entries_age_seconds.observe(age.as_secs_f64());
+        }
+    }
+
+    /// Records within which time a target's leaving came into force.
+    pub fn target_left(&self, within: Option<Duration>) {
+        if let Some(within) = within {
+            self.leaving_delay_seconds.observe(within.as_secs_f64());
+        }
+    }
+
     /// Counts a transfer of records from another router.
     pub fn transferred(&self, subject: Subject, outcome: &'static str) {
         self.transfers
--- a/crates/corianderstand_forward/src/replicated_records.rs
+++ b/crates/corianderstand_forward/src/replicated_records.rs
@@ -37,9 +37,19 @@
     pub is_behind_peer: bool,
 }
 
+/// Where the newest known record of a key came from.
+#[derives(key)]
+pub struct Origin {
+    /// Who sent it.
+    pub source: Source,
+    /// Its offset in the store.
+    pub offset: u64,
+}
+
 #[derive(Debug)]
 struct StoredRecord {
     record: dialect::Record,
+    source: Source,
     content_hash: u64,
     /// Offset of the first record with this content; renewals don't advance it.
     changed_at_offset: u64,
@@ -180,15 +190,27 @@
         !std::mem::replace(&mut entry.last_read_failed, true)
     }
 
+    /// Where the newest known record of a key came from, if one is known.
+    pub fn origin(&self, subject: Subject, key: &str) -> Option<Origin> {
+        let stored = self.by_subject.get(&subject)?.records.get(key)?;
+        Some(Origin { source: stored.source, offset: stored.record.offset })
+    }
+
     /// Inserts a record that is newer than the known one of its key.
-    pub fn insert(&mut self, subject: Subject, record: dialect::Record, content_hash: u64) {
+    pub fn insert(
+        &mut self,
+        subject: Subject,
+        record: dialect::Record,
+        source: Source,
+        content_hash: u64,
+    ) {
         let entry = self.by_subject.entry(subject).or_default();
         let unchanged =
             entry.records.get(&record.key).filter(|known| known.content_hash == content_hash);
         let changed_at_offset = unchanged.map_or(record.offset, |known| known.changed_at_offset);
-        entry
-            .records
-            .insert(record.key.clone(), StoredRecord { record, content_hash, changed_at_offset });
+        let key = record.key.clone();
+        let stored = StoredRecord { record, source, content_hash, changed_at_offset };
+        entry.records.insert(key, stored);
     }
 
     /// Marks all records before `next` as known. Returns whether this advances the offset.
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -250,6 +250,19 @@
         }
     }
 
+    /// Returns what a decision to send a request to a target rests on.
+    pub fn target_knowledge(
+        &self,
+        now: Instant,
+        key: targets::TargetKey,
+    ) -> decisions::TargetKnowledge {
+        let (view, records) = (self.view.borrow(), self.replicated_records.borrow());
+        let subject = dialect::Subject::Targets;
+        let target = view.targets.get(key);
+        let origin = target.and_then(|target| records.origin(subject, target.entry.id.as_str()));
+        decisions::TargetKnowledge { origin, age: records.since_store_read(now, subject) }
+    }
+
     /// Spends one retry from the service's budget; false if it is exhausted.
     pub fn spend_retry(&self, service: &names::ServiceId) -> bool {
         let now = self.clock.now();
--- a/crates/corianderstand_forward/src/waiting.rs
+++ b/crates/corianderstand_forward/src/waiting.rs
@@ -59,7 +59,9 @@
                 {
                     prefill::PermitOutcome::Granted => {
                         let now = shared.clock.now();
-                        shared.decision_log.placed(job, &shared.view.borrow(), key, now);
+                        let knowledge = shared.target_knowledge(now, key);
+                        let view = shared.view.borrow();
+                        shared.decision_log.placed(job, &view, key, knowledge, now);
                         return Ok(key);
                     }
                     prefill::PermitOutcome::ChooseAgain => continue,
--- a/crates/corianderstand_forward/tests/readers.rs
+++ b/crates/corianderstand_forward/tests/readers.rs
@@ -7,7 +7,7 @@
     dialect::{Record, RouterEntry, Subject},
     hubs, peers,
     readers::{self, Neighbour, READER_COUNT, Role},
-    replicated_records::ReplicatedRecords,
+    replicated_records::{ReplicatedRecords, Source},
     router,
 };
 use corianderstand_schema::peers::{PeerMessage, RouterUpdate, StoreUse};
@@ -260,12 +260,12 @@
     let record =
         |key: &str, offset| Record { key: key.into(), value: Some("entry".into()), offset };
     let (subject, mut records) = (Subject::Targets, ReplicatedRecords::default());
-    records.insert(subject, record("same", 1), 7);
-    records.insert(subject, record("other", 2), 8);
-    records.insert(subject, record("same", 3), 7);
-    records.insert(subject, record("other", 4), 9);
+    records.insert(subject, record("same", 1), Source::Store, 7);
+    records.insert(subject, record("other", 2), Source::Store, 8);
+    records.insert(subject, record("same", 3), Source::Store, 7);
+    records.insert(subject, record("other", 4), Source::Store, 9);
     let removed = Record { value: None, ..record("gone", 5) };
-    records.insert(subject, removed.clone(), 0);
+    records.insert(subject, removed, Source::Store, 0);
     records.advance_offset(subject, 6);
     let page = records.changes(subject, 3);
     let mut keys: Vec<_> = page.records.iter().map(|record| record.key.as_str()).collect();
