Soak: targets that leave, beside faults of the readers of two zones

Engines and services leave in three forms (announced, entry removed only, short notice) and serve for 3 to 10 s, beside kills, stops, freezes and starvation of routers (six in ten at a reader), cut links to the store, compaction and the earlier faults, seven at a time.

Check: a request that reaches a leaving target later than the bound after the store accepted the leaving, measured in the stand-ins, sent by a router that neither it nor the store was disturbed for 3 s; no slack. A violation says how each late request was sent. The end of a run prints the time from the acknowledgement to the last arrival.

--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -9,6 +9,10 @@
     target::{ENTRIES_TOPIC, HEALTH_PATH, Target, TargetSpec},
     workspaces as standin_workspaces,
 };
+use nix::{
+    sys::signal::{self, Signal},
+    unistd::Pid,
+};
 use serde_json::json;
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -16,6 +20,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use testbed::process::Process;
+use tokio::task::AbortHandle;
 
 /// `Host` header of callers.
 pub const HOST: &str = "soak.example";
@@ -26,6 +31,10 @@
 const TARGET_PORT: u16 = 8_145;
 const PROXY_PORT: u16 = 8_245;
 const FOREIGN_ENTRY_BYTES: usize = 100_000;
+const READERS_PER_ZONE: usize = 2;
+/// A starved process has a quarter of the time.
+const STARVED_STOP_TIME: Duration = Duration::from_millis(60);
+const STARVED_RUN_TIME: Duration = Duration::from_millis(20);
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +42,16 @@
     pub routers: usize,
     pub engines: usize,
     pub service_targets: usize,
+    pub zones: usize,
+    /// Time after which no request may reach a target that is leaving.
+    pub drain_within: Duration,
+}
+
+impl ClusterSize {
+    /// Availability zone of the process or target with an index.
+    fn zone(&self, index: usize) -> String {
+        format!("zone-{}", index % self.zones)
+    }
 }
 
 /// A router or agent process that can be restarted.
@@ -42,6 +61,8 @@
     pub ip: IpAddr,
     pub store_proxy: proxy::Proxy,
     pub process: Option<Process>,
+    /// Stops and resumes the process in turns while it is starved.
+    starvation: Option<AbortHandle>,
     role: &'static str,
     config_path: PathBuf,
     log_dir: PathBuf,
@@ -55,6 +76,32 @@
             Process::start_with(&self.name, "corianderstand", &args, &self.log_dir, &[config]);
         self.process = Some(process);
     }
+
+    /// Lets the process run for a part of the time only, until [`Self::end_starvation`].
+    pub fn starve(&mut self) {
+        let Some(pid) = self.process.as_ref().map(Process::pid) else { return };
+        let pid = Pid::from_raw(pid.cast_signed());
+        let turns = tokio::spawn(async move {
+            // Ends once the process is gone.
+            while signal::kill(pid, Signal::SIGSTOP).is_ok() {
+                tokio::time::sleep(STARVED_STOP_TIME).await;
+                if signal::kill(pid, Signal::SIGCONT).is_err() {
+                    return;
+                }
+                tokio::time::sleep(STARVED_RUN_TIME).await;
+            }
+        });
+        self.starvation = Some(turns.abort_handle());
+    }
+
+    pub fn end_starvation(&mut self) {
+        if let Some(turns) = self.starvation.take() {
+            turns.abort();
+        }
+        if let Some(process) = &self.process {
+            process.resume();
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -89,10 +136,22 @@
     pub engines: Vec<ProxiedTarget>,
     pub service_targets: Vec<ProxiedTarget>,
     pub revocations: Vec<workspaces::Revocation>,
+    /// Routers that read the store for their zones while all run.
+    pub readers: Vec<usize>,
     config_version: u64,
     _store_listener: corianderstand_platform_standins::serve::ListenerHandle,
 }
 
+/// The routers of each zone with the least names, as all are equally strong.
+fn readers(size: &ClusterSize) -> Vec<usize> {
+    let of_zone = |zone: usize| {
+        let mut routers: Vec<usize> = (zone..size.routers).step_by(size.zones).collect();
+        routers.sort_by_key(|index| format!("router-{index}"));
+        routers.into_iter().take(READERS_PER_ZONE)
+    };
+    (0..size.zones).flat_map(of_zone).collect()
+}
+
 /// Returns a loopback address derived from the process id, so that parallel runs do not collide.
 fn loopback_ip(role_offset: u8, index: usize) -> IpAddr {
     let pid = std::process::id();
@@ -122,31 +181,29 @@
             // Each engine caches three models, so that every model is cached at some engine.
             let cached_models = [0, 1, 2].map(|offset| MODELS[(index + offset) % MODELS.len()]);
             let ip_addr = loopback_ip(AGENT_IP_OFFSET, index);
-            engines.push(
-                start_target(
-                    ("models", "engine"),
-                    index,
-                    ip_addr,
-                    (&store, &ledger),
-                    &cached_models,
-                )
-                .await,
-            );
+            let place = (ip_addr, size.zone(index));
+            let target =
+                start_target(("models", "engine"), index, place, (&store, &ledger), &cached_models);
+            engines.push(target.await);
         }
         let mut service_targets = Vec::new();
         for index in 0..size.service_targets {
             let ip_addr = loopback_ip(SERVICE_IP_OFFSET, index);
-            service_targets
-                .push(start_target(("desk", "desk"), index, ip_addr, (&store, &ledger), &[]).await);
+            let place = (ip_addr, size.zone(index));
+            let target = start_target(("desk", "desk"), index, place, (&store, &ledger), &[]);
+            service_targets.push(target.await);
         }
         let seeds: Vec<_> =
             (0..size.routers.min(3)).map(|index| loopback_ip(ROUTER_IP_OFFSET, index)).collect();
         let (mut routers, mut router_proxies, mut agents) = (Vec::new(), Vec::new(), Vec::new());
         for index in 0..size.routers {
             let ip_addr = loopback_ip(ROUTER_IP_OFFSET, index);
+            let zone = size.zone(index);
+            let place = settings::Place { ip: ip_addr, zone: &zone };
             let process =
                 start_process(("router", index), ip_addr, store_addr, dir, |name, store| {
-                    settings::router(name, ip_addr, &seeds, store) + workspaces::settings().as_str()
+                    settings::router(name, place, &seeds, store, size.drain_within)
+                        + workspaces::settings().as_str()
                 });
             routers.push(process.await);
             let router_address = settings::front(ip_addr);
@@ -157,9 +214,11 @@
         }
         for index in 0..size.engines {
             let ip_addr = loopback_ip(AGENT_IP_OFFSET, index);
+            let zone = size.zone(index);
+            let place = settings::Place { ip: ip_addr, zone: &zone };
             let process =
                 start_process(("agent", index), ip_addr, store_addr, dir, |name, store| {
-                    settings::agent(name, ip_addr, SocketAddr::new(ip_addr, TARGET_PORT), store)
+                    settings::agent(name, place, SocketAddr::new(ip_addr, TARGET_PORT), store)
                 });
             agents.push(process.await);
         }
@@ -172,6 +231,7 @@
             engines,
             service_targets,
             revocations: Vec::new(),
+            readers: readers(&size),
             config_version: 0,
             _store_listener: store_listener,
         };
@@ -263,7 +323,7 @@
 async fn start_target(
     (service, name): (&str, &str),
     index: usize,
-    ip_addr: IpAddr,
+    (ip_addr, zone): (IpAddr, String),
     (store, ledger): (&Store, &Ledger),
     cached_models: &[&str],
 ) -> ProxiedTarget {
@@ -274,6 +334,7 @@
     let spec = TargetSpec {
         service: service.into(),
         addr,
+        zone,
         advertised_addr: target_proxy.addr,
         slots: 16,
         model_capacity: is_engine.then_some(MODELS_PER_ENGINE),
@@ -306,6 +367,7 @@
         ip: ip_addr,
         store_proxy,
         process: None,
+        starvation: None,
         role,
         config_path,
         log_dir,
--- a/tools/soak/src/faults.rs
+++ b/tools/soak/src/faults.rs
@@ -2,10 +2,15 @@
 
 use crate::{
     checks::Disruption,
-    cluster::{Cluster, ManagedProcess},
+    cluster::{Cluster, ManagedProcess, ProxiedTarget},
+    leavings::{Interference, Scope},
     proxy::Mode,
 };
-use corianderstand_platform_standins::{settings, store::FaultMode, target::TargetFaults};
+use corianderstand_platform_standins::{
+    settings,
+    store::FaultMode,
+    target::{Leaving, Target, TargetFaults},
+};
 use nix::sys::signal::Signal;
 use rand::{Rng, RngExt};
 use std::{
@@ -16,6 +21,10 @@
 /// Time limit of a graceful shutdown, after which the platform kills the process.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(10);
 const MAX_FAULT_MS: u64 = 2_500;
+/// Time for which a leaving target serves: the bound, and at times much more.
+const MIN_LEAVING_MS: u64 = 3_000;
+const MAX_LEAVING_MS: u64 = 10_000;
+const READER_FAULT_RATIO: f64 = 0.6;
 /// Time until the platform removes the entry of a target that has ended.
 const TARGET_ENTRY_TTL: Duration = Duration::from_millis(1_500);
 /// Time for which a draining target continues to serve.
@@ -36,6 +45,12 @@
     /// Crash a target of the plain service and restart it under a new name.
     CrashService(usize),
     DrainEngine(usize),
+    /// Have an engine leave and restart it when it has left.
+    LeaveEngine(usize, LeavingForm),
+    /// Have a target of the plain service leave and restart it when it has left.
+    LeaveService(usize, LeavingForm),
+    /// Let a router run for a quarter of the time.
+    StarveRouter(usize),
     /// Fail a part of an engine's requests.
     FailEngine(usize),
     /// At all engines, execute a part of the commands late and without a response.
@@ -88,6 +103,48 @@
     (fault, Duration::from_millis(rng.random_range(200..MAX_FAULT_MS)))
 }
 
+/// How a target leaves.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum LeavingForm {
+    Announced,
+    Unannounced,
+    AtShortNotice(Duration),
+}
+
+/// Draws faults for runs with several zones: targets that leave, beside faults of the routers that read the store
+/// for their zones.
+pub fn draw_zone_fault(rng: &mut impl Rng, cluster: &Cluster) -> (Fault, Duration) {
+    let served = Duration::from_millis(rng.random_range(MIN_LEAVING_MS..MAX_LEAVING_MS));
+    let form = match rng.random_range(0..3) {
+        0 => LeavingForm::Announced,
+        1 => LeavingForm::Unannounced,
+        _ => LeavingForm::AtShortNotice(served),
+    };
+    let engine = rng.random_range(0..cluster.engines.len());
+    let service = rng.random_range(0..cluster.service_targets.len());
+    let reader = cluster.readers[rng.random_range(0..cluster.readers.len())];
+    let router = rng.random_range(0..cluster.routers.len());
+    let router = if rng.random_bool(READER_FAULT_RATIO) { reader } else { router };
+    let fault = match rng.random_range(0..30) {
+        0..9 => Fault::LeaveEngine(engine, form),
+        9..12 => Fault::LeaveService(service, form),
+        12..16 => Fault::KillRouter(router),
+        16..18 => Fault::StopRouter(router),
+        18..22 => Fault::FreezeRouter(router),
+        22..24 => Fault::StarveRouter(router),
+        24 => Fault::StoreLink(router, draw_proxy_mode(rng)),
+        25 => Fault::KillAgent(engine),
+        26 => Fault::FreezeAgent(engine),
+        27..29 => Fault::DiscardHistory,
+        _ => return draw_fault(rng, cluster),
+    };
+    let duration = match fault {
+        Fault::LeaveEngine(..) | Fault::LeaveService(..) => served,
+        _ => Duration::from_millis(rng.random_range(200..MAX_FAULT_MS)),
+    };
+    (fault, duration)
+}
+
 fn draw_proxy_mode(rng: &mut impl Rng) -> Mode {
     match rng.random_range(0..4) {
         0 => Mode::Delay(Duration::from_millis(rng.random_range(5..120))),
@@ -109,7 +166,10 @@
             Self::FreezeAgent(index) => freeze(&cluster.agents[index].process),
             Self::CrashEngine(index) => cluster.engines[index].target.crash(),
             Self::CrashService(index) => cluster.service_targets[index].target.crash(),
-            Self::DrainEngine(index) => cluster.engines[index].target.drain(),
+            Self::DrainEngine(index) => cluster.engines[index].target.leave(Leaving::Announced),
+            Self::LeaveEngine(index, form) => leave(&cluster.engines[index].target, form),
+            Self::LeaveService(index, form) => leave(&cluster.service_targets[index].target, form),
+            Self::StarveRouter(index) => cluster.routers[index].starve(),
             Self::FailEngine(index) => {
                 cluster.engines[index]
                     .target
@@ -158,6 +218,9 @@
                 cluster.engines[index].target.remove_entry();
                 cluster.engines[index].start().await;
             }
+            Self::LeaveEngine(index, _) => end_leaving(&mut cluster.engines[index]).await,
+            Self::LeaveService(index, _) => end_leaving(&mut cluster.service_targets[index]).await,
+            Self::StarveRouter(index) => cluster.routers[index].end_starvation(),
             Self::FailEngine(index) => {
                 cluster.engines[index].target.set_faults(TargetFaults::default());
             }
@@ -176,6 +239,21 @@
         None
     }
 
+    /// When and where the fault excuses a request that arrives late at a leaving target.
+    pub fn interference(self, started_at: Instant, ended_at: Instant) -> Option<Interference> {
+        let scope = match self {
+            Self::KillRouter(index)
+            | Self::StopRouter(index)
+            | Self::FreezeRouter(index)
+            | Self::StoreLink(index, _)
+            | Self::FrontLink(index, _) => Scope::Router(index),
+            Self::EngineLink(index, _) => Scope::Engine(index),
+            Self::Store(_) | Self::KillAll => Scope::All,
+            _ => return None,
+        };
+        Some(Interference { scope, started_at, ended_at })
+    }
+
     pub fn disruptions(
         self,
         router_count: usize,
@@ -205,6 +283,20 @@
     }
 }
 
+fn leave(target: &Target, form: LeavingForm) {
+    target.leave(match form {
+        LeavingForm::Announced => Leaving::Announced,
+        LeavingForm::Unannounced => Leaving::Unannounced,
+        LeavingForm::AtShortNotice(time) => Leaving::GoneAt(Instant::now() + time),
+    });
+}
+
+async fn end_leaving(target: &mut ProxiedTarget) {
+    target.target.crash();
+    target.target.remove_entry();
+    target.start().await;
+}
+
 fn kill(process: &mut Option<testbed::process::Process>) {
     if let Some(process) = process.as_mut() {
         process.kill();
--- /dev/null
+++ b/tools/soak/src/leavings.rs
@@ -0,0 +1,146 @@
+//! Targets that leave: no request may reach them once the routers had time to learn of it.
+
+use crate::callers::RequestRecord;
+use corianderstand_platform_standins::ledger::{Arrival, LeavingTarget, Ledger};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+/// Time without interference after which a router and the store are in touch.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+/// Late requests that a violation names.
+const MAX_NAMED: usize = 5;
+
+/// What an interference affects.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Scope {
+    /// All routers, or the store.
+    All,
+    /// A router, or its links.
+    Router(usize),
+    /// The link to an engine.
+    Engine(usize),
+}
+
+/// A fault during which, and shortly after which, requests may reach a leaving target late.
+#[derive(Clone, Copy, Debug)]
+pub struct Interference {
+    pub scope: Scope,
+    pub started_at: Instant,
+    pub ended_at: Instant,
+}
+
+impl Interference {
+    fn affects(&self, scope: Scope, at: Instant) -> bool {
+        (self.scope == Scope::All || self.scope == scope)
+            && at >= self.started_at
+            && at <= self.ended_at + STABLE_TIME
+    }
+}
+
+/// What happened in a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Observed<'a> {
+    pub requests: &'a [RequestRecord],
+    pub ledger: &'a Ledger,
+    pub interferences: &'a [Interference],
+}
+
+#[derive(Debug, Default)]
+pub struct LeavingReport {
+    pub violations: Vec<String>,
+    /// Time from the store's acknowledgement of each leaving to the last request that reached the target.
+    pub delays: Vec<Duration>,
+}
+
+impl Observed<'_> {
+    /// Checks that no request reaches a target later than `within` after the store accepted its leaving.
+    pub fn check(&self, within: Duration) -> LeavingReport {
+        let senders: BTreeMap<&str, &RequestRecord> =
+            self.requests.iter().map(|request| (request.id.as_str(), request)).collect();
+        let arrivals = self.ledger.arrivals();
+        let mut report = LeavingReport::default();
+        for leaving in self.ledger.leaving() {
+            if self.is_affected(Scope::All, leaving.acknowledged_at) {
+                continue;
+            }
+            let counted: Vec<&Arrival> = arrivals
+                .iter()
+                .filter(|arrival| is_after(arrival, &leaving) && self.counts(arrival, &senders))
+                .collect();
+            let delay = |arrival: &Arrival| arrival.at - leaving.acknowledged_at;
+            report.delays.extend(counted.iter().map(|arrival| delay(arrival)).max());
+            let late: Vec<&Arrival> =
+                counted.into_iter().filter(|arrival| delay(arrival) > within).collect();
+            if !late.is_empty() {
+                let named = late.iter().take(MAX_NAMED);
+                let named: Vec<String> = named
+                    .map(|arrival| describe(arrival, delay(arrival), &senders, &arrivals))
+                    .collect();
+                report.violations.push(format!(
+                    "{} requests reached {} later than {within:?} after its leaving: {}",
+                    late.len(),
+                    leaving.target,
+                    named.join("; ")
+                ));
+            }
+        }
+        report
+    }
+
+    fn is_affected(&self, scope: Scope, at: Instant) -> bool {
+        self.interferences.iter().any(|interference| interference.affects(scope, at))
+    }
+
+    /// Whether an arrival was taken and sent by a router in touch, over an unimpaired link.
+    fn counts(&self, arrival: &Arrival, senders: &BTreeMap<&str, &RequestRecord>) -> bool {
+        let Some(sender) = senders.get(arrival.id.as_str()) else { return false };
+        let router = Scope::Router(sender.router_index);
+        let link = engine_index(&arrival.target).map(Scope::Engine);
+        !self.is_affected(router, sender.started_at)
+            && !self.is_affected(router, arrival.at)
+            && !link.is_some_and(|link| self.is_affected(link, arrival.at))
+    }
+}
+
+fn is_after(arrival: &Arrival, leaving: &LeavingTarget) -> bool {
+    !arrival.is_misdirected
+        && arrival.target == leaving.target
+        && arrival.at > leaving.acknowledged_at
+        && leaving.ended_at.is_none_or(|ended_at| arrival.at <= ended_at)
+}
+
+/// Index of an engine, from its name.
+fn engine_index(target: &str) -> Option<usize> {
+    target.strip_prefix("engine-")?.split('-').next()?.parse().ok()
+}
+
+fn describe(
+    arrival: &Arrival,
+    delay: Duration,
+    senders: &BTreeMap<&str, &RequestRecord>,
+    arrivals: &[Arrival],
+) -> String {
+    let router = senders.get(arrival.id.as_str()).map(|sender| sender.router_index);
+    let sent_before = arrivals.iter().any(|other| other.id == arrival.id && other.at < arrival.at);
+    let way = match (arrival.is_resumed, sent_before) {
+        (true, _) => "resumed",
+        (false, true) => "sent again",
+        (false, false) => "first sent",
+    };
+    format!("{} after {delay:?} from router {router:?}, {way}", arrival.id)
+}
+
+/// The middle, the 99th percentile and the longest of the delays.
+pub fn summarize(delays: &mut [Duration]) -> Option<String> {
+    delays.sort_unstable();
+    let longest = delays.last()?;
+    let quantile = |per_100: usize| delays[(delays.len() - 1) * per_100 / 100];
+    Some(format!(
+        "last request after a leaving, {} leavings: middle {:?}, 99 in 100 {:?}, longest {longest:?}",
+        delays.len(),
+        quantile(50),
+        quantile(99)
+    ))
+}
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -9,6 +9,7 @@
 mod checks;
 mod cluster;
 mod faults;
+mod leavings;
 mod proxy;
 mod workspaces;
 
@@ -33,6 +34,8 @@
 const MAX_CONCURRENT_FAULTS: usize = 3;
 const MAX_FAULT_PAUSE_MS: u64 = 900;
 const CALLERS_PER_ROUTER: usize = 8;
+const ZONED_CALLERS: usize = 4;
+const RUNTIME_THREADS: usize = 3;
 /// Time limit for recovery after the last fault.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 /// Time for late commands and executions to complete before the final check.
@@ -43,15 +46,37 @@
 const MAX_LIMIT_DELAY_MS: u64 = 2_000;
 const LIMIT_RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 
-const DEFAULT_SIZE: ClusterSize = ClusterSize { routers: 3, engines: 4, service_targets: 2 };
-const LARGE_SIZE: ClusterSize = ClusterSize { routers: 20, engines: 39, service_targets: 6 };
+const DEFAULT_SIZE: ClusterSize = ClusterSize {
+    routers: 3,
+    engines: 4,
+    service_targets: 2,
+    zones: 1,
+    drain_within: Duration::from_secs(2),
+};
+const LARGE_SIZE: ClusterSize =
+    ClusterSize { routers: 20, engines: 39, service_targets: 6, ..DEFAULT_SIZE };
+/// Each zone has routers that read the store and others that follow them.
+const ZONED_SIZE: ClusterSize = ClusterSize {
+    routers: 12,
+    engines: 8,
+    service_targets: 4,
+    zones: 2,
+    drain_within: Duration::from_secs(3),
+};
+const ZONED_FAULTS: usize = 40;
+const ZONED_CONCURRENT_FAULTS: usize = 7;
 
 fn main() -> ExitCode {
     let mut options = Options::new();
     options.optopt("", "seeds", "seeds to run, such as 7 or 1-50 (default: a random one)", "A-B");
     options.optflag("", "kept", "run the seeds of past failures");
     options.optflag("", "large", "run the large cluster");
-    options.optopt("", "faults", "faults per run (default 8)", "N");
+    options.optflag(
+        "",
+        "zones",
+        "run two zones whose targets leave beside faults of their readers",
+    );
+    options.optopt("", "faults", "faults per run (default 8, with zones 40)", "N");
     let matches = match options.parse(std::env::args().skip(1)) {
         Ok(matches) => matches,
         Err(error) => {
@@ -64,19 +89,34 @@
         eprintln!("invalid seeds: expected a number or a range, such as 7 or 1-50");
         return ExitCode::from(2);
     };
-    let size = if matches.opt_present("large") { LARGE_SIZE } else { DEFAULT_SIZE };
-    let faults = matches.opt_get_default("faults", DEFAULT_FAULTS).unwrap_or(DEFAULT_FAULTS);
+    let (size, default_faults, concurrent_faults) = if matches.opt_present("zones") {
+        (ZONED_SIZE, ZONED_FAULTS, ZONED_CONCURRENT_FAULTS)
+    } else if matches.opt_present("large") {
+        (LARGE_SIZE, DEFAULT_FAULTS, MAX_CONCURRENT_FAULTS)
+    } else {
+        (DEFAULT_SIZE, DEFAULT_FAULTS, MAX_CONCURRENT_FAULTS)
+    };
+    let faults = matches.opt_get_default("faults", default_faults).unwrap_or(default_faults);
+    let plan = RunPlan { size, faults, concurrent_faults };
+    let mut delays = Vec::new();
     let mut failed = Vec::new();
     for seed in seeds {
         // Dropping the runtime ends all stand-ins and proxies and releases their addresses.
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        // Several threads, so that arrivals are recorded when they happen.
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(RUNTIME_THREADS)
+            .enable_all()
+            .build();
         let runtime = runtime.expect("the runtime can be created");
-        let violations = runtime.block_on(run_seed(seed, size, faults));
+        let violations = runtime.block_on(run_seed(seed, plan, &mut delays));
         violations.iter().for_each(|violation| println!("seed {seed} BROKEN {violation}"));
         if !violations.is_empty() {
             failed.push(seed);
         }
     }
+    if let Some(summary) = leavings::summarize(&mut delays) {
+        println!("{summary}");
+    }
     println!("seeds with a broken promise: {failed:?}");
     if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
@@ -93,20 +133,43 @@
     }
 }
 
-/// Runs one seed and returns the violations; logs are kept if there are any.
-async fn run_seed(seed: u64, size: ClusterSize, faults: usize) -> Vec<String> {
+#[derive(Clone, Copy, Debug)]
+struct RunPlan {
+    size: ClusterSize,
+    faults: usize,
+    concurrent_faults: usize,
+}
+
+impl RunPlan {
+    const fn has_zones(&self) -> bool {
+        self.size.zones > 1
+    }
+}
+
+/// Runs one seed and returns the violations; logs are kept if there are any. Adds the time from the leaving of
+/// each target to the last request that reached it to `delays`.
+async fn run_seed(seed: u64, plan: RunPlan, delays: &mut Vec<Duration>) -> Vec<String> {
+    let size = plan.size;
     let dir = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("the temporary folder can be written");
     let mut cluster = Cluster::start(size, &dir).await;
     let router_addresses: Vec<_> = cluster.router_proxies.iter().map(|proxy| proxy.addr).collect();
-    let mut callers = Callers::start(CALLERS_PER_ROUTER * size.routers, &router_addresses, seed);
+    let callers_per_router = if plan.has_zones() { ZONED_CALLERS } else { CALLERS_PER_ROUTER };
+    let started_at = Instant::now();
+    let mut callers = Callers::start(callers_per_router * size.routers, &router_addresses, seed);
     if has_crashing_caller(seed) {
         callers.start_crashing(&router_addresses, seed);
     }
     let limiter = has_limited_engine(seed).then(|| limit_engine(&cluster, seed));
     let mut violations = Vec::new();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let disruptions = run_faults(&mut cluster, &mut rng, faults, &callers, &mut violations).await;
+    let (disruptions, mut interferences) =
+        run_faults(&mut cluster, &mut rng, plan, &callers, &mut violations).await;
+    interferences.push(leavings::Interference {
+        scope: leavings::Scope::All,
+        started_at,
+        ended_at: started_at,
+    });
     violations.extend(check_recovery(&mut cluster, seed).await);
     let requests = callers.finish().await;
     tokio::time::sleep(SETTLE_TIME).await;
@@ -115,6 +178,14 @@
     }
     let report = checks::check_guarantees(&requests, &cluster.ledger, &disruptions);
     violations.extend(report.violations);
+    let observed = leavings::Observed {
+        requests: &requests,
+        ledger: &cluster.ledger,
+        interferences: &interferences,
+    };
+    let leaving = observed.check(size.drain_within);
+    violations.extend(leaving.violations);
+    delays.extend(leaving.delays);
     violations.extend(checks::crashing_request(&requests, &cluster.ledger, &disruptions));
     violations.extend(checks::request_limits(&requests, &cluster.ledger, &disruptions));
     violations.extend(workspaces::revocation_violations(
@@ -165,16 +236,21 @@
 async fn run_faults(
     cluster: &mut Cluster,
     rng: &mut ChaCha8Rng,
-    fault_count: usize,
+    plan: RunPlan,
     callers: &Callers,
     violations: &mut Vec<String>,
-) -> Vec<Disruption> {
+) -> (Vec<Disruption>, Vec<leavings::Interference>) {
+    let mut interferences = Vec::new();
     let mut checked_requests = 0;
     let mut active: Vec<(faults::Fault, Instant, Instant)> = Vec::new();
     let mut disruptions = Vec::new();
-    for remaining_faults in (0..=fault_count).rev() {
+    for remaining_faults in (0..=plan.faults).rev() {
         if remaining_faults > 0 {
-            let (fault, duration) = faults::draw_fault(rng, cluster);
+            let (fault, duration) = if plan.has_zones() {
+                faults::draw_zone_fault(rng, cluster)
+            } else {
+                faults::draw_fault(rng, cluster)
+            };
             // Two faults at one component would revert each other.
             if active.iter().all(|(other, ..)| !conflicts(*other, fault)) {
                 println!("  {fault:?} for {duration:?}");
@@ -185,7 +261,7 @@
             let pause = rng.random_range(0..MAX_FAULT_PAUSE_MS);
             tokio::time::sleep(Duration::from_millis(pause)).await;
         }
-        let max_active = if remaining_faults > 0 { MAX_CONCURRENT_FAULTS - 1 } else { 0 };
+        let max_active = if remaining_faults > 0 { plan.concurrent_faults - 1 } else { 0 };
         while active.len() > max_active
             || active.iter().any(|(.., revert_at)| Instant::now() >= *revert_at)
         {
@@ -193,6 +269,7 @@
             let (fault, started_at, revert_at) = active.remove(first);
             tokio::time::sleep_until(revert_at.into()).await;
             violations.extend(fault.revert(cluster).await);
+            interferences.extend(fault.interference(started_at, Instant::now()));
             disruptions.extend(fault.disruptions(
                 cluster.routers.len(),
                 started_at,
@@ -206,20 +283,23 @@
             new_violations.for_each(|violation| println!("  BROKEN so far: {violation}"));
         }
     }
-    disruptions
+    (disruptions, interferences)
 }
 
 fn conflicts(one: faults::Fault, other: faults::Fault) -> bool {
     use faults::Fault::{
         CrashEngine, CrashService, DrainEngine, FailEngine, FreezeAgent, FreezeRouter, FrontLink,
-        KillAgent, KillAll, KillRouter, LoseCommands, ReloadRouter, StopRouter, Store,
+        KillAgent, KillAll, KillRouter, LeaveEngine, LeaveService, LoseCommands, ReloadRouter,
+        StarveRouter, StopRouter, Store,
     };
     let component = |fault| match fault {
-        KillRouter(n) | StopRouter(n) | FreezeRouter(n) | ReloadRouter(n) => Some((0, n)),
+        KillRouter(n) | StopRouter(n) | FreezeRouter(n) | ReloadRouter(n) | StarveRouter(n) => {
+            Some((0, n))
+        }
         KillAgent(n) | FreezeAgent(n) => Some((1, n)),
-        CrashEngine(n) | DrainEngine(n) | FailEngine(n) => Some((2, n)),
+        CrashEngine(n) | DrainEngine(n) | FailEngine(n) | LeaveEngine(n, _) => Some((2, n)),
         FrontLink(n, _) => Some((3, n)),
-        CrashService(n) => Some((4, n)),
+        CrashService(n) | LeaveService(n, _) => Some((4, n)),
         _ => None,
     };
     let affects_process = |fault| matches!(component(fault), Some((0 | 1, _)));
