Failing test: a follower keeps a target for good that its reader never knew

What callers saw: requests reached an engine long after its entry had been removed.

The test stops the reader of a zone, removes a target, starts the reader again and asks the follower, which is cut off from the store meanwhile: its requests still go to the target after 6 s (0.6 to 1 s is usual).

The tests' in-memory store now answers as the platform's does: the newest record of each key without those removed, and removals without a value.

--- a/crates/corianderstand_forward/tests/common/platform.rs
+++ b/crates/corianderstand_forward/tests/common/platform.rs
@@ -80,9 +80,18 @@
     }
 
     fn put_value(&self, subject: Subject, key: &str, update: Option<Update>, value: Bytes) {
+        self.put_record(subject, key, update, Some(value));
+    }
+
+    fn put_record(
+        &self,
+        subject: Subject,
+        key: &str,
+        update: Option<Update>,
+        value: Option<Bytes>,
+    ) {
         let mut state = self.state.lock().unwrap();
         let offset = state.next;
-        let value = Some(value);
         let record = Record { key: key.into(), value, offset };
         state.entries.insert(offset, (subject, record, update));
         state.next += 1;
@@ -117,7 +126,7 @@
     }
 
     pub fn remove_target(&self, id: &str) {
-        self.put(Subject::Targets, id, Some(Update::TargetRemoved(id.into())));
+        self.put_record(Subject::Targets, id, None, None);
     }
 
     pub fn put_unreadable_record(&self, subject: Subject, key: &str) {
@@ -150,6 +159,16 @@
     }
 }
 
+/// The newest record of each key that was not removed.
+fn newest_of_each(page: Page) -> Page {
+    let newest: BTreeMap<_, _> =
+        page.records.into_iter().map(|record| (record.key.clone(), record)).collect();
+    let mut records: Vec<Record> =
+        newest.into_values().filter(|record| record.value.is_some()).collect();
+    records.sort_by_key(|record| record.offset);
+    Page { records, whole: true, ..page }
+}
+
 /// A platform with plain header names, backed by the in-memory store.
 pub struct PlainPlatform(pub MemoryStore);
 
@@ -214,7 +233,7 @@
     async fn newest(&self, subject: Subject, _: &ReadOptions) -> Result<Page, StoreError> {
         let read_delay = self.0.state.lock().unwrap().read_delay;
         tokio::time::sleep(read_delay).await;
-        self.0.page(subject, 0)
+        self.0.page(subject, 0).map(newest_of_each)
     }
 
     async fn read(
@@ -242,6 +261,9 @@
     }
 
     fn decode(&self, _: Subject, record: &Record) -> Result<Option<Update>, RecordError> {
+        if record.value.is_none() {
+            return Ok(Some(Update::TargetRemoved(record.key.as_str().into())));
+        }
         let state = self.0.state.lock().unwrap();
         let (_, _, update) = &state.entries[&record.offset];
         let unreadable =
--- a/crates/corianderstand_forward/tests/readers.rs
+++ b/crates/corianderstand_forward/tests/readers.rs
@@ -254,6 +254,30 @@
     }
 }
 
+/// Guards against a target that a follower keeps for good, as its reader started after the target's removal.
+#[tokio::test]
+async fn a_follower_learns_of_a_removal_from_a_reader_that_started_after_it() {
+    let mut zone = Zone::start().await;
+    zone.followers_store.set_unavailable(true);
+    zone.reader.stop();
+    while !zone.reader.has_ended() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let other = Target::start().await;
+    zone.store.put_target(other.entry("target-2", "another"));
+    zone.store.remove_target("target-1");
+    zone.reader = RouterThread::start_on(&zone.readers_store, zone.reader.settings.clone());
+    zone.reader.wait_ready().await;
+    let removed = async {
+        let headers = [("x-id", "r"), ("x-deadline-ms", "300")];
+        while common::get(zone.follower.front, "/one/1", &headers).await.unwrap()[9..12] != *"503" {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let within = zone.follower.settings.bounds.drain_within * 3;
+    tokio::time::timeout(within, removed).await.expect("no request is sent to the target");
+}
+
 /// Renewals without changes would fill the links of small hosts.
 #[test]
 fn mere_renewals_are_not_transferred() {
