A reader that does not know all removals since an offset hands over all records

Cause: followers fetch 'changes since N' from a reader of their zone. A router that has started (or has read the newest of each key after a compaction) knows no removals from before. Its answer lacked them, and still moved the follower's offset past them, so that nothing ever removed the target there. The class: an increment taken from a source whose history is shorter than the receiver's gap.

Change: records keep the offset from which all changes are known (the end of the last page of all keys). Asked for changes since before that, a router answers with all records and says so; the receiver removes what that page lacks, as it does for a page of the store.

Why it works: a follower's offset passes a removal only together with a page that has it, or with one that shows that the key is gone. The price is one transfer of all entries to each follower after a reader has started, compressed, as at a follower's own start.

--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -8,7 +8,7 @@
 use crate::{config_proof, dialect, ended_targets, readers, replicated_records, router, status};
 use corianderstand_fleet::{config, routes, targets};
 use dialect::Subject;
-use replicated_records::{Origin, Source};
+use replicated_records::{Origin, PageEnd, Source};
 use std::{
     rc::Rc,
     sync::Arc,
@@ -236,6 +236,7 @@
     page: dialect::Page,
 ) {
     let removed = shared.replicated_records.borrow().removals(subject, &page);
+    let end = PageEnd::from(&page);
     let mut records: Vec<_> = page.records.into_iter().chain(removed).collect();
     // If two targets have the same address, the later one must be applied last.
     records.sort_by_key(|record| record.offset);
@@ -247,7 +248,7 @@
     if subject == Subject::Routers {
         shared.peers.borrow_mut().select_hubs(shared.clock.now());
     }
-    let advanced = shared.replicated_records.borrow_mut().advance_offset(subject, page.next);
+    let advanced = shared.replicated_records.borrow_mut().advance(subject, end);
     if advanced && subject == Subject::Targets && shared.view.borrow().targets.is_empty() {
         // There are no targets, so no record woke the requests that wait for the first read.
         shared.view.borrow().wake_all();
--- a/crates/corianderstand_forward/src/replicated_records.rs
+++ b/crates/corianderstand_forward/src/replicated_records.rs
@@ -46,6 +46,21 @@
     pub offset: u64,
 }
 
+/// Where a page of records ends.
+#[derives(key)]
+pub struct PageEnd {
+    /// Offset after the page.
+    pub next: u64,
+    /// Whether the page has the newest record of each key, rather than all changes.
+    pub whole: bool,
+}
+
+impl From<&dialect::Page> for PageEnd {
+    fn from(page: &dialect::Page) -> Self {
+        Self { next: page.next, whole: page.whole }
+    }
+}
+
 #[derive(Debug)]
 struct StoredRecord {
     record: dialect::Record,
@@ -59,6 +74,8 @@
 struct SubjectRecords {
     records: BTreeMap<SmolStr, StoredRecord>,
     next_offset: Option<u64>,
+    /// Offset from which all changes are known. Of keys removed before, nothing is known.
+    complete_from: u64,
     /// When the store was last read, or the router that this one follows.
     read_at: Option<Instant>,
     /// When the store itself was read for the records that are known.
@@ -138,9 +155,12 @@
         }
     }
 
-    /// Records changed since an offset, without mere renewals.
+    /// Records changed since an offset, without mere renewals; all records if not all changes since then are known.
     pub fn changes(&self, subject: Subject, start_offset: u64) -> dialect::Page {
         let Some(entry) = self.by_subject.get(&subject) else { return dialect::Page::default() };
+        if start_offset < entry.complete_from {
+            return self.full_page(subject);
+        }
         let changed =
             entry.records.values().filter(|stored| stored.changed_at_offset >= start_offset);
         let records = changed.map(|stored| stored.record.clone()).collect();
@@ -213,11 +233,16 @@
         entry.records.insert(key, stored);
     }
 
-    /// Marks all records before `next` as known. Returns whether this advances the offset.
-    pub fn advance_offset(&mut self, subject: Subject, next: u64) -> bool {
+    /// Marks all records before the end of an applied page as known. Returns whether this advances the offset.
+    pub fn advance(&mut self, subject: Subject, end: PageEnd) -> bool {
         let entry = self.by_subject.entry(subject).or_default();
-        let advanced = entry.next_offset < Some(next);
-        entry.next_offset = entry.next_offset.max(Some(next));
+        let advanced = entry.next_offset < Some(end.next);
+        if advanced {
+            entry.next_offset = Some(end.next);
+            if end.whole {
+                entry.complete_from = end.next;
+            }
+        }
         advanced
     }
 
--- a/crates/corianderstand_forward/tests/readers.rs
+++ b/crates/corianderstand_forward/tests/readers.rs
@@ -7,7 +7,7 @@
     dialect::{Record, RouterEntry, Subject},
     hubs, peers,
     readers::{self, Neighbour, READER_COUNT, Role},
-    replicated_records::{ReplicatedRecords, Source},
+    replicated_records::{PageEnd, ReplicatedRecords, Source},
     router,
 };
 use corianderstand_schema::peers::{PeerMessage, RouterUpdate, StoreUse};
@@ -278,6 +278,22 @@
     tokio::time::timeout(within, removed).await.expect("no request is sent to the target");
 }
 
+/// Guards against changes without the removals that a reader never heard of: what it starts with lacks them.
+#[test]
+fn changes_since_before_the_first_read_are_all_records() {
+    let (subject, mut records) = (Subject::Targets, ReplicatedRecords::default());
+    let kept = Record { key: "kept".into(), value: Some("entry".into()), offset: 2 };
+    records.insert(subject, kept, Source::Store, 7);
+    records.advance(subject, PageEnd { next: 6, whole: true });
+    assert!(records.changes(subject, 5).whole);
+    assert!(!records.changes(subject, 6).whole, "what follows is known");
+    records.advance(subject, PageEnd { next: 9, whole: false });
+    assert!(!records.changes(subject, 6).whole);
+    // After a compaction the newest of each key is read again.
+    records.advance(subject, PageEnd { next: 12, whole: true });
+    assert!(records.changes(subject, 9).whole);
+}
+
 /// Renewals without changes would fill the links of small hosts.
 #[test]
 fn mere_renewals_are_not_transferred() {
@@ -290,7 +306,7 @@
     records.insert(subject, record("other", 4), Source::Store, 9);
     let removed = Record { value: None, ..record("gone", 5) };
     records.insert(subject, removed, Source::Store, 0);
-    records.advance_offset(subject, 6);
+    records.advance(subject, PageEnd { next: 6, whole: false });
     let page = records.changes(subject, 3);
     let mut keys: Vec<_> = page.records.iter().map(|record| record.key.as_str()).collect();
     keys.sort_unstable();
