A page that ends before the known records changes nothing

What callers would see: a target that was removed is used again and stays, where a page from a peer arrives after a later one: two transfers side by side at a start, or one on a slow link.

Cause: records of a page were compared with the known record of their key only. A key that a later page of all keys lacked has none, so that its old entry counted as new, and no later page removed it again, as the offset was past the removal.

Change: a page whose end is before the known offset is dropped as a whole; the selection of what is newer is one function of the records.

Evidence: the test fails without the comparison (its record is returned).

Why it works: everything before the known offset is known, removals included.

--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -235,15 +235,10 @@
     source: Source,
     page: dialect::Page,
 ) {
-    let removed = shared.replicated_records.borrow().removals(subject, &page);
     let end = PageEnd::from(&page);
-    let mut records: Vec<_> = page.records.into_iter().chain(removed).collect();
-    // If two targets have the same address, the later one must be applied last.
-    records.sort_by_key(|record| record.offset);
-    for record in records {
-        if shared.replicated_records.borrow().is_newer(subject, &record) {
-            apply_record(shared, subject, source, record);
-        }
+    let newer = shared.replicated_records.borrow().newer(subject, page);
+    for record in newer {
+        apply_record(shared, subject, source, record);
     }
     if subject == Subject::Routers {
         shared.peers.borrow_mut().select_hubs(shared.clock.now());
--- a/crates/corianderstand_forward/src/replicated_records.rs
+++ b/crates/corianderstand_forward/src/replicated_records.rs
@@ -172,8 +172,23 @@
         }
     }
 
+    /// The records of a page that are newer than what is known, in the order of their offsets.
+    ///
+    /// A page that ends before the known records has none: a key that it still has may have been removed since.
+    pub fn newer(&self, subject: Subject, page: dialect::Page) -> Vec<dialect::Record> {
+        if page.next < self.next_offset(subject) {
+            return Vec::new();
+        }
+        let removed = self.removals(subject, &page);
+        let records = page.records.into_iter().chain(removed);
+        let mut newer: Vec<_> = records.filter(|record| self.is_newer(subject, record)).collect();
+        // If two targets have the same address, the later one must be applied last.
+        newer.sort_by_key(|record| record.offset);
+        newer
+    }
+
     /// Whether a record is newer than the known one of its key.
-    pub fn is_newer(&self, subject: Subject, record: &dialect::Record) -> bool {
+    fn is_newer(&self, subject: Subject, record: &dialect::Record) -> bool {
         let known = self.by_subject.get(&subject).and_then(|entry| entry.records.get(&record.key));
         known.is_none_or(|known| known.record.offset < record.offset)
     }
@@ -247,7 +262,7 @@
     }
 
     /// Deletions of the known keys that a page of all keys lacks.
-    pub fn removals(&self, subject: Subject, page: &dialect::Page) -> Vec<dialect::Record> {
+    fn removals(&self, subject: Subject, page: &dialect::Page) -> Vec<dialect::Record> {
         let Some(entry) = self.by_subject.get(&subject).filter(|_| page.whole) else {
             return Vec::new();
         };
--- a/crates/corianderstand_forward/tests/readers.rs
+++ b/crates/corianderstand_forward/tests/readers.rs
@@ -4,7 +4,7 @@
 
 use common::{MemoryStore, RouterThread, Target};
 use corianderstand_forward::{
-    dialect::{Record, RouterEntry, Subject},
+    dialect::{Page, Record, RouterEntry, Subject},
     hubs, peers,
     readers::{self, Neighbour, READER_COUNT, Role},
     replicated_records::{PageEnd, ReplicatedRecords, Source},
@@ -294,6 +294,23 @@
     assert!(records.changes(subject, 9).whole);
 }
 
+/// Guards against a removed target that a page from a peer brings back, as it was sent before the removal.
+#[test]
+fn a_page_that_ends_before_the_known_records_changes_nothing() {
+    let (subject, mut records) = (Subject::Targets, ReplicatedRecords::default());
+    let record = |key: &str, offset| Record { key: key.into(), value: Some("x".into()), offset };
+    records.insert(subject, record("kept", 2), Source::Store, 7);
+    records.advance(subject, PageEnd { next: 9, whole: true });
+    let page = |next| Page {
+        records: vec![record("removed", 4), record("kept", 2)],
+        next,
+        whole: true,
+        reaches_end: false,
+    };
+    assert_eq!(records.newer(subject, page(8)), []);
+    assert_eq!(records.newer(subject, page(10)), [record("removed", 4)], "a later page has it");
+}
+
 /// Renewals without changes would fill the links of small hosts.
 #[test]
 fn mere_renewals_are_not_transferred() {
