A router that is behind reads on to the end before its records count as read

Cause: each response of the store counted as a read of now, also where it ended before the store's log does, and the usual pause (0.6 s at a reader) followed it. A router that had thawed was 90 records behind, got them in five responses, and told its followers that they were fresh. The class: a measurement counted as complete that covers a part only.

Change: a response that doesn't reach the end is applied, and the next read follows at once, before the router asks its readers; only the last one counts as a read.

--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -78,9 +78,10 @@
         via_readers::first_offset(&shared, subject).await
     };
     let mut routers_interval = MIN_ROUTERS_INTERVAL;
+    let mut is_behind = false;
     loop {
         let known = from.is_some() || shared.replicated_records.borrow().next_offset(subject) > 0;
-        if known && via_readers::follow(&shared, subject).await {
+        if known && !is_behind && via_readers::follow(&shared, subject).await {
             continue;
         }
         let options = read_options(&shared, subject);
@@ -96,7 +97,13 @@
         };
         match read {
             Ok(page) => {
+                // Records beyond the page are unknown still, so that it doesn't count as a read.
+                is_behind = !page.reaches_end && page.next > known_next;
                 from = Some(page.next);
+                if is_behind {
+                    apply_page(&shared, subject, Source::Store, page);
+                    continue;
+                }
                 record_read(&shared, subject, Duration::ZERO);
                 // A stale read ends before records that are known already.
                 let is_complete = page.reaches_end && page.next >= known_next;
@@ -133,6 +140,7 @@
                 from = None;
             }
             Err(error) => {
+                is_behind = false;
                 record_read_failure(&shared, subject, &error);
                 via_readers::delay_retry(&shared, retry_delay(&error)).await;
             }
--- a/crates/corianderstand_forward/tests/common/platform.rs
+++ b/crates/corianderstand_forward/tests/common/platform.rs
@@ -24,6 +24,8 @@
     next: u64,
     down: bool,
     read_delay: Duration,
+    /// Records of one response to a read; all if it is none.
+    max_read_records: Option<usize>,
 }
 
 /// An in-memory store that tests can write to and make unavailable.
@@ -141,6 +143,22 @@
         self.state.lock().unwrap().read_delay = read_delay;
     }
 
+    /// Limits the records of one response to a read.
+    pub fn set_max_read_records(&self, count: usize) {
+        self.state.lock().unwrap().max_read_records = Some(count);
+    }
+
+    /// The first records of a page that one response may have.
+    fn limited(&self, mut page: Page) -> Page {
+        let count = self.state.lock().unwrap().max_read_records.unwrap_or(usize::MAX);
+        if page.records.len() > count {
+            page.records.truncate(count);
+            page.next = page.records.last().map_or(page.next, |record| record.offset + 1);
+            page.reaches_end = false;
+        }
+        page
+    }
+
     fn page(&self, subject: Subject, from: u64) -> Result<Page, StoreError> {
         self.read_count.fetch_add(1, Ordering::Relaxed);
         if subject == Subject::Routers {
@@ -243,7 +261,7 @@
         options: &ReadOptions,
     ) -> Result<Page, StoreError> {
         tokio::time::sleep(Duration::from_millis(20)).await;
-        let page = self.0.page(subject, from)?;
+        let page = self.0.page(subject, from).map(|page| self.0.limited(page))?;
         if let Some(link) = &self.0.link {
             let values = page.records.iter().filter_map(|record| record.value.as_ref());
             let len = values.map(Bytes::len).sum();
--- a/crates/corianderstand_forward/tests/following.rs
+++ b/crates/corianderstand_forward/tests/following.rs
@@ -7,7 +7,7 @@
     dialect::{StoreError, Subject},
     follow,
 };
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 async fn status(router: &RouterThread, path: &str) -> String {
     let answer = common::get(router.front, path, &[("x-id", "r"), ("x-deadline-ms", "400")]).await;
@@ -104,6 +104,33 @@
     wait_for_status(&router, "/other/", "404").await;
 }
 
+/// Guards against a pause after each response while a router is behind by several, with records that look fresh.
+#[tokio::test]
+async fn a_router_that_is_behind_reads_on_to_the_end() {
+    const RENEWALS: usize = 20;
+    let store = MemoryStore::default();
+    let target = Target::start().await;
+    store.put_config(common::config(1, vec![common::route("/pay/", "desk")]));
+    store.put_target(target.entry("target-1", "desk"));
+    let other = Target::start().await;
+    let own_store = store.isolated();
+    let mut settings = RouterThread::settings("router-a", Vec::new(), Duration::from_secs(8));
+    settings.bounds.drain_within = Duration::from_secs(2);
+    let router = RouterThread::start_on(&own_store, settings);
+    router.wait_ready().await;
+    own_store.set_unavailable(true);
+    for _ in 0..RENEWALS {
+        store.put_target(other.entry("target-2", "another"));
+    }
+    store.remove_target("target-1");
+    store.set_max_read_records(2);
+    own_store.set_unavailable(false);
+    let started_at = Instant::now();
+    wait_for_status(&router, "/pay/1", "503").await;
+    let elapsed = started_at.elapsed();
+    assert!(elapsed < router.settings.bounds.drain_within, "removed after {elapsed:?}");
+}
+
 /// A dead connection must be abandoned early enough to read again within the limit.
 #[rstest::rstest]
 #[case::two_seconds(2)]
