A removal waits for the store's recovery only if reads had failed, and no longer than that takes

Cause: entries that expired during an outage of the store return within two seconds, so that removals after it have a grace period. The outage was judged by the pause between this router's own reads alone: a follower without a reader for 2.6 s has such a pause while the store is well. The grace period then began with each removal, although entries return after the recovery or never.

Change: a recovery needs a failed read before it; the grace period counts from the recovery.

--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -291,13 +291,13 @@
         same
     }
 
-    /// Removes a target without an entry; with `grace`, not before [`Self::expire`].
-    pub fn remove(&mut self, now: Instant, id: &names::TargetId, grace: bool) {
+    /// Removes a target without an entry. If the store has recovered lately and the entry may return, the target
+    /// stays until [`Self::expire`], where the grace period counts from `recovered_at`.
+    pub fn remove(&mut self, now: Instant, id: &names::TargetId, recovered_at: Option<Instant>) {
         let Some(key) = self.key(id) else { return };
-        if grace {
-            self.arena[key].missing_since.get_or_insert(now);
-        } else {
-            self.remove_target(now, key);
+        match recovered_at {
+            Some(at) => drop(self.arena[key].missing_since.get_or_insert(at)),
+            None => self.remove_target(now, key),
         }
     }
 
--- a/crates/corianderstand_fleet/tests/decisions.rs
+++ b/crates/corianderstand_fleet/tests/decisions.rs
@@ -127,7 +127,7 @@
     assert_eq!(targets.register(now, entry("e")), RegistrationChange::Stale);
     let key = targets.key(&id("e")).unwrap();
     assert!(!targets.get(key).unwrap().accepts_requests(now));
-    targets.remove(now, &id("e"), false);
+    targets.remove(now, &id("e"), None);
     assert_eq!(
         targets.register(now, entry("e")),
         RegistrationChange::Stale,
@@ -155,8 +155,8 @@
     let mut targets = Targets::default();
     targets.register(now, entry("e"));
     targets.register(now, entry("f"));
-    targets.remove(now, &id("e"), true);
-    targets.remove(now, &id("f"), true);
+    targets.remove(now, &id("e"), Some(now));
+    targets.remove(now, &id("f"), Some(now));
     assert!(targets.expire(now + grace / 2, grace).is_empty());
     targets.register(now + grace / 2, Entry { renewals: 6, ..entry("e") });
     assert_eq!(targets.expire(now + grace, grace), [id("f")]);
@@ -257,7 +257,7 @@
     let mut targets = Targets::default();
     let on_disk = Holdings { on_disk: vec!["m".into()], ..holdings(&["m"]) };
     targets.register(now, Entry { holdings: on_disk, ..entry("e") });
-    targets.remove(now, &id("e"), false);
+    targets.remove(now, &id("e"), None);
     let replaced =
         targets::EngineReplacement { id: id("f"), started_at_ms: 20, previous_id: id("e") };
     assert!(targets.replace(now, &replaced));
@@ -277,7 +277,7 @@
     );
     targets.register(now, Entry { started_at_ms: 20, renewals: 1, ..entry("f") });
     assert!(targets.expire(now + grace, grace).is_empty(), "it has registered");
-    targets.remove(now, &id("f"), false);
+    targets.remove(now, &id("f"), None);
     assert!(!targets.replace(now, &replaced), "the previous name is no longer known");
 }
 
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -319,11 +319,12 @@
         }
         dialect::Update::Target(entry) => apply_entry(shared, now, origin, entry),
         dialect::Update::TargetRemoved(id) => {
-            let grace = shared.replicated_records.borrow().recovered_recently(now, subject);
+            let recovered_at = shared.replicated_records.borrow().recent_recovery(now, subject);
             let known = shared.view.borrow().targets.key(&id).is_some();
             let within = unread_time(shared, now, subject, origin.source);
+            let grace = recovered_at.is_some();
             shared.decision_log.target_removed(&id, known, grace, origin, within);
-            shared.view.borrow_mut().targets.remove(now, &id, grace);
+            shared.view.borrow_mut().targets.remove(now, &id, recovered_at);
         }
         dialect::Update::Router(entry) => {
             if entry.router != shared.settings.name {
--- a/crates/corianderstand_forward/src/replicated_records.rs
+++ b/crates/corianderstand_forward/src/replicated_records.rs
@@ -200,10 +200,10 @@
         known.is_some_and(|known| known.content_hash == content_hash)
     }
 
-    /// Whether the store recovered so recently that missing entries may still return.
-    pub fn recovered_recently(&self, now: Instant, subject: Subject) -> bool {
+    /// When the store recovered, if this was so recently that missing entries may still return.
+    pub fn recent_recovery(&self, now: Instant, subject: Subject) -> Option<Instant> {
         let at = self.by_subject.get(&subject).and_then(|entry| entry.recovered_at);
-        at.is_some_and(|at| now.saturating_duration_since(at) < RECOVERY_GRACE)
+        at.filter(|at| now.saturating_duration_since(*at) < RECOVERY_GRACE)
     }
 
     /// Records a successful read of the store, by this router or by the one that it follows. Returns whether the
@@ -213,10 +213,12 @@
         entry.previous_read_age = entry.read_at.map(|at| now.saturating_duration_since(at));
         entry.read_at = Some(now);
         entry.store_read_at = entry.store_read_at.max(Some(read_at));
-        if entry.previous_read_age.is_some_and(|age| age >= STORE_LOST_AFTER) {
+        let had_failed = std::mem::take(&mut entry.last_read_failed);
+        // A pause alone may be this router's own.
+        if had_failed && entry.previous_read_age.is_some_and(|age| age >= STORE_LOST_AFTER) {
             entry.recovered_at = Some(now);
         }
-        std::mem::take(&mut entry.last_read_failed)
+        had_failed
     }
 
     /// Records a failed read of the store. Returns whether the previous one had succeeded.
--- a/crates/corianderstand_forward/tests/readers.rs
+++ b/crates/corianderstand_forward/tests/readers.rs
@@ -311,6 +311,24 @@
     assert_eq!(records.newer(subject, page(10)), [record("removed", 4)], "a later page has it");
 }
 
+/// Guards against removals that are held back although the store was there: only this router stood still.
+#[test]
+fn a_pause_without_a_failed_read_is_no_recovery_of_the_store() {
+    let (subject, start) = (Subject::Targets, Instant::now());
+    let later = start + Duration::from_secs(6);
+    let after_pause = |has_failed: bool| {
+        let mut records = ReplicatedRecords::default();
+        records.record_read(start, start, subject);
+        if has_failed {
+            records.record_read_failure(subject);
+        }
+        records.record_read(later, later, subject);
+        records.recent_recovery(later, subject)
+    };
+    assert_eq!(after_pause(false), None);
+    assert_eq!(after_pause(true), Some(later));
+}
+
 /// Renewals without changes would fill the links of small hosts.
 #[test]
 fn mere_renewals_are_not_transferred() {
