A target known from its entry no longer counts as known from its agent only

What callers would see: requests sent to a removed target for as long as its agent reports.

Cause: 'known from its agent only' was read off a renewal count of 0. An entry's first record may have that count, and followers get no mere renewals, so that it stays; and a target that really was known from its agent kept that state when its entry was removed. A removal in the grace period was then renewed by each report.

Change: an explicit flag, cleared by an entry and by the removal of one.

Evidence: two of the tests fail before (the target never expires).

--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -84,10 +84,9 @@
     pub fn is_leaving(&self, id: &names::TargetId) -> bool {
         let Some(key) = self.key(id) else { return self.drained.contains_key(id) };
         let target = &self.arena[key];
-        let is_inferred = target.entry.renewals == 0;
         target.entry.draining
             || target.shutdown_at.is_some()
-            || (target.missing_since.is_some() && !is_inferred)
+            || (target.missing_since.is_some() && !target.is_inferred)
     }
 
     /// Iterates over all targets.
@@ -176,7 +175,9 @@
             ..previous
         };
         let key = self.insert(now, entry);
-        self.arena[key].missing_since = Some(now);
+        let target = &mut self.arena[key];
+        target.is_inferred = true;
+        target.missing_since = Some(now);
     }
 
     /// Applies a registered entry. Entries must arrive in the order in which they were written, as a
@@ -207,6 +208,7 @@
             self.insert(now, entry);
             return RegistrationChange::New;
         }
+        target.is_inferred = false;
         target.missing_since = None;
         let changed = target.entry.holdings != entry.holdings;
         let drains = entry.draining && !target.entry.draining;
@@ -263,8 +265,8 @@
         }
         target.agent_last_received_at = Some(now);
         target.superseded_holdings = None;
-        if target.entry.renewals == 0 && target.missing_since.is_some() {
-            // An inferred target stays known while its agent reports.
+        if target.is_inferred {
+            // It stays known while its agent reports.
             target.missing_since = Some(now);
         }
         target.ejected_until = None;
@@ -295,10 +297,13 @@
     /// stays until [`Self::expire`], where the grace period counts from `recovered_at`.
     pub fn remove(&mut self, now: Instant, id: &names::TargetId, recovered_at: Option<Instant>) {
         let Some(key) = self.key(id) else { return };
-        match recovered_at {
-            Some(at) => drop(self.arena[key].missing_since.get_or_insert(at)),
-            None => self.remove_target(now, key),
+        let Some(recovered_at) = recovered_at else { return self.remove_target(now, key) };
+        let target = &mut self.arena[key];
+        // It has had an entry; from here on reports of its agent don't count.
+        if std::mem::take(&mut target.is_inferred) {
+            target.missing_since = None;
         }
+        target.missing_since.get_or_insert(recovered_at);
     }
 
     /// Applies registered holdings that agents' reports no longer supersede.
--- a/crates/corianderstand_fleet/tests/leavings.rs
+++ b/crates/corianderstand_fleet/tests/leavings.rs
@@ -51,3 +51,28 @@
     assert!(targets.expire(removed_at, GRACE).is_empty());
     assert_eq!(targets.expire(recovered_at + GRACE, GRACE), [id("e")]);
 }
+
+/// Guards against a removed target that stays for as long as its agent reports.
+#[rstest::rstest]
+#[case::whose_entry_was_never_renewed(0)]
+#[case::whose_entry_was_renewed(5)]
+fn a_registered_target_expires_although_its_agent_reports(#[case] renewals: u64) {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, Entry { renewals, ..entry("e") });
+    targets.remove(now, &id("e"), Some(now));
+    assert!(targets.report(now + GRACE / 2, report("e")));
+    assert_eq!(targets.expire(now + GRACE, GRACE), [id("e")]);
+}
+
+/// Guards against the same for a target that was known from its agent before its entry was removed.
+#[test]
+fn an_inferred_target_expires_once_its_entry_was_removed() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    assert!(targets.replace(now, &replacement("f", "e")));
+    targets.remove(now, &id("f"), Some(now));
+    assert!(targets.report(now + GRACE / 2, report("f")));
+    assert_eq!(targets.expire(now + GRACE, GRACE), [id("f")]);
+}
