Reports of a removed target do not bring it back

What callers would see: requests sent to an engine whose entry is gone, for as long as its agent reports.

Cause: an agent repeats that its engine has a new name for as long as its plan names the old one. A router that had the new name from the store first still kept the old entry for 15 s; once the new entry was removed, the repeated report made the engine known again from the old one. A removal of a target that wasn't known left no trace at all, so that a later report made it known. The class: a weaker source overrules a stronger one that spoke before.

Change: a removal is remembered for known and unknown targets, and counts against both reports.

Evidence: a_repeated_report_of_a_new_name_does_not_bring_back_a_removed_target and a_target_that_was_removed_before_it_was_known_stays_away fail before.

--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -30,7 +30,8 @@
     pub struct TargetKey;
 }
 
-/// Time for which a removed entry can be inherited by a restart under another name.
+/// Time for which a removed entry can be inherited by a restart under another name, and reports of a removed
+/// target don't bring it back.
 const REMOVED_ENTRY_TTL: Duration = Duration::from_secs(15);
 
 /// Effect of applying a target's registered entry.
@@ -48,6 +49,14 @@
     Stale,
 }
 
+/// A target that was removed.
+#[derive(Clone, Debug)]
+struct Removed {
+    at: Instant,
+    /// Its last entry; none if it was not known.
+    entry: Option<Entry>,
+}
+
 /// All known targets.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
@@ -55,7 +64,7 @@
     by_id: HashMap<names::TargetId, TargetKey>,
     by_host: HashMap<IpAddr, Vec<TargetKey>>,
     drained: HashMap<names::TargetId, u64>,
-    removed: HashMap<names::TargetId, (Instant, Entry)>,
+    removed: HashMap<names::TargetId, Removed>,
     replaced: Vec<Incarnation>,
 }
 
@@ -108,15 +117,12 @@
     /// previous entry until it registers. Returns false if the report changes nothing.
     pub fn replace(&mut self, now: Instant, replacement: &EngineReplacement) -> bool {
         let EngineReplacement { id, started_at_ms, previous_id } = replacement;
-        if self.key(id).is_some() || self.drained.contains_key(id) {
+        if self.key(id).is_some() || self.has_ended(id) {
             return false;
         }
         let current = self.key(previous_id).map(|key| self.arena[key].entry.clone());
-        let Some(previous) =
-            current.or_else(|| self.removed.get(previous_id).map(|(_, entry)| entry.clone()))
-        else {
-            return false;
-        };
+        let removed = || self.removed.get(previous_id)?.entry.clone();
+        let Some(previous) = current.or_else(removed) else { return false };
         if let Some(key) = self.key(previous_id) {
             self.remove_target(now, key);
         }
@@ -140,8 +146,7 @@
         runs_on_engines: impl Fn(&names::ServiceId) -> bool,
     ) -> bool {
         // The report may be late, from an engine that has already been replaced.
-        let ended = self.removed.contains_key(id) || self.drained.contains_key(id);
-        if ended || self.by_id.contains_key(id) {
+        if self.has_ended(id) || self.by_id.contains_key(id) {
             return false;
         }
         let Some(&[key]) = self.by_host.get(&host).map(Vec::as_slice) else { return false };
@@ -155,6 +160,11 @@
         true
     }
 
+    /// Whether a target has left, or was removed recently.
+    fn has_ended(&self, id: &names::TargetId) -> bool {
+        self.removed.contains_key(id) || self.drained.contains_key(id)
+    }
+
     /// Inserts a target that inherits the entry of the previous engine.
     fn insert_successor(
         &mut self,
@@ -296,7 +306,7 @@
     /// Removes a target without an entry. If the store has recovered lately and the entry may return, the target
     /// stays until [`Self::expire`], where the grace period counts from `recovered_at`.
     pub fn remove(&mut self, now: Instant, id: &names::TargetId, recovered_at: Option<Instant>) {
-        let Some(key) = self.key(id) else { return };
+        let Some(key) = self.key(id) else { return self.record_removed(now, id.clone(), None) };
         let Some(recovered_at) = recovered_at else { return self.remove_target(now, key) };
         let target = &mut self.arena[key];
         // It has had an entry; from here on reports of its agent don't count.
@@ -362,8 +372,16 @@
         if target.entry.draining {
             self.drained.insert(target.entry.id.clone(), target.entry.started_at_ms);
         }
+        self.record_removed(now, target.entry.id.clone(), Some(target.entry));
+    }
+
+    fn record_removed(&mut self, now: Instant, id: names::TargetId, entry: Option<Entry>) {
         self.removed
-            .retain(|_, (since, _)| now.saturating_duration_since(*since) < REMOVED_ENTRY_TTL);
-        self.removed.insert(target.entry.id.clone(), (now, target.entry));
+            .retain(|_, removed| now.saturating_duration_since(removed.at) < REMOVED_ENTRY_TTL);
+        let removed = self.removed.entry(id).or_insert(Removed { at: now, entry: None });
+        removed.at = now;
+        if entry.is_some() {
+            removed.entry = entry;
+        }
     }
 }
--- a/crates/corianderstand_fleet/tests/leavings.rs
+++ b/crates/corianderstand_fleet/tests/leavings.rs
@@ -4,7 +4,7 @@
 
 use common::id;
 use corianderstand_fleet::targets::{
-    AgentReport, EngineReplacement, Entry, Holdings, Load, Targets,
+    AgentReport, EngineReplacement, Entry, Holdings, Load, RegistrationChange, Targets,
 };
 use std::time::{Duration, Instant};
 
@@ -76,3 +76,27 @@
     assert!(targets.report(now + GRACE / 2, report("f")));
     assert_eq!(targets.expire(now + GRACE, GRACE), [id("f")]);
 }
+
+/// Guards against an agent's repeated report of a new name that brings back an engine whose entry is gone.
+#[test]
+fn a_repeated_report_of_a_new_name_does_not_bring_back_a_removed_target() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    targets.register(now, entry("f"));
+    targets.remove(now, &id("f"), None);
+    assert!(!targets.replace(now, &replacement("f", "e")));
+}
+
+/// Guards against an engine that is used although its removal was heard before anything else of it.
+#[test]
+fn a_target_that_was_removed_before_it_was_known_stays_away() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    targets.remove(now, &id("f"), None);
+    assert!(!targets.replace(now, &replacement("f", "e")));
+    let host = entry("e").addr.ip();
+    assert!(!targets.infer_successor(now, &id("f"), 0, host, |_| true));
+    assert_eq!(targets.register(now, entry("f")), RegistrationChange::New, "its entry is back");
+}
