A draining entry counts whatever its renewals

What callers would see: requests sent to a target that has said that it is leaving.

Cause: an entry with fewer renewals than the known one was ignored as late. Entries are applied in the order of the store already; a target that counts anew would never be heard to leave.

Change: an entry that starts draining counts for its incarnation, whatever its count of renewals.

Evidence: a_draining_entry_counts_whatever_its_renewals fails before.

--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -206,9 +206,11 @@
             return RegistrationChange::New;
         };
         let target = &mut self.arena[key];
+        let starts_draining = entry.draining && !target.entry.draining;
         if entry.started_at_ms < target.entry.started_at_ms
             || (entry.started_at_ms == target.entry.started_at_ms
-                && entry.renewals < target.entry.renewals)
+                && entry.renewals < target.entry.renewals
+                && !starts_draining)
         {
             return RegistrationChange::Stale;
         }
@@ -221,7 +223,6 @@
         target.is_inferred = false;
         target.missing_since = None;
         let changed = target.entry.holdings != entry.holdings;
-        let drains = entry.draining && !target.entry.draining;
         target.entry.draining |= entry.draining;
         target.entry.slots = entry.slots;
         if let Some(shutdown_in) = entry.shutdown_in {
@@ -237,7 +238,7 @@
             target.entry.holdings.in_memory = entry.holdings.in_memory;
             target.entry.holdings.on_disk = entry.holdings.on_disk;
         }
-        match (drains, changed) {
+        match (starts_draining, changed) {
             (true, _) => RegistrationChange::Draining,
             (false, true) => RegistrationChange::Holdings,
             (false, false) => RegistrationChange::Nothing,
--- a/crates/corianderstand_fleet/tests/leavings.rs
+++ b/crates/corianderstand_fleet/tests/leavings.rs
@@ -100,3 +100,15 @@
     assert!(!targets.infer_successor(now, &id("f"), 0, host, |_| true));
     assert_eq!(targets.register(now, entry("f")), RegistrationChange::New, "its entry is back");
 }
+
+/// Guards against a leaving that is ignored, as the target counts its renewals anew.
+#[test]
+fn a_draining_entry_counts_whatever_its_renewals() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    let draining = Entry { renewals: 1, draining: true, ..entry("e") };
+    assert_eq!(targets.register(now, draining), RegistrationChange::Draining);
+    let key = targets.key(&id("e")).unwrap();
+    assert!(!targets.get(key).unwrap().accepts_requests(now));
+}
