A target that left since it was chosen gets no request

What callers would see: a request at a target that had said that it is leaving, late by the time between choice and write: a prefill permit (150 ms and more), a slot, a connection (350 ms, twice).

Cause: only a removed target was noticed then, as its address was gone; one that is draining wasn't. The class: a decision that is carried out later without looking again.

Change: the target is looked at again just before each write; if it takes no more requests, another is chosen, which counts neither as a try nor as a failed attempt, for streams that go on elsewhere too.

Evidence: a_target_that_leaves_while_a_permit_is_awaited_gets_no_request fails before. Late by less than a bound alone; it adds to the time until the leaving is heard.

--- a/crates/corianderstand_forward/src/attempt.rs
+++ b/crates/corianderstand_forward/src/attempt.rs
@@ -20,6 +20,8 @@
     Answered(Box<Answered<P>>),
     /// Nothing was written to the target.
     NotSent,
+    /// The target takes no more requests; nothing was written to it.
+    Left,
     /// The target reported that it did not run the request.
     NotRun,
     /// The request may have run.
@@ -52,7 +54,7 @@
     last_event: Option<u64>,
 ) -> AttemptOutcome<P> {
     let now = shared.clock.now();
-    let Some((addr, id)) = shared.target_address(key) else { return AttemptOutcome::NotSent };
+    let Some((addr, id)) = shared.target_address(key) else { return AttemptOutcome::Left };
     job.last_target = id.clone();
     job.sent_at = Some(now);
     job.prefill_tokens = job.uncached_tokens(&shared.view.borrow(), key);
@@ -85,6 +87,10 @@
     let mut unsent = Some(req);
     loop {
         let Some(req) = unsent.take() else { return AttemptOutcome::NotSent };
+        // It may have left since it was chosen: a permit, a slot and a connection take time.
+        if !shared.accepts_requests(key, shared.clock.now()) {
+            return AttemptOutcome::Left;
+        }
         let sending = lease.sender.try_send_request(req);
         let response = match wait_for_head(shared, job, key, sending).await {
             HeadOutcome::Received(response) => response,
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -273,6 +273,10 @@
                     return refuse(&shared, &job, job.last_failure, REFUSED_RETRY_AFTER);
                 }
             }
+            attempt::AttemptOutcome::Left => {
+                set_sent(job.may_have_run);
+                record_left(&shared, &mut job);
+            }
             attempt::AttemptOutcome::NotRun => {
                 set_sent(job.may_have_run);
                 // Does not count towards `max_targets`; the target is excluded for a while anyway.
@@ -298,6 +302,12 @@
     }
 }
 
+/// Records that a target left before the request was sent to it; it counts neither as tried nor as failed.
+fn record_left<P: router::Platform>(shared: &router::Shared<P>, job: &mut job::Job) {
+    job.tried_targets.pop();
+    shared.decision_log.attempt_failed(job, "the target is leaving", None, shared.clock.now());
+}
+
 /// Whether another target may be tried; spends a retry from the budget.
 fn may_try_another<P: router::Platform>(shared: &router::Shared<P>, job: &job::Job) -> bool {
     (job.tried_targets.len() as u32) < job.route.max_targets
@@ -464,14 +474,24 @@
 pub async fn resume_stream_at<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
     job: &mut job::Job,
-    key: targets::TargetKey,
+    mut key: targets::TargetKey,
     last_event: Option<u64>,
 ) -> Result<attempt::Answered<P>, &'static str> {
-    if shared.block(shared.clock.now(), job).is_some() {
-        return Err(BLOCKED);
-    }
-    job.tried_targets.push(key);
-    match attempt::attempt(shared, job, key, last_event).await {
+    let outcome = loop {
+        if shared.block(shared.clock.now(), job).is_some() {
+            return Err(BLOCKED);
+        }
+        job.tried_targets.push(key);
+        match attempt::attempt(shared, job, key, last_event).await {
+            attempt::AttemptOutcome::Left => {
+                record_left(shared, job);
+                let found = waiting::find_target(shared, job).await;
+                key = found.map_err(|rejected| rejected.reason)?;
+            }
+            outcome => break outcome,
+        }
+    };
+    match outcome {
         attempt::AttemptOutcome::Answered(answered) if answered.head.status.is_success() => {
             Ok(*answered)
         }
@@ -479,9 +499,9 @@
             ended_targets::record_failed(shared, job, &answered.in_flight);
             Err("the other target failed")
         }
-        attempt::AttemptOutcome::NotSent | attempt::AttemptOutcome::NotRun => {
-            Err("the other target did not take it")
-        }
+        attempt::AttemptOutcome::NotSent
+        | attempt::AttemptOutcome::Left
+        | attempt::AttemptOutcome::NotRun => Err("the other target did not take it"),
         attempt::AttemptOutcome::Unknown(why) => Err(why),
         attempt::AttemptOutcome::Denied(denied) => Err(denied.reason()),
         attempt::AttemptOutcome::DeadlineExceeded => Err("the time is over"),
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -322,6 +322,12 @@
         view.targets.get(key).map(|target| (target.entry.addr, target.entry.id.clone()))
     }
 
+    /// Whether a target chosen earlier still takes requests.
+    pub fn accepts_requests(&self, key: targets::TargetKey, now: Instant) -> bool {
+        let view = self.view.borrow();
+        view.targets.get(key).is_some_and(|target| target.accepts_requests(now))
+    }
+
     /// Whether a target chosen earlier can still serve the request.
     pub fn may_serve(&self, key: targets::TargetKey, job: &job::Job, now: Instant) -> bool {
         let view = self.view.borrow();
--- a/crates/corianderstand_forward/tests/prefill_permits.rs
+++ b/crates/corianderstand_forward/tests/prefill_permits.rs
@@ -19,6 +19,9 @@
 /// Much less than a caller's timeout, much more than a permit request takes.
 const MAX_PROMPT_DELAY: Duration = Duration::from_millis(500);
 
+/// Short, so that a removal is heard while a permit is awaited.
+const DRAIN_WITHIN: Duration = Duration::from_millis(50);
+
 struct Setup {
     store: MemoryStore,
     router: RouterThread,
@@ -51,6 +54,7 @@
     let agent = UdpSocket::bind(common::free_port()).await.unwrap();
     let mut settings = RouterThread::settings("router-a", Vec::new(), Duration::from_secs(8));
     settings.agent_port = agent.local_addr().unwrap().port();
+    settings.bounds.drain_within = DRAIN_WITHIN;
     let router = RouterThread::start_on(&store, settings);
     router.wait_ready().await;
     let setup = Setup { store, router, engine, agent };
@@ -124,6 +128,21 @@
     setup.engine.next().await.answer_whole(ID, "x").await;
 }
 
+/// Guards against a request that is sent to a target that left between its choice and its permit.
+#[tokio::test]
+async fn a_target_that_leaves_while_a_permit_is_awaited_gets_no_request() {
+    let setup = setup().await;
+    let _caller = setup.send_request().await;
+    let (router, request) = setup.next_request().await;
+    setup.send_response(router, request.id, false, 20).await;
+    let draining = targets::Entry { draining: true, renewals: 2, ..entry(&setup.engine, "engine") };
+    setup.store.put_target(draining);
+    tokio::time::sleep(DRAIN_WITHIN * 2).await;
+    setup.send_response(router, request.id, true, 0).await;
+    let sent = tokio::time::timeout(MAX_PROMPT_DELAY, setup.engine.next()).await;
+    assert!(sent.is_err(), "sent to a target that has left");
+}
+
 /// A resent request keeps its id, so that the agent does not count the prompt twice.
 #[tokio::test]
 async fn a_lost_permit_is_requested_again() {
