Split: how a stream goes on at another target, from the handling of a request

Its last part moves to resume.rs, and the line that set idle_since twice in stream.rs is one function.

--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -303,13 +303,13 @@
 }
 
 /// Records that a target left before the request was sent to it; it counts neither as tried nor as failed.
-fn record_left<P: router::Platform>(shared: &router::Shared<P>, job: &mut job::Job) {
+pub fn record_left<P: router::Platform>(shared: &router::Shared<P>, job: &mut job::Job) {
     job.tried_targets.pop();
     shared.decision_log.attempt_failed(job, "the target is leaving", None, shared.clock.now());
 }
 
 /// Whether another target may be tried; spends a retry from the budget.
-fn may_try_another<P: router::Platform>(shared: &router::Shared<P>, job: &job::Job) -> bool {
+pub fn may_try_another<P: router::Platform>(shared: &router::Shared<P>, job: &job::Job) -> bool {
     (job.tried_targets.len() as u32) < job.route.max_targets
         && job.unexecuted_attempts < MAX_UNEXECUTED_ATTEMPTS
         && shared.spend_retry(&job.service)
@@ -448,62 +448,3 @@
     }
     response
 }
-
-/// Requests the rest of a stream from another target.
-pub async fn resume_stream<P: router::Platform>(
-    shared: &Rc<router::Shared<P>>,
-    job: &mut job::Job,
-    last_event: Option<u64>,
-) -> Result<attempt::Answered<P>, &'static str> {
-    let key = find_other_target(shared, job).await?;
-    resume_stream_at(shared, job, key, last_event).await
-}
-
-/// Chooses another target for a stream, and waits for it as [`waiting::find_target`] does.
-pub async fn find_other_target<P: router::Platform>(
-    shared: &Rc<router::Shared<P>>,
-    job: &mut job::Job,
-) -> Result<targets::TargetKey, &'static str> {
-    if !may_try_another(shared, job) {
-        return Err("no further target is allowed");
-    }
-    waiting::find_target(shared, job).await.map_err(|rejected| rejected.reason)
-}
-
-/// Continues a stream at a target that was found for it.
-pub async fn resume_stream_at<P: router::Platform>(
-    shared: &Rc<router::Shared<P>>,
-    job: &mut job::Job,
-    mut key: targets::TargetKey,
-    last_event: Option<u64>,
-) -> Result<attempt::Answered<P>, &'static str> {
-    let outcome = loop {
-        if shared.block(shared.clock.now(), job).is_some() {
-            return Err(BLOCKED);
-        }
-        job.tried_targets.push(key);
-        match attempt::attempt(shared, job, key, last_event).await {
-            attempt::AttemptOutcome::Left => {
-                record_left(shared, job);
-                let found = waiting::find_target(shared, job).await;
-                key = found.map_err(|rejected| rejected.reason)?;
-            }
-            outcome => break outcome,
-        }
-    };
-    match outcome {
-        attempt::AttemptOutcome::Answered(answered) if answered.head.status.is_success() => {
-            Ok(*answered)
-        }
-        attempt::AttemptOutcome::Answered(answered) => {
-            ended_targets::record_failed(shared, job, &answered.in_flight);
-            Err("the other target failed")
-        }
-        attempt::AttemptOutcome::NotSent
-        | attempt::AttemptOutcome::Left
-        | attempt::AttemptOutcome::NotRun => Err("the other target did not take it"),
-        attempt::AttemptOutcome::Unknown(why) => Err(why),
-        attempt::AttemptOutcome::Denied(denied) => Err(denied.reason()),
-        attempt::AttemptOutcome::DeadlineExceeded => Err("the time is over"),
-    }
-}
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod relay;
 pub mod replicated_records;
 pub mod request_slots;
+pub mod resume;
 pub mod router;
 pub mod server;
 pub mod status;
--- /dev/null
+++ b/crates/corianderstand_forward/src/resume.rs
@@ -0,0 +1,64 @@
+//! Continues a stream at another target after the events that were forwarded.
+
+use crate::{attempt, ended_targets, exchange, job, router, waiting};
+use corianderstand_fleet::targets;
+use std::rc::Rc;
+
+/// Requests the rest of a stream from another target.
+pub async fn resume<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    job: &mut job::Job,
+    last_event: Option<u64>,
+) -> Result<attempt::Answered<P>, &'static str> {
+    let key = find_other_target(shared, job).await?;
+    resume_at(shared, job, key, last_event).await
+}
+
+/// Chooses another target for a stream, and waits for it as [`waiting::find_target`] does.
+pub async fn find_other_target<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    job: &mut job::Job,
+) -> Result<targets::TargetKey, &'static str> {
+    if !exchange::may_try_another(shared, job) {
+        return Err("no further target is allowed");
+    }
+    waiting::find_target(shared, job).await.map_err(|rejected| rejected.reason)
+}
+
+/// Continues a stream at a target that was found for it.
+pub async fn resume_at<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    job: &mut job::Job,
+    mut key: targets::TargetKey,
+    last_event: Option<u64>,
+) -> Result<attempt::Answered<P>, &'static str> {
+    let outcome = loop {
+        if shared.block(shared.clock.now(), job).is_some() {
+            return Err(exchange::BLOCKED);
+        }
+        job.tried_targets.push(key);
+        match attempt::attempt(shared, job, key, last_event).await {
+            attempt::AttemptOutcome::Left => {
+                exchange::record_left(shared, job);
+                let found = waiting::find_target(shared, job).await;
+                key = found.map_err(|rejected| rejected.reason)?;
+            }
+            outcome => break outcome,
+        }
+    };
+    match outcome {
+        attempt::AttemptOutcome::Answered(answered) if answered.head.status.is_success() => {
+            Ok(*answered)
+        }
+        attempt::AttemptOutcome::Answered(answered) => {
+            ended_targets::record_failed(shared, job, &answered.in_flight);
+            Err("the other target failed")
+        }
+        attempt::AttemptOutcome::NotSent
+        | attempt::AttemptOutcome::Left
+        | attempt::AttemptOutcome::NotRun => Err("the other target did not take it"),
+        attempt::AttemptOutcome::Unknown(why) => Err(why),
+        attempt::AttemptOutcome::Denied(denied) => Err(denied.reason()),
+        attempt::AttemptOutcome::DeadlineExceeded => Err("the time is over"),
+    }
+}
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -1,7 +1,7 @@
 //! Relays the events of one stream to the caller, and resumes it at another target when it breaks.
 
 use crate::{
-    attempt, body, decisions, dialect, ended_targets, exchange, job, pool, relay, router,
+    attempt, body, decisions, dialect, ended_targets, exchange, job, pool, relay, resume, router,
     target_reports,
 };
 use bytes::Bytes;
@@ -175,8 +175,7 @@
                     let Some(key) = self.find_other_target().await else { continue };
                     self.leave_target(SILENT);
                     let last = self.last_event();
-                    let resumed =
-                        exchange::resume_stream_at(&self.shared, &mut self.job, key, last).await;
+                    let resumed = resume::resume_at(&self.shared, &mut self.job, key, last).await;
                     if !self.continue_at(resumed) {
                         return self.abort(SILENT, exchange::Aborted::ByTarget);
                     }
@@ -280,15 +279,20 @@
         Some(Err(aborted))
     }
 
+    /// Has the caller wait since the last event.
+    fn record_idle(&mut self) {
+        self.job.idle_since = self.timings.last_event_at.unwrap_or(self.job.arrived_at);
+    }
+
     /// Finds another target for the stream of a silent one; none if that one goes on first, or no other can
     /// take it: a target may be silent for long and still end its stream well.
     async fn find_other_target(&mut self) -> Option<targets::TargetKey> {
-        self.job.idle_since = self.timings.last_event_at.unwrap_or(self.job.arrived_at);
+        self.record_idle();
         let upstream = self.upstream.as_mut()?;
         let found = tokio::select! {
             biased;
             _ = Pin::new(&mut upstream.body).peek() => return None,
-            found = exchange::find_other_target(&self.shared, &mut self.job) => found,
+            found = resume::find_other_target(&self.shared, &mut self.job) => found,
         };
         let id = &self.job.request.id;
         found.inspect_err(|why| tracing::debug!(%id, why, "no other target for the stream")).ok()
@@ -314,9 +318,9 @@
         if !self.job.route.resumable {
             return false;
         }
-        self.job.idle_since = self.timings.last_event_at.unwrap_or(self.job.arrived_at);
+        self.record_idle();
         let last = self.last_event();
-        let resumed = exchange::resume_stream(&self.shared, &mut self.job, last).await;
+        let resumed = resume::resume(&self.shared, &mut self.job, last).await;
         self.continue_at(resumed)
     }
 
