--- a/crates/corianderstand_fleet/tests/common/mod.rs
+++ b/crates/corianderstand_fleet/tests/common/mod.rs
@@ -6,6 +6,8 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod entries;
+
 use corianderstand_fleet::{config, demand, plan, reconcile, snapshot, targets};
 use corianderstand_types::names::{ModelId, TargetId};
 use rand::{Rng, RngExt, SeedableRng};
--- a/crates/corianderstand_fleet/tests/decisions.rs
+++ b/crates/corianderstand_fleet/tests/decisions.rs
@@ -2,14 +2,16 @@
 
 mod common;
 
-use common::id;
+use common::{
+    entries::{address, entry, holdings},
+    id,
+};
 use corianderstand_fleet::{
     budget, choose, config, health, reconcile, routes, targets, wait_limit,
 };
 use corianderstand_types::names::ModelId;
 use rand::RngExt;
 use std::{
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -53,32 +55,6 @@
     assert_eq!(two, 100);
 }
 
-/// A distinct address, on its own host, for each name.
-fn address(name: &str) -> SocketAddr {
-    let host = name.bytes().fold(0_u8, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte));
-    SocketAddr::from(([127, 0, 1, host], 1))
-}
-
-fn entry(name: &str) -> Entry {
-    Entry {
-        id: id(name),
-        started_at_ms: 10,
-        renewals: 5,
-        service: "models".into(),
-        addr: address(name),
-        zone: "here".into(),
-        slots: 4,
-        draining: false,
-        shutdown_in: None,
-        holdings: holdings(&["m"]),
-    }
-}
-
-fn holdings(models: &[&str]) -> Holdings {
-    let resident = models.iter().map(|model| Resident { model: (*model).into(), adapters: vec![] });
-    Holdings { resident: resident.collect(), ..Default::default() }
-}
-
 /// Guards against requests to an engine that ended after another registered at its address.
 #[test]
 fn a_registration_replaces_the_engine_at_its_address() {
@@ -116,25 +92,6 @@
     assert!(!targets.infer_successor(now, &id("stranger"), 0, address("nobody").ip(), |_| true));
 }
 
-/// Guards against an outdated entry that makes a draining engine available again.
-#[test]
-fn an_outdated_entry_is_ignored() {
-    let now = Instant::now();
-    let mut targets = Targets::default();
-    targets.register(now, entry("e"));
-    let draining = Entry { renewals: 6, draining: true, ..entry("e") };
-    assert_eq!(targets.register(now, draining), RegistrationChange::Draining);
-    assert_eq!(targets.register(now, entry("e")), RegistrationChange::Stale);
-    let key = targets.key(&id("e")).unwrap();
-    assert!(!targets.get(key).unwrap().accepts_requests(now));
-    targets.remove(now, &id("e"), None);
-    assert_eq!(
-        targets.register(now, entry("e")),
-        RegistrationChange::Stale,
-        "the incarnation has ended"
-    );
-}
-
 /// Guards against requests for models that an engine lost in a restart.
 #[test]
 fn a_restart_under_the_same_name_clears_the_holdings() {
@@ -147,22 +104,6 @@
     assert!(!targets.get(key).unwrap().serves(now, &"m".into()));
 }
 
-/// Guards against removing a live engine whose entry is missing after a store outage.
-#[test]
-fn a_removed_entry_has_a_grace_period() {
-    let now = Instant::now();
-    let grace = Duration::from_secs(2);
-    let mut targets = Targets::default();
-    targets.register(now, entry("e"));
-    targets.register(now, entry("f"));
-    targets.remove(now, &id("e"), Some(now));
-    targets.remove(now, &id("f"), Some(now));
-    assert!(targets.expire(now + grace / 2, grace).is_empty());
-    targets.register(now + grace / 2, Entry { renewals: 6, ..entry("e") });
-    assert_eq!(targets.expire(now + grace, grace), [id("f")]);
-    assert!(targets.key(&id("e")).is_some());
-}
-
 /// Guards against a delayed entry that overwrites a newer agent report.
 #[test]
 fn agent_reports_take_precedence_over_entries() {
@@ -249,62 +190,6 @@
     assert_eq!(choose::choose(later, &targets, &query), choose::Choice::Send(key));
 }
 
-/// Guards against waiting for the registration of an engine restarted under a new name.
-#[test]
-fn an_engine_restarted_under_another_name_is_known_before_it_registers() {
-    let now = Instant::now();
-    let grace = Duration::from_secs(2);
-    let mut targets = Targets::default();
-    let on_disk = Holdings { on_disk: vec!["m".into()], ..holdings(&["m"]) };
-    targets.register(now, Entry { holdings: on_disk, ..entry("e") });
-    targets.remove(now, &id("e"), None);
-    let replaced =
-        targets::EngineReplacement { id: id("f"), started_at_ms: 20, previous_id: id("e") };
-    assert!(targets.replace(now, &replaced));
-    let found = |targets: &Targets| targets.get(targets.key(&id("f")).unwrap()).unwrap().clone();
-    assert_eq!(found(&targets).entry.addr, entry("e").addr);
-    assert_eq!(
-        found(&targets).entry.holdings.on_disk,
-        [ModelId::from("m")],
-        "weights on disk persist"
-    );
-    assert!(!found(&targets).serves(now, &"m".into()), "no model is loaded after a restart");
-    assert!(!targets.replace(now, &replaced), "repeated report");
-    assert_eq!(
-        targets.register(now, entry("e")),
-        RegistrationChange::Stale,
-        "the previous name has ended"
-    );
-    targets.register(now, Entry { started_at_ms: 20, renewals: 1, ..entry("f") });
-    assert!(targets.expire(now + grace, grace).is_empty(), "it has registered");
-    targets.remove(now, &id("f"), None);
-    assert!(!targets.replace(now, &replaced), "the previous name is no longer known");
-}
-
-/// An engine known only from its agent must expire when the agent is unresponsive.
-#[test]
-fn an_unregistered_engine_expires_when_its_agent_is_unresponsive() {
-    let now = Instant::now();
-    let grace = Duration::from_secs(2);
-    let mut targets = Targets::default();
-    targets.register(now, entry("e"));
-    assert!(targets.replace(
-        now,
-        &targets::EngineReplacement { id: id("f"), started_at_ms: 20, previous_id: id("e") }
-    ));
-    let report = AgentReport {
-        id: id("f"),
-        started_at_ms: 20,
-        holdings: Holdings::default(),
-        cached_weights_reported: false,
-        ongoing: None,
-        load: Load::default(),
-    };
-    assert!(targets.report(now + grace / 2, report));
-    assert!(targets.expire(now + grace, grace).is_empty(), "its agent reported a second ago");
-    assert_eq!(targets.expire(now + grace * 2, grace), [id("f")]);
-}
-
 /// Guards against sending requests to a failing target, and against ejecting it for ever.
 #[test]
 fn a_failing_target_is_ejected_and_probed_again_later() {
--- a/crates/corianderstand_fleet/tests/leavings.rs
+++ b/crates/corianderstand_fleet/tests/leavings.rs
@@ -2,33 +2,22 @@
 
 mod common;
 
-use common::id;
+use common::{
+    entries::{entry, holdings},
+    id,
+};
 use corianderstand_fleet::targets::{
     AgentReport, EngineReplacement, Entry, Holdings, Load, RegistrationChange, Targets,
 };
+use corianderstand_types::names::ModelId;
 use std::time::{Duration, Instant};
 
 const GRACE: Duration = Duration::from_secs(2);
 
-fn entry(name: &str) -> Entry {
-    Entry {
-        id: id(name),
-        started_at_ms: 0,
-        renewals: 5,
-        service: "models".into(),
-        addr: "10.0.0.1:80".parse().unwrap(),
-        zone: "here".into(),
-        slots: 8,
-        draining: false,
-        shutdown_in: None,
-        holdings: Holdings::default(),
-    }
-}
-
 fn report(name: &str) -> AgentReport {
     AgentReport {
         id: id(name),
-        started_at_ms: 0,
+        started_at_ms: 20,
         holdings: Holdings::default(),
         cached_weights_reported: false,
         ongoing: None,
@@ -37,7 +26,83 @@
 }
 
 fn replacement(name: &str, previous: &str) -> EngineReplacement {
-    EngineReplacement { id: id(name), started_at_ms: 0, previous_id: id(previous) }
+    EngineReplacement { id: id(name), started_at_ms: 20, previous_id: id(previous) }
+}
+
+/// Guards against an outdated entry that makes a draining engine available again.
+#[test]
+fn an_outdated_entry_is_ignored() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    let draining = Entry { renewals: 6, draining: true, ..entry("e") };
+    assert_eq!(targets.register(now, draining), RegistrationChange::Draining);
+    assert_eq!(targets.register(now, entry("e")), RegistrationChange::Stale);
+    let key = targets.key(&id("e")).unwrap();
+    assert!(!targets.get(key).unwrap().accepts_requests(now));
+    targets.remove(now, &id("e"), None);
+    assert_eq!(
+        targets.register(now, entry("e")),
+        RegistrationChange::Stale,
+        "the incarnation has ended"
+    );
+}
+
+/// Guards against removing a live engine whose entry is missing after a store outage.
+#[test]
+fn a_removed_entry_has_a_grace_period() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    targets.register(now, entry("f"));
+    targets.remove(now, &id("e"), Some(now));
+    targets.remove(now, &id("f"), Some(now));
+    assert!(targets.expire(now + GRACE / 2, GRACE).is_empty());
+    targets.register(now + GRACE / 2, Entry { renewals: 6, ..entry("e") });
+    assert_eq!(targets.expire(now + GRACE, GRACE), [id("f")]);
+    assert!(targets.key(&id("e")).is_some());
+}
+
+/// Guards against waiting for the registration of an engine restarted under a new name.
+#[test]
+fn an_engine_restarted_under_another_name_is_known_before_it_registers() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    let on_disk = Holdings { on_disk: vec!["m".into()], ..holdings(&["m"]) };
+    targets.register(now, Entry { holdings: on_disk, ..entry("e") });
+    targets.remove(now, &id("e"), None);
+    let replaced = replacement("f", "e");
+    assert!(targets.replace(now, &replaced));
+    let found = |targets: &Targets| targets.get(targets.key(&id("f")).unwrap()).unwrap().clone();
+    assert_eq!(found(&targets).entry.addr, entry("e").addr);
+    assert_eq!(
+        found(&targets).entry.holdings.on_disk,
+        [ModelId::from("m")],
+        "weights on disk persist"
+    );
+    assert!(!found(&targets).serves(now, &"m".into()), "no model is loaded after a restart");
+    assert!(!targets.replace(now, &replaced), "repeated report");
+    assert_eq!(
+        targets.register(now, entry("e")),
+        RegistrationChange::Stale,
+        "the previous name has ended"
+    );
+    targets.register(now, Entry { started_at_ms: 20, renewals: 1, ..entry("f") });
+    assert!(targets.expire(now + GRACE, GRACE).is_empty(), "it has registered");
+    targets.remove(now, &id("f"), None);
+    assert!(!targets.replace(now, &replaced), "the previous name is no longer known");
+}
+
+/// An engine known only from its agent must expire when the agent is unresponsive.
+#[test]
+fn an_unregistered_engine_expires_when_its_agent_is_unresponsive() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    assert!(targets.replace(now, &replacement("f", "e")));
+    assert!(targets.report(now + GRACE / 2, report("f")));
+    assert!(targets.expire(now + GRACE, GRACE).is_empty(), "its agent reported a second ago");
+    assert_eq!(targets.expire(now + GRACE * 2, GRACE), [id("f")]);
 }
 
 /// Guards against a grace period that begins with each removal: the store's entries return soon after it or never.
@@ -61,7 +126,8 @@
     let mut targets = Targets::default();
     targets.register(now, Entry { renewals, ..entry("e") });
     targets.remove(now, &id("e"), Some(now));
-    assert!(targets.report(now + GRACE / 2, report("e")));
+    let same_start = AgentReport { started_at_ms: entry("e").started_at_ms, ..report("e") };
+    assert!(targets.report(now + GRACE / 2, same_start));
     assert_eq!(targets.expire(now + GRACE, GRACE), [id("e")]);
 }
 
@@ -83,7 +149,7 @@
     let now = Instant::now();
     let mut targets = Targets::default();
     targets.register(now, entry("e"));
-    targets.register(now, entry("f"));
+    targets.register(now, Entry { addr: entry("e").addr, ..entry("f") });
     targets.remove(now, &id("f"), None);
     assert!(!targets.replace(now, &replacement("f", "e")));
 }
