--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -30,6 +30,8 @@
 
 /// Seeds of past failures, each with its cause.
 const REGRESSION_SEEDS: &str = include_str!("../kept.txt");
+/// Marks a seed of a run with several zones.
+const ZONED_SEED_PREFIX: &str = "zones ";
 const DEFAULT_FAULTS: usize = 8;
 const MAX_CONCURRENT_FAULTS: usize = 3;
 const MAX_FAULT_PAUSE_MS: u64 = 900;
@@ -84,12 +86,17 @@
             return ExitCode::from(2);
         }
     };
-    let Some(seeds) = parse_seeds(matches.opt_str("seeds").as_deref(), matches.opt_present("kept"))
-    else {
+    let has_zones = matches.opt_present("zones");
+    let seeds = if matches.opt_present("kept") {
+        regression_seeds(has_zones)
+    } else {
+        parse_seeds(matches.opt_str("seeds").as_deref())
+    };
+    let Some(seeds) = seeds else {
         eprintln!("invalid seeds: expected a number or a range, such as 7 or 1-50");
         return ExitCode::from(2);
     };
-    let (size, default_faults, concurrent_faults) = if matches.opt_present("zones") {
+    let (size, default_faults, concurrent_faults) = if has_zones {
         (ZONED_SIZE, ZONED_FAULTS, ZONED_CONCURRENT_FAULTS)
     } else if matches.opt_present("large") {
         (LARGE_SIZE, DEFAULT_FAULTS, MAX_CONCURRENT_FAULTS)
@@ -121,11 +128,17 @@
     if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-fn parse_seeds(text: Option<&str>, use_regression_seeds: bool) -> Option<Vec<u64>> {
-    if use_regression_seeds {
-        let lines = REGRESSION_SEEDS.lines().filter(|line| !line.starts_with('#'));
-        return lines.map(|line| line.split_whitespace().next()?.parse().ok()).collect();
-    }
+/// Seeds of past failures, of runs with several zones or of the others.
+fn regression_seeds(has_zones: bool) -> Option<Vec<u64>> {
+    let lines = REGRESSION_SEEDS.lines().filter(|line| !line.starts_with('#'));
+    let seeds = lines.filter_map(|line| match line.strip_prefix(ZONED_SEED_PREFIX) {
+        Some(zoned) => has_zones.then_some(zoned),
+        None => (!has_zones).then_some(line),
+    });
+    seeds.map(|line| line.split_whitespace().next()?.parse().ok()).collect()
+}
+
+fn parse_seeds(text: Option<&str>) -> Option<Vec<u64>> {
     let Some(text) = text else { return Some(vec![rand::random_range(1_000..1_000_000)]) };
     match text.split_once('-') {
         None => Some(vec![text.parse().ok()?]),
