An engine that only its agent reports leaves without an entry in later reads

Cause: router-0 was frozen for 2.4 s, in which the engine started under a new name, registered, and had its entry removed. After the thaw it read the agent's queued report of the new name first and knew the engine from that alone; the store's history had been discarded meanwhile, and the page of all keys lacked the engine without telling that it was removed, as the router had never had its entry. Each report of the agent then renewed it. The class: absence from a complete source is no removal of what a weaker source has told.

Change: an engine that only its agent reports has 2.3 s, and a read of the store at least 1.5 s after the report, to get an entry; without one it has left. While the store is away it stays, as before.

An engine that registers later than that is out of use until it does.

--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -30,6 +30,8 @@
     pub struct TargetKey;
 }
 
+/// Time in which an engine that started writes its entry.
+const REGISTRATION_TIME: Duration = Duration::from_millis(1_500);
 /// Time for which a removed entry can be inherited by a restart under another name, and reports of a removed
 /// target don't bring it back.
 const REMOVED_ENTRY_TTL: Duration = Duration::from_secs(15);
@@ -95,7 +97,7 @@
         let target = &self.arena[key];
         target.entry.draining
             || target.shutdown_at.is_some()
-            || (target.missing_since.is_some() && !target.is_inferred)
+            || (target.missing_since.is_some() && target.inferred_at.is_none())
     }
 
     /// Iterates over all targets.
@@ -186,7 +188,7 @@
         };
         let key = self.insert(now, entry);
         let target = &mut self.arena[key];
-        target.is_inferred = true;
+        target.inferred_at = Some(now);
         target.missing_since = Some(now);
     }
 
@@ -220,7 +222,7 @@
             self.insert(now, entry);
             return RegistrationChange::New;
         }
-        target.is_inferred = false;
+        target.inferred_at = None;
         target.missing_since = None;
         let changed = target.entry.holdings != entry.holdings;
         target.entry.draining |= entry.draining;
@@ -276,7 +278,7 @@
         }
         target.agent_last_received_at = Some(now);
         target.superseded_holdings = None;
-        if target.is_inferred {
+        if target.inferred_at.is_some() {
             // It stays known while its agent reports.
             target.missing_since = Some(now);
         }
@@ -311,7 +313,7 @@
         let Some(recovered_at) = recovered_at else { return self.remove_target(now, key) };
         let target = &mut self.arena[key];
         // It has had an entry; from here on reports of its agent don't count.
-        if std::mem::take(&mut target.is_inferred) {
+        if target.inferred_at.take().is_some() {
             target.missing_since = None;
         }
         target.missing_since.get_or_insert(recovered_at);
@@ -329,10 +331,22 @@
         }
     }
 
-    /// Removes targets whose entries have been missing for `grace` and returns their names.
-    pub fn expire(&mut self, now: Instant, grace: Duration) -> Vec<names::TargetId> {
+    /// Removes targets whose entries have been missing for `grace` and returns their names; of those that only
+    /// agents report, also those that have no entry in a later read of the store.
+    pub fn expire(
+        &mut self,
+        now: Instant,
+        grace: Duration,
+        store_read_at: Option<Instant>,
+    ) -> Vec<names::TargetId> {
         let expired = |target: &Target| {
-            target.missing_since.is_some_and(|at| now.saturating_duration_since(at) >= grace)
+            let has_left = target.inferred_at.is_some_and(|at| {
+                now >= at + grace
+                    && store_read_at.is_some_and(|read| read >= at + REGISTRATION_TIME)
+            });
+            let is_missing =
+                target.missing_since.is_some_and(|at| now.saturating_duration_since(at) >= grace);
+            has_left || is_missing
         };
         let expired_keys = self.arena.iter().filter(|(_, target)| expired(target));
         let expired_keys: Vec<TargetKey> = expired_keys.map(|(key, _)| key).collect();
--- a/crates/corianderstand_fleet/src/targets/target.rs
+++ b/crates/corianderstand_fleet/src/targets/target.rs
@@ -52,8 +52,8 @@
     pub(super) absent_until: HashMap<names::ModelId, Instant>,
     pub(super) prefill_until: Option<Instant>,
     pub(super) missing_since: Option<Instant>,
-    /// Whether only its agent has reported it.
-    pub(super) is_inferred: bool,
+    /// When its agent reported it, if nobody else has.
+    pub(super) inferred_at: Option<Instant>,
     pub(super) ejected_until: Option<Instant>,
 }
 
@@ -78,7 +78,7 @@
             absent_until: HashMap::new(),
             prefill_until: None,
             missing_since: None,
-            is_inferred: false,
+            inferred_at: None,
             ejected_until: None,
         }
     }
--- a/crates/corianderstand_fleet/tests/leavings.rs
+++ b/crates/corianderstand_fleet/tests/leavings.rs
@@ -57,9 +57,9 @@
     targets.register(now, entry("f"));
     targets.remove(now, &id("e"), Some(now));
     targets.remove(now, &id("f"), Some(now));
-    assert!(targets.expire(now + GRACE / 2, GRACE).is_empty());
+    assert!(targets.expire(now + GRACE / 2, GRACE, None).is_empty());
     targets.register(now + GRACE / 2, Entry { renewals: 6, ..entry("e") });
-    assert_eq!(targets.expire(now + GRACE, GRACE), [id("f")]);
+    assert_eq!(targets.expire(now + GRACE, GRACE, None), [id("f")]);
     assert!(targets.key(&id("e")).is_some());
 }
 
@@ -88,7 +88,7 @@
         "the previous name has ended"
     );
     targets.register(now, Entry { started_at_ms: 20, renewals: 1, ..entry("f") });
-    assert!(targets.expire(now + GRACE, GRACE).is_empty(), "it has registered");
+    assert!(targets.expire(now + GRACE, GRACE, None).is_empty(), "it has registered");
     targets.remove(now, &id("f"), None);
     assert!(!targets.replace(now, &replaced), "the previous name is no longer known");
 }
@@ -101,8 +101,8 @@
     targets.register(now, entry("e"));
     assert!(targets.replace(now, &replacement("f", "e")));
     assert!(targets.report(now + GRACE / 2, report("f")));
-    assert!(targets.expire(now + GRACE, GRACE).is_empty(), "its agent reported a second ago");
-    assert_eq!(targets.expire(now + GRACE * 2, GRACE), [id("f")]);
+    assert!(targets.expire(now + GRACE, GRACE, None).is_empty(), "its agent reported a second ago");
+    assert_eq!(targets.expire(now + GRACE * 2, GRACE, None), [id("f")]);
 }
 
 /// Guards against a grace period that begins with each removal: the store's entries return soon after it or never.
@@ -113,8 +113,8 @@
     let mut targets = Targets::default();
     targets.register(recovered_at, entry("e"));
     targets.remove(removed_at, &id("e"), Some(recovered_at));
-    assert!(targets.expire(removed_at, GRACE).is_empty());
-    assert_eq!(targets.expire(recovered_at + GRACE, GRACE), [id("e")]);
+    assert!(targets.expire(removed_at, GRACE, None).is_empty());
+    assert_eq!(targets.expire(recovered_at + GRACE, GRACE, None), [id("e")]);
 }
 
 /// Guards against a removed target that stays for as long as its agent reports.
@@ -128,7 +128,7 @@
     targets.remove(now, &id("e"), Some(now));
     let same_start = AgentReport { started_at_ms: entry("e").started_at_ms, ..report("e") };
     assert!(targets.report(now + GRACE / 2, same_start));
-    assert_eq!(targets.expire(now + GRACE, GRACE), [id("e")]);
+    assert_eq!(targets.expire(now + GRACE, GRACE, None), [id("e")]);
 }
 
 /// Guards against the same for a target that was known from its agent before its entry was removed.
@@ -140,7 +140,7 @@
     assert!(targets.replace(now, &replacement("f", "e")));
     targets.remove(now, &id("f"), Some(now));
     assert!(targets.report(now + GRACE / 2, report("f")));
-    assert_eq!(targets.expire(now + GRACE, GRACE), [id("f")]);
+    assert_eq!(targets.expire(now + GRACE, GRACE, None), [id("f")]);
 }
 
 /// Guards against an agent's repeated report of a new name that brings back an engine whose entry is gone.
@@ -178,3 +178,17 @@
     let key = targets.key(&id("e")).unwrap();
     assert!(!targets.get(key).unwrap().accepts_requests(now));
 }
+
+/// Guards against an engine whose entry came and went unseen, and that stays for as long as its agent reports.
+#[test]
+fn an_inferred_target_without_an_entry_in_later_reads_expires() {
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    targets.register(now, entry("e"));
+    assert!(targets.replace(now, &replacement("f", "e")));
+    let later = now + GRACE;
+    assert!(targets.report(later, report("f")));
+    assert!(targets.expire(later, GRACE, Some(now)).is_empty(), "the store is away since");
+    assert_eq!(targets.expire(later, GRACE, Some(later)), [id("f")]);
+    assert!(!targets.replace(later, &replacement("f", "e")), "it has left");
+}
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -396,12 +396,14 @@
     view.wake_all();
 }
 
-/// Removes targets whose entries were not renewed within the grace period, and applies the entries of those
+/// Removes targets that the store has no entry of, after a grace period, and applies the entries of those
 /// whose agents report no more.
 pub fn expire<P>(shared: &router::Shared<P>, now: Instant) {
     shared.view.borrow_mut().targets.apply_superseded(now);
-    let expired = shared.view.borrow_mut().targets.expire(now, replicated_records::RECOVERY_GRACE);
+    let read_at = shared.replicated_records.borrow().store_read_at(Subject::Targets);
+    let grace = replicated_records::RECOVERY_GRACE;
+    let expired = shared.view.borrow_mut().targets.expire(now, grace, read_at);
     for id in expired {
-        tracing::info!(target = %id, "target expired: its entry was not renewed");
+        tracing::info!(target = %id, "target expired: the store has no entry of it");
     }
 }
--- a/crates/corianderstand_forward/src/replicated_records.rs
+++ b/crates/corianderstand_forward/src/replicated_records.rs
@@ -100,8 +100,12 @@
 
     /// Time since the store itself was read, by whichever router, for the records that are known.
     pub fn since_store_read(&self, now: Instant, subject: Subject) -> Option<Duration> {
-        let at = self.by_subject.get(&subject)?.store_read_at?;
-        Some(now.saturating_duration_since(at))
+        self.store_read_at(subject).map(|at| now.saturating_duration_since(at))
+    }
+
+    /// When the store itself was read, by whichever router, for the records that are known.
+    pub fn store_read_at(&self, subject: Subject) -> Option<Instant> {
+        self.by_subject.get(&subject)?.store_read_at
     }
 
     /// Time since the last successful read of the store, or of the router that this one follows.
