Logs: the delay of a leaving also where a read takes several responses

within_ms, and the metric made from it, took the pause before the last complete read, too short for the responses of a read that goes on. No decision changes; tests of the crate pass.

--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -366,9 +366,11 @@
     source: Source,
 ) -> Option<Duration> {
     let records = shared.replicated_records.borrow();
+    let since_read = records.since_store_read(now, subject);
     match source {
-        Source::Store => records.previous_read_age(now, subject, source),
-        Source::Peer(_) => records.since_store_read(now, subject),
+        // The last response of a read has been recorded already, earlier ones haven't.
+        Source::Store => since_read.max(records.previous_read_age(now, subject, source)),
+        Source::Peer(_) => since_read,
     }
 }
 
