Logs and metrics: how answers of targets were framed, how they ended, and what was concluded

The hypotheses about broken-off answers can't be told apart by the log: it lacks how an answer was delimited and whether it ended inside an event. Each end that isn't the stated one (no length and no chunks, an error, inside an event) gets a line "answer ended"; all are counted in answers_ended_total{framing,concluded}.

--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -1,6 +1,8 @@
 //! Rate-limited logging of routing decisions and request outcomes.
 
-use crate::{admission, dialect, exchange, job, metrics, quotas, replicated_records, stream, view};
+use crate::{
+    admission, body_end, dialect, exchange, job, metrics, quotas, replicated_records, stream, view,
+};
 use corianderstand_fleet::{crashes, exits, targets, wait_limit};
 use corianderstand_types::names;
 use http::StatusCode;
@@ -53,9 +55,10 @@
     TargetEnded,
     RecordIgnored,
     TargetChanged,
+    AnswerEnded,
 }
 
-const LINE_KINDS: usize = 10;
+const LINE_KINDS: usize = 11;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct LineCount {
@@ -229,6 +232,28 @@
         }
     }
 
+    /// Logs how a target's answer ended, and what was concluded. An answer that was read to its stated end has no
+    /// line of its own.
+    pub fn answer_ended(
+        &self,
+        job: &job::Job,
+        read: body_end::Read,
+        concluded: &'static str,
+        now: Instant,
+    ) {
+        self.metrics.answer_ended(read, concluded);
+        let as_stated = read.framing != body_end::Framing::UntilClose
+            && !read.failed
+            && read.received != body_end::Received::InsideEvent;
+        if !as_stated && self.may_log(LineKind::AnswerEnded, now) {
+            let at = job.last_target.as_str();
+            let ended = if read.failed { "error" } else { "end" };
+            let (framing, received) = (read.framing.as_str(), read.received.as_str());
+            let ms = millis_between(now, job.arrived_at);
+            tracing::info!(id = %job.request.id, at, framing, ended, received, concluded, ms, "answer ended");
+        }
+    }
+
     /// Logs a rejected request.
     pub fn refused(
         &self,
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -4,8 +4,8 @@
 //! retries, within the retry budget. A request with an unknown outcome is never reported as not run.
 
 use crate::{
-    admission, attempt, body::ResponseBody, decisions, dialect, ended_targets, job, quotas, router,
-    stream, target_reports, waiting,
+    admission, attempt, body::ResponseBody, body_end, decisions, dialect, ended_targets, job,
+    quotas, router, stream, target_reports, waiting,
 };
 use bytes::Bytes;
 use corianderstand_fleet::{config, crashes, prefixes, targets, wait_limit};
@@ -329,10 +329,23 @@
         };
     }
     let attempt::Answered { mut head, response_head: info, body, lease, in_flight } = answered;
+    let framing = body_end::Framing::of(&head);
+    let log_end = |job: &job::Job, received, failed, concluded| {
+        let read = body_end::Read { framing, received, failed };
+        shared.decision_log.answer_ended(job, read, concluded, shared.clock.now());
+    };
     let read = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
     let body = match tokio::time::timeout_at(shared.response_deadline(&job).into(), read).await {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => {
+            let body = body.to_bytes();
+            let is_empty = body.is_empty();
+            let received =
+                if is_empty { body_end::Received::Nothing } else { body_end::Received::Content };
+            log_end(&job, received, false, "whole");
+            body
+        }
         Ok(Err(_)) => {
+            log_end(&job, body_end::Received::Content, true, "broken");
             ended_targets::record_broken(shared, &job, &in_flight, None);
             return retry_or_fail(shared, job, key, "the target broke off its answer");
         }
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod agent;
 pub mod attempt;
 pub mod body;
+pub mod body_end;
 pub mod broadcast;
 pub mod catch_up;
 pub mod client;
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of a router, in the Prometheus text format.
 
-use crate::{config_proof, dialect::Subject, job, quotas, router, server, stream};
+use crate::{body_end, config_proof, dialect::Subject, job, quotas, router, server, stream};
 use corianderstand_fleet::{config, exits};
 use corianderstand_schema::peers::StoreUse;
 use prometheus_client::{
@@ -46,6 +46,12 @@
     confirmed_by: &'static str,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct AnswerEndLabels {
+    framing: &'static str,
+    concluded: &'static str,
+}
+
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
 struct OutcomeLabel {
     outcome: &'static str,
@@ -63,6 +69,7 @@
     requests: Family<RequestLabels, Counter>,
     refusals: Family<ReasonLabel, Counter>,
     attempts_failed: Family<ReasonLabel, Counter>,
+    answers_ended: Family<AnswerEndLabels, Counter>,
     targets_ended_under_requests: Family<ConfirmationLabel, Counter>,
     blocked_requests: Gauge,
     callers_left: Counter,
@@ -101,6 +108,7 @@
             requests: Family::default(),
             refusals: Family::default(),
             attempts_failed: Family::default(),
+            answers_ended: Family::default(),
             targets_ended_under_requests: Family::default(),
             blocked_requests: Gauge::default(),
             callers_left: Counter::default(),
@@ -143,6 +151,11 @@
             "Attempts at targets that failed",
             self.attempts_failed.clone(),
         );
+        r.register(
+            "answers_ended",
+            "Ends of targets' answers, by how they were delimited and what was concluded",
+            self.answers_ended.clone(),
+        );
         r.register(
             "targets_ended_under_requests",
             "Attempts whose target ended before its response was complete",
@@ -266,6 +279,12 @@
         }
     }
 
+    /// Counts the end of a target's answer.
+    pub fn answer_ended(&self, read: body_end::Read, concluded: &'static str) {
+        let framing = read.framing.as_str();
+        self.answers_ended.get_or_create(&AnswerEndLabels { framing, concluded }).inc();
+    }
+
     /// Counts a refused request.
     pub fn request_refused(&self, reason: &str) {
         self.refusals.get_or_create(&ReasonLabel { reason: reason.into() }).inc();
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -1,8 +1,8 @@
 //! Relays the events of one stream to the caller, and resumes it at another target when it breaks.
 
 use crate::{
-    attempt, body, decisions, dialect, ended_targets, exchange, job, pool, relay, resume, router,
-    target_reports,
+    attempt, body, body_end, decisions, dialect, ended_targets, exchange, job, pool, relay, resume,
+    router, target_reports,
 };
 use bytes::Bytes;
 use corianderstand_fleet::targets;
@@ -64,6 +64,7 @@
     lease: pool::Lease,
     in_flight: job::InFlight<P>,
     response_head: dialect::ResponseHead,
+    framing: body_end::Framing,
     /// When its first event arrived.
     first_event_at: Option<Instant>,
     /// Whether it has been streaming for [`SURVIVAL_TIME`].
@@ -74,9 +75,12 @@
     /// Splits a response into its head and its stream.
     fn new(answered: attempt::Answered<P>) -> (http::response::Parts, Self) {
         let attempt::Answered { head, response_head, body, lease, in_flight } = answered;
+        let framing = body_end::Framing::of(&head);
         let body = body.into_data_stream().peekable();
         let (first_event_at, has_survived) = (None, false);
-        (head, Self { body, lease, in_flight, response_head, first_event_at, has_survived })
+        let upstream =
+            Self { body, lease, in_flight, response_head, framing, first_event_at, has_survived };
+        (head, upstream)
     }
 }
 
@@ -222,12 +226,14 @@
                     self.timings.record(now);
                     return Step::Data(data);
                 }
-                Ok(None) if self.job.route.resumable && self.splitter.has_partial() => {
-                    return Step::Interrupted;
+                Ok(None) => {
+                    let is_broken = self.job.route.resumable && self.splitter.has_partial();
+                    self.log_answer_end(false, if is_broken { "broken" } else { "whole" });
+                    return if is_broken { Step::Interrupted } else { Step::Complete };
                 }
-                Ok(None) => return Step::Complete,
                 Ok(Some(Err(error))) => {
                     tracing::debug!(id = %self.job.request.id, %error, "stream interrupted");
+                    self.log_answer_end(true, "broken");
                     return Step::Interrupted;
                 }
                 Err(_) => {
@@ -242,6 +248,19 @@
         }
     }
 
+    fn log_answer_end(&self, failed: bool, concluded: &'static str) {
+        let Some(upstream) = &self.upstream else { return };
+        let received = if self.splitter.has_partial() {
+            body_end::Received::InsideEvent
+        } else if upstream.first_event_at.is_none() {
+            body_end::Received::Nothing
+        } else {
+            body_end::Received::Content
+        };
+        let read = body_end::Read { framing: upstream.framing, received, failed };
+        self.shared.decision_log.answer_ended(&self.job, read, concluded, self.shared.clock.now());
+    }
+
     fn log_end(&self, how: &str) {
         let stream_end = decisions::StreamEnd {
             how,
