A stream that ends inside an event is broken off, whatever its route and framing

Cause: an answer without length or chunks ends with its connection, and the end of the body was taken for the end of the answer unless the route's streams may be resumed, though the event splitter knew better for all. Class: the end of a connection taken for the end of an answer.

Change: body_end::Read says how the read of a body ended, and only its conclude() makes a Whole; streams are completed and buffered answers of targets are passed on with a Whole only. The splitter takes all three forms of an event's end: without that, whole streams with CRLF lines would now look broken (they were never resumed either, as no event was seen to end).

--- a/crates/corianderstand_forward/src/body.rs
+++ b/crates/corianderstand_forward/src/body.rs
@@ -1,6 +1,6 @@
 //! Bodies of responses to callers.
 
-use crate::exchange::Aborted;
+use crate::{body_end, exchange::Aborted};
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
@@ -22,7 +22,12 @@
 }
 
 impl ResponseBody {
-    /// A buffered body.
+    /// The whole body of a target's response.
+    pub fn of_target(body: body_end::WholeBody) -> Self {
+        Self::buffered(body.bytes)
+    }
+
+    /// A buffered body of the router itself.
     pub fn buffered(bytes: Bytes) -> Self {
         Self { source: Source::Buffered(Full::new(bytes)), _guard: None }
     }
--- a/crates/corianderstand_forward/src/body_end.rs
+++ b/crates/corianderstand_forward/src/body_end.rs
@@ -1,7 +1,13 @@
-//! How the body of a target's response ended.
+//! How the body of a target's response ended, and whether it was read whole.
+//!
+//! The end of a connection is the end of an answer only if the answer doesn't say otherwise. Nothing is passed on as
+//! complete without a [`Whole`], which only [`Read::conclude`] makes.
 
+use bytes::{Bytes, BytesMut};
 use corianderstand_derives::derives;
 use http::{HeaderMap, Version, header, response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
 
 /// How a response delimits its body.
 #[derives(key)]
@@ -78,3 +84,75 @@
     /// Whether the read ended with an error instead of the body's end.
     pub failed: bool,
 }
+
+/// Proof that an answer was read whole.
+#[derives(key)]
+pub struct Whole(());
+
+/// A body that was read whole.
+#[derives(data)]
+pub struct WholeBody {
+    /// The body.
+    pub bytes: Bytes,
+    /// That it is whole.
+    pub whole: Whole,
+}
+
+/// Why an answer isn't whole.
+#[derives(key)]
+pub enum Break {
+    /// Its connection was lost before its stated end.
+    ConnectionLost,
+    /// It ended inside an event.
+    InsideEvent,
+}
+
+impl Break {
+    /// The logged reason.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::ConnectionLost => "broken: connection lost",
+            Self::InsideEvent => "broken: inside an event",
+        }
+    }
+}
+
+impl Read {
+    /// Whether the answer is whole.
+    pub const fn conclude(self) -> Result<Whole, Break> {
+        if self.failed {
+            return Err(Break::ConnectionLost);
+        }
+        match self.received {
+            Received::InsideEvent => Err(Break::InsideEvent),
+            Received::Nothing | Received::Content => Ok(Whole(())),
+        }
+    }
+}
+
+/// Reads a body that is no stream, up to `limit` bytes, and returns what came and how it ended.
+pub async fn collect(body: Incoming, framing: Framing, limit: usize) -> (Read, Bytes) {
+    let mut body = Limited::new(body, limit);
+    let mut bytes = BytesMut::new();
+    let mut failed = false;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+            Err(error) => {
+                tracing::debug!(%error, "answer interrupted");
+                failed = true;
+                break;
+            }
+        }
+    }
+    let received = if bytes.is_empty() { Received::Nothing } else { Received::Content };
+    (Read { framing, received, failed }, bytes.freeze())
+}
+
+/// The logged name of a conclusion.
+pub const fn describe(concluded: Result<Whole, Break>) -> &'static str {
+    match concluded {
+        Ok(_) => "whole",
+        Err(why) => why.as_str(),
+    }
+}
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -238,9 +238,10 @@
         &self,
         job: &job::Job,
         read: body_end::Read,
-        concluded: &'static str,
+        concluded: Result<body_end::Whole, body_end::Break>,
         now: Instant,
     ) {
+        let concluded = body_end::describe(concluded);
         self.metrics.answer_ended(read, concluded);
         let as_stated = read.framing != body_end::Framing::UntilClose
             && !read.failed
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -330,27 +330,18 @@
     }
     let attempt::Answered { mut head, response_head: info, body, lease, in_flight } = answered;
     let framing = body_end::Framing::of(&head);
-    let log_end = |job: &job::Job, received, failed, concluded| {
-        let read = body_end::Read { framing, received, failed };
-        shared.decision_log.answer_ended(job, read, concluded, shared.clock.now());
+    let collected = body_end::collect(body, framing, MAX_BUFFERED_RESPONSE_BYTES);
+    let deadline = shared.response_deadline(&job);
+    let Ok((read, bytes)) = tokio::time::timeout_at(deadline.into(), collected).await else {
+        return Ok(fail(shared, &job, StatusCode::GATEWAY_TIMEOUT, "the time is over"));
     };
-    let read = Limited::new(body, MAX_BUFFERED_RESPONSE_BYTES).collect();
-    let body = match tokio::time::timeout_at(shared.response_deadline(&job).into(), read).await {
-        Ok(Ok(body)) => {
-            let body = body.to_bytes();
-            let is_empty = body.is_empty();
-            let received =
-                if is_empty { body_end::Received::Nothing } else { body_end::Received::Content };
-            log_end(&job, received, false, "whole");
-            body
-        }
-        Ok(Err(_)) => {
-            log_end(&job, body_end::Received::Content, true, "broken");
-            ended_targets::record_broken(shared, &job, &in_flight, None);
-            return retry_or_fail(shared, job, key, "the target broke off its answer");
-        }
-        Err(_) => return Ok(fail(shared, &job, StatusCode::GATEWAY_TIMEOUT, "the time is over")),
+    let concluded = read.conclude();
+    shared.decision_log.answer_ended(&job, read, concluded, shared.clock.now());
+    let Ok(whole) = concluded else {
+        ended_targets::record_broken(shared, &job, &in_flight, None);
+        return retry_or_fail(shared, job, key, "the target broke off its answer");
     };
+    let body = body_end::WholeBody { bytes, whole };
     let keep_alive = if info.closes_connection { Some(Duration::ZERO) } else { info.keep_alive };
     shared.connection_pool.release(shared.clock.now(), lease, keep_alive);
     if head.status.is_server_error() {
@@ -371,7 +362,7 @@
         target_reports::record_completed(shared, &job);
     }
     shared.decision_log.answered(&job, head.status, "whole", shared.clock.now());
-    Ok(Response::from_parts(head, ResponseBody::buffered(body)))
+    Ok(Response::from_parts(head, ResponseBody::of_target(body)))
 }
 
 /// Returns the job if another target may be tried after an interrupted response.
@@ -442,7 +433,7 @@
     };
     shared.decision_log.attempt_failed(job, why, None, now);
     shared.decision_log.answered(job, head.status, "whole", now);
-    Response::from_parts(head, ResponseBody::buffered(body))
+    Response::from_parts(head, ResponseBody::of_target(body))
 }
 
 /// A response of the router itself.
--- a/crates/corianderstand_forward/src/job.rs
+++ b/crates/corianderstand_forward/src/job.rs
@@ -1,6 +1,6 @@
 //! A request that is being handled, and its count at the target that handles it.
 
-use crate::{content, dialect, router, view};
+use crate::{body_end, content, dialect, router, view};
 use bytes::Bytes;
 use corianderstand_fleet::{choose, config, demand, fingerprint, prefixes, targets};
 use corianderstand_types::names;
@@ -26,7 +26,7 @@
     /// Status and headers, as callers receive them.
     pub head: http::response::Parts,
     /// The body.
-    pub body: Bytes,
+    pub body: body_end::WholeBody,
 }
 
 /// A request that was read and awaits its response.
--- a/crates/corianderstand_forward/src/relay.rs
+++ b/crates/corianderstand_forward/src/relay.rs
@@ -4,7 +4,8 @@
 
 use bytes::{Bytes, BytesMut};
 
-const EVENT_END: &[u8] = b"\n\n";
+/// Ends of an event: an empty line after the end of another one, each ended in any of the three allowed ways.
+const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
 const ID_FIELD: &[u8] = b"id:";
 
 /// The target skipped events when it resumed a stream.
@@ -23,13 +24,14 @@
 impl EventSplitter {
     /// Appends bytes and returns the events that are complete, or [`EventGap`].
     pub fn push(&mut self, chunk: Bytes) -> Result<Option<Bytes>, EventGap> {
-        if self.partial_event.is_empty() && chunk.ends_with(EVENT_END) {
+        if self.partial_event.is_empty() && EVENT_ENDS.iter().any(|end| chunk.ends_with(end)) {
             self.record(&chunk)?;
             return Ok(Some(chunk));
         }
         self.partial_event.extend_from_slice(&chunk);
-        let Some(end) = find_last(&self.partial_event, EVENT_END) else { return Ok(None) };
-        let complete = self.partial_event.split_to(end + EVENT_END.len()).freeze();
+        let ends = EVENT_ENDS.iter().filter_map(|end| end_of_last(&self.partial_event, end));
+        let Some(end) = ends.max() else { return Ok(None) };
+        let complete = self.partial_event.split_to(end).freeze();
         self.record(&complete)?;
         Ok(Some(complete))
     }
@@ -56,7 +58,7 @@
     }
 
     fn record(&mut self, complete: &[u8]) -> Result<(), EventGap> {
-        for event in complete.split(|&b| b == b'\n').filter_map(parse_event_id) {
+        for event in complete.split(|b| matches!(b, b'\n' | b'\r')).filter_map(parse_event_id) {
             let resumed = std::mem::take(&mut self.resumed);
             if resumed && self.last_event.is_some_and(|last| event != last + 1) {
                 return Err(EventGap);
@@ -73,6 +75,8 @@
     std::str::from_utf8(rest).ok()?.trim().parse().ok()
 }
 
-fn find_last(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).rposition(|window| window == pattern)
+/// Position after the last occurrence of a pattern.
+fn end_of_last(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+    let start = bytes.windows(pattern.len()).rposition(|window| window == pattern)?;
+    Some(start + pattern.len())
 }
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -86,7 +86,7 @@
 
 enum Step {
     Data(Bytes),
-    Complete,
+    Complete(body_end::Whole),
     Interrupted,
     Silent,
     DeadlineExceeded,
@@ -157,7 +157,7 @@
                         return self.abort(why, exchange::Aborted::ByTarget);
                     }
                 },
-                Step::Complete => return self.complete(),
+                Step::Complete(whole) => return self.complete(whole),
                 Step::DeadlineExceeded => {
                     return self.abort("the time is over", exchange::Aborted::DeadlineExceeded);
                 }
@@ -226,15 +226,10 @@
                     self.timings.record(now);
                     return Step::Data(data);
                 }
-                Ok(None) => {
-                    let is_broken = self.job.route.resumable && self.splitter.has_partial();
-                    self.log_answer_end(false, if is_broken { "broken" } else { "whole" });
-                    return if is_broken { Step::Interrupted } else { Step::Complete };
-                }
+                Ok(None) => return self.body_ended(false),
                 Ok(Some(Err(error))) => {
                     tracing::debug!(id = %self.job.request.id, %error, "stream interrupted");
-                    self.log_answer_end(true, "broken");
-                    return Step::Interrupted;
+                    return self.body_ended(true);
                 }
                 Err(_) => {
                     let now = self.shared.clock.now();
@@ -248,8 +243,8 @@
         }
     }
 
-    fn log_answer_end(&self, failed: bool, concluded: &'static str) {
-        let Some(upstream) = &self.upstream else { return };
+    fn body_ended(&self, failed: bool) -> Step {
+        let Some(upstream) = &self.upstream else { return Step::Interrupted };
         let received = if self.splitter.has_partial() {
             body_end::Received::InsideEvent
         } else if upstream.first_event_at.is_none() {
@@ -258,7 +253,10 @@
             body_end::Received::Content
         };
         let read = body_end::Read { framing: upstream.framing, received, failed };
-        self.shared.decision_log.answer_ended(&self.job, read, concluded, self.shared.clock.now());
+        let concluded = read.conclude();
+        let now = self.shared.clock.now();
+        self.shared.decision_log.answer_ended(&self.job, read, concluded, now);
+        concluded.map_or(Step::Interrupted, Step::Complete)
     }
 
     fn log_end(&self, how: &str) {
@@ -271,7 +269,7 @@
         self.shared.decision_log.streamed(&self.job, &stream_end, self.shared.clock.now());
     }
 
-    fn complete(&mut self) -> Option<Result<Bytes, exchange::Aborted>> {
+    fn complete(&mut self, _: body_end::Whole) -> Option<Result<Bytes, exchange::Aborted>> {
         self.has_ended = true;
         if let Some(upstream) = self.upstream.take() {
             let Upstream { lease, in_flight, response_head: info, .. } = upstream;
--- a/crates/corianderstand_forward/tests/broken_answers.rs
+++ b/crates/corianderstand_forward/tests/broken_answers.rs
@@ -127,6 +127,24 @@
     assert!(answer.contains("data: a") && answer.ends_with(LAST_CHUNK), "{answer}");
 }
 
+/// Guards against whole streams that look broken, as their lines end otherwise.
+#[rstest]
+#[case::line_feeds("id: 0\ndata: a\n\n")]
+#[case::carriage_returns_and_line_feeds("id: 0\r\ndata: a\r\n\r\n")]
+#[case::carriage_returns("id: 0\rdata: a\r\r")]
+#[tokio::test]
+async fn an_event_ends_with_an_empty_line_in_each_allowed_form(#[case] event: &str) {
+    let target = Target::start().await;
+    let router = start(chat(), &[&target]).await;
+    let mut caller = send(&router).await;
+    let mut request = target.next().await;
+    request.begin_stream(ID).await;
+    request.send_chunk(event).await;
+    request.end().await;
+    let (answer, _) = read_to_end(&mut caller).await;
+    assert!(answer.contains("data: a") && answer.ends_with(LAST_CHUNK), "{answer}");
+}
+
 /// Guards against a stream that counts as whole although the router knows that an event is missing.
 #[rstest]
 #[case::without_a_length(false)]
