An answer that lacks what its target had to send is broken off

What callers saw (in tests, not in the record): a stream broke off inside an event, the second target answered 200 and ended without any event, and the caller got the last chunk; the router knew that an event was missing. The same where the first target was reset after an event and the second one's answer without a length had no byte, and for lookups whose answer without a length had none.

Change: the splitter remembers an event that broke off until it comes again; Read::conclude() takes its absence, and the end of a connection before any byte of an answer without a length, for a break. Answers that have no body by status or method stay whole. A second target that ends a framed answer without an event is whole still if no event was begun: the break may have come after the last event.

--- a/crates/corianderstand_forward/src/body_end.rs
+++ b/crates/corianderstand_forward/src/body_end.rs
@@ -5,13 +5,15 @@
 
 use bytes::{Bytes, BytesMut};
 use corianderstand_derives::derives;
-use http::{HeaderMap, Version, header, response};
+use http::{HeaderMap, Method, StatusCode, Version, header, response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 /// How a response delimits its body.
 #[derives(key)]
 pub enum Framing {
+    /// There is none, as its status or the request's method says.
+    Absent,
     /// By its length.
     Length,
     /// By a last chunk.
@@ -21,10 +23,14 @@
 }
 
 impl Framing {
-    /// The framing that a response's head states.
-    pub fn of(head: &response::Parts) -> Self {
+    /// The framing that the head of the response to a request of `method` states.
+    pub fn of(head: &response::Parts, method: &Method) -> Self {
+        let has_no_body = method == Method::HEAD
+            || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         let is_chunked = head.version >= Version::HTTP_11 && has_last_chunk(&head.headers);
-        if is_chunked {
+        if has_no_body {
+            Self::Absent
+        } else if is_chunked {
             Self::Chunks
         } else if head.headers.contains_key(header::TRANSFER_ENCODING) {
             Self::UntilClose
@@ -38,6 +44,7 @@
     /// The logged name.
     pub const fn as_str(self) -> &'static str {
         match self {
+            Self::Absent => "no body",
             Self::Length => "length",
             Self::Chunks => "chunks",
             Self::UntilClose => "until close",
@@ -59,6 +66,8 @@
     Nothing,
     /// A part of an event, after whole ones or none.
     InsideEvent,
+    /// Nothing of an event that broke off at the target before.
+    LacksEvent,
     /// Whole events, or bytes of a body that is no stream.
     Content,
 }
@@ -69,6 +78,7 @@
         match self {
             Self::Nothing => "nothing",
             Self::InsideEvent => "inside an event",
+            Self::LacksEvent => "lacks an event",
             Self::Content => "content",
         }
     }
@@ -105,6 +115,10 @@
     ConnectionLost,
     /// It ended inside an event.
     InsideEvent,
+    /// It lacks an event that another target had begun.
+    LacksEvent,
+    /// It ended with its connection before its first byte, which a target that has no body to send states.
+    Empty,
 }
 
 impl Break {
@@ -113,6 +127,8 @@
         match self {
             Self::ConnectionLost => "broken: connection lost",
             Self::InsideEvent => "broken: inside an event",
+            Self::LacksEvent => "broken: lacks an event",
+            Self::Empty => "broken: no byte",
         }
     }
 }
@@ -123,9 +139,11 @@
         if self.failed {
             return Err(Break::ConnectionLost);
         }
-        match self.received {
-            Received::InsideEvent => Err(Break::InsideEvent),
-            Received::Nothing | Received::Content => Ok(Whole(())),
+        match (self.received, self.framing) {
+            (Received::InsideEvent, _) => Err(Break::InsideEvent),
+            (Received::LacksEvent, _) => Err(Break::LacksEvent),
+            (Received::Nothing, Framing::UntilClose) => Err(Break::Empty),
+            (Received::Nothing | Received::Content, _) => Ok(Whole(())),
         }
     }
 }
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -245,7 +245,7 @@
         self.metrics.answer_ended(read, concluded);
         let as_stated = read.framing != body_end::Framing::UntilClose
             && !read.failed
-            && read.received != body_end::Received::InsideEvent;
+            && matches!(read.received, body_end::Received::Nothing | body_end::Received::Content);
         if !as_stated && self.may_log(LineKind::AnswerEnded, now) {
             let at = job.last_target.as_str();
             let ended = if read.failed { "error" } else { "end" };
--- a/crates/corianderstand_forward/src/relay.rs
+++ b/crates/corianderstand_forward/src/relay.rs
@@ -18,6 +18,7 @@
     partial_event: BytesMut,
     last_event: Option<u64>,
     resumed: bool,
+    lacks_event: bool,
     event_count: u64,
 }
 
@@ -41,8 +42,14 @@
         !self.partial_event.is_empty()
     }
 
+    /// Whether an event that broke off has not been sent again.
+    pub const fn lacks_event(&self) -> bool {
+        self.lacks_event
+    }
+
     /// Discards the incomplete event, which the next target sends again.
     pub fn resume(&mut self) {
+        self.lacks_event |= self.has_partial();
         self.partial_event.clear();
         self.resumed = true;
     }
@@ -63,6 +70,7 @@
             if resumed && self.last_event.is_some_and(|last| event != last + 1) {
                 return Err(EventGap);
             }
+            self.lacks_event = false;
             self.last_event = Some(event);
             self.event_count += 1;
         }
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -10,7 +10,7 @@
     StreamExt,
     stream::{self, Peekable},
 };
-use http::Response;
+use http::{Method, Response};
 use http_body_util::{BodyDataStream, BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use std::{
@@ -73,9 +73,9 @@
 
 impl<P: router::Platform> Upstream<P> {
     /// Splits a response into its head and its stream.
-    fn new(answered: attempt::Answered<P>) -> (http::response::Parts, Self) {
+    fn new(answered: attempt::Answered<P>, method: &Method) -> (http::response::Parts, Self) {
         let attempt::Answered { head, response_head, body, lease, in_flight } = answered;
-        let framing = body_end::Framing::of(&head);
+        let framing = body_end::Framing::of(&head, method);
         let body = body.into_data_stream().peekable();
         let (first_event_at, has_survived) = (None, false);
         let upstream =
@@ -115,7 +115,7 @@
     job: job::Job,
     answered: attempt::Answered<P>,
 ) -> Result<Response<body::ResponseBody>, (Box<job::Job>, &'static str)> {
-    let (mut head, upstream) = Upstream::new(answered);
+    let (mut head, upstream) = Upstream::new(answered, &job.method);
     let mut relayed = RelayedStream {
         shared: shared.clone(),
         job,
@@ -247,6 +247,8 @@
         let Some(upstream) = &self.upstream else { return Step::Interrupted };
         let received = if self.splitter.has_partial() {
             body_end::Received::InsideEvent
+        } else if self.splitter.lacks_event() {
+            body_end::Received::LacksEvent
         } else if upstream.first_event_at.is_none() {
             body_end::Received::Nothing
         } else {
@@ -345,7 +347,7 @@
     fn continue_at(&mut self, resumed: Result<attempt::Answered<P>, &'static str>) -> bool {
         match resumed {
             Ok(answered) => {
-                self.upstream = Some(Upstream::new(answered).1);
+                self.upstream = Some(Upstream::new(answered, &self.job.method).1);
                 self.resumes += 1;
                 true
             }
--- a/crates/corianderstand_forward/tests/broken_answers.rs
+++ b/crates/corianderstand_forward/tests/broken_answers.rs
@@ -257,6 +257,18 @@
     assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("paid"), "{answer}");
 }
 
+/// Guards against answers that have no body by their status and look broken.
+#[tokio::test]
+async fn an_answer_that_has_no_body_is_delivered() {
+    let target = Target::start().await;
+    let router = start(pay(), &[&target]).await;
+    let mut caller = send(&router).await;
+    let head = format!("HTTP/1.1 204 Done\r\nx-signed: 1\r\nx-id: {ID}\r\n\r\n");
+    target.next().await.answer(&head).await;
+    let (answer, _) = read_to_end(&mut caller).await;
+    assert!(answer.starts_with("HTTP/1.1 204"), "{answer}");
+}
+
 /// In HTTP/1.0 the connection's end is the answer's end, so that a broken one must be reset.
 #[tokio::test]
 async fn a_broken_stream_is_reset_for_a_caller_of_http_1_0() {
