An answer without a length is whole only if its target still takes connections, or is leaving

What callers saw (in tests): the answer of a target that ended while it sent it came with a content-length of its half, or with the last chunk. Nothing on the connection tells such an end from a whole answer without a length: the end of the process closes all connections by FIN.

What is known elsewhere: a target that ended refuses connections. So such an end leaves the answer open (body_end::End::Open), and ended_targets::conclude opens a connection for later requests, as this one can't be used again, 10 ms later. Refused: broken off; the request goes elsewhere if it may run again. Taken, no answer, or a leaving target: whole. When it is wrong: a whole answer is lost if its target ends unplanned within 10 ms after it; a broken one counts as whole if the target closes the connection and lives on, which nothing on the wire can tell.

--- a/crates/corianderstand_forward/src/body_end.rs
+++ b/crates/corianderstand_forward/src/body_end.rs
@@ -1,7 +1,8 @@
 //! How the body of a target's response ended, and whether it was read whole.
 //!
 //! The end of a connection is the end of an answer only if the answer doesn't say otherwise. Nothing is passed on as
-//! complete without a [`Whole`], which only [`Read::conclude`] makes.
+//! complete without a [`Whole`]. [`Read::end`] tells what the connection says of it; where that leaves it open,
+//! [`crate::ended_targets::conclude`] asks whether the target is still there.
 
 use bytes::{Bytes, BytesMut};
 use corianderstand_derives::derives;
@@ -119,6 +120,8 @@
     LacksEvent,
     /// It ended with its connection before its first byte, which a target that has no body to send states.
     Empty,
+    /// Its target ended at the same time.
+    TargetEnded,
 }
 
 impl Break {
@@ -129,21 +132,45 @@
             Self::InsideEvent => "broken: inside an event",
             Self::LacksEvent => "broken: lacks an event",
             Self::Empty => "broken: no byte",
+            Self::TargetEnded => "broken: target ended",
         }
     }
 }
 
+/// What a read tells of the end of an answer.
+#[derives(key)]
+pub enum End {
+    /// It is whole.
+    Whole(Whole),
+    /// Something is missing.
+    Broken(Break),
+    /// It ended with its connection, as whole answers without a length and answers of targets that end do.
+    Open(Open),
+}
+
+/// An answer that the connection's end leaves open.
+#[derives(key)]
+pub struct Open(());
+
+impl Open {
+    /// Takes the answer for whole, as its target goes on.
+    pub const fn presume_whole(self) -> Whole {
+        Whole(())
+    }
+}
+
 impl Read {
-    /// Whether the answer is whole.
-    pub const fn conclude(self) -> Result<Whole, Break> {
+    /// What the connection tells of the end of the answer.
+    pub const fn end(self) -> End {
         if self.failed {
-            return Err(Break::ConnectionLost);
+            return End::Broken(Break::ConnectionLost);
         }
         match (self.received, self.framing) {
-            (Received::InsideEvent, _) => Err(Break::InsideEvent),
-            (Received::LacksEvent, _) => Err(Break::LacksEvent),
-            (Received::Nothing, Framing::UntilClose) => Err(Break::Empty),
-            (Received::Nothing | Received::Content, _) => Ok(Whole(())),
+            (Received::InsideEvent, _) => End::Broken(Break::InsideEvent),
+            (Received::LacksEvent, _) => End::Broken(Break::LacksEvent),
+            (Received::Nothing, Framing::UntilClose) => End::Broken(Break::Empty),
+            (Received::Content, Framing::UntilClose) => End::Open(Open(())),
+            (Received::Nothing | Received::Content, _) => End::Whole(Whole(())),
         }
     }
 }
--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -1,6 +1,6 @@
 //! Relates targets that ended to the requests that they were running.
 
-use crate::{job, router, target_reports};
+use crate::{body_end, job, router, target_reports};
 use corianderstand_fleet::{exits, targets};
 use std::{
     io,
@@ -35,6 +35,60 @@
     }
 }
 
+/// Decides whether an answer is whole. One that its connection leaves open is whole if its target still takes
+/// connections, or is leaving: that one may end after its last answer.
+pub async fn conclude<P: router::Platform>(
+    shared: &router::Shared<P>,
+    job: &job::Job,
+    in_flight: &job::InFlight<P>,
+    read: body_end::Read,
+) -> Result<body_end::Whole, body_end::Break> {
+    let concluded = match read.end() {
+        body_end::End::Whole(whole) => Ok(whole),
+        body_end::End::Broken(why) => Err(why),
+        body_end::End::Open(_) if has_ended(shared, in_flight).await => {
+            Err(body_end::Break::TargetEnded)
+        }
+        body_end::End::Open(open) => Ok(open.presume_whole()),
+    };
+    shared.decision_log.answer_ended(job, read, concluded, shared.clock.now());
+    concluded
+}
+
+async fn has_ended<P: router::Platform>(
+    shared: &router::Shared<P>,
+    in_flight: &job::InFlight<P>,
+) -> bool {
+    let Some((target, addr)) = in_flight.target() else { return false };
+    if shared.view.borrow().targets.is_leaving(&target.id) {
+        return false;
+    }
+    tokio::time::sleep(PROBE_DELAY).await;
+    refuses_connections(shared, in_flight.key(), target, *addr).await
+}
+
+/// Opens a connection for later requests; records the end of a target that refuses it.
+async fn refuses_connections<P: router::Platform>(
+    shared: &router::Shared<P>,
+    key: targets::TargetKey,
+    target: &targets::Incarnation,
+    addr: SocketAddr,
+) -> bool {
+    let error = match shared.connection_pool.open(addr).await {
+        Ok(lease) => {
+            shared.connection_pool.release(shared.clock.now(), lease, None);
+            return false;
+        }
+        Err(error) => error,
+    };
+    shared.record_connection_failure(key, &error);
+    let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
+    if is_refused {
+        record_exit(shared, shared.clock.now(), target, exits::Confirmation::Refused);
+    }
+    is_refused
+}
+
 /// Records that a target failed an attempt with an error: it may end because of the request all the
 /// same.
 pub fn record_failed<P: router::Platform>(
@@ -136,15 +190,6 @@
         if !shared.exits.borrow_mut().start_probe(shared.clock.now(), &target) {
             return;
         }
-        match shared.connection_pool.open(addr).await {
-            Ok(lease) => shared.connection_pool.release(shared.clock.now(), lease, None),
-            Err(error) => {
-                shared.record_connection_failure(key, &error);
-                if error.kind() == io::ErrorKind::ConnectionRefused {
-                    let now = shared.clock.now();
-                    record_exit(&shared, now, &target, exits::Confirmation::Refused);
-                }
-            }
-        }
+        refuses_connections(&shared, key, &target, addr).await;
     });
 }
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -335,9 +335,7 @@
     let Ok((read, bytes)) = tokio::time::timeout_at(deadline.into(), collected).await else {
         return Ok(fail(shared, &job, StatusCode::GATEWAY_TIMEOUT, "the time is over"));
     };
-    let concluded = read.conclude();
-    shared.decision_log.answer_ended(&job, read, concluded, shared.clock.now());
-    let Ok(whole) = concluded else {
+    let Ok(whole) = ended_targets::conclude(shared, &job, &in_flight, read).await else {
         ended_targets::record_broken(shared, &job, &in_flight, None);
         return retry_or_fail(shared, job, key, "the target broke off its answer");
     };
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -226,10 +226,10 @@
                     self.timings.record(now);
                     return Step::Data(data);
                 }
-                Ok(None) => return self.body_ended(false),
+                Ok(None) => return self.body_ended(false).await,
                 Ok(Some(Err(error))) => {
                     tracing::debug!(id = %self.job.request.id, %error, "stream interrupted");
-                    return self.body_ended(true);
+                    return self.body_ended(true).await;
                 }
                 Err(_) => {
                     let now = self.shared.clock.now();
@@ -243,7 +243,7 @@
         }
     }
 
-    fn body_ended(&self, failed: bool) -> Step {
+    async fn body_ended(&self, failed: bool) -> Step {
         let Some(upstream) = &self.upstream else { return Step::Interrupted };
         let received = if self.splitter.has_partial() {
             body_end::Received::InsideEvent
@@ -255,9 +255,8 @@
             body_end::Received::Content
         };
         let read = body_end::Read { framing: upstream.framing, received, failed };
-        let concluded = read.conclude();
-        let now = self.shared.clock.now();
-        self.shared.decision_log.answer_ended(&self.job, read, concluded, now);
+        let in_flight = &upstream.in_flight;
+        let concluded = ended_targets::conclude(&self.shared, &self.job, in_flight, read).await;
         concluded.map_or(Step::Interrupted, Step::Complete)
     }
 
--- a/crates/corianderstand_forward/tests/broken_answers.rs
+++ b/crates/corianderstand_forward/tests/broken_answers.rs
@@ -3,7 +3,10 @@
 mod common;
 
 use common::{MemoryStore, ReceivedRequest, RouterThread, Target};
-use corianderstand_fleet::config::{RetryPolicy, Route};
+use corianderstand_fleet::{
+    config::{RetryPolicy, Route},
+    targets,
+};
 use rstest::rstest;
 use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 use tokio::{
@@ -257,6 +260,28 @@
     assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("paid"), "{answer}");
 }
 
+/// Guards against a loss of the last answer of a target that ends as planned.
+#[tokio::test]
+async fn an_answer_without_a_length_of_a_leaving_target_is_delivered() {
+    let store = MemoryStore::default();
+    let target = Target::start().await;
+    store.put_config(common::config(1, vec![pay()]));
+    let entry = target.entry("target-1", "desk");
+    store.put_target(entry.clone());
+    let router = RouterThread::start(&store);
+    router.wait_ready().await;
+    let mut caller = send(&router).await;
+    let request = target.next().await;
+    store.put_target(targets::Entry { renewals: 2, draining: true, ..entry });
+    // Answered 504 while the target still gets requests, which nobody answers.
+    let brief = [("x-id", "request-2"), ("x-deadline-ms", "100")];
+    while !common::get(router.front, "/pay/2", &brief).await.unwrap().starts_with("HTTP/1.1 503") {}
+    drop(target);
+    answer_until_close(request, "paid").await;
+    let (answer, _) = read_to_end(&mut caller).await;
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("paid"), "{answer}");
+}
+
 /// Guards against answers that have no body by their status and look broken.
 #[tokio::test]
 async fn an_answer_that_has_no_body_is_delivered() {
