A broken-off answer to a caller of HTTP/1.0 is reset

What callers saw (in tests): a caller of HTTP/1.0 got half a stream and then the plain end of the connection, which in that version is the end of a whole answer; also where the target's stream had chunks and the break was known, and when a stopping router cut the stream. The same cause on the way out: the system ends the connections of a process that goes away as it ends those of whole answers.

Change: an answer that ends with its connection has its socket set to reset on close from before its first byte until it is flushed whole, so that a killed router resets it as well. Answers with a length or chunks stay as they were: their callers see what is missing.

--- a/crates/corianderstand_forward/src/body.rs
+++ b/crates/corianderstand_forward/src/body.rs
@@ -1,6 +1,6 @@
 //! Bodies of responses to callers.
 
-use crate::{body_end, exchange::Aborted};
+use crate::{body_end, close_delimited, exchange::Aborted};
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
@@ -14,6 +14,8 @@
 pub struct ResponseBody {
     source: Source,
     _guard: Option<Box<dyn Any>>,
+    /// Set if the answer ends with its connection.
+    close: Option<close_delimited::CloseControl>,
 }
 
 enum Source {
@@ -29,12 +31,12 @@
 
     /// A buffered body of the router itself.
     pub fn buffered(bytes: Bytes) -> Self {
-        Self { source: Source::Buffered(Full::new(bytes)), _guard: None }
+        Self { source: Source::Buffered(Full::new(bytes)), _guard: None, close: None }
     }
 
     /// A streamed body.
     pub fn stream(body: impl Body<Data = Bytes, Error = Aborted> + 'static) -> Self {
-        Self { source: Source::Stream(Box::pin(body)), _guard: None }
+        Self { source: Source::Stream(Box::pin(body)), _guard: None, close: None }
     }
 
     /// Attaches a guard that is dropped with the body.
@@ -42,6 +44,13 @@
     pub fn with_guard(self, guard: impl Any) -> Self {
         Self { _guard: Some(Box::new(guard)), ..self }
     }
+
+    /// Marks a body that ends with its connection, which is reset unless the body is whole.
+    #[must_use]
+    pub fn ending_with_connection(self, close: close_delimited::CloseControl) -> Self {
+        close.begin_answer();
+        Self { close: Some(close), ..self }
+    }
 }
 
 impl Body for ResponseBody {
@@ -56,7 +65,13 @@
             Source::Buffered(full) => Pin::new(full)
                 .poll_frame(cx)
                 .map(|frame| frame.map(|f| f.map_err(|never| match never {}))),
-            Source::Stream(body) => body.as_mut().poll_frame(cx),
+            Source::Stream(body) => {
+                let frame = body.as_mut().poll_frame(cx);
+                if let (Poll::Ready(None), Some(close)) = (&frame, &self.close) {
+                    close.end_answer();
+                }
+                frame
+            }
         }
     }
 
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod broadcast;
 pub mod catch_up;
 pub mod client;
+pub mod close_delimited;
 pub mod config_proof;
 pub mod content;
 pub mod control;
--- a/crates/corianderstand_forward/src/server.rs
+++ b/crates/corianderstand_forward/src/server.rs
@@ -1,12 +1,16 @@
 //! HTTP server for callers: accepts and serves connections, and drains them on shutdown.
 
-use crate::{admission, body, exchange, router, write_timeout};
+use crate::{admission, body, close_delimited, exchange, router, write_timeout};
 use bytes::Bytes;
 use corianderstand_fleet::config;
 use corianderstand_types::pause::{self, PauseDetector};
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, Version, header};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
     cell::Cell,
@@ -207,12 +211,14 @@
     let limits = limits.unwrap_or_default();
     tokio::task::spawn_local(async move {
         let served = Cell::new(false);
+        let stream = close_delimited::Stream::new(stream);
+        let close = stream.control();
         let stream = pause::WatchedStream::new(stream, shared.pause_detector.clone());
         let tracked = stream.connection();
         let stream = write_timeout::Stream::new(stream, caller, CALLER_WRITE_TIMEOUT);
         let service = service_fn(|req| {
             served.set(true);
-            serve_request(shared.clone(), tracked.clone(), caller, req)
+            serve_request(shared.clone(), tracked.clone(), close.clone(), caller, req)
         });
         let connection = http_builder(&limits).serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
@@ -259,14 +265,20 @@
 async fn serve_request<P: router::Platform>(
     shared: Rc<router::Shared<P>>,
     connection: Arc<pause::Connection>,
+    close: close_delimited::CloseControl,
     caller: IpAddr,
     req: Request<Incoming>,
 ) -> Result<Response<body::ResponseBody>, exchange::Aborted> {
     shared.open_requests.set(shared.open_requests.get() + 1);
     let guard = OpenRequestGuard(shared.clone());
+    let has_chunks = req.version() >= Version::HTTP_11;
     let mut response = exchange::handle_request(shared.clone(), &connection, caller, req).await?;
     if shared.stopping.get().is_some() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response.map(|body| body.with_guard(guard)))
+    let ends_with_connection = !has_chunks && response.body().size_hint().exact().is_none();
+    Ok(response.map(|body| {
+        let body = body.with_guard(guard);
+        if ends_with_connection { body.ending_with_connection(close) } else { body }
+    }))
 }
