An open end of an answer: proxies before the target, and targets that are leaving

A proxy before the target takes connections although the target has ended, and closes them at once; and engines taken away at short notice are gone at a set time, whatever they run, so that "it was leaving" is no reason to take a cut answer for whole. The same holds if the entry at the answer's target is another incarnation by then.

Change: a probe whose connection is closed within 10 ms counts as refused; a target that isn't the current incarnation has ended. When it is wrong: the last answer without a length of a target that ends right after it is lost, as is one of a target that has no connection left.

--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -1,6 +1,7 @@
 //! Relates targets that ended to the requests that they were running.
 
 use crate::{body_end, job, router, target_reports};
+use corianderstand_derives::derives;
 use corianderstand_fleet::{exits, targets};
 use std::{
     io,
@@ -11,7 +12,7 @@
 
 /// Time for an agent to report the end of its engine, before the address is probed.
 const AGENT_REPORT_TIME: Duration = Duration::from_millis(350);
-/// Time for a process that ends to close its listener.
+/// Time for a process that ends to close its listener, or for a proxy to close a connection to it.
 const PROBE_DELAY: Duration = Duration::from_millis(10);
 
 /// Records that the connection of an attempt broke before its response was complete.
@@ -35,8 +36,7 @@
     }
 }
 
-/// Decides whether an answer is whole. One that its connection leaves open is whole if its target still takes
-/// connections, or is leaving: that one may end after its last answer.
+/// Decides whether an answer is whole. One that its connection leaves open is whole if its target lives on.
 pub async fn conclude<P: router::Platform>(
     shared: &router::Shared<P>,
     job: &job::Job,
@@ -59,34 +59,49 @@
     shared: &router::Shared<P>,
     in_flight: &job::InFlight<P>,
 ) -> bool {
-    let Some((target, addr)) = in_flight.target() else { return false };
-    if shared.view.borrow().targets.is_leaving(&target.id) {
-        return false;
-    }
+    let Some((target, addr)) = in_flight.target() else { return true };
     tokio::time::sleep(PROBE_DELAY).await;
-    refuses_connections(shared, in_flight.key(), target, *addr).await
+    let is_current = {
+        let view = shared.view.borrow();
+        let current = view.targets.get(in_flight.key());
+        current.is_some_and(|current| current.entry.incarnation().matches(target))
+    };
+    !is_current || probe(shared, in_flight.key(), target, *addr).await == Probe::Ended
+}
+
+#[derives(key)]
+enum Probe {
+    TakesConnections,
+    /// It refuses connections, or something before it closes them at once.
+    Ended,
+    Unknown,
 }
 
 /// Opens a connection for later requests; records the end of a target that refuses it.
-async fn refuses_connections<P: router::Platform>(
+async fn probe<P: router::Platform>(
     shared: &router::Shared<P>,
     key: targets::TargetKey,
     target: &targets::Incarnation,
     addr: SocketAddr,
-) -> bool {
-    let error = match shared.connection_pool.open(addr).await {
+) -> Probe {
+    match shared.connection_pool.open(addr).await {
         Ok(lease) => {
+            tokio::time::sleep(PROBE_DELAY).await;
+            if lease.sender.is_closed() {
+                return Probe::Ended;
+            }
             shared.connection_pool.release(shared.clock.now(), lease, None);
-            return false;
+            Probe::TakesConnections
+        }
+        Err(error) => {
+            shared.record_connection_failure(key, &error);
+            if error.kind() != io::ErrorKind::ConnectionRefused {
+                return Probe::Unknown;
+            }
+            record_exit(shared, shared.clock.now(), target, exits::Confirmation::Refused);
+            Probe::Ended
         }
-        Err(error) => error,
-    };
-    shared.record_connection_failure(key, &error);
-    let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
-    if is_refused {
-        record_exit(shared, shared.clock.now(), target, exits::Confirmation::Refused);
     }
-    is_refused
 }
 
 /// Records that a target failed an attempt with an error: it may end because of the request all the
@@ -190,6 +205,7 @@
         if !shared.exits.borrow_mut().start_probe(shared.clock.now(), &target) {
             return;
         }
-        refuses_connections(&shared, key, &target, addr).await;
+        let probed = probe(&shared, key, &target, addr).await;
+        tracing::debug!(target = %target.id, ?probed, "target probed");
     });
 }
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -322,6 +322,11 @@
         }
     }
 
+    /// Accepts a connection and closes it; false if none can be accepted.
+    pub async fn close_next(&self) -> bool {
+        self.listener.accept().await.is_ok()
+    }
+
     pub fn entry(&self, id: &str, service: &str) -> targets::Entry {
         targets::Entry {
             id: id.into(),
