--- a/crates/corianderstand_forward/tests/broken_answers.rs
+++ b/crates/corianderstand_forward/tests/broken_answers.rs
@@ -113,6 +113,25 @@
     assert!(!answer.ends_with(LAST_CHUNK), "{answer}");
 }
 
+/// Guards against a target's version that decides how the caller's answer is delimited.
+#[rstest]
+#[case::broken_off(HALF_EVENT, false)]
+#[case::whole("id: 1\ndata: b\n\n", true)]
+#[tokio::test]
+async fn a_stream_of_a_target_of_http_1_0_has_chunks_for_its_caller(
+    #[case] rest: &str,
+    #[case] is_whole: bool,
+) {
+    let target = Target::start().await;
+    let router = start(draft(), &[&target]).await;
+    let mut caller = send(&router).await;
+    let head = format!("HTTP/1.0 200 OK\r\nx-signed: 1\r\nx-id: {ID}\r\n\r\n");
+    target.next().await.answer(&format!("{head}id: 0\ndata: a\n\n{rest}")).await;
+    let (answer, _) = read_to_end(&mut caller).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(answer.ends_with(LAST_CHUNK), is_whole, "{answer}");
+}
+
 /// A stream that ends after a whole event is the target's whole answer while the target lives.
 #[rstest]
 #[case::that_may_be_resumed(chat())]
