A caller's answer is delimited by the caller's version, not by the target's

Cause: the head of a target's answer went on with its version; for HTTP/1.0 the HTTP library sends neither a length nor chunks, so that the break, which the router had seen and told, looked like the end. Change: the framing is read with the head, and the head then gets the version of our own answers.

--- a/crates/corianderstand_forward/src/attempt.rs
+++ b/crates/corianderstand_forward/src/attempt.rs
@@ -1,8 +1,8 @@
 //! One attempt to send a request to a target.
 
-use crate::{admission, dialect, ended_targets, job, pool, request_slots, router};
+use crate::{admission, body_end, dialect, ended_targets, job, pool, request_slots, router};
 use corianderstand_fleet::targets;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, Version, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use std::{rc::Rc, time::Duration};
@@ -34,8 +34,10 @@
 
 /// A response head and the connection that carries its body.
 pub struct Answered<P: router::Platform> {
-    /// Status and headers.
+    /// Status and headers, in the version that callers get.
     pub head: http::response::Parts,
+    /// How the body is delimited.
+    pub framing: body_end::Framing,
     /// The parsed headers.
     pub response_head: dialect::ResponseHead,
     /// The body.
@@ -136,7 +138,10 @@
     response: Response<Incoming>,
 ) -> AttemptOutcome<P> {
     let key = in_flight.key();
-    let (head, body) = response.into_parts();
+    let (mut head, body) = response.into_parts();
+    let framing = body_end::Framing::of(&head, &job.method);
+    // Else the version of the target decides how the caller's answer is delimited.
+    head.version = Version::HTTP_11;
     let info = shared.platform.parse_response(head.status, &head.headers);
     if info.request_id.as_ref().is_some_and(|id| *id != job.request.id) {
         shared.record_target_failure(key, "answer to another request");
@@ -157,6 +162,7 @@
     }
     AttemptOutcome::Answered(Box::new(Answered {
         head,
+        framing,
         response_head: info,
         body,
         lease,
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -328,8 +328,8 @@
             Err((job, why)) => retry_or_fail(shared, *job, key, why),
         };
     }
-    let attempt::Answered { mut head, response_head: info, body, lease, in_flight } = answered;
-    let framing = body_end::Framing::of(&head, &job.method);
+    let attempt::Answered { mut head, framing, response_head: info, body, lease, in_flight } =
+        answered;
     let collected = body_end::collect(body, framing, MAX_BUFFERED_RESPONSE_BYTES);
     let deadline = shared.response_deadline(&job);
     let Ok((read, bytes)) = tokio::time::timeout_at(deadline.into(), collected).await else {
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -10,7 +10,7 @@
     StreamExt,
     stream::{self, Peekable},
 };
-use http::{Method, Response};
+use http::Response;
 use http_body_util::{BodyDataStream, BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use std::{
@@ -73,9 +73,8 @@
 
 impl<P: router::Platform> Upstream<P> {
     /// Splits a response into its head and its stream.
-    fn new(answered: attempt::Answered<P>, method: &Method) -> (http::response::Parts, Self) {
-        let attempt::Answered { head, response_head, body, lease, in_flight } = answered;
-        let framing = body_end::Framing::of(&head, method);
+    fn new(answered: attempt::Answered<P>) -> (http::response::Parts, Self) {
+        let attempt::Answered { head, framing, response_head, body, lease, in_flight } = answered;
         let body = body.into_data_stream().peekable();
         let (first_event_at, has_survived) = (None, false);
         let upstream =
@@ -115,7 +114,7 @@
     job: job::Job,
     answered: attempt::Answered<P>,
 ) -> Result<Response<body::ResponseBody>, (Box<job::Job>, &'static str)> {
-    let (mut head, upstream) = Upstream::new(answered, &job.method);
+    let (mut head, upstream) = Upstream::new(answered);
     let mut relayed = RelayedStream {
         shared: shared.clone(),
         job,
@@ -346,7 +345,7 @@
     fn continue_at(&mut self, resumed: Result<attempt::Answered<P>, &'static str>) -> bool {
         match resumed {
             Ok(answered) => {
-                self.upstream = Some(Upstream::new(answered, &self.job.method).1);
+                self.upstream = Some(Upstream::new(answered).1);
                 self.resumes += 1;
                 true
             }
