Soak: answers without a length, some cut inside an event; callers of HTTP/1.0; resets pass the proxies

Three in twenty answers of stand-in engines and services state neither a length nor chunks, and three in ten of these streams end inside an event; one request in seven is sent in HTTP/1.0. The proxies turned a reset of one side into a plain end or a hang on the other; now both sides are reset.

--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -6,7 +6,7 @@
 };
 use bytes::Bytes;
 use corianderstand_platform_standins::target::CRASHING_BODY;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{HeaderMap, Method, Request, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -87,6 +87,8 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 const MAX_REQUEST_PAUSE_MS: u64 = 60;
+/// One request in this many is sent in HTTP/1.0.
+const HTTP_1_0_DIVISOR: u64 = 7;
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 
@@ -230,6 +232,11 @@
     Duration::try_from_secs_f64(seconds).unwrap_or(MAX_RETRY_DELAY).min(MAX_RETRY_DELAY)
 }
 
+/// Whether a request is sent in HTTP/1.0, where a stream ends with its connection.
+fn uses_http_1_0(id: &str) -> bool {
+    id.bytes().map(u64::from).sum::<u64>().is_multiple_of(HTTP_1_0_DIVISOR)
+}
+
 /// Sends one request; returns the connection if it can be reused.
 pub async fn send_request(
     router_address: SocketAddr,
@@ -241,6 +248,9 @@
     body: Bytes,
 ) -> (Outcome, HeaderMap, Option<Sender>) {
     let mut req = Request::builder().method(Method::POST).uri(kind.path()).header("host", HOST);
+    if uses_http_1_0(id) {
+        req = req.version(Version::HTTP_10);
+    }
     req =
         req.header("request-id", id).header("authorization", format!("Bearer {}", workspace.key()));
     req = req.header("deadline-ms", kind.deadline().as_millis() as u64);
--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -6,7 +6,7 @@
     ledger::Ledger,
     settings,
     store::Store,
-    target::{ENTRIES_TOPIC, HEALTH_PATH, Target, TargetSpec},
+    target::{ENTRIES_TOPIC, HEALTH_PATH, Target, TargetSpec, UnframedResponses},
     workspaces as standin_workspaces,
 };
 use nix::{
@@ -35,6 +35,7 @@
 /// A starved process has a quarter of the time.
 const STARVED_STOP_TIME: Duration = Duration::from_millis(60);
 const STARVED_RUN_TIME: Duration = Duration::from_millis(20);
+const UNFRAMED_RESPONSES: UnframedResponses = UnframedResponses { ratio: 0.15, cut_ratio: 0.3 };
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
 #[derive(Clone, Copy, Debug)]
@@ -341,6 +342,7 @@
         keeps_name: index.is_multiple_of(2),
     };
     let target = Target::new(spec, store.clone(), ledger.clone(), cached_models);
+    target.set_unframed(UNFRAMED_RESPONSES);
     let mut target =
         ProxiedTarget { target, target_proxy, start_count: 0, name: format!("{name}-{index}") };
     target.start().await;
--- a/tools/soak/src/proxy.rs
+++ b/tools/soak/src/proxy.rs
@@ -5,7 +5,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
         TcpListener, TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
+        tcp::{ReadHalf, WriteHalf},
     },
     sync::watch,
 };
@@ -63,27 +63,27 @@
     }
 }
 
-async fn forward(client: TcpStream, destination: SocketAddr, mut modes: watch::Receiver<Mode>) {
+async fn forward(mut client: TcpStream, destination: SocketAddr, mut modes: watch::Receiver<Mode>) {
     if *modes.borrow() == Mode::Reset {
         return reset(&client);
     }
-    let Ok(server) = TcpStream::connect(destination).await else { return reset(&client) };
-    let sockets = [&client, &server].map(|stream| {
+    let Ok(mut server) = TcpStream::connect(destination).await else { return reset(&client) };
+    for stream in [&client, &server] {
         stream.set_nodelay(true).ok();
-        socket2::SockRef::from(stream).try_clone()
-    });
-    let (client_read, client_write) = client.into_split();
-    let (server_read, server_write) = server.into_split();
+    }
+    // Dropping these halves does not shut the streams down, so that they can be reset.
+    let (client_read, client_write) = client.split();
+    let (server_read, server_write) = server.split();
     let requests = copy(client_read, server_write, modes.clone(), &[Mode::Hold]);
     let responses =
         copy(server_read, client_write, modes.clone(), &[Mode::Hold, Mode::HoldResponses]);
-    tokio::select! {
-        ((), ()) = async { tokio::join!(requests, responses) } => {}
-        _ = modes.wait_for(|mode| *mode == Mode::Reset) => {
-            for socket in sockets.into_iter().flatten() {
-                socket.set_linger(Some(Duration::ZERO)).ok();
-            }
-        }
+    let is_reset = tokio::select! {
+        copied = async { tokio::try_join!(requests, responses) } => copied.is_err(),
+        _ = modes.wait_for(|mode| *mode == Mode::Reset) => true,
+    };
+    if is_reset {
+        reset(&client);
+        reset(&server);
     }
 }
 
@@ -91,28 +91,26 @@
     socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).ok();
 }
 
+/// Copies data until its end; an error resets both connections, so that a reset isn't taken for an end.
 async fn copy(
-    mut source: OwnedReadHalf,
-    mut sink: OwnedWriteHalf,
+    mut source: ReadHalf<'_>,
+    mut sink: WriteHalf<'_>,
     mut modes: watch::Receiver<Mode>,
     hold_modes: &[Mode],
-) {
+) -> std::io::Result<()> {
     let mut buf = vec![0; CHUNK_BYTES];
-    while let Ok(len) = source.read(&mut buf).await {
-        if modes.wait_for(|mode| !hold_modes.contains(mode)).await.is_err() {
-            return;
-        }
+    loop {
+        let len = source.read(&mut buf).await?;
+        let is_open = modes.wait_for(|mode| !hold_modes.contains(mode)).await;
+        drop(is_open.map_err(std::io::Error::other)?);
         let mode = *modes.borrow();
         if let Mode::Delay(delay) = mode {
             tokio::time::sleep(delay).await;
         }
         if len == 0 {
-            break;
-        }
-        if sink.write_all(&buf[..len]).await.is_err() {
-            return;
+            // The other direction may stay open.
+            return sink.shutdown().await;
         }
+        sink.write_all(&buf[..len]).await?;
     }
-    // The other direction may stay open.
-    sink.shutdown().await.ok();
 }
