--- a/crates/corianderstand_fleet/src/targets/entry.rs
+++ b/crates/corianderstand_fleet/src/targets/entry.rs
@@ -79,6 +79,8 @@
     /// Time until the shutdown, if reported.
     #[serde(rename = "leaves_in")]
     pub shutdown_in: Option<Duration>,
+    /// Version of the software that it runs; none if it is not known.
+    pub version: Option<names::SoftwareVersion>,
     /// Models that the target holds.
     pub holdings: Holdings,
 }
--- a/crates/corianderstand_fleet/tests/agent_reports.rs
+++ b/crates/corianderstand_fleet/tests/agent_reports.rs
@@ -27,6 +27,7 @@
         slots: 8,
         draining: false,
         shutdown_in: None,
+        version: None,
         holdings: holdings(models),
     }
 }
--- a/crates/corianderstand_fleet/tests/common/entries.rs
+++ b/crates/corianderstand_fleet/tests/common/entries.rs
@@ -21,6 +21,7 @@
         slots: 4,
         draining: false,
         shutdown_in: None,
+        version: None,
         holdings: holdings(&["m"]),
     }
 }
--- a/crates/corianderstand_fleet/tests/reported_load.rs
+++ b/crates/corianderstand_fleet/tests/reported_load.rs
@@ -19,6 +19,7 @@
         slots: SLOTS,
         draining: false,
         shutdown_in: None,
+        version: None,
         holdings: Holdings {
             resident: vec![Resident { model: "m".into(), adapters: Vec::new() }],
             ..Default::default()
--- a/crates/corianderstand_forward/src/dialect.rs
+++ b/crates/corianderstand_forward/src/dialect.rs
@@ -55,6 +55,8 @@
     pub prompt_parts: Vec<PromptPart>,
     /// The last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Id of the request that brought the first event of the stream that it resumes.
+    pub resumes: Option<SmolStr>,
 }
 
 impl RequestHead {
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -338,6 +338,7 @@
             slots: 8,
             draining: false,
             shutdown_in: None,
+            version: None,
             holdings: targets::Holdings::default(),
         }
     }
--- a/crates/corianderstand_forward/tests/common/platform.rs
+++ b/crates/corianderstand_forward/tests/common/platform.rs
@@ -203,6 +203,8 @@
             caller_timeout: millis("x-deadline-ms"),
             requested_model,
             prompt_tokens: text("x-prompt").and_then(|text| text.parse().ok()).unwrap_or(0),
+            last_event_id: text("x-last-event").and_then(|text| text.parse().ok()),
+            resumes: text("x-resumes").map(Into::into),
             has_token_counts: headers.contains_key("x-prompt"),
             credential: text("x-key").map_or(dialect::RequestCredential::Absent, |key| {
                 dialect::RequestCredential::Present(workspaces::Credential::new(key.as_bytes()))
--- a/crates/corianderstand_types/src/names.rs
+++ b/crates/corianderstand_types/src/names.rs
@@ -92,6 +92,8 @@
     AdapterId;
     /// A version of a model or adapter.
     VersionId;
+    /// A version of the software that a target runs; versions have no order.
+    SoftwareVersion;
     /// A plain service that several targets may offer.
     ServiceId;
     /// A process that writes to the log.
