A stream goes on only at the software version that began it

Cause: nothing read a target's version or remembered where a stream began; every choice of a target ignored it. Class: a decision that rests on a state that its process doesn't keep, and that a retry takes to another process.

Change: continuations::Progress of a request (fresh, continues at a version, unknown) goes with it through choice, waiting, second targets, resuming and the check before the write; a continuation isn't made without a version. Routers remember for 60 s where streams began, and tell two others that the stream's key selects, unless the service has had one version for long; a router that doesn't know asks four. Nobody knows: refused, 503, nothing is guessed.

--- a/crates/corianderstand_fleet/src/choose.rs
+++ b/crates/corianderstand_fleet/src/choose.rs
@@ -59,6 +59,8 @@
     pub tried: &'a [targets::TargetKey],
     /// Hash of the request.
     pub hash: u64,
+    /// The only version that may serve the request; none if any may.
+    pub version: Option<&'a names::SoftwareVersion>,
     /// Target with the longest cached prefix of the prompt, and the prefix's length in tokens.
     pub cached_prefix: Option<(targets::TargetKey, u64)>,
 }
@@ -76,14 +78,20 @@
     Cold,
     /// The service has no available target.
     NoTarget,
+    /// No target of the version that the request needs is left.
+    NoVersion,
 }
 
 /// Chooses a target for an attempt.
 pub fn choose(now: Instant, targets: &targets::Targets, query: &Query) -> Choice {
+    if query.version.is_some() && !has_version(targets, query) {
+        return Choice::NoVersion;
+    }
     let usable: Vec<_> = targets
         .iter()
         .filter(|(key, target)| {
             target.entry.service == *query.service
+                && allows(query.version, target)
                 && target.accepts_requests(now)
                 && !query.tried.contains(key)
         })
@@ -117,6 +125,20 @@
     }
 }
 
+/// Whether a target has the version that a request needs, if it needs one.
+pub fn allows(version: Option<&names::SoftwareVersion>, target: &targets::Target) -> bool {
+    version.is_none_or(|version| target.version() == Some(version))
+}
+
+/// Whether the service has a target of the version that takes requests, or may again.
+fn has_version(targets: &targets::Targets, query: &Query) -> bool {
+    let is_left = |target: &targets::Target| {
+        let version = target.entry.version.as_ref();
+        target.entry.service == *query.service && !target.entry.draining && version == query.version
+    };
+    targets.iter().any(|(_, target)| is_left(target))
+}
+
 /// Prefers engines that hold the adapter, then engines without an ongoing command and with a free
 /// adapter slot. Rendezvous hashing breaks ties, so that all routers load it on the same engine.
 fn choose_for_adapter(
--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod routes;
 pub mod snapshot;
 mod store_concurrency;
+pub mod streams;
 pub mod targets;
 mod utility;
 pub mod wait_limit;
--- /dev/null
+++ b/crates/corianderstand_fleet/src/streams.rs
@@ -0,0 +1,162 @@
+//! Where streams began, and which software versions serve a service.
+//!
+//! What engines of two software versions write doesn't fit together, so that a stream goes on only at the version that
+//! began it. Each router remembers where the streams began that it forwarded, and what other routers tell it. Without
+//! such a memory the version is known only if the service has had no other one for as long as streams are
+//! remembered ([`VersionHistory::sole`]).
+
+use crate::targets;
+use corianderstand_derives::derives;
+use corianderstand_types::names;
+use std::{
+    collections::{HashMap, VecDeque},
+    time::{Duration, Instant},
+};
+use xxhash_rust::xxh3;
+
+/// Time for which a stream's origin is kept: longer than callers wait for a stream, with all of their new tries.
+pub const ORIGIN_TTL: Duration = Duration::from_secs(60);
+/// Some 8 MB. A router forwards some 25 streams a second; what exceeds this are the oldest.
+const MAX_ORIGINS: usize = 1 << 16;
+
+/// Identifies a stream: a hash of the id of the request that brought its first event.
+#[derives(key)]
+#[derive(Default)]
+pub struct StreamKey(pub u64);
+
+impl StreamKey {
+    /// The key of the stream that a request began.
+    pub fn of(request_id: &str) -> Self {
+        Self(xxh3::xxh3_64(request_id.as_bytes()))
+    }
+}
+
+/// Where a stream began.
+#[derives(data)]
+pub struct Origin {
+    /// Service of the target.
+    pub service: names::ServiceId,
+    /// The target.
+    pub target: targets::Incarnation,
+    /// Its software version, if it was known.
+    pub version: Option<names::SoftwareVersion>,
+}
+
+#[derive(Clone, Debug)]
+struct Kept {
+    origin: Origin,
+    at: Instant,
+}
+
+/// Origins of streams that began lately.
+#[derive(Clone, Debug, Default)]
+pub struct Origins {
+    by_key: HashMap<StreamKey, Kept>,
+    oldest_first: VecDeque<(Instant, StreamKey)>,
+}
+
+impl Origins {
+    /// Records where a stream began. What is known already stays, but for a version that was unknown.
+    pub fn record(&mut self, now: Instant, key: StreamKey, origin: Origin) {
+        self.expire(now);
+        let kept =
+            self.by_key.entry(key).or_insert_with(|| Kept { origin: origin.clone(), at: now });
+        if kept.origin.version.is_none() && kept.origin.target.matches(&origin.target) {
+            kept.origin.version = origin.version;
+        }
+        kept.at = now;
+        self.oldest_first.push_back((now, key));
+    }
+
+    /// Where a stream began, and the time since it was last recorded.
+    pub fn get(&self, now: Instant, key: StreamKey) -> Option<(&Origin, Duration)> {
+        let kept = self.by_key.get(&key)?;
+        let age = now.saturating_duration_since(kept.at);
+        (age < ORIGIN_TTL).then_some((&kept.origin, age))
+    }
+
+    /// The streams of a service.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a names::ServiceId,
+    ) -> impl Iterator<Item = (StreamKey, &'a Origin)> {
+        let of_service = self.by_key.iter().filter(|(_, kept)| kept.origin.service == *service);
+        of_service.map(|(key, kept)| (*key, &kept.origin))
+    }
+
+    /// Number of streams.
+    pub fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
+    /// Whether no stream is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_key.is_empty()
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some((at, key)) = self.oldest_first.front().copied() {
+            let is_over = now.saturating_duration_since(at) >= ORIGIN_TTL;
+            if !is_over && self.oldest_first.len() < MAX_ORIGINS {
+                return;
+            }
+            self.oldest_first.pop_front();
+            if self.by_key.get(&key).is_some_and(|kept| kept.at == at) {
+                self.by_key.remove(&key);
+            }
+        }
+    }
+}
+
+/// The software versions that services had lately.
+#[derive(Clone, Debug, Default)]
+pub struct VersionHistory {
+    /// When each version, or a target of unknown version, was last there.
+    last_seen: HashMap<(names::ServiceId, Option<names::SoftwareVersion>), Instant>,
+    /// Since when all targets have been known without a gap.
+    complete_since: Option<Instant>,
+}
+
+impl VersionHistory {
+    /// Records that a service has a target of a version, or one whose version is unknown.
+    pub fn record(
+        &mut self,
+        now: Instant,
+        service: &names::ServiceId,
+        version: Option<&names::SoftwareVersion>,
+    ) {
+        self.last_seen.insert((service.clone(), version.cloned()), now);
+    }
+
+    /// Records all targets; `is_current` tells whether they are known from a recent read of the store.
+    pub fn observe(&mut self, now: Instant, targets: &targets::Targets, is_current: bool) {
+        self.last_seen.retain(|_, at| now.saturating_duration_since(*at) < ORIGIN_TTL);
+        for (_, target) in targets.iter() {
+            let key = (target.entry.service.clone(), target.version().cloned());
+            self.last_seen.insert(key, now);
+        }
+        if is_current {
+            self.complete_since.get_or_insert(now);
+        } else {
+            self.complete_since = None;
+        }
+    }
+
+    /// The version that all targets of a service have had for as long as origins are kept; none if there was
+    /// another one, or if this process doesn't know.
+    pub fn sole(
+        &self,
+        now: Instant,
+        service: &names::ServiceId,
+    ) -> Option<&names::SoftwareVersion> {
+        let since = self.complete_since?;
+        if now.saturating_duration_since(since) < ORIGIN_TTL {
+            return None;
+        }
+        let mut seen = self.last_seen.iter().filter(|((of, _), at)| {
+            of == service && now.saturating_duration_since(**at) < ORIGIN_TTL
+        });
+        let ((_, version), _) = seen.next()?;
+        if seen.next().is_some() { None } else { version.as_ref() }
+    }
+}
--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -227,6 +227,7 @@
         let changed = target.entry.holdings != entry.holdings;
         target.entry.draining |= entry.draining;
         target.entry.slots = entry.slots;
+        target.entry.version = entry.version;
         if let Some(shutdown_in) = entry.shutdown_in {
             target.shutdown_at.get_or_insert(now + shutdown_in);
         }
--- a/crates/corianderstand_fleet/src/targets/target.rs
+++ b/crates/corianderstand_fleet/src/targets/target.rs
@@ -93,6 +93,11 @@
         self.ejected_until = Some(now + UNREACHABLE_EJECTION_TIME);
     }
 
+    /// Version of the software that it runs, if known.
+    pub fn version(&self) -> Option<&names::SoftwareVersion> {
+        self.entry.version.as_ref()
+    }
+
     /// Number of in-flight requests of this process, by model.
     pub fn running(&self) -> BTreeMap<names::ModelId, u32> {
         let mut running = BTreeMap::new();
--- a/crates/corianderstand_fleet/tests/decisions.rs
+++ b/crates/corianderstand_fleet/tests/decisions.rs
@@ -141,6 +141,7 @@
         zone,
         tried: &[],
         hash: 7,
+        version: None,
         cached_prefix: None,
     }
 }
--- a/crates/corianderstand_fleet/tests/reported_load.rs
+++ b/crates/corianderstand_fleet/tests/reported_load.rs
@@ -41,6 +41,7 @@
         zone: &"here".into(),
         tried: &[],
         hash: 7,
+        version: None,
         cached_prefix: None,
     };
     matches!(choose::choose(now, targets, &query), choose::Choice::Send(_))
--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -155,7 +155,10 @@
             | PeerMessage::FreshnessAsked(_)
             | PeerMessage::FreshnessAnswer(_)
             | PeerMessage::QuotaAsked(_)
-            | PeerMessage::QuotaAnswer(_) => {
+            | PeerMessage::QuotaAnswer(_)
+            | PeerMessage::StreamsBegan(_)
+            | PeerMessage::OriginAsked(_)
+            | PeerMessage::OriginAnswer(_) => {
                 tracing::debug!(%from, "ignored a message addressed to routers");
             }
         }
--- a/crates/corianderstand_forward/src/attempt.rs
+++ b/crates/corianderstand_forward/src/attempt.rs
@@ -53,7 +53,6 @@
     shared: &Rc<router::Shared<P>>,
     job: &mut job::Job,
     key: targets::TargetKey,
-    last_event: Option<u64>,
 ) -> AttemptOutcome<P> {
     let now = shared.clock.now();
     let Some((addr, id)) = shared.target_address(key) else { return AttemptOutcome::Left };
@@ -75,7 +74,7 @@
         time_left,
         priority: job.request.requested_model.is_some().then_some(admitted.priority),
         workspace: admitted.workspace.as_ref(),
-        last_event_id: last_event,
+        progress: job.route.streams.then_some(&job.progress),
     };
     let req = build_request(shared, job, &admitted, &forwarded);
     let mut lease = match shared.connection_pool.lease(now, addr).await {
@@ -89,8 +88,8 @@
     let mut unsent = Some(req);
     loop {
         let Some(req) = unsent.take() else { return AttemptOutcome::NotSent };
-        // It may have left since it was chosen: a permit, a slot and a connection take time.
-        if !shared.accepts_requests(key, shared.clock.now()) {
+        // It may have left since it was chosen, or changed: a permit, a slot and a connection take time.
+        if !shared.accepts(key, job, shared.clock.now()) {
             return AttemptOutcome::Left;
         }
         let sending = lease.sender.try_send_request(req);
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -3,8 +3,8 @@
 //! Each datagram is self-contained and sent periodically, so nothing is acknowledged.
 
 use crate::{
-    broadcast, catch_up, config_proof, ended_targets, follow, peers, planning, quotas, readers,
-    request_slots, router, status, target_reports,
+    broadcast, catch_up, config_proof, continuations, ended_targets, follow, peers, planning,
+    quotas, readers, request_slots, router, status, target_reports,
 };
 use corianderstand_fleet::{choose, exits, targets};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
@@ -152,6 +152,11 @@
         PeerMessage::FreshnessAnswer(answer) => config_proof::on_answer(shared, &answer),
         PeerMessage::QuotaAsked(request) => quotas::on_request(shared, now, from, &request),
         PeerMessage::QuotaAnswer(response) => quotas::on_response(shared, now, &response),
+        PeerMessage::StreamsBegan(origins) => continuations::on_origins(shared, now, origins),
+        PeerMessage::OriginAsked(question) => {
+            continuations::on_question(shared, now, from, &question);
+        }
+        PeerMessage::OriginAnswer(answer) => continuations::on_answer(shared, answer),
         PeerMessage::TargetReports(update) => target_reports::on_update(shared, now, update),
         PeerMessage::ToZone(request) => {
             broadcast::pass_on(shared, from, &request);
@@ -295,6 +300,7 @@
         }
         shared.connection_pool.sweep(now);
         follow::expire(&shared, now);
+        continuations::observe_versions(&shared, now);
         shared.peers.borrow_mut().expire(now);
         tokio::time::sleep(MIN_SEND_INTERVAL).await;
         tokio::select! {
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -33,6 +33,19 @@
     pub timings: stream::EventTimings,
 }
 
+/// What is known of the stream that a request takes up.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamOrigin<'a> {
+    /// The version that it goes on at, if that is known.
+    pub version: Option<&'a str>,
+    /// Who says so.
+    pub source: &'static str,
+    /// Time since the version was recorded, if this router has.
+    pub age: Option<Duration>,
+    /// Versions of the service's targets.
+    pub offered: &'a [SmolStr],
+}
+
 /// What a decision to send a request to a target rests on.
 #[derive(Clone, Copy, Debug)]
 pub struct TargetKnowledge {
@@ -56,9 +69,10 @@
     RecordIgnored,
     TargetChanged,
     AnswerEnded,
+    StreamResolved,
 }
 
-const LINE_KINDS: usize = 11;
+const LINE_KINDS: usize = 12;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct LineCount {
@@ -235,6 +249,28 @@
         }
     }
 
+    /// Logs at which version the stream goes on that a request takes up.
+    pub fn stream_resolved(
+        &self,
+        request: &dialect::RequestHead,
+        origin: &StreamOrigin,
+        now: Instant,
+    ) {
+        self.metrics.stream_resolved(origin.source);
+        if self.may_log(LineKind::StreamResolved, now) {
+            tracing::info!(
+                id = %request.id,
+                resumes = request.resumes.as_ref().map(SmolStr::as_str),
+                last_event = request.last_event_id,
+                version = origin.version,
+                known_from = origin.source,
+                age_ms = origin.age.map(|age| age.as_millis() as u64),
+                offered = ?origin.offered,
+                "stream taken up"
+            );
+        }
+    }
+
     /// Logs how a target's answer ended, and what was concluded. An answer that was read to its stated end has no
     /// line of its own.
     pub fn answer_ended(
--- a/crates/corianderstand_forward/src/dialect.rs
+++ b/crates/corianderstand_forward/src/dialect.rs
@@ -1,6 +1,6 @@
 //! Traits that a platform adapter implements: header names, and calls to the store and to engines.
 
-use crate::client;
+use crate::{client, continuations};
 use bytes::Bytes;
 use corianderstand_derives::derives;
 use corianderstand_fleet::{choose, config, targets, workspaces};
@@ -80,8 +80,8 @@
     pub priority: Option<u8>,
     /// The caller's workspace, if the request needs a credential.
     pub workspace: Option<&'a names::WorkspaceId>,
-    /// The last event that the caller received.
-    pub last_event_id: Option<u64>,
+    /// How far the stream has come; none if the route does not stream.
+    pub progress: Option<&'a continuations::Progress>,
 }
 
 /// The parsed head of a target's response.
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -4,8 +4,8 @@
 //! retries, within the retry budget. A request with an unknown outcome is never reported as not run.
 
 use crate::{
-    admission, attempt, body::ResponseBody, body_end, decisions, dialect, ended_targets, job,
-    quotas, router, stream, target_reports, waiting,
+    admission, attempt, body::ResponseBody, body_end, continuations, decisions, dialect,
+    ended_targets, job, quotas, router, stream, target_reports, waiting,
 };
 use bytes::Bytes;
 use corianderstand_fleet::{config, crashes, prefixes, targets, wait_limit};
@@ -123,6 +123,7 @@
         idle_since: arrived,
         request_id_hash: hash,
         prompt_prefixes: chain,
+        progress: continuations::Progress::Fresh,
         tried_targets: Vec::new(),
         unexecuted_attempts: 0,
         may_have_run: false,
@@ -232,6 +233,16 @@
             charge.set_sent(is_sent);
         }
     };
+    job.progress = continuations::resolve(&shared, &job).await;
+    if job.progress == continuations::Progress::Unknown {
+        let retry_after = continuations::UNKNOWN_RETRY_AFTER;
+        return refuse(
+            &shared,
+            &job,
+            "the version that began the stream is not known",
+            retry_after,
+        );
+    }
     loop {
         let key = match waiting::find_target(&shared, &mut job).await {
             Ok(key) => key,
@@ -242,7 +253,7 @@
         }
         job.tried_targets.push(key);
         set_sent(true);
-        match attempt::attempt(&shared, &mut job, key, None).await {
+        match attempt::attempt(&shared, &mut job, key).await {
             attempt::AttemptOutcome::Denied(denied) => {
                 set_sent(job.may_have_run);
                 if job.may_have_run {
--- a/crates/corianderstand_forward/src/job.rs
+++ b/crates/corianderstand_forward/src/job.rs
@@ -1,6 +1,6 @@
 //! A request that is being handled, and its count at the target that handles it.
 
-use crate::{body_end, content, dialect, router, view};
+use crate::{body_end, content, continuations, dialect, router, view};
 use bytes::Bytes;
 use corianderstand_fleet::{choose, config, demand, fingerprint, prefixes, targets};
 use corianderstand_types::names;
@@ -59,6 +59,8 @@
     pub request_id_hash: u64,
     /// The prompt's prefixes.
     pub prompt_prefixes: prefixes::PrefixChain,
+    /// How far the stream has come, if it is one.
+    pub progress: continuations::Progress,
     /// Targets that were tried.
     pub tried_targets: Vec<targets::TargetKey>,
     /// Number of attempts that the target reported as not run.
@@ -148,6 +150,7 @@
     shared: Rc<router::Shared<P>>,
     key: targets::TargetKey,
     target: Option<(targets::Incarnation, SocketAddr)>,
+    version: Option<names::SoftwareVersion>,
     started_at: Instant,
     requested: Option<choose::RequestedModel>,
     expected_tokens: u64,
@@ -165,6 +168,7 @@
                 .targets
                 .get(key)
                 .map(|target| (target.entry.incarnation(), target.entry.addr)),
+            version: view.targets.get(key).and_then(|target| target.version().cloned()),
             started_at: shared.clock.now(),
             requested,
             expected_tokens: job.expected_tokens(),
@@ -191,6 +195,11 @@
         self.target.as_ref()
     }
 
+    /// The target's software version when the request was sent, if it was known.
+    pub const fn version(&self) -> Option<&names::SoftwareVersion> {
+        self.version.as_ref()
+    }
+
     /// When the request was sent.
     pub const fn started_at(&self) -> Instant {
         self.started_at
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod close_delimited;
 pub mod config_proof;
 pub mod content;
+pub mod continuations;
 pub mod control;
 pub mod decisions;
 pub mod dialect;
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of a router, in the Prometheus text format.
 
-use crate::{body_end, config_proof, dialect::Subject, job, quotas, router, server, stream};
+use crate::{
+    body_end, config_proof, continuations, dialect::Subject, job, quotas, router, server, stream,
+};
 use corianderstand_fleet::{config, exits};
 use corianderstand_schema::peers::StoreUse;
 use prometheus_client::{
@@ -52,6 +54,11 @@
     concluded: &'static str,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct KnownFromLabel {
+    known_from: &'static str,
+}
+
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
 struct OutcomeLabel {
     outcome: &'static str,
@@ -70,6 +77,8 @@
     refusals: Family<ReasonLabel, Counter>,
     attempts_failed: Family<ReasonLabel, Counter>,
     answers_ended: Family<AnswerEndLabels, Counter>,
+    streams_taken_up: Family<KnownFromLabel, Counter>,
+    remembered_streams: Gauge,
     targets_ended_under_requests: Family<ConfirmationLabel, Counter>,
     blocked_requests: Gauge,
     callers_left: Counter,
@@ -109,6 +118,8 @@
             refusals: Family::default(),
             attempts_failed: Family::default(),
             answers_ended: Family::default(),
+            streams_taken_up: Family::default(),
+            remembered_streams: Gauge::default(),
             targets_ended_under_requests: Family::default(),
             blocked_requests: Gauge::default(),
             callers_left: Counter::default(),
@@ -156,6 +167,16 @@
             "Ends of targets' answers, by how they were delimited and what was concluded",
             self.answers_ended.clone(),
         );
+        r.register(
+            "streams_taken_up",
+            "Requests that take up a stream, by who knows its software version",
+            self.streams_taken_up.clone(),
+        );
+        r.register(
+            "remembered_streams",
+            "Streams whose software version this router remembers",
+            self.remembered_streams.clone(),
+        );
         r.register(
             "targets_ended_under_requests",
             "Attempts whose target ended before its response was complete",
@@ -285,6 +306,11 @@
         self.answers_ended.get_or_create(&AnswerEndLabels { framing, concluded }).inc();
     }
 
+    /// Counts a request that takes up a stream.
+    pub fn stream_resolved(&self, known_from: &'static str) {
+        self.streams_taken_up.get_or_create(&KnownFromLabel { known_from }).inc();
+    }
+
     /// Counts a refused request.
     pub fn request_refused(&self, reason: &str) {
         self.refusals.get_or_create(&ReasonLabel { reason: reason.into() }).inc();
@@ -369,6 +395,7 @@
         self.waiting_requests
             .set(view.waiting_requests.values().map(|&count| i64::from(count)).sum());
         self.targets.set(view.targets.len() as i64);
+        self.remembered_streams.set(continuations::remembered(shared) as i64);
         let limited = view.targets.iter().filter(|(_, target)| target.request_limit.is_some());
         self.limited_targets.set(limited.count() as i64);
         let proof_age = config_proof::age(shared);
--- a/crates/corianderstand_forward/src/pending.rs
+++ b/crates/corianderstand_forward/src/pending.rs
@@ -26,7 +26,7 @@
     }
 }
 
-impl<T: Copy> Pending<T> {
+impl<T> Pending<T> {
     /// Registers a request under an id that is unique among all incarnations of all processes.
     pub fn register(&self, incarnation: u64) -> Waiter<'_, T> {
         let number = self.last_sequence_number.get() + 1;
@@ -52,7 +52,7 @@
     response: Rc<Response<T>>,
 }
 
-impl<T: Copy> Waiter<'_, T> {
+impl<T> Waiter<'_, T> {
     /// Id of the request.
     pub const fn id(&self) -> u64 {
         self.id
--- a/crates/corianderstand_forward/src/resume.rs
+++ b/crates/corianderstand_forward/src/resume.rs
@@ -8,10 +8,9 @@
 pub async fn resume<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
     job: &mut job::Job,
-    last_event: Option<u64>,
 ) -> Result<attempt::Answered<P>, &'static str> {
     let key = find_other_target(shared, job).await?;
-    resume_at(shared, job, key, last_event).await
+    resume_at(shared, job, key).await
 }
 
 /// Chooses another target for a stream, and waits for it as [`waiting::find_target`] does.
@@ -30,14 +29,13 @@
     shared: &Rc<router::Shared<P>>,
     job: &mut job::Job,
     mut key: targets::TargetKey,
-    last_event: Option<u64>,
 ) -> Result<attempt::Answered<P>, &'static str> {
     let outcome = loop {
         if shared.block(shared.clock.now(), job).is_some() {
             return Err(exchange::BLOCKED);
         }
         job.tried_targets.push(key);
-        match attempt::attempt(shared, job, key, last_event).await {
+        match attempt::attempt(shared, job, key).await {
             attempt::AttemptOutcome::Left => {
                 exchange::record_left(shared, job);
                 let found = waiting::find_target(shared, job).await;
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -1,8 +1,9 @@
 //! The router process: settings, shared state, startup and shutdown.
 
 use crate::{
-    client, config_proof, control, decisions, dialect, follow, job, metrics, peers, pool, prefill,
-    quotas, readers, replicated_records, request_slots, server, target_reports, transfer, view,
+    client, config_proof, continuations, control, decisions, dialect, follow, job, metrics, peers,
+    pool, prefill, quotas, readers, replicated_records, request_slots, server, target_reports,
+    transfer, view,
 };
 use corianderstand_derives::derives;
 use corianderstand_fleet::{
@@ -133,6 +134,8 @@
     pub config_proof: config_proof::State,
     /// Quotas of workspaces.
     pub quotas: quotas::State,
+    /// Where streams began, and at which software versions.
+    pub continuations: continuations::State,
     /// Connections to targets.
     pub connection_pool: Rc<pool::Pool>,
     /// Requests that wait for prefill permits.
@@ -274,6 +277,9 @@
 
     /// Chooses a target for a request.
     pub fn choose_target(&self, now: Instant, job: &job::Job) -> choose::Choice {
+        if job.progress == continuations::Progress::Unknown {
+            return choose::Choice::NoVersion;
+        }
         let view = self.view.borrow();
         let engine = view.service(&job.service).and_then(|service| service.engine.as_ref());
         let query = choose::Query {
@@ -285,6 +291,7 @@
             zone: &self.settings.zone,
             tried: &job.tried_targets,
             hash: job.request_id_hash,
+            version: job.progress.continuation().map(continuations::Continuation::version),
             cached_prefix: view.cached_prefixes.find(&job.prompt_prefixes),
         };
         choose::choose(now, &view.targets, &query)
@@ -305,13 +312,14 @@
         choice: choose::Choice,
     ) -> wait_limit::Readiness {
         match choice {
-            choose::Choice::NoTarget => wait_limit::Readiness::Unknown,
+            choose::Choice::NoTarget | choose::Choice::NoVersion => wait_limit::Readiness::Unknown,
             choose::Choice::Full => wait_limit::Readiness::AtCapacity,
             choose::Choice::LoadAdapter(key) => self.view.borrow().adapter_readiness(now, key),
             _ => self.view.borrow().model_readiness(
                 now,
                 &job.service,
                 job.request.requested_model.as_ref(),
+                &job.progress,
             ),
         }
     }
@@ -322,10 +330,12 @@
         view.targets.get(key).map(|target| (target.entry.addr, target.entry.id.clone()))
     }
 
-    /// Whether a target chosen earlier still takes requests.
-    pub fn accepts_requests(&self, key: targets::TargetKey, now: Instant) -> bool {
+    /// Whether a target chosen earlier still takes the request.
+    pub fn accepts(&self, key: targets::TargetKey, job: &job::Job, now: Instant) -> bool {
         let view = self.view.borrow();
-        view.targets.get(key).is_some_and(|target| target.accepts_requests(now))
+        view.targets
+            .get(key)
+            .is_some_and(|target| target.accepts_requests(now) && job.progress.allows(target))
     }
 
     /// Whether a target chosen earlier can still serve the request.
@@ -333,6 +343,7 @@
         let view = self.view.borrow();
         view.targets.get(key).is_some_and(|target| {
             target.accepts_requests(now)
+                && job.progress.allows(target)
                 && job.model().is_none_or(|model| target.serves(now, model))
         })
     }
@@ -392,6 +403,7 @@
             replicated_records: RefCell::default(),
             config_proof: config_proof::State::default(),
             quotas: quotas::State::default(),
+            continuations: continuations::State::default(),
             connection_pool: Rc::default(),
             prefill_permits: prefill::PendingPermits::default(),
             exits: RefCell::default(),
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -1,11 +1,11 @@
 //! Relays the events of one stream to the caller, and resumes it at another target when it breaks.
 
 use crate::{
-    attempt, body, body_end, decisions, dialect, ended_targets, exchange, job, pool, relay, resume,
-    router, target_reports,
+    attempt, body, body_end, continuations, decisions, dialect, ended_targets, exchange, job, pool,
+    relay, resume, router, target_reports,
 };
 use bytes::Bytes;
-use corianderstand_fleet::targets;
+use corianderstand_fleet::{streams, targets};
 use futures::{
     StreamExt,
     stream::{self, Peekable},
@@ -34,6 +34,10 @@
     job: job::Job,
     upstream: Option<Upstream<P>>,
     splitter: relay::EventSplitter,
+    /// Whether the caller has bytes of this answer.
+    has_forwarded: bool,
+    /// Where they began; none if that isn't known.
+    origin: Option<streams::Origin>,
     resumes: u32,
     has_ended: bool,
     timings: EventTimings,
@@ -120,6 +124,8 @@
         job,
         upstream: Some(upstream),
         splitter: relay::EventSplitter::default(),
+        has_forwarded: false,
+        origin: None,
         resumes: 0,
         has_ended: false,
         timings: EventTimings::default(),
@@ -177,8 +183,8 @@
                 Step::Silent => {
                     let Some(key) = self.find_other_target().await else { continue };
                     self.leave_target(SILENT);
-                    let last = self.last_event();
-                    let resumed = resume::resume_at(&self.shared, &mut self.job, key, last).await;
+                    self.update_progress();
+                    let resumed = resume::resume_at(&self.shared, &mut self.job, key).await;
                     if !self.continue_at(resumed) {
                         return self.abort(SILENT, exchange::Aborted::ByTarget);
                     }
@@ -189,8 +195,32 @@
 
     fn forward(&mut self, chunk: Bytes) -> Result<Option<Bytes>, relay::EventGap> {
         let complete = self.splitter.push(chunk.clone())?;
-        // A stream that can't be resumed needn't be cut at events.
-        Ok(if self.job.route.resumable { complete } else { Some(chunk) })
+        if !self.job.route.resumable {
+            // Needn't be cut at events.
+            return Ok(Some(chunk));
+        }
+        if complete.is_some() && !self.has_forwarded {
+            self.record_origin();
+        }
+        Ok(complete)
+    }
+
+    /// Remembers where the stream began, before its first event is forwarded.
+    fn record_origin(&mut self) {
+        self.has_forwarded = true;
+        let Some(upstream) = &self.upstream else { return };
+        self.origin = continuations::origin(&self.job, &upstream.in_flight);
+        if let Some(origin) = &self.origin {
+            continuations::record(&self.shared, &self.job.request, origin);
+        }
+    }
+
+    /// Sets at which version the stream may go on.
+    fn update_progress(&mut self) {
+        if self.has_forwarded {
+            let (origin, last_event) = (self.origin.as_ref(), self.last_event());
+            self.job.progress = continuations::progress(&self.shared, origin, last_event);
+        }
     }
 
     async fn step(&mut self) -> Step {
@@ -234,6 +264,7 @@
                     let now = self.shared.clock.now();
                     let key = upstream.in_flight.key();
                     let resumable = self.splitter.events() > 0 && self.job.route.resumable;
+                    self.update_progress();
                     if now < end && resumable && self.shared.has_alternative(now, &self.job, key) {
                         return Step::Silent;
                     }
@@ -336,8 +367,8 @@
             return false;
         }
         self.record_idle();
-        let last = self.last_event();
-        let resumed = resume::resume(&self.shared, &mut self.job, last).await;
+        self.update_progress();
+        let resumed = resume::resume(&self.shared, &mut self.job).await;
         self.continue_at(resumed)
     }
 
--- a/crates/corianderstand_forward/src/view.rs
+++ b/crates/corianderstand_forward/src/view.rs
@@ -1,5 +1,6 @@
 //! A router's local view of the fleet, and notifications of its changes.
 
+use crate::continuations;
 use corianderstand_fleet::{
     budget, choose, config, demand, prefixes, routes, snapshot, targets, wait_limit,
 };
@@ -73,12 +74,13 @@
         }
     }
 
-    /// Estimates when a model is ready on any engine of a service.
+    /// Estimates when a model is ready on any engine of a service that may serve the request.
     pub fn model_readiness(
         &self,
         now: Instant,
         service: &names::ServiceId,
         requested: Option<&choose::RequestedModel>,
+        progress: &continuations::Progress,
     ) -> wait_limit::Readiness {
         let Some(requested) = requested else { return wait_limit::Readiness::Unknown };
         let spec = self.service(service).and_then(|service| service.engine.as_ref());
@@ -87,7 +89,8 @@
         };
         let mut fastest: Option<std::time::Duration> = None;
         for (key, target) in self.targets.iter() {
-            if target.entry.service != *service || !target.accepts_requests(now) {
+            let is_usable = target.accepts_requests(now) && progress.allows(target);
+            if target.entry.service != *service || !is_usable {
                 continue;
             }
             if target.serves(now, &requested.model) {
@@ -113,6 +116,8 @@
             let (time, _) = snapshot::load_source(&view, model);
             fastest = Some(fastest.map_or(time, |least| least.min(time)));
         }
+        // Models are loaded where requests of any version need them, not for the rest of a stream.
+        let fastest = fastest.filter(|_| *progress == continuations::Progress::Fresh);
         fastest.map_or(wait_limit::Readiness::Unknown, wait_limit::Readiness::LoadTime)
     }
 }
--- a/crates/corianderstand_forward/src/waiting.rs
+++ b/crates/corianderstand_forward/src/waiting.rs
@@ -76,7 +76,8 @@
             choose::Choice::LoadAdapter(_)
             | choose::Choice::Full
             | choose::Choice::Cold
-            | choose::Choice::NoTarget => {
+            | choose::Choice::NoTarget
+            | choose::Choice::NoVersion => {
                 if let choose::Choice::LoadAdapter(key) = choice {
                     shared.request_adapter(key, job);
                 }
@@ -140,6 +141,7 @@
         choose::Choice::Full => "all targets are full",
         choose::Choice::Cold => "the model cannot be there in time",
         choose::Choice::NoTarget => "no target can be used",
+        choose::Choice::NoVersion => "no target of the stream's version is left",
         choose::Choice::LoadAdapter(_) => "the adapter was not loaded in time",
         choose::Choice::Send(_) => "the time is over",
     }
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -338,7 +338,7 @@
             slots: 8,
             draining: false,
             shutdown_in: None,
-            version: None,
+            version: Some("v1".into()),
             holdings: targets::Holdings::default(),
         }
     }
--- a/crates/corianderstand_forward/tests/common/platform.rs
+++ b/crates/corianderstand_forward/tests/common/platform.rs
@@ -222,8 +222,11 @@
         if let Some(workspace) = forwarded.workspace {
             headers.insert("x-workspace", HeaderValue::from_str(workspace.as_str()).unwrap());
         }
-        if let Some(last) = forwarded.last_event_id {
-            headers.insert("x-last-event", HeaderValue::from(last));
+        if let Some(progress) = forwarded.progress {
+            headers.remove("x-last-event");
+            if let Some(continuation) = progress.continuation() {
+                headers.insert("x-last-event", HeaderValue::from(continuation.last_event()));
+            }
         }
     }
 
