A target's version is unknown from the end of its process until its entry is renewed

What callers could see (tests only: suspected): a stream that goes on at an engine that a release started again at another version, in place or under another name, before its entry says so. Cause: the entry that an agent's report derives took the version over, a refused connection left it as it was, and an entry of another version with a lower renewal count was ignored as an old one.

Change: derived entries have no version, a refused connection makes it unknown until the next entry, and an entry with another version is another incarnation.

--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -183,6 +183,7 @@
             renewals: 0,
             draining: false,
             shutdown_in: None,
+            version: None,
             holdings,
             ..previous
         };
@@ -209,14 +210,16 @@
         };
         let target = &mut self.arena[key];
         let starts_draining = entry.draining && !target.entry.draining;
+        let has_other_version = has_other_version(&entry, target);
         if entry.started_at_ms < target.entry.started_at_ms
             || (entry.started_at_ms == target.entry.started_at_ms
                 && entry.renewals < target.entry.renewals
-                && !starts_draining)
+                && !starts_draining
+                && !has_other_version)
         {
             return RegistrationChange::Stale;
         }
-        if entry.started_at_ms > target.entry.started_at_ms {
+        if entry.started_at_ms > target.entry.started_at_ms || has_other_version {
             self.replaced.push(target.entry.incarnation());
             self.remove_target(now, key);
             self.insert(now, entry);
@@ -228,6 +231,7 @@
         target.entry.draining |= entry.draining;
         target.entry.slots = entry.slots;
         target.entry.version = entry.version;
+        target.may_be_replaced = false;
         if let Some(shutdown_in) = entry.shutdown_in {
             target.shutdown_at.get_or_insert(now + shutdown_in);
         }
@@ -264,6 +268,7 @@
                 holdings: Holdings::default(),
                 draining: false,
                 shutdown_in: None,
+                version: None,
                 ..target.entry.clone()
             };
             self.replaced.push(self.arena[key].entry.incarnation());
@@ -401,3 +406,11 @@
         }
     }
 }
+
+/// Whether an entry is that of another process at the same name, which doesn't report when it started.
+fn has_other_version(entry: &Entry, target: &Target) -> bool {
+    match (&entry.version, &target.entry.version) {
+        (Some(new), Some(known)) => new != known,
+        _ => false,
+    }
+}
--- a/crates/corianderstand_fleet/src/targets/target.rs
+++ b/crates/corianderstand_fleet/src/targets/target.rs
@@ -55,6 +55,8 @@
     /// When its agent reported it, if nobody else has.
     pub(super) inferred_at: Option<Instant>,
     pub(super) ejected_until: Option<Instant>,
+    /// Whether its process may have been replaced since its entry was read.
+    pub(super) may_be_replaced: bool,
 }
 
 impl Target {
@@ -80,6 +82,7 @@
             missing_since: None,
             inferred_at: None,
             ejected_until: None,
+            may_be_replaced: false,
         }
     }
 
@@ -91,11 +94,13 @@
     /// Ejects the target after it refused a connection.
     pub fn record_unreachable(&mut self, now: Instant) {
         self.ejected_until = Some(now + UNREACHABLE_EJECTION_TIME);
+        self.may_be_replaced = true;
     }
 
-    /// Version of the software that it runs, if known.
+    /// Version of the software that it runs. Unknown after its process ended, until its entry is renewed: a release
+    /// may start it again under its name.
     pub fn version(&self) -> Option<&names::SoftwareVersion> {
-        self.entry.version.as_ref()
+        self.entry.version.as_ref().filter(|_| !self.may_be_replaced)
     }
 
     /// Number of in-flight requests of this process, by model.
