An open end of an answer is whole if its target answers a health check

Cause: the lack of a sign within a time was taken for a sign of life.

Change: the probe is a health check, and any answer to it by that target, healthy or not, is the sign. A closed connection or another name: it has ended. Silence for 300 ms: whole, as a process that has ended doesn't keep connections open, and a check may wait for a slot. It costs a check and a connection for each answer without a length.

--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -1,8 +1,9 @@
 //! Relates targets that ended to the requests that they were running.
 
-use crate::{body_end, job, router, target_reports};
-use corianderstand_derives::derives;
+use crate::{body_end, job, pool, router, target_reports};
 use corianderstand_fleet::{exits, targets};
+use corianderstand_types::names;
+use http::{Request, header};
 use std::{
     io,
     net::SocketAddr,
@@ -12,7 +13,9 @@
 
 /// Time for an agent to report the end of its engine, before the address is probed.
 const AGENT_REPORT_TIME: Duration = Duration::from_millis(350);
-/// Time for a process that ends to close its listener, or for a proxy to close a connection to it.
+/// Time for a target to answer a health check, which may wait for a slot.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for a process that ends to close its listener.
 const PROBE_DELAY: Duration = Duration::from_millis(10);
 
 /// Records that the connection of an attempt broke before its response was complete.
@@ -36,7 +39,7 @@
     }
 }
 
-/// Decides whether an answer is whole. One that its connection leaves open is whole if its target lives on.
+/// Decides whether an answer is whole. One that its connection leaves open is whole if its target answers a health check.
 pub async fn conclude<P: router::Platform>(
     shared: &router::Shared<P>,
     job: &job::Job,
@@ -46,7 +49,7 @@
     let concluded = match read.end() {
         body_end::End::Whole(whole) => Ok(whole),
         body_end::End::Broken(why) => Err(why),
-        body_end::End::Open(_) if has_ended(shared, in_flight).await => {
+        body_end::End::Open(_) if has_ended(shared, job, in_flight).await => {
             Err(body_end::Break::TargetEnded)
         }
         body_end::End::Open(open) => Ok(open.presume_whole()),
@@ -57,6 +60,7 @@
 
 async fn has_ended<P: router::Platform>(
     shared: &router::Shared<P>,
+    job: &job::Job,
     in_flight: &job::InFlight<P>,
 ) -> bool {
     let Some((target, addr)) = in_flight.target() else { return true };
@@ -66,42 +70,73 @@
         let current = view.targets.get(in_flight.key());
         current.is_some_and(|current| current.entry.incarnation().matches(target))
     };
-    !is_current || probe(shared, in_flight.key(), target, *addr).await == Probe::Ended
+    if !is_current {
+        return true;
+    }
+    let lease = match open(shared, in_flight.key(), target, *addr).await {
+        Ok(lease) => lease,
+        Err(error) => return error.kind() == io::ErrorKind::ConnectionRefused,
+    };
+    let answered = tokio::time::timeout(HEALTH_TIMEOUT, ask_health(shared, job, lease)).await;
+    // A target that is silent is busy: one that ended has its connections closed.
+    answered.is_ok_and(|answered_by| match answered_by {
+        Answerer::Nobody => true,
+        Answerer::Unnamed => false,
+        Answerer::Named(id) => id != target.id,
+    })
 }
 
-#[derives(key)]
-enum Probe {
-    TakesConnections,
-    /// It refuses connections, or something before it closes them at once.
-    Ended,
-    Unknown,
+/// Who answered a health check.
+enum Answerer {
+    Nobody,
+    Unnamed,
+    Named(names::TargetId),
 }
 
-/// Opens a connection for later requests; records the end of a target that refuses it.
-async fn probe<P: router::Platform>(
+/// Asks for the health of a target; whatever it answers, it is there. A proxy before a target that has ended takes
+/// the connection and closes it.
+async fn ask_health<P: router::Platform>(
+    shared: &router::Shared<P>,
+    job: &job::Job,
+    mut lease: pool::Lease,
+) -> Answerer {
+    let path = {
+        let view = shared.view.borrow();
+        view.service(&job.service).map(|service| service.health_path.clone()).unwrap_or_default()
+    };
+    let req = Request::builder().uri(path.as_str()).header(header::HOST, lease.addr.to_string());
+    let Ok(req) = req.body(pool::Body::default()) else {
+        tracing::debug!(%path, "the service's health path is no valid URI: its targets can't be asked");
+        return Answerer::Unnamed;
+    };
+    match lease.sender.send_request(req).await {
+        Ok(response) => {
+            let status = response.status();
+            let head = shared.platform.parse_response(status, response.headers());
+            head.target.map_or(Answerer::Unnamed, Answerer::Named)
+        }
+        Err(error) => {
+            tracing::debug!(addr = %lease.addr, %error, "no answer to a health check");
+            Answerer::Nobody
+        }
+    }
+}
+
+/// Opens a connection; records the end of a target that refuses it.
+async fn open<P: router::Platform>(
     shared: &router::Shared<P>,
     key: targets::TargetKey,
     target: &targets::Incarnation,
     addr: SocketAddr,
-) -> Probe {
-    match shared.connection_pool.open(addr).await {
-        Ok(lease) => {
-            tokio::time::sleep(PROBE_DELAY).await;
-            if lease.sender.is_closed() {
-                return Probe::Ended;
-            }
-            shared.connection_pool.release(shared.clock.now(), lease, None);
-            Probe::TakesConnections
-        }
-        Err(error) => {
-            shared.record_connection_failure(key, &error);
-            if error.kind() != io::ErrorKind::ConnectionRefused {
-                return Probe::Unknown;
-            }
+) -> Result<pool::Lease, io::Error> {
+    let opened = shared.connection_pool.open(addr).await;
+    if let Err(error) = &opened {
+        shared.record_connection_failure(key, error);
+        if error.kind() == io::ErrorKind::ConnectionRefused {
             record_exit(shared, shared.clock.now(), target, exits::Confirmation::Refused);
-            Probe::Ended
         }
     }
+    opened
 }
 
 /// Records that a target failed an attempt with an error: it may end because of the request all the
@@ -205,7 +240,8 @@
         if !shared.exits.borrow_mut().start_probe(shared.clock.now(), &target) {
             return;
         }
-        let probed = probe(&shared, key, &target, addr).await;
-        tracing::debug!(target = %target.id, ?probed, "target probed");
+        if let Ok(lease) = open(&shared, key, &target, addr).await {
+            shared.connection_pool.release(shared.clock.now(), lease, None);
+        }
     });
 }
--- a/crates/corianderstand_forward/tests/broken_answers.rs
+++ b/crates/corianderstand_forward/tests/broken_answers.rs
@@ -257,6 +257,27 @@
     }
 }
 
+/// Guards against an engine that ended and was started again before the router asked.
+#[rstest]
+#[case::the_same("target-0", true)]
+#[case::another("target-9", false)]
+#[tokio::test]
+async fn an_answer_without_a_length_is_complete_if_its_target_answers_a_health_check(
+    #[case] answered_by: &str,
+    #[case] is_whole: bool,
+) {
+    let target = Target::start().await;
+    let router = start(pay(), &[&target]).await;
+    let mut caller = send(&router).await;
+    answer_until_close(target.next().await, "paid").await;
+    let check = target.next().await;
+    assert!(check.head.starts_with("get /well"), "{}", check.head);
+    let head = format!("HTTP/1.1 503 Busy\r\nx-target: {answered_by}\r\nContent-Length: 0\r\n\r\n");
+    check.answer(&head).await;
+    let (answer, _) = read_to_end(&mut caller).await;
+    assert_eq!(answer.starts_with("HTTP/1.1 200"), is_whole, "{answer}");
+}
+
 /// Guards against a lookup that is lost although another target has the answer.
 #[rstest]
 #[case::of_a_target_that_ends("fou", true)]
