Soak: engines of several software versions, and callers who take streams up at other routers

Callers whose chat broke off, and one in seven who closes the connection on purpose, take it up at a drawn router, up to three times; the request that brought the first event is named.

--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -2,10 +2,11 @@
 
 use crate::{
     cluster::{HOST, MODELS},
+    streams::{self, TakeUp},
     workspaces::Workspace,
 };
 use bytes::Bytes;
-use corianderstand_platform_standins::target::CRASHING_BODY;
+use corianderstand_platform_standins::target::{CRASHING_BODY, EVENTS_PER_STREAM};
 use http::{HeaderMap, Method, Request, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
@@ -76,6 +77,8 @@
     /// Requested model; only streams send it.
     pub model: &'static str,
     pub router_index: usize,
+    /// The stream that it takes up.
+    pub take_up: Option<TakeUp>,
     pub started_at: Instant,
     pub ended_at: Instant,
     pub outcome: Outcome,
@@ -87,9 +90,20 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 const MAX_REQUEST_PAUSE_MS: u64 = 60;
+/// Share of the callers of streams that close their connection and take the stream up elsewhere.
+const LEAVING_RATIO: f64 = 0.15;
+/// Times that a caller takes up a stream.
+const MAX_RETURNS: u32 = 3;
 /// One request in this many is sent in HTTP/1.0.
 const HTTP_1_0_DIVISOR: u64 = 7;
 
+/// A stream that broke off and is to be taken up.
+struct BrokenStream {
+    take_up: TakeUp,
+    model: &'static str,
+    returns: u32,
+}
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 #[derive(Debug)]
@@ -146,10 +160,20 @@
     let mut connection: Option<(usize, Sender)> = None;
     let workspace = Workspace::of_caller(caller);
     let mut request_number = 0_u64;
+    let mut broken: Option<BrokenStream> = None;
     while !stop.load(Ordering::Relaxed) {
         request_number += 1;
-        let kind = RequestKind::ALL[rng.random_range(0..RequestKind::ALL.len())];
-        let model = MODELS[rng.random_range(0..MODELS.len())];
+        let returning = broken.take().filter(|broken| broken.returns < MAX_RETURNS);
+        let drawn = RequestKind::ALL[rng.random_range(0..RequestKind::ALL.len())];
+        let kind = if returning.is_some() { RequestKind::Chat } else { drawn };
+        let drawn = MODELS[rng.random_range(0..MODELS.len())];
+        let model = returning.as_ref().map_or(drawn, |broken| broken.model);
+        let take_up = returning.as_ref().map(|broken| broken.take_up.clone());
+        if returning.is_some() {
+            connection = None;
+        }
+        let leaves_after = (kind == RequestKind::Chat && rng.random_bool(LEAVING_RATIO))
+            .then(|| rng.random_range(1..EVENTS_PER_STREAM as usize));
         let id = format!("c{caller}-{request_number}");
         let router = match &connection {
             Some((router, sender)) if !sender.is_closed() => *router,
@@ -160,8 +184,24 @@
         // Drafts differ from one another; the other requests are the same each time.
         let body = if kind == RequestKind::Draft { id.clone().into() } else { Bytes::new() };
         let started_at = Instant::now();
+        let spec = RequestSpec {
+            kind,
+            workspace,
+            id: &id,
+            model,
+            body,
+            take_up: take_up.as_ref(),
+            leaves_after,
+        };
         let (outcome, headers, sender) =
-            send_request(router_addresses[router], sender, kind, workspace, &id, model, body).await;
+            send_request(router_addresses[router], sender, &spec).await;
+        broken = streams::take_up(&id, take_up.as_ref(), &outcome)
+            .filter(|_| kind == RequestKind::Chat && !is_complete(&outcome))
+            .map(|take_up| BrokenStream {
+                take_up,
+                model,
+                returns: returning.map_or(0, |returning| returning.returns + 1),
+            });
         let closes = headers.get("connection").is_some_and(|value| value == "close");
         connection = sender.filter(|_| !closes).map(|sender| (router, sender));
         let delay = match &outcome {
@@ -178,6 +218,7 @@
             workspace,
             model,
             router_index: router,
+            take_up,
             started_at,
             ended_at: Instant::now(),
             outcome,
@@ -205,10 +246,16 @@
         let router_index = rng.random_range(0..router_addresses.len());
         let started_at = Instant::now();
         let (kind, workspace) = (RequestKind::Chat, Workspace::Steady);
-        let body = Bytes::from_static(CRASHING_BODY);
-        let (outcome, ..) =
-            send_request(router_addresses[router_index], None, kind, workspace, &id, model, body)
-                .await;
+        let spec = RequestSpec {
+            kind,
+            workspace,
+            id: &id,
+            model,
+            body: Bytes::from_static(CRASHING_BODY),
+            take_up: None,
+            leaves_after: None,
+        };
+        let (outcome, ..) = send_request(router_addresses[router_index], None, &spec).await;
         let ended_at = Instant::now();
         let record = RequestRecord {
             id,
@@ -216,6 +263,7 @@
             workspace,
             model,
             router_index,
+            take_up: None,
             started_at,
             ended_at,
             outcome,
@@ -237,16 +285,27 @@
     id.bytes().map(u64::from).sum::<u64>().is_multiple_of(HTTP_1_0_DIVISOR)
 }
 
+/// A request to send.
+#[derive(Debug)]
+pub struct RequestSpec<'a> {
+    pub kind: RequestKind,
+    pub workspace: Workspace,
+    pub id: &'a str,
+    pub model: &'a str,
+    pub body: Bytes,
+    /// The stream that it takes up.
+    pub take_up: Option<&'a TakeUp>,
+    /// Number of events after which the caller closes its connection.
+    pub leaves_after: Option<usize>,
+}
+
 /// Sends one request; returns the connection if it can be reused.
 pub async fn send_request(
     router_address: SocketAddr,
     connection: Option<Sender>,
-    kind: RequestKind,
-    workspace: Workspace,
-    id: &str,
-    model: &str,
-    body: Bytes,
+    spec: &RequestSpec<'_>,
 ) -> (Outcome, HeaderMap, Option<Sender>) {
+    let RequestSpec { kind, workspace, id, model, ref body, take_up, leaves_after } = *spec;
     let mut req = Request::builder().method(Method::POST).uri(kind.path()).header("host", HOST);
     if uses_http_1_0(id) {
         req = req.version(Version::HTTP_10);
@@ -257,9 +316,13 @@
     if kind.streams() {
         req = req.header("model", model).header("token-usage", "100,100");
     }
-    let req = req.body(Full::new(body)).expect("the parts are valid");
+    if let Some(TakeUp { began, last_event }) = take_up {
+        req = req.header("resumes", began).header("last-event-id", *last_event);
+    }
+    let req = req.body(Full::new(body.clone())).expect("the parts are valid");
     let limit = kind.deadline() + DEADLINE_GRACE;
-    match tokio::time::timeout(limit, send_and_receive(router_address, connection, req)).await {
+    let done = send_and_receive(router_address, connection, req, leaves_after);
+    match tokio::time::timeout(limit, done).await {
         Ok(done) => done,
         Err(_) => (Outcome::TimedOut, HeaderMap::new(), None),
     }
@@ -275,8 +338,11 @@
     let req = req.header("authorization", format!("Bearer {}", Workspace::Steady.key()));
     let req = req.header("deadline-ms", 1_000).body(Full::default());
     let req = req.expect("the parts are valid");
-    match tokio::time::timeout(DEADLINE_GRACE * 2, send_and_receive(router_address, None, req))
-        .await
+    match tokio::time::timeout(
+        DEADLINE_GRACE * 2,
+        send_and_receive(router_address, None, req, None),
+    )
+    .await
     {
         Ok((Outcome::Complete(status, _), ..)) => Some(status),
         _ => None,
@@ -291,6 +357,7 @@
     router_address: SocketAddr,
     connection: Option<Sender>,
     req: Request<Full<Bytes>>,
+    leaves_after: Option<usize>,
 ) -> (Outcome, HeaderMap, Option<Sender>) {
     let no_headers = HeaderMap::new;
     let sender = match connection {
@@ -302,7 +369,7 @@
         return (Outcome::Closed, no_headers(), None);
     };
     let (head, body) = answer.into_parts();
-    let (complete, text) = read_body(body).await;
+    let (complete, text) = read_body(body, leaves_after).await;
     let outcome = match complete {
         true => Outcome::Complete(head.status, text),
         false => Outcome::Truncated(head.status, text),
@@ -321,13 +388,24 @@
     Some(sender)
 }
 
-async fn read_body(mut body: Incoming) -> (bool, Bytes) {
+fn is_complete(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Complete(StatusCode::OK, _))
+}
+
+async fn read_body(mut body: Incoming, leaves_after: Option<usize>) -> (bool, Bytes) {
     let mut text = Vec::new();
+    let has_left = |text: &[u8]| {
+        let events = text.windows(2).filter(|window| window == b"\n\n").count();
+        leaves_after.is_some_and(|leaves_after| events >= leaves_after)
+    };
     while let Some(frame) = body.frame().await {
         match frame {
             Ok(frame) => text.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
             Err(_) => return (false, text.into()),
         }
+        if has_left(&text) {
+            return (false, text.into());
+        }
     }
     (true, text.into())
 }
--- a/tools/soak/src/checks.rs
+++ b/tools/soak/src/checks.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     callers::{CRASHING_ID_PREFIX, Outcome, RequestKind, RequestRecord},
-    workspaces,
+    streams, workspaces,
 };
-use corianderstand_platform_standins::{ledger::Ledger, target::EVENTS_PER_STREAM};
+use corianderstand_platform_standins::ledger::Ledger;
 use http::StatusCode;
 use std::{
     collections::BTreeMap,
@@ -36,7 +36,7 @@
         executed_twice(request, ledger),
         executed_though_rejected(request, ledger),
         wrong_response(request, ledger),
-        wrong_stream(request),
+        streams::wrong_stream(request),
         workspaces::credential_violation(request, ledger),
     ];
     violations
@@ -118,23 +118,6 @@
     wrong.then(|| format!("body differs from the target's: {body:?}"))
 }
 
-/// Checks that events arrive in order and once, and that a complete stream has all of them.
-fn wrong_stream(request: &RequestRecord) -> Option<String> {
-    let (complete, body) = match &request.outcome {
-        Outcome::Complete(StatusCode::OK, body) => (true, body),
-        Outcome::Truncated(StatusCode::OK, body) => (false, body),
-        _ => return None,
-    };
-    if !request.kind.streams() {
-        return None;
-    }
-    let text = String::from_utf8_lossy(body);
-    let expected: String =
-        (1..=EVENTS_PER_STREAM).map(|n| format!("id: {n}\ndata: {} {n}\n\n", request.id)).collect();
-    let correct = if complete { text == expected } else { expected.starts_with(&*text) };
-    (!correct).then(|| format!("wrong events in the stream (complete: {complete}): {text:?}"))
-}
-
 /// Text of the refusals of requests that ended their targets.
 const BLOCKED: &str = "ended the targets";
 /// Ends that are needed as evidence against a request.
--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -36,6 +36,8 @@
 const STARVED_STOP_TIME: Duration = Duration::from_millis(60);
 const STARVED_RUN_TIME: Duration = Duration::from_millis(20);
 const UNFRAMED_RESPONSES: UnframedResponses = UnframedResponses { ratio: 0.15, cut_ratio: 0.3 };
+/// Software versions of engines; a third one comes with restarts in place.
+const VERSIONS: u64 = 2;
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
 #[derive(Clone, Copy, Debug)]
@@ -111,6 +113,7 @@
     /// Proxy between routers and the target.
     pub target_proxy: proxy::Proxy,
     pub start_count: u64,
+    index: u64,
     name: String,
 }
 
@@ -119,6 +122,7 @@
         // It may have started again by itself.
         self.target.crash();
         self.start_count += 1;
+        self.target.set_version(1 + (self.index + self.start_count) % VERSIONS);
         let name = format!("{}-{}", self.name, self.start_count);
         let started_at_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let started_at_ms = started_at_ms.as_millis() as u64;
@@ -343,8 +347,13 @@
     };
     let target = Target::new(spec, store.clone(), ledger.clone(), cached_models);
     target.set_unframed(UNFRAMED_RESPONSES);
-    let mut target =
-        ProxiedTarget { target, target_proxy, start_count: 0, name: format!("{name}-{index}") };
+    let mut target = ProxiedTarget {
+        target,
+        target_proxy,
+        start_count: 0,
+        index: index as u64,
+        name: format!("{name}-{index}"),
+    };
     target.start().await;
     target
 }
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -11,6 +11,7 @@
 mod faults;
 mod leavings;
 mod proxy;
+mod streams;
 mod workspaces;
 
 use bytes::Bytes;
@@ -199,6 +200,8 @@
     let leaving = observed.check(size.drain_within);
     violations.extend(leaving.violations);
     delays.extend(leaving.delays);
+    let taken_up = streams::TakenUp::count(&requests);
+    violations.extend(taken_up.violation());
     violations.extend(checks::crashing_request(&requests, &cluster.ledger, &disruptions));
     violations.extend(checks::request_limits(&requests, &cluster.ledger, &disruptions));
     violations.extend(workspaces::revocation_violations(
@@ -210,6 +213,10 @@
     let overfilled = cluster.engines.iter().filter(|engine| engine.target.exceeded_capacity());
     violations.extend(overfilled.map(|engine| format!("commanded to load too much: {engine:?}")));
     println!("seed {seed}: {} requests {:?}", requests.len(), report.outcome_counts);
+    println!(
+        "seed {seed}: streams taken up by {} requests, {} went on, of two versions: {:?}",
+        taken_up.requests, taken_up.went_on, taken_up.mixed
+    );
     drop(cluster);
     if violations.is_empty() {
         std::fs::remove_dir_all(&dir).ok();
@@ -343,16 +350,16 @@
             loop {
                 probe_number += 1;
                 let id = format!("probe-{seed}-{probe_number}");
-                let (outcome, ..) = callers::send_request(
-                    router_address,
-                    None,
+                let probe = callers::RequestSpec {
                     kind,
-                    Workspace::Steady,
-                    &id,
+                    workspace: Workspace::Steady,
+                    id: &id,
                     model,
-                    Bytes::new(),
-                )
-                .await;
+                    body: Bytes::new(),
+                    take_up: None,
+                    leaves_after: None,
+                };
+                let (outcome, ..) = callers::send_request(router_address, None, &probe).await;
                 if matches!(outcome, Outcome::Complete(StatusCode::OK, _)) {
                     break;
                 }
