--- a/crates/corianderstand_fleet/src/choose.rs
+++ b/crates/corianderstand_fleet/src/choose.rs
@@ -130,13 +130,15 @@
     version.is_none_or(|version| target.version() == Some(version))
 }
 
-/// Whether the service has a target of the version that takes requests, or may again.
+/// Whether the service has a target of the version that takes the request, or may later.
 fn has_version(targets: &targets::Targets, query: &Query) -> bool {
-    let is_left = |target: &targets::Target| {
+    targets.iter().any(|(key, target)| {
         let version = target.entry.version.as_ref();
-        target.entry.service == *query.service && !target.entry.draining && version == query.version
-    };
-    targets.iter().any(|(_, target)| is_left(target))
+        target.entry.service == *query.service
+            && !target.entry.draining
+            && !query.tried.contains(&key)
+            && version == query.version
+    })
 }
 
 /// Prefers engines that hold the adapter, then engines without an ongoing command and with a free
--- a/crates/corianderstand_fleet/tests/software_versions.rs
+++ b/crates/corianderstand_fleet/tests/software_versions.rs
@@ -6,7 +6,7 @@
 use corianderstand_fleet::{
     choose,
     streams::{ORIGIN_TTL, Origin, Origins, StreamKey, VersionHistory},
-    targets::{AgentReport, EngineReplacement, Entry, Load, Targets},
+    targets::{AgentReport, EngineReplacement, Entry, Load, TargetKey, Targets},
 };
 use corianderstand_types::names::{SoftwareVersion, TargetId};
 use std::time::{Duration, Instant};
@@ -82,6 +82,15 @@
 }
 
 fn choose(now: Instant, targets: &Targets, version: &str) -> choose::Choice {
+    choose_after(now, targets, version, &[])
+}
+
+fn choose_after(
+    now: Instant,
+    targets: &Targets,
+    version: &str,
+    tried: &[TargetKey],
+) -> choose::Choice {
     let (service, zone, version) =
         (entry("e").service, entry("e").zone, SoftwareVersion::from(version));
     let query = choose::Query {
@@ -91,7 +100,7 @@
         cache_tokens: 0,
         adapter_slots: 0,
         zone: &zone,
-        tried: &[],
+        tried,
         hash: 7,
         version: Some(&version),
         cached_prefix: None,
@@ -107,6 +116,7 @@
     let e = targets.key(&"e".into()).unwrap();
     assert_eq!(choose(now, &targets, "v1"), choose::Choice::Send(e));
     assert_eq!(choose(now, &targets, "v3"), choose::Choice::NoVersion);
+    assert_eq!(choose_after(now, &targets, "v1", &[e]), choose::Choice::NoVersion, "it was tried");
     targets.get_mut(e).unwrap().record_unreachable(now);
     assert_eq!(choose(now, &targets, "v1"), choose::Choice::NoTarget, "it may return");
     let leaving = Entry { draining: true, renewals: 6, ..targets.get(e).unwrap().entry.clone() };
--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -313,6 +313,12 @@
         }
     }
 
+    /// Has all targets state a length or chunks from now on.
+    pub fn end_unframed_responses(&self) {
+        let targets = self.engines.iter().chain(&self.service_targets);
+        targets.for_each(|target| target.target.set_unframed(UnframedResponses::default()));
+    }
+
     pub async fn wait_ready(&mut self) {
         let poll = async {
             for router in &self.routers {
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -184,6 +184,7 @@
         started_at,
         ended_at: started_at,
     });
+    cluster.end_unframed_responses();
     violations.extend(check_recovery(&mut cluster, seed).await);
     let requests = callers.finish().await;
     tokio::time::sleep(SETTLE_TIME).await;
