One version is known to be the only one from the first start on, and through restarts of engines

Cause: a young router's history counted as incomplete also at the first start of the deployment, when no stream can have begun before; and a target of unknown version, one whose connection was refused among them, hid the only version for as long as streams are remembered.

Change: the first start counts as known; a target that hasn't registered is forgotten as unknown once it has; streams are remembered for 30 s, the longest wait of callers; a whole list of targets, which hides what came and went, starts the time anew, and a read that is late only keeps a router from answering.

--- a/crates/corianderstand_fleet/src/streams.rs
+++ b/crates/corianderstand_fleet/src/streams.rs
@@ -14,8 +14,8 @@
 };
 use xxhash_rust::xxh3;
 
-/// Time for which a stream's origin is kept: longer than callers wait for a stream, with all of their new tries.
-pub const ORIGIN_TTL: Duration = Duration::from_secs(60);
+/// Time for which a stream's origin is kept: as long as callers wait for a stream, with all of their new tries.
+pub const ORIGIN_TTL: Duration = Duration::from_secs(30);
 /// Some 8 MB. A router forwards some 25 streams a second; what exceeds this are the oldest.
 const MAX_ORIGINS: usize = 1 << 16;
 
@@ -111,34 +111,53 @@
 /// The software versions that services had lately.
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
-    /// When each version, or a target of unknown version, was last there.
-    last_seen: HashMap<(names::ServiceId, Option<names::SoftwareVersion>), Instant>,
-    /// Since when all targets have been known without a gap.
+    /// When each version was last there.
+    seen: HashMap<(names::ServiceId, names::SoftwareVersion), Instant>,
+    /// Targets that have not told their version yet, and when they were last there.
+    untold: HashMap<names::TargetId, (names::ServiceId, Instant)>,
+    /// Since when no version can have come and gone unnoticed.
     complete_since: Option<Instant>,
 }
 
 impl VersionHistory {
-    /// Records that a service has a target of a version, or one whose version is unknown.
+    /// Records that a target of a service is there.
     pub fn record(
         &mut self,
         now: Instant,
         service: &names::ServiceId,
+        target: &names::TargetId,
         version: Option<&names::SoftwareVersion>,
     ) {
-        self.last_seen.insert((service.clone(), version.cloned()), now);
+        match version {
+            Some(version) => {
+                self.untold.remove(target);
+                self.seen.insert((service.clone(), version.clone()), now);
+            }
+            None => drop(self.untold.insert(target.clone(), (service.clone(), now))),
+        }
     }
 
-    /// Records all targets; `is_current` tells whether they are known from a recent read of the store.
-    pub fn observe(&mut self, now: Instant, targets: &targets::Targets, is_current: bool) {
-        self.last_seen.retain(|_, at| now.saturating_duration_since(*at) < ORIGIN_TTL);
+    /// Records all targets.
+    pub fn observe(&mut self, now: Instant, targets: &targets::Targets) {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < ORIGIN_TTL;
+        self.seen.retain(|_, at| is_recent(at));
+        self.untold.retain(|_, (_, at)| is_recent(at));
         for (_, target) in targets.iter() {
-            let key = (target.entry.service.clone(), target.version().cloned());
-            self.last_seen.insert(key, now);
+            let entry = &target.entry;
+            self.record(now, &entry.service, &entry.id, entry.version.as_ref());
         }
-        if is_current {
-            self.complete_since.get_or_insert(now);
-        } else {
-            self.complete_since = None;
+    }
+
+    /// Records that all targets are known from now on. If no stream can have begun before, the history is complete.
+    pub fn begin(&mut self, now: Instant, is_first_start: bool) {
+        let since = if is_first_start { now.checked_sub(ORIGIN_TTL) } else { None };
+        self.complete_since.get_or_insert(since.unwrap_or(now));
+    }
+
+    /// Records that changes may have been missed until now.
+    pub fn interrupt(&mut self, now: Instant) {
+        if self.complete_since.is_some() {
+            self.complete_since = Some(now);
         }
     }
 
@@ -149,14 +168,14 @@
         now: Instant,
         service: &names::ServiceId,
     ) -> Option<&names::SoftwareVersion> {
-        let since = self.complete_since?;
-        if now.saturating_duration_since(since) < ORIGIN_TTL {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < ORIGIN_TTL;
+        if self.complete_since.is_none_or(|since| is_recent(&since))
+            || self.untold.values().any(|(of, at)| of == service && is_recent(at))
+        {
             return None;
         }
-        let mut seen = self.last_seen.iter().filter(|((of, _), at)| {
-            of == service && now.saturating_duration_since(**at) < ORIGIN_TTL
-        });
+        let mut seen = self.seen.iter().filter(|((of, _), at)| of == service && is_recent(at));
         let ((_, version), _) = seen.next()?;
-        if seen.next().is_some() { None } else { version.as_ref() }
+        seen.next().is_none().then_some(version)
     }
 }
--- a/crates/corianderstand_forward/src/continuations.rs
+++ b/crates/corianderstand_forward/src/continuations.rs
@@ -141,7 +141,7 @@
         return Progress::Fresh;
     }
     let key = request.resumes.as_ref().map(|id| streams::StreamKey::of(id));
-    let known = find(shared, key, service).await;
+    let known = find(shared, key, job).await;
     log_resolved(shared, request, service, known.as_ref());
     Progress::after(known.map(|known| known.version), last_event)
 }
@@ -177,8 +177,9 @@
 async fn find<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
     key: Option<streams::StreamKey>,
-    service: &names::ServiceId,
+    job: &job::Job,
 ) -> Option<Known> {
+    let service = &job.service;
     if let Some(known) = key.and_then(|key| find_own(shared, key)) {
         return Some(known);
     }
@@ -196,6 +197,8 @@
         }
         sole = sole.or_else(|| non_empty(&answer.sole));
     }
+    // A stream of a longer route may have begun before what is remembered.
+    let sole = sole.filter(|_| job.route.timeout <= streams::ORIGIN_TTL);
     sole.map(|version| Known { version, source: Source::SoleVersion, age: None })
 }
 
@@ -279,7 +282,7 @@
     let mut kept = shared.continuations.origins.borrow_mut();
     let mut history = shared.continuations.history.borrow_mut();
     for (key, origin) in origins.streams.into_iter().map(from_wire) {
-        history.record(now, &origin.service, origin.version.as_ref());
+        history.record(now, &origin.service, &origin.target.id, origin.version.as_ref());
         kept.record(now, key, origin);
     }
 }
@@ -297,7 +300,7 @@
     let state = &shared.continuations;
     state.origins.borrow_mut().record(now, key, origin.clone());
     let version = origin.version.as_ref();
-    state.history.borrow_mut().record(now, &origin.service, version);
+    state.history.borrow_mut().record(now, &origin.service, &origin.target.id, version);
     if sole_version(shared, &origin.service).is_none() {
         tell(shared, [(key, origin.clone())].into_iter());
     }
@@ -326,10 +329,10 @@
 /// that began before.
 pub fn observe_versions<P: router::Platform>(shared: &router::Shared<P>, now: Instant) {
     let state = &shared.continuations;
-    let max_age = shared.bounds.borrow().drain_within * MAX_TARGETS_AGE_RATIO;
-    let age = shared.replicated_records.borrow().since_store_read(now, dialect::Subject::Targets);
-    let is_current = age.is_some_and(|age| age <= max_age);
-    state.history.borrow_mut().observe(now, &shared.view.borrow().targets, is_current);
+    state.history.borrow_mut().observe(now, &shared.view.borrow().targets);
+    if is_current(shared, now) {
+        state.history.borrow_mut().begin(now, shared.settings.is_first_start);
+    }
     let services: Vec<names::ServiceId> = {
         let view = shared.view.borrow();
         let config = view.route_table.as_ref().map(|table| table.config());
@@ -350,11 +353,26 @@
     }
 }
 
+/// Records that changes of targets may have been missed: what came is what there is now.
+pub fn record_missed_changes<P>(shared: &router::Shared<P>) {
+    shared.continuations.history.borrow_mut().interrupt(shared.clock.now());
+}
+
+/// Whether the targets are known from a recent read of the store.
+fn is_current<P>(shared: &router::Shared<P>, now: Instant) -> bool {
+    let max_age = shared.bounds.borrow().drain_within * MAX_TARGETS_AGE_RATIO;
+    let age = shared.replicated_records.borrow().since_store_read(now, dialect::Subject::Targets);
+    age.is_some_and(|age| age <= max_age)
+}
+
 fn sole_version<P: router::Platform>(
     shared: &router::Shared<P>,
     service: &names::ServiceId,
 ) -> Option<names::SoftwareVersion> {
     let now = shared.clock.now();
+    if !is_current(shared, now) {
+        return None;
+    }
     shared.continuations.history.borrow().sole(now, service).cloned()
 }
 
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -5,7 +5,10 @@
 
 pub mod via_readers;
 
-use crate::{config_proof, dialect, ended_targets, readers, replicated_records, router, status};
+use crate::{
+    config_proof, continuations, dialect, ended_targets, readers, replicated_records, router,
+    status,
+};
 use corianderstand_fleet::{config, routes, targets};
 use dialect::Subject;
 use replicated_records::{Origin, PageEnd, Source};
@@ -244,6 +247,9 @@
     page: dialect::Page,
 ) {
     let end = PageEnd::from(&page);
+    if page.whole && subject == Subject::Targets {
+        continuations::record_missed_changes(shared);
+    }
     let newer = shared.replicated_records.borrow().newer(subject, page);
     for record in newer {
         apply_record(shared, subject, source, record);
--- a/crates/corianderstand_forward/tests/software_versions.rs
+++ b/crates/corianderstand_forward/tests/software_versions.rs
@@ -67,6 +67,15 @@
     tokio::time::timeout(common::WAIT_LIMIT, known).await.expect("the targets become known");
 }
 
+async fn wait_for_peer(router: &RouterThread) {
+    let knows_peer = async {
+        while !common::get(router.metrics, "/metrics", &[]).await.unwrap().contains("\npeers 1\n") {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(common::WAIT_LIMIT, knows_peer).await.expect("the routers meet");
+}
+
 async fn gets_nothing(target: &Target) {
     assert!(tokio::time::timeout(QUIET_TIME, target.next_or_wait()).await.is_err());
 }
@@ -180,12 +189,7 @@
     let next_router = RouterThread::start_on(&store, settings);
     router.wait_ready().await;
     next_router.wait_ready().await;
-    let knows_peer = async {
-        while !common::get(router.metrics, "/metrics", &[]).await.unwrap().contains("\npeers 1\n") {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    tokio::time::timeout(common::WAIT_LIMIT, knows_peer).await.expect("the routers meet");
+    wait_for_peer(&router).await;
     let mut caller = send(&router, "a", None).await;
     let mut request = first.next().await;
     begin_with_event(&mut request, "a", 0).await;
@@ -305,3 +309,37 @@
     };
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
 }
+
+/// Guards against refusals where nothing tells which stream is taken up, and only one version ever served.
+#[rstest]
+#[case::at_a_router_that_knows(true)]
+#[case::at_a_router_that_asks_another(false)]
+#[tokio::test]
+async fn an_unnamed_stream_goes_on_where_only_one_version_has_served(#[case] knows: bool) {
+    let target = Target::start().await;
+    let store = store();
+    store.put_target(entry(&target, "one", "v1"));
+    let settings = |name, seeds, is_first_start| corianderstand_forward::router::Settings {
+        is_first_start,
+        ..RouterThread::settings(name, seeds, Duration::from_secs(8))
+    };
+    let first = RouterThread::start_on(&store, settings("router-a", Vec::new(), true));
+    let next = RouterThread::start_on(&store, settings("router-b", vec![first.peers], false));
+    first.wait_ready().await;
+    next.wait_ready().await;
+    wait_for_peer(&first).await;
+    wait_for_peer(&next).await;
+    let router = if knows { &first } else { &next };
+    let headers = [("x-id", "b"), ("x-last-event", "3")];
+    // The control loop notices within a turn that the targets are known.
+    let request = loop {
+        let mut caller = common::send(router.front, "POST", "/chat/1", &headers, "").await.unwrap();
+        tokio::select! {
+            request = target.next() => break request,
+            answer = common::read_all(&mut caller) => {
+                assert!(answer.unwrap().starts_with("HTTP/1.1 503"));
+            }
+        }
+    };
+    assert_eq!(request.header("x-last-event"), Some("3"));
+}
