Streams that come back wait up to a second for who knows their version

A router asks again each 100 ms for the first second after its start, and while a target is to register. The line "stream taken up" tells how many were asked and answered.

--- a/crates/corianderstand_forward/src/continuations.rs
+++ b/crates/corianderstand_forward/src/continuations.rs
@@ -15,7 +15,7 @@
 use corianderstand_types::names;
 use futures::{StreamExt, stream::FuturesUnordered};
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
@@ -24,6 +24,10 @@
 
 /// Time for another router's answer, across availability zones and from a busy host.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
+/// Time for a router that has just started to learn of the others, and for a target to register.
+const SETTLING_TIME: Duration = Duration::from_millis(1_000);
+/// Interval at which it asks again meanwhile.
+const SETTLING_INTERVAL: Duration = Duration::from_millis(100);
 const MAX_UNANSWERED_QUESTIONS: u32 = 2;
 /// `Retry-After` of a request whose stream's version isn't known: a router that knows may answer again.
 pub const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -119,6 +123,8 @@
     origins: RefCell<streams::Origins>,
     history: RefCell<streams::VersionHistory>,
     pending: pending::Pending<wire::OriginAnswer>,
+    /// When the targets were first looked at, as this router started.
+    started_at: Cell<Option<Instant>>,
     /// Services whose streams other routers are told of.
     told: RefCell<Vec<names::ServiceId>>,
 }
@@ -130,6 +136,15 @@
     age: Option<Duration>,
 }
 
+/// What became of the question for a stream's version.
+#[derive(Default)]
+struct Found {
+    known: Option<Known>,
+    /// Routers that were asked, and those that answered.
+    asked: usize,
+    answered: usize,
+}
+
 /// Determines at which version the stream goes on that a request takes up. A request that takes none up is fresh.
 pub async fn resolve<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
@@ -141,17 +156,23 @@
         return Progress::Fresh;
     }
     let key = request.resumes.as_ref().map(|id| streams::StreamKey::of(id));
-    let known = find(shared, key, job).await;
-    log_resolved(shared, request, service, known.as_ref());
-    Progress::after(known.map(|known| known.version), last_event)
+    let mut found = find(shared, key, job).await;
+    let deadline = shared.clock.now() + SETTLING_TIME;
+    while found.known.is_none() && shared.clock.now() < deadline && is_settling(shared, service) {
+        tokio::time::sleep(SETTLING_INTERVAL).await;
+        found = find(shared, key, job).await;
+    }
+    log_resolved(shared, request, service, &found);
+    Progress::after(found.known.map(|known| known.version), last_event)
 }
 
 fn log_resolved<P: router::Platform>(
     shared: &router::Shared<P>,
     request: &dialect::RequestHead,
     service: &names::ServiceId,
-    known: Option<&Known>,
+    found: &Found,
 ) {
+    let known = found.known.as_ref();
     let offered = {
         let view = shared.view.borrow();
         let of_service = view.targets.iter().filter(|(_, t)| t.entry.service == *service);
@@ -168,6 +189,8 @@
             version: known.map(|known| known.version.as_str()),
             source: known.map_or("nobody", |known| known.source.as_str()),
             age: known.and_then(|known| known.age),
+            asked: found.asked,
+            answered: found.answered,
             offered: &offered,
         },
         shared.clock.now(),
@@ -178,28 +201,41 @@
     shared: &Rc<router::Shared<P>>,
     key: Option<streams::StreamKey>,
     job: &job::Job,
-) -> Option<Known> {
-    let service = &job.service;
+) -> Found {
     if let Some(known) = key.and_then(|key| find_own(shared, key)) {
-        return Some(known);
+        return Found { known: Some(known), ..Found::default() };
     }
-    let own_sole = sole_version(shared, service);
+    let mut sole = sole_version(shared, &job.service);
     let mut answers: FuturesUnordered<_> = keepers::to_ask(shared, key)
         .into_iter()
-        .map(|keeper| ask(shared, keeper, key, service))
+        .map(|keeper| ask(shared, keeper, key, &job.service))
         .collect();
-    let mut sole = own_sole;
+    let mut found = Found { asked: answers.len(), ..Found::default() };
     while let Some(answer) = answers.next().await {
         let Some(answer) = answer else { continue };
+        found.answered += 1;
         let origin = answer.known.into_iter().next().map(|origin| from_wire(origin).1);
         if let Some(version) = origin.and_then(|origin| version_of(shared, &origin)) {
-            return Some(Known { version, source: Source::OtherRouter, age: None });
+            found.known = Some(Known { version, source: Source::OtherRouter, age: None });
+            return found;
         }
         sole = sole.or_else(|| non_empty(&answer.sole));
     }
     // A stream of a longer route may have begun before what is remembered.
     let sole = sole.filter(|_| job.route.timeout <= streams::ORIGIN_TTL);
-    sole.map(|version| Known { version, source: Source::SoleVersion, age: None })
+    found.known = sole.map(|version| Known { version, source: Source::SoleVersion, age: None });
+    found
+}
+
+/// Whether more may soon be known: this router has just started, or a target of the service that has just started
+/// is to register.
+fn is_settling<P>(shared: &router::Shared<P>, service: &names::ServiceId) -> bool {
+    let now = shared.clock.now();
+    let started_at = shared.continuations.started_at.get();
+    let is_starting = started_at.is_none_or(|at| now.saturating_duration_since(at) < SETTLING_TIME);
+    let view = shared.view.borrow();
+    let mut entries = view.targets.iter().map(|(_, target)| &target.entry);
+    is_starting || entries.any(|entry| entry.service == *service && entry.version.is_none())
 }
 
 fn find_own<P: router::Platform>(
@@ -329,6 +365,7 @@
 /// that began before.
 pub fn observe_versions<P: router::Platform>(shared: &router::Shared<P>, now: Instant) {
     let state = &shared.continuations;
+    state.started_at.set(state.started_at.get().or(Some(now)));
     state.history.borrow_mut().observe(now, &shared.view.borrow().targets);
     if is_current(shared, now) {
         state.history.borrow_mut().begin(now, shared.settings.is_first_start);
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -42,6 +42,10 @@
     pub source: &'static str,
     /// Time since the version was recorded, if this router has.
     pub age: Option<Duration>,
+    /// Routers that were asked.
+    pub asked: usize,
+    /// Routers that answered.
+    pub answered: usize,
     /// Versions of the service's targets.
     pub offered: &'a [SmolStr],
 }
@@ -265,6 +269,8 @@
                 version = origin.version,
                 known_from = origin.source,
                 age_ms = origin.age.map(|age| age.as_millis() as u64),
+                asked = origin.asked,
+                answered = origin.answered,
                 offered = ?origin.offered,
                 "stream taken up"
             );
