--- a/crates/corianderstand_forward/src/continuations.rs
+++ b/crates/corianderstand_forward/src/continuations.rs
@@ -6,35 +6,31 @@
 //!
 //! A [`Continuation`] isn't made without a version, and without one no target is asked for the rest of a stream.
 
+mod history;
 mod keepers;
+mod questions;
+
+pub use history::{observe_versions, record_missed_changes};
+pub use questions::{on_answer, on_origins, on_question};
 
 use crate::{decisions, dialect, job, pending, router};
 use corianderstand_derives::derives;
 use corianderstand_fleet::{streams, targets};
-use corianderstand_schema::peers::{self as wire, PeerMessage};
+use corianderstand_schema::peers as wire;
 use corianderstand_types::names;
 use futures::{StreamExt, stream::FuturesUnordered};
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
-    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-/// Time for another router's answer, across availability zones and from a busy host.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
 /// Time for a router that has just started to learn of the others, and for a target to register.
 const SETTLING_TIME: Duration = Duration::from_millis(1_000);
 /// Interval at which it asks again meanwhile.
 const SETTLING_INTERVAL: Duration = Duration::from_millis(100);
-const MAX_UNANSWERED_QUESTIONS: u32 = 2;
 /// `Retry-After` of a request whose stream's version isn't known: a router that knows may answer again.
 pub const UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Keeps a datagram within the usual maximum transmission unit.
-const MAX_ORIGINS_PER_DATAGRAM: usize = 16;
-/// Multiple of the time within which a leaving must be in force, up to which the targets count as known.
-const MAX_TARGETS_AGE_RATIO: u32 = 2;
 
 /// The rest of a stream: what its caller has, and the version that must write the rest.
 #[derives(data)]
@@ -158,11 +154,11 @@
     let key = request.resumes.as_ref().map(|id| streams::StreamKey::of(id));
     let mut found = find(shared, key, job).await;
     let deadline = shared.clock.now() + SETTLING_TIME;
-    let is_hopeless = key.is_none() && has_several_versions(shared, service);
+    let is_hopeless = key.is_none() && history::has_several_versions(shared, service);
     while found.known.is_none()
         && !is_hopeless
         && shared.clock.now() < deadline
-        && is_settling(shared, service)
+        && history::is_settling(shared, service)
     {
         tokio::time::sleep(SETTLING_INTERVAL).await;
         found = find(shared, key, job).await;
@@ -210,21 +206,21 @@
     if let Some(known) = key.and_then(|key| find_own(shared, key)) {
         return Found { known: Some(known), ..Found::default() };
     }
-    let mut sole = sole_version(shared, &job.service);
+    let mut sole = history::sole_version(shared, &job.service);
     let mut answers: FuturesUnordered<_> = keepers::to_ask(shared, key)
         .into_iter()
-        .map(|keeper| ask(shared, keeper, key, &job.service))
+        .map(|keeper| questions::ask(shared, keeper, key, &job.service))
         .collect();
     let mut found = Found { asked: answers.len(), ..Found::default() };
     while let Some(answer) = answers.next().await {
         let Some(answer) = answer else { continue };
         found.answered += 1;
-        let origin = answer.known.into_iter().next().map(|origin| from_wire(origin).1);
+        let origin = answer.known.into_iter().next().map(|origin| questions::from_wire(origin).1);
         if let Some(version) = origin.and_then(|origin| version_of(shared, &origin)) {
             found.known = Some(Known { version, source: Source::OtherRouter, age: None });
             return found;
         }
-        sole = sole.or_else(|| non_empty(&answer.sole));
+        sole = sole.or_else(|| questions::non_empty(&answer.sole));
     }
     // A stream of a longer route may have begun before what is remembered.
     let sole = sole.filter(|_| job.route.timeout <= streams::ORIGIN_TTL);
@@ -232,17 +228,6 @@
     found
 }
 
-/// Whether more may soon be known: this router has just started, or a target of the service that has just started
-/// is to register.
-fn is_settling<P>(shared: &router::Shared<P>, service: &names::ServiceId) -> bool {
-    let now = shared.clock.now();
-    let started_at = shared.continuations.started_at.get();
-    let is_starting = started_at.is_none_or(|at| now.saturating_duration_since(at) < SETTLING_TIME);
-    let view = shared.view.borrow();
-    let mut entries = view.targets.iter().map(|(_, target)| &target.entry);
-    is_starting || entries.any(|entry| entry.service == *service && entry.version.is_none())
-}
-
 fn find_own<P: router::Platform>(
     shared: &router::Shared<P>,
     key: streams::StreamKey,
@@ -267,72 +252,6 @@
     target.version().filter(|_| is_same).cloned()
 }
 
-async fn ask<P: router::Platform>(
-    shared: &Rc<router::Shared<P>>,
-    keeper: SocketAddr,
-    key: Option<streams::StreamKey>,
-    service: &names::ServiceId,
-) -> Option<wire::OriginAnswer> {
-    let asked_at = shared.clock.now();
-    let waiter = shared.continuations.pending.register(shared.incarnation);
-    let question = wire::OriginQuestion {
-        id: waiter.id(),
-        stream: key.map_or(0, |key| key.0),
-        service: service.clone(),
-    };
-    for _ in 0..MAX_UNANSWERED_QUESTIONS {
-        shared.outbox.send(keeper, &PeerMessage::OriginAsked(question.clone()));
-        if let Some(answer) = waiter.response(ANSWER_TIMEOUT).await {
-            if let Some(sole) = non_empty(&answer.sole) {
-                let mut history = shared.continuations.history.borrow_mut();
-                history.record_sole(asked_at, service, &sole);
-            }
-            return Some(answer);
-        }
-    }
-    tracing::debug!(%keeper, "a router did not answer where a stream began");
-    None
-}
-
-/// Answers another router's question.
-pub fn on_question<P: router::Platform>(
-    shared: &router::Shared<P>,
-    now: Instant,
-    from: SocketAddr,
-    question: &wire::OriginQuestion,
-) {
-    let key = streams::StreamKey(question.stream);
-    let known = {
-        let origins = shared.continuations.origins.borrow();
-        origins.get(now, key).map(|(origin, _)| {
-            let version = version_of(shared, origin);
-            to_wire(key, &streams::Origin { version, ..origin.clone() })
-        })
-    };
-    let sole = sole_version(shared, &question.service).map(|version| version.0);
-    let answer = wire::OriginAnswer {
-        id: question.id,
-        known: known.into_iter().collect(),
-        sole: sole.unwrap_or_default(),
-    };
-    shared.outbox.send(from, &PeerMessage::OriginAnswer(answer));
-}
-
-/// Passes an answer to the request that waits for it.
-pub fn on_answer<P>(shared: &router::Shared<P>, answer: wire::OriginAnswer) {
-    shared.continuations.pending.resolve(answer.id, answer);
-}
-
-/// Remembers where streams of another router began.
-pub fn on_origins<P>(shared: &router::Shared<P>, now: Instant, origins: wire::StreamOrigins) {
-    let mut kept = shared.continuations.origins.borrow_mut();
-    let mut history = shared.continuations.history.borrow_mut();
-    for (key, origin) in origins.streams.into_iter().map(from_wire) {
-        history.record(now, &origin.service, &origin.target.id, origin.version.as_ref());
-        kept.record(now, key, origin);
-    }
-}
-
 /// Remembers where a stream began whose first event is being forwarded.
 pub fn record<P: router::Platform>(
     shared: &router::Shared<P>,
@@ -347,103 +266,9 @@
     state.origins.borrow_mut().record(now, key, origin.clone());
     let version = origin.version.as_ref();
     state.history.borrow_mut().record(now, &origin.service, &origin.target.id, version);
-    if sole_version(shared, &origin.service).is_none() {
-        tell(shared, [(key, origin.clone())].into_iter());
-    }
-}
-
-/// Tells the routers that keep them where streams began.
-fn tell<P: router::Platform>(
-    shared: &router::Shared<P>,
-    origins: impl Iterator<Item = (streams::StreamKey, streams::Origin)>,
-) {
-    let mut by_keeper: BTreeMap<SocketAddr, Vec<wire::StreamOrigin>> = BTreeMap::new();
-    for (key, origin) in origins {
-        for keeper in keepers::to_tell(shared, key) {
-            by_keeper.entry(keeper).or_default().push(to_wire(key, &origin));
-        }
-    }
-    for (keeper, origins) in by_keeper {
-        for streams in origins.chunks(MAX_ORIGINS_PER_DATAGRAM) {
-            let message = wire::StreamOrigins { streams: streams.to_vec() };
-            shared.outbox.send(keeper, &PeerMessage::StreamsBegan(message));
-        }
-    }
-}
-
-/// Records the versions of all targets. Once a service has more than one, the other routers are told of the streams
-/// that began before.
-pub fn observe_versions<P: router::Platform>(shared: &Rc<router::Shared<P>>, now: Instant) {
-    let state = &shared.continuations;
-    state.started_at.set(state.started_at.get().or(Some(now)));
-    state.history.borrow_mut().observe(now, &shared.view.borrow().targets);
-    if is_current(shared, now) {
-        state.history.borrow_mut().begin(now, shared.settings.is_first_start);
-    }
-    let services: Vec<names::ServiceId> = {
-        let view = shared.view.borrow();
-        let config = view.route_table.as_ref().map(|table| table.config());
-        let services = config.into_iter().flat_map(|config| &config.services);
-        services.map(|service| service.name.clone()).collect()
-    };
-    for service in services {
-        let is_told = state.told.borrow().contains(&service);
-        let is_sole = sole_version(shared, &service).is_some();
-        if is_sole {
-            state.told.borrow_mut().retain(|told| *told != service);
-            continue;
-        }
-        if is_settling(shared, &service) {
-            ask_for_history(shared, &service);
-        }
-        if !is_told {
-            state.told.borrow_mut().push(service.clone());
-            let origins = state.origins.borrow();
-            let began = origins.of_service(&service);
-            tell(shared, began.map(|(key, origin)| (key, origin.clone())));
-        }
-    }
-}
-
-/// Asks other routers for the only version of a service before this router started.
-fn ask_for_history<P: router::Platform>(
-    shared: &Rc<router::Shared<P>>,
-    service: &names::ServiceId,
-) {
-    if has_several_versions(shared, service) {
-        return;
+    if history::sole_version(shared, &origin.service).is_none() {
+        questions::tell(shared, [(key, origin.clone())].into_iter());
     }
-    for keeper in keepers::to_ask(shared, None) {
-        let (shared, service) = (shared.clone(), service.clone());
-        tokio::task::spawn_local(async move { drop(ask(&shared, keeper, None, &service).await) });
-    }
-}
-
-fn has_several_versions<P>(shared: &router::Shared<P>, service: &names::ServiceId) -> bool {
-    shared.continuations.history.borrow().has_several(service)
-}
-
-/// Records that changes of targets may have been missed: what came is what there is now.
-pub fn record_missed_changes<P>(shared: &router::Shared<P>) {
-    shared.continuations.history.borrow_mut().interrupt(shared.clock.now());
-}
-
-/// Whether the targets are known from a recent read of the store.
-fn is_current<P>(shared: &router::Shared<P>, now: Instant) -> bool {
-    let max_age = shared.bounds.borrow().drain_within * MAX_TARGETS_AGE_RATIO;
-    let age = shared.replicated_records.borrow().since_store_read(now, dialect::Subject::Targets);
-    age.is_some_and(|age| age <= max_age)
-}
-
-fn sole_version<P: router::Platform>(
-    shared: &router::Shared<P>,
-    service: &names::ServiceId,
-) -> Option<names::SoftwareVersion> {
-    let now = shared.clock.now();
-    if !is_current(shared, now) {
-        return None;
-    }
-    shared.continuations.history.borrow().sole(now, service).cloned()
 }
 
 /// Number of streams whose origin this router remembers.
@@ -472,24 +297,3 @@
 ) -> Progress {
     Progress::after(origin.and_then(|origin| version_of(shared, origin)), last_event)
 }
-
-fn non_empty(version: &smol_str::SmolStr) -> Option<names::SoftwareVersion> {
-    (!version.is_empty()).then(|| names::SoftwareVersion(version.clone()))
-}
-
-fn to_wire(key: streams::StreamKey, origin: &streams::Origin) -> wire::StreamOrigin {
-    wire::StreamOrigin {
-        stream: key.0,
-        service: origin.service.clone(),
-        target: origin.target.id.clone(),
-        born: origin.target.started_at_ms,
-        version: origin.version.as_ref().map(|version| version.0.clone()).unwrap_or_default(),
-    }
-}
-
-fn from_wire(origin: wire::StreamOrigin) -> (streams::StreamKey, streams::Origin) {
-    let wire::StreamOrigin { stream, service, target, born, version } = origin;
-    let target = targets::Incarnation { id: target, started_at_ms: born };
-    let version = non_empty(&version);
-    (streams::StreamKey(stream), streams::Origin { service, target, version })
-}
