The versions of all targets are looked at five times a second at most

The control loop runs up to 50 times a second, and each look clones two names of each target: at 730 engines some 70,000 names a second. Worked out, not measured.

--- a/crates/corianderstand_forward/src/continuations.rs
+++ b/crates/corianderstand_forward/src/continuations.rs
@@ -121,6 +121,8 @@
     pending: pending::Pending<wire::OriginAnswer>,
     /// When the targets were first looked at, as this router started.
     started_at: Cell<Option<Instant>>,
+    /// When all targets were last looked at.
+    observed_at: Cell<Option<Instant>>,
     /// Services whose streams other routers are told of.
     told: RefCell<Vec<names::ServiceId>>,
 }
--- a/crates/corianderstand_forward/src/continuations/history.rs
+++ b/crates/corianderstand_forward/src/continuations/history.rs
@@ -3,16 +3,26 @@
 use super::{SETTLING_TIME, keepers, questions};
 use crate::{dialect, router};
 use corianderstand_types::names;
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 /// Multiple of the time within which a leaving must be in force, up to which the targets count as known.
 const MAX_TARGETS_AGE_RATIO: u32 = 2;
+/// Bounds the work for hundreds of targets.
+const OBSERVATION_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Records the versions of all targets. Once a service has more than one, the other routers are told of the streams
 /// that began before.
 pub fn observe_versions<P: router::Platform>(shared: &Rc<router::Shared<P>>, now: Instant) {
     let state = &shared.continuations;
     state.started_at.set(state.started_at.get().or(Some(now)));
+    let is_due = |at: Instant| now.saturating_duration_since(at) >= OBSERVATION_INTERVAL;
+    if !state.observed_at.get().is_none_or(is_due) {
+        return;
+    }
+    state.observed_at.set(Some(now));
     state.history.borrow_mut().observe(now, &shared.view.borrow().targets);
     if is_current(shared, now) {
         state.history.borrow_mut().begin(now, shared.settings.is_first_start);
