A target whose connection is reset while it is opened has ended

Suspected, as the log didn't tell the probe's outcome: the proxy's reset came while the connection was being opened, and only a refusal counted as a sign. Change: any failure but a timeout is a sign, and the line "answer ended" has the probe's outcome.

--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -284,6 +284,7 @@
         job: &job::Job,
         read: body_end::Read,
         concluded: Result<body_end::Whole, body_end::Break>,
+        probe: Option<&'static str>,
         now: Instant,
     ) {
         let concluded = body_end::describe(concluded);
@@ -296,7 +297,7 @@
             let ended = if read.failed { "error" } else { "end" };
             let (framing, received) = (read.framing.as_str(), read.received.as_str());
             let ms = millis_between(now, job.arrived_at);
-            tracing::info!(id = %job.request.id, at, framing, ended, received, concluded, ms, "answer ended");
+            tracing::info!(id = %job.request.id, at, framing, ended, received, probe, concluded, ms, "answer ended");
         }
     }
 
--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -46,24 +46,61 @@
     in_flight: &job::InFlight<P>,
     read: body_end::Read,
 ) -> Result<body_end::Whole, body_end::Break> {
-    let concluded = match read.end() {
-        body_end::End::Whole(whole) => Ok(whole),
-        body_end::End::Broken(why) => Err(why),
-        body_end::End::Open(_) if has_ended(shared, job, in_flight).await => {
-            Err(body_end::Break::TargetEnded)
+    let (concluded, probe) = match read.end() {
+        body_end::End::Whole(whole) => (Ok(whole), None),
+        body_end::End::Broken(why) => (Err(why), None),
+        body_end::End::Open(open) => {
+            let probe = probe(shared, job, in_flight).await;
+            let concluded = if probe.shows_end() {
+                Err(body_end::Break::TargetEnded)
+            } else {
+                Ok(open.presume_whole())
+            };
+            (concluded, Some(probe.as_str()))
         }
-        body_end::End::Open(open) => Ok(open.presume_whole()),
     };
-    shared.decision_log.answer_ended(job, read, concluded, shared.clock.now());
+    shared.decision_log.answer_ended(job, read, concluded, probe, shared.clock.now());
     concluded
 }
 
-async fn has_ended<P: router::Platform>(
+/// What a target did when it was asked whether it is there.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Probe {
+    /// It is no longer known, or is another incarnation.
+    Replaced,
+    Refused,
+    /// The connection was reset while it was opened, or closed before an answer, as a proxy before a target that has
+    /// ended does.
+    Closed,
+    AnsweredByAnother,
+    Answered,
+    /// It is busy: a target that has ended has its connections closed.
+    Silent,
+}
+
+impl Probe {
+    const fn shows_end(self) -> bool {
+        !matches!(self, Self::Answered | Self::Silent)
+    }
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Replaced => "replaced",
+            Self::Refused => "refused",
+            Self::Closed => "closed",
+            Self::AnsweredByAnother => "answered by another",
+            Self::Answered => "answered",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+async fn probe<P: router::Platform>(
     shared: &router::Shared<P>,
     job: &job::Job,
     in_flight: &job::InFlight<P>,
-) -> bool {
-    let Some((target, addr)) = in_flight.target() else { return true };
+) -> Probe {
+    let Some((target, addr)) = in_flight.target() else { return Probe::Replaced };
     tokio::time::sleep(PROBE_DELAY).await;
     let is_current = {
         let view = shared.view.borrow();
@@ -71,35 +108,34 @@
         current.is_some_and(|current| current.entry.incarnation().matches(target))
     };
     if !is_current {
-        return true;
+        return Probe::Replaced;
     }
     let lease = match open(shared, in_flight.key(), target, *addr).await {
         Ok(lease) => lease,
-        Err(error) => return error.kind() == io::ErrorKind::ConnectionRefused,
+        Err(error) => {
+            return match error.kind() {
+                io::ErrorKind::ConnectionRefused => Probe::Refused,
+                io::ErrorKind::TimedOut => Probe::Silent,
+                _ => Probe::Closed,
+            };
+        }
     };
-    let answered = tokio::time::timeout(HEALTH_TIMEOUT, ask_health(shared, job, lease)).await;
-    // A target that is silent is busy: one that ended has its connections closed.
-    answered.is_ok_and(|answered_by| match answered_by {
-        Answerer::Nobody => true,
-        Answerer::Unnamed => false,
-        Answerer::Named(id) => id != target.id,
-    })
-}
-
-/// Who answered a health check.
-enum Answerer {
-    Nobody,
-    Unnamed,
-    Named(names::TargetId),
+    match tokio::time::timeout(HEALTH_TIMEOUT, ask_health(shared, job, lease)).await {
+        Ok(None) => Probe::Closed,
+        Ok(Some(answered_by)) if answered_by.as_ref().is_some_and(|id| *id != target.id) => {
+            Probe::AnsweredByAnother
+        }
+        Ok(Some(_)) => Probe::Answered,
+        Err(_) => Probe::Silent,
+    }
 }
 
-/// Asks for the health of a target; whatever it answers, it is there. A proxy before a target that has ended takes
-/// the connection and closes it.
+/// Asks for the health of a target and returns who answered, if the answer tells; none without an answer.
 async fn ask_health<P: router::Platform>(
     shared: &router::Shared<P>,
     job: &job::Job,
     mut lease: pool::Lease,
-) -> Answerer {
+) -> Option<Option<names::TargetId>> {
     let path = {
         let view = shared.view.borrow();
         view.service(&job.service).map(|service| service.health_path.clone()).unwrap_or_default()
@@ -107,17 +143,16 @@
     let req = Request::builder().uri(path.as_str()).header(header::HOST, lease.addr.to_string());
     let Ok(req) = req.body(pool::Body::default()) else {
         tracing::debug!(%path, "the service's health path is no valid URI: its targets can't be asked");
-        return Answerer::Unnamed;
+        return Some(None);
     };
     match lease.sender.send_request(req).await {
         Ok(response) => {
             let status = response.status();
-            let head = shared.platform.parse_response(status, response.headers());
-            head.target.map_or(Answerer::Unnamed, Answerer::Named)
+            Some(shared.platform.parse_response(status, response.headers()).target)
         }
         Err(error) => {
             tracing::debug!(addr = %lease.addr, %error, "no answer to a health check");
-            Answerer::Nobody
+            None
         }
     }
 }
