--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -322,7 +322,7 @@
     pub async fn wait_ready(&mut self) {
         let poll = async {
             for router in &self.routers {
-                while !crate::callers::is_ready(settings::ready(router.ip)).await {
+                while !crate::requests::is_ready(settings::ready(router.ip)).await {
                     tokio::time::sleep(Duration::from_millis(50)).await;
                 }
             }
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -11,6 +11,7 @@
 mod faults;
 mod leavings;
 mod proxy;
+mod requests;
 mod streams;
 mod workspaces;
 
@@ -351,7 +352,7 @@
             loop {
                 probe_number += 1;
                 let id = format!("probe-{seed}-{probe_number}");
-                let probe = callers::RequestSpec {
+                let probe = requests::RequestSpec {
                     kind,
                     workspace: Workspace::Steady,
                     id: &id,
@@ -360,7 +361,7 @@
                     take_up: None,
                     leaves_after: None,
                 };
-                let (outcome, ..) = callers::send_request(router_address, None, &probe).await;
+                let (outcome, ..) = requests::send_request(router_address, None, &probe).await;
                 if matches!(outcome, Outcome::Complete(StatusCode::OK, _)) {
                     break;
                 }
@@ -373,7 +374,7 @@
         }
         probe_number += 1;
         let (path, id) = (format!("{unique_prefix}x"), format!("probe-{seed}-{probe_number}"));
-        if callers::request_status(router_address, &path, &id).await == Some(StatusCode::NOT_FOUND)
+        if requests::request_status(router_address, &path, &id).await == Some(StatusCode::NOT_FOUND)
         {
             return Some(format!("router {router} does not know the newest route {unique_prefix}"));
         }
