A stream whose target never told its version isn't taken for one of the only version

Cause (read, not seen in a run): if a router remembers where a stream began but not the version there, the only version that the service is known to have was taken instead. The history keeps a target that hasn't told its version apart at the routers that know it, not at one that doesn't. Change: no version is inferred for such a stream. The new test passes with either guard alone.

--- a/crates/corianderstand_forward/src/continuations.rs
+++ b/crates/corianderstand_forward/src/continuations.rs
@@ -205,9 +205,12 @@
     key: Option<streams::StreamKey>,
     job: &job::Job,
 ) -> Found {
-    if let Some(known) = key.and_then(|key| find_own(shared, key)) {
+    let own = key.and_then(|key| find_own(shared, key));
+    if let Some(Some(known)) = own {
         return Found { known: Some(known), ..Found::default() };
     }
+    // A target whose version nobody knows may have had another one.
+    let mut began_unknown = own.is_some();
     let mut sole = history::sole_version(shared, &job.service);
     let mut answers: FuturesUnordered<_> = keepers::to_ask(shared, key)
         .into_iter()
@@ -218,6 +221,7 @@
         let Some(answer) = answer else { continue };
         found.answered += 1;
         let origin = answer.known.into_iter().next().map(|origin| questions::from_wire(origin).1);
+        began_unknown |= origin.is_some();
         if let Some(version) = origin.and_then(|origin| version_of(shared, &origin)) {
             found.known = Some(Known { version, source: Source::OtherRouter, age: None });
             return found;
@@ -225,19 +229,20 @@
         sole = sole.or_else(|| questions::non_empty(&answer.sole));
     }
     // A stream of a longer route may have begun before what is remembered.
-    let sole = sole.filter(|_| job.route.timeout <= streams::ORIGIN_TTL);
+    let sole = sole.filter(|_| !began_unknown && job.route.timeout <= streams::ORIGIN_TTL);
     found.known = sole.map(|version| Known { version, source: Source::SoleVersion, age: None });
     found
 }
 
+/// What this router remembers of a stream; none within if it doesn't know the version of the stream's target.
 fn find_own<P: router::Platform>(
     shared: &router::Shared<P>,
     key: streams::StreamKey,
-) -> Option<Known> {
+) -> Option<Option<Known>> {
     let origins = shared.continuations.origins.borrow();
     let (origin, age) = origins.get(shared.clock.now(), key)?;
-    let version = version_of(shared, origin)?;
-    Some(Known { version, source: Source::Own, age: Some(age) })
+    let version = version_of(shared, origin);
+    Some(version.map(|version| Known { version, source: Source::Own, age: Some(age) }))
 }
 
 /// The version of an origin; looked up if it was unknown when the stream began.
--- a/crates/corianderstand_forward/tests/software_versions.rs
+++ b/crates/corianderstand_forward/tests/software_versions.rs
@@ -348,3 +348,32 @@
     };
     assert_eq!(request.header("x-last-event"), Some("3"));
 }
+
+/// Guards against taking the only version that is known for that of a target which has not told its own.
+#[tokio::test]
+async fn a_stream_of_a_target_that_has_not_told_its_version_does_not_go_on_at_the_only_other() {
+    let (untold, other) = (Target::start().await, Target::start().await);
+    let store = store();
+    store.put_target(targets::Entry { version: None, ..entry(&untold, "untold", "") });
+    let settings = corianderstand_forward::router::Settings {
+        is_first_start: true,
+        ..RouterThread::settings("router-a", Vec::new(), Duration::from_secs(8))
+    };
+    let router = RouterThread::start_on(&store, settings);
+    router.wait_ready().await;
+    let mut caller = send(&router, "a", None).await;
+    let mut request = untold.next().await;
+    begin_with_event(&mut request, "a", 0).await;
+    read_event(&mut caller).await;
+    drop((caller, request));
+    store.remove_target("untold");
+    store.put_target(entry(&other, "other", "v1"));
+    wait_for_targets(&router, 1).await;
+    tokio::time::sleep(STARTING_TIME).await;
+    let mut caller = send(&router, "b", Some(("a", "0"))).await;
+    let answer = tokio::select! {
+        answer = common::read_all(&mut caller) => answer.unwrap(),
+        _ = other.next() => panic!("it went on at another version"),
+    };
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+}
