--- a/crates/corianderstand_forward/tests/software_versions.rs
+++ b/crates/corianderstand_forward/tests/software_versions.rs
@@ -46,6 +46,21 @@
     request.send_chunk(&format!("id: {event}\ndata: x\n\n")).await;
 }
 
+/// Starts a router whose only target has sent the first event of stream `a`.
+async fn begin_stream(
+    entry: targets::Entry,
+    target: &Target,
+) -> (MemoryStore, RouterThread, TcpStream, ReceivedRequest) {
+    let store = store();
+    store.put_target(entry);
+    let router = RouterThread::start(&store);
+    router.wait_ready().await;
+    let caller = send(&router, "a", None).await;
+    let mut request = target.next().await;
+    begin_with_event(&mut request, "a", 0).await;
+    (store, router, caller, request)
+}
+
 /// Reads until an event has arrived.
 async fn read_event(caller: &mut TcpStream) {
     let mut text = String::new();
@@ -87,13 +102,8 @@
 async fn a_broken_stream_goes_on_at_a_target_of_its_version() {
     let (first, other, same) =
         (Target::start().await, Target::start().await, Target::start().await);
-    let store = store();
-    store.put_target(entry(&first, "first", "v1"));
-    let router = RouterThread::start(&store);
-    router.wait_ready().await;
-    let mut caller = send(&router, "a", None).await;
-    let mut request = first.next().await;
-    begin_with_event(&mut request, "a", 0).await;
+    let (store, router, mut caller, request) =
+        begin_stream(entry(&first, "first", "v1"), &first).await;
     store.put_target(entry(&other, "other", "v2"));
     store.put_target(far(&same, "same", "v1"));
     wait_for_targets(&router, 3).await;
@@ -112,13 +122,8 @@
 #[tokio::test]
 async fn a_broken_stream_ends_if_no_target_of_its_version_is_left() {
     let (first, other) = (Target::start().await, Target::start().await);
-    let store = store();
-    store.put_target(entry(&first, "first", "v1"));
-    let router = RouterThread::start(&store);
-    router.wait_ready().await;
-    let mut caller = send(&router, "a", None).await;
-    let mut request = first.next().await;
-    begin_with_event(&mut request, "a", 0).await;
+    let (store, router, mut caller, request) =
+        begin_stream(entry(&first, "first", "v1"), &first).await;
     store.put_target(entry(&other, "other", "v2"));
     wait_for_targets(&router, 2).await;
     drop(request);
@@ -153,13 +158,8 @@
 async fn a_callers_new_tries_go_on_at_the_version_of_the_first() {
     let (first, other, same) =
         (Target::start().await, Target::start().await, Target::start().await);
-    let store = store();
-    store.put_target(entry(&first, "first", "v1"));
-    let router = RouterThread::start(&store);
-    router.wait_ready().await;
-    let mut caller = send(&router, "a", None).await;
-    let mut request = first.next().await;
-    begin_with_event(&mut request, "a", 0).await;
+    let (store, router, mut caller, request) =
+        begin_stream(entry(&first, "first", "v1"), &first).await;
     read_event(&mut caller).await;
     drop((caller, request));
     store.remove_target("first");
@@ -254,13 +254,8 @@
 #[tokio::test]
 async fn the_second_target_of_a_new_try_has_the_version_too(#[case] end: FirstTarget) {
     let (first, other) = (Target::start().await, Target::start().await);
-    let store = store();
-    store.put_target(far(&first, "first", "v1"));
-    let router = RouterThread::start(&store);
-    router.wait_ready().await;
-    let mut caller = send(&router, "a", None).await;
-    let mut request = first.next().await;
-    begin_with_event(&mut request, "a", 0).await;
+    let (store, router, mut caller, request) =
+        begin_stream(far(&first, "first", "v1"), &first).await;
     read_event(&mut caller).await;
     drop((caller, request));
     store.put_target(entry(&other, "other", "v2"));
@@ -292,13 +287,8 @@
 #[tokio::test]
 async fn a_target_that_changed_its_version_in_place_is_another(#[case] started_at_ms: u64) {
     let first = Target::start().await;
-    let store = store();
-    store.put_target(entry(&first, "first", "v1"));
-    let router = RouterThread::start(&store);
-    router.wait_ready().await;
-    let mut caller = send(&router, "a", None).await;
-    let mut request = first.next().await;
-    begin_with_event(&mut request, "a", 0).await;
+    let (store, router, mut caller, request) =
+        begin_stream(entry(&first, "first", "v1"), &first).await;
     read_event(&mut caller).await;
     drop((caller, request));
     let again = entry(&first, "first", "v2");
