Unnamed streams go on at the only version that a router has seen

Cause: nobody can remember a stream without a name, so that only the history of versions was left, and no router had one.

Change: for such a stream the only version that this router has seen counts, however short the time; named streams stay strict, as others can remember them. Callers who may meet several versions name theirs. It is a guess where a version has left within 30 s before a kill of all.

Two new tests, one for each side.

--- a/crates/corianderstand_fleet/src/streams.rs
+++ b/crates/corianderstand_fleet/src/streams.rs
@@ -176,6 +176,13 @@
         }
     }
 
+    /// The version of a service if no other was seen, however short the time.
+    pub fn only_seen(&self, service: &names::ServiceId) -> Option<&names::SoftwareVersion> {
+        let mut seen = self.seen.keys().filter(|(of, _)| of == service);
+        let (_, version) = seen.next()?;
+        seen.next().is_none().then_some(version)
+    }
+
     /// Whether more than one version of a service is known.
     pub fn has_several(&self, service: &names::ServiceId) -> bool {
         self.seen.keys().filter(|(of, _)| of == service).count() > 1
--- a/crates/corianderstand_forward/src/continuations.rs
+++ b/crates/corianderstand_forward/src/continuations.rs
@@ -101,6 +101,8 @@
     OtherRouter,
     /// The service has had no other version for long.
     SoleVersion,
+    /// No other version is known now, and the caller doesn't say which stream it takes up.
+    OnlySeen,
 }
 
 impl Source {
@@ -109,6 +111,7 @@
             Self::Own => "own",
             Self::OtherRouter => "another router",
             Self::SoleVersion => "sole version",
+            Self::OnlySeen => "only version seen",
         }
     }
 }
@@ -156,19 +159,30 @@
     let key = request.resumes.as_ref().map(|id| streams::StreamKey::of(id));
     let mut found = find(shared, key, job).await;
     let deadline = shared.clock.now() + SETTLING_TIME;
-    let is_hopeless = key.is_none() && history::has_several_versions(shared, service);
     while found.known.is_none()
-        && !is_hopeless
+        && key.is_some()
         && shared.clock.now() < deadline
         && history::is_settling(shared, service)
     {
         tokio::time::sleep(SETTLING_INTERVAL).await;
         found = find(shared, key, job).await;
     }
+    if key.is_none() && found.known.is_none() {
+        found.known = only_seen(shared, job);
+    }
     log_resolved(shared, request, service, &found);
     Progress::after(found.known.map(|known| known.version), last_event)
 }
 
+/// The version of a stream that the caller doesn't name, so that no router can remember it: the only one that this
+/// router has seen, if there is one. Callers who may meet several versions name their streams.
+fn only_seen<P: router::Platform>(shared: &router::Shared<P>, job: &job::Job) -> Option<Known> {
+    let mut history = shared.continuations.history.borrow_mut();
+    history.observe(shared.clock.now(), &shared.view.borrow().targets);
+    let version = history.only_seen(&job.service)?.clone();
+    Some(Known { version, source: Source::OnlySeen, age: None })
+}
+
 fn log_resolved<P: router::Platform>(
     shared: &router::Shared<P>,
     request: &dialect::RequestHead,
--- a/crates/corianderstand_forward/tests/software_versions.rs
+++ b/crates/corianderstand_forward/tests/software_versions.rs
@@ -367,3 +367,32 @@
     };
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
 }
+
+/// Guards against refusing all streams that come back after all routers were killed, where callers name none.
+#[tokio::test]
+async fn an_unnamed_stream_goes_on_at_the_only_version_that_a_router_has_seen() {
+    let target = Target::start().await;
+    let store = store();
+    store.put_target(entry(&target, "one", "v1"));
+    let router = RouterThread::start(&store);
+    router.wait_ready().await;
+    let headers = [("x-id", "b"), ("x-last-event", "3")];
+    let _caller = common::send(router.front, "POST", "/chat/1", &headers, "").await.unwrap();
+    assert_eq!(target.next().await.header("x-last-event"), Some("3"));
+}
+
+/// Guards against the same inference for a stream that has a name, which other routers could remember.
+#[tokio::test]
+async fn a_named_stream_that_nobody_remembers_is_refused_by_a_router_that_has_just_started() {
+    let target = Target::start().await;
+    let store = store();
+    store.put_target(entry(&target, "one", "v1"));
+    let router = RouterThread::start(&store);
+    router.wait_ready().await;
+    let mut caller = send(&router, "b", Some(("a", "3"))).await;
+    let answer = tokio::select! {
+        answer = common::read_all(&mut caller) => answer.unwrap(),
+        _ = target.next() => panic!("it was sent"),
+    };
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+}
