Texts: what is inferred for streams without a name

The head of continuations.rs, the changelog and design note 0016 said that nothing is guessed; since unnamed streams go on at the only version that is seen, that holds for named streams only.

--- a/crates/corianderstand_forward/src/continuations.rs
+++ b/crates/corianderstand_forward/src/continuations.rs
@@ -2,7 +2,8 @@
 //!
 //! The router that forwards a stream's first event remembers where the stream began, and unless the service has had one
 //! version for long, tells two other routers, which the stream's key selects. A router that a caller returns to asks
-//! them if it doesn't know itself. Nothing is guessed: a stream whose version nobody knows is refused.
+//! them if it doesn't know itself. A named stream whose version nobody knows is refused. One that the caller doesn't name
+//! can't be remembered: it goes on at the only version that this router has seen, if there is one.
 //!
 //! A [`Continuation`] isn't made without a version, and without one no target is asked for the rest of a stream.
 
