Logs name the parts of a prompt under which a target ended

What the logs could not tell: which of the requests that an engine was running when it ended share a part of their prompts. The line `target ended under the request` has hashes of the ids of all parts but the last, which is the request's own; no content of a prompt is logged. No change of logic.

The doc of PromptPart::id was wrong: the id is that of the part itself, and the cache joins it with those before it.

--- a/crates/corianderstand_fleet/src/exits.rs
+++ b/crates/corianderstand_fleet/src/exits.rs
@@ -55,6 +55,8 @@
     pub request_id: SmolStr,
     /// Content and caller of the request.
     pub fingerprint: fingerprint::Fingerprint,
+    /// Parts of its prompt that other requests may share, in order.
+    pub parts: Vec<fingerprint::PartId>,
     /// Address of the caller.
     pub caller: IpAddr,
     /// The target.
--- a/crates/corianderstand_fleet/src/fingerprint.rs
+++ b/crates/corianderstand_fleet/src/fingerprint.rs
@@ -1,4 +1,5 @@
-//! Identity of a request's content, which is the same each time that its caller sends it.
+//! Identities of a request's content, which is the same each time that its caller sends it, and of the parts of
+//! prompts, which requests share.
 
 use corianderstand_derives::derives;
 use std::fmt;
@@ -12,3 +13,13 @@
         write!(f, "{:032x}", self.0)
     }
 }
+
+/// Hash of the id that a caller gives to a part of a prompt.
+#[derives(key)]
+pub struct PartId(pub u64);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- a/crates/corianderstand_fleet/tests/exits.rs
+++ b/crates/corianderstand_fleet/tests/exits.rs
@@ -18,6 +18,7 @@
     BrokenAttempt {
         request_id: "request".into(),
         fingerprint: Fingerprint(1),
+        parts: Vec::new(),
         caller: IpAddr::V4(Ipv4Addr::LOCALHOST),
         target: incarnation(started_at_ms),
         sent_at: at,
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -3,7 +3,7 @@
 use crate::{
     admission, body_end, dialect, exchange, job, metrics, quotas, replicated_records, stream, view,
 };
-use corianderstand_fleet::{crashes, exits, targets, wait_limit};
+use corianderstand_fleet::{crashes, exits, fingerprint, targets, wait_limit};
 use corianderstand_types::names;
 use http::StatusCode;
 use smol_str::SmolStr;
@@ -204,6 +204,7 @@
             tracing::info!(
                 id = %attempt.request_id,
                 fingerprint = %attempt.fingerprint,
+                parts = join_parts(&attempt.parts),
                 caller = %attempt.caller,
                 at = %attempt.target.id,
                 born = attempt.target.started_at_ms,
@@ -476,3 +477,9 @@
 fn millis_between(later: Instant, earlier: Instant) -> u64 {
     later.saturating_duration_since(earlier).as_millis() as u64
 }
+
+/// The parts of a prompt as one field of a log line.
+fn join_parts(parts: &[fingerprint::PartId]) -> String {
+    let parts: Vec<String> = parts.iter().map(ToString::to_string).collect();
+    parts.join(",")
+}
--- a/crates/corianderstand_forward/src/dialect.rs
+++ b/crates/corianderstand_forward/src/dialect.rs
@@ -3,7 +3,7 @@
 use crate::{client, continuations};
 use bytes::Bytes;
 use corianderstand_derives::derives;
-use corianderstand_fleet::{choose, config, targets, workspaces};
+use corianderstand_fleet::{choose, config, fingerprint, targets, workspaces};
 use corianderstand_types::names;
 use displaydoc::Display;
 use http::{HeaderMap, StatusCode};
@@ -13,8 +13,8 @@
 /// A part of a prompt that other requests may share.
 #[derives(key)]
 pub struct PromptPart {
-    /// Identifier of this part and all parts before it.
-    pub id: u64,
+    /// Identity of the part itself; the cache joins it with those before it.
+    pub id: fingerprint::PartId,
     /// Length in tokens.
     pub tokens: u32,
 }
@@ -60,6 +60,12 @@
 }
 
 impl RequestHead {
+    /// The parts that other requests may share: all but the last, which is the request's own.
+    pub fn shared_parts(&self) -> Vec<fingerprint::PartId> {
+        let shared = self.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.id).collect()
+    }
+
     /// Tokens of the prompt and the longest response, if the request states them.
     pub const fn token_count(&self) -> Option<u64> {
         if !self.has_token_counts {
--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -202,6 +202,7 @@
     let attempt = exits::BrokenAttempt {
         request_id: job.request.id.clone(),
         fingerprint: job.fingerprint(),
+        parts: job.request.shared_parts(),
         caller: job.caller,
         target: target.clone(),
         sent_at: in_flight.started_at(),
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -105,7 +105,7 @@
     let model = request.requested_model.as_ref().map_or("", |requested| requested.model.as_str());
     let chain = prefixes::PrefixChain::new(
         model,
-        request.prompt_parts.iter().map(|part| (part.id, part.tokens)),
+        request.prompt_parts.iter().map(|part| (part.id.0, part.tokens)),
     );
     let uri = parts.uri.path_and_query().cloned().map_or_else(|| parts.uri.clone(), Uri::from);
     let job = job::Job {
--- a/crates/corianderstand_forward/src/target_reports.rs
+++ b/crates/corianderstand_forward/src/target_reports.rs
@@ -278,6 +278,7 @@
     exits::BrokenAttempt {
         request_id: SmolStr::default(),
         fingerprint: crash.fingerprint,
+        parts: Vec::new(),
         caller: Ipv4Addr::UNSPECIFIED.into(),
         target: crash.target,
         sent_at: crash.sent_at,
