Failing test: a part of differing prompts ends one target after another

Two routers before three targets that end under each request whose prompt has one part; the requests differ in path and last part.

The harness of targets that end under a request moves to tests/common, as two files use it; the tests of whole requests are unchanged and pass.

--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod crashing;
 pub mod link;
 mod platform;
 
--- a/crates/corianderstand_forward/tests/common/platform.rs
+++ b/crates/corianderstand_forward/tests/common/platform.rs
@@ -2,7 +2,7 @@
 
 use super::link;
 use bytes::Bytes;
-use corianderstand_fleet::{choose, config, targets, workspaces};
+use corianderstand_fleet::{choose, config, fingerprint, targets, workspaces};
 use corianderstand_forward::dialect;
 use dialect::{Page, ReadOptions, Record, RecordError, RouterEntry, StoreError, Subject, Update};
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -16,6 +16,7 @@
     },
     time::{Duration, Instant},
 };
+use xxhash_rust::xxh3;
 
 /// Contents and simulated faults of the store.
 #[derive(Default)]
@@ -187,6 +188,12 @@
     Page { records, whole: true, ..page }
 }
 
+/// Parses a list of ids of parts, separated by commas.
+fn parse_parts(text: &str) -> Vec<dialect::PromptPart> {
+    let id = |part: &str| fingerprint::PartId(xxh3::xxh3_64(part.as_bytes()));
+    text.split(',').map(|part| dialect::PromptPart { id: id(part), tokens: 1 }).collect()
+}
+
 /// A platform with plain header names, backed by the in-memory store.
 pub struct PlainPlatform(pub MemoryStore);
 
@@ -205,6 +212,7 @@
             prompt_tokens: text("x-prompt").and_then(|text| text.parse().ok()).unwrap_or(0),
             last_event_id: text("x-last-event").and_then(|text| text.parse().ok()),
             resumes: text("x-resumes").map(Into::into),
+            prompt_parts: text("x-parts").map(parse_parts).unwrap_or_default(),
             has_token_counts: headers.contains_key("x-prompt"),
             credential: text("x-key").map_or(dialect::RequestCredential::Absent, |key| {
                 dialect::RequestCredential::Present(workspaces::Credential::new(key.as_bytes()))
