Parts of prompts that end targets are blocked, by the mechanism for whole requests

Change: what is suspected, cleared, blocked and told to other routers is a feature: a whole request or a part of a prompt. An end accuses the parts of the runs that had written for under 200 ms and of which the sender has seen no success since it sent them. A success (a whole answer, or 200 ms of events) refutes the ends of runs sent before its first event. Requests are judged first, so that a request that ends targets by itself leaves its parts free; a request beside a blocked part is acquitted. A waiting request is refused as soon as it is blocked.

crashes.rs is split; the adapter (forward::suspicion) takes no Shared and holds what was in exits, crashes and half of target_reports.

--- a/crates/corianderstand_cli/src/explain.rs
+++ b/crates/corianderstand_cli/src/explain.rs
@@ -72,8 +72,9 @@
     let why = text(end, "why").unwrap_or_default();
     if let (Some(ends), Some(age)) = (text(end, "ends"), text(end, "last_end_ms")) {
         let noticed_by = text(end, "noticed_by").unwrap_or_default();
+        let part = text(end, "part").map_or(String::new(), |part| format!(" (part {part})"));
         return format!(
-            "refused as not run: {why}; {ends} ended, the last {age} ms before, noticed by {noticed_by}"
+            "refused as not run: {why}{part}; {ends} ended, the last {age} ms before, noticed by {noticed_by}"
         );
     }
     let Some(version) = text(end, "config") else { return format!("refused as not run: {why}") };
--- a/crates/corianderstand_fleet/src/crashes.rs
+++ b/crates/corianderstand_fleet/src/crashes.rs
@@ -1,15 +1,25 @@
-//! Requests that end the targets that run them.
+//! Requests, and parts of prompts, that end the targets that run them.
 //!
-//! When a target ends, all requests that it was running are suspects. A suspect that also ran on the
-//! targets that ended next is blocked, unless another suspect explains these ends as well. A target
-//! that had been streaming its response for a while had begun to run it without ending, so its end
-//! counts for little. A complete response clears its request. All routers exchange their [`Crash`]es
-//! and judge by the same rules.
+//! When a target ends, all requests that it was running are suspects, and so are the parts of the prompts on
+//! which it had not begun to write ([`fingerprint::Feature`]). A feature under which targets end one after another is
+//! blocked, unless another one explains these ends as well ([`verdict`]). A target that had been streaming its
+//! response for a while had begun to run it without ending, so its end counts for little against the request, and
+//! not against its parts. A success clears its request and the parts of its prompt: what ends targets each time
+//! never has one. All routers exchange their [`Crash`]es and successes and judge by the same rules.
 //!
 //! Requests that wait for a model are all sent when it is there, so the same ones may end together again
 //! and again. Those that can't be told apart are sent in alternating windows ([`Crashes::held_until`]).
 
-use crate::{fingerprint::Fingerprint, targets::Incarnation};
+mod ended;
+mod successes;
+mod suspect;
+mod turns;
+mod verdict;
+
+use crate::{
+    fingerprint::{Feature, Fingerprint, PartId},
+    targets::Incarnation,
+};
 use corianderstand_derives::derives;
 use smol_str::SmolStr;
 use std::{
@@ -17,7 +27,7 @@
     time::{Duration, Instant},
 };
 
-/// Consecutive early ends after which a request is blocked.
+/// Consecutive early ends after which a request or a part is blocked.
 const MAX_CONSECUTIVE_ENDS: usize = 3;
 /// Consecutive early ends after which a request is blocked although another one explains them as well.
 const MAX_AMBIGUOUS_ENDS: usize = 6;
@@ -25,29 +35,36 @@
 const MAX_LATE_ENDS: usize = 8;
 /// An end is early if it comes within this time after the first event of the response.
 pub const EARLY_END_TIME: Duration = Duration::from_millis(500);
+/// Time from the first event of a response after which the target has written on the prompt without ending.
+pub const WRITING_START_TIME: Duration = Duration::from_millis(200);
 /// Copies of a request may run at the same time: it is also blocked after this many ends in total,
 /// if some of them were consecutive.
 const MAX_TOTAL_ENDS: usize = 6;
 const MIN_CONSECUTIVE_ENDS: usize = 2;
-/// Time for which a request is blocked after the last end.
+/// Time for which a feature is blocked after the last end.
 const BLOCK_TIME: Duration = Duration::from_mins(10);
-/// Time for which the ends of a blocked request count. It exceeds [`BLOCK_TIME`], so that one further
-/// end blocks again.
-const BLOCK_RETENTION: Duration = Duration::from_mins(30);
-/// Time for which fewer ends count.
-const RETENTION: Duration = Duration::from_mins(5);
-/// Interval at which the requests that can't be told apart take turns.
-const TURN_TIME: Duration = Duration::from_millis(1_000);
-/// Part of a turn in which they are sent, so that they have run for a while when the next turn begins.
-const SEND_WINDOW: Duration = Duration::from_millis(400);
-const MAX_SUSPECTS: usize = 256;
-const MAX_CRASHES_PER_SUSPECT: usize = MAX_LATE_ENDS;
+const MAX_SUSPECT_REQUESTS: usize = 256;
+const MAX_SUSPECT_PARTS: usize = 128;
+/// Number of refuted ends from which on other routers are told of a success: a router that holds fewer against
+/// the part doesn't block it yet.
+const MIN_REFUTED_ENDS_OF_PART: usize = 2;
+
+/// A part of a prompt that may have ended a target.
+#[derives(key)]
+pub struct AccusedPart {
+    /// The part.
+    pub part: PartId,
+    /// Its position in the prompt.
+    pub position: u32,
+}
 
 /// The end of a target while it ran a request.
 #[derives(data)]
 pub struct Crash {
     /// The request.
     pub fingerprint: Fingerprint,
+    /// Parts of its prompt that may have ended the target.
+    pub parts: Vec<AccusedPart>,
     /// The target that ended.
     pub target: Incarnation,
     /// When the request was sent to the target.
@@ -62,292 +79,235 @@
 }
 
 impl Crash {
-    fn is_early(&self) -> bool {
-        self.survived < EARLY_END_TIME
+    fn end(&self) -> suspect::End {
+        suspect::End {
+            request: self.fingerprint,
+            target: self.target.clone(),
+            sent_at: self.sent_at,
+            ended_at: self.ended_at,
+            survived: self.survived,
+            observer: self.observer.clone(),
+        }
+    }
+
+    fn of_end(feature: Feature, position: u32, end: &suspect::End) -> Self {
+        let part = match feature {
+            Feature::Request(_) => None,
+            Feature::Part(part) => Some(AccusedPart { part, position }),
+        };
+        Self {
+            fingerprint: end.request,
+            parts: part.into_iter().collect(),
+            target: end.target.clone(),
+            sent_at: end.sent_at,
+            ended_at: end.ended_at,
+            survived: end.survived,
+            observer: end.observer.clone(),
+        }
     }
 }
 
-/// Why a request is blocked.
+/// Why requests with a feature are blocked.
 #[derives(data)]
 pub struct Block {
+    /// What they have in common.
+    pub feature: Feature,
     /// Number of targets that ended.
     pub ends: usize,
     /// When the last of them ended.
     pub last_end: Instant,
-    /// When the request may be sent again.
+    /// When such requests may be sent again.
     pub until: Instant,
-    /// The routers that had sent it.
+    /// The routers that had sent them.
     pub observers: BTreeSet<SmolStr>,
 }
 
-#[derive(Clone, Debug)]
-struct Suspect {
-    crashes: Vec<Crash>,
-    /// Targets whose ends were explained by a later complete response.
-    cleared: BTreeSet<Incarnation>,
-    last_end: Instant,
-}
-
-impl Suspect {
-    /// Whether the request may have caused the end that another one is suspected of.
-    fn explains(&self, other: &Crash) -> bool {
-        let mut shared = self.crashes.iter().filter(|crash| crash.target == other.target);
-        shared.any(|crash| crash.is_early() || !other.is_early())
-    }
-
-    fn is_recent(&self, now: Instant) -> bool {
-        let was_blocked = self.crashes.len() >= MAX_CONSECUTIVE_ENDS;
-        let retention = if was_blocked { BLOCK_RETENTION } else { RETENTION };
-        now.saturating_duration_since(self.last_end) < retention
-    }
-
-    fn unexplained(&self, explained: &BTreeSet<Incarnation>) -> Vec<&Crash> {
-        self.crashes.iter().filter(|crash| !explained.contains(&crash.target)).collect()
-    }
-
-    fn early_crashes(&self, explained: &BTreeSet<Incarnation>) -> Vec<&Crash> {
-        self.unexplained(explained).into_iter().filter(|crash| crash.is_early()).collect()
-    }
-
-    /// Records an end; false if it is known.
-    fn record(&mut self, crash: Crash) -> bool {
-        if self.cleared.contains(&crash.target) {
-            return false;
-        }
-        if let Some(known) = self.crashes.iter_mut().find(|known| known.target == crash.target) {
-            let was_early = known.is_early();
-            known.survived = known.survived.max(crash.survived);
-            return was_early != known.is_early();
-        }
-        self.last_end = self.last_end.max(crash.ended_at);
-        if self.crashes.len() == MAX_CRASHES_PER_SUSPECT {
-            self.crashes.remove(0);
-        }
-        self.crashes.push(crash);
-        self.crashes.sort_by_key(|crash| crash.ended_at);
-        true
-    }
-}
-
 impl Block {
-    fn new(suspect: &Suspect) -> Self {
+    fn new(feature: Feature, suspect: &suspect::Suspect) -> Self {
         Self {
-            ends: suspect.crashes.len(),
+            feature,
+            ends: suspect.ends.len(),
             last_end: suspect.last_end,
             until: suspect.last_end + BLOCK_TIME,
-            observers: suspect.crashes.iter().map(|crash| crash.observer.clone()).collect(),
-        }
-    }
-}
-
-/// Order in which requests are blocked: by most early ends, then by fewest others.
-#[derives(name)]
-struct GuiltRank {
-    early_ends: usize,
-    late_ends: std::cmp::Reverse<usize>,
-    targets: BTreeSet<Incarnation>,
-}
-
-impl GuiltRank {
-    fn new(crashes: &[&Crash]) -> Self {
-        let early_ends = crashes.iter().filter(|crash| crash.is_early()).count();
-        Self {
-            early_ends,
-            late_ends: std::cmp::Reverse(crashes.len() - early_ends),
-            targets: targets_of(crashes),
+            observers: suspect.ends.iter().map(|end| end.observer.clone()).collect(),
         }
     }
 }
 
-/// Requests that ended the same targets as another.
-#[derive(Clone, Debug, Default)]
-struct Ambiguous {
-    /// Sorted, so that all routers agree on the turns.
-    requests: Vec<Fingerprint>,
-    /// The last of the ends.
-    first_turn_at: Option<Instant>,
-}
-
-impl Ambiguous {
-    /// Whether a request is sent in a turn: a few requests one by one; of many, any two are apart in some
-    /// turns, as the bits of their positions differ.
-    fn has_turn(&self, position: usize, turn: u32) -> bool {
-        let count = self.requests.len().max(2);
-        let bits = usize::BITS - (count - 1).leading_zeros();
-        let turns_by_bits = 2 * bits as usize;
-        if count <= turns_by_bits {
-            return turn as usize % count == position;
-        }
-        let bit = (turn / 2) % bits;
-        (position >> bit & 1) as u32 == turn % 2
-    }
-
-    fn held_until(&self, now: Instant, fingerprint: &Fingerprint) -> Option<Instant> {
-        let position = self.requests.binary_search(fingerprint).ok()?;
-        let first_turn_at = self.first_turn_at?;
-        let elapsed = now.saturating_duration_since(first_turn_at);
-        let turn = u32::try_from(elapsed.as_millis() / TURN_TIME.as_millis()).ok()?;
-        let in_window = now < first_turn_at + TURN_TIME * turn + SEND_WINDOW;
-        if in_window && self.has_turn(position, turn) {
-            return None;
-        }
-        let next = (turn + 1..).find(|turn| self.has_turn(position, *turn))?;
-        Some(first_turn_at + TURN_TIME * next)
-    }
+/// A feature and when a run with it last succeeded.
+#[derives(data)]
+pub struct Success {
+    /// What the run had in common with others.
+    pub feature: Feature,
+    /// When its target had begun to write the response without ending.
+    pub at: Instant,
 }
 
-/// Ends of targets by request.
+/// Ends of targets by feature of the requests that they ran.
 #[derive(Clone, Debug, Default)]
 pub struct Crashes {
-    suspects: HashMap<Fingerprint, Suspect>,
-    blocks: HashMap<Fingerprint, Block>,
-    ambiguous: Ambiguous,
+    suspects: HashMap<Feature, suspect::Suspect>,
+    ended: ended::EndedTargets,
+    successes: successes::Successes,
+    blocks: HashMap<Feature, Block>,
+    turns: turns::Turns,
+    /// Successes that the other routers should know of.
+    rebuttals: Vec<Success>,
 }
 
 impl Crashes {
     /// Records the end of a target under a request; false if it is known.
     pub fn record(&mut self, now: Instant, crash: Crash) -> bool {
         self.expire(now);
-        if !self.suspects.contains_key(&crash.fingerprint) && self.suspects.len() >= MAX_SUSPECTS {
-            self.evict();
+        self.ended.record(&crash.target, crash.ended_at);
+        let request = Feature::Request(crash.fingerprint);
+        let mut is_news = self.accuse(request, &crash);
+        if let Some(suspect) = self.suspects.get_mut(&request) {
+            suspect.parts.extend(crash.parts.iter().map(|accused| accused.part));
+        }
+        if crash.survived < WRITING_START_TIME {
+            for accused in &crash.parts {
+                let feature = Feature::Part(accused.part);
+                is_news |= self.accuse(feature, &crash);
+                if let Some(suspect) = self.suspects.get_mut(&feature) {
+                    suspect.position = suspect.position.max(accused.position);
+                }
+            }
         }
-        let suspect = self.suspects.entry(crash.fingerprint).or_insert_with(|| Suspect {
-            crashes: Vec::new(),
-            cleared: BTreeSet::new(),
-            last_end: crash.ended_at,
-        });
-        let is_news = suspect.record(crash);
         if is_news {
             self.judge();
         }
         is_news
     }
 
-    /// Clears a request that got a complete response; false if it was not suspected.
-    pub fn clear(&mut self, fingerprint: &Fingerprint) -> bool {
-        let Some(suspect) = self.suspects.get_mut(fingerprint) else { return false };
-        if suspect.crashes.is_empty() {
-            return false;
+    fn accuse(&mut self, feature: Feature, crash: &Crash) -> bool {
+        if !self.suspects.contains_key(&feature) {
+            self.make_room(feature);
         }
-        let targets = suspect.crashes.drain(..).map(|crash| crash.target);
-        suspect.cleared = targets.collect();
-        self.judge();
-        true
+        let succeeded_at = match feature {
+            Feature::Request(_) => None,
+            Feature::Part(part) => self.successes.last(part),
+        };
+        let suspect = self
+            .suspects
+            .entry(feature)
+            .or_insert_with(|| suspect::Suspect::new(succeeded_at, crash.ended_at));
+        let is_news = suspect.record(crash.end());
+        self.collect_rebuttal(feature);
+        is_news
+    }
+
+    /// The parts of a prompt, in order, that may have ended a target to which it was sent at a time: a success since
+    /// then shows that a part did not.
+    pub fn accusable(
+        &self,
+        parts: impl Iterator<Item = PartId>,
+        sent_at: Instant,
+    ) -> Vec<AccusedPart> {
+        let accused = (0..).zip(parts).map(|(position, part)| AccusedPart { part, position });
+        accused
+            .filter(|accused| self.successes.last(accused.part).is_none_or(|at| at <= sent_at))
+            .collect()
     }
 
-    /// Whether any request is suspected, so that complete responses matter.
-    pub fn has_suspects(&self) -> bool {
-        self.suspects.values().any(|suspect| !suspect.crashes.is_empty())
+    /// Records that a run with a feature succeeded. Returns whether it had been suspected.
+    pub fn record_success(&mut self, success: &Success) -> bool {
+        let is_news = self.apply_success(success);
+        self.collect_rebuttal(success.feature);
+        is_news
     }
 
-    /// Whether any request is held.
-    pub fn has_held_requests(&self) -> bool {
-        !self.ambiguous.requests.is_empty()
+    /// Records a success that another router told all routers of.
+    pub fn record_told_success(&mut self, success: &Success) {
+        self.apply_success(success);
+        if let Some(suspect) = self.suspects.get_mut(&success.feature) {
+            suspect.record_told(success.at);
+        }
+        self.rebuttals.retain(|own| own.feature != success.feature || own.at > success.at);
     }
 
-    /// Whether any request is blocked.
-    pub fn has_blocks(&self) -> bool {
-        !self.blocks.is_empty()
+    fn apply_success(&mut self, success: &Success) -> bool {
+        if let Feature::Part(part) = success.feature {
+            self.successes.record(part, success.at);
+        }
+        let Some(suspect) = self.suspects.get_mut(&success.feature) else { return false };
+        let is_news = suspect.record_success(success.at);
+        if is_news {
+            self.judge();
+        }
+        is_news
     }
 
-    /// Returns why a request is blocked, if it is.
-    pub fn block(&self, now: Instant, fingerprint: &Fingerprint) -> Option<&Block> {
-        self.blocks.get(fingerprint).filter(|block| now < block.until)
+    fn collect_rebuttal(&mut self, feature: Feature) {
+        let min = match feature {
+            Feature::Request(_) => 1,
+            Feature::Part(_) => MIN_REFUTED_ENDS_OF_PART,
+        };
+        let Some(suspect) = self.suspects.get_mut(&feature) else { return };
+        let Some(at) = suspect.take_rebuttal(min) else { return };
+        self.rebuttals.retain(|own| own.feature != feature);
+        self.rebuttals.push(Success { feature, at });
     }
 
-    /// When a request may be sent that can't be told apart from another; none if it may be sent now.
-    pub fn held_until(&self, now: Instant, fingerprint: &Fingerprint) -> Option<Instant> {
-        self.ambiguous.held_until(now, fingerprint)
+    /// Takes the successes that the other routers should be told of.
+    pub fn take_rebuttals(&mut self) -> Vec<Success> {
+        std::mem::take(&mut self.rebuttals)
     }
 
-    /// Number of blocked requests.
-    pub fn blocked_requests(&self, now: Instant) -> usize {
-        self.blocks.values().filter(|block| now < block.until).count()
+    /// Whether any request is suspected, so that its successes matter.
+    pub fn has_suspect_requests(&self) -> bool {
+        self.suspects.iter().any(|(feature, suspect)| {
+            matches!(feature, Feature::Request(_)) && !suspect.ends.is_empty()
+        })
     }
 
-    /// The ends for which requests are blocked or held, for a router that starts.
-    pub fn relevant_crashes(&self) -> impl Iterator<Item = &Crash> {
-        let keys = self.blocks.keys().chain(&self.ambiguous.requests);
-        let suspects = keys.filter_map(|key| self.suspects.get(key));
-        suspects.flat_map(|suspect| &suspect.crashes)
+    /// Whether any request is held.
+    pub fn has_held_requests(&self) -> bool {
+        !self.turns.requests().is_empty()
     }
 
-    /// Blocks the requests that explain the most ends, until the rest is too few or ambiguous.
-    fn judge(&mut self) {
-        self.blocks.clear();
-        let mut explained: BTreeSet<Incarnation> = BTreeSet::new();
-        loop {
-            let guilty = self.guilty_requests(&explained);
-            let Some(best) = guilty.iter().map(|(rank, _)| rank).max().cloned() else { break };
-            // Several requests that ended the same targets each time can't be told apart.
-            for (rank, key) in guilty {
-                if rank == best {
-                    self.blocks.insert(key, Block::new(&self.suspects[&key]));
-                }
-            }
-            explained.extend(best.targets);
-        }
-        self.ambiguous = self.ambiguous_requests(&explained);
+    /// Whether any request is blocked as a whole.
+    pub fn has_blocked_requests(&self) -> bool {
+        self.blocks.keys().any(|feature| matches!(feature, Feature::Request(_)))
     }
 
-    fn ambiguous_requests(&self, explained: &BTreeSet<Incarnation>) -> Ambiguous {
-        let open = self.suspects.iter().filter(|(key, _)| !self.blocks.contains_key(key));
-        let ambiguous: Vec<_> = open
-            .filter(|(key, suspect)| {
-                let early = suspect.early_crashes(explained);
-                consecutive_ends(&early) >= MIN_CONSECUTIVE_ENDS && self.has_rival(**key, &early)
-            })
-            .collect();
-        let first_turn_at = ambiguous.iter().map(|(_, suspect)| suspect.last_end).max();
-        let mut requests: Vec<Fingerprint> = ambiguous.iter().map(|(key, _)| **key).collect();
-        requests.sort_unstable();
-        Ambiguous { requests, first_turn_at }
+    /// Whether anything is blocked.
+    pub fn has_blocks(&self) -> bool {
+        !self.blocks.is_empty()
     }
 
-    /// Returns the requests to block for ends that no blocked request explains.
-    fn guilty_requests(&self, explained: &BTreeSet<Incarnation>) -> Vec<(GuiltRank, Fingerprint)> {
-        let open = self.suspects.iter().filter(|(key, _)| !self.blocks.contains_key(key));
-        let guilty = open.filter_map(|(key, suspect)| {
-            let is_guilty = self.is_guilty(*key, suspect, explained);
-            is_guilty.then(|| (GuiltRank::new(&suspect.unexplained(explained)), *key))
-        });
-        guilty.collect()
+    /// Returns why requests with a feature are blocked, if they are.
+    pub fn block(&self, now: Instant, feature: &Feature) -> Option<&Block> {
+        self.blocks.get(feature).filter(|block| now < block.until)
     }
 
-    fn is_guilty(
-        &self,
-        key: Fingerprint,
-        suspect: &Suspect,
-        explained: &BTreeSet<Incarnation>,
-    ) -> bool {
-        let early = suspect.early_crashes(explained);
-        let consecutive = consecutive_ends(&early);
-        if consecutive >= MAX_AMBIGUOUS_ENDS {
-            return true;
-        }
-        let enough = consecutive >= MAX_CONSECUTIVE_ENDS
-            || (consecutive >= MIN_CONSECUTIVE_ENDS && early.len() >= MAX_TOTAL_ENDS);
-        if enough {
-            return !self.has_rival(key, &early);
-        }
-        let all = suspect.unexplained(explained);
-        consecutive_ends(&all) >= MAX_LATE_ENDS && !self.has_rival(key, &all)
+    /// When a request may be sent that can't be told apart from another; none if it may be sent now.
+    pub fn held_until(&self, now: Instant, fingerprint: &Fingerprint) -> Option<Instant> {
+        self.turns.held_until(now, fingerprint)
+    }
+
+    /// The blocks in force.
+    pub fn blocks(&self, now: Instant) -> impl Iterator<Item = &Block> {
+        self.blocks.values().filter(move |block| now < block.until)
     }
 
-    /// Whether another request ran on these targets too, and did not survive longer on them. It may lack one
-    /// of three, as a router that is killed takes with it what it alone had seen, and one of more if it
-    /// ended another target instead: each of them may have ended one that failed by itself.
-    fn has_rival(&self, key: Fingerprint, crashes: &[&Crash]) -> bool {
-        let open = self.suspects.iter().filter(|(other, _)| !self.blocks.contains_key(other));
-        let mut others = open.filter(|(other, _)| **other != key);
-        others.any(|(_, other)| {
-            let missing = crashes.iter().filter(|own| !other.explains(own)).count();
-            let ended_another = || other.early_crashes(&targets_of(crashes)).len() == 1;
-            missing == 0
-                || missing == 1 && (crashes.len() == MAX_CONSECUTIVE_ENDS || ended_another())
+    /// The ends for which requests are blocked or held, for a router that starts.
+    pub fn relevant_crashes(&self) -> impl Iterator<Item = Crash> {
+        let held = self.turns.requests().iter().copied().map(Feature::Request);
+        let features = self.blocks.keys().copied().chain(held);
+        features.flat_map(|feature| {
+            let suspect = self.suspects.get(&feature);
+            suspect.into_iter().flat_map(move |suspect| {
+                suspect.ends.iter().map(move |end| Crash::of_end(feature, suspect.position, end))
+            })
         })
     }
 
+    fn judge(&mut self) {
+        let judge = verdict::Judge::new(&self.suspects, &self.successes, &self.ended);
+        (self.blocks, self.turns) = judge.judge();
+    }
+
     fn expire(&mut self, now: Instant) {
         let count = self.suspects.len();
         self.suspects.retain(|_, suspect| suspect.is_recent(now));
@@ -356,32 +316,23 @@
         }
     }
 
-    /// Removes the suspect with the oldest end, if possible one that is not blocked.
-    fn evict(&mut self) {
-        let oldest = self
-            .suspects
-            .iter()
+    /// Makes room for a further suspect of the same kind: removes the one with the oldest end, if possible one that is
+    /// not blocked.
+    fn make_room(&mut self, feature: Feature) {
+        let kind = std::mem::discriminant(&feature);
+        let max = match feature {
+            Feature::Request(_) => MAX_SUSPECT_REQUESTS,
+            Feature::Part(_) => MAX_SUSPECT_PARTS,
+        };
+        let same_kind =
+            self.suspects.iter().filter(|(key, _)| std::mem::discriminant(*key) == kind);
+        if same_kind.clone().count() < max {
+            return;
+        }
+        let oldest = same_kind
             .min_by_key(|(key, suspect)| (self.blocks.contains_key(key), suspect.last_end, **key));
         let Some(key) = oldest.map(|(key, _)| *key) else { return };
         self.suspects.remove(&key);
         self.blocks.remove(&key);
     }
 }
-
-fn targets_of(crashes: &[&Crash]) -> BTreeSet<Incarnation> {
-    crashes.iter().map(|crash| crash.target.clone()).collect()
-}
-
-/// Length of a chain of ends in which each run began after the end before it. Copies that ran at the
-/// same time count once: hosts may fail together, but not each time that a request is repeated.
-fn consecutive_ends(crashes: &[&Crash]) -> usize {
-    let mut last_end: Option<Instant> = None;
-    let mut count = 0;
-    for crash in crashes {
-        if last_end.is_none_or(|end| crash.sent_at >= end) {
-            count += 1;
-            last_end = Some(crash.ended_at);
-        }
-    }
-    count
-}
--- a/crates/corianderstand_fleet/src/exits.rs
+++ b/crates/corianderstand_fleet/src/exits.rs
@@ -4,7 +4,7 @@
 //! confirmed from elsewhere: by the target's agent, by a refused connection, or by a new incarnation
 //! at its address. Either may be known first.
 
-use crate::{fingerprint, targets};
+use crate::{crashes, fingerprint, targets};
 use corianderstand_derives::derives;
 use corianderstand_types::names;
 use smol_str::SmolStr;
@@ -55,8 +55,8 @@
     pub request_id: SmolStr,
     /// Content and caller of the request.
     pub fingerprint: fingerprint::Fingerprint,
-    /// Parts of its prompt that other requests may share, in order.
-    pub parts: Vec<fingerprint::PartId>,
+    /// Parts of its prompt that may have ended the target.
+    pub parts: Vec<crashes::AccusedPart>,
     /// Address of the caller.
     pub caller: IpAddr,
     /// The target.
--- a/crates/corianderstand_fleet/src/fingerprint.rs
+++ b/crates/corianderstand_fleet/src/fingerprint.rs
@@ -23,3 +23,21 @@
         write!(f, "{:016x}", self.0)
     }
 }
+
+/// What requests may have in common with those under which targets ended.
+#[derives(key)]
+pub enum Feature {
+    /// The whole request, with its caller.
+    Request(Fingerprint),
+    /// A part of its prompt, whoever sends it.
+    Part(PartId),
+}
+
+impl fmt::Display for Feature {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Request(fingerprint) => write!(f, "request {fingerprint}"),
+            Self::Part(part) => write!(f, "part {part}"),
+        }
+    }
+}
--- a/crates/corianderstand_fleet/tests/crashes.rs
+++ b/crates/corianderstand_fleet/tests/crashes.rs
@@ -1,8 +1,8 @@
 //! Which requests are blocked after targets ended, and which are not.
 
 use corianderstand_fleet::{
-    crashes::{Crash, Crashes},
-    fingerprint::Fingerprint,
+    crashes::{Crash, Crashes, Success},
+    fingerprint::{Feature, Fingerprint},
     targets::Incarnation,
 };
 use std::time::{Duration, Instant};
@@ -33,6 +33,7 @@
         for &fingerprint in requests {
             let crash = Crash {
                 fingerprint,
+                parts: Vec::new(),
                 target: Incarnation {
                     id: format!("target-{second}").as_str().into(),
                     started_at_ms: 1,
@@ -46,8 +47,14 @@
         }
     }
 
+    /// A complete response arrives; returns whether the request had been suspected.
+    fn complete(&mut self, second: u64, fingerprint: Fingerprint) -> bool {
+        let success = Success { feature: Feature::Request(fingerprint), at: self.at(second) };
+        self.crashes.record_success(&success)
+    }
+
     fn is_blocked(&self, second: u64, fingerprint: Fingerprint) -> bool {
-        self.crashes.block(self.at(second), &fingerprint).is_some()
+        self.crashes.block(self.at(second), &Feature::Request(fingerprint)).is_some()
     }
 }
 
@@ -68,7 +75,7 @@
     let mut history = History::new();
     history.end(1, &[NEIGHBOUR]);
     history.end(2, &[NEIGHBOUR]);
-    assert!(history.crashes.clear(&NEIGHBOUR));
+    assert!(history.complete(3, NEIGHBOUR));
     history.end(3, &[NEIGHBOUR]);
     history.end(4, &[NEIGHBOUR]);
     assert!(!history.is_blocked(5, NEIGHBOUR));
@@ -80,7 +87,7 @@
     let mut history = History::new();
     history.end(1, &[NEIGHBOUR]);
     history.end(2, &[NEIGHBOUR]);
-    history.crashes.clear(&NEIGHBOUR);
+    history.complete(3, NEIGHBOUR);
     history.end(1, &[NEIGHBOUR]);
     history.end(2, &[NEIGHBOUR]);
     history.end(3, &[NEIGHBOUR]);
@@ -94,6 +101,7 @@
     for target in 0..9 {
         let crash = Crash {
             fingerprint: NEIGHBOUR,
+            parts: Vec::new(),
             target: Incarnation {
                 id: format!("target-{target}").as_str().into(),
                 started_at_ms: 1,
@@ -146,7 +154,7 @@
     history.end(5, &[NEIGHBOUR]);
     assert!(!history.is_blocked(6, NEIGHBOUR));
     assert!(history.crashes.has_held_requests(), "they take turns");
-    history.crashes.clear(&NEIGHBOUR);
+    history.complete(6, NEIGHBOUR);
     assert!(history.is_blocked(7, CRASHING));
 }
 
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -215,7 +215,7 @@
         return;
     }
     let started_at_ms = view.targets.get(key).map_or(0, |t| t.entry.started_at_ms);
-    shared.exits.borrow_mut().record_alive(now, &id, started_at_ms);
+    shared.suspicion.record_running(now, &id, started_at_ms);
     let key = view.targets.key(&id).unwrap_or(key);
     if let Some(target) = view.targets.get_mut(key) {
         target.confirmed_plan = plan_serial;
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -1,9 +1,9 @@
 //! Rate-limited logging of routing decisions and request outcomes.
 
 use crate::{
-    admission, body_end, dialect, exchange, job, metrics, quotas, replicated_records, stream, view,
+    admission, body_end, dialect, job, metrics, quotas, replicated_records, stream, suspicion, view,
 };
-use corianderstand_fleet::{crashes, exits, fingerprint, targets, wait_limit};
+use corianderstand_fleet::{crashes, exits, fingerprint::Feature, targets, wait_limit};
 use corianderstand_types::names;
 use http::StatusCode;
 use smol_str::SmolStr;
@@ -319,9 +319,13 @@
         }
     }
 
-    /// Logs a refused request that ended the targets that ran it.
+    /// Logs a refused request under which, or under a part of which, targets ended.
     pub fn blocked(&self, job: &job::Job, block: &crashes::Block, now: Instant) {
-        let why = exchange::BLOCKED;
+        let why = suspicion::reason(block);
+        let (fingerprint, part) = match block.feature {
+            Feature::Request(fingerprint) => (Some(fingerprint.to_string()), None),
+            Feature::Part(part) => (None, Some(part.to_string())),
+        };
         self.metrics.request_refused(why);
         if self.may_log(LineKind::Refused, now) {
             tracing::info!(
@@ -329,7 +333,8 @@
                 route = %job.route.name,
                 status = StatusCode::SERVICE_UNAVAILABLE.as_u16(),
                 why,
-                fingerprint = %job.fingerprint(),
+                fingerprint,
+                part,
                 ends = block.ends,
                 last_end_ms = millis_between(now, block.last_end),
                 noticed_by = ?block.observers,
@@ -478,8 +483,8 @@
     later.saturating_duration_since(earlier).as_millis() as u64
 }
 
-/// The parts of a prompt as one field of a log line.
-fn join_parts(parts: &[fingerprint::PartId]) -> String {
-    let parts: Vec<String> = parts.iter().map(ToString::to_string).collect();
+/// Parts of a prompt as one field of a log line.
+fn join_parts(parts: &[crashes::AccusedPart]) -> String {
+    let parts: Vec<String> = parts.iter().map(|accused| accused.part.to_string()).collect();
     parts.join(",")
 }
--- a/crates/corianderstand_forward/src/dialect.rs
+++ b/crates/corianderstand_forward/src/dialect.rs
@@ -61,9 +61,9 @@
 
 impl RequestHead {
     /// The parts that other requests may share: all but the last, which is the request's own.
-    pub fn shared_parts(&self) -> Vec<fingerprint::PartId> {
+    pub fn shared_parts(&self) -> impl Iterator<Item = fingerprint::PartId> {
         let shared = self.prompt_parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        shared.iter().map(|part| part.id).collect()
+        shared.iter().map(|part| part.id)
     }
 
     /// Tokens of the prompt and the longest response, if the request states them.
--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -1,6 +1,6 @@
 //! Relates targets that ended to the requests that they were running.
 
-use crate::{body_end, job, pool, router, target_reports};
+use crate::{body_end, job, pool, router};
 use corianderstand_fleet::{exits, targets};
 use corianderstand_types::names;
 use http::{Request, header};
@@ -29,11 +29,11 @@
     let Some((attempt, addr)) = broken_attempt(shared, job, in_flight, first_event_at, now) else {
         return;
     };
-    let confirmation = shared.exits.borrow_mut().record_broken(now, attempt.clone());
+    let confirmation = shared.suspicion.record_broken(now, attempt.clone());
     match confirmation {
         Some(confirmation) => record_ended_under(shared, now, &attempt, confirmation),
         None => {
-            target_reports::record_suspicion(shared, &attempt);
+            shared.suspicion.report_broken(&attempt);
             probe_later(shared, now, in_flight.key(), attempt.target, addr);
         }
     }
@@ -202,7 +202,7 @@
     let attempt = exits::BrokenAttempt {
         request_id: job.request.id.clone(),
         fingerprint: job.fingerprint(),
-        parts: job.request.shared_parts(),
+        parts: shared.suspicion.accusable(job, in_flight.started_at()),
         caller: job.caller,
         target: target.clone(),
         sent_at: in_flight.started_at(),
@@ -219,7 +219,7 @@
     now: Instant,
     attempt: exits::BrokenAttempt,
 ) {
-    let confirmation = shared.exits.borrow_mut().record_broken(now, attempt.clone());
+    let confirmation = shared.suspicion.record_broken(now, attempt.clone());
     if let Some(confirmation) = confirmation {
         record_ended_under(shared, now, &attempt, confirmation);
     }
@@ -232,7 +232,7 @@
     target: &targets::Incarnation,
     confirmation: exits::Confirmation,
 ) {
-    let attempts = shared.exits.borrow_mut().record_exit(now, target, confirmation);
+    let attempts = shared.suspicion.record_exit(now, target, confirmation);
     for attempt in attempts {
         record_ended_under(shared, now, &attempt, confirmation);
     }
@@ -255,7 +255,7 @@
     if attempt.observer == shared.settings.name {
         shared.decision_log.target_ended(attempt, confirmation, now);
     }
-    target_reports::record_crash(shared, now, attempt);
+    shared.suspicion.record_ended_under(now, attempt);
 }
 
 /// Probes the address of a target whose end is unconfirmed.
@@ -273,7 +273,7 @@
     let shared = shared.clone();
     tokio::task::spawn_local(async move {
         tokio::time::sleep(if has_agent { AGENT_REPORT_TIME } else { PROBE_DELAY }).await;
-        if !shared.exits.borrow_mut().start_probe(shared.clock.now(), &target) {
+        if !shared.suspicion.start_probe(shared.clock.now(), &target) {
             return;
         }
         if let Ok(lease) = open(&shared, key, &target, addr).await {
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     admission, attempt, body::ResponseBody, body_end, continuations, decisions, dialect,
-    ended_targets, job, quotas, router, stream, target_reports, waiting,
+    ended_targets, job, quotas, router, stream, suspicion, waiting,
 };
 use bytes::Bytes;
 use corianderstand_fleet::{config, crashes, prefixes, targets, wait_limit};
@@ -43,8 +43,6 @@
 const MAX_UNEXECUTED_ATTEMPTS: u32 = 4;
 /// Reason logged when a target answered with an error of its own.
 const TARGET_ERROR: &str = "error of the target";
-/// Reason of a refusal of a request that is blocked.
-pub const BLOCKED: &str = "the request ended the targets that ran it";
 
 /// Handles one request; [`Aborted`] closes the caller's connection without a response.
 pub async fn handle_request<P: router::Platform>(
@@ -134,7 +132,7 @@
         error_response: None,
         fingerprint: OnceCell::new(),
     };
-    if let Some(block) = shared.block(arrived, &job) {
+    if let Some(block) = shared.suspicion.block(arrived, &job) {
         return Ok(refuse_blocked(&shared, &job, &block));
     }
     let mut pending =
@@ -244,13 +242,14 @@
         );
     }
     loop {
-        let key = match waiting::find_target(&shared, &mut job).await {
+        let found = waiting::find_target(&shared, &mut job).await;
+        if let Some(block) = shared.suspicion.block(shared.clock.now(), &job) {
+            return refuse_blocked(&shared, &job, &block);
+        }
+        let key = match found {
             Ok(key) => key,
             Err(rejected) => return refuse(&shared, &job, rejected.reason, rejected.retry_after),
         };
-        if let Some(block) = shared.block(shared.clock.now(), &job) {
-            return refuse_blocked(&shared, &job, &block);
-        }
         job.tried_targets.push(key);
         set_sent(true);
         match attempt::attempt(&shared, &mut job, key).await {
@@ -368,7 +367,9 @@
         }
     } else {
         shared.record_target_success(key);
-        target_reports::record_completed(shared, &job);
+        let now = shared.clock.now();
+        shared.suspicion.record_written(now, &job, job.sent_at.unwrap_or(job.arrived_at));
+        shared.suspicion.record_completed(now, &job);
     }
     shared.decision_log.answered(&job, head.status, "whole", shared.clock.now());
     Ok(Response::from_parts(head, ResponseBody::of_target(body)))
@@ -413,19 +414,19 @@
     local_response(status, why, Some(wait_limit::retry_after(retry_after, job.jitter())))
 }
 
-/// Refuses a request that ended the targets that ran it; fails it if this attempt may have run.
+/// Refuses a request that is blocked; fails it if this attempt may have run.
 fn refuse_blocked<P: router::Platform>(
     shared: &router::Shared<P>,
     job: &job::Job,
     block: &crashes::Block,
 ) -> Response<ResponseBody> {
     if job.may_have_run {
-        return fail(shared, job, StatusCode::BAD_GATEWAY, BLOCKED);
+        return fail(shared, job, StatusCode::BAD_GATEWAY, suspicion::reason(block));
     }
     let now = shared.clock.now();
     shared.decision_log.blocked(job, block, now);
     let retry_after = block.until.saturating_duration_since(now);
-    local_response(StatusCode::SERVICE_UNAVAILABLE, BLOCKED, Some(retry_after))
+    local_response(StatusCode::SERVICE_UNAVAILABLE, suspicion::reason(block), Some(retry_after))
 }
 
 /// Answers a request that may have run: with a target's error response if there is one, else with `status`.
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod server;
 pub mod status;
 pub mod stream;
+pub mod suspicion;
 pub mod target_feedback;
 pub mod target_reports;
 pub mod transfer;
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -81,6 +81,7 @@
     remembered_streams: Gauge,
     targets_ended_under_requests: Family<ConfirmationLabel, Counter>,
     blocked_requests: Gauge,
+    blocked_parts: Gauge,
     callers_left: Counter,
     lines_suppressed: Counter,
     request_seconds: Family<KindLabel, Histogram>,
@@ -122,6 +123,7 @@
             remembered_streams: Gauge::default(),
             targets_ended_under_requests: Family::default(),
             blocked_requests: Gauge::default(),
+            blocked_parts: Gauge::default(),
             callers_left: Counter::default(),
             lines_suppressed: Counter::default(),
             request_seconds: Family::new_with_constructor(histogram),
@@ -187,6 +189,11 @@
             "Requests that are refused because they ended the targets that ran them",
             self.blocked_requests.clone(),
         );
+        r.register(
+            "blocked_parts",
+            "Parts of prompts whose requests are refused because targets ended under them",
+            self.blocked_parts.clone(),
+        );
         r.register(
             "callers_left",
             "Callers that left before their answer",
@@ -411,7 +418,9 @@
             StoreUse::Reads => 1,
             StoreUse::Follows => 2,
         });
-        self.blocked_requests.set(shared.crashes.borrow().blocked_requests(now) as i64);
+        let blocked = shared.suspicion.block_counts(now);
+        self.blocked_requests.set(blocked.requests as i64);
+        self.blocked_parts.set(blocked.parts as i64);
         self.peers.set(shared.peers.borrow().live(now).count() as i64);
     }
 }
--- a/crates/corianderstand_forward/src/request_slots.rs
+++ b/crates/corianderstand_forward/src/request_slots.rs
@@ -3,7 +3,7 @@
 //! The router that ranks highest for a target keeps its schedule. If it does not answer, the next one is
 //! asked. A router that reaches neither sends nothing, as it can't know what the others send.
 
-use crate::{dialect, job, pending, router, target_reports};
+use crate::{dialect, job, pending, router};
 use corianderstand_fleet::{request_slots, targets, wait_limit};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
 use corianderstand_types::names;
@@ -244,7 +244,7 @@
         let id = target.entry.id.clone();
         tracing::info!(target = %id, per_s = after, before, "target's request limit changed");
         drop(view);
-        target_reports::record_limit(shared, &id, after);
+        shared.target_reports.push_limit(&id, after);
     }
 }
 
--- a/crates/corianderstand_forward/src/resume.rs
+++ b/crates/corianderstand_forward/src/resume.rs
@@ -1,6 +1,6 @@
 //! Continues a stream at another target after the events that were forwarded.
 
-use crate::{attempt, ended_targets, exchange, job, router, waiting};
+use crate::{attempt, ended_targets, exchange, job, router, suspicion, waiting};
 use corianderstand_fleet::targets;
 use std::rc::Rc;
 
@@ -31,8 +31,8 @@
     mut key: targets::TargetKey,
 ) -> Result<attempt::Answered<P>, &'static str> {
     let outcome = loop {
-        if shared.block(shared.clock.now(), job).is_some() {
-            return Err(exchange::BLOCKED);
+        if let Some(block) = shared.suspicion.block(shared.clock.now(), job) {
+            return Err(suspicion::reason(&block));
         }
         job.tried_targets.push(key);
         match attempt::attempt(shared, job, key).await {
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -2,12 +2,12 @@
 
 use crate::{
     client, config_proof, continuations, control, decisions, dialect, follow, job, metrics, peers,
-    pool, prefill, quotas, readers, replicated_records, request_slots, server, target_reports,
-    transfer, view,
+    pool, prefill, quotas, readers, replicated_records, request_slots, server, suspicion,
+    target_reports, transfer, view,
 };
 use corianderstand_derives::derives;
 use corianderstand_fleet::{
-    budget, choose, crashes, demand, exits, quota, request_slots as slots, targets, wait_limit,
+    budget, choose, demand, quota, request_slots as slots, targets, wait_limit,
 };
 use corianderstand_schema::peers::StoreUse;
 use corianderstand_types::{clock, names, pause};
@@ -140,12 +140,10 @@
     pub connection_pool: Rc<pool::Pool>,
     /// Requests that wait for prefill permits.
     pub prefill_permits: prefill::PendingPermits,
-    /// Broken attempts and the ends of their targets.
-    pub exits: RefCell<exits::Exits>,
-    /// Ends of targets by request, of all routers.
-    pub crashes: RefCell<crashes::Crashes>,
-    /// Ends of targets that the other routers are still to be told of.
-    pub target_reports: RefCell<target_reports::Queue>,
+    /// Requests, and parts of prompts, that end the targets that run them.
+    pub suspicion: suspicion::State,
+    /// What the other routers are still to be told of targets.
+    pub target_reports: Rc<target_reports::Queue>,
     /// Slots of the targets that limit their requests and whose schedules this router keeps.
     pub request_schedule: RefCell<slots::Schedule>,
     /// Reservations that wait for another router's response.
@@ -153,7 +151,7 @@
     /// Log of request outcomes.
     pub decision_log: decisions::Log,
     /// Wakes the control loop to send updates or to plan at once.
-    pub control_wake: Notify,
+    pub control_wake: Rc<Notify>,
     /// Triggers a read of the store after a target's address was reused by another target.
     pub targets_outdated: Notify,
     /// Sends datagrams to peers.
@@ -205,25 +203,6 @@
         view.retry_budgets.entry(job.service.clone()).or_default().earn(now, &allowance);
     }
 
-    /// Returns why a request is blocked, if it is.
-    pub fn block(&self, now: Instant, job: &job::Job) -> Option<crashes::Block> {
-        let crashes = self.crashes.borrow();
-        if !crashes.has_blocks() {
-            return None;
-        }
-        crashes.block(now, &job.fingerprint()).cloned()
-    }
-
-    /// When a request may be sent that can't be told apart from one that ends its targets; none if it
-    /// may be sent now.
-    pub fn held_until(&self, now: Instant, job: &job::Job) -> Option<Instant> {
-        let crashes = self.crashes.borrow();
-        if !crashes.has_held_requests() {
-            return None;
-        }
-        crashes.held_until(now, &job.fingerprint())
-    }
-
     /// Returns this router's role in reading the store.
     pub fn role(&self, now: Instant) -> readers::Role {
         self.peers.borrow().role(now)
@@ -393,6 +372,8 @@
             strength: settings.cpu_millicores,
             addr: settings.peer_addr,
         };
+        let control_wake = Rc::new(Notify::new());
+        let target_reports = Rc::new(target_reports::Queue::new(control_wake.clone()));
         let shared = Rc::new(Shared {
             platform,
             incarnation: clock::unix_ms(clock.wall()),
@@ -406,13 +387,12 @@
             continuations: continuations::State::default(),
             connection_pool: Rc::default(),
             prefill_permits: prefill::PendingPermits::default(),
-            exits: RefCell::default(),
             request_schedule: RefCell::default(),
             pending_slots: request_slots::PendingSlots::default(),
-            crashes: RefCell::default(),
-            target_reports: RefCell::default(),
+            suspicion: suspicion::State::new(settings.name.clone(), target_reports.clone()),
+            target_reports,
             decision_log: decisions::Log::default(),
-            control_wake: Notify::new(),
+            control_wake,
             targets_outdated: Notify::new(),
             outbox: control::Outbox::new(socket),
             stopping: Cell::new(None),
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -2,10 +2,10 @@
 
 use crate::{
     attempt, body, body_end, continuations, decisions, dialect, ended_targets, exchange, job, pool,
-    relay, resume, router, target_reports,
+    relay, resume, router, suspicion,
 };
 use bytes::Bytes;
-use corianderstand_fleet::{streams, targets};
+use corianderstand_fleet::{crashes, streams, targets};
 use futures::{
     StreamExt,
     stream::{self, Peekable},
@@ -71,8 +71,31 @@
     framing: body_end::Framing,
     /// When its first event arrived.
     first_event_at: Option<Instant>,
-    /// Whether it has been streaming for [`SURVIVAL_TIME`].
-    has_survived: bool,
+    /// What its streaming has shown so far.
+    survival: Survival,
+}
+
+/// How long a target has been streaming without ending.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+enum Survival {
+    /// Not long enough to show anything.
+    Unproven,
+    /// It was not ended by a part of the prompt.
+    Writing,
+    /// It is not ended by the request.
+    Survived,
+}
+
+impl Survival {
+    fn after(streamed_for: Duration) -> Self {
+        if streamed_for >= SURVIVAL_TIME {
+            Self::Survived
+        } else if streamed_for >= crashes::WRITING_START_TIME {
+            Self::Writing
+        } else {
+            Self::Unproven
+        }
+    }
 }
 
 impl<P: router::Platform> Upstream<P> {
@@ -80,11 +103,24 @@
     fn new(answered: attempt::Answered<P>) -> (http::response::Parts, Self) {
         let attempt::Answered { head, framing, response_head, body, lease, in_flight } = answered;
         let body = body.into_data_stream().peekable();
-        let (first_event_at, has_survived) = (None, false);
+        let (first_event_at, survival) = (None, Survival::Unproven);
         let upstream =
-            Self { body, lease, in_flight, response_head, framing, first_event_at, has_survived };
+            Self { body, lease, in_flight, response_head, framing, first_event_at, survival };
         (head, upstream)
     }
+
+    /// Records an event, and what it shows of the request and the parts of its prompt.
+    fn record_event(&mut self, suspicion: &suspicion::State, job: &job::Job, now: Instant) {
+        let first_event_at = *self.first_event_at.get_or_insert(now);
+        let survival = Survival::after(now.saturating_duration_since(first_event_at));
+        if self.survival < Survival::Writing && survival >= Survival::Writing {
+            suspicion.record_written(now, job, first_event_at);
+        }
+        if self.survival < Survival::Survived && survival == Survival::Survived {
+            suspicion.record_completed(now, job);
+        }
+        self.survival = survival;
+    }
 }
 
 enum Step {
@@ -246,12 +282,7 @@
                         }
                         None => self.shared.record_first_event(&self.job, now),
                     }
-                    let first_event_at = *upstream.first_event_at.get_or_insert(now);
-                    let streamed_for = now.saturating_duration_since(first_event_at);
-                    if !upstream.has_survived && streamed_for >= SURVIVAL_TIME {
-                        upstream.has_survived = true;
-                        target_reports::record_completed(&self.shared, &self.job);
-                    }
+                    upstream.record_event(&self.shared.suspicion, &self.job, now);
                     self.timings.record(now);
                     return Step::Data(data);
                 }
@@ -303,9 +334,12 @@
     fn complete(&mut self, _: body_end::Whole) -> Option<Result<Bytes, exchange::Aborted>> {
         self.has_ended = true;
         if let Some(upstream) = self.upstream.take() {
-            let Upstream { lease, in_flight, response_head: info, .. } = upstream;
+            let Upstream { lease, in_flight, response_head: info, first_event_at, .. } = upstream;
             self.shared.record_target_success(in_flight.key());
-            target_reports::record_completed(&self.shared, &self.job);
+            let now = self.shared.clock.now();
+            let written_since = first_event_at.unwrap_or_else(|| in_flight.started_at());
+            self.shared.suspicion.record_written(now, &self.job, written_since);
+            self.shared.suspicion.record_completed(now, &self.job);
             let keep_alive =
                 if info.closes_connection { Some(Duration::ZERO) } else { info.keep_alive };
             self.shared.connection_pool.release(self.shared.clock.now(), lease, keep_alive);
--- a/crates/corianderstand_forward/src/target_feedback.rs
+++ b/crates/corianderstand_forward/src/target_feedback.rs
@@ -44,7 +44,7 @@
         if let Some(target) = self.view.borrow_mut().targets.get_mut(key) {
             target.health.record_success(now);
             let entry = &target.entry;
-            self.exits.borrow_mut().record_alive(now, &entry.id, entry.started_at_ms);
+            self.suspicion.record_running(now, &entry.id, entry.started_at_ms);
         }
     }
 
--- a/crates/corianderstand_forward/src/waiting.rs
+++ b/crates/corianderstand_forward/src/waiting.rs
@@ -1,6 +1,6 @@
 //! Target selection for a request, with a bounded wait if no target is available.
 
-use crate::{exchange, job, prefill, request_slots, router};
+use crate::{exchange, job, prefill, request_slots, router, suspicion};
 use corianderstand_fleet::{choose, targets, wait_limit};
 use corianderstand_types::names;
 use std::{
@@ -38,10 +38,14 @@
         let woken = waker.notified();
         tokio::pin!(woken);
         woken.as_mut().enable();
+        if let Some(block) = shared.suspicion.block(now, job) {
+            let retry_after = block.until.saturating_duration_since(now);
+            return Err(PlacementError { reason: suspicion::reason(&block), retry_after });
+        }
         let choice = shared.choose_target(now, job);
         let (until, interval) = match choice {
             choose::Choice::Send(key) => {
-                if let Some(until) = shared.held_until(now, job) {
+                if let Some(until) = shared.suspicion.held_until(now, job) {
                     hold_suspect(shared, job, now, until).await?;
                     continue;
                 }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -101,6 +101,20 @@
     assert!(out.contains("in configuration 20; store read 0 ms before (after"), "{out}");
 }
 
+/// The output must name the part of a prompt for which a request is blocked, not its content.
+#[test]
+fn a_request_with_a_blocked_part_names_the_part() {
+    let log = file(
+        "router-g.log",
+        &[
+            r#"{"timestamp":"3","message":"refused","id":"r3","status":503,"why":"a part of its prompt ended the targets that ran it","part":"00ab","ends":5,"last_end_ms":310,"noticed_by":"{\"router-a\"}","ms":0}"#,
+        ],
+    );
+    let (_, out) = explain(&["r3", log.to_str().unwrap()]);
+    let cause = "refused as not run: a part of its prompt ended the targets that ran it (part 00ab); 5 ended, the last 310 ms before, noticed by {\"router-a\"}";
+    assert!(out.contains(cause), "{out}");
+}
+
 /// The output must show why a request is blocked, who noticed it and how old that is.
 #[test]
 fn a_blocked_request_names_the_ends_of_its_targets() {
