--- a/crates/corianderstand_fleet/tests/crashing_parts.rs
+++ b/crates/corianderstand_fleet/tests/crashing_parts.rs
@@ -1,7 +1,7 @@
 //! Which parts of prompts are blocked after targets ended, and which are not.
 
 use corianderstand_fleet::{
-    crashes::{AccusedPart, Crash, Crashes, Success},
+    crashes::{Crash, Crashes, Success},
     fingerprint::{Feature, Fingerprint, PartId},
     targets::Incarnation,
 };
