--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -6,7 +6,7 @@
 pub mod link;
 mod platform;
 
-pub use platform::{MemoryStore, PlainPlatform};
+pub use platform::{MemoryStore, PlainPlatform, SPIN_HEADER};
 
 use corianderstand_fleet::{budget, config, quota, targets};
 use corianderstand_forward::router;
--- a/crates/corianderstand_forward/tests/common/platform.rs
+++ b/crates/corianderstand_forward/tests/common/platform.rs
@@ -188,6 +188,16 @@
     Page { records, whole: true, ..page }
 }
 
+/// Header with the processor time that a router takes to read the request.
+pub const SPIN_HEADER: &str = "x-spin-ms";
+
+fn spin(time: Duration) {
+    let started_at = Instant::now();
+    while started_at.elapsed() < time {
+        std::hint::spin_loop();
+    }
+}
+
 /// Parses a list of ids of parts, separated by commas.
 fn parse_parts(text: &str) -> Vec<dialect::PromptPart> {
     let id = |part: &str| fingerprint::PartId(xxh3::xxh3_64(part.as_bytes()));
@@ -201,6 +211,9 @@
     fn parse_request(&self, headers: &HeaderMap) -> dialect::RequestHead {
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
         let millis = |name: &str| text(name)?.parse().ok().map(Duration::from_millis);
+        if let Some(time) = millis(SPIN_HEADER) {
+            spin(time);
+        }
         let requested_model = text("x-model").map(|model| choose::RequestedModel {
             model: model.into(),
             adapter: text("x-adapter").map(Into::into),
