A router without room closes new connections unread while others have room

What callers would see: a load balancer hands most new connections to one router; it reads them all, and what it reads is served late or not at all.

Cause: the accept loop reads each connection, whatever the router can still carry. Class: work is accepted without regard to the resource that it needs.

Change: the measure is how late the router's own timers are, which is the wait of all that its processor has to do. Routers tell one another (one field of the update that they send anyway). At 40 ms a new connection is closed unread, until 20 ms, and only while at least half of the other routers have room: a caller's next try meets one of these. Kept connections are left alone, and nothing is closed where all routers are busy or there is only one.

--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod fingerprint;
 pub mod freshness;
 pub mod health;
+pub mod overload;
 pub mod plan;
 pub mod prefill;
 pub mod prefixes;
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -450,6 +450,11 @@
         tracing::info!(target = %id, known, grace, offset, %source, within_ms, "target's entry removed");
     }
 
+    /// Counts a connection that is closed unread.
+    pub fn connection_shed(&self) {
+        self.metrics.connection_shed();
+    }
+
     /// Logs a caller that disconnected before it had the whole response.
     pub fn caller_left(&self, id: &SmolStr, events: u64, now: Instant) {
         self.metrics.caller_left();
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -83,6 +83,7 @@
     blocked_requests: Gauge,
     blocked_parts: Gauge,
     callers_left: Counter,
+    connections_shed: Counter,
     lines_suppressed: Counter,
     request_seconds: Family<KindLabel, Histogram>,
     first_event_seconds: Family<KindLabel, Histogram>,
@@ -125,6 +126,7 @@
             blocked_requests: Gauge::default(),
             blocked_parts: Gauge::default(),
             callers_left: Counter::default(),
+            connections_shed: Counter::default(),
             lines_suppressed: Counter::default(),
             request_seconds: Family::new_with_constructor(histogram),
             first_event_seconds: Family::new_with_constructor(histogram),
@@ -199,6 +201,11 @@
             "Callers that left before their answer",
             self.callers_left.clone(),
         );
+        r.register(
+            "connections_shed",
+            "New connections that were closed unread, as other routers have room and this one has none",
+            self.connections_shed.clone(),
+        );
         r.register(
             "log_lines_left_out",
             "Log lines beyond the limit",
@@ -373,6 +380,11 @@
         self.quota_granted.inc_by(granted);
     }
 
+    /// Counts a new connection that is closed unread.
+    pub fn connection_shed(&self) {
+        self.connections_shed.inc();
+    }
+
     /// Counts a caller that disconnected before its answer.
     pub fn caller_left(&self) {
         self.callers_left.inc();
--- a/crates/corianderstand_forward/src/peers.rs
+++ b/crates/corianderstand_forward/src/peers.rs
@@ -350,6 +350,12 @@
         self.by_name.iter().filter(move |(_, peer)| self.is_live(now, peer))
     }
 
+    /// How late the timers of other routers are, as they reported.
+    pub fn delays(&self, now: Instant) -> impl Iterator<Item = Duration> {
+        let updates = self.live(now).filter_map(|(_, peer)| peer.update.as_ref());
+        updates.map(|update| Duration::from_millis(u64::from(update.delay_ms)))
+    }
+
     /// Routers that greet a router of this zone that starts.
     pub fn greeters(&self, now: Instant) -> impl Iterator<Item = &SmolStr> {
         let zone = self.own.as_ref().map(|own| &own.zone);
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -7,7 +7,7 @@
 };
 use corianderstand_derives::derives;
 use corianderstand_fleet::{
-    budget, choose, demand, quota, request_slots as slots, targets, wait_limit,
+    budget, choose, demand, overload, quota, request_slots as slots, targets, wait_limit,
 };
 use corianderstand_schema::peers::StoreUse;
 use corianderstand_types::{clock, names, pause};
@@ -158,6 +158,8 @@
     pub outbox: control::Outbox,
     /// Set once a shutdown has begun.
     pub stopping: Cell<Option<StopDeadlines>>,
+    /// How late this router's timers are.
+    pub overload: RefCell<overload::Overload>,
     /// Number of requests in progress.
     pub open_requests: Cell<usize>,
 }
@@ -378,7 +380,6 @@
             platform,
             incarnation: clock::unix_ms(clock.wall()),
             pause_detector: Arc::new(pause::PauseDetector::new(clock.since_boot())),
-            clock,
             view: RefCell::default(),
             peers: RefCell::new(peers::Peers::new(own)),
             replicated_records: RefCell::default(),
@@ -396,8 +397,10 @@
             targets_outdated: Notify::new(),
             outbox: control::Outbox::new(socket),
             stopping: Cell::new(None),
+            overload: RefCell::new(overload::Overload::new(clock.now(), pause::TICK_INTERVAL)),
             open_requests: Cell::new(0),
             bounds: RefCell::new(settings.bounds.clone()),
+            clock,
             settings,
         });
         let ready = server::listen(shared.settings.readiness_addr)?;
@@ -428,6 +431,7 @@
 async fn tick_pause_detector<P>(shared: Rc<Shared<P>>) {
     loop {
         shared.pause_detector.tick(shared.clock.since_boot());
+        shared.overload.borrow_mut().tick(shared.clock.now());
         tokio::time::sleep(pause::TICK_INTERVAL).await;
     }
 }
--- a/crates/corianderstand_forward/src/server.rs
+++ b/crates/corianderstand_forward/src/server.rs
@@ -154,7 +154,7 @@
     loop {
         tokio::select! {
             stream = accept_caller(&shared.pause_detector, &listener) => {
-                if let Some(stream) = stream {
+                if let Some(stream) = stream.filter(|_| !sheds(shared)) {
                     spawn_connection(shared, stream, closing.subscribe());
                 }
             }
@@ -193,6 +193,23 @@
     }
 }
 
+/// Whether a new connection is closed unread, so that its caller tries another router.
+fn sheds<P: router::Platform>(shared: &router::Shared<P>) -> bool {
+    let now = shared.clock.now();
+    let mut overload = shared.overload.borrow_mut();
+    let was_shedding = overload.is_shedding();
+    let peers = shared.peers.borrow();
+    let sheds = overload.sheds(now, peers.delays(now));
+    if sheds != was_shedding {
+        let delay_ms = overload.delay(now).as_millis() as u64;
+        tracing::info!(sheds, delay_ms, open = shared.open_requests.get(), "new connections");
+    }
+    if sheds {
+        shared.decision_log.connection_shed();
+    }
+    sheds
+}
+
 fn spawn_connection<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
     stream: TcpStream,
--- a/crates/corianderstand_forward/src/status.rs
+++ b/crates/corianderstand_forward/src/status.rs
@@ -116,6 +116,7 @@
         zone: shared.settings.zone.clone(),
         store,
         strength: shared.settings.cpu_millicores,
+        delay_ms: shared.overload.borrow().delay(now).as_millis() as u32,
         fit: control::can_plan(shared),
         config_next: records.next_offset(dialect::Subject::Config),
         targets_next: records.next_offset(dialect::Subject::Targets),
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -4,9 +4,9 @@
 
 pub mod crashing;
 pub mod link;
-mod platform;
+pub mod platform;
 
-pub use platform::{MemoryStore, PlainPlatform, SPIN_HEADER};
+pub use platform::{MemoryStore, PlainPlatform};
 
 use corianderstand_fleet::{budget, config, quota, targets};
 use corianderstand_forward::router;
@@ -37,6 +37,7 @@
         zone: "here".into(),
         store: StoreUse::Reads,
         strength: 1,
+        delay_ms: 0,
         fit: false,
         config_next: 0,
         targets_next: 0,
--- a/crates/corianderstand_forward/tests/flooded_routers.rs
+++ b/crates/corianderstand_forward/tests/flooded_routers.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{MemoryStore, RouterThread, SPIN_HEADER, Target};
+use common::{MemoryStore, RouterThread, Target, platform::SPIN_HEADER};
 use corianderstand_fleet::targets;
 use std::{
     sync::Arc,
--- a/crates/corianderstand_forward/tests/hubs.rs
+++ b/crates/corianderstand_forward/tests/hubs.rs
@@ -55,6 +55,7 @@
         zone: zone(index).as_str().into(),
         store: StoreUse::Reads,
         strength: strength(index),
+        delay_ms: 0,
         fit: true,
         config_next: 7,
         targets_next: 0,
--- a/tools/capacity/src/status.rs
+++ b/tools/capacity/src/status.rs
@@ -89,6 +89,7 @@
         zone: zone(index).as_str().into(),
         store: StoreUse::Reads,
         strength: strength(index),
+        delay_ms: 0,
         fit: true,
         config_next: 1_000,
         targets_next: 100_000,
