After many targets ended at once under a part, single requests probe it

What callers would see: five or more targets end within the time of one run, all under requests with one part; when they are back, all requests that waited are sent to the first of them and end it again, before any router knows.

Cause: ends at the same time are one sign, as hosts fail together, so that nothing is blocked, and nothing holds the next requests back either.

Change: such a part is on probation: one router at a time, drawn by the hash of its name, part and second, may send one request with it. A success clears the part on all routers, a further end blocks it.

--- a/crates/corianderstand_fleet/src/crashes.rs
+++ b/crates/corianderstand_fleet/src/crashes.rs
@@ -7,10 +7,14 @@
 //! not against its parts. A success clears its request and the parts of its prompt: what ends targets each time
 //! never has one. All routers exchange their [`Crash`]es and successes and judge by the same rules.
 //!
+//! Many targets may end at once under a part, so that nothing tells whether it ended them. Then single requests with it
+//! are sent as probes ([`probation`]).
+//!
 //! Requests that wait for a model are all sent when it is there, so the same ones may end together again
 //! and again. Those that can't be told apart are sent in alternating windows ([`Crashes::held_until`]).
 
 mod ended;
+pub mod probation;
 mod successes;
 mod suspect;
 mod turns;
@@ -149,8 +153,7 @@
     suspects: HashMap<Feature, suspect::Suspect>,
     ended: ended::EndedTargets,
     successes: successes::Successes,
-    blocks: HashMap<Feature, Block>,
-    turns: turns::Turns,
+    verdict: verdict::Verdict,
     /// Successes that the other routers should know of.
     rebuttals: Vec<Success>,
 }
@@ -263,38 +266,52 @@
 
     /// Whether any request is held.
     pub fn has_held_requests(&self) -> bool {
-        !self.turns.requests().is_empty()
+        !self.verdict.turns.requests().is_empty()
     }
 
     /// Whether any request is blocked as a whole.
     pub fn has_blocked_requests(&self) -> bool {
-        self.blocks.keys().any(|feature| matches!(feature, Feature::Request(_)))
+        self.verdict.blocks.keys().any(|feature| matches!(feature, Feature::Request(_)))
     }
 
     /// Whether anything is blocked.
     pub fn has_blocks(&self) -> bool {
-        !self.blocks.is_empty()
+        !self.verdict.blocks.is_empty()
     }
 
     /// Returns why requests with a feature are blocked, if they are.
     pub fn block(&self, now: Instant, feature: &Feature) -> Option<&Block> {
-        self.blocks.get(feature).filter(|block| now < block.until)
+        self.verdict.blocks.get(feature).filter(|block| now < block.until)
     }
 
     /// When a request may be sent that can't be told apart from another; none if it may be sent now.
     pub fn held_until(&self, now: Instant, fingerprint: &Fingerprint) -> Option<Instant> {
-        self.turns.held_until(now, fingerprint)
+        self.verdict.turns.held_until(now, fingerprint)
+    }
+
+    /// The probations of the parts of a prompt.
+    pub fn probations(
+        &self,
+        parts: impl Iterator<Item = PartId>,
+    ) -> impl Iterator<Item = probation::Probation> {
+        parts.filter_map(|part| self.verdict.probations.get(&part).copied())
+    }
+
+    /// Whether any part is on probation.
+    pub fn has_probations(&self) -> bool {
+        !self.verdict.probations.is_empty()
     }
 
     /// The blocks in force.
     pub fn blocks(&self, now: Instant) -> impl Iterator<Item = &Block> {
-        self.blocks.values().filter(move |block| now < block.until)
+        self.verdict.blocks.values().filter(move |block| now < block.until)
     }
 
     /// The ends for which requests are blocked or held, for a router that starts.
     pub fn relevant_crashes(&self) -> impl Iterator<Item = Crash> {
-        let held = self.turns.requests().iter().copied().map(Feature::Request);
-        let features = self.blocks.keys().copied().chain(held);
+        let held = self.verdict.turns.requests().iter().copied().map(Feature::Request);
+        let probed = self.verdict.probations.keys().copied().map(Feature::Part);
+        let features = self.verdict.blocks.keys().copied().chain(held).chain(probed);
         features.flat_map(|feature| {
             let suspect = self.suspects.get(&feature);
             suspect.into_iter().flat_map(move |suspect| {
@@ -305,7 +322,7 @@
 
     fn judge(&mut self) {
         let judge = verdict::Judge::new(&self.suspects, &self.successes, &self.ended);
-        (self.blocks, self.turns) = judge.judge();
+        self.verdict = judge.judge();
     }
 
     fn expire(&mut self, now: Instant) {
@@ -329,10 +346,11 @@
         if same_kind.clone().count() < max {
             return;
         }
-        let oldest = same_kind
-            .min_by_key(|(key, suspect)| (self.blocks.contains_key(key), suspect.last_end, **key));
+        let oldest = same_kind.min_by_key(|(key, suspect)| {
+            (self.verdict.blocks.contains_key(key), suspect.last_end, **key)
+        });
         let Some(key) = oldest.map(|(key, _)| *key) else { return };
         self.suspects.remove(&key);
-        self.blocks.remove(&key);
+        self.verdict.blocks.remove(&key);
     }
 }
--- a/crates/corianderstand_fleet/src/crashes/verdict.rs
+++ b/crates/corianderstand_fleet/src/crashes/verdict.rs
@@ -6,8 +6,8 @@
 
 use super::{
     Block, MAX_AMBIGUOUS_ENDS, MAX_CONSECUTIVE_ENDS, MAX_LATE_ENDS, MAX_TOTAL_ENDS,
-    MIN_CONSECUTIVE_ENDS, ended::EndedTargets, successes::Successes, suspect, suspect::Suspect,
-    turns::Turns,
+    MIN_CONSECUTIVE_ENDS, ended::EndedTargets, probation::Probation, successes::Successes, suspect,
+    suspect::Suspect, turns::Turns,
 };
 use crate::{
     fingerprint::{Feature, Fingerprint, PartId},
@@ -16,7 +16,7 @@
 use corianderstand_derives::derives;
 use std::{
     cmp::Reverse,
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Instant,
 };
 
@@ -53,6 +53,17 @@
 /// most ends, then the one that stands later in its prompts, as fewer requests share it.
 type PartRank = (Reverse<Option<Instant>>, usize, u32, PartId);
 
+/// What has been decided.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    /// Features that are blocked.
+    pub blocks: HashMap<Feature, Block>,
+    /// Parts that only probes may have.
+    pub probations: BTreeMap<PartId, Probation>,
+    /// Requests that take turns.
+    pub turns: Turns,
+}
+
 /// The evidence, and what has been decided so far.
 pub struct Judge<'a> {
     pub suspects: &'a HashMap<Feature, Suspect>,
@@ -73,14 +84,15 @@
         Self { suspects, successes, ended, blocks, ended_by_parts }
     }
 
-    /// Returns the blocked features, and the requests that take turns.
-    pub fn judge(mut self) -> (HashMap<Feature, Block>, Turns) {
+    /// Decides on all suspects.
+    pub fn judge(mut self) -> Verdict {
         let mut explained = self.judge_requests();
         self.judge_parts();
         self.acquit_requests();
         explained.extend(self.ended_by_parts.iter().cloned());
         let turns = self.ambiguous_requests(&explained);
-        (self.blocks, turns)
+        let probations = self.probations();
+        Verdict { blocks: self.blocks, probations, turns }
     }
 
     fn requests(&self) -> impl Iterator<Item = (Fingerprint, &'a Suspect)> {
@@ -166,24 +178,47 @@
 
     /// Blocks the part that most likely explains the ends, until the rest is too few.
     fn judge_parts(&mut self) {
-        loop {
-            let guilty: Vec<(PartId, usize)> = self
-                .open_parts()
-                .filter(|(part, suspect)| self.is_guilty_part(*part, suspect))
-                .map(|(part, suspect)| (part, suspect.unexplained(&self.ended_by_parts).len()))
-                .collect();
-            let most = guilty.iter().map(|(_, ends)| *ends).max().unwrap_or(0);
-            let min = most as f64 * MIN_RATIO_OF_MOST_ENDS;
-            let candidates = guilty.into_iter().filter(|(_, ends)| *ends as f64 >= min);
-            let Some((part, _)) = candidates.max_by_key(|(part, ends)| self.rank(*part, *ends))
-            else {
-                break;
-            };
+        while let Some(part) = self.most_suspect(&self.ended_by_parts, is_enough_to_block) {
             let feature = Feature::Part(part);
             self.block(feature);
-            let ends = &self.suspects[&feature].ends;
-            self.ended_by_parts.extend(ends.iter().map(|end| end.target.clone()));
+            self.ended_by_parts.extend(self.targets_of(part));
+        }
+    }
+
+    /// Parts that would be blocked if their ends had not been at the same time.
+    fn probations(&self) -> BTreeMap<PartId, Probation> {
+        let mut explained = self.ended_by_parts.clone();
+        let mut probations = BTreeMap::new();
+        let are_many = |ends: &[&suspect::End]| ends.len() >= MAX_TOTAL_ENDS_OF_PART;
+        while let Some(part) = self.most_suspect(&explained, are_many) {
+            let since = self.suspects[&Feature::Part(part)].last_end;
+            probations.insert(part, Probation { part, since });
+            explained.extend(self.targets_of(part));
         }
+        probations
+    }
+
+    /// The part that most likely explains the ends that are left, if these are enough.
+    fn most_suspect(
+        &self,
+        explained: &BTreeSet<Incarnation>,
+        are_enough: impl Fn(&[&suspect::End]) -> bool,
+    ) -> Option<PartId> {
+        let suspects: Vec<(PartId, usize)> = self
+            .open_parts()
+            .map(|(part, suspect)| (part, suspect.unexplained(explained)))
+            .filter(|(part, ends)| are_enough(ends) && self.explains(*part, ends, explained))
+            .map(|(part, ends)| (part, ends.len()))
+            .collect();
+        let most = suspects.iter().map(|(_, ends)| *ends).max()?;
+        let min = most as f64 * MIN_RATIO_OF_MOST_ENDS;
+        let candidates = suspects.into_iter().filter(|(_, ends)| *ends as f64 >= min);
+        candidates.max_by_key(|(part, ends)| self.rank(*part, *ends)).map(|(part, _)| part)
+    }
+
+    fn targets_of(&self, part: PartId) -> Vec<Incarnation> {
+        let ends = &self.suspects[&Feature::Part(part)].ends;
+        ends.iter().map(|end| end.target.clone()).collect()
     }
 
     fn rank(&self, part: PartId, ends: usize) -> PartRank {
@@ -191,22 +226,23 @@
         (Reverse(self.successes.last(part)), ends, position, part)
     }
 
-    fn is_guilty_part(&self, part: PartId, suspect: &Suspect) -> bool {
-        let ends = suspect.unexplained(&self.ended_by_parts);
-        let consecutive = suspect::consecutive_ends(&ends);
-        let enough = consecutive >= MAX_CONSECUTIVE_ENDS
-            || (consecutive >= MIN_CONSECUTIVE_ENDS && ends.len() >= MAX_TOTAL_ENDS_OF_PART);
-        enough
-            && self.share_of_ends(&ends) >= MIN_SHARE_OF_ENDS
-            && self.ends_beyond_requests(part, &ends) >= MIN_ENDS_BEYOND_REQUESTS
+    /// Whether the part, rather than a request or another cause, may explain these ends.
+    fn explains(
+        &self,
+        part: PartId,
+        ends: &[&suspect::End],
+        explained: &BTreeSet<Incarnation>,
+    ) -> bool {
+        self.share_of_ends(ends, explained) >= MIN_SHARE_OF_ENDS
+            && self.ends_beyond_requests(part, ends) >= MIN_ENDS_BEYOND_REQUESTS
     }
 
     /// Share of the targets that ended meanwhile.
-    fn share_of_ends(&self, ends: &[&suspect::End]) -> f64 {
+    fn share_of_ends(&self, ends: &[&suspect::End], explained: &BTreeSet<Incarnation>) -> f64 {
         let times = || ends.iter().map(|end| end.ended_at);
         let (Some(first), Some(last)) = (times().min(), times().max()) else { return 0.0 };
         let all = self.ended.between(first, last);
-        let all = all.filter(|target| !self.ended_by_parts.contains(target)).count();
+        let all = all.filter(|target| !explained.contains(target)).count();
         ends.len() as f64 / all.max(ends.len()) as f64
     }
 
@@ -256,3 +292,9 @@
         Turns::new(ambiguous.into_iter().map(|(key, _)| key).collect(), first_turn_at)
     }
 }
+
+fn is_enough_to_block(ends: &[&suspect::End]) -> bool {
+    let consecutive = suspect::consecutive_ends(ends);
+    consecutive >= MAX_CONSECUTIVE_ENDS
+        || (consecutive >= MIN_CONSECUTIVE_ENDS && ends.len() >= MAX_TOTAL_ENDS_OF_PART)
+}
--- a/crates/corianderstand_fleet/tests/crashing_parts.rs
+++ b/crates/corianderstand_fleet/tests/crashing_parts.rs
@@ -261,3 +261,56 @@
     history.succeed(3_000, SUBJECT);
     assert!(history.crashes.take_rebuttals().is_empty());
 }
+
+fn is_on_probation(history: &History, part: PartId) -> bool {
+    history.crashes.probations(std::iter::once(part)).next().is_some()
+}
+
+/// Guards against sending all requests that waited for the targets to the first one that is back.
+#[test]
+fn a_part_under_which_many_targets_ended_at_once_is_probed() {
+    let mut history = History::new();
+    for n in 0..6 {
+        assert_eq!(is_on_probation(&history, CRASHING), n >= 5);
+        history.end(1_000 + n, &[FIRST, CRASHING]);
+    }
+    assert!(history.blocked(2_000).is_empty());
+    assert!(!is_on_probation(&history, FIRST), "requests without the part tell them apart");
+    history.end(4_000, &[FIRST, CRASHING]);
+    assert_eq!(history.blocked(5_000), [Feature::Part(CRASHING)]);
+    assert!(!is_on_probation(&history, CRASHING));
+}
+
+/// Guards against a part that stays on probation though its probe succeeded.
+#[test]
+fn a_successful_probe_clears_a_part() {
+    let mut history = History::new();
+    for n in 0..8 {
+        history.end(1_000 + n, &[SUBJECT]);
+    }
+    assert!(is_on_probation(&history, SUBJECT));
+    history.succeed(4_000, SUBJECT);
+    assert!(!is_on_probation(&history, SUBJECT));
+    assert_eq!(history.crashes.take_rebuttals().len(), 1, "the others are told");
+}
+
+/// Guards against probes of several routers at the same time, and of none.
+#[test]
+fn one_router_at_a_time_probes() {
+    let mut history = History::new();
+    for n in 0..5 {
+        history.end(1_000 + n, &[SUBJECT]);
+    }
+    let probation = history.crashes.probations(std::iter::once(SUBJECT)).next().unwrap();
+    let routers: Vec<String> = (0..12).map(|n| format!("router-{n}")).collect();
+    let elected_at = |ms| {
+        let is_elected = |name: &&String| {
+            let others = routers.iter().filter(|other| other != name).map(String::as_str);
+            probation.is_elected(history.at(ms), name, others)
+        };
+        routers.iter().filter(is_elected).cloned().collect::<Vec<_>>()
+    };
+    let elected: Vec<Vec<String>> = (0..40).map(|n| elected_at(2_000 + n * 1_000)).collect();
+    assert!(elected.iter().all(|names| names.len() == 1));
+    assert!(elected.iter().any(|names| *names != elected[0]), "it changes");
+}
--- a/crates/corianderstand_forward/src/suspicion.rs
+++ b/crates/corianderstand_forward/src/suspicion.rs
@@ -3,15 +3,21 @@
 //! Joins broken attempts with the ends of targets ([`exits`]), keeps the evidence of all routers ([`crashes`]), and
 //! queues what the others are still to be told of.
 
-use crate::{job, target_reports::Queue};
+use crate::{job, peers, target_reports::Queue};
 use corianderstand_fleet::{
-    crashes, exits,
+    crashes::{self, probation},
+    exits,
     fingerprint::{Feature, PartId},
     targets,
 };
 use corianderstand_types::names;
 use smol_str::SmolStr;
-use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Instant};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Instant,
+};
 
 /// Why a request is refused that is blocked as a whole.
 const REQUEST_BLOCKED: &str = "the request ended the targets that ran it";
@@ -35,18 +41,36 @@
     pub parts: usize,
 }
 
+/// A request that is sent to find out whether a part ends its target.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+struct Probe {
+    number: u32,
+    request_id_hash: u64,
+}
+
+/// The last probe of a part that this router sent.
+#[derive(Clone, Copy, Debug)]
+struct SentProbe {
+    /// The end after which it was sent.
+    since: Instant,
+    probe: Probe,
+}
+
 /// Evidence of all routers, and what is still to be told.
 pub struct State {
     observer: SmolStr,
     crashes: RefCell<crashes::Crashes>,
     exits: RefCell<exits::Exits>,
     reports: Rc<Queue>,
+    /// Probes of the parts that are on probation.
+    probes: RefCell<BTreeMap<PartId, SentProbe>>,
 }
 
 impl State {
     /// The state of a router that has just started.
     pub fn new(observer: SmolStr, reports: Rc<Queue>) -> Self {
-        Self { observer, crashes: RefCell::default(), exits: RefCell::default(), reports }
+        let (crashes, exits, probes) = Default::default();
+        Self { observer, crashes, exits, reports, probes }
     }
 
     /// Returns why a request is blocked, if it is.
@@ -65,14 +89,46 @@
         crashes.block(now, &Feature::Request(job.fingerprint())).cloned()
     }
 
-    /// When a request may be sent that can't be told apart from one that ends its targets; none if it
-    /// may be sent now.
-    pub fn held_until(&self, now: Instant, job: &job::Job) -> Option<Instant> {
+    /// When a request may be sent that may end its target; none if it may be sent now.
+    pub fn held_until(
+        &self,
+        now: Instant,
+        job: &job::Job,
+        peers: &peers::Peers,
+    ) -> Option<Instant> {
         let crashes = self.crashes.borrow();
-        if !crashes.has_held_requests() {
+        let mut until = None;
+        if crashes.has_probations() {
+            for probation in crashes.probations(job.request.shared_parts()) {
+                until = until.max(self.held_for_probe(now, job, &probation, peers));
+            }
+        }
+        if crashes.has_held_requests() {
+            until = until.max(crashes.held_until(now, &job.fingerprint()));
+        }
+        until
+    }
+
+    /// When the next probe may be sent; none if the request is the probe of now.
+    fn held_for_probe(
+        &self,
+        now: Instant,
+        job: &job::Job,
+        probation: &probation::Probation,
+        peers: &peers::Peers,
+    ) -> Option<Instant> {
+        let others = peers.live(now).map(|(name, _)| name.as_str());
+        let mut probes = self.probes.borrow_mut();
+        let own = Probe { number: probation.probe(now), request_id_hash: job.request_id_hash };
+        let is_free = probes.get(&probation.part).is_none_or(|last| {
+            (last.since, last.probe.number) != (probation.since, own.number) || last.probe == own
+        });
+        if is_free && probation.is_elected(now, &self.observer, others) {
+            let sent = SentProbe { since: probation.since, probe: own };
+            probes.insert(probation.part, sent);
             return None;
         }
-        crashes.held_until(now, &job.fingerprint())
+        Some(probation.next_probe_at(now))
     }
 
     /// The parts of a prompt that may have ended a target to which it was sent at a time.
@@ -182,6 +238,9 @@
         let mut crashes = self.crashes.borrow_mut();
         let before: BTreeSet<Feature> = crashes.blocks(now).map(|block| block.feature).collect();
         let result = change(&mut crashes);
+        if !crashes.has_probations() {
+            self.probes.borrow_mut().clear();
+        }
         for success in crashes.take_rebuttals() {
             self.reports.push_success(success);
         }
--- a/crates/corianderstand_forward/src/waiting.rs
+++ b/crates/corianderstand_forward/src/waiting.rs
@@ -45,7 +45,8 @@
         let choice = shared.choose_target(now, job);
         let (until, interval) = match choice {
             choose::Choice::Send(key) => {
-                if let Some(until) = shared.suspicion.held_until(now, job) {
+                let held = shared.suspicion.held_until(now, job, &shared.peers.borrow());
+                if let Some(until) = held {
                     hold_suspect(shared, job, now, until).await?;
                     continue;
                 }
--- a/crates/corianderstand_forward/tests/common/crashing.rs
+++ b/crates/corianderstand_forward/tests/common/crashing.rs
@@ -37,10 +37,10 @@
 }
 
 impl Service {
-    async fn start(store: &MemoryStore) -> Self {
+    async fn start(store: &MemoryStore, slots: usize) -> Self {
         let ends = Arc::<AtomicUsize>::default();
         let mut targets = JoinSet::new();
-        for slot in 0..SLOTS {
+        for slot in 0..slots {
             let first = Target::start().await;
             store.put_target(first.entry(&format!("target-{slot}-0"), "desk"));
             targets.spawn(run_slot(slot, first, store.clone(), ends.clone()));
@@ -107,10 +107,15 @@
 
 impl Deployment {
     pub async fn start(retry_policy: RetryPolicy) -> Self {
+        Self::start_with(retry_policy, SLOTS).await
+    }
+
+    /// A deployment with this many targets.
+    pub async fn start_with(retry_policy: RetryPolicy, slots: usize) -> Self {
         let store = MemoryStore::default();
         let other = Route { host: OTHER_HOST.into(), ..desk(retry_policy) };
         store.put_config(super::config(1, vec![desk(retry_policy), other]));
-        let service = Service::start(&store).await;
+        let service = Service::start(&store, slots).await;
         let first = RouterThread::start(&store);
         let limit = Duration::from_secs(8);
         let second = RouterThread::start_with(&store, "router-b", vec![first.peers], limit);
--- a/crates/corianderstand_forward/tests/crashing_parts.rs
+++ b/crates/corianderstand_forward/tests/crashing_parts.rs
@@ -116,3 +116,35 @@
     repeat_until_refused(&deployment).await;
     assert!(deployment.service.ends() <= ends + 1, "one may arrive before the news does");
 }
+
+/// Guards against sending all requests that waited for targets to those that are back, after many ended at once.
+#[tokio::test]
+async fn only_probes_are_sent_after_many_targets_ended_at_once() {
+    const TARGETS: usize = 8;
+    const CALLERS: usize = 24;
+    let deployment = Arc::new(Deployment::start_with(RetryPolicy::Never, TARGETS).await);
+    let mut first = JoinSet::new();
+    for number in 0..TARGETS {
+        let deployment = deployment.clone();
+        first.spawn(async move { ask_with_crashing_part(&deployment, 0, number).await });
+    }
+    first.join_all().await;
+    let ends = deployment.service.ends();
+    assert!(ends >= 5, "{ends} targets ended at once");
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        let deployment = deployment.clone();
+        callers.spawn(async move {
+            let started_at = Instant::now();
+            let mut number = TARGETS + caller;
+            while started_at.elapsed() < RESTART_DELAY * 10 {
+                ask_with_crashing_part(&deployment, caller % 2, number).await;
+                number += CALLERS;
+                tokio::time::sleep(PAUSE).await;
+            }
+        });
+    }
+    callers.join_all().await;
+    let further = deployment.service.ends() - ends;
+    assert!(further <= 3, "{further} further targets ended");
+}
