A part is not blocked for runs that were sent to a target after its end

Trace: the router had been killed and knew no successes; the guilty part was blocked at 15.985 with three ends, the other part had run on two of these targets, and got its third end at 16.073 from a request that was sent to a target under which the process had ended before (run for 0 ms, connection lost). Equal ends and no successes: the later part of the prompt went first and took the place of the guilty one, which gets no further ends as it is blocked.

Change: an end accuses parts only if the run lasted 10 ms; of equally suspect parts one that is blocked stays blocked. The scripted targets begin to write after 20 ms. Evidence: two cases of the judge that fail without it.

--- a/crates/corianderstand_fleet/src/crashes.rs
+++ b/crates/corianderstand_fleet/src/crashes.rs
@@ -41,6 +41,8 @@
 pub const EARLY_END_TIME: Duration = Duration::from_millis(500);
 /// Time from the first event of a response after which the target has written on the prompt without ending.
 pub const WRITING_START_TIME: Duration = Duration::from_millis(200);
+/// A target takes longer to begin to write a response: one that ended earlier had ended before it was sent the request.
+const MIN_RUN_TIME: Duration = Duration::from_millis(10);
 /// Copies of a request may run at the same time: it is also blocked after this many ends in total,
 /// if some of them were consecutive.
 const MAX_TOTAL_ENDS: usize = 6;
@@ -83,6 +85,12 @@
 }
 
 impl Crash {
+    /// Whether the target may have ended because it began to write a response.
+    fn may_accuse_parts(&self) -> bool {
+        let ran = self.ended_at.saturating_duration_since(self.sent_at);
+        ran >= MIN_RUN_TIME && self.survived < WRITING_START_TIME
+    }
+
     fn end(&self) -> suspect::End {
         suspect::End {
             request: self.fingerprint,
@@ -168,7 +176,7 @@
         if let Some(suspect) = self.suspects.get_mut(&request) {
             suspect.parts.extend(crash.parts.iter().map(|accused| accused.part));
         }
-        if crash.survived < WRITING_START_TIME {
+        if crash.may_accuse_parts() {
             for accused in &crash.parts {
                 let feature = Feature::Part(accused.part);
                 is_news |= self.accuse(feature, &crash);
@@ -321,7 +329,8 @@
     }
 
     fn judge(&mut self) {
-        let judge = verdict::Judge::new(&self.suspects, &self.successes, &self.ended);
+        let before = &self.verdict.blocks;
+        let judge = verdict::Judge::new(&self.suspects, &self.successes, &self.ended, before);
         self.verdict = judge.judge();
     }
 
--- a/crates/corianderstand_fleet/src/crashes/verdict.rs
+++ b/crates/corianderstand_fleet/src/crashes/verdict.rs
@@ -49,9 +49,10 @@
     }
 }
 
-/// Order in which equally suspect parts are blocked: the one whose last success is the oldest, then the one with
-/// most ends, then the one that stands later in its prompts, as fewer requests share it.
-type PartRank = (Reverse<Option<Instant>>, usize, u32, PartId);
+/// Order in which equally suspect parts are blocked: one that is blocked already, as none of its requests can show
+/// that it is harmless; then the one whose last success is the oldest; then the one with most ends; then the one
+/// that stands later in its prompts, as fewer requests share it.
+type PartRank = (bool, Reverse<Option<Instant>>, usize, u32, PartId);
 
 /// What has been decided.
 #[derive(Clone, Debug, Default)]
@@ -69,6 +70,8 @@
     pub suspects: &'a HashMap<Feature, Suspect>,
     pub successes: &'a Successes,
     pub ended: &'a EndedTargets,
+    /// What is blocked so far.
+    pub before: &'a HashMap<Feature, Block>,
     blocks: HashMap<Feature, Block>,
     /// Targets whose ends the blocked parts explain.
     ended_by_parts: BTreeSet<Incarnation>,
@@ -79,9 +82,10 @@
         suspects: &'a HashMap<Feature, Suspect>,
         successes: &'a Successes,
         ended: &'a EndedTargets,
+        before: &'a HashMap<Feature, Block>,
     ) -> Self {
         let (blocks, ended_by_parts) = (HashMap::new(), BTreeSet::new());
-        Self { suspects, successes, ended, blocks, ended_by_parts }
+        Self { suspects, successes, ended, before, blocks, ended_by_parts }
     }
 
     /// Decides on all suspects.
@@ -223,7 +227,8 @@
 
     fn rank(&self, part: PartId, ends: usize) -> PartRank {
         let position = self.suspects[&Feature::Part(part)].position;
-        (Reverse(self.successes.last(part)), ends, position, part)
+        let is_blocked = self.before.contains_key(&Feature::Part(part));
+        (is_blocked, Reverse(self.successes.last(part)), ends, position, part)
     }
 
     /// Whether the part, rather than a request or another cause, may explain these ends.
--- a/crates/corianderstand_fleet/tests/crashing_parts.rs
+++ b/crates/corianderstand_fleet/tests/crashing_parts.rs
@@ -233,6 +233,44 @@
     assert!(history.crashes.block(history.at(5_000), &Feature::Request(sound)).is_none());
 }
 
+/// Guards against blocking a part of requests that were sent to targets that another one had just ended.
+#[test]
+fn requests_sent_to_a_target_that_had_ended_accuse_nothing() {
+    let mut history = History::new();
+    for n in 0..6 {
+        let sent_at = history.at(1_000 + n * 300);
+        let request = history.new_request();
+        history.targets += 1;
+        let crash = Crash {
+            fingerprint: request,
+            parts: history.crashes.accusable(std::iter::once(SUBJECT), sent_at),
+            target: Incarnation {
+                id: format!("target-{}", history.targets).as_str().into(),
+                started_at_ms: 1,
+            },
+            sent_at,
+            ended_at: sent_at + Duration::from_millis(2),
+            survived: Duration::ZERO,
+            observer: "router".into(),
+        };
+        history.crashes.record(sent_at, crash);
+    }
+    assert!(history.blocked(5_000).is_empty());
+}
+
+/// Guards against blocking another part in place of a guilty one, which gets no further ends as it is blocked.
+#[test]
+fn a_blocked_part_is_not_replaced_by_one_with_as_many_ends() {
+    let mut history = History::new();
+    for n in 0..2 {
+        history.end(1_000 + n * 300, &[CRASHING, SUBJECT]);
+    }
+    history.end(1_600, &[CRASHING]);
+    assert_eq!(history.blocked(2_000), [Feature::Part(CRASHING)]);
+    history.end(1_900, &[SUBJECT]);
+    assert_eq!(history.blocked(3_000), [Feature::Part(CRASHING)]);
+}
+
 /// Guards against two parts at the same time of which only one is found.
 #[test]
 fn two_crashing_parts_are_both_blocked() {
--- a/crates/corianderstand_forward/tests/common/crashing.rs
+++ b/crates/corianderstand_forward/tests/common/crashing.rs
@@ -27,6 +27,8 @@
 /// A caller's requests come from several addresses.
 const MAX_CALLER_ADDRESSES: u8 = 12;
 pub const RESTART_DELAY: Duration = Duration::from_millis(100);
+/// Time after which a target begins to write a response.
+const WRITING_DELAY: Duration = Duration::from_millis(20);
 /// A response takes this long, so that requests overlap.
 const SERVICE_TIME: Duration = Duration::from_millis(60);
 
@@ -79,7 +81,11 @@
             request.answer(&format!("{head}Content-Length: 0\r\nConnection: close\r\n\r\n")).await;
             continue;
         }
-        if request.head.contains(CRASHING_PATH) || ends_under_part(&request) {
+        if request.head.contains(CRASHING_PATH) {
+            return;
+        }
+        if ends_under_part(&request) {
+            tokio::time::sleep(WRITING_DELAY).await;
             return;
         }
         let id = request.header("x-id").unwrap_or_default().to_owned();
