Soak: engines that end under a part of differing prompts, and one router that gets most connections

--parts: all streams name the parts of their prompts; one caller's requests, no two alike, have a part that ends each engine that runs them.

--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     cluster::MODELS,
+    floods::Balancer,
     requests::{RequestSpec, Sender, send_request},
     streams::{self, TakeUp},
     workspaces::Workspace,
@@ -104,21 +105,32 @@
 }
 
 impl Callers {
-    /// Starts a caller that repeats a request that ends the engines that run it.
-    pub fn start_crashing(&mut self, router_addresses: &[SocketAddr], seed: u64) {
+    /// Starts a caller whose requests end the engines that run them.
+    pub fn start_crashing(
+        &mut self,
+        router_addresses: &[SocketAddr],
+        seed: u64,
+        cause: CrashCause,
+    ) {
         let (addresses, requests) = (router_addresses.to_vec(), self.requests.clone());
         let (stop, rng) = (self.stop.clone(), ChaCha8Rng::seed_from_u64(!seed));
-        self.tasks.push(tokio::spawn(run_crashing_caller(addresses, rng, requests, stop)));
+        self.tasks.push(tokio::spawn(run_crashing_caller(addresses, rng, requests, stop, cause)));
     }
 
-    pub fn start(caller_count: usize, router_addresses: &[SocketAddr], seed: u64) -> Self {
+    pub fn start(
+        caller_count: usize,
+        router_addresses: &[SocketAddr],
+        seed: u64,
+        balancer: &Balancer,
+    ) -> Self {
         let (requests, stop) =
             (Arc::<Mutex<Vec<RequestRecord>>>::default(), Arc::<AtomicBool>::default());
         let tasks = (0..caller_count).map(|index| {
             let (router_addresses, requests, stop) =
                 (router_addresses.to_vec(), requests.clone(), stop.clone());
             let rng = ChaCha8Rng::seed_from_u64(seed ^ (index as u64) << 32);
-            tokio::spawn(run_caller(index, router_addresses, rng, requests, stop))
+            let balancer = balancer.clone();
+            tokio::spawn(run_caller(index, router_addresses, rng, requests, stop, balancer))
         });
         let tasks = tasks.collect();
         Self { requests, stop, tasks }
@@ -146,6 +158,7 @@
     mut rng: ChaCha8Rng,
     requests: Arc<Mutex<Vec<RequestRecord>>>,
     stop: Arc<AtomicBool>,
+    balancer: Balancer,
 ) {
     let mut connection: Option<(usize, Sender)> = None;
     let workspace = Workspace::of_caller(caller);
@@ -159,7 +172,7 @@
         let drawn = MODELS[rng.random_range(0..MODELS.len())];
         let model = returning.as_ref().map_or(drawn, |broken| broken.model);
         let take_up = returning.as_ref().map(|broken| broken.take_up.clone());
-        if returning.is_some() {
+        if returning.is_some() || balancer.reconnects(&mut rng) {
             connection = None;
         }
         let leaves_after = (kind == RequestKind::Chat && rng.random_bool(LEAVING_RATIO))
@@ -167,7 +180,7 @@
         let id = format!("c{caller}-{request_number}");
         let router = match &connection {
             Some((router, sender)) if !sender.is_closed() => *router,
-            _ => rng.random_range(0..router_addresses.len()),
+            _ => balancer.choose(&mut rng, router_addresses.len()),
         };
         let sender =
             connection.take().map(|(_, sender)| sender).filter(|sender| !sender.is_closed());
@@ -180,6 +193,7 @@
             id: &id,
             model,
             body,
+            has_crashing_part: false,
             take_up: take_up.as_ref(),
             leaves_after,
         };
@@ -222,17 +236,34 @@
 pub const CRASHING_ID_PREFIX: &str = "crash-";
 const MAX_CRASHING_REQUEST_PAUSE_MS: u64 = 500;
 
+/// Why a request ends the engines that run it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum CrashCause {
+    /// Its body; each of the caller's requests has the same.
+    Body,
+    /// A part of its prompt; else the requests differ.
+    Part,
+}
+
 async fn run_crashing_caller(
     router_addresses: Vec<SocketAddr>,
     mut rng: ChaCha8Rng,
     requests: Arc<Mutex<Vec<RequestRecord>>>,
     stop: Arc<AtomicBool>,
+    cause: CrashCause,
 ) {
-    let model = MODELS[rng.random_range(0..MODELS.len())];
+    let mut model = MODELS[rng.random_range(0..MODELS.len())];
     let mut request_number = 0_u64;
     while !stop.load(Ordering::Relaxed) {
         request_number += 1;
         let id = format!("{CRASHING_ID_PREFIX}{request_number}");
+        let body = match cause {
+            CrashCause::Body => Bytes::from_static(CRASHING_BODY),
+            CrashCause::Part => {
+                model = MODELS[rng.random_range(0..MODELS.len())];
+                id.clone().into()
+            }
+        };
         let router_index = rng.random_range(0..router_addresses.len());
         let started_at = Instant::now();
         let (kind, workspace) = (RequestKind::Chat, Workspace::Steady);
@@ -241,7 +272,8 @@
             workspace,
             id: &id,
             model,
-            body: Bytes::from_static(CRASHING_BODY),
+            body,
+            has_crashing_part: cause == CrashCause::Part,
             take_up: None,
             leaves_after: None,
         };
--- a/tools/soak/src/checks.rs
+++ b/tools/soak/src/checks.rs
@@ -1,8 +1,10 @@
 //! Guarantees that must hold for each request regardless of the injected faults.
 
 use crate::{
-    callers::{CRASHING_ID_PREFIX, Outcome, RequestKind, RequestRecord},
-    streams, workspaces,
+    callers::{CRASHING_ID_PREFIX, CrashCause, Outcome, RequestKind, RequestRecord},
+    leavings::{Interference, Scope},
+    streams,
+    workspaces::{self, Workspace},
 };
 use corianderstand_platform_standins::ledger::Ledger;
 use http::StatusCode;
@@ -122,6 +124,8 @@
 const BLOCKED: &str = "ended the targets";
 /// Ends that are needed as evidence against a request.
 const EVIDENCE_ENDS: usize = 3;
+/// Ends that are needed as evidence against a part of prompts.
+const EVIDENCE_ENDS_OF_PART: usize = 5;
 /// Arrivals at engines that are allowed after the evidence had time to spread.
 const MAX_LATE_ARRIVALS: usize = 3;
 
@@ -131,6 +135,7 @@
     requests: &[RequestRecord],
     ledger: &Ledger,
     disruptions: &[Disruption],
+    cause: CrashCause,
 ) -> Vec<String> {
     let (crashing, others): (Vec<&RequestRecord>, Vec<&RequestRecord>) =
         requests.iter().partition(|request| request.id.starts_with(CRASHING_ID_PREFIX));
@@ -142,7 +147,11 @@
     let mut violations: Vec<String> = wrongly_blocked
         .map(|request| describe_violation("blocked, but it ended no target", request))
         .collect();
-    let Some(evidence_at) = ledger.crashes().get(EVIDENCE_ENDS - 1).copied() else {
+    let evidence_ends = match cause {
+        CrashCause::Body => EVIDENCE_ENDS,
+        CrashCause::Part => EVIDENCE_ENDS_OF_PART,
+    };
+    let Some(evidence_at) = ledger.crashes().get(evidence_ends - 1).copied() else {
         return violations;
     };
     let late_arrivals = ledger.arrivals().into_iter().filter(|arrival| {
@@ -153,11 +162,50 @@
     });
     let late_arrivals: Vec<String> = late_arrivals.map(|arrival| arrival.id).collect();
     if late_arrivals.len() > MAX_LATE_ARRIVALS {
-        violations.push(format!("reached engines after it ended three: {late_arrivals:?}"));
+        violations
+            .push(format!("reached engines after it ended {evidence_ends}: {late_arrivals:?}"));
     }
     violations
 }
 
+/// Sound requests begin at least at this ratio of what is usual.
+const MIN_RATIO_OF_USUAL: f64 = 0.5;
+/// Fewer requests say nothing.
+const MIN_SOUND_REQUESTS: usize = 20;
+
+/// Checks that sound requests with the same first part begin at their first attempt while the others are refused.
+pub fn sound_requests(
+    requests: &[RequestRecord],
+    ledger: &Ledger,
+    disruptions: &[Disruption],
+    interferences: &[Interference],
+) -> Option<String> {
+    let evidence_at = ledger.crashes().get(EVIDENCE_ENDS_OF_PART - 1).copied()?;
+    let crashing = || requests.iter().filter(|request| request.id.starts_with(CRASHING_ID_PREFIX));
+    let first = crashing().map(|request| request.started_at).min()?;
+    let last = crashing().map(|request| request.started_at).max()?;
+    let sound = |from: Instant, to: Instant| {
+        let counted = requests.iter().filter(move |request| {
+            request.kind == RequestKind::Chat
+                && request.workspace == Workspace::Steady
+                && !request.id.starts_with(CRASHING_ID_PREFIX)
+                && request.started_at >= from
+                && request.started_at <= to
+                && is_undisturbed(request, disruptions, interferences)
+        });
+        let begun = counted.clone().filter(|request| !ledger.runs(&request.id).is_empty()).count();
+        (begun, counted.count())
+    };
+    let started_at = requests.iter().map(|request| request.started_at).min()?;
+    let usual = sound(started_at, first);
+    let blocked = sound(evidence_at + DISRUPTION_AFTERMATH * 2, last);
+    println!("  sound requests that began: usually {usual:?}, beside blocked ones {blocked:?}");
+    let ratio = |(begun, sent): (usize, usize)| begun as f64 / sent.max(1) as f64;
+    let is_enough = usual.1 >= MIN_SOUND_REQUESTS && blocked.1 >= MIN_SOUND_REQUESTS;
+    (is_enough && ratio(blocked) < ratio(usual) * MIN_RATIO_OF_USUAL)
+        .then(|| format!("sound requests began {blocked:?} beside blocked ones, usually {usual:?}"))
+}
+
 /// Span in which requests to a target with a limit are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// What is allowed in it.
@@ -207,6 +255,19 @@
     })
 }
 
+/// Whether neither the router of a request nor the store was disturbed while it was handled, or shortly before.
+pub fn is_undisturbed(
+    request: &RequestRecord,
+    disruptions: &[Disruption],
+    interferences: &[Interference],
+) -> bool {
+    let router = request.router_index;
+    [request.started_at, request.ended_at].into_iter().all(|at| {
+        is_in_touch(router, at, disruptions)
+            && !interferences.iter().any(|fault| fault.affects(Scope::Router(router), at))
+    })
+}
+
 /// Checks that an undisrupted router responds in time and that a router shutting down responds to
 /// every request that it forwarded.
 fn missing_response(
--- a/tools/soak/src/leavings.rs
+++ b/tools/soak/src/leavings.rs
@@ -32,7 +32,8 @@
 }
 
 impl Interference {
-    fn affects(&self, scope: Scope, at: Instant) -> bool {
+    /// Whether it affects a scope at a time.
+    pub fn affects(&self, scope: Scope, at: Instant) -> bool {
         (self.scope == Scope::All || self.scope == scope)
             && at >= self.started_at
             && at <= self.ended_at + STABLE_TIME
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -9,6 +9,7 @@
 mod checks;
 mod cluster;
 mod faults;
+mod floods;
 mod leavings;
 mod proxy;
 mod requests;
@@ -16,9 +17,10 @@
 mod workspaces;
 
 use bytes::Bytes;
-use callers::{Callers, Outcome, RequestKind};
+use callers::{Callers, CrashCause, Outcome, RequestKind};
 use checks::Disruption;
 use cluster::{Cluster, ClusterSize, MODELS};
+use floods::Balancer;
 use getopts::Options;
 use http::StatusCode;
 use rand::{RngExt, SeedableRng};
@@ -34,6 +36,8 @@
 const REGRESSION_SEEDS: &str = include_str!("../kept.txt");
 /// Marks a seed of a run with several zones.
 const ZONED_SEED_PREFIX: &str = "zones ";
+/// Marks a seed of a run in which a part of prompts ends engines and routers are flooded.
+const PARTS_SEED_PREFIX: &str = "parts ";
 const DEFAULT_FAULTS: usize = 8;
 const MAX_CONCURRENT_FAULTS: usize = 3;
 const MAX_FAULT_PAUSE_MS: u64 = 900;
@@ -45,6 +49,9 @@
 /// Time for late commands and executions to complete before the final check.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
+/// Time to see how often sound requests begin before others end engines.
+const USUAL_TIME: Duration = Duration::from_secs(3);
+
 const MIN_LIMIT_PER_1000_S: u32 = 1_000;
 const MAX_LIMIT_PER_1000_S: u32 = 4_000;
 const MAX_LIMIT_DELAY_MS: u64 = 2_000;
@@ -80,17 +87,28 @@
         "zones",
         "run two zones whose targets leave beside faults of their readers",
     );
+    options.optflag("", "parts", "engines end under one part of differing prompts");
+    options.optflag("", "floods", "one router after the other gets most new connections");
     options.optopt("", "faults", "faults per run (default 8, with zones 40)", "N");
     let matches = match options.parse(std::env::args().skip(1)) {
         Ok(matches) => matches,
         Err(error) => {
-            eprintln!("{error}\n{}", options.usage("soak [--seeds A-B] [--kept] [--large]"));
+            eprintln!(
+                "{error}\n{}",
+                options
+                    .usage("soak [--seeds A-B] [--kept] [--large] [--zones] [--parts] [--floods]")
+            );
             return ExitCode::from(2);
         }
     };
     let has_zones = matches.opt_present("zones");
+    let cause = if matches.opt_present("parts") { CrashCause::Part } else { CrashCause::Body };
     let seeds = if matches.opt_present("kept") {
-        regression_seeds(has_zones)
+        regression_seeds(match (has_zones, cause) {
+            (true, _) => ZONED_SEED_PREFIX,
+            (false, CrashCause::Part) => PARTS_SEED_PREFIX,
+            (false, CrashCause::Body) => "",
+        })
     } else {
         parse_seeds(matches.opt_str("seeds").as_deref())
     };
@@ -106,7 +124,8 @@
         (DEFAULT_SIZE, DEFAULT_FAULTS, MAX_CONCURRENT_FAULTS)
     };
     let faults = matches.opt_get_default("faults", default_faults).unwrap_or(default_faults);
-    let plan = RunPlan { size, faults, concurrent_faults };
+    let has_floods = matches.opt_present("floods");
+    let plan = RunPlan { size, faults, concurrent_faults, cause, has_floods };
     let mut delays = Vec::new();
     let mut failed = Vec::new();
     for seed in seeds {
@@ -130,13 +149,13 @@
     if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-/// Seeds of past failures, of runs with several zones or of the others.
-fn regression_seeds(has_zones: bool) -> Option<Vec<u64>> {
+/// Seeds of past failures whose lines begin with a prefix, or with none.
+fn regression_seeds(prefix: &str) -> Option<Vec<u64>> {
+    let is_prefixed =
+        |line: &&str| [ZONED_SEED_PREFIX, PARTS_SEED_PREFIX].iter().any(|p| line.starts_with(p));
     let lines = REGRESSION_SEEDS.lines().filter(|line| !line.starts_with('#'));
-    let seeds = lines.filter_map(|line| match line.strip_prefix(ZONED_SEED_PREFIX) {
-        Some(zoned) => has_zones.then_some(zoned),
-        None => (!has_zones).then_some(line),
-    });
+    let lines = lines.filter(|line| !prefix.is_empty() || !is_prefixed(line));
+    let seeds = lines.filter_map(|line| line.strip_prefix(prefix));
     seeds.map(|line| line.split_whitespace().next()?.parse().ok()).collect()
 }
 
@@ -153,6 +172,10 @@
     size: ClusterSize,
     faults: usize,
     concurrent_faults: usize,
+    /// Why requests end the engines that run them.
+    cause: CrashCause,
+    /// Whether one router after the other gets most new connections.
+    has_floods: bool,
 }
 
 impl RunPlan {
@@ -171,9 +194,21 @@
     let router_addresses: Vec<_> = cluster.router_proxies.iter().map(|proxy| proxy.addr).collect();
     let callers_per_router = if plan.has_zones() { ZONED_CALLERS } else { CALLERS_PER_ROUTER };
     let started_at = Instant::now();
-    let mut callers = Callers::start(callers_per_router * size.routers, &router_addresses, seed);
-    if has_crashing_caller(seed) {
-        callers.start_crashing(&router_addresses, seed);
+    let balancer = Balancer::default();
+    let caller_count = callers_per_router * size.routers;
+    let mut callers = Callers::start(caller_count, &router_addresses, seed, &balancer);
+    let floods = plan.has_floods.then(|| {
+        balancer.start_floods(ChaCha8Rng::seed_from_u64(seed.rotate_left(1)), size.routers)
+    });
+    match plan.cause {
+        CrashCause::Part => {
+            tokio::time::sleep(USUAL_TIME).await;
+            callers.start_crashing(&router_addresses, seed, plan.cause);
+        }
+        CrashCause::Body if has_crashing_caller(seed) => {
+            callers.start_crashing(&router_addresses, seed, plan.cause);
+        }
+        CrashCause::Body => {}
     }
     let limiter = has_limited_engine(seed).then(|| limit_engine(&cluster, seed));
     let mut violations = Vec::new();
@@ -185,6 +220,10 @@
         started_at,
         ended_at: started_at,
     });
+    if let Some(floods) = floods {
+        floods.abort();
+        balancer.end_floods();
+    }
     cluster.end_unframed_responses();
     violations.extend(check_recovery(&mut cluster, seed).await);
     let requests = callers.finish().await;
@@ -204,7 +243,14 @@
     delays.extend(leaving.delays);
     let taken_up = streams::TakenUp::count(&requests);
     violations.extend(taken_up.violation());
-    violations.extend(checks::crashing_request(&requests, &cluster.ledger, &disruptions));
+    let ledger = &cluster.ledger;
+    violations.extend(checks::crashing_request(&requests, ledger, &disruptions, plan.cause));
+    if plan.has_floods {
+        violations.extend(balancer.violation(&requests, &disruptions, &interferences));
+    }
+    if plan.cause == CrashCause::Part {
+        violations.extend(checks::sound_requests(&requests, ledger, &disruptions, &interferences));
+    }
     violations.extend(checks::request_limits(&requests, &cluster.ledger, &disruptions));
     violations.extend(workspaces::revocation_violations(
         &requests,
@@ -358,6 +404,7 @@
                     id: &id,
                     model,
                     body: Bytes::new(),
+                    has_crashing_part: false,
                     take_up: None,
                     leaves_after: None,
                 };
--- a/tools/soak/src/requests.rs
+++ b/tools/soak/src/requests.rs
@@ -7,6 +7,7 @@
     workspaces::Workspace,
 };
 use bytes::Bytes;
+use corianderstand_platform_standins::target::CRASHING_PART;
 use http::{HeaderMap, Method, Request, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, client::conn::http1};
@@ -20,6 +21,8 @@
 /// Time beyond the deadline after which a caller gives up.
 const DEADLINE_GRACE: Duration = Duration::from_millis(1_000);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Number of subjects that prompts share.
+const SUBJECTS: u64 = 6;
 /// One request in this many is sent in HTTP/1.0.
 const HTTP_1_0_DIVISOR: u64 = 7;
 
@@ -36,19 +39,32 @@
     pub id: &'a str,
     pub model: &'a str,
     pub body: Bytes,
+    /// Whether its prompt has the part that ends engines.
+    pub has_crashing_part: bool,
     /// The stream that it takes up.
     pub take_up: Option<&'a TakeUp>,
     /// Number of events after which the caller closes its connection.
     pub leaves_after: Option<usize>,
 }
 
+/// The parts of a prompt: that of its kind, that of its subject, and its own.
+fn prompt_parts(spec: &RequestSpec) -> String {
+    let first = spec.kind as usize;
+    let number: u64 = spec.id.bytes().map(u64::from).sum();
+    let subject = number % SUBJECTS;
+    let own = spec.id.bytes().map(|byte| format!("{byte:02x}")).collect::<String>();
+    let crashing =
+        if spec.has_crashing_part { format!("{CRASHING_PART}:20,") } else { String::new() };
+    format!("a{first}:50,{crashing}b{subject}:30,{own}:20")
+}
+
 /// Sends one request; returns the connection if it can be reused.
 pub async fn send_request(
     router_address: SocketAddr,
     connection: Option<Sender>,
     spec: &RequestSpec<'_>,
 ) -> (Outcome, HeaderMap, Option<Sender>) {
-    let RequestSpec { kind, workspace, id, model, ref body, take_up, leaves_after } = *spec;
+    let RequestSpec { kind, workspace, id, model, ref body, take_up, leaves_after, .. } = *spec;
     let mut req = Request::builder().method(Method::POST).uri(kind.path()).header("host", HOST);
     if uses_http_1_0(id) {
         req = req.version(Version::HTTP_10);
@@ -58,6 +74,7 @@
     req = req.header("deadline-ms", kind.deadline().as_millis() as u64);
     if kind.streams() {
         req = req.header("model", model).header("token-usage", "100,100");
+        req = req.header("prompt-prefix", prompt_parts(spec));
     }
     if let Some(TakeUp { began, last_event }) = take_up {
         req = req.header("resumes", began).header("last-event-id", *last_event);
