A part is not blocked while a likelier one lacks little

Trace: of one target's end the record of a sound request came 0.3 ms before that of the guilty one (20 to 70 ms at the other routers), so that the first part had three ends and the guilty part two.

Change: a part with two thirds of the ends that is likelier (blocked already, older last success, later in its prompts) is waited for.

--- a/crates/corianderstand_fleet/src/crashes/verdict.rs
+++ b/crates/corianderstand_fleet/src/crashes/verdict.rs
@@ -50,9 +50,9 @@
 }
 
 /// Order in which equally suspect parts are blocked: one that is blocked already, as none of its requests can show
-/// that it is harmless; then the one whose last success is the oldest; then the one with most ends; then the one
-/// that stands later in its prompts, as fewer requests share it.
-type PartRank = (bool, Reverse<Option<Instant>>, usize, u32, PartId);
+/// that it is harmless; then the one whose last success is the oldest; then the one that stands later in its
+/// prompts, as fewer requests share it; then the one with most ends.
+type PartRank = (bool, Reverse<Option<Instant>>, u32, usize, PartId);
 
 /// What has been decided.
 #[derive(Clone, Debug, Default)]
@@ -202,22 +202,25 @@
         probations
     }
 
-    /// The part that most likely explains the ends that are left, if these are enough.
+    /// The part that most likely explains the ends that are left; none while there are too few. A more likely part
+    /// with few ends less is waited for: the report that makes it guilty may still be on its way.
     fn most_suspect(
         &self,
         explained: &BTreeSet<Incarnation>,
         are_enough: impl Fn(&[&suspect::End]) -> bool,
     ) -> Option<PartId> {
-        let suspects: Vec<(PartId, usize)> = self
+        let suspects: Vec<(PartId, usize, bool)> = self
             .open_parts()
             .map(|(part, suspect)| (part, suspect.unexplained(explained)))
-            .filter(|(part, ends)| are_enough(ends) && self.explains(*part, ends, explained))
-            .map(|(part, ends)| (part, ends.len()))
+            .filter(|(part, ends)| self.explains(*part, ends, explained))
+            .map(|(part, ends)| (part, ends.len(), are_enough(&ends)))
             .collect();
-        let most = suspects.iter().map(|(_, ends)| *ends).max()?;
+        let guilty = suspects.iter().filter(|(.., is_enough)| *is_enough);
+        let most = guilty.map(|(_, ends, _)| *ends).max()?;
         let min = most as f64 * MIN_RATIO_OF_MOST_ENDS;
-        let candidates = suspects.into_iter().filter(|(_, ends)| *ends as f64 >= min);
-        candidates.max_by_key(|(part, ends)| self.rank(*part, *ends)).map(|(part, _)| part)
+        let candidates = suspects.into_iter().filter(|(_, ends, _)| *ends as f64 >= min);
+        let best = candidates.max_by_key(|(part, ends, _)| self.rank(*part, *ends));
+        best.filter(|(.., is_enough)| *is_enough).map(|(part, ..)| part)
     }
 
     fn targets_of(&self, part: PartId) -> Vec<Incarnation> {
@@ -228,7 +231,7 @@
     fn rank(&self, part: PartId, ends: usize) -> PartRank {
         let position = self.suspects[&Feature::Part(part)].position;
         let is_blocked = self.before.contains_key(&Feature::Part(part));
-        (is_blocked, Reverse(self.successes.last(part)), ends, position, part)
+        (is_blocked, Reverse(self.successes.last(part)), position, ends, part)
     }
 
     /// Whether the part, rather than a request or another cause, may explain these ends.
