Soak: floods aren't judged by the seconds in which engines end under requests

Trace: the judged seconds of the flood were those in which the crashing part ended all four engines (16 streams broken off by their targets, no connection closed unread, timers not late).

--- a/tools/ci/src/main.rs
+++ b/tools/ci/src/main.rs
@@ -45,6 +45,7 @@
             &["run", "--quiet", "--locked", "-p", "soak", "--", "--seeds", "1-2"],
             &["run", "--quiet", "--locked", "-p", "soak", "--", "--seeds", "11"],
             &["run", "--quiet", "--locked", "-p", "soak", "--", "--kept"],
+            &["run", "--quiet", "--locked", "-p", "soak", "--", "--parts", "--floods", "--kept"],
             &[
                 "run", "--quiet", "--locked", "-p", "soak", "--", "--zones", "--faults", "20",
                 "--seeds", "44009",
--- a/tools/soak/src/floods.rs
+++ b/tools/soak/src/floods.rs
@@ -100,6 +100,7 @@
         requests: &[RequestRecord],
         disruptions: &[Disruption],
         interferences: &[Interference],
+        crashes: &[Instant],
     ) -> Option<String> {
         let floods = self.floods.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let is_flooded = |request: &&&RequestRecord| {
@@ -120,6 +121,7 @@
             .filter(|request| {
                 request.workspace == Workspace::Steady
                     && checks::is_undisturbed(request, disruptions, interferences)
+                    && !lacks_engines(request, crashes)
                     && was_read(request)
             })
             .collect();
@@ -133,6 +135,11 @@
     }
 }
 
+/// Whether an engine had ended under a request when this one was handled, or shortly before.
+fn lacks_engines(request: &RequestRecord, crashes: &[Instant]) -> bool {
+    crashes.iter().any(|at| request.ended_at >= *at && request.started_at <= *at + STABLE_TIME)
+}
+
 /// Whether a router has read the request, as far as its caller knows.
 fn was_read(request: &RequestRecord) -> bool {
     !matches!(request.outcome, Outcome::Closed | Outcome::NoConnection)
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -50,7 +50,7 @@
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
 /// Time to see how often sound requests begin before others end engines.
-const USUAL_TIME: Duration = Duration::from_secs(3);
+const USUAL_TIME: Duration = Duration::from_secs(6);
 
 const MIN_LIMIT_PER_1000_S: u32 = 1_000;
 const MAX_LIMIT_PER_1000_S: u32 = 4_000;
@@ -74,6 +74,7 @@
     zones: 2,
     drain_within: Duration::from_secs(3),
 };
+const FLOODED_FAULTS: usize = 16;
 const ZONED_FAULTS: usize = 40;
 const ZONED_CONCURRENT_FAULTS: usize = 7;
 
@@ -89,7 +90,7 @@
     );
     options.optflag("", "parts", "engines end under one part of differing prompts");
     options.optflag("", "floods", "one router after the other gets most new connections");
-    options.optopt("", "faults", "faults per run (default 8, with zones 40)", "N");
+    options.optopt("", "faults", "faults per run (default 8, with floods 16, with zones 40)", "N");
     let matches = match options.parse(std::env::args().skip(1)) {
         Ok(matches) => matches,
         Err(error) => {
@@ -102,6 +103,7 @@
         }
     };
     let has_zones = matches.opt_present("zones");
+    let has_floods = matches.opt_present("floods");
     let cause = if matches.opt_present("parts") { CrashCause::Part } else { CrashCause::Body };
     let seeds = if matches.opt_present("kept") {
         regression_seeds(match (has_zones, cause) {
@@ -123,8 +125,9 @@
     } else {
         (DEFAULT_SIZE, DEFAULT_FAULTS, MAX_CONCURRENT_FAULTS)
     };
+    let default_faults =
+        if has_floods { default_faults.max(FLOODED_FAULTS) } else { default_faults };
     let faults = matches.opt_get_default("faults", default_faults).unwrap_or(default_faults);
-    let has_floods = matches.opt_present("floods");
     let plan = RunPlan { size, faults, concurrent_faults, cause, has_floods };
     let mut delays = Vec::new();
     let mut failed = Vec::new();
@@ -246,7 +249,9 @@
     let ledger = &cluster.ledger;
     violations.extend(checks::crashing_request(&requests, ledger, &disruptions, plan.cause));
     if plan.has_floods {
-        violations.extend(balancer.violation(&requests, &disruptions, &interferences));
+        let crashes = ledger.crashes();
+        let violation = balancer.violation(&requests, &disruptions, &interferences, &crashes);
+        violations.extend(violation);
     }
     if plan.cause == CrashCause::Part {
         violations.extend(checks::sound_requests(&requests, ledger, &disruptions, &interferences));
