--- a/crates/corianderstand_fleet/src/crashes/verdict.rs
+++ b/crates/corianderstand_fleet/src/crashes/verdict.rs
@@ -209,9 +209,15 @@
         explained: &BTreeSet<Incarnation>,
         are_enough: impl Fn(&[&suspect::End]) -> bool,
     ) -> Option<PartId> {
-        let suspects: Vec<(PartId, usize, bool)> = self
+        let suspects: Vec<(PartId, Vec<&suspect::End>)> = self
             .open_parts()
             .map(|(part, suspect)| (part, suspect.unexplained(explained)))
+            .collect();
+        if !suspects.iter().any(|(_, ends)| are_enough(ends)) {
+            return None;
+        }
+        let suspects: Vec<(PartId, usize, bool)> = suspects
+            .into_iter()
             .filter(|(part, ends)| self.explains(*part, ends, explained))
             .map(|(part, ends)| (part, ends.len(), are_enough(&ends)))
             .collect();
--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -183,7 +183,8 @@
 ) {
     let now = shared.clock.now();
     if let Some((attempt, _)) = broken_attempt(shared, job, in_flight, None, now) {
-        record_reported(shared, now, attempt);
+        // It ended after its response, so no part of the prompt ended it as it began to write.
+        record_reported(shared, now, exits::BrokenAttempt { parts: Vec::new(), ..attempt });
     }
 }
 
