Only runs without an event accuse the parts of their prompts

Change: an event before the end is no evidence against the parts (200 ms of events still clear them); a request with the part that has three consecutive ends explains them, also while it can't be told apart from another one. Evidence: two cases of the judge that fail without it.

--- a/crates/corianderstand_fleet/src/crashes.rs
+++ b/crates/corianderstand_fleet/src/crashes.rs
@@ -4,7 +4,7 @@
 //! which it had not begun to write ([`fingerprint::Feature`]). A feature under which targets end one after another is
 //! blocked, unless another one explains these ends as well ([`verdict`]). A target that had been streaming its
 //! response for a while had begun to run it without ending, so its end counts for little against the request, and
-//! not against its parts. A success clears its request and the parts of its prompt: what ends targets each time
+//! not at all against its parts. A success clears its request and the parts of its prompt: what ends targets each time
 //! never has one. All routers exchange their [`Crash`]es and successes and judge by the same rules.
 //!
 //! Many targets may end at once under a part, so that nothing tells whether it ended them. Then single requests with it
@@ -39,7 +39,8 @@
 const MAX_LATE_ENDS: usize = 8;
 /// An end is early if it comes within this time after the first event of the response.
 pub const EARLY_END_TIME: Duration = Duration::from_millis(500);
-/// Time from the first event of a response after which the target has written on the prompt without ending.
+/// Time from the first event of a response after which the target has shown that no part of the prompt ends it. An end
+/// before that, but after the first event, is evidence neither for nor against the parts.
 pub const WRITING_START_TIME: Duration = Duration::from_millis(200);
 /// A target takes longer to begin to write a response: one that ended earlier had ended before it was sent the request.
 const MIN_RUN_TIME: Duration = Duration::from_millis(10);
@@ -88,7 +89,7 @@
     /// Whether the target may have ended because it began to write a response.
     fn may_accuse_parts(&self) -> bool {
         let ran = self.ended_at.saturating_duration_since(self.sent_at);
-        ran >= MIN_RUN_TIME && self.survived < WRITING_START_TIME
+        ran >= MIN_RUN_TIME && self.survived.is_zero()
     }
 
     fn end(&self) -> suspect::End {
--- a/crates/corianderstand_fleet/src/crashes/verdict.rs
+++ b/crates/corianderstand_fleet/src/crashes/verdict.rs
@@ -23,7 +23,7 @@
 /// Ends after which a part is blocked though only two of them were consecutive: many engines may end under
 /// requests that were sent at the same time.
 const MAX_TOTAL_ENDS_OF_PART: usize = 5;
-/// Ends of a part that no blocked request explains.
+/// Ends of a part that no repeated request explains.
 const MIN_ENDS_BEYOND_REQUESTS: usize = 2;
 /// A part under which fewer of the ended targets ran is a bystander of ends that have another cause.
 const MIN_SHARE_OF_ENDS: f64 = 1.0 / 3.0;
@@ -260,16 +260,21 @@
         ends.len() as f64 / all.max(ends.len()) as f64
     }
 
-    /// Number of ends that no blocked request with the part explains.
+    /// Number of ends that no other request with the part explains, which is blocked or nearly so.
     fn ends_beyond_requests(&self, part: PartId, ends: &[&suspect::End]) -> usize {
-        let blocked: Vec<&Suspect> = self
+        let suspects: Vec<&Suspect> = self
             .requests()
-            .filter(|(key, request)| {
-                request.parts.contains(&part) && self.blocks.contains_key(&Feature::Request(*key))
-            })
+            .filter(|(key, request)| request.parts.contains(&part) && self.is_strong(*key, request))
             .map(|(_, request)| request)
             .collect();
-        ends.iter().filter(|end| !blocked.iter().any(|request| request.explains(end))).count()
+        ends.iter().filter(|end| !suspects.iter().any(|request| request.explains(end))).count()
+    }
+
+    /// Whether a request is blocked, or would be if no other one explained its ends.
+    fn is_strong(&self, key: Fingerprint, request: &Suspect) -> bool {
+        let early = request.early_ends(&BTreeSet::new());
+        self.blocks.contains_key(&Feature::Request(key))
+            || suspect::consecutive_ends(&early) >= MAX_CONSECUTIVE_ENDS
     }
 
     /// Lifts the blocks of requests that ended no target beside those that blocked parts of other prompts explain.
--- a/crates/corianderstand_fleet/tests/crashing_parts.rs
+++ b/crates/corianderstand_fleet/tests/crashing_parts.rs
@@ -167,14 +167,16 @@
     assert!(history.blocked(5_000).is_empty());
 }
 
-/// Guards against an accusation by a run that had written for a while.
-#[test]
-fn a_run_that_had_been_writing_does_not_accuse_its_parts() {
+/// Guards against an accusation by a run that its target had begun to write on.
+#[rstest::rstest]
+#[case::just_now(10)]
+#[case::for_a_while(250)]
+fn a_run_with_an_event_does_not_accuse_its_parts(#[case] survived_ms: u64) {
     let mut history = History::new();
     for n in 0..6 {
         history.end(1_000 + n * 300, &[FIRST, CRASHING]);
         let writing = history.new_request();
-        let survived = Duration::from_millis(250);
+        let survived = Duration::from_millis(survived_ms);
         history.run_at_last(1_000 + n * 300, writing, &[SUBJECT], survived);
     }
     assert!(!history.is_blocked(5_000, SUBJECT));
@@ -206,6 +208,18 @@
     assert_eq!(history.blocked(5_000), [Feature::Request(request)]);
 }
 
+/// Guards against blocking the part of a request that ends its targets but can't be told apart from another one yet.
+#[test]
+fn a_request_with_a_rival_leaves_its_parts_free_too() {
+    let mut history = History::new();
+    let (request, rival) = (history.new_request(), history.new_request());
+    for n in 0..4 {
+        history.end_under(1_000 + n * 500, request, &[SUBJECT]);
+        history.run_at_last(1_000 + n * 500, rival, &[], Duration::ZERO);
+    }
+    assert!(history.blocked(5_000).is_empty(), "neither request nor part");
+}
+
 /// Guards against missing the part because one of the requests with it is repeated and blocked first.
 #[test]
 fn a_part_is_blocked_though_one_of_its_requests_is_blocked_already() {
