--- a/crates/corianderstand_fleet/src/crashes.rs
+++ b/crates/corianderstand_fleet/src/crashes.rs
@@ -1,8 +1,8 @@
 //! Requests, and parts of prompts, that end the targets that run them.
 //!
 //! When a target ends, all requests that it was running are suspects, and so are the parts of the prompts on
-//! which it had not begun to write ([`fingerprint::Feature`]). A feature under which targets end one after another is
-//! blocked, unless another one explains these ends as well ([`verdict`]). A target that had been streaming its
+//! which it had not begun to write: what they share is a [`Feature`]. A feature under which targets end one after another
+//! is blocked, unless another one explains these ends as well ([`verdict`]). A target that had been streaming its
 //! response for a while had begun to run it without ending, so its end counts for little against the request, and
 //! not at all against its parts. A success clears its request and the parts of its prompt: what ends targets each time
 //! never has one. All routers exchange their [`Crash`]es and successes and judge by the same rules.
@@ -39,8 +39,8 @@
 const MAX_LATE_ENDS: usize = 8;
 /// An end is early if it comes within this time after the first event of the response.
 pub const EARLY_END_TIME: Duration = Duration::from_millis(500);
-/// Time from the first event of a response after which the target has shown that no part of the prompt ends it. An end
-/// before that, but after the first event, is evidence neither for nor against the parts.
+/// Time from the first event of a response after which no part of the prompt is taken to end the target. An end
+/// between the two is evidence neither for nor against the parts.
 pub const WRITING_START_TIME: Duration = Duration::from_millis(200);
 /// A target takes longer to begin to write a response: one that ended earlier had ended before it was sent the request.
 const MIN_RUN_TIME: Duration = Duration::from_millis(10);
--- a/crates/corianderstand_fleet/src/crashes/verdict.rs
+++ b/crates/corianderstand_fleet/src/crashes/verdict.rs
@@ -1,8 +1,8 @@
 //! Decides which features are blocked.
 //!
 //! Requests are judged first: a request that explains its ends alone needs no suspicion of the parts that it
-//! shares with others. A part is blocked for ends that blocked requests don't explain. Then the requests are
-//! acquitted whose ends a blocked part of other prompts explains.
+//! shares with others. A part is blocked for ends that no repeated request explains. Then the blocks of requests are
+//! lifted whose ends a blocked part of other prompts explains.
 
 use super::{
     Block, MAX_AMBIGUOUS_ENDS, MAX_CONSECUTIVE_ENDS, MAX_LATE_ENDS, MAX_TOTAL_ENDS,
--- a/crates/corianderstand_fleet/src/exits.rs
+++ b/crates/corianderstand_fleet/src/exits.rs
@@ -149,7 +149,7 @@
     }
 
     /// Records that a target runs: connections that broke before were not broken by its end.
-    pub fn record_alive(&mut self, now: Instant, id: &names::TargetId, started_at_ms: u64) {
+    pub fn record_running(&mut self, now: Instant, id: &names::TargetId, started_at_ms: u64) {
         self.broken.retain(|attempt| {
             let is_same = attempt.target.id == *id && attempt.target.started_at_ms == started_at_ms;
             !is_same || now.saturating_duration_since(attempt.broke_at) < MAX_REPORT_AGE
--- a/crates/corianderstand_fleet/tests/exits.rs
+++ b/crates/corianderstand_fleet/tests/exits.rs
@@ -54,7 +54,7 @@
     let later = now + Duration::from_millis(500);
     let mut exits = Exits::default();
     assert_eq!(exits.record_broken(now, broken(now, 5)), None);
-    exits.record_alive(later, &"engine".into(), 5);
+    exits.record_running(later, &"engine".into(), 5);
     assert_eq!(exits.record_exit(later, &incarnation(5), Confirmation::Agent), []);
 }
 
--- a/crates/corianderstand_forward/src/suspicion.rs
+++ b/crates/corianderstand_forward/src/suspicion.rs
@@ -165,7 +165,7 @@
 
     /// Records that a target runs: connections that broke before were not broken by its end.
     pub fn record_running(&self, now: Instant, id: &names::TargetId, started_at_ms: u64) {
-        self.exits.borrow_mut().record_alive(now, id, started_at_ms);
+        self.exits.borrow_mut().record_running(now, id, started_at_ms);
     }
 
     /// Starts the probe of a target whose end is unconfirmed; false if there is nothing to probe for.
@@ -256,7 +256,6 @@
     }
 }
 
-/// Parts are accused only by a run that had hardly begun to write its response.
 fn to_crash(attempt: &exits::BrokenAttempt) -> crashes::Crash {
     crashes::Crash {
         fingerprint: attempt.fingerprint,
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -13,6 +13,7 @@
 mod leavings;
 mod proxy;
 mod requests;
+mod seeds;
 mod streams;
 mod workspaces;
 
@@ -32,12 +33,6 @@
 };
 use workspaces::Workspace;
 
-/// Seeds of past failures, each with its cause.
-const REGRESSION_SEEDS: &str = include_str!("../kept.txt");
-/// Marks a seed of a run with several zones.
-const ZONED_SEED_PREFIX: &str = "zones ";
-/// Marks a seed of a run in which a part of prompts ends engines and routers are flooded.
-const PARTS_SEED_PREFIX: &str = "parts ";
 const DEFAULT_FAULTS: usize = 8;
 const MAX_CONCURRENT_FAULTS: usize = 3;
 const MAX_FAULT_PAUSE_MS: u64 = 900;
@@ -105,14 +100,15 @@
     let has_zones = matches.opt_present("zones");
     let has_floods = matches.opt_present("floods");
     let cause = if matches.opt_present("parts") { CrashCause::Part } else { CrashCause::Body };
+    let kind = match (has_zones, cause) {
+        (true, _) => seeds::RunKind::Zones,
+        (false, CrashCause::Part) => seeds::RunKind::Parts,
+        (false, CrashCause::Body) => seeds::RunKind::Plain,
+    };
     let seeds = if matches.opt_present("kept") {
-        regression_seeds(match (has_zones, cause) {
-            (true, _) => ZONED_SEED_PREFIX,
-            (false, CrashCause::Part) => PARTS_SEED_PREFIX,
-            (false, CrashCause::Body) => "",
-        })
+        seeds::kept(kind)
     } else {
-        parse_seeds(matches.opt_str("seeds").as_deref())
+        seeds::parse(matches.opt_str("seeds").as_deref())
     };
     let Some(seeds) = seeds else {
         eprintln!("invalid seeds: expected a number or a range, such as 7 or 1-50");
@@ -152,24 +148,6 @@
     if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-/// Seeds of past failures whose lines begin with a prefix, or with none.
-fn regression_seeds(prefix: &str) -> Option<Vec<u64>> {
-    let is_prefixed =
-        |line: &&str| [ZONED_SEED_PREFIX, PARTS_SEED_PREFIX].iter().any(|p| line.starts_with(p));
-    let lines = REGRESSION_SEEDS.lines().filter(|line| !line.starts_with('#'));
-    let lines = lines.filter(|line| !prefix.is_empty() || !is_prefixed(line));
-    let seeds = lines.filter_map(|line| line.strip_prefix(prefix));
-    seeds.map(|line| line.split_whitespace().next()?.parse().ok()).collect()
-}
-
-fn parse_seeds(text: Option<&str>) -> Option<Vec<u64>> {
-    let Some(text) = text else { return Some(vec![rand::random_range(1_000..1_000_000)]) };
-    match text.split_once('-') {
-        None => Some(vec![text.parse().ok()?]),
-        Some((first, last)) => Some((first.parse().ok()?..=last.parse().ok()?).collect()),
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct RunPlan {
     size: ClusterSize,
--- /dev/null
+++ b/tools/soak/src/seeds.rs
@@ -0,0 +1,48 @@
+//! Seeds of runs: those named by the user, and those of past failures.
+
+/// Seeds of past failures, each with its cause.
+const KEPT: &str = include_str!("../kept.txt");
+
+/// Kind of the runs that a seed is for.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum RunKind {
+    /// One zone.
+    Plain,
+    /// Several zones.
+    Zones,
+    /// A part of prompts ends engines, and routers are flooded.
+    Parts,
+}
+
+impl RunKind {
+    /// What the lines of its seeds begin with.
+    const fn prefix(self) -> &'static str {
+        match self {
+            Self::Plain => "",
+            Self::Zones => "zones ",
+            Self::Parts => "parts ",
+        }
+    }
+
+    fn of_line(line: &str) -> Self {
+        let prefixed = [Self::Zones, Self::Parts];
+        prefixed.into_iter().find(|kind| line.starts_with(kind.prefix())).unwrap_or(Self::Plain)
+    }
+}
+
+/// The seeds of past failures in runs of a kind.
+pub fn kept(kind: RunKind) -> Option<Vec<u64>> {
+    let lines = KEPT.lines().filter(|line| !line.starts_with('#'));
+    let lines = lines.filter(|line| RunKind::of_line(line) == kind);
+    let seeds = lines.filter_map(|line| line.strip_prefix(kind.prefix()));
+    seeds.map(|line| line.split_whitespace().next()?.parse().ok()).collect()
+}
+
+/// Parses a seed or a range of seeds; draws one if there is none.
+pub fn parse(text: Option<&str>) -> Option<Vec<u64>> {
+    let Some(text) = text else { return Some(vec![rand::random_range(1_000..1_000_000)]) };
+    match text.split_once('-') {
+        None => Some(vec![text.parse().ok()?]),
+        Some((first, last)) => Some((first.parse().ok()?..=last.parse().ok()?).collect()),
+    }
+}
