Failing test: a list of routers that was read during the start; routers added, replaced and cut into parts

A router that started together with all others and read the list before they stood in it knows of itself only.

Tests of several budgets side by side, counted as the rule does: routers added from 3 to 9 within a window (9 cases), replaced one by one under other names (2), cut into halves and pairs and joined again (9).

--- a/crates/corianderstand_fleet/tests/retry_budget.rs
+++ b/crates/corianderstand_fleet/tests/retry_budget.rs
@@ -100,6 +100,22 @@
         restarted.for_each(|router| *router = Router::start(now, known, known - 1, false));
     }
 
+    /// Adds routers that start later; each of the others learns of them.
+    fn add(&mut self, count: usize) {
+        let known = self.routers.len() + count;
+        let added = (0..count).map(|_| Router::start(self.now, known, known - 1, false));
+        self.routers.extend(added);
+        self.routers.iter_mut().for_each(|router| router.known = known);
+        self.set_heard(known - 1);
+    }
+
+    /// Replaces a router by one of another name. The entry of the one that ended stays known.
+    fn replace(&mut self, index: usize) {
+        let known = self.routers[index].known + 1;
+        self.routers[index] = Router::start(self.now, known, self.routers.len() - 1, false);
+        self.routers.iter_mut().for_each(|router| router.known = known);
+    }
+
     /// Sets whether retries that are granted wait before they are sent.
     fn delay_sending(&mut self, delays_sending: bool) {
         self.delays_sending = delays_sending;
@@ -189,6 +205,54 @@
     deployment.assert_within_allowance();
 }
 
+/// Guards against routers that divide by a number from before others were added.
+#[rstest::rstest]
+fn routers_that_are_added_within_a_window_share_the_allowance(
+    #[values(0, 3, 8)] failing_before_s: u64,
+    #[values(0, 2, 8)] failing_between_s: u64,
+) {
+    let mut deployment = Deployment::running(3);
+    deployment.run(Duration::from_secs(failing_before_s), true);
+    deployment.add(3);
+    deployment.run(Duration::from_secs(failing_between_s), true);
+    deployment.add(3);
+    deployment.run(Duration::from_secs(25), true);
+    deployment.assert_within_allowance();
+}
+
+/// Guards against routers that spend anew under another name what they had spent before.
+#[rstest::rstest]
+fn routers_that_are_replaced_one_by_one_stay_within_the_allowance(
+    #[values(500, 2_000)] apart_ms: u64,
+) {
+    let mut deployment = Deployment::running(ROUTERS);
+    for index in 0..ROUTERS {
+        deployment.run(Duration::from_millis(apart_ms), true);
+        deployment.replace(index);
+    }
+    deployment.run(Duration::from_secs(25), true);
+    deployment.assert_within_allowance();
+}
+
+/// Guards against two parts of the routers that each take the whole, during a cut and just after it.
+#[rstest::rstest]
+#[case::halves(6, 2)]
+#[case::halves_of_four(4, 1)]
+#[case::pairs(6, 1)]
+fn routers_cut_into_parts_stay_within_the_allowance(
+    #[case] routers: usize,
+    #[case] heard: usize,
+    #[values(2, 11, 40)] cut_s: u64,
+) {
+    let mut deployment = Deployment::running(routers);
+    deployment.run(Duration::from_secs(2), true);
+    deployment.set_heard(heard);
+    deployment.run(Duration::from_secs(cut_s), true);
+    deployment.set_heard(routers - 1);
+    deployment.run(Duration::from_secs(12), true);
+    deployment.assert_within_allowance();
+}
+
 /// Guards against an allowance that many routers exceed, as each rounds its part up.
 #[test]
 fn a_hundred_routers_stay_within_the_allowance() {
--- a/crates/corianderstand_forward/tests/retries.rs
+++ b/crates/corianderstand_forward/tests/retries.rs
@@ -87,3 +87,32 @@
     };
     tokio::time::timeout(common::WAIT_LIMIT, poll).await.expect("a request is sent once more");
 }
+
+/// Guards against a router that takes all of the fixed number, as it read the list of routers before the others that
+/// started with it stood in it, and hears none of them.
+#[tokio::test]
+async fn a_list_that_was_read_during_the_start_allows_no_retry() {
+    const REQUESTS: usize = 20;
+    let allowance =
+        budget::Allowance { ratio: 0.0, fixed: 50.0, window: Duration::from_millis(200) };
+    let store = MemoryStore::default();
+    let (first, second) = (Target::start().await, Target::start().await);
+    store.put_config(common::config(1, vec![common::route("/desk/", "desk")]));
+    store.put_target(first.entry("target-1", "desk"));
+    store.put_target(second.entry("target-2", "desk"));
+    let mut settings = RouterThread::settings("router-a", Vec::new(), Duration::from_secs(8));
+    settings.bounds.allowance = allowance;
+    settings.is_first_start = true;
+    let own_store = store.isolated();
+    let router = RouterThread::start_on(&own_store, settings);
+    router.wait_ready().await;
+    own_store.set_unavailable(true);
+    let counts = [refuse_all(first), refuse_all(second)];
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    for number in 0..REQUESTS {
+        let id = format!("request-{number}");
+        common::get(router.front, "/desk/1", &[("x-id", &id)]).await.unwrap();
+    }
+    let arrivals: usize = counts.iter().map(|count| count.load(Ordering::Relaxed)).sum();
+    assert!(arrivals <= REQUESTS, "{arrivals} arrivals of {REQUESTS} requests");
+}
