The fixed number of retries is shared only by a list of routers that was read after the start

Callers saw: repeats beyond the allowance, if routers that started together read the list before the others stood in it, and then heard none of them. Cause: such a list names one router, which is a majority of itself, so that each takes the whole of the fixed number. The list now counts once it was read later than 2 s after the start; a small deployment reads it again then. Costs one read of the store a start.

--- a/crates/corianderstand_fleet/src/budget/share.rs
+++ b/crates/corianderstand_fleet/src/budget/share.rs
@@ -22,7 +22,7 @@
 /// Routers of the deployment, this one included, as one router sees them.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub struct RoutersSeen {
-    /// Routers that are known; none until their list was read.
+    /// Routers that are known; none until a complete list was read.
     pub known: Option<usize>,
     /// Routers that were heard lately.
     pub heard: usize,
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -6,8 +6,8 @@
 pub mod via_readers;
 
 use crate::{
-    config_proof, continuations, dialect, ended_targets, readers, replicated_records, router,
-    status,
+    config_proof, continuations, dialect, ended_targets, readers, replicated_records, retries,
+    router, status,
 };
 use corianderstand_fleet::{config, routes, targets};
 use dialect::Subject;
@@ -80,7 +80,7 @@
         wait_for_routers(&shared).await;
         via_readers::first_offset(&shared, subject).await
     };
-    let mut routers_interval = MIN_ROUTERS_INTERVAL;
+    let mut routers_reads = 0;
     let mut is_behind = false;
     loop {
         let known = from.is_some() || shared.replicated_records.borrow().next_offset(subject) > 0;
@@ -125,11 +125,9 @@
                         wait_before_targets_read(&shared, drain_within.mul_f64(ratio)).await;
                     }
                     Subject::Routers => {
-                        if shared.peers.borrow().is_mesh() {
-                            routers_interval = ROUTERS_INTERVAL;
-                        }
-                        tokio::time::sleep(routers_interval).await;
-                        routers_interval = (routers_interval * 2).min(ROUTERS_INTERVAL);
+                        let is_mesh = shared.peers.borrow().is_mesh();
+                        tokio::time::sleep(routers_interval(is_mesh, routers_reads)).await;
+                        routers_reads += 1;
                     }
                 }
             }
@@ -151,6 +149,17 @@
     }
 }
 
+/// Time until the list of routers is read again, after so many reads. The first ones follow soon, as other routers may
+/// be starting too.
+fn routers_interval(is_mesh: bool, reads: u32) -> Duration {
+    let interval = match (is_mesh, reads) {
+        (true, 0) => retries::ANNOUNCE_TIME,
+        (true, _) => ROUTERS_INTERVAL,
+        (false, _) => MIN_ROUTERS_INTERVAL.saturating_mul(2_u32.saturating_pow(reads)),
+    };
+    interval.min(ROUTERS_INTERVAL)
+}
+
 /// Waits for the first read of the routers, for a short time.
 async fn wait_for_routers<P: router::Platform>(shared: &router::Shared<P>) {
     let is_read = || {
--- a/crates/corianderstand_forward/src/replicated_records.rs
+++ b/crates/corianderstand_forward/src/replicated_records.rs
@@ -110,8 +110,12 @@
 
     /// Time since the last successful read of the store, or of the router that this one follows.
     pub fn since_read(&self, now: Instant, subject: Subject) -> Option<Duration> {
-        let at = self.by_subject.get(&subject)?.read_at?;
-        Some(now.saturating_duration_since(at))
+        self.read_at(subject).map(|at| now.saturating_duration_since(at))
+    }
+
+    /// When the store, or the router that this one follows, was last read.
+    pub fn read_at(&self, subject: Subject) -> Option<Instant> {
+        self.by_subject.get(&subject)?.read_at
     }
 
     /// Time between the last two reads of the store, or since the last one if `source` is a peer.
--- a/crates/corianderstand_forward/src/retries.rs
+++ b/crates/corianderstand_forward/src/retries.rs
@@ -6,12 +6,21 @@
 use crate::{decisions, dialect, job, router};
 use corianderstand_fleet::budget;
 use corianderstand_types::names;
-use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Instant};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+/// Time in which routers that start together announce themselves. A list that was read earlier may lack some of them.
+pub const ANNOUNCE_TIME: Duration = Duration::from_secs(2);
 
 type SharedBudget = Rc<RefCell<budget::Budget>>;
 
 /// The retry budgets of services at this router.
 pub struct State {
+    started_at: Instant,
     budgets: RefCell<HashMap<names::ServiceId, SharedBudget>>,
     fixed_share: RefCell<budget::FixedShare>,
 }
@@ -20,6 +29,7 @@
     /// The state of a router that starts now, be it the first start of all routers or not.
     pub fn new(now: Instant, is_first_start: bool) -> Self {
         Self {
+            started_at: now,
             budgets: RefCell::default(),
             fixed_share: RefCell::new(budget::FixedShare::new(now, is_first_start)),
         }
@@ -89,10 +99,12 @@
 /// Records which routers share the allowance, as far as this one sees them.
 pub fn observe_routers<P: router::Platform>(shared: &router::Shared<P>, now: Instant) {
     let peers = shared.peers.borrow();
-    let is_list_read =
-        shared.replicated_records.borrow().since_read(now, dialect::Subject::Routers).is_some();
+    let read_at = shared.replicated_records.borrow().read_at(dialect::Subject::Routers);
+    let settled_at = shared.retries.started_at + ANNOUNCE_TIME;
+    // In a large deployment only hubs read the list again.
+    let is_list_complete = read_at.is_some_and(|at| at >= settled_at || !peers.is_mesh());
     let seen = budget::RoutersSeen {
-        known: is_list_read.then(|| 1 + peers.addresses().count()),
+        known: is_list_complete.then(|| 1 + peers.addresses().count()),
         heard: 1 + peers.live(now).count(),
     };
     let allowance = shared.bounds.borrow().allowance;
