--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -1,9 +1,13 @@
 //! A small cluster: real routers and agents, and stand-ins for the platform.
 
-use crate::{proxy, retries, workspaces};
+use crate::{
+    datagrams::{self, Cut, Relays},
+    proxy, retries, workspaces,
+};
 use bytes::Bytes;
 use corianderstand_platform_standins::{
     ledger::Ledger,
+    serve::ListenerHandle,
     settings,
     store::Store,
     target::{ENTRIES_TOPIC, HEALTH_PATH, Target, TargetSpec, UnframedResponses},
@@ -15,6 +19,7 @@
 };
 use serde_json::json;
 use std::{
+    collections::BTreeMap,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -30,8 +35,11 @@
 const STORE_PORT: u16 = 8_142;
 const TARGET_PORT: u16 = 8_145;
 const PROXY_PORT: u16 = 8_245;
+const RELAY_PORT: u16 = 8_244;
+const ROUTERS_TOPIC: &str = "keyed.routers";
 const FOREIGN_ENTRY_BYTES: usize = 100_000;
 const READERS_PER_ZONE: usize = 2;
+const SEEDS: usize = 3;
 /// A starved process has a quarter of the time.
 const STARVED_STOP_TIME: Duration = Duration::from_millis(60);
 const STARVED_RUN_TIME: Duration = Duration::from_millis(20);
@@ -50,6 +58,8 @@
     pub zones: usize,
     /// Time after which no request may reach a target that is leaving.
     pub drain_within: Duration,
+    /// Whether datagrams between routers can be lost.
+    pub has_relays: bool,
 }
 
 impl ClusterSize {
@@ -154,7 +164,8 @@
     /// Routers that read the store for their zones while all run.
     pub readers: Vec<usize>,
     config_version: u64,
-    _store_listener: corianderstand_platform_standins::serve::ListenerHandle,
+    relays: Option<Relays>,
+    _store_listeners: [ListenerHandle; 2],
 }
 
 /// The routers of each zone with the least names, as all are equally strong.
@@ -191,6 +202,16 @@
         let (store, ledger) = (Store::default(), Ledger::default());
         let store_addr = SocketAddr::new(loopback_ip(STORE_IP_OFFSET, 0), STORE_PORT);
         let store_listener = store.listen(store_addr).await.expect("the address is free");
+        let router_addresses: Vec<SocketAddr> = (0..size.routers)
+            .map(|index| settings::control(loopback_ip(ROUTER_IP_OFFSET, index)))
+            .collect();
+        let relays = datagrams::relay_addresses(&router_addresses, RELAY_PORT);
+        let relays = if size.has_relays { relays } else { BTreeMap::new() };
+        let routers_store_addr = SocketAddr::new(loopback_ip(STORE_IP_OFFSET, 1), STORE_PORT);
+        let routers_store_listener = store
+            .listen_with(routers_store_addr, with_relays(relays.clone()))
+            .await
+            .expect("the address is free");
         let mut engines = Vec::new();
         for index in 0..size.engines {
             // Each engine caches three models, so that every model is cached at some engine.
@@ -208,19 +229,23 @@
             let target = start_target(("desk", "desk"), index, place, (&store, &ledger), &[]);
             service_targets.push(target.await);
         }
-        let seeds: Vec<_> =
-            (0..size.routers.min(3)).map(|index| loopback_ip(ROUTER_IP_OFFSET, index)).collect();
         let (mut routers, mut router_proxies, mut agents) = (Vec::new(), Vec::new(), Vec::new());
         for index in 0..size.routers {
             let ip_addr = loopback_ip(ROUTER_IP_OFFSET, index);
             let zone = size.zone(index);
             let place = settings::Place { ip: ip_addr, zone: &zone };
-            let process =
-                start_process(("router", index), ip_addr, store_addr, dir, |name, store| {
+            let seeds = seeds(&router_addresses, index, &relays);
+            let process = start_process(
+                ("router", index),
+                ip_addr,
+                routers_store_addr,
+                dir,
+                |name, store| {
                     settings::router(name, place, &seeds, store, size.drain_within)
                         + workspaces::settings().as_str()
                         + retries::settings().as_str()
-                });
+                },
+            );
             routers.push(process.await);
             let router_address = settings::front(ip_addr);
             let proxy_addr = SocketAddr::new(ip_addr, PROXY_PORT + 1);
@@ -238,6 +263,10 @@
                 });
             agents.push(process.await);
         }
+        let relays = match size.has_relays {
+            true => Some(Relays::open(router_addresses, RELAY_PORT).await.expect("ports are free")),
+            false => None,
+        };
         let mut cluster = Self {
             store,
             ledger,
@@ -249,7 +278,8 @@
             revocations: Vec::new(),
             readers: readers(&size),
             config_version: 0,
-            _store_listener: store_listener,
+            relays,
+            _store_listeners: [store_listener, routers_store_listener],
         };
         cluster.configure();
         cluster.wait_ready().await;
@@ -307,6 +337,13 @@
         unique_prefix
     }
 
+    /// Loses datagrams between routers from now on, or none.
+    pub fn lose_datagrams(&self, cut: Option<Cut>) {
+        if let Some(relays) = &self.relays {
+            relays.cut(cut);
+        }
+    }
+
     /// Writes entries that no engine of this deployment would write.
     pub fn write_invalid_entries(&self) {
         let long = format!("{{\"service\":\"{}\"}}", "x".repeat(FOREIGN_ENTRY_BYTES));
@@ -342,6 +379,36 @@
     }
 }
 
+/// Addresses at which a router finds others when it starts: their relays, and its own.
+fn seeds(
+    routers: &[SocketAddr],
+    index: usize,
+    relays: &BTreeMap<SocketAddr, SocketAddr>,
+) -> Vec<SocketAddr> {
+    let seeds = routers.iter().take(SEEDS).enumerate();
+    let relay = |addr: &SocketAddr| relays.get(addr).copied().unwrap_or(*addr);
+    seeds.map(|(seed, addr)| if seed == index { *addr } else { relay(addr) }).collect()
+}
+
+/// Has routers read the addresses of relays in the entries of other routers.
+fn with_relays(
+    relays: BTreeMap<SocketAddr, SocketAddr>,
+) -> impl Fn(&str, &Bytes) -> Bytes + Send + Sync {
+    move |topic, value| {
+        let Some(mut entry) = (topic == ROUTERS_TOPIC && !relays.is_empty())
+            .then(|| serde_json::from_slice::<serde_json::Value>(value).ok())
+            .flatten()
+        else {
+            return value.clone();
+        };
+        let addr = entry["addr"].as_str().and_then(|addr| addr.parse().ok());
+        if let Some(relay) = addr.and_then(|addr: SocketAddr| relays.get(&addr)) {
+            entry["addr"] = json!(relay.to_string());
+        }
+        entry.to_string().into()
+    }
+}
+
 async fn start_target(
     (service, name): (&str, &str),
     index: usize,
--- a/tools/soak/src/faults.rs
+++ b/tools/soak/src/faults.rs
@@ -3,6 +3,7 @@
 use crate::{
     checks::Disruption,
     cluster::{Cluster, ManagedProcess, ProxiedTarget},
+    datagrams::Cut,
     leavings::{Interference, Scope},
     proxy::Mode,
 };
@@ -34,6 +35,8 @@
     refusal_ratio: 0.8,
     rest: Some(Duration::from_millis(2_200)),
 };
+/// More than two windows of the retry budget.
+const MAX_CUT_MS: u64 = 10_000;
 /// Targets leave while the store is away.
 const MAX_STORE_FAULT_MS: u64 = 6_000;
 /// A process that is killed soon starts again, so that it may be killed twice within a window.
@@ -76,6 +79,8 @@
     RefuseAll,
     /// Freeze all routers but one, which then hears no other.
     FreezeOthers(usize),
+    /// Lose datagrams between routers.
+    LoseDatagrams(Cut),
     /// Impair the connections to an engine.
     EngineLink(usize, Mode),
     StoreLink(usize, Mode),
@@ -187,6 +192,32 @@
     (fault, Duration::from_millis(rng.random_range(300..longest)))
 }
 
+/// Draws faults for runs in which all engines turn requests away at once while routers cannot hear each other.
+pub fn draw_cut_fault(rng: &mut impl Rng, cluster: &Cluster) -> (Fault, Duration) {
+    let router = rng.random_range(0..cluster.routers.len());
+    let cut = match rng.random_range(0..5) {
+        0 => Cut::From(router),
+        1 => Cut::To(router),
+        2 => Cut::Both(router),
+        _ => Cut::Between(rng.random_range(1..cluster.routers.len())),
+    };
+    let fault = match rng.random_range(0..20) {
+        0..8 => Fault::RefuseAll,
+        8..14 => Fault::LoseDatagrams(cut),
+        14..16 => Fault::KillRouter(router),
+        16 => Fault::KillAll,
+        17 => Fault::StoreLink(router, draw_proxy_mode(rng)),
+        18 => Fault::FreezeRouter(router),
+        _ => return draw_fault(rng, cluster),
+    };
+    let longest = match fault {
+        Fault::LoseDatagrams(_) => MAX_CUT_MS,
+        Fault::KillRouter(_) | Fault::KillAll => MAX_DOWN_MS,
+        _ => MAX_FAULT_MS,
+    };
+    (fault, Duration::from_millis(rng.random_range(300..longest)))
+}
+
 /// Draws faults for runs in which targets say in their answers that they leave while the store is away, or ask for
 /// rest, beside faults of the routers.
 pub fn draw_answer_fault(rng: &mut impl Rng, cluster: &Cluster) -> (Fault, Duration) {
@@ -259,6 +290,7 @@
             Self::FreezeOthers(index) => {
                 others(cluster, index).for_each(|router| freeze(&router.process));
             }
+            Self::LoseDatagrams(cut) => cluster.lose_datagrams(Some(cut)),
             Self::EngineLink(index, mode) => cluster.engines[index].target_proxy.set(mode),
             Self::StoreLink(index, mode) => cluster.routers[index].store_proxy.set(mode),
             Self::FrontLink(index, mode) => cluster.router_proxies[index].set(mode),
@@ -311,6 +343,7 @@
             Self::FreezeOthers(index) => {
                 others(cluster, index).for_each(|router| signal(&router.process, Signal::SIGCONT));
             }
+            Self::LoseDatagrams(_) => cluster.lose_datagrams(None),
             Self::EngineLink(index, _) => cluster.engines[index].target_proxy.set(Mode::Pass),
             Self::StoreLink(index, _) => cluster.routers[index].store_proxy.set(Mode::Pass),
             Self::FrontLink(index, _) => cluster.router_proxies[index].set(Mode::Pass),
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod checks;
 mod cluster;
+mod datagrams;
 mod faults;
 mod floods;
 mod leavings;
@@ -16,6 +17,7 @@
 mod rests;
 mod retries;
 mod seeds;
+mod sends;
 mod streams;
 mod workspaces;
 
@@ -60,6 +62,7 @@
     service_targets: 2,
     zones: 1,
     drain_within: Duration::from_secs(2),
+    has_relays: false,
 };
 const LARGE_SIZE: ClusterSize =
     ClusterSize { routers: 20, engines: 39, service_targets: 6, ..DEFAULT_SIZE };
@@ -70,9 +73,12 @@
     service_targets: 4,
     zones: 2,
     drain_within: Duration::from_secs(3),
+    has_relays: false,
 };
 /// Routers share the retry budget.
 const BURSTS_SIZE: ClusterSize = ClusterSize { routers: 5, ..DEFAULT_SIZE };
+/// Routers share the retry budget and cannot always hear each other.
+const CUTS_SIZE: ClusterSize = ClusterSize { has_relays: true, ..BURSTS_SIZE };
 const BURSTS_FAULTS: usize = 24;
 const BURSTS_CONCURRENT_FAULTS: usize = 4;
 const FLOODED_FAULTS: usize = 16;
@@ -101,10 +107,15 @@
         "answers",
         "targets say in their answers that they leave, while the store is away, or ask for rest",
     );
+    options.optflag(
+        "",
+        "cuts",
+        "all engines turn requests away for short times while routers cannot hear each other",
+    );
     options.optopt(
         "",
         "faults",
-        "faults per run (default 8, with floods 16, with bursts or answers 24, with zones 40)",
+        "faults per run (default 8, with floods 16, with bursts, answers or cuts 24, with zones 40)",
         "N",
     );
     let matches = match options.parse(std::env::args().skip(1)) {
@@ -113,7 +124,7 @@
             eprintln!(
                 "{error}\n{}",
                 options
-                    .usage("soak [--seeds A-B] [--kept] [--large] [--zones] [--parts] [--floods] [--bursts] [--answers]")
+                    .usage("soak [--seeds A-B] [--kept] [--large] [--zones] [--parts] [--floods] [--bursts] [--answers] [--cuts]")
             );
             return ExitCode::from(2);
         }
@@ -128,6 +139,8 @@
         seeds::RunKind::Bursts
     } else if matches.opt_present("answers") {
         seeds::RunKind::Answers
+    } else if matches.opt_present("cuts") {
+        seeds::RunKind::Cuts
     } else if cause == CrashCause::Part {
         seeds::RunKind::Parts
     } else {
@@ -144,6 +157,8 @@
     };
     let (size, default_faults, concurrent_faults) = if has_zones {
         (ZONED_SIZE, ZONED_FAULTS, ZONED_CONCURRENT_FAULTS)
+    } else if kind == seeds::RunKind::Cuts {
+        (CUTS_SIZE, BURSTS_FAULTS, BURSTS_CONCURRENT_FAULTS)
     } else if has_bursts || kind == seeds::RunKind::Answers {
         (BURSTS_SIZE, BURSTS_FAULTS, BURSTS_CONCURRENT_FAULTS)
     } else if matches.opt_present("large") {
@@ -197,7 +212,8 @@
 
     /// Whether all requests are alike: no quota, key, limit or crash tells them apart.
     fn has_equal_callers(&self) -> bool {
-        matches!(self.kind, seeds::RunKind::Bursts | seeds::RunKind::Answers)
+        use seeds::RunKind::{Answers, Bursts, Cuts};
+        matches!(self.kind, Bursts | Answers | Cuts)
     }
 }
 
@@ -285,13 +301,15 @@
     violations.extend(workspaces::quota_violation(&requests, &cluster.ledger));
     let most_used = retries::most_used_window(&requests, &cluster.ledger);
     violations.extend(most_used.as_ref().and_then(retries::WindowUsage::violation));
+    let compared = sends::compare(&requests, &cluster.ledger, &restarts, &dir);
+    violations.extend(compared.violations);
     let overfilled = cluster.engines.iter().filter(|engine| engine.target.exceeded_capacity());
     violations.extend(overfilled.map(|engine| format!("commanded to load too much: {engine:?}")));
     println!("seed {seed}: {} requests {:?}", requests.len(), report.outcome_counts);
     if let Some(window) = most_used {
         println!(
-            "seed {seed}: most repeats in a window {} of {:.1} allowed",
-            window.repeats, window.allowed
+            "seed {seed}: most repeats in a window {} of {:.1} allowed, {} repeats compared with logs",
+            window.repeats, window.allowed, compared.repeats
         );
     }
     println!(
@@ -358,6 +376,7 @@
                 seeds::RunKind::Zones => faults::draw_zone_fault(rng, cluster),
                 seeds::RunKind::Bursts => faults::draw_burst_fault(rng, cluster),
                 seeds::RunKind::Answers => faults::draw_answer_fault(rng, cluster),
+                seeds::RunKind::Cuts => faults::draw_cut_fault(rng, cluster),
                 seeds::RunKind::Plain | seeds::RunKind::Parts => faults::draw_fault(rng, cluster),
             };
             // Two faults at one component would revert each other.
--- a/tools/soak/src/seeds.rs
+++ b/tools/soak/src/seeds.rs
@@ -16,6 +16,8 @@
     Bursts,
     /// Targets say in their answers that they leave or ask for rest.
     Answers,
+    /// As with bursts, beside datagrams between routers that are lost.
+    Cuts,
 }
 
 impl RunKind {
@@ -27,11 +29,12 @@
             Self::Parts => "parts ",
             Self::Bursts => "bursts ",
             Self::Answers => "answers ",
+            Self::Cuts => "cuts ",
         }
     }
 
     fn of_line(line: &str) -> Self {
-        let prefixed = [Self::Zones, Self::Parts, Self::Bursts, Self::Answers];
+        let prefixed = [Self::Zones, Self::Parts, Self::Bursts, Self::Answers, Self::Cuts];
         prefixed.into_iter().find(|kind| line.starts_with(kind.prefix())).unwrap_or(Self::Plain)
     }
 }
