--- a/crates/corianderstand_forward/tests/common/platform.rs
+++ b/crates/corianderstand_forward/tests/common/platform.rs
@@ -29,6 +29,12 @@
     max_read_records: Option<usize>,
 }
 
+/// A moment of a store, to which it can go back.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreCopy {
+    next: u64,
+}
+
 /// An in-memory store that tests can write to and make unavailable.
 #[derive(Clone, Default)]
 pub struct MemoryStore {
@@ -36,10 +42,34 @@
     unavailable: Arc<AtomicBool>,
     read_count: Arc<AtomicUsize>,
     router_list_reads: Arc<AtomicUsize>,
+    announcements: Arc<AtomicUsize>,
+    newest_reads: Arc<AtomicUsize>,
     link: Option<link::Link>,
 }
 
 impl MemoryStore {
+    /// A copy of the present contents.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy { next: self.state.lock().unwrap().next }
+    }
+
+    /// Goes back to a copy: what was written since is lost, and its offsets are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.state.lock().unwrap();
+        state.entries.split_off(&copy.next);
+        state.next = copy.next;
+    }
+
+    /// Number of reads of the newest record of each key.
+    pub fn newest_reads(&self) -> usize {
+        self.newest_reads.load(Ordering::Relaxed)
+    }
+
+    /// How often routers announced themselves.
+    pub fn announcements(&self) -> usize {
+        self.announcements.load(Ordering::Relaxed)
+    }
+
     /// The same store, unavailable to one process.
     #[must_use]
     pub fn unavailable(&self) -> Self {
@@ -169,6 +199,9 @@
         if state.down || self.unavailable.load(Ordering::Relaxed) {
             return Err(StoreError::Refused(503));
         }
+        if from > state.next {
+            return Err(StoreError::Compacted(0));
+        }
         let records = state
             .entries
             .range(from..)
@@ -277,6 +310,7 @@
 
 impl dialect::Store for PlainPlatform {
     async fn newest(&self, subject: Subject, _: &ReadOptions) -> Result<Page, StoreError> {
+        self.0.newest_reads.fetch_add(1, Ordering::Relaxed);
         let read_delay = self.0.state.lock().unwrap().read_delay;
         tokio::time::sleep(read_delay).await;
         self.0.page(subject, 0).map(newest_of_each)
@@ -299,6 +333,10 @@
     }
 
     async fn announce(&self, _: &RouterEntry) -> Result<(), StoreError> {
+        if self.0.unavailable.load(Ordering::Relaxed) {
+            return Err(StoreError::Refused(503));
+        }
+        self.0.announcements.fetch_add(1, Ordering::Relaxed);
         Ok(())
     }
 
@@ -311,9 +349,9 @@
             return Ok(Some(Update::TargetRemoved(record.key.as_str().into())));
         }
         let state = self.0.state.lock().unwrap();
-        let (_, _, update) = &state.entries[&record.offset];
+        let update = state.entries.get(&record.offset).and_then(|(_, _, update)| update.clone());
         let unreadable =
             || RecordError::Unreadable { key: record.key.clone(), reason: "garbage".into() };
-        update.clone().map(Some).ok_or_else(unreadable)
+        update.map(Some).ok_or_else(unreadable)
     }
 }
--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -1,6 +1,7 @@
 //! A small cluster: real routers and agents, and stand-ins for the platform.
 
 use crate::{
+    configs::Configs,
     datagrams::{self, Cut, Relays},
     proxy, retries, workspaces,
 };
@@ -36,6 +37,7 @@
 const TARGET_PORT: u16 = 8_145;
 const PROXY_PORT: u16 = 8_245;
 const RELAY_PORT: u16 = 8_244;
+const CONFIG_TOPIC: &str = "keyed.op";
 const ROUTERS_TOPIC: &str = "keyed.routers";
 const FOREIGN_ENTRY_BYTES: usize = 100_000;
 const READERS_PER_ZONE: usize = 2;
@@ -46,6 +48,8 @@
 const UNFRAMED_RESPONSES: UnframedResponses = UnframedResponses { ratio: 0.15, cut_ratio: 0.3 };
 /// Software versions of engines; a third one comes with restarts in place.
 const VERSIONS: u64 = 2;
+/// Longest time until a record that the store lost is written again.
+const MAX_WRITE_AGAIN_DELAY: Duration = Duration::from_millis(1_800);
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Line in the settings of processes that start together for the first time.
 const FIRST_START_SETTING: &str = "bootstrap=true\n";
@@ -160,7 +164,7 @@
     pub agents: Vec<ManagedProcess>,
     pub engines: Vec<ProxiedTarget>,
     pub service_targets: Vec<ProxiedTarget>,
-    pub revocations: Vec<workspaces::Revocation>,
+    pub configs: Configs,
     /// Routers that read the store for their zones while all run.
     pub readers: Vec<usize>,
     config_version: u64,
@@ -275,7 +279,7 @@
             agents,
             engines,
             service_targets,
-            revocations: Vec::new(),
+            configs: Configs::default(),
             readers: readers(&size),
             config_version: 0,
             relays,
@@ -325,18 +329,31 @@
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
         });
         standin_workspaces::add(&mut config, &workspaces::specs(is_revoked));
-        let restored_at = Instant::now();
-        self.store.put("keyed.op", "config", Some(config.to_string().into()));
-        if is_revoked {
-            let acknowledged_at = Instant::now();
-            let revocation = workspaces::Revocation { acknowledged_at, restored_at: None };
-            self.revocations.push(revocation);
-        } else if let Some(revocation) = self.revocations.last_mut() {
-            revocation.restored_at.get_or_insert(restored_at);
-        }
+        let written_at = Instant::now();
+        self.store.put(CONFIG_TOPIC, "config", Some(config.to_string().into()));
+        self.configs.record_written(self.config_version, &unique_prefix, written_at, is_revoked);
         unique_prefix
     }
 
+    /// Has the store go back to a copy that is `age` old. What the operator and the targets wrote since is written again
+    /// within a short time, what routers wrote is not.
+    pub fn restore_store(&self, age: Duration) {
+        let Some(copied_at) = Instant::now().checked_sub(age) else { return };
+        let lost = self.store.restore(copied_at);
+        self.ledger.record_lost(copied_at);
+        self.configs.record_lost(copied_at);
+        for record in lost.into_iter().filter(|record| record.topic != ROUTERS_TOPIC) {
+            let (store, configs) = (self.store.clone(), self.configs.clone());
+            let delay = rand::random_range(Duration::ZERO..MAX_WRITE_AGAIN_DELAY);
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                if store.write_again(&record) && record.topic == CONFIG_TOPIC {
+                    configs.record_written_again();
+                }
+            });
+        }
+    }
+
     /// Loses datagrams between routers from now on, or none.
     pub fn lose_datagrams(&self, cut: Option<Cut>) {
         if let Some(relays) = &self.relays {
--- a/tools/soak/src/faults.rs
+++ b/tools/soak/src/faults.rs
@@ -35,6 +35,9 @@
     refusal_ratio: 0.8,
     rest: Some(Duration::from_millis(2_200)),
 };
+/// Ages of copies that the store goes back to.
+const MIN_COPY_AGE_MS: u64 = 500;
+const MAX_COPY_AGE_MS: u64 = 9_000;
 /// More than two windows of the retry budget.
 const MAX_CUT_MS: u64 = 10_000;
 /// Targets leave while the store is away.
@@ -88,6 +91,8 @@
     FrontLink(usize, Mode),
     Store(FaultMode),
     DiscardHistory,
+    /// Have the store go back to a copy of this age.
+    RestoreStore(Duration),
     Configure,
     /// Write entries that cannot be parsed or name no engine of this deployment.
     InvalidEntry,
@@ -247,6 +252,22 @@
     (fault, Duration::from_millis(rng.random_range(300..longest)))
 }
 
+/// Draws faults for runs in which the store goes back to older copies beside all others.
+pub fn draw_copy_fault(rng: &mut impl Rng, cluster: &Cluster) -> (Fault, Duration) {
+    let router = rng.random_range(0..cluster.routers.len());
+    let age = Duration::from_millis(rng.random_range(MIN_COPY_AGE_MS..MAX_COPY_AGE_MS));
+    let fault = match rng.random_range(0..20) {
+        0..4 => Fault::RestoreStore(age),
+        4..8 => Fault::Configure,
+        8 => Fault::Store(FaultMode::Unavailable),
+        9 => Fault::StoreLink(router, draw_proxy_mode(rng)),
+        10 => Fault::LoseDatagrams(Cut::Both(router)),
+        11 => Fault::LoseDatagrams(Cut::Between(1 + router / 2)),
+        _ => return draw_zone_fault(rng, cluster),
+    };
+    (fault, Duration::from_millis(rng.random_range(300..MAX_FAULT_MS)))
+}
+
 fn draw_proxy_mode(rng: &mut impl Rng) -> Mode {
     match rng.random_range(0..4) {
         0 => Mode::Delay(Duration::from_millis(rng.random_range(5..120))),
@@ -296,6 +317,7 @@
             Self::FrontLink(index, mode) => cluster.router_proxies[index].set(mode),
             Self::Store(store_fault) => cluster.store.set_fault_mode(store_fault),
             Self::DiscardHistory => cluster.store.compact(),
+            Self::RestoreStore(age) => cluster.restore_store(age),
             Self::Configure => drop(cluster.configure()),
             Self::InvalidEntry => cluster.write_invalid_entries(),
             Self::KillAll => {
@@ -352,8 +374,11 @@
                 let processes = cluster.routers.iter_mut().chain(&mut cluster.agents);
                 processes.for_each(ManagedProcess::start);
             }
-            Self::ReloadRouter(_) | Self::DiscardHistory | Self::Configure | Self::InvalidEntry => {
-            }
+            Self::ReloadRouter(_)
+            | Self::DiscardHistory
+            | Self::RestoreStore(_)
+            | Self::Configure
+            | Self::InvalidEntry => {}
         }
         None
     }
--- a/tools/soak/src/leavings.rs
+++ b/tools/soak/src/leavings.rs
@@ -77,7 +77,9 @@
             self.requests.iter().map(|request| (request.id.as_str(), request)).collect();
         let arrivals = self.ledger.arrivals();
         let mut report = LeavingReport::default();
-        for leaving in self.ledger.leaving() {
+        for leaving in
+            self.ledger.leaving().into_iter().flat_map(|leaving| known_spans(&leaving, within))
+        {
             if self.is_affected(Scope::All, leaving.acknowledged_at) {
                 continue;
             }
@@ -148,6 +150,19 @@
     }
 }
 
+/// The times in which routers must know of a leaving: from the store's last acknowledgement, and from the first one if it
+/// was lost only after routers had time to learn of it.
+fn known_spans(leaving: &LeavingTarget, within: Duration) -> Vec<LeavingTarget> {
+    let first = leaving
+        .lost_at
+        .filter(|lost_at| *lost_at > leaving.first_acknowledged_at + within + STABLE_TIME);
+    if first.is_some() {
+        let acknowledged_at = leaving.first_acknowledged_at;
+        return vec![LeavingTarget { acknowledged_at, ..leaving.clone() }];
+    }
+    if leaving.is_lost { Vec::new() } else { vec![leaving.clone()] }
+}
+
 fn is_after(arrival: &Arrival, leaving: &LeavingTarget) -> bool {
     !arrival.is_misdirected
         && arrival.target == leaving.target
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod checks;
 mod cluster;
+mod configs;
 mod datagrams;
 mod faults;
 mod floods;
@@ -81,6 +82,8 @@
 const CUTS_SIZE: ClusterSize = ClusterSize { has_relays: true, ..BURSTS_SIZE };
 const BURSTS_FAULTS: usize = 24;
 const BURSTS_CONCURRENT_FAULTS: usize = 4;
+/// As with zones, and routers cannot always hear each other.
+const COPIES_SIZE: ClusterSize = ClusterSize { has_relays: true, ..ZONED_SIZE };
 const FLOODED_FAULTS: usize = 16;
 const ZONED_FAULTS: usize = 40;
 const ZONED_CONCURRENT_FAULTS: usize = 7;
@@ -112,10 +115,11 @@
         "cuts",
         "all engines turn requests away for short times while routers cannot hear each other",
     );
+    options.optflag("", "copies", "the store goes back to older copies, in two zones");
     options.optopt(
         "",
         "faults",
-        "faults per run (default 8, with floods 16, with bursts, answers or cuts 24, with zones 40)",
+        "faults per run (default 8, with floods 16, with bursts, answers or cuts 24, with zones or copies 40)",
         "N",
     );
     let matches = match options.parse(std::env::args().skip(1)) {
@@ -124,16 +128,19 @@
             eprintln!(
                 "{error}\n{}",
                 options
-                    .usage("soak [--seeds A-B] [--kept] [--large] [--zones] [--parts] [--floods] [--bursts] [--answers] [--cuts]")
+                    .usage("soak [--seeds A-B] [--kept] [--large] [--zones] [--parts] [--floods] [--bursts] [--answers] [--cuts] [--copies]")
             );
             return ExitCode::from(2);
         }
     };
-    let has_zones = matches.opt_present("zones");
+    let has_copies = matches.opt_present("copies");
+    let has_zones = matches.opt_present("zones") || has_copies;
     let has_floods = matches.opt_present("floods");
     let cause = if matches.opt_present("parts") { CrashCause::Part } else { CrashCause::Body };
     let has_bursts = matches.opt_present("bursts");
-    let kind = if has_zones {
+    let kind = if has_copies {
+        seeds::RunKind::Copies
+    } else if has_zones {
         seeds::RunKind::Zones
     } else if has_bursts {
         seeds::RunKind::Bursts
@@ -155,7 +162,9 @@
         eprintln!("invalid seeds: expected a number or a range, such as 7 or 1-50");
         return ExitCode::from(2);
     };
-    let (size, default_faults, concurrent_faults) = if has_zones {
+    let (size, default_faults, concurrent_faults) = if has_copies {
+        (COPIES_SIZE, ZONED_FAULTS, ZONED_CONCURRENT_FAULTS)
+    } else if has_zones {
         (ZONED_SIZE, ZONED_FAULTS, ZONED_CONCURRENT_FAULTS)
     } else if kind == seeds::RunKind::Cuts {
         (CUTS_SIZE, BURSTS_FAULTS, BURSTS_CONCURRENT_FAULTS)
@@ -246,6 +255,8 @@
         }
         CrashCause::Body => {}
     }
+    let probed = if plan.kind == seeds::RunKind::Copies { &router_addresses[..] } else { &[] };
+    let prober = configs::Prober::start(probed, &cluster.configs);
     let limiter = (has_limited_engine(seed) && !plan.has_equal_callers())
         .then(|| limit_engine(&cluster, seed));
     let mut violations = Vec::new();
@@ -261,6 +272,7 @@
         floods.abort();
         balancer.end_floods();
     }
+    violations.extend(prober.finish(&interferences, &restarts));
     cluster.end_unframed_responses();
     violations.extend(check_recovery(&mut cluster, seed).await);
     let requests = callers.finish().await;
@@ -296,10 +308,10 @@
     violations.extend(workspaces::revocation_violations(
         &requests,
         &cluster.ledger,
-        &cluster.revocations,
+        &cluster.configs.revocations(),
     ));
     violations.extend(workspaces::quota_violation(&requests, &cluster.ledger));
-    let most_used = retries::most_used_window(&requests, &cluster.ledger);
+    let most_used = retries::most_used_window(&requests, &prober.sent_at(), &cluster.ledger);
     violations.extend(most_used.as_ref().and_then(retries::WindowUsage::violation));
     let compared = sends::compare(&requests, &cluster.ledger, &restarts, &dir);
     violations.extend(compared.violations);
@@ -376,6 +388,7 @@
                 seeds::RunKind::Zones => faults::draw_zone_fault(rng, cluster),
                 seeds::RunKind::Bursts => faults::draw_burst_fault(rng, cluster),
                 seeds::RunKind::Answers => faults::draw_answer_fault(rng, cluster),
+                seeds::RunKind::Copies => faults::draw_copy_fault(rng, cluster),
                 seeds::RunKind::Cuts => faults::draw_cut_fault(rng, cluster),
                 seeds::RunKind::Plain | seeds::RunKind::Parts => faults::draw_fault(rng, cluster),
             };
--- a/tools/soak/src/retries.rs
+++ b/tools/soak/src/retries.rs
@@ -94,9 +94,14 @@
     at <= end && at + WINDOW > end
 }
 
-/// The window with most repeats for what is allowed in it, over all services.
-pub fn most_used_window(requests: &[RequestRecord], ledger: &Ledger) -> Option<WindowUsage> {
+/// The window with most repeats for what is allowed in it, over all services. Other requests went to the plain service.
+pub fn most_used_window(
+    requests: &[RequestRecord],
+    others: &[Instant],
+    ledger: &Ledger,
+) -> Option<WindowUsage> {
     let mut services: BTreeMap<bool, ServiceTraffic> = BTreeMap::new();
+    services.entry(false).or_default().requests.extend(others);
     let mut sent = BTreeMap::new();
     for request in requests {
         sent.insert(request.id.as_str(), request);
--- a/tools/soak/src/seeds.rs
+++ b/tools/soak/src/seeds.rs
@@ -18,6 +18,8 @@
     Answers,
     /// As with bursts, beside datagrams between routers that are lost.
     Cuts,
+    /// Several zones, and a store that goes back to older copies.
+    Copies,
 }
 
 impl RunKind {
@@ -30,11 +32,13 @@
             Self::Bursts => "bursts ",
             Self::Answers => "answers ",
             Self::Cuts => "cuts ",
+            Self::Copies => "copies ",
         }
     }
 
     fn of_line(line: &str) -> Self {
-        let prefixed = [Self::Zones, Self::Parts, Self::Bursts, Self::Answers, Self::Cuts];
+        use RunKind::{Answers, Bursts, Copies, Cuts, Parts, Zones};
+        let prefixed = [Zones, Parts, Bursts, Answers, Cuts, Copies];
         prefixed.into_iter().find(|kind| line.starts_with(kind.prefix())).unwrap_or(Self::Plain)
     }
 }
--- a/tools/soak/src/workspaces.rs
+++ b/tools/soak/src/workspaces.rs
@@ -84,6 +84,8 @@
 /// A time without the key of [`Workspace::Revoked`].
 #[derive(Clone, Copy, Debug)]
 pub struct Revocation {
+    /// Version of the configuration.
+    pub version: u64,
     /// When the store had acknowledged it.
     pub acknowledged_at: Instant,
     /// When the key was written again.
