--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -143,6 +143,7 @@
                 self.permits_changed.notify_one();
             }
             PeerMessage::RouterNews(_)
+            | PeerMessage::RecordsNews(_)
             | PeerMessage::PrefillAnswer(_)
             | PeerMessage::EngineNews(_)
             | PeerMessage::EngineGone(_)
--- a/crates/corianderstand_forward/src/catch_up.rs
+++ b/crates/corianderstand_forward/src/catch_up.rs
@@ -2,7 +2,7 @@
 //!
 //! Transfers compete with reads of the store for the link, so each subject has one at a time.
 
-use crate::{dialect::Subject, readers, router, transfer};
+use crate::{dialect::Subject, readers, replicated_records::Progress, router, transfer};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -22,8 +22,10 @@
 pub struct ReadProgress<'a> {
     /// The router's name.
     pub router: &'a str,
-    /// Peers with newer records, and their offsets.
-    pub peers_ahead: &'a [(u64, SocketAddr)],
+    /// Peers with newer records, and how far they know them.
+    pub peers_ahead: &'a [(Progress, SocketAddr)],
+    /// Whether the store has nothing newer that this router could read: peers have it from before it came back.
+    pub is_at_end: bool,
     /// When data was last received from the store.
     pub last_received_at: Option<Instant>,
     /// Whether the last read of the store failed.
@@ -44,12 +46,12 @@
 }
 
 impl Lag {
-    /// The peer to query now and its offset; none if no peer is ahead or the store is delivering.
+    /// The peer to query now and its progress; none if no peer is ahead or the store is delivering.
     pub fn peer_to_query(
         &mut self,
         now: Instant,
         progress: &ReadProgress,
-    ) -> Option<(u64, SocketAddr)> {
+    ) -> Option<(Progress, SocketAddr)> {
         let Some(furthest) = progress.peers_ahead.iter().map(|(next, _)| *next).max() else {
             self.behind_since = None;
             return None;
@@ -60,7 +62,9 @@
             .last_received_at
             .is_some_and(|at| now.saturating_duration_since(at) < stall_timeout);
         let immediate = progress.last_read_failed || progress.is_starting || progress.is_follower;
-        let due = if is_receiving {
+        let due = if progress.is_at_end {
+            true
+        } else if is_receiving {
             lag_time >= progress.config_within / SLOW_STORE_DIVISOR
         } else {
             immediate || lag_time >= stall_timeout
@@ -99,14 +103,15 @@
             if subject == Subject::Targets && records.is_fresh(now, subject) {
                 continue;
             }
-            let next_offset = records.next_offset(subject);
-            let ahead: Vec<_> = shared.peers.borrow().ahead(now, subject, next_offset).collect();
+            let known = records.progress(subject);
+            let ahead: Vec<_> = shared.peers.borrow().ahead(now, subject, known).collect();
             let progress = ReadProgress {
                 router: &shared.settings.name,
                 peers_ahead: &ahead,
                 last_received_at: records.last_received_at(subject),
                 last_read_failed: records.last_read_failed(subject),
-                is_starting: next_offset == 0,
+                is_at_end: ahead.iter().all(|(peer, _)| peer.next <= known.next),
+                is_starting: !records.is_known(subject),
                 is_follower,
                 config_within: shared.bounds.borrow().config_within,
             };
--- a/crates/corianderstand_forward/src/config_proof.rs
+++ b/crates/corianderstand_forward/src/config_proof.rs
@@ -95,7 +95,7 @@
     let Some(age) = age(shared) else { return };
     let answer = wire::FreshnessAnswer {
         id: question.id,
-        config_next: shared.replicated_records.borrow().next_offset(Subject::Config),
+        config_next: shared.replicated_records.borrow().next(Subject::Config).offset(),
         age_ms: u32::try_from(age.as_millis() + 1).unwrap_or(u32::MAX),
     };
     shared.outbox.send(from, &PeerMessage::FreshnessAnswer(answer));
@@ -103,7 +103,7 @@
 
 /// Applies a peer's answer.
 pub fn on_answer<P: router::Platform>(shared: &router::Shared<P>, answer: &wire::FreshnessAnswer) {
-    let known_next = shared.replicated_records.borrow().next_offset(Subject::Config);
+    let known_next = shared.replicated_records.borrow().next(Subject::Config).offset();
     let answer = freshness::Answer {
         id: answer.id,
         config_next: answer.config_next,
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -106,7 +106,6 @@
                 return;
             }
             let has_waiting = update.models.iter().any(|model| model.waiting > 0);
-            follow::via_readers::on_router_update(shared, now, &update);
             let name = update.router.clone();
             shared.peers.borrow_mut().on_update(now, from, update);
             target_reports::welcome(shared, now, name.as_str(), from);
@@ -115,6 +114,9 @@
                 request_plan(shared, now);
             }
         }
+        PeerMessage::RecordsNews(update) => {
+            follow::via_readers::on_records_update(shared, now, from, update);
+        }
         PeerMessage::EngineNews(update) => {
             on_engine_update(shared, now, from, update);
             ended_targets::record_replaced(shared, now);
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -4,7 +4,7 @@
     admission, body_end, dialect, job, metrics, quotas, replicated_records, stream, suspicion, view,
 };
 use corianderstand_fleet::{budget, crashes, exits, fingerprint::Feature, targets, wait_limit};
-use corianderstand_types::names;
+use corianderstand_types::{names, position::Position};
 use http::StatusCode;
 use smol_str::SmolStr;
 use std::{
@@ -141,7 +141,8 @@
             trouble = format_args!("{:.2}", target.health.failure_score(now)),
             agent_age_ms,
             entry_from,
-            entry_offset = knowledge.origin.map(|origin| origin.offset),
+            entry_era = knowledge.origin.map(|origin| origin.position.era().0),
+            entry_offset = knowledge.origin.map(|origin| origin.position.offset()),
             entries_age_ms = knowledge.age.map(|age| age.as_millis() as u64),
             config = version,
             sent_before = job.sends.written(),
@@ -436,12 +437,12 @@
         &self,
         subject: dialect::Subject,
         error: &dialect::RecordError,
-        offset: u64,
+        position: Position,
         source: replicated_records::Source,
         now: Instant,
     ) {
         if self.may_log(LineKind::RecordIgnored, now) {
-            tracing::warn!(?subject, %error, offset, %source, "record ignored");
+            tracing::warn!(?subject, %error, %position, %source, "record ignored");
         }
     }
 
@@ -454,13 +455,13 @@
         within: Option<Duration>,
         now: Instant,
     ) {
-        let replicated_records::Origin { source, offset } = origin;
+        let replicated_records::Origin { source, position } = origin;
         let within_ms = within.map(|time| time.as_millis() as u64);
         if change == targets::RegistrationChange::Draining {
             self.metrics.target_left(within);
-            tracing::info!(target = %id, offset, %source, within_ms, "target is leaving");
+            tracing::info!(target = %id, %position, %source, within_ms, "target is leaving");
         } else if self.may_log(LineKind::TargetChanged, now) {
-            tracing::info!(target = %id, ?change, offset, %source, within_ms, "target changed");
+            tracing::info!(target = %id, ?change, %position, %source, within_ms, "target changed");
         }
     }
 
@@ -494,12 +495,12 @@
         origin: replicated_records::Origin,
         within: Option<Duration>,
     ) {
-        let replicated_records::Origin { source, offset } = origin;
+        let replicated_records::Origin { source, position } = origin;
         let within_ms = within.map(|time| time.as_millis() as u64);
         if known {
             self.metrics.target_left(within);
         }
-        tracing::info!(target = %id, known, grace, offset, %source, within_ms, "target's entry removed");
+        tracing::info!(target = %id, known, grace, %position, %source, within_ms, "target's entry removed");
     }
 
     /// Counts a connection that is closed unread.
--- a/crates/corianderstand_forward/src/dialect.rs
+++ b/crates/corianderstand_forward/src/dialect.rs
@@ -4,7 +4,10 @@
 use bytes::Bytes;
 use corianderstand_derives::derives;
 use corianderstand_fleet::{choose, config, fingerprint, targets, workspaces};
-use corianderstand_types::names;
+use corianderstand_types::{
+    names,
+    position::{Era, Position},
+};
 use displaydoc::Display;
 use http::{HeaderMap, StatusCode};
 use smol_str::SmolStr;
@@ -143,25 +146,25 @@
 }
 
 /// The latest value of a key.
-#[derives(wire)]
+#[derives(data)]
 #[derive(Eq)]
 pub struct Record {
     /// The key.
     pub key: SmolStr,
     /// The value, or none if the key was deleted.
     pub value: Option<Bytes>,
-    /// The record's offset in the subject's log.
-    pub offset: u64,
+    /// Its position in the subject's log.
+    pub position: Position,
 }
 
 /// Records of a subject, in order.
-#[derives(wire)]
+#[derives(data)]
 #[derive(Default, Eq)]
 pub struct Page {
     /// The records.
     pub records: Vec<Record>,
-    /// Offset at which the next read starts.
-    pub next: u64,
+    /// Where the next read starts; names the era of the store that returned the page.
+    pub next: Position,
     /// Whether the page contains every key of the subject, so that absent keys were deleted.
     pub whole: bool,
     /// Whether the store had no further records when it responded; false for a peer's page.
@@ -202,8 +205,10 @@
 /// Why a call to the store failed.
 #[derive(Clone, PartialEq, Eq, Debug, displaydoc::Display)]
 pub enum StoreError {
-    /// the store no longer has the records after offset {0}: the newest of each key are read instead
+    /// the store has no records before offset {0}, or has gone back: the newest of each key are read instead
     Compacted(u64),
+    /// the response is of era {0}, and the store has come back from an older copy since: the call is repeated
+    Outdated(Era),
     /// the store returned status {0}: wait, the call is retried with backoff
     Refused(u16),
     /// the store cannot be reached ({0}): check `platform.address`, or wait, the call is retried
@@ -249,13 +254,15 @@
         subject: Subject,
         options: &ReadOptions,
     ) -> impl Future<Output = Result<Page, StoreError>>;
-    /// Reads records from an offset on; waits for the first.
+    /// Reads records from an offset on, in whichever era the store is; waits for the first.
     fn read(
         &self,
         subject: Subject,
         start_offset: u64,
         options: &ReadOptions,
     ) -> impl Future<Output = Result<Page, StoreError>>;
+    /// The highest era that any of the store's responses named, errors included.
+    fn era(&self) -> Era;
     /// Announces this router to the others.
     fn announce(&self, entry: &RouterEntry) -> impl Future<Output = Result<(), StoreError>>;
     /// Withdraws this router's announcement.
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -6,12 +6,13 @@
 pub mod via_readers;
 
 use crate::{
-    config_proof, continuations, dialect, ended_targets, readers, replicated_records, retries,
-    router, status,
+    config_proof, continuations, dialect, ended_targets, eras, precedence, readers,
+    replicated_records, retries, router, status,
 };
 use corianderstand_fleet::{config, routes, targets};
+use corianderstand_types::position::Position;
 use dialect::Subject;
-use replicated_records::{Origin, PageEnd, Source};
+use replicated_records::{Content, Origin, PageEnd, Source};
 use std::{
     rc::Rc,
     sync::Arc,
@@ -78,30 +79,28 @@
         via_readers::first_routers(&shared).await
     } else {
         wait_for_routers(&shared).await;
-        via_readers::first_offset(&shared, subject).await
+        via_readers::first_position(&shared, subject).await
     };
     let mut routers_reads = 0;
     let mut is_behind = false;
+    let mut is_rereading = false;
     loop {
-        let known = from.is_some() || shared.replicated_records.borrow().next_offset(subject) > 0;
+        let known = from.is_some() || shared.replicated_records.borrow().is_known(subject);
         if known && !is_behind && via_readers::follow(&shared, subject).await {
             continue;
         }
-        let options = read_options(&shared, subject);
         let sent_at = shared.clock.since_boot();
-        let known_next = shared.replicated_records.borrow().next_offset(subject);
-        let read = match from {
-            None => shared.platform.newest(subject, &options).await,
-            Some(at) => {
-                // Skips records that were received from peers in the meantime.
-                let at = at.max(shared.replicated_records.borrow().next_offset(subject));
-                shared.platform.read(subject, at, &options).await
-            }
+        let known_next = shared.replicated_records.borrow().next(subject);
+        // What an earlier era had at these offsets is gone.
+        from = from.filter(|from| from.era() == known_next.era());
+        let Some(read) = read(&shared, subject, from.map(|from| from.max(known_next))).await else {
+            continue;
         };
         match read {
             Ok(page) => {
                 // Records beyond the page are unknown still, so that it doesn't count as a read.
                 is_behind = !page.reaches_end && page.next > known_next;
+                is_rereading = false;
                 from = Some(page.next);
                 if is_behind {
                     apply_page(&shared, subject, Source::Store, page);
@@ -126,7 +125,10 @@
                     }
                     Subject::Routers => {
                         let is_mesh = shared.peers.borrow().is_mesh();
-                        tokio::time::sleep(routers_interval(is_mesh, routers_reads)).await;
+                        let interval = routers_interval(is_mesh, routers_reads);
+                        let era = known_next.era();
+                        let risen = eras::wait_for_later(&shared, era);
+                        drop(tokio::time::timeout(interval, risen).await);
                         routers_reads += 1;
                     }
                 }
@@ -138,6 +140,11 @@
                     first,
                     "records discarded by the store: reading the newest of each key"
                 );
+                if is_rereading {
+                    // The store has none of the offsets that it just named.
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
+                is_rereading = true;
                 from = None;
             }
             Err(error) => {
@@ -149,6 +156,38 @@
     }
 }
 
+/// Reads from a position on, or the newest record of each key. None if the store has come back from a copy since: then
+/// the records are to be read anew.
+async fn read<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    subject: Subject,
+    from: Option<Position>,
+) -> Option<Result<dialect::Page, dialect::StoreError>> {
+    let options = read_options(shared, subject);
+    let era = shared.replicated_records.borrow().era();
+    let read = async {
+        match from {
+            None => shared.platform.newest(subject, &options).await,
+            Some(from) => shared.platform.read(subject, from.offset(), &options).await,
+        }
+    };
+    let read = tokio::select! {
+        biased;
+        read = read => read,
+        () = eras::wait_for_later(shared, era) => return None,
+    };
+    eras::observe(shared, shared.platform.era(), Source::Store);
+    let era = shared.replicated_records.borrow().era();
+    match &read {
+        Ok(page) if page.next.era() < era => {
+            Some(Err(dialect::StoreError::Outdated(page.next.era())))
+        }
+        // The records before it in its own era are not known.
+        Ok(page) if !page.whole && from.is_some_and(|from| from.era() < page.next.era()) => None,
+        _ => Some(read),
+    }
+}
+
 /// Time until the list of routers is read again, after so many reads. The first ones follow soon, as other routers may
 /// be starting too.
 fn routers_interval(is_mesh: bool, reads: u32) -> Duration {
@@ -256,25 +295,39 @@
     page: dialect::Page,
 ) {
     let end = PageEnd::from(&page);
+    eras::observe(shared, end.next.era(), source);
+    let known = shared.replicated_records.borrow().progress(subject);
+    let was_current = shared.replicated_records.borrow().is_current(subject);
+    if known.next.era() < end.next.era() && !page.whole {
+        return;
+    }
     if page.whole && subject == Subject::Targets {
         continuations::record_missed_changes(shared);
     }
-    let newer = shared.replicated_records.borrow().newer(subject, page);
-    for record in newer {
+    let records = match subject {
+        // A configuration of a later version is newer wherever it stands.
+        Subject::Config => page.records,
+        _ => shared.replicated_records.borrow().newer(subject, page),
+    };
+    for record in records {
         apply_record(shared, subject, source, record);
     }
     if subject == Subject::Routers {
         shared.peers.borrow_mut().select_hubs(shared.clock.now());
     }
     let advanced = shared.replicated_records.borrow_mut().advance(subject, end);
+    if !was_current && shared.replicated_records.borrow().is_current(subject) {
+        eras::log_reread(shared, subject);
+    }
     if advanced && subject == Subject::Targets && shared.view.borrow().targets.is_empty() {
         // There are no targets, so no record woke the requests that wait for the first read.
         shared.view.borrow().wake_all();
     }
-    // Reports the new offset to routers without access to the store, so that they fetch the change, and this
-    // router to those that it did not know.
+    let has_progress = shared.replicated_records.borrow().progress(subject) > known;
+    // Reports the progress to routers without access to the store, so that they fetch the change, and this router to
+    // those that it did not know.
     match subject {
-        Subject::Config if advanced => status::announce_records(shared),
+        Subject::Config if has_progress => status::announce_records(shared),
         Subject::Routers if advanced => status::send_hello(shared),
         _ => {}
     }
@@ -286,20 +339,29 @@
     source: Source,
     record: dialect::Record,
 ) {
-    let (offset, now) = (record.offset, shared.clock.now());
+    let (position, now) = (record.position, shared.clock.now());
     let decoded = shared.platform.decode(subject, &record);
-    let content_hash = content_hash(&record, decoded.as_ref().ok().and_then(Option::as_ref));
+    let update = decoded.as_ref().ok().and_then(Option::as_ref);
+    let hash = content_hash(&record, update);
+    let content = Content { hash, stamp: precedence::Stamp::of(update) };
     let mut records = shared.replicated_records.borrow_mut();
-    let is_known = records.has_content(subject, &record.key, content_hash);
-    records.insert(subject, record, source, content_hash);
+    if records.outranks(subject, &record, &content) {
+        records.keep(subject, &record.key, position);
+        return;
+    }
+    if !records.is_newer(subject, &record, &content) {
+        return;
+    }
+    let is_known = records.has_content(subject, &record.key, hash);
+    records.insert(subject, record, source, content);
     drop(records);
     match decoded {
-        Ok(Some(update)) => apply_update(shared, subject, Origin { source, offset }, update),
+        Ok(Some(update)) => apply_update(shared, subject, Origin { source, position }, update),
         Ok(None) => {}
         Err(error) => {
             // Another writer may renew its record every second.
             if !is_known {
-                shared.decision_log.record_ignored(subject, &error, offset, source, now);
+                shared.decision_log.record_ignored(subject, &error, position, source, now);
             }
             if subject == Subject::Config {
                 config_proof::record_applied(shared, false);
@@ -391,7 +453,7 @@
 
 fn apply_config<P: router::Platform>(
     shared: &router::Shared<P>,
-    Origin { source, offset }: Origin,
+    Origin { source, position }: Origin,
     config: Arc<config::Config>,
 ) {
     let now = shared.clock.now();
@@ -401,21 +463,26 @@
     let mut view = shared.view.borrow_mut();
     let known = view.route_table.as_ref().map(|table| table.config().version);
     if known.is_some_and(|known| known >= version) {
-        tracing::info!(version, ?known, offset, %source, "configuration ignored: not newer than the one in force");
+        tracing::info!(version, ?known, %position, %source, "configuration ignored: not newer than the one in force");
         return;
     }
     let routes = config.routes.len();
     let has_quotas = config.workspaces.iter().flatten().any(|workspace| workspace.quota.is_some());
     // The routers that keep a quota must agree on who they are.
     shared.peers.borrow_mut().set_needs_mesh(has_quotas);
-    tracing::info!(version, ?known, routes, offset, %source, age_ms, "configuration in force");
+    tracing::info!(version, ?known, routes, %position, %source, age_ms, "configuration in force");
     view.route_table = Some(Rc::new(routes::Table::new(config)));
     view.wake_all();
 }
 
 /// Removes targets that the store has no entry of, after a grace period, and applies the entries of those
-/// whose agents report no more.
-pub fn expire<P>(shared: &router::Shared<P>, now: Instant) {
+/// whose agents report no more. Removes what was awaited in vain after the store came back from a copy.
+pub fn expire<P: router::Platform>(shared: &Rc<router::Shared<P>>, now: Instant) {
+    let lapsed = shared.replicated_records.borrow().lapsed(now);
+    for (subject, record) in lapsed {
+        tracing::info!(?subject, key = %record.key, "not written again since the store came back: removed");
+        apply_record(shared, subject, Source::Store, record);
+    }
     shared.view.borrow_mut().targets.apply_superseded(now);
     let read_at = shared.replicated_records.borrow().store_read_at(Subject::Targets);
     let grace = replicated_records::RECOVERY_GRACE;
--- a/crates/corianderstand_forward/src/follow/via_readers.rs
+++ b/crates/corianderstand_forward/src/follow/via_readers.rs
@@ -1,8 +1,14 @@
 //! Following the store through reader routers of the same zone ([`crate::readers`]).
 
 use super::{TARGETS_INTERVAL_RATIO, record_read, wait_before_targets_read};
-use crate::{dialect::Subject, readers, router, transfer};
+use crate::{
+    dialect::Subject,
+    eras, readers,
+    replicated_records::{Progress, Source},
+    router, transfer,
+};
 use corianderstand_schema::peers as wire;
+use corianderstand_types::position::{Era, Position};
 use std::{
     net::SocketAddr,
     rc::Rc,
@@ -20,6 +26,8 @@
 const FIRST_SEEDS_WAIT: Duration = Duration::from_millis(800);
 const SEEDS_INTERVAL: Duration = Duration::from_millis(150);
 const FIRST_FETCH_INTERVAL: Duration = Duration::from_millis(100);
+/// Time in which readers read the store anew after it came back from an older copy.
+const REREAD_TIME: Duration = Duration::from_secs(1);
 const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Polls after which a router without readers tries the store itself.
 const FALLBACK_POLLS: u32 = 5;
@@ -29,11 +37,11 @@
     if shared.settings.is_first_start { FIRST_SEEDS_WAIT } else { SEEDS_WAIT }
 }
 
-/// Fetches the list of routers from a seed. Returns the offset after it, or none if this router should read the
+/// Fetches the list of routers from a seed. Returns the position after it, or none if this router should read the
 /// store, as the seeds do, and all routers of a small deployment.
 pub(super) async fn first_routers<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
-) -> Option<u64> {
+) -> Option<Position> {
     let mut seeds = shared.bounds.borrow().seeds.clone();
     if seeds.contains(&shared.settings.peer_addr) {
         return None;
@@ -49,15 +57,15 @@
 async fn ask_seeds<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
     seeds: &[SocketAddr],
-) -> Option<u64> {
+) -> Option<Position> {
     let subject = Subject::Routers;
     let is_first_start = shared.settings.is_first_start;
     let questions = if is_first_start { usize::MAX } else { seeds.len() };
     for seed in seeds.iter().cycle().take(questions) {
         let outcome = transfer::fetch_changes(shared, *seed, subject).await;
-        let next = shared.replicated_records.borrow().next_offset(subject);
+        let next = shared.replicated_records.borrow().next(subject);
         if let transfer::TransferOutcome::Applied(age) = outcome
-            && next > 0
+            && next > Position::start_of(next.era())
         {
             if shared.peers.borrow().is_mesh() {
                 return None;
@@ -72,19 +80,19 @@
     None
 }
 
-/// Fetches the first records of a router that starts from its readers. Returns the offset after them, or none
+/// Fetches the first records of a router that starts from its readers. Returns the position after them, or none
 /// if this router should read the store.
-pub(super) async fn first_offset<P: router::Platform>(
+pub(super) async fn first_position<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
     subject: Subject,
-) -> Option<u64> {
+) -> Option<Position> {
     let give_up_at = shared.clock.now() + FIRST_FETCH_TIME;
     while let readers::Role::Follows(readers) = shared.role(shared.clock.now()) {
         for reader in readers {
             let outcome = transfer::fetch_changes(shared, reader, subject).await;
             if let transfer::TransferOutcome::Applied(Some(age)) = outcome {
                 record_read(shared, subject, age);
-                return Some(shared.replicated_records.borrow().next_offset(subject));
+                return Some(shared.replicated_records.borrow().next(subject));
             }
         }
         if shared.clock.now() >= give_up_at {
@@ -103,7 +111,7 @@
 ) -> bool {
     let readers::Role::Follows(readers) = shared.role(shared.clock.now()) else { return false };
     match subject {
-        // Readers announce a new offset at once ([`crate::catch_up`]).
+        // Readers announce new records at once ([`crate::catch_up`]).
         Subject::Config => tokio::time::sleep(ROLE_POLL_INTERVAL).await,
         // Routers announce themselves to each other.
         Subject::Routers => tokio::time::sleep(ROLE_POLL_INTERVAL).await,
@@ -123,36 +131,49 @@
 ) -> bool {
     let subject = Subject::Targets;
     let max_age = shared.bounds.borrow().drain_within.mul_f64(TARGETS_INTERVAL_RATIO);
+    let mut is_outdated = false;
     for reader in readers {
         match transfer::fetch_changes(shared, *reader, subject).await {
             transfer::TransferOutcome::Applied(Some(age)) if age <= max_age => {
                 record_read(shared, subject, age);
                 return true;
             }
+            transfer::TransferOutcome::Outdated => is_outdated = true,
             // Another reader may have read later.
             transfer::TransferOutcome::Applied(_) | transfer::TransferOutcome::Refused => {}
             transfer::TransferOutcome::NoRecords => return false,
         }
     }
-    false
+    // Readers are about to read what the store has since it came back. If all routers did, they would overload it.
+    let since_rise = shared.replicated_records.borrow().since_rise(shared.clock.now());
+    is_outdated && since_rise.is_some_and(|time| time < REREAD_TIME)
 }
 
-/// Counts the configuration as just read if a reader of this router has no newer one.
-pub fn on_router_update<P: router::Platform>(
+/// Learns how far another router knows the store's records. Counts the configuration as just read if a reader of this
+/// router has no newer one.
+pub fn on_records_update<P: router::Platform>(
     shared: &router::Shared<P>,
     now: Instant,
-    update: &wire::RouterUpdate,
+    from: SocketAddr,
+    update: wire::RecordsUpdate,
 ) {
-    if update.store != wire::StoreUse::Reads || update.zone != shared.settings.zone {
+    if update.router.as_str() == shared.settings.name {
         return;
     }
-    if !matches!(shared.role(now), readers::Role::Follows(_)) {
+    eras::observe(shared, Era(update.era), Source::Peer(from));
+    let is_reader = shared.peers.borrow().reads_for_zone(update.router.as_str());
+    let reader = Progress {
+        config_version: update.config_version,
+        next: Position::new(Era(update.era), update.config_next),
+    };
+    let is_known = shared.peers.borrow_mut().on_records(update);
+    if !is_known || !is_reader || !matches!(shared.role(now), readers::Role::Follows(_)) {
         return;
     }
-    let own = shared.replicated_records.borrow().next_offset(Subject::Config);
-    if update.config_next > own {
+    let own = shared.replicated_records.borrow().progress(Subject::Config);
+    if reader > own {
         shared.control_wake.notify_one();
-    } else {
+    } else if reader.next.era() == own.next.era() {
         record_read(shared, Subject::Config, Duration::ZERO);
     }
 }
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -115,6 +115,9 @@
     entries_age_seconds: Histogram,
     leaving_delay_seconds: Histogram,
     store_fresh: Gauge,
+    store_era: Gauge,
+    store_era_rises: Counter,
+    records_awaited: Gauge,
     store_use: Gauge,
     peers: Gauge,
 }
@@ -163,6 +166,9 @@
             entries_age_seconds: histogram(),
             leaving_delay_seconds: histogram(),
             store_fresh: Gauge::default(),
+            store_era: Gauge::default(),
+            store_era_rises: Counter::default(),
+            records_awaited: Gauge::default(),
             store_use: Gauge::default(),
             peers: Gauge::default(),
         };
@@ -327,6 +333,17 @@
             self.leaving_delay_seconds.clone(),
         );
         r.register("store_fresh", "1 if the store was read lately", self.store_fresh.clone());
+        r.register("store_era", "Era of the store, 0 if it names none", self.store_era.clone());
+        r.register(
+            "store_era_rises",
+            "Times that the store came back from an older copy",
+            self.store_era_rises.clone(),
+        );
+        r.register(
+            "records_awaited",
+            "Known records that the store lacks since it came back",
+            self.records_awaited.clone(),
+        );
         r.register(
             "store_use",
             "1 if this router reads the store, 2 if others of its zone read it for this one, 0 if it has lost it",
@@ -395,6 +412,11 @@
         self.attempts_failed.get_or_create(&ReasonLabel { reason: reason.into() }).inc();
     }
 
+    /// Counts that the store came back from an older copy.
+    pub fn era_risen(&self) {
+        self.store_era_rises.inc();
+    }
+
     /// Counts a failed read of the store.
     pub fn read_failed(&self, subject: Subject) {
         self.store_reads_failed
@@ -469,7 +491,8 @@
         let now = shared.clock.now();
         let view = shared.view.borrow();
         let version = view.route_table.as_ref().map_or(0, |table| table.config().version);
-        let fresh = shared.replicated_records.borrow().is_fresh(now, Subject::Targets);
+        let records = shared.replicated_records.borrow();
+        let fresh = records.is_fresh(now, Subject::Targets);
         self.open_requests.set(shared.open_requests.get() as i64);
         self.waiting_requests
             .set(view.waiting_requests.values().map(|&count| i64::from(count)).sum());
@@ -487,6 +510,9 @@
         self.config_behind.set(i64::from(age.is_behind_peer));
         self.config_read_age.set(age.since_read.map_or(-1.0, |age| age.as_secs_f64()));
         self.store_fresh.set(i64::from(fresh));
+        self.store_era.set(records.era().0 as i64);
+        let awaited = [Subject::Targets, Subject::Routers].map(|subject| records.awaited(subject));
+        self.records_awaited.set(awaited.iter().sum::<usize>() as i64);
         self.store_use.set(match shared.store_use(now) {
             StoreUse::Lost => 0,
             StoreUse::Reads => 1,
--- a/crates/corianderstand_forward/src/peers.rs
+++ b/crates/corianderstand_forward/src/peers.rs
@@ -7,11 +7,14 @@
 //! In large deployments a router hears only its contacts ([`hubs`]). The others count as responsive, because
 //! nothing tells otherwise, until they are expected to send updates and send none.
 
-use crate::{dialect, hubs, readers};
+use crate::{dialect, hubs, readers, replicated_records::Progress};
 use corianderstand_derives::derives;
 use corianderstand_fleet::demand;
 use corianderstand_schema::peers;
-use corianderstand_types::names;
+use corianderstand_types::{
+    names,
+    position::{Era, Position},
+};
 use smol_str::SmolStr;
 use std::{
     collections::BTreeMap,
@@ -74,6 +77,8 @@
     pub last_received_at: Option<Instant>,
     /// Its last update.
     pub update: Option<peers::RouterUpdate>,
+    /// How far it knows the store's records, if it told.
+    records: Option<peers::RecordsUpdate>,
     announced_at: Instant,
     /// When the first update of its current incarnation was received.
     incarnation_seen_at: Option<Instant>,
@@ -93,6 +98,7 @@
             strength: 0,
             last_received_at: None,
             update: None,
+            records: None,
             announced_at: now,
             incarnation_seen_at: None,
             greeted_at: None,
@@ -101,6 +107,26 @@
         }
     }
 
+    /// How far it knows a subject. A router of an earlier version tells no era: its offsets count as of `era`.
+    fn progress(&self, subject: dialect::Subject, era: Era) -> Option<Progress> {
+        let update = self.update.as_ref()?;
+        let (config_version, era, offsets) = match &self.records {
+            Some(records) => (
+                records.config_version,
+                Era(records.era),
+                [records.config_next, records.targets_next, records.routers_next],
+            ),
+            None => (0, era, [update.config_next, update.targets_next, update.routers_next]),
+        };
+        let [config_next, targets_next, routers_next] =
+            offsets.map(|offset| Position::new(era, offset));
+        Some(match subject {
+            dialect::Subject::Config => Progress { config_version, next: config_next },
+            dialect::Subject::Targets => Progress { config_version: 0, next: targets_next },
+            dialect::Subject::Routers => Progress { config_version: 0, next: routers_next },
+        })
+    }
+
     fn is_unresponsive(&self, now: Instant) -> bool {
         !is_within(now, self.last_received_at, PEER_TIMEOUT)
     }
@@ -369,21 +395,31 @@
         self.by_name.iter().filter(move |(_, peer)| !peer.is_unresponsive(now))
     }
 
-    /// Responsive routers whose next offset of a subject is beyond `known`.
+    /// Records how far a router knows the store's records; false if the router is unknown.
+    pub fn on_records(&mut self, update: peers::RecordsUpdate) -> bool {
+        let peer = self.by_name.get_mut(update.router.as_str());
+        peer.map(|peer| peer.records = Some(update)).is_some()
+    }
+
+    /// Responsive routers that know a subject further than this one.
     pub fn ahead(
         &self,
         now: Instant,
         subject: dialect::Subject,
-        known: u64,
-    ) -> impl Iterator<Item = (u64, SocketAddr)> {
+        known: Progress,
+    ) -> impl Iterator<Item = (Progress, SocketAddr)> {
         self.heard(now).filter_map(move |(_, peer)| {
-            let update = peer.update.as_ref()?;
-            let next = match subject {
-                dialect::Subject::Config => update.config_next,
-                dialect::Subject::Targets => update.targets_next,
-                dialect::Subject::Routers => update.routers_next,
-            };
-            (next > known).then_some((next, peer.addr))
+            let progress = peer.progress(subject, known.next.era())?;
+            (progress > known).then_some((progress, peer.addr))
+        })
+    }
+
+    /// Whether a router reads the store for others of this router's zone.
+    pub fn reads_for_zone(&self, name: &str) -> bool {
+        let zone = self.own.as_ref().map(|own| &own.zone);
+        let update = self.by_name.get(name).and_then(|peer| peer.update.as_ref());
+        update.is_some_and(|update| {
+            update.store == peers::StoreUse::Reads && Some(&update.zone) == zone
         })
     }
 
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -130,6 +130,8 @@
     pub peers: RefCell<peers::Peers>,
     /// Replicated records of the store.
     pub replicated_records: RefCell<replicated_records::ReplicatedRecords>,
+    /// Wakes what waits for the store to come back from an older copy.
+    pub era_raised: Notify,
     /// Proof that the configuration is complete.
     pub config_proof: config_proof::State,
     /// Quotas of workspaces.
@@ -182,7 +184,7 @@
         }
         (view.route_table.is_none() && !failed(dialect::Subject::Config))
             || (view.targets.is_empty()
-                && records.next_offset(dialect::Subject::Targets) == 0
+                && !records.is_known(dialect::Subject::Targets)
                 && !failed(dialect::Subject::Targets))
     }
 
@@ -232,7 +234,7 @@
     pub fn age(&self, now: Instant, subject: dialect::Subject) -> replicated_records::Age {
         let records = self.replicated_records.borrow();
         let behind =
-            self.peers.borrow().ahead(now, subject, records.next_offset(subject)).next().is_some();
+            self.peers.borrow().ahead(now, subject, records.progress(subject)).next().is_some();
         replicated_records::Age {
             since_read: records.since_read(now, subject),
             is_behind_peer: behind,
@@ -391,6 +393,7 @@
             view: RefCell::default(),
             peers: RefCell::new(peers::Peers::new(own)),
             replicated_records: RefCell::default(),
+            era_raised: Notify::new(),
             config_proof: config_proof::State::default(),
             quotas: quotas::State::default(),
             retries: retries::State::new(clock.now(), settings.is_first_start),
--- a/crates/corianderstand_forward/src/status.rs
+++ b/crates/corianderstand_forward/src/status.rs
@@ -87,7 +87,9 @@
     let seeds = bounds.seeds.iter().copied();
     let seeds = seeds.filter(|seed| *seed != own && !known.contains(seed));
     let contacts = peers.contacts(shared.clock.now()).into_iter();
-    shared.outbox.send_all(&contacts.chain(seeds).collect::<Vec<_>>(), &message);
+    let recipients: Vec<SocketAddr> = contacts.chain(seeds).collect();
+    shared.outbox.send_all(&recipients, &message);
+    shared.outbox.send_all(&recipients, &PeerMessage::RecordsNews(records_update(shared)));
 }
 
 /// Announces that this router has newer records, so that others fetch them: from it as well as from hubs, whose
@@ -95,10 +97,11 @@
 pub fn announce_records<P: router::Platform>(shared: &router::Shared<P>) {
     send_hello(shared);
     if !shared.peers.borrow().is_mesh() {
-        let next = shared.replicated_records.borrow().next_offset(dialect::Subject::Config);
-        let round = xxh3::xxh3_64_with_seed(shared.settings.name.as_bytes(), next);
+        let next = shared.replicated_records.borrow().next(dialect::Subject::Config);
+        let round = xxh3::xxh3_64_with_seed(shared.settings.name.as_bytes(), next.offset());
         let sample = shared.peers.borrow().sample_of_zone(round, ANNOUNCED_ROUTERS);
         shared.outbox.send_all(&sample, &PeerMessage::RouterNews(hello(shared)));
+        shared.outbox.send_all(&sample, &PeerMessage::RecordsNews(records_update(shared)));
     }
 }
 
@@ -118,9 +121,9 @@
         strength: shared.settings.cpu_millicores,
         delay_ms: shared.overload.borrow().delay(now).as_millis() as u32,
         fit: control::can_plan(shared),
-        config_next: records.next_offset(dialect::Subject::Config),
-        targets_next: records.next_offset(dialect::Subject::Targets),
-        routers_next: records.next_offset(dialect::Subject::Routers),
+        config_next: records.next(dialect::Subject::Config).offset(),
+        targets_next: records.next(dialect::Subject::Targets).offset(),
+        routers_next: records.next(dialect::Subject::Routers).offset(),
         planner: planner.map(|addr| addr.to_string()).unwrap_or_default().into(),
         expects_updates: true,
         models: Vec::new(),
@@ -128,6 +131,18 @@
     }
 }
 
+fn records_update<P: router::Platform>(shared: &router::Shared<P>) -> wire::RecordsUpdate {
+    let records = shared.replicated_records.borrow();
+    wire::RecordsUpdate {
+        router: shared.settings.name.as_str().into(),
+        era: records.era().0,
+        config_version: records.config_version(),
+        config_next: records.next(dialect::Subject::Config).offset(),
+        targets_next: records.next(dialect::Subject::Targets).offset(),
+        routers_next: records.next(dialect::Subject::Routers).offset(),
+    }
+}
+
 fn demand_update<P: router::Platform>(shared: &router::Shared<P>) -> wire::RouterUpdate {
     let now = shared.clock.now();
     let hello = hello(shared);
--- a/crates/corianderstand_forward/src/transfer.rs
+++ b/crates/corianderstand_forward/src/transfer.rs
@@ -1,16 +1,22 @@
 //! Transfer of replicated store records from router to router ([`crate::catch_up`]).
 //!
-//! Records keep the store's offsets, so older ones never replace newer ones. A transfer has an idle
+//! Records keep their positions in the store, so older ones never replace newer ones. A transfer has an idle
 //! timeout only, as a large configuration may take seconds on a slow link. Responses are compressed, as entries
 //! of targets are much alike and a router may serve a whole zone.
 
-use crate::{dialect, follow, replicated_records, router};
+mod wire;
+
+use crate::{
+    dialect, follow,
+    replicated_records::{self, Progress},
+    router,
+};
 use bytes::{Bytes, BytesMut};
 use corianderstand_derives::derives;
+use corianderstand_types::position::Position;
 use displaydoc::Display;
 use futures::{SinkExt, StreamExt};
 use lz4_flex::block;
-use serde::{Deserialize, Serialize};
 use std::{io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -93,10 +99,9 @@
     stream: TcpStream,
 ) -> Result<(), TransferError> {
     let mut chunks = framed(stream);
-    let request = next_chunk(&mut chunks).await?;
-    let request = postcard::from_bytes(&request).map_err(TransferError::Malformed)?;
-    let response =
-        postcard::to_stdvec(&records(shared, request)).map_err(TransferError::Malformed)?;
+    let request = wire::decode_request(&next_chunk(&mut chunks).await?);
+    let response = records(shared, request.map_err(TransferError::Malformed)?);
+    let response = wire::encode_response(response).map_err(TransferError::Malformed)?;
     let bytes = Bytes::from(block::compress_prepend_size(&response));
     let mut offset = 0;
     while offset < bytes.len() {
@@ -108,14 +113,15 @@
     send_chunk(&mut chunks, Bytes::new()).await
 }
 
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+/// What is requested: changes from a position on, or all records.
+#[derive(Clone, Copy, Debug)]
 struct RecordsRequest {
     subject: dialect::Subject,
-    /// Offset from which changes are requested; none for all records.
-    start_offset: Option<u64>,
+    start: Option<Position>,
 }
 
-#[derive(Debug, Serialize, Deserialize)]
+/// Records, and how long ago they were read from the store.
+#[derive(Debug)]
 struct RecordsResponse {
     read_age: Option<Duration>,
     page: dialect::Page,
@@ -126,6 +132,8 @@
 pub enum TransferOutcome {
     /// Records were applied that were read from the store this long ago, if known.
     Applied(Option<Duration>),
+    /// The records are from before the store came back from an older copy.
+    Outdated,
     /// The peer is at its transfer limit, or has stopped.
     Refused,
     /// No records were received.
@@ -138,9 +146,10 @@
 ) -> RecordsResponse {
     let replicated = shared.replicated_records.borrow();
     let age = replicated.since_store_read(shared.clock.now(), request.subject);
-    let page = match request.start_offset {
+    let age = age.filter(|_| replicated.is_current(request.subject));
+    let page = match request.start {
         None => replicated.full_page(request.subject),
-        Some(from) => replicated.changes(request.subject, from),
+        Some(start) => replicated.changes(request.subject, start),
     };
     RecordsResponse { read_age: age, page }
 }
@@ -151,28 +160,26 @@
     reader: SocketAddr,
     subject: dialect::Subject,
 ) -> TransferOutcome {
-    let from = shared.replicated_records.borrow().next_offset(subject);
-    let response =
-        request_records(reader, RecordsRequest { subject, start_offset: Some(from) }, || false)
-            .await;
+    let start = Some(shared.replicated_records.borrow().next(subject));
+    let response = request_records(reader, RecordsRequest { subject, start }, || false).await;
     apply(shared, reader, subject, response)
 }
 
-/// Fetches and applies a peer's records, unless the store returns those before `next` first.
+/// Fetches and applies a peer's records, unless the store returns them first.
 pub async fn fetch<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
     peer: SocketAddr,
     subject: dialect::Subject,
-    next: u64,
+    progress: Progress,
 ) -> TransferOutcome {
-    let known = shared.replicated_records.borrow().next_offset(subject);
-    let is_superseded = || shared.replicated_records.borrow().next_offset(subject) >= next;
+    let known = shared.replicated_records.borrow().next(subject);
+    let is_superseded = || shared.replicated_records.borrow().progress(subject) >= progress;
     // Routers come and go one by one, so that most of their entries are known.
-    let start_offset = (subject == dialect::Subject::Routers).then_some(known);
-    let request = RecordsRequest { subject, start_offset };
+    let start = (subject == dialect::Subject::Routers).then_some(known);
+    let request = RecordsRequest { subject, start };
     let response = request_records(peer, request, is_superseded).await;
     if let Ok(response) = &response {
-        tracing::info!(%peer, ?subject, next = response.page.next, "records received from a peer");
+        tracing::info!(%peer, ?subject, next = %response.page.next, "records received from a peer");
     }
     apply(shared, peer, subject, response)
 }
@@ -185,8 +192,12 @@
 ) -> TransferOutcome {
     let (outcome, transferred) = match response {
         Ok(RecordsResponse { read_age: age, page }) => {
+            let era = page.next.era();
             follow::apply_page(shared, subject, replicated_records::Source::Peer(peer), page);
-            ("taken", TransferOutcome::Applied(age))
+            match era < shared.replicated_records.borrow().era() {
+                true => ("outdated", TransferOutcome::Outdated),
+                false => ("taken", TransferOutcome::Applied(age)),
+            }
         }
         Err(TransferError::Superseded) => ("overtaken", TransferOutcome::NoRecords),
         Err(error) => {
@@ -207,7 +218,7 @@
     let stream =
         with_timeout(TcpStream::connect(peer)).await?.map_err(TransferError::Disconnected)?;
     let mut chunks = framed(stream);
-    let request = postcard::to_stdvec(&request).map_err(TransferError::Malformed)?;
+    let request = wire::encode_request(&request).map_err(TransferError::Malformed)?;
     send_chunk(&mut chunks, Bytes::from(request)).await?;
     let mut bytes = BytesMut::new();
     loop {
@@ -231,7 +242,7 @@
         return Err(TransferError::TooLarge(MAX_TRANSFER_BYTES));
     }
     let response = block::decompress(compressed, len).map_err(TransferError::Corrupt)?;
-    postcard::from_bytes(&response).map_err(TransferError::Malformed)
+    wire::decode_response(&response).map_err(TransferError::Malformed)
 }
 
 async fn next_chunk(chunks: &mut Chunks) -> Result<BytesMut, TransferError> {
--- a/crates/corianderstand_forward/tests/catching_up.rs
+++ b/crates/corianderstand_forward/tests/catching_up.rs
@@ -1,6 +1,10 @@
 //! When a router queries a peer for records, and which one.
 
-use corianderstand_forward::catch_up::{Lag, ReadProgress};
+use corianderstand_forward::{
+    catch_up::{Lag, ReadProgress},
+    replicated_records::Progress,
+};
+use corianderstand_types::position::{Era, Position};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -10,12 +14,16 @@
 const CONFIG_WITHIN: Duration = Duration::from_secs(2);
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+const fn known(offset: u64) -> Progress {
+    Progress { config_version: 0, next: Position::new(Era(0), offset) }
+}
+
 fn peer(number: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, number], 7_380))
 }
 
 fn progress<'a>(
-    ahead: &'a [(u64, SocketAddr)],
+    ahead: &'a [(Progress, SocketAddr)],
     last_received_at: Option<Instant>,
     last_read_failed: bool,
 ) -> ReadProgress<'a> {
@@ -24,6 +32,7 @@
         peers_ahead: ahead,
         last_received_at,
         last_read_failed,
+        is_at_end: false,
         is_starting: false,
         is_follower: false,
         config_within: CONFIG_WITHIN,
@@ -35,7 +44,7 @@
     start: Instant,
     last_received_at: impl Fn(Instant) -> Option<Instant>,
 ) -> Option<Duration> {
-    let (mut lag, ahead) = (Lag::default(), [(9, peer(1))]);
+    let (mut lag, ahead) = (Lag::default(), [(known(9), peer(1))]);
     let polls = (0..40).map(|poll| start + POLL_INTERVAL * poll);
     let mut queries = polls.filter(|now| {
         lag.peer_to_query(*now, &progress(&ahead, last_received_at(*now), false)).is_some()
@@ -65,14 +74,14 @@
 /// A peer is the only source while the store refuses this router.
 #[test]
 fn a_peer_is_queried_at_once_after_a_failed_read() {
-    let (now, ahead) = (Instant::now(), [(9, peer(1))]);
+    let (now, ahead) = (Instant::now(), [(known(9), peer(1))]);
     assert!(Lag::default().peer_to_query(now, &progress(&ahead, None, true)).is_some());
 }
 
 /// A router without a configuration rejects all requests.
 #[test]
 fn a_starting_router_queries_a_peer_at_once() {
-    let (now, ahead) = (Instant::now(), [(9, peer(1))]);
+    let (now, ahead) = (Instant::now(), [(known(9), peer(1))]);
     let start = |last_received_at| ReadProgress {
         is_starting: true,
         ..progress(&ahead, last_received_at, false)
@@ -85,7 +94,7 @@
 #[test]
 fn the_lag_restarts_after_catching_up() {
     let start = Instant::now();
-    let (mut lag, ahead) = (Lag::default(), [(9, peer(1))]);
+    let (mut lag, ahead) = (Lag::default(), [(known(9), peer(1))]);
     assert!(lag.peer_to_query(start, &progress(&ahead, None, false)).is_none());
     assert!(lag.peer_to_query(start + CONFIG_WITHIN / 2, &progress(&[], None, false)).is_none());
     assert!(lag.peer_to_query(start + CONFIG_WITHIN, &progress(&ahead, None, false)).is_none());
@@ -95,7 +104,7 @@
 #[test]
 fn routers_query_different_peers() {
     let (now, ahead) =
-        (Instant::now(), (1..=8).map(|number| (9, peer(number))).collect::<Vec<_>>());
+        (Instant::now(), (1..=8).map(|number| (known(9), peer(number))).collect::<Vec<_>>());
     let mut queried: BTreeMap<SocketAddr, u32> = BTreeMap::new();
     for number in 0..80 {
         let router = format!("router-{number}");
@@ -116,7 +125,7 @@
 /// A peer with fewer records would require a second transfer.
 #[test]
 fn the_peer_with_the_highest_offset_is_queried() {
-    let ahead = [(7, peer(1)), (9, peer(2)), (8, peer(3))];
+    let ahead = [(known(7), peer(1)), (known(9), peer(2)), (known(8), peer(3))];
     let queried = Lag::default().peer_to_query(Instant::now(), &progress(&ahead, None, true));
-    assert_eq!(queried, Some((9, peer(2))));
+    assert_eq!(queried, Some((known(9), peer(2))));
 }
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -9,9 +9,16 @@
 pub use platform::{MemoryStore, PlainPlatform};
 
 use corianderstand_fleet::{budget, config, quota, targets};
-use corianderstand_forward::router;
+use corianderstand_forward::{
+    precedence::Stamp,
+    replicated_records::{Content, Progress},
+    router,
+};
 use corianderstand_schema::peers::{RouterUpdate, StoreUse};
-use corianderstand_types::clock::SystemClock;
+use corianderstand_types::{
+    clock::SystemClock,
+    position::{Era, Position},
+};
 use std::{
     io::ErrorKind,
     net::{Ipv4Addr, SocketAddr},
@@ -49,6 +56,21 @@
     }
 }
 
+/// A position in the first era.
+pub const fn position(offset: u64) -> Position {
+    Position::new(Era(0), offset)
+}
+
+/// How far a subject without versions is known.
+pub const fn progress(offset: u64) -> Progress {
+    Progress { config_version: 0, next: position(offset) }
+}
+
+/// Content that says nothing of its age.
+pub const fn content(hash: u64) -> Content {
+    Content { hash, stamp: Stamp::None }
+}
+
 /// Below the ephemeral range, so that the system assigns no port between the check and the bind.
 const FIRST_PORT: u32 = 20_000;
 const PORTS_PER_PROCESS: u32 = 12;
--- a/crates/corianderstand_forward/tests/common/platform.rs
+++ b/crates/corianderstand_forward/tests/common/platform.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use corianderstand_fleet::{choose, config, fingerprint, targets, workspaces};
 use corianderstand_forward::dialect;
+use corianderstand_types::position::{Era, Position};
 use dialect::{Page, ReadOptions, Record, RecordError, RouterEntry, StoreError, Subject, Update};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use rand::{RngExt, SeedableRng};
@@ -23,6 +24,7 @@
 pub struct StoreState {
     entries: BTreeMap<u64, (Subject, Record, Option<Update>)>,
     next: u64,
+    era: Era,
     down: bool,
     read_delay: Duration,
     /// Records of one response to a read; all if it is none.
@@ -58,6 +60,7 @@
         let mut state = self.state.lock().unwrap();
         state.entries.split_off(&copy.next);
         state.next = copy.next;
+        state.era = Era(state.era.0 + 1);
     }
 
     /// Number of reads of the newest record of each key.
@@ -125,7 +128,8 @@
     ) {
         let mut state = self.state.lock().unwrap();
         let offset = state.next;
-        let record = Record { key: key.into(), value, offset };
+        let position = Position::new(state.era, offset);
+        let record = Record { key: key.into(), value, position };
         state.entries.insert(offset, (subject, record, update));
         state.next += 1;
     }
@@ -184,7 +188,7 @@
         let count = self.state.lock().unwrap().max_read_records.unwrap_or(usize::MAX);
         if page.records.len() > count {
             page.records.truncate(count);
-            page.next = page.records.last().map_or(page.next, |record| record.offset + 1);
+            page.next = page.records.last().map_or(page.next, |record| record.position.next());
             page.reaches_end = false;
         }
         page
@@ -206,8 +210,16 @@
             .entries
             .range(from..)
             .filter(|(_, (entry_subject, ..))| *entry_subject == subject);
-        let records = records.map(|(_, (_, record, _))| record.clone()).collect();
-        Ok(Page { records, next: state.next, whole: false, reaches_end: true })
+        let records = records.map(|(offset, (_, record, _))| {
+            let position = Position::new(state.era, *offset);
+            Record { position, ..record.clone() }
+        });
+        // Records of other subjects do not advance this one.
+        let mut entries = state.entries.iter().rev();
+        let last = entries.find(|(_, (entry_subject, ..))| *entry_subject == subject);
+        let next = last.map_or(0, |(offset, _)| offset + 1).max(from);
+        let next = Position::new(state.era, next);
+        Ok(Page { records: records.collect(), next, whole: false, reaches_end: true })
     }
 }
 
@@ -217,7 +229,7 @@
         page.records.into_iter().map(|record| (record.key.clone(), record)).collect();
     let mut records: Vec<Record> =
         newest.into_values().filter(|record| record.value.is_some()).collect();
-    records.sort_by_key(|record| record.offset);
+    records.sort_by_key(|record| record.position);
     Page { records, whole: true, ..page }
 }
 
@@ -332,6 +344,10 @@
         Ok(page)
     }
 
+    fn era(&self) -> Era {
+        self.0.state.lock().unwrap().era
+    }
+
     async fn announce(&self, _: &RouterEntry) -> Result<(), StoreError> {
         if self.0.unavailable.load(Ordering::Relaxed) {
             return Err(StoreError::Refused(503));
@@ -349,7 +365,8 @@
             return Ok(Some(Update::TargetRemoved(record.key.as_str().into())));
         }
         let state = self.0.state.lock().unwrap();
-        let update = state.entries.get(&record.offset).and_then(|(_, _, update)| update.clone());
+        let update =
+            state.entries.get(&record.position.offset()).and_then(|(_, _, update)| update.clone());
         let unreadable =
             || RecordError::Unreadable { key: record.key.clone(), reason: "garbage".into() };
         update.map(Some).ok_or_else(unreadable)
--- a/crates/corianderstand_forward/tests/hubs.rs
+++ b/crates/corianderstand_forward/tests/hubs.rs
@@ -1,5 +1,7 @@
 //! Hubs: which routers exchange status in a large deployment, and what happens when hubs are lost.
 
+mod common;
+
 use corianderstand_forward::{
     dialect::{RouterEntry, Subject},
     hubs,
@@ -308,8 +310,8 @@
 fn newer_records_of_contacts_are_known() {
     let now = Instant::now();
     let mut follower = peers(99, 100, now);
-    assert_eq!(follower.ahead(now, Subject::Config, 0).count(), 0);
+    assert_eq!(follower.ahead(now, Subject::Config, common::progress(0)).count(), 0);
     follower.on_update(now, addr(4), update(4, None));
-    let ahead: Vec<_> = follower.ahead(now, Subject::Config, 0).collect();
-    assert_eq!(ahead, [(7, addr(4))]);
+    let ahead: Vec<_> = follower.ahead(now, Subject::Config, common::progress(0)).collect();
+    assert_eq!(ahead, [(common::progress(7), addr(4))]);
 }
--- a/crates/corianderstand_forward/tests/peers.rs
+++ b/crates/corianderstand_forward/tests/peers.rs
@@ -18,7 +18,8 @@
 }
 
 fn ahead(peers: &Peers, now: Instant) -> Vec<u64> {
-    peers.ahead(now, Subject::Config, 0).map(|(next, _)| next).collect()
+    let ahead = peers.ahead(now, Subject::Config, common::progress(0));
+    ahead.map(|(progress, _)| progress.next.offset()).collect()
 }
 
 /// Guards against outdated demand and offsets after a restart.
--- a/crates/corianderstand_forward/tests/readers.rs
+++ b/crates/corianderstand_forward/tests/readers.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{MemoryStore, RouterThread, Target};
+use common::{MemoryStore, RouterThread, Target, content, position};
 use corianderstand_forward::{
     dialect::{Page, Record, RouterEntry, Subject},
     hubs, peers,
@@ -282,28 +282,32 @@
 #[test]
 fn changes_since_before_the_first_read_are_all_records() {
     let (subject, mut records) = (Subject::Targets, ReplicatedRecords::default());
-    let kept = Record { key: "kept".into(), value: Some("entry".into()), offset: 2 };
-    records.insert(subject, kept, Source::Store, 7);
-    records.advance(subject, PageEnd { next: 6, whole: true });
-    assert!(records.changes(subject, 5).whole);
-    assert!(!records.changes(subject, 6).whole, "what follows is known");
-    records.advance(subject, PageEnd { next: 9, whole: false });
-    assert!(!records.changes(subject, 6).whole);
+    let kept = Record { key: "kept".into(), value: Some("entry".into()), position: position(2) };
+    records.insert(subject, kept, Source::Store, content(7));
+    records.advance(subject, PageEnd { next: position(6), whole: true });
+    assert!(records.changes(subject, position(5)).whole);
+    assert!(!records.changes(subject, position(6)).whole, "what follows is known");
+    records.advance(subject, PageEnd { next: position(9), whole: false });
+    assert!(!records.changes(subject, position(6)).whole);
     // After a compaction the newest of each key is read again.
-    records.advance(subject, PageEnd { next: 12, whole: true });
-    assert!(records.changes(subject, 9).whole);
+    records.advance(subject, PageEnd { next: position(12), whole: true });
+    assert!(records.changes(subject, position(9)).whole);
 }
 
 /// Guards against a removed target that a page from a peer brings back, as it was sent before the removal.
 #[test]
 fn a_page_that_ends_before_the_known_records_changes_nothing() {
     let (subject, mut records) = (Subject::Targets, ReplicatedRecords::default());
-    let record = |key: &str, offset| Record { key: key.into(), value: Some("x".into()), offset };
-    records.insert(subject, record("kept", 2), Source::Store, 7);
-    records.advance(subject, PageEnd { next: 9, whole: true });
+    let record = |key: &str, offset| Record {
+        key: key.into(),
+        value: Some("x".into()),
+        position: position(offset),
+    };
+    records.insert(subject, record("kept", 2), Source::Store, content(7));
+    records.advance(subject, PageEnd { next: position(9), whole: true });
     let page = |next| Page {
         records: vec![record("removed", 4), record("kept", 2)],
-        next,
+        next: position(next),
         whole: true,
         reaches_end: false,
     };
@@ -332,21 +336,24 @@
 /// Renewals without changes would fill the links of small hosts.
 #[test]
 fn mere_renewals_are_not_transferred() {
-    let record =
-        |key: &str, offset| Record { key: key.into(), value: Some("entry".into()), offset };
+    let record = |key: &str, offset| Record {
+        key: key.into(),
+        value: Some("entry".into()),
+        position: position(offset),
+    };
     let (subject, mut records) = (Subject::Targets, ReplicatedRecords::default());
-    records.insert(subject, record("same", 1), Source::Store, 7);
-    records.insert(subject, record("other", 2), Source::Store, 8);
-    records.insert(subject, record("same", 3), Source::Store, 7);
-    records.insert(subject, record("other", 4), Source::Store, 9);
+    records.insert(subject, record("same", 1), Source::Store, content(7));
+    records.insert(subject, record("other", 2), Source::Store, content(8));
+    records.insert(subject, record("same", 3), Source::Store, content(7));
+    records.insert(subject, record("other", 4), Source::Store, content(9));
     let removed = Record { value: None, ..record("gone", 5) };
-    records.insert(subject, removed, Source::Store, 0);
-    records.advance(subject, PageEnd { next: 6, whole: false });
-    let page = records.changes(subject, 3);
+    records.insert(subject, removed, Source::Store, content(0));
+    records.advance(subject, PageEnd { next: position(6), whole: false });
+    let page = records.changes(subject, position(3));
     let mut keys: Vec<_> = page.records.iter().map(|record| record.key.as_str()).collect();
     keys.sort_unstable();
     assert_eq!(keys, ["gone", "other"], "removals are changes");
-    assert!(!page.whole && page.next == 6);
+    assert!(!page.whole && page.next == position(6));
     assert_eq!(
         records.full_page(subject).records.len(),
         3,
--- a/crates/corianderstand_types/src/lib.rs
+++ b/crates/corianderstand_types/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod clock;
 pub mod names;
 pub mod pause;
+pub mod position;
 pub mod units;
 pub mod weights;
