A router announces itself again after the store came back from an older copy

Callers saw: nothing by itself; routers that start later would not know of those whose entries were lost, and retry and plan without them. Cause: a router wrote its entry once, at its start, and nobody writes what the system wrote again. It is now written again whenever the era rises, spread over a second by the router's name, so that 340 routers don't write at once.

--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -43,6 +43,8 @@
 const ROUTERS_WAIT: Duration = Duration::from_millis(120);
 const ROUTERS_POLL_INTERVAL: Duration = Duration::from_millis(10);
 const MIN_LONG_POLL_WAIT: Duration = Duration::from_millis(300);
+/// Time over which routers write their entries again after the store has come back from a copy.
+const ANNOUNCE_SPREAD: Duration = Duration::from_secs(1);
 /// Delay after a failed read, so that routers don't overload a recovering store.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -60,6 +62,7 @@
     });
 }
 
+/// Writes this router's entry, and again whenever the store has come back from a copy, which may lack it.
 async fn announce<P: router::Platform>(shared: Rc<router::Shared<P>>) {
     let settings = &shared.settings;
     let entry = dialect::RouterEntry {
@@ -68,9 +71,23 @@
         zone: Some(settings.zone.clone()),
         strength: settings.cpu_millicores,
     };
-    while let Err(error) = shared.platform.announce(&entry).await {
-        tracing::debug!(%error, "announcing this router in the store failed, retrying");
-        tokio::time::sleep(RETRY_DELAY * 4).await;
+    let hash = xxh3::xxh3_64(settings.name.as_bytes());
+    let spread = ANNOUNCE_SPREAD.mul_f64(hash as f64 / u64::MAX as f64);
+    loop {
+        let era = shared.replicated_records.borrow().era();
+        match shared.platform.announce(&entry).await {
+            Ok(()) => {
+                eras::observe(&shared, shared.platform.era(), Source::Store);
+                // The first era that is seen is that of this write.
+                eras::wait_for_later(&shared, era.max(shared.platform.era())).await;
+                tokio::time::sleep(spread).await;
+            }
+            Err(error) => {
+                tracing::debug!(%error, "announcing this router in the store failed, retrying");
+                eras::observe(&shared, shared.platform.era(), Source::Store);
+                tokio::time::sleep(RETRY_DELAY * 4).await;
+            }
+        }
     }
 }
 
