--- a/crates/corianderstand_forward/tests/credentials.rs
+++ b/crates/corianderstand_forward/tests/credentials.rs
@@ -4,7 +4,7 @@
 
 use common::{MemoryStore, RouterThread, Target};
 use corianderstand_fleet::{config, workspaces};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const KEY: &str = "k-1";
 const WAIT: Duration = Duration::from_millis(20);
@@ -137,6 +137,28 @@
     wait_for_status(&router, &[KEY], "200").await;
 }
 
+/// Guards against a revocation that the store lost when it came back from a copy, before a router had read it: what the
+/// router reads until it is written again looks complete.
+#[tokio::test]
+async fn reads_just_after_the_store_went_back_prove_nothing() {
+    let (store, _target) = cluster(None).await;
+    let own_store = store.isolated();
+    let router = start(&own_store, "router-a", vec![], Some(REVOKE_WITHIN)).await;
+    wait_for_status(&router, &[KEY], "200").await;
+    let copy = store.copy();
+    own_store.set_unavailable(true);
+    store.put_config(config(2, &[], None));
+    tokio::time::sleep(REVOKE_WITHIN + WAIT).await;
+    store.restore(copy);
+    own_store.set_unavailable(false);
+    let until = Instant::now() + Duration::from_secs(1);
+    while Instant::now() < until {
+        assert_ne!(status(&router, "/desk/1", &[KEY]).await, "200");
+    }
+    store.put_config(config(2, &[], None));
+    wait_for_status(&router, &[KEY], "401").await;
+}
+
 /// Guards against an outage where no limit for revocations is set.
 #[tokio::test]
 async fn without_a_limit_known_credentials_are_accepted_without_the_store() {
