Proofs of a complete configuration carry the era; reads just after the store went back are none

Callers saw: a request with a revoked key could run, where the revocation was lost with an older copy before its router had read it. Cause: a read up to the end of the log was taken as proof that every acknowledged configuration is known; just after the store came back it proves that only of what was acknowledged since. A peer's proof counts only in the same era, and if neither its version nor its position is beyond one's own (ConfigProven; an earlier build's FreshnessAnswer is not used).

--- a/crates/corianderstand_fleet/src/freshness.rs
+++ b/crates/corianderstand_fleet/src/freshness.rs
@@ -18,8 +18,8 @@
 pub struct Answer {
     /// Id of the question.
     pub id: u64,
-    /// Offset after the newest configuration that the peer has applied.
-    pub config_next: u64,
+    /// Whether this router knows all that the peer has applied.
+    pub is_known: bool,
     /// Age of the peer's proof when it answered.
     pub age: Duration,
 }
@@ -68,12 +68,12 @@
 
     /// Applies a peer's answer, unless the peer has records that are not known here. Returns whether the
     /// proof became younger.
-    pub fn apply(&mut self, answer: &Answer, known_next: u64) -> bool {
+    pub fn apply(&mut self, answer: &Answer) -> bool {
         let Some(position) = self.questions.iter().position(|(id, _)| *id == answer.id) else {
             return false;
         };
         let Some((_, asked_at)) = self.questions.remove(position) else { return false };
-        if answer.config_next > known_next {
+        if !answer.is_known {
             return false;
         }
         let Some(proven_at) = asked_at.checked_sub(answer.age) else { return false };
--- a/crates/corianderstand_fleet/tests/freshness.rs
+++ b/crates/corianderstand_fleet/tests/freshness.rs
@@ -23,11 +23,11 @@
 fn a_peers_proof_counts_from_the_question() {
     let mut freshness = Freshness::default();
     let id = freshness.ask(secs(10));
-    let answer = Answer { id, config_next: 3, age: secs(1) };
-    assert!(freshness.apply(&answer, 3));
+    let answer = Answer { id, is_known: true, age: secs(1) };
+    assert!(freshness.apply(&answer));
     assert_eq!(freshness.age(secs(18)), Some(secs(9)), "read 8 s after the question");
-    assert!(!freshness.apply(&answer, 3), "an answer counts once");
-    assert!(!freshness.apply(&Answer { id: 99, ..answer }, 3), "to no question");
+    assert!(!freshness.apply(&answer), "an answer counts once");
+    assert!(!freshness.apply(&Answer { id: 99, ..answer }), "to no question");
 }
 
 /// Guards against a proof of a configuration that this router does not have yet.
@@ -35,7 +35,7 @@
 fn a_peer_with_newer_records_proves_nothing() {
     let mut freshness = Freshness::default();
     let id = freshness.ask(secs(10));
-    assert!(!freshness.apply(&Answer { id, config_next: 4, age: secs(0) }, 3));
+    assert!(!freshness.apply(&Answer { id, is_known: false, age: secs(0) }));
     assert_eq!(freshness.age(secs(10)), None);
 }
 
@@ -61,9 +61,9 @@
         let (asking, answering) = (step % 5, (step + 3) % 5);
         let id = ring[asking].ask(now);
         if let Some(age) = ring[answering].age(now) {
-            let answer = Answer { id, config_next: 1, age };
+            let answer = Answer { id, is_known: true, age };
             now += STEP;
-            ring[asking].apply(&answer, 1);
+            ring[asking].apply(&answer);
         }
         for freshness in &ring {
             assert!(freshness.age(now).is_none_or(|age| age >= now - secs(100)));
--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -144,6 +144,7 @@
             }
             PeerMessage::RouterNews(_)
             | PeerMessage::RecordsNews(_)
+            | PeerMessage::ConfigProven(_)
             | PeerMessage::PrefillAnswer(_)
             | PeerMessage::EngineNews(_)
             | PeerMessage::EngineGone(_)
--- a/crates/corianderstand_forward/src/config_proof.rs
+++ b/crates/corianderstand_forward/src/config_proof.rs
@@ -4,9 +4,10 @@
 //! A router whose store turns it away, or that follows other routers, asks its peers. An unsolicited
 //! report would prove nothing: it may have waited in the socket of a router that stood still.
 
-use crate::{dialect::Subject, peers, readers, router};
+use crate::{dialect::Subject, peers, readers, replicated_records::Progress, router};
 use corianderstand_fleet::freshness;
 use corianderstand_schema::peers::{self as wire, PeerMessage, StoreUse};
+use corianderstand_types::position::{Era, Position};
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -93,29 +94,40 @@
     question: &wire::FreshnessQuestion,
 ) {
     let Some(age) = age(shared) else { return };
-    let answer = wire::FreshnessAnswer {
+    let known = shared.replicated_records.borrow().progress(Subject::Config);
+    let answer = wire::ConfigProof {
         id: question.id,
-        config_next: shared.replicated_records.borrow().next(Subject::Config).offset(),
+        era: known.next.era().0,
+        config_next: known.next.offset(),
+        config_version: known.config_version,
         age_ms: u32::try_from(age.as_millis() + 1).unwrap_or(u32::MAX),
     };
-    shared.outbox.send(from, &PeerMessage::FreshnessAnswer(answer));
+    shared.outbox.send(from, &PeerMessage::ConfigProven(answer));
 }
 
-/// Applies a peer's answer.
-pub fn on_answer<P: router::Platform>(shared: &router::Shared<P>, answer: &wire::FreshnessAnswer) {
-    let known_next = shared.replicated_records.borrow().next(Subject::Config).offset();
+/// Applies a peer's answer. In another era than this router's it says nothing of the records that this one reads.
+pub fn on_answer<P: router::Platform>(shared: &router::Shared<P>, answer: &wire::ConfigProof) {
+    let known = shared.replicated_records.borrow().progress(Subject::Config);
+    let peer = Progress {
+        config_version: answer.config_version,
+        next: Position::new(Era(answer.era), answer.config_next),
+    };
     let answer = freshness::Answer {
         id: answer.id,
-        config_next: answer.config_next,
+        is_known: peer.next.era() == known.next.era() && peer <= known,
         age: Duration::from_millis(u64::from(answer.age_ms)),
     };
-    if shared.config_proof.freshness.borrow_mut().apply(&answer, known_next) {
+    if shared.config_proof.freshness.borrow_mut().apply(&answer) {
         shared.config_proof.changed.notify_waiters();
     }
 }
 
-/// Records a read of the store, sent at a time since boot, that returned everything up to the log's end.
+/// Records a read of the store, sent at a time since boot, that returned everything up to the log's end. It proves
+/// nothing while a configuration may be missing that was acknowledged before the store came back from a copy.
 pub fn record_read<P: router::Platform>(shared: &router::Shared<P>, sent_at: Duration) {
+    if shared.replicated_records.borrow().is_recovering(shared.clock.now()) {
+        return;
+    }
     shared.config_proof.freshness.borrow_mut().record_read(sent_at);
     shared.config_proof.changed.notify_waiters();
 }
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -151,7 +151,10 @@
         PeerMessage::FreshnessAsked(question) => {
             config_proof::on_question(shared, from, &question);
         }
-        PeerMessage::FreshnessAnswer(answer) => config_proof::on_answer(shared, &answer),
+        PeerMessage::FreshnessAnswer(_) => {
+            tracing::debug!(%from, "ignored a proof without an era, of a router of an earlier version");
+        }
+        PeerMessage::ConfigProven(answer) => config_proof::on_answer(shared, &answer),
         PeerMessage::QuotaAsked(request) => quotas::on_request(shared, now, from, &request),
         PeerMessage::QuotaAnswer(response) => quotas::on_response(shared, now, &response),
         PeerMessage::StreamsBegan(origins) => continuations::on_origins(shared, now, origins),
