Soak: a question that a newer configuration overtakes says nothing of the one that it asked for

Whether a newer version was written was asked by time, and recorded after it was written. It is now recorded before, and asked by version.

--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -329,9 +329,9 @@
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
         });
         standin_workspaces::add(&mut config, &workspaces::specs(is_revoked));
-        let written_at = Instant::now();
+        // Before, so that no router has it in force earlier.
+        self.configs.record_written(self.config_version, &unique_prefix, is_revoked);
         self.store.put(CONFIG_TOPIC, "config", Some(config.to_string().into()));
-        self.configs.record_written(self.config_version, &unique_prefix, written_at, is_revoked);
         unique_prefix
     }
 
--- a/tools/soak/src/configs.rs
+++ b/tools/soak/src/configs.rs
@@ -28,7 +28,6 @@
     version: u64,
     /// Path prefix of its own route.
     prefix: String,
-    written_at: Instant,
     /// When the store had acknowledged it, for the last time.
     acknowledged_at: Instant,
     /// Whether the store has lost it.
@@ -50,29 +49,17 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that the store acknowledged a configuration, and whether it takes a key away.
-    pub fn record_written(
-        &self,
-        version: u64,
-        prefix: &str,
-        written_at: Instant,
-        is_revoked: bool,
-    ) {
+    /// Records a configuration that is about to be written, which takes no time, and whether it takes a key away.
+    pub fn record_written(&self, version: u64, prefix: &str, is_revoked: bool) {
         let mut state = self.lock();
         let acknowledged_at = Instant::now();
         let prefix = prefix.to_owned();
-        state.written.push(Written {
-            version,
-            prefix,
-            written_at,
-            acknowledged_at,
-            is_lost: false,
-        });
+        state.written.push(Written { version, prefix, acknowledged_at, is_lost: false });
         if is_revoked {
             let revocation = workspaces::Revocation { version, acknowledged_at, restored_at: None };
             state.revocations.push(revocation);
         } else if let Some(revocation) = state.revocations.last_mut() {
-            revocation.restored_at.get_or_insert(written_at);
+            revocation.restored_at.get_or_insert(acknowledged_at);
         }
     }
 
@@ -105,9 +92,9 @@
         self.lock().written.last().cloned()
     }
 
-    /// Whether no configuration was written since a time.
-    fn is_unchanged_since(&self, at: Instant) -> bool {
-        self.lock().written.last().is_none_or(|config| config.written_at < at)
+    /// Whether a version is the newest one still.
+    fn is_newest(&self, version: u64) -> bool {
+        self.lock().written.last().is_some_and(|config| config.version == version)
     }
 }
 
@@ -172,9 +159,8 @@
         let sent_at = Instant::now();
         all_sent_at.lock().unwrap_or_else(PoisonError::into_inner).push(sent_at);
         let Some(status) = requests::request_status(addr, &path, &id).await else { continue };
-        let answered_at = Instant::now();
         // A later configuration drops the route. A router that knows none yet answers 503.
-        if configs.is_unchanged_since(answered_at) && status != StatusCode::SERVICE_UNAVAILABLE {
+        if configs.is_newest(config.version) && status != StatusCode::SERVICE_UNAVAILABLE {
             let is_in_force = status != StatusCode::NOT_FOUND;
             let probe = Probe { router, config, sent_at, is_in_force };
             probes.lock().unwrap_or_else(PoisonError::into_inner).push(probe);
