--- a/crates/corianderstand_forward/tests/broken_answers.rs
+++ b/crates/corianderstand_forward/tests/broken_answers.rs
@@ -314,6 +314,40 @@
     assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("paid"), "{answer}");
 }
 
+/// Guards against a cut answer that looks whole at a router that stood still, as the target was started again meanwhile
+/// and answers a health check.
+#[rstest]
+#[case::stream(draft(), LAST_CHUNK)]
+#[case::plain(pay(), "data: a\n\n")]
+#[tokio::test]
+async fn an_answer_without_a_length_that_ended_while_the_router_stood_still_is_not_complete(
+    #[case] route: Route,
+    #[case] end_if_whole: &str,
+) {
+    const PAUSE: Duration = Duration::from_millis(1_500);
+    let target = Target::start().await;
+    let router = start(route, &[&target]).await;
+    let mut caller = send(&router).await;
+    let mut request = target.next().await;
+    let head = format!("HTTP/1.1 200 OK\r\nx-signed: 1\r\nx-id: {ID}\r\nConnection: close\r\n\r\n");
+    request.stream.write_all((head + "id: 0\ndata: a\n\n").as_bytes()).await.unwrap();
+    tokio::time::sleep(PAUSE / 10).await;
+    let pause_ms = PAUSE.as_millis().to_string();
+    let headers = [("x-id", "other"), (common::platform::SPIN_HEADER, pause_ms.as_str())];
+    let other = common::send(router.front, "GET", "/nowhere/", &headers, "").await.unwrap();
+    tokio::time::sleep(PAUSE / 2).await;
+    drop(request);
+    let answered = tokio::spawn(async move {
+        loop {
+            target.next_or_wait().await.answer_whole_unless_reset("health", "well").await;
+        }
+    });
+    let (answer, _) = read_to_end(&mut caller).await;
+    assert!(!answer.ends_with(end_if_whole), "{answer}");
+    answered.abort();
+    drop(other);
+}
+
 /// Guards against answers that have no body by their status and look broken.
 #[tokio::test]
 async fn an_answer_that_has_no_body_is_delivered() {
