An answer without a length whose end was read after a pause is not taken for whole

Cause: where an answer states no length, a health check decides whether its target is still there, and a target that was started again answers it. A pause since the request was sent now makes such an answer a broken one: a request that may be repeated goes to another target, a stream is taken up or reset. Cost: such answers that ended whole during a pause of over a second are reset too.

--- a/crates/corianderstand_forward/src/body_end.rs
+++ b/crates/corianderstand_forward/src/body_end.rs
@@ -122,6 +122,8 @@
     Empty,
     /// Its target ended at the same time.
     TargetEnded,
+    /// This router was paused meanwhile: its target may have ended, and been started again under its name.
+    AfterPause,
 }
 
 impl Break {
@@ -133,6 +135,7 @@
             Self::LacksEvent => "broken: lacks an event",
             Self::Empty => "broken: no byte",
             Self::TargetEnded => "broken: target ended",
+            Self::AfterPause => "broken: this router was paused",
         }
     }
 }
--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -49,6 +49,9 @@
     let (concluded, probe) = match read.end() {
         body_end::End::Whole(whole) => (Ok(whole), None),
         body_end::End::Broken(why) => (Err(why), None),
+        body_end::End::Open(_) if was_paused_since(shared, in_flight.started_at()) => {
+            (Err(body_end::Break::AfterPause), None)
+        }
         body_end::End::Open(open) => {
             let probe = probe(shared, job, in_flight).await;
             let concluded = if probe.shows_end() {
@@ -63,6 +66,12 @@
     concluded
 }
 
+/// Whether this router was paused since a time.
+fn was_paused_since<P: router::Platform>(shared: &router::Shared<P>, since: Instant) -> bool {
+    let time = shared.clock.now().saturating_duration_since(since);
+    shared.pause_detector.was_paused_within(shared.clock.since_boot(), time)
+}
+
 /// What a target did when it was asked whether it is there.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 enum Probe {
--- a/crates/corianderstand_types/src/pause.rs
+++ b/crates/corianderstand_types/src/pause.rs
@@ -42,6 +42,8 @@
     /// Latest time seen by a tick or a request, as time since boot, which includes suspension.
     last_seen_at: Duration,
     pauses: u64,
+    /// When the latest pause was noticed.
+    paused_at: Option<Duration>,
     pauses_at_last_tick: u64,
     /// Value of `pauses` confirmed by two ticks, between which the runtime refreshes its readiness
     /// of sockets.
@@ -66,6 +68,7 @@
         let state = State {
             last_seen_at: now,
             pauses: 0,
+            paused_at: None,
             pauses_at_last_tick: 0,
             confirmed_pauses: 0,
             connections: Vec::new(),
@@ -111,6 +114,13 @@
         state.pauses != connection.lock().pauses
     }
 
+    /// Whether this process was paused within a time before now.
+    pub fn was_paused_within(&self, now: Duration, time: Duration) -> bool {
+        let mut state = self.lock();
+        state.observe(now);
+        state.paused_at.is_some_and(|at| now.saturating_sub(at) <= time)
+    }
+
     /// Polls a listener and records when it has no pending connection.
     pub fn poll_accept<T>(
         &self,
@@ -152,6 +162,7 @@
         self.last_seen_at = self.last_seen_at.max(now);
         if paused {
             self.pauses += 1;
+            self.paused_at = Some(now);
             tracing::warn!("process was paused: unread requests may predate the pause");
         }
     }
