--- a/crates/corianderstand_forward/tests/request_limits.rs
+++ b/crates/corianderstand_forward/tests/request_limits.rs
@@ -3,11 +3,12 @@
 mod common;
 
 use common::{MemoryStore, RouterThread, Target};
+use corianderstand_schema::peers::{PeerMessage, TargetLimit, TargetReports};
 use std::{
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
-use tokio::task::JoinSet;
+use tokio::{net::UdpSocket, task::JoinSet};
 
 /// Limit that the target names.
 const LIMIT_PER_S: f64 = 2.6;
@@ -129,3 +130,31 @@
     tokio::time::timeout(common::WAIT_LIMIT, poll).await.expect("it learns of the limit");
     target.abort();
 }
+
+/// Guards against a limit that is reported only before a router knows the target, as both have just started.
+#[tokio::test]
+async fn a_limit_of_a_target_that_is_not_known_yet_holds_once_it_is() {
+    let store = MemoryStore::default();
+    let target = Target::start().await;
+    store.put_config(common::config(1, vec![common::route("/desk/", "desk")]));
+    store.put_target(target.entry("target-1", "desk"));
+    let router = RouterThread::start(&store);
+    router.wait_ready().await;
+    let limit = TargetLimit { target: "target-2".into(), limited: true, per_1000_s: 2_600 };
+    let reports = TargetReports { crashes: vec![], limits: vec![limit], successes: vec![] };
+    let message = postcard::to_stdvec(&PeerMessage::TargetReports(reports)).unwrap();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    socket.send_to(&message, router.peers).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    store.put_target(target.entry("target-2", "desk"));
+    let poll = async {
+        loop {
+            let metrics = common::get(router.metrics, "/metrics", &[]).await.unwrap();
+            if metrics.contains("\nlimited_targets 1\n") {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(5), poll).await.expect("the limit is kept");
+}
