A limit that is reported before its target is known holds once it is

Cause: the report of a limit of a target that the router doesn't know yet was dropped, and reports are not repeated. It is now kept for 10 s and applied when the target becomes known.

--- a/crates/corianderstand_fleet/src/targets.rs
+++ b/crates/corianderstand_fleet/src/targets.rs
@@ -71,6 +71,7 @@
     drained: HashMap<names::TargetId, u64>,
     removed: HashMap<names::TargetId, Removed>,
     replaced: Vec<Incarnation>,
+    early_limits: limit::EarlyLimits,
 }
 
 impl Targets {
@@ -377,7 +378,9 @@
     fn insert(&mut self, now: Instant, entry: Entry) -> TargetKey {
         let (id, host) = (entry.id.clone(), entry.addr.ip());
         let shutdown_at = entry.shutdown_in.map(|shutdown_in| now + shutdown_in);
-        let key = self.arena.insert(Target { shutdown_at, ..Target::new(entry) });
+        let request_limit = self.early_limits.take(now, &id);
+        let target = Target { shutdown_at, request_limit, ..Target::new(entry) };
+        let key = self.arena.insert(target);
         self.by_id.insert(id, key);
         self.by_host.entry(host).or_default().push(key);
         key
--- a/crates/corianderstand_fleet/src/targets/limit.rs
+++ b/crates/corianderstand_fleet/src/targets/limit.rs
@@ -2,7 +2,11 @@
 
 use crate::targets;
 use corianderstand_derives::derives;
-use std::time::{Duration, Instant};
+use corianderstand_types::names;
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 /// Limit of requests that a target takes from all routers together.
 #[derives(data)]
@@ -14,6 +18,44 @@
     pub named_at: Instant,
 }
 
+/// Time for which a reported limit waits for its target: reports are not repeated, and an entry may be read later.
+const UNKNOWN_TARGET_TTL: Duration = Duration::from_secs(10);
+
+/// Limits that other routers reported of targets that are not known yet.
+#[derive(Clone, Debug, Default)]
+pub(super) struct EarlyLimits(HashMap<names::TargetId, RequestLimit>);
+
+impl EarlyLimits {
+    fn record(&mut self, now: Instant, id: &names::TargetId, per_s: Option<f64>) {
+        self.0
+            .retain(|_, limit| now.saturating_duration_since(limit.named_at) < UNKNOWN_TARGET_TTL);
+        match per_s {
+            Some(per_s) => drop(self.0.insert(id.clone(), RequestLimit { per_s, named_at: now })),
+            None => drop(self.0.remove(id)),
+        }
+    }
+
+    /// Takes the limit of a target that becomes known.
+    pub(super) fn take(&mut self, now: Instant, id: &names::TargetId) -> Option<RequestLimit> {
+        let limit = self.0.remove(id)?;
+        (now.saturating_duration_since(limit.named_at) < UNKNOWN_TARGET_TTL).then_some(limit)
+    }
+}
+
+impl targets::Targets {
+    /// Applies the limit that another router reported of a target, or that it has none any more. It is kept for a while
+    /// if the target is not known yet.
+    pub fn apply_reported_limit(&mut self, now: Instant, id: &names::TargetId, per_s: Option<f64>) {
+        let Some(target) = self.key(id).and_then(|key| self.get_mut(key)) else {
+            return self.early_limits.record(now, id, per_s);
+        };
+        match per_s {
+            Some(per_s) => target.set_request_limit(now, per_s),
+            None => target.request_limit = None,
+        }
+    }
+}
+
 impl targets::Target {
     /// Records the limit of requests that it named.
     pub fn set_request_limit(&mut self, now: Instant, per_s: f64) {
--- a/crates/corianderstand_forward/src/target_reports.rs
+++ b/crates/corianderstand_forward/src/target_reports.rs
@@ -206,14 +206,8 @@
 }
 
 fn apply_limit<P>(shared: &router::Shared<P>, now: Instant, limit: &wire::TargetLimit) {
-    let mut view = shared.view.borrow_mut();
-    let Some(key) = view.targets.key(&limit.target) else { return };
-    let Some(target) = view.targets.get_mut(key) else { return };
-    if limit.limited {
-        target.set_request_limit(now, f64::from(limit.per_1000_s) / 1_000.0);
-    } else {
-        target.request_limit = None;
-    }
+    let per_s = limit.limited.then(|| f64::from(limit.per_1000_s) / 1_000.0);
+    shared.view.borrow_mut().targets.apply_reported_limit(now, &limit.target, per_s);
 }
 
 /// The broken attempt behind another router's report; its request id and caller aren't reported.
