A configuration of the same version is not fetched again; a router that starts is told how far the others are

Peers are now ahead by version. In the test harness values now say what they mean, as a lost record's offset no longer does.

--- a/crates/corianderstand_forward/src/config_proof.rs
+++ b/crates/corianderstand_forward/src/config_proof.rs
@@ -114,7 +114,7 @@
     };
     let answer = freshness::Answer {
         id: answer.id,
-        is_known: peer.next.era() == known.next.era() && peer <= known,
+        is_known: peer.next.era() == known.next.era() && !peer.is_ahead_of(&known),
         age: Duration::from_millis(u64::from(answer.age_ms)),
     };
     if shared.config_proof.freshness.borrow_mut().apply(&answer) {
--- a/crates/corianderstand_forward/src/follow/via_readers.rs
+++ b/crates/corianderstand_forward/src/follow/via_readers.rs
@@ -171,7 +171,7 @@
         return;
     }
     let own = shared.replicated_records.borrow().progress(Subject::Config);
-    if reader > own {
+    if reader.is_ahead_of(&own) {
         shared.control_wake.notify_one();
     } else if reader.next.era() == own.next.era() {
         record_read(shared, Subject::Config, Duration::ZERO);
--- a/crates/corianderstand_forward/src/peers.rs
+++ b/crates/corianderstand_forward/src/peers.rs
@@ -410,7 +410,7 @@
     ) -> impl Iterator<Item = (Progress, SocketAddr)> {
         self.heard(now).filter_map(move |(_, peer)| {
             let progress = peer.progress(subject, known.next.era())?;
-            (progress > known).then_some((progress, peer.addr))
+            progress.is_ahead_of(&known).then_some((progress, peer.addr))
         })
     }
 
--- a/crates/corianderstand_forward/src/replicated_records.rs
+++ b/crates/corianderstand_forward/src/replicated_records.rs
@@ -54,6 +54,17 @@
     pub next: Position,
 }
 
+impl Progress {
+    /// Whether it covers records that `known` lacks. A configuration of the same version is the same one, wherever it
+    /// stands; routers of earlier versions tell none.
+    pub fn is_ahead_of(&self, known: &Self) -> bool {
+        match self.config_version {
+            0 => self.next > known.next,
+            version => version > known.config_version,
+        }
+    }
+}
+
 /// Where the newest known record of a key came from.
 #[derives(key)]
 pub struct Origin {
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -184,7 +184,7 @@
         }
         (view.route_table.is_none() && !failed(dialect::Subject::Config))
             || (view.targets.is_empty()
-                && !records.is_known(dialect::Subject::Targets)
+                && records.next(dialect::Subject::Targets).offset() == 0
                 && !failed(dialect::Subject::Targets))
     }
 
--- a/crates/corianderstand_forward/src/status.rs
+++ b/crates/corianderstand_forward/src/status.rs
@@ -131,7 +131,8 @@
     }
 }
 
-fn records_update<P: router::Platform>(shared: &router::Shared<P>) -> wire::RecordsUpdate {
+/// How far this router knows the store's records.
+pub fn records_update<P: router::Platform>(shared: &router::Shared<P>) -> wire::RecordsUpdate {
     let records = shared.replicated_records.borrow();
     wire::RecordsUpdate {
         router: shared.settings.name.as_str().into(),
--- a/crates/corianderstand_forward/src/target_reports.rs
+++ b/crates/corianderstand_forward/src/target_reports.rs
@@ -5,7 +5,7 @@
 
 mod conversions;
 
-use crate::{broadcast, ended_targets, router};
+use crate::{broadcast, ended_targets, router, status};
 use corianderstand_derives::derives;
 use corianderstand_fleet::{crashes, exits};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
@@ -146,8 +146,8 @@
     broadcast::send(shared, &message);
 }
 
-/// Sends the ends for which requests are blocked or held, and the limits of requests in force, to a router that started,
-/// if this is one of the few routers that do. It may not have known the targets when they were reported.
+/// Sends the ends for which requests are blocked or held, the limits of requests in force, and how far the store's records
+/// are known, to a router that started, if this is one of the few routers that do. It may not have known the targets when they were reported.
 pub fn welcome<P: router::Platform>(
     shared: &router::Shared<P>,
     now: Instant,
@@ -173,6 +173,8 @@
         Some(Report::Limit(target.entry.id.clone(), Some(limit.per_s)))
     });
     let reports: Vec<Report> = crashes.into_iter().map(Report::Crash).chain(limits).collect();
+    // What it reads from a store that has just come back may be older.
+    shared.outbox.send(addr, &PeerMessage::RecordsNews(status::records_update(shared)));
     for batch in reports.chunks(MAX_REPORTS_PER_DATAGRAM) {
         shared.outbox.send(addr, &PeerMessage::TargetReports(conversions::to_update(now, batch)));
     }
--- a/crates/corianderstand_forward/src/transfer.rs
+++ b/crates/corianderstand_forward/src/transfer.rs
@@ -173,7 +173,8 @@
     progress: Progress,
 ) -> TransferOutcome {
     let known = shared.replicated_records.borrow().next(subject);
-    let is_superseded = || shared.replicated_records.borrow().progress(subject) >= progress;
+    let is_superseded =
+        || !progress.is_ahead_of(&shared.replicated_records.borrow().progress(subject));
     // Routers come and go one by one, so that most of their entries are known.
     let start = (subject == dialect::Subject::Routers).then_some(known);
     let request = RecordsRequest { subject, start };
--- a/crates/corianderstand_forward/tests/common/platform.rs
+++ b/crates/corianderstand_forward/tests/common/platform.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -22,7 +22,9 @@
 /// Contents and simulated faults of the store.
 #[derive(Default)]
 pub struct StoreState {
-    entries: BTreeMap<u64, (Subject, Record, Option<Update>)>,
+    entries: BTreeMap<u64, (Subject, Record)>,
+    /// What values mean, also those that were lost; none if they can't be read.
+    updates: HashMap<Bytes, Option<Update>>,
     next: u64,
     era: Era,
     down: bool,
@@ -112,25 +114,21 @@
     }
 
     fn put(&self, subject: Subject, key: &str, update: Option<Update>) {
-        self.put_value(subject, key, update, Bytes::from_static(b"x"));
+        let value = format!("value {}", self.state.lock().unwrap().updates.len());
+        self.put_value(subject, key, update, value.into());
     }
 
     fn put_value(&self, subject: Subject, key: &str, update: Option<Update>, value: Bytes) {
-        self.put_record(subject, key, update, Some(value));
+        self.state.lock().unwrap().updates.insert(value.clone(), update);
+        self.put_record(subject, key, Some(value));
     }
 
-    fn put_record(
-        &self,
-        subject: Subject,
-        key: &str,
-        update: Option<Update>,
-        value: Option<Bytes>,
-    ) {
+    fn put_record(&self, subject: Subject, key: &str, value: Option<Bytes>) {
         let mut state = self.state.lock().unwrap();
         let offset = state.next;
         let position = Position::new(state.era, offset);
         let record = Record { key: key.into(), value, position };
-        state.entries.insert(offset, (subject, record, update));
+        state.entries.insert(offset, (subject, record));
         state.next += 1;
     }
 
@@ -163,7 +161,7 @@
     }
 
     pub fn remove_target(&self, id: &str) {
-        self.put_record(Subject::Targets, id, None, None);
+        self.put_record(Subject::Targets, id, None);
     }
 
     pub fn put_unreadable_record(&self, subject: Subject, key: &str) {
@@ -206,17 +204,15 @@
         if from > state.next {
             return Err(StoreError::Compacted(0));
         }
-        let records = state
-            .entries
-            .range(from..)
-            .filter(|(_, (entry_subject, ..))| *entry_subject == subject);
-        let records = records.map(|(offset, (_, record, _))| {
+        let records =
+            state.entries.range(from..).filter(|(_, (entry_subject, _))| *entry_subject == subject);
+        let records = records.map(|(offset, (_, record))| {
             let position = Position::new(state.era, *offset);
             Record { position, ..record.clone() }
         });
         // Records of other subjects do not advance this one.
         let mut entries = state.entries.iter().rev();
-        let last = entries.find(|(_, (entry_subject, ..))| *entry_subject == subject);
+        let last = entries.find(|(_, (entry_subject, _))| *entry_subject == subject);
         let next = last.map_or(0, |(offset, _)| offset + 1).max(from);
         let next = Position::new(state.era, next);
         Ok(Page { records: records.collect(), next, whole: false, reaches_end: true })
@@ -361,12 +357,10 @@
     }
 
     fn decode(&self, _: Subject, record: &Record) -> Result<Option<Update>, RecordError> {
-        if record.value.is_none() {
+        let Some(value) = &record.value else {
             return Ok(Some(Update::TargetRemoved(record.key.as_str().into())));
-        }
-        let state = self.0.state.lock().unwrap();
-        let update =
-            state.entries.get(&record.position.offset()).and_then(|(_, _, update)| update.clone());
+        };
+        let update = self.0.state.lock().unwrap().updates.get(value).cloned().flatten();
         let unreadable =
             || RecordError::Unreadable { key: record.key.clone(), reason: "garbage".into() };
         update.map(Some).ok_or_else(unreadable)
--- a/crates/corianderstand_forward/tests/peers.rs
+++ b/crates/corianderstand_forward/tests/peers.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
-use corianderstand_forward::{dialect::Subject, peers::Peers};
-use corianderstand_schema::peers::RouterUpdate;
+use corianderstand_forward::{dialect::Subject, peers::Peers, replicated_records::Progress};
+use corianderstand_schema::peers::{RecordsUpdate, RouterUpdate};
+use corianderstand_types::position::{Era, Position};
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
@@ -43,3 +44,35 @@
     let delay = accepted_at.map(|now| now - start);
     assert!(delay.is_some_and(|delay| delay < Duration::from_secs(3)), "{delay:?}");
 }
+
+fn records(era: u64, config_version: u64, next: u64) -> RecordsUpdate {
+    RecordsUpdate {
+        router: "router-b".into(),
+        era,
+        config_version,
+        config_next: next,
+        targets_next: next,
+        routers_next: next,
+    }
+}
+
+/// Guards against records of before the store went back that look newer by their offsets, and against configurations
+/// that look older by them.
+#[rstest::rstest]
+#[case::targets_of_an_earlier_era(Subject::Targets, records(1, 20, 90), false)]
+#[case::targets_of_this_era(Subject::Targets, records(2, 20, 31), true)]
+#[case::an_older_configuration(Subject::Config, records(2, 19, 90), false)]
+#[case::the_same_configuration(Subject::Config, records(2, 20, 90), false)]
+#[case::a_newer_configuration_of_an_earlier_era(Subject::Config, records(1, 21, 5), true)]
+fn peers_are_ahead_by_era_and_version(
+    #[case] subject: Subject,
+    #[case] told: RecordsUpdate,
+    #[case] is_ahead: bool,
+) {
+    let (mut peers, now) = (Peers::default(), Instant::now());
+    peers.on_update(now, PEER_ADDR, update(1, 99));
+    assert!(peers.on_records(told));
+    let config_version = if subject == Subject::Config { 20 } else { 0 };
+    let known = Progress { config_version, next: Position::new(Era(2), 30) };
+    assert_eq!(peers.ahead(now, subject, known).count() == 1, is_ahead);
+}
--- a/crates/corianderstand_forward/tests/restored_store.rs
+++ b/crates/corianderstand_forward/tests/restored_store.rs
@@ -197,6 +197,20 @@
     assert!(gone_after < Duration::from_secs(5), "{gone_after:?}");
 }
 
+/// Guards against a router that starts just after the store went back, and takes the copy's configuration for the newest.
+#[tokio::test]
+async fn a_router_that_starts_meanwhile_has_the_configuration_of_its_peers() {
+    let deployment = Deployment::start().await;
+    deployment.store.restore(deployment.copy);
+    let seeds = vec![deployment.router.peers];
+    let stop_within = Duration::from_secs(8);
+    let later = RouterThread::start_with(&deployment.store, "router-b", seeds, stop_within);
+    later.wait_ready().await;
+    let took = wait_while(&later, "/pay/", "404").await;
+    assert!(took < Duration::from_millis(500), "{took:?}");
+    assert_stays(&later, "/old/", "404", Duration::from_secs(1)).await;
+}
+
 /// Guards against a router that the others that start later do not know, as its entry is lost.
 #[tokio::test]
 async fn a_router_announces_itself_again_after_the_store_went_back() {
