--- a/crates/corianderstand_forward/tests/readers.rs
+++ b/crates/corianderstand_forward/tests/readers.rs
@@ -11,6 +11,7 @@
     router,
 };
 use corianderstand_schema::peers::{PeerMessage, RouterUpdate, StoreUse};
+use corianderstand_types::position::{Era, Position};
 use rstest::rstest;
 use std::{
     net::SocketAddr,
@@ -315,6 +316,47 @@
     assert_eq!(records.newer(subject, page(10)), [record("removed", 4)], "a later page has it");
 }
 
+/// Guards against a target that a follower keeps, as it read the copy's entry, and its reader knows of the removal from
+/// before the store came back.
+#[test]
+fn a_removal_of_an_earlier_era_in_a_page_of_all_keys_counts() {
+    let (subject, mut records) = (Subject::Targets, ReplicatedRecords::default());
+    let at = |era, offset| Position::new(Era(era), offset);
+    let record = |value: Option<&str>, position| Record {
+        key: "target".into(),
+        value: value.map(|value| value.to_owned().into()),
+        position,
+    };
+    records.raise(Instant::now(), Era(2));
+    records.insert(subject, record(Some("x"), at(2, 3)), Source::Store, content(7));
+    records.advance(subject, PageEnd { next: at(2, 5), whole: true });
+    let page = Page {
+        records: vec![record(None, at(1, 40))],
+        next: at(2, 9),
+        whole: true,
+        reaches_end: false,
+    };
+    assert_eq!(records.newer(subject, page), [record(None, at(2, 8))]);
+}
+
+/// Guards against followers that remove all targets, as their reader takes entries that were written again for renewals.
+#[test]
+fn entries_that_were_written_again_since_the_store_came_back_are_transferred() {
+    let (subject, mut records) = (Subject::Targets, ReplicatedRecords::default());
+    let entry = |position| Record { key: "target".into(), value: Some("x".into()), position };
+    let at = |era, offset| Position::new(Era(era), offset);
+    records.raise(Instant::now(), Era(1));
+    records.insert(subject, entry(at(1, 20)), Source::Store, content(7));
+    records.advance(subject, PageEnd { next: at(1, 21), whole: true });
+    records.raise(Instant::now(), Era(2));
+    records.advance(subject, PageEnd { next: at(2, 5), whole: true });
+    assert_eq!(records.awaited(subject), 1);
+    records.insert(subject, entry(at(2, 6)), Source::Store, content(7));
+    records.advance(subject, PageEnd { next: at(2, 7), whole: false });
+    assert_eq!(records.awaited(subject), 0);
+    assert_eq!(records.changes(subject, at(2, 5)).records, [entry(at(2, 6))]);
+}
+
 /// Guards against removals that are held back although the store was there: only this router stood still.
 #[test]
 fn a_pause_without_a_failed_read_is_no_recovery_of_the_store() {
