Followers learn of removals and of entries written again since the store came back

Two faults of the mend, at followers only. A page of all keys told of a removal by a record of an earlier era, which counted as the key's presence and was then ignored as older: a removal counts as presence only if it is applied itself. And an entry that was written again unchanged was taken for a renewal, which is not passed on: since the store came back it is a change.

--- a/crates/corianderstand_forward/src/replicated_records.rs
+++ b/crates/corianderstand_forward/src/replicated_records.rs
@@ -429,7 +429,10 @@
         // A configuration may be newer at an earlier position, as a peer has it from before the store came back.
         record.position =
             known.map_or(record.position, |known| known.record.position.max(record.position));
-        let unchanged = known.filter(|known| known.content.hash == content.hash);
+        // Since the store came back, followers await it even if it is unchanged.
+        let unchanged = known.filter(|known| {
+            known.content.hash == content.hash && known.changed_at.era() == record.position.era()
+        });
         let changed_at = unchanged.map_or(record.position, |known| known.changed_at);
         // A removal and a value that can't be decoded say nothing of their own age.
         if let (Some(known), Stamp::None) = (known, &content.stamp) {
@@ -457,8 +460,11 @@
         let Some(entry) = self.by_subject.get(&subject).filter(|_| page.whole) else {
             return Vec::new();
         };
+        // A peer may know of a removal from before the store came back only.
+        let tells =
+            |record: &&dialect::Record| record.value.is_some() || self.is_later(subject, record);
         let present: HashSet<&str> =
-            page.records.iter().map(|record| record.key.as_str()).collect();
+            page.records.iter().filter(tells).map(|record| record.key.as_str()).collect();
         let known = entry.records.values().map(|stored| &stored.record);
         let removed = known.filter(|record| {
             record.value.is_some()
