--- a/crates/corianderstand_fleet/tests/quotas.rs
+++ b/crates/corianderstand_fleet/tests/quotas.rs
@@ -3,7 +3,10 @@
 #[path = "common/quotas.rs"]
 mod simulation;
 
-use corianderstand_fleet::quota::{Claim, ClaimSource, ledger};
+use corianderstand_fleet::{
+    quota::{Claim, ClaimSource, Tolerance, ledger},
+    workspaces,
+};
 use rstest::rstest;
 use simulation::{Cluster, Way};
 use std::time::{Duration, Instant};
@@ -150,6 +153,51 @@
     assert_eq!(wait(3, secs(17), 700), Duration::ZERO, "usual requests are granted");
 }
 
+/// Guards against a burst of all that came in while nobody asked, as the keeper takes it for a time in which it stood
+/// still.
+#[test]
+fn a_workspace_that_asked_for_nothing_gets_one_burst() {
+    const CALLERS: u64 = 12;
+    const COST: u64 = 200;
+    let quota = workspaces::Quota {
+        per_s: 800.0,
+        burst: 800.0,
+        unit: workspaces::CostUnit::Token { default: 50 },
+    };
+    let tolerance = Tolerance { window: secs(4), ratio: 0.1, fixed: 700.0 };
+    let start = Instant::now();
+    let mut ledger = ledger::Ledger::default();
+    let mut spent = [0; CALLERS as usize];
+    let mut ask = |sequence: u64, after: Duration, cost: u64| -> u64 {
+        let granted = spent.iter_mut().enumerate().map(|(caller, spent)| {
+            let router = format!("router-{caller}").into();
+            let source = ClaimSource { router, incarnation: 1, sequence };
+            let claim = Claim {
+                workspace: "w".into(),
+                spent: *spent,
+                held: 0,
+                first: cost,
+                needed: cost,
+                ahead: 0,
+                per_s: 0,
+            };
+            let grant = ledger.claim(start + after, start, &quota, &tolerance, &source, &claim);
+            let granted = grant.map_or(0, |grant| grant.granted);
+            *spent += granted;
+            granted
+        });
+        granted.sum()
+    };
+    ask(1, secs(6), 0);
+    ask(2, secs(7), COST);
+    let idle = secs(6);
+    let step = Duration::from_millis(100);
+    let granted: u64 =
+        (0..10).map(|number| ask(3 + number, secs(7) + idle + step * number as u32, COST)).sum();
+    let allowed = quota.burst + quota.per_s + tolerance.fixed;
+    assert!(granted as f64 <= allowed, "{granted} in a second, {allowed} are allowed");
+}
+
 /// Guards against a router that gets nothing after it started with a clock set back.
 #[test]
 fn a_router_that_looks_older_after_a_restart_is_heard() {
