A keeper of a quota that heard no claims grants one burst, not all that came in meanwhile

Cause: a keeper that heard no claims takes itself for one that stood still, and keeps all that came in until the routers have told what they spent; each claim was then granted up to a quarter of a burst, whatever the others had got. Now a second level, of a bucket that was full at that moment, bounds all claims together, and what is left afterwards.

--- a/crates/corianderstand_fleet/src/quota/ledger.rs
+++ b/crates/corianderstand_fleet/src/quota/ledger.rs
@@ -58,6 +58,8 @@
     created_at: Instant,
     refilled_at: Instant,
     settling_until: Option<Instant>,
+    /// What a bucket that was full when the settling began holds now: the routers may just have asked for nothing.
+    settling_level: f64,
     claims: HashMap<SmolStr, RouterClaim>,
 }
 
@@ -113,6 +115,7 @@
             created_at: now,
             refilled_at: if is_steady { steady_since } else { now },
             settling_until: None,
+            settling_level: 0.0,
             claims: HashMap::new(),
         }
     }
@@ -122,12 +125,20 @@
         self.refilled_at = self.refilled_at.max(now);
         self.level += elapsed.as_secs_f64() * quota.per_s;
         self.refused = (self.refused - elapsed.as_secs_f64() * quota.per_s).max(0.0);
+        self.settling_level =
+            (self.settling_level + elapsed.as_secs_f64() * quota.per_s).min(quota.burst);
         if elapsed >= UNHEARD_TIME && !self.claims.is_empty() {
             self.settling_until = Some(now + SETTLING_TIME);
+            self.settling_level = quota.burst;
         }
         // Until all routers have reported, the level includes what they spent.
         if !self.is_settling(now) {
-            self.level = self.level.min(quota.burst);
+            let most = if self.settling_until.take().is_some() {
+                self.settling_level
+            } else {
+                quota.burst
+            };
+            self.level = self.level.min(most);
         }
     }
 
@@ -186,7 +197,11 @@
     ) -> Grant {
         let held: u64 = self.claims.values().map(|claim| claim.held).sum();
         let reserved = quota.burst * RESERVED_BURST_RATIO;
-        let level = if self.is_settling(now) { self.level.min(reserved) } else { self.level };
+        let is_settling = self.is_settling(now);
+        let level = match is_settling {
+            true => self.level.min(self.settling_level).min(reserved),
+            false => self.level,
+        };
         let mut granted = level.max(0.0).min(claim.needed as f64);
         let lacking = claim.first.saturating_sub(claim.held) as f64;
         let mut wait = 0.0;
@@ -207,6 +222,7 @@
         let ahead = (claim.ahead as f64).min(spare).min(advance_left).max(0.0);
         let granted = (granted + ahead) as u64;
         self.level -= granted as f64;
+        self.settling_level -= granted as f64;
         if let Some(claim) = self.claims.get_mut(&source.router) {
             claim.claimed += granted;
             claim.held += granted;
