--- a/tools/ci/src/main.rs
+++ b/tools/ci/src/main.rs
@@ -4,7 +4,7 @@
 
 use std::process::{Command, ExitCode};
 
-const STEPS: [(&str, &[&[&str]]); 9] = [
+const STEPS: [(&str, &[&[&str]]); 10] = [
     ("format", &[&["fmt", "--all", "--check"]]),
     (
         "generated",
@@ -66,6 +66,17 @@
             &["run", "--quiet", "--locked", "-p", "soak", "--", "--answers", "--kept"],
         ],
     ),
+    (
+        "soak-copies",
+        &[
+            &["build", "--workspace", "--locked", "--quiet"],
+            &[
+                "run", "--quiet", "--locked", "-p", "soak", "--", "--copies", "--faults", "20",
+                "--kept",
+            ],
+            &["run", "--quiet", "--locked", "-p", "soak", "--", "--cuts", "--seeds", "102001"],
+        ],
+    ),
     ("test", &[&["build", "--workspace", "--locked", "--quiet"]]),
 ];
 
