--- a/crates/corianderstand_forward/tests/retries.rs
+++ b/crates/corianderstand_forward/tests/retries.rs
@@ -20,7 +20,15 @@
     allowance: budget::Allowance,
     is_first_start: bool,
 ) -> (RouterThread, Target, Target) {
-    let store = MemoryStore::default();
+    start_on(&MemoryStore::default(), allowance, is_first_start).await
+}
+
+/// Like [`start`], with a given store.
+async fn start_on(
+    store: &MemoryStore,
+    allowance: budget::Allowance,
+    is_first_start: bool,
+) -> (RouterThread, Target, Target) {
     let (first, second) = (Target::start().await, Target::start().await);
     store.put_config(common::config(1, vec![common::route("/desk/", "desk")]));
     store.put_target(first.entry("target-1", "desk"));
@@ -28,7 +36,7 @@
     let mut settings = RouterThread::settings("router-a", Vec::new(), Duration::from_secs(8));
     settings.bounds.allowance = allowance;
     settings.is_first_start = is_first_start;
-    let router = RouterThread::start_on(&store, settings);
+    let router = RouterThread::start_on(store, settings);
     router.wait_ready().await;
     (router, first, second)
 }
@@ -96,17 +104,8 @@
     let allowance =
         budget::Allowance { ratio: 0.0, fixed: 50.0, window: Duration::from_millis(200) };
     let store = MemoryStore::default();
-    let (first, second) = (Target::start().await, Target::start().await);
-    store.put_config(common::config(1, vec![common::route("/desk/", "desk")]));
-    store.put_target(first.entry("target-1", "desk"));
-    store.put_target(second.entry("target-2", "desk"));
-    let mut settings = RouterThread::settings("router-a", Vec::new(), Duration::from_secs(8));
-    settings.bounds.allowance = allowance;
-    settings.is_first_start = true;
-    let own_store = store.isolated();
-    let router = RouterThread::start_on(&own_store, settings);
-    router.wait_ready().await;
-    own_store.set_unavailable(true);
+    let (router, first, second) = start_on(&store, allowance, true).await;
+    store.set_unavailable(true);
     let counts = [refuse_all(first), refuse_all(second)];
     tokio::time::sleep(Duration::from_secs(4)).await;
     for number in 0..REQUESTS {
