--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -13,6 +13,7 @@
 mod faults;
 mod floods;
 mod leavings;
+mod plan;
 mod proxy;
 mod requests;
 mod rests;
@@ -25,10 +26,10 @@
 use bytes::Bytes;
 use callers::{Callers, CrashCause, Outcome, RequestKind};
 use checks::Disruption;
-use cluster::{Cluster, ClusterSize, MODELS};
+use cluster::{Cluster, MODELS};
 use floods::Balancer;
-use getopts::Options;
 use http::StatusCode;
+use plan::RunPlan;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::{
@@ -38,8 +39,6 @@
 };
 use workspaces::Workspace;
 
-const DEFAULT_FAULTS: usize = 8;
-const MAX_CONCURRENT_FAULTS: usize = 3;
 const MAX_FAULT_PAUSE_MS: u64 = 900;
 const CALLERS_PER_ROUTER: usize = 8;
 const ZONED_CALLERS: usize = 4;
@@ -57,128 +56,15 @@
 const MAX_LIMIT_DELAY_MS: u64 = 2_000;
 const LIMIT_RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
 
-const DEFAULT_SIZE: ClusterSize = ClusterSize {
-    routers: 3,
-    engines: 4,
-    service_targets: 2,
-    zones: 1,
-    drain_within: Duration::from_secs(2),
-    has_relays: false,
-};
-const LARGE_SIZE: ClusterSize =
-    ClusterSize { routers: 20, engines: 39, service_targets: 6, ..DEFAULT_SIZE };
-/// Each zone has routers that read the store and others that follow them.
-const ZONED_SIZE: ClusterSize = ClusterSize {
-    routers: 12,
-    engines: 8,
-    service_targets: 4,
-    zones: 2,
-    drain_within: Duration::from_secs(3),
-    has_relays: false,
-};
-/// Routers share the retry budget.
-const BURSTS_SIZE: ClusterSize = ClusterSize { routers: 5, ..DEFAULT_SIZE };
-/// Routers share the retry budget and cannot always hear each other.
-const CUTS_SIZE: ClusterSize = ClusterSize { has_relays: true, ..BURSTS_SIZE };
-const BURSTS_FAULTS: usize = 24;
-const BURSTS_CONCURRENT_FAULTS: usize = 4;
-/// As with zones, and routers cannot always hear each other.
-const COPIES_SIZE: ClusterSize = ClusterSize { has_relays: true, ..ZONED_SIZE };
-const FLOODED_FAULTS: usize = 16;
-const ZONED_FAULTS: usize = 40;
-const ZONED_CONCURRENT_FAULTS: usize = 7;
-
 fn main() -> ExitCode {
-    let mut options = Options::new();
-    options.optopt("", "seeds", "seeds to run, such as 7 or 1-50 (default: a random one)", "A-B");
-    options.optflag("", "kept", "run the seeds of past failures");
-    options.optflag("", "large", "run the large cluster");
-    options.optflag(
-        "",
-        "zones",
-        "run two zones whose targets leave beside faults of their readers",
-    );
-    options.optflag("", "parts", "engines end under one part of differing prompts");
-    options.optflag("", "floods", "one router after the other gets most new connections");
-    options.optflag(
-        "",
-        "bursts",
-        "all engines turn requests away for short times beside faults of the routers",
-    );
-    options.optflag(
-        "",
-        "answers",
-        "targets say in their answers that they leave, while the store is away, or ask for rest",
-    );
-    options.optflag(
-        "",
-        "cuts",
-        "all engines turn requests away for short times while routers cannot hear each other",
-    );
-    options.optflag("", "copies", "the store goes back to older copies, in two zones");
-    options.optopt(
-        "",
-        "faults",
-        "faults per run (default 8, with floods 16, with bursts, answers or cuts 24, with zones or copies 40)",
-        "N",
-    );
-    let matches = match options.parse(std::env::args().skip(1)) {
-        Ok(matches) => matches,
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let (plan, seeds) = match plan::parse(&args) {
+        Ok(parsed) => parsed,
         Err(error) => {
-            eprintln!(
-                "{error}\n{}",
-                options
-                    .usage("soak [--seeds A-B] [--kept] [--large] [--zones] [--parts] [--floods] [--bursts] [--answers] [--cuts] [--copies]")
-            );
+            eprintln!("{error}");
             return ExitCode::from(2);
         }
     };
-    let has_copies = matches.opt_present("copies");
-    let has_zones = matches.opt_present("zones") || has_copies;
-    let has_floods = matches.opt_present("floods");
-    let cause = if matches.opt_present("parts") { CrashCause::Part } else { CrashCause::Body };
-    let has_bursts = matches.opt_present("bursts");
-    let kind = if has_copies {
-        seeds::RunKind::Copies
-    } else if has_zones {
-        seeds::RunKind::Zones
-    } else if has_bursts {
-        seeds::RunKind::Bursts
-    } else if matches.opt_present("answers") {
-        seeds::RunKind::Answers
-    } else if matches.opt_present("cuts") {
-        seeds::RunKind::Cuts
-    } else if cause == CrashCause::Part {
-        seeds::RunKind::Parts
-    } else {
-        seeds::RunKind::Plain
-    };
-    let seeds = if matches.opt_present("kept") {
-        seeds::kept(kind)
-    } else {
-        seeds::parse(matches.opt_str("seeds").as_deref())
-    };
-    let Some(seeds) = seeds else {
-        eprintln!("invalid seeds: expected a number or a range, such as 7 or 1-50");
-        return ExitCode::from(2);
-    };
-    let (size, default_faults, concurrent_faults) = if has_copies {
-        (COPIES_SIZE, ZONED_FAULTS, ZONED_CONCURRENT_FAULTS)
-    } else if has_zones {
-        (ZONED_SIZE, ZONED_FAULTS, ZONED_CONCURRENT_FAULTS)
-    } else if kind == seeds::RunKind::Cuts {
-        (CUTS_SIZE, BURSTS_FAULTS, BURSTS_CONCURRENT_FAULTS)
-    } else if has_bursts || kind == seeds::RunKind::Answers {
-        (BURSTS_SIZE, BURSTS_FAULTS, BURSTS_CONCURRENT_FAULTS)
-    } else if matches.opt_present("large") {
-        (LARGE_SIZE, DEFAULT_FAULTS, MAX_CONCURRENT_FAULTS)
-    } else {
-        (DEFAULT_SIZE, DEFAULT_FAULTS, MAX_CONCURRENT_FAULTS)
-    };
-    let default_faults =
-        if has_floods { default_faults.max(FLOODED_FAULTS) } else { default_faults };
-    let faults = matches.opt_get_default("faults", default_faults).unwrap_or(default_faults);
-    let plan = RunPlan { kind, size, faults, concurrent_faults, cause, has_floods };
     let mut delays = Vec::new();
     let mut failed = Vec::new();
     for seed in seeds {
@@ -202,30 +88,6 @@
     if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-#[derive(Clone, Copy, Debug)]
-struct RunPlan {
-    kind: seeds::RunKind,
-    size: ClusterSize,
-    faults: usize,
-    concurrent_faults: usize,
-    /// Why requests end the engines that run them.
-    cause: CrashCause,
-    /// Whether one router after the other gets most new connections.
-    has_floods: bool,
-}
-
-impl RunPlan {
-    const fn has_zones(&self) -> bool {
-        self.size.zones > 1
-    }
-
-    /// Whether all requests are alike: no quota, key, limit or crash tells them apart.
-    fn has_equal_callers(&self) -> bool {
-        use seeds::RunKind::{Answers, Bursts, Cuts};
-        matches!(self.kind, Bursts | Answers | Cuts)
-    }
-}
-
 /// Runs one seed and returns the violations; logs are kept if there are any. Adds the time from the leaving of
 /// each target to the last request that reached it to `delays`.
 async fn run_seed(seed: u64, plan: RunPlan, delays: &mut Vec<Duration>) -> Vec<String> {
