--- a/crates/corianderstand_forward/src/transfer/wire.rs
+++ b/crates/corianderstand_forward/src/transfer/wire.rs
@@ -107,3 +107,6 @@
         Record { key, value, position: Position::new(era, offset) }
     }
 }
+
+#[cfg(test)]
+mod tests;
