Hard load: what is missing, the interfaces of its parts, and the switches of each

Two customers' load is served by chance (docs/design/0018-hard-load.md). Nothing uses them yet: served as before.

Checked: cargo check and clippy over all targets; formatter.

--- a/crates/corianderstand_cli/src/args.rs
+++ b/crates/corianderstand_cli/src/args.rs
@@ -116,6 +116,9 @@
     if command.runs_process() {
         options.optflag("p", "platform", "run on the users' platform, with its settings file");
     }
+    if command == Command::Router {
+        options.optopt("f", "features", "features of a router on the platform", "FILE");
+    }
     if command == Command::Check {
         options.optflag("p", "platform", "the files are settings of the users' platform");
     }
--- a/crates/corianderstand_cli/src/lib.rs
+++ b/crates/corianderstand_cli/src/lib.rs
@@ -78,7 +78,7 @@
 
 fn dispatch(command: Command, matches: &getopts::Matches) -> Exit {
     match command {
-        Command::Router if matches.opt_present("platform") => platform::router(),
+        Command::Router if matches.opt_present("platform") => platform::router(matches),
         Command::Agent if matches.opt_present("platform") => platform::agent(),
         Command::Router => process::router(matches),
         Command::Agent => process::agent(matches),
--- a/crates/corianderstand_cli/src/platform.rs
+++ b/crates/corianderstand_cli/src/platform.rs
@@ -1,18 +1,31 @@
 //! `router`, `agent` and `check` with `--platform`.
 
-use crate::{Exit, logging};
+use crate::{Exit, directory, logging};
+use corianderstand_fleet::features;
 use corianderstand_forward::{agent, router};
 use corianderstand_platform::{Platform, engine, settings};
+use corianderstand_schema::check::{self, Document};
 use corianderstand_types::clock::SystemClock;
 use getopts::Matches;
-use std::{fmt::Display, sync::Arc, time::Duration};
+use std::{
+    fmt::Display,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-pub fn router() -> Exit {
+/// Runs a router, with the features that `--features` names, if it is given.
+pub fn router(matches: &Matches) -> Exit {
+    let features = matches.opt_str("features").map(PathBuf::from);
     run(|fields| {
-        let (settings, store) = (fields.router()?, fields.store()?);
+        let mut settings = fields.router()?;
+        if let Some(path) = &features {
+            settings.bounds.features = read_features(path)?;
+        }
+        let store = fields.store()?;
         let platform = move |client| Platform::new(client, store);
-        let reload = SettingsFile::new(settings.clone());
+        let reload = SettingsFile::new(settings.clone(), features);
         router::run(settings, Arc::new(SystemClock), platform, stop(), reload).map_err(Into::into)
     })
 }
@@ -49,22 +62,62 @@
 
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
-/// A router's settings file, reloaded on SIGHUP and periodically.
+/// Why features cannot be used.
+#[derive(Clone, PartialEq, Eq, Debug, displaydoc::Display)]
+enum FeaturesError {
+    /// {0}
+    Unreadable(String),
+    /// {path}: {faults}
+    Invalid {
+        /// The file.
+        path: String,
+        /// Its violations of the schema, with remedies.
+        faults: String,
+    },
+}
+
+impl std::error::Error for FeaturesError {}
+
+/// Reads a file of features and checks it.
+fn read_features(path: &Path) -> Result<features::Features, FeaturesError> {
+    let value =
+        directory::read_file(path).map_err(|error| FeaturesError::Unreadable(error.to_string()))?;
+    let faults = check::check(Document::Features, &value);
+    let invalid = |faults| FeaturesError::Invalid { path: path.display().to_string(), faults };
+    if !faults.is_empty() {
+        let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        return Err(invalid(faults.join("; ")));
+    }
+    serde_json::from_value(value).map_err(|error| invalid(error.to_string()))
+}
+
+/// A router's settings file and its features, reloaded on SIGHUP and periodically.
 struct SettingsFile {
     active: router::Settings,
+    features: Option<PathBuf>,
     /// Last reported error, to log each error once.
-    fault: Option<settings::SettingsError>,
+    fault: Option<String>,
     hangup_signal: Option<Signal>,
 }
 
 impl SettingsFile {
-    const fn new(active: router::Settings) -> Self {
-        Self { active, fault: None, hangup_signal: None }
+    const fn new(active: router::Settings, features: Option<PathBuf>) -> Self {
+        Self { active, features, fault: None, hangup_signal: None }
+    }
+
+    fn read(&self) -> Result<router::Settings, String> {
+        let fields = settings::Fields::load();
+        let settings = fields.and_then(|fields| fields.router());
+        let mut settings = settings.map_err(|error| error.to_string())?;
+        if let Some(path) = &self.features {
+            settings.bounds.features = read_features(path).map_err(|error| error.to_string())?;
+        }
+        Ok(settings)
     }
 
     /// Returns the settings if they have changed. An invalid file keeps the active settings.
     fn poll(&mut self) -> Option<router::Settings> {
-        match settings::Fields::load().and_then(|fields| fields.router()) {
+        match self.read() {
             Ok(settings) => {
                 self.fault = None;
                 let differs = settings != self.active;
--- a/crates/corianderstand_fleet/src/config.rs
+++ b/crates/corianderstand_fleet/src/config.rs
@@ -129,6 +129,8 @@
     pub loads_per_s: f64,
     /// Models that may be loaded.
     pub models: Vec<Model>,
+    /// What engines can do with the KV cache of a request besides running it.
+    pub cache: CacheSupport,
 }
 
 impl Engine {
@@ -138,6 +140,24 @@
     }
 }
 
+/// What the engines of a service offer to do with the KV cache of a request.
+#[derives(data)]
+#[derive(Copy, Default)]
+pub struct CacheSupport {
+    /// Whether an engine can keep a growing copy of the cache of a request that runs at another.
+    pub copies: bool,
+    /// Whether the cache of a running request can be moved to another engine.
+    pub moves: bool,
+    /// Size of the cache of one token, in bytes; 0 if unknown.
+    pub token_bytes: u64,
+    /// Time for which a copy is kept after its last part.
+    pub copy_ttl: Duration,
+    /// Longest time for which a slot and memory can be reserved; zero if they can't.
+    pub max_reservation: Duration,
+    /// Longest time for which the cache of a complete request can be kept; zero if it can't.
+    pub max_retention: Duration,
+}
+
 /// A model that engines can load.
 #[derives(data)]
 #[derive(Default)]
--- a/crates/corianderstand_fleet/src/snapshot.rs
+++ b/crates/corianderstand_fleet/src/snapshot.rs
@@ -24,6 +24,8 @@
     pub ongoing: Option<targets::OngoingCommand>,
     /// Requests per second that it takes from all routers together, if it names a limit.
     pub request_limit: Option<f64>,
+    /// Its speed relative to the usual one of its service; 1 if it is not known.
+    pub speed: f64,
     /// Running requests per model, from all routers.
     pub running: BTreeMap<names::ModelId, u32>,
 }
--- a/crates/corianderstand_fleet/src/targets/entry.rs
+++ b/crates/corianderstand_fleet/src/targets/entry.rs
@@ -149,4 +149,6 @@
     pub waiting: u32,
     /// Tokens in the KV cache that cannot be evicted; none if unknown.
     pub cache_used: Option<u64>,
+    /// How long work takes now, in percent of the usual time; none if the target does not state it.
+    pub slowdown_percent: Option<u32>,
 }
--- a/crates/corianderstand_fleet/src/targets/load.rs
+++ b/crates/corianderstand_fleet/src/targets/load.rs
@@ -52,6 +52,9 @@
 
     /// Records the reported load.
     pub fn record_load(&mut self, now: Instant, load: Load) {
+        if let Some(percent) = load.slowdown_percent {
+            self.pace.record_stated(now, percent);
+        }
         let reported = &mut self.reported_load;
         reported.requests = load.running + load.waiting;
         reported.requests_at = Some(now);
--- a/crates/corianderstand_fleet/src/targets/target.rs
+++ b/crates/corianderstand_fleet/src/targets/target.rs
@@ -1,7 +1,7 @@
 //! What is known of one target.
 
 use super::{Entry, Holdings, OngoingCommand, RequestLimit, load, rest};
-use crate::{choose, health};
+use crate::{choose, health, pace};
 use corianderstand_types::names;
 use std::{
     collections::{BTreeMap, HashMap},
@@ -40,6 +40,8 @@
     pub local_requests: u32,
     /// Expected tokens of the in-flight requests of this process.
     pub local_tokens: u64,
+    /// How fast it works.
+    pub pace: pace::Pace,
     /// Mean time between events of its streams.
     pub event_interval: health::EventInterval,
     /// Limit of requests that it named in its last response, if any.
@@ -76,6 +78,7 @@
             in_flight: BTreeMap::new(),
             local_requests: 0,
             local_tokens: 0,
+            pace: pace::Pace::default(),
             event_interval: health::EventInterval::default(),
             request_limit: None,
             rest: None,
--- a/crates/corianderstand_fleet/tests/common/mod.rs
+++ b/crates/corianderstand_fleet/tests/common/mod.rs
@@ -314,6 +314,7 @@
                 holdings: engine.holdings.clone(),
                 ongoing,
                 request_limit: None,
+                speed: 1.0,
                 running,
             }
         });
--- a/crates/corianderstand_fleet/tests/decisions.rs
+++ b/crates/corianderstand_fleet/tests/decisions.rs
@@ -225,10 +225,10 @@
     let key = targets.key(&id("e")).unwrap();
     let (requested, service, zone) = (requested(), "models".into(), "here".into());
     let query = query(&requested, &service, &zone);
-    let load = Load { running: 4, waiting: 0, cache_used: None };
+    let load = Load { running: 4, ..Load::default() };
     targets.get_mut(key).unwrap().record_load(now, load);
     assert_eq!(choose::choose(now, &targets, &query), choose::Choice::Full);
-    let load = Load { running: 1, waiting: 0, cache_used: Some(9_500) };
+    let load = Load { running: 1, cache_used: Some(9_500), ..Load::default() };
     targets.get_mut(key).unwrap().record_load(now, load);
     assert_eq!(choose::choose(now, &targets, &query), choose::Choice::Full, "its cache is full");
 }
--- a/crates/corianderstand_fleet/tests/plan_size.rs
+++ b/crates/corianderstand_fleet/tests/plan_size.rs
@@ -63,6 +63,7 @@
                 holdings: targets::Holdings { on_disk, ..Default::default() },
                 ongoing: None,
                 request_limit: None,
+                speed: 1.0,
                 running: BTreeMap::new(),
             }
         });
--- a/crates/corianderstand_fleet/tests/reported_load.rs
+++ b/crates/corianderstand_fleet/tests/reported_load.rs
@@ -5,7 +5,7 @@
 use targets::{AgentReport, Entry, Holdings, Load, OngoingCommand, Resident, TargetKey, Targets};
 
 const SLOTS: u32 = 6;
-const FULL: Load = Load { running: SLOTS, waiting: 0, cache_used: None };
+const FULL: Load = Load { running: SLOTS, waiting: 0, cache_used: None, slowdown_percent: None };
 const LATER: Duration = Duration::from_secs(1);
 
 fn plain_target(now: Instant) -> (Targets, TargetKey) {
--- a/crates/corianderstand_forward/src/agent/report.rs
+++ b/crates/corianderstand_forward/src/agent/report.rs
@@ -80,7 +80,7 @@
             remaining_ms: ongoing.expected_duration.saturating_sub(elapsed).as_millis() as u32,
         })
     });
-    let targets::Load { running, waiting, cache_used } = report.load;
+    let targets::Load { running, waiting, cache_used, .. } = report.load;
     peers::EngineUpdate {
         target: plan.target.clone(),
         born: report.started_at_ms.unwrap_or(0),
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -280,6 +280,7 @@
             running: update.running,
             waiting: update.waiting,
             cache_used: Some(update.cache_used),
+            slowdown_percent: None,
         },
     }
 }
--- a/crates/corianderstand_forward/src/planning.rs
+++ b/crates/corianderstand_forward/src/planning.rs
@@ -157,6 +157,7 @@
             holdings: target.entry.holdings.clone(),
             ongoing: target.ongoing.clone(),
             request_limit: target.request_limit.map(|limit| limit.per_s),
+            speed: 1.0,
             running,
         }
     });
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -7,7 +7,7 @@
 };
 use corianderstand_derives::derives;
 use corianderstand_fleet::{
-    budget, choose, demand, overload, quota, request_slots as slots, targets, wait_limit,
+    budget, choose, demand, features, overload, quota, request_slots as slots, targets, wait_limit,
 };
 use corianderstand_schema::peers::StoreUse;
 use corianderstand_types::{clock, names, pause};
@@ -73,6 +73,8 @@
     pub quota_tolerance: quota::Tolerance,
     /// Time within which a shutdown must complete.
     pub stop_within: Duration,
+    /// Features that the operator switches.
+    pub features: features::Features,
 }
 
 impl Bounds {
--- a/crates/corianderstand_forward/src/view.rs
+++ b/crates/corianderstand_forward/src/view.rs
@@ -109,6 +109,7 @@
                 holdings: target.entry.holdings.clone(),
                 ongoing: None,
                 request_limit: None,
+                speed: 1.0,
                 running: BTreeMap::new(),
             };
             let (time, _) = snapshot::load_source(&view, model);
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -8,7 +8,7 @@
 
 pub use platform::{MemoryStore, PlainPlatform};
 
-use corianderstand_fleet::{budget, config, quota, targets};
+use corianderstand_fleet::{budget, config, features, quota, targets};
 use corianderstand_forward::{
     precedence::Stamp,
     replicated_records::{Content, Progress},
@@ -162,6 +162,7 @@
                 revoke_within: None,
                 quota_tolerance: quota::Tolerance::default(),
                 stop_within,
+                features: features::Features::default(),
             },
         }
     }
--- a/crates/corianderstand_schema/src/check.rs
+++ b/crates/corianderstand_schema/src/check.rs
@@ -34,6 +34,8 @@
     Router,
     /// Settings of an agent process.
     Agent,
+    /// Features of a router on the users' platform.
+    Features,
 }
 
 /// A violation of a document's schema.
@@ -51,7 +53,7 @@
 impl std::error::Error for Violation {}
 
 impl Document {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 9] = [
         Self::Deployment,
         Self::Model,
         Self::Service,
@@ -60,6 +62,7 @@
         Self::TeamService,
         Self::Router,
         Self::Agent,
+        Self::Features,
     ];
 
     const fn definition(self) -> (&'static str, &'static str) {
@@ -72,6 +75,7 @@
             Self::TeamService => (SETTINGS, "TeamService"),
             Self::Router => (PROCESS, "RouterSettings"),
             Self::Agent => (PROCESS, "AgentSettings"),
+            Self::Features => (PROCESS, "Features"),
         }
     }
 
--- a/tools/reference/src/settings.rs
+++ b/tools/reference/src/settings.rs
@@ -19,7 +19,8 @@
 pub fn process_sections() -> String {
     let router = Document::Router.schema();
     let agent = Document::Agent.schema();
-    format!("{}\n{}", render_section(&router), render_section(&agent))
+    let features = Document::Features.schema();
+    [router, agent, features].map(|schema| render_section(&schema)).join("\n")
 }
 
 fn render_section(schema: &Value) -> String {
