Bytes that are no answer, without end: bounded in heads, bodies, events and reads of the store

Cause: a target in trouble may send bytes that are no answer until its caller closes. Events that never end filled the memory (the splitter had no limit) and counted as progress of a stream until the deadline; bodies of plain answers had a limit each but none together; a body that trickles held a request that may be repeated until its time was over; a read of the store that trickles never ended.

Change: an event has a largest size, and a longest time once its bytes have come (that after which its caller leaves); all bodies that are read share one limit; a repeatable request whose answer does not end goes elsewhere as one whose head does not come; heads are limited to 64 KB; a read of the store must come at a least rate. Targets are blamed. What may have run is failed, never called not run.

--- a/crates/corianderstand_forward/src/attempt.rs
+++ b/crates/corianderstand_forward/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::{
     admission, body_end, dialect, ended_targets, job, pool, request_slots, retries, router,
 };
+use bytes::Bytes;
 use corianderstand_fleet::targets;
 use http::{HeaderValue, Request, Response, Version, header};
 use http_body_util::Full;
@@ -200,8 +201,7 @@
     >,
 ) -> HeadOutcome {
     tokio::pin!(sending);
-    let response_timeout =
-        (job.route.latency_objective * RESPONSE_TIMEOUT_OBJECTIVES).max(MIN_RESPONSE_TIMEOUT);
+    let response_timeout = response_timeout(job);
     let mut poll_at = (shared.clock.now() + response_timeout).min(shared.response_deadline(job));
     loop {
         tokio::select! {
@@ -227,6 +227,46 @@
     }
 }
 
+/// How the read of a body that is no stream ended.
+pub enum BodyOutcome {
+    /// With the body, or with its break.
+    Ended(body_end::Read, Bytes),
+    /// It goes on, and another target can take the request.
+    TimedOut,
+    /// The request's deadline was exceeded.
+    DeadlineExceeded,
+}
+
+/// Reads the body of an answer that is no stream.
+pub async fn wait_for_body<P: router::Platform>(
+    shared: &router::Shared<P>,
+    job: &job::Job,
+    key: targets::TargetKey,
+    collecting: impl Future<Output = (body_end::Read, Bytes)>,
+) -> BodyOutcome {
+    tokio::pin!(collecting);
+    loop {
+        let now = shared.clock.now();
+        let deadline = shared.response_deadline(job);
+        if now >= deadline {
+            return BodyOutcome::DeadlineExceeded;
+        }
+        let poll_at = (now + response_timeout(job)).min(deadline);
+        if let Ok((read, bytes)) = tokio::time::timeout_at(poll_at.into(), &mut collecting).await {
+            return BodyOutcome::Ended(read, bytes);
+        }
+        let now = shared.clock.now();
+        if now < deadline && job.route.may_retry() && shared.has_alternative(now, job, key) {
+            return BodyOutcome::TimedOut;
+        }
+    }
+}
+
+/// Time after which another target is sought for a request that may be repeated.
+fn response_timeout(job: &job::Job) -> Duration {
+    (job.route.latency_objective * RESPONSE_TIMEOUT_OBJECTIVES).max(MIN_RESPONSE_TIMEOUT)
+}
+
 fn build_request<P: router::Platform>(
     shared: &router::Shared<P>,
     job: &job::Job,
--- a/crates/corianderstand_forward/src/body_end.rs
+++ b/crates/corianderstand_forward/src/body_end.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, Method, StatusCode, Version, header, response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use std::cell::Cell;
 
 /// How a response delimits its body.
 #[derives(key)]
@@ -178,14 +179,60 @@
     }
 }
 
-/// Reads a body that is no stream, up to `limit` bytes, and returns what came and how it ended.
-pub async fn collect(body: Incoming, framing: Framing, limit: usize) -> (Read, Bytes) {
-    let mut body = Limited::new(body, limit);
+/// Largest body that is no stream, in bytes.
+const MAX_BODY_BYTES: usize = 8 << 20;
+/// Most that is buffered of all bodies that are being read, in bytes: a part of a small host's memory.
+const MAX_BUFFERED_BYTES: usize = 16 << 20;
+
+/// Bytes that are buffered of bodies that are being read, over all requests of a router.
+#[derive(Debug, Default)]
+pub struct Buffers {
+    used: Cell<usize>,
+}
+
+/// What one body takes of [`Buffers`], until it is dropped.
+struct Share<'a> {
+    buffers: &'a Buffers,
+    len: usize,
+}
+
+impl Share<'_> {
+    /// Takes more; false if there is not enough.
+    fn grow(&mut self, len: usize) -> bool {
+        let used = self.buffers.used.get().saturating_add(len);
+        if used > MAX_BUFFERED_BYTES {
+            return false;
+        }
+        self.buffers.used.set(used);
+        self.len += len;
+        true
+    }
+}
+
+impl Drop for Share<'_> {
+    fn drop(&mut self) {
+        self.buffers.used.set(self.buffers.used.get() - self.len);
+    }
+}
+
+/// Reads a body that is no stream, and returns what came and how it ended. The read fails at a body that is too large,
+/// by itself or beside the others that are being read.
+pub async fn collect(body: Incoming, framing: Framing, buffers: &Buffers) -> (Read, Bytes) {
+    let mut body = Limited::new(body, MAX_BODY_BYTES);
+    let mut share = Share { buffers, len: 0 };
     let mut bytes = BytesMut::new();
     let mut failed = false;
     while let Some(frame) = body.frame().await {
         match frame {
-            Ok(frame) => bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+            Ok(frame) => {
+                let data = frame.data_ref().map_or(&[][..], |data| data);
+                if !share.grow(data.len()) {
+                    tracing::warn!(len = bytes.len(), "no memory for the rest of an answer");
+                    failed = true;
+                    break;
+                }
+                bytes.extend_from_slice(data);
+            }
             Err(error) => {
                 tracing::debug!(%error, "answer interrupted");
                 failed = true;
--- a/crates/corianderstand_forward/src/client.rs
+++ b/crates/corianderstand_forward/src/client.rs
@@ -16,6 +16,11 @@
 /// Large enough for a record with a 4 MB configuration in base64. Other records come in pages of 1 MB.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// Least rate at which a body of unknown length must come, in bytes per second: far below that of any link.
+const MIN_BODY_BYTES_PER_S: f64 = 16.0 * 1024.0;
+/// Time that a body may take besides, for a server or a link that stands still for a while.
+const BODY_GRACE: Duration = Duration::from_secs(6);
+
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
 /// Why a call returned no complete response.
@@ -29,6 +34,8 @@
     TimedOut(u64),
     /// the response ended early ({0})
     Interrupted(String),
+    /// the response does not end, {0} bytes came
+    TooSlow(usize),
 }
 
 impl std::error::Error for CallError {}
@@ -92,7 +99,8 @@
         with_timeout(limit, call).await
     }
 
-    /// Sends a request and buffers its response, limited only by the timeouts between frames.
+    /// Sends a request and buffers its response, limited by the timeouts between frames and by the least rate at which
+    /// the body must come.
     pub async fn call_with_idle_timeout(
         &self,
         addr: SocketAddr,
@@ -107,12 +115,18 @@
         let mut bytes = BytesMut::new();
         let convert =
             |frame: Result<_, BoxError>| frame.map_err(|e| CallError::Interrupted(e.to_string()));
+        let begun_at = self.clock.now();
         while let Some(frame) = with_timeout(timeouts.idle_timeout, async {
             body.frame().await.map(convert).transpose()
         })
         .await?
         {
-            timeouts.last_received.record(self.clock.now());
+            let now = self.clock.now();
+            let most = Duration::from_secs_f64(bytes.len() as f64 / MIN_BODY_BYTES_PER_S);
+            if now.saturating_duration_since(begun_at) > most + BODY_GRACE {
+                return Err(CallError::TooSlow(bytes.len()));
+            }
+            timeouts.last_received.record(now);
             if let Ok(data) = frame.into_data() {
                 bytes.extend_from_slice(&data);
             }
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -32,7 +32,6 @@
 
 /// Timeout of a request whose caller sets none.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 << 20;
 /// `Retry-After` of a router that is starting or stopping.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(700);
 /// Longest time that a request waits for the router's first read of the store.
@@ -370,10 +369,16 @@
     }
     let attempt::Answered { mut head, framing, response_head: info, body, lease, in_flight } =
         answered;
-    let collected = body_end::collect(body, framing, MAX_BUFFERED_RESPONSE_BYTES);
-    let deadline = shared.response_deadline(&job);
-    let Ok((read, bytes)) = tokio::time::timeout_at(deadline.into(), collected).await else {
-        return Ok(fail(shared, &job, StatusCode::GATEWAY_TIMEOUT, "the time is over"));
+    let collected = body_end::collect(body, framing, &shared.answer_buffers);
+    let (read, bytes) = match attempt::wait_for_body(shared, &job, key, collected).await {
+        attempt::BodyOutcome::Ended(read, bytes) => (read, bytes),
+        attempt::BodyOutcome::TimedOut => {
+            return retry_or_fail(shared, job, key, "the target's answer does not end");
+        }
+        attempt::BodyOutcome::DeadlineExceeded => {
+            shared.record_target_failure(key, "time over");
+            return Ok(fail(shared, &job, StatusCode::GATEWAY_TIMEOUT, "the time is over"));
+        }
     };
     let Ok(whole) = ended_targets::conclude(shared, &job, &in_flight, read).await else {
         ended_targets::record_broken(shared, &job, &in_flight, None);
--- a/crates/corianderstand_forward/src/job.rs
+++ b/crates/corianderstand_forward/src/job.rs
@@ -129,11 +129,13 @@
         if !self.route.streams {
             return self.deadline;
         }
+        self.deadline.min(self.idle_since + self.abandon_timeout())
+    }
+
+    /// Time without an event after which the caller of a stream is expected to leave.
+    pub fn abandon_timeout(&self) -> Duration {
         let gaps = self.route.gap_objective.unwrap_or_default() * ABANDON_GAPS;
-        let idle_timeout = ABANDON_TIMEOUT
-            .max(self.route.latency_objective * ABANDON_LATENCY_OBJECTIVES)
-            .max(gaps);
-        self.deadline.min(self.idle_since + idle_timeout)
+        ABANDON_TIMEOUT.max(self.route.latency_objective * ABANDON_LATENCY_OBJECTIVES).max(gaps)
     }
 
     /// A number in [0, 1) derived from the request id.
--- a/crates/corianderstand_forward/src/pool.rs
+++ b/crates/corianderstand_forward/src/pool.rs
@@ -29,6 +29,8 @@
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(2);
 /// Fraction of the keep-alive time for which an idle connection may be reused.
 const KEEP_ALIVE_DIVISOR: u32 = 2;
+/// Largest head of a response, in bytes. A longer one ends its connection.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 struct IdleConnection {
@@ -114,7 +116,9 @@
         socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
         // Closing discards unsent data, which must not arrive after its caller has left.
         socket.set_linger(Some(Duration::ZERO))?;
-        let handshake = http1::handshake(ResetOnClose(TokioIo::new(stream))).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let handshake = builder.handshake(ResetOnClose(TokioIo::new(stream))).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
--- a/crates/corianderstand_forward/src/relay.rs
+++ b/crates/corianderstand_forward/src/relay.rs
@@ -8,9 +8,17 @@
 const EVENT_ENDS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
 const ID_FIELD: &[u8] = b"id:";
 
-/// The target skipped events when it resumed a stream.
+/// Largest event, in bytes. Bytes that never end an event would else fill the memory.
+const MAX_EVENT_BYTES: usize = 128 << 10;
+
+/// Why bytes are not the next events of a stream.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct EventGap;
+pub enum EventError {
+    /// The target skipped events when it resumed the stream.
+    Gap,
+    /// They do not end an event within its largest size.
+    TooLong,
+}
 
 /// Splits a stream into whole events.
 #[derive(Debug, Default)]
@@ -23,15 +31,18 @@
 }
 
 impl EventSplitter {
-    /// Appends bytes and returns the events that are complete, or [`EventGap`].
-    pub fn push(&mut self, chunk: Bytes) -> Result<Option<Bytes>, EventGap> {
+    /// Appends bytes and returns the events that are complete, or why they are not the next ones.
+    pub fn push(&mut self, chunk: Bytes) -> Result<Option<Bytes>, EventError> {
         if self.partial_event.is_empty() && EVENT_ENDS.iter().any(|end| chunk.ends_with(end)) {
             self.record(&chunk)?;
             return Ok(Some(chunk));
         }
         self.partial_event.extend_from_slice(&chunk);
         let ends = EVENT_ENDS.iter().filter_map(|end| end_of_last(&self.partial_event, end));
-        let Some(end) = ends.max() else { return Ok(None) };
+        let Some(end) = ends.max() else {
+            let is_too_long = self.partial_event.len() > MAX_EVENT_BYTES;
+            return if is_too_long { Err(EventError::TooLong) } else { Ok(None) };
+        };
         let complete = self.partial_event.split_to(end).freeze();
         self.record(&complete)?;
         Ok(Some(complete))
@@ -64,11 +75,11 @@
         self.event_count
     }
 
-    fn record(&mut self, complete: &[u8]) -> Result<(), EventGap> {
+    fn record(&mut self, complete: &[u8]) -> Result<(), EventError> {
         for event in complete.split(|b| matches!(b, b'\n' | b'\r')).filter_map(parse_event_id) {
             let resumed = std::mem::take(&mut self.resumed);
             if resumed && self.last_event.is_some_and(|last| event != last + 1) {
-                return Err(EventGap);
+                return Err(EventError::Gap);
             }
             self.lacks_event = false;
             self.last_event = Some(event);
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -1,9 +1,9 @@
 //! The router process: settings, shared state, startup and shutdown.
 
 use crate::{
-    client, config_proof, continuations, control, decisions, dialect, follow, job, metrics, peers,
-    pool, prefill, quotas, readers, replicated_records, request_slots, retries, server, suspicion,
-    target_reports, transfer, view,
+    body_end, client, config_proof, continuations, control, decisions, dialect, follow, job,
+    metrics, peers, pool, prefill, quotas, readers, replicated_records, request_slots, retries,
+    server, suspicion, target_reports, transfer, view,
 };
 use corianderstand_derives::derives;
 use corianderstand_fleet::{
@@ -154,6 +154,8 @@
     pub request_schedule: RefCell<slots::Schedule>,
     /// Reservations that wait for another router's response.
     pub pending_slots: request_slots::PendingSlots,
+    /// Memory of answers that are being read.
+    pub answer_buffers: body_end::Buffers,
     /// Log of request outcomes.
     pub decision_log: decisions::Log,
     /// Wakes the control loop to send updates or to plan at once.
@@ -406,7 +408,8 @@
             pending_slots: request_slots::PendingSlots::default(),
             suspicion: suspicion::State::new(settings.name.clone(), target_reports.clone()),
             target_reports,
-            decision_log: decisions::Log::default(),
+            answer_buffers: body_end::Buffers::default(),
+        decision_log: decisions::Log::default(),
             control_wake,
             targets_outdated: Notify::new(),
             outbox: control::Outbox::new(socket),
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -28,12 +28,15 @@
 const DEADLINE_GRACE: Duration = Duration::from_millis(100);
 
 const SILENT: &str = "the target fell silent";
+const NO_EVENTS: &str = "the target sends bytes that are no event";
 
 struct RelayedStream<P: router::Platform> {
     shared: Rc<router::Shared<P>>,
     job: job::Job,
     upstream: Option<Upstream<P>>,
     splitter: relay::EventSplitter,
+    /// When the first bytes of an event came that is not complete.
+    event_begun_at: Option<Instant>,
     /// Whether the caller has bytes of this answer.
     has_forwarded: bool,
     /// Where they began; none if that isn't known.
@@ -160,6 +163,7 @@
         job,
         upstream: Some(upstream),
         splitter: relay::EventSplitter::default(),
+        event_begun_at: None,
         has_forwarded: false,
         origin: None,
         resumes: 0,
@@ -193,10 +197,15 @@
                 Step::Data(chunk) => match self.forward(chunk) {
                     Ok(Some(out)) => return Some(Ok(out)),
                     Ok(None) => {}
-                    Err(relay::EventGap) => {
+                    Err(relay::EventError::Gap) => {
                         let why = "the other target went on at another event";
                         return self.abort(why, exchange::Aborted::ByTarget);
                     }
+                    Err(relay::EventError::TooLong) => {
+                        if !self.resume(NO_EVENTS).await {
+                            return self.abort(NO_EVENTS, exchange::Aborted::ByTarget);
+                        }
+                    }
                 },
                 Step::Complete(whole) => return self.complete(whole),
                 Step::DeadlineExceeded => {
@@ -229,8 +238,9 @@
         }
     }
 
-    fn forward(&mut self, chunk: Bytes) -> Result<Option<Bytes>, relay::EventGap> {
+    fn forward(&mut self, chunk: Bytes) -> Result<Option<Bytes>, relay::EventError> {
         let complete = self.splitter.push(chunk.clone())?;
+        self.check_event_time(complete.is_some())?;
         if !self.job.route.resumable {
             // Needn't be cut at events.
             return Ok(Some(chunk));
@@ -241,6 +251,20 @@
         Ok(complete)
     }
 
+    /// Fails if bytes have come for so long without completing an event that the caller leaves.
+    fn check_event_time(&mut self, is_complete: bool) -> Result<(), relay::EventError> {
+        if is_complete || !self.splitter.has_partial() {
+            self.event_begun_at = None;
+            return Ok(());
+        }
+        let now = self.shared.clock.now();
+        let begun_at = *self.event_begun_at.get_or_insert(now);
+        if now.saturating_duration_since(begun_at) > self.job.abandon_timeout() {
+            return Err(relay::EventError::TooLong);
+        }
+        Ok(())
+    }
+
     /// Remembers where the stream began, before its first event is forwarded.
     fn record_origin(&mut self) {
         self.has_forwarded = true;
@@ -391,6 +415,7 @@
             self.shared.record_target_failure(upstream.in_flight.key(), why);
         }
         self.splitter.resume();
+        self.event_begun_at = None;
     }
 
     fn last_event(&self) -> Option<u64> {
