Second requests for late answers, within a limit that operators set

Change: a request of an idempotent route that takes longer than 95 in 100 answers of its service did lately is sent to a second target; the first whole answer wins, the other is cancelled. Limit hedge_percent, 0 by default; each is a retry for the shared budget. Reading a plain answer is part of sending it, so that whole answers are compared.

--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod fingerprint;
 pub mod freshness;
 pub mod health;
+pub mod hedge;
 pub mod overload;
 pub mod pace;
 pub mod plan;
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -3,7 +3,9 @@
 use crate::{
     admission, body_end, dialect, job, metrics, quotas, replicated_records, stream, suspicion, view,
 };
-use corianderstand_fleet::{budget, crashes, exits, fingerprint::Feature, targets, wait_limit};
+use corianderstand_fleet::{
+    budget, crashes, exits, fingerprint::Feature, hedge, targets, wait_limit,
+};
 use corianderstand_types::{names, position::Position};
 use http::StatusCode;
 use smol_str::SmolStr;
@@ -90,9 +92,10 @@
     AnswerEnded,
     StreamResolved,
     Retry,
+    Hedge,
 }
 
-const LINE_KINDS: usize = 13;
+const LINE_KINDS: usize = 14;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct LineCount {
@@ -249,6 +252,33 @@
         }
     }
 
+    /// Logs that a request is sent to a second target, as its answer is late.
+    pub fn hedged(&self, job: &job::Job, at: names::TargetId, now: Instant) {
+        self.metrics.hedge("sent");
+        if self.may_log(LineKind::Hedge, now) {
+            let ms = millis_between(now, job.arrived_at);
+            tracing::info!(id = %job.request.id, %at, ms, "sent to a second target");
+        }
+    }
+
+    /// Logs that a late answer is waited for without a second request, and why.
+    pub fn hedge_denied(&self, job: &job::Job, denial: hedge::Denial, now: Instant) {
+        self.metrics.hedge(denial.as_str());
+        if self.may_log(LineKind::Hedge, now) {
+            let (why, ms) = (denial.as_str(), millis_between(now, job.arrived_at));
+            tracing::info!(id = %job.request.id, why, ms, "no second request");
+        }
+    }
+
+    /// Logs how a second request ended.
+    pub fn hedge_ended(&self, job: &job::Job, result: &'static str, now: Instant) {
+        self.metrics.hedge(result);
+        if self.may_log(LineKind::Hedge, now) {
+            let ms = millis_between(now, job.arrived_at);
+            tracing::info!(id = %job.request.id, result, ms, "second request ended");
+        }
+    }
+
     /// Logs the response to a request, be it the target's or a failure.
     pub fn answered(&self, job: &job::Job, status: StatusCode, how: &str, now: Instant) {
         let kind = if status.is_server_error() { LineKind::Failed } else { LineKind::Answered };
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     admission, attempt, body::ResponseBody, body_end, continuations, decisions, dialect,
-    ended_targets, job, quotas, retries, router, stream, suspicion, waiting,
+    ended_targets, hedge, job, quotas, retries, router, stream, suspicion, waiting,
 };
 use bytes::Bytes;
 use corianderstand_fleet::{choose, config, crashes, prefixes, targets, wait_limit};
@@ -254,7 +254,17 @@
         };
         job.tried_targets.push(key);
         set_sent(true);
-        match attempt::attempt(&shared, &mut job, key).await {
+        let outcome = match hedge::send(&shared, &mut job, key).await {
+            hedge::Outcome::Attempted(outcome) => outcome,
+            hedge::Outcome::Read(answer) => match deliver(&shared, job, *answer).await {
+                Ok(response) => return response,
+                Err(retry) => {
+                    job = *retry;
+                    continue;
+                }
+            },
+        };
+        match outcome {
             attempt::AttemptOutcome::Denied(denied) => {
                 set_sent(job.may_have_run);
                 if job.may_have_run {
@@ -264,7 +274,7 @@
                 return admission::refuse(&shared, id, route, denied, job.arrived_at);
             }
             attempt::AttemptOutcome::Answered(answered) => {
-                match forward_response(&shared, job, *answered).await {
+                match start_stream(&shared, job, *answered).await {
                     Ok(response) => return response,
                     Err(retry) => job = *retry,
                 }
@@ -354,23 +364,28 @@
         && retries::reserve(shared, job, cause)
 }
 
-/// Forwards the response, or returns the job if another target is to be tried.
-async fn forward_response<P: router::Platform>(
+/// Forwards a stream, or returns the job if another target is to be tried.
+async fn start_stream<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
-    mut job: job::Job,
+    job: job::Job,
     answered: attempt::Answered<P>,
 ) -> Result<Response<ResponseBody>, Box<job::Job>> {
     let key = answered.in_flight.key();
-    if job.route.streams && answered.head.status.is_success() {
-        return match stream::start(shared, job, answered).await {
-            Ok(response) => Ok(response),
-            Err((job, why)) => retry_or_fail(shared, *job, key, why),
-        };
+    match stream::start(shared, job, answered).await {
+        Ok(response) => Ok(response),
+        Err((job, why)) => retry_or_fail(shared, *job, key, why),
     }
-    let attempt::Answered { mut head, framing, response_head: info, body, lease, in_flight } =
-        answered;
-    let collected = body_end::collect(body, framing, &shared.answer_buffers);
-    let (read, bytes) = match attempt::wait_for_body(shared, &job, key, collected).await {
+}
+
+/// Delivers an answer that is no stream, or returns the job if another target is to be tried.
+async fn deliver<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    mut job: job::Job,
+    answer: hedge::ReadAnswer<P>,
+) -> Result<Response<ResponseBody>, Box<job::Job>> {
+    let hedge::ReadAnswer { mut head, response_head: info, lease, in_flight, body } = answer;
+    let key = in_flight.key();
+    let (read, bytes) = match body {
         attempt::BodyOutcome::Ended(read, bytes) => (read, bytes),
         attempt::BodyOutcome::TimedOut => {
             return retry_or_fail(shared, job, key, "the target's answer does not end");
--- a/crates/corianderstand_forward/src/job.rs
+++ b/crates/corianderstand_forward/src/job.rs
@@ -84,6 +84,29 @@
 }
 
 impl Job {
+    /// The same request for a second target, beside the first.
+    pub fn for_second_target(&self) -> Self {
+        Self {
+            request: self.request.clone(),
+            route: self.route.clone(),
+            workspace: self.workspace.clone(),
+            service: self.service.clone(),
+            method: self.method.clone(),
+            uri: self.uri.clone(),
+            headers: self.headers.clone(),
+            body: self.body.clone(),
+            prompt_prefixes: self.prompt_prefixes.clone(),
+            progress: self.progress.clone(),
+            tried_targets: self.tried_targets.clone(),
+            may_have_run: true,
+            last_target: self.last_target.clone(),
+            error_response: self.error_response.clone(),
+            sends: retries::Sends::after_first(),
+            fingerprint: self.fingerprint.clone(),
+            ..*self
+        }
+    }
+
     /// The fingerprint of the request's content.
     pub fn fingerprint(&self) -> fingerprint::Fingerprint {
         *self.fingerprint.get_or_init(|| content::fingerprint(self))
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod eras;
 pub mod exchange;
 pub mod follow;
+pub mod hedge;
 pub mod hubs;
 pub mod job;
 pub mod metrics;
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -83,6 +83,7 @@
     refusals: Family<ReasonLabel, Counter>,
     attempts_failed: Family<ReasonLabel, Counter>,
     retries: Family<RetryLabels, Counter>,
+    hedges: Family<OutcomeLabel, Counter>,
     first_sends: Counter,
     repeated_sends: Counter,
     answers_ended: Family<AnswerEndLabels, Counter>,
@@ -134,6 +135,7 @@
             refusals: Family::default(),
             attempts_failed: Family::default(),
             retries: Family::default(),
+            hedges: Family::default(),
             first_sends: Counter::default(),
             repeated_sends: Counter::default(),
             answers_ended: Family::default(),
@@ -193,6 +195,11 @@
             "Decisions whether a request may be sent once more, by why the last attempt failed",
             self.retries.clone(),
         );
+        r.register(
+            "second_requests",
+            "Second requests for late answers: sent, won, cancelled, failed, or why none was sent",
+            self.hedges.clone(),
+        );
         r.register(
             "first_sends",
             "Requests that were written to a target for the first time",
@@ -377,6 +384,11 @@
         self.retries.get_or_create(&RetryLabels { cause, outcome }).inc();
     }
 
+    /// Counts a second request by its outcome, or by why none was sent.
+    pub fn hedge(&self, outcome: &'static str) {
+        self.hedges.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts a response that asks for rest.
     pub fn rest_asked(&self) {
         self.rests_asked.inc();
--- a/crates/corianderstand_forward/src/retries.rs
+++ b/crates/corianderstand_forward/src/retries.rs
@@ -81,6 +81,11 @@
 }
 
 impl Sends {
+    /// A request that is being sent to another target, so that the next one is a retry.
+    pub const fn after_first() -> Self {
+        Self { written: 1, charged: 0, reservation: None }
+    }
+
     /// How often the request was written to a target.
     pub const fn written(&self) -> u32 {
         self.written
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -1,7 +1,7 @@
 //! The router process: settings, shared state, startup and shutdown.
 
 use crate::{
-    body_end, client, config_proof, continuations, control, decisions, dialect, follow, job,
+    body_end, client, config_proof, continuations, control, decisions, dialect, follow, hedge, job,
     metrics, peers, pool, prefill, quotas, readers, replicated_records, request_slots, retries,
     server, suspicion, target_reports, transfer, view,
 };
@@ -154,6 +154,8 @@
     pub request_schedule: RefCell<slots::Schedule>,
     /// Reservations that wait for another router's response.
     pub pending_slots: request_slots::PendingSlots,
+    /// Second requests for answers that are late.
+    pub hedges: hedge::State,
     /// Memory of answers that are being read.
     pub answer_buffers: body_end::Buffers,
     /// Log of request outcomes.
@@ -408,7 +410,8 @@
             pending_slots: request_slots::PendingSlots::default(),
             suspicion: suspicion::State::new(settings.name.clone(), target_reports.clone()),
             target_reports,
-            answer_buffers: body_end::Buffers::default(),
+            hedges: hedge::State::default(),
+        answer_buffers: body_end::Buffers::default(),
         decision_log: decisions::Log::default(),
             control_wake,
             targets_outdated: Notify::new(),
