--- a/crates/corianderstand_cli/src/args.rs
+++ b/crates/corianderstand_cli/src/args.rs
@@ -121,6 +121,14 @@
     }
     if command == Command::Check {
         options.optflag("p", "platform", "the files are settings of the users' platform");
+        options.optflag("c", "config", "the file is a configuration of the users' platform");
+        options.optopt("a", "against", "with --config: the configuration in force", "FILE");
+        options.optopt(
+            "",
+            "against-store",
+            "with --config: read the configuration in force from the platform's store",
+            "ADDRESS",
+        );
     }
     if command.queries_router()
         || matches!(command, Command::Check | Command::Explain | Command::Account)
--- a/crates/corianderstand_cli/src/lib.rs
+++ b/crates/corianderstand_cli/src/lib.rs
@@ -8,6 +8,7 @@
 mod account;
 mod args;
 pub mod check;
+pub mod check_config;
 mod client;
 mod cross_document;
 mod directory;
@@ -82,6 +83,7 @@
         Command::Agent if matches.opt_present("platform") => platform::agent(),
         Command::Router => process::router(matches),
         Command::Agent => process::agent(matches),
+        Command::Check if matches.opt_present("config") => check_config::run(matches),
         Command::Check if matches.opt_present("platform") => platform::check(matches),
         Command::Check => check::run(matches),
         Command::Diff => operate::diff(matches),
--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -20,6 +20,7 @@
 //! assert!(table.find("desk.example", "/rounds/").is_none());
 //! ```
 
+pub mod audit;
 pub mod budget;
 pub mod choose;
 pub mod config;
