Pace: each target's own speed is learned apart from its slowdown, and targets are chosen by predicted time

Cause: a choice weighed shares of a batch, and speed by 0.4 of the ratio of event intervals; the stated slowdown was not used. Change: times of events, prompts and plain answers are divided by the slowdown stated at the time and kept as quantiles of each incarnation; two candidates are drawn in proportion to what they have to spare, and the one with the less predicted time is taken. The prefill time told to an agent is that of its own engine. Used where targets state their pace (features.pace).

--- a/crates/corianderstand_fleet/src/choose.rs
+++ b/crates/corianderstand_fleet/src/choose.rs
@@ -1,9 +1,12 @@
 //! Selects the target for one attempt of a request.
 //!
-//! Candidates are filtered by health, resident model and capacity, and the cheapest one is chosen.
+//! Candidates are filtered by health, resident model and capacity. One is chosen by predicted time ([`by_time`]) where
+//! that is asked for, and else the cheapest one.
 //! Costs are fractions of a full batch: a cost of 0.1 equals the load of a tenth of a batch.
 
-use crate::{health, targets};
+pub mod by_time;
+
+use crate::{health, predict, targets};
 use corianderstand_derives::derives;
 use corianderstand_types::names;
 use std::time::{Duration, Instant};
@@ -63,8 +66,13 @@
     pub version: Option<&'a names::SoftwareVersion>,
     /// Target with the longest cached prefix of the prompt, and the prefix's length in tokens.
     pub cached_prefix: Option<(targets::TargetKey, u64)>,
+    /// What the request's times are predicted from; none if the choice does not go by time.
+    pub work: Option<predict::Work>,
 }
 
+/// A target that can serve the request.
+pub type Holder<'a> = (targets::TargetKey, &'a targets::Target);
+
 /// Result of the choice.
 #[derives(key)]
 pub enum Choice {
@@ -126,9 +134,9 @@
         .requested
         .and_then(|requested| requested.adapter.as_ref().map(|adapter| (requested, adapter)))
     {
-        None => cheapest(now, &with_capacity, query).map_or(Choice::Full, Choice::Send),
+        None => best(now, targets, &with_capacity, query).map_or(Choice::Full, Choice::Send),
         Some((requested, adapter)) => {
-            choose_for_adapter(now, &with_capacity, query, requested, adapter)
+            choose_for_adapter(now, targets, &with_capacity, query, requested, adapter)
         }
     }
 }
@@ -153,7 +161,8 @@
 /// adapter slot. Rendezvous hashing breaks ties, so that all routers load it on the same engine.
 fn choose_for_adapter(
     now: Instant,
-    holders: &[(targets::TargetKey, &targets::Target)],
+    targets: &targets::Targets,
+    holders: &[Holder],
     query: &Query,
     requested: &RequestedModel,
     adapter: &names::AdapterId,
@@ -163,7 +172,7 @@
         resident.is_some_and(|resident| resident.adapters.contains(adapter))
     };
     let ready: Vec<_> = holders.iter().copied().filter(|(_, target)| has(target)).collect();
-    if let Some(key) = cheapest(now, &ready, query) {
+    if let Some(key) = best(now, targets, &ready, query) {
         return Choice::Send(key);
     }
     let rendezvous_hash = |target: &targets::Target| {
@@ -185,10 +194,7 @@
 }
 
 /// Keeps the targets that need not wait for a slot, or those with the shortest wait if there are none.
-fn prefer_without_wait(
-    now: Instant,
-    holders: Vec<(targets::TargetKey, &targets::Target)>,
-) -> Vec<(targets::TargetKey, &targets::Target)> {
+fn prefer_without_wait<'a>(now: Instant, holders: Vec<Holder<'a>>) -> Vec<Holder<'a>> {
     let shortest = holders.iter().map(|(_, target)| target.slot_wait(now)).min();
     let is_shortest = |target: &targets::Target| Some(target.slot_wait(now)) == shortest;
     holders.into_iter().filter(|(_, target)| is_shortest(target)).collect()
@@ -201,11 +207,22 @@
     target.estimated_requests(now) < target.entry.slots.max(1) && memory
 }
 
-fn cheapest(
+fn best(
     now: Instant,
-    holders: &[(targets::TargetKey, &targets::Target)],
+    targets: &targets::Targets,
+    holders: &[Holder],
     query: &Query,
 ) -> Option<targets::TargetKey> {
+    match &query.work {
+        None => cheapest(now, holders, query),
+        Some(work) => {
+            let candidates = by_time::candidates(now, targets, holders, query, work);
+            by_time::draw(&candidates).map(|candidate| candidate.key)
+        }
+    }
+}
+
+fn cheapest(now: Instant, holders: &[Holder], query: &Query) -> Option<targets::TargetKey> {
     let failure_scores = holders.iter().map(|(_, target)| target.health.failure_score(now));
     let least_failure_score = failure_scores.fold(f64::INFINITY, f64::min);
     let intervals = holders.iter().filter_map(|(_, target)| target.event_interval.mean(now));
--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod overload;
 pub mod pace;
 pub mod plan;
+pub mod predict;
 pub mod prefill;
 pub mod prefixes;
 pub mod quota;
--- /dev/null
+++ b/crates/corianderstand_fleet/src/predict.rs
@@ -0,0 +1,154 @@
+//! Predicted times of a request at a target, from the target's pace, its load and the request's size.
+
+use crate::{demand, pace, targets};
+use corianderstand_derives::derives;
+use corianderstand_types::names;
+use std::time::{Duration, Instant};
+
+/// Times that are assumed of a service until one is observed.
+const DEFAULT_EVENT_S: f64 = 0.04;
+const DEFAULT_RESPONSE_S: f64 = 0.05;
+/// Bounds of a target's time for work relative to the usual one of its service.
+const MIN_RELATIVE_TIME: f64 = 0.125;
+const MAX_RELATIVE_TIME: f64 = 8.0;
+/// Network round trip to another availability zone.
+const CROSS_ZONE_ROUND_TRIP_S: f64 = 0.003;
+
+/// Size and objectives of a request.
+#[derives(data)]
+#[derive(Copy)]
+pub struct Work {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Expected events of the answer; 0 if it is no stream.
+    pub events: f64,
+    /// Time left until the first event, or the answer, is due.
+    pub first_event_in: Duration,
+    /// Objective for the longest pause between events, if there is one.
+    pub gap_objective: Option<Duration>,
+}
+
+/// Usual times of a service: the medians of its targets.
+#[derives(data)]
+#[derive(Copy, Default)]
+pub struct ServicePace(pace::UsualTimes);
+
+/// Predicted times of one request at a target.
+#[derives(data)]
+#[derive(Copy)]
+pub struct Prediction {
+    /// Seconds until the first event, or the answer.
+    pub first_event_s: f64,
+    /// Seconds between events once the request runs.
+    pub event_s: f64,
+    /// Seconds until the end of the answer.
+    pub finish_s: f64,
+    /// Whether the first event is expected within its objective.
+    pub meets_first_event: bool,
+    /// Whether the time between events stays within its objective in the slow moments of the host too.
+    pub meets_gap: bool,
+    /// Time of the target's work relative to the usual one of its service.
+    pub relative_time: f64,
+    /// Momentary slowdown that was assumed.
+    pub slowdown: f64,
+}
+
+impl Prediction {
+    /// What is expected to be late, in the words of logs and metrics.
+    pub const fn expectation(&self) -> &'static str {
+        match (self.meets_first_event, self.meets_gap) {
+            (true, true) => "on time",
+            (false, true) => "first event late",
+            (true, false) => "pauses late",
+            (false, false) => "both late",
+        }
+    }
+}
+
+impl ServicePace {
+    /// The medians of a service's targets.
+    pub fn of(targets: &targets::Targets, service: &names::ServiceId) -> Self {
+        let members = targets.iter().filter(|(_, target)| target.entry.service == *service);
+        let times: Vec<_> = members.map(|(_, target)| target.pace.usual_times()).collect();
+        Self(pace::UsualTimes {
+            event_s: median(times.iter().filter_map(|times| times.event_s)),
+            reading_s_per_token: median(times.iter().filter_map(|times| times.reading_s_per_token)),
+            response_s: median(times.iter().filter_map(|times| times.response_s)),
+        })
+    }
+
+    /// Time of a target's work relative to the usual one of the service; that of the median if it is not known.
+    pub fn relative_time(&self, pace: &pace::Pace) -> f64 {
+        let relative = pace.usual_times().relative_to(&self.0);
+        relative.map_or(1.0, |relative| relative.clamp(MIN_RELATIVE_TIME, MAX_RELATIVE_TIME))
+    }
+
+    /// Speed of a target relative to the usual one of the service; 1 if it is not known.
+    pub fn speed(&self, pace: &pace::Pace) -> f64 {
+        1.0 / self.relative_time(pace)
+    }
+
+    /// Usual seconds to read a prompt token at a target; none if no target of the service is known.
+    pub fn reading_s_per_token(&self, pace: &pace::Pace) -> Option<f64> {
+        let own = pace.usual_times().reading_s_per_token;
+        own.or_else(|| Some(self.0.reading_s_per_token? * self.relative_time(pace)))
+    }
+
+    /// Predicts the times of a request that is sent to a target now. `cached_tokens` of its prompt need not be read.
+    pub fn predict(
+        &self,
+        now: Instant,
+        target: &targets::Target,
+        zone: &names::AvailabilityZoneId,
+        work: &Work,
+        cached_tokens: u64,
+    ) -> Prediction {
+        let times = target.pace.usual_times();
+        let relative_time = self.relative_time(&target.pace);
+        let slowdown = target.pace.slowdown(now);
+        let requests = target.estimated_requests(now) + 1;
+        let slots = target.entry.slots.max(1);
+        let round_trip = if target.entry.zone == *zone { 0.0 } else { CROSS_ZONE_ROUND_TRIP_S };
+        if work.events <= 0.0 {
+            let usual = self.0.response_s.unwrap_or(DEFAULT_RESPONSE_S) * relative_time;
+            let response = times.response_s.unwrap_or(usual) * slowdown;
+            // Those that do not fit wait for a slot each.
+            let turns = f64::from(requests.div_ceil(slots));
+            let first_event_s = response * turns + round_trip;
+            return Prediction {
+                first_event_s,
+                event_s: 0.0,
+                finish_s: first_event_s,
+                meets_first_event: first_event_s <= work.first_event_in.as_secs_f64(),
+                meets_gap: true,
+                relative_time,
+                slowdown,
+            };
+        }
+        let usual = self.0.event_s.unwrap_or(DEFAULT_EVENT_S) * relative_time;
+        let usual_event_s = times.event_s.unwrap_or(usual) * pace::batch_growth(requests, slots);
+        let reading = self
+            .reading_s_per_token(&target.pace)
+            .unwrap_or(demand::DEFAULT_PREFILL_S_PER_TOKEN * relative_time);
+        let uncached = work.prompt_tokens.saturating_sub(cached_tokens) as f64;
+        let event_s = usual_event_s * slowdown;
+        let backlog = target.prefill_backlog(now).as_secs_f64();
+        let first_event_s = backlog + uncached * reading * slowdown + event_s + round_trip;
+        let slow_event_s = usual_event_s * target.pace.slow_moment(now);
+        Prediction {
+            first_event_s,
+            event_s,
+            finish_s: first_event_s + event_s * (work.events - 1.0).max(0.0),
+            meets_first_event: first_event_s <= work.first_event_in.as_secs_f64(),
+            meets_gap: work.gap_objective.is_none_or(|gap| slow_event_s <= gap.as_secs_f64()),
+            relative_time,
+            slowdown,
+        }
+    }
+}
+
+fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
+    let middle = values.len() / 2;
+    (!values.is_empty()).then(|| *values.select_nth_unstable_by(middle, f64::total_cmp).1)
+}
--- a/crates/corianderstand_fleet/tests/decisions.rs
+++ b/crates/corianderstand_fleet/tests/decisions.rs
@@ -143,6 +143,7 @@
         hash: 7,
         version: None,
         cached_prefix: None,
+        work: None,
     }
 }
 
--- a/crates/corianderstand_fleet/tests/reported_load.rs
+++ b/crates/corianderstand_fleet/tests/reported_load.rs
@@ -43,6 +43,7 @@
         hash: 7,
         version: None,
         cached_prefix: None,
+        work: None,
     };
     matches!(choose::choose(now, targets, &query), choose::Choice::Send(_))
 }
--- a/crates/corianderstand_fleet/tests/resting_targets.rs
+++ b/crates/corianderstand_fleet/tests/resting_targets.rs
@@ -35,6 +35,7 @@
             hash: 7,
             version: None,
             cached_prefix: None,
+            work: None,
         },
     )
 }
--- a/crates/corianderstand_fleet/tests/software_versions.rs
+++ b/crates/corianderstand_fleet/tests/software_versions.rs
@@ -104,6 +104,7 @@
         hash: 7,
         version: Some(&version),
         cached_prefix: None,
+        work: None,
     };
     choose::choose(now, targets, &query)
 }
--- /dev/null
+++ b/crates/corianderstand_fleet/tests/uneven_fleet/mod.rs
@@ -0,0 +1,515 @@
+//! Routers that share engines of three speeds, whose hosts have other work at moments. There is no network.
+
+use corianderstand_fleet::{
+    choose::{self, by_time},
+    predict, targets,
+};
+use corianderstand_types::names;
+use rand::{RngExt, SeedableRng, rngs};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+pub const SPEEDS: [f64; 3] = [0.6, 1.0, 1.6];
+pub const GAP_OBJECTIVE: Duration = Duration::from_millis(200);
+const SLOTS: u32 = 32;
+/// Time of one decoding step of a stream alone, and of a token's prefill, at speed 1.
+const STEP_S: f64 = 0.00473;
+const READING_S_PER_TOKEN: f64 = 1.0 / 38_400.0;
+const TOKENS_PER_EVENT: u32 = 8;
+/// Tokens of prompts that are read between two decoding steps.
+const PREFILL_CHUNK: f64 = 256.0;
+/// How much longer work takes while the host has other work, and how long either state lasts on average.
+const SLOW_MOMENT: f64 = 2.5;
+const USUAL_S: f64 = 0.4;
+const SLOW_S: f64 = 0.08;
+const REPORT_INTERVAL_S: (f64, f64) = (0.2, 0.5);
+/// Time before which nothing counts: routers learn the engines' speeds.
+const WARM_UP_S: f64 = 10.0;
+const CACHE_TOKENS: u64 = 95_144;
+
+/// How a router chooses.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Rule {
+    /// By shares of a batch.
+    Cheapest,
+    /// The least predicted cost of all.
+    LeastTime,
+    /// Two candidates are drawn, and the one of the least predicted cost is taken.
+    TwoByTime,
+    /// Two candidates are drawn, and the one with the least load is taken.
+    TwoByLoad,
+    /// In proportion to what each has to spare.
+    InProportion,
+    /// As the product does.
+    Product,
+}
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct Load {
+    pub routers: usize,
+    pub engines: usize,
+    /// Models, of which each engine holds two.
+    pub models: usize,
+    pub streams_per_s: f64,
+    pub seconds: f64,
+    /// Whether hosts have other work at moments.
+    pub has_slow_moments: bool,
+    /// A router that gets no reports of agents.
+    pub is_first_router_uninformed: bool,
+    /// Added to every engine's time for work.
+    pub slowness: f64,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            routers: 26,
+            engines: 47,
+            models: 8,
+            streams_per_s: 356.0,
+            seconds: 40.0,
+            has_slow_moments: true,
+            is_first_router_uninformed: false,
+            slowness: 1.0,
+        }
+    }
+}
+
+/// What callers got.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    pub streams: u32,
+    pub refused: u32,
+    pub late_first_events: u32,
+    pub late_gaps: u32,
+    pub first_events_s: Vec<f64>,
+    /// Tokens of work by speed, and engines of the speed.
+    pub work: BTreeMap<u64, (f64, u32)>,
+    /// Streams of the uninformed router that were late.
+    pub late_of_first_router: u32,
+    pub streams_of_first_router: u32,
+    /// Streams by engine, with its speed.
+    pub by_engine: Vec<(f64, u32, u32)>,
+}
+
+impl Outcome {
+    pub fn late_ratio(&self) -> f64 {
+        f64::from(self.late_gaps + self.late_first_events) / f64::from(self.streams.max(1))
+    }
+
+    /// Largest deviation of a speed's share of the work from its share of the speed.
+    pub fn share_deviation(&self) -> f64 {
+        let speed = |key: &u64| f64::from_bits(*key);
+        let work: f64 = self.work.values().map(|(work, _)| work).sum();
+        let total: f64 = self.work.iter().map(|(key, (_, n))| speed(key) * f64::from(*n)).sum();
+        let deviations = self
+            .work
+            .iter()
+            .map(|(key, (own, n))| (own / work) / (speed(key) * f64::from(*n) / total) - 1.0);
+        deviations.fold(0.0, |worst: f64, deviation| worst.max(deviation.abs()))
+    }
+
+    pub fn describe(&self) -> String {
+        let mut first = self.first_events_s.clone();
+        first.sort_by(f64::total_cmp);
+        let at =
+            |part: f64| first.get((first.len() as f64 * part) as usize).copied().unwrap_or(0.0);
+        let shares = self.by_speed();
+        format!(
+            "late gaps {:.1}%, late first events {:.1}%, refused {}, first event p50 {:.0} ms p99 {:.0} ms, share against speed {}, deviation {:.0}%",
+            100.0 * f64::from(self.late_gaps) / f64::from(self.streams.max(1)),
+            100.0 * f64::from(self.late_first_events) / f64::from(self.streams.max(1)),
+            self.refused,
+            at(0.5) * 1e3,
+            at(0.99) * 1e3,
+            shares.join(" "),
+            100.0 * self.share_deviation(),
+        )
+    }
+
+    fn by_speed(&self) -> Vec<String> {
+        let speed = |key: &u64| f64::from_bits(*key);
+        let work: f64 = self.work.values().map(|(work, _)| work).sum();
+        let total: f64 = self.work.iter().map(|(key, (_, n))| speed(key) * f64::from(*n)).sum();
+        let share = |(key, (own, n)): (&u64, &(f64, u32))| {
+            let share = (own / work) / (speed(key) * f64::from(*n) / total);
+            format!("{:.1}:{share:.2}", speed(key))
+        };
+        self.work.iter().map(share).collect()
+    }
+}
+
+struct Stream {
+    router: usize,
+    prompt: u32,
+    unread: f64,
+    tokens_left: u32,
+    tokens: u32,
+    sent_at: f64,
+    arrived_at: f64,
+    objective_s: f64,
+    last_event_at: Option<f64>,
+    is_gap_late: bool,
+    backlog_s: f64,
+}
+
+struct Engine {
+    speed: f64,
+    is_slow: bool,
+    changes_at: f64,
+    next_step_at: f64,
+    running: Vec<Stream>,
+    waiting: VecDeque<Stream>,
+    next_report_at: f64,
+}
+
+impl Engine {
+    fn slowdown(&self) -> f64 {
+        if self.is_slow { SLOW_MOMENT } else { 1.0 }
+    }
+
+    fn backlog_s(&self) -> f64 {
+        let unread: f64 = self.running.iter().chain(&self.waiting).map(|s| s.unread).sum();
+        unread * READING_S_PER_TOKEN / self.speed
+    }
+
+    fn load(&self) -> targets::Load {
+        let tokens = self.running.iter().map(|s| u64::from(s.prompt + s.tokens)).sum();
+        targets::Load {
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            cache_used: Some(tokens),
+            slowdown_percent: Some((self.slowdown() * 100.0) as u32),
+        }
+    }
+}
+
+struct Play<'a> {
+    load: &'a Load,
+    rule: Rule,
+    rng: rngs::StdRng,
+    start: Instant,
+    routers: Vec<targets::Targets>,
+    keys: Vec<Vec<targets::TargetKey>>,
+    engines: Vec<Engine>,
+    outcome: Outcome,
+}
+
+fn model(index: usize) -> names::ModelId {
+    format!("model-{index}").as_str().into()
+}
+
+fn zone(index: usize) -> names::AvailabilityZoneId {
+    ["a", "b", "c"][index % 3].into()
+}
+
+fn entry(index: usize, load: &Load) -> targets::Entry {
+    // Two models each, so that each model is held at every speed.
+    let models = [index / 3 % load.models, (index / 3 + 1) % load.models];
+    let resident = models
+        .map(|model_index| targets::Resident { model: model(model_index), adapters: Vec::new() });
+    targets::Entry {
+        id: format!("engine-{index}").as_str().into(),
+        started_at_ms: 1,
+        renewals: 1,
+        service: "models".into(),
+        addr: ([10, 0, (index / 200) as u8, (index % 200) as u8], 1).into(),
+        zone: zone(index / 3),
+        slots: SLOTS,
+        draining: false,
+        shutdown_in: None,
+        version: None,
+        holdings: targets::Holdings { resident: resident.to_vec(), ..Default::default() },
+    }
+}
+
+/// Plays a load.
+pub fn play(load: &Load, rule: Rule, seed: u64) -> Outcome {
+    let start = Instant::now();
+    let mut rng = rngs::StdRng::seed_from_u64(seed);
+    let mut routers = Vec::new();
+    let mut keys = Vec::new();
+    for _ in 0..load.routers {
+        let mut known = targets::Targets::default();
+        let entries = (0..load.engines).map(|index| entry(index, load));
+        let ids: Vec<_> = entries
+            .map(|entry| {
+                let id = entry.id.clone();
+                known.register(start, entry);
+                known.key(&id).unwrap()
+            })
+            .collect();
+        routers.push(known);
+        keys.push(ids);
+    }
+    let engines = (0..load.engines).map(|index| Engine {
+        speed: SPEEDS[index % 3],
+        is_slow: false,
+        changes_at: rng.random_range(0.0..USUAL_S),
+        next_step_at: 0.0,
+        running: Vec::new(),
+        waiting: VecDeque::new(),
+        next_report_at: rng.random_range(0.0..REPORT_INTERVAL_S.1),
+    });
+    let engines = engines.collect();
+    let outcome = Outcome {
+        by_engine: (0..load.engines).map(|index| (SPEEDS[index % 3], 0, 0)).collect(),
+        ..Outcome::default()
+    };
+    let mut play = Play { load, rule, rng, start, routers, keys, engines, outcome };
+    play.run();
+    play.outcome
+}
+
+impl Play<'_> {
+    fn run(&mut self) {
+        let mut now = 0.0;
+        let mut next_arrival_at = 0.0;
+        while now < self.load.seconds {
+            while next_arrival_at <= now {
+                self.arrive(next_arrival_at);
+                let uniform: f64 = self.rng.random_range(1e-9..1.0);
+                next_arrival_at -= uniform.ln() / self.load.streams_per_s;
+            }
+            for index in 0..self.engines.len() {
+                self.change_host(index, now);
+                if self.engines[index].next_report_at <= now {
+                    self.report(index, now);
+                }
+                if self.engines[index].next_step_at <= now {
+                    self.step(index, now);
+                }
+            }
+            now += 0.001;
+        }
+    }
+
+    fn at(&self, seconds: f64) -> Instant {
+        self.start + Duration::from_secs_f64(seconds)
+    }
+
+    fn change_host(&mut self, index: usize, now: f64) {
+        if !self.load.has_slow_moments || self.engines[index].changes_at > now {
+            return;
+        }
+        let uniform: f64 = self.rng.random_range(1e-9..1.0);
+        let engine = &mut self.engines[index];
+        engine.is_slow = !engine.is_slow;
+        let mean = if engine.is_slow { SLOW_S } else { USUAL_S };
+        engine.changes_at = now - uniform.ln() * mean;
+    }
+
+    fn report(&mut self, index: usize, now: f64) {
+        let mut load = self.engines[index].load();
+        // Agents report no slowdown.
+        load.slowdown_percent = None;
+        let at = self.at(now);
+        let skipped = usize::from(self.load.is_first_router_uninformed);
+        for (router, keys) in self.routers.iter_mut().zip(&self.keys).skip(skipped) {
+            router.get_mut(keys[index]).unwrap().record_load(at, load);
+        }
+        self.engines[index].next_report_at =
+            now + self.rng.random_range(REPORT_INTERVAL_S.0..REPORT_INTERVAL_S.1);
+    }
+
+    fn arrive(&mut self, now: f64) {
+        let router = self.rng.random_range(0..self.load.routers);
+        let model_index = self.rng.random_range(0..self.load.models);
+        let is_short = self.rng.random_bool(0.4);
+        let (prompt, events, objective_s) = match is_short {
+            true => (383, 6, 1.5),
+            false => (715, 35, 0.5),
+        };
+        let requested = choose::RequestedModel { model: model(model_index), adapter: None };
+        let work = predict::Work {
+            prompt_tokens: prompt,
+            events: f64::from(events),
+            first_event_in: Duration::from_secs_f64(objective_s),
+            gap_objective: Some(GAP_OBJECTIVE),
+        };
+        let (service, zone) = ("models".into(), zone(router));
+        let query = choose::Query {
+            service: &service,
+            requested: Some(&requested),
+            tokens: prompt + u64::from(events * TOKENS_PER_EVENT),
+            cache_tokens: CACHE_TOKENS,
+            adapter_slots: 0,
+            zone: &zone,
+            tried: &[],
+            hash: self.rng.random(),
+            version: None,
+            cached_prefix: None,
+            work: (self.rule != Rule::Cheapest).then_some(work),
+        };
+        let at = self.at(now);
+        let known = &self.routers[router];
+        let key = match self.rule {
+            Rule::Cheapest | Rule::Product => match choose::choose(at, known, &query) {
+                choose::Choice::Send(key) => Some(key),
+                _ => None,
+            },
+            _ => self.choose_otherwise(at, known, &query, &work),
+        };
+        let counts = now > WARM_UP_S;
+        let Some(key) = key else {
+            self.outcome.refused += u32::from(counts);
+            return;
+        };
+        let index = self.keys[router].iter().position(|other| *other == key).unwrap();
+        let backlog_s = self.engines[index].backlog_s();
+        let target = self.routers[router].get_mut(key).unwrap();
+        target.record_prefill_backlog(at, Duration::from_secs_f64(backlog_s));
+        target.local_requests += 1;
+        target.local_tokens += query.tokens;
+        let stream = Stream {
+            router,
+            prompt: prompt as u32,
+            unread: prompt as f64,
+            tokens_left: events * TOKENS_PER_EVENT,
+            tokens: 0,
+            sent_at: now,
+            arrived_at: now,
+            objective_s,
+            last_event_at: None,
+            is_gap_late: false,
+            backlog_s,
+        };
+        self.engines[index].waiting.push_back(stream);
+    }
+
+    fn choose_otherwise(
+        &self,
+        at: Instant,
+        known: &targets::Targets,
+        query: &choose::Query,
+        work: &predict::Work,
+    ) -> Option<targets::TargetKey> {
+        let requested = query.requested.unwrap();
+        let holders: Vec<choose::Holder> = known
+            .iter()
+            .filter(|(_, target)| {
+                target.serves(at, &requested.model) && target.estimated_requests(at) < SLOTS
+            })
+            .collect();
+        let candidates = by_time::candidates(at, known, &holders, query, work);
+        let best = candidates.iter().map(|candidate| candidate.grade).min()?;
+        let mut of_grade: Vec<_> =
+            candidates.iter().filter(|candidate| candidate.grade == best).collect();
+        of_grade.sort_by(|a, b| a.position().total_cmp(&b.position()));
+        let cost = |candidate: &&&by_time::Candidate| candidate.cost();
+        let by_cost =
+            |a: &&&by_time::Candidate, b: &&&by_time::Candidate| cost(a).total_cmp(&cost(b));
+        let by_load = |a: &&&by_time::Candidate, b: &&&by_time::Candidate| {
+            (a.load + a.penalty).total_cmp(&(b.load + b.penalty))
+        };
+        let chosen = match self.rule {
+            Rule::LeastTime => of_grade.iter().min_by(by_cost),
+            Rule::TwoByTime => of_grade.iter().take(2).min_by(by_cost),
+            Rule::TwoByLoad => of_grade.iter().take(2).min_by(by_load),
+            _ => of_grade.first(),
+        };
+        chosen.map(|candidate| candidate.key)
+    }
+
+    /// One decoding step, and the prompts that are read before the next.
+    fn step(&mut self, index: usize, now: f64) {
+        let engine = &mut self.engines[index];
+        while engine.running.len() < SLOTS as usize {
+            let Some(stream) = engine.waiting.pop_front() else { break };
+            engine.running.push(stream);
+        }
+        if engine.running.is_empty() {
+            engine.next_step_at = now;
+            return;
+        }
+        let mut chunk = PREFILL_CHUNK;
+        let mut read = 0.0;
+        for stream in engine.running.iter_mut().filter(|stream| stream.unread > 0.0) {
+            let part = stream.unread.min(chunk);
+            stream.unread -= part;
+            chunk -= part;
+            read += part;
+        }
+        let decoding = engine.running.iter().filter(|stream| stream.unread <= 0.0).count() as f64;
+        let step = STEP_S * (1.0 + (decoding - 1.0).max(0.0) / f64::from(SLOTS));
+        let usual = (step + read * READING_S_PER_TOKEN) * self.load.slowness / engine.speed;
+        let end = now + usual * engine.slowdown();
+        engine.next_step_at = end;
+        self.finish_step(index, end);
+    }
+
+    fn finish_step(&mut self, index: usize, end: f64) {
+        let at = self.at(end);
+        let head = self.engines[index].load();
+        let engine = &mut self.engines[index];
+        let mut ended = Vec::new();
+        for (position, stream) in engine.running.iter_mut().enumerate() {
+            if stream.unread > 0.0 {
+                continue;
+            }
+            stream.tokens += 1;
+            stream.tokens_left -= 1;
+            if stream.tokens % TOKENS_PER_EVENT != 0 {
+                continue;
+            }
+            let target =
+                self.routers[stream.router].get_mut(self.keys[stream.router][index]).unwrap();
+            match stream.last_event_at {
+                None => {
+                    target.record_load(at, targets::Load { cache_used: None, ..head });
+                    let elapsed = Duration::from_secs_f64(end - stream.sent_at);
+                    let queued = Duration::from_secs_f64(stream.backlog_s);
+                    let prompt = u64::from(stream.prompt);
+                    target.pace.record_first_event(at, elapsed, queued, prompt);
+                    if stream.arrived_at > WARM_UP_S {
+                        self.outcome.streams += 1;
+                        let first = end - stream.arrived_at;
+                        let is_late = first > stream.objective_s;
+                        self.outcome.late_first_events += u32::from(is_late);
+                        self.outcome.first_events_s.push(first);
+                        let is_first = u32::from(stream.router == 0);
+                        self.outcome.streams_of_first_router += is_first;
+                        self.outcome.late_of_first_router += is_first * u32::from(is_late);
+                        self.outcome.by_engine[index].1 += 1;
+                    }
+                }
+                Some(last) => {
+                    let gap = Duration::from_secs_f64(end - last);
+                    let requests = target.estimated_requests(at);
+                    target.pace.record_event_interval(at, gap, requests, SLOTS);
+                    target.event_interval.record(at, gap);
+                    if gap > GAP_OBJECTIVE && !stream.is_gap_late && stream.arrived_at > WARM_UP_S {
+                        stream.is_gap_late = true;
+                        self.outcome.late_gaps += 1;
+                        let is_first = u32::from(stream.router == 0);
+                        self.outcome.late_of_first_router += is_first;
+                        self.outcome.by_engine[index].2 += 1;
+                    }
+                }
+            }
+            stream.last_event_at = Some(end);
+            if stream.tokens_left == 0 {
+                ended.push(position);
+            }
+        }
+        for position in ended.into_iter().rev() {
+            let stream = engine.running.swap_remove(position);
+            let tokens = stream.prompt + stream.tokens;
+            let target =
+                self.routers[stream.router].get_mut(self.keys[stream.router][index]).unwrap();
+            target.local_requests -= 1;
+            target.local_tokens -= u64::from(tokens);
+            if stream.arrived_at > WARM_UP_S {
+                let work = self.outcome.work.entry(engine.speed.to_bits()).or_default();
+                work.0 += f64::from(tokens);
+            }
+        }
+        let count = |speed: f64| (0..self.load.engines).filter(|i| SPEEDS[i % 3] == speed).count();
+        if let Some(work) = self.outcome.work.get_mut(&engine.speed.to_bits()) {
+            work.1 = count(engine.speed) as u32;
+        }
+    }
+}
--- a/crates/corianderstand_forward/src/attempt.rs
+++ b/crates/corianderstand_forward/src/attempt.rs
@@ -63,6 +63,7 @@
     job.last_target = id.clone();
     job.sent_at = Some(now);
     job.prefill_tokens = job.uncached_tokens(&shared.view.borrow(), key);
+    job.prefill_backlog = shared.prefill_backlog(key, now);
     let time_left =
         job.deadline.saturating_duration_since(now).saturating_sub(TARGET_RESPONSE_MARGIN);
     if time_left.is_zero() {
@@ -173,6 +174,9 @@
         shared.record_target_failure(key, "answer without signature");
         return AttemptOutcome::Unknown("the answer was not the target's");
     }
+    if head.status.is_success() {
+        shared.record_response_time(key, job, info.load);
+    }
     AttemptOutcome::Answered(Box::new(Answered {
         head,
         framing,
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -3,7 +3,9 @@
 use crate::{
     admission, body_end, dialect, job, metrics, quotas, replicated_records, stream, suspicion, view,
 };
-use corianderstand_fleet::{budget, crashes, exits, fingerprint::Feature, targets, wait_limit};
+use corianderstand_fleet::{
+    budget, crashes, exits, fingerprint::Feature, predict, targets, wait_limit,
+};
 use corianderstand_types::{names, position::Position};
 use http::StatusCode;
 use smol_str::SmolStr;
@@ -117,9 +119,10 @@
         view: &view::View,
         key: targets::TargetKey,
         knowledge: TargetKnowledge,
+        predicted: Option<predict::Prediction>,
         now: Instant,
     ) {
-        self.metrics.placed(knowledge.age);
+        self.metrics.placed(knowledge.age, predicted.as_ref());
         if !self.may_log(LineKind::Placed, now) {
             return;
         }
@@ -138,6 +141,13 @@
             resumes = job.request.resumes.as_ref().map(SmolStr::as_str),
             model = job.model().map(names::ModelId::as_str),
             occupied = target.estimated_requests(now),
+            first_in_ms = predicted.map(|times| millis(times.first_event_s)),
+            event_in_ms = predicted.map(|times| millis(times.event_s)),
+            whole_in_ms = predicted.map(|times| millis(times.finish_s)),
+            relative_time = predicted.map(|times| percent(times.relative_time)),
+            slowdown = predicted.map(|times| percent(times.slowdown)),
+            slowdown_age_ms = target.pace.stated_age(now).map(|age| age.as_millis() as u64),
+            speed_age_ms = target.pace.observed_age(now).map(|age| age.as_millis() as u64),
             trouble = format_args!("{:.2}", target.health.failure_score(now)),
             agent_age_ms,
             entry_from,
@@ -537,6 +547,14 @@
     }
 }
 
+fn millis(seconds: f64) -> u64 {
+    (seconds * 1e3).round() as u64
+}
+
+fn percent(ratio: f64) -> u64 {
+    (ratio * 100.0).round() as u64
+}
+
 fn millis_between(later: Instant, earlier: Instant) -> u64 {
     later.saturating_duration_since(earlier).as_millis() as u64
 }
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -130,6 +130,7 @@
         sent_at: None,
         last_target: names::TargetId::default(),
         prefill_tokens: 0,
+        prefill_backlog: Duration::ZERO,
         last_failure: "",
         error_response: None,
         sends: retries::Sends::default(),
--- a/crates/corianderstand_forward/src/job.rs
+++ b/crates/corianderstand_forward/src/job.rs
@@ -1,6 +1,6 @@
 //! A request that is being handled, and its count at the target that handles it.
 
-use crate::{body_end, content, continuations, dialect, retries, router, view};
+use crate::{body_end, content, continuations, dialect, pacing, retries, router, view};
 use bytes::Bytes;
 use corianderstand_fleet::{choose, config, demand, fingerprint, prefixes, targets};
 use corianderstand_types::names;
@@ -73,6 +73,8 @@
     pub last_target: names::TargetId,
     /// Prompt tokens that were not cached at the last target.
     pub prefill_tokens: u64,
+    /// Prefill backlog of the last target when the request was sent.
+    pub prefill_backlog: Duration,
     /// Why the last attempt failed.
     pub last_failure: &'static str,
     /// The last complete error response of a target, for the caller if no other target does better.
@@ -94,12 +96,16 @@
         if self.request.requested_model.is_none() {
             return 0;
         }
+        self.request.prompt_tokens + self.expected_output_tokens()
+    }
+
+    /// Expected output tokens.
+    pub fn expected_output_tokens(&self) -> u64 {
         let max = match self.request.max_output_tokens {
             0 => u64::MAX,
             max => max,
         };
-        self.request.prompt_tokens
-            + self.request.output_hint.unwrap_or(DEFAULT_OUTPUT_TOKENS).min(max)
+        self.request.output_hint.unwrap_or(DEFAULT_OUTPUT_TOKENS).min(max)
     }
 
     /// Prompt tokens that are not known to be cached at a target.
@@ -109,15 +115,20 @@
         self.request.prompt_tokens.saturating_sub(cached.map_or(0, |(_, tokens)| tokens))
     }
 
-    /// Expected prefill time of the uncached tokens, if there are any.
-    pub fn prefill_time(
+    /// Expected prefill time of the uncached tokens, if there are any: by the target's own pace where that is known.
+    pub fn prefill_time<P>(
         &self,
+        shared: &router::Shared<P>,
         view: &view::View,
         key: targets::TargetKey,
         now: Instant,
     ) -> Option<Duration> {
         let uncached = self.uncached_tokens(view, key);
         let model = self.model().filter(|_| uncached > 0)?;
+        let own = pacing::reading_time(shared, view, now, &self.service, key, uncached);
+        if own.is_some() {
+            return own;
+        }
         let measured = view.demand.model_demand(now, model).prefill_s_per_token;
         let s_per_token =
             if measured > 0.0 { measured } else { demand::DEFAULT_PREFILL_S_PER_TOKEN };
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod hubs;
 pub mod job;
 pub mod metrics;
+pub mod pacing;
 pub mod peers;
 pub mod pending;
 pub mod planning;
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -3,7 +3,7 @@
 use crate::{
     body_end, config_proof, continuations, dialect::Subject, job, quotas, router, server, stream,
 };
-use corianderstand_fleet::{config, exits};
+use corianderstand_fleet::{config, exits, predict};
 use corianderstand_schema::peers::StoreUse;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
@@ -65,6 +65,11 @@
     known_from: &'static str,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct ExpectationLabel {
+    expected: &'static str,
+}
+
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
 struct OutcomeLabel {
     outcome: &'static str,
@@ -113,6 +118,7 @@
     store_reads_failed: Family<SubjectLabel, Counter>,
     transfers: Family<TransferLabels, Counter>,
     entries_age_seconds: Histogram,
+    placed_by_time: Family<ExpectationLabel, Counter>,
     leaving_delay_seconds: Histogram,
     store_fresh: Gauge,
     store_era: Gauge,
@@ -164,6 +170,7 @@
             store_reads_failed: Family::default(),
             transfers: Family::default(),
             entries_age_seconds: histogram(),
+            placed_by_time: Family::default(),
             leaving_delay_seconds: histogram(),
             store_fresh: Gauge::default(),
             store_era: Gauge::default(),
@@ -327,6 +334,11 @@
             "Time since the store was read for the targets' entries when a request is sent",
             self.entries_age_seconds.clone(),
         );
+        r.register(
+            "placed_by_time",
+            "Requests placed by predicted time, by what was expected to be late",
+            self.placed_by_time.clone(),
+        );
         r.register(
             "leaving_delay_seconds",
             "Longest time from the store's record of a target's leaving until it is in force here",
@@ -425,7 +437,11 @@
     }
 
     /// Records how old the targets' entries are when a request is sent.
-    pub fn placed(&self, entries_age: Option<Duration>) {
+    pub fn placed(&self, entries_age: Option<Duration>, predicted: Option<&predict::Prediction>) {
+        if let Some(predicted) = predicted {
+            let expected = predicted.expectation();
+            self.placed_by_time.get_or_create(&ExpectationLabel { expected }).inc();
+        }
         if let Some(age) = entries_age {
             self.entries_age_seconds.observe(age.as_secs_f64());
         }
--- a/crates/corianderstand_forward/src/prefill.rs
+++ b/crates/corianderstand_forward/src/prefill.rs
@@ -75,7 +75,7 @@
         let reports_to_all = shared.peers.borrow().is_mesh();
         let target = view.targets.get(key);
         let target = target.filter(|target| target.agent_may_answer(now, reports_to_all))?;
-        let prefill_time = job.prefill_time(&view, key, now)?;
+        let prefill_time = job.prefill_time(shared, &view, key, now)?;
         let agent = std::net::SocketAddr::new(target.entry.addr.ip(), shared.settings.agent_port);
         let waiter = shared.prefill_permits.register(shared.incarnation);
         let request = wire::PrefillRequest {
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -1,9 +1,9 @@
 //! The router process: settings, shared state, startup and shutdown.
 
 use crate::{
-    client, config_proof, continuations, control, decisions, dialect, follow, job, metrics, peers,
-    pool, prefill, quotas, readers, replicated_records, request_slots, retries, server, suspicion,
-    target_reports, transfer, view,
+    client, config_proof, continuations, control, decisions, dialect, follow, job, metrics, pacing,
+    peers, pool, prefill, quotas, readers, replicated_records, request_slots, retries, server,
+    suspicion, target_reports, transfer, view,
 };
 use corianderstand_derives::derives;
 use corianderstand_fleet::{
@@ -274,6 +274,7 @@
             hash: job.request_id_hash,
             version: job.progress.continuation().map(continuations::Continuation::version),
             cached_prefix: view.cached_prefixes.find(&job.prompt_prefixes),
+            work: pacing::work(self, &view, now, job),
         };
         choose::choose(now, &view.targets, &query)
     }
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -280,7 +280,10 @@
                         Some(at) => {
                             self.shared.record_event_interval(upstream.in_flight.key(), now, at);
                         }
-                        None => self.shared.record_first_event(&self.job, now),
+                        None => {
+                            let key = upstream.in_flight.key();
+                            self.shared.record_first_event(key, &self.job, now);
+                        }
                     }
                     upstream.record_event(&self.shared.suspicion, &self.job, now);
                     self.timings.record(now);
@@ -336,6 +339,7 @@
         if let Some(upstream) = self.upstream.take() {
             let Upstream { lease, in_flight, response_head: info, first_event_at, .. } = upstream;
             self.shared.record_target_success(in_flight.key());
+            self.shared.record_stream_events(&self.job, self.splitter.events());
             let now = self.shared.clock.now();
             let written_since = first_event_at.unwrap_or_else(|| in_flight.started_at());
             self.shared.suspicion.record_written(now, &self.job, written_since);
--- a/crates/corianderstand_forward/src/target_feedback.rs
+++ b/crates/corianderstand_forward/src/target_feedback.rs
@@ -50,7 +50,39 @@
     /// Records the interval between two events of a stream.
     pub fn record_event_interval(&self, key: targets::TargetKey, now: Instant, last: Instant) {
         if let Some(target) = self.view.borrow_mut().targets.get_mut(key) {
-            target.event_interval.record(now, now.saturating_duration_since(last));
+            let interval = now.saturating_duration_since(last);
+            target.event_interval.record(now, interval);
+            let requests = target.estimated_requests(now);
+            target.pace.record_event_interval(now, interval, requests, target.entry.slots);
+        }
+    }
+
+    /// Prefill backlog of a target.
+    pub fn prefill_backlog(&self, key: targets::TargetKey, now: Instant) -> Duration {
+        let view = self.view.borrow();
+        view.targets.get(key).map_or(Duration::ZERO, |target| target.prefill_backlog(now))
+    }
+
+    /// Records the time in which a target answered a request that names no model.
+    pub fn record_response_time(
+        &self,
+        key: targets::TargetKey,
+        job: &job::Job,
+        load: Option<targets::Load>,
+    ) {
+        let waited = load.is_some_and(|load| load.waiting > 0);
+        let (false, None, Some(sent)) = (waited, job.model(), job.sent_at) else { return };
+        let now = self.clock.now();
+        if let Some(target) = self.view.borrow_mut().targets.get_mut(key) {
+            target.pace.record_response(now, now.saturating_duration_since(sent));
+        }
+    }
+
+    /// Records the number of events of a whole stream.
+    pub fn record_stream_events(&self, job: &job::Job, events: u64) {
+        if job.request.output_hint.is_some() {
+            let tokens = job.expected_output_tokens();
+            self.view.borrow_mut().event_size.record(tokens, events);
         }
     }
 
@@ -62,10 +94,17 @@
     }
 
     /// Records the time to the first event of a stream.
-    pub fn record_first_event(&self, job: &job::Job, now: Instant) {
+    pub fn record_first_event(&self, key: targets::TargetKey, job: &job::Job, now: Instant) {
         let (Some(model), Some(sent)) = (job.model(), job.sent_at) else { return };
         let elapsed = now.saturating_duration_since(sent);
-        self.view.borrow_mut().demand.record_first_event(model, job.prefill_tokens, elapsed);
+        let mut view = self.view.borrow_mut();
+        // The backlog includes this prompt if its permit is part of it.
+        let own = job.prefill_time(self, &view, key, now).unwrap_or_default();
+        let queued = job.prefill_backlog.saturating_sub(own);
+        view.demand.record_first_event(model, job.prefill_tokens, elapsed);
+        if let Some(target) = view.targets.get_mut(key) {
+            target.pace.record_first_event(now, elapsed, queued, job.prefill_tokens);
+        }
     }
 
     /// Records the load that a target reported.
--- a/crates/corianderstand_forward/src/view.rs
+++ b/crates/corianderstand_forward/src/view.rs
@@ -2,7 +2,7 @@
 
 use crate::continuations;
 use corianderstand_fleet::{
-    choose, config, demand, prefixes, routes, snapshot, targets, wait_limit,
+    choose, config, demand, pace, prefixes, routes, snapshot, targets, wait_limit,
 };
 use corianderstand_types::names;
 use std::{
@@ -21,6 +21,8 @@
     pub targets: targets::Targets,
     /// Demand for models at this router.
     pub demand: demand::Demand,
+    /// Size of the events of streams.
+    pub event_size: pace::EventSize,
     /// Number of requests that wait for each model.
     pub waiting_requests: BTreeMap<names::ModelId, u32>,
     /// Which target has which prompt prefixes cached.
--- a/crates/corianderstand_forward/src/waiting.rs
+++ b/crates/corianderstand_forward/src/waiting.rs
@@ -1,6 +1,6 @@
 //! Target selection for a request, with a bounded wait if no target is available.
 
-use crate::{exchange, job, prefill, request_slots, router, suspicion};
+use crate::{exchange, job, pacing, prefill, request_slots, router, suspicion};
 use corianderstand_fleet::{choose, targets, wait_limit};
 use corianderstand_types::names;
 use std::{
@@ -66,7 +66,8 @@
                         let now = shared.clock.now();
                         let knowledge = shared.target_knowledge(now, key);
                         let view = shared.view.borrow();
-                        shared.decision_log.placed(job, &view, key, knowledge, now);
+                        let predicted = pacing::predict(shared, &view, now, job, key);
+                        shared.decision_log.placed(job, &view, key, knowledge, predicted, now);
                         return Ok(key);
                     }
                     prefill::PermitOutcome::ChooseAgain => continue,
