Pace: the slowdown is what a target states relative to its usual figure

Change: the usual figure of each target is learned, and tells the speed of a target before its first stream; the longer intervals between events, as observed, decide whether pauses stay within their objective; late by first event or by pauses is one grade.

--- a/crates/corianderstand_fleet/src/choose/by_time.rs
+++ b/crates/corianderstand_fleet/src/choose/by_time.rs
@@ -24,10 +24,8 @@
 pub enum Grade {
     /// Within all objectives.
     OnTime,
-    /// The first event is late.
-    FirstEventLate,
-    /// Events are late in the slow moments of the host, if not always.
-    GapsLate,
+    /// The first event is late, or some pause is too long.
+    Late,
     /// It fails too many requests.
     Failing,
 }
@@ -101,12 +99,10 @@
 fn grade(predicted: &predict::Prediction, failure_score: f64) -> Grade {
     if failure_score >= health::EJECTION_THRESHOLD {
         Grade::Failing
-    } else if !predicted.meets_gap {
-        Grade::GapsLate
-    } else if !predicted.meets_first_event {
-        Grade::FirstEventLate
-    } else {
+    } else if predicted.meets_gap && predicted.meets_first_event {
         Grade::OnTime
+    } else {
+        Grade::Late
     }
 }
 
--- a/crates/corianderstand_fleet/src/pace.rs
+++ b/crates/corianderstand_fleet/src/pace.rs
@@ -1,8 +1,10 @@
 //! How fast a target works.
 //!
 //! Two things lengthen work at a target. Its own speed lasts for its incarnation and is learned from its responses. A
-//! momentary slowdown, which it states in its responses, changes many times a second where targets share their hosts
-//! with others. What is observed is divided by the slowdown stated at the time, so that the two stay apart.
+//! momentary slowdown changes many times a second where targets share their hosts with others. Targets state in their
+//! responses how long work takes now: a fast target may state less than others at all times. So the slowdown is what is
+//! stated relative to the target's usual figure. What is observed is divided by the slowdown at the time, so that the
+//! two stay apart.
 
 use corianderstand_derives::derives;
 use std::time::{Duration, Instant};
@@ -31,7 +33,11 @@
 
 /// Part of the observed reading times that are below the estimate: others' prompts lengthen them.
 const READING_QUANTILE: f64 = 0.35;
-/// Part of the stated slowdowns that are below those of a slow moment.
+/// Part of the intervals between events that are below a long one.
+const LONG_INTERVAL_QUANTILE: f64 = 0.95;
+/// Parts of the stated figures that are below that of a usual moment, as other work only lengthens the target's, and
+/// of the slowdowns that are below that of a slow one.
+const USUAL_MOMENT_QUANTILE: f64 = 0.35;
 const SLOW_MOMENT_QUANTILE: f64 = 0.9;
 const MEDIAN: f64 = 0.5;
 /// Weight of a stated slowdown in the mean.
@@ -81,16 +87,25 @@
     }
 }
 
-/// Slowdown that a target states.
+/// How long work takes, as a target states it.
 #[derives(data)]
 #[derive(Copy)]
 struct Stated {
     at: Instant,
     last: f64,
+    /// The figure of a usual moment.
+    usual: Quantile,
+    /// Mean slowdown.
     mean: f64,
     slow_moment: Quantile,
 }
 
+impl Stated {
+    fn slowdown(&self) -> f64 {
+        self.last / self.usual.value
+    }
+}
+
 /// Usual times of a target's work, without the momentary slowdown; none where they are not known.
 #[derives(data)]
 #[derive(Copy, Default)]
@@ -101,6 +116,8 @@
     pub reading_s_per_token: Option<f64>,
     /// Seconds to answer a request that is no stream.
     pub response_s: Option<f64>,
+    /// Stated time for work in a usual moment, relative to a time that is the same for all targets.
+    pub stated: Option<f64>,
 }
 
 impl UsualTimes {
@@ -109,7 +126,8 @@
         let ratio = |own: Option<f64>, other: Option<f64>| Some(own? / other?);
         let ratio = ratio(self.event_s, other.event_s)
             .or_else(|| ratio(self.response_s, other.response_s))
-            .or_else(|| ratio(self.reading_s_per_token, other.reading_s_per_token));
+            .or_else(|| ratio(self.reading_s_per_token, other.reading_s_per_token))
+            .or_else(|| ratio(self.stated, other.stated));
         ratio.filter(|ratio| ratio.is_finite() && *ratio > 0.0)
     }
 }
@@ -120,6 +138,7 @@
 pub struct Pace {
     stated: Option<Stated>,
     event: Quantile,
+    long_event: Quantile,
     reading: Quantile,
     response: Quantile,
     observed_at: Option<Instant>,
@@ -130,6 +149,7 @@
         Self {
             stated: None,
             event: Quantile::new(MEDIAN),
+            long_event: Quantile::new(LONG_INTERVAL_QUANTILE),
             reading: Quantile::new(READING_QUANTILE),
             response: Quantile::new(MEDIAN),
             observed_at: None,
@@ -154,13 +174,16 @@
         let mut stated = known.unwrap_or(Stated {
             at: now,
             last,
-            mean: last,
+            usual: Quantile::new(USUAL_MOMENT_QUANTILE),
+            mean: 1.0,
             slow_moment: Quantile::new(SLOW_MOMENT_QUANTILE),
         });
         stated.at = now;
         stated.last = last;
-        stated.mean += (last - stated.mean) * MEAN_SLOWDOWN_WEIGHT;
-        stated.slow_moment.record(last);
+        stated.usual.record(last);
+        let slowdown = stated.slowdown();
+        stated.mean += (slowdown - stated.mean) * MEAN_SLOWDOWN_WEIGHT;
+        stated.slow_moment.record(slowdown);
         self.stated = Some(stated);
     }
 
@@ -176,7 +199,7 @@
         stated.map_or(1.0, |stated| {
             let age = now.saturating_duration_since(stated.at).as_secs_f64();
             let force = (-age / SLOWDOWN_DECAY.as_secs_f64()).exp();
-            stated.mean + (stated.last - stated.mean) * force
+            stated.mean + (stated.slowdown() - stated.mean) * force
         })
     }
 
@@ -201,7 +224,7 @@
     fn slowdown_at_observation(&self, now: Instant) -> f64 {
         let stated =
             self.stated.filter(|stated| is_recent(now, stated.at, MAX_OBSERVED_SLOWDOWN_AGE));
-        stated.map_or(1.0, |stated| stated.last)
+        stated.map_or(1.0, |stated| stated.slowdown())
     }
 
     /// Records the time between two events of a stream, in a batch of `requests`.
@@ -212,10 +235,10 @@
         requests: u32,
         slots: u32,
     ) {
-        let usual = interval.as_secs_f64()
-            / self.slowdown_at_observation(now)
-            / batch_growth(requests, slots);
+        let alone = interval.as_secs_f64() / batch_growth(requests, slots);
+        let usual = alone / self.slowdown_at_observation(now);
         self.event.record(usual.clamp(MIN_OBSERVED_S, MAX_EVENT_S));
+        self.long_event.record(alone.clamp(MIN_OBSERVED_S, MAX_EVENT_S));
         self.observed_at = Some(now);
     }
 
@@ -248,12 +271,19 @@
         self.observed_at = Some(now);
     }
 
+    /// Seconds of the longer intervals between the events of a stream that runs alone: those of slow moments, and those
+    /// in which others' prompts are read. None if that is not known.
+    pub fn long_event_s(&self) -> Option<f64> {
+        self.long_event.known(MIN_EVENTS)
+    }
+
     /// Usual times of its work, as far as known.
     pub fn usual_times(&self) -> UsualTimes {
         UsualTimes {
             event_s: self.event.known(MIN_EVENTS),
             reading_s_per_token: self.reading.known(MIN_PROMPTS),
             response_s: self.response.known(MIN_RESPONSES),
+            stated: self.stated.map(|stated| stated.usual.value),
         }
     }
 }
--- a/crates/corianderstand_fleet/src/predict.rs
+++ b/crates/corianderstand_fleet/src/predict.rs
@@ -31,7 +31,14 @@
 /// Usual times of a service: the medians of its targets.
 #[derives(data)]
 #[derive(Copy, Default)]
-pub struct ServicePace(pace::UsualTimes);
+pub struct ServicePace {
+    usual: pace::UsualTimes,
+    /// Time to read a token relative to that between events, as targets differ in both alike.
+    reading_per_event: Option<f64>,
+    /// Time between events, and to answer, relative to the stated one of a usual moment.
+    event_per_stated: Option<f64>,
+    response_per_stated: Option<f64>,
+}
 
 /// Predicted times of one request at a target.
 #[derives(data)]
@@ -45,7 +52,7 @@
     pub finish_s: f64,
     /// Whether the first event is expected within its objective.
     pub meets_first_event: bool,
-    /// Whether the time between events stays within its objective in the slow moments of the host too.
+    /// Whether the time between events stays within its objective in all but a few cases.
     pub meets_gap: bool,
     /// Time of the target's work relative to the usual one of its service.
     pub relative_time: f64,
@@ -70,16 +77,38 @@
     pub fn of(targets: &targets::Targets, service: &names::ServiceId) -> Self {
         let members = targets.iter().filter(|(_, target)| target.entry.service == *service);
         let times: Vec<_> = members.map(|(_, target)| target.pace.usual_times()).collect();
-        Self(pace::UsualTimes {
+        let usual = pace::UsualTimes {
             event_s: median(times.iter().filter_map(|times| times.event_s)),
             reading_s_per_token: median(times.iter().filter_map(|times| times.reading_s_per_token)),
             response_s: median(times.iter().filter_map(|times| times.response_s)),
-        })
+            stated: median(times.iter().filter_map(|times| times.stated)),
+        };
+        let ratio = |of: fn(&pace::UsualTimes) -> Option<f64>,
+                     to: fn(&pace::UsualTimes) -> Option<f64>| {
+            median(times.iter().filter_map(|times| Some(of(times)? / to(times)?)))
+        };
+        Self {
+            usual,
+            reading_per_event: ratio(|times| times.reading_s_per_token, |times| times.event_s),
+            event_per_stated: ratio(|times| times.event_s, |times| times.stated),
+            response_per_stated: ratio(|times| times.response_s, |times| times.stated),
+        }
+    }
+
+    /// Usual times of a target: its own where they are known, else as far as they follow from what it states.
+    pub fn usual_times(&self, pace: &pace::Pace) -> pace::UsualTimes {
+        let own = pace.usual_times();
+        let by_stated = |ratio: Option<f64>| Some(own.stated? * ratio?);
+        pace::UsualTimes {
+            event_s: own.event_s.or_else(|| by_stated(self.event_per_stated)),
+            response_s: own.response_s.or_else(|| by_stated(self.response_per_stated)),
+            ..own
+        }
     }
 
     /// Time of a target's work relative to the usual one of the service; that of the median if it is not known.
     pub fn relative_time(&self, pace: &pace::Pace) -> f64 {
-        let relative = pace.usual_times().relative_to(&self.0);
+        let relative = self.usual_times(pace).relative_to(&self.usual);
         relative.map_or(1.0, |relative| relative.clamp(MIN_RELATIVE_TIME, MAX_RELATIVE_TIME))
     }
 
@@ -90,8 +119,9 @@
 
     /// Usual seconds to read a prompt token at a target; none if no target of the service is known.
     pub fn reading_s_per_token(&self, pace: &pace::Pace) -> Option<f64> {
-        let own = pace.usual_times().reading_s_per_token;
-        own.or_else(|| Some(self.0.reading_s_per_token? * self.relative_time(pace)))
+        let own = self.usual_times(pace);
+        let by_event = || Some(own.event_s? * self.reading_per_event?);
+        own.reading_s_per_token.or_else(by_event).or(self.usual.reading_s_per_token)
     }
 
     /// Predicts the times of a request that is sent to a target now. `cached_tokens` of its prompt need not be read.
@@ -103,14 +133,14 @@
         work: &Work,
         cached_tokens: u64,
     ) -> Prediction {
-        let times = target.pace.usual_times();
+        let times = self.usual_times(&target.pace);
         let relative_time = self.relative_time(&target.pace);
         let slowdown = target.pace.slowdown(now);
         let requests = target.estimated_requests(now) + 1;
         let slots = target.entry.slots.max(1);
         let round_trip = if target.entry.zone == *zone { 0.0 } else { CROSS_ZONE_ROUND_TRIP_S };
         if work.events <= 0.0 {
-            let usual = self.0.response_s.unwrap_or(DEFAULT_RESPONSE_S) * relative_time;
+            let usual = self.usual.response_s.unwrap_or(DEFAULT_RESPONSE_S) * relative_time;
             let response = times.response_s.unwrap_or(usual) * slowdown;
             // Those that do not fit wait for a slot each.
             let turns = f64::from(requests.div_ceil(slots));
@@ -125,7 +155,7 @@
                 slowdown,
             };
         }
-        let usual = self.0.event_s.unwrap_or(DEFAULT_EVENT_S) * relative_time;
+        let usual = self.usual.event_s.unwrap_or(DEFAULT_EVENT_S) * relative_time;
         let usual_event_s = times.event_s.unwrap_or(usual) * pace::batch_growth(requests, slots);
         let reading = self
             .reading_s_per_token(&target.pace)
@@ -134,13 +164,15 @@
         let event_s = usual_event_s * slowdown;
         let backlog = target.prefill_backlog(now).as_secs_f64();
         let first_event_s = backlog + uncached * reading * slowdown + event_s + round_trip;
-        let slow_event_s = usual_event_s * target.pace.slow_moment(now);
+        let growth = pace::batch_growth(requests, slots);
+        let observed = target.pace.long_event_s().map(|long| long * growth);
+        let long_event_s = observed.unwrap_or(usual_event_s * target.pace.slow_moment(now));
         Prediction {
             first_event_s,
             event_s,
             finish_s: first_event_s + event_s * (work.events - 1.0).max(0.0),
             meets_first_event: first_event_s <= work.first_event_in.as_secs_f64(),
-            meets_gap: work.gap_objective.is_none_or(|gap| slow_event_s <= gap.as_secs_f64()),
+            meets_gap: work.gap_objective.is_none_or(|gap| long_event_s <= gap.as_secs_f64()),
             relative_time,
             slowdown,
         }
@@ -149,6 +181,6 @@
 
 fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
     let mut values: Vec<f64> = values.collect();
-    let middle = values.len() / 2;
+    let middle = values.len().saturating_sub(1) / 2;
     (!values.is_empty()).then(|| *values.select_nth_unstable_by(middle, f64::total_cmp).1)
 }
