--- a/crates/corianderstand_fleet/src/pace.rs
+++ b/crates/corianderstand_fleet/src/pace.rs
@@ -33,8 +33,6 @@
 
 /// Part of the observed reading times that are below the estimate: others' prompts lengthen them.
 const READING_QUANTILE: f64 = 0.35;
-/// Part of the intervals between events that are below a long one.
-const LONG_INTERVAL_QUANTILE: f64 = 0.95;
 /// Parts of the stated figures that are below that of a usual moment, as other work only lengthens the target's, and
 /// of the slowdowns that are below that of a slow one.
 const USUAL_MOMENT_QUANTILE: f64 = 0.35;
@@ -138,7 +136,6 @@
 pub struct Pace {
     stated: Option<Stated>,
     event: Quantile,
-    long_event: Quantile,
     reading: Quantile,
     response: Quantile,
     observed_at: Option<Instant>,
@@ -149,7 +146,6 @@
         Self {
             stated: None,
             event: Quantile::new(MEDIAN),
-            long_event: Quantile::new(LONG_INTERVAL_QUANTILE),
             reading: Quantile::new(READING_QUANTILE),
             response: Quantile::new(MEDIAN),
             observed_at: None,
@@ -235,10 +231,10 @@
         requests: u32,
         slots: u32,
     ) {
-        let alone = interval.as_secs_f64() / batch_growth(requests, slots);
-        let usual = alone / self.slowdown_at_observation(now);
+        let usual = interval.as_secs_f64()
+            / self.slowdown_at_observation(now)
+            / batch_growth(requests, slots);
         self.event.record(usual.clamp(MIN_OBSERVED_S, MAX_EVENT_S));
-        self.long_event.record(alone.clamp(MIN_OBSERVED_S, MAX_EVENT_S));
         self.observed_at = Some(now);
     }
 
@@ -271,12 +267,6 @@
         self.observed_at = Some(now);
     }
 
-    /// Seconds of the longer intervals between the events of a stream that runs alone: those of slow moments, and those
-    /// in which others' prompts are read. None if that is not known.
-    pub fn long_event_s(&self) -> Option<f64> {
-        self.long_event.known(MIN_EVENTS)
-    }
-
     /// Usual times of its work, as far as known.
     pub fn usual_times(&self) -> UsualTimes {
         UsualTimes {
--- a/crates/corianderstand_fleet/src/predict.rs
+++ b/crates/corianderstand_fleet/src/predict.rs
@@ -52,7 +52,7 @@
     pub finish_s: f64,
     /// Whether the first event is expected within its objective.
     pub meets_first_event: bool,
-    /// Whether the time between events stays within its objective in all but a few cases.
+    /// Whether the time between events stays within its objective in the slow moments of the host too.
     pub meets_gap: bool,
     /// Time of the target's work relative to the usual one of its service.
     pub relative_time: f64,
@@ -164,9 +164,7 @@
         let event_s = usual_event_s * slowdown;
         let backlog = target.prefill_backlog(now).as_secs_f64();
         let first_event_s = backlog + uncached * reading * slowdown + event_s + round_trip;
-        let growth = pace::batch_growth(requests, slots);
-        let observed = target.pace.long_event_s().map(|long| long * growth);
-        let long_event_s = observed.unwrap_or(usual_event_s * target.pace.slow_moment(now));
+        let long_event_s = usual_event_s * target.pace.slow_moment(now);
         Prediction {
             first_event_s,
             event_s,
--- a/crates/corianderstand_fleet/tests/uneven_fleet/mod.rs
+++ b/crates/corianderstand_fleet/tests/uneven_fleet/mod.rs
@@ -38,8 +38,6 @@
     LeastTime,
     /// Two candidates are drawn, and the one of the least predicted cost is taken.
     TwoByTime,
-    /// As before, of three.
-    ThreeByTime,
     /// Two candidates are drawn, and the one with the least load is taken.
     TwoByLoad,
     /// In proportion to what each has to spare.
@@ -102,16 +100,15 @@
         f64::from(self.late_gaps + self.late_first_events) / f64::from(self.streams.max(1))
     }
 
-    /// Largest deviation of a speed's share of the work from its share of the speed.
-    pub fn share_deviation(&self) -> f64 {
+    /// Each speed's share of the work relative to its share of the speed, the slowest first.
+    pub fn shares(&self) -> Vec<f64> {
         let speed = |key: &u64| f64::from_bits(*key);
         let work: f64 = self.work.values().map(|(work, _)| work).sum();
         let total: f64 = self.work.iter().map(|(key, (_, n))| speed(key) * f64::from(*n)).sum();
-        let deviations = self
-            .work
-            .iter()
-            .map(|(key, (own, n))| (own / work) / (speed(key) * f64::from(*n) / total) - 1.0);
-        deviations.fold(0.0, |worst: f64, deviation| worst.max(deviation.abs()))
+        let share = |(key, (own, n)): (&u64, &(f64, u32))| {
+            (own / work) / (speed(key) * f64::from(*n) / total)
+        };
+        self.work.iter().map(share).collect()
     }
 
     pub fn describe(&self) -> String {
@@ -119,29 +116,17 @@
         first.sort_by(f64::total_cmp);
         let at =
             |part: f64| first.get((first.len() as f64 * part) as usize).copied().unwrap_or(0.0);
-        let shares = self.by_speed();
+        let shares: Vec<_> = self.shares().iter().map(|share| format!("{share:.2}")).collect();
         format!(
-            "late gaps {:.1}%, late first events {:.1}%, refused {}, first event p50 {:.0} ms p99 {:.0} ms, share against speed {}, deviation {:.0}%",
+            "late gaps {:.1}%, late first events {:.1}%, refused {}, first event p50 {:.0} ms p99 {:.0} ms, share against speed {}",
             100.0 * f64::from(self.late_gaps) / f64::from(self.streams.max(1)),
             100.0 * f64::from(self.late_first_events) / f64::from(self.streams.max(1)),
             self.refused,
             at(0.5) * 1e3,
             at(0.99) * 1e3,
             shares.join(" "),
-            100.0 * self.share_deviation(),
         )
     }
-
-    fn by_speed(&self) -> Vec<String> {
-        let speed = |key: &u64| f64::from_bits(*key);
-        let work: f64 = self.work.values().map(|(work, _)| work).sum();
-        let total: f64 = self.work.iter().map(|(key, (_, n))| speed(key) * f64::from(*n)).sum();
-        let share = |(key, (own, n)): (&u64, &(f64, u32))| {
-            let share = (own / work) / (speed(key) * f64::from(*n) / total);
-            format!("{:.1}:{share:.2}", speed(key))
-        };
-        self.work.iter().map(share).collect()
-    }
 }
 
 struct Stream {
@@ -410,7 +395,6 @@
         let chosen = match self.rule {
             Rule::LeastTime => of_grade.iter().min_by(by_cost),
             Rule::TwoByTime => of_grade.iter().take(2).min_by(by_cost),
-            Rule::ThreeByTime => of_grade.iter().take(3).min_by(by_cost),
             Rule::TwoByLoad => of_grade.iter().take(2).min_by(by_load),
             _ => of_grade.first(),
         };
