--- a/crates/corianderstand_fleet/src/choose.rs
+++ b/crates/corianderstand_fleet/src/choose.rs
@@ -134,9 +134,9 @@
         .requested
         .and_then(|requested| requested.adapter.as_ref().map(|adapter| (requested, adapter)))
     {
-        None => best(now, targets, &with_capacity, query).map_or(Choice::Full, Choice::Send),
+        None => best(now, &with_capacity, query).map_or(Choice::Full, Choice::Send),
         Some((requested, adapter)) => {
-            choose_for_adapter(now, targets, &with_capacity, query, requested, adapter)
+            choose_for_adapter(now, &with_capacity, query, requested, adapter)
         }
     }
 }
@@ -161,7 +161,6 @@
 /// adapter slot. Rendezvous hashing breaks ties, so that all routers load it on the same engine.
 fn choose_for_adapter(
     now: Instant,
-    targets: &targets::Targets,
     holders: &[Holder],
     query: &Query,
     requested: &RequestedModel,
@@ -172,7 +171,7 @@
         resident.is_some_and(|resident| resident.adapters.contains(adapter))
     };
     let ready: Vec<_> = holders.iter().copied().filter(|(_, target)| has(target)).collect();
-    if let Some(key) = best(now, targets, &ready, query) {
+    if let Some(key) = best(now, &ready, query) {
         return Choice::Send(key);
     }
     let rendezvous_hash = |target: &targets::Target| {
@@ -207,16 +206,11 @@
     target.estimated_requests(now) < target.entry.slots.max(1) && memory
 }
 
-fn best(
-    now: Instant,
-    targets: &targets::Targets,
-    holders: &[Holder],
-    query: &Query,
-) -> Option<targets::TargetKey> {
+fn best(now: Instant, holders: &[Holder], query: &Query) -> Option<targets::TargetKey> {
     match &query.work {
         None => cheapest(now, holders, query),
         Some(work) => {
-            let candidates = by_time::candidates(now, targets, holders, query, work);
+            let candidates = by_time::candidates(now, holders, query, work);
             by_time::draw(&candidates).map(|candidate| candidate.key)
         }
     }
--- a/crates/corianderstand_fleet/src/choose/by_time.rs
+++ b/crates/corianderstand_fleet/src/choose/by_time.rs
@@ -16,6 +16,8 @@
 const REQUEST_LIMIT_COST: f64 = 0.5;
 /// Part of the predicted time that bytes from another availability zone cost.
 const CROSS_ZONE_COST: f64 = 0.1;
+/// Part of the predicted time that is random, as two targets are often all that hold a model.
+const JITTER: f64 = 0.2;
 /// Part of its capacity that a target is taken to have to spare at least.
 const MIN_SPARE: f64 = 0.02;
 
@@ -52,32 +54,31 @@
 impl Candidate {
     /// Cost of the request there, in seconds.
     pub fn cost(&self) -> f64 {
-        self.predicted.finish_s * (1.0 + self.penalty)
+        self.predicted.finish_s
+            * (1.0 + self.penalty)
+            * (1.0 + JITTER * uniform(self.hash.rotate_left(32)))
     }
 
     /// Position in a random order in which a candidate with twice as much to spare comes first twice as often.
     pub fn position(&self) -> f64 {
-        let uniform = ((self.hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
-        -uniform.ln() / self.spare
+        -uniform(self.hash).ln() / self.spare
     }
 }
 
 /// Predicts the request's times at each target.
 pub fn candidates(
     now: Instant,
-    targets: &targets::Targets,
     holders: &[Holder],
     query: &Query,
     work: &predict::Work,
 ) -> Vec<Candidate> {
-    let service = predict::ServicePace::of(targets, query.service);
-    let failure_scores = holders.iter().map(|(_, target)| target.health.failure_score(now));
-    let least_failure_score = failure_scores.fold(f64::INFINITY, f64::min);
-    let candidate = |&(key, target): &Holder| {
+    let failure_scores: Vec<f64> =
+        holders.iter().map(|(_, target)| target.health.failure_score(now)).collect();
+    let least_failure_score = failure_scores.iter().copied().fold(f64::INFINITY, f64::min);
+    let candidate = |(&(key, target), &failure_score): (&Holder, &f64)| {
         let cached = query.cached_prefix.filter(|(holder, _)| *holder == key);
         let cached_tokens = cached.map_or(0, |(_, tokens)| tokens);
-        let predicted = service.predict(now, target, query.zone, work, cached_tokens);
-        let failure_score = target.health.failure_score(now);
+        let predicted = work.usual.predict(now, target, query.zone, work, cached_tokens);
         let zone = if target.entry.zone == *query.zone { 0.0 } else { CROSS_ZONE_COST };
         let limit = if target.request_limit.is_some() { REQUEST_LIMIT_COST } else { 0.0 };
         let penalty = (failure_score - least_failure_score) * FAILURE_SCORE_WEIGHT + zone + limit;
@@ -93,7 +94,12 @@
             hash: xxh3::xxh3_64_with_seed(target.entry.id.as_str().as_bytes(), query.hash),
         }
     };
-    holders.iter().map(candidate).collect()
+    holders.iter().zip(&failure_scores).map(candidate).collect()
+}
+
+/// A number between 0 and 1.
+fn uniform(hash: u64) -> f64 {
+    ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64
 }
 
 fn grade(predicted: &predict::Prediction, failure_score: f64) -> Grade {
--- a/crates/corianderstand_fleet/src/pace.rs
+++ b/crates/corianderstand_fleet/src/pace.rs
@@ -199,10 +199,9 @@
         })
     }
 
-    /// Time that work takes in the slow moments of the target's host, relative to the usual time.
-    pub fn slow_moment(&self, now: Instant) -> f64 {
-        let stated = self.stated.filter(|stated| is_recent(now, stated.at, SLOWDOWN_TTL));
-        stated.map_or(1.0, |stated| stated.slow_moment.value.max(self.slowdown(now)))
+    /// Slowdown in the slow moments of the target's host, if this is the slowdown now.
+    pub fn slow_moment(&self, slowdown: f64) -> f64 {
+        self.stated.map_or(slowdown, |stated| stated.slow_moment.value.max(slowdown))
     }
 
     /// Age of the stated slowdown.
--- a/crates/corianderstand_fleet/src/predict.rs
+++ b/crates/corianderstand_fleet/src/predict.rs
@@ -26,6 +26,8 @@
     pub first_event_in: Duration,
     /// Objective for the longest pause between events, if there is one.
     pub gap_objective: Option<Duration>,
+    /// Usual times of the service.
+    pub usual: ServicePace,
 }
 
 /// Usual times of a service: the medians of its targets.
@@ -108,7 +110,11 @@
 
     /// Time of a target's work relative to the usual one of the service; that of the median if it is not known.
     pub fn relative_time(&self, pace: &pace::Pace) -> f64 {
-        let relative = self.usual_times(pace).relative_to(&self.usual);
+        self.relative_time_of(&self.usual_times(pace))
+    }
+
+    fn relative_time_of(&self, times: &pace::UsualTimes) -> f64 {
+        let relative = times.relative_to(&self.usual);
         relative.map_or(1.0, |relative| relative.clamp(MIN_RELATIVE_TIME, MAX_RELATIVE_TIME))
     }
 
@@ -119,9 +125,12 @@
 
     /// Usual seconds to read a prompt token at a target; none if no target of the service is known.
     pub fn reading_s_per_token(&self, pace: &pace::Pace) -> Option<f64> {
-        let own = self.usual_times(pace);
-        let by_event = || Some(own.event_s? * self.reading_per_event?);
-        own.reading_s_per_token.or_else(by_event).or(self.usual.reading_s_per_token)
+        self.reading_s_per_token_of(&self.usual_times(pace))
+    }
+
+    fn reading_s_per_token_of(&self, times: &pace::UsualTimes) -> Option<f64> {
+        let by_event = || Some(times.event_s? * self.reading_per_event?);
+        times.reading_s_per_token.or_else(by_event).or(self.usual.reading_s_per_token)
     }
 
     /// Predicts the times of a request that is sent to a target now. `cached_tokens` of its prompt need not be read.
@@ -134,7 +143,7 @@
         cached_tokens: u64,
     ) -> Prediction {
         let times = self.usual_times(&target.pace);
-        let relative_time = self.relative_time(&target.pace);
+        let relative_time = self.relative_time_of(&times);
         let slowdown = target.pace.slowdown(now);
         let requests = target.estimated_requests(now) + 1;
         let slots = target.entry.slots.max(1);
@@ -158,13 +167,13 @@
         let usual = self.usual.event_s.unwrap_or(DEFAULT_EVENT_S) * relative_time;
         let usual_event_s = times.event_s.unwrap_or(usual) * pace::batch_growth(requests, slots);
         let reading = self
-            .reading_s_per_token(&target.pace)
+            .reading_s_per_token_of(&times)
             .unwrap_or(demand::DEFAULT_PREFILL_S_PER_TOKEN * relative_time);
         let uncached = work.prompt_tokens.saturating_sub(cached_tokens) as f64;
         let event_s = usual_event_s * slowdown;
         let backlog = target.prefill_backlog(now).as_secs_f64();
         let first_event_s = backlog + uncached * reading * slowdown + event_s + round_trip;
-        let long_event_s = usual_event_s * target.pace.slow_moment(now);
+        let long_event_s = usual_event_s * target.pace.slow_moment(slowdown);
         Prediction {
             first_event_s,
             event_s,
--- a/crates/corianderstand_fleet/tests/pace.rs
+++ b/crates/corianderstand_fleet/tests/pace.rs
@@ -96,7 +96,7 @@
     }
     assert!(!pace.is_stated());
     assert_near(pace.slowdown(now), 1.0);
-    assert_near(pace.slow_moment(now), 1.0);
+    assert_near(pace.slow_moment(1.0), 1.0);
     assert_near(pace.usual_times().event_s.unwrap(), EVENT.as_secs_f64());
 }
 
--- a/crates/corianderstand_fleet/tests/predicted_choice.rs
+++ b/crates/corianderstand_fleet/tests/predicted_choice.rs
@@ -30,6 +30,7 @@
         events: 35.0,
         first_event_in: Duration::from_millis(500),
         gap_objective: Some(GAP_OBJECTIVE),
+        usual: predict::ServicePace::default(),
     }
 }
 
@@ -39,6 +40,7 @@
         events: 0.0,
         first_event_in: Duration::from_millis(300),
         gap_objective: None,
+        usual: predict::ServicePace::default(),
     }
 }
 
@@ -79,6 +81,7 @@
     has_model: bool,
 ) -> HashMap<Option<names::TargetId>, f64> {
     let requested = choose::RequestedModel { model: "m".into(), adapter: None };
+    let work = predict::Work { usual: predict::ServicePace::of(targets, &"models".into()), ..work };
     let mut counts: HashMap<_, f64> = HashMap::new();
     for hash in 0..DRAWS {
         let query = choose::Query {
@@ -233,11 +236,13 @@
     let given = shares(now, &targets, work(), true);
     assert!(share(&given, 0) < 0.1, "{given:?}");
     let later = now + Duration::from_secs(2);
+    set_load(later, &mut targets, 1, 8);
     let given = shares(later, &targets, work(), true);
-    assert!(share(&given, 0) > 0.3, "it is over, as far as is known: {given:?}");
+    assert!(share(&given, 0) > 0.5, "it is over, as far as is known: {given:?}");
 }
 
-fn choice_time(count: usize) -> Duration {
+/// Times of one choice, and of working out the usual times of the service.
+fn choice_times(count: usize) -> (Duration, Duration) {
     let now = Instant::now();
     let speeds: Vec<f64> = (0..count).map(|index| [0.6, 1.0, 1.6][index % 3]).collect();
     let targets = observed(now, &speeds);
@@ -254,16 +259,30 @@
         hash: 1,
         version: None,
         cached_prefix: None,
-        work: Some(work()),
+        work: Some(predict::Work { usual: predict::ServicePace::of(&targets, &service), ..work() }),
     };
-    // The least of many: other work of the machine only adds to it.
+    let work = query.work.take();
+    let by_shares = least_time(|| {
+        std::hint::black_box(choose::choose(now, &targets, &query));
+    });
+    println!("by shares of a batch among {count}: {by_shares:?}");
+    query.work = work;
+    let usual = least_time(|| {
+        std::hint::black_box(predict::ServicePace::of(&targets, &service));
+    });
+    let choice = least_time(|| {
+        query.hash = query.hash.wrapping_mul(0x9E37_79B9_7F4A_7C15) + 1;
+        std::hint::black_box(choose::choose(now, &targets, &query));
+    });
+    (choice, usual)
+}
+
+/// The least of many: other work of the machine only adds to it.
+fn least_time(mut work: impl FnMut()) -> Duration {
     let mut least = Duration::MAX;
-    for _ in 0..200 {
+    for _ in 0..300 {
         let started_at = Instant::now();
-        for _ in 0..10 {
-            query.hash = query.hash.wrapping_mul(0x9E37_79B9_7F4A_7C15) + 1;
-            std::hint::black_box(choose::choose(now, &targets, &query));
-        }
+        (0..10).for_each(|_| work());
         least = least.min(started_at.elapsed() / 10);
     }
     least
@@ -272,8 +291,10 @@
 /// Guards against choices that take the time of a weak host; all targets hold the model.
 #[test]
 fn a_choice_is_fast() {
-    let (small, large) = (choice_time(47), choice_time(730));
+    let (small, small_usual) = choice_times(47);
+    let (large, large_usual) = choice_times(730);
     println!("one choice among 47 targets: {small:?}; among 730: {large:?}");
+    println!("usual times of 47 targets: {small_usual:?}; of 730: {large_usual:?}");
     assert!(small < MAX_CHOICE_TIME, "{small:?}");
     assert!(large < 20 * MAX_CHOICE_TIME, "{large:?}");
 }
--- a/crates/corianderstand_fleet/tests/uneven_fleet/mod.rs
+++ b/crates/corianderstand_fleet/tests/uneven_fleet/mod.rs
@@ -181,6 +181,7 @@
     start: Instant,
     routers: Vec<targets::Targets>,
     keys: Vec<Vec<targets::TargetKey>>,
+    usual: Vec<(f64, predict::ServicePace)>,
     engines: Vec<Engine>,
     outcome: Outcome,
 }
@@ -246,7 +247,8 @@
         by_engine: (0..load.engines).map(|index| (SPEEDS[index % 3], 0, 0)).collect(),
         ..Outcome::default()
     };
-    let mut play = Play { load, rule, rng, start, routers, keys, engines, outcome };
+    let usual = vec![(-1.0, predict::ServicePace::default()); load.routers];
+    let mut play = Play { usual, load, rule, rng, start, routers, keys, engines, outcome };
     play.run();
     play.outcome
 }
@@ -274,6 +276,16 @@
         }
     }
 
+    /// Usual times, which each router works out anew a few times a second.
+    fn usual(&mut self, router: usize, now: f64) -> predict::ServicePace {
+        let (at, usual) = &mut self.usual[router];
+        if now - *at > 0.25 {
+            (*at, *usual) =
+                (now, predict::ServicePace::of(&self.routers[router], &"models".into()));
+        }
+        *usual
+    }
+
     fn at(&self, seconds: f64) -> Instant {
         self.start + Duration::from_secs_f64(seconds)
     }
@@ -316,6 +328,7 @@
             events: f64::from(events),
             first_event_in: Duration::from_secs_f64(objective_s),
             gap_objective: Some(GAP_OBJECTIVE),
+            usual: self.usual(router, now),
         };
         let (service, zone) = ("models".into(), zone(router));
         let query = choose::Query {
@@ -381,7 +394,7 @@
                 target.serves(at, &requested.model) && target.estimated_requests(at) < SLOTS
             })
             .collect();
-        let candidates = by_time::candidates(at, known, &holders, query, work);
+        let candidates = by_time::candidates(at, &holders, query, work);
         let best = candidates.iter().map(|candidate| candidate.grade).min()?;
         let mut of_grade: Vec<_> =
             candidates.iter().filter(|candidate| candidate.grade == best).collect();
--- a/crates/corianderstand_forward/src/pacing.rs
+++ b/crates/corianderstand_forward/src/pacing.rs
@@ -3,19 +3,55 @@
 use crate::{job, router, view};
 use corianderstand_fleet::{features, predict, targets};
 use corianderstand_types::names;
-use std::time::{Duration, Instant};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
-/// Whether the paces of a service's targets decide: its targets state them, or the operator says so.
-pub fn is_used<P>(
+/// Time for which the usual times of a service are kept: they change slowly, and there may be hundreds of targets.
+const USUAL_TIMES_TTL: Duration = Duration::from_millis(200);
+
+/// What was worked out of a service's targets.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    at: Instant,
+    states_pace: bool,
+    usual: predict::ServicePace,
+}
+
+/// Usual times of services, worked out now and then.
+#[derive(Debug, Default)]
+pub struct Services(RefCell<HashMap<names::ServiceId, Known>>);
+
+impl Services {
+    fn get(&self, targets: &targets::Targets, service: &names::ServiceId, now: Instant) -> Known {
+        let mut services = self.0.borrow_mut();
+        let known = services.get(service).copied();
+        let is_recent = |known: &Known| now.saturating_duration_since(known.at) < USUAL_TIMES_TTL;
+        known.filter(is_recent).unwrap_or_else(|| {
+            // Also drops services that are gone.
+            services.retain(|_, known| is_recent(known));
+            let members = targets.iter().filter(|(_, target)| target.entry.service == *service);
+            let states_pace = members.into_iter().any(|(_, target)| target.pace.is_stated());
+            let usual = predict::ServicePace::of(targets, service);
+            let known = Known { at: now, states_pace, usual };
+            services.insert(service.clone(), known);
+            known
+        })
+    }
+}
+
+/// Usual times of a service, if the paces of its targets decide: they state them, or the operator says so.
+pub fn usual<P>(
     shared: &router::Shared<P>,
     view: &view::View,
+    now: Instant,
     service: &names::ServiceId,
-) -> bool {
+) -> Option<predict::ServicePace> {
     let switch = shared.bounds.borrow().features.pace;
-    let states_pace = |(_, target): (targets::TargetKey, &targets::Target)| {
-        target.entry.service == *service && target.pace.is_stated()
-    };
-    features::is_used(switch, view.targets.iter().any(states_pace))
+    let known = view.service_paces.get(&view.targets, service, now);
+    features::is_used(switch, known.states_pace).then_some(known.usual)
 }
 
 /// What the times of a request are predicted from; none if the paces do not decide.
@@ -25,12 +61,14 @@
     now: Instant,
     job: &job::Job,
 ) -> Option<predict::Work> {
-    is_used(shared, view, &job.service).then(|| predict::Work {
+    let usual = usual(shared, view, now, &job.service)?;
+    Some(predict::Work {
         prompt_tokens: job.request.prompt_tokens,
         events: job.model().map_or(0.0, |_| view.event_size.events(job.expected_output_tokens())),
         first_event_in: (job.idle_since + job.route.latency_objective)
             .saturating_duration_since(now),
         gap_objective: job.route.gap_objective,
+        usual,
     })
 }
 
@@ -44,9 +82,8 @@
 ) -> Option<predict::Prediction> {
     let work = work(shared, view, now, job)?;
     let target = view.targets.get(key)?;
-    let service = predict::ServicePace::of(&view.targets, &job.service);
-    let cached_tokens = job.request.prompt_tokens - job.uncached_tokens(view, key);
-    Some(service.predict(now, target, &shared.settings.zone, &work, cached_tokens))
+    let cached_tokens = job.request.prompt_tokens.saturating_sub(job.uncached_tokens(view, key));
+    Some(work.usual.predict(now, target, &shared.settings.zone, &work, cached_tokens))
 }
 
 /// Expected time in which a target reads prompt tokens now, by its own pace; none if that is not known, or the paces
@@ -59,11 +96,8 @@
     key: targets::TargetKey,
     tokens: u64,
 ) -> Option<Duration> {
-    if !is_used(shared, view, service) {
-        return None;
-    }
+    let usual = usual(shared, view, now, service)?;
     let target = view.targets.get(key)?;
-    let usual = predict::ServicePace::of(&view.targets, service);
     let s_per_token = usual.reading_s_per_token(&target.pace)?;
     Some(Duration::from_secs_f64(tokens as f64 * s_per_token * target.pace.slowdown(now)))
 }
--- a/crates/corianderstand_forward/src/planning.rs
+++ b/crates/corianderstand_forward/src/planning.rs
@@ -1,7 +1,7 @@
 //! Collects the planner's inputs and publishes its plans to the agents.
 
 use crate::{pacing, peers, router};
-use corianderstand_fleet::{config, health, plan, predict, snapshot, targets};
+use corianderstand_fleet::{config, health, plan, snapshot, targets};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
 use corianderstand_types::names;
 use std::{
@@ -137,8 +137,7 @@
         let models = running.entry(&count.target).or_default();
         *models.entry(count.model.clone()).or_default() += count.count;
     }
-    let service_pace = pacing::is_used(shared, &view, service)
-        .then(|| predict::ServicePace::of(&view.targets, service));
+    let usual = pacing::usual(shared, &view, now, service);
     let engines = view.targets.iter().filter(|(_, target)| {
         target.entry.service == *service
             && target.accepts_requests(now)
@@ -159,7 +158,7 @@
             holdings: target.entry.holdings.clone(),
             ongoing: target.ongoing.clone(),
             request_limit: target.request_limit.map(|limit| limit.per_s),
-            speed: service_pace.as_ref().map_or(1.0, |usual| usual.speed(&target.pace)),
+            speed: usual.map_or(1.0, |usual| usual.speed(&target.pace)),
             running,
         }
     });
--- a/crates/corianderstand_forward/src/view.rs
+++ b/crates/corianderstand_forward/src/view.rs
@@ -1,6 +1,6 @@
 //! A router's local view of the fleet, and notifications of its changes.
 
-use crate::continuations;
+use crate::{continuations, pacing};
 use corianderstand_fleet::{
     choose, config, demand, pace, prefixes, routes, snapshot, targets, wait_limit,
 };
@@ -23,6 +23,8 @@
     pub demand: demand::Demand,
     /// Size of the events of streams.
     pub event_size: pace::EventSize,
+    /// Usual times of services.
+    pub service_paces: pacing::Services,
     /// Number of requests that wait for each model.
     pub waiting_requests: BTreeMap<names::ModelId, u32>,
     /// Which target has which prompt prefixes cached.
