--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod overload;
 pub mod pace;
 pub mod plan;
+pub mod predict;
 pub mod prefill;
 pub mod prefixes;
 pub mod quota;
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -4,7 +4,7 @@
     admission, body_end, dialect, job, metrics, quotas, replicated_records, stream, suspicion, view,
 };
 use corianderstand_fleet::{
-    budget, crashes, exits, fingerprint::Feature, hedge, targets, wait_limit,
+    budget, crashes, exits, fingerprint::Feature, hedge, predict, targets, wait_limit,
 };
 use corianderstand_types::{names, position::Position};
 use http::StatusCode;
@@ -120,9 +120,10 @@
         view: &view::View,
         key: targets::TargetKey,
         knowledge: TargetKnowledge,
+        predicted: Option<predict::Prediction>,
         now: Instant,
     ) {
-        self.metrics.placed(knowledge.age);
+        self.metrics.placed(knowledge.age, predicted.as_ref());
         if !self.may_log(LineKind::Placed, now) {
             return;
         }
@@ -141,6 +142,13 @@
             resumes = job.request.resumes.as_ref().map(SmolStr::as_str),
             model = job.model().map(names::ModelId::as_str),
             occupied = target.estimated_requests(now),
+            first_in_ms = predicted.map(|times| millis(times.first_event_s)),
+            event_in_ms = predicted.map(|times| millis(times.event_s)),
+            whole_in_ms = predicted.map(|times| millis(times.finish_s)),
+            relative_time = predicted.map(|times| percent(times.relative_time)),
+            slowdown = predicted.map(|times| percent(times.slowdown)),
+            slowdown_age_ms = target.pace.stated_age(now).map(|age| age.as_millis() as u64),
+            speed_age_ms = target.pace.observed_age(now).map(|age| age.as_millis() as u64),
             trouble = format_args!("{:.2}", target.health.failure_score(now)),
             agent_age_ms,
             entry_from,
@@ -567,6 +575,14 @@
     }
 }
 
+fn millis(seconds: f64) -> u64 {
+    (seconds * 1e3).round() as u64
+}
+
+fn percent(ratio: f64) -> u64 {
+    (ratio * 100.0).round() as u64
+}
+
 fn millis_between(later: Instant, earlier: Instant) -> u64 {
     later.saturating_duration_since(earlier).as_millis() as u64
 }
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod hubs;
 pub mod job;
 pub mod metrics;
+pub mod pacing;
 pub mod peers;
 pub mod pending;
 pub mod planning;
--- a/crates/corianderstand_forward/src/planning.rs
+++ b/crates/corianderstand_forward/src/planning.rs
@@ -1,6 +1,6 @@
 //! Collects the planner's inputs and publishes its plans to the agents.
 
-use crate::{peers, router};
+use crate::{pacing, peers, router};
 use corianderstand_fleet::{config, health, plan, snapshot, targets};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
 use corianderstand_types::names;
@@ -137,6 +137,7 @@
         let models = running.entry(&count.target).or_default();
         *models.entry(count.model.clone()).or_default() += count.count;
     }
+    let usual = pacing::usual(shared, &view, now, service);
     let engines = view.targets.iter().filter(|(_, target)| {
         target.entry.service == *service
             && target.accepts_requests(now)
@@ -157,7 +158,7 @@
             holdings: target.entry.holdings.clone(),
             ongoing: target.ongoing.clone(),
             request_limit: target.request_limit.map(|limit| limit.per_s),
-            speed: 1.0,
+            speed: usual.map_or(1.0, |usual| usual.speed(&target.pace)),
             running,
         }
     });
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     body_end, client, config_proof, continuations, control, decisions, dialect, follow, hedge, job,
-    metrics, peers, pool, prefill, quotas, readers, replicated_records, request_slots, retries,
-    server, suspicion, target_reports, transfer, view,
+    metrics, pacing, peers, pool, prefill, quotas, readers, replicated_records, request_slots,
+    retries, server, suspicion, target_reports, transfer, view,
 };
 use corianderstand_derives::derives;
 use corianderstand_fleet::{
@@ -278,6 +278,7 @@
             hash: job.request_id_hash,
             version: job.progress.continuation().map(continuations::Continuation::version),
             cached_prefix: view.cached_prefixes.find(&job.prompt_prefixes),
+            work: pacing::work(self, &view, now, job),
         };
         choose::choose(now, &view.targets, &query)
     }
