--- a/crates/corianderstand_forward/src/pacing.rs
+++ b/crates/corianderstand_forward/src/pacing.rs
@@ -54,6 +54,16 @@
     features::is_used(switch, known.states_pace).then_some(known.usual)
 }
 
+/// Whether targets of a service are chosen by predicted time.
+pub fn is_used<P>(
+    shared: &router::Shared<P>,
+    view: &view::View,
+    now: Instant,
+    service: &names::ServiceId,
+) -> bool {
+    usual(shared, view, now, service).is_some()
+}
+
 /// What the times of a request are predicted from; none if the paces do not decide.
 pub fn work<P>(
     shared: &router::Shared<P>,
--- a/crates/corianderstand_forward/src/prefill.rs
+++ b/crates/corianderstand_forward/src/prefill.rs
@@ -2,7 +2,7 @@
 //!
 //! If the agent does not respond, the request is sent without a permit.
 
-use crate::{job, pending, router};
+use crate::{job, pacing, pending, router};
 use corianderstand_fleet::{targets, wait_limit};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
 use std::time::{Duration, Instant};
@@ -40,6 +40,18 @@
     prefill_backlog: Duration,
 }
 
+impl PermitStatus {
+    /// Time until a prompt like this one would be read: prompts that wait for a permit are ahead of a new one too.
+    /// The wait counts only where targets are chosen by predicted time.
+    fn backlog(&self, counts_wait: bool) -> Duration {
+        if counts_wait && !self.granted {
+            self.prefill_backlog.max(self.expected_wait)
+        } else {
+            self.prefill_backlog
+        }
+    }
+}
+
 impl From<&wire::PrefillResponse> for PermitStatus {
     fn from(response: &wire::PrefillResponse) -> Self {
         Self {
@@ -122,7 +134,8 @@
             continue;
         };
         let now = shared.clock.now();
-        shared.record_prefill_backlog(key, now, response.prefill_backlog);
+        let uses_pace = pacing::is_used(shared, &shared.view.borrow(), now, &job.service);
+        shared.record_prefill_backlog(key, now, response.backlog(uses_pace));
         if response.granted {
             return claim.granted();
         }
