Copies of streams: a run goes on at a second engine when its own ends

Cause: streams that may not be resumed are lost with their engine. Change: corianderstand_fleet::copies decides which streams get a copy of their KV cache and where; corianderstand_forward::copies remembers it and goes on from it once the end of the engine before is certain.

--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -4,7 +4,7 @@
 //! services: its registration, its agent's reports and the results of this process's own requests.
 //! The decision modules perform no I/O: [`choose`] selects a target for an attempt, [`wait_limit`]
 //! decides how long a request waits for a model, [`prefill`] schedules prompts on an engine,
-//! [`budget`] limits retries, and [`plan`] places models on engines. [`reconcile`] computes an
+//! [`budget`] limits retries, [`copies`] places copies of streams, and [`plan`] places models on engines. [`reconcile`] computes an
 //! engine's next command from its plan. [`workspaces`] tells who may send requests, [`freshness`] whether
 //! that is known well enough, and [`quota`] how many they may send.
 //!
@@ -23,6 +23,7 @@
 pub mod budget;
 pub mod choose;
 pub mod config;
+pub mod copies;
 pub mod counts;
 pub mod crashes;
 mod decaying_rate;
--- a/crates/corianderstand_forward/src/attempt.rs
+++ b/crates/corianderstand_forward/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt to send a request to a target.
 
 use crate::{
-    admission, body_end, dialect, ended_targets, job, pool, request_slots, retries, router,
+    admission, body_end, copies, dialect, ended_targets, job, pool, request_slots, retries, router,
 };
 use corianderstand_fleet::targets;
 use http::{HeaderValue, Request, Response, Version, header};
@@ -73,12 +73,15 @@
         Err(denied) => return AttemptOutcome::Denied(denied),
     };
     let in_flight = job::InFlight::begin(shared, key, job);
+    job.copy = copies::place(shared, job, &in_flight);
     let forwarded = dialect::ForwardedRequest {
         target: &id,
         time_left,
         priority: job.request.requested_model.is_some().then_some(admitted.priority),
         workspace: admitted.workspace.as_ref(),
         progress: job.route.streams.then_some(&job.progress),
+        copy_to: job.copy.as_ref().map(copies::Copy::addr),
+        copy_from: job.goes_on_from.as_ref().map(|copy| copy.source(&job.request.id)),
     };
     let req = build_request(shared, job, &admitted, &forwarded);
     let mut lease = match shared.connection_pool.lease(now, addr).await {
@@ -164,6 +167,11 @@
     request_slots::record_limit(shared, key, job, &info);
     shared.record_answered_leaving(key, &info);
     shared.record_rest(key, job, &info);
+    if info.not_run && job.goes_on_from.is_some() {
+        let (why, status) = (copies::NO_COPY, Some(head.status.as_u16()));
+        shared.decision_log.attempt_failed(job, why, status, shared.clock.now());
+        return AttemptOutcome::NotRun;
+    }
     if info.not_run {
         shared.record_unexecuted(key, job, head.status, &info);
         // The body isn't read; dropping the lease closes the connection.
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -1,9 +1,12 @@
 //! Rate-limited logging of routing decisions and request outcomes.
 
 use crate::{
-    admission, body_end, dialect, job, metrics, quotas, replicated_records, stream, suspicion, view,
+    admission, body_end, copies, dialect, job, metrics, quotas, replicated_records, stream,
+    suspicion, view,
+};
+use corianderstand_fleet::{
+    budget, copies as placement, crashes, exits, fingerprint::Feature, targets, wait_limit,
 };
-use corianderstand_fleet::{budget, crashes, exits, fingerprint::Feature, targets, wait_limit};
 use corianderstand_types::{names, position::Position};
 use http::StatusCode;
 use smol_str::SmolStr;
@@ -90,9 +93,11 @@
     AnswerEnded,
     StreamResolved,
     Retry,
+    Copy,
+    Moved,
 }
 
-const LINE_KINDS: usize = 13;
+const LINE_KINDS: usize = 15;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct LineCount {
@@ -310,6 +315,44 @@
         }
     }
 
+    /// Logs that a stream has a copy at a second engine.
+    pub fn copy_placed(&self, job: &job::Job, copy: &copies::Copy, now: Instant) {
+        self.metrics.copy_placed(copy.bytes());
+        if self.may_log(LineKind::Copy, now) {
+            let (at, to) = (copy.runs_at().as_str(), copy.kept_at().as_str());
+            let (tokens, kb) = (copy.tokens(), copy.bytes() >> 10);
+            tracing::info!(id = %job.request.id, route = %job.route.name, at, to, tokens, kb, "copy placed");
+        }
+    }
+
+    /// Logs that a stream that ends with its engine has no copy.
+    pub fn copy_denied(&self, job: &job::Job, denial: placement::Denial, now: Instant) {
+        let why = denial.as_str();
+        self.metrics.copy_denied(why);
+        let is_at_risk = !matches!(
+            denial,
+            placement::Denial::NotOffered | placement::Denial::Resumable | placement::Denial::Short
+        );
+        if is_at_risk && self.may_log(LineKind::Copy, now) {
+            tracing::info!(id = %job.request.id, route = %job.route.name, at = %job.last_target, why, "no copy");
+        }
+    }
+
+    /// Logs whether a broken run goes on from its copy.
+    pub fn moved_to_copy(&self, job: &job::Job, moved: &copies::Moved, now: Instant) {
+        let why = moved.outcome.err().copied();
+        self.metrics.moved_to_copy(why);
+        if self.may_log(LineKind::Moved, now) {
+            let (from, to) = (moved.from.as_str(), moved.to.as_str());
+            let (last_event, cause) = (moved.broken.last_event, moved.broken.why);
+            let copy_age_ms = moved.age.as_millis() as u64;
+            let (since_event_ms, ms) =
+                (millis_between(now, moved.broken.last_sign), millis_between(now, job.arrived_at));
+            let message = if why.is_none() { "goes on from its copy" } else { "lost its copy" };
+            tracing::info!(id = %job.request.id, from, to, last_event, cause, copy_age_ms, since_event_ms, why, ms, "{message}");
+        }
+    }
+
     /// Logs how a target's answer ended, and what was concluded. An answer that was read to its stated end has no
     /// line of its own.
     pub fn answer_ended(
--- a/crates/corianderstand_forward/src/dialect.rs
+++ b/crates/corianderstand_forward/src/dialect.rs
@@ -11,7 +11,7 @@
 use displaydoc::Display;
 use http::{HeaderMap, StatusCode};
 use smol_str::SmolStr;
-use std::{future::Future, sync::Arc, time::Duration};
+use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 /// A part of a prompt that other requests may share.
 #[derives(key)]
@@ -78,6 +78,15 @@
     }
 }
 
+/// Where a copy of the KV cache of a run is.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct CopySource<'a> {
+    /// Address of the engine that keeps it.
+    pub addr: SocketAddr,
+    /// Id of the request whose run it is a copy of.
+    pub run: &'a str,
+}
+
 /// What the router adds to a forwarded request.
 #[derive(Clone, Copy, Debug)]
 pub struct ForwardedRequest<'a> {
@@ -91,6 +100,10 @@
     pub workspace: Option<&'a names::WorkspaceId>,
     /// How far the stream has come; none if the route does not stream.
     pub progress: Option<&'a continuations::Progress>,
+    /// Address of the engine that is to keep a copy of the run's KV cache.
+    pub copy_to: Option<SocketAddr>,
+    /// The copy from which the target goes on.
+    pub copy_from: Option<CopySource<'a>>,
 }
 
 /// The parsed head of a target's response.
@@ -193,7 +206,7 @@
     /// The router's name.
     pub router: SmolStr,
     /// Address for datagrams and transfers.
-    pub addr: std::net::SocketAddr,
+    pub addr: SocketAddr,
     /// Its availability zone; none in entries of older versions.
     #[serde(default)]
     pub zone: Option<names::AvailabilityZoneId>,
--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -17,6 +17,9 @@
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for a process that ends to close its listener.
 const PROBE_DELAY: Duration = Duration::from_millis(10);
+/// Times between probes of a target whose end is to be certain.
+const CONFIRMATION_DELAYS: [Duration; 3] =
+    [PROBE_DELAY, Duration::from_millis(50), Duration::from_millis(150)];
 
 /// Records that the connection of an attempt broke before its response was complete.
 pub fn record_broken<P: router::Platform>(
@@ -141,6 +144,43 @@
     }
 }
 
+/// Makes certain that a target has ended; else returns why it isn't. A connection that can't be opened in time, or is
+/// closed, shows nothing: the target may be full, or the link cut.
+pub async fn confirm_end<P: router::Platform>(
+    shared: &router::Shared<P>,
+    job: &job::Job,
+    key: targets::TargetKey,
+    target: &targets::Incarnation,
+    addr: SocketAddr,
+) -> Result<(), &'static str> {
+    for delay in CONFIRMATION_DELAYS {
+        tokio::time::sleep(delay).await;
+        if is_replaced(shared, target) {
+            return Ok(());
+        }
+        let lease = match open(shared, key, target, addr).await {
+            Ok(lease) => lease,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return Ok(()),
+            Err(_) => continue,
+        };
+        let asked = tokio::time::timeout(HEALTH_TIMEOUT, ask_health(shared, job, key, lease));
+        match asked.await {
+            Ok(Some(Some(id))) if id != target.id => return Ok(()),
+            Ok(Some(_)) => return Err("its engine lives"),
+            Ok(None) | Err(_) => {}
+        }
+    }
+    Err("its engine may not have ended")
+}
+
+/// Whether a later start of the target is known.
+fn is_replaced<P>(shared: &router::Shared<P>, target: &targets::Incarnation) -> bool {
+    let view = shared.view.borrow();
+    let current = view.targets.key(&target.id).and_then(|key| view.targets.get(key));
+    target.started_at_ms > 0
+        && current.is_some_and(|current| current.entry.started_at_ms > target.started_at_ms)
+}
+
 /// Asks for the health of a target and returns who answered, if the answer tells; none without an answer.
 async fn ask_health<P: router::Platform>(
     shared: &router::Shared<P>,
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -4,7 +4,7 @@
 //! retries, within the retry budget. A request with an unknown outcome is never reported as not run.
 
 use crate::{
-    admission, attempt, body::ResponseBody, body_end, continuations, decisions, dialect,
+    admission, attempt, body::ResponseBody, body_end, continuations, copies, decisions, dialect,
     ended_targets, job, quotas, retries, router, stream, suspicion, waiting,
 };
 use bytes::Bytes;
@@ -43,8 +43,6 @@
 const MAX_UNEXECUTED_ATTEMPTS: u32 = 4;
 /// Reason logged when a target answered with an error of its own.
 const TARGET_ERROR: &str = "error of the target";
-/// Reason logged when a request may not be sent once more.
-pub const BUDGET_EXHAUSTED: &str = "the retry budget is exhausted";
 
 /// Handles one request; [`Aborted`] closes the caller's connection without a response.
 pub async fn handle_request<P: router::Platform>(
@@ -133,6 +131,9 @@
         last_failure: "",
         error_response: None,
         sends: retries::Sends::default(),
+        copy: None,
+        moves: 0,
+        goes_on_from: None,
         fingerprint: OnceCell::new(),
     };
     if let Some(block) = shared.suspicion.block(arrived, &job) {
@@ -306,6 +307,15 @@
                 shared.decision_log.attempt_failed(&job, why, None, shared.clock.now());
                 job.last_failure = why;
                 job.may_have_run = true;
+                let last_sign = shared.clock.now();
+                let broken = copies::Broken { last_event: None, last_sign, why };
+                if let Some(answered) = copies::go_on(&shared, &mut job, broken).await {
+                    match forward_response(&shared, job, answered).await {
+                        Ok(response) => return response,
+                        Err(retry) => job = *retry,
+                    }
+                    continue;
+                }
                 if !(job.route.may_retry() && may_try_another(&shared, &mut job, why)) {
                     return fail(&shared, &job, StatusCode::BAD_GATEWAY, why);
                 }
@@ -313,7 +323,7 @@
             attempt::AttemptOutcome::BudgetExhausted => {
                 set_sent(job.may_have_run);
                 let retry_after = refused_retry_after(&shared, &job);
-                return refuse(&shared, &job, BUDGET_EXHAUSTED, retry_after);
+                return refuse(&shared, &job, retries::BUDGET_EXHAUSTED, retry_after);
             }
             attempt::AttemptOutcome::DeadlineExceeded => {
                 return fail(&shared, &job, StatusCode::GATEWAY_TIMEOUT, "the time is over");
--- a/crates/corianderstand_forward/src/job.rs
+++ b/crates/corianderstand_forward/src/job.rs
@@ -1,6 +1,6 @@
 //! A request that is being handled, and its count at the target that handles it.
 
-use crate::{body_end, content, continuations, dialect, retries, router, view};
+use crate::{body_end, content, continuations, copies, dialect, retries, router, view};
 use bytes::Bytes;
 use corianderstand_fleet::{choose, config, demand, fingerprint, prefixes, targets};
 use corianderstand_types::names;
@@ -79,6 +79,12 @@
     pub error_response: Option<ErrorResponse>,
     /// How often it was written to targets.
     pub sends: retries::Sends,
+    /// Copy of the KV cache of its last attempt, if there is one.
+    pub copy: Option<copies::Copy>,
+    /// How often it was sent to an engine that keeps its copy.
+    pub moves: u32,
+    /// The copy from which the next attempt goes on.
+    pub goes_on_from: Option<copies::Copy>,
     /// Computed when it is first needed.
     pub fingerprint: OnceCell<fingerprint::Fingerprint>,
 }
@@ -94,12 +100,16 @@
         if self.request.requested_model.is_none() {
             return 0;
         }
+        self.request.prompt_tokens + self.expected_output_tokens()
+    }
+
+    /// Expected output tokens.
+    pub fn expected_output_tokens(&self) -> u64 {
         let max = match self.request.max_output_tokens {
             0 => u64::MAX,
             max => max,
         };
-        self.request.prompt_tokens
-            + self.request.output_hint.unwrap_or(DEFAULT_OUTPUT_TOKENS).min(max)
+        self.request.output_hint.unwrap_or(DEFAULT_OUTPUT_TOKENS).min(max)
     }
 
     /// Prompt tokens that are not known to be cached at a target.
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`router`] runs on each entry host. It accepts requests ([`server`]), selects a target for each
 //! using `corianderstand_fleet` ([`exchange`], [`waiting`], [`prefill`] and [`attempt`]), and relays the
-//! response ([`relay`]) over pooled connections ([`pool`]). An [`agent`] runs beside each engine and
+//! response ([`relay`]) over pooled connections ([`pool`]); a stream whose target ends may go on from a
+//! copy ([`copies`]). An [`agent`] runs beside each engine and
 //! alone sends it commands. State comes from the deployment's store ([`follow`]) and from other
 //! processes ([`peers`]). Wire names are specific to a platform and supplied by the traits of
 //! [`dialect`].
@@ -22,6 +23,7 @@
 pub mod content;
 pub mod continuations;
 pub mod control;
+pub mod copies;
 pub mod decisions;
 pub mod dialect;
 pub mod ended_targets;
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -101,6 +101,11 @@
     waiting_requests: Gauge,
     targets: Gauge,
     limited_targets: Gauge,
+    copies: Gauge,
+    copies_placed: Counter,
+    copied_bytes: Counter,
+    copies_denied: Family<ReasonLabel, Counter>,
+    moves_to_copies: Family<OutcomeLabel, Counter>,
     rests_asked: Counter,
     resting_targets: Gauge,
     slots_asked: Family<OutcomeLabel, Counter>,
@@ -152,6 +157,11 @@
             waiting_requests: Gauge::default(),
             targets: Gauge::default(),
             limited_targets: Gauge::default(),
+            copies: Gauge::default(),
+            copies_placed: Counter::default(),
+            copied_bytes: Counter::default(),
+            copies_denied: Family::default(),
+            moves_to_copies: Family::default(),
             rests_asked: Counter::default(),
             resting_targets: Gauge::default(),
             slots_asked: Family::default(),
@@ -271,6 +281,27 @@
             "Targets that name a limit of requests",
             self.limited_targets.clone(),
         );
+        r.register("copies", "Streams that have a copy at a second engine", self.copies.clone());
+        r.register(
+            "copies_placed",
+            "Streams that got a copy at a second engine",
+            self.copies_placed.clone(),
+        );
+        r.register(
+            "copied_bytes",
+            "Bytes that are expected to be moved for copies of streams",
+            self.copied_bytes.clone(),
+        );
+        r.register(
+            "copies_denied",
+            "Streams that got no copy, by reason",
+            self.copies_denied.clone(),
+        );
+        r.register(
+            "moves_to_copies",
+            "Broken streams that had a copy, by whether they go on from it, or why not",
+            self.moves_to_copies.clone(),
+        );
         r.register(
             "rests_asked",
             "Responses of targets that ask for rest",
@@ -377,6 +408,23 @@
         self.retries.get_or_create(&RetryLabels { cause, outcome }).inc();
     }
 
+    /// Counts a copy of a stream.
+    pub fn copy_placed(&self, bytes: u64) {
+        self.copies_placed.inc();
+        self.copied_bytes.inc_by(bytes);
+    }
+
+    /// Counts a stream without a copy.
+    pub fn copy_denied(&self, reason: &str) {
+        self.copies_denied.get_or_create(&ReasonLabel { reason: reason.into() }).inc();
+    }
+
+    /// Counts a broken stream that had a copy; `why` is why it doesn't go on from it, if it doesn't.
+    pub fn moved_to_copy(&self, why: Option<&'static str>) {
+        let outcome = why.unwrap_or("went on");
+        self.moves_to_copies.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts a response that asks for rest.
     pub fn rest_asked(&self) {
         self.rests_asked.inc();
@@ -498,6 +546,7 @@
             .set(view.waiting_requests.values().map(|&count| i64::from(count)).sum());
         self.targets.set(view.targets.len() as i64);
         self.remembered_streams.set(continuations::remembered(shared) as i64);
+        self.copies.set(i64::from(shared.copies.kept()));
         let limited = view.targets.iter().filter(|(_, target)| target.request_limit.is_some());
         self.limited_targets.set(limited.count() as i64);
         let resting = view.targets.iter().filter(|(_, target)| target.resting_until(now).is_some());
--- a/crates/corianderstand_forward/src/resume.rs
+++ b/crates/corianderstand_forward/src/resume.rs
@@ -1,6 +1,6 @@
 //! Continues a stream at another target after the events that were forwarded.
 
-use crate::{attempt, ended_targets, exchange, job, router, suspicion, waiting};
+use crate::{attempt, ended_targets, exchange, job, retries, router, suspicion, waiting};
 use corianderstand_fleet::targets;
 use std::rc::Rc;
 
@@ -59,7 +59,7 @@
         | attempt::AttemptOutcome::NotRun => Err("the other target did not take it"),
         attempt::AttemptOutcome::Unknown(why) => Err(why),
         attempt::AttemptOutcome::Denied(denied) => Err(denied.reason()),
-        attempt::AttemptOutcome::BudgetExhausted => Err(exchange::BUDGET_EXHAUSTED),
+        attempt::AttemptOutcome::BudgetExhausted => Err(retries::BUDGET_EXHAUSTED),
         attempt::AttemptOutcome::DeadlineExceeded => Err("the time is over"),
     }
 }
--- a/crates/corianderstand_forward/src/retries.rs
+++ b/crates/corianderstand_forward/src/retries.rs
@@ -13,6 +13,8 @@
     time::{Duration, Instant},
 };
 
+/// Reason logged when a request may not be sent once more.
+pub const BUDGET_EXHAUSTED: &str = "the retry budget is exhausted";
 /// Time in which routers that start together announce themselves. A list that was read earlier may lack some of them.
 pub const ANNOUNCE_TIME: Duration = Duration::from_secs(2);
 
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -1,9 +1,9 @@
 //! The router process: settings, shared state, startup and shutdown.
 
 use crate::{
-    client, config_proof, continuations, control, decisions, dialect, follow, job, metrics, peers,
-    pool, prefill, quotas, readers, replicated_records, request_slots, retries, server, suspicion,
-    target_reports, transfer, view,
+    client, config_proof, continuations, control, copies, decisions, dialect, follow, job, metrics,
+    peers, pool, prefill, quotas, readers, replicated_records, request_slots, retries, server,
+    suspicion, target_reports, transfer, view,
 };
 use corianderstand_derives::derives;
 use corianderstand_fleet::{
@@ -142,6 +142,8 @@
     pub retries: retries::State,
     /// Where streams began, and at which software versions.
     pub continuations: continuations::State,
+    /// Copies of the KV caches of streams.
+    pub copies: copies::State,
     /// Connections to targets.
     pub connection_pool: Rc<pool::Pool>,
     /// Requests that wait for prefill permits.
@@ -400,6 +402,7 @@
             quotas: quotas::State::default(),
             retries: retries::State::new(clock.now(), settings.is_first_start),
             continuations: continuations::State::default(),
+            copies: copies::State::default(),
             connection_pool: Rc::default(),
             prefill_permits: prefill::PendingPermits::default(),
             request_schedule: RefCell::default(),
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -1,8 +1,8 @@
 //! Relays the events of one stream to the caller, and resumes it at another target when it breaks.
 
 use crate::{
-    attempt, body, body_end, continuations, decisions, dialect, ended_targets, exchange, job, pool,
-    relay, resume, router, suspicion,
+    attempt, body, body_end, continuations, copies, decisions, dialect, ended_targets, exchange,
+    job, pool, relay, resume, router, suspicion,
 };
 use bytes::Bytes;
 use corianderstand_fleet::{crashes, streams, targets};
@@ -34,6 +34,8 @@
     job: job::Job,
     upstream: Option<Upstream<P>>,
     splitter: relay::EventSplitter,
+    /// Whether only whole events are forwarded, so that another target can go on after the last one.
+    forwards_events: bool,
     /// Whether the caller has bytes of this answer.
     has_forwarded: bool,
     /// Where they began; none if that isn't known.
@@ -155,11 +157,13 @@
     answered: attempt::Answered<P>,
 ) -> Result<Response<body::ResponseBody>, (Box<job::Job>, &'static str)> {
     let (mut head, upstream) = Upstream::new(answered);
+    let forwards_events = job.route.resumable || job.copy.is_some();
     let mut relayed = RelayedStream {
         shared: shared.clone(),
         job,
         upstream: Some(upstream),
         splitter: relay::EventSplitter::default(),
+        forwards_events,
         has_forwarded: false,
         origin: None,
         resumes: 0,
@@ -231,19 +235,20 @@
 
     fn forward(&mut self, chunk: Bytes) -> Result<Option<Bytes>, relay::EventGap> {
         let complete = self.splitter.push(chunk.clone())?;
-        if !self.job.route.resumable {
-            // Needn't be cut at events.
+        if !self.forwards_events {
             return Ok(Some(chunk));
         }
         if complete.is_some() && !self.has_forwarded {
-            self.record_origin();
+            self.has_forwarded = true;
+            if self.job.route.resumable {
+                self.record_origin();
+            }
         }
         Ok(complete)
     }
 
     /// Remembers where the stream began, before its first event is forwarded.
     fn record_origin(&mut self) {
-        self.has_forwarded = true;
         let Some(upstream) = &self.upstream else { return };
         self.origin = continuations::origin(&self.job, &upstream.in_flight);
         if let Some(origin) = &self.origin {
@@ -299,11 +304,20 @@
                     if now < end && resumable && self.shared.has_alternative(now, &self.job, key) {
                         return Step::Silent;
                     }
+                    if self.has_ended_in_silence().await {
+                        return Step::Interrupted;
+                    }
                 }
             }
         }
     }
 
+    /// Whether the target of a silent stream that could go on from its copy has ended.
+    async fn has_ended_in_silence(&self) -> bool {
+        let Some(copy) = &self.job.copy else { return false };
+        copies::confirm_source_ended(&self.shared, &self.job, copy).await.is_ok()
+    }
+
     async fn body_ended(&self, failed: bool) -> Step {
         let Some(upstream) = &self.upstream else { return Step::Interrupted };
         let received = if self.splitter.has_partial() {
@@ -399,16 +413,35 @@
 
     /// Continues at another target after the last whole event.
     async fn resume(&mut self, why: &'static str) -> bool {
+        // A break may be noticed late, after a pause of this router.
+        let last_sign = self.timings.last_event_at.unwrap_or_else(|| self.shared.clock.now());
         self.leave_target(why);
+        self.record_idle();
+        if self.go_on_from_copy(last_sign, why).await {
+            return true;
+        }
         if !self.job.route.resumable {
             return false;
         }
-        self.record_idle();
         self.update_progress();
         let resumed = resume::resume(&self.shared, &mut self.job, why).await;
         self.continue_at(resumed)
     }
 
+    /// Goes on with the same run at the engine that keeps its copy.
+    async fn go_on_from_copy(&mut self, last_sign: Instant, why: &'static str) -> bool {
+        let last_event = self.last_event();
+        if self.has_forwarded && last_event.is_none() {
+            // Its events have no ids: where to go on can't be said.
+            return false;
+        }
+        let broken = copies::Broken { last_event, last_sign, why };
+        let Some(answered) = copies::go_on(&self.shared, &mut self.job, broken).await else {
+            return false;
+        };
+        self.continue_at(Ok(answered))
+    }
+
     /// Goes on with another target's response, if it sent one.
     fn continue_at(&mut self, resumed: Result<attempt::Answered<P>, &'static str>) -> bool {
         match resumed {
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -341,7 +341,12 @@
 
 impl Target {
     pub async fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Self::start_at(Ipv4Addr::LOCALHOST).await
+    }
+
+    /// Starts on a host of its own.
+    pub async fn start_at(host: Ipv4Addr) -> Self {
+        let listener = TcpListener::bind((host, 0)).await.unwrap();
         Self { addr: listener.local_addr().unwrap(), listener }
     }
 
--- a/crates/corianderstand_forward/tests/common/platform.rs
+++ b/crates/corianderstand_forward/tests/common/platform.rs
@@ -284,6 +284,16 @@
         if let Some(workspace) = forwarded.workspace {
             headers.insert("x-workspace", HeaderValue::from_str(workspace.as_str()).unwrap());
         }
+        for name in ["x-copy-to", "x-copy-from"] {
+            headers.remove(name);
+        }
+        if let Some(addr) = forwarded.copy_to {
+            headers.insert("x-copy-to", HeaderValue::from_str(&addr.to_string()).unwrap());
+        }
+        if let Some(source) = forwarded.copy_from {
+            let text = format!("{}/{}", source.addr, source.run);
+            headers.insert("x-copy-from", HeaderValue::from_str(&text).unwrap());
+        }
         if let Some(progress) = forwarded.progress {
             headers.remove("x-last-event");
             if let Some(continuation) = progress.continuation() {
