--- a/crates/corianderstand_fleet/src/exits.rs
+++ b/crates/corianderstand_fleet/src/exits.rs
@@ -132,6 +132,13 @@
         Vec::from(confirmed)
     }
 
+    /// Whether the end of a target was confirmed lately. Another router's word is no evidence of a start that it may not
+    /// have known.
+    pub fn has_ended(&self, target: &targets::Incarnation) -> bool {
+        let is_sure = |ended: &EndedTarget| ended.confirmation != Confirmation::Router;
+        self.ended.iter().any(|ended| ended.target == *target && is_sure(ended))
+    }
+
     /// Starts the probe of a target whose end is unconfirmed; false if there is nothing to probe for.
     pub fn start_probe(&mut self, now: Instant, target: &targets::Incarnation) -> bool {
         let is_unconfirmed = self.broken.iter().any(|attempt| attempt.target == *target);
--- a/crates/corianderstand_forward/src/copies.rs
+++ b/crates/corianderstand_forward/src/copies.rs
@@ -203,9 +203,7 @@
     copy: Copy,
     broken: Broken,
 ) -> Result<attempt::Answered<P>, &'static str> {
-    if !job.route.may_retry() {
-        confirm_source_ended(shared, job, &copy).await?;
-    }
+    confirm_source_ended(shared, job, &copy).await?;
     wait_for_turn(shared, job).await?;
     check(shared, job, &copy, broken)?;
     if broken.last_event.is_some() {
--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -17,9 +17,9 @@
 const HEALTH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for a process that ends to close its listener.
 const PROBE_DELAY: Duration = Duration::from_millis(10);
-/// Times between probes of a target whose end is to be certain.
-const CONFIRMATION_DELAYS: [Duration; 3] =
-    [PROBE_DELAY, Duration::from_millis(50), Duration::from_millis(150)];
+/// Times between probes of a target whose end is to be certain, until its agent has reported it.
+const CONFIRMATION_DELAYS: [Duration; 4] =
+    [PROBE_DELAY, Duration::from_millis(50), Duration::from_millis(150), AGENT_REPORT_TIME];
 
 /// Records that the connection of an attempt broke before its response was complete.
 pub fn record_broken<P: router::Platform>(
@@ -155,7 +155,7 @@
 ) -> Result<(), &'static str> {
     for delay in CONFIRMATION_DELAYS {
         tokio::time::sleep(delay).await;
-        if is_replaced(shared, target) {
+        if is_replaced(shared, target) || shared.suspicion.has_ended(target) {
             return Ok(());
         }
         let lease = match open(shared, key, target, addr).await {
--- a/crates/corianderstand_forward/src/suspicion.rs
+++ b/crates/corianderstand_forward/src/suspicion.rs
@@ -163,6 +163,11 @@
         self.exits.borrow_mut().record_exit(now, target, confirmation)
     }
 
+    /// Whether the end of a target was confirmed lately.
+    pub fn has_ended(&self, target: &targets::Incarnation) -> bool {
+        self.exits.borrow().has_ended(target)
+    }
+
     /// Records that a target runs: connections that broke before were not broken by its end.
     pub fn record_running(&self, now: Instant, id: &names::TargetId, started_at_ms: u64) {
         self.exits.borrow_mut().record_running(now, id, started_at_ms);
--- a/tools/soak/src/checks.rs
+++ b/tools/soak/src/checks.rs
@@ -6,7 +6,7 @@
     streams,
     workspaces::{self, Workspace},
 };
-use corianderstand_platform_standins::ledger::Ledger;
+use corianderstand_platform_standins::ledger::{Ledger, RequestRun};
 use http::StatusCode;
 use std::{
     collections::BTreeMap,
@@ -15,6 +15,8 @@
 
 /// Statuses that guarantee that a request was not and will not be executed.
 const NOT_EXECUTED: [u16; 4] = [408, 421, 429, 503];
+/// Time for which an engine may work on a run that goes on at another one.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
 /// Time after a disruption during which the router's connections may still fail.
 const DISRUPTION_AFTERMATH: Duration = Duration::from_secs(3);
 
@@ -89,7 +91,19 @@
 fn executed_twice(request: &RequestRecord, ledger: &Ledger) -> Option<String> {
     let non_idempotent = matches!(request.kind, RequestKind::Pay | RequestKind::Draft);
     let runs = ledger.runs(&request.id);
-    (non_idempotent && runs.len() > 1).then(|| format!("executed {} times", runs.len()))
+    if let Some(early) = goes_on_early(&runs) {
+        return Some(early);
+    }
+    let runs = runs.iter().filter(|run| !run.goes_on).count();
+    (non_idempotent && runs > 1).then(|| format!("executed {runs} times"))
+}
+
+/// Checks that a run that goes on from a copy begins after its engine before has stopped.
+fn goes_on_early(runs: &[RequestRun]) -> Option<String> {
+    let pairs = runs.windows(2).filter(|pair| pair[1].goes_on);
+    let mut early = pairs
+        .filter(|pair| pair[0].ended_at.is_none_or(|ended_at| ended_at > pair[1].at + MAX_OVERLAP));
+    early.next().map(|pair| format!("goes on while its engine works on it: {pair:?}"))
 }
 
 fn executed_though_rejected(request: &RequestRecord, ledger: &Ledger) -> Option<String> {
@@ -113,9 +127,8 @@
         return Some("answered but never executed".into());
     }
     let body = String::from_utf8_lossy(body);
-    let expected = |run: &corianderstand_platform_standins::ledger::RequestRun| {
-        run.finished && body == format!("{} done by {}", request.id, run.target)
-    };
+    let expected =
+        |run: &RequestRun| run.finished && body == format!("{} done by {}", request.id, run.target);
     let wrong = !request.kind.streams() && !runs.iter().any(expected);
     wrong.then(|| format!("body differs from the target's: {body:?}"))
 }
--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -7,6 +7,7 @@
 };
 use bytes::Bytes;
 use corianderstand_platform_standins::{
+    copies::COPY_TTL,
     ledger::Ledger,
     serve::ListenerHandle,
     settings,
@@ -51,6 +52,11 @@
 /// Longest time until a record that the store lost is written again.
 const MAX_WRITE_AGAIN_DELAY: Duration = Duration::from_millis(1_800);
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Features of the routers: copies are kept, although no target states its pace.
+const FEATURES: &str = r#"{
+  "quota_order": "auto", "room": "auto", "pace": "auto", "placement": "auto",
+  "stream_copies": "on", "hedge_percent": 0
+}"#;
 /// Line in the settings of processes that start together for the first time.
 const FIRST_START_SETTING: &str = "bootstrap=true\n";
 
@@ -97,7 +103,12 @@
         std::fs::write(&self.config_path, format!("{}{first}", self.settings))
             .expect("the folder can be written");
         self.has_started = true;
-        let args = [self.role, "--platform"].map(str::to_owned);
+        let mut args = [self.role, "--platform"].map(str::to_owned).to_vec();
+        if self.role == "router" {
+            let features = self.config_path.with_file_name("features.json");
+            std::fs::write(&features, FEATURES).expect("the folder can be written");
+            args.extend(["--features".to_owned(), features.display().to_string()]);
+        }
         let config = ("CORIANDERSTAND_CONFIG", self.config_path.as_path());
         let process =
             Process::start_with(&self.name, "corianderstand", &args, &self.log_dir, &[config]);
@@ -323,6 +334,7 @@
                 { "name": "models", "health_path": HEALTH_PATH, "max_conns": 500, "engine": {
                     "slots": 16, "kv_tokens": 100_000, "models": models,
                     "weights_mb": 100 * MODELS_PER_ENGINE + 50, "adapter_slots": 1, "loads_per_s": 100,
+                    "backups": true, "kv_token_bytes": 1_000, "handle_s": COPY_TTL.as_secs_f64(),
                 } },
             ],
             "limits": { "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -190,6 +190,8 @@
         "seed {seed}: streams taken up by {} requests, {} went on, of two versions: {:?}",
         taken_up.requests, taken_up.went_on, taken_up.mixed
     );
+    let (moved, whole) = streams::moved(&requests, &cluster.ledger);
+    println!("seed {seed}: {moved} runs went on from copies, {whole} of them to their end");
     drop(cluster);
     if violations.is_empty() {
         std::fs::remove_dir_all(&dir).ok();
--- a/tools/soak/src/streams.rs
+++ b/tools/soak/src/streams.rs
@@ -1,8 +1,8 @@
 //! Checks of the events of streams, also of those that callers take up again at other routers.
 
-use crate::callers::{Outcome, RequestKind, RequestRecord};
+use crate::callers::{Outcome, RequestRecord};
 use bytes::Bytes;
-use corianderstand_platform_standins::target::EVENTS_PER_STREAM;
+use corianderstand_platform_standins::{ledger::Ledger, target::EVENTS_PER_STREAM};
 use http::StatusCode;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -77,6 +77,13 @@
     })
 }
 
+/// Runs that went on from copies, and those of them that came to their end.
+pub fn moved(requests: &[RequestRecord], ledger: &Ledger) -> (usize, usize) {
+    let runs = requests.iter().flat_map(|request| ledger.runs(&request.id));
+    let moved: Vec<_> = runs.filter(|run| run.goes_on).collect();
+    (moved.len(), moved.iter().filter(|run| run.finished).count())
+}
+
 /// What became of streams that callers took up.
 #[derive(Debug, Default)]
 pub struct TakenUp {
@@ -93,7 +100,7 @@
     pub fn count(requests: &[RequestRecord]) -> Self {
         let mut taken_up = Self::default();
         let mut by_stream: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
-        for request in requests.iter().filter(|request| request.kind == RequestKind::Chat) {
+        for request in requests.iter().filter(|request| request.kind.streams()) {
             let (Outcome::Complete(StatusCode::OK, body)
             | Outcome::Truncated(StatusCode::OK, body)) = &request.outcome
             else {
