--- a/crates/corianderstand_cli/src/explain.rs
+++ b/crates/corianderstand_cli/src/explain.rs
@@ -96,6 +96,24 @@
     }
 }
 
+/// Says where a stream went on from a copy, or why it did not; nothing if it was not to.
+fn describe_copies(lines: &[Line]) -> String {
+    let describe = |line: &Line| {
+        let field = |name| text(line, name).unwrap_or_default();
+        match line.message.as_str() {
+            "goes on from its copy" => {
+                Some(format!("; moved from {} to its copy at {}", field("from"), field("to")))
+            }
+            "lost its copy" => {
+                Some(format!("; not gone on from its copy at {}: {}", field("to"), field("why")))
+            }
+            "no copy" => Some(format!("; had no copy: {}", field("why"))),
+            _ => None,
+        }
+    };
+    lines.iter().filter_map(describe).collect()
+}
+
 /// Summarizes the request by the last line that ends it.
 fn cause(lines: &[Line]) -> String {
     let ends = ["answered", "streamed", "refused", "caller left"];
@@ -145,7 +163,8 @@
             (status, how) => format!("{} {}", status.unwrap_or_default(), how.unwrap_or_default()),
         },
     };
-    format!("{outcome} (after {ms} ms){waited}{failed}{ended}{denied}")
+    let copies = describe_copies(lines);
+    format!("{outcome} (after {ms} ms){waited}{failed}{ended}{copies}{denied}")
 }
 
 fn notes(log: &RequestLog) -> Vec<String> {
