--- a/crates/corianderstand_forward/src/copies.rs
+++ b/crates/corianderstand_forward/src/copies.rs
@@ -203,7 +203,8 @@
     copy: Copy,
     broken: Broken,
 ) -> Result<attempt::Answered<P>, &'static str> {
-    confirm_source_ended(shared, job, &copy).await?;
+    let Engine { key, target, addr } = &copy.runs_at;
+    ended_targets::confirm_end(shared, job, *key, target, *addr).await?;
     wait_for_turn(shared, job).await?;
     check(shared, job, &copy, broken)?;
     if broken.last_event.is_some() {
@@ -235,14 +236,9 @@
     }
 }
 
-/// Makes certain that the engine of the run has ended; else returns why it isn't.
-pub async fn confirm_source_ended<P: router::Platform>(
-    shared: &router::Shared<P>,
-    job: &job::Job,
-    copy: &Copy,
-) -> Result<(), &'static str> {
-    let Engine { key, target, addr } = &copy.runs_at;
-    ended_targets::confirm_end(shared, job, *key, target, *addr).await
+/// Whether the engine of the run is known to have ended.
+pub fn is_source_ended<P>(shared: &router::Shared<P>, copy: &Copy) -> bool {
+    ended_targets::has_ended(shared, &copy.runs_at.target)
 }
 
 /// Waits for the turn of a request that may have ended its engine.
--- a/crates/corianderstand_forward/src/ended_targets.rs
+++ b/crates/corianderstand_forward/src/ended_targets.rs
@@ -155,7 +155,7 @@
 ) -> Result<(), &'static str> {
     for delay in CONFIRMATION_DELAYS {
         tokio::time::sleep(delay).await;
-        if is_replaced(shared, target) || shared.suspicion.has_ended(target) {
+        if has_ended(shared, target) {
             return Ok(());
         }
         let lease = match open(shared, key, target, addr).await {
@@ -173,12 +173,13 @@
     Err("its engine may not have ended")
 }
 
-/// Whether a later start of the target is known.
-fn is_replaced<P>(shared: &router::Shared<P>, target: &targets::Incarnation) -> bool {
+/// Whether a target is known to have ended, or to have started again since.
+pub fn has_ended<P>(shared: &router::Shared<P>, target: &targets::Incarnation) -> bool {
     let view = shared.view.borrow();
     let current = view.targets.key(&target.id).and_then(|key| view.targets.get(key));
-    target.started_at_ms > 0
-        && current.is_some_and(|current| current.entry.started_at_ms > target.started_at_ms)
+    let is_replaced = target.started_at_ms > 0
+        && current.is_some_and(|current| current.entry.started_at_ms > target.started_at_ms);
+    is_replaced || shared.suspicion.has_ended(target)
 }
 
 /// Asks for the health of a target and returns who answered, if the answer tells; none without an answer.
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -304,7 +304,7 @@
                     if now < end && resumable && self.shared.has_alternative(now, &self.job, key) {
                         return Step::Silent;
                     }
-                    if self.has_ended_in_silence().await {
+                    if self.has_ended_in_silence() {
                         return Step::Interrupted;
                     }
                 }
@@ -312,10 +312,11 @@
         }
     }
 
-    /// Whether the target of a silent stream that could go on from its copy has ended.
-    async fn has_ended_in_silence(&self) -> bool {
-        let Some(copy) = &self.job.copy else { return false };
-        copies::confirm_source_ended(&self.shared, &self.job, copy).await.is_ok()
+    /// Whether the target of a silent stream that could go on from its copy is known to have ended. It isn't asked:
+    /// most silent targets are busy.
+    fn has_ended_in_silence(&self) -> bool {
+        let copy = self.job.copy.as_ref();
+        copy.is_some_and(|copy| copies::is_source_ended(&self.shared, copy))
     }
 
     async fn body_ended(&self, failed: bool) -> Step {
