--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -56,6 +56,28 @@
     assert!(out.contains(&format!("not sent once more: {expected}")), "{out}");
 }
 
+/// A stream that moved, or was lost with its engine, must say so and why.
+#[rstest::rstest]
+#[case::moved(
+    r#""message":"goes on from its copy","from":"e1","to":"e2""#,
+    "moved from e1 to its copy at e2"
+)]
+#[case::lost(
+    r#""message":"lost its copy","from":"e1","to":"e2","why":"its engine lives""#,
+    "not gone on from its copy at e2: its engine lives"
+)]
+#[case::without(
+    r#""message":"no copy","at":"e1","why":"no second engine has room""#,
+    "had no copy: no second engine has room"
+)]
+fn a_move_to_a_copy_is_named(#[case] fields: &str, #[case] expected: &str) {
+    let line = format!(r#"{{"timestamp":"1","id":"r1",{fields}}}"#);
+    let end = r#"{"timestamp":"2","message":"streamed","id":"r1","how":"whole","ms":9}"#;
+    let one = file(&format!("router-copy-{}.log", expected.len()), &[&line, end]);
+    let (_, out) = explain(&["r1", one.to_str().unwrap()]);
+    assert!(out.contains(expected), "{out}");
+}
+
 #[test]
 fn an_unknown_id_is_reported() {
     let one = file("router-b.log", &[r#"{"message":"placed","id":"r2"}"#]);
