--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -105,7 +105,8 @@
         self.has_started = true;
         let mut args = [self.role, "--platform"].map(str::to_owned).to_vec();
         if self.role == "router" {
-            let features = self.config_path.with_file_name("features.json");
+            // Its own: another router would read it while it is written.
+            let features = self.config_path.with_extension("features.json");
             std::fs::write(&features, FEATURES).expect("the folder can be written");
             args.extend(["--features".to_owned(), features.display().to_string()]);
         }
