--- a/crates/corianderstand_forward/src/job.rs
+++ b/crates/corianderstand_forward/src/job.rs
@@ -1,6 +1,6 @@
 //! A request that is being handled, and its count at the target that handles it.
 
-use crate::{body_end, content, continuations, dialect, pacing, retries, router, view};
+use crate::{body_end, content, continuations, copies, dialect, pacing, retries, router, view};
 use bytes::Bytes;
 use corianderstand_fleet::{choose, config, demand, fingerprint, prefixes, targets};
 use corianderstand_types::names;
@@ -81,6 +81,12 @@
     pub error_response: Option<ErrorResponse>,
     /// How often it was written to targets.
     pub sends: retries::Sends,
+    /// Copy of the KV cache of its last attempt, if there is one.
+    pub copy: Option<copies::Copy>,
+    /// How often it was sent to an engine that keeps its copy.
+    pub moves: u32,
+    /// The copy from which the next attempt goes on.
+    pub goes_on_from: Option<copies::Copy>,
     /// Computed when it is first needed.
     pub fingerprint: OnceCell<fingerprint::Fingerprint>,
 }
@@ -104,6 +110,8 @@
             last_target: self.last_target.clone(),
             error_response: self.error_response.clone(),
             sends: retries::Sends::after_first(),
+            copy: None,
+            goes_on_from: None,
             fingerprint: self.fingerprint.clone(),
             ..*self
         }
