Permits to read prompts by share and rank, within an engine's memory and slots over all routers

A request states rank, workspace, weight, tokens and slots; neutral values keep the order of before. Granted requests count until a report of the engine shows them.

--- a/crates/corianderstand_fleet/src/prefill.rs
+++ b/crates/corianderstand_fleet/src/prefill.rs
@@ -3,9 +3,15 @@
 //! An engine interleaves prefill with the decoding of its streams, so queued prompts delay every
 //! stream. The agent of an engine therefore grants prefill permits to the routers: within any
 //! window as long as the maximum pause of a stream, granted prompts may take a limited part of the
-//! time. Prompts that can still meet their latency objective are granted first, earliest objective
-//! first. Every fourth permit goes to a prompt that is already late.
+//! time. Prompts of workspaces within their share are granted first, and among them those that can still
+//! meet their latency objective, by rank and objective. Every fourth permit goes to a prompt that is
+//! already late, whatever its rank. Routers that state neither share nor rank have all of theirs alike.
+//!
+//! Requests that were granted hold memory and a slot of the engine before a report of the engine can show
+//! them. The agent counts them over all routers, and grants nothing that would exceed what the engine has.
 
+use corianderstand_derives::derives;
+use corianderstand_room::share;
 use std::{
     collections::VecDeque,
     time::{Duration, Instant},
@@ -24,6 +30,49 @@
 /// Time for which a granted permit is kept, so that a repeated request is granted again.
 const GRANT_TTL: Duration = Duration::from_secs(2);
 
+/// Time in which a granted request reaches the engine, across availability zones and over a new connection.
+const ARRIVAL_TIME: Duration = Duration::from_millis(100);
+/// Age of a report from which on it says nothing of the engine's memory and slots.
+const REPORT_TTL: Duration = Duration::from_secs(2);
+/// Expected time until memory or a slot is free, if the engine has none left.
+const ROOM_WAIT: Duration = Duration::from_millis(100);
+/// Number of waiting requests from which on those that cannot be served in time are refused at once.
+const MAX_WAITING: usize = 4_096;
+
+/// What a request takes of an engine, and for whom. The default is that of a router that states none of it.
+#[derives(data)]
+#[derive(Copy)]
+pub struct Claim {
+    /// Priority of its workspace and route; 0 is the highest.
+    pub rank: u8,
+    /// Hash of its workspace.
+    pub workspace: u64,
+    /// Weight of the workspace, relative to the mean.
+    pub weight: f64,
+    /// Tokens that it holds in the engine's memory at its end; 0 if they are not counted.
+    pub tokens: u64,
+    /// Slots of the engine; 0 if they are not counted.
+    pub slots: u32,
+}
+
+impl Default for Claim {
+    fn default() -> Self {
+        Self { rank: 0, workspace: 0, weight: 1.0, tokens: 0, slots: 0 }
+    }
+}
+
+/// What an engine holds, by its own report.
+#[derives(data)]
+#[derive(Copy)]
+pub struct Held {
+    /// Requests that it runs or queues.
+    pub requests: u32,
+    /// Tokens in its KV cache that cannot be evicted.
+    pub tokens: u64,
+    /// Capacity of its KV cache in tokens; 0 if unknown.
+    pub capacity: u64,
+}
+
 /// Request for a prefill permit.
 #[derive(Clone, Copy, Debug)]
 pub struct PermitRequest<T> {
@@ -39,6 +88,8 @@
     pub expires_at: Instant,
     /// Maximum pause between events of the stream, if the route specifies one.
     pub max_pause: Option<Duration>,
+    /// What it takes of the engine, and for whom.
+    pub claim: Claim,
 }
 
 /// Response to a permit request.
@@ -60,6 +111,8 @@
     /// Permits granted since the last one for a late prompt.
     permits_since_late: u32,
     max_pause: Option<(Instant, Duration)>,
+    shares: share::Shares,
+    held: Option<(Instant, Held)>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -67,6 +120,9 @@
     granted_at: Instant,
     id: u64,
     prefill_time: Duration,
+    tokens: u64,
+    /// From then on a report of the engine shows it.
+    shown_at: Instant,
 }
 
 impl<T> Default for PermitQueue<T> {
@@ -77,6 +133,8 @@
             idle_at: None,
             permits_since_late: 0,
             max_pause: None,
+            shares: share::Shares::default(),
+            held: None,
         }
     }
 }
@@ -84,35 +142,93 @@
 impl<T: Copy> PermitQueue<T> {
     /// Adds or replaces a permit request and grants it if it is due.
     pub fn request(&mut self, now: Instant, request: PermitRequest<T>) -> PermitResponse {
-        self.granted.retain(|grant| now.saturating_duration_since(grant.granted_at) < GRANT_TTL);
-        if self.granted.iter().any(|grant| grant.id == request.id) {
-            return PermitResponse::Granted;
+        self.forget_grants(now);
+        if let Some(index) = self.granted.iter().position(|grant| grant.id == request.id) {
+            let is_shown =
+                |grant: &Grant| self.held.is_some_and(|(asked_at, _)| asked_at >= grant.shown_at);
+            let counts = request.claim.tokens > 0 || request.claim.slots > 0;
+            if !(counts && is_shown(&self.granted[index])) {
+                return PermitResponse::Granted;
+            }
+            // Its router stood still and has not sent it: its room may have gone to others.
+            self.granted.remove(index);
         }
         self.record_max_pause(now, request.max_pause);
         self.cancel(request.id);
-        self.waiting.push(request);
+        self.add(request);
         if self
             .next_request(now)
-            .is_some_and(|next| next.id == request.id && self.fits_window(now, next.prefill_time))
+            .is_some_and(|next| next.id == request.id && self.is_due(now, &next))
         {
             self.grant(now, &request);
             return PermitResponse::Granted;
         }
-        PermitResponse::Wait(self.expected_wait(now, &request))
+        let wait = self.expected_wait(now, &request);
+        if now + wait >= request.expires_at || self.waiting.len() > MAX_WAITING {
+            // Its router refuses it, and withdraws it; the message may be lost.
+            self.cancel(request.id);
+        }
+        PermitResponse::Wait(wait)
     }
 
     /// Removes a permit request.
     pub fn cancel(&mut self, id: u64) {
-        self.waiting.retain(|request| request.id != id);
+        self.remove(|request| request.id == id);
+    }
+
+    /// Records what the engine holds, by a report that was asked for at this time.
+    pub fn record_held(&mut self, asked_at: Instant, held: Held) {
+        self.held = Some((asked_at, held));
+    }
+
+    /// Forgets what was granted on an engine that has ended.
+    pub fn forget_engine(&mut self) {
+        self.held = None;
+        self.granted.clear();
+        self.idle_at = None;
+    }
+
+    /// Whether a request waits for memory or a slot of the engine.
+    pub fn awaits_room(&self, now: Instant) -> bool {
+        self.next_request(now).is_some_and(|next| !self.has_room(now, &next.claim))
+    }
+
+    fn add(&mut self, request: PermitRequest<T>) {
+        let Claim { workspace, weight, .. } = request.claim;
+        if !self.waiting.iter().any(|other| other.claim.workspace == workspace) {
+            self.shares.begin_waiting(workspace, weight);
+        }
+        self.waiting.push(request);
+    }
+
+    fn remove(&mut self, is_gone: impl Fn(&PermitRequest<T>) -> bool) {
+        let gone: Vec<_> = self.waiting.extract_if(.., |request| is_gone(request)).collect();
+        for request in gone {
+            let workspace = request.claim.workspace;
+            if !self.waiting.iter().any(|other| other.claim.workspace == workspace) {
+                self.shares.end_waiting(workspace);
+            }
+        }
+    }
+
+    /// Keeps the grants that are asked for again, or that a report can't show yet.
+    fn forget_grants(&mut self, now: Instant) {
+        let asked_at = self.held.map(|(asked_at, _)| asked_at);
+        self.granted.retain(|grant| {
+            let is_young = now.saturating_duration_since(grant.granted_at) < GRANT_TTL;
+            is_young
+                || asked_at.is_some_and(|asked_at| {
+                    asked_at < grant.shown_at && now < grant.shown_at + GRANT_TTL
+                })
+        });
     }
 
     /// Grants all permits that are due; returns the requesters and the ids of their prompts.
     pub fn grant_due(&mut self, now: Instant) -> Vec<(T, u64)> {
-        self.waiting.retain(|request| now < request.expires_at);
+        self.remove(|request| now >= request.expires_at);
+        self.forget_grants(now);
         let mut granted = Vec::new();
-        while let Some(next) =
-            self.next_request(now).filter(|next| self.fits_window(now, next.prefill_time))
-        {
+        while let Some(next) = self.next_request(now).filter(|next| self.is_due(now, next)) {
             self.grant(now, &next);
             granted.push((next.requester, next.id));
         }
@@ -126,7 +242,10 @@
 
     /// Time until the next permit is due; none if no request waits.
     pub fn next_grant_in(&self, now: Instant) -> Option<Duration> {
-        self.next_request(now).map(|next| self.time_until_capacity(now, next.prefill_time))
+        self.next_request(now).map(|next| {
+            let room = if self.has_room(now, &next.claim) { Duration::ZERO } else { ROOM_WAIT };
+            self.time_until_capacity(now, next.prefill_time).max(room)
+        })
     }
 
     fn record_max_pause(&mut self, now: Instant, max_pause: Option<Duration>) {
@@ -142,8 +261,27 @@
         self.max_pause.map_or(DEFAULT_MAX_PAUSE, |(_, max_pause)| max_pause)
     }
 
-    fn fits_window(&self, now: Instant, prefill_time: Duration) -> bool {
-        self.time_until_capacity(now, prefill_time).is_zero()
+    fn is_due(&self, now: Instant, request: &PermitRequest<T>) -> bool {
+        self.time_until_capacity(now, request.prefill_time).is_zero()
+            && self.has_room(now, &request.claim)
+    }
+
+    /// Whether the engine has memory and a slot for a request, besides those that its report can't show yet. One that
+    /// is larger than the engine's memory is left to the engine, which refuses it.
+    fn has_room(&self, now: Instant, claim: &Claim) -> bool {
+        let Some((asked_at, held)) = self.held else { return true };
+        if now.saturating_duration_since(asked_at) >= REPORT_TTL {
+            return true;
+        }
+        let hidden = self.granted.iter().filter(|grant| grant.shown_at > asked_at);
+        let (requests, tokens) = hidden.fold((held.requests, held.tokens), |sum, grant| {
+            (sum.0.saturating_add(1), sum.1.saturating_add(grant.tokens))
+        });
+        let fits_memory = claim.tokens == 0
+            || held.capacity == 0
+            || claim.tokens > held.capacity
+            || tokens.saturating_add(claim.tokens) <= held.capacity;
+        fits_memory && (claim.slots == 0 || requests < claim.slots)
     }
 
     /// Time until the prompt fits into the limit of the window. One that exceeds the limit by
@@ -165,11 +303,15 @@
         self.idle_at = Some(now + self.backlog(now) + request.prefill_time);
         self.permits_since_late =
             if self.is_late(now, request) { 0 } else { self.permits_since_late + 1 };
+        let Claim { workspace, weight, tokens, .. } = request.claim;
+        self.shares.record(workspace, weight, tokens.max(1));
         self.cancel(request.id);
         self.granted.push_back(Grant {
             granted_at: now,
             id: request.id,
             prefill_time: request.prefill_time,
+            tokens,
+            shown_at: now + ARRIVAL_TIME + self.backlog(now),
         });
     }
 
@@ -182,19 +324,43 @@
     }
 
     fn next_request(&self, now: Instant) -> Option<PermitRequest<T>> {
-        let prefer_late = self.permits_since_late >= LATE_PERMIT_INTERVAL - 1;
+        let prefer_late = self.permits_since_late >= LATE_PERMIT_INTERVAL - 1
+            && self.waiting.iter().any(|request| self.is_late(now, request));
         let priority = |request: &&PermitRequest<T>| {
-            (self.is_late(now, request) != prefer_late, request.latency_objective_at)
+            // A permit that goes to a late prompt goes to the one that has been late longest.
+            let rank = if prefer_late { 0 } else { request.claim.rank };
+            let is_other = self.is_late(now, request) != prefer_late;
+            (self.is_above_share(request), is_other, rank, request.latency_objective_at)
         };
         self.waiting.iter().min_by_key(priority).copied()
     }
 
-    /// Expected time until a waiting request is granted, if no more urgent one arrives.
+    fn is_above_share(&self, request: &PermitRequest<T>) -> bool {
+        !self.shares.is_within(request.claim.workspace)
+    }
+
+    /// Expected time until a waiting request is granted, if no more urgent one arrives. Of other workspaces only what
+    /// is granted in turn with this one's own stands before it, by their weights.
     fn expected_wait(&self, now: Instant, request: &PermitRequest<T>) -> Duration {
-        let priority =
-            |request: &PermitRequest<T>| (self.is_late(now, request), request.latency_objective_at);
-        let ahead = self.waiting.iter().filter(|other| priority(other) < priority(request));
-        let ahead: Duration = ahead.map(|request| request.prefill_time).sum();
-        self.time_until_capacity(now, request.prefill_time) + ahead.div_f64(PREFILL_TIME_RATIO)
+        let priority = |request: &PermitRequest<T>| {
+            (self.is_late(now, request), request.claim.rank, request.latency_objective_at)
+        };
+        let sum = |is_ahead: &dyn Fn(&PermitRequest<T>) -> bool| -> Duration {
+            let ahead =
+                self.waiting.iter().filter(|other| other.id != request.id && is_ahead(other));
+            ahead.map(|other| other.prefill_time).sum()
+        };
+        let own = request.claim.workspace;
+        let before = |other: &PermitRequest<T>| priority(other) <= priority(request);
+        let own_ahead = sum(&|other| other.claim.workspace == own && before(other));
+        let others = sum(&|other| other.claim.workspace != own && before(other));
+        let weight = request.claim.weight;
+        let competing = self.shares.competing_weight(own, weight);
+        let in_turn =
+            (own_ahead + request.prefill_time).mul_f64((competing / weight).max(1.0) - 1.0);
+        let ahead = own_ahead + others.min(in_turn);
+        let room = if self.has_room(now, &request.claim) { Duration::ZERO } else { ROOM_WAIT };
+        self.time_until_capacity(now, request.prefill_time).max(room)
+            + ahead.div_f64(PREFILL_TIME_RATIO)
     }
 }
--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -77,6 +77,10 @@
     mismatched_target: Option<names::TargetId>,
     identity: Option<EngineIdentity>,
     recent_requesters: BTreeMap<SocketAddr, updates::Requester>,
+    /// When the engine was last asked for a report.
+    report_asked_at: Option<Instant>,
+    /// Start time of the engine in its last report.
+    engine_started_at_ms: Option<Option<u64>>,
     /// When hubs were last sent the end or the new name of the engine.
     exit_relayed_at: Option<Instant>,
 }
@@ -229,8 +233,11 @@
     async fn poll_engine(&self) {
         let mut unresponsive = false;
         loop {
+            let asked_at = self.clock.now();
+            self.state.borrow_mut().report_asked_at = Some(asked_at);
             let delay = match self.engine.report().await {
                 Ok(report) => {
+                    self.record_held(asked_at, &report);
                     if std::mem::take(&mut unresponsive) {
                         tracing::info!("engine is responsive again");
                     }
@@ -245,11 +252,14 @@
                     state.identity = None;
                     drop(state);
                     if matches!(error, dialect::ReportError::Exited(_)) {
+                        self.permits.borrow_mut().forget_engine();
                         self.send_engine_exited();
                     }
                     IDLE_POLL_INTERVAL
                 }
             };
+            let awaits_room = self.permits.borrow().awaits_room(self.clock.now());
+            let delay = if awaits_room { delay.min(BUSY_POLL_INTERVAL) } else { delay };
             tokio::select! {
                 () = self.wake.notified() => {}
                 () = tokio::time::sleep(delay) => {}
--- a/crates/corianderstand_forward/src/agent/permits.rs
+++ b/crates/corianderstand_forward/src/agent/permits.rs
@@ -12,6 +12,21 @@
 /// Bounds the wake-ups of the grant loop; a prefill takes about ten times as long.
 const MIN_GRANT_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Weight of the mean workspace in a request.
+const MEAN_SHARE: f64 = 1_000.0;
+
+/// What a request for a permit states of its share, rank and size.
+fn claim(request: &peers::PrefillRequest) -> prefill::Claim {
+    let weight = if request.share == 0 { 1.0 } else { f64::from(request.share) / MEAN_SHARE };
+    prefill::Claim {
+        rank: u8::try_from(request.rank).unwrap_or(u8::MAX),
+        workspace: request.workspace,
+        weight,
+        tokens: request.tokens,
+        slots: request.places,
+    }
+}
+
 impl<E: dialect::EngineApi> Agent<E> {
     pub(super) fn on_prefill_request(
         &self,
@@ -31,10 +46,15 @@
                 latency_objective_at: now + millis(request.aim_in_ms),
                 expires_at: now + millis(request.useful_ms),
                 max_pause: (request.pause_ms > 0).then(|| millis(request.pause_ms)),
+                claim: claim(request),
             },
         );
         let backlog = permits.backlog(now);
+        let awaits_room = permits.awaits_room(now);
         drop(permits);
+        if awaits_room {
+            self.refresh_report(now);
+        }
         match response {
             prefill::PermitResponse::Granted => self.send_response(from, request.id, None, backlog),
             prefill::PermitResponse::Wait(wait) => {
@@ -44,6 +64,35 @@
         }
     }
 
+    /// Has the engine asked for a report, if the last one is not recent.
+    fn refresh_report(&self, now: Instant) {
+        let asked_at = self.state.borrow().report_asked_at;
+        if asked_at.is_none_or(|at| now.saturating_duration_since(at) >= super::BUSY_POLL_INTERVAL)
+        {
+            self.wake.notify_one();
+        }
+    }
+
+    /// Records what the engine holds by a report that was asked for at this time.
+    pub(super) fn record_held(&self, asked_at: Instant, report: &dialect::EngineReport) {
+        let mut permits = self.permits.borrow_mut();
+        let mut state = self.state.borrow_mut();
+        let before = state.engine_started_at_ms.replace(report.started_at_ms);
+        if before.is_some_and(|before| before != report.started_at_ms) {
+            permits.forget_engine();
+        }
+        let load = &report.load;
+        permits.record_held(
+            asked_at,
+            prefill::Held {
+                requests: load.running.saturating_add(load.waiting),
+                tokens: load.cache_used.unwrap_or(0),
+                capacity: report.cache_tokens,
+            },
+        );
+        self.permits_changed.notify_one();
+    }
+
     fn send_response(&self, to: SocketAddr, id: u64, wait: Option<Duration>, backlog: Duration) {
         let response = peers::PrefillResponse {
             id,
--- a/crates/corianderstand_forward/src/dialect.rs
+++ b/crates/corianderstand_forward/src/dialect.rs
@@ -282,6 +282,8 @@
     pub is_executing_command: bool,
     /// Number of adapters that are being loaded.
     pub adapters_loading: usize,
+    /// Capacity of the KV cache in tokens; 0 if not reported.
+    pub cache_tokens: u64,
     /// Load of the engine.
     pub load: targets::Load,
 }
--- a/crates/corianderstand_forward/tests/agents.rs
+++ b/crates/corianderstand_forward/tests/agents.rs
@@ -50,6 +50,7 @@
             holdings: state.holdings.clone(),
             is_executing_command: false,
             adapters_loading: 0,
+            cache_tokens: 0,
             load: targets::Load::default(),
         })
     }
@@ -366,6 +367,11 @@
         aim_in_ms: 100,
         useful_ms: 1_000,
         pause_ms: 0,
+        rank: 0,
+        workspace: 0,
+        share: 0,
+        tokens: 0,
+        places: 0,
     });
     requester.send_to(&postcard::to_stdvec(&request).unwrap(), agent.agent).await.unwrap();
     let update = async {
