--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod reconcile;
 pub mod request_slots;
 pub mod routes;
+pub mod shares;
 pub mod snapshot;
 mod store_concurrency;
 pub mod streams;
--- a/crates/corianderstand_fleet/src/prefill.rs
+++ b/crates/corianderstand_fleet/src/prefill.rs
@@ -11,7 +11,7 @@
 //! them. The agent counts them over all routers, and grants nothing that would exceed what the engine has.
 
 use corianderstand_derives::derives;
-use corianderstand_room::share;
+use corianderstand_room::{ranks, share};
 use std::{
     collections::VecDeque,
     time::{Duration, Instant},
@@ -36,6 +36,8 @@
 const REPORT_TTL: Duration = Duration::from_secs(2);
 /// Expected time until memory or a slot is free, if the engine has none left.
 const ROOM_WAIT: Duration = Duration::from_millis(100);
+/// Resolution of the part of the requests of a rank that is served.
+const RATIO_STEPS: f64 = 1_000.0;
 /// Number of waiting requests from which on those that cannot be served in time are refused at once.
 const MAX_WAITING: usize = 4_096;
 
@@ -112,6 +114,7 @@
     permits_since_late: u32,
     max_pause: Option<(Instant, Duration)>,
     shares: share::Shares,
+    served: ranks::Served,
     held: Option<(Instant, Held)>,
 }
 
@@ -134,6 +137,7 @@
             permits_since_late: 0,
             max_pause: None,
             shares: share::Shares::default(),
+            served: ranks::Served::default(),
             held: None,
         }
     }
@@ -154,6 +158,9 @@
             self.granted.remove(index);
         }
         self.record_max_pause(now, request.max_pause);
+        if self.waiting.iter().all(|other| other.id != request.id) {
+            self.served.record_asked(request.claim.rank);
+        }
         self.cancel(request.id);
         self.add(request);
         if self
@@ -305,6 +312,7 @@
             if self.is_late(now, request) { 0 } else { self.permits_since_late + 1 };
         let Claim { workspace, weight, tokens, .. } = request.claim;
         self.shares.record(workspace, weight, tokens.max(1));
+        self.served.record_served(request.claim.rank);
         self.cancel(request.id);
         self.granted.push_back(Grant {
             granted_at: now,
@@ -327,8 +335,12 @@
         let prefer_late = self.permits_since_late >= LATE_PERMIT_INTERVAL - 1
             && self.waiting.iter().any(|request| self.is_late(now, request));
         let priority = |request: &&PermitRequest<T>| {
-            // A permit that goes to a late prompt goes to the one that has been late longest.
-            let rank = if prefer_late { 0 } else { request.claim.rank };
+            // A permit that goes to a late prompt goes to the rank that is served least.
+            let rank = if prefer_late {
+                (self.served.ratio(request.claim.rank) * RATIO_STEPS) as u32
+            } else {
+                u32::from(request.claim.rank)
+            };
             let is_other = self.is_late(now, request) != prefer_late;
             (self.is_above_share(request), is_other, rank, request.latency_objective_at)
         };
@@ -358,7 +370,12 @@
         let competing = self.shares.competing_weight(own, weight);
         let in_turn =
             (own_ahead + request.prefill_time).mul_f64((competing / weight).max(1.0) - 1.0);
-        let ahead = own_ahead + others.min(in_turn);
+        let mut ahead = own_ahead + others.min(in_turn);
+        let rank = request.claim.rank;
+        if self.served.is_starving(rank) {
+            let of_rank = sum(&|other| other.claim.rank == rank);
+            ahead = ahead.min(of_rank * LATE_PERMIT_INTERVAL);
+        }
         let room = if self.has_room(now, &request.claim) { Duration::ZERO } else { ROOM_WAIT };
         self.time_until_capacity(now, request.prefill_time).max(room)
             + ahead.div_f64(PREFILL_TIME_RATIO)
--- a/crates/corianderstand_fleet/src/targets/load.rs
+++ b/crates/corianderstand_fleet/src/targets/load.rs
@@ -35,19 +35,20 @@
         let load = &self.reported_load;
         let others = load.requests.saturating_sub(load.own_requests);
         if is_recent(now, load.requests_at, LOAD_TTL) {
-            return others + self.local_requests;
+            return others + self.local_requests + self.placing_requests;
         }
         let probe_load = self.entry.slots.max(1) - 1;
-        others.min(probe_load) + self.local_requests
+        others.min(probe_load) + self.local_requests + self.placing_requests
     }
 
     /// Estimated tokens in its KV cache: the reported ones, adjusted by this process's later requests.
     pub fn estimated_tokens(&self, now: Instant) -> u64 {
         let load = &self.reported_load;
         if is_recent(now, load.cache_used_at, CACHE_USE_TTL) {
-            return load.cache_used.saturating_sub(load.own_tokens) + self.local_tokens;
+            let others = load.cache_used.saturating_sub(load.own_tokens);
+            return others + self.local_tokens + self.placing_tokens;
         }
-        self.local_tokens
+        self.local_tokens + self.placing_tokens
     }
 
     /// Records the reported load.
--- a/crates/corianderstand_fleet/src/targets/target.rs
+++ b/crates/corianderstand_fleet/src/targets/target.rs
@@ -40,6 +40,10 @@
     pub local_requests: u32,
     /// Expected tokens of the in-flight requests of this process.
     pub local_tokens: u64,
+    /// Requests of this process that were given a place and are not sent yet.
+    pub placing_requests: u32,
+    /// Expected tokens of these.
+    pub placing_tokens: u64,
     /// How fast it works.
     pub pace: pace::Pace,
     /// Mean time between events of its streams.
@@ -78,6 +82,8 @@
             in_flight: BTreeMap::new(),
             local_requests: 0,
             local_tokens: 0,
+            placing_requests: 0,
+            placing_tokens: 0,
             pace: pace::Pace::default(),
             event_interval: health::EventInterval::default(),
             request_limit: None,
--- a/crates/corianderstand_fleet/src/workspaces.rs
+++ b/crates/corianderstand_fleet/src/workspaces.rs
@@ -115,6 +115,11 @@
         self.by_name.get(name).map(|&index| &self.workspaces[index])
     }
 
+    /// Iterates over all workspaces.
+    pub fn iter(&self) -> impl Iterator<Item = &Workspace> {
+        self.workspaces.iter()
+    }
+
     /// Number of workspaces.
     pub fn len(&self) -> usize {
         self.workspaces.len()
--- a/crates/corianderstand_fleet/tests/prefill.rs
+++ b/crates/corianderstand_fleet/tests/prefill.rs
@@ -376,17 +376,19 @@
         PermitRequest { claim, ..permit_request(id, now, LATENCY_OBJECTIVE) }
     };
     let mut granted = Vec::new();
-    for n in 0..200 {
+    for n in 0..1_000 {
         let now = began + PREFILL_TIME / 2 * n;
         let rank = if n % 10 == 0 { 9 } else { 0 };
-        if queue.request(now, of(u64::from(n), now, rank)) == PermitResponse::Granted {
-            granted.push(u64::from(n));
+        let request = of(u64::from(n), now, rank);
+        match queue.request(now, request) {
+            PermitResponse::Granted => granted.push(u64::from(n)),
+            PermitResponse::Wait(_) => {}
         }
         granted.extend(queue.grant_due(now).into_iter().map(|((), id)| id));
     }
     let low = granted.iter().filter(|id| *id % 10 == 0).count();
-    println!("{low} of 20 of the lowest rank, {} in all", granted.len());
-    assert!(low >= granted.len() / 40, "{low} of {}", granted.len());
+    println!("{low} of 100 of the lowest rank, {} of 1,000 in all", granted.len());
+    assert!(low * 10 * 4 >= granted.len(), "{low} of 100, {} of 1,000 in all", granted.len());
 }
 
 /// Guards against a cold engine on which all callers come at once after a power cut: it is filled at the pace at which
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -231,7 +231,7 @@
         before.as_ref().is_none_or(|(h, o)| *h != holdings || o.is_some() != ongoing.is_some());
     if changed {
         for resident in &holdings.resident {
-            view.wake(&resident.model);
+            view.rooms.wake_model(now, &resident.model);
         }
         drop(view);
         request_plan(shared, now);
--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -1,7 +1,8 @@
 //! Rate-limited logging of routing decisions and request outcomes.
 
 use crate::{
-    admission, body_end, dialect, job, metrics, quotas, replicated_records, stream, suspicion, view,
+    admission, body_end, dialect, job, metrics, quotas, replicated_records, rooms, stream,
+    suspicion, view,
 };
 use corianderstand_fleet::{budget, crashes, exits, fingerprint::Feature, targets, wait_limit};
 use corianderstand_types::{names, position::Position};
@@ -90,9 +91,10 @@
     AnswerEnded,
     StreamResolved,
     Retry,
+    Granted,
 }
 
-const LINE_KINDS: usize = 13;
+const LINE_KINDS: usize = 14;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct LineCount {
@@ -165,6 +167,26 @@
         }
     }
 
+    /// Logs that a request that waited is given a place, and where it stood.
+    pub fn granted(&self, job: &job::Job, standing: &rooms::Standing, now: Instant) {
+        let waited = now.saturating_duration_since(job.idle_since);
+        self.metrics.place_granted(job.workspace.as_ref(), standing.rank, waited);
+        if self.may_log(LineKind::Granted, now) {
+            let rooms::Standing { rank, own_waiting, waiting, balance } = *standing;
+            tracing::info!(
+                id = %job.request.id,
+                workspace = job.workspace.as_ref().map(names::WorkspaceId::as_str),
+                model = job.model().map(names::ModelId::as_str),
+                rank,
+                of_workspace = own_waiting,
+                of_all = waiting,
+                share_left = balance as i64,
+                waited_ms = waited.as_millis() as u64,
+                "granted"
+            );
+        }
+    }
+
     /// Logs that a request waits for its slot at a target that limits its requests.
     pub fn waits_for_slot(
         &self,
@@ -351,6 +373,36 @@
         }
     }
 
+    /// Logs a request that got no place in time, and where it stood.
+    pub fn refused_place(
+        &self,
+        job: &job::Job,
+        why: &str,
+        retry_after: Duration,
+        standing: &rooms::Standing,
+        now: Instant,
+    ) {
+        self.metrics.request_refused(why);
+        self.metrics.place_refused(job.workspace.as_ref(), standing.rank);
+        if self.may_log(LineKind::Refused, now) {
+            let rooms::Standing { rank, own_waiting, waiting, balance } = *standing;
+            tracing::info!(
+                id = %job.request.id,
+                route = %job.route.name,
+                status = StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+                why,
+                workspace = job.workspace.as_ref().map(names::WorkspaceId::as_str),
+                rank,
+                of_workspace = own_waiting,
+                of_all = waiting,
+                share_left = balance as i64,
+                retry_ms = retry_after.as_millis() as u64,
+                ms = millis_between(now, job.arrived_at),
+                "refused"
+            );
+        }
+    }
+
     /// Logs a refused request under which, or under a part of which, targets ended.
     pub fn blocked(&self, job: &job::Job, block: &crashes::Block, now: Instant) {
         let why = suspicion::reason(block);
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -112,6 +112,7 @@
         request,
         route,
         workspace: admitted.workspace,
+        rank: admitted.priority,
         service,
         method: parts.method,
         uri,
@@ -187,7 +188,7 @@
 
 async fn wait_until_started<P: router::Platform>(shared: &router::Shared<P>) {
     loop {
-        let update = shared.view.borrow_mut().waker(None);
+        let update = shared.view.borrow().changed();
         let update = update.notified();
         tokio::pin!(update);
         update.as_mut().enable();
@@ -251,7 +252,7 @@
         }
         let key = match found {
             Ok(key) => key,
-            Err(rejected) => return refuse(&shared, &job, rejected.reason, rejected.retry_after),
+            Err(rejected) => return refuse_unplaced(&shared, &job, &rejected),
         };
         job.tried_targets.push(key);
         set_sent(true);
@@ -444,6 +445,22 @@
     local_response(status, why, Some(wait_limit::retry_after(retry_after, job.jitter())))
 }
 
+/// Refuses a request that got no place; fails it if an earlier attempt may have run.
+fn refuse_unplaced<P: router::Platform>(
+    shared: &router::Shared<P>,
+    job: &job::Job,
+    rejected: &waiting::PlacementError,
+) -> Response<ResponseBody> {
+    let waiting::PlacementError { reason, retry_after, standing } = *rejected;
+    let Some(standing) = standing.filter(|_| !job.may_have_run) else {
+        return refuse(shared, job, reason, retry_after);
+    };
+    let retry_after = wait_limit::retry_after(retry_after, job.jitter());
+    let now = shared.clock.now();
+    shared.decision_log.refused_place(job, reason, retry_after, &standing, now);
+    local_response(StatusCode::SERVICE_UNAVAILABLE, reason, Some(retry_after))
+}
+
 /// Refuses a request that is blocked; fails it if this attempt may have run.
 fn refuse_blocked<P: router::Platform>(
     shared: &router::Shared<P>,
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -298,7 +298,7 @@
         tracing::warn!(?subject, %error, age_ms,
             "reading the store failed: known records stay in force");
         drop(records);
-        shared.view.borrow().wake_all();
+        shared.view.borrow().wake_all(shared.clock.now());
     }
 }
 
--- a/crates/corianderstand_forward/src/follow/apply.rs
+++ b/crates/corianderstand_forward/src/follow/apply.rs
@@ -51,7 +51,7 @@
     }
     if advanced && subject == Subject::Targets && shared.view.borrow().targets.is_empty() {
         // There are no targets, so no record woke the requests that wait for the first read.
-        shared.view.borrow().wake_all();
+        shared.view.borrow().wake_all(shared.clock.now());
     }
     let has_progress = shared.replicated_records.borrow().progress(subject) > known;
     // Reports the progress to routers without access to the store, so that they fetch the change, and this router to
@@ -158,7 +158,7 @@
     if is_relevant {
         let within = unread_time(shared, now, Subject::Targets, origin.source);
         shared.decision_log.target_changed(&id, change, origin, within, now);
-        view.wake_all();
+        view.wake_all(now);
     }
     drop(view);
     ended_targets::record_replaced(shared, now);
@@ -202,5 +202,5 @@
     shared.peers.borrow_mut().set_needs_mesh(has_quotas);
     tracing::info!(version, ?known, routes, %position, %source, age_ms, "configuration in force");
     view.route_table = Some(Rc::new(routes::Table::new(config)));
-    view.wake_all();
+    view.wake_all(now);
 }
--- a/crates/corianderstand_forward/src/job.rs
+++ b/crates/corianderstand_forward/src/job.rs
@@ -1,6 +1,6 @@
 //! A request that is being handled, and its count at the target that handles it.
 
-use crate::{body_end, content, continuations, dialect, retries, router, view};
+use crate::{body_end, content, continuations, dialect, retries, rooms, router, view};
 use bytes::Bytes;
 use corianderstand_fleet::{choose, config, demand, fingerprint, prefixes, targets};
 use corianderstand_types::names;
@@ -37,6 +37,8 @@
     pub route: Arc<config::Route>,
     /// The caller's workspace, if the request needs a credential.
     pub workspace: Option<names::WorkspaceId>,
+    /// Priority of the workspace and the route; 0 is the highest.
+    pub rank: u8,
     /// The service of the route.
     pub service: names::ServiceId,
     /// The method.
@@ -141,6 +143,11 @@
         (self.request_id_hash >> 11) as f64 / (1_u64 << 53) as f64
     }
 
+    /// What it waits for if no target can take it.
+    pub fn room(&self) -> rooms::Key {
+        rooms::Key { service: self.service.clone(), model: self.model().cloned() }
+    }
+
     /// The requested model.
     pub fn model(&self) -> Option<&names::ModelId> {
         self.request.requested_model.as_ref().map(|requested| &requested.model)
@@ -154,6 +161,7 @@
     target: Option<(targets::Incarnation, SocketAddr)>,
     version: Option<names::SoftwareVersion>,
     started_at: Instant,
+    service: names::ServiceId,
     requested: Option<choose::RequestedModel>,
     expected_tokens: u64,
 }
@@ -172,6 +180,7 @@
                 .map(|target| (target.entry.incarnation(), target.entry.addr)),
             version: view.targets.get(key).and_then(|target| target.version().cloned()),
             started_at: shared.clock.now(),
+            service: job.service.clone(),
             requested,
             expected_tokens: job.expected_tokens(),
         };
@@ -214,13 +223,16 @@
         let Some(target) = view.targets.get_mut(self.key) else { return };
         target.local_requests = target.local_requests.saturating_sub(1);
         target.local_tokens = target.local_tokens.saturating_sub(self.expected_tokens);
-        let Some(requested) = &self.requested else { return };
-        if let Some(count) = target.in_flight.get_mut(requested) {
+        if let Some(requested) = &self.requested
+            && let Some(count) = target.in_flight.get_mut(requested)
+        {
             *count -= 1;
             if *count == 0 {
                 target.in_flight.remove(requested);
             }
         }
-        view.wake(&requested.model);
+        let model = self.requested.as_ref().map(|requested| requested.model.clone());
+        let key = rooms::Key { service: self.service.clone(), model };
+        view.rooms.wake(self.shared.clock.now(), &key);
     }
 }
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod request_slots;
 pub mod resume;
 pub mod retries;
+pub mod rooms;
 pub mod router;
 pub mod server;
 pub mod status;
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -5,13 +5,16 @@
 };
 use corianderstand_fleet::{config, exits};
 use corianderstand_schema::peers::StoreUse;
+use corianderstand_types::names;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
+use smol_str::SmolStr;
 use std::{
     cell::RefCell,
+    collections::BTreeSet,
     rc::Rc,
     sync::atomic::AtomicU64,
     time::{Duration, Instant},
@@ -21,6 +24,11 @@
 const BUCKET_BOUNDS_S: [f64; 12] =
     [0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 1.0, 2.5, 5.0, 10.0, 15.0, 25.0];
 
+/// Workspaces that have labels of their own.
+const MAX_LABELLED_WORKSPACES: usize = 32;
+/// Label of all others.
+const OTHER_WORKSPACES: &str = "(others)";
+
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
 struct RequestLabels {
     kind: &'static str,
@@ -70,6 +78,12 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct PlaceLabels {
+    workspace: String,
+    rank: u8,
+}
+
 #[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
 struct KindLabel {
     kind: &'static str,
@@ -105,6 +119,10 @@
     resting_targets: Gauge,
     slots_asked: Family<OutcomeLabel, Counter>,
     config_proof_age: Gauge<f64, AtomicU64>,
+    places_granted: Family<PlaceLabels, Counter>,
+    places_refused: Family<PlaceLabels, Counter>,
+    place_wait_seconds: Family<PlaceLabels, Counter<f64, AtomicU64>>,
+    labelled_workspaces: RefCell<BTreeSet<SmolStr>>,
     quota_granted: Counter,
     quota_held: Gauge,
     config_version: Gauge,
@@ -156,6 +174,10 @@
             resting_targets: Gauge::default(),
             slots_asked: Family::default(),
             config_proof_age: Gauge::default(),
+            places_granted: Family::default(),
+            places_refused: Family::default(),
+            place_wait_seconds: Family::default(),
+            labelled_workspaces: RefCell::default(),
             quota_granted: Counter::default(),
             quota_held: Gauge::default(),
             config_version: Gauge::default(),
@@ -233,6 +255,21 @@
             "Parts of prompts whose requests are refused because targets ended under them",
             self.blocked_parts.clone(),
         );
+        r.register(
+            "places_granted",
+            "Requests that waited for a place at a target and got one, by workspace and rank",
+            self.places_granted.clone(),
+        );
+        r.register(
+            "places_refused",
+            "Requests refused as they got no place in time, by workspace and rank",
+            self.places_refused.clone(),
+        );
+        r.register(
+            "place_wait_seconds",
+            "Time for which the requests waited that got a place, by workspace and rank",
+            self.place_wait_seconds.clone(),
+        );
         r.register(
             "callers_left",
             "Callers that left before their answer",
@@ -457,6 +494,39 @@
         self.slots_asked.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a request that waited for a place and got one.
+    pub fn place_granted(
+        &self,
+        workspace: Option<&names::WorkspaceId>,
+        rank: u8,
+        waited: Duration,
+    ) {
+        let labels = self.place_labels(workspace, rank);
+        self.place_wait_seconds.get_or_create(&labels).inc_by(waited.as_secs_f64());
+        self.places_granted.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request that got no place in time.
+    pub fn place_refused(&self, workspace: Option<&names::WorkspaceId>, rank: u8) {
+        self.places_refused.get_or_create(&self.place_labels(workspace, rank)).inc();
+    }
+
+    /// Labels of a workspace and a rank; workspaces beyond a number share one.
+    fn place_labels(&self, workspace: Option<&names::WorkspaceId>, rank: u8) -> PlaceLabels {
+        let Some(workspace) = workspace else {
+            return PlaceLabels { workspace: String::new(), rank };
+        };
+        let mut known = self.labelled_workspaces.borrow_mut();
+        let name = workspace.as_str();
+        if !known.contains(name) {
+            if known.len() >= MAX_LABELLED_WORKSPACES {
+                return PlaceLabels { workspace: OTHER_WORKSPACES.to_owned(), rank };
+            }
+            known.insert(name.into());
+        }
+        PlaceLabels { workspace: name.to_owned(), rank }
+    }
+
     /// Counts what a keeper granted of a quota.
     pub fn quota_granted(&self, granted: u64) {
         self.quota_granted.inc_by(granted);
--- a/crates/corianderstand_forward/src/prefill.rs
+++ b/crates/corianderstand_forward/src/prefill.rs
@@ -2,7 +2,7 @@
 //!
 //! If the agent does not respond, the request is sent without a permit.
 
-use crate::{job, pending, router};
+use crate::{job, pending, router, waiting};
 use corianderstand_fleet::{targets, wait_limit};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
 use std::time::{Duration, Instant};
@@ -12,6 +12,8 @@
 const MAX_UNANSWERED_REQUESTS: u32 = 2;
 /// The request is repeated, as the datagram that grants the permit may be lost.
 const PERMIT_RESEND_INTERVAL: Duration = Duration::from_millis(150);
+/// Weight of the mean workspace in a request.
+const MEAN_SHARE: f64 = 1_000.0;
 /// A target is chosen again if the agent expects a longer wait for the permit.
 const CHOOSE_AGAIN_WAIT: Duration = Duration::from_millis(40);
 
@@ -78,12 +80,19 @@
         let prefill_time = job.prefill_time(&view, key, now)?;
         let agent = std::net::SocketAddr::new(target.entry.addr.ip(), shared.settings.agent_port);
         let waiter = shared.prefill_permits.register(shared.incarnation);
+        let entry = waiting::entry(shared, job);
+        let slots = target.entry.slots;
         let request = wire::PrefillRequest {
             id: waiter.id(),
             work_us: prefill_time.as_micros() as u32,
             aim_in_ms: 0,
             useful_ms: 0,
             pause_ms: job.route.gap_objective.unwrap_or_default().as_millis() as u32,
+            rank: entry.map_or(0, |entry| u32::from(entry.claim.rank)),
+            workspace: entry.map_or(0, |entry| entry.workspace),
+            share: entry.map_or(0, |entry| (entry.weight * MEAN_SHARE).round().max(1.0) as u32),
+            tokens: entry.map_or(0, |_| job.expected_tokens()),
+            places: entry.map_or(0, |_| slots),
         };
         Some(Self { shared, agent, request, waiter, granted: false })
     }
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -258,6 +258,15 @@
 
     /// Chooses a target for a request.
     pub fn choose_target(&self, now: Instant, job: &job::Job) -> choose::Choice {
+        self.choose_for(now, job, job.expected_tokens())
+    }
+
+    /// Whether a target has a slot for a request, whatever memory it needs.
+    pub fn has_slot(&self, now: Instant, job: &job::Job) -> bool {
+        matches!(self.choose_for(now, job, 0), choose::Choice::Send(_))
+    }
+
+    fn choose_for(&self, now: Instant, job: &job::Job, tokens: u64) -> choose::Choice {
         if job.progress == continuations::Progress::Unknown {
             return choose::Choice::NoVersion;
         }
@@ -266,7 +275,7 @@
         let query = choose::Query {
             service: &job.service,
             requested: job.request.requested_model.as_ref(),
-            tokens: job.expected_tokens(),
+            tokens,
             cache_tokens: engine.map_or(0, |engine| engine.cache_tokens),
             adapter_slots: engine.map_or(0, |engine| engine.adapter_slots),
             zone: &self.settings.zone,
--- a/crates/corianderstand_forward/src/target_feedback.rs
+++ b/crates/corianderstand_forward/src/target_feedback.rs
@@ -93,7 +93,7 @@
         self.decision_log.target_answered_leaving(&target.entry);
         let addr = target.entry.addr;
         // Requests that wait for it choose again, and the planner replaces what it holds.
-        view.wake_all();
+        view.wake_all(self.clock.now());
         drop(view);
         self.connection_pool.close_idle(addr);
         self.control_wake.notify_one();
@@ -119,7 +119,7 @@
         let Some(target) = view.targets.get_mut(key) else { return };
         let Some(rest) = head.rest else {
             if target.end_rest(job.sent_at.unwrap_or(job.arrived_at)) {
-                view.wake_all();
+                view.wake_all(now);
             }
             return;
         };
--- a/crates/corianderstand_forward/src/view.rs
+++ b/crates/corianderstand_forward/src/view.rs
@@ -1,15 +1,11 @@
 //! A router's local view of the fleet, and notifications of its changes.
 
-use crate::continuations;
+use crate::{continuations, rooms};
 use corianderstand_fleet::{
     choose, config, demand, prefixes, routes, snapshot, targets, wait_limit,
 };
 use corianderstand_types::names;
-use std::{
-    collections::{BTreeMap, HashMap},
-    rc::Rc,
-    time::Instant,
-};
+use std::{collections::BTreeMap, rc::Rc, time::Instant};
 use tokio::sync::Notify;
 
 /// A router's view of the fleet, owned by a single thread.
@@ -25,30 +21,21 @@
     pub waiting_requests: BTreeMap<names::ModelId, u32>,
     /// Which target has which prompt prefixes cached.
     pub cached_prefixes: prefixes::Prefixes,
-    wakers: HashMap<names::ModelId, Rc<Notify>>,
+    /// Requests that wait for targets.
+    pub rooms: Rc<rooms::Rooms>,
     targets_changed: Rc<Notify>,
 }
 
 impl View {
-    /// Returns a handle notified when `model` becomes available, or any target if it is none.
-    pub fn waker(&mut self, model: Option<&names::ModelId>) -> Rc<Notify> {
-        match model {
-            Some(model) => self.wakers.entry(model.clone()).or_default().clone(),
-            None => self.targets_changed.clone(),
-        }
-    }
-
-    /// Wakes the requests that wait for a model.
-    pub fn wake(&self, model: &names::ModelId) {
-        if let Some(waker) = self.wakers.get(model) {
-            waker.notify_waiters();
-        }
+    /// Returns a handle notified when the configuration or the targets change.
+    pub fn changed(&self) -> Rc<Notify> {
+        self.targets_changed.clone()
     }
 
-    /// Wakes all waiting requests.
-    pub fn wake_all(&self) {
+    /// Calls the requests that wait for any target.
+    pub fn wake_all(&self, now: Instant) {
         self.targets_changed.notify_waiters();
-        self.wakers.values().for_each(|waker| waker.notify_waiters());
+        self.rooms.wake_all(now);
     }
 
     /// Returns the configuration of a service.
--- a/crates/corianderstand_room/src/lib.rs
+++ b/crates/corianderstand_room/src/lib.rs
@@ -1,7 +1,7 @@
 //! Requests that compete for what is too little: the quota of a workspace, or the slots of targets.
 //!
-//! [`order`] compares requests that wait by urgency, [`share`] counts what workspaces were granted of their shares, and
-//! [`room`] keeps those that wait for the same places and tells whose turn it is. Nothing here performs I/O, and the time
+//! [`order`] compares requests that wait by urgency, [`share`] counts what workspaces were granted of their shares,
+//! [`ranks`] tells which ranks starve, and [`room`] keeps those that wait for the same places and tells whose turn it is. Nothing here performs I/O, and the time
 //! is passed in.
 //!
 //! ```
@@ -21,5 +21,6 @@
 //! ```
 
 pub mod order;
+pub mod ranks;
 pub mod room;
 pub mod share;
--- a/crates/corianderstand_room/src/room.rs
+++ b/crates/corianderstand_room/src/room.rs
@@ -7,7 +7,7 @@
 //! A request that can't use a place that is free, as it lacks something of its own, passes it on to the next. One that
 //! is too large for what is free passes it on a limited number of times: then the next places are kept for it.
 
-use crate::{order, share};
+use crate::{order, ranks, share};
 use corianderstand_derives::derives;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -16,8 +16,8 @@
 
 /// Number of places that a request which is too large for them leaves to others before places are kept for it.
 pub const MAX_PLACES_LEFT: u32 = 8;
-/// Ranks told apart in the count of those that wait.
-const RANKS: usize = 10;
+/// Part of the pace that a rank has for itself while it starves.
+const STARVING_PART: f64 = 0.25;
 /// Time over which the pace of grants is measured.
 const PACE_WINDOW: Duration = Duration::from_millis(200);
 /// Weight of the last window in the pace.
@@ -116,7 +116,7 @@
     objectives: BTreeSet<(Instant, Ticket)>,
     /// By the time for which they may wait and their arrival.
     by_patience: BTreeMap<u32, BTreeSet<(Instant, Ticket)>>,
-    timely_cost: [u64; RANKS],
+    timely_cost: [u64; ranks::RANKS],
     len: usize,
 }
 
@@ -130,6 +130,7 @@
     kept_for: Option<Ticket>,
     shares: share::Shares,
     turns: order::Turns,
+    served: ranks::Served,
     pace: Pace,
 }
 
@@ -168,6 +169,7 @@
 
     /// Adds a request.
     pub fn enter(&mut self, now: Instant, entry: Entry) -> Ticket {
+        self.served.record_asked(entry.claim.rank);
         let is_late = !entry.claim.is_timely(now);
         let waiting = Waiting { entry, is_late, passed: None, places_left: 0 };
         let queue = self.queues.entry(entry.workspace).or_default();
@@ -229,7 +231,8 @@
         let entry = granted.entry;
         let longest_waiting = self.longest_waiting(now);
         self.turns.record(entry.claim.cost, longest_waiting == Some(ticket));
-        self.record(entry);
+        self.shares.record(entry.workspace, entry.weight, entry.claim.cost);
+        self.served.record_served(entry.claim.rank);
         self.leave(ticket);
         for passed in &self.passed {
             let Some(one) = self.waiting.get_mut(*passed) else { continue };
@@ -249,6 +252,13 @@
     /// Records that a request took a place without waiting.
     pub fn record(&mut self, entry: Entry) {
         self.shares.record(entry.workspace, entry.weight, entry.claim.cost);
+        self.served.record_asked(entry.claim.rank);
+        self.served.record_served(entry.claim.rank);
+    }
+
+    /// Records a request that is refused without waiting.
+    pub fn record_refused(&mut self, entry: &Entry) {
+        self.served.record_asked(entry.claim.rank);
     }
 
     /// Takes back what was granted to a request that could not use it.
@@ -286,17 +296,22 @@
     }
 
     /// Time that a request of this kind has to wait, if that can be told. It counts the timely requests of the
-    /// workspace that are as urgent, at the workspace's part of the pace.
+    /// workspace that are as urgent, at the workspace's part of the pace; for a rank that starves only those of the rank.
     pub fn expected_wait(&self, entry: &Entry) -> Option<Duration> {
         let per_s = self.pace.per_s.filter(|per_s| *per_s > 0.0)?;
         let queue = self.queues.get(&entry.workspace);
-        let rank = usize::from(entry.claim.rank).min(RANKS - 1);
+        let rank = ranks::index(entry.claim.rank);
         let ahead = |queue: &Queue| queue.timely_cost[..=rank].iter().sum::<u64>() as f64;
         let own = queue.map_or(0.0, ahead);
         let all: f64 = self.queues.values().map(ahead).sum();
         let competing = self.shares.competing_weight(entry.workspace, entry.weight);
         let part = entry.weight / competing.max(entry.weight);
-        Some(Duration::from_secs_f64((own / (per_s * part)).min(all / per_s)))
+        let mut wait = (own / (per_s * part)).min(all / per_s);
+        if self.served.is_starving(entry.claim.rank) {
+            let of_rank = self.queues.values().map(|queue| queue.timely_cost[rank]).sum::<u64>();
+            wait = wait.min(of_rank as f64 / (per_s * STARVING_PART));
+        }
+        Some(Duration::from_secs_f64(wait))
     }
 
     /// What a workspace may be granted until it has its share; negative beyond.
@@ -341,7 +356,7 @@
         } else {
             self.timely.insert((claim.rank, claim.objective_at, claim.arrived_at, ticket));
             self.objectives.insert((claim.objective_at, ticket));
-            self.timely_cost[usize::from(claim.rank).min(RANKS - 1)] += claim.cost;
+            self.timely_cost[ranks::index(claim.rank)] += claim.cost;
         }
         self.by_patience
             .entry(patience_step(&claim))
@@ -356,7 +371,7 @@
         } else {
             self.timely.remove(&(claim.rank, claim.objective_at, claim.arrived_at, ticket));
             self.objectives.remove(&(claim.objective_at, ticket));
-            self.timely_cost[usize::from(claim.rank).min(RANKS - 1)] -= claim.cost;
+            self.timely_cost[ranks::index(claim.rank)] -= claim.cost;
         }
         let step = patience_step(&claim);
         if let Some(same) = self.by_patience.get_mut(&step) {
--- a/crates/corianderstand_room/tests/room.rs
+++ b/crates/corianderstand_room/tests/room.rs
@@ -199,6 +199,43 @@
     assert!(all.iter().all(|part| *part >= mean / 4.0), "{all:?}, in the mean {mean}");
 }
 
+/// Guards against a rank that starves as it is refused at once: all that are more urgent stand before it for ever.
+#[rstest]
+fn no_rank_starves_by_refusals_at_once() {
+    let (began, mut room) = (Instant::now(), Room::default());
+    let (mut asked, mut served) = ([0_u32; 2], [0_u32; 2]);
+    let mut waiting: HashMap<Ticket, (usize, Entry)> = HashMap::new();
+    for tick in 0..20_000 {
+        let now = began + TICK * tick;
+        // Five times as many as there are places, nine of ten of the higher rank.
+        let kind = if tick % 10 == 0 { 2 } else { 0 };
+        let entry = entry(began, &Arrival { at: TICK * tick, workspace: 1, kind });
+        asked[usize::from(kind == 2)] += 1;
+        let wait = room.expected_wait(&entry);
+        if wait.is_some_and(|wait| now + wait >= entry.claim.expires_at) {
+            room.record_refused(&entry);
+        } else {
+            waiting.insert(room.enter(now, entry), (kind, entry));
+        }
+        let expired = waiting.iter().filter(|(_, (_, entry))| entry.claim.is_expired(now));
+        for ticket in expired.map(|(ticket, _)| *ticket).collect::<Vec<_>>() {
+            room.leave(ticket);
+            waiting.remove(&ticket);
+        }
+        if tick % 5 == 0
+            && let Some(next) = room.next(now)
+        {
+            room.grant(now, next);
+            let (kind, _) = waiting.remove(&next).unwrap();
+            served[usize::from(kind == 2)] += 1;
+        }
+    }
+    let part = |of: usize| f64::from(served[of]) / f64::from(asked[of]);
+    let all = f64::from(served[0] + served[1]) / f64::from(asked[0] + asked[1]);
+    println!("served: {:.3} and {:.3}, in the mean {all:.3}", part(0), part(1));
+    assert!(part(1) >= all / 4.0, "{} in the mean {all}", part(1));
+}
+
 /// Guards against a share that is lost when nobody else asks: it is lent.
 #[rstest]
 fn unused_share_is_lent() {
