No rank starves at an engine: late permits go to the rank that is served least

The fourth permit in a flood went to a late prompt only if the three before were not just in time; and a low rank was told that all higher ones stand before it.

--- a/crates/corianderstand_fleet/src/prefill.rs
+++ b/crates/corianderstand_fleet/src/prefill.rs
@@ -307,9 +307,12 @@
     }
 
     fn grant(&mut self, now: Instant, request: &PermitRequest<T>) {
+        let was_late = self.is_late(now, request);
         self.idle_at = Some(now + self.backlog(now) + request.prefill_time);
-        self.permits_since_late =
-            if self.is_late(now, request) { 0 } else { self.permits_since_late + 1 };
+        // Where shares and ranks do not count, one that is only just in time counts as late.
+        let is_late =
+            if request.claim == Claim::default() { self.is_late(now, request) } else { was_late };
+        self.permits_since_late = if is_late { 0 } else { self.permits_since_late + 1 };
         let Claim { workspace, weight, tokens, .. } = request.claim;
         self.shares.record(workspace, weight, tokens.max(1));
         self.served.record_served(request.claim.rank);
