Room for targets: docs, refusals with their standing, freed slots for all models of an engine, permits of a router that stood still

Refused and waiting requests are logged with rank, share and how many wait. A slot that becomes free is offered to the waiting of all models of its engine, the more urgent first. A permit that is older than its room counts is asked for anew; one whose wait is long is asked for elsewhere first. A request that no engine can hold keeps no places.

--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -154,7 +154,14 @@
     }
 
     /// Logs that a request waits for a target.
-    pub fn waits(&self, job: &job::Job, why: &str, expected: wait_limit::Readiness, now: Instant) {
+    pub fn waits(
+        &self,
+        job: &job::Job,
+        why: &str,
+        expected: wait_limit::Readiness,
+        standing: Option<&rooms::Standing>,
+        now: Instant,
+    ) {
         if self.may_log(LineKind::Placed, now) {
             let waited_ms = millis_between(now, job.arrived_at);
             let ready_in_ms = match expected {
@@ -163,7 +170,12 @@
                 wait_limit::Readiness::AtCapacity | wait_limit::Readiness::Unknown => None,
             };
             let model = job.model().map(names::ModelId::as_str);
-            tracing::info!(id = %job.request.id, model, why, ready_in_ms, waited_ms, "waits");
+            let workspace = job.workspace.as_ref().map(names::WorkspaceId::as_str);
+            let rank = standing.map(|standing| standing.rank);
+            let of_workspace = standing.map(|standing| standing.own_waiting);
+            let of_all = standing.map(|standing| standing.waiting);
+            let share_left = standing.map(|standing| standing.balance as i64);
+            tracing::info!(id = %job.request.id, model, why, ready_in_ms, workspace, rank, of_workspace, of_all, share_left, waited_ms, "waits");
         }
     }
 
--- a/crates/corianderstand_forward/src/job.rs
+++ b/crates/corianderstand_forward/src/job.rs
@@ -220,6 +220,7 @@
 impl<P: router::Platform> Drop for InFlight<P> {
     fn drop(&mut self) {
         let mut view = self.shared.view.borrow_mut();
+        let view = &mut *view;
         let Some(target) = view.targets.get_mut(self.key) else { return };
         target.local_requests = target.local_requests.saturating_sub(1);
         target.local_tokens = target.local_tokens.saturating_sub(self.expected_tokens);
@@ -232,7 +233,8 @@
             }
         }
         let model = self.requested.as_ref().map(|requested| requested.model.clone());
-        let key = rooms::Key { service: self.service.clone(), model };
-        view.rooms.wake(self.shared.clock.now(), &key);
+        let resident = target.entry.holdings.resident.iter().map(|resident| &resident.model);
+        let others: Vec<_> = resident.filter(|other| Some(*other) != model.as_ref()).collect();
+        view.rooms.wake_freed(self.shared.clock.now(), &self.service, model.as_ref(), &others);
     }
 }
--- a/crates/corianderstand_forward/src/prefill.rs
+++ b/crates/corianderstand_forward/src/prefill.rs
@@ -12,6 +12,8 @@
 const MAX_UNANSWERED_REQUESTS: u32 = 2;
 /// The request is repeated, as the datagram that grants the permit may be lost.
 const PERMIT_RESEND_INTERVAL: Duration = Duration::from_millis(150);
+/// Number of times that a permit is asked for anew as it may be outdated; a router that is always late has to go on.
+const MAX_ASKED_ANEW: u32 = 2;
 /// Weight of the mean workspace in a request.
 const MEAN_SHARE: f64 = 1_000.0;
 /// A target is chosen again if the agent expects a longer wait for the permit.
@@ -58,6 +60,9 @@
     agent: std::net::SocketAddr,
     request: wire::PrefillRequest,
     waiter: pending::Waiter<'a, PermitStatus>,
+    /// Whether shares and ranks count, and the agent counts the engine's memory and slots.
+    is_ordered: bool,
+    sent_at: Instant,
     granted: bool,
 }
 
@@ -94,11 +99,13 @@
             tokens: entry.map_or(0, |_| job.expected_tokens()),
             places: entry.map_or(0, |_| slots),
         };
-        Some(Self { shared, agent, request, waiter, granted: false })
+        let is_ordered = entry.is_some();
+        Some(Self { shared, agent, request, waiter, is_ordered, sent_at: now, granted: false })
     }
 
     fn send(&mut self, job: &job::Job) {
         let now = self.shared.clock.now();
+        self.sent_at = now;
         let millis_until = |at: Instant| at.saturating_duration_since(now).as_millis() as u32;
         self.request.aim_in_ms = millis_until(job.idle_since + job.route.latency_objective);
         self.request.useful_ms = millis_until(self.expires_at(job));
@@ -109,6 +116,12 @@
         job.abandoned_at().min(self.shared.response_deadline(job))
     }
 
+    /// Whether a permit may be so old that the room which it counted has gone to others: this router stood still.
+    fn may_be_outdated(&self) -> bool {
+        let since = self.shared.clock.now().saturating_duration_since(self.sent_at);
+        self.is_ordered && since > PERMIT_RESEND_INTERVAL + PERMIT_RESPONSE_TIMEOUT
+    }
+
     fn granted(&mut self) -> PermitOutcome {
         self.granted = true;
         PermitOutcome::Granted
@@ -123,7 +136,7 @@
     final_choice: bool,
 ) -> PermitOutcome {
     let Some(mut claim) = PermitClaim::new(shared, job, key) else { return PermitOutcome::Granted };
-    let mut unanswered = 0;
+    let (mut unanswered, mut asked_anew) = (0, 0);
     while unanswered < MAX_UNANSWERED_REQUESTS {
         claim.send(job);
         let Some(response) = claim.waiter.response(PERMIT_RESPONSE_TIMEOUT).await else {
@@ -131,10 +144,20 @@
             continue;
         };
         let now = shared.clock.now();
-        shared.record_prefill_backlog(key, now, response.prefill_backlog);
+        let outdated = claim.may_be_outdated();
+        // Those that wait there stand before the next request as well.
+        let backlog = if claim.is_ordered { response.expected_wait } else { Duration::ZERO };
+        shared.record_prefill_backlog(key, now, response.prefill_backlog.max(backlog));
+        if response.granted && outdated && asked_anew < MAX_ASKED_ANEW {
+            asked_anew += 1;
+            continue;
+        }
         if response.granted {
             return claim.granted();
         }
+        if claim.is_ordered && !final_choice && response.expected_wait >= CHOOSE_AGAIN_WAIT {
+            return PermitOutcome::ChooseAgain;
+        }
         if now + response.expected_wait >= claim.expires_at(job) {
             return PermitOutcome::TooLate {
                 retry_after: wait_limit::retry_after(response.expected_wait, job.jitter()),
@@ -145,12 +168,8 @@
         {
             return PermitOutcome::ChooseAgain;
         }
-        if claim
-            .waiter
-            .response(PERMIT_RESEND_INTERVAL)
-            .await
-            .is_some_and(|response| response.granted)
-        {
+        let later = claim.waiter.response(PERMIT_RESEND_INTERVAL).await;
+        if later.is_some_and(|response| response.granted) && !claim.may_be_outdated() {
             return claim.granted();
         }
         unanswered = 0;
--- a/crates/corianderstand_forward/src/rooms.rs
+++ b/crates/corianderstand_forward/src/rooms.rs
@@ -207,10 +207,33 @@
         self.open.borrow_mut().entry(key.clone()).or_default().targets_changed.clone()
     }
 
-    /// Calls those that wait for a place that is free now.
-    pub fn wake(&self, now: Instant, key: &Key) {
-        if let Some(place) = self.open.borrow_mut().get_mut(key) {
-            place.begin_round(now);
+    /// Calls those that wait for a place that is free now: one of the model, then of the other models of the target.
+    /// Those that are more urgent decide first.
+    pub fn wake_freed(
+        &self,
+        now: Instant,
+        service: &names::ServiceId,
+        model: Option<&names::ModelId>,
+        others: &[&names::ModelId],
+    ) {
+        let mut open = self.open.borrow_mut();
+        if open.is_empty() {
+            return;
+        }
+        let models = others.iter().map(|other| Some((*other).clone()));
+        let models = std::iter::once(model.cloned()).chain(models);
+        let keys = models.map(|model| Key { service: service.clone(), model });
+        let mut first: Vec<_> = keys
+            .filter_map(|key| {
+                let place = open.get_mut(&key).filter(|place| !place.room.is_empty())?;
+                Some((place.room.first_claim(now)?, key))
+            })
+            .collect();
+        first.sort_by(|(a, _), (b, _)| a.compare(now, b));
+        for (_, key) in first {
+            if let Some(place) = open.get_mut(&key) {
+                place.begin_round(now);
+            }
         }
     }
 
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -261,9 +261,14 @@
         self.choose_for(now, job, job.expected_tokens())
     }
 
-    /// Whether a target has a slot for a request, whatever memory it needs.
+    /// Whether a target has a slot for a request that it could hold if more of its memory were free.
     pub fn has_slot(&self, now: Instant, job: &job::Job) -> bool {
-        matches!(self.choose_for(now, job, 0), choose::Choice::Send(_))
+        let view = self.view.borrow();
+        let engine = view.service(&job.service).and_then(|service| service.engine.as_ref());
+        let capacity = engine.map_or(0, |engine| engine.cache_tokens);
+        let fits = capacity == 0 || job.expected_tokens() <= capacity;
+        drop(view);
+        fits && matches!(self.choose_for(now, job, 0), choose::Choice::Send(_))
     }
 
     fn choose_for(&self, now: Instant, job: &job::Job, tokens: u64) -> choose::Choice {
--- a/crates/corianderstand_forward/src/waiting.rs
+++ b/crates/corianderstand_forward/src/waiting.rs
@@ -188,7 +188,9 @@
         let deadline = shared.response_deadline(job);
         let until = job.abandoned_at().min(deadline);
         if !std::mem::replace(&mut self.is_logged, true) {
-            shared.decision_log.waits(job, reason(choice), expected, now);
+            let standing = self.rooms.standing(&self.key, &self.entry);
+            let standing = self.is_ordered.then_some(&standing);
+            shared.decision_log.waits(job, reason(choice), expected, standing, now);
         }
         let error = |retry_after| PlacementError::new(reason(choice), retry_after);
         let until = match wait_limit::decide(now, until, expected, job.jitter()) {
--- a/crates/corianderstand_forward/tests/agents.rs
+++ b/crates/corianderstand_forward/tests/agents.rs
@@ -6,7 +6,7 @@
 use corianderstand_forward::{agent, client, dialect};
 use corianderstand_schema::peers::{
     AdapterRequest, EngineGone, EnginePlan, EngineReplaced, EngineUpdate, PeerMessage, PlanPart,
-    PrefillRequest, RequestedAdapter,
+    PrefillRequest, PrefillResponse, RequestedAdapter,
 };
 use corianderstand_types::{clock::SystemClock, names::TargetId};
 use std::{
@@ -20,6 +20,8 @@
 
 #[derive(Default)]
 struct EngineState {
+    cache_tokens: u64,
+    cache_used: u64,
     holdings: targets::Holdings,
     commands: Vec<(Instant, reconcile::Command, u64)>,
     unanswered_commands: usize,
@@ -50,8 +52,8 @@
             holdings: state.holdings.clone(),
             is_executing_command: false,
             adapters_loading: 0,
-            cache_tokens: 0,
-            load: targets::Load::default(),
+            cache_tokens: state.cache_tokens,
+            load: targets::Load { cache_used: Some(state.cache_used), ..Default::default() },
         })
     }
 
@@ -419,3 +421,56 @@
     }
     assert!(answers > ASKS / 2, "{answers} answers");
 }
+
+/// Sends a request for a permit that takes more than half of the engine's memory.
+async fn ask_for_memory(router: &UdpSocket, agent: SocketAddr, id: u64) {
+    let request = PeerMessage::PrefillAsked(PrefillRequest {
+        id,
+        work_us: 1_000,
+        aim_in_ms: 1_000,
+        useful_ms: 10_000,
+        pause_ms: 0,
+        rank: 0,
+        workspace: 1,
+        share: 1_000,
+        tokens: 6_000,
+        places: 32,
+    });
+    router.send_to(&postcard::to_stdvec(&request).unwrap(), agent).await.unwrap();
+}
+
+async fn next_permit(router: &UdpSocket) -> PrefillResponse {
+    let mut buf = vec![0; 65_536];
+    let receive = async {
+        loop {
+            let (len, _) = router.recv_from(&mut buf).await.unwrap();
+            if let PeerMessage::PrefillAnswer(answer) = postcard::from_bytes(&buf[..len]).unwrap() {
+                return answer;
+            }
+        }
+    };
+    tokio::time::timeout(common::WAIT_LIMIT, receive).await.expect("the agent answers")
+}
+
+/// Guards against an engine that crashes: two routers ask within one report's time, each sees all memory free, and
+/// both requests together exceed it.
+#[tokio::test]
+async fn two_routers_within_one_report_do_not_exceed_the_memory() {
+    let agent = AgentThread::start().await;
+    agent.engine.0.lock().unwrap().cache_tokens = 10_000;
+    // By then the agent has asked the engine again.
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let first = UdpSocket::bind(common::free_port()).await.unwrap();
+    let second = UdpSocket::bind(common::free_port()).await.unwrap();
+    ask_for_memory(&first, agent.agent, 1).await;
+    assert!(next_permit(&first).await.given);
+    agent.engine.0.lock().unwrap().cache_used = 6_000;
+    ask_for_memory(&second, agent.agent, 2).await;
+    assert!(!next_permit(&second).await.given);
+    let early = tokio::time::timeout(Duration::from_millis(500), next_permit(&second)).await;
+    assert!(early.is_err(), "granted beyond the memory: {early:?}");
+    agent.engine.0.lock().unwrap().cache_used = 0;
+    let freed_at = Instant::now();
+    assert!(next_permit(&second).await.given);
+    assert!(freed_at.elapsed() < Duration::from_millis(200), "{:?}", freed_at.elapsed());
+}
--- a/crates/corianderstand_room/src/room.rs
+++ b/crates/corianderstand_room/src/room.rs
@@ -225,6 +225,13 @@
         next.map(|index| first[index].0)
     }
 
+    /// The claim of the request whose turn it is at the beginning of a round.
+    pub fn first_claim(&mut self, now: Instant) -> Option<order::Claim> {
+        self.begin_round();
+        let next = self.next(now)?;
+        self.waiting.get(next).map(|waiting| waiting.entry.claim)
+    }
+
     /// Gives the place to a request, which leaves.
     pub fn grant(&mut self, now: Instant, ticket: Ticket) {
         let Some(granted) = self.waiting.get(ticket).copied() else { return };
--- a/crates/corianderstand_room/tests/room.rs
+++ b/crates/corianderstand_room/tests/room.rs
@@ -236,6 +236,52 @@
     assert!(part(1) >= all / 4.0, "{} in the mean {all}", part(1));
 }
 
+/// Guards against four seconds of refusals after a power cut: all callers come at once, before any place has become free.
+/// They are served by rank at the pace at which places become free, and once the pace is known, those that can't be
+/// served are told when.
+#[rstest]
+fn after_a_power_cut_callers_are_served_in_order_at_the_pace_of_the_places() {
+    const CALLERS_PER_MS: u64 = 2;
+    let (began, mut room) = (Instant::now(), Room::default());
+    let mut waiting: HashMap<Ticket, (usize, Entry)> = HashMap::new();
+    let (mut served, mut asked, mut told, mut in_vain) = ([0_u32; 3], [0_u32; 3], 0, 0);
+    for tick in 0..8_000_u32 {
+        let now = began + TICK * tick;
+        for n in 0..if tick < 1_000 { CALLERS_PER_MS } else { 0 } {
+            let kind = (u64::from(tick) + n) as usize % KINDS.len();
+            let workspace = (u64::from(tick) * CALLERS_PER_MS + n) % WORKSPACES;
+            let entry = entry(began, &Arrival { at: TICK * tick, workspace, kind });
+            asked[kind] += 1;
+            match room.expected_wait(&entry) {
+                Some(wait) if now + wait >= entry.claim.expires_at => {
+                    assert!(wait > Duration::from_secs(1), "a moment that is no use: {wait:?}");
+                    room.record_refused(&entry);
+                    told += 1;
+                }
+                _ => {
+                    waiting.insert(room.enter(now, entry), (kind, entry));
+                }
+            }
+        }
+        let expired = waiting.iter().filter(|(_, (_, entry))| entry.claim.is_expired(now));
+        for ticket in expired.map(|(ticket, _)| *ticket).collect::<Vec<_>>() {
+            room.leave(ticket);
+            waiting.remove(&ticket);
+            in_vain += 1;
+        }
+        if tick % 10 == 0
+            && let Some(next) = room.next(now)
+        {
+            room.grant(now, next);
+            let (kind, _) = waiting.remove(&next).unwrap();
+            served[kind] += 1;
+        }
+    }
+    println!("served {served:?} of {asked:?}, {told} told a time at once, {in_vain} in vain");
+    assert!(served.iter().sum::<u32>() >= 790, "a place was left free: {served:?}");
+    assert!(served[0] >= served[1] && served[0] >= served[2], "by rank: {served:?}");
+}
+
 /// Guards against a share that is lost when nobody else asks: it is lent.
 #[rstest]
 fn unused_share_is_lent() {
