--- a/crates/corianderstand_fleet/tests/shares.rs
+++ b/crates/corianderstand_fleet/tests/shares.rs
@@ -4,6 +4,7 @@
     shares,
     workspaces::{CostUnit, Directory, Quota, Workspace},
 };
+use corianderstand_types::names;
 use rstest::rstest;
 
 const TOKENS: CostUnit = CostUnit::Token { default: 1 };
@@ -48,6 +49,6 @@
     let directory = directory(&[("a", Some((10.0, TOKENS))), ("b", quota)]);
     assert!((weight(&directory, "b") - 1.0).abs() < 1e-9);
     assert!((weight(&directory, "unknown") - 1.0).abs() < 1e-9);
-    let named: Vec<_> = shares::unusable(&directory).map(|name| name.as_str()).collect();
+    let named: Vec<_> = shares::unusable(&directory).map(names::WorkspaceId::as_str).collect();
     assert_eq!(named, if is_named { vec!["b"] } else { vec![] });
 }
