--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -1,7 +1,7 @@
 //! Rate-limited logging of routing decisions and request outcomes.
 
 use crate::{
-    admission, body_end, copies, dialect, job, metrics, quotas, replicated_records, stream,
+    admission, body_end, copies, dialect, job, metrics, quotas, replicated_records, rooms, stream,
     suspicion, view,
 };
 use corianderstand_fleet::{
@@ -97,9 +97,10 @@
     Hedge,
     Copy,
     Moved,
+    Granted,
 }
 
-const LINE_KINDS: usize = 16;
+const LINE_KINDS: usize = 17;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct LineCount {
@@ -167,7 +168,14 @@
     }
 
     /// Logs that a request waits for a target.
-    pub fn waits(&self, job: &job::Job, why: &str, expected: wait_limit::Readiness, now: Instant) {
+    pub fn waits(
+        &self,
+        job: &job::Job,
+        why: &str,
+        expected: wait_limit::Readiness,
+        standing: Option<&rooms::Standing>,
+        now: Instant,
+    ) {
         if self.may_log(LineKind::Placed, now) {
             let waited_ms = millis_between(now, job.arrived_at);
             let ready_in_ms = match expected {
@@ -176,7 +184,32 @@
                 wait_limit::Readiness::AtCapacity | wait_limit::Readiness::Unknown => None,
             };
             let model = job.model().map(names::ModelId::as_str);
-            tracing::info!(id = %job.request.id, model, why, ready_in_ms, waited_ms, "waits");
+            let workspace = job.workspace.as_ref().map(names::WorkspaceId::as_str);
+            let rank = standing.map(|standing| standing.rank);
+            let of_workspace = standing.map(|standing| standing.own_waiting);
+            let of_all = standing.map(|standing| standing.waiting);
+            let share_left = standing.map(|standing| standing.balance as i64);
+            tracing::info!(id = %job.request.id, model, why, ready_in_ms, workspace, rank, of_workspace, of_all, share_left, waited_ms, "waits");
+        }
+    }
+
+    /// Logs that a request that waited is given a place, and where it stood.
+    pub fn granted(&self, job: &job::Job, standing: &rooms::Standing, now: Instant) {
+        let waited = now.saturating_duration_since(job.idle_since);
+        self.metrics.place_granted(job.workspace.as_ref(), standing.rank, waited);
+        if self.may_log(LineKind::Granted, now) {
+            let rooms::Standing { rank, own_waiting, waiting, balance } = *standing;
+            tracing::info!(
+                id = %job.request.id,
+                workspace = job.workspace.as_ref().map(names::WorkspaceId::as_str),
+                model = job.model().map(names::ModelId::as_str),
+                rank,
+                of_workspace = own_waiting,
+                of_all = waiting,
+                share_left = balance as i64,
+                waited_ms = waited.as_millis() as u64,
+                "granted"
+            );
         }
     }
 
@@ -431,6 +464,36 @@
         }
     }
 
+    /// Logs a request that got no place in time, and where it stood.
+    pub fn refused_place(
+        &self,
+        job: &job::Job,
+        why: &str,
+        retry_after: Duration,
+        standing: &rooms::Standing,
+        now: Instant,
+    ) {
+        self.metrics.request_refused(why);
+        self.metrics.place_refused(job.workspace.as_ref(), standing.rank);
+        if self.may_log(LineKind::Refused, now) {
+            let rooms::Standing { rank, own_waiting, waiting, balance } = *standing;
+            tracing::info!(
+                id = %job.request.id,
+                route = %job.route.name,
+                status = StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+                why,
+                workspace = job.workspace.as_ref().map(names::WorkspaceId::as_str),
+                rank,
+                of_workspace = own_waiting,
+                of_all = waiting,
+                share_left = balance as i64,
+                retry_ms = retry_after.as_millis() as u64,
+                ms = millis_between(now, job.arrived_at),
+                "refused"
+            );
+        }
+    }
+
     /// Logs a refused request under which, or under a part of which, targets ended.
     pub fn blocked(&self, job: &job::Job, block: &crashes::Block, now: Instant) {
         let why = suspicion::reason(block);
--- a/crates/corianderstand_forward/src/prefill.rs
+++ b/crates/corianderstand_forward/src/prefill.rs
@@ -2,7 +2,7 @@
 //!
 //! If the agent does not respond, the request is sent without a permit.
 
-use crate::{job, pacing, pending, router};
+use crate::{job, pacing, pending, router, waiting};
 use corianderstand_fleet::{targets, wait_limit};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
 use std::time::{Duration, Instant};
@@ -12,6 +12,10 @@
 const MAX_UNANSWERED_REQUESTS: u32 = 2;
 /// The request is repeated, as the datagram that grants the permit may be lost.
 const PERMIT_RESEND_INTERVAL: Duration = Duration::from_millis(150);
+/// Number of times that a permit is asked for anew as it may be outdated; a router that is always late has to go on.
+const MAX_ASKED_ANEW: u32 = 2;
+/// Weight of the mean workspace in a request.
+const MEAN_SHARE: f64 = 1_000.0;
 /// A target is chosen again if the agent expects a longer wait for the permit.
 const CHOOSE_AGAIN_WAIT: Duration = Duration::from_millis(40);
 
@@ -68,6 +72,9 @@
     agent: std::net::SocketAddr,
     request: wire::PrefillRequest,
     waiter: pending::Waiter<'a, PermitStatus>,
+    /// Whether shares and ranks count, and the agent counts the engine's memory and slots.
+    is_ordered: bool,
+    sent_at: Instant,
     granted: bool,
 }
 
@@ -90,18 +97,27 @@
         let prefill_time = job.prefill_time(shared, &view, key, now)?;
         let agent = std::net::SocketAddr::new(target.entry.addr.ip(), shared.settings.agent_port);
         let waiter = shared.prefill_permits.register(shared.incarnation);
+        let entry = waiting::entry(shared, job);
+        let slots = target.entry.slots;
         let request = wire::PrefillRequest {
             id: waiter.id(),
             work_us: prefill_time.as_micros() as u32,
             aim_in_ms: 0,
             useful_ms: 0,
             pause_ms: job.route.gap_objective.unwrap_or_default().as_millis() as u32,
+            rank: entry.map_or(0, |entry| u32::from(entry.claim.rank)),
+            workspace: entry.map_or(0, |entry| entry.workspace),
+            share: entry.map_or(0, |entry| (entry.weight * MEAN_SHARE).round().max(1.0) as u32),
+            tokens: entry.map_or(0, |_| job.expected_tokens()),
+            places: entry.map_or(0, |_| slots),
         };
-        Some(Self { shared, agent, request, waiter, granted: false })
+        let is_ordered = entry.is_some();
+        Some(Self { shared, agent, request, waiter, is_ordered, sent_at: now, granted: false })
     }
 
     fn send(&mut self, job: &job::Job) {
         let now = self.shared.clock.now();
+        self.sent_at = now;
         let millis_until = |at: Instant| at.saturating_duration_since(now).as_millis() as u32;
         self.request.aim_in_ms = millis_until(job.idle_since + job.route.latency_objective);
         self.request.useful_ms = millis_until(self.expires_at(job));
@@ -112,6 +128,12 @@
         job.abandoned_at().min(self.shared.response_deadline(job))
     }
 
+    /// Whether a permit may be so old that the room which it counted has gone to others: this router stood still.
+    fn may_be_outdated(&self) -> bool {
+        let since = self.shared.clock.now().saturating_duration_since(self.sent_at);
+        self.is_ordered && since > PERMIT_RESEND_INTERVAL + PERMIT_RESPONSE_TIMEOUT
+    }
+
     fn granted(&mut self) -> PermitOutcome {
         self.granted = true;
         PermitOutcome::Granted
@@ -126,7 +148,7 @@
     final_choice: bool,
 ) -> PermitOutcome {
     let Some(mut claim) = PermitClaim::new(shared, job, key) else { return PermitOutcome::Granted };
-    let mut unanswered = 0;
+    let (mut unanswered, mut asked_anew) = (0, 0);
     while unanswered < MAX_UNANSWERED_REQUESTS {
         claim.send(job);
         let Some(response) = claim.waiter.response(PERMIT_RESPONSE_TIMEOUT).await else {
@@ -135,10 +157,20 @@
         };
         let now = shared.clock.now();
         let uses_pace = pacing::is_used(shared, &shared.view.borrow(), now, &job.service);
-        shared.record_prefill_backlog(key, now, response.backlog(uses_pace));
+        let outdated = claim.may_be_outdated();
+        // Those that wait there stand before the next request as well.
+        let backlog = if claim.is_ordered { response.expected_wait } else { Duration::ZERO };
+        shared.record_prefill_backlog(key, now, response.backlog(uses_pace).max(backlog));
+        if response.granted && outdated && asked_anew < MAX_ASKED_ANEW {
+            asked_anew += 1;
+            continue;
+        }
         if response.granted {
             return claim.granted();
         }
+        if claim.is_ordered && !final_choice && response.expected_wait >= CHOOSE_AGAIN_WAIT {
+            return PermitOutcome::ChooseAgain;
+        }
         if now + response.expected_wait >= claim.expires_at(job) {
             return PermitOutcome::TooLate {
                 retry_after: wait_limit::retry_after(response.expected_wait, job.jitter()),
@@ -149,12 +181,8 @@
         {
             return PermitOutcome::ChooseAgain;
         }
-        if claim
-            .waiter
-            .response(PERMIT_RESEND_INTERVAL)
-            .await
-            .is_some_and(|response| response.granted)
-        {
+        let later = claim.waiter.response(PERMIT_RESEND_INTERVAL).await;
+        if later.is_some_and(|response| response.granted) && !claim.may_be_outdated() {
             return claim.granted();
         }
         unanswered = 0;
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -264,6 +264,20 @@
 
     /// Chooses a target for a request.
     pub fn choose_target(&self, now: Instant, job: &job::Job) -> choose::Choice {
+        self.choose_for(now, job, job.expected_tokens())
+    }
+
+    /// Whether a target has a slot for a request that it could hold if more of its memory were free.
+    pub fn has_slot(&self, now: Instant, job: &job::Job) -> bool {
+        let view = self.view.borrow();
+        let engine = view.service(&job.service).and_then(|service| service.engine.as_ref());
+        let capacity = engine.map_or(0, |engine| engine.cache_tokens);
+        let fits = capacity == 0 || job.expected_tokens() <= capacity;
+        drop(view);
+        fits && matches!(self.choose_for(now, job, 0), choose::Choice::Send(_))
+    }
+
+    fn choose_for(&self, now: Instant, job: &job::Job, tokens: u64) -> choose::Choice {
         if job.progress == continuations::Progress::Unknown {
             return choose::Choice::NoVersion;
         }
@@ -272,7 +286,7 @@
         let query = choose::Query {
             service: &job.service,
             requested: job.request.requested_model.as_ref(),
-            tokens: job.expected_tokens(),
+            tokens,
             cache_tokens: engine.map_or(0, |engine| engine.cache_tokens),
             adapter_slots: engine.map_or(0, |engine| engine.adapter_slots),
             zone: &self.settings.zone,
