--- a/crates/corianderstand_fleet/src/quota/ledger.rs
+++ b/crates/corianderstand_fleet/src/quota/ledger.rs
@@ -1,6 +1,6 @@
 //! Token buckets of workspaces, kept by one router for all.
 
-use super::{Claim, ClaimSource, Grant, Tolerance};
+use super::{Claim, ClaimSource, Grant, Tolerance, queue};
 use crate::workspaces;
 use corianderstand_types::names;
 use smol_str::SmolStr;
@@ -25,6 +25,10 @@
 const MAX_WAIT_S: f64 = 10.0;
 /// Time in which claims of an incarnation that has ended may still arrive.
 const REORDERING_TIME: Duration = Duration::from_millis(500);
+/// Time between two claims of one router for requests that wait: a time for each router that asks, within bounds.
+const TIME_PER_CLAIM: Duration = Duration::from_millis(1);
+const MIN_AGAIN: Duration = Duration::from_millis(40);
+const MAX_AGAIN: Duration = Duration::from_millis(160);
 /// A router that sent no claim for this long is forgotten, with what it held.
 const CLAIM_TTL: Duration = Duration::from_secs(60);
 
@@ -61,6 +65,7 @@
     /// What a bucket that was full when the settling began holds now: the routers may just have asked for nothing.
     settling_level: f64,
     claims: HashMap<SmolStr, RouterClaim>,
+    queue: queue::Queue,
 }
 
 /// The buckets that a router keeps.
@@ -92,7 +97,12 @@
             return None;
         }
         bucket.forgive(quota, tolerance);
-        Some(bucket.grant(now, source, claim, quota, tolerance))
+        let answers = bucket.answer(now, source, claim, quota, tolerance);
+        let mut grant = bucket.grant(now, source, claim, quota, tolerance);
+        grant.granted += answers.iter().map(|(_, cost)| cost).sum::<u64>();
+        grant.answers = answers.into_iter().map(|(answer, _)| answer).collect();
+        grant.again = bucket.again(now);
+        Some(grant)
     }
 
     /// Forgets routers and workspaces without claims.
@@ -117,6 +127,7 @@
             settling_until: None,
             settling_level: 0.0,
             claims: HashMap::new(),
+            queue: queue::Queue::new(now),
         }
     }
 
@@ -187,6 +198,71 @@
         self.level = self.level.max(-max_debt);
     }
 
+    /// What may be granted now.
+    fn available(&self, now: Instant, quota: &workspaces::Quota) -> f64 {
+        let reserved = quota.burst * RESERVED_BURST_RATIO;
+        match self.is_settling(now) {
+            true => self.level.min(self.settling_level).min(reserved),
+            false => self.level,
+        }
+    }
+
+    fn supply(
+        &self,
+        now: Instant,
+        quota: &workspaces::Quota,
+        tolerance: &Tolerance,
+    ) -> queue::Supply {
+        queue::Supply {
+            level: self.available(now, quota),
+            per_s: quota.per_s,
+            max_debt: tolerance.max_debt(),
+            max_cost: quota.burst + tolerance.max_debt(),
+        }
+    }
+
+    /// Takes in the requests that a router names, and decides on those of all routers.
+    fn answer(
+        &mut self,
+        now: Instant,
+        source: &ClaimSource,
+        claim: &Claim,
+        quota: &workspaces::Quota,
+        tolerance: &Tolerance,
+    ) -> Vec<(queue::Answer, u64)> {
+        let super::Ordered { is_asking, waiters, left, told } = &claim.ordered;
+        let (router, incarnation) = (&source.router, source.incarnation);
+        let mut returned = self.queue.hear(now, router, incarnation);
+        returned += self.queue.withdraw(router, incarnation, left);
+        returned += self.queue.expire(now, &self.supply(now, quota, tolerance));
+        self.level += returned as f64;
+        self.queue.record_told(now, told);
+        let supply = self.supply(now, quota, tolerance);
+        self.queue.announce(now, router, incarnation, waiters, &supply);
+        let granted = self.queue.grant(now, &supply) as f64;
+        self.level -= granted;
+        self.settling_level -= granted;
+        if !is_asking {
+            return Vec::new();
+        }
+        let answers = self.queue.collect(now, router);
+        let sum: u64 = answers.iter().map(|(_, cost)| cost).sum();
+        if let Some(claim) = self.claims.get_mut(router) {
+            claim.claimed += sum;
+            claim.held += sum;
+        }
+        answers
+    }
+
+    /// Time after which a router should ask again for requests that wait.
+    fn again(&self, now: Instant) -> Duration {
+        if self.queue.is_empty() && !self.queue.is_flooded(now) {
+            return Duration::ZERO;
+        }
+        let routers = u32::try_from(self.queue.routers()).unwrap_or(u32::MAX);
+        TIME_PER_CLAIM.saturating_mul(routers).clamp(MIN_AGAIN, MAX_AGAIN)
+    }
+
     fn grant(
         &mut self,
         now: Instant,
@@ -197,10 +273,10 @@
     ) -> Grant {
         let held: u64 = self.claims.values().map(|claim| claim.held).sum();
         let reserved = quota.burst * RESERVED_BURST_RATIO;
-        let is_settling = self.is_settling(now);
-        let level = match is_settling {
-            true => self.level.min(self.settling_level).min(reserved),
-            false => self.level,
+        // Those that wait in order go first.
+        let level = match self.queue.is_empty() {
+            true => self.available(now, quota),
+            false => self.available(now, quota).min(0.0),
         };
         let mut granted = level.max(0.0).min(claim.needed as f64);
         let lacking = claim.first.saturating_sub(claim.held) as f64;
@@ -227,6 +303,11 @@
             claim.claimed += granted;
             claim.held += granted;
         }
-        Grant { granted, wait: Duration::from_secs_f64(wait.min(MAX_WAIT_S)) }
+        Grant {
+            granted,
+            wait: Duration::from_secs_f64(wait.min(MAX_WAIT_S)),
+            answers: Vec::new(),
+            again: Duration::ZERO,
+        }
     }
 }
--- a/crates/corianderstand_fleet/src/quota/mod.rs
+++ b/crates/corianderstand_fleet/src/quota/mod.rs
@@ -8,8 +8,13 @@
 //! What is granted ahead saves a question for each request. Both it and the debt that a large request may
 //! cause are parts of the [`Tolerance`], so that the sum stays within the quota and its tolerance.
 
+//!
+//! Where requests wait in order, a claim names them, and the keeper answers for each ([`queue`]).
+
 pub mod account;
+pub mod lanes;
 pub mod ledger;
+pub mod queue;
 
 use crate::workspaces;
 use corianderstand_derives::derives;
@@ -69,6 +74,39 @@
     pub ahead: u64,
     /// Cost units spent per second in the last seconds.
     pub per_s: u64,
+    /// What concerns requests that wait in order.
+    pub ordered: Ordered,
+}
+
+/// A request that waits in order.
+#[derives(key)]
+pub struct Waiter {
+    /// The router's number of it.
+    pub id: u64,
+    /// Its cost.
+    pub cost: u64,
+    /// Priority of its workspace and route; 0 is the highest.
+    pub rank: u8,
+    /// Time until it must be granted to meet its latency objective.
+    pub objective: Duration,
+    /// Time until granting it is of no use.
+    pub expiry: Duration,
+    /// Hash of its caller and content.
+    pub key: u64,
+}
+
+/// The part of a claim that concerns requests that wait in order.
+#[derives(data)]
+#[derive(Default)]
+pub struct Ordered {
+    /// Whether the router waits for answers.
+    pub is_asking: bool,
+    /// Requests that wait, those not named before first.
+    pub waiters: Vec<Waiter>,
+    /// Numbers of requests that were named and wait no more.
+    pub left: Vec<u64>,
+    /// Bookings that were told to callers lately.
+    pub told: Vec<queue::Told>,
 }
 
 /// Sender and order of a claim.
@@ -83,11 +121,15 @@
 }
 
 /// A keeper's answer to a claim.
-#[derives(key)]
+#[derives(data)]
 pub struct Grant {
     /// Cost units granted.
     pub granted: u64,
     /// Time until the requests that wait should return, after those refused before; zero if the first was
     /// granted.
     pub wait: Duration,
+    /// Decisions on requests that wait in order; what is granted includes their costs.
+    pub answers: Vec<queue::Answer>,
+    /// Time after which the router should ask again for those without one; zero if nothing waits.
+    pub again: Duration,
 }
--- /dev/null
+++ b/crates/corianderstand_fleet/src/quota/queue.rs
@@ -0,0 +1,469 @@
+//! The requests of all routers that wait for the quota of a workspace, at its keeper.
+//!
+//! Routers name the requests that wait and ask again until each is answered. A request that can't be granted by the time
+//! it needs is refused at once, with a booking if there is room for one that its caller can honour. What is granted to a
+//! request is kept for its router's next claim.
+
+use super::{
+    Waiter,
+    lanes::{self, Kind, Place},
+};
+use corianderstand_derives::derives;
+use corianderstand_room::{booking, order};
+use smol_str::SmolStr;
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::{Duration, Instant},
+};
+
+/// The most requests that wait for one quota.
+const MAX_WAITING: usize = 10_000;
+/// Costs above are as absurd as this one; keeps sums within their type.
+const MAX_COST: u64 = 1 << 48;
+/// Part of a request's patience by which it must be expected to be granted: the demand of the next moments isn't known.
+const EXPECTED_RATIO: f64 = 0.8;
+/// Least time for which a request that holds a booking waits.
+const BOOKED_PATIENCE: Duration = Duration::from_millis(500);
+/// What is granted returns after this time unless its router asks.
+const COLLECT_TIME: Duration = Duration::from_millis(400);
+/// A router that sent no claim for this long is passed over.
+const SILENCE_TIME: Duration = Duration::from_millis(400);
+/// Time for which answers are known to have been sent, in case they were lost.
+const ANSWERED_TTL: Duration = Duration::from_millis(600);
+/// The most answers that are remembered or kept for routers.
+const MAX_ANSWERED: usize = 20_000;
+/// Callers may use this part of the time that they have left until they come back.
+const HONOURED_RATIO: f64 = 1.0 / 3.0;
+/// Part of the quota that may be booked in the next seconds, when the flood is likely to go on.
+const NEAR_ROOM_RATIO: f64 = 0.2;
+/// Part of the quota that may be booked for later.
+const FAR_ROOM_RATIO: f64 = 0.5;
+const NEAR_TIME: Duration = Duration::from_secs(2);
+/// Bookings due in this time are taken out of what new requests can expect.
+const BOOKED_AHEAD: Duration = Duration::from_secs(1);
+/// A flood is over after this time without refusals.
+const FLOOD_PAUSE: Duration = Duration::from_secs(1);
+/// Bounds of the time for which a flood is expected to go on; in between, as long as it has lasted.
+const MIN_FLOOD: Duration = Duration::from_secs(1);
+const MAX_FLOOD: Duration = Duration::from_secs(8);
+/// Longest time that is told to a caller.
+const MAX_RETURN: Duration = Duration::from_secs(10);
+/// Part of the quota that is expected to be free for those who come back after a flood.
+const SPARE_RATIO: f64 = 0.5;
+
+/// What becomes of a request that waited.
+#[derives(key)]
+pub enum Decision {
+    /// Its cost is granted.
+    Served,
+    /// It can't be granted in time.
+    Refused {
+        /// When it should come back.
+        retry_after: Duration,
+        /// Whether room is kept for it then.
+        is_booked: bool,
+        /// How many waited before it.
+        before: u32,
+    },
+}
+
+/// A decision on a request that its router named.
+#[derives(key)]
+pub struct Answer {
+    /// The router's number of the request.
+    pub id: u64,
+    /// The decision.
+    pub decision: Decision,
+}
+
+/// A booking that a router has told to a caller.
+#[derives(key)]
+pub struct Told {
+    /// The request.
+    pub key: u64,
+    /// Its cost.
+    pub cost: u64,
+    /// Its lane.
+    pub kind: Kind,
+    /// Time until it should come back.
+    pub after: Duration,
+}
+
+/// What there is of the quota.
+#[derive(Clone, Copy, Debug)]
+pub struct Supply {
+    /// What may be granted now; below zero if more was.
+    pub level: f64,
+    /// What comes in per second.
+    pub per_s: f64,
+    /// The most that a grant may exceed what there is.
+    pub max_debt: f64,
+    /// The most that a request may cost.
+    pub max_cost: f64,
+}
+
+/// Router, its start, and its number of a request.
+type WaiterKey = (SmolStr, u64, u64);
+
+#[derive(Debug)]
+struct Entry {
+    router: SmolStr,
+    incarnation: u64,
+    waiter: Waiter,
+    claim: order::Claim,
+    place: Place,
+    granted_at: Option<Instant>,
+}
+
+/// The requests that wait for one quota.
+#[derive(Debug)]
+pub struct Queue {
+    lanes: lanes::Lanes,
+    entries: HashMap<u64, Entry>,
+    numbers: HashMap<WaiterKey, u64>,
+    due: BTreeSet<(Instant, u64)>,
+    granted: BTreeSet<(Instant, u64)>,
+    /// Entries by router.
+    by_router: HashMap<SmolStr, BTreeSet<u64>>,
+    refused: HashMap<SmolStr, Vec<(Instant, Answer)>>,
+    answered: HashMap<WaiterKey, Instant>,
+    heard: HashMap<SmolStr, (u64, Instant)>,
+    calendar: booking::Calendar,
+    flood: Option<(Instant, Instant)>,
+    /// Cost of those that were told when the flood may be over, less what came in since.
+    told: (f64, Instant),
+    last_number: u64,
+}
+
+impl Queue {
+    /// A queue in which nothing waits.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            lanes: lanes::Lanes::default(),
+            entries: HashMap::new(),
+            numbers: HashMap::new(),
+            due: BTreeSet::new(),
+            granted: BTreeSet::new(),
+            by_router: HashMap::new(),
+            refused: HashMap::new(),
+            answered: HashMap::new(),
+            heard: HashMap::new(),
+            calendar: booking::Calendar::new(now),
+            flood: None,
+            told: (0.0, now),
+            last_number: 0,
+        }
+    }
+
+    /// Number of requests that wait.
+    pub fn len(&self) -> usize {
+        self.due.len()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.due.is_empty()
+    }
+
+    /// Number of routers whose requests wait.
+    pub fn routers(&self) -> usize {
+        self.by_router.len()
+    }
+
+    /// Whether requests were refused lately.
+    pub fn is_flooded(&self, now: Instant) -> bool {
+        self.flood.is_some_and(|(_, last)| now.saturating_duration_since(last) < FLOOD_PAUSE)
+    }
+
+    /// Records that a router was heard. What its start before waited for is forgotten; returns what was granted to that.
+    pub fn hear(&mut self, now: Instant, router: &SmolStr, incarnation: u64) -> u64 {
+        let before = self.heard.insert(router.clone(), (incarnation, now));
+        if before.is_none_or(|(last, _)| last == incarnation) {
+            return 0;
+        }
+        self.refused.remove(router);
+        let numbers = self.by_router.get(router).cloned().unwrap_or_default();
+        numbers.into_iter().map(|number| self.remove_unserved(number)).sum()
+    }
+
+    /// Takes in the requests that a router names.
+    pub fn announce(
+        &mut self,
+        now: Instant,
+        router: &SmolStr,
+        incarnation: u64,
+        waiters: &[Waiter],
+        supply: &Supply,
+    ) {
+        for waiter in waiters {
+            let key = (router.clone(), incarnation, waiter.id);
+            if self.numbers.contains_key(&key) {
+                continue;
+            }
+            // The answer was lost, and what it granted has been returned by this claim.
+            let is_repeated = self.answered.remove(&key).is_some();
+            let waiter = Waiter { cost: waiter.cost.min(MAX_COST), ..*waiter };
+            self.admit(now, key, &waiter, supply, is_repeated);
+        }
+    }
+
+    /// Forgets requests that a router says have left; returns what was granted to them.
+    pub fn withdraw(&mut self, router: &SmolStr, incarnation: u64, ids: &[u64]) -> u64 {
+        let numbers = ids
+            .iter()
+            .filter_map(|id| self.numbers.get(&(router.clone(), incarnation, *id)).copied());
+        let numbers: Vec<_> = numbers.collect();
+        numbers.into_iter().map(|number| self.remove_unserved(number)).sum()
+    }
+
+    /// Records bookings that another keeper made.
+    pub fn record_told(&mut self, now: Instant, told: &[Told]) {
+        for told in told {
+            let booking = booking::Booking {
+                at: now + told.after.min(MAX_RETURN),
+                cost: told.cost,
+                group: group(told.kind),
+            };
+            self.calendar.record(now, booking::Key(told.key), booking);
+        }
+    }
+
+    fn admit(
+        &mut self,
+        now: Instant,
+        key: WaiterKey,
+        waiter: &Waiter,
+        supply: &Supply,
+        is_repeated: bool,
+    ) {
+        let kind = Kind::new(waiter.rank, waiter.objective);
+        let booked = self.calendar.take(now, booking::Key(waiter.key));
+        let booked_at = booked.map(|booking| booking.at).or(is_repeated.then_some(now));
+        if booked_at.is_none() {
+            // What exceeds the quota by itself isn't demand that others should make room for.
+            if waiter.cost as f64 <= supply.max_cost {
+                self.lanes.record_demand(now, kind, waiter.cost);
+            }
+            if !self.can_be_granted_in_time(now, kind, waiter, supply) {
+                let decision = self.refuse(now, kind, waiter, supply);
+                self.keep_refusal(now, &key.0, Answer { id: waiter.id, decision });
+                return;
+            }
+        }
+        let patience = match booked_at {
+            Some(_) => waiter.objective.max(BOOKED_PATIENCE).min(waiter.expiry),
+            None => waiter.objective,
+        };
+        let claim = order::Claim {
+            rank: waiter.rank,
+            cost: waiter.cost,
+            arrived_at: now,
+            objective_at: now + patience,
+            expires_at: now + waiter.expiry,
+        };
+        self.last_number += 1;
+        let number = self.last_number;
+        let place = Place::new(kind, &claim, booked_at, number);
+        self.lanes.insert(now, place, waiter.cost);
+        self.due.insert((claim.objective_at, number));
+        self.by_router.entry(key.0.clone()).or_default().insert(number);
+        let (router, incarnation) = (key.0.clone(), key.1);
+        self.numbers.insert(key, number);
+        let waiter = *waiter;
+        let entry = Entry { router, incarnation, waiter, claim, place, granted_at: None };
+        self.entries.insert(number, entry);
+    }
+
+    fn can_be_granted_in_time(
+        &self,
+        now: Instant,
+        kind: Kind,
+        waiter: &Waiter,
+        supply: &Supply,
+    ) -> bool {
+        let cost = waiter.cost as f64;
+        if self.due.len() >= MAX_WAITING || cost > supply.max_cost {
+            return false;
+        }
+        let per_s = supply.per_s - self.calendar.booked_per_s(now, BOOKED_AHEAD);
+        let per_s = per_s.max(supply.per_s * (1.0 - FAR_ROOM_RATIO));
+        let lacking = (cost - supply.max_debt).max(0.0);
+        let wait = self.lanes.wait(now, kind, lacking, supply.level, per_s);
+        wait <= waiter.objective.mul_f64(EXPECTED_RATIO)
+    }
+
+    /// Decides when a request that can't be granted in time should come back.
+    fn refuse(&mut self, now: Instant, kind: Kind, waiter: &Waiter, supply: &Supply) -> Decision {
+        let started_at = match self.flood {
+            Some((started_at, _)) if self.is_flooded(now) => started_at,
+            _ => now,
+        };
+        self.flood = Some((started_at, now));
+        let before = u32::try_from(self.lanes.waiting_before(kind)).unwrap_or(u32::MAX);
+        let share = self.lanes.demand_share(now, kind);
+        let room = |ahead: Duration| {
+            let ratio = if ahead < NEAR_TIME { NEAR_ROOM_RATIO } else { FAR_ROOM_RATIO };
+            supply.per_s * ratio * share
+        };
+        let inquiry = booking::Inquiry {
+            key: booking::Key(waiter.key),
+            group: group(kind),
+            cost: waiter.cost,
+            latest: now + waiter.expiry.mul_f64(HONOURED_RATIO),
+        };
+        let is_possible = waiter.cost as f64 <= supply.max_cost;
+        if let Some(booking) =
+            is_possible.then(|| self.calendar.book(now, &inquiry, room)).flatten()
+        {
+            let retry_after = booking.at.saturating_duration_since(now);
+            return Decision::Refused { retry_after, is_booked: true, before };
+        }
+        let retry_after = self.flood_end(now, started_at, waiter, supply);
+        Decision::Refused { retry_after, is_booked: false, before }
+    }
+
+    /// Time until the flood is expected to be over, after those that were told so before.
+    fn flood_end(
+        &mut self,
+        now: Instant,
+        started_at: Instant,
+        waiter: &Waiter,
+        supply: &Supply,
+    ) -> Duration {
+        let spare = (supply.per_s * SPARE_RATIO).max(f64::MIN_POSITIVE);
+        let (told, at) = self.told;
+        let elapsed = now.saturating_duration_since(at).as_secs_f64();
+        let told = (told - elapsed * spare).max(0.0);
+        let lasts = now.saturating_duration_since(started_at).clamp(MIN_FLOOD, MAX_FLOOD);
+        let behind = Duration::try_from_secs_f64(told / spare).unwrap_or(MAX_RETURN);
+        let cost = (waiter.cost as f64).min(supply.max_cost.max(0.0));
+        self.told = ((told + cost).min(spare * MAX_RETURN.as_secs_f64()), now);
+        lasts.saturating_add(behind).min(MAX_RETURN)
+    }
+
+    /// Refuses those whose time to be granted is over. Returns what was granted and not asked for.
+    pub fn expire(&mut self, now: Instant, supply: &Supply) -> u64 {
+        while let Some((due_at, number)) = self.due.first().copied().filter(|(at, _)| *at < now) {
+            self.due.remove(&(due_at, number));
+            let Some(entry) = self.entries.get(&number) else { continue };
+            let (router, waiter, kind) = (entry.router.clone(), entry.waiter, entry.place.kind);
+            self.remove(number);
+            let decision = self.refuse(now, kind, &waiter, supply);
+            self.keep_refusal(now, &router, Answer { id: waiter.id, decision });
+        }
+        let mut returned = 0;
+        while let Some((at, number)) = self.granted.first().copied() {
+            if now.saturating_duration_since(at) < COLLECT_TIME {
+                break;
+            }
+            returned += self.remove_unserved(number);
+        }
+        self.answered.retain(|_, at| now.saturating_duration_since(*at) < ANSWERED_TTL);
+        self.heard.retain(|_, (_, at)| now.saturating_duration_since(*at) < ANSWERED_TTL);
+        let heard = &self.heard;
+        self.refused.retain(|router, _| heard.contains_key(router));
+        self.lanes.expire(now);
+        self.calendar.expire(now);
+        returned
+    }
+
+    /// Grants in order while there is something. Returns the sum.
+    pub fn grant(&mut self, now: Instant, supply: &Supply) -> u64 {
+        let mut level = supply.level;
+        let mut sum = 0;
+        while level > 0.0 {
+            let Some(number) = self.lanes.next() else { break };
+            let Some(entry) = self.entries.get_mut(&number) else { break };
+            let heard = self.heard.get(&entry.router);
+            if heard.is_none_or(|(_, at)| now.saturating_duration_since(*at) >= SILENCE_TIME) {
+                self.remove(number);
+                continue;
+            }
+            let cost = entry.waiter.cost;
+            if cost as f64 > level + supply.max_debt {
+                if cost as f64 <= supply.max_cost {
+                    break;
+                }
+                // The quota was lowered.
+                let (router, waiter, kind) = (entry.router.clone(), entry.waiter, entry.place.kind);
+                self.remove(number);
+                let decision = self.refuse(now, kind, &waiter, supply);
+                self.keep_refusal(now, &router, Answer { id: waiter.id, decision });
+                continue;
+            }
+            entry.granted_at = Some(now);
+            let (place, objective_at) = (entry.place, entry.claim.objective_at);
+            self.lanes.record_granted(now, place, cost);
+            self.lanes.remove(place);
+            self.due.remove(&(objective_at, number));
+            self.granted.insert((now, number));
+            level -= cost as f64;
+            sum += cost;
+        }
+        sum
+    }
+
+    /// What a router is to be told, with the cost that is granted by it.
+    pub fn collect(&mut self, now: Instant, router: &SmolStr) -> Vec<(Answer, u64)> {
+        let refused = self.refused.remove(router).unwrap_or_default().into_iter();
+        let refused =
+            refused.map(|(at, answer)| (answer.after(now.saturating_duration_since(at)), 0));
+        let mut answers: Vec<_> = refused.collect();
+        let numbers = self.by_router.get(router).into_iter().flatten().copied();
+        let granted: Vec<_> =
+            numbers.filter(|number| self.entries[number].granted_at.is_some()).collect();
+        for number in granted {
+            let Some(entry) = self.remove(number) else { continue };
+            let answer = Answer { id: entry.waiter.id, decision: Decision::Served };
+            answers.push((answer, entry.waiter.cost));
+            if self.answered.len() < MAX_ANSWERED {
+                self.answered.insert((entry.router, entry.incarnation, entry.waiter.id), now);
+            }
+        }
+        answers
+    }
+
+    fn keep_refusal(&mut self, now: Instant, router: &SmolStr, answer: Answer) {
+        let answers = self.refused.entry(router.clone()).or_default();
+        if answers.len() < MAX_WAITING {
+            answers.push((now, answer));
+        }
+    }
+
+    /// Removes an entry; returns its cost if it was granted.
+    fn remove_unserved(&mut self, number: u64) -> u64 {
+        let entry = self.remove(number);
+        entry.filter(|entry| entry.granted_at.is_some()).map_or(0, |entry| entry.waiter.cost)
+    }
+
+    fn remove(&mut self, number: u64) -> Option<Entry> {
+        let entry = self.entries.remove(&number)?;
+        self.lanes.remove(entry.place);
+        self.due.remove(&(entry.claim.objective_at, number));
+        if let Some(at) = entry.granted_at {
+            self.granted.remove(&(at, number));
+        }
+        self.numbers.remove(&(entry.router.clone(), entry.incarnation, entry.waiter.id));
+        if let Some(numbers) = self.by_router.get_mut(&entry.router) {
+            numbers.remove(&number);
+            if numbers.is_empty() {
+                self.by_router.remove(&entry.router);
+            }
+        }
+        Some(entry)
+    }
+}
+
+impl Answer {
+    /// The answer as it is a time later.
+    fn after(mut self, time: Duration) -> Self {
+        if let Decision::Refused { retry_after, .. } = &mut self.decision {
+            *retry_after = retry_after.saturating_sub(time);
+        }
+        self
+    }
+}
+
+fn group(kind: Kind) -> booking::Group {
+    booking::Group(u16::from(kind.rank) << 8 | u16::from(kind.patience))
+}
--- /dev/null
+++ b/crates/corianderstand_fleet/tests/quota_order.rs
@@ -0,0 +1,139 @@
+//! The order in which requests of a workspace get its quota, over many routers, in a simulation.
+
+#[path = "common/quotas.rs"]
+mod simulation;
+
+use rstest::rstest;
+use simulation::{Class, Cluster, Way};
+use std::time::Duration;
+
+const ROUTERS: usize = 24;
+/// Quota of the workspace, in tokens per second.
+const PER_S: f64 = 187_000.0;
+/// Length of the flood.
+const FLOOD: Duration = Duration::from_secs(6);
+/// Share of the quota that the workspace usually asks for.
+const USUAL: f64 = 0.5;
+/// Share of the callers with a booking that are served when they return.
+const MIN_BOOKED_SERVED: f64 = 0.95;
+
+const fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+/// Urgent, quick and patient requests that ask for the whole quota together.
+fn classes() -> Vec<Class> {
+    let class = |rank, objective_ms, deadline_s, cost, per_s| Class {
+        rank,
+        objective: Duration::from_millis(objective_ms),
+        deadline: secs(deadline_s),
+        cost,
+        per_s,
+    };
+    let asked = 93.5 * 1_000.0 + 96.5 * 430.0 + 70.0 * 1_000.0;
+    let scale = PER_S / asked;
+    vec![
+        class(0, 100, 12, 1_000, 93.5 * scale),
+        class(1, 850, 4, 430, 96.5 * scale),
+        class(2, 4_850, 25, 1_000, 70.0 * scale),
+    ]
+}
+
+fn cluster(seed: u64) -> Cluster {
+    cluster_by(Way::InOrder, seed)
+}
+
+fn cluster_by(way: Way, seed: u64) -> Cluster {
+    let mut cluster = Cluster::new(way, ROUTERS, PER_S, seed);
+    cluster.tolerance.ratio = 0.1;
+    cluster.tolerance.fixed = 7_400.0;
+    cluster.classes = classes();
+    cluster.play(secs(4), 0.0);
+    cluster
+}
+
+fn report(cluster: &Cluster) {
+    for (class, served) in cluster.classes.iter().zip(&cluster.served) {
+        let share = |count: u64| count as f64 / served.callers.max(1) as f64;
+        let mut waits = served.waits.clone();
+        waits.sort_unstable();
+        let mut refused = served.refusal_waits.clone();
+        refused.sort_unstable();
+        let at = |waits: &[Duration], share: f64| {
+            waits.get((waits.len() as f64 * share) as usize).copied().unwrap_or_default()
+        };
+        println!(
+            "rank {}: {} callers, {:.3} in time, {:.3} late, {:.3} refused again, booked {} of them {:.3} served, unbooked {} of them {:.3} served, waits p50 {:?} p99 {:?} longest {:?}; refused after p50 {:?} p99 {:?}",
+            class.rank,
+            served.callers,
+            share(served.in_time),
+            share(served.late),
+            share(served.refused_again),
+            served.booked,
+            served.booked_served as f64 / served.booked.max(1) as f64,
+            served.unbooked,
+            served.unbooked_served as f64 / served.unbooked.max(1) as f64,
+            at(&waits, 0.5),
+            at(&waits, 0.99),
+            served.longest_wait,
+            at(&refused, 0.5),
+            at(&refused, 0.99),
+        );
+    }
+    println!("worst window {:.3}, {} messages", cluster.worst_window, cluster.messages);
+}
+
+fn assert_flood_is_served(cluster: &Cluster) {
+    report(cluster);
+    assert!(cluster.worst_window <= 1.0, "{:.3} of a window", cluster.worst_window);
+    let callers: u64 = cluster.served.iter().map(|served| served.callers).sum();
+    let count = |served: &simulation::Served| served.in_time + served.late;
+    let average = cluster.served.iter().map(count).sum::<u64>() as f64 / callers as f64;
+    let rates: Vec<f64> =
+        cluster.served.iter().map(|served| count(served) as f64 / served.callers as f64).collect();
+    for rate in &rates {
+        assert!(*rate >= average / 4.0, "{rates:.3?} served, {average:.3} on average");
+    }
+    let booked: u64 = cluster.served.iter().map(|served| served.booked).sum();
+    let booked_served: u64 = cluster.served.iter().map(|served| served.booked_served).sum();
+    let kept = booked_served as f64 / booked.max(1) as f64;
+    assert!(kept >= MIN_BOOKED_SERVED, "{kept:.3} of {booked} bookings were kept");
+}
+
+/// Guards against chance deciding between the requests of a workspace that asks for many times its quota.
+#[rstest]
+fn a_flood_is_served_in_order(#[values(1, 2, 3)] seed: u64, #[values(5.0, 6.0, 7.0)] factor: f64) {
+    let mut cluster = cluster(seed);
+    cluster.play(secs(4), USUAL);
+    cluster.served.clear();
+    cluster.play(FLOOD, factor);
+    cluster.play(secs(12), USUAL);
+    assert_flood_is_served(&cluster);
+}
+
+/// Guards against requests within a quota that wait in the queue of a flood before it.
+#[rstest]
+fn usual_demand_waits_for_nothing(#[values(1, 2)] seed: u64) {
+    let mut cluster = cluster(seed);
+    cluster.play(secs(4), USUAL);
+    cluster.served.clear();
+    cluster.play(secs(10), USUAL);
+    report(&cluster);
+    for served in &cluster.served {
+        let mut waits = served.waits.clone();
+        waits.sort_unstable();
+        let p99 = waits[waits.len() * 99 / 100];
+        assert!(p99 <= Duration::from_millis(40), "{p99:?}");
+        assert!(served.in_time as f64 >= 0.98 * served.callers as f64, "{served:?}");
+    }
+}
+
+#[test]
+fn trial_today() {
+    let mut cluster = cluster_by(Way::Keeper, 1);
+    cluster.play(secs(4), USUAL);
+    cluster.served.clear();
+    cluster.play(FLOOD, 6.0);
+    cluster.play(secs(12), USUAL);
+    report(&cluster);
+}
--- a/crates/corianderstand_fleet/tests/quotas.rs
+++ b/crates/corianderstand_fleet/tests/quotas.rs
@@ -4,7 +4,7 @@
 mod simulation;
 
 use corianderstand_fleet::{
-    quota::{Claim, ClaimSource, Tolerance, ledger},
+    quota::{Claim, ClaimSource, Ordered, Tolerance, ledger},
     workspaces,
 };
 use rstest::rstest;
@@ -144,6 +144,7 @@
             needed: cost,
             ahead: 0,
             per_s: 0,
+            ordered: Ordered::default(),
         };
         ledger.claim(start + after, start, &quota, &tolerance, &source, &claim).unwrap().wait
     };
@@ -180,6 +181,7 @@
                 needed: cost,
                 ahead: 0,
                 per_s: 0,
+                ordered: Ordered::default(),
             };
             let grant = ledger.claim(start + after, start, &quota, &tolerance, &source, &claim);
             let granted = grant.map_or(0, |grant| grant.granted);
@@ -214,6 +216,7 @@
             needed: 100,
             ahead: 0,
             per_s: 0,
+            ordered: Ordered::default(),
         };
         let (quota, tolerance) = (&cluster.quota, &cluster.tolerance);
         ledger.claim(start + after, start, quota, tolerance, &source, &claim).is_some()
--- a/crates/corianderstand_room/src/lib.rs
+++ b/crates/corianderstand_room/src/lib.rs
@@ -1,6 +1,7 @@
 //! Requests that compete for what is too little: the quota of a workspace, or the slots of targets.
 //!
-//! [`order`] decides which of the requests that wait is served next. It performs no I/O, and the time is passed in.
+//! [`order`] decides which of the requests that wait is served next, and [`booking`] when those that are refused should
+//! come back. Neither performs I/O, and the time is passed in.
 //!
 //! ```
 //! use corianderstand_room::order;
@@ -18,4 +19,5 @@
 //! assert_eq!(turns.next(now, [claim(2, 5), claim(0, 1), claim(1, 1)].iter()), Some(1));
 //! ```
 
+pub mod booking;
 pub mod order;
