Quotas: a keeper that first hears of a workspace counts all that was spent before; requests wait in order

Cause: the second keeper's bucket starts as if refilled since the routers last changed, but charged first claims only for the time since its own creation, some milliseconds. What was spent before its first report came on top: in a sudden flood routers whose question was lost got a second burst from it.

The simulation's tests of faults run for both ways.

--- a/crates/corianderstand_fleet/src/quota/account.rs
+++ b/crates/corianderstand_fleet/src/quota/account.rs
@@ -31,8 +31,6 @@
 const NAMED_TIME: Duration = Duration::from_millis(250);
 /// Least time between two claims for requests that were named.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(5);
-/// Interval between reports to all keepers while requests wait in order.
-const FLOODED_REPORT_INTERVAL: Duration = Duration::from_millis(80);
 /// Time for which bookings are reported, which covers two reports.
 const REPORTED_TIME: Duration = Duration::from_millis(500);
 /// Bounds the bookings in one claim.
@@ -155,7 +153,6 @@
     refused_until: Option<(Instant, Refusal)>,
     /// Spent and held as of the last report to all keepers.
     reported: Option<(u64, u64)>,
-    reported_at: Option<Instant>,
 }
 
 /// The accounts of a router, by workspace.
@@ -270,20 +267,6 @@
         changed.map(|(workspace, _)| workspace.clone()).collect()
     }
 
-    /// Workspaces whose requests wait in order, if all keepers should hear again what was spent. What one of them grants
-    /// while another has not heard of it is granted twice.
-    pub fn due_for_report(&self, now: Instant) -> Vec<names::WorkspaceId> {
-        let is_due = |account: &Account| {
-            !account.again.is_zero()
-                && account.reported != Some((account.spent, account.held))
-                && account
-                    .reported_at
-                    .is_none_or(|at| now.saturating_duration_since(at) >= FLOODED_REPORT_INTERVAL)
-        };
-        let due = self.by_workspace.iter().filter(|(_, account)| is_due(account));
-        due.map(|(workspace, _)| workspace.clone()).collect()
-    }
-
     /// The claim for a workspace: a question if `sequence` is given, whose answer is expected, or a report.
     /// No report must be sent to a keeper whose answer is expected, as it would return what that grants.
     pub fn claim(
@@ -318,7 +301,6 @@
             claim.ordered.left = account.left.drain(..left).collect();
         } else {
             account.reported = Some((account.spent, account.held));
-            account.reported_at = Some(now);
         }
         Some(claim)
     }
@@ -410,7 +392,6 @@
             asked_at: None,
             refused_until: None,
             reported: None,
-            reported_at: None,
         }
     }
 
--- a/crates/corianderstand_fleet/src/quota/ledger.rs
+++ b/crates/corianderstand_fleet/src/quota/ledger.rs
@@ -59,7 +59,8 @@
     level: f64,
     /// Cost of the requests that were refused and are expected to return, in turn at the rate of the quota.
     refused: f64,
-    created_at: Instant,
+    /// Since when it has been refilled.
+    filled_from: Instant,
     refilled_at: Instant,
     settling_until: Option<Instant>,
     /// What a bucket that was full when the settling began holds now: the routers may just have asked for nothing.
@@ -119,11 +120,12 @@
 impl Bucket {
     fn new(now: Instant, steady_since: Instant) -> Self {
         let is_steady = now.saturating_duration_since(steady_since) >= STEADY_TIME;
+        let filled_from = if is_steady { steady_since } else { now };
         Self {
             level: 0.0,
             refused: 0.0,
-            created_at: now,
-            refilled_at: if is_steady { steady_since } else { now },
+            filled_from,
+            refilled_at: filled_from,
             settling_until: None,
             settling_level: 0.0,
             claims: HashMap::new(),
@@ -153,9 +155,9 @@
         }
     }
 
-    /// Age of a bucket that routers are still turning to.
+    /// Time for which the bucket has been refilled when a router turns to it.
     fn age(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.created_at).min(STEADY_TIME)
+        now.saturating_duration_since(self.filled_from).min(STEADY_TIME)
     }
 
     fn is_settling(&self, now: Instant) -> bool {
--- a/crates/corianderstand_fleet/tests/common/quotas.rs
+++ b/crates/corianderstand_fleet/tests/common/quotas.rs
@@ -1,5 +1,7 @@
 //! Simulation of routers that share the quota of one workspace, with messages that take time and get lost.
 
+#![allow(dead_code, reason = "each test file uses its own part")]
+
 use corianderstand_fleet::{
     quota::{self, account, ledger},
     workspaces,
@@ -263,20 +265,6 @@
         if self.now.saturating_duration_since(self.reported_at) >= REPORT_INTERVAL {
             self.reported_at = self.now;
             self.report();
-        } else if self.way == Way::InOrder {
-            self.report_floods();
-        }
-    }
-
-    fn report_floods(&mut self) {
-        for index in 0..self.routers.len() {
-            let router = &self.routers[index];
-            if !router.is_up || router.is_frozen {
-                continue;
-            }
-            if !router.accounts.due_for_report(self.now).is_empty() {
-                self.report_of(index);
-            }
         }
     }
 
--- a/crates/corianderstand_fleet/tests/quota_order.rs
+++ b/crates/corianderstand_fleet/tests/quota_order.rs
@@ -1,7 +1,6 @@
 //! The order in which requests of a workspace get its quota, over many routers, in a simulation.
 
 #[path = "common/quotas.rs"]
-#[allow(dead_code)]
 mod simulation;
 
 use rstest::rstest;
--- a/crates/corianderstand_fleet/tests/quotas.rs
+++ b/crates/corianderstand_fleet/tests/quotas.rs
@@ -19,6 +19,8 @@
 const USUAL: f64 = 0.55;
 /// Demand of a workspace that sends many times its usual.
 const HOT: f64 = 3.5;
+/// Demand at which each keeper grants all that it believes there is.
+const FLOOD: f64 = 14.0;
 /// What may be refused of a demand below the quota.
 const MAX_REFUSED_RATIO: f64 = 0.02;
 /// What should be admitted of a quota that is asked for several times over.
@@ -126,7 +128,7 @@
     #[values(Way::Keeper, Way::InOrder)] way: Way,
     #[values(SMALL, LARGE)] per_s: f64,
     #[values(1, 2, 3)] seed: u64,
-    #[values(USUAL, HOT)] demand: f64,
+    #[values(USUAL, HOT, FLOOD)] demand: f64,
 ) {
     let mut cluster = cluster_by(way, per_s, seed);
     cluster.run(secs(4), per_s * demand);
@@ -141,6 +143,22 @@
     cluster.assert_used(time, MIN_USED_WITH_FAULT_RATIO);
 }
 
+/// Guards against a second keeper that takes what was spent before it first heard of a workspace for not spent.
+#[rstest]
+fn a_sudden_flood_gets_one_burst(
+    #[values(Way::Keeper, Way::InOrder)] way: Way,
+    #[values(SMALL, LARGE)] per_s: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut cluster = cluster_by(way, per_s, seed);
+    let time = secs(4);
+    cluster.run(time, per_s * FLOOD);
+    let allowed = cluster.quota.burst + per_s * time.as_secs_f64();
+    let slack = 0.15 * per_s + cluster.tolerance.fixed;
+    let admitted = cluster.tally.admitted as f64;
+    assert!(admitted <= allowed + slack, "{admitted} of {allowed}");
+}
+
 /// Guards against a request of absurd size that keeps its workspace's callers away for long.
 #[test]
 fn a_request_that_exceeds_the_quota_by_far_is_refused_alone() {
@@ -279,24 +297,3 @@
     };
     assert!(refused(Way::EqualShares) > 10.0 * refused(Way::Keeper).max(0.001));
 }
-
-#[rstest]
-fn trial_in_turn(
-    #[values(Way::Keeper, Way::InOrder)] way: Way,
-    #[values(3.5, 7.0, 14.0)] demand: f64,
-    #[values(1, 2, 3)] seed: u64,
-) {
-    let per_s = LARGE;
-    let mut cluster = cluster_by(way, per_s, seed);
-    cluster.run(secs(4), per_s * demand);
-    let mut at = Vec::new();
-    for index in [0, 1, 2, 0, 1, 3] {
-        cluster.begin_stop(index);
-        cluster.run(Duration::from_millis(1_500), per_s * demand);
-        let a = cluster.tally.admitted;
-        cluster.start_again(index);
-        cluster.run(Duration::from_millis(700), per_s * demand);
-        at.push((a as f64 / per_s, cluster.tally.admitted as f64 / per_s));
-    }
-    panic!("TRIAL {way:?} {demand} seed {seed}: {:.3} {at:.2?}", cluster.worst_window);
-}
