--- a/crates/corianderstand_fleet/src/quota/ledger.rs
+++ b/crates/corianderstand_fleet/src/quota/ledger.rs
@@ -196,7 +196,8 @@
 
     /// Limits the debt: a keeper that stood still hears of all that was spent meanwhile at once.
     fn forgive(&mut self, quota: &workspaces::Quota, tolerance: &Tolerance) {
-        let max_debt = quota.per_s * MAX_DEBT_TIME.as_secs_f64() + tolerance.max_debt();
+        let max_debt =
+            quota.per_s.max(0.0) * MAX_DEBT_TIME.as_secs_f64() + tolerance.max_debt().max(0.0);
         // What is granted and not collected yet may return.
         self.level = self.level.max(-max_debt - self.queue.uncollected() as f64);
     }
--- a/crates/corianderstand_fleet/tests/quota_order.rs
+++ b/crates/corianderstand_fleet/tests/quota_order.rs
@@ -149,12 +149,131 @@
     assert!(in_order[1] <= by_arrival[1] + slack, "{in_order:?}, {by_arrival:?} by arrival");
 }
 
-#[test]
-fn trial_today() {
-    let mut cluster = cluster_by(Way::Keeper, 1);
+/// Guards against an order that serves less of what is urgent than chance does, or refuses as many again.
+#[rstest]
+fn the_order_serves_callers_better_than_chance(#[values(1, 2, 3)] seed: u64) {
+    let play = |way| {
+        let mut cluster = cluster_by(way, seed);
+        cluster.play(secs(4), USUAL);
+        cluster.forget_served();
+        cluster.play(FLOOD, 6.0);
+        cluster.play(secs(12), USUAL);
+        report(&cluster);
+        cluster.served
+    };
+    let (ordered, by_chance) = (play(Way::InOrder), play(Way::Keeper));
+    let share = |count: u64, served: &simulation::Served| count as f64 / served.callers as f64;
+    let in_time = |served: &simulation::Served| share(served.in_time, served);
+    assert!(in_time(&ordered[0]) > in_time(&by_chance[0]), "the most urgent rank");
+    let again = |all: &[simulation::Served]| {
+        let refused: u64 = all.iter().map(|served| served.refused_again).sum();
+        refused as f64 / all.iter().map(|served| served.callers).sum::<u64>() as f64
+    };
+    assert!(again(&ordered) < again(&by_chance), "refused again");
+    let patient = |all: &[simulation::Served]| share(all[2].refused_again, &all[2]);
+    assert!(patient(&ordered) < 0.7 * patient(&by_chance), "patient callers refused again");
+}
+
+/// A fault in the middle of a flood, by what is done to the routers.
+fn flood_with(seed: u64, fault: impl Fn(&mut Cluster)) -> Cluster {
+    let mut cluster = cluster(seed);
     cluster.play(secs(4), USUAL);
     cluster.forget_served();
-    cluster.play(FLOOD, 6.0);
+    cluster.play(secs(3), 6.0);
+    fault(&mut cluster);
+    cluster.play(secs(3), 6.0);
     cluster.play(secs(12), USUAL);
     report(&cluster);
+    assert!(cluster.worst_window <= 1.0, "{:.3} of a window", cluster.worst_window);
+    cluster
+}
+
+/// Share of bookings that were kept.
+fn kept(cluster: &Cluster) -> f64 {
+    let booked: u64 = cluster.served.iter().map(|served| served.booked).sum();
+    let served: u64 = cluster.served.iter().map(|served| served.booked_served).sum();
+    served as f64 / booked.max(1) as f64
+}
+
+/// Guards against callers whose bookings are lost with a keeper that ends with a full queue.
+#[rstest]
+fn bookings_outlive_their_keeper(#[values(1, 2, 3)] seed: u64) {
+    let cluster = flood_with(seed, |cluster| cluster.kill(0));
+    assert!(kept(&cluster) >= 0.9, "{:.3} of the bookings were kept", kept(&cluster));
+}
+
+/// Guards against a queue that stops, or grants twice, when datagrams get lost.
+#[rstest]
+fn lost_datagrams_delay_and_grant_nothing_twice(#[values(1, 2, 3)] seed: u64) {
+    let cluster = flood_with(seed, |cluster| cluster.loss_ratio = 0.05);
+    assert!(kept(&cluster) >= 0.9, "{:.3} of the bookings were kept", kept(&cluster));
+}
+
+/// Guards against tokens that stay with the waiting requests of a router that has ended.
+#[rstest]
+fn a_router_that_ends_with_waiting_requests_holds_nothing_back(#[values(1, 2, 3)] seed: u64) {
+    let cluster = flood_with(seed, |cluster| {
+        cluster.kill(5);
+        cluster.kill(6);
+    });
+    assert!(kept(&cluster) >= MIN_BOOKED_SERVED, "{:.3} of the bookings", kept(&cluster));
+}
+
+/// Guards against a keeper that grants from an outdated queue once it goes on.
+#[rstest]
+fn a_keeper_that_stood_still_grants_nothing_twice(#[values(1, 2, 3)] seed: u64) {
+    flood_with(seed, |cluster| {
+        cluster.freeze(0, true);
+        cluster.play(secs(2), 6.0);
+        cluster.freeze(0, false);
+    });
+}
+
+/// Guards against room that is kept for callers who never come.
+#[rstest]
+fn room_that_nobody_takes_goes_to_others(#[values(1, 2)] seed: u64) {
+    let mut cluster = cluster(seed);
+    cluster.absent_ratio = 1.0;
+    cluster.play(secs(4), USUAL);
+    cluster.forget_served();
+    cluster.play(FLOOD, 6.0);
+    report(&cluster);
+    let used = cluster.tally.admitted as f64 - 4.0 * PER_S * USUAL;
+    let available = PER_S * FLOOD.as_secs_f64();
+    assert!(used >= 0.95 * available, "{:.3} of the quota was used", used / available);
+    cluster.play(secs(8), 0.0);
+    cluster.forget_served();
+    cluster.play(secs(5), USUAL);
+    for served in &cluster.served {
+        assert!(served.in_time as f64 >= 0.97 * served.callers as f64, "{served:?}");
+    }
+}
+
+/// Guards against a second burst, and against requests that wait for ever, when all routers start again.
+#[rstest]
+fn a_restart_of_all_routers_keeps_the_quota(#[values(1, 2, 3)] seed: u64) {
+    let cluster = flood_with(seed, Cluster::restart_all);
+    for served in &cluster.served {
+        assert!(served.longest_wait <= secs(14), "{:?}", served.longest_wait);
+    }
+}
+
+/// Guards against requests that wait for more than a quota that was lowered meanwhile holds.
+#[rstest]
+#[case(10.0)]
+#[case(1_000.0)]
+#[case(f64::INFINITY)]
+fn a_lowered_quota_refuses_what_it_cannot_hold(#[case] divisor: f64) {
+    let mut cluster = cluster(1);
+    cluster.play(secs(3), 6.0);
+    cluster.quota.per_s = PER_S / divisor;
+    cluster.quota.burst = PER_S / divisor;
+    cluster.play(secs(3 + 8), 3.0);
+    cluster.worst_window = 0.0;
+    cluster.play(secs(8), 3.0);
+    report(&cluster);
+    assert!(cluster.worst_window <= 1.0, "{:.3} of a window", cluster.worst_window);
+    for served in &cluster.served {
+        assert!(served.longest_wait <= secs(14), "{:?}", served.longest_wait);
+    }
 }
