Quotas: a router leaves a keeper after two lost claims where requests wait in order

Cause: one lost datagram sent a router to the second keeper for half a second, so at 1% loss a quarter of the routers competed in a second queue from the same bucket.

--- a/crates/corianderstand_fleet/tests/common/quotas.rs
+++ b/crates/corianderstand_fleet/tests/common/quotas.rs
@@ -23,6 +23,8 @@
 const MAX_VIEW_DELAY_MS: u64 = 1_200;
 /// Time until all routers notice that one has ended without a word.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2_600);
+/// Questions in a row without an answer after which a keeper is suspected where requests wait in order.
+const MAX_LOST_QUESTIONS: u32 = 2;
 /// Time for which a router goes on asking a keeper that does not answer first.
 const SUSPICION_TIME: Duration = Duration::from_millis(500);
 
@@ -112,6 +114,8 @@
     is_frozen: bool,
     asked: Option<(u64, Instant, usize)>,
     suspect: Option<(usize, Instant)>,
+    /// A keeper and its questions in a row without an answer.
+    unanswered: (usize, u32),
     /// Bucket of its own, for [`Way::EqualShares`].
     share: f64,
     waiting: HashMap<account::WaiterId, Pending>,
@@ -172,6 +176,7 @@
         is_frozen: false,
         asked: None,
         suspect: None,
+        unanswered: (0, 0),
         share: 0.0,
         waiting: HashMap::new(),
         inbox: Vec::new(),
@@ -551,7 +556,12 @@
                 && now >= deadline
             {
                 router.asked = None;
-                router.suspect = Some((keeper, now + SUSPICION_TIME));
+                let before = if router.unanswered.0 == keeper { router.unanswered.1 } else { 0 };
+                router.unanswered = (keeper, before + 1);
+                let is_expected = self.way == Way::InOrder && before + 1 < MAX_LOST_QUESTIONS;
+                if !is_expected {
+                    router.suspect = Some((keeper, now + SUSPICION_TIME));
+                }
                 router.accounts.abandon(&workspace, sequence);
             }
             if !router.accounts.should_ask(now, &workspace) {
@@ -646,7 +656,14 @@
                 if router.incarnation != incarnation {
                     return;
                 }
-                router.asked = router.asked.filter(|(asked, ..)| *asked != sequence);
+                if let Some((asked, _, keeper)) = router.asked
+                    && asked == sequence
+                {
+                    router.asked = None;
+                    if router.unanswered.0 == keeper {
+                        router.unanswered.1 = 0;
+                    }
+                }
                 let outcomes = router.accounts.apply(self.now, &self.workspace, sequence, &grant);
                 for outcome in outcomes {
                     let pending = self.routers[index].waiting.remove(&outcome.waiter);
--- a/crates/corianderstand_fleet/tests/quota_order.rs
+++ b/crates/corianderstand_fleet/tests/quota_order.rs
@@ -277,3 +277,18 @@
         assert!(served.longest_wait <= secs(14), "{:?}", served.longest_wait);
     }
 }
+
+/// Guards against requests of one flood that compete in two queues, as routers whose question was lost turn to the other
+/// keeper.
+#[rstest]
+fn usual_demand_after_a_flood_is_served_in_time(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = cluster(seed);
+    cluster.play(secs(4), USUAL);
+    cluster.play(FLOOD, 6.0);
+    cluster.forget_served();
+    cluster.play(secs(8), USUAL);
+    report(&cluster);
+    for served in &cluster.served[..2] {
+        assert!(served.in_time as f64 >= 0.85 * served.callers as f64, "{served:?}");
+    }
+}
--- a/crates/corianderstand_forward/src/quotas.rs
+++ b/crates/corianderstand_forward/src/quotas.rs
@@ -28,6 +28,9 @@
 /// Time for a keeper's answer, across availability zones and from a busy host.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
 const MAX_UNANSWERED_CLAIMS: u32 = 3;
+/// Claims in a row without an answer after which a keeper is suspected where requests wait in order: those of a router
+/// that turns to the other keeper compete with all that stay.
+const MAX_LOST_CLAIMS: u32 = 2;
 /// Time for which a keeper that did not answer is asked last.
 const SUSPICION_TIME: Duration = Duration::from_millis(500);
 /// `Retry-After` while no keeper answers.
@@ -116,6 +119,8 @@
     asked: RefCell<Vec<Asked>>,
     unanswered: RefCell<HashMap<names::WorkspaceId, u32>>,
     suspects: RefCell<HashMap<SocketAddr, Instant>>,
+    /// Claims in a row that a keeper did not answer.
+    lost: RefCell<HashMap<SocketAddr, u32>>,
     last_sequence: Cell<u64>,
     wake: Notify,
     membership: RefCell<keepers::Membership>,
@@ -176,6 +181,12 @@
         + objective.saturating_sub(FIRST_EVENT_TIME).max(objective / MIN_PATIENCE_DIVISOR)
 }
 
+/// Whether requests of workspaces that have a quota wait for it in order.
+fn is_in_order<P: router::Platform>(shared: &router::Shared<P>) -> bool {
+    let has_quota = true;
+    features::is_used(shared.bounds.borrow().features.quota_order, has_quota)
+}
+
 /// Admits a request of a workspace, or lets it wait: in order over all routers if that is switched on.
 fn admit<P: router::Platform>(
     shared: &router::Shared<P>,
@@ -185,9 +196,7 @@
     cost: u64,
 ) -> account::Admission {
     let now = shared.clock.now();
-    let switch = shared.bounds.borrow().features.quota_order;
-    let has_quota = true;
-    if !features::is_used(switch, has_quota) {
+    if !is_in_order(shared) {
         return shared.quotas.accounts.borrow_mut().admit(now, workspace, cost);
     }
     let request = account::Request {
@@ -280,6 +289,7 @@
         if is_report_due {
             reported_at = Some(now);
             keepers::update(&shared, now);
+            keepers::retain(&shared, &mut shared.quotas.lost.borrow_mut());
             shared.quotas.suspects.borrow_mut().retain(|_, until| now < *until);
             shared.quotas.accounts.borrow_mut().expire(now);
             shared.quotas.ledger.borrow_mut().expire(now);
@@ -457,6 +467,9 @@
     };
     let mut answered = asked.swap_remove(position);
     drop(asked);
+    if let Some(addr) = answered.keeper {
+        state.lost.borrow_mut().remove(&addr);
+    }
     for grant in &response.grants {
         answered.workspaces.retain(|workspace| *workspace != grant.workspace);
         apply_grant(shared, now, response.sequence, grant);
@@ -507,7 +520,7 @@
     drop(asked);
     for Asked { sequence, workspaces, keeper, .. } in overdue {
         if let Some(addr) = keeper {
-            shared.quotas.suspects.borrow_mut().insert(addr, now + SUSPICION_TIME);
+            record_lost(shared, now, addr);
         }
         for workspace in &workspaces {
             record_unanswered(shared, now, workspace, sequence);
@@ -515,6 +528,15 @@
     }
 }
 
+fn record_lost<P: router::Platform>(shared: &router::Shared<P>, now: Instant, keeper: SocketAddr) {
+    let mut lost = shared.quotas.lost.borrow_mut();
+    let count = lost.entry(keeper).or_default();
+    *count += 1;
+    if !is_in_order(shared) || *count >= MAX_LOST_CLAIMS {
+        shared.quotas.suspects.borrow_mut().insert(keeper, now + SUSPICION_TIME);
+    }
+}
+
 fn record_unanswered<P: router::Platform>(
     shared: &router::Shared<P>,
     now: Instant,
--- a/crates/corianderstand_forward/src/quotas/keepers.rs
+++ b/crates/corianderstand_forward/src/quotas/keepers.rs
@@ -6,7 +6,7 @@
 use crate::{control, router};
 use corianderstand_types::names;
 use smol_str::SmolStr;
-use std::{net::SocketAddr, time::Instant};
+use std::{collections::HashMap, net::SocketAddr, time::Instant};
 use xxhash_rust::xxh3;
 
 /// Groups of workspaces with the same keepers; limits the messages of a router.
@@ -92,3 +92,13 @@
     let shard = xxh3::xxh3_64(workspace.as_str().as_bytes()) % SHARDS;
     membership.keepers.get(shard as usize).cloned().unwrap_or_default()
 }
+
+/// Forgets what is kept of routers that are no keepers.
+pub(super) fn retain<P: router::Platform, T>(
+    shared: &router::Shared<P>,
+    by_keeper: &mut HashMap<SocketAddr, T>,
+) {
+    let membership = shared.quotas.membership.borrow();
+    let keepers: Vec<_> = membership.keepers.iter().flatten().flatten().collect();
+    by_keeper.retain(|addr, _| keepers.contains(&addr));
+}
