--- a/crates/corianderstand_fleet/tests/quotas.rs
+++ b/crates/corianderstand_fleet/tests/quotas.rs
@@ -4,7 +4,7 @@
 mod simulation;
 
 use corianderstand_fleet::{
-    quota::{Claim, ClaimSource, Tolerance, ledger},
+    quota::{Claim, ClaimSource, Ordered, Tolerance, ledger},
     workspaces,
 };
 use rstest::rstest;
@@ -19,6 +19,8 @@
 const USUAL: f64 = 0.55;
 /// Demand of a workspace that sends many times its usual.
 const HOT: f64 = 3.5;
+/// Demand at which each keeper grants all that it believes there is.
+const FLOOD: f64 = 14.0;
 /// What may be refused of a demand below the quota.
 const MAX_REFUSED_RATIO: f64 = 0.02;
 /// What should be admitted of a quota that is asked for several times over.
@@ -31,15 +33,23 @@
 }
 
 fn cluster(per_s: f64, seed: u64) -> Cluster {
-    let mut cluster = Cluster::new(Way::Keeper, ROUTERS, per_s, seed);
+    cluster_by(Way::Keeper, per_s, seed)
+}
+
+fn cluster_by(way: Way, per_s: f64, seed: u64) -> Cluster {
+    let mut cluster = Cluster::new(way, ROUTERS, per_s, seed);
     cluster.run(secs(4), 0.0);
     cluster
 }
 
 /// Guards against refusing what is within a quota, of small and of large workspaces.
 #[rstest]
-fn usual_demand_is_not_refused(#[values(SMALL, LARGE)] per_s: f64, #[values(1, 2)] seed: u64) {
-    let mut cluster = cluster(per_s, seed);
+fn usual_demand_is_not_refused(
+    #[values(Way::Keeper, Way::InOrder)] way: Way,
+    #[values(SMALL, LARGE)] per_s: f64,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut cluster = cluster_by(way, per_s, seed);
     cluster.run(secs(20), per_s * USUAL);
     let refused = cluster.tally.refused_ratio();
     // A few requests of 2,500 tokens in a row exceed a quota of 1,900 a second by themselves.
@@ -51,10 +61,11 @@
 /// Guards against a workspace that asks for several times its quota.
 #[rstest]
 fn a_hot_workspace_gets_its_quota_and_no_more(
+    #[values(Way::Keeper, Way::InOrder)] way: Way,
     #[values(SMALL, LARGE)] per_s: f64,
     #[values(1, 2)] seed: u64,
 ) {
-    let mut cluster = cluster(per_s, seed);
+    let mut cluster = cluster_by(way, per_s, seed);
     cluster.run(secs(20), per_s * HOT);
     assert!(cluster.worst_window <= 1.0, "{:.3} of a window", cluster.worst_window);
     cluster.assert_used(secs(20), MIN_USED_RATIO);
@@ -63,10 +74,11 @@
 /// Guards against a second burst when all routers restart at once.
 #[rstest]
 fn a_restart_of_all_routers_grants_no_second_burst(
+    #[values(Way::Keeper, Way::InOrder)] way: Way,
     #[values(SMALL, LARGE)] per_s: f64,
     #[values(1, 2)] seed: u64,
 ) {
-    let mut cluster = cluster(per_s, seed);
+    let mut cluster = cluster_by(way, per_s, seed);
     cluster.run(secs(6), per_s * HOT);
     cluster.restart_all();
     cluster.run(secs(6), per_s * HOT);
@@ -76,11 +88,12 @@
 /// Guards against a quota that is granted twice, or not at all, when its keeper ends and returns.
 #[rstest]
 fn the_quota_outlives_its_keeper(
+    #[values(Way::Keeper, Way::InOrder)] way: Way,
     #[values(SMALL, LARGE)] per_s: f64,
     #[values(1, 2, 3, 4, 5, 6)] seed: u64,
     #[values(USUAL, HOT)] demand: f64,
 ) {
-    let mut cluster = cluster(per_s, seed);
+    let mut cluster = cluster_by(way, per_s, seed);
     cluster.run(secs(6), per_s * demand);
     cluster.kill(0);
     cluster.run(secs(3), per_s * demand);
@@ -93,11 +106,12 @@
 /// Guards against a frozen keeper that grants from an outdated bucket once it goes on.
 #[rstest]
 fn a_frozen_keeper_grants_nothing_twice(
+    #[values(Way::Keeper, Way::InOrder)] way: Way,
     #[values(SMALL, LARGE)] per_s: f64,
     #[values(1, 2)] seed: u64,
     #[values(USUAL, HOT)] demand: f64,
 ) {
-    let mut cluster = cluster(per_s, seed);
+    let mut cluster = cluster_by(way, per_s, seed);
     cluster.run(secs(6), per_s * demand);
     cluster.freeze(0, true);
     cluster.run(secs(8), per_s * demand);
@@ -111,11 +125,12 @@
 /// Guards against a quota that each new keeper grants while the one before still does.
 #[rstest]
 fn keepers_that_stop_in_turn_grant_nothing_twice(
+    #[values(Way::Keeper, Way::InOrder)] way: Way,
     #[values(SMALL, LARGE)] per_s: f64,
     #[values(1, 2, 3)] seed: u64,
-    #[values(USUAL, HOT)] demand: f64,
+    #[values(USUAL, HOT, FLOOD)] demand: f64,
 ) {
-    let mut cluster = cluster(per_s, seed);
+    let mut cluster = cluster_by(way, per_s, seed);
     cluster.run(secs(4), per_s * demand);
     for index in [0, 1, 2, 0, 1, 3] {
         cluster.begin_stop(index);
@@ -128,6 +143,22 @@
     cluster.assert_used(time, MIN_USED_WITH_FAULT_RATIO);
 }
 
+/// Guards against a second keeper that takes what was spent before it first heard of a workspace for not spent.
+#[rstest]
+fn a_sudden_flood_gets_one_burst(
+    #[values(Way::Keeper, Way::InOrder)] way: Way,
+    #[values(SMALL, LARGE)] per_s: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut cluster = cluster_by(way, per_s, seed);
+    let time = secs(4);
+    cluster.run(time, per_s * FLOOD);
+    let allowed = cluster.quota.burst + per_s * time.as_secs_f64();
+    let slack = 0.15 * per_s + cluster.tolerance.fixed;
+    let admitted = cluster.tally.admitted as f64;
+    assert!(admitted <= allowed + slack, "{admitted} of {allowed}");
+}
+
 /// Guards against a request of absurd size that keeps its workspace's callers away for long.
 #[test]
 fn a_request_that_exceeds_the_quota_by_far_is_refused_alone() {
@@ -144,6 +175,7 @@
             needed: cost,
             ahead: 0,
             per_s: 0,
+            ordered: Ordered::default(),
         };
         ledger.claim(start + after, start, &quota, &tolerance, &source, &claim).unwrap().wait
     };
@@ -180,6 +212,7 @@
                 needed: cost,
                 ahead: 0,
                 per_s: 0,
+                ordered: Ordered::default(),
             };
             let grant = ledger.claim(start + after, start, &quota, &tolerance, &source, &claim);
             let granted = grant.map_or(0, |grant| grant.granted);
@@ -214,6 +247,7 @@
             needed: 100,
             ahead: 0,
             per_s: 0,
+            ordered: Ordered::default(),
         };
         let (quota, tolerance) = (&cluster.quota, &cluster.tolerance);
         ledger.claim(start + after, start, quota, tolerance, &source, &claim).is_some()
@@ -226,8 +260,12 @@
 
 /// Guards against routers that join with a quota of their own.
 #[rstest]
-fn added_routers_share_the_quota(#[values(SMALL, LARGE)] per_s: f64, #[values(1, 2)] seed: u64) {
-    let mut cluster = cluster(per_s, seed);
+fn added_routers_share_the_quota(
+    #[values(Way::Keeper, Way::InOrder)] way: Way,
+    #[values(SMALL, LARGE)] per_s: f64,
+    #[values(1, 2)] seed: u64,
+) {
+    let mut cluster = cluster_by(way, per_s, seed);
     cluster.run(secs(5), per_s * HOT);
     cluster.add_routers(20);
     cluster.run(secs(8), per_s * HOT);
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -94,6 +94,12 @@
     kind: &'static str,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct QuotaLabels {
+    rank: u32,
+    outcome: &'static str,
+}
+
 /// Counters, gauges and histograms of a router.
 #[derive(Debug)]
 pub struct Metrics {
@@ -134,6 +140,7 @@
     places_refused: Family<PlaceLabels, Counter>,
     place_wait_seconds: Family<PlaceLabels, Counter<f64, AtomicU64>>,
     labelled_workspaces: RefCell<BTreeSet<SmolStr>>,
+    quota_wait_seconds: Family<QuotaLabels, Histogram>,
     quota_granted: Counter,
     quota_held: Gauge,
     config_version: Gauge,
@@ -196,6 +203,7 @@
             places_refused: Family::default(),
             place_wait_seconds: Family::default(),
             labelled_workspaces: RefCell::default(),
+            quota_wait_seconds: Family::new_with_constructor(histogram),
             quota_granted: Counter::default(),
             quota_held: Gauge::default(),
             config_version: Gauge::default(),
@@ -373,6 +381,11 @@
             "Time since which the configuration is not proven to be complete; -1 without a proof",
             self.config_proof_age.clone(),
         );
+        r.register(
+            "quota_wait_seconds",
+            "Waits of requests for the quota of their workspace, by rank and outcome",
+            self.quota_wait_seconds.clone(),
+        );
         r.register(
             "quota_granted",
             "Cost units of quotas that this router was granted",
@@ -603,6 +616,12 @@
         PlaceLabels { workspace: name.to_owned(), rank }
     }
 
+    /// Counts a request that waited for the quota of its workspace, or was refused by it.
+    pub fn quota_decided(&self, rank: u8, outcome: &'static str, waited: Duration) {
+        let labels = QuotaLabels { rank: rank.into(), outcome };
+        self.quota_wait_seconds.get_or_create(&labels).observe(waited.as_secs_f64());
+    }
+
     /// Counts what a keeper granted of a quota.
     pub fn quota_granted(&self, granted: u64) {
         self.quota_granted.inc_by(granted);
