Placement by the speed of engines and by forecast demand: first version

With features.placement (auto: targets state their pace) replicas are worth their engine's speed less what other models use of it, a rise of demand is extrapolated over the time until a replica is ready, an evicted replica costs what placing it again is worth, and the weight store is weighed beside copies.

--- a/crates/corianderstand_fleet/src/counts.rs
+++ b/crates/corianderstand_fleet/src/counts.rs
@@ -107,7 +107,7 @@
 
 /// Whether an engine's limit of requests, if it names one, covers the demand for its models. If not, its
 /// replicas aren't counted, so that the models are placed elsewhere as well.
-fn takes_demand(engine: &EngineView, models: &Models, desired: &[names::ModelId]) -> bool {
+pub fn takes_demand(engine: &EngineView, models: &Models, desired: &[names::ModelId]) -> bool {
     let Some(limit) = engine.request_limit else { return true };
     let views = desired.iter().filter_map(|name| models.get(name));
     let demand: f64 = views.map(|view| view.demand.requests_per_s).sum();
--- a/crates/corianderstand_fleet/src/demand.rs
+++ b/crates/corianderstand_fleet/src/demand.rs
@@ -13,6 +13,8 @@
 
 /// Demand moves from one model to the next within 4 to 6 s.
 const FAST_WINDOW: Duration = Duration::from_secs(2);
+/// Time by which the rate of requests follows a rise late.
+pub const RATE_LAG: Duration = FAST_WINDOW;
 /// The rate of a model that is requested every two seconds then varies by a quarter.
 const SLOW_WINDOW: Duration = Duration::from_secs(12);
 /// Prefill time per prompt token that is assumed until one is observed: 38 tokens in a millisecond.
--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -21,6 +21,7 @@
 //! ```
 
 pub mod budget;
+mod capacity;
 pub mod choose;
 pub mod config;
 pub mod counts;
@@ -30,6 +31,7 @@
 pub mod exits;
 pub mod features;
 pub mod fingerprint;
+pub mod forecast;
 pub mod freshness;
 pub mod health;
 pub mod overload;
--- a/crates/corianderstand_fleet/src/plan.rs
+++ b/crates/corianderstand_fleet/src/plan.rs
@@ -9,10 +9,15 @@
 //! and unload other models only to free capacity, so a late, lost or conflicting plan costs at
 //! most a redundant load.
 
-use crate::{counts, decaying_rate, snapshot, store_concurrency, targets, utility};
+mod by_speed;
+
+use crate::{
+    config, counts, decaying_rate, forecast, snapshot, store_concurrency, targets, utility,
+};
+use corianderstand_derives::derives;
 use corianderstand_types::names;
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{HashMap, HashSet, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -33,6 +38,38 @@
 /// Period after start without evictions, until demand rates are reliable.
 const WARM_UP_PERIOD: Duration = Duration::from_millis(1_500);
 
+/// Time over which loads from the weight store are counted against its rate.
+const STORE_RATE_WINDOW: Duration = Duration::from_secs(1);
+
+/// How models are placed.
+#[derives(data)]
+#[derive(Copy, Default)]
+pub struct Options {
+    /// Whether engines count by their speed, and models by their forecast demand.
+    pub by_speed: bool,
+    /// Loads per second that the weight store allows; 0 if it is not known.
+    pub store_loads_per_s: f64,
+}
+
+/// A model that was added to an engine's plan.
+#[derives(data)]
+pub struct Placed {
+    /// Engine that is to hold the model.
+    pub engine: targets::TargetKey,
+    /// The model.
+    pub model: names::ModelId,
+    /// Models that were taken from the engine's plan for it.
+    pub evicted: Vec<names::ModelId>,
+    /// What the placement is worth, in requests.
+    pub utility: f64,
+    /// Speed for which the engine counts.
+    pub speed: f64,
+    /// Expected demand relative to the measured one.
+    pub growth: f64,
+    /// Where the engine loads the weights from.
+    pub source: snapshot::WeightSource,
+}
+
 /// Computes plans from demand, and tracks the last plan and the weight store's concurrency.
 #[derive(Debug, Default)]
 pub struct Planner {
@@ -42,6 +79,12 @@
     warm_up_until: Option<Instant>,
     /// Utility of placing absent models, in requests per second.
     swap_utility: Option<decaying_rate::DecayingRate>,
+    options: Options,
+    forecast: forecast::Forecast,
+    /// When loads from the weight store were planned within [`STORE_RATE_WINDOW`].
+    store_starts: VecDeque<Instant>,
+    /// Placements of the last plan.
+    placed: Vec<Placed>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -75,6 +118,14 @@
         Self { warm_up_until: Some(now + WARM_UP_PERIOD), ..Self::default() }
     }
 
+    /// Sets how models are placed from now on.
+    pub fn set_options(&mut self, options: Options) {
+        if options.by_speed && !self.options.by_speed {
+            self.store_concurrency.begin_carefully();
+        }
+        self.options = options;
+    }
+
     /// Computes the models that each engine should hold.
     pub fn plan(
         &mut self,
@@ -84,6 +135,34 @@
     ) -> &HashMap<targets::TargetKey, Vec<names::ModelId>> {
         self.store_concurrency.observe(now, engines, models);
         self.adopt_holdings(now, engines, models);
+        self.placed.clear();
+        let is_past = |at: &Instant| now.saturating_duration_since(*at) >= STORE_RATE_WINDOW;
+        while self.store_starts.front().is_some_and(is_past) {
+            self.store_starts.pop_front();
+        }
+        match self.options.by_speed {
+            true => by_speed::place(self, now, engines, models),
+            false => self.place_by_count(now, engines, models),
+        }
+        &self.desired
+    }
+
+    /// The last plan.
+    pub const fn desired(&self) -> &HashMap<targets::TargetKey, Vec<names::ModelId>> {
+        &self.desired
+    }
+
+    /// Placements of the last plan.
+    pub fn placed(&self) -> &[Placed] {
+        &self.placed
+    }
+
+    fn place_by_count(
+        &mut self,
+        now: Instant,
+        engines: &[snapshot::EngineView],
+        models: &snapshot::Models,
+    ) {
         let mut counts = counts::FleetCounts::new(engines, models, &self.desired);
         // Engines execute one command at a time, so candidates are ordered by utility per second of
         // command time: a load from disk precedes one from the weight store of similar utility.
@@ -103,6 +182,16 @@
                 let model = &candidate.model.spec.name;
                 counts.record_placement(model, &placement.victims, placement.from_store);
                 self.apply(now, engines, &placement, model);
+                let engine = &engines[placement.engine_index];
+                self.placed.push(Placed {
+                    engine: engine.key,
+                    model: model.clone(),
+                    evicted: placement.victims,
+                    utility: candidate.utility,
+                    speed: 1.0,
+                    growth: 1.0,
+                    source: snapshot::WeightSource::of(engine, model),
+                });
                 if candidate.cause == DemandCause::Absent {
                     let swaps = self
                         .swap_utility
@@ -111,7 +200,30 @@
                 }
             }
         }
-        &self.desired
+    }
+
+    /// Expected time of a load from the weight store, by its stated time and its observed pace.
+    fn store_load_time(&self, model: &config::Model) -> Duration {
+        model.load_from_store.mul_f64(self.store_concurrency.slowdown)
+    }
+
+    /// Whether the weight store carries one more load now. A load of a model that nobody asks for may hold up one that
+    /// somebody needs, and takes at most half of the store's time.
+    fn may_load_from_store(
+        &self,
+        now: Instant,
+        counts: &counts::FleetCounts,
+        model: &snapshot::ModelView,
+    ) -> bool {
+        let is_requested = model.waiting > 0 || model.demand.requests_per_s > 0.0;
+        let is_idle = counts.store_loads == 0
+            && self.store_concurrency.is_idle_for(now, self.store_load_time(&model.spec));
+        if !(is_requested || is_idle) {
+            return false;
+        }
+        let rate = self.options.store_loads_per_s;
+        let is_within_rate = rate <= 0.0 || (self.store_starts.len() as f64) < rate.max(1.0);
+        is_within_rate && counts.store_loads < self.store_concurrency.max_concurrent_loads
     }
 
     /// Adds the resident and loading models to the plan, so that a new planner keeps them.
--- a/crates/corianderstand_fleet/src/snapshot.rs
+++ b/crates/corianderstand_fleet/src/snapshot.rs
@@ -26,6 +26,8 @@
     pub request_limit: Option<f64>,
     /// Its speed relative to the usual one of its service; 1 if it is not known.
     pub speed: f64,
+    /// Whether it is expected to shut down soon.
+    pub is_leaving: bool,
     /// Running requests per model, from all routers.
     pub running: BTreeMap<names::ModelId, u32>,
 }
@@ -44,13 +46,44 @@
 /// Models by name.
 pub type Models = BTreeMap<names::ModelId, ModelView>;
 
+/// Where an engine loads a model's weights from.
+#[derives(key)]
+pub enum WeightSource {
+    /// Its host's memory.
+    Memory,
+    /// Its own disk.
+    Disk,
+    /// The weight store.
+    Store,
+}
+
+impl WeightSource {
+    /// Where the engine would load the model from now.
+    pub fn of(engine: &EngineView, model: &names::ModelId) -> Self {
+        if engine.holdings.in_memory.contains(model) {
+            Self::Memory
+        } else if engine.holdings.on_disk.contains(model) {
+            Self::Disk
+        } else {
+            Self::Store
+        }
+    }
+
+    /// Name for log lines and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Memory => "memory",
+            Self::Disk => "disk",
+            Self::Store => "store",
+        }
+    }
+}
+
 /// Returns the time to load a model on an engine, and whether it loads from the weight store.
 pub fn load_source(engine: &EngineView, model: &config::Model) -> (Duration, bool) {
-    if engine.holdings.in_memory.contains(&model.name) {
-        (model.load_from_memory, false)
-    } else if engine.holdings.on_disk.contains(&model.name) {
-        (model.load_from_disk, false)
-    } else {
-        (model.load_from_store, true)
+    match WeightSource::of(engine, &model.name) {
+        WeightSource::Memory => (model.load_from_memory, false),
+        WeightSource::Disk => (model.load_from_disk, false),
+        WeightSource::Store => (model.load_from_store, true),
     }
 }
--- a/crates/corianderstand_fleet/src/store_concurrency.rs
+++ b/crates/corianderstand_fleet/src/store_concurrency.rs
@@ -16,16 +16,24 @@
 /// A store that carries a single load gives nothing sooner when more loads share it; one that carries four is
 /// known to after two loads.
 const INITIAL_CONCURRENT_LOADS: u32 = 2;
+/// Where the first replica of a busy model comes from the store, two loads that share it would both be late.
+const CAREFUL_CONCURRENT_LOADS: u32 = 1;
 /// Factor by which the limit rises after a load that wasn't slowed down at the limit.
 const PROBE_FACTOR: u32 = 2;
 /// A load that takes this many times its expected time shares the store with too many others.
 const CONGESTION_RATIO: f64 = 1.25;
 
+/// Bounds what a load that was held up says of the next ones.
+const MAX_SLOWDOWN: f64 = 10.0;
+
 /// Limit on concurrent loads from the weight store, adapted to observed load times.
 #[derive(Debug)]
 pub struct StoreConcurrency {
     pub max_concurrent_loads: u32,
+    /// Time that a load takes relative to its stated time where it is not slowed down by others.
+    pub slowdown: f64,
     loads: HashMap<targets::TargetKey, StoreLoad>,
+    last_busy_at: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -37,15 +45,35 @@
 
 impl Default for StoreConcurrency {
     fn default() -> Self {
-        Self { max_concurrent_loads: INITIAL_CONCURRENT_LOADS, loads: HashMap::new() }
+        Self {
+            max_concurrent_loads: INITIAL_CONCURRENT_LOADS,
+            slowdown: 1.0,
+            loads: HashMap::new(),
+            last_busy_at: None,
+        }
     }
 }
 
 impl StoreConcurrency {
+    /// Starts with a single load at once, unless loads were observed.
+    pub fn begin_carefully(&mut self) {
+        if self.last_busy_at.is_none() {
+            self.max_concurrent_loads = CAREFUL_CONCURRENT_LOADS;
+        }
+    }
+
+    /// Whether no load has been observed for this time.
+    pub fn is_idle_for(&self, now: Instant, time: Duration) -> bool {
+        self.last_busy_at.is_none_or(|at| now.saturating_duration_since(at) >= time)
+    }
+
     /// Tracks the ongoing loads and updates the limit from those that have completed.
     pub fn observe(&mut self, now: Instant, engines: &[EngineView], models: &Models) {
         let loading: HashMap<_, _> = engines.iter().filter_map(store_load).collect();
         let count = loading.len() as u32;
+        if count > 0 {
+            self.last_busy_at = Some(now);
+        }
         let completed =
             self.loads.iter().filter(|(key, load)| loading.get(*key) != Some(&&load.model));
         let completed: Vec<_> = completed.map(|(key, _)| *key).collect();
@@ -67,6 +95,9 @@
     fn update_limit(&mut self, now: Instant, load: &StoreLoad, expected: Duration) {
         let elapsed = now.saturating_duration_since(load.started_at).as_secs_f64();
         let slowdown = elapsed / expected.as_secs_f64().max(0.001);
+        if load.max_concurrent == 1 || slowdown <= CONGESTION_RATIO {
+            self.slowdown = slowdown.clamp(1.0, MAX_SLOWDOWN);
+        }
         if slowdown > CONGESTION_RATIO {
             let sustained = (f64::from(load.max_concurrent) / slowdown).round() as u32;
             self.max_concurrent_loads = sustained.clamp(1, self.max_concurrent_loads);
--- a/crates/corianderstand_fleet/src/utility.rs
+++ b/crates/corianderstand_fleet/src/utility.rs
@@ -45,12 +45,17 @@
 
 /// Returns the model's load as a number of fully utilized engines.
 pub fn utilization(counts: &counts::FleetCounts, model: &ModelView) -> f64 {
-    let running = counts.running(&model.spec.name);
-    let batches = f64::from(running + model.waiting)
+    let running = f64::from(counts.running(&model.spec.name));
+    prefill_utilization(model).max(slot_utilization(counts, model, running))
+}
+
+/// Returns the model's use of batch and adapter slots, as a number of fully utilized engines.
+pub fn slot_utilization(counts: &counts::FleetCounts, model: &ModelView, running: f64) -> f64 {
+    let batches = (running + f64::from(model.waiting))
         / (f64::from(counts.min_batch_slots) * TARGET_BATCH_RATIO);
     let adapter_slots = counts.min_adapter_slots as f64 * TARGET_ADAPTER_RATIO;
     let adapters = model.demand.adapter_requests_per_s * ADAPTER_RESIDENCY_S / adapter_slots;
-    prefill_utilization(model).max(batches.max(adapters) * SLOT_UTILIZATION_WEIGHT)
+    batches.max(adapters) * SLOT_UTILIZATION_WEIGHT
 }
 
 pub fn prefill_utilization(model: &ModelView) -> f64 {
--- a/crates/corianderstand_fleet/tests/common/mod.rs
+++ b/crates/corianderstand_fleet/tests/common/mod.rs
@@ -7,6 +7,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod entries;
+pub mod uneven;
 
 use corianderstand_fleet::{config, demand, plan, reconcile, snapshot, targets};
 use corianderstand_types::names::{ModelId, TargetId};
@@ -315,6 +316,7 @@
                 ongoing,
                 request_limit: None,
                 speed: 1.0,
+                is_leaving: false,
                 running,
             }
         });
--- a/crates/corianderstand_fleet/tests/plan.rs
+++ b/crates/corianderstand_fleet/tests/plan.rs
@@ -183,6 +183,7 @@
                 ongoing: None,
                 request_limit: None,
                 speed: 1.0,
+                is_leaving: false,
                 running: BTreeMap::new(),
             }
         });
@@ -243,6 +244,7 @@
             ongoing: None,
             request_limit: None,
             speed: 1.0,
+            is_leaving: false,
             running: BTreeMap::new(),
         };
         let models = [&first, &next].map(|model| {
@@ -276,6 +278,7 @@
         ongoing: None,
         request_limit: None,
         speed: 1.0,
+        is_leaving: false,
         running: BTreeMap::new(),
     };
     let models = [(&stored, 2), (&on_disk, 1)].map(|(model, waiting)| {
@@ -306,6 +309,7 @@
             ongoing: None,
             request_limit: None,
             speed: 1.0,
+            is_leaving: false,
             running: BTreeMap::new(),
         }
     });
@@ -351,6 +355,7 @@
             ongoing: None,
             request_limit: is_limited.then_some(LIMIT_PER_S),
             speed: 1.0,
+            is_leaving: false,
             running: BTreeMap::new(),
         }
     });
--- a/crates/corianderstand_fleet/tests/plan_size.rs
+++ b/crates/corianderstand_fleet/tests/plan_size.rs
@@ -64,6 +64,7 @@
                 ongoing: None,
                 request_limit: None,
                 speed: 1.0,
+                is_leaving: false,
                 running: BTreeMap::new(),
             }
         });
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -3,7 +3,7 @@
 use crate::{
     body_end, config_proof, continuations, dialect::Subject, job, quotas, router, server, stream,
 };
-use corianderstand_fleet::{config, exits};
+use corianderstand_fleet::{config, exits, snapshot};
 use corianderstand_schema::peers::StoreUse;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
@@ -75,6 +75,11 @@
     kind: &'static str,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct SourceLabel {
+    source: &'static str,
+}
+
 /// Counters, gauges and histograms of a router.
 #[derive(Debug)]
 pub struct Metrics {
@@ -105,6 +110,7 @@
     resting_targets: Gauge,
     slots_asked: Family<OutcomeLabel, Counter>,
     config_proof_age: Gauge<f64, AtomicU64>,
+    placements: Family<SourceLabel, Counter>,
     quota_granted: Counter,
     quota_held: Gauge,
     config_version: Gauge,
@@ -156,6 +162,7 @@
             resting_targets: Gauge::default(),
             slots_asked: Family::default(),
             config_proof_age: Gauge::default(),
+            placements: Family::default(),
             quota_granted: Counter::default(),
             quota_held: Gauge::default(),
             config_version: Gauge::default(),
@@ -291,6 +298,11 @@
             "Time since which the configuration is not proven to be complete; -1 without a proof",
             self.config_proof_age.clone(),
         );
+        r.register(
+            "models_placed",
+            "Models that this router, as planner, added to an engine's plan, by where the weights come from",
+            self.placements.clone(),
+        );
         r.register(
             "quota_granted",
             "Cost units of quotas that this router was granted",
@@ -457,6 +469,11 @@
         self.slots_asked.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a model that was added to an engine's plan.
+    pub fn placement(&self, source: snapshot::WeightSource) {
+        self.placements.get_or_create(&SourceLabel { source: source.name() }).inc();
+    }
+
     /// Counts what a keeper granted of a quota.
     pub fn quota_granted(&self, granted: u64) {
         self.quota_granted.inc_by(granted);
--- a/crates/corianderstand_forward/src/planning.rs
+++ b/crates/corianderstand_forward/src/planning.rs
@@ -1,7 +1,7 @@
 //! Collects the planner's inputs and publishes its plans to the agents.
 
 use crate::{peers, router};
-use corianderstand_fleet::{config, health, plan, snapshot, targets};
+use corianderstand_fleet::{config, features, health, plan, snapshot, targets};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
 use corianderstand_types::names;
 use std::{
@@ -64,7 +64,10 @@
     ) {
         let engines = engine_views(shared, now, &service.name, spec);
         let models = model_views(shared, now, spec);
-        let planned = self.planner.plan(now, &engines, &models);
+        self.planner.set_options(options(shared, service, spec));
+        self.planner.plan(now, &engines, &models);
+        record_placements(shared, service, self.planner.placed());
+        let planned = self.planner.desired();
         let renew_interval = (RENEW_INTERVAL_PER_ENGINE * engines.len() as u32)
             .clamp(MIN_RENEW_INTERVAL, MAX_RENEW_INTERVAL);
         let recipients = Rc::new(shared.peers.borrow().report_recipients());
@@ -101,6 +104,46 @@
     }
 }
 
+/// How the models of a service are placed: by speed where the operator says so, or where its targets state their pace.
+fn options<P>(
+    shared: &router::Shared<P>,
+    service: &config::Service,
+    spec: &config::Engine,
+) -> plan::Options {
+    let view = shared.view.borrow();
+    let mut targets = view.targets.iter().map(|(_, target)| target);
+    let states_pace =
+        targets.any(|target| target.entry.service == service.name && target.pace.is_stated());
+    let switch = shared.bounds.borrow().features.placement;
+    plan::Options {
+        by_speed: features::is_used(switch, states_pace),
+        store_loads_per_s: spec.loads_per_s,
+    }
+}
+
+fn record_placements<P>(
+    shared: &router::Shared<P>,
+    service: &config::Service,
+    placements: &[plan::Placed],
+) {
+    let view = shared.view.borrow();
+    for placed in placements {
+        shared.decision_log.metrics.placement(placed.source);
+        let target = view.targets.get(placed.engine).map(|target| target.entry.id.as_str());
+        tracing::info!(
+            service = %service.name,
+            model = %placed.model,
+            target = target.unwrap_or_default(),
+            evicted = ?placed.evicted,
+            utility = placed.utility,
+            speed = placed.speed,
+            growth = placed.growth,
+            source = placed.source.name(),
+            "model placed"
+        );
+    }
+}
+
 /// What plans of several engines have in common, and the serial number of one.
 struct PlanHeader<'a> {
     serial: u64,
@@ -158,6 +201,7 @@
             ongoing: target.ongoing.clone(),
             request_limit: target.request_limit.map(|limit| limit.per_s),
             speed: 1.0,
+            is_leaving: view.targets.is_leaving(&target.entry.id),
             running,
         }
     });
--- a/crates/corianderstand_forward/src/view.rs
+++ b/crates/corianderstand_forward/src/view.rs
@@ -110,6 +110,7 @@
                 ongoing: None,
                 request_limit: None,
                 speed: 1.0,
+                is_leaving: false,
                 running: BTreeMap::new(),
             };
             let (time, _) = snapshot::load_source(&view, model);
