--- a/crates/corianderstand_fleet/src/capacity.rs
+++ b/crates/corianderstand_fleet/src/capacity.rs
@@ -85,10 +85,14 @@
 /// Capacity and its use by all engines and models.
 #[derive(Debug)]
 pub struct Capacity<'a> {
-    models: HashMap<&'a names::ModelId, ModelUse>,
+    indices: HashMap<&'a names::ModelId, usize>,
+    models: Vec<ModelUse>,
     engines: Vec<EngineUse>,
 }
 
+/// Indices of an engine and of a model that it is planned to hold.
+type Held = (usize, usize);
+
 /// What one more replica on an engine would change there.
 #[derive(Clone, Copy, Debug)]
 pub struct Share {
@@ -108,64 +112,86 @@
         counts: &counts::FleetCounts,
         growth: impl Fn(&names::ModelId) -> f64,
     ) -> Self {
-        let mut uses = HashMap::with_capacity(models.len());
-        let work = running_work(engines);
-        let reference = reading_speeds(engines);
-        let work_per_request = work_per_request(&work, models);
-        for (name, view) in models {
-            let growth = growth(name);
-            let running = work.get(name).copied().unwrap_or(0.0);
-            let requests = running + waiting_work(view, running, work_per_request);
-            let reading = reference.get(name).copied().unwrap_or(1.0);
-            let model = ModelUse {
-                load: load(counts, view, requests, reading).scale(growth),
-                requests_per_s: view.demand.requests_per_s.max(utility::MIN_REQUESTS_PER_S)
-                    * growth,
-                ..ModelUse::default()
-            };
-            uses.insert(name, model);
-        }
+        let indices: HashMap<_, _> =
+            models.keys().enumerate().map(|(index, name)| (name, index)).collect();
         let leaving = leaving(engines);
         let engine_uses = engines.iter().map(|engine| {
-            let counted = counts::takes_demand(engine, models, &desired[&engine.key])
+            let counts = counts::takes_demand(engine, models, &desired[&engine.key])
                 && !leaving.contains(&engine.key);
-            EngineUse { speed: speed(engine), counts: counted, ..EngineUse::default() }
+            EngineUse { speed: speed(engine), counts, ..EngineUse::default() }
         });
-        let mut capacity = Self { models: uses, engines: engine_uses.collect() };
-        capacity.add_plan(engines, desired);
+        let mut capacity = Self {
+            indices,
+            models: vec![ModelUse::default(); models.len()],
+            engines: engine_uses.collect(),
+        };
+        let held = capacity.held(engines, desired);
+        let work = capacity.running_work(engines);
+        let reading_speeds = capacity.reading_speeds(&held);
+        let work_per_request = work_per_request(&work, models);
+        for (index, (name, view)) in models.iter().enumerate() {
+            let growth = growth(name);
+            let requests = work[index] + waiting_work(view, work[index], work_per_request);
+            let used = &mut capacity.models[index];
+            used.load = load(counts, view, requests, reading_speeds[index]).scale(growth);
+            used.requests_per_s =
+                view.demand.requests_per_s.max(utility::MIN_REQUESTS_PER_S) * growth;
+        }
+        capacity.add_plan(&held);
         capacity
     }
 
-    fn add_plan(
-        &mut self,
+    fn held(
+        &self,
         engines: &[EngineView],
         desired: &HashMap<targets::TargetKey, Vec<names::ModelId>>,
-    ) {
-        for (index, engine) in engines.iter().enumerate().filter(|(i, _)| self.engines[*i].counts) {
-            for name in &desired[&engine.key] {
-                if let Some(model) = self.models.get_mut(name) {
-                    model.replicas += 1;
-                    model.speed += self.engines[index].speed;
+    ) -> Vec<Held> {
+        let engines = engines.iter().enumerate();
+        let held = engines.flat_map(|(engine, view)| {
+            let indices = desired[&view.key].iter().filter_map(|name| self.indices.get(name));
+            indices.map(move |model| (engine, *model))
+        });
+        held.collect()
+    }
+
+    /// Running requests by model, each weighed by the speed of its engine: on a slow one it takes longer.
+    fn running_work(&self, engines: &[EngineView]) -> Vec<f64> {
+        let mut work = vec![0.0; self.models.len()];
+        for (engine, used) in engines.iter().zip(&self.engines) {
+            for (model, count) in &engine.running {
+                if let Some(index) = self.indices.get(model) {
+                    work[*index] += f64::from(*count) * used.speed;
                 }
             }
         }
-        for (index, engine) in engines.iter().enumerate() {
-            for name in &desired[&engine.key] {
-                let Some(model) = self.models.get(name) else { continue };
-                let speed = self.engines[index].speed;
-                let total =
-                    if self.engines[index].counts { model.speed } else { model.speed + speed };
-                let engine = &mut self.engines[index];
-                engine.load = engine.load.add(model.load.scale(1.0 / total));
-                engine.requests_per_s += model.requests_per_s * speed / total;
+        work
+    }
+
+    /// Speed at which each model's prompts are read: estimates follow its fastest engine.
+    fn reading_speeds(&self, held: &[Held]) -> Vec<f64> {
+        let mut speeds = vec![0.0_f64; self.models.len()];
+        for (engine, model) in held {
+            speeds[*model] = speeds[*model].max(self.engines[*engine].speed);
+        }
+        speeds.into_iter().map(|speed| if speed > 0.0 { speed } else { 1.0 }).collect()
+    }
+
+    fn add_plan(&mut self, held: &[Held]) {
+        for &(engine, model) in held {
+            if self.engines[engine].counts {
+                self.models[model].replicas += 1;
+                self.models[model].speed += self.engines[engine].speed;
             }
         }
-        for (index, engine) in engines.iter().enumerate().filter(|(i, _)| self.engines[*i].counts) {
-            for name in &desired[&engine.key] {
-                let worth = self.worth_held(index, name);
-                if let Some(model) = self.models.get_mut(name) {
-                    model.capacity += worth;
-                }
+        for &(engine, model) in held {
+            let (load, requests_per_s) = use_at(&self.engines[engine], &self.models[model]);
+            self.engines[engine].load = self.engines[engine].load.add(load);
+            self.engines[engine].requests_per_s += requests_per_s;
+        }
+        for &(engine, model) in held {
+            if self.engines[engine].counts {
+                let worth = worth_held(&self.engines[engine], &self.models[model]);
+                self.models[model].capacity += worth;
             }
         }
     }
@@ -200,7 +226,7 @@
         let engine = &self.engines[engine_index];
         let mut others = *engine;
         for victim in victims {
-            let (load, requests_per_s) = self.use_at(engine, victim);
+            let (load, requests_per_s) = use_at(engine, &self.model(victim));
             others.load = others.load.remove(load);
             others.requests_per_s -= requests_per_s;
         }
@@ -230,7 +256,7 @@
     /// Utility that is lost with a model's replica on an engine: that of placing it there again.
     pub fn replica_loss(&self, engine_index: usize, model: &names::ModelId) -> f64 {
         let used = self.model(model);
-        let worth = self.worth_held(engine_index, model);
+        let worth = worth_held(&self.engines[engine_index], &used);
         let rest = (used.capacity - worth).max(MIN_SPEED * MIN_LEFT);
         used.requests_per_s * utility::HORIZON_S * relief(used.load, rest, worth)
     }
@@ -243,13 +269,14 @@
         victims: &[names::ModelId],
     ) {
         for victim in victims {
-            let (load, requests_per_s) = self.use_at(&self.engines[engine_index], victim);
-            let worth = self.worth_held(engine_index, victim);
+            let used = self.model(victim);
+            let (load, requests_per_s) = use_at(&self.engines[engine_index], &used);
+            let worth = worth_held(&self.engines[engine_index], &used);
             let engine = &mut self.engines[engine_index];
             engine.load = engine.load.remove(load);
             engine.requests_per_s = (engine.requests_per_s - requests_per_s).max(0.0);
             let (speed, counts) = (engine.speed, engine.counts);
-            if let Some(used) = self.models.get_mut(victim).filter(|_| counts) {
+            if let Some(used) = self.model_mut(victim).filter(|_| counts) {
                 used.replicas = used.replicas.saturating_sub(1);
                 used.speed = if used.replicas == 0 { 0.0 } else { used.speed - speed };
                 used.capacity = if used.replicas == 0 { 0.0 } else { used.capacity - worth };
@@ -257,7 +284,7 @@
         }
         let share = self.share(engine_index, model, &[]);
         let speed = self.engines[engine_index].speed;
-        let Some(used) = self.models.get_mut(model) else { return };
+        let Some(used) = self.model_mut(model) else { return };
         used.replicas += 1;
         used.speed += speed;
         used.capacity += share.worth;
@@ -269,23 +296,25 @@
     }
 
     fn model(&self, model: &names::ModelId) -> ModelUse {
-        self.models.get(model).copied().unwrap_or_default()
+        self.indices.get(model).map(|index| self.models[*index]).unwrap_or_default()
     }
 
-    /// What a model with a replica on an engine uses of it, and its requests per second there.
-    fn use_at(&self, engine: &EngineUse, model: &names::ModelId) -> (Load, f64) {
-        let used = self.model(model);
-        let total = if engine.counts { used.speed } else { used.speed + engine.speed };
-        let total = total.max(MIN_SPEED);
-        (used.load.scale(1.0 / total), used.requests_per_s * engine.speed / total)
+    fn model_mut(&mut self, model: &names::ModelId) -> Option<&mut ModelUse> {
+        self.indices.get(model).map(|index| &mut self.models[*index])
     }
+}
 
-    /// What a replica that an engine holds is worth: the engine's speed less what others use of it.
-    fn worth_held(&self, engine_index: usize, model: &names::ModelId) -> f64 {
-        let engine = &self.engines[engine_index];
-        let others = engine.load.remove(self.use_at(engine, model).0);
-        engine.speed * (1.0 - others.utilization()).clamp(MIN_LEFT, 1.0)
-    }
+/// What a model with a replica on an engine uses of it, and its requests per second there.
+fn use_at(engine: &EngineUse, model: &ModelUse) -> (Load, f64) {
+    let total = if engine.counts { model.speed } else { model.speed + engine.speed };
+    let total = total.max(MIN_SPEED);
+    (model.load.scale(1.0 / total), model.requests_per_s * engine.speed / total)
+}
+
+/// What a replica that an engine holds is worth: the engine's speed less what others use of it.
+fn worth_held(engine: &EngineUse, model: &ModelUse) -> f64 {
+    let others = engine.load.remove(use_at(engine, model).0);
+    engine.speed * (1.0 - others.utilization()).clamp(MIN_LEFT, 1.0)
 }
 
 /// Reduction of a model's overload cost by a replica: the largest mean over one replica or several.
@@ -309,20 +338,9 @@
     if is_doubtful { BTreeSet::new() } else { leaving }
 }
 
-/// Running requests by model, each weighed by the speed of its engine: on a slow one it takes longer.
-fn running_work(engines: &[EngineView]) -> HashMap<&names::ModelId, f64> {
-    let mut work: HashMap<_, f64> = HashMap::new();
-    for engine in engines {
-        for (model, count) in &engine.running {
-            *work.entry(model).or_default() += f64::from(*count) * speed(engine);
-        }
-    }
-    work
-}
-
 /// Mean time for which a request runs on a usual engine, over all models; none if nothing is known of it.
-fn work_per_request(work: &HashMap<&names::ModelId, f64>, models: &Models) -> Option<f64> {
-    let running: f64 = work.values().sum();
+fn work_per_request(work: &[f64], models: &Models) -> Option<f64> {
+    let running: f64 = work.iter().sum();
     let per_s: f64 = models.values().map(|view| view.demand.requests_per_s).sum();
     (running > 0.0 && per_s > 0.0 && per_s.is_finite()).then_some(running / per_s)
 }
@@ -336,18 +354,6 @@
     waiting.min((explained - running).max(0.0))
 }
 
-/// Speed at which each resident model's prompts were read: estimates follow the fastest engine.
-fn reading_speeds(engines: &[EngineView]) -> HashMap<&names::ModelId, f64> {
-    let mut speeds: HashMap<_, f64> = HashMap::new();
-    for engine in engines {
-        for resident in &engine.holdings.resident {
-            let fastest = speeds.entry(&resident.model).or_default();
-            *fastest = fastest.max(speed(engine));
-        }
-    }
-    speeds
-}
-
 fn load(
     counts: &counts::FleetCounts,
     model: &ModelView,
--- a/crates/corianderstand_fleet/src/counts.rs
+++ b/crates/corianderstand_fleet/src/counts.rs
@@ -36,33 +36,46 @@
         desired: &HashMap<targets::TargetKey, Vec<names::ModelId>>,
     ) -> Self {
         let mut running: HashMap<_, u32> = HashMap::new();
+        for (model, count) in engines.iter().flat_map(|engine| &engine.running) {
+            *running.entry(model).or_default() += count;
+        }
+        let mut replicas: HashMap<_, usize> = HashMap::new();
+        let counted = engines.iter().filter_map(|engine| Some((engine, desired.get(&engine.key)?)));
+        let counted = counted.filter(|(engine, desired)| takes_demand(engine, models, desired));
+        for model in counted.flat_map(|(_, desired)| desired) {
+            *replicas.entry(model.clone()).or_default() += 1;
+        }
+        Self {
+            running_requests: running,
+            planned_replicas: replicas,
+            ..Self::of_engines(engines, models, desired)
+        }
+    }
+
+    /// Counts the engines only: running requests and replicas are counted elsewhere.
+    pub fn of_engines(
+        engines: &'a [EngineView],
+        models: &Models,
+        desired: &HashMap<targets::TargetKey, Vec<names::ModelId>>,
+    ) -> Self {
         let mut cached_weights: HashMap<_, Vec<usize>> = HashMap::new();
-        for (index, engine) in engines.iter().enumerate() {
-            for (model, count) in &engine.running {
-                *running.entry(model).or_default() += count;
-            }
+        for (index, engine) in engines.iter().enumerate().filter(|(_, e)| e.accepts_commands) {
             let cached = engine.holdings.in_memory.iter().chain(&engine.holdings.on_disk);
-            for model in cached.filter(|_| engine.accepts_commands) {
+            for model in cached {
                 let indices = cached_weights.entry(model).or_default();
                 if indices.last() != Some(&index) {
                     indices.push(index);
                 }
             }
         }
-        let mut replicas: HashMap<_, usize> = HashMap::new();
-        let counted = engines.iter().filter_map(|engine| Some((engine, desired.get(&engine.key)?)));
-        let counted = counted.filter(|(engine, desired)| takes_demand(engine, models, desired));
-        for model in counted.flat_map(|(_, desired)| desired) {
-            *replicas.entry(model.clone()).or_default() += 1;
-        }
         Self {
             min_batch_slots: engines.iter().map(|engine| engine.slots).min().unwrap_or(1).max(1),
             min_adapter_slots: engines.iter().map(|e| e.adapter_slots).min().unwrap_or(1).max(1),
             commandable_engines: engines.iter().filter(|engine| engine.accepts_commands).count(),
             store_loads: store_loads(engines, models, desired),
-            running_requests: running,
+            running_requests: HashMap::new(),
             engines_by_cached_model: cached_weights,
-            planned_replicas: replicas,
+            planned_replicas: HashMap::new(),
         }
     }
 
--- a/crates/corianderstand_fleet/src/plan/by_speed.rs
+++ b/crates/corianderstand_fleet/src/plan/by_speed.rs
@@ -51,7 +51,7 @@
     models: &snapshot::Models,
 ) {
     let input = Input { now, engines, models };
-    let mut counts = counts::FleetCounts::new(engines, models, &planner.desired);
+    let mut counts = counts::FleetCounts::of_engines(engines, models, &planner.desired);
     planner.forecast.observe(now, models, |name| {
         models.get(name).map_or(Duration::ZERO, |view| counts.fastest_load(engines, &view.spec))
     });
@@ -66,7 +66,7 @@
         };
         let name = &candidate.model.spec.name;
         let Weighed { placement, utility, .. } = weighed;
-        counts.record_placement(name, &placement.victims, placement.from_store);
+        counts.store_loads += u32::from(placement.from_store);
         capacity.record(placement.engine_index, name, &placement.victims);
         planner.store_starts.extend(placement.from_store.then_some(now));
         planner.apply(now, engines, &placement, name);
