--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub mod audit;
 pub mod budget;
+mod capacity;
 pub mod choose;
 pub mod config;
 pub mod copies;
@@ -32,6 +33,7 @@
 pub mod exits;
 pub mod features;
 pub mod fingerprint;
+pub mod forecast;
 pub mod freshness;
 pub mod health;
 pub mod hedge;
--- a/crates/corianderstand_forward/src/metrics.rs
+++ b/crates/corianderstand_forward/src/metrics.rs
@@ -3,7 +3,7 @@
 use crate::{
     body_end, config_proof, continuations, dialect::Subject, job, quotas, router, server, stream,
 };
-use corianderstand_fleet::{config, exits, predict};
+use corianderstand_fleet::{config, exits, predict, snapshot};
 use corianderstand_schema::peers::StoreUse;
 use corianderstand_types::names;
 use prometheus_client::{
@@ -100,6 +100,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, PartialEq, Eq, Hash, Debug, EncodeLabelSet)]
+struct SourceLabel {
+    source: &'static str,
+}
+
 /// Counters, gauges and histograms of a router.
 #[derive(Debug)]
 pub struct Metrics {
@@ -141,6 +146,7 @@
     place_wait_seconds: Family<PlaceLabels, Counter<f64, AtomicU64>>,
     labelled_workspaces: RefCell<BTreeSet<SmolStr>>,
     quota_wait_seconds: Family<QuotaLabels, Histogram>,
+    placements: Family<SourceLabel, Counter>,
     quota_granted: Counter,
     quota_held: Gauge,
     config_version: Gauge,
@@ -204,6 +210,7 @@
             place_wait_seconds: Family::default(),
             labelled_workspaces: RefCell::default(),
             quota_wait_seconds: Family::new_with_constructor(histogram),
+            placements: Family::default(),
             quota_granted: Counter::default(),
             quota_held: Gauge::default(),
             config_version: Gauge::default(),
@@ -386,6 +393,11 @@
             "Waits of requests for the quota of their workspace, by rank and outcome",
             self.quota_wait_seconds.clone(),
         );
+        r.register(
+            "models_placed",
+            "Models that this router, as planner, added to an engine's plan, by where the weights come from",
+            self.placements.clone(),
+        );
         r.register(
             "quota_granted",
             "Cost units of quotas that this router was granted",
@@ -622,6 +634,11 @@
         self.quota_wait_seconds.get_or_create(&labels).observe(waited.as_secs_f64());
     }
 
+    /// Counts a model that was added to an engine's plan.
+    pub fn placement(&self, source: snapshot::WeightSource) {
+        self.placements.get_or_create(&SourceLabel { source: source.name() }).inc();
+    }
+
     /// Counts what a keeper granted of a quota.
     pub fn quota_granted(&self, granted: u64) {
         self.quota_granted.inc_by(granted);
