--- a/crates/corianderstand_fleet/tests/predicted_choice.rs
+++ b/crates/corianderstand_fleet/tests/predicted_choice.rs
@@ -22,6 +22,8 @@
 const EVENT: Duration = Duration::from_millis(38);
 const GAP_OBJECTIVE: Duration = Duration::from_millis(200);
 const DRAWS: u64 = 2_000;
+/// Long enough that the machine's other work rests at some moment.
+const MEASURING_TIME: Duration = Duration::from_millis(400);
 const MAX_CHOICE_TIME: Duration = Duration::from_micros(10);
 
 fn work() -> predict::Work {
@@ -280,7 +282,8 @@
 /// The least of many: other work of the machine only adds to it.
 fn least_time(mut work: impl FnMut()) -> Duration {
     let mut least = Duration::MAX;
-    for _ in 0..300 {
+    let begun_at = Instant::now();
+    while begun_at.elapsed() < MEASURING_TIME {
         let started_at = Instant::now();
         (0..10).for_each(|_| work());
         least = least.min(started_at.elapsed() / 10);
--- a/crates/corianderstand_forward/tests/common/platform.rs
+++ b/crates/corianderstand_forward/tests/common/platform.rs
@@ -306,6 +306,10 @@
             rest: text("x-rest-ms").and_then(|text| text.parse().ok()).map(Duration::from_millis),
             is_leaving: headers.contains_key("x-leaving"),
             request_limit: text("x-limit").and_then(|text| text.parse().ok()),
+            load: text("x-pace").map(|percent| targets::Load {
+                slowdown_percent: percent.parse().ok(),
+                ..Default::default()
+            }),
             ..Default::default()
         }
     }
