Slots on their way count for a shorter time; those that wait for a model decide again each second

A granted request is in the engine's queue long before its prompt is read; counted until then, at the full pace of reading a good part of the slots would count twice. One that waits for a model behind a more patient one was held to its end although the model was to come too late: only the first looked again.

--- a/crates/corianderstand_fleet/src/prefill.rs
+++ b/crates/corianderstand_fleet/src/prefill.rs
@@ -32,6 +32,8 @@
 
 /// Time in which a granted request reaches the engine, across availability zones and over a new connection.
 const ARRIVAL_TIME: Duration = Duration::from_millis(100);
+/// The same for most of them. More in an engine's queue than expected do no harm, so that slots are counted by this.
+const USUAL_ARRIVAL_TIME: Duration = Duration::from_millis(30);
 /// Age of a report from which on it says nothing of the engine's memory and slots.
 const REPORT_TTL: Duration = Duration::from_secs(2);
 /// Expected time until memory or a slot is free, if the engine has none left.
@@ -124,7 +126,9 @@
     id: u64,
     prefill_time: Duration,
     tokens: u64,
-    /// From then on a report of the engine shows it.
+    /// From then on a report of the engine shows its slot.
+    arrives_at: Instant,
+    /// From then on a report of the engine shows its tokens.
     shown_at: Instant,
 }
 
@@ -280,10 +284,10 @@
         if now.saturating_duration_since(asked_at) >= REPORT_TTL {
             return true;
         }
+        let on_the_way = self.granted.iter().filter(|grant| grant.arrives_at > asked_at);
+        let requests = held.requests.saturating_add(on_the_way.count() as u32);
         let hidden = self.granted.iter().filter(|grant| grant.shown_at > asked_at);
-        let (requests, tokens) = hidden.fold((held.requests, held.tokens), |sum, grant| {
-            (sum.0.saturating_add(1), sum.1.saturating_add(grant.tokens))
-        });
+        let tokens = hidden.fold(held.tokens, |sum, grant| sum.saturating_add(grant.tokens));
         let fits_memory = claim.tokens == 0
             || held.capacity == 0
             || claim.tokens > held.capacity
@@ -322,6 +326,7 @@
             id: request.id,
             prefill_time: request.prefill_time,
             tokens,
+            arrives_at: now + USUAL_ARRIVAL_TIME,
             shown_at: now + ARRIVAL_TIME + self.backlog(now),
         });
     }
--- a/crates/corianderstand_forward/src/waiting.rs
+++ b/crates/corianderstand_forward/src/waiting.rs
@@ -17,6 +17,8 @@
 /// Interval at which a waiting request is checked without a notification.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval at which those that wait for a model decide again whether to wait on, as it may come later than expected.
+const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Part of the time until its deadline for which a request that may run only once waits for a place.
 const RUNS_ONCE_WAIT_DIVISOR: u32 = 3;
 
@@ -264,12 +266,17 @@
         };
         loop {
             let now = self.shared.clock.now();
-            let next_poll = if seat.is_first() { (now + POLL_INTERVAL).min(until) } else { until };
+            let is_first = seat.is_first();
+            let next_poll = match choice {
+                _ if is_first => (now + POLL_INTERVAL).min(until),
+                choose::Choice::Cold => (now + RECHECK_INTERVAL).min(until),
+                _ => until,
+            };
             tokio::select! {
                 () = seat.called() => return,
                 () = tokio::time::sleep_until(next_poll.into()) => {}
             }
-            if next_poll >= until {
+            if next_poll >= until || !is_first {
                 return;
             }
             seat.begin_round();
