--- a/crates/corianderstand_fleet/src/quota/account.rs
+++ b/crates/corianderstand_fleet/src/quota/account.rs
@@ -31,6 +31,9 @@
 const NAMED_TIME: Duration = Duration::from_millis(250);
 /// Least time between two claims for requests that were named.
 const MIN_ASK_INTERVAL: Duration = Duration::from_millis(5);
+/// A request waits for at most this part of the time that it has, or until its objective, and a moment for the answer.
+const MAX_HELD_DIVISOR: u32 = 2;
+const OVERDUE_TIME: Duration = Duration::from_secs(1);
 /// Time for which bookings are reported, which covers two reports.
 const REPORTED_TIME: Duration = Duration::from_millis(500);
 /// Bounds the bookings in one claim.
@@ -112,6 +115,15 @@
     named_at: Option<Instant>,
 }
 
+impl OrderedWaiter {
+    fn is_overdue(&self, now: Instant) -> bool {
+        let time = self.request.expires_at.saturating_duration_since(self.arrived_at);
+        let patience = self.request.objective_at.saturating_duration_since(self.arrived_at);
+        let limit = patience.max(time / MAX_HELD_DIVISOR) + OVERDUE_TIME;
+        now.saturating_duration_since(self.arrived_at) >= limit
+    }
+}
+
 #[derive(Debug)]
 struct Booked {
     told_at: Instant,
@@ -236,6 +248,18 @@
         account.waiting.len() < before || account.withdraw_ordered(waiter)
     }
 
+    /// Refuses requests that have waited for longer than any keeper holds one: those that change keepers are held anew.
+    pub fn refuse_overdue(&mut self, now: Instant) -> Vec<(names::WorkspaceId, Vec<Outcome>)> {
+        let mut refused = Vec::new();
+        for (workspace, account) in &mut self.by_workspace {
+            let outcomes = account.refuse_overdue(now);
+            if !outcomes.is_empty() {
+                refused.push((workspace.clone(), outcomes));
+            }
+        }
+        refused
+    }
+
     /// Whether the claim for a workspace is long: it names requests or bookings.
     pub fn is_claim_long(&self, workspace: &names::WorkspaceId) -> bool {
         let account = self.by_workspace.get(workspace);
@@ -410,6 +434,21 @@
         refused.into_iter().map(outcome).collect()
     }
 
+    fn refuse_overdue(&mut self, now: Instant) -> Vec<Outcome> {
+        let overdue = self.ordered.iter().filter(|ordered| ordered.is_overdue(now));
+        let overdue: Vec<_> = overdue.map(|ordered| ordered.id).collect();
+        let refusal = Refusal::OutOfTime {
+            retry_after: self.last_retry_after,
+            is_booked: false,
+            before: u32::try_from(self.ordered.len()).unwrap_or(u32::MAX),
+        };
+        let refuse = |id| {
+            self.withdraw_ordered(id);
+            Outcome { waiter: id, refusal: Some(refusal) }
+        };
+        overdue.into_iter().map(refuse).collect()
+    }
+
     fn withdraw_ordered(&mut self, waiter: WaiterId) -> bool {
         let Some(position) = self.ordered.iter().position(|ordered| ordered.id == waiter) else {
             return false;
--- a/crates/corianderstand_fleet/tests/common/quotas.rs
+++ b/crates/corianderstand_fleet/tests/common/quotas.rs
@@ -608,6 +608,14 @@
                 continue;
             }
             router.accounts.expire(self.now);
+            let overdue = router.accounts.refuse_overdue(self.now);
+            for outcome in overdue.into_iter().flat_map(|(_, outcomes)| outcomes) {
+                let pending = self.routers[index].waiting.remove(&outcome.waiter);
+                if let Some(caller) = pending.and_then(|pending| pending.caller) {
+                    self.conclude(caller, outcome.refusal);
+                }
+            }
+            let router = &mut self.routers[index];
             if router.accounts.unreported().is_empty() {
                 continue;
             }
--- a/crates/corianderstand_forward/src/quotas.rs
+++ b/crates/corianderstand_forward/src/quotas.rs
@@ -292,6 +292,10 @@
             keepers::retain(&shared, &mut shared.quotas.lost.borrow_mut());
             shared.quotas.suspects.borrow_mut().retain(|_, until| now < *until);
             shared.quotas.accounts.borrow_mut().expire(now);
+            let overdue = shared.quotas.accounts.borrow_mut().refuse_overdue(now);
+            for (workspace, outcomes) in overdue {
+                deliver(&shared, &workspace, outcomes);
+            }
             shared.quotas.ledger.borrow_mut().expire(now);
             report(&shared, now);
         }
