--- a/crates/corianderstand_fleet/tests/quota_order.rs
+++ b/crates/corianderstand_fleet/tests/quota_order.rs
@@ -16,6 +16,8 @@
 const USUAL: f64 = 0.5;
 /// Share of the callers with a booking that are served when they return.
 const MIN_BOOKED_SERVED: f64 = 0.95;
+/// How much less often a rank may be served than a less urgent one.
+const MAX_INVERSION: f64 = 0.05;
 
 const fn secs(secs: u64) -> Duration {
     Duration::from_secs(secs)
@@ -109,6 +111,15 @@
     assert!(kept >= MIN_BOOKED_SERVED, "{kept:.3} of {booked} bookings were kept");
 }
 
+/// Checks that, during the flood, no rank is served in time less often than a less urgent one.
+fn assert_ranks_are_kept(cluster: &Cluster) {
+    let in_time = |served: &simulation::Served| served.in_time as f64 / served.callers as f64;
+    let rates: Vec<f64> = cluster.served.iter().map(in_time).collect();
+    for pair in rates.windows(2) {
+        assert!(pair[0] >= pair[1] - MAX_INVERSION, "{rates:.3?} in time, by rank");
+    }
+}
+
 /// Guards against chance deciding between the requests of a workspace that asks for many times its quota.
 #[rstest]
 fn a_flood_is_served_in_order(#[values(1, 2, 3)] seed: u64, #[values(5.0, 6.0, 7.0)] factor: f64) {
@@ -117,6 +128,7 @@
     cluster.forget_served();
     cluster.play(FLOOD, factor);
     report(&cluster);
+    assert_ranks_are_kept(&cluster);
     let flood = std::mem::take(&mut cluster.served);
     cluster.play(secs(12), USUAL);
     println!("after");
