--- a/crates/corianderstand_fleet/tests/plan_size.rs
+++ b/crates/corianderstand_fleet/tests/plan_size.rs
@@ -158,13 +158,15 @@
 const DESIGN_MODEL_COUNT: usize = 350;
 /// Placement by speed may take this much longer than by count.
 const MAX_TIME_RATIO: f64 = 1.33;
-const REPETITIONS: usize = 6;
+const REPETITIONS: usize = 12;
 
 /// Guards against placement by speed that costs the planner more of its host than placement by count.
-#[test]
-fn placement_by_speed_takes_little_longer() {
+#[rstest::rstest]
+#[case::size_to_design_for(DESIGN_ENGINE_COUNT, DESIGN_MODEL_COUNT)]
+#[case::more_models_than_fit(ENGINE_COUNT, MODEL_COUNT)]
+fn placement_by_speed_takes_little_longer(#[case] engine_count: usize, #[case] model_count: usize) {
     let plan_times = |by_speed: bool| {
-        let mut fleet = Fleet::sized(1, DESIGN_ENGINE_COUNT, DESIGN_MODEL_COUNT);
+        let mut fleet = Fleet::sized(1, engine_count, model_count);
         let mut planner = plan::Planner::default();
         planner.set_options(plan::Options { by_speed, store_loads_per_s: 15.0 });
         let mut now = Instant::now();
