Test of copies: a slow engine is one that states more than its usual figure

Cause: with the pace of targets, what is stated counts relative to the target's usual figure, as fast engines state less than 100 at all times; the test stated 250 once, which is then the usual one. The guard is the same: an engine that is slow now keeps no copy.

--- a/crates/corianderstand_fleet/tests/copies.rs
+++ b/crates/corianderstand_fleet/tests/copies.rs
@@ -127,7 +127,10 @@
 
 /// Guards against copies at engines that would be slow or refuse to go on.
 #[rstest]
-#[case::slow(|now, target: &mut targets::Target| target.pace.record_stated(now, 250))]
+#[case::slow(|now, target: &mut targets::Target| {
+    (0..20).for_each(|_| target.pace.record_stated(now, 100));
+    target.pace.record_stated(now, 250);
+})]
 #[case::resting(|now, target: &mut targets::Target| target.record_rest(now, Duration::from_secs(3)))]
 #[case::refused_a_connection(|now, target: &mut targets::Target| target.record_unreachable(now))]
 fn an_engine_in_need_keeps_no_copy(#[case] change: fn(Instant, &mut targets::Target)) {
