--- a/crates/corianderstand_forward/src/waiting.rs
+++ b/crates/corianderstand_forward/src/waiting.rs
@@ -20,7 +20,7 @@
 /// Interval at which those that wait for a model decide again whether to wait on, as it may come later than expected.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Part of the time until its deadline for which a request that may run only once waits for a place.
-const RUNS_ONCE_WAIT_DIVISOR: u32 = 2;
+const RUNS_ONCE_WAIT_RATIO: f64 = 0.4;
 
 /// Number of targets given up because of a long wait for a prefill permit.
 const MAX_ABANDONED_CHOICES: u32 = 2;
@@ -202,7 +202,7 @@
         };
         let until = if self.is_ordered && job.route.runs_at_most_once() {
             let patience = job.deadline.saturating_duration_since(job.arrived_at);
-            until.min(job.arrived_at + patience / RUNS_ONCE_WAIT_DIVISOR)
+            until.min(job.arrived_at + patience.mul_f64(RUNS_ONCE_WAIT_RATIO))
         } else {
             until
         };
