Of parts of prompts without known successes, one that ends targets after a steady time is the likelier

All routers had been killed 2 s before, so no success of any part was known. The innocent part had run on the same three targets as the guilty one (for 10, 46 and 22 ms before their ends; the guilty one for 44, 46 and 58), and of parts without successes the one that stands later in its prompts was blocked, in the same millisecond as the report of the guilty part's third end.

A guilty part ends its target some time after the target begins with it; others run there at any time before.

Ruled out: judging after all runs of one end are recorded. With all three ends of both there, the later position still won.

--- a/crates/corianderstand_fleet/src/crashes/verdict.rs
+++ b/crates/corianderstand_fleet/src/crashes/verdict.rs
@@ -27,6 +27,8 @@
 const MIN_ENDS_BEYOND_REQUESTS: usize = 2;
 /// A part under which fewer of the ended targets ran is a bystander of ends that have another cause.
 const MIN_SHARE_OF_ENDS: f64 = 1.0 / 3.0;
+/// Runs of which the longest took at most this many times as long as the shortest took about the same time.
+const MAX_RATIO_OF_RUN_TIMES: f64 = 2.0;
 /// Parts with at least this ratio of the most ends are equally suspect.
 const MIN_RATIO_OF_MOST_ENDS: f64 = 2.0 / 3.0;
 
@@ -50,9 +52,9 @@
 }
 
 /// Order in which equally suspect parts are blocked: one that is blocked already, as none of its requests can show
-/// that it is harmless; then the one whose last success is the oldest; then the one that stands later in its
-/// prompts, as fewer requests share it; then the one with most ends.
-type PartRank = (bool, Reverse<Option<Instant>>, u32, usize, PartId);
+/// that it is harmless; then the one whose last success is the oldest; then one that ended its targets after about the
+/// same time; then the one that stands later in its prompts, as fewer requests share it; then the one with most ends.
+type PartRank = (bool, Reverse<Option<Instant>>, bool, u32, usize, PartId);
 
 /// What has been decided.
 #[derive(Clone, Debug, Default)]
@@ -237,7 +239,8 @@
     fn rank(&self, part: PartId, ends: usize) -> PartRank {
         let position = self.suspects[&Feature::Part(part)].position;
         let is_blocked = self.before.contains_key(&Feature::Part(part));
-        (is_blocked, Reverse(self.successes.last(part)), position, ends, part)
+        let is_steady = has_steady_run_times(&self.suspects[&Feature::Part(part)].ends);
+        (is_blocked, Reverse(self.successes.last(part)), is_steady, position, ends, part)
     }
 
     /// Whether the part, rather than a request or another cause, may explain these ends.
@@ -312,6 +315,13 @@
     }
 }
 
+/// Whether the targets ended after a similar time under each run. Other requests run there at any time before the end.
+fn has_steady_run_times(ends: &[suspect::End]) -> bool {
+    let run_times = || ends.iter().map(|end| end.ended_at.saturating_duration_since(end.sent_at));
+    let (Some(least), Some(most)) = (run_times().min(), run_times().max()) else { return false };
+    most <= least.mul_f64(MAX_RATIO_OF_RUN_TIMES)
+}
+
 /// Whether the ends of a part are enough to block it. Those under one repeated request count once: all its parts, and
 /// the request itself, are as suspect.
 fn is_enough_to_block(ends: &[&suspect::End]) -> bool {
--- a/crates/corianderstand_fleet/tests/crashing_parts.rs
+++ b/crates/corianderstand_fleet/tests/crashing_parts.rs
@@ -46,6 +46,17 @@
 
     /// The target that ended last was running one more request.
     fn run_at_last(&mut self, ms: u64, request: Fingerprint, parts: &[PartId], survived: Duration) {
+        self.run_for(RUN_TIME, ms, request, parts, survived);
+    }
+
+    fn run_for(
+        &mut self,
+        run_time: Duration,
+        ms: u64,
+        request: Fingerprint,
+        parts: &[PartId],
+        survived: Duration,
+    ) {
         let sent_at = self.at(ms);
         let crash = Crash {
             fingerprint: request,
@@ -55,11 +66,11 @@
                 started_at_ms: 1,
             },
             sent_at,
-            ended_at: sent_at + RUN_TIME,
+            ended_at: sent_at + run_time,
             survived,
             observer: "router".into(),
         };
-        self.crashes.record(sent_at + RUN_TIME, crash);
+        self.crashes.record(sent_at + run_time, crash);
     }
 
     /// A target has been writing since then on a prompt with the part.
@@ -159,6 +170,28 @@
     assert_eq!(history.blocked(5_000), [Feature::Part(CRASHING)]);
 }
 
+/// Guards against an innocent part that ran on the same targets and stands later, at routers that have all just started.
+#[test]
+fn of_parts_that_never_succeeded_one_that_ended_its_targets_after_the_same_time_is_blocked() {
+    let mut history = History::new();
+    for (n, run_time_ms) in [10, 100, 22].into_iter().enumerate() {
+        let ms = n as u64 * 1_000;
+        let beside = history.new_request();
+        history.targets += 1;
+        let run_time = Duration::from_millis(run_time_ms);
+        history.run_for(
+            run_time,
+            ms + 100 - run_time_ms,
+            beside,
+            &[FIRST, SUBJECT],
+            Duration::ZERO,
+        );
+        let request = history.new_request();
+        history.run_at_last(ms, request, &[CRASHING], Duration::ZERO);
+    }
+    assert_eq!(history.blocked(3_000), [Feature::Part(CRASHING)]);
+}
+
 /// Guards against a part that was harmless until its model or its engines changed.
 #[test]
 fn successes_before_the_ends_do_not_protect_a_part() {
