Retry budget: all routers take the requests of the same window

Cause: each router took, of three windows, the one that had most requests for it. They differ between routers when callers go from one to another (a router that stands still or ends sends its callers to others), so that the routers together took requests of several windows for the repeats of one. Change: each takes the requests of the window before, all of which are known; just after the first start, where there are none before, those of the window itself. Costs: a service whose requests rise may retry more only a window later.

--- a/crates/corianderstand_fleet/src/budget.rs
+++ b/crates/corianderstand_fleet/src/budget.rs
@@ -1,6 +1,6 @@
 //! Limits the retries of all routers together.
 //!
-//! Each router may retry a ratio of its own recent requests, plus its part of a fixed number ([`FixedShare`]). Retries count when
+//! Each router may retry a ratio of its own requests, plus its part of a fixed number ([`FixedShare`]). Retries count when
 //! they are sent: one that was granted may wait for a target, and reach it together with later ones.
 
 mod share;
@@ -18,10 +18,7 @@
 const SPANS_PER_WINDOW: u32 = 50;
 /// Windows that end later are checked in steps of this part of the window.
 const CHECKS_PER_WINDOW: u32 = 25;
-/// Windows of requests that count for a window of retries begin so many halves of a window before it.
-const EARLIER_HALVES: [u32; 3] = [0, 1, 2];
-/// Usable part of the retries by requests. The window with most requests may be another one at each router, so that
-/// their sum can exceed the requests of any one window.
+/// Usable part of the retries by requests. These are counted when they are read, some time after they were sent.
 const USABLE_RATIO: f64 = 0.9;
 /// Longest time from sending a retry until it reaches its target, over an impaired link.
 const MAX_ARRIVAL_DELAY: Duration = Duration::from_secs(1);
@@ -160,18 +157,21 @@
     }
 
     /// Requests and retries that count in a window that ends `later` than now.
+    ///
+    /// All routers take the requests of the same window, as callers may go from one router to another: of the window
+    /// before it, all of which are known. Just after the first start there are none before.
     fn window_usage(&self, now: Instant, later: Duration, allowance: &Allowance) -> (u32, u32) {
-        let half = allowance.window / 2;
-        let requests = EARLIER_HALVES.map(|halves| {
-            let ended = (half * halves).saturating_sub(later);
-            let began = (allowance.window + half * halves).saturating_sub(later);
-            self.requests_between(now, began, ended, allowance)
-        });
+        let ended = match self.first_started_at {
+            Some(at) if now + later < at + allowance.retention() => Duration::ZERO,
+            _ => allowance.window,
+        };
+        let began = (ended + allowance.window).saturating_sub(later);
+        let requests = self.requests_between(now, began, ended.saturating_sub(later), allowance);
         let retries =
             self.sent.iter().rev().take_while(|at| {
                 now.saturating_duration_since(**at) + later < allowance.retention()
             });
-        (requests.into_iter().max().unwrap_or(0), retries.count() as u32 + self.reserved)
+        (requests, retries.count() as u32 + self.reserved)
     }
 
     /// Requests of the whole spans that began at most `began` ago and ended at least `ended` ago.
