Retry budget: a reservation is part of the budget; test that a denial leaves the others'

Fails: after two retries are granted and two are allowed, a third is granted. The reservation was built before it was decided whether there is one, and gave its retry back at once when it was dropped.

--- a/crates/corianderstand_fleet/src/budget.rs
+++ b/crates/corianderstand_fleet/src/budget.rs
@@ -3,8 +3,10 @@
 //! Each router may retry a ratio of its own requests, plus its part of a fixed number ([`FixedShare`]). Retries count when
 //! they are sent: one that was granted may wait for a target, and reach it together with later ones.
 
+mod reservation;
 mod share;
 
+pub use reservation::{Reservation, Shared};
 pub use share::{FixedShare, RoutersSeen};
 
 use corianderstand_derives::derives;
--- a/crates/corianderstand_fleet/tests/retry_budget.rs
+++ b/crates/corianderstand_fleet/tests/retry_budget.rs
@@ -334,6 +334,18 @@
     deployment.assert_within_allowance();
 }
 
+/// Guards against a denial that gives back what was reserved for another request, which waits for its target.
+#[test]
+fn a_denied_retry_leaves_the_reserved_ones() {
+    let now = Instant::now();
+    let budget = budget::Shared::default();
+    let reserve = || budget::Reservation::new(&budget, now, &ALLOWANCE, Some(2.0));
+    let reserved = [reserve().unwrap(), reserve().unwrap()];
+    assert!((0..4).all(|_| reserve().is_none()), "two are allowed");
+    drop(reserved);
+    assert!(reserve().is_some(), "they are given back unused");
+}
+
 /// Guards against a budget that is hardly used while nothing but the targets fails.
 #[test]
 fn most_of_the_allowance_can_be_used() {
--- a/crates/corianderstand_forward/src/retries.rs
+++ b/crates/corianderstand_forward/src/retries.rs
@@ -18,13 +18,11 @@
 /// Time in which routers that start together announce themselves. A list that was read earlier may lack some of them.
 pub const ANNOUNCE_TIME: Duration = Duration::from_secs(2);
 
-type SharedBudget = Rc<RefCell<budget::Budget>>;
-
 /// The retry budgets of services at this router.
 pub struct State {
     started_at: Instant,
     is_first_start: bool,
-    budgets: RefCell<HashMap<names::ServiceId, SharedBudget>>,
+    budgets: RefCell<HashMap<names::ServiceId, budget::Shared>>,
     fixed_share: RefCell<budget::FixedShare>,
 }
 
@@ -39,7 +37,7 @@
         }
     }
 
-    fn budget(&self, service: &names::ServiceId) -> SharedBudget {
+    fn budget(&self, service: &names::ServiceId) -> budget::Shared {
         let first_started_at = self.is_first_start.then_some(self.started_at);
         let new = || Rc::new(RefCell::new(budget::Budget::new(first_started_at)));
         self.budgets.borrow_mut().entry(service.clone()).or_insert_with(new).clone()
@@ -56,34 +54,13 @@
     }
 }
 
-/// A reserved retry, released unless it is sent.
-struct Reservation {
-    budget: SharedBudget,
-    is_sent: bool,
-}
-
-impl Reservation {
-    fn record_sent(mut self, now: Instant) {
-        self.budget.borrow_mut().record_sent(now);
-        self.is_sent = true;
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        if !self.is_sent {
-            self.budget.borrow_mut().release();
-        }
-    }
-}
-
 /// How often a request was written to targets, and what that cost.
 #[derive(Default)]
 pub struct Sends {
     written: u32,
     /// Retries that were charged; one that could not be written covers the next one.
     charged: u32,
-    reservation: Option<Reservation>,
+    reservation: Option<budget::Reservation>,
 }
 
 impl Sends {
@@ -140,11 +117,12 @@
         (share.retries(now, &allowance), share.routers())
     };
     let budget = shared.retries.budget(&job.service);
-    let is_granted = budget.borrow_mut().reserve(now, &allowance, fixed_share);
+    let reservation = budget::Reservation::new(&budget, now, &allowance, fixed_share);
+    let is_granted = reservation.is_some();
     let usage = budget.borrow_mut().usage(now, &allowance, fixed_share);
     let decided = decisions::RetryDecision { is_granted, usage, fixed_share, routers, cause };
     shared.decision_log.retry_decided(job, &decided, now);
-    job.sends.reservation = is_granted.then_some(Reservation { budget, is_sent: false });
+    job.sends.reservation = reservation;
     is_granted
 }
 
