--- a/crates/corianderstand_fleet/src/budget/reservation.rs
+++ b/crates/corianderstand_fleet/src/budget/reservation.rs
@@ -22,7 +22,8 @@
         fixed_share: Option<f64>,
     ) -> Option<Self> {
         let is_granted = budget.borrow_mut().reserve(now, allowance, fixed_share);
-        is_granted.then_some(Self { budget: budget.clone(), is_sent: false })
+        // Only then: each reservation gives its retry back.
+        is_granted.then(|| Self { budget: budget.clone(), is_sent: false })
     }
 
     /// Records that the retry is sent.
