--- a/crates/corianderstand_fleet/src/budget.rs
+++ b/crates/corianderstand_fleet/src/budget.rs
@@ -1,10 +1,12 @@
 //! Limits the retries of all routers together.
 //!
-//! Each router may retry a ratio of its own recent requests, plus its part of a fixed number ([`FixedShare`]). Retries count when
+//! Each router may retry a ratio of its own requests, plus its part of a fixed number ([`FixedShare`]). Retries count when
 //! they are sent: one that was granted may wait for a target, and reach it together with later ones.
 
+mod reservation;
 mod share;
 
+pub use reservation::{Reservation, Shared};
 pub use share::{FixedShare, RoutersSeen};
 
 use corianderstand_derives::derives;
@@ -18,10 +20,7 @@
 const SPANS_PER_WINDOW: u32 = 50;
 /// Windows that end later are checked in steps of this part of the window.
 const CHECKS_PER_WINDOW: u32 = 25;
-/// Windows of requests that count for a window of retries begin so many halves of a window before it.
-const EARLIER_HALVES: [u32; 3] = [0, 1, 2];
-/// Usable part of the retries by requests. The window with most requests may be another one at each router, so that
-/// their sum can exceed the requests of any one window.
+/// Usable part of the retries by requests. These are counted when they are read, some time after they were sent.
 const USABLE_RATIO: f64 = 0.9;
 /// Longest time from sending a retry until it reaches its target, over an impaired link.
 const MAX_ARRIVAL_DELAY: Duration = Duration::from_secs(1);
@@ -87,6 +86,8 @@
 /// Requests and retries of one service within the window.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
+    /// When all routers started for the first time, if this one started with them.
+    first_started_at: Option<Instant>,
     spans: VecDeque<Span>,
     /// Number of all requests, modulo 2³².
     total: u32,
@@ -98,6 +99,11 @@
 }
 
 impl Budget {
+    /// The budget of a router that started with all others for the first time, or later.
+    pub fn new(first_started_at: Option<Instant>) -> Self {
+        Self { first_started_at, ..Self::default() }
+    }
+
     /// Counts a request.
     pub fn earn(&mut self, now: Instant, allowance: &Allowance) {
         self.expire(now, allowance);
@@ -153,18 +159,21 @@
     }
 
     /// Requests and retries that count in a window that ends `later` than now.
+    ///
+    /// All routers take the requests of the same window, as callers may go from one router to another: of the window
+    /// before it, all of which are known. Just after the first start there are none before.
     fn window_usage(&self, now: Instant, later: Duration, allowance: &Allowance) -> (u32, u32) {
-        let half = allowance.window / 2;
-        let requests = EARLIER_HALVES.map(|halves| {
-            let ended = (half * halves).saturating_sub(later);
-            let began = (allowance.window + half * halves).saturating_sub(later);
-            self.requests_between(now, began, ended, allowance)
-        });
+        let ended = match self.first_started_at {
+            Some(at) if now + later < at + allowance.retention() => Duration::ZERO,
+            _ => allowance.window,
+        };
+        let began = (ended + allowance.window).saturating_sub(later);
+        let requests = self.requests_between(now, began, ended.saturating_sub(later), allowance);
         let retries =
             self.sent.iter().rev().take_while(|at| {
                 now.saturating_duration_since(**at) + later < allowance.retention()
             });
-        (requests.into_iter().max().unwrap_or(0), retries.count() as u32 + self.reserved)
+        (requests, retries.count() as u32 + self.reserved)
     }
 
     /// Requests of the whole spans that began at most `began` ago and ended at least `ended` ago.
