Second requests: only a whole answer wins, and a request counts once for the limit

A review by someone who hadn't written them.

- An answer that ends with its connection could win the race before it was asked whether its target lives.
If it had ended, the other request was cancelled and the caller got a 502.
Answers are now concluded as they are read (module answer), before the race is decided.
- What a losing answer told of its target (an error, a broken or endless body) was dropped with it: no blame, and no evidence against a request that ends its targets.
It is recorded where the answer is read.
- The limit was earned with each attempt, so failing targets were sent more second requests than the operators allow.
It is earned once a request.
- The first target was left as silent for an "alternative" that was the second target, or that the route didn't allow any more.
Targets that a request is sent to besides now count in has_alternative.
- Requests that wait for a service without models weren't seen (only those that wait for a model).
All rooms of the service count.
- The end of a second request whose caller left was never logged or counted: sent was more than the sum of the ends.
It ends as `left`.

Left: second_requests aside, the counter of written requests misses an attempt that is cancelled before its head, as it did for callers that leave.

That rooms are seen is tested for the rooms alone; that a losing answer's evidence is kept has no test of its own.

--- a/crates/corianderstand_forward/src/decisions.rs
+++ b/crates/corianderstand_forward/src/decisions.rs
@@ -316,11 +316,17 @@
     }
 
     /// Logs how a second request ended.
-    pub fn hedge_ended(&self, job: &job::Job, result: &'static str, now: Instant) {
+    pub fn hedge_ended(
+        &self,
+        id: &SmolStr,
+        result: &'static str,
+        arrived_at: Instant,
+        now: Instant,
+    ) {
         self.metrics.hedge(result);
         if self.may_log(LineKind::Hedge, now) {
-            let ms = millis_between(now, job.arrived_at);
-            tracing::info!(id = %job.request.id, result, ms, "second request ended");
+            let ms = millis_between(now, arrived_at);
+            tracing::info!(%id, result, ms, "second request ended");
         }
     }
 
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -4,8 +4,8 @@
 //! retries, within the retry budget. A request with an unknown outcome is never reported as not run.
 
 use crate::{
-    admission, attempt, body::ResponseBody, body_end, continuations, copies, decisions, dialect,
-    ended_targets, hedge, job, quotas, retries, router, stream, suspicion, waiting,
+    admission, answer, attempt, body::ResponseBody, continuations, copies, decisions, dialect,
+    hedge, job, quotas, retries, router, stream, suspicion, waiting,
 };
 use bytes::Bytes;
 use corianderstand_fleet::{choose, config, crashes, prefixes, targets, wait_limit};
@@ -40,8 +40,6 @@
 /// `Retry-After` when a target refused and no other may be tried.
 pub const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(200);
 const MAX_UNEXECUTED_ATTEMPTS: u32 = 4;
-/// Reason logged when a target answered with an error of its own.
-const TARGET_ERROR: &str = "error of the target";
 
 /// Handles one request; [`Aborted`] closes the caller's connection without a response.
 pub async fn handle_request<P: router::Platform>(
@@ -133,6 +131,7 @@
         last_failure: "",
         error_response: None,
         sends: retries::Sends::default(),
+        targets_beside: Rc::default(),
         copy: None,
         moves: 0,
         goes_on_from: None,
@@ -252,6 +251,7 @@
             retry_after,
         );
     }
+    hedge::record_request(&shared, &job);
     loop {
         let found = waiting::find_target(&shared, &mut job).await;
         if let Some(block) = shared.suspicion.block(shared.clock.now(), &job) {
@@ -265,7 +265,7 @@
         set_sent(true);
         let outcome = match hedge::send(&shared, &mut job, key).await {
             hedge::Outcome::Attempted(outcome) => outcome,
-            hedge::Outcome::Read(answer) => match deliver(&shared, job, *answer).await {
+            hedge::Outcome::Read(answer) => match deliver(&shared, job, *answer) {
                 Ok(response) => return response,
                 Err(retry) => {
                     job = *retry;
@@ -391,53 +391,38 @@
     let key = answered.in_flight.key();
     match stream::start(shared, job, answered).await {
         Ok(response) => Ok(response),
-        Err((job, why)) => retry_or_fail(shared, *job, key, why),
+        Err((job, why)) => {
+            shared.record_target_failure(key, why);
+            retry_or_fail(shared, *job, why)
+        }
     }
 }
 
 /// Delivers an answer that is no stream, or returns the job if another target is to be tried.
-async fn deliver<P: router::Platform>(
-    shared: &Rc<router::Shared<P>>,
+fn deliver<P: router::Platform>(
+    shared: &router::Shared<P>,
     mut job: job::Job,
-    answer: hedge::ReadAnswer<P>,
+    answer: answer::ReadAnswer<P>,
 ) -> Result<Response<ResponseBody>, Box<job::Job>> {
-    let hedge::ReadAnswer { mut head, response_head: info, lease, in_flight, body } = answer;
-    let key = in_flight.key();
-    let (read, bytes) = match body {
-        attempt::BodyOutcome::Ended(read, bytes) => (read, bytes),
-        attempt::BodyOutcome::TimedOut => {
-            return retry_or_fail(shared, job, key, "the target's answer does not end");
-        }
-        attempt::BodyOutcome::DeadlineExceeded => {
-            shared.record_target_failure(key, "time over");
+    let answer::ReadAnswer { mut head, response_head: info, lease, in_flight, body } = answer;
+    let body = match body {
+        answer::Body::Whole(body) => body,
+        answer::Body::Broken => return retry_or_fail(shared, job, answer::BROKEN),
+        answer::Body::TimedOut => return retry_or_fail(shared, job, answer::ENDLESS),
+        answer::Body::DeadlineExceeded => {
             return Ok(fail(shared, &job, StatusCode::GATEWAY_TIMEOUT, "the time is over"));
         }
     };
-    let Ok(whole) = ended_targets::conclude(shared, &job, &in_flight, read).await else {
-        ended_targets::record_broken(shared, &job, &in_flight, None);
-        return retry_or_fail(shared, job, key, "the target broke off its answer");
-    };
-    let body = body_end::WholeBody { bytes, whole };
     let keep_alive = if info.closes_connection { Some(Duration::ZERO) } else { info.keep_alive };
     shared.connection_pool.release(shared.clock.now(), lease, keep_alive);
-    if head.status.is_server_error() {
-        ended_targets::record_failed(shared, &job, &in_flight);
-    }
     drop(in_flight);
     shared.platform.rewrite_response(&mut head.headers);
-    if head.status.is_server_error() {
-        shared.record_target_failure(key, TARGET_ERROR);
-        if job.route.may_retry() && may_try_another(shared, &mut job, TARGET_ERROR) {
-            job.last_failure = TARGET_ERROR;
-            job.may_have_run = true;
-            job.error_response = Some(job::ErrorResponse { head, body });
-            return Err(Box::new(job));
-        }
-    } else {
-        shared.record_target_success(key);
-        let now = shared.clock.now();
-        shared.suspicion.record_written(now, &job, job.sent_at.unwrap_or(job.arrived_at));
-        shared.suspicion.record_completed(now, &job);
+    let may_retry = head.status.is_server_error() && job.route.may_retry();
+    if may_retry && may_try_another(shared, &mut job, answer::TARGET_ERROR) {
+        job.last_failure = answer::TARGET_ERROR;
+        job.may_have_run = true;
+        job.error_response = Some(job::ErrorResponse { head, body });
+        return Err(Box::new(job));
     }
     shared.decision_log.answered(&job, head.status, "whole", shared.clock.now());
     Ok(Response::from_parts(head, ResponseBody::of_target(body)))
@@ -447,10 +432,8 @@
 fn retry_or_fail<P: router::Platform>(
     shared: &router::Shared<P>,
     mut job: job::Job,
-    key: targets::TargetKey,
     why: &'static str,
 ) -> Result<Response<ResponseBody>, Box<job::Job>> {
-    shared.record_target_failure(key, why);
     shared.decision_log.attempt_failed(&job, why, None, shared.clock.now());
     job.last_failure = why;
     job.may_have_run = true;
--- a/crates/corianderstand_forward/src/hedge.rs
+++ b/crates/corianderstand_forward/src/hedge.rs
@@ -2,10 +2,10 @@
 //!
 //! The first whole answer wins. The other request is cancelled at once, as its connection is closed.
 
-use crate::{attempt, body_end, dialect, job, pool, retries, router};
+use crate::{answer, attempt, job, retries, router};
 use corianderstand_fleet::{choose, hedge, targets};
 use corianderstand_types::names;
-use http::response;
+use smol_str::SmolStr;
 use std::{
     cell::RefCell,
     collections::HashMap,
@@ -23,46 +23,12 @@
     services: RefCell<HashMap<names::ServiceId, hedge::Hedging>>,
 }
 
-/// An answer that is no stream, and how the read of its body ended.
-pub struct ReadAnswer<P: router::Platform> {
-    /// Status and headers, in the version that callers get.
-    pub head: response::Parts,
-    /// The parsed headers.
-    pub response_head: dialect::ResponseHead,
-    /// The connection.
-    pub lease: pool::Lease,
-    /// Counts the request as in flight at the target.
-    pub in_flight: job::InFlight<P>,
-    /// What was read.
-    pub body: attempt::BodyOutcome,
-}
-
-impl<P: router::Platform> ReadAnswer<P> {
-    /// Reads the body of an answer.
-    pub async fn read(
-        shared: &router::Shared<P>,
-        job: &job::Job,
-        answered: attempt::Answered<P>,
-    ) -> Self {
-        let attempt::Answered { head, framing, response_head, body, lease, in_flight } = answered;
-        let collecting = body_end::collect(body, framing, &shared.answer_buffers);
-        let body = attempt::wait_for_body(shared, job, in_flight.key(), collecting).await;
-        Self { head, response_head, lease, in_flight, body }
-    }
-
-    /// Whether it is what the caller asked for, as far as the connection tells.
-    fn is_success(&self) -> bool {
-        let is_read = matches!(&self.body, attempt::BodyOutcome::Ended(read, _) if !read.failed);
-        is_read && !self.head.status.is_server_error()
-    }
-}
-
 /// How sending a request ended, to one target or to two.
 pub enum Outcome<P: router::Platform> {
     /// No answer was read.
     Attempted(attempt::AttemptOutcome<P>),
     /// An answer that is no stream was read.
-    Read(Box<ReadAnswer<P>>),
+    Read(Box<answer::ReadAnswer<P>>),
 }
 
 impl<P: router::Platform> Outcome<P> {
@@ -81,20 +47,30 @@
     }
 }
 
+/// Counts a request for the limit of second requests, however often it will be sent.
+pub fn record_request<P: router::Platform>(shared: &router::Shared<P>, job: &job::Job) {
+    if is_used(shared, job) && job.route.may_retry() {
+        let percent = shared.bounds.borrow().features.hedge_percent;
+        shared.hedges.earn(&job.service, percent);
+    }
+}
+
+/// Whether the answer times of the request's service are of use.
+fn is_used<P: router::Platform>(shared: &router::Shared<P>, job: &job::Job) -> bool {
+    shared.bounds.borrow().features.hedge_percent > 0.0 && !job.route.streams
+}
+
 /// Sends the request to a target, and to a second one if the answer is late and the operator allows it.
 pub async fn send<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
     job: &mut job::Job,
     key: targets::TargetKey,
 ) -> Outcome<P> {
-    let percent = shared.bounds.borrow().features.hedge_percent;
-    if percent <= 0.0 || job.route.streams {
+    if !is_used(shared, job) {
         return send_once(shared, job, key).await;
     }
-    let late_after = match job.route.may_retry() {
-        true => shared.hedges.earn(&job.service, percent),
-        false => None,
-    };
+    let late_after =
+        job.route.may_retry().then(|| shared.hedges.late_after(&job.service)).flatten();
     let begun_at = shared.clock.now();
     let outcome = match late_after {
         Some(late_after) => send_hedged(shared, job, key, begun_at + late_after).await,
@@ -109,12 +85,13 @@
 }
 
 impl State {
-    /// Counts a request; returns the time after which its answer is late, if that is known.
-    fn earn(&self, service: &names::ServiceId, percent: f64) -> Option<Duration> {
-        let mut services = self.services.borrow_mut();
-        let hedging = services.entry(service.clone()).or_default();
-        hedging.limit.earn(percent);
-        hedging.times.late_after()
+    fn earn(&self, service: &names::ServiceId, percent: f64) {
+        self.services.borrow_mut().entry(service.clone()).or_default().limit.earn(percent);
+    }
+
+    /// The time after which an answer is late, if that is known.
+    fn late_after(&self, service: &names::ServiceId) -> Option<Duration> {
+        self.services.borrow().get(service)?.times.late_after()
     }
 
     fn record(&self, now: Instant, service: &names::ServiceId, time: Duration) {
@@ -147,17 +124,33 @@
         attempt::AttemptOutcome::Answered(answered)
             if !(job.route.streams && answered.head.status.is_success()) =>
         {
-            Outcome::Read(Box::new(ReadAnswer::read(shared, job, *answered).await))
+            Outcome::Read(Box::new(answer::ReadAnswer::read(shared, job, *answered).await))
         }
         outcome => Outcome::Attempted(outcome),
     }
 }
 
+/// A second request that is under way; its end is logged, also if the caller leaves.
+struct Second<P: router::Platform> {
+    shared: Rc<router::Shared<P>>,
+    key: targets::TargetKey,
+    id: SmolStr,
+    arrived_at: Instant,
+    result: &'static str,
+}
+
+impl<P: router::Platform> Drop for Second<P> {
+    fn drop(&mut self) {
+        let Self { shared, id, arrived_at, result, .. } = self;
+        shared.decision_log.hedge_ended(id, result, *arrived_at, shared.clock.now());
+    }
+}
+
 /// How a request ended that may have been sent to two targets.
 struct Ended<P: router::Platform> {
     outcome: Outcome<P>,
-    /// The second target, if it was sent there.
-    second: Option<targets::TargetKey>,
+    /// The second request, if one was sent.
+    second: Option<Second<P>>,
     /// Whether the outcome is the second target's.
     is_of_second: bool,
 }
@@ -171,19 +164,19 @@
 ) -> Outcome<P> {
     let mut second = job.for_second_target();
     let ended = send_both(shared, job, &mut second, key, late_at).await;
-    let Some(second_key) = ended.second else { return ended.outcome };
-    let result = match (ended.is_of_second, ended.outcome.is_success()) {
+    let Some(mut sent) = ended.second else { return ended.outcome };
+    sent.result = match (ended.is_of_second, ended.outcome.is_success()) {
         (true, true) => "won",
         (false, true) => "cancelled",
         (_, false) => "failed",
     };
-    shared.decision_log.hedge_ended(&second, result, shared.clock.now());
     if ended.is_of_second {
         *job = second;
     } else {
         // The last one stays the target of the first request, which may turn out not to have run it.
         let last = job.tried_targets.len().saturating_sub(1);
-        job.tried_targets.insert(last, second_key);
+        job.tried_targets.insert(last, sent.key);
+        job.targets_beside.set(0);
         job.may_have_run = true;
     }
     ended.outcome
@@ -196,6 +189,7 @@
     key: targets::TargetKey,
     late_at: Instant,
 ) -> Ended<P> {
+    let targets_beside = job.targets_beside.clone();
     let mut first = pin!(send_once(shared, job, key));
     if let Ok(outcome) = tokio::time::timeout_at(late_at.into(), &mut first).await {
         return Ended { outcome, second: None, is_of_second: false };
@@ -207,10 +201,18 @@
             return Ended { outcome: first.await, second: None, is_of_second: false };
         }
     };
+    targets_beside.set(1);
     shared.decision_log.hedged(second, key_name(shared, second_key), shared.clock.now());
+    let sent = Second {
+        shared: shared.clone(),
+        key: second_key,
+        id: second.request.id.clone(),
+        arrived_at: second.arrived_at,
+        result: "left",
+    };
     let other = pin!(send_once(shared, second, second_key));
     let (outcome, is_of_second) = race(first, other).await;
-    Ended { outcome, second: Some(second_key), is_of_second }
+    Ended { outcome, second: Some(sent), is_of_second }
 }
 
 /// Returns the first success, or the better one of two failures, and whether it is the second request's.
@@ -279,11 +281,12 @@
     })
 }
 
-/// Requests that wait for the model; none wait for a service without models while one of its targets has a free slot.
+/// Requests that wait for a place at the service, or for the model.
 fn waiting<P: router::Platform>(shared: &router::Shared<P>, job: &job::Job) -> usize {
     let view = shared.view.borrow();
-    let waiting = job.model().and_then(|model| view.waiting_requests.get(model));
-    waiting.copied().unwrap_or(0) as usize
+    let for_model = job.model().and_then(|model| view.waiting_requests.get(model));
+    let for_model = for_model.copied().unwrap_or(0) as usize;
+    for_model.max(view.rooms.waiting_for(&job.service))
 }
 
 fn key_name<P: router::Platform>(
--- a/crates/corianderstand_forward/src/job.rs
+++ b/crates/corianderstand_forward/src/job.rs
@@ -8,7 +8,7 @@
 use corianderstand_types::names;
 use http::{HeaderMap, Method, Uri};
 use std::{
-    cell::OnceCell,
+    cell::{Cell, OnceCell},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     sync::Arc,
@@ -85,6 +85,8 @@
     pub error_response: Option<ErrorResponse>,
     /// How often it was written to targets.
     pub sends: retries::Sends,
+    /// Targets that it is sent to beside the last one in [`Self::tried_targets`].
+    pub targets_beside: Rc<Cell<u32>>,
     /// Copy of the KV cache of its last attempt, if there is one.
     pub copy: Option<copies::Copy>,
     /// How often it was sent to an engine that keeps its copy.
@@ -114,6 +116,7 @@
             last_target: self.last_target.clone(),
             error_response: self.error_response.clone(),
             sends: retries::Sends::after_first(),
+            targets_beside: Rc::default(),
             copy: None,
             goes_on_from: None,
             fingerprint: self.fingerprint.clone(),
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod admission;
 pub mod agent;
+pub mod answer;
 pub mod attempt;
 pub mod body;
 pub mod body_end;
--- a/crates/corianderstand_forward/src/rooms.rs
+++ b/crates/corianderstand_forward/src/rooms.rs
@@ -140,6 +140,13 @@
         self.open.borrow().get(key).is_some_and(|place| !place.room.is_empty())
     }
 
+    /// Number of requests that wait for targets of a service.
+    pub fn waiting_for(&self, service: &names::ServiceId) -> usize {
+        let open = self.open.borrow();
+        let places = open.iter().filter(|(key, _)| key.service == *service);
+        places.map(|(_, place)| place.room.len()).sum()
+    }
+
     /// Records that a request took a place without waiting.
     pub fn record(&self, key: &Key, entry: room::Entry) {
         if let Some(place) = self.open.borrow_mut().get_mut(key) {
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -302,7 +302,7 @@
     /// Whether a request sent to `key` could be sent to another target now.
     pub fn has_alternative(&self, now: Instant, job: &job::Job, key: targets::TargetKey) -> bool {
         debug_assert!(job.tried_targets.contains(&key));
-        (job.tried_targets.len() as u32) < job.route.max_targets
+        job.tried_targets.len() as u32 + job.targets_beside.get() < job.route.max_targets
             && matches!(self.choose_target(now, job), choose::Choice::Send(_))
     }
 
--- a/crates/corianderstand_forward/tests/hedged_requests.rs
+++ b/crates/corianderstand_forward/tests/hedged_requests.rs
@@ -4,7 +4,13 @@
 
 use common::{MemoryStore, ReceivedRequest, RouterThread, Target};
 use corianderstand_fleet::config::{RetryPolicy, Route};
-use std::time::{Duration, Instant};
+use corianderstand_forward::rooms::{self, Key, Rooms};
+use corianderstand_types::clock;
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use tokio::{io::AsyncReadExt, net::TcpStream};
 
 /// More than must be known before an answer counts as late.
@@ -156,3 +162,83 @@
     }
     assert_eq!(second_requests, 1);
 }
+
+/// Guards against an answer that breaks off and for which the other target's is given up.
+#[tokio::test]
+async fn an_answer_that_is_not_whole_does_not_win() {
+    let deployment = Deployment::start(look(), 10.0).await;
+    deployment.learn().await;
+    let mut caller = deployment.send("late").await;
+    let (first, at) = deployment.next().await;
+    let other = &deployment.targets[1 - at];
+    let head = "HTTP/1.1 200 OK\r\nx-signed: 1\r\nx-id: late\r\nConnection: close\r\n\r\n";
+    other.next().await.answer(&format!("{head}sec")).await;
+    // The router asks whether the target is there.
+    assert!(other.close_next().await);
+    first.answer_whole_unless_reset("late", "first").await;
+    let answer = common::read_all(&mut caller).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("first"), "{answer}");
+}
+
+/// Guards against a first request that is given up for the second one, which is no sooner.
+#[tokio::test]
+async fn the_first_target_is_not_left_for_the_second() {
+    let route = Route { latency_objective: Duration::from_millis(300), ..look() };
+    let deployment = Deployment::start(route, 10.0).await;
+    deployment.learn().await;
+    let mut caller = deployment.send("late").await;
+    let (first, at) = deployment.next().await;
+    let _second = deployment.targets[1 - at].next().await;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    first.answer_whole_unless_reset("late", "first").await;
+    let answer = common::read_all(&mut caller).await.unwrap();
+    assert!(answer.contains("first"), "{answer}");
+}
+
+/// Guards against a limit that grows with each attempt of a request: failing targets would be sent more.
+#[tokio::test]
+async fn a_request_counts_once_however_often_it_is_sent() {
+    const REQUESTS: usize = 70;
+    let deployment = Deployment::start(look(), 1.0).await;
+    for index in 0..REQUESTS {
+        let id = format!("usual-{index}");
+        let mut caller = deployment.send(&id).await;
+        let head = format!("x-signed: 1\r\nx-id: {id}\r\nContent-Length: 0\r\n");
+        let failed = format!("HTTP/1.1 500 Error\r\n{head}Connection: close\r\n\r\n");
+        deployment.next().await.0.answer(&failed).await;
+        deployment.next().await.0.answer_whole_unless_reset(&id, "usual").await;
+        assert!(common::read_all(&mut caller).await.unwrap().contains("usual"));
+    }
+    let mut caller = deployment.send("late").await;
+    let (first, at) = deployment.next().await;
+    let other = deployment.targets[1 - at].next_or_wait();
+    assert!(tokio::time::timeout(Duration::from_secs(1), other).await.is_err());
+    first.answer_whole_unless_reset("late", "first").await;
+    assert!(common::read_all(&mut caller).await.unwrap().contains("first"));
+}
+
+/// Guards against a second request whose end no one can see, as its caller left.
+#[tokio::test]
+async fn the_end_of_a_second_request_is_counted_when_the_caller_leaves() {
+    let deployment = Deployment::start(look(), 10.0).await;
+    deployment.learn().await;
+    let caller = deployment.send("late").await;
+    let (first, at) = deployment.next().await;
+    let second = deployment.targets[1 - at].next().await;
+    drop(caller);
+    assert!(is_cancelled(first).await && is_cancelled(second).await);
+    let metrics = common::get(deployment.router.metrics, "/metrics", &[]).await.unwrap();
+    assert!(metrics.contains(r#"second_requests_total{outcome="left"} 1"#), "{metrics}");
+}
+
+/// Guards against a second request that takes the place of one that waits for a service without models.
+#[test]
+fn those_that_wait_for_a_service_are_seen() {
+    let rooms = Rc::new(Rooms::default());
+    let clock: clock::SharedClock = Arc::new(clock::SystemClock);
+    let key = Key { service: "desk".into(), model: None };
+    let seat = rooms.enter(&clock, &key, rooms::entry_by_arrival(Instant::now()));
+    assert_eq!((rooms.waiting_for(&"desk".into()), rooms.waiting_for(&"other".into())), (1, 0));
+    drop(seat);
+    assert_eq!(rooms.waiting_for(&"desk".into()), 0);
+}
