Bytes without end: none reach callers, and none break off other answers

Found by reading.

- Streams that can't be resumed passed all bytes on as they came: a caller got up to 128 KiB that are no answer.
Now only whole events are forwarded, so that garbage before the first event ends in a 502.
- Garbage with empty lines in it looked like events: it was passed on, also in streams that may be resumed, and reset the time after which bytes without an event end a stream, so that it went on to the deadline.
- Garbage counted as events in the times that are learnt of a target, and its survival for a second cleared the request that ended targets before.
Events are recorded when they are whole.
- Two bodies of nearly the largest size that pause took all of the shared buffer, and each other answer broke off until their deadline.
Each body may now have 32 KiB beside what is shared (16 MiB).

--- a/crates/corianderstand_forward/src/body_end.rs
+++ b/crates/corianderstand_forward/src/body_end.rs
@@ -184,34 +184,40 @@
 /// Most that is buffered of all bodies that are being read, in bytes: a part of a small host's memory.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
 
-/// Bytes that are buffered of bodies that are being read, over all requests of a router.
+/// What each body may have whatever the others take, in bytes: else a few that never end would break off all answers.
+const OWN_BUFFER_BYTES: usize = 32 << 10;
+
+/// Bytes that are buffered of bodies that are being read, over all requests of a router, beside what each may have.
 #[derive(Debug, Default)]
 pub struct Buffers {
     used: Cell<usize>,
 }
 
-/// What one body takes of [`Buffers`], until it is dropped.
+/// What one body takes, and what it takes of [`Buffers`] until it is dropped.
 struct Share<'a> {
     buffers: &'a Buffers,
     len: usize,
+    shared_len: usize,
 }
 
 impl Share<'_> {
     /// Takes more; false if there is not enough.
     fn grow(&mut self, len: usize) -> bool {
-        let used = self.buffers.used.get().saturating_add(len);
+        let total = self.len.saturating_add(len);
+        let shared_len = total.saturating_sub(OWN_BUFFER_BYTES);
+        let used = self.buffers.used.get().saturating_add(shared_len - self.shared_len);
         if used > MAX_BUFFERED_BYTES {
             return false;
         }
         self.buffers.used.set(used);
-        self.len += len;
+        (self.len, self.shared_len) = (total, shared_len);
         true
     }
 }
 
 impl Drop for Share<'_> {
     fn drop(&mut self) {
-        self.buffers.used.set(self.buffers.used.get() - self.len);
+        self.buffers.used.set(self.buffers.used.get() - self.shared_len);
     }
 }
 
@@ -219,7 +225,7 @@
 /// by itself or beside the others that are being read.
 pub async fn collect(body: Incoming, framing: Framing, buffers: &Buffers) -> (Read, Bytes) {
     let mut body = Limited::new(body, MAX_BODY_BYTES);
-    let mut share = Share { buffers, len: 0 };
+    let mut share = Share { buffers, len: 0, shared_len: 0 };
     let mut bytes = BytesMut::new();
     let mut failed = false;
     while let Some(frame) = body.frame().await {
--- a/crates/corianderstand_forward/src/stream.rs
+++ b/crates/corianderstand_forward/src/stream.rs
@@ -35,11 +35,11 @@
     job: job::Job,
     upstream: Option<Upstream<P>>,
     splitter: relay::EventSplitter,
-    /// When the first bytes of an event came that is not complete.
+    /// When the first bytes came after the last event.
     event_begun_at: Option<Instant>,
-    /// Whether only whole events are forwarded, so that another target can go on after the last one.
-    forwards_events: bool,
-    /// Whether the caller has bytes of this answer.
+    /// Whether another target may go on after the last event.
+    may_go_on: bool,
+    /// Whether the caller has events after which another target may go on.
     has_forwarded: bool,
     /// Where they began; none if that isn't known.
     origin: Option<streams::Origin>,
@@ -160,14 +160,14 @@
     answered: attempt::Answered<P>,
 ) -> Result<Response<body::ResponseBody>, (Box<job::Job>, &'static str)> {
     let (mut head, upstream) = Upstream::new(answered);
-    let forwards_events = job.route.resumable || job.copy.is_some();
+    let may_go_on = job.route.resumable || job.copy.is_some();
     let mut relayed = RelayedStream {
         shared: shared.clone(),
         job,
         upstream: Some(upstream),
         splitter: relay::EventSplitter::default(),
         event_begun_at: None,
-        forwards_events,
+        may_go_on,
         has_forwarded: false,
         origin: None,
         resumes: 0,
@@ -205,7 +205,7 @@
                         let why = "the other target went on at another event";
                         return self.abort(why, exchange::Aborted::ByTarget);
                     }
-                    Err(relay::EventError::TooLong) => {
+                    Err(relay::EventError::TooLong | relay::EventError::NoEvent) => {
                         if !self.resume(NO_EVENTS).await {
                             return self.abort(NO_EVENTS, exchange::Aborted::ByTarget);
                         }
@@ -242,13 +242,17 @@
         }
     }
 
+    /// Returns what can be forwarded: whole events, as part of one may be followed by bytes that belong to none.
     fn forward(&mut self, chunk: Bytes) -> Result<Option<Bytes>, relay::EventError> {
-        let complete = self.splitter.push(chunk.clone())?;
-        self.check_event_time(complete.is_some())?;
-        if !self.forwards_events {
-            return Ok(Some(chunk));
+        let complete = self.splitter.push(chunk)?;
+        self.check_event_time()?;
+        if complete.is_none() {
+            return Ok(None);
         }
-        if complete.is_some() && !self.has_forwarded {
+        if self.splitter.has_ended_event() {
+            self.record_event();
+        }
+        if self.may_go_on && !self.has_forwarded {
             self.has_forwarded = true;
             if self.job.route.resumable {
                 self.record_origin();
@@ -258,9 +262,11 @@
     }
 
     /// Fails if bytes have come for so long without completing an event that the caller leaves.
-    fn check_event_time(&mut self, is_complete: bool) -> Result<(), relay::EventError> {
-        if is_complete || !self.splitter.has_partial() {
+    fn check_event_time(&mut self) -> Result<(), relay::EventError> {
+        if self.splitter.has_ended_event() {
             self.event_begun_at = None;
+        }
+        if !self.splitter.has_more() {
             return Ok(());
         }
         let now = self.shared.clock.now();
@@ -271,6 +277,19 @@
         Ok(())
     }
 
+    /// Records an event that came now.
+    fn record_event(&mut self) {
+        let now = self.shared.clock.now();
+        let Some(upstream) = &mut self.upstream else { return };
+        let key = upstream.in_flight.key();
+        match self.timings.last_event_at {
+            Some(at) => self.shared.record_event_interval(key, now, at),
+            None => self.shared.record_first_event(key, &self.job, now),
+        }
+        upstream.record_event(&self.shared.suspicion, &self.job, now);
+        self.timings.record(now);
+    }
+
     /// Remembers where the stream began, before its first event is forwarded.
     fn record_origin(&mut self) {
         let Some(upstream) = &self.upstream else { return };
@@ -303,21 +322,7 @@
             let poll_at: Instant = (now + idle_timeout).min(end);
             match tokio::time::timeout_at(poll_at.into(), upstream.body.next()).await {
                 Ok(Some(Ok(data))) if data.is_empty() => {}
-                Ok(Some(Ok(data))) => {
-                    let now = self.shared.clock.now();
-                    match self.timings.last_event_at {
-                        Some(at) => {
-                            self.shared.record_event_interval(upstream.in_flight.key(), now, at);
-                        }
-                        None => {
-                            let key = upstream.in_flight.key();
-                            self.shared.record_first_event(key, &self.job, now);
-                        }
-                    }
-                    upstream.record_event(&self.shared.suspicion, &self.job, now);
-                    self.timings.record(now);
-                    return Step::Data(data);
-                }
+                Ok(Some(Ok(data))) => return Step::Data(data),
                 Ok(None) => return self.body_ended(false).await,
                 Ok(Some(Err(error))) => {
                     tracing::debug!(id = %self.job.request.id, %error, "stream interrupted");
--- a/crates/corianderstand_forward/tests/endless_answers.rs
+++ b/crates/corianderstand_forward/tests/endless_answers.rs
@@ -171,6 +171,53 @@
     request.stream.write_all(&GARBAGE).await.is_ok()
 }
 
+/// Guards against a few bodies without end that break off all other answers of the router.
+#[tokio::test]
+async fn short_answers_are_read_beside_bodies_without_end() {
+    let target = Target::start().await;
+    let router = start(pay(), &[&target]).await;
+    let (_one, _two) = (send(&router).await, send(&router).await);
+    let (mut one, mut two) = (target.next().await, target.next().await);
+    let bytes = signed_head("").into_bytes();
+    // Together they take all but two bytes of what is shared.
+    let bytes = [bytes, vec![b'x'; (8 << 20) - 1]].concat();
+    let (sent, also_sent) =
+        tokio::join!(one.stream.write_all(&bytes), two.stream.write_all(&bytes));
+    sent.and(also_sent).unwrap();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let mut caller = send(&router).await;
+    target.next().await.answer_whole_unless_reset(ID, "seats: 4").await;
+    let answer = read_answer(&mut caller).await;
+    assert!(answer.contains("seats: 4"), "{answer}");
+}
+
+/// Guards against bytes that are no event and are passed on, which callers would take for the target's.
+#[rstest]
+#[case::without_empty_lines("xxxxxxx")]
+#[case::between_empty_lines("xxxxx\n\n")]
+#[tokio::test]
+async fn bytes_that_are_no_event_are_not_passed_on(
+    #[case] bytes: &'static str,
+    #[values("", "id: 0\ndata: a\n\n")] events: &str,
+) {
+    let target = Target::start().await;
+    let router = start(draft(), &[&target]).await;
+    let mut caller = send(&router).await;
+    let mut request = target.next().await;
+    request.stream.write_all((signed_head("") + events).as_bytes()).await.unwrap();
+    let garbage = async {
+        while request.stream.write_all(bytes.as_bytes()).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let garbage = tokio::time::timeout(SEND_LIMIT, garbage);
+    let (closed, answer) = tokio::join!(garbage, read_answer(&mut caller));
+    assert!(closed.is_ok(), "its connection stays open");
+    assert!(!answer.contains("xx") && !answer.ends_with("0\r\n\r\n"), "{answer}");
+    let is_failed = answer.starts_with("HTTP/1.1 502");
+    assert!(is_failed == events.is_empty(), "{answer}");
+}
+
 /// Guards against bytes that are no event and are taken for progress of a stream, before its first event or after it.
 #[rstest]
 #[case::before_the_first_event(draft(), "", Speed::Full)]
