--- a/tools/ci/src/main.rs
+++ b/tools/ci/src/main.rs
@@ -70,6 +70,7 @@
             &["build", "--workspace", "--locked", "--quiet"],
             &["run", "--quiet", "--locked", "-p", "soak", "--", "--bursts", "--kept"],
             &["run", "--quiet", "--locked", "-p", "soak", "--", "--answers", "--kept"],
+            &["run", "--quiet", "--locked", "-p", "soak", "--", "--hedges", "--kept"],
         ],
     ),
     (
--- a/tools/soak/src/cluster.rs
+++ b/tools/soak/src/cluster.rs
@@ -49,14 +49,20 @@
 const UNFRAMED_RESPONSES: UnframedResponses = UnframedResponses { ratio: 0.15, cut_ratio: 0.3 };
 /// Software versions of engines; a third one comes with restarts in place.
 const VERSIONS: u64 = 2;
+/// Share of the answers of plain services that are late, if routers send second requests.
+const LATE_RATIO: f64 = 0.04;
 /// Longest time until a record that the store lost is written again.
 const MAX_WRITE_AGAIN_DELAY: Duration = Duration::from_millis(1_800);
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Features of the routers: copies are kept, although no target states its pace.
-const FEATURES: &str = r#"{
-  "quota_order": "auto", "room": "auto", "pace": "auto", "placement": "auto",
-  "stream_copies": "on", "hedge_percent": 0
-}"#;
+fn features(size: &ClusterSize) -> String {
+    json!({
+        "quota_order": "auto", "room": "auto", "pace": "auto", "placement": "auto",
+        "stream_copies": "on", "hedge_percent": size.hedge_percent,
+    })
+    .to_string()
+}
+
 /// Line in the settings of processes that start together for the first time.
 const FIRST_START_SETTING: &str = "bootstrap=true\n";
 
@@ -70,6 +76,8 @@
     pub drain_within: Duration,
     /// Whether datagrams between routers can be lost.
     pub has_relays: bool,
+    /// Most second requests of routers, in percent of those that may be repeated.
+    pub hedge_percent: f64,
 }
 
 impl ClusterSize {
@@ -92,6 +100,8 @@
     config_path: PathBuf,
     /// Contents of its settings file.
     settings: String,
+    /// Contents of its file of features, if it is a router.
+    features: String,
     /// Whether it has started before.
     has_started: bool,
     log_dir: PathBuf,
@@ -107,7 +117,7 @@
         if self.role == "router" {
             // Its own: another router would read it while it is written.
             let features = self.config_path.with_extension("features.json");
-            std::fs::write(&features, FEATURES).expect("the folder can be written");
+            std::fs::write(&features, &self.features).expect("the folder can be written");
             args.extend(["--features".to_owned(), features.display().to_string()]);
         }
         let config = ("CORIANDERSTAND_CONFIG", self.config_path.as_path());
@@ -243,7 +253,9 @@
             let ip_addr = loopback_ip(SERVICE_IP_OFFSET, index);
             let place = (ip_addr, size.zone(index));
             let target = start_target(("desk", "desk"), index, place, (&store, &ledger), &[]);
-            service_targets.push(target.await);
+            let target = target.await;
+            target.target.set_late(if size.hedge_percent > 0.0 { LATE_RATIO } else { 0.0 });
+            service_targets.push(target);
         }
         let (mut routers, mut router_proxies, mut agents) = (Vec::new(), Vec::new(), Vec::new());
         for index in 0..size.routers {
@@ -256,6 +268,7 @@
                 ip_addr,
                 routers_store_addr,
                 dir,
+                features(&size),
                 |name, store| {
                     settings::router(name, place, &seeds, store, size.drain_within)
                         + workspaces::settings().as_str()
@@ -273,10 +286,15 @@
             let ip_addr = loopback_ip(AGENT_IP_OFFSET, index);
             let zone = size.zone(index);
             let place = settings::Place { ip: ip_addr, zone: &zone };
-            let process =
-                start_process(("agent", index), ip_addr, store_addr, dir, |name, store| {
-                    settings::agent(name, place, SocketAddr::new(ip_addr, TARGET_PORT), store)
-                });
+            let engine_addr = SocketAddr::new(ip_addr, TARGET_PORT);
+            let process = start_process(
+                ("agent", index),
+                ip_addr,
+                store_addr,
+                dir,
+                String::new(),
+                |name, store| settings::agent(name, place, engine_addr, store),
+            );
             agents.push(process.await);
         }
         let relays = match size.has_relays {
@@ -477,6 +495,7 @@
     ip_addr: IpAddr,
     store_address: SocketAddr,
     dir: &Path,
+    features: String,
     settings: impl FnOnce(&str, SocketAddr) -> String,
 ) -> ManagedProcess {
     let name = format!("{role}-{index}");
@@ -495,6 +514,7 @@
         role,
         config_path,
         settings,
+        features,
         has_started: false,
         log_dir,
     };
--- a/tools/soak/src/faults.rs
+++ b/tools/soak/src/faults.rs
@@ -10,7 +10,7 @@
 use corianderstand_platform_standins::{
     settings,
     store::FaultMode,
-    target::{Leaving, Target, TargetFaults},
+    target::{Leaving, Target, TargetFaults, endless::Endless},
 };
 use nix::sys::signal::Signal;
 use rand::{Rng, RngExt};
@@ -86,6 +86,12 @@
     LoseDatagrams(Cut),
     /// Impair the connections to an engine.
     EngineLink(usize, Mode),
+    /// Impair the connections to a target of the plain service.
+    ServiceLink(usize, Mode),
+    /// Have an engine send bytes without end in a part of its answers.
+    EndlessEngine(usize, Endless),
+    /// Have a target of the plain service send bytes without end in a part of its answers.
+    EndlessService(usize, Endless),
     StoreLink(usize, Mode),
     /// Impair callers' connections to a router.
     FrontLink(usize, Mode),
@@ -313,6 +319,15 @@
             }
             Self::LoseDatagrams(cut) => cluster.lose_datagrams(Some(cut)),
             Self::EngineLink(index, mode) => cluster.engines[index].target_proxy.set(mode),
+            Self::ServiceLink(index, mode) => {
+                cluster.service_targets[index].target_proxy.set(mode);
+            }
+            Self::EndlessEngine(index, endless) => {
+                cluster.engines[index].target.set_endless(Some(endless));
+            }
+            Self::EndlessService(index, endless) => {
+                cluster.service_targets[index].target.set_endless(Some(endless));
+            }
             Self::StoreLink(index, mode) => cluster.routers[index].store_proxy.set(mode),
             Self::FrontLink(index, mode) => cluster.router_proxies[index].set(mode),
             Self::Store(store_fault) => cluster.store.set_fault_mode(store_fault),
@@ -367,6 +382,13 @@
             }
             Self::LoseDatagrams(_) => cluster.lose_datagrams(None),
             Self::EngineLink(index, _) => cluster.engines[index].target_proxy.set(Mode::Pass),
+            Self::ServiceLink(index, _) => {
+                cluster.service_targets[index].target_proxy.set(Mode::Pass);
+            }
+            Self::EndlessEngine(index, _) => cluster.engines[index].target.set_endless(None),
+            Self::EndlessService(index, _) => {
+                cluster.service_targets[index].target.set_endless(None);
+            }
             Self::StoreLink(index, _) => cluster.routers[index].store_proxy.set(Mode::Pass),
             Self::FrontLink(index, _) => cluster.router_proxies[index].set(Mode::Pass),
             Self::Store(_) => cluster.store.set_fault_mode(FaultMode::Healthy),
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -10,8 +10,10 @@
 mod cluster;
 mod configs;
 mod datagrams;
+mod endless;
 mod faults;
 mod floods;
+mod hedges;
 mod leavings;
 mod plan;
 mod proxy;
@@ -123,7 +125,7 @@
         .then(|| limit_engine(&cluster, seed));
     let mut violations = Vec::new();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let FaultsRun { disruptions, mut interferences, restarts } =
+    let FaultsRun { disruptions, mut interferences, restarts, mut memory } =
         run_faults(&mut cluster, &mut rng, plan, &callers, &mut violations).await;
     interferences.push(leavings::Interference {
         scope: leavings::Scope::All,
@@ -177,6 +179,10 @@
     violations.extend(most_used.as_ref().and_then(retries::WindowUsage::violation));
     let compared = sends::compare(&requests, &cluster.ledger, &restarts, &dir);
     violations.extend(compared.violations);
+    let hedges = hedges::Hedges::read(&requests, &dir);
+    violations.extend(hedges.violation(size.hedge_percent));
+    memory.observe(&cluster);
+    violations.extend(memory.violation());
     let overfilled = cluster.engines.iter().filter(|engine| engine.target.exceeded_capacity());
     violations.extend(overfilled.map(|engine| format!("commanded to load too much: {engine:?}")));
     println!("seed {seed}: {} requests {:?}", requests.len(), report.outcome_counts);
@@ -190,6 +196,12 @@
         "seed {seed}: streams taken up by {} requests, {} went on, of two versions: {:?}",
         taken_up.requests, taken_up.went_on, taken_up.mixed
     );
+    println!(
+        "seed {seed}: {} second requests {:?}, routers used up to {} MB",
+        hedges.sent(),
+        hedges.ends(),
+        memory.largest_mb()
+    );
     let (moved, whole) = streams::moved(&requests, &cluster.ledger);
     println!("seed {seed}: {moved} runs went on from copies, {whole} of them to their end");
     drop(cluster);
@@ -233,6 +245,7 @@
     disruptions: Vec<Disruption>,
     interferences: Vec<leavings::Interference>,
     restarts: Vec<leavings::Restart>,
+    memory: endless::PeakMemory,
 }
 
 /// Injects `fault_count` faults, some of them overlapping, and reverts them all.
@@ -254,11 +267,13 @@
                 seeds::RunKind::Answers => faults::draw_answer_fault(rng, cluster),
                 seeds::RunKind::Copies => faults::draw_copy_fault(rng, cluster),
                 seeds::RunKind::Cuts => faults::draw_cut_fault(rng, cluster),
+                seeds::RunKind::Hedges => endless::draw(rng, cluster),
                 seeds::RunKind::Plain | seeds::RunKind::Parts => faults::draw_fault(rng, cluster),
             };
             // Two faults at one component would revert each other.
             if active.iter().all(|(other, ..)| !conflicts(*other, fault)) {
                 println!("  {fault:?} for {duration:?}");
+                run.memory.observe(cluster);
                 let started_at = Instant::now();
                 fault.inject(cluster);
                 active.push((fault, started_at, started_at + duration));
@@ -300,10 +315,10 @@
 
 fn conflicts(one: faults::Fault, other: faults::Fault) -> bool {
     use faults::Fault::{
-        CrashEngine, CrashService, DrainEngine, FailEngine, FreezeAgent, FreezeOthers,
-        FreezeRouter, FrontLink, KillAgent, KillAll, KillRouter, LeaveEngine, LeaveService,
-        LoseCommands, RefuseAll, ReloadRouter, RestAll, RestEngine, StarveRouter, StopRouter,
-        Store,
+        CrashEngine, CrashService, DrainEngine, EndlessEngine, EndlessService, FailEngine,
+        FreezeAgent, FreezeOthers, FreezeRouter, FrontLink, KillAgent, KillAll, KillRouter,
+        LeaveEngine, LeaveService, LoseCommands, RefuseAll, ReloadRouter, RestAll, RestEngine,
+        ServiceLink, StarveRouter, StopRouter, Store,
     };
     let component = |fault| match fault {
         KillRouter(n) | StopRouter(n) | FreezeRouter(n) | ReloadRouter(n) | StarveRouter(n) => {
@@ -313,6 +328,9 @@
         CrashEngine(n) | DrainEngine(n) | FailEngine(n) | LeaveEngine(n, _) => Some((2, n)),
         FrontLink(n, _) => Some((3, n)),
         CrashService(n) | LeaveService(n, _) => Some((4, n)),
+        ServiceLink(n, _) => Some((5, n)),
+        EndlessEngine(n, _) => Some((6, n)),
+        EndlessService(n, _) => Some((7, n)),
         _ => None,
     };
     let affects_process = |fault| matches!(component(fault), Some((0 | 1, _)));
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -14,6 +14,7 @@
     zones: 1,
     drain_within: Duration::from_secs(2),
     has_relays: false,
+    hedge_percent: 0.0,
 };
 const LARGE_SIZE: ClusterSize =
     ClusterSize { routers: 20, engines: 39, service_targets: 6, ..DEFAULT_SIZE };
@@ -25,11 +26,15 @@
     zones: 2,
     drain_within: Duration::from_secs(3),
     has_relays: false,
+    hedge_percent: 0.0,
 };
 /// Routers share the retry budget.
 const BURSTS_SIZE: ClusterSize = ClusterSize { routers: 5, ..DEFAULT_SIZE };
 /// Routers share the retry budget and cannot always hear each other.
 const CUTS_SIZE: ClusterSize = ClusterSize { has_relays: true, ..BURSTS_SIZE };
+/// Each router sends second requests, and has targets to choose from.
+const HEDGES_SIZE: ClusterSize =
+    ClusterSize { service_targets: 4, hedge_percent: 10.0, ..DEFAULT_SIZE };
 const BURSTS_FAULTS: usize = 24;
 const BURSTS_CONCURRENT_FAULTS: usize = 4;
 /// As with zones, and routers cannot always hear each other.
@@ -57,8 +62,8 @@
 
     /// Whether all requests are alike: no quota, key, limit or crash tells them apart.
     pub fn has_equal_callers(&self) -> bool {
-        use seeds::RunKind::{Answers, Bursts, Cuts};
-        matches!(self.kind, Bursts | Answers | Cuts)
+        use seeds::RunKind::{Answers, Bursts, Cuts, Hedges};
+        matches!(self.kind, Bursts | Answers | Cuts | Hedges)
     }
 }
 
@@ -91,13 +96,18 @@
         "all engines turn requests away for short times while routers cannot hear each other",
     );
     options.optflag("", "copies", "the store goes back to older copies, in two zones");
+    options.optflag(
+        "",
+        "hedges",
+        "second requests are sent, beside targets that are slow or send bytes without end",
+    );
     options.optopt(
         "",
         "faults",
-        "faults per run (default 8, with floods 16, with bursts, answers or cuts 24, with zones or copies 40)",
+        "faults per run (default 8, with floods 16, with bursts, answers, cuts or hedges 24, with zones or copies 40)",
         "N",
     );
-    let usage = "soak [--seeds A-B] [--kept] [--large] [--zones] [--parts] [--floods] [--bursts] [--answers] [--cuts] [--copies]";
+    let usage = "soak [--seeds A-B] [--kept] [--large] [--zones] [--parts] [--floods] [--bursts] [--answers] [--cuts] [--copies] [--hedges]";
     let matches =
         options.parse(args).map_err(|error| format!("{error}\n{}", options.usage(usage)))?;
     let has_copies = matches.opt_present("copies");
@@ -115,6 +125,8 @@
         seeds::RunKind::Answers
     } else if matches.opt_present("cuts") {
         seeds::RunKind::Cuts
+    } else if matches.opt_present("hedges") {
+        seeds::RunKind::Hedges
     } else if cause == CrashCause::Part {
         seeds::RunKind::Parts
     } else {
@@ -132,6 +144,8 @@
         (ZONED_SIZE, ZONED_FAULTS, ZONED_CONCURRENT_FAULTS)
     } else if kind == seeds::RunKind::Cuts {
         (CUTS_SIZE, BURSTS_FAULTS, BURSTS_CONCURRENT_FAULTS)
+    } else if kind == seeds::RunKind::Hedges {
+        (HEDGES_SIZE, BURSTS_FAULTS, BURSTS_CONCURRENT_FAULTS)
     } else if has_bursts || kind == seeds::RunKind::Answers {
         (BURSTS_SIZE, BURSTS_FAULTS, BURSTS_CONCURRENT_FAULTS)
     } else if matches.opt_present("large") {
--- a/tools/soak/src/proxy.rs
+++ b/tools/soak/src/proxy.rs
@@ -1,5 +1,6 @@
-//! A loopback TCP proxy that can delay, hold or reset connections.
+//! A loopback TCP proxy that can delay, hold or reset connections, or answer with bytes without end.
 
+use corianderstand_platform_standins::target::endless::Speed;
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -23,8 +24,25 @@
     /// Forward requests and hold responses until the mode changes.
     HoldResponses,
     Reset,
+    /// Forward requests, and send a head without end in place of their responses.
+    EndlessHead(Speed),
 }
 
+/// Which way data goes.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Direction {
+    Request,
+    Response,
+}
+
+impl Direction {
+    fn is_held(self, mode: Mode) -> bool {
+        mode == Mode::Hold || (mode == Mode::HoldResponses && self == Self::Response)
+    }
+}
+
+const ENDLESS_HEAD_START: &[u8] = b"HTTP/1.1 200 OK\r\nx-more: ";
+
 #[derive(Clone, Debug)]
 pub struct Proxy {
     pub addr: SocketAddr,
@@ -74,9 +92,8 @@
     // Dropping these halves does not shut the streams down, so that they can be reset.
     let (client_read, client_write) = client.split();
     let (server_read, server_write) = server.split();
-    let requests = copy(client_read, server_write, modes.clone(), &[Mode::Hold]);
-    let responses =
-        copy(server_read, client_write, modes.clone(), &[Mode::Hold, Mode::HoldResponses]);
+    let requests = copy(client_read, server_write, modes.clone(), Direction::Request);
+    let responses = copy(server_read, client_write, modes.clone(), Direction::Response);
     let is_reset = tokio::select! {
         copied = async { tokio::try_join!(requests, responses) } => copied.is_err(),
         _ = modes.wait_for(|mode| *mode == Mode::Reset) => true,
@@ -96,17 +113,20 @@
     mut source: ReadHalf<'_>,
     mut sink: WriteHalf<'_>,
     mut modes: watch::Receiver<Mode>,
-    hold_modes: &[Mode],
+    direction: Direction,
 ) -> std::io::Result<()> {
     let mut buf = vec![0; CHUNK_BYTES];
     loop {
         let len = source.read(&mut buf).await?;
-        let is_open = modes.wait_for(|mode| !hold_modes.contains(mode)).await;
+        let is_open = modes.wait_for(|mode| !direction.is_held(*mode)).await;
         drop(is_open.map_err(std::io::Error::other)?);
         let mode = *modes.borrow();
         if let Mode::Delay(delay) = mode {
             tokio::time::sleep(delay).await;
         }
+        if let (Mode::EndlessHead(speed), Direction::Response) = (mode, direction) {
+            return send_endless_head(&mut sink, speed).await;
+        }
         if len == 0 {
             // The other direction may stay open.
             return sink.shutdown().await;
@@ -114,3 +134,11 @@
         sink.write_all(&buf[..len]).await?;
     }
 }
+
+/// Sends a head until the reader closes.
+async fn send_endless_head(sink: &mut WriteHalf<'_>, speed: Speed) -> std::io::Result<()> {
+    sink.write_all(ENDLESS_HEAD_START).await?;
+    loop {
+        sink.write_all(speed.next().await).await?;
+    }
+}
--- a/tools/soak/src/seeds.rs
+++ b/tools/soak/src/seeds.rs
@@ -20,6 +20,8 @@
     Cuts,
     /// Several zones, and a store that goes back to older copies.
     Copies,
+    /// Second requests are sent, beside targets that are slow or send bytes without end.
+    Hedges,
 }
 
 impl RunKind {
@@ -33,12 +35,13 @@
             Self::Answers => "answers ",
             Self::Cuts => "cuts ",
             Self::Copies => "copies ",
+            Self::Hedges => "hedges ",
         }
     }
 
     fn of_line(line: &str) -> Self {
-        use RunKind::{Answers, Bursts, Copies, Cuts, Parts, Zones};
-        let prefixed = [Zones, Parts, Bursts, Answers, Cuts, Copies];
+        use RunKind::{Answers, Bursts, Copies, Cuts, Hedges, Parts, Zones};
+        let prefixed = [Zones, Parts, Bursts, Answers, Cuts, Copies, Hedges];
         prefixed.into_iter().find(|kind| line.starts_with(kind.prefix())).unwrap_or(Self::Plain)
     }
 }
