Order for quotas: small calls first, no late answers while a quota is used up

Change: lanes whose mean cost is at most half of the mean of all go first, as long as they ask for no more than half of the quota; what they take isn't divided. When refused callers come back is a module of its own (quota::returns). A request may use half of its objective, however short, until it is sent: an answer of the keeper takes 20 to 45 ms, so that calls with an objective of 150 ms and a quarter of it were refused whatever there was.

--- a/crates/corianderstand_fleet/src/quota/account.rs
+++ b/crates/corianderstand_fleet/src/quota/account.rs
@@ -1,6 +1,6 @@
 //! A router's share of the quotas of workspaces.
 
-use super::{Claim, Grant, Ordered, Waiter, lanes, queue};
+use super::{Claim, Grant, Ordered, Waiter, lanes, queue, returns};
 use crate::decaying_rate;
 use corianderstand_derives::derives;
 use corianderstand_types::names;
@@ -482,13 +482,13 @@
     }
 
     /// Bookings that were told to callers lately.
-    fn told(&mut self, now: Instant) -> Vec<queue::Told> {
+    fn told(&mut self, now: Instant) -> Vec<returns::Told> {
         let is_old =
             |booked: &Booked| now.saturating_duration_since(booked.told_at) >= REPORTED_TIME;
         while self.booked.front().is_some_and(is_old) {
             self.booked.pop_front();
         }
-        let told = self.booked.iter().rev().take(MAX_REPORTED).map(|booked| queue::Told {
+        let told = self.booked.iter().rev().take(MAX_REPORTED).map(|booked| returns::Told {
             key: booked.key,
             cost: booked.cost,
             kind: booked.kind,
--- a/crates/corianderstand_fleet/src/quota/lanes.rs
+++ b/crates/corianderstand_fleet/src/quota/lanes.rs
@@ -19,6 +19,10 @@
 const EARLY_TIME: Duration = Duration::from_millis(100);
 /// Share of what is granted that is divided over the lanes by their demand.
 const DIVIDED_RATIO: f64 = 0.5;
+/// A request is small if its lane's mean cost is at most this part of the mean cost of all.
+const SMALL_COST_RATIO: f64 = 0.5;
+/// Part of the quota that lanes of small requests may ask for to be served before all others.
+const SMALL_DEMAND_RATIO: f64 = 0.5;
 /// Demand, per second, below which an empty lane is forgotten.
 const MIN_DEMAND: f64 = 0.5;
 /// The lowest priority that is told apart; bounds the lanes.
@@ -66,14 +70,29 @@
     waiting: BTreeMap<(Instant, u64), u64>,
     cost: u64,
     demand: decaying_rate::DecayingRate,
+    /// Requests per second, whether they wait or not.
+    requests: decaying_rate::DecayingRate,
+    /// Whether its requests are served before all others, as they cost little.
+    is_small: bool,
     /// Its part of what was divided and went to others.
     owed: f64,
 }
 
 impl Lane {
     fn new(now: Instant) -> Self {
-        let demand = decaying_rate::DecayingRate::new(now);
-        Self { waiting: BTreeMap::new(), cost: 0, demand, owed: 0.0 }
+        Self {
+            waiting: BTreeMap::new(),
+            cost: 0,
+            demand: decaying_rate::DecayingRate::new(now),
+            requests: decaying_rate::DecayingRate::new(now),
+            is_small: false,
+            owed: 0.0,
+        }
+    }
+
+    /// Cost of its requests per second.
+    fn demand(&self, now: Instant) -> f64 {
+        self.demand.value(now, DEMAND_WINDOW)
     }
 
     /// Whether its first request has a right to be granted now.
@@ -95,6 +114,23 @@
     pub fn record_demand(&mut self, now: Instant, kind: Kind, cost: u64) {
         let lane = self.lanes.entry(kind).or_insert_with(|| Lane::new(now));
         lane.demand.add(now, DEMAND_WINDOW, cost as f64);
+        lane.requests.add(now, DEMAND_WINDOW, 1.0);
+    }
+
+    /// Finds the lanes whose requests are served before all others, as many of them cost no more than a few of the rest:
+    /// those of small requests, as long as they ask for a part of the quota only.
+    pub fn find_small(&mut self, now: Instant, per_s: f64) {
+        let requests = |lane: &Lane| lane.requests.value(now, DEMAND_WINDOW);
+        let demand: f64 = self.lanes.values().map(|lane| lane.demand(now)).sum();
+        let mean = demand / self.lanes.values().map(requests).sum::<f64>();
+        let mut left = per_s * SMALL_DEMAND_RATIO;
+        let mut lanes: Vec<_> = self.lanes.values_mut().collect();
+        lanes.sort_by(|a, b| a.demand(now).total_cmp(&b.demand(now)));
+        for lane in lanes {
+            let demand = lane.demand(now);
+            lane.is_small = demand <= mean * SMALL_COST_RATIO * requests(lane) && demand <= left;
+            left -= if lane.is_small { demand } else { 0.0 };
+        }
     }
 
     /// Adds a request.
@@ -134,22 +170,23 @@
     }
 
     fn next_of_lanes(&self) -> Option<u64> {
+        let small = self.lanes.values().find(|lane| lane.is_small && !lane.waiting.is_empty());
         let owed = self.lanes.values().filter(|lane| lane.is_owed_its_first());
-        let lane = owed
-            .max_by(|a, b| a.owed.total_cmp(&b.owed))
+        let lane = small
+            .or_else(|| owed.max_by(|a, b| a.owed.total_cmp(&b.owed)))
             .or_else(|| self.lanes.values().find(|lane| !lane.waiting.is_empty()))?;
         lane.waiting.first_key_value().map(|((_, number), _)| *number)
     }
 
     /// Records that a request is granted, before it is removed.
     pub fn record_granted(&mut self, now: Instant, place: Place, cost: u64) {
-        if place.booked_at.is_some() {
+        let is_divided = self.lanes.get(&place.kind).is_some_and(|lane| !lane.is_small);
+        if place.booked_at.is_some() || !is_divided {
             return;
         }
-        let total: f64 =
-            self.lanes.values().map(|lane| lane.demand.value(now, DEMAND_WINDOW)).sum();
+        let total = self.divided_demand(now);
         for lane in self.lanes.values_mut().filter(|lane| !lane.waiting.is_empty()) {
-            let share = lane.demand.value(now, DEMAND_WINDOW) / total.max(f64::MIN_POSITIVE);
+            let share = lane.demand(now) / total.max(f64::MIN_POSITIVE);
             lane.owed += cost as f64 * share * DIVIDED_RATIO;
         }
         if let Some(lane) = self.lanes.get_mut(&place.kind) {
@@ -162,44 +199,68 @@
     pub fn wait(&self, now: Instant, kind: Kind, lacking: f64, level: f64, per_s: f64) -> Duration {
         let per_s = per_s.max(f64::MIN_POSITIVE);
         let own = self.lanes.get(&kind).map_or(0, |lane| lane.cost) as f64;
-        let urgent: u64 = self.lanes.range(..kind).map(|(_, lane)| lane.cost).sum();
-        let before = urgent as f64 + (-level).max(0.0);
+        let before: u64 = self.lanes_before(kind).map(|lane| lane.cost).sum();
+        let before = before as f64 + (-level).max(0.0);
         let behind = (own + lacking - level.max(0.0)).max(0.0);
         let wait = behind / self.drain_per_s(now, kind, per_s) + before / per_s;
         Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
     }
 
-    /// What a lane gets per second if the demand goes on: its own part of what is divided, and what more urgent lanes
+    /// What a lane gets per second if the demand goes on: its own part of what is divided, and what lanes before it
     /// leave of the rest.
     pub fn drain_per_s(&self, now: Instant, kind: Kind, per_s: f64) -> f64 {
-        let demand = |lane: &Lane| lane.demand.value(now, DEMAND_WINDOW);
-        let total: f64 = self.lanes.values().map(demand).sum();
+        if self.is_small(kind) {
+            return per_s.max(f64::MIN_POSITIVE);
+        }
+        let small = self.lanes.values().filter(|lane| lane.is_small);
+        let per_s = (per_s - small.map(|lane| lane.demand(now)).sum::<f64>()).max(0.0);
+        let total = self.divided_demand(now);
         let divided = (per_s * DIVIDED_RATIO / total.max(f64::MIN_POSITIVE)).min(1.0);
         let mut rest = (per_s - total * divided).max(0.0);
-        for lane in self.lanes.range(..kind).map(|(_, lane)| lane) {
-            rest = (rest - demand(lane) * (1.0 - divided)).max(0.0);
+        for lane in self.lanes.range(..kind).map(|(_, lane)| lane).filter(|lane| !lane.is_small) {
+            rest = (rest - lane.demand(now) * (1.0 - divided)).max(0.0);
         }
-        let own = self.lanes.get(&kind).map_or(0.0, demand) * divided;
+        let own = self.lanes.get(&kind).map_or(0.0, |lane| lane.demand(now)) * divided;
         (own + rest).max(f64::MIN_POSITIVE)
     }
 
+    fn is_small(&self, kind: Kind) -> bool {
+        self.lanes.get(&kind).is_some_and(|lane| lane.is_small)
+    }
+
+    /// The lanes that are served before a lane.
+    fn lanes_before(&self, kind: Kind) -> impl Iterator<Item = &Lane> {
+        let is_small = self.is_small(kind);
+        let is_before = move |(other, lane): &(&Kind, &Lane)| match (lane.is_small, is_small) {
+            (true, false) => true,
+            (false, true) => false,
+            _ => **other < kind,
+        };
+        self.lanes.iter().filter(is_before).map(|(_, lane)| lane)
+    }
+
+    /// Demand of the lanes that what is granted is divided over.
+    fn divided_demand(&self, now: Instant) -> f64 {
+        let divided = self.lanes.values().filter(|lane| !lane.is_small);
+        divided.map(|lane| lane.demand(now)).sum()
+    }
+
     /// A lane's share of the demand.
     pub fn demand_share(&self, now: Instant, kind: Kind) -> f64 {
-        let demand = |lane: &Lane| lane.demand.value(now, DEMAND_WINDOW);
-        let total: f64 = self.lanes.values().map(demand).sum();
-        self.lanes.get(&kind).map_or(0.0, demand) / total.max(f64::MIN_POSITIVE)
+        let total: f64 = self.lanes.values().map(|lane| lane.demand(now)).sum();
+        let own = self.lanes.get(&kind).map_or(0.0, |lane| lane.demand(now));
+        own / total.max(f64::MIN_POSITIVE)
     }
 
     /// Number of requests that wait before a new one of a lane.
     pub fn waiting_before(&self, kind: Kind) -> usize {
-        let lanes = self.lanes.range(..=kind).map(|(_, lane)| lane.waiting.len());
-        lanes.sum::<usize>() + self.booked.len()
+        let own = self.lanes.get(&kind).map_or(0, |lane| lane.waiting.len());
+        let before: usize = self.lanes_before(kind).map(|lane| lane.waiting.len()).sum();
+        own + before + self.booked.len()
     }
 
     /// Forgets lanes that nobody uses.
     pub fn expire(&mut self, now: Instant) {
-        self.lanes.retain(|_, lane| {
-            !lane.waiting.is_empty() || lane.demand.value(now, DEMAND_WINDOW) >= MIN_DEMAND
-        });
+        self.lanes.retain(|_, lane| !lane.waiting.is_empty() || lane.demand(now) >= MIN_DEMAND);
     }
 }
--- a/crates/corianderstand_fleet/src/quota/mod.rs
+++ b/crates/corianderstand_fleet/src/quota/mod.rs
@@ -15,6 +15,7 @@
 pub mod lanes;
 pub mod ledger;
 pub mod queue;
+pub mod returns;
 
 use crate::workspaces;
 use corianderstand_derives::derives;
@@ -106,7 +107,7 @@
     /// Numbers of requests that were named and wait no more.
     pub left: Vec<u64>,
     /// Bookings that were told to callers lately.
-    pub told: Vec<queue::Told>,
+    pub told: Vec<returns::Told>,
 }
 
 /// Sender and order of a claim.
--- a/crates/corianderstand_fleet/src/quota/queue.rs
+++ b/crates/corianderstand_fleet/src/quota/queue.rs
@@ -7,9 +7,10 @@
 use super::{
     Waiter,
     lanes::{self, Kind, Place},
+    returns,
 };
 use corianderstand_derives::derives;
-use corianderstand_room::{booking, order};
+use corianderstand_room::order;
 use smol_str::SmolStr;
 use std::{
     collections::{BTreeSet, HashMap},
@@ -36,31 +37,8 @@
 const MAX_ANSWERS: usize = 48;
 /// The most answers that are remembered or kept for routers.
 const MAX_ANSWERED: usize = 20_000;
-/// Callers may use this part of the time that they have left until they come back.
-const HONOURED_RATIO: f64 = 1.0 / 3.0;
-/// Part of the quota that may be booked while the flood is expected to go on. It is taken from requests that would be
-/// served in time, for some that are late.
-const NEAR_ROOM_RATIO: f64 = 0.08;
-/// Part of the quota that may be booked for later. What is usually asked for must find room beside it at once.
-const FAR_ROOM_RATIO: f64 = 0.35;
-/// Who comes back without a booking waits for at most this part of the time left.
-const HELD_RATIO: f64 = 0.5;
-/// How long those that were told when the flood may be over are known.
-const RETURNING_TTL: Duration = Duration::from_secs(12);
-/// Bounds those that are known.
-const MAX_RETURNING: usize = 8_192;
 /// Bookings due in this time are taken out of what new requests can expect.
 const BOOKED_AHEAD: Duration = Duration::from_secs(1);
-/// A flood is over after this time without refusals.
-const FLOOD_PAUSE: Duration = Duration::from_secs(1);
-/// Bounds of the time for which a flood is expected to go on; in between, as long as it has lasted.
-const MIN_FLOOD: Duration = Duration::from_secs(4);
-const MAX_FLOOD: Duration = Duration::from_secs(8);
-/// Longest time that is told to a caller.
-const MAX_RETURN: Duration = Duration::from_secs(10);
-/// Part of the quota that is expected to be free for those who come back after a flood.
-const SPARE_RATIO: f64 = 0.5;
-
 /// What becomes of a request that waited.
 #[derives(key)]
 pub enum Decision {
@@ -86,19 +64,6 @@
     pub decision: Decision,
 }
 
-/// A booking that a router has told to a caller.
-#[derives(key)]
-pub struct Told {
-    /// The request.
-    pub key: u64,
-    /// Its cost.
-    pub cost: u64,
-    /// Its lane.
-    pub kind: Kind,
-    /// Time until it should come back.
-    pub after: Duration,
-}
-
 /// What there is of the quota.
 #[derive(Clone, Copy, Debug)]
 pub struct Supply {
@@ -140,12 +105,7 @@
     refused: HashMap<SmolStr, Vec<(Instant, Answer)>>,
     answered: HashMap<WaiterKey, Instant>,
     heard: HashMap<SmolStr, (u64, Instant)>,
-    calendar: booking::Calendar,
-    flood: Option<(Instant, Instant)>,
-    /// Cost of those that were told when the flood may be over, less what came in since.
-    told: (f64, Instant),
-    /// Those that were told so.
-    returning: HashMap<u64, Instant>,
+    returns: returns::Returns,
     last_number: u64,
     uncollected: u64,
 }
@@ -163,10 +123,7 @@
             refused: HashMap::new(),
             answered: HashMap::new(),
             heard: HashMap::new(),
-            calendar: booking::Calendar::new(now),
-            flood: None,
-            told: (0.0, now),
-            returning: HashMap::new(),
+            returns: returns::Returns::new(now),
             last_number: 0,
             uncollected: 0,
         }
@@ -194,7 +151,7 @@
 
     /// Whether requests were refused lately.
     pub fn is_flooded(&self, now: Instant) -> bool {
-        self.flood.is_some_and(|(_, last)| now.saturating_duration_since(last) < FLOOD_PAUSE)
+        self.returns.is_flooded(now)
     }
 
     /// Records that a router was heard. What its start before waited for is forgotten; returns what was granted to that.
@@ -217,6 +174,7 @@
         waiters: &[Waiter],
         supply: &Supply,
     ) {
+        self.lanes.find_small(now, supply.per_s);
         for waiter in waiters {
             let key = (router.clone(), incarnation, waiter.id);
             if self.numbers.contains_key(&key) {
@@ -239,15 +197,8 @@
     }
 
     /// Records bookings that another keeper made.
-    pub fn record_told(&mut self, now: Instant, told: &[Told]) {
-        for told in told {
-            let booking = booking::Booking {
-                at: now + told.after.min(MAX_RETURN),
-                cost: told.cost,
-                group: group(told.kind),
-            };
-            self.calendar.record(now, booking::Key(told.key), booking);
-        }
+    pub fn record_told(&mut self, now: Instant, told: &[returns::Told]) {
+        self.returns.record_told(now, told);
     }
 
     fn admit(
@@ -259,22 +210,25 @@
         is_repeated: bool,
     ) {
         let kind = Kind::new(waiter.rank, waiter.objective);
-        let has_come_back = self.returning.remove(&waiter.key).is_some();
-        let booked = self.calendar.take(now, booking::Key(waiter.key)).map(|booking| booking.at);
+        let has_come_back = self.returns.take_told(waiter.key);
+        let booked = self.returns.take_booking(now, waiter.key);
         let mut booked_at = booked.or(is_repeated.then_some(now));
         if booked_at.is_none() {
-            booked_at = match has_come_back {
+            let is_in_time = match has_come_back {
                 // Its objective is over, so it must not delay those that can still meet theirs.
-                true => self.hold(now, kind, waiter, supply),
-                false => None,
+                true => {
+                    if self.has_room(waiter, supply) {
+                        booked_at = self.returns.hold(now, waiter, supply);
+                    }
+                    false
+                }
+                false => {
+                    self.record_fresh(now, kind, waiter, supply);
+                    self.can_be_granted_in_time(now, kind, waiter, supply)
+                }
             };
-            if !has_come_back {
-                self.record_fresh(now, kind, waiter, supply);
-            }
-            let is_in_time =
-                !has_come_back && self.can_be_granted_in_time(now, kind, waiter, supply);
             if !has_come_back && !is_in_time {
-                self.record_flood(now);
+                self.returns.record_flood(now);
             }
             if booked_at.is_none() && !is_in_time {
                 let decision = self.refuse(now, kind, waiter, supply);
@@ -323,104 +277,27 @@
         waiter: &Waiter,
         supply: &Supply,
     ) -> bool {
-        let cost = waiter.cost as f64;
-        if self.due.len() >= MAX_WAITING || cost > supply.max_cost {
+        if !self.has_room(waiter, supply) {
             return false;
         }
-        let per_s = supply.per_s - self.calendar.booked_per_s(now, BOOKED_AHEAD);
-        let per_s = per_s.max(supply.per_s * (1.0 - FAR_ROOM_RATIO));
-        let lacking = (cost - supply.max_debt).max(0.0);
+        let per_s = supply.per_s - self.returns.booked_per_s(now, BOOKED_AHEAD);
+        let per_s = per_s.max(supply.per_s * (1.0 - returns::BOOKED_RATIO));
+        let lacking = (waiter.cost as f64 - supply.max_debt).max(0.0);
         let wait = self.lanes.wait(now, kind, lacking, supply.level, per_s);
         wait <= waiter.objective.saturating_sub(ANSWER_TIME).mul_f64(EXPECTED_RATIO)
     }
 
-    /// Records that a request that came for the first time can't be granted in time.
-    fn record_flood(&mut self, now: Instant) {
-        let started_at = match self.flood {
-            Some((started_at, _)) if self.is_flooded(now) => started_at,
-            _ => now,
-        };
-        self.flood = Some((started_at, now));
+    /// Whether a request could wait here at all.
+    fn has_room(&self, waiter: &Waiter, supply: &Supply) -> bool {
+        self.due.len() < MAX_WAITING && waiter.cost as f64 <= supply.max_cost
     }
 
     /// Decides when a request that can't be granted in time should come back.
     fn refuse(&mut self, now: Instant, kind: Kind, waiter: &Waiter, supply: &Supply) -> Decision {
         let before = u32::try_from(self.lanes.waiting_before(kind)).unwrap_or(u32::MAX);
-        let latest = now + waiter.expiry.mul_f64(HONOURED_RATIO);
-        if let Some(at) = self.book(now, kind, waiter, supply, latest) {
-            let retry_after = at.saturating_duration_since(now);
-            return Decision::Refused { retry_after, is_booked: true, before };
-        }
-        if self.returning.len() < MAX_RETURNING {
-            self.returning.insert(waiter.key, now);
-        }
-        let retry_after = self.flood_end(now, waiter, supply);
-        Decision::Refused { retry_after, is_booked: false, before }
-    }
-
-    /// Finds room for a request that came back without a booking. It waits for it.
-    fn hold(
-        &mut self,
-        now: Instant,
-        kind: Kind,
-        waiter: &Waiter,
-        supply: &Supply,
-    ) -> Option<Instant> {
-        let latest = now + waiter.expiry.mul_f64(HELD_RATIO);
-        let at = self.book(now, kind, waiter, supply, latest)?;
-        self.calendar.use_up(booking::Key(waiter.key));
-        Some(at)
-    }
-
-    fn book(
-        &mut self,
-        now: Instant,
-        kind: Kind,
-        waiter: &Waiter,
-        supply: &Supply,
-        latest: Instant,
-    ) -> Option<Instant> {
-        if waiter.cost as f64 > supply.max_cost || self.due.len() >= MAX_WAITING {
-            return None;
-        }
-        let share = self.lanes.demand_share(now, kind);
-        let flood_end = self.flood_remaining(now);
-        let room = |ahead: Duration| match ahead < flood_end {
-            true => {
-                let all = supply.per_s * NEAR_ROOM_RATIO;
-                booking::Room { own: all * share, all }
-            }
-            false => {
-                let all = supply.per_s * FAR_ROOM_RATIO;
-                booking::Room { own: all, all }
-            }
-        };
-        let (key, group) = (booking::Key(waiter.key), group(kind));
-        let inquiry = booking::Inquiry { key, group, cost: waiter.cost, latest };
-        self.calendar.book(now, &inquiry, room).map(|booking| booking.at)
-    }
-
-    /// How much longer the flood is expected to go on.
-    fn flood_remaining(&self, now: Instant) -> Duration {
-        match self.flood {
-            Some((started_at, _)) if self.is_flooded(now) => {
-                now.saturating_duration_since(started_at).clamp(MIN_FLOOD, MAX_FLOOD)
-            }
-            _ => Duration::ZERO,
-        }
-    }
-
-    /// Time until the flood is expected to be over, after those that were told so before.
-    fn flood_end(&mut self, now: Instant, waiter: &Waiter, supply: &Supply) -> Duration {
-        let spare = (supply.per_s * SPARE_RATIO).max(f64::MIN_POSITIVE);
-        let (told, at) = self.told;
-        let elapsed = now.saturating_duration_since(at).as_secs_f64();
-        let told = (told - elapsed * spare).max(0.0);
-        let lasts = self.flood_remaining(now);
-        let behind = Duration::try_from_secs_f64(told / spare).unwrap_or(MAX_RETURN);
-        let cost = (waiter.cost as f64).min(supply.max_cost.max(0.0));
-        self.told = ((told + cost).min(spare * MAX_RETURN.as_secs_f64()), now);
-        lasts.saturating_add(behind).min(MAX_RETURN)
+        let may_book = self.has_room(waiter, supply);
+        let (retry_after, is_booked) = self.returns.refuse(now, waiter, supply, may_book);
+        Decision::Refused { retry_after, is_booked, before }
     }
 
     /// Refuses those whose time to be granted is over. Returns what was granted and not asked for.
@@ -444,9 +321,8 @@
         self.heard.retain(|_, (_, at)| now.saturating_duration_since(*at) < ANSWERED_TTL);
         let heard = &self.heard;
         self.refused.retain(|router, answers| !answers.is_empty() && heard.contains_key(router));
-        self.returning.retain(|_, at| now.saturating_duration_since(*at) < RETURNING_TTL);
         self.lanes.expire(now);
-        self.calendar.expire(now);
+        self.returns.expire(now);
         returned
     }
 
@@ -557,7 +433,3 @@
         self
     }
 }
-
-fn group(kind: Kind) -> booking::Group {
-    booking::Group(u16::from(kind.rank) << 8 | u16::from(kind.patience))
-}
--- a/crates/corianderstand_fleet/tests/quota_order.rs
+++ b/crates/corianderstand_fleet/tests/quota_order.rs
@@ -186,6 +186,38 @@
     assert!(patient(&ordered) < 0.7 * patient(&by_chance), "patient callers refused again");
 }
 
+/// Calls that cost little beside the other classes, a quarter of the quota in a flood.
+fn small_calls() -> Class {
+    Class {
+        rank: 2,
+        objective: Duration::from_millis(75),
+        deadline: Duration::from_millis(2_500),
+        cost: 200,
+        per_s: 0.045 * PER_S / 200.0,
+    }
+}
+
+/// Guards against calls of a few tokens that are refused beside requests that each take as much as many of them.
+#[rstest]
+fn calls_that_cost_little_are_hardly_ever_refused(#[values(1, 2, 3)] seed: u64) {
+    let mut cluster = cluster(seed);
+    cluster.classes.push(small_calls());
+    cluster.play(secs(4), USUAL);
+    cluster.forget_served();
+    cluster.play(FLOOD, 5.0);
+    println!("flood");
+    report(&cluster);
+    let flood = std::mem::take(&mut cluster.served);
+    cluster.play(secs(12), USUAL);
+    println!("after");
+    report(&cluster);
+    cluster.add_served(&flood);
+    println!("both");
+    assert_flood_is_served(&cluster);
+    let small = &flood[3];
+    assert!(small.in_time as f64 >= 0.9 * small.callers as f64, "{} in time", small.in_time);
+}
+
 /// A fault in the middle of a flood, by what is done to the routers.
 fn flood_with(seed: u64, fault: impl Fn(&mut Cluster)) -> Cluster {
     let mut cluster = cluster(seed);
--- a/crates/corianderstand_forward/src/quotas.rs
+++ b/crates/corianderstand_forward/src/quotas.rs
@@ -8,7 +8,7 @@
 use crate::{job, router};
 use corianderstand_fleet::{
     features,
-    quota::{self, account, lanes, ledger, queue},
+    quota::{self, account, lanes, ledger, queue, returns},
     workspaces,
 };
 use corianderstand_schema::peers::{self as wire, PeerMessage};
@@ -40,7 +40,7 @@
 /// Time from the sending of a request to the first event of its answer.
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(150);
 /// A request may wait for its quota for this part of its objective, however short that is.
-const MIN_PATIENCE_DIVISOR: u32 = 4;
+const MIN_PATIENCE_DIVISOR: u32 = 2;
 /// Shorter waits aren't logged.
 const LOGGED_WAIT: Duration = Duration::from_millis(25);
 
@@ -589,7 +589,7 @@
         expiry_ms: to_millis(waiter.expiry),
         key: waiter.key,
     };
-    let told = |told: queue::Told| wire::QuotaBooking {
+    let told = |told: returns::Told| wire::QuotaBooking {
         key: told.key,
         cost: told.cost,
         rank: told.kind.rank,
@@ -611,7 +611,7 @@
         expiry: from_millis(waiter.expiry_ms),
         key: waiter.key,
     };
-    let told = |told: &wire::QuotaBooking| queue::Told {
+    let told = |told: &wire::QuotaBooking| returns::Told {
         key: told.key,
         cost: told.cost,
         kind: lanes::Kind { rank: told.rank, patience: told.patience },
