--- a/crates/corianderstand_fleet/src/quota/lanes.rs
+++ b/crates/corianderstand_fleet/src/quota/lanes.rs
@@ -20,7 +20,7 @@
 /// Share of what is granted that is divided over the lanes by their demand.
 const DIVIDED_RATIO: f64 = 0.5;
 /// A request is small if its lane's mean cost is at most this part of the mean cost of all.
-const SMALL_COST_RATIO: f64 = 1.0 / 3.0;
+const SMALL_COST_RATIO: f64 = 0.4;
 /// Part of the quota that lanes of small requests may ask for to be served before all others.
 const SMALL_DEMAND_RATIO: f64 = 0.5;
 /// Demand, per second, below which an empty lane is forgotten.
