Retry budget: while a service has its first requests, the window with most of them counts, as before

decisions::retries_stay_within_the_shared_allowance failed since all routers take the window before (50 retries in the first window of a service, over 100 are asked for): there are no requests before the first ones. The test stays as it is. A rule that is strict for callers who move can't pass it: a retry counts in windows that end up to a window later, of which the first ones have only requests of their own and the last ones only earlier ones. Change: for a window and a second after its first request at a router a service has the rule of before. Left: callers who move within that time.

--- a/crates/corianderstand_fleet/src/budget.rs
+++ b/crates/corianderstand_fleet/src/budget.rs
@@ -20,6 +20,8 @@
 const SPANS_PER_WINDOW: u32 = 50;
 /// Windows that end later are checked in steps of this part of the window.
 const CHECKS_PER_WINDOW: u32 = 25;
+/// Windows of requests that may count for a window of retries begin so many halves of a window before it.
+const EARLIER_HALVES: [u32; 3] = [0, 1, 2];
 /// Usable part of the retries by requests. These are counted when they are read, some time after they were sent.
 const USABLE_RATIO: f64 = 0.9;
 /// Longest time from sending a retry until it reaches its target, over an impaired link.
@@ -86,8 +88,7 @@
 /// Requests and retries of one service within the window.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
-    /// When all routers started for the first time, if this one started with them.
-    first_started_at: Option<Instant>,
+    first_request_at: Option<Instant>,
     spans: VecDeque<Span>,
     /// Number of all requests, modulo 2³².
     total: u32,
@@ -99,16 +100,12 @@
 }
 
 impl Budget {
-    /// The budget of a router that started with all others for the first time, or later.
-    pub fn new(first_started_at: Option<Instant>) -> Self {
-        Self { first_started_at, ..Self::default() }
-    }
-
     /// Counts a request.
     pub fn earn(&mut self, now: Instant, allowance: &Allowance) {
         self.expire(now, allowance);
         let span_length = allowance.span_length();
         self.total = self.total.wrapping_add(1);
+        self.first_request_at.get_or_insert(now);
         match self.spans.back_mut().filter(|span| now < span.started_at + span_length) {
             Some(span) => span.total = self.total,
             None => self.spans.push_back(Span { started_at: now, total: self.total }),
@@ -160,15 +157,20 @@
 
     /// Requests and retries that count in a window that ends `later` than now.
     ///
-    /// All routers take the requests of the same window, as callers may go from one router to another: of the window
-    /// before it, all of which are known. Just after the first start there are none before.
+    /// All routers take the requests of the same window, the one before it, as callers may go from one router to
+    /// another. While a service has its first requests there are none before, and any window counts.
     fn window_usage(&self, now: Instant, later: Duration, allowance: &Allowance) -> (u32, u32) {
-        let ended = match self.first_started_at {
-            Some(at) if now + later < at + allowance.retention() => Duration::ZERO,
-            _ => allowance.window,
-        };
-        let began = (ended + allowance.window).saturating_sub(later);
-        let requests = self.requests_between(now, began, ended.saturating_sub(later), allowance);
+        let half = allowance.window / 2;
+        let is_new = self
+            .first_request_at
+            .is_none_or(|at| now.saturating_duration_since(at) < allowance.retention());
+        let earlier_halves = if is_new { &EARLIER_HALVES[..] } else { &EARLIER_HALVES[2..] };
+        let requests = earlier_halves.iter().map(|&halves| {
+            let ended = (half * halves).saturating_sub(later);
+            let began = (allowance.window + half * halves).saturating_sub(later);
+            self.requests_between(now, began, ended, allowance)
+        });
+        let requests = requests.max().unwrap_or(0);
         let retries =
             self.sent.iter().rev().take_while(|at| {
                 now.saturating_duration_since(**at) + later < allowance.retention()
--- a/crates/corianderstand_fleet/tests/retry_budget.rs
+++ b/crates/corianderstand_fleet/tests/retry_budget.rs
@@ -27,8 +27,7 @@
 impl Router {
     fn start(now: Instant, known: usize, heard: usize, is_first: bool) -> Self {
         let share = budget::FixedShare::new(now, is_first);
-        let budget = budget::Budget::new(is_first.then_some(now));
-        Self { budget, share, known, heard, waiting: 0 }
+        Self { budget: budget::Budget::default(), share, known, heard, waiting: 0 }
     }
 
     /// Reserves a retry, if the budget allows one.
--- a/crates/corianderstand_forward/src/retries.rs
+++ b/crates/corianderstand_forward/src/retries.rs
@@ -21,7 +21,6 @@
 /// The retry budgets of services at this router.
 pub struct State {
     started_at: Instant,
-    is_first_start: bool,
     budgets: RefCell<HashMap<names::ServiceId, budget::Shared>>,
     fixed_share: RefCell<budget::FixedShare>,
 }
@@ -31,16 +30,13 @@
     pub fn new(now: Instant, is_first_start: bool) -> Self {
         Self {
             started_at: now,
-            is_first_start,
             budgets: RefCell::default(),
             fixed_share: RefCell::new(budget::FixedShare::new(now, is_first_start)),
         }
     }
 
     fn budget(&self, service: &names::ServiceId) -> budget::Shared {
-        let first_started_at = self.is_first_start.then_some(self.started_at);
-        let new = || Rc::new(RefCell::new(budget::Budget::new(first_started_at)));
-        self.budgets.borrow_mut().entry(service.clone()).or_insert_with(new).clone()
+        self.budgets.borrow_mut().entry(service.clone()).or_default().clone()
     }
 
     /// Counts a request for a service.
