--- a/crates/corianderstand_forward/src/retries.rs
+++ b/crates/corianderstand_forward/src/retries.rs
@@ -9,7 +9,6 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
-    rc::Rc,
     time::{Duration, Instant},
 };
 
