Permits to read prompts leave room for an event of the engine

Cause: on uneven engines a stream pauses too long when several prompts are read between two of its events and the host has a slow moment. The window of an agent's permits was the longest pause, 85% of it for reading, whatever the engine; the reading time that routers stated was three to four times the pure one.

Change, where targets state their pace and the route has a longest pause: a router states the pure reading time and the time between events at the batch that it knows, both of a usual moment (event_us is new in PrefillRequest). The agent learns the slow moments of its host from the reports of its engine, which it asks for each 30 ms while prompts wait, and takes as window the interval that becomes the longest pause in such a moment, less the event. A prompt that exceeds it has a window of its own, so that a slow engine reads at least one in each. A prompt whose first event would be late if it waited for another window waits only for what would pause streams now. The choice counts the prompt itself with the event when it asks whether pauses stay short. Pure reading is the least tenth of what is observed, relative to the time between events, over all targets.

Tried and left out: slow moments learned over all targets of a service for the choice; no difference beyond noise.

--- a/crates/corianderstand_fleet/src/pace.rs
+++ b/crates/corianderstand_fleet/src/pace.rs
@@ -33,6 +33,8 @@
 
 /// Part of the observed reading times that are below the estimate: others' prompts lengthen them.
 const READING_QUANTILE: f64 = 0.35;
+/// The same for the time of reading alone, without the events of streams in between.
+const PURE_READING_QUANTILE: f64 = 0.1;
 /// Parts of the stated figures that are below that of a usual moment, as other work only lengthens the target's, and
 /// of the slowdowns that are below that of a slow one.
 const USUAL_MOMENT_QUANTILE: f64 = 0.35;
@@ -110,8 +112,10 @@
 pub struct UsualTimes {
     /// Seconds between the events of a stream that runs alone.
     pub event_s: Option<f64>,
-    /// Seconds to read a prompt token.
+    /// Seconds until a prompt token is read, with the events of other streams in between.
     pub reading_s_per_token: Option<f64>,
+    /// Seconds to read a prompt token, without these.
+    pub pure_reading_s_per_token: Option<f64>,
     /// Seconds to answer a request that is no stream.
     pub response_s: Option<f64>,
     /// Stated time for work in a usual moment, relative to a time that is the same for all targets.
@@ -137,6 +141,7 @@
     stated: Option<Stated>,
     event: Quantile,
     reading: Quantile,
+    pure_reading: Quantile,
     response: Quantile,
     observed_at: Option<Instant>,
 }
@@ -147,6 +152,7 @@
             stated: None,
             event: Quantile::new(MEDIAN),
             reading: Quantile::new(READING_QUANTILE),
+            pure_reading: Quantile::new(PURE_READING_QUANTILE),
             response: Quantile::new(MEDIAN),
             observed_at: None,
         }
@@ -253,7 +259,9 @@
         let reading = elapsed.saturating_sub(ROUND_TRIP + queued + event).as_secs_f64();
         let usual = reading / slowdown / prompt_tokens as f64;
         if usual > 0.0 {
-            self.reading.record(usual.clamp(MIN_OBSERVED_S, MAX_READING_S_PER_TOKEN));
+            let usual = usual.clamp(MIN_OBSERVED_S, MAX_READING_S_PER_TOKEN);
+            self.reading.record(usual);
+            self.pure_reading.record(usual);
             self.observed_at = Some(now);
         }
     }
@@ -271,6 +279,7 @@
         UsualTimes {
             event_s: self.event.known(MIN_EVENTS),
             reading_s_per_token: self.reading.known(MIN_PROMPTS),
+            pure_reading_s_per_token: self.pure_reading.known(1),
             response_s: self.response.known(MIN_RESPONSES),
             stated: self.stated.map(|stated| stated.usual.value),
         }
--- a/crates/corianderstand_fleet/src/predict.rs
+++ b/crates/corianderstand_fleet/src/predict.rs
@@ -11,6 +11,8 @@
 /// Bounds of a target's time for work relative to the usual one of its service.
 const MIN_RELATIVE_TIME: f64 = 0.125;
 const MAX_RELATIVE_TIME: f64 = 8.0;
+/// Part of the targets whose time of reading alone is below the service's: few prompts are observed at each.
+const PURE_READING_PART: f64 = 0.25;
 /// Network round trip to another availability zone.
 const CROSS_ZONE_ROUND_TRIP_S: f64 = 0.003;
 
@@ -37,6 +39,8 @@
     usual: pace::UsualTimes,
     /// Time to read a token relative to that between events, as targets differ in both alike.
     reading_per_event: Option<f64>,
+    /// The same without the events of other streams in between.
+    pure_reading_per_event: Option<f64>,
     /// Time between events, and to answer, relative to the stated one of a usual moment.
     event_per_stated: Option<f64>,
     response_per_stated: Option<f64>,
@@ -54,7 +58,8 @@
     pub finish_s: f64,
     /// Whether the first event is expected within its objective.
     pub meets_first_event: bool,
-    /// Whether the time between events stays within its objective in the slow moments of the host too.
+    /// Whether the time between events, with this prompt read in between, stays within its objective in the slow
+    /// moments of the host too.
     pub meets_gap: bool,
     /// Time of the target's work relative to the usual one of its service.
     pub relative_time: f64,
@@ -82,6 +87,7 @@
         let usual = pace::UsualTimes {
             event_s: median(times.iter().filter_map(|times| times.event_s)),
             reading_s_per_token: median(times.iter().filter_map(|times| times.reading_s_per_token)),
+            pure_reading_s_per_token: None,
             response_s: median(times.iter().filter_map(|times| times.response_s)),
             stated: median(times.iter().filter_map(|times| times.stated)),
         };
@@ -92,6 +98,12 @@
         Self {
             usual,
             reading_per_event: ratio(|times| times.reading_s_per_token, |times| times.event_s),
+            pure_reading_per_event: at_part(
+                times
+                    .iter()
+                    .filter_map(|times| Some(times.pure_reading_s_per_token? / times.event_s?)),
+                PURE_READING_PART,
+            ),
             event_per_stated: ratio(|times| times.event_s, |times| times.stated),
             response_per_stated: ratio(|times| times.response_s, |times| times.stated),
         }
@@ -128,6 +140,24 @@
         self.reading_s_per_token_of(&self.usual_times(pace))
     }
 
+    /// Usual seconds between events of a stream that runs alone at a target.
+    pub fn event_s(&self, pace: &pace::Pace) -> f64 {
+        let times = self.usual_times(pace);
+        let usual =
+            || self.usual.event_s.unwrap_or(DEFAULT_EVENT_S) * self.relative_time_of(&times);
+        times.event_s.unwrap_or_else(usual)
+    }
+
+    /// Usual seconds to read a prompt token at a target, without the events of other streams in between.
+    pub fn pure_reading_s_per_token(&self, pace: &pace::Pace) -> f64 {
+        self.pure_reading_s_per_token_at(self.event_s(pace), self.relative_time(pace))
+    }
+
+    fn pure_reading_s_per_token_at(&self, event_s: f64, relative_time: f64) -> f64 {
+        let usual = demand::DEFAULT_PREFILL_S_PER_TOKEN * relative_time;
+        self.pure_reading_per_event.map_or(usual, |ratio| ratio * event_s)
+    }
+
     fn reading_s_per_token_of(&self, times: &pace::UsualTimes) -> Option<f64> {
         let by_event = || Some(times.event_s? * self.reading_per_event?);
         times.reading_s_per_token.or_else(by_event).or(self.usual.reading_s_per_token)
@@ -165,7 +195,8 @@
             };
         }
         let usual = self.usual.event_s.unwrap_or(DEFAULT_EVENT_S) * relative_time;
-        let usual_event_s = times.event_s.unwrap_or(usual) * pace::batch_growth(requests, slots);
+        let event_alone_s = times.event_s.unwrap_or(usual);
+        let usual_event_s = event_alone_s * pace::batch_growth(requests, slots);
         let reading = self
             .reading_s_per_token_of(&times)
             .unwrap_or(demand::DEFAULT_PREFILL_S_PER_TOKEN * relative_time);
@@ -173,7 +204,9 @@
         let event_s = usual_event_s * slowdown;
         let backlog = target.prefill_backlog(now).as_secs_f64();
         let first_event_s = backlog + uncached * reading * slowdown + event_s + round_trip;
-        let long_event_s = usual_event_s * target.pace.slow_moment(slowdown);
+        let pure_reading =
+            uncached * self.pure_reading_s_per_token_at(event_alone_s, relative_time);
+        let long_event_s = (usual_event_s + pure_reading) * target.pace.slow_moment(slowdown);
         Prediction {
             first_event_s,
             event_s,
@@ -187,7 +220,12 @@
 }
 
 fn median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    at_part(values, 0.5)
+}
+
+/// The value that this part of the others are below.
+fn at_part(values: impl Iterator<Item = f64>, part: f64) -> Option<f64> {
     let mut values: Vec<f64> = values.collect();
-    let middle = values.len().saturating_sub(1) / 2;
-    (!values.is_empty()).then(|| *values.select_nth_unstable_by(middle, f64::total_cmp).1)
+    let position = (values.len().saturating_sub(1) as f64 * part) as usize;
+    (!values.is_empty()).then(|| *values.select_nth_unstable_by(position, f64::total_cmp).1)
 }
--- a/crates/corianderstand_fleet/src/prefill.rs
+++ b/crates/corianderstand_fleet/src/prefill.rs
@@ -2,7 +2,7 @@
 //!
 //! An engine interleaves prefill with the decoding of its streams, so queued prompts delay every
 //! stream. The agent of an engine therefore grants prefill permits to the routers: within any
-//! window as long as the maximum pause of a stream, granted prompts may take a limited part of the
+//! [window](Window), granted prompts may take a limited part of the
 //! time. Prompts of workspaces within their share are granted first, and among them those that can still
 //! meet their latency objective, by rank and objective. Every fourth permit goes to a prompt that is
 //! already late, whatever its rank. Routers that state neither share nor rank have all of theirs alike.
@@ -10,6 +10,9 @@
 //! Requests that were granted hold memory and a slot of the engine before a report of the engine can show
 //! them. The agent counts them over all routers, and grants nothing that would exceed what the engine has.
 
+mod window;
+
+use crate::pace;
 use corianderstand_derives::derives;
 use corianderstand_room::{ranks, share};
 use std::{
@@ -17,16 +20,18 @@
     time::{Duration, Instant},
 };
 
-/// Part of the window that an engine may spend on prefill; the rest is for the tokens of one event.
-const PREFILL_TIME_RATIO: f64 = 0.85;
 /// One permit in this many goes to a late prompt, if any waits, so that late prompts do not starve.
 const LATE_PERMIT_INTERVAL: u32 = 4;
-/// Expected delay from the end of a prefill to the first event, relative to the window.
-const FIRST_EVENT_DELAY_RATIO: f64 = 0.5;
 /// Window if no route specifies a maximum pause.
 const DEFAULT_MAX_PAUSE: Duration = Duration::from_millis(250);
 /// Time for which the shortest requested maximum pause stays in effect.
 const MAX_PAUSE_TTL: Duration = Duration::from_secs(5);
+/// A tenth of the slow moments are slower than the learned one.
+const SLOW_MOMENT_MARGIN: f64 = 1.1;
+/// Slow moments that streams are kept from, although none so slow was seen.
+const MIN_SLOW_MOMENT: f64 = 1.5;
+/// Time for which the last stated time between events stays in effect.
+const EVENT_TIME_TTL: Duration = Duration::from_secs(2);
 /// Time for which a granted permit is kept, so that a repeated request is granted again.
 const GRANT_TTL: Duration = Duration::from_secs(2);
 
@@ -84,8 +89,10 @@
     pub id: u64,
     /// Recipient of the permit.
     pub requester: T,
-    /// Time that the engine needs for the prompt's prefill alone.
+    /// Time that the engine needs for the prompt's prefill alone; in a usual moment, if `event_time` is stated.
     pub prefill_time: Duration,
+    /// Time between events of the engine's streams in a usual moment; none if its pace does not count.
+    pub event_time: Option<Duration>,
     /// When the first event is due.
     pub latency_objective_at: Instant,
     /// When its caller gives up.
@@ -115,6 +122,8 @@
     /// Permits granted since the last one for a late prompt.
     permits_since_late: u32,
     max_pause: Option<(Instant, Duration)>,
+    event_time: Option<(Instant, Duration)>,
+    pace: pace::Pace,
     shares: share::Shares,
     served: ranks::Served,
     held: Option<(Instant, Held)>,
@@ -140,6 +149,8 @@
             idle_at: None,
             permits_since_late: 0,
             max_pause: None,
+            event_time: None,
+            pace: pace::Pace::default(),
             shares: share::Shares::default(),
             served: ranks::Served::default(),
             held: None,
@@ -162,6 +173,9 @@
             self.granted.remove(index);
         }
         self.record_max_pause(now, request.max_pause);
+        if let Some(event_time) = request.event_time {
+            self.event_time = Some((now, event_time));
+        }
         if self.waiting.iter().all(|other| other.id != request.id) {
             self.served.record_asked(request.claim.rank);
         }
@@ -192,9 +206,16 @@
         self.held = Some((asked_at, held));
     }
 
-    /// Forgets what was granted on an engine that has ended.
+    /// Records how long the engine says that work takes now, in percent.
+    pub fn record_stated_pace(&mut self, now: Instant, percent: u32) {
+        self.pace.record_stated(now, percent);
+    }
+
+    /// Forgets what was granted on an engine that has ended, and its pace.
     pub fn forget_engine(&mut self) {
         self.held = None;
+        self.event_time = None;
+        self.pace = pace::Pace::default();
         self.granted.clear();
         self.idle_at = None;
     }
@@ -204,6 +225,12 @@
         self.next_request(now).is_some_and(|next| !self.has_room(now, &next.claim))
     }
 
+    /// Whether a request waits for what a report of the engine tells: its memory, slots or pace.
+    pub fn awaits_report(&self, now: Instant) -> bool {
+        let waits_for_pace = self.event_time(now).is_some() && !self.waiting.is_empty();
+        waits_for_pace || self.awaits_room(now)
+    }
+
     fn add(&mut self, request: PermitRequest<T>) {
         let Claim { workspace, weight, .. } = request.claim;
         if !self.waiting.iter().any(|other| other.claim.workspace == workspace) {
@@ -255,7 +282,7 @@
     pub fn next_grant_in(&self, now: Instant) -> Option<Duration> {
         self.next_request(now).map(|next| {
             let room = if self.has_room(now, &next.claim) { Duration::ZERO } else { ROOM_WAIT };
-            self.time_until_capacity(now, next.prefill_time).max(room)
+            self.time_until_capacity(now, &next).max(room)
         })
     }
 
@@ -267,14 +294,56 @@
         self.max_pause = current.or(Some((now, max_pause)));
     }
 
-    /// Period over which the prefill time is limited: the maximum pause of the streams.
-    fn window(&self) -> Duration {
+    fn event_time(&self, now: Instant) -> Option<Duration> {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < EVENT_TIME_TTL;
+        self.event_time.filter(|(at, _)| is_recent(*at)).map(|(_, event_time)| event_time)
+    }
+
+    fn max_pause(&self) -> Duration {
         self.max_pause.map_or(DEFAULT_MAX_PAUSE, |(_, max_pause)| max_pause)
     }
 
+    fn stream_pace(&self, now: Instant) -> Option<window::StreamPace> {
+        let event_time = self.event_time(now)?;
+        let slowdown = self.pace.slowdown(now);
+        let slow_moment =
+            (self.pace.slow_moment(slowdown) * SLOW_MOMENT_MARGIN).max(MIN_SLOW_MOMENT);
+        Some(window::StreamPace { event_time, slowdown, slow_moment })
+    }
+
+    /// Period over which the prefill time is limited.
+    fn window(&self, now: Instant) -> window::Window {
+        let of_pause = || window::Window::of_pause(self.max_pause());
+        let beside_event = |pace| window::Window::beside_event(self.max_pause(), &pace);
+        self.stream_pace(now).map_or_else(of_pause, beside_event)
+    }
+
+    /// The window if no slow moment of the host begins.
+    fn calm_window(&self, now: Instant) -> window::Window {
+        let calm =
+            |pace: window::StreamPace| window::StreamPace { slow_moment: pace.slowdown, ..pace };
+        let beside_event = |pace| window::Window::beside_event(self.max_pause(), &calm(pace));
+        self.stream_pace(now).map_or_else(|| self.window(now), beside_event)
+    }
+
+    /// The window that a prompt has to fit in. One whose first event would be late if it waited for another window is
+    /// surely late, while a slow moment that makes others pause may not come.
+    fn window_of(&self, now: Instant, request: &PermitRequest<T>) -> window::Window {
+        let window = self.window(now);
+        let is_urgent = !self.is_late(now, request) && self.is_late(now + window.length, request);
+        if is_urgent { self.calm_window(now) } else { window }
+    }
+
+    /// Time that the prompt's prefill takes now.
+    fn prefill_time(&self, now: Instant, request: &PermitRequest<T>) -> Duration {
+        match request.event_time {
+            Some(_) => request.prefill_time.mul_f64(self.pace.slowdown(now)),
+            None => request.prefill_time,
+        }
+    }
+
     fn is_due(&self, now: Instant, request: &PermitRequest<T>) -> bool {
-        self.time_until_capacity(now, request.prefill_time).is_zero()
-            && self.has_room(now, &request.claim)
+        self.time_until_capacity(now, request).is_zero() && self.has_room(now, &request.claim)
     }
 
     /// Whether the engine has memory and a slot for a request, besides those that its report can't show yet. One that
@@ -297,14 +366,14 @@
 
     /// Time until the prompt fits into the limit of the window. One that exceeds the limit by
     /// itself fits once no other permit lies within the window.
-    fn time_until_capacity(&self, now: Instant, prefill_time: Duration) -> Duration {
-        let (window, limit) = (self.window(), self.window().mul_f64(PREFILL_TIME_RATIO));
-        let mut used = prefill_time;
+    fn time_until_capacity(&self, now: Instant, request: &PermitRequest<T>) -> Duration {
+        let window = self.window_of(now, request);
+        let mut used = self.prefill_time(now, request);
         for grant in self.granted.iter().rev() {
             let since = now.saturating_duration_since(grant.granted_at);
             used += grant.prefill_time;
-            if used > limit {
-                return window.saturating_sub(since);
+            if used > window.limit {
+                return window.length.saturating_sub(since);
             }
         }
         Duration::ZERO
@@ -312,7 +381,8 @@
 
     fn grant(&mut self, now: Instant, request: &PermitRequest<T>) {
         let was_late = self.is_late(now, request);
-        self.idle_at = Some(now + self.backlog(now) + request.prefill_time);
+        let prefill_time = self.prefill_time(now, request);
+        self.idle_at = Some(now + self.backlog(now) + prefill_time);
         // Where shares and ranks do not count, one that is only just in time counts as late.
         let is_late =
             if request.claim == Claim::default() { self.is_late(now, request) } else { was_late };
@@ -324,7 +394,7 @@
         self.granted.push_back(Grant {
             granted_at: now,
             id: request.id,
-            prefill_time: request.prefill_time,
+            prefill_time,
             tokens,
             arrives_at: now + USUAL_ARRIVAL_TIME,
             shown_at: now + ARRIVAL_TIME + self.backlog(now),
@@ -334,8 +404,8 @@
     /// Whether the first event would miss its latency objective if the prompt were granted now.
     fn is_late(&self, now: Instant, request: &PermitRequest<T>) -> bool {
         now + self.backlog(now)
-            + request.prefill_time
-            + self.window().mul_f64(FIRST_EVENT_DELAY_RATIO)
+            + self.prefill_time(now, request)
+            + self.window(now).first_event_delay
             > request.latency_objective_at
     }
 
@@ -362,13 +432,28 @@
     /// Expected time until a waiting request is granted, if no more urgent one arrives. Of other workspaces only what
     /// is granted in turn with this one's own stands before it, by their weights.
     fn expected_wait(&self, now: Instant, request: &PermitRequest<T>) -> Duration {
+        let wait = self.expected_wait_by(&self.window(now), now, request);
+        if now + wait < request.latency_objective_at {
+            return wait;
+        }
+        // What is ahead becomes urgent as well.
+        self.expected_wait_by(&self.calm_window(now), now, request)
+    }
+
+    fn expected_wait_by(
+        &self,
+        window: &window::Window,
+        now: Instant,
+        request: &PermitRequest<T>,
+    ) -> Duration {
         let priority = |request: &PermitRequest<T>| {
             (self.is_late(now, request), request.claim.rank, request.latency_objective_at)
         };
+        let share_of = |other: &PermitRequest<T>| window.share_of(self.prefill_time(now, other));
         let sum = |is_ahead: &dyn Fn(&PermitRequest<T>) -> bool| -> Duration {
             let ahead =
                 self.waiting.iter().filter(|other| other.id != request.id && is_ahead(other));
-            ahead.map(|other| other.prefill_time).sum()
+            ahead.map(share_of).sum()
         };
         let own = request.claim.workspace;
         let before = |other: &PermitRequest<T>| priority(other) <= priority(request);
@@ -376,8 +461,7 @@
         let others = sum(&|other| other.claim.workspace != own && before(other));
         let weight = request.claim.weight;
         let competing = self.shares.competing_weight(own, weight);
-        let in_turn =
-            (own_ahead + request.prefill_time).mul_f64((competing / weight).max(1.0) - 1.0);
+        let in_turn = (own_ahead + share_of(request)).mul_f64((competing / weight).max(1.0) - 1.0);
         let mut ahead = own_ahead + others.min(in_turn);
         let rank = request.claim.rank;
         if self.served.is_starving(rank) {
@@ -385,7 +469,6 @@
             ahead = ahead.min(of_rank * LATE_PERMIT_INTERVAL);
         }
         let room = if self.has_room(now, &request.claim) { Duration::ZERO } else { ROOM_WAIT };
-        self.time_until_capacity(now, request.prefill_time).max(room)
-            + ahead.div_f64(PREFILL_TIME_RATIO)
+        self.time_until_capacity(now, request).max(room) + ahead
     }
 }
--- a/crates/corianderstand_fleet/tests/predicted_choice.rs
+++ b/crates/corianderstand_fleet/tests/predicted_choice.rs
@@ -16,7 +16,7 @@
     net::SocketAddr,
     time::{Duration, Instant},
 };
-use uneven_fleet::{Load, Rule, play};
+use uneven_fleet::{Load, Rule, permits, play};
 
 const SLOTS: u32 = 32;
 const EVENT: Duration = Duration::from_millis(38);
@@ -171,6 +171,21 @@
     assert!(f64::from(most) < 3.0 * mean, "{most} at one engine, {mean:.0} on average");
 }
 
+/// Load: the same, busy, with prompts that wait for permits. Guards against streams that pause too long as prompts are
+/// read in a slow moment, and against permits that keep streams in time by making others late or refusing them.
+#[rstest::rstest]
+#[case(1)]
+#[case(2)]
+fn permits_that_leave_room_for_an_event_keep_more_streams_in_time(#[case] seed: u64) {
+    let load = |rule| Load { streams_per_s: 500.0, permits: Some(rule), ..Load::default() };
+    let before = play(&load(permits::Rule::OfPause), Rule::Product, seed);
+    let now = play(&load(permits::Rule::BesideEvent), Rule::Product, seed);
+    println!("of the pause: {}\nbeside an event: {}", before.describe(), now.describe());
+    assert!(now.late_gaps < before.late_gaps, "{}", now.describe());
+    assert!(now.late_first_events <= before.late_first_events, "{}", now.describe());
+    assert!(now.on_time > before.on_time, "{}", now.describe());
+}
+
 /// Guards against streams that an engine cannot write within their longest pause while another could.
 #[test]
 fn an_engine_is_not_filled_beyond_the_longest_pause() {
@@ -302,6 +317,21 @@
     assert!(large < 20 * MAX_CHOICE_TIME, "{large:?}");
 }
 
+/// Prints what each way to grant permits gives.
+#[test]
+#[ignore = "prints the figures of the design note"]
+fn permits_compared() {
+    for streams_per_s in [356.0, 500.0] {
+        for models in [8, 14] {
+            for permits in [None, Some(permits::Rule::OfPause), Some(permits::Rule::BesideEvent)] {
+                let load = Load { streams_per_s, models, permits, ..Load::default() };
+                let outcome = play(&load, Rule::Product, 1);
+                println!("{streams_per_s}, {models} models, {permits:?}: {}", outcome.describe());
+            }
+        }
+    }
+}
+
 /// Prints what each way to choose gives.
 #[test]
 #[ignore = "prints the figures of the design note"]
--- a/crates/corianderstand_fleet/tests/uneven_fleet/mod.rs
+++ b/crates/corianderstand_fleet/tests/uneven_fleet/mod.rs
@@ -1,8 +1,10 @@
 //! Routers that share engines of three speeds, whose hosts have other work at moments. There is no network.
 
+pub mod permits;
+
 use corianderstand_fleet::{
     choose::{self, by_time},
-    predict, targets,
+    pace, predict, targets,
 };
 use corianderstand_types::names;
 use rand::{RngExt, SeedableRng, rngs};
@@ -61,6 +63,8 @@
     pub is_first_router_uninformed: bool,
     /// Added to every engine's time for work.
     pub slowness: f64,
+    /// What agents grant permits by; without any, prompts are sent at once.
+    pub permits: Option<permits::Rule>,
 }
 
 impl Default for Load {
@@ -74,6 +78,7 @@
             has_slow_moments: true,
             is_first_router_uninformed: false,
             slowness: 1.0,
+            permits: None,
         }
     }
 }
@@ -85,6 +90,8 @@
     pub refused: u32,
     pub late_first_events: u32,
     pub late_gaps: u32,
+    /// Streams whose first event and pauses were all within their objectives.
+    pub on_time: u32,
     pub first_events_s: Vec<f64>,
     /// Tokens of work by speed, and engines of the speed.
     pub work: BTreeMap<u64, (f64, u32)>,
@@ -117,9 +124,18 @@
         let at =
             |part: f64| first.get((first.len() as f64 * part) as usize).copied().unwrap_or(0.0);
         let shares: Vec<_> = self.shares().iter().map(|share| format!("{share:.2}")).collect();
+        let by_speed = SPEEDS.map(|speed| {
+            let of_speed = self.by_engine.iter().filter(|(other, _, _)| *other == speed);
+            let (streams, late) =
+                of_speed.fold((0, 0), |sum, (_, streams, late)| (sum.0 + streams, sum.1 + late));
+            format!("{late}/{streams}")
+        });
+        let all = f64::from((self.streams + self.refused).max(1));
         format!(
-            "late gaps {:.1}%, late first events {:.1}%, refused {}, first event p50 {:.0} ms p99 {:.0} ms, share against speed {}",
+            "on time {:.1}%, late gaps {:.1}% (by speed {}), late first events {:.1}%, refused {}, first event p50 {:.0} ms p99 {:.0} ms, share against speed {}",
+            100.0 * f64::from(self.on_time) / all,
             100.0 * f64::from(self.late_gaps) / f64::from(self.streams.max(1)),
+            by_speed.join(" "),
             100.0 * f64::from(self.late_first_events) / f64::from(self.streams.max(1)),
             self.refused,
             at(0.5) * 1e3,
@@ -139,10 +155,24 @@
     arrived_at: f64,
     objective_s: f64,
     last_event_at: Option<f64>,
+    is_first_late: bool,
     is_gap_late: bool,
     backlog_s: f64,
 }
 
+/// A caller's request.
+#[derive(Clone, Copy)]
+struct Request {
+    router: usize,
+    model: usize,
+    prompt: u64,
+    events: u32,
+    objective_s: f64,
+    arrived_at: f64,
+    /// Targets that were given up as the wait for a permit was long.
+    abandoned: u32,
+}
+
 struct Engine {
     speed: f64,
     is_slow: bool,
@@ -183,6 +213,7 @@
     keys: Vec<Vec<targets::TargetKey>>,
     usual: Vec<(f64, predict::ServicePace)>,
     engines: Vec<Engine>,
+    agents: Vec<permits::Agent>,
     outcome: Outcome,
 }
 
@@ -248,7 +279,8 @@
         ..Outcome::default()
     };
     let usual = vec![(-1.0, predict::ServicePace::default()); load.routers];
-    let mut play = Play { usual, load, rule, rng, start, routers, keys, engines, outcome };
+    let agents = (0..load.engines).map(|_| permits::Agent::default()).collect();
+    let mut play = Play { usual, load, rule, rng, start, routers, keys, engines, agents, outcome };
     play.run();
     play.outcome
 }
@@ -268,6 +300,7 @@
                 if self.engines[index].next_report_at <= now {
                     self.report(index, now);
                 }
+                self.grant(index, now);
                 if self.engines[index].next_step_at <= now {
                     self.step(index, now);
                 }
@@ -322,11 +355,29 @@
             true => (383, 6, 1.5),
             false => (715, 35, 0.5),
         };
-        let requested = choose::RequestedModel { model: model(model_index), adapter: None };
+        self.send(
+            now,
+            Request {
+                router,
+                model: model_index,
+                prompt,
+                events,
+                objective_s,
+                arrived_at: now,
+                abandoned: 0,
+            },
+        );
+    }
+
+    /// Chooses a target for a request and sends it, or asks the target's agent for a permit.
+    fn send(&mut self, now: f64, request: Request) {
+        let Request { router, prompt, events, objective_s, .. } = request;
+        let requested = choose::RequestedModel { model: model(request.model), adapter: None };
+        let first_event_in = (request.arrived_at + objective_s - now).max(0.0);
         let work = predict::Work {
             prompt_tokens: prompt,
             events: f64::from(events),
-            first_event_in: Duration::from_secs_f64(objective_s),
+            first_event_in: Duration::from_secs_f64(first_event_in),
             gap_objective: Some(GAP_OBJECTIVE),
             usual: self.usual(router, now),
         };
@@ -353,17 +404,27 @@
             },
             _ => self.choose_otherwise(at, known, &query, &work),
         };
-        let counts = now > WARM_UP_S;
-        let Some(key) = key else {
-            self.outcome.refused += u32::from(counts);
-            return;
-        };
+        let Some(key) = key else { return self.refuse(&request) };
         let index = self.keys[router].iter().position(|other| *other == key).unwrap();
+        if self.load.permits.is_some() {
+            return self.ask(index, now, request);
+        }
         let backlog_s = self.engines[index].backlog_s();
         let target = self.routers[router].get_mut(key).unwrap();
         target.record_prefill_backlog(at, Duration::from_secs_f64(backlog_s));
+        self.start(index, now, request, backlog_s);
+    }
+
+    fn refuse(&mut self, request: &Request) {
+        self.outcome.refused += u32::from(request.arrived_at > WARM_UP_S);
+    }
+
+    /// Sends a request to an engine.
+    fn start(&mut self, index: usize, now: f64, request: Request, backlog_s: f64) {
+        let Request { router, prompt, events, .. } = request;
+        let target = self.routers[router].get_mut(self.keys[router][index]).unwrap();
         target.local_requests += 1;
-        target.local_tokens += query.tokens;
+        target.local_tokens += prompt + u64::from(events * TOKENS_PER_EVENT);
         let stream = Stream {
             router,
             prompt: prompt as u32,
@@ -371,9 +432,10 @@
             tokens_left: events * TOKENS_PER_EVENT,
             tokens: 0,
             sent_at: now,
-            arrived_at: now,
-            objective_s,
+            arrived_at: request.arrived_at,
+            objective_s: request.objective_s,
             last_event_at: None,
+            is_first_late: false,
             is_gap_late: false,
             backlog_s,
         };
@@ -468,6 +530,7 @@
                         self.outcome.streams += 1;
                         let first = end - stream.arrived_at;
                         let is_late = first > stream.objective_s;
+                        stream.is_first_late = is_late;
                         self.outcome.late_first_events += u32::from(is_late);
                         self.outcome.first_events_s.push(first);
                         let is_first = u32::from(stream.router == 0);
@@ -503,6 +566,8 @@
             target.local_requests -= 1;
             target.local_tokens -= u64::from(tokens);
             if stream.arrived_at > WARM_UP_S {
+                let is_on_time = !stream.is_first_late && !stream.is_gap_late;
+                self.outcome.on_time += u32::from(is_on_time);
                 let work = self.outcome.work.entry(engine.speed.to_bits()).or_default();
                 work.0 += f64::from(tokens);
             }
--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -258,8 +258,8 @@
                     IDLE_POLL_INTERVAL
                 }
             };
-            let awaits_room = self.permits.borrow().awaits_room(self.clock.now());
-            let delay = if awaits_room { delay.min(BUSY_POLL_INTERVAL) } else { delay };
+            let awaits_report = self.permits.borrow().awaits_report(self.clock.now());
+            let delay = if awaits_report { delay.min(BUSY_POLL_INTERVAL) } else { delay };
             tokio::select! {
                 () = self.wake.notified() => {}
                 () = tokio::time::sleep(delay) => {}
--- a/crates/corianderstand_forward/src/agent/permits.rs
+++ b/crates/corianderstand_forward/src/agent/permits.rs
@@ -35,6 +35,7 @@
         request: &peers::PrefillRequest,
     ) {
         let millis = |ms: u32| Duration::from_millis(u64::from(ms));
+        let event_time = Duration::from_micros(u64::from(request.event_us));
         self.state.borrow_mut().record_requester(now, from, false);
         let mut permits = self.permits.borrow_mut();
         let response = permits.request(
@@ -43,6 +44,7 @@
                 id: request.id,
                 requester: from,
                 prefill_time: Duration::from_micros(u64::from(request.work_us)),
+                event_time: (!event_time.is_zero()).then_some(event_time),
                 latency_objective_at: now + millis(request.aim_in_ms),
                 expires_at: now + millis(request.useful_ms),
                 max_pause: (request.pause_ms > 0).then(|| millis(request.pause_ms)),
@@ -50,9 +52,9 @@
             },
         );
         let backlog = permits.backlog(now);
-        let awaits_room = permits.awaits_room(now);
+        let awaits_report = permits.awaits_report(now);
         drop(permits);
-        if awaits_room {
+        if awaits_report {
             self.refresh_report(now);
         }
         match response {
@@ -82,6 +84,9 @@
             permits.forget_engine();
         }
         let load = &report.load;
+        if let Some(percent) = load.slowdown_percent {
+            permits.record_stated_pace(asked_at, percent);
+        }
         permits.record_held(
             asked_at,
             prefill::Held {
--- a/crates/corianderstand_forward/src/pacing.rs
+++ b/crates/corianderstand_forward/src/pacing.rs
@@ -1,7 +1,7 @@
 //! What the choice of a target by predicted time needs of a request, and where it is used.
 
 use crate::{job, router, view};
-use corianderstand_fleet::{features, predict, targets};
+use corianderstand_fleet::{features, pace, predict, targets};
 use corianderstand_types::names;
 use std::{
     cell::RefCell,
@@ -111,3 +111,33 @@
     let s_per_token = usual.reading_s_per_token(&target.pace)?;
     Some(Duration::from_secs_f64(tokens as f64 * s_per_token * target.pace.slowdown(now)))
 }
+
+/// Times of a prompt at a target in a usual moment of its host.
+#[derive(Clone, Copy, Debug)]
+pub struct PromptTimes {
+    /// To read what is not cached, without the events of other streams in between.
+    pub reading: Duration,
+    /// Between events of the target's streams.
+    pub event: Duration,
+}
+
+/// Times by which the target's agent grants a permit; none if the paces do not decide, or no pause is too long for the
+/// route.
+pub fn prompt_times<P>(
+    shared: &router::Shared<P>,
+    view: &view::View,
+    now: Instant,
+    job: &job::Job,
+    key: targets::TargetKey,
+) -> Option<PromptTimes> {
+    job.route.gap_objective?;
+    let usual = usual(shared, view, now, &job.service)?;
+    let target = view.targets.get(key)?;
+    let tokens = job.uncached_tokens(view, key) as f64;
+    let requests = target.estimated_requests(now);
+    let event_s = usual.event_s(&target.pace) * pace::batch_growth(requests, target.entry.slots);
+    Some(PromptTimes {
+        reading: Duration::from_secs_f64(tokens * usual.pure_reading_s_per_token(&target.pace)),
+        event: Duration::from_secs_f64(event_s),
+    })
+}
