--- a/crates/corianderstand_forward/tests/prefill_permits.rs
+++ b/crates/corianderstand_forward/tests/prefill_permits.rs
@@ -5,7 +5,7 @@
 use common::{MemoryStore, RouterThread, Target};
 use corianderstand_fleet::{
     config::{self, Route},
-    targets,
+    features, targets,
 };
 use corianderstand_schema::peers::{self, PeerMessage, PrefillRequest, PrefillResponse};
 use std::{
@@ -36,14 +36,14 @@
 }
 
 async fn setup() -> Setup {
+    setup_with(features::Switch::Auto, Some(Duration::from_millis(60))).await
+}
+
+async fn setup_with(pace: features::Switch, gap_objective: Option<Duration>) -> Setup {
     let store = MemoryStore::default();
     let engine = Target::start().await;
-    let streams = Route {
-        streams: true,
-        resumable: true,
-        gap_objective: Some(Duration::from_millis(60)),
-        ..common::route("/ask/", "models")
-    };
+    let streams =
+        Route { streams: true, resumable: true, gap_objective, ..common::route("/ask/", "models") };
     let mut config = common::config(1, vec![streams]);
     let model = config::Model { name: "m".into(), ..Default::default() };
     let spec = config::Engine { slots: 8, models: vec![model], ..Default::default() };
@@ -55,6 +55,7 @@
     let mut settings = RouterThread::settings("router-a", Vec::new(), Duration::from_secs(8));
     settings.agent_port = agent.local_addr().unwrap().port();
     settings.bounds.drain_within = DRAIN_WITHIN;
+    settings.bounds.features.pace = pace;
     let router = RouterThread::start_on(&store, common::may_retry_at_once(settings));
     router.wait_ready().await;
     let setup = Setup { store, router, engine, agent };
@@ -211,3 +212,20 @@
     let answer = answer.expect("the stream ends");
     assert!(answer.contains("data: b") && answer.ends_with("0\r\n\r\n"), "{answer}");
 }
+
+/// Guards against permits that follow the pace of engines that state none, or of routes without a longest pause.
+#[rstest::rstest]
+#[case::no_pace_is_stated(features::Switch::Auto, Some(Duration::from_millis(60)), false)]
+#[case::no_pause_is_too_long(features::Switch::On, None, false)]
+#[case::both_decide(features::Switch::On, Some(Duration::from_millis(60)), true)]
+#[tokio::test]
+async fn the_time_of_an_event_is_stated_where_paces_and_pauses_decide(
+    #[case] pace: features::Switch,
+    #[case] gap_objective: Option<Duration>,
+    #[case] is_stated: bool,
+) {
+    let setup = setup_with(pace, gap_objective).await;
+    let _caller = setup.send_request().await;
+    let (_, request) = setup.next_request().await;
+    assert_eq!(request.event_us > 0, is_stated, "{request:?}");
+}
