explain: says how long a request waited for its quota, and when a refused one was told to come back

Before, a refusal by quota read as its reason only, and a wait that ended well was not in the summary.

--- a/crates/corianderstand_cli/src/explain.rs
+++ b/crates/corianderstand_cli/src/explain.rs
@@ -77,7 +77,9 @@
             "refused as not run: {why}{part}; {ends} ended, the last {age} ms before, noticed by {noticed_by}"
         );
     }
-    let Some(version) = text(end, "config") else { return format!("refused as not run: {why}") };
+    let Some(version) = text(end, "config") else {
+        return format!("refused as not run: {why}{}", describe_return(end));
+    };
     let age = text(end, "age_ms").map_or("never".to_owned(), |ms| format!("{ms} ms before"));
     let stale_note = match end.fields.get("behind").and_then(Value::as_bool) {
         Some(true) => "; another router had read more, so an older version may have answered",
@@ -86,6 +88,18 @@
     format!("{why} in configuration {version}; store read {age}{stale_note}")
 }
 
+/// Says when a caller that waited for a quota was told to come back, and what it finds then.
+fn describe_return(end: &Line) -> String {
+    let (Some(before), Some(ms)) = (text(end, "before"), text(end, "retry_ms")) else {
+        return String::new();
+    };
+    let room = match end.fields.get("booked").and_then(Value::as_bool) {
+        Some(true) => "room is booked for it then",
+        _ => "nothing is booked: its caller could not have waited for room",
+    };
+    format!("; {before} waited before it; told to come back after {ms} ms, {room}")
+}
+
 /// Says why a request was not sent once more.
 fn describe_denied_retry(line: &Line) -> String {
     let field = |name| text(line, name).unwrap_or_default();
@@ -163,8 +177,13 @@
             (status, how) => format!("{} {}", status.unwrap_or_default(), how.unwrap_or_default()),
         },
     };
+    let granted = lines.iter().find(|line| line.message == "granted");
+    let granted = granted.and_then(|line| Some((text(line, "waited_ms")?, text(line, "rank")?)));
+    let granted = granted.map_or(String::new(), |(ms, rank)| {
+        format!("; granted after a wait of {ms} ms as rank {rank}")
+    });
     let copies = describe_copies(lines);
-    format!("{outcome} (after {ms} ms){waited}{failed}{ended}{copies}{denied}")
+    format!("{outcome} (after {ms} ms){waited}{granted}{failed}{ended}{copies}{denied}")
 }
 
 fn notes(log: &RequestLog) -> Vec<String> {
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -56,6 +56,30 @@
     assert!(out.contains(&format!("not sent once more: {expected}")), "{out}");
 }
 
+/// A caller that its workspace's quota refused must see whether room is kept for it, and when.
+#[rstest::rstest]
+#[case::booked("true", "3 waited before it; told to come back after 900 ms, room is booked")]
+#[case::unbooked("false", "told to come back after 900 ms, nothing is booked")]
+fn a_refusal_by_quota_names_the_return(#[case] booked: &str, #[case] expected: &str) {
+    let refused = format!(
+        r#"{{"timestamp":"2","message":"refused","id":"r1","status":429,"why":"the workspace's quota is used up","before":3,"booked":{booked},"retry_ms":900,"ms":20}}"#
+    );
+    let one = file(&format!("router-quota-{booked}.log"), &[&refused]);
+    let (_, out) = explain(&["r1", one.to_str().unwrap()]);
+    assert!(out.contains(expected), "{out}");
+}
+
+/// A wait for the quota must be told apart from a slow target.
+#[test]
+fn a_grant_names_the_wait_and_the_rank() {
+    let granted = r#"{"timestamp":"1","message":"granted","id":"r1","rank":3,"waited_ms":70}"#;
+    let answered =
+        r#"{"timestamp":"2","message":"answered","id":"r1","status":200,"how":"whole","ms":101}"#;
+    let one = file("router-granted.log", &[granted, answered]);
+    let (_, out) = explain(&["r1", one.to_str().unwrap()]);
+    assert!(out.contains("granted after a wait of 70 ms as rank 3"), "{out}");
+}
+
 /// A stream that moved, or was lost with its engine, must say so and why.
 #[rstest::rstest]
 #[case::moved(
