A router that is told of newer records asks its peer at once

Cause of restored_store a_router_that_starts_meanwhile_has_the_configuration_of_its_peers (510 ms of 500 beside load): only followers wake their control task when a peer names newer records. Change: any router that is behind is woken.

--- a/crates/corianderstand_forward/src/follow/via_readers.rs
+++ b/crates/corianderstand_forward/src/follow/via_readers.rs
@@ -162,18 +162,21 @@
     }
     eras::observe(shared, Era(update.era), Source::Peer(from));
     let is_reader = shared.peers.borrow().reads_for_zone(update.router.as_str());
-    let reader = Progress {
+    let progress = Progress {
         config_version: update.config_version,
         next: Position::new(Era(update.era), update.config_next),
     };
-    let is_known = shared.peers.borrow_mut().on_records(update);
-    if !is_known || !is_reader || !matches!(shared.role(now), readers::Role::Follows(_)) {
+    if !shared.peers.borrow_mut().on_records(update) {
         return;
     }
     let own = shared.replicated_records.borrow().progress(Subject::Config);
-    if reader.is_ahead_of(&own) {
+    if progress.is_ahead_of(&own) {
+        // The store may have nothing newer for this router to read: it asks its peer at once.
         shared.control_wake.notify_one();
-    } else if reader.next.era() == own.next.era() {
+    } else if is_reader
+        && matches!(shared.role(now), readers::Role::Follows(_))
+        && progress.next.era() == own.next.era()
+    {
         record_read(shared, Subject::Config, Duration::ZERO);
     }
 }
