Check of a configuration: attempts beyond the retry budget, quotas over what targets hold

With a share of the requests enough traffic allows any number, so that nothing is told. Rates aren't compared: neither the configuration nor targets state what they complete in a second, and the module says so. Without the store nothing is known of how many targets there are, so that nothing is told.

False alarms and a fault of the comparison, found by reading: shares that are only scaled (1 : 3 and 1,000 : 3,000) or listed in another order were told as a change, and the sum of weights overflowed 32 bits (a panic in debug builds).

Left: a route that may run at most once and allows two targets gives a warning, and so exit code 1, although operators commonly set 2 everywhere.

The command itself was not run against a store.

--- a/crates/corianderstand_cli/src/args.rs
+++ b/crates/corianderstand_cli/src/args.rs
@@ -129,6 +129,12 @@
             "with --config: read the configuration in force from the platform's store",
             "ADDRESS",
         );
+        options.optopt(
+            "s",
+            "settings",
+            "with --config: settings of a router on the platform, whose retry budget holds",
+            "FILE",
+        );
     }
     if command.queries_router()
         || matches!(command, Command::Check | Command::Explain | Command::Account)
--- a/crates/corianderstand_cli/src/check_config.rs
+++ b/crates/corianderstand_cli/src/check_config.rs
@@ -1,9 +1,9 @@
 //! `check --config`: checks a configuration of the users' platform before it is sent, and says what it would change.
 
 use crate::Exit;
-use corianderstand_fleet::{audit, config};
+use corianderstand_fleet::{audit, budget, config, targets};
 use corianderstand_forward::{client, dialect, pool};
-use corianderstand_platform::{config as documents, store};
+use corianderstand_platform::{config as documents, entry, settings, store};
 use corianderstand_types::clock::SystemClock;
 use getopts::Matches;
 use serde_json::{Value, json};
@@ -23,6 +23,8 @@
     Address(String),
     /// the configuration in force cannot be read ({0}): check the address, or give a file with --against
     Store(String),
+    /// {0}: {1}
+    Settings(String, settings::SettingsError),
 }
 
 impl std::error::Error for ConfigError {}
@@ -113,7 +115,9 @@
             eprintln!("{error}");
             match error {
                 ConfigError::Malformed(..) => Exit::Fault,
-                ConfigError::Unreadable(..) | ConfigError::Address(_) => Exit::Usage,
+                ConfigError::Unreadable(..)
+                | ConfigError::Address(_)
+                | ConfigError::Settings(..) => Exit::Usage,
                 ConfigError::Store(_) => Exit::Unreachable,
             }
         }
@@ -122,18 +126,41 @@
 
 fn report(path: &Path, matches: &Matches) -> Result<Report, ConfigError> {
     let cfg = read(path)?;
+    let mut deployment = audit::deployment::Deployment::default();
+    if let Some(path) = matches.opt_str("settings") {
+        deployment.allowance = Some(read_allowance(path)?);
+    }
     let in_force = match (matches.opt_str("against"), matches.opt_str("against-store")) {
         (Some(file), _) => Some(read(Path::new(&file))?),
-        (None, Some(addr)) => Some(read_from_store(&addr)?),
+        (None, Some(addr)) => {
+            let (in_force, targets) = read_from_store(&addr)?;
+            deployment.targets = Some(targets);
+            Some(in_force)
+        }
         (None, None) => None,
     };
-    Ok(check(&cfg, in_force.as_ref()))
+    Ok(check(&cfg, in_force.as_ref(), &deployment))
 }
 
-/// Checks a configuration, and compares it with the one in force.
-pub fn check(cfg: &config::Config, in_force: Option<&config::Config>) -> Report {
+/// Checks a configuration, against what is known of its deployment, and compares it with the one in force.
+pub fn check(
+    cfg: &config::Config,
+    in_force: Option<&config::Config>,
+    deployment: &audit::deployment::Deployment,
+) -> Report {
     let changes = in_force.map(|before| audit::compare(before, cfg));
-    Report { findings: audit::audit(cfg), changes }
+    let mut findings = audit::audit(cfg);
+    findings.extend(audit::deployment::audit(cfg, deployment));
+    findings.sort_by_key(|finding| (finding.severity, finding.place));
+    Report { findings, changes }
+}
+
+/// Reads the retry budget from a router's settings.
+pub fn read_allowance(path: String) -> Result<budget::Allowance, ConfigError> {
+    let fields = settings::Fields::load_from(path.clone().into());
+    let router = fields.and_then(|fields| fields.router());
+    let router = router.map_err(|error| ConfigError::Settings(path, error))?;
+    Ok(router.bounds.allowance)
 }
 
 /// Reads a configuration from a file.
@@ -143,7 +170,8 @@
     documents::parse(&text).map_err(|error| ConfigError::Malformed(name, error))
 }
 
-fn read_from_store(addr: &str) -> Result<config::Config, ConfigError> {
+/// Reads the configuration in force and the registered targets.
+fn read_from_store(addr: &str) -> Result<(config::Config, Vec<targets::Entry>), ConfigError> {
     let addr: SocketAddr = addr.parse().map_err(|_| ConfigError::Address(addr.into()))?;
     let failed = |error: &dyn std::fmt::Display| ConfigError::Store(error.to_string());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -155,15 +183,31 @@
         idle_timeout: STORE_TIMEOUT,
         last_received: client::LastReceived::default(),
     };
-    let reading = store.newest(dialect::Subject::Config, &options);
-    let page = tokio::task::LocalSet::new().block_on(&runtime, reading);
-    let page = page.map_err(|error| failed(&error))?;
+    let read = |subject| {
+        let reading = store.newest(subject, &options);
+        tokio::task::LocalSet::new().block_on(&runtime, reading).map_err(|error| failed(&error))
+    };
+    let cfg = decode_config(&read(dialect::Subject::Config)?)?;
+    Ok((cfg, decode_targets(&read(dialect::Subject::Targets)?)))
+}
+
+fn decode_config(page: &dialect::Page) -> Result<config::Config, ConfigError> {
     for record in &page.records {
         match documents::decode(record) {
             Ok(Some(dialect::Update::Config(cfg))) => return Ok((*cfg).clone()),
             Ok(_) => {}
-            Err(error) => return Err(failed(&error)),
+            Err(error) => return Err(ConfigError::Store(error)),
         }
     }
     Err(ConfigError::Store("the store holds none".into()))
 }
+
+/// The targets; entries of other writers that cannot be read name none.
+fn decode_targets(page: &dialect::Page) -> Vec<targets::Entry> {
+    let updates = page.records.iter().map(entry::decode);
+    let targets = updates.filter_map(|update| match update {
+        Ok(Some(dialect::Update::Target(entry))) => Some(entry),
+        _ => None,
+    });
+    targets.collect()
+}
--- a/crates/corianderstand_fleet/tests/audit.rs
+++ b/crates/corianderstand_fleet/tests/audit.rs
@@ -1,8 +1,10 @@
 //! Mistakes of a configuration that are found before it is sent, and what it would change.
 
 use corianderstand_fleet::{
-    audit::{self, Field, Place, Severity},
+    audit::{self, Field, Place, Severity, deployment},
+    budget::Allowance,
     config::{Config, Engine, Limits, Model, RetryPolicy, Route, Service},
+    targets::{Entry, Holdings},
     workspaces::{CostUnit, Credential, Quota, Workspace},
 };
 use rstest::rstest;
@@ -188,3 +190,78 @@
     assert_eq!(changes.len(), 1);
     assert_eq!(changes[0].entry, "version");
 }
+
+/// Guards against a difference in how shares are written, which requests never see, and against one that is rounded away.
+#[rstest]
+#[case::scaled(vec![("drafts".into(), 2), ("desk".into(), 6)], 0)]
+#[case::in_another_order(vec![("desk".into(), 3), ("drafts".into(), 1)], 0)]
+#[case::a_little_more(vec![("drafts".into(), 1_001), ("desk".into(), 2_999)], 1)]
+#[case::beyond_32_bits(vec![("drafts".into(), u32::MAX), ("desk".into(), u32::MAX)], 1)]
+fn shares_are_compared_by_what_services_get(
+    #[case] services: Vec<(corianderstand_types::names::ServiceId, u32)>,
+    #[case] changes: usize,
+) {
+    let split = vec![("drafts".into(), 1), ("desk".into(), 3)];
+    let before = sound(Route { services: split, ..route("/a/") });
+    let mut after = sound(Route { services, ..route("/a/") });
+    after.version += 1;
+    let found = audit::compare(&before, &after);
+    assert_eq!(found.len(), changes, "{found:?}");
+}
+
+/// Guards against attempts that operators count on and that the retry budget never allows.
+#[rstest]
+#[case::no_retries(0.0, 0.0, RetryPolicy::Allowed, 1)]
+#[case::too_few(0.0, 1.0, RetryPolicy::Allowed, 1)]
+#[case::just_enough(0.0, 2.0, RetryPolicy::Allowed, 0)]
+#[case::a_share_of_the_requests(0.1, 0.0, RetryPolicy::Allowed, 0)]
+#[case::runs_at_most_once(0.0, 0.0, RetryPolicy::Never, 0)]
+fn attempts_beyond_the_retry_budget_are_found(
+    #[case] ratio: f64,
+    #[case] fixed: f64,
+    #[case] retry_policy: RetryPolicy,
+    #[case] findings: usize,
+) {
+    let cfg = sound(Route { max_targets: 3, retry_policy, ..route("/d/") });
+    let allowance = Some(Allowance { ratio, fixed, ..Allowance::default() });
+    let found = deployment::audit(&cfg, &deployment::Deployment { allowance, targets: None });
+    assert_eq!(found.len(), findings, "{found:?}");
+    assert!(found.iter().all(|finding| finding.place == Place::Route(0, Field::MaxTargets)));
+}
+
+fn engine(draining: bool) -> Entry {
+    Entry {
+        id: "e".into(),
+        started_at_ms: 1,
+        renewals: 1,
+        service: "drafts".into(),
+        addr: ([127, 0, 0, 1], 80).into(),
+        zone: "here".into(),
+        slots: 8,
+        draining,
+        shutdown_in: None,
+        version: None,
+        holdings: Holdings::default(),
+    }
+}
+
+/// Guards against a quota that allows more at once than there is room for, so that its requests are refused all the same.
+#[rstest]
+#[case::requests_that_fit(CostUnit::Request, 16.0, 0)]
+#[case::too_many_requests(CostUnit::Request, 17.0, 1)]
+#[case::tokens_that_fit(CostUnit::Token { default: 9 }, 2_000.0, 0)]
+#[case::too_many_tokens(CostUnit::Token { default: 9 }, 2_001.0, 1)]
+fn quotas_over_what_targets_hold_are_found(
+    #[case] unit: CostUnit,
+    #[case] burst: f64,
+    #[case] findings: usize,
+) {
+    let mut cfg = sound(route("/d/"));
+    cfg.services[0].engine.as_mut().unwrap().cache_tokens = 1_000;
+    let quota = Some(Quota { per_s: 10.0, burst, unit });
+    cfg.workspaces = Some(vec![Workspace { quota, ..workspace("a", &[b"1"]) }]);
+    let targets = Some(vec![engine(false), engine(false), engine(true)]);
+    let found = deployment::audit(&cfg, &deployment::Deployment { allowance: None, targets });
+    assert_eq!(found.len(), findings, "{found:?}");
+    assert!(found.iter().all(|finding| finding.place == Place::Workspace(0, Field::Burst)));
+}
