--- a/crates/corianderstand_forward/src/admission.rs
+++ b/crates/corianderstand_forward/src/admission.rs
@@ -5,7 +5,7 @@
 //! would have to be in force. It tells callers that their credential is unknown only while it would know
 //! of one that was added.
 
-use crate::{config_proof, dialect::RequestCredential, exchange, job, router};
+use crate::{config_proof, dialect::RequestCredential, job, replies, router};
 use corianderstand_fleet::config;
 use corianderstand_types::names;
 use http::StatusCode;
@@ -156,7 +156,7 @@
     let age = config_proof::age(shared);
     shared.decision_log.denied(request_id, &route.name, denied, age, arrived, now);
     let mut response =
-        exchange::local_response(denied.status(), denied.reason(), denied.retry_after());
+        replies::local_response(denied.status(), denied.reason(), denied.retry_after());
     let headers = response.headers_mut();
     match denied {
         Denied::UnknownCredential => {
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -5,12 +5,11 @@
 
 use crate::{
     admission, answer, attempt, body::ResponseBody, continuations, copies, decisions, dialect,
-    hedge, job, quotas, retries, router, stream, suspicion, waiting,
+    hedge, job, quotas, replies, retries, router, stream, waiting,
 };
-use bytes::Bytes;
-use corianderstand_fleet::{choose, config, crashes, prefixes, targets, wait_limit};
+use corianderstand_fleet::{choose, config, prefixes, targets};
 use corianderstand_types::{names, pause};
-use http::{HeaderValue, Request, Response, StatusCode, Uri, header};
+use http::{Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use smol_str::SmolStr;
@@ -59,13 +58,13 @@
         Err(Unrouted::Unavailable(why)) => {
             let status = StatusCode::SERVICE_UNAVAILABLE;
             shared.decision_log.refused(&request.id, "", status, why, arrived, shared.clock.now());
-            return Ok(local_response(status, why, Some(STARTING_RETRY_AFTER)));
+            return Ok(replies::local_response(status, why, Some(STARTING_RETRY_AFTER)));
         }
         Err(Unrouted::NoRoute { version }) => {
             let now = shared.clock.now();
             let age = shared.age(now, dialect::Subject::Config);
             shared.decision_log.no_route(&request.id, version, age, arrived, now);
-            return Ok(local_response(StatusCode::NOT_FOUND, decisions::NO_ROUTE, None));
+            return Ok(replies::local_response(StatusCode::NOT_FOUND, decisions::NO_ROUTE, None));
         }
     };
     let admitted = match admission::admit(&shared, &route, request.credential).await {
@@ -80,7 +79,11 @@
     let body = match tokio::time::timeout_at(deadline.into(), read).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Ok(local_response(StatusCode::PAYLOAD_TOO_LARGE, "body over the limit", None));
+            return Ok(replies::local_response(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body over the limit",
+                None,
+            ));
         }
         Ok(Err(_)) | Err(_) => return Err(Aborted::ByCaller),
     };
@@ -91,11 +94,15 @@
         let (now, why) = (shared.clock.now(), "this router stood still for a while");
         let status = StatusCode::SERVICE_UNAVAILABLE;
         shared.decision_log.refused(&request.id, &route.name, status, why, arrived, now);
-        return Ok(local_response(status, why, Some(REFUSED_RETRY_AFTER)));
+        return Ok(replies::local_response(status, why, Some(REFUSED_RETRY_AFTER)));
     }
     let hash = xxh3::xxh3_64(request.id.as_bytes());
     let Some(service) = route.service(hash).cloned() else {
-        return Ok(local_response(StatusCode::SERVICE_UNAVAILABLE, "route without service", None));
+        return Ok(replies::local_response(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "route without service",
+            None,
+        ));
     };
     let model = request.requested_model.as_ref().map_or("", |requested| requested.model.as_str());
     let chain = prefixes::PrefixChain::new(
@@ -138,7 +145,7 @@
         fingerprint: OnceCell::new(),
     };
     if let Some(block) = shared.suspicion.block(arrived, &job) {
-        return Ok(refuse_blocked(&shared, &job, &block));
+        return Ok(replies::refuse_blocked(&shared, &job, &block));
     }
     let mut pending =
         PendingRequest { shared: shared.clone(), id: job.request.id.clone(), answered: false };
@@ -147,7 +154,7 @@
             shared.record_arrival(&job, may_predate_pause);
             dispatch(shared, job, charge.as_ref()).await
         }
-        Err(refusal) => refuse_by_quota(&shared, &job, rank, refusal),
+        Err(refusal) => replies::refuse_by_quota(&shared, &job, rank, refusal),
     };
     pending.answered = true;
     Ok(response)
@@ -163,20 +170,6 @@
     quotas::acquire(shared, job, workspace, rank).await
 }
 
-fn refuse_by_quota<P: router::Platform>(
-    shared: &router::Shared<P>,
-    job: &job::Job,
-    rank: u8,
-    refusal: quotas::Refusal,
-) -> Response<ResponseBody> {
-    let retry_after = match refusal {
-        quotas::Refusal::OutOfTime { retry_after, .. } => retry_after,
-        _ => wait_limit::retry_after(refusal.retry_after(), job.jitter()),
-    };
-    shared.decision_log.over_quota(job, rank, refusal, retry_after, shared.clock.now());
-    local_response(refusal.status(), refusal.reason(), Some(retry_after))
-}
-
 /// Logs that the caller left if the request is dropped before its response head is sent.
 struct PendingRequest<P: router::Platform> {
     shared: Rc<router::Shared<P>>,
@@ -244,7 +237,7 @@
     job.progress = continuations::resolve(&shared, &job).await;
     if job.progress == continuations::Progress::Unknown {
         let retry_after = continuations::UNKNOWN_RETRY_AFTER;
-        return refuse(
+        return replies::refuse(
             &shared,
             &job,
             "the version that began the stream is not known",
@@ -255,11 +248,11 @@
     loop {
         let found = waiting::find_target(&shared, &mut job).await;
         if let Some(block) = shared.suspicion.block(shared.clock.now(), &job) {
-            return refuse_blocked(&shared, &job, &block);
+            return replies::refuse_blocked(&shared, &job, &block);
         }
         let key = match found {
             Ok(key) => key,
-            Err(rejected) => return refuse_unplaced(&shared, &job, &rejected),
+            Err(rejected) => return replies::refuse_unplaced(&shared, &job, &rejected),
         };
         job.tried_targets.push(key);
         set_sent(true);
@@ -277,7 +270,7 @@
             attempt::AttemptOutcome::Denied(denied) => {
                 set_sent(job.may_have_run);
                 if job.may_have_run {
-                    return fail(&shared, &job, StatusCode::BAD_GATEWAY, denied.reason());
+                    return replies::fail(&shared, &job, StatusCode::BAD_GATEWAY, denied.reason());
                 }
                 let (id, route) = (&job.request.id, &job.route);
                 return admission::refuse(&shared, id, route, denied, job.arrived_at);
@@ -301,7 +294,7 @@
                     shared.clock.now(),
                 );
                 if job.unexecuted_attempts > MAX_UNEXECUTED_ATTEMPTS {
-                    return refuse(&shared, &job, job.last_failure, REFUSED_RETRY_AFTER);
+                    return replies::refuse(&shared, &job, job.last_failure, REFUSED_RETRY_AFTER);
                 }
             }
             attempt::AttemptOutcome::Left => {
@@ -317,7 +310,7 @@
                 let cause = job.last_failure;
                 if !may_try_another(&shared, &mut job, cause) {
                     let retry_after = refused_retry_after(&shared, &job);
-                    return refuse(&shared, &job, job.last_failure, retry_after);
+                    return replies::refuse(&shared, &job, job.last_failure, retry_after);
                 }
             }
             attempt::AttemptOutcome::Unknown(why) => {
@@ -334,16 +327,21 @@
                     continue;
                 }
                 if !(job.route.may_retry() && may_try_another(&shared, &mut job, why)) {
-                    return fail(&shared, &job, StatusCode::BAD_GATEWAY, why);
+                    return replies::fail(&shared, &job, StatusCode::BAD_GATEWAY, why);
                 }
             }
             attempt::AttemptOutcome::BudgetExhausted => {
                 set_sent(job.may_have_run);
                 let retry_after = refused_retry_after(&shared, &job);
-                return refuse(&shared, &job, retries::BUDGET_EXHAUSTED, retry_after);
+                return replies::refuse(&shared, &job, retries::BUDGET_EXHAUSTED, retry_after);
             }
             attempt::AttemptOutcome::DeadlineExceeded => {
-                return fail(&shared, &job, StatusCode::GATEWAY_TIMEOUT, "the time is over");
+                return replies::fail(
+                    &shared,
+                    &job,
+                    StatusCode::GATEWAY_TIMEOUT,
+                    "the time is over",
+                );
             }
         }
     }
@@ -410,7 +408,12 @@
         answer::Body::Broken => return retry_or_fail(shared, job, answer::BROKEN),
         answer::Body::TimedOut => return retry_or_fail(shared, job, answer::ENDLESS),
         answer::Body::DeadlineExceeded => {
-            return Ok(fail(shared, &job, StatusCode::GATEWAY_TIMEOUT, "the time is over"));
+            return Ok(replies::fail(
+                shared,
+                &job,
+                StatusCode::GATEWAY_TIMEOUT,
+                "the time is over",
+            ));
         }
     };
     let keep_alive = if info.closes_connection { Some(Duration::ZERO) } else { info.keep_alive };
@@ -440,92 +443,5 @@
     if job.route.may_retry() && may_try_another(shared, &mut job, why) {
         return Err(Box::new(job));
     }
-    Ok(fail(shared, &job, StatusCode::BAD_GATEWAY, why))
-}
-
-/// Refuses a request that has not run; one that may have run is failed instead.
-fn refuse<P: router::Platform>(
-    shared: &router::Shared<P>,
-    job: &job::Job,
-    why: &'static str,
-    retry_after: Duration,
-) -> Response<ResponseBody> {
-    if job.may_have_run {
-        return fail(shared, job, StatusCode::BAD_GATEWAY, why);
-    }
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    shared.decision_log.refused(
-        &job.request.id,
-        &job.route.name,
-        status,
-        why,
-        job.arrived_at,
-        shared.clock.now(),
-    );
-    local_response(status, why, Some(wait_limit::retry_after(retry_after, job.jitter())))
-}
-
-/// Refuses a request that got no place; fails it if an earlier attempt may have run.
-fn refuse_unplaced<P: router::Platform>(
-    shared: &router::Shared<P>,
-    job: &job::Job,
-    rejected: &waiting::PlacementError,
-) -> Response<ResponseBody> {
-    let waiting::PlacementError { reason, retry_after, standing } = *rejected;
-    let Some(standing) = standing.filter(|_| !job.may_have_run) else {
-        return refuse(shared, job, reason, retry_after);
-    };
-    let retry_after = wait_limit::retry_after(retry_after, job.jitter());
-    let now = shared.clock.now();
-    shared.decision_log.refused_place(job, reason, retry_after, &standing, now);
-    local_response(StatusCode::SERVICE_UNAVAILABLE, reason, Some(retry_after))
-}
-
-/// Refuses a request that is blocked; fails it if this attempt may have run.
-fn refuse_blocked<P: router::Platform>(
-    shared: &router::Shared<P>,
-    job: &job::Job,
-    block: &crashes::Block,
-) -> Response<ResponseBody> {
-    if job.may_have_run {
-        return fail(shared, job, StatusCode::BAD_GATEWAY, suspicion::reason(block));
-    }
-    let now = shared.clock.now();
-    shared.decision_log.blocked(job, block, now);
-    let retry_after = block.until.saturating_duration_since(now);
-    local_response(StatusCode::SERVICE_UNAVAILABLE, suspicion::reason(block), Some(retry_after))
-}
-
-/// Answers a request that may have run: with a target's error response if there is one, else with `status`.
-fn fail<P: router::Platform>(
-    shared: &router::Shared<P>,
-    job: &job::Job,
-    status: StatusCode,
-    why: &'static str,
-) -> Response<ResponseBody> {
-    let now = shared.clock.now();
-    let Some(job::ErrorResponse { head, body }) = job.error_response.clone() else {
-        shared.decision_log.answered(job, status, why, now);
-        return local_response(status, why, None);
-    };
-    shared.decision_log.attempt_failed(job, why, None, now);
-    shared.decision_log.answered(job, head.status, "whole", now);
-    Response::from_parts(head, ResponseBody::of_target(body))
-}
-
-/// A response of the router itself.
-pub fn local_response(
-    status: StatusCode,
-    why: &'static str,
-    retry_after: Option<Duration>,
-) -> Response<ResponseBody> {
-    let mut response = Response::new(ResponseBody::buffered(Bytes::from_static(why.as_bytes())));
-    *response.status_mut() = status;
-    if let Some(retry_after) = retry_after {
-        let text = SmolStr::from(format!("{:.3}", retry_after.as_secs_f64()));
-        if let Ok(value) = HeaderValue::from_str(&text) {
-            response.headers_mut().insert(header::RETRY_AFTER, value);
-        }
-    }
-    response
+    Ok(replies::fail(shared, &job, StatusCode::BAD_GATEWAY, why))
 }
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod readers;
 pub mod relay;
 pub mod replicated_records;
+pub mod replies;
 pub mod request_slots;
 pub mod resume;
 pub mod retries;
