--- a/crates/corianderstand_fleet/src/audit/deployment.rs
+++ b/crates/corianderstand_fleet/src/audit/deployment.rs
@@ -45,8 +45,9 @@
         severity: Severity::Warning,
         place: Place::Route(index, Field::MaxTargets),
         problem: format!(
-            "{further} attempts after the first never happen: all routers together may retry {} requests in {} s",
-            allowance.fixed.floor(),
+            "{} of {further} attempts after the first can never happen: all routers together may send {} retries in {} s",
+            further - allowance.fixed.max(0.0).floor(),
+            allowance.fixed.max(0.0).floor(),
             allowance.window.as_secs_f64()
         ),
         remedy: "lower it to what the retry budget allows, or raise the budget of the routers",
