--- a/crates/corianderstand_fleet/src/prefill.rs
+++ b/crates/corianderstand_fleet/src/prefill.rs
@@ -1,11 +1,10 @@
 //! Schedules the prompts that are sent to an engine.
 //!
 //! An engine interleaves prefill with the decoding of its streams, so queued prompts delay every
-//! stream. The agent of an engine therefore grants prefill permits to the routers: within any
-//! [window](Window), granted prompts may take a limited part of the
-//! time. Prompts of workspaces within their share are granted first, and among them those that can still
-//! meet their latency objective, by rank and objective. Every fourth permit goes to a prompt that is
-//! already late, whatever its rank. Routers that state neither share nor rank have all of theirs alike.
+//! stream. The agent of an engine therefore grants prefill permits to the routers: within any window, granted
+//! prompts may take a limited part of the time. Prompts of workspaces within their share are granted first, and among
+//! them those that can still meet their latency objective, by rank and objective. Every fourth permit goes to a prompt
+//! that is already late, whatever its rank. Routers that state neither share nor rank have all of theirs alike.
 //!
 //! Requests that were granted hold memory and a slot of the engine before a report of the engine can show
 //! them. The agent counts them over all routers, and grants nothing that would exceed what the engine has.
--- a/crates/corianderstand_fleet/tests/pace.rs
+++ b/crates/corianderstand_fleet/tests/pace.rs
@@ -283,3 +283,34 @@
     size.record(0, 0);
     assert!(size.events(0) >= 1.0);
 }
+
+/// Load: 47 targets of three speeds, of which a router sees five prompts each. Most are read between the events of other
+/// streams. Guards against permits that count these events as reading, three to four times of what it takes.
+#[test]
+fn pure_reading_is_learned_apart_from_the_events_in_between() {
+    const READING_S: f64 = 26e-6;
+    const PROMPT: u64 = 700;
+    let now = Instant::now();
+    let mut targets = Targets::default();
+    for index in 0..47 {
+        let name = format!("target-{index}");
+        let speed = [0.6, 1.0, 1.6][index % 3];
+        targets.register(now, entry(&name));
+        let target = targets.get_mut(targets.key(&id(&name)).unwrap()).unwrap();
+        let now = observe(&mut target.pace, now, EVENT.div_f64(speed), &[100]);
+        for prompt in 0..5 {
+            let growth = 1.0 + [0.1, 2.0, 3.0, 2.5, 1.5][(prompt + index) % 5];
+            let reading = READING_S * PROMPT as f64 * growth / speed;
+            let elapsed = Duration::from_secs_f64(reading) + EVENT.div_f64(speed);
+            target.pace.record_first_event(now, elapsed, Duration::ZERO, PROMPT);
+        }
+    }
+    let usual = predict::ServicePace::of(&targets, &"models".into());
+    for (index, speed) in [(0, 0.6), (1, 1.0), (2, 1.6)] {
+        let target = targets.get(targets.key(&id(&format!("target-{index}"))).unwrap()).unwrap();
+        let ratio = usual.pure_reading_s_per_token(&target.pace) * speed / READING_S;
+        assert!((0.8..1.5).contains(&ratio), "{ratio} of the pure time");
+        let until_read = usual.reading_s_per_token(&target.pace).unwrap() * speed / READING_S;
+        assert!(until_read > ratio * 1.3, "{until_read}, {ratio}: with the events in between");
+    }
+}
