--- a/crates/corianderstand_fleet/src/quota/account/ordered.rs
+++ b/crates/corianderstand_fleet/src/quota/account/ordered.rs
@@ -172,6 +172,11 @@
         self.waiting.remove(position)
     }
 
+    /// Those that wait.
+    pub fn ids(&self) -> impl Iterator<Item = WaiterId> {
+        self.waiting.iter().map(|waiter| waiter.id)
+    }
+
     /// Removes all.
     pub fn remove_all(&mut self) -> impl Iterator<Item = WaiterId> {
         self.waiting.drain(..).map(|waiter| waiter.id)
--- a/crates/corianderstand_fleet/src/quota/mod.rs
+++ b/crates/corianderstand_fleet/src/quota/mod.rs
@@ -16,6 +16,7 @@
 pub mod ledger;
 pub mod queue;
 pub mod returns;
+pub mod unanswered;
 
 use crate::workspaces;
 use corianderstand_derives::derives;
