--- a/crates/corianderstand_fleet/src/quota/lanes.rs
+++ b/crates/corianderstand_fleet/src/quota/lanes.rs
@@ -1,9 +1,10 @@
 //! The order of the requests that wait for the quota of a workspace.
 //!
 //! Requests of one rank and patience form a lane, in which those whose objective ends first go first. Who returns with
-//! a booking goes before all lanes. Of the rest, a part of what is granted is divided over the lanes by what each asks
-//! for, so that none starves, and the remainder goes to the most urgent lane that has requests. Each step looks at the
-//! first of each lane, so that its cost doesn't grow with the number of requests.
+//! a booking goes before all lanes, and lanes of small requests before the others. Of the rest, a part of what is
+//! granted is divided over the lanes by what each asks for, so that none starves, and the remainder goes to the most
+//! urgent lane that has requests. Each step looks at the first of each lane, so that its cost doesn't grow with the
+//! number of requests.
 
 use crate::decaying_rate;
 use corianderstand_derives::derives;
