Soak: callers use keys that are in force; a workspace that asks for seven times its usual

Each second configuration takes the key of one workspace away. Now three in four use another key as soon as theirs is taken away, and go back 2 s after it was written again; a stream that they take up stays with its workspace. One in four goes on with the old key, with a pause of up to 200 ms after a 401.

Violation: streams of a workspace below its share (complete within 1.8 s, twice the time of a stream that begins at its objective) at less than half of the ratio without a surge.

Routers whose timers were 100 ms late and more shed new connections (log line "new connections", sheds true) as the machine was short of processors; the check doesn't know of it.

--- a/tools/soak/src/callers.rs
+++ b/tools/soak/src/callers.rs
@@ -2,9 +2,11 @@
 
 use crate::{
     cluster::MODELS,
+    configs::Configs,
     floods::Balancer,
     requests::{RequestSpec, Sender, send_request},
     streams::{self, TakeUp},
+    surges::Surges,
     workspaces::Workspace,
 };
 use bytes::Bytes;
@@ -85,6 +87,8 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(500);
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 const MAX_REQUEST_PAUSE_MS: u64 = 60;
+/// Longest pause of a caller whose key was taken away.
+const MAX_DENIED_PAUSE_MS: u64 = 200;
 /// Share of the callers of streams that close their connection and take the stream up elsewhere.
 const LEAVING_RATIO: f64 = 0.15;
 /// Times that a caller takes up a stream.
@@ -93,10 +97,19 @@
 /// A stream that broke off and is to be taken up.
 struct BrokenStream {
     take_up: TakeUp,
+    workspace: Workspace,
     model: &'static str,
     returns: u32,
 }
 
+/// What decides which router a caller turns to, with which key, and when.
+#[derive(Clone, Debug)]
+pub struct Surroundings {
+    pub balancer: Balancer,
+    pub configs: Configs,
+    pub surges: Surges,
+}
+
 #[derive(Debug)]
 pub struct Callers {
     requests: Arc<Mutex<Vec<RequestRecord>>>,
@@ -121,8 +134,8 @@
         caller_count: usize,
         router_addresses: &[SocketAddr],
         seed: u64,
-        balancer: &Balancer,
-        workspace_of: fn(usize) -> Workspace,
+        surroundings: &Surroundings,
+        workspace_of: impl Fn(usize) -> Workspace,
     ) -> Self {
         let (requests, stop) =
             (Arc::<Mutex<Vec<RequestRecord>>>::default(), Arc::<AtomicBool>::default());
@@ -130,9 +143,9 @@
             let (router_addresses, requests, stop) =
                 (router_addresses.to_vec(), requests.clone(), stop.clone());
             let rng = ChaCha8Rng::seed_from_u64(seed ^ (index as u64) << 32);
-            let balancer = balancer.clone();
+            let surroundings = surroundings.clone();
             let caller = (index, workspace_of(index));
-            tokio::spawn(run_caller(caller, router_addresses, rng, requests, stop, balancer))
+            tokio::spawn(run_caller(caller, router_addresses, rng, requests, stop, surroundings))
         });
         let tasks = tasks.collect();
         Self { requests, stop, tasks }
@@ -155,23 +168,28 @@
 }
 
 async fn run_caller(
-    (caller, workspace): (usize, Workspace),
+    (caller, own_workspace): (usize, Workspace),
     router_addresses: Vec<SocketAddr>,
     mut rng: ChaCha8Rng,
     requests: Arc<Mutex<Vec<RequestRecord>>>,
     stop: Arc<AtomicBool>,
-    balancer: Balancer,
+    Surroundings { balancer, configs, surges }: Surroundings,
 ) {
     let mut connection: Option<(usize, Sender)> = None;
     let mut request_number = 0_u64;
     let mut broken: Option<BrokenStream> = None;
     while !stop.load(Ordering::Relaxed) {
+        surges.wait_for_turn(caller, &stop).await;
         request_number += 1;
         let returning = broken.take().filter(|broken| broken.returns < MAX_RETURNS);
         let drawn = RequestKind::ALL[rng.random_range(0..RequestKind::ALL.len())];
         let kind = if returning.is_some() { RequestKind::Chat } else { drawn };
         let drawn = MODELS[rng.random_range(0..MODELS.len())];
         let model = returning.as_ref().map_or(drawn, |broken| broken.model);
+        let workspace = match &returning {
+            Some(broken) => broken.workspace,
+            None => own_workspace.in_force(caller, &configs),
+        };
         let take_up = returning.as_ref().map(|broken| broken.take_up.clone());
         if returning.is_some() || balancer.reconnects(&mut rng) {
             connection = None;
@@ -204,6 +222,7 @@
             .filter(|_| kind == RequestKind::Chat && !is_complete(&outcome))
             .map(|take_up| BrokenStream {
                 take_up,
+                workspace,
                 model,
                 returns: returning.map_or(0, |returning| returning.returns + 1),
             });
@@ -215,6 +234,9 @@
                 _,
             ) => retry_after(&headers),
             Outcome::Closed | Outcome::NoConnection => RECONNECT_DELAY,
+            Outcome::Complete(StatusCode::UNAUTHORIZED, _) => {
+                Duration::from_millis(rng.random_range(0..MAX_DENIED_PAUSE_MS))
+            }
             _ => Duration::from_millis(rng.random_range(0..MAX_REQUEST_PAUSE_MS)),
         };
         let record = RequestRecord {
--- a/tools/soak/src/configs.rs
+++ b/tools/soak/src/configs.rs
@@ -88,6 +88,13 @@
         self.lock().revocations.clone()
     }
 
+    /// Whether the key that configurations take away is there, at all routers in touch.
+    pub fn has_revocable_key(&self) -> bool {
+        let state = self.lock();
+        let Some(revocation) = state.revocations.last() else { return true };
+        revocation.restored_at.is_some_and(|at| at.elapsed() >= WITHIN)
+    }
+
     fn newest(&self) -> Option<Written> {
         self.lock().written.last().cloned()
     }
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -21,6 +21,7 @@
 mod seeds;
 mod sends;
 mod streams;
+mod surges;
 mod workspaces;
 
 use bytes::Bytes;
@@ -37,6 +38,7 @@
     process::ExitCode,
     time::{Duration, Instant},
 };
+use surges::Surges;
 use workspaces::Workspace;
 
 const MAX_FAULT_PAUSE_MS: u64 = 900;
@@ -99,11 +101,22 @@
     let callers_per_router = if plan.has_zones() { ZONED_CALLERS } else { CALLERS_PER_ROUTER };
     let started_at = Instant::now();
     let balancer = Balancer::default();
-    let caller_count = callers_per_router * size.routers;
-    let workspace_of =
-        if plan.has_equal_callers() { |_| Workspace::Steady } else { Workspace::of_caller };
+    let surges = if plan.has_surges { Surges::new(seed, size.routers) } else { Surges::none() };
+    let caller_count =
+        if plan.has_surges { surges.callers() } else { callers_per_router * size.routers };
+    let workspace_of = |caller| match plan.has_equal_callers() {
+        true => Workspace::Steady,
+        false if plan.has_surges => surges.workspace_of(caller),
+        false => Workspace::of_caller(caller),
+    };
+    let surroundings = callers::Surroundings {
+        balancer: balancer.clone(),
+        configs: cluster.configs.clone(),
+        surges: surges.clone(),
+    };
     let mut callers =
-        Callers::start(caller_count, &router_addresses, seed, &balancer, workspace_of);
+        Callers::start(caller_count, &router_addresses, seed, &surroundings, workspace_of);
+    let surging = plan.has_surges.then(|| surges.start());
     let floods = plan.has_floods.then(|| {
         balancer.start_floods(ChaCha8Rng::seed_from_u64(seed.rotate_left(1)), size.routers)
     });
@@ -112,15 +125,18 @@
             tokio::time::sleep(USUAL_TIME).await;
             callers.start_crashing(&router_addresses, seed, plan.cause);
         }
-        CrashCause::Body if has_crashing_caller(seed) && !plan.has_equal_callers() => {
+        CrashCause::Body if has_crashing_caller(seed) && plan.has_special_requests() => {
             callers.start_crashing(&router_addresses, seed, plan.cause);
         }
         CrashCause::Body => {}
     }
     let probed = if plan.kind == seeds::RunKind::Copies { &router_addresses[..] } else { &[] };
     let prober = configs::Prober::start(probed, &cluster.configs);
-    let limiter = (has_limited_engine(seed) && !plan.has_equal_callers())
+    let limiter = (has_limited_engine(seed) && plan.has_special_requests())
         .then(|| limit_engine(&cluster, seed));
+    if plan.has_surges {
+        tokio::time::sleep(surges::UNDISTURBED_TIME).await;
+    }
     let mut violations = Vec::new();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let FaultsRun { disruptions, mut interferences, restarts } =
@@ -134,6 +150,10 @@
         floods.abort();
         balancer.end_floods();
     }
+    if let Some(surging) = surging {
+        surging.abort();
+        surges.end();
+    }
     violations.extend(prober.finish(&interferences, &restarts));
     cluster.end_unframed_responses();
     violations.extend(check_recovery(&mut cluster, seed).await);
@@ -163,6 +183,11 @@
         let violation = balancer.violation(&requests, &disruptions, &interferences, &crashes);
         violations.extend(violation);
     }
+    if plan.has_surges {
+        let crashes = ledger.crashes();
+        let violation = surges.violation(&requests, &disruptions, &interferences, &crashes);
+        violations.extend(violation);
+    }
     if plan.cause == CrashCause::Part {
         violations.extend(checks::sound_requests(&requests, ledger, &disruptions, &interferences));
     }
--- a/tools/soak/src/plan.rs
+++ b/tools/soak/src/plan.rs
@@ -35,6 +35,9 @@
 /// As with zones, and routers cannot always hear each other.
 const COPIES_SIZE: ClusterSize = ClusterSize { has_relays: true, ..ZONED_SIZE };
 const FLOODED_FAULTS: usize = 16;
+/// Few engines, whose slots the callers of a surge fill.
+const SURGES_SIZE: ClusterSize = ClusterSize { engines: 3, ..DEFAULT_SIZE };
+const SURGES_CONCURRENT_FAULTS: usize = 1;
 const ZONED_FAULTS: usize = 40;
 const ZONED_CONCURRENT_FAULTS: usize = 7;
 
@@ -48,6 +51,8 @@
     pub cause: CrashCause,
     /// Whether one router after the other gets most new connections.
     pub has_floods: bool,
+    /// Whether a workspace asks for several times its usual at times.
+    pub has_surges: bool,
 }
 
 impl RunPlan {
@@ -55,6 +60,11 @@
         self.size.zones > 1
     }
 
+    /// Whether some requests end their engines, and an engine limits what it takes.
+    pub fn has_special_requests(&self) -> bool {
+        !self.has_equal_callers() && !self.has_surges
+    }
+
     /// Whether all requests are alike: no quota, key, limit or crash tells them apart.
     pub fn has_equal_callers(&self) -> bool {
         use seeds::RunKind::{Answers, Bursts, Cuts};
@@ -75,6 +85,7 @@
     );
     options.optflag("", "parts", "engines end under one part of differing prompts");
     options.optflag("", "floods", "one router after the other gets most new connections");
+    options.optflag("", "surges", "a workspace asks for several times its usual at times");
     options.optflag(
         "",
         "bursts",
@@ -97,12 +108,13 @@
         "faults per run (default 8, with floods 16, with bursts, answers or cuts 24, with zones or copies 40)",
         "N",
     );
-    let usage = "soak [--seeds A-B] [--kept] [--large] [--zones] [--parts] [--floods] [--bursts] [--answers] [--cuts] [--copies]";
+    let usage = "soak [--seeds A-B] [--kept] [--large] [--zones] [--parts] [--floods] [--surges] [--bursts] [--answers] [--cuts] [--copies]";
     let matches =
         options.parse(args).map_err(|error| format!("{error}\n{}", options.usage(usage)))?;
     let has_copies = matches.opt_present("copies");
     let has_zones = matches.opt_present("zones") || has_copies;
     let has_floods = matches.opt_present("floods");
+    let has_surges = matches.opt_present("surges");
     let cause = if matches.opt_present("parts") { CrashCause::Part } else { CrashCause::Body };
     let has_bursts = matches.opt_present("bursts");
     let kind = if has_copies {
@@ -134,6 +146,8 @@
         (CUTS_SIZE, BURSTS_FAULTS, BURSTS_CONCURRENT_FAULTS)
     } else if has_bursts || kind == seeds::RunKind::Answers {
         (BURSTS_SIZE, BURSTS_FAULTS, BURSTS_CONCURRENT_FAULTS)
+    } else if has_surges {
+        (SURGES_SIZE, DEFAULT_FAULTS, SURGES_CONCURRENT_FAULTS)
     } else if matches.opt_present("large") {
         (LARGE_SIZE, DEFAULT_FAULTS, MAX_CONCURRENT_FAULTS)
     } else {
@@ -142,6 +156,6 @@
     let default_faults =
         if has_floods { default_faults.max(FLOODED_FAULTS) } else { default_faults };
     let faults = matches.opt_get_default("faults", default_faults).unwrap_or(default_faults);
-    let plan = RunPlan { kind, size, faults, concurrent_faults, cause, has_floods };
+    let plan = RunPlan { kind, size, faults, concurrent_faults, cause, has_floods, has_surges };
     Ok((plan, seeds))
 }
--- a/tools/soak/src/workspaces.rs
+++ b/tools/soak/src/workspaces.rs
@@ -1,6 +1,9 @@
 //! Workspaces of the callers, and what must hold for their credentials and quotas.
 
-use crate::callers::{Outcome, RequestKind, RequestRecord};
+use crate::{
+    callers::{Outcome, RequestKind, RequestRecord},
+    configs::Configs,
+};
 use corianderstand_platform_standins::{ledger::Ledger, workspaces};
 use http::StatusCode;
 use std::time::{Duration, Instant};
@@ -17,6 +20,11 @@
 const QUOTA_OVER: f64 = 0.1;
 const QUOTA_SLACK: f64 = 700.0;
 
+/// Kinds of callers in turn, by their index.
+const CALLER_KINDS: usize = 4;
+/// One in this many callers whose key was taken away goes on with it.
+const KEEPING_DIVISOR: usize = 4;
+
 /// The workspace of a caller.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Workspace {
@@ -24,23 +32,36 @@
     Steady,
     /// Has a quota that its callers exceed.
     Limited,
+    /// Keeps its key and has no quota; at times it asks for several times its usual.
+    Surging,
     /// Its key is taken away and restored by configurations in turn.
     Revoked,
 }
 
 impl Workspace {
     pub const fn of_caller(index: usize) -> Self {
-        match index % 4 {
+        match index % CALLER_KINDS {
             0 => Self::Limited,
             1 => Self::Revoked,
             _ => Self::Steady,
         }
     }
 
+    /// The workspace whose key a caller of this one uses. Once a key was taken away, callers use another one; a few
+    /// don't know of it.
+    pub fn in_force(self, index: usize, configs: &Configs) -> Self {
+        let keeps_key = (index / CALLER_KINDS).is_multiple_of(KEEPING_DIVISOR);
+        if self == Self::Revoked && !keeps_key && !configs.has_revocable_key() {
+            return Self::Steady;
+        }
+        self
+    }
+
     const fn name(self) -> &'static str {
         match self {
             Self::Steady => "w-steady",
             Self::Limited => "w-limited",
+            Self::Surging => "w-surging",
             Self::Revoked => "w-revoked",
         }
     }
@@ -49,6 +70,7 @@
         match self {
             Self::Steady => "soak-key-steady",
             Self::Limited => "soak-key-limited",
+            Self::Surging => "soak-key-surging",
             Self::Revoked => "soak-key-revoked",
         }
     }
@@ -65,7 +87,7 @@
 }
 
 /// The workspaces of a configuration.
-pub fn specs(is_revoked: bool) -> [workspaces::WorkspaceSpec; 3] {
+pub fn specs(is_revoked: bool) -> [workspaces::WorkspaceSpec; 4] {
     let spec = |workspace: Workspace| workspaces::WorkspaceSpec {
         name: workspace.name(),
         key: Some(workspace.key()),
@@ -76,6 +98,7 @@
     let revoked = spec(Workspace::Revoked);
     [
         spec(Workspace::Steady),
+        spec(Workspace::Surging),
         workspaces::WorkspaceSpec { quota: Some(quota), ..spec(Workspace::Limited) },
         workspaces::WorkspaceSpec { key: revoked.key.filter(|_| !is_revoked), ..revoked },
     ]
