Permits follow the pace only where the engine's reports state it

Change: a router states the reading time as before and, beside it, the pure one (reading_us) and the event's; the agent uses the latter two only if its engine's reports state the load header's fourth figure, and logs once that they do. Elsewhere permits are as before (a test compares both cases).

--- a/crates/corianderstand_fleet/src/prefill.rs
+++ b/crates/corianderstand_fleet/src/prefill.rs
@@ -81,6 +81,16 @@
     pub capacity: u64,
 }
 
+/// Times of an engine in a usual moment of its host.
+#[derives(data)]
+#[derive(Copy)]
+pub struct UsualPace {
+    /// Time between events of its streams.
+    pub event_time: Duration,
+    /// Prefill time of the prompt, without such events in between.
+    pub reading_time: Duration,
+}
+
 /// Request for a prefill permit.
 #[derive(Clone, Copy, Debug)]
 pub struct PermitRequest<T> {
@@ -88,10 +98,10 @@
     pub id: u64,
     /// Recipient of the permit.
     pub requester: T,
-    /// Time that the engine needs for the prompt's prefill alone; in a usual moment, if `event_time` is stated.
+    /// Time that the engine needs for the prompt's prefill alone.
     pub prefill_time: Duration,
-    /// Time between events of the engine's streams in a usual moment; none if its pace does not count.
-    pub event_time: Option<Duration>,
+    /// What counts in place of it if the engine states its pace; none if that does not count.
+    pub streams: Option<UsualPace>,
     /// When the first event is due.
     pub latency_objective_at: Instant,
     /// When its caller gives up.
@@ -172,8 +182,8 @@
             self.granted.remove(index);
         }
         self.record_max_pause(now, request.max_pause);
-        if let Some(event_time) = request.event_time {
-            self.event_time = Some((now, event_time));
+        if let Some(streams) = request.streams {
+            self.event_time = Some((now, streams.event_time));
         }
         if self.waiting.iter().all(|other| other.id != request.id) {
             self.served.record_asked(request.claim.rank);
@@ -210,6 +220,11 @@
         self.pace.record_stated(now, percent);
     }
 
+    /// Whether the engine has said how long work takes.
+    pub const fn knows_pace(&self) -> bool {
+        self.pace.is_stated()
+    }
+
     /// Forgets what was granted on an engine that has ended, and its pace.
     pub fn forget_engine(&mut self) {
         self.held = None;
@@ -293,7 +308,11 @@
         self.max_pause = current.or(Some((now, max_pause)));
     }
 
+    /// Time between events in a usual moment, if the engine states its pace.
     fn event_time(&self, now: Instant) -> Option<Duration> {
+        if !self.pace.is_stated() {
+            return None;
+        }
         let is_recent = |at: Instant| now.saturating_duration_since(at) < EVENT_TIME_TTL;
         self.event_time.filter(|(at, _)| is_recent(*at)).map(|(_, event_time)| event_time)
     }
@@ -335,9 +354,11 @@
 
     /// Time that the prompt's prefill takes now.
     fn prefill_time(&self, now: Instant, request: &PermitRequest<T>) -> Duration {
-        match request.event_time {
-            Some(_) => request.prefill_time.mul_f64(self.pace.slowdown(now)),
-            None => request.prefill_time,
+        match request.streams {
+            Some(usual) if self.pace.is_stated() => {
+                usual.reading_time.mul_f64(self.pace.slowdown(now))
+            }
+            _ => request.prefill_time,
         }
     }
 
--- a/crates/corianderstand_fleet/tests/prefill.rs
+++ b/crates/corianderstand_fleet/tests/prefill.rs
@@ -17,7 +17,7 @@
         id,
         requester: (),
         prefill_time: PREFILL_TIME,
-        event_time: None,
+        streams: None,
         latency_objective_at: now + objective,
         expires_at: now + Duration::from_secs(2),
         max_pause: Some(MAX_PAUSE),
--- a/crates/corianderstand_fleet/tests/prefill_pace.rs
+++ b/crates/corianderstand_fleet/tests/prefill_pace.rs
@@ -1,6 +1,6 @@
 //! Prefill permits where the pace of the engine and a longest pause decide.
 
-use corianderstand_fleet::prefill::{Claim, PermitQueue, PermitRequest, PermitResponse};
+use corianderstand_fleet::prefill::{Claim, PermitQueue, PermitRequest, PermitResponse, UsualPace};
 use rstest::rstest;
 use std::time::{Duration, Instant};
 
@@ -25,8 +25,11 @@
     PermitRequest {
         id,
         requester: (),
-        prefill_time: USUAL_READING.div_f64(speed),
-        event_time: Some(USUAL_EVENT.div_f64(speed)),
+        prefill_time: USUAL_READING.div_f64(speed) * 3,
+        streams: Some(UsualPace {
+            event_time: USUAL_EVENT.div_f64(speed),
+            reading_time: USUAL_READING.div_f64(speed),
+        }),
         latency_objective_at: now + PATIENT_OBJECTIVE,
         expires_at: now + Duration::from_secs(2),
         max_pause: Some(STREAM_MAX_PAUSE),
@@ -92,15 +95,24 @@
 
 /// Guards against deployments that are served otherwise than before, as nothing there calls for it.
 #[rstest]
-fn without_the_time_of_an_event_permits_do_not_follow_the_pace() {
-    let (mut queue, now) = queue_with_slow_moments(Instant::now());
-    let mut other = PermitQueue::default();
+#[case::routers_state_no_event(true, false)]
+#[case::the_engine_states_no_pace(false, true)]
+fn without_both_figures_permits_are_as_before(
+    #[case] engine_states_pace: bool,
+    #[case] routers_state_event: bool,
+) {
+    let began = Instant::now();
+    let (mut queue, mut before) = (PermitQueue::default(), PermitQueue::default());
     for id in 0..200 {
-        let now = now + Duration::from_millis(7) * id;
-        queue.record_stated_pace(now, SLOW_MOMENT_PERCENT);
-        let request = PermitRequest { event_time: None, ..paced(u64::from(id), now, 0.5) };
-        assert_eq!(queue.request(now, request), other.request(now, request));
-        assert_eq!(queue.grant_due(now), other.grant_due(now));
-        assert_eq!(queue.backlog(now), other.backlog(now));
+        let now = began + Duration::from_millis(7) * id;
+        if engine_states_pace {
+            queue.record_stated_pace(now, SLOW_MOMENT_PERCENT);
+        }
+        let request = paced(u64::from(id), now, 0.5);
+        let plain = PermitRequest { streams: None, ..request };
+        let asked = if routers_state_event { request } else { plain };
+        assert_eq!(queue.request(now, asked), before.request(now, plain));
+        assert_eq!(queue.grant_due(now), before.grant_due(now));
+        assert_eq!(queue.backlog(now), before.backlog(now));
     }
 }
--- a/crates/corianderstand_fleet/tests/uneven_fleet/permits.rs
+++ b/crates/corianderstand_fleet/tests/uneven_fleet/permits.rs
@@ -52,24 +52,19 @@
         let usual = self.usual(request.router, now);
         let target = self.routers[request.router].get(self.keys[request.router][index]).unwrap();
         let tokens = request.prompt as f64;
-        let (prefill_s, event_time) = match self.load.permits {
-            Some(Rule::BesideEvent) => {
-                let requests = target.estimated_requests(at) + 1;
-                let event_s = usual.event_s(&target.pace) * pace::batch_growth(requests, SLOTS);
-                let reading = usual.pure_reading_s_per_token(&target.pace);
-                (tokens * reading, Some(Duration::from_secs_f64(event_s)))
-            }
-            _ => {
-                let reading =
-                    usual.reading_s_per_token(&target.pace).unwrap_or(READING_S_PER_TOKEN);
-                (tokens * reading * target.pace.slowdown(at), None)
-            }
+        let reading = usual.reading_s_per_token(&target.pace).unwrap_or(READING_S_PER_TOKEN);
+        let requests = target.estimated_requests(at) + 1;
+        let event_s = usual.event_s(&target.pace) * pace::batch_growth(requests, SLOTS);
+        let reading_s = tokens * usual.pure_reading_s_per_token(&target.pace);
+        let paced = prefill::UsualPace {
+            event_time: Duration::from_secs_f64(event_s),
+            reading_time: Duration::from_secs_f64(reading_s),
         };
         prefill::PermitRequest {
             id,
             requester: (),
-            prefill_time: Duration::from_secs_f64(prefill_s),
-            event_time,
+            prefill_time: Duration::from_secs_f64(tokens * reading * target.pace.slowdown(at)),
+            streams: (self.load.permits == Some(Rule::BesideEvent)).then_some(paced),
             latency_objective_at: self.at(request.arrived_at + request.objective_s),
             expires_at: self.at(request.arrived_at + PATIENCE_S),
             max_pause: Some(GAP_OBJECTIVE),
@@ -88,7 +83,8 @@
         let wait = match response {
             prefill::PermitResponse::Granted => {
                 target.record_prefill_backlog(at, backlog);
-                let queued = backlog.saturating_sub(asked.prefill_time);
+                let own = asked.streams.map_or(asked.prefill_time, |usual| usual.reading_time);
+                let queued = backlog.saturating_sub(own);
                 return self.start(index, now, request, queued.as_secs_f64());
             }
             prefill::PermitResponse::Wait(wait) => wait,
--- a/crates/corianderstand_forward/src/agent/permits.rs
+++ b/crates/corianderstand_forward/src/agent/permits.rs
@@ -44,7 +44,10 @@
                 id: request.id,
                 requester: from,
                 prefill_time: Duration::from_micros(u64::from(request.work_us)),
-                event_time: (!event_time.is_zero()).then_some(event_time),
+                streams: (!event_time.is_zero()).then_some(prefill::UsualPace {
+                    event_time,
+                    reading_time: Duration::from_micros(u64::from(request.reading_us)),
+                }),
                 latency_objective_at: now + millis(request.aim_in_ms),
                 expires_at: now + millis(request.useful_ms),
                 max_pause: (request.pause_ms > 0).then(|| millis(request.pause_ms)),
@@ -85,6 +88,9 @@
         }
         let load = &report.load;
         if let Some(percent) = load.slowdown_percent {
+            if !permits.knows_pace() {
+                tracing::info!(percent, "engine states its pace in its reports");
+            }
             permits.record_stated_pace(asked_at, percent);
         }
         permits.record_held(
--- a/crates/corianderstand_forward/src/job.rs
+++ b/crates/corianderstand_forward/src/job.rs
@@ -160,10 +160,6 @@
     ) -> Option<Duration> {
         let uncached = self.uncached_tokens(view, key);
         let model = self.model().filter(|_| uncached > 0)?;
-        if let Some(times) = pacing::prompt_times(shared, view, now, self, key) {
-            let slowdown = view.targets.get(key).map_or(1.0, |target| target.pace.slowdown(now));
-            return Some(times.reading.mul_f64(slowdown));
-        }
         let own = pacing::reading_time(shared, view, now, &self.service, key, uncached);
         if own.is_some() {
             return own;
--- a/crates/corianderstand_forward/src/pacing.rs
+++ b/crates/corianderstand_forward/src/pacing.rs
@@ -113,7 +113,7 @@
 }
 
 /// Times of a prompt at a target in a usual moment of its host.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Default, Debug)]
 pub struct PromptTimes {
     /// To read what is not cached, without the events of other streams in between.
     pub reading: Duration,
@@ -121,7 +121,7 @@
     pub event: Duration,
 }
 
-/// Times by which the target's agent grants a permit; none if the paces do not decide, or no pause is too long for the
+/// Times by which the target's agent grants a permit if its engine states its pace; none if the paces do not decide, or no pause is too long for the
 /// route.
 pub fn prompt_times<P>(
     shared: &router::Shared<P>,
--- a/crates/corianderstand_forward/src/prefill.rs
+++ b/crates/corianderstand_forward/src/prefill.rs
@@ -96,8 +96,7 @@
         let target = target.filter(|target| target.agent_may_answer(now, reports_to_all))?;
         let prefill_time = job.prefill_time(shared, &view, key, now)?;
         let times = pacing::prompt_times(shared, &view, now, job, key);
-        let prefill_time = times.map_or(prefill_time, |times| times.reading);
-        let event_time = times.map_or(Duration::ZERO, |times| times.event);
+        let times = times.unwrap_or_default();
         let agent = std::net::SocketAddr::new(target.entry.addr.ip(), shared.settings.agent_port);
         let waiter = shared.prefill_permits.register(shared.incarnation);
         let entry = waiting::entry(shared, job);
@@ -105,7 +104,8 @@
         let request = wire::PrefillRequest {
             id: waiter.id(),
             work_us: prefill_time.as_micros() as u32,
-            event_us: event_time.as_micros() as u32,
+            reading_us: times.reading.as_micros() as u32,
+            event_us: times.event.as_micros() as u32,
             aim_in_ms: 0,
             useful_ms: 0,
             pause_ms: job.route.gap_objective.unwrap_or_default().as_millis() as u32,
--- a/crates/corianderstand_forward/tests/agents.rs
+++ b/crates/corianderstand_forward/tests/agents.rs
@@ -366,6 +366,7 @@
     let request = PeerMessage::PrefillAsked(PrefillRequest {
         id: 1,
         work_us: 1_000,
+        reading_us: 0,
         event_us: 0,
         aim_in_ms: 100,
         useful_ms: 1_000,
@@ -428,6 +429,7 @@
     let request = PeerMessage::PrefillAsked(PrefillRequest {
         id,
         work_us: 1_000,
+        reading_us: 0,
         event_us: 0,
         aim_in_ms: 1_000,
         useful_ms: 10_000,
