Streams: lines of the format without data are no bytes that are no answer

Cause: found by reading. Since bytes that are no event end a stream, so did a type of an event or a time to reconnect that an engine sends by itself between two events; comments were let through. Change: all lines that the format allows are passed on. They are no events: bytes and time go on counting until the next one.

--- a/crates/corianderstand_forward/src/relay.rs
+++ b/crates/corianderstand_forward/src/relay.rs
@@ -9,7 +9,8 @@
 const LONGEST_END: usize = 3;
 const ID_FIELD: &[u8] = b"id:";
 const DATA_FIELD: &[u8] = b"data:";
-const COMMENT: &[u8] = b":";
+/// Beginnings of other lines that the format allows: a comment, the type of an event, the time to reconnect.
+const OTHER_LINES: [&[u8]; 3] = [b":", b"event:", b"retry:"];
 
 /// Most bytes until the end of an event. Bytes that never end one would else fill the memory, or go on for ever.
 const MAX_EVENT_BYTES: usize = 128 << 10;
@@ -150,13 +151,13 @@
     })
 }
 
-/// Position in whole lines after which what is set apart by empty lines is neither an event nor a comment.
+/// Position in whole lines after which what is set apart by empty lines is nothing that the format allows.
 fn end_of_events(text: &[u8]) -> usize {
     let (mut end, mut is_event, mut is_other) = (0, false, false);
     for (line, line_end) in lines(text) {
         if !line.is_empty() {
             is_event |= is_of_event(line);
-            is_other |= !line.starts_with(COMMENT);
+            is_other |= !OTHER_LINES.iter().any(|start| line.starts_with(start));
             continue;
         }
         if is_other && !is_event {
--- a/crates/corianderstand_forward/tests/endless_answers.rs
+++ b/crates/corianderstand_forward/tests/endless_answers.rs
@@ -218,6 +218,28 @@
     assert!(is_failed == events.is_empty(), "{answer}");
 }
 
+/// Guards against fields of the format without data that are taken for bytes that are no answer.
+#[rstest]
+#[case::time_to_reconnect("retry: 100\n\n")]
+#[case::type_of_event("event: part\n\n")]
+#[case::comment(": still there\n\n")]
+#[tokio::test]
+async fn fields_without_data_are_passed_on(#[case] fields: &'static str) {
+    let target = Target::start().await;
+    let router = start(draft(), &[&target]).await;
+    let mut caller = send(&router).await;
+    let events = "id: 0\ndata: a\n\n";
+    let body = format!("{events}{fields}{}", "id: 1\ndata: b\n\n");
+    let head = signed_head(&format!("Content-Length: {}\r\n", body.len()));
+    let mut request = target.next().await;
+    for part in [head.as_str(), events, fields, "id: 1\ndata: b\n\n"] {
+        request.stream.write_all(part.as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let answer = read_answer(&mut caller).await;
+    assert!(answer.contains(fields.trim_end()) && answer.ends_with("0\r\n\r\n"), "{answer}");
+}
+
 /// Guards against bytes that are no event and are taken for progress of a stream, before its first event or after it.
 #[rstest]
 #[case::before_the_first_event(draft(), "", Speed::Full)]
