Soak: a log that can't be read no longer counts as no second request; one reader of routers' logs

Cause, found by reading: the check of second requests took an unreadable log, or one with suppressed lines, as none sent, so that it couldn't fail there. Three modules read routers' logs by the same loop. Change: module logs; such a log is a violation where second requests are on. sends and sheds behave as before: an unreadable log leaves a router out of the comparison, and excuses nothing.

--- a/tools/soak/src/hedges.rs
+++ b/tools/soak/src/hedges.rs
@@ -1,10 +1,11 @@
 //! Second requests for late answers: operators limit them, over all routers.
 
-use crate::callers::{RequestKind, RequestRecord};
-use serde_json::Value;
+use crate::{
+    callers::{RequestKind, RequestRecord},
+    logs,
+};
 use std::{
     collections::{BTreeMap, BTreeSet},
-    fs,
     path::Path,
 };
 
@@ -15,6 +16,8 @@
     ends: BTreeMap<String, usize>,
     /// Requests that may be repeated and second requests, by router.
     by_router: BTreeMap<usize, (usize, usize)>,
+    /// Routers whose lines could not be read, or were left out.
+    unread: BTreeSet<usize>,
 }
 
 impl Hedges {
@@ -26,23 +29,28 @@
         }
         let ids: BTreeSet<&str> = requests.iter().map(|request| request.id.as_str()).collect();
         for (router, (_, sent)) in &mut hedges.by_router {
-            let text = fs::read_to_string(log_dir.join(format!("router-{router}.log")));
-            for line in text.unwrap_or_default().lines() {
-                let Ok(line) = serde_json::from_str::<Value>(line) else { continue };
-                let field = |name: &str| line.get(name).and_then(Value::as_str).unwrap_or_default();
-                if !ids.contains(field("id")) {
+            let Ok(lines) = logs::lines_of(*router, log_dir) else {
+                hedges.unread.insert(*router);
+                continue;
+            };
+            for line in &lines {
+                let message = logs::text(line, "message");
+                if message == "log lines suppressed" && logs::text(line, "kind") == "Hedge" {
+                    hedges.unread.insert(*router);
+                }
+                if !ids.contains(logs::text(line, "id")) {
                     continue;
                 }
-                match field("message") {
-                    "sent to a second target" => *sent += 1,
-                    "second request ended" => {
-                        *hedges.ends.entry(field("result").to_owned()).or_default() += 1;
-                    }
-                    "no second request" => {
-                        *hedges.ends.entry(field("why").to_owned()).or_default() += 1;
+                let end = match message {
+                    "sent to a second target" => {
+                        *sent += 1;
+                        continue;
                     }
-                    _ => {}
-                }
+                    "second request ended" => logs::text(line, "result"),
+                    "no second request" => logs::text(line, "why"),
+                    _ => continue,
+                };
+                *hedges.ends.entry(end.to_owned()).or_default() += 1;
             }
         }
         hedges
@@ -58,8 +66,15 @@
         &self.ends
     }
 
-    /// A violation if routers sent more than the share that operators allow, together or one of them.
+    /// A violation if routers sent more than the share that operators allow, together or one of them, or if their
+    /// logs don't tell.
     pub fn violation(&self, percent: f64) -> Option<String> {
+        if percent > 0.0 && !self.unread.is_empty() {
+            return Some(format!(
+                "second requests unknown, by the logs of routers {:?}",
+                self.unread
+            ));
+        }
         let is_beyond =
             |requests: usize, sent: usize| sent as f64 > requests as f64 * percent / 100.0;
         let requests = self.by_router.values().map(|(requests, _)| requests).sum();
--- a/tools/soak/src/main.rs
+++ b/tools/soak/src/main.rs
@@ -15,6 +15,7 @@
 mod floods;
 mod hedges;
 mod leavings;
+mod logs;
 mod plan;
 mod proxy;
 mod requests;
--- a/tools/soak/src/sends.rs
+++ b/tools/soak/src/sends.rs
@@ -1,11 +1,9 @@
 //! Compares what routers log of the requests that they send once more with what reaches the targets.
 
-use crate::{callers::RequestRecord, leavings::Restart};
+use crate::{callers::RequestRecord, leavings::Restart, logs};
 use corianderstand_platform_standins::ledger::Ledger;
-use serde_json::Value;
 use std::{
     collections::{BTreeMap, BTreeSet},
-    fs,
     path::Path,
     time::Duration,
 };
@@ -23,20 +21,17 @@
 }
 
 impl RetryLog {
-    fn read(path: &Path) -> Self {
-        let text = fs::read_to_string(path).unwrap_or_default();
-        let mut log = Self { is_incomplete: text.is_empty(), ..Self::default() };
-        for line in text.lines() {
-            let Ok(line) = serde_json::from_str::<Value>(line) else { continue };
-            let field = |name: &str| line.get(name).and_then(Value::as_str);
-            match field("message") {
-                Some("retry") if field("outcome") == Some("granted") => {
-                    let id = field("id").unwrap_or_default().to_owned();
-                    *log.granted.entry(id).or_default() += 1;
-                }
-                Some("log lines suppressed") => {
-                    log.is_incomplete |= field("kind") == Some("Retry");
+    fn read(router: usize, log_dir: &Path) -> Self {
+        let Ok(lines) = logs::lines_of(router, log_dir) else {
+            return Self { is_incomplete: true, ..Self::default() };
+        };
+        let mut log = Self { is_incomplete: lines.is_empty(), ..Self::default() };
+        for line in &lines {
+            match logs::text(line, "message") {
+                "retry" if logs::text(line, "outcome") == "granted" => {
+                    *log.granted.entry(logs::text(line, "id").to_owned()).or_default() += 1;
                 }
+                "log lines suppressed" => log.is_incomplete |= logs::text(line, "kind") == "Retry",
                 _ => {}
             }
         }
@@ -61,10 +56,8 @@
     log_dir: &Path,
 ) -> Compared {
     let routers: BTreeSet<usize> = requests.iter().map(|request| request.router_index).collect();
-    let logs: BTreeMap<usize, RetryLog> = routers
-        .into_iter()
-        .map(|router| (router, RetryLog::read(&log_dir.join(format!("router-{router}.log")))))
-        .collect();
+    let logs: BTreeMap<usize, RetryLog> =
+        routers.into_iter().map(|router| (router, RetryLog::read(router, log_dir))).collect();
     let mut arrivals: BTreeMap<String, usize> = BTreeMap::new();
     for arrival in ledger.arrivals() {
         *arrivals.entry(arrival.id).or_default() += 1;
--- a/tools/soak/src/sheds.rs
+++ b/tools/soak/src/sheds.rs
@@ -3,11 +3,10 @@
 //! A router whose timers are late, as its host is short of processors, closes new connections unread while others have
 //! room. Its callers get no response, and nothing of theirs has run.
 
-use crate::callers::RequestRecord;
+use crate::{callers::RequestRecord, logs};
 use serde_json::Value;
 use std::{
     collections::{BTreeMap, BTreeSet},
-    fs,
     path::Path,
     time::{Duration, Instant, SystemTime},
 };
@@ -37,8 +36,9 @@
         let routers: BTreeSet<usize> =
             requests.iter().map(|request| request.router_index).collect();
         let read = |router: usize| {
-            let text = fs::read_to_string(log_dir.join(format!("router-{router}.log")));
-            (router, sheds_of(&text.unwrap_or_default(), now))
+            // Without its log nothing of the router is excused.
+            let lines = logs::lines_of(router, log_dir).unwrap_or_default();
+            (router, sheds_of(&lines, now))
         };
         Self { by_router: routers.into_iter().map(read).collect() }
     }
@@ -52,15 +52,13 @@
     }
 }
 
-fn sheds_of(log: &str, now: (SystemTime, Instant)) -> Vec<Shed> {
+fn sheds_of(lines: &[Value], now: (SystemTime, Instant)) -> Vec<Shed> {
     let mut sheds: Vec<Shed> = Vec::new();
-    for line in log.lines() {
-        let Ok(line) = serde_json::from_str::<Value>(line) else { continue };
-        if line.get("message").and_then(Value::as_str) != Some("new connections") {
+    for line in lines {
+        if logs::text(line, "message") != "new connections" {
             continue;
         }
-        let time = line.get("timestamp").and_then(Value::as_str);
-        let Some(at) = time.and_then(|time| instant_of(time, now)) else { continue };
+        let Some(at) = instant_of(logs::text(line, "timestamp"), now) else { continue };
         let delay_ms = line.get("delay_ms").and_then(Value::as_u64).unwrap_or(0);
         match line.get("sheds").and_then(Value::as_bool) {
             Some(true) if delay_ms >= MIN_DELAY_MS => {
