--- a/crates/corianderstand_forward/src/quotas.rs
+++ b/crates/corianderstand_forward/src/quotas.rs
@@ -7,6 +7,7 @@
 mod conversions;
 mod keepers;
 mod refusal;
+mod waiting;
 
 pub use {charge::Charge, refusal::Refusal};
 
@@ -25,7 +26,7 @@
     rc::Rc,
     time::{Duration, Instant},
 };
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::Notify;
 
 /// Interval between claims of what was spent, if nothing is asked for.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
@@ -38,19 +39,6 @@
 const SUSPICION_TIME: Duration = Duration::from_millis(500);
 /// Keeps a datagram within the usual maximum transmission unit.
 const MAX_CLAIMS_PER_DATAGRAM: usize = 24;
-/// Time from the sending of a request to the first event of its answer.
-const FIRST_EVENT_TIME: Duration = Duration::from_millis(150);
-/// A request may wait for its quota for this part of its objective, however short that is.
-const MIN_PATIENCE_DIVISOR: u32 = 2;
-/// Shorter waits aren't logged.
-const LOGGED_WAIT: Duration = Duration::from_millis(25);
-
-/// A request that waits for its cost.
-struct Held {
-    outcome: oneshot::Sender<Option<Refusal>>,
-    /// Until when it waits for routers that start.
-    patient_until: Instant,
-}
 
 struct Asked {
     sequence: u64,
@@ -64,7 +52,7 @@
 pub struct State {
     accounts: RefCell<account::Accounts>,
     ledger: RefCell<ledger::Ledger>,
-    waiting: RefCell<HashMap<account::WaiterId, Held>>,
+    waiting: RefCell<HashMap<account::WaiterId, waiting::Held>>,
     asked: RefCell<Vec<Asked>>,
     unanswered: RefCell<unanswered::Unanswered>,
     suspects: RefCell<HashMap<SocketAddr, Instant>>,
@@ -75,38 +63,6 @@
     membership: RefCell<keepers::Membership>,
 }
 
-/// Withdraws a request that stops waiting, and returns its cost if it was granted meanwhile.
-struct Waiting<'a, P: router::Platform> {
-    shared: &'a Rc<router::Shared<P>>,
-    workspace: &'a names::WorkspaceId,
-    cost: u64,
-    id: account::WaiterId,
-    outcome: oneshot::Receiver<Option<Refusal>>,
-    is_done: bool,
-}
-
-impl<P: router::Platform> Drop for Waiting<'_, P> {
-    fn drop(&mut self) {
-        if self.is_done {
-            return;
-        }
-        let state = &self.shared.quotas;
-        state.waiting.borrow_mut().remove(&self.id);
-        let mut accounts = state.accounts.borrow_mut();
-        let was_waiting = accounts.withdraw(self.workspace, self.id);
-        if !was_waiting && matches!(self.outcome.try_recv(), Ok(None)) {
-            accounts.refund(self.workspace, self.cost);
-        }
-    }
-}
-
-/// The time by which a request must be sent, so that its first event is within its objective.
-fn objective_at(job: &job::Job) -> Instant {
-    let objective = job.route.latency_objective;
-    job.arrived_at
-        + objective.saturating_sub(FIRST_EVENT_TIME).max(objective / MIN_PATIENCE_DIVISOR)
-}
-
 /// Whether requests of workspaces that have a quota wait for it in order.
 fn is_in_order<P: router::Platform>(shared: &router::Shared<P>) -> bool {
     let has_quota = true;
@@ -128,28 +84,13 @@
     let request = account::Request {
         cost,
         rank,
-        objective_at: objective_at(job),
+        objective_at: waiting::objective_at(job),
         expires_at: job.deadline,
         key: job.fingerprint().0 as u64,
     };
     shared.quotas.accounts.borrow_mut().admit_in_order(now, workspace, request)
 }
 
-/// Waits for the outcome of a request, and logs that it waits unless it is known soon.
-async fn wait_for_outcome<P: router::Platform>(
-    waiting: &mut Waiting<'_, P>,
-    job: &job::Job,
-    rank: u8,
-) -> Result<Option<Refusal>, oneshot::error::RecvError> {
-    let soon = tokio::time::timeout(LOGGED_WAIT, &mut waiting.outcome).await;
-    let Ok(outcome) = soon else {
-        let log = &waiting.shared.decision_log;
-        log.waits_for_quota(job, rank, waiting.cost, waiting.shared.clock.now());
-        return (&mut waiting.outcome).await;
-    };
-    outcome
-}
-
 /// Spends the cost of a request from its workspace's quota; none if the workspace has none.
 pub async fn acquire<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
@@ -170,23 +111,8 @@
         account::Admission::Admitted => charge(),
         account::Admission::Refused(refusal) => Err(refusal.into()),
         account::Admission::Waits(id) => {
-            let (tx, rx) = oneshot::channel();
-            let patient_until =
-                unanswered::patient_until(job.arrived_at, objective_at(job), job.deadline);
-            let held = Held { outcome: tx, patient_until };
-            state.waiting.borrow_mut().insert(id, held);
-            let mut waiting = Waiting { shared, workspace, cost, id, outcome: rx, is_done: false };
-            let outcome = wait_for_outcome(&mut waiting, job, rank).await;
-            waiting.is_done = true;
-            match outcome {
-                Ok(None) => {
-                    let waited = shared.clock.now().saturating_duration_since(now);
-                    shared.decision_log.granted_from_quota(job, rank, cost, waited, now + waited);
-                    charge()
-                }
-                Ok(Some(refusal)) => Err(refusal),
-                Err(_) => Err(Refusal::Unanswered),
-            }
+            waiting::wait(shared, job, workspace, rank, cost, id).await?;
+            charge()
         }
     }
 }
