--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod freshness;
 pub mod health;
 pub mod hedge;
+pub mod limit_shares;
 pub mod overload;
 pub mod pace;
 pub mod plan;
--- a/crates/corianderstand_forward/src/quotas/keepers.rs
+++ b/crates/corianderstand_forward/src/quotas/keepers.rs
@@ -29,6 +29,8 @@
     members_hash: u64,
     steady_since: Option<Instant>,
     has_majority: bool,
+    /// Routers that were known and live, and whether this one could grant, as last logged.
+    seen: Option<(usize, usize, bool)>,
 }
 
 impl Membership {
@@ -81,6 +83,12 @@
     let mut membership = shared.quotas.membership.borrow_mut();
     membership.keepers = (0..SHARDS).map(|shard| rank(&members, shard)).collect();
     membership.has_majority = known <= MAX_ROUTERS_WITHOUT_MAJORITY || 2 * live > known;
+    let seen = (known, live, membership.has_majority);
+    if membership.seen != Some(seen) || membership.members_hash != members_hash {
+        let may_grant = membership.has_majority;
+        tracing::info!(known, live, may_grant, keepers = ?names, "routers that keep quotas changed");
+        membership.seen = Some(seen);
+    }
     if membership.members_hash != members_hash || membership.steady_since.is_none() {
         membership.members_hash = members_hash;
         membership.steady_since = Some(now);
