Quotas: routers that can't reach each other share a quota

Elsewhere a cut left half of the routers with 503s: at 2 of 4, all of them.

Cause: a keeper concluded from silence that nobody else grants. With more than two routers a majority was asked for, with two nothing; what a router was not heard of for 30 s was forgotten, and a router that starts in a cut knew only itself.

Change: each router that the store lists owns an equal part of each quota, heard or not (fleet::limit_shares). A router turns to the first in the quota's order that it hears and that hears it; routers report whom they don't hear, while there are any, so that each part is used by one keeper whichever links are cut, one way or between two only. A keeper gives parts up at once and takes them over after 2.2 s, when their last keeper has noticed too; at once if all hear each other. A second keeper grants a fifth of the tolerance until it knows that the first has ended: its host refuses connections. After a pause of 2 s a router's parts count as taken over. What a router spent from another part while it was not heard is not charged. Followers fetch the list of routers from their readers each 8 s.

Evidence: tests/quota_cuts.rs of forward (two routers, datagrams through a link that is cut) fails on the code before in 3 of 3 cases, 1.55 of what a window allows and 1.8 to 2.0 of the quota; now 0.78 to 0.89 of a window, 0.87 to 1.12 of the quota during the cut and 0.76 to 0.80 in the 5 s after. The simulation in fleet's tests/quota_cuts.rs plays halves, hosts that are alone, one-way cuts, a cut pair, a cut from the start, a restart and a thaw in a cut with 2, 3, 4 and 26 routers: 0.92 of a window at most, 0.7 of the quota at least.

Tried: votes of a majority (nothing is granted at 2 of 4); leases lent by name to a keeper (5.7 s without a quota after each end of a keeper); a standby that grants nothing (2% of usual demand refused at 1% of lost datagrams, so one lost claim no longer turns a router to its second keeper). Tests changed: the simulation's membership exchanges hellos and runs limit_shares in place of a table of who knows whom; all its checks stand as they were.

--- a/crates/corianderstand_fleet/src/limit_shares.rs
+++ b/crates/corianderstand_fleet/src/limit_shares.rs
@@ -98,19 +98,30 @@
         self.ranked(order).into_iter().filter(|name| may_keep(name)).collect()
     }
 
-    /// The routers whose parts of a limit `keeper` uses, as far as this router sees.
-    pub fn owners(&self, order: Order, keeper: &SmolStr) -> Vec<&SmolStr> {
+    /// The routers that turn to `keeper`, as far as this router sees, itself included.
+    pub fn turning_to(&self, order: Order, keeper: &SmolStr) -> Vec<&SmolStr> {
         let ranked = self.ranked(order);
-        let owners = ranked.iter().filter(|owner| {
-            let turns_to = |name: &&&SmolStr| **name == keeper || self.may_turn_to(owner, name);
-            self.may_own(owner) && ranked.iter().find(turns_to) == Some(&keeper)
-        });
-        owners.copied().filter(|owner| self.hear_each_other(owner, keeper)).collect()
+        let turns = |router: &&SmolStr| {
+            let may_ask = |name: &&&SmolStr| **name == keeper || self.may_turn_to(router, name);
+            self.is_reached(router)
+                && self.hear_each_other(router, keeper)
+                && ranked.iter().find(may_ask) == Some(&keeper)
+        };
+        ranked.iter().copied().filter(turns).collect()
     }
 
     /// The part of a limit that `keeper` may use, as far as this router sees.
     pub fn share(&self, order: Order, keeper: &SmolStr) -> f64 {
-        self.owners(order, keeper).len() as f64 / self.parts() as f64
+        let is_complete = self.is_complete();
+        let turning = self.turning_to(order, keeper);
+        let owners = turning.into_iter().filter(|name| self.may_own(name, is_complete));
+        owners.count() as f64 / self.parts() as f64
+    }
+
+    /// Whether all routers that this one is connected to turn to it.
+    pub fn keeps_for_all(&self, order: Order) -> bool {
+        let reached = 1 + self.others.keys().filter(|name| self.is_reached(name)).count();
+        self.turning_to(order, &self.own).len() == reached
     }
 
     /// The part of a limit that all routers together use that this one is connected to, itself included.
@@ -119,16 +130,14 @@
         (1 + connected) as f64 / self.parts() as f64
     }
 
+    fn is_reached(&self, name: &SmolStr) -> bool {
+        self.others.get(name).is_none_or(|router| router.is_connected && !router.is_down)
+    }
+
     /// Whether a router's part may be used at all. One that is stopping or starting leaves its part unused.
-    fn may_own(&self, name: &SmolStr) -> bool {
-        let is_complete = self.is_complete();
+    fn may_own(&self, name: &SmolStr, is_complete: bool) -> bool {
         match self.others.get(name) {
-            Some(router) => {
-                router.is_connected
-                    && router.is_fit
-                    && !router.is_down
-                    && (router.is_settled || is_complete)
-            }
+            Some(router) => router.is_fit && (router.is_settled || is_complete),
             None => self.is_fit && (self.is_settled || is_complete),
         }
     }
@@ -149,14 +158,15 @@
 
     /// Whether `listener` may hear `speaker`.
     fn may_hear(&self, listener: &SmolStr, speaker: &SmolStr) -> bool {
-        match (self.others.get(listener), self.others.get(speaker)) {
-            (None, Some(speaker)) => speaker.is_connected,
-            // What an unconnected router reports doesn't arrive.
-            (Some(listener), _) if listener.is_connected => {
-                !listener.unheard.contains(&RouterHash::of(speaker))
-            }
-            (Some(_), None) => false,
-            (Some(_), Some(_)) | (None, None) => true,
+        let reports_silence = self
+            .others
+            .get(listener)
+            .is_some_and(|router| router.unheard.contains(&RouterHash::of(speaker)));
+        match self.others.get(speaker) {
+            _ if reports_silence => false,
+            Some(speaker) if *listener == self.own => speaker.is_connected,
+            // A router that this one doesn't hear may hear anyone.
+            _ => true,
         }
     }
 
@@ -194,12 +204,13 @@
         if is_complete {
             self.samples.clear();
         }
-        while self.samples.back().is_some_and(|(_, last)| *last >= share) {
-            self.samples.pop_back();
+        let mut since = now;
+        while let Some((at, _)) = self.samples.pop_back_if(|(_, last)| *last >= share) {
+            since = at;
         }
-        self.samples.push_back((now, share));
-        let is_past = |at: Instant| now.saturating_duration_since(at) >= TAKE_OVER_DELAY;
+        self.samples.push_back((since, share));
         // The second one has been the least for the whole time.
+        let is_past = |at: Instant| now.saturating_duration_since(at) >= TAKE_OVER_DELAY;
         while self.samples.get(1).is_some_and(|(at, _)| is_past(*at)) {
             self.samples.pop_front();
         }
--- a/crates/corianderstand_fleet/src/quota/ledger.rs
+++ b/crates/corianderstand_fleet/src/quota/ledger.rs
@@ -1,6 +1,6 @@
 //! Token buckets of workspaces, kept by one router for all.
 
-use super::{Claim, ClaimSource, Grant, Tolerance, queue};
+use super::{Claim, ClaimSource, Grant, Part, Tolerance, queue};
 use crate::workspaces;
 use corianderstand_types::names;
 use smol_str::SmolStr;
@@ -29,6 +29,8 @@
 const TIME_PER_CLAIM: Duration = Duration::from_millis(1);
 const MIN_AGAIN: Duration = Duration::from_millis(40);
 const MAX_AGAIN: Duration = Duration::from_millis(160);
+/// Time without a claim of one router, while others sent some, after which it spent from another keeper's part.
+const ABSENCE_TIME: Duration = Duration::from_secs(2);
 /// A router that sent no claim for this long is forgotten, with what it held.
 const CLAIM_TTL: Duration = Duration::from_secs(60);
 
@@ -67,6 +69,21 @@
     settling_level: f64,
     claims: HashMap<SmolStr, RouterClaim>,
     queue: queue::Queue,
+    /// What the router has of the quota.
+    part: Part,
+    /// What it may grant as a standby.
+    failover_left: f64,
+}
+
+/// What a keeper grants from.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms<'a> {
+    /// The quota over all routers.
+    pub quota: &'a workspaces::Quota,
+    /// How far it may be exceeded.
+    pub tolerance: &'a Tolerance,
+    /// What the keeper has of both.
+    pub part: Part,
 }
 
 /// The buckets that a router keeps.
@@ -79,27 +96,32 @@
     /// Applies a claim and grants what there is.
     ///
     /// `steady_since` is when the set of routers last changed. If that was lately, another router has kept
-    /// the bucket until now and granted all that came in, so a new one starts empty.
+    /// the bucket until now and granted all that came in, so a new one starts empty. `part` is what this router has of
+    /// the quota.
     pub fn claim(
         &mut self,
         now: Instant,
         steady_since: Instant,
-        quota: &workspaces::Quota,
-        tolerance: &Tolerance,
+        terms: &Terms<'_>,
         source: &ClaimSource,
         claim: &Claim,
     ) -> Option<Grant> {
+        let Terms { quota, tolerance, part } = *terms;
         let bucket = self
             .buckets
             .entry(claim.workspace.clone())
-            .or_insert_with(|| Bucket::new(now, steady_since));
+            .or_insert_with(|| Bucket::new(now, steady_since, part, tolerance.max_failover(quota)));
+        bucket.renew_failover(now, quota, tolerance);
+        let max_advance = tolerance.max_advance(quota, part.share);
+        let quota = &quota.share(part.share);
+        bucket.set_part(part);
         bucket.refill(now, quota);
         if !bucket.settle(now, source, claim) {
             return None;
         }
         bucket.forgive(quota, tolerance);
         let answers = bucket.answer(now, source, claim, quota, tolerance);
-        let mut grant = bucket.grant(now, source, claim, quota, tolerance);
+        let mut grant = bucket.grant(now, source, claim, quota, tolerance, max_advance);
         grant.granted += answers.iter().map(|(_, cost)| cost).sum::<u64>();
         grant.answers = answers.into_iter().map(|(answer, _)| answer).collect();
         grant.again = bucket.again(now);
@@ -118,7 +140,7 @@
 }
 
 impl Bucket {
-    fn new(now: Instant, steady_since: Instant) -> Self {
+    fn new(now: Instant, steady_since: Instant, part: Part, max_failover: f64) -> Self {
         let is_steady = now.saturating_duration_since(steady_since) >= STEADY_TIME;
         let filled_from = if is_steady { steady_since } else { now };
         Self {
@@ -130,9 +152,29 @@
             settling_level: 0.0,
             claims: HashMap::new(),
             queue: queue::Queue::new(now),
+            part,
+            failover_left: max_failover,
         }
     }
 
+    /// Keeps of what there is no more than the same share as of the quota: other routers have the rest.
+    fn set_part(&mut self, part: Part) {
+        if part.share < self.part.share {
+            let ratio = part.share / self.part.share;
+            self.level *= if self.level > 0.0 { ratio } else { 1.0 };
+            self.settling_level *= if self.settling_level > 0.0 { ratio } else { 1.0 };
+        }
+        self.part = part;
+    }
+
+    /// Renews what a standby may grant, at the rate at which the tolerance allows it again.
+    fn renew_failover(&mut self, now: Instant, quota: &workspaces::Quota, tolerance: &Tolerance) {
+        let max = tolerance.max_failover(quota);
+        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
+        let renewed = max * elapsed / tolerance.window.as_secs_f64().max(1.0);
+        self.failover_left = (self.failover_left + renewed).min(max);
+    }
+
     fn refill(&mut self, now: Instant, quota: &workspaces::Quota) {
         let elapsed = now.saturating_duration_since(self.refilled_at);
         self.refilled_at = self.refilled_at.max(now);
@@ -178,7 +220,11 @@
             None => claimed.saturating_sub(
                 claim.per_s.saturating_mul(self.age(now).as_millis() as u64) / 1_000,
             ),
-            Some(last) if last.incarnation == source.incarnation => last.claimed,
+            Some(last) if last.incarnation == source.incarnation => {
+                let is_back = now.saturating_duration_since(last.received_at) >= ABSENCE_TIME
+                    && !self.is_settling(now);
+                if is_back { claimed.max(last.claimed) } else { last.claimed }
+            }
             // The previous incarnation keeps what it was charged for: it may have spent it.
             Some(_) => 0,
         };
@@ -196,8 +242,8 @@
 
     /// Limits the debt: a keeper that stood still hears of all that was spent meanwhile at once.
     fn forgive(&mut self, quota: &workspaces::Quota, tolerance: &Tolerance) {
-        let max_debt =
-            quota.per_s.max(0.0) * MAX_DEBT_TIME.as_secs_f64() + tolerance.max_debt().max(0.0);
+        let max_debt = quota.per_s.max(0.0) * MAX_DEBT_TIME.as_secs_f64()
+            + tolerance.max_debt(self.part.share).max(0.0);
         // What is granted and not collected yet may return.
         self.level = self.level.max(-max_debt - self.queue.uncollected() as f64);
     }
@@ -205,9 +251,19 @@
     /// What may be granted now.
     fn available(&self, now: Instant, quota: &workspaces::Quota) -> f64 {
         let reserved = quota.burst * RESERVED_BURST_RATIO;
-        match self.is_settling(now) {
+        let level = match self.is_settling(now) {
             true => self.level.min(self.settling_level).min(reserved),
             false => self.level,
+        };
+        if self.part.is_standby { level.min(self.failover_left) } else { level }
+    }
+
+    /// Takes what is granted out of the bucket.
+    fn take(&mut self, granted: f64) {
+        self.level -= granted;
+        self.settling_level -= granted;
+        if self.part.is_standby {
+            self.failover_left -= granted;
         }
     }
 
@@ -221,8 +277,8 @@
             level: self.available(now, quota),
             reserved: quota.burst * RESERVED_BURST_RATIO,
             per_s: quota.per_s,
-            max_debt: tolerance.max_debt(),
-            max_cost: quota.burst + tolerance.max_debt(),
+            max_debt: tolerance.max_debt(self.part.share),
+            max_cost: quota.burst + tolerance.max_debt(self.part.share),
         }
     }
 
@@ -248,8 +304,7 @@
         let supply = self.supply(now, quota, tolerance);
         self.queue.announce(now, router, incarnation, waiters, &supply);
         let granted = self.queue.grant(now, &supply) as f64;
-        self.level -= granted;
-        self.settling_level -= granted;
+        self.take(granted);
         if !is_asking {
             return Vec::new();
         }
@@ -278,6 +333,7 @@
         claim: &Claim,
         quota: &workspaces::Quota,
         tolerance: &Tolerance,
+        max_advance: f64,
     ) -> Grant {
         let held: u64 = self.claims.values().map(|claim| claim.held).sum();
         let reserved = quota.burst * RESERVED_BURST_RATIO;
@@ -292,21 +348,20 @@
         if claim.first > 0 && granted < lacking {
             // A large request is granted as soon as a small one would be, or small ones starve it.
             let debt = lacking - level;
-            if level > 0.0 && debt <= tolerance.max_debt() {
+            if level > 0.0 && debt <= tolerance.max_debt(self.part.share) {
                 granted = lacking;
             } else {
                 granted = 0.0;
-                let missing = (debt - tolerance.max_debt()).max(1.0 - level);
+                let missing = (debt - tolerance.max_debt(self.part.share)).max(1.0 - level);
                 wait = (self.refused + missing) / quota.per_s.max(1.0);
                 self.refused = (self.refused + claim.needed as f64).min(quota.per_s * MAX_WAIT_S);
             }
         }
         let spare = level - granted - reserved;
-        let advance_left = tolerance.max_advance(quota) - held as f64;
+        let advance_left = max_advance - held as f64;
         let ahead = (claim.ahead as f64).min(spare).min(advance_left).max(0.0);
         let granted = (granted + ahead) as u64;
-        self.level -= granted as f64;
-        self.settling_level -= granted as f64;
+        self.take(granted as f64);
         if let Some(claim) = self.claims.get_mut(&source.router) {
             claim.claimed += granted;
             claim.held += granted;
--- a/crates/corianderstand_fleet/src/quota/mod.rs
+++ b/crates/corianderstand_fleet/src/quota/mod.rs
@@ -7,7 +7,8 @@
 //!
 //! What is granted ahead saves a question for each request. Both it and the debt that a large request may
 //! cause are parts of the [`Tolerance`], so that the sum stays within the quota and its tolerance.
-
+//!
+//! A keeper has the [`Part`] of the quota that belongs to the routers which turn to it ([`crate::limit_shares`]).
 //!
 //! Where requests wait in order, a claim names them, and the keeper answers for each ([`queue`]).
 
@@ -43,20 +44,53 @@
 
 /// Share of the tolerance for what routers hold unspent.
 const ADVANCE_RATIO: f64 = 0.1;
+/// Share of the tolerance for what a standby grants in place of a keeper that doesn't answer.
+const FAILOVER_RATIO: f64 = 0.2;
 /// Share of the fixed tolerance for the debt of a large request.
 const DEBT_RATIO: f64 = 0.3;
 
+/// What the keeper of a share of a quota may use of the excess that one keeper of all may. A usual request must fit into
+/// half of the quota as well; all keepers together exceed it by no more than twice as much as one.
+fn share_of_excess(share: f64) -> f64 {
+    (share * 2.0).min(1.0)
+}
+
 impl Tolerance {
-    /// The most that all routers together may hold unspent.
-    fn max_advance(&self, quota: &workspaces::Quota) -> f64 {
+    /// The excess that is tolerated in a window.
+    fn excess(&self, quota: &workspaces::Quota) -> f64 {
         let in_window = quota.per_s * self.window.as_secs_f64() + quota.burst;
-        (in_window * self.ratio + self.fixed) * ADVANCE_RATIO
+        in_window * self.ratio + self.fixed
     }
 
-    /// The most by which a request may exceed what there is.
-    fn max_debt(&self) -> f64 {
-        self.fixed * DEBT_RATIO
+    /// The most that the routers which turn to the keeper of a share of a quota may hold unspent.
+    fn max_advance(&self, quota: &workspaces::Quota, share: f64) -> f64 {
+        self.excess(quota) * ADVANCE_RATIO * share_of_excess(share)
     }
+
+    /// The most that a standby grants while it can't know whether the keeper still does.
+    fn max_failover(&self, quota: &workspaces::Quota) -> f64 {
+        self.excess(quota) * FAILOVER_RATIO
+    }
+
+    /// The most by which a request may exceed what there is of a share of a quota.
+    fn max_debt(&self, share: f64) -> f64 {
+        self.fixed * DEBT_RATIO * share_of_excess(share)
+    }
+}
+
+/// What a keeper has of a quota.
+#[derives(data)]
+#[derive(Copy)]
+pub struct Part {
+    /// Share of the quota.
+    pub share: f64,
+    /// Whether another router grants it as long as it answers.
+    pub is_standby: bool,
+}
+
+impl Part {
+    /// The whole quota.
+    pub const WHOLE: Self = Self { share: 1.0, is_standby: false };
 }
 
 /// What a router has spent and holds of a workspace's quota, and what it needs.
--- a/crates/corianderstand_fleet/src/workspaces.rs
+++ b/crates/corianderstand_fleet/src/workspaces.rs
@@ -36,6 +36,14 @@
     pub unit: CostUnit,
 }
 
+impl Quota {
+    /// A part of it.
+    #[must_use]
+    pub const fn share(&self, share: f64) -> Self {
+        Self { per_s: self.per_s * share, burst: self.burst * share, unit: self.unit }
+    }
+}
+
 /// How the cost of a request is counted.
 #[derives(key)]
 pub enum CostUnit {
--- a/crates/corianderstand_fleet/tests/common/quotas.rs
+++ b/crates/corianderstand_fleet/tests/common/quotas.rs
@@ -4,6 +4,8 @@
 
 #[path = "quotas/callers.rs"]
 mod callers;
+#[path = "quotas/membership.rs"]
+mod membership;
 
 pub use callers::{Class, Served};
 use corianderstand_fleet::{
@@ -23,11 +25,9 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
 const MAX_DELAY_STEPS: usize = 4;
 const LOSS_RATIO: f64 = 0.01;
-/// Longest time until a router learns that another has started or begins to stop.
-const MAX_VIEW_DELAY_MS: u64 = 1_200;
 /// Time until all routers notice that one has ended without a word.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2_600);
-/// Questions in a row without an answer after which a keeper is suspected where requests wait in order.
+/// Questions in a row without an answer after which a keeper is suspected.
 const MAX_LOST_QUESTIONS: u32 = 2;
 /// Time for which a router goes on asking a keeper that does not answer first.
 const SUSPICION_TIME: Duration = Duration::from_millis(500);
@@ -57,7 +57,7 @@
 
 enum Message {
     Claim { keeper: usize, source: quota::ClaimSource, claim: quota::Claim, is_asking: bool },
-    Grant { router: usize, incarnation: u64, sequence: u64, grant: quota::Grant },
+    Grant { keeper: usize, router: usize, incarnation: u64, sequence: u64, grant: quota::Grant },
 }
 
 struct Router {
@@ -66,8 +66,6 @@
     incarnation: u64,
     sequence: u64,
     started_at: Instant,
-    /// When it ended or began to stop; others learn of it later.
-    left_at: Option<Instant>,
     is_up: bool,
     is_frozen: bool,
     asked: Option<(u64, Instant, usize)>,
@@ -95,7 +93,7 @@
     reported_at: Instant,
     rng: ChaCha8Rng,
     last_incarnation: u64,
-    initial_routers: u64,
+    membership: membership::Membership,
     /// Classes of requests; the mix of [`Cluster::run`] if there are none.
     pub classes: Vec<Class>,
     /// What callers got, by class.
@@ -117,7 +115,6 @@
         incarnation,
         sequence: 0,
         started_at: now,
-        left_at: None,
         is_up: true,
         is_frozen: false,
         asked: None,
@@ -155,7 +152,7 @@
             reported_at: now,
             rng: ChaCha8Rng::seed_from_u64(seed),
             last_incarnation: routers as u64,
-            initial_routers: routers as u64,
+            membership: membership::Membership::new(now, routers),
             classes: Vec::new(),
             served: Vec::new(),
             loss_ratio: LOSS_RATIO,
@@ -169,6 +166,7 @@
 
     fn step(&mut self) {
         self.now += STEP;
+        self.membership.step(self.now, &mut self.rng);
         self.deliver();
         self.ask();
         if self.now.saturating_duration_since(self.reported_at) >= REPORT_INTERVAL {
@@ -179,7 +177,9 @@
 
     fn report_of(&mut self, index: usize) {
         let asked = self.routers[index].asked.map(|(_, _, keeper)| keeper);
-        for keeper in self.keepers(index).into_iter().filter(|keeper| asked != Some(*keeper)) {
+        for keeper in
+            self.membership.keepers(index).into_iter().filter(|keeper| asked != Some(*keeper))
+        {
             self.claim(index, keeper, false);
         }
     }
@@ -201,18 +201,36 @@
     pub fn kill(&mut self, index: usize) {
         self.disconnect(index);
         self.routers[index].is_up = false;
-        self.routers[index].left_at = Some(self.now + PEER_TIMEOUT);
+        self.membership.set_up(self.now, index, false);
+    }
+
+    /// Cuts the way from some routers to others, one way only.
+    pub fn cut(&mut self, from: &[usize], to: &[usize]) {
+        self.membership.set_cut(from, to, true);
+    }
+
+    /// Cuts some routers off from others.
+    pub fn cut_off(&mut self, some: &[usize], others: &[usize]) {
+        self.membership.set_cut(some, others, true);
+        self.membership.set_cut(others, some, true);
+    }
+
+    /// Heals all links.
+    pub fn heal(&mut self) {
+        let all: Vec<_> = (0..self.routers.len()).collect();
+        self.membership.set_cut(&all, &all, false);
     }
 
     /// Tells the others that a router stops; it goes on answering them.
     pub fn begin_stop(&mut self, index: usize) {
-        self.routers[index].left_at = Some(self.now);
+        self.membership.begin_stop(self.now, index);
     }
 
     pub fn start_again(&mut self, index: usize) {
         self.disconnect(index);
         self.last_incarnation += 1;
         self.routers[index] = router(self.now, self.last_incarnation);
+        self.membership.set_up(self.now, index, true);
     }
 
     pub fn restart_all(&mut self) {
@@ -225,11 +243,13 @@
         for _ in 0..count {
             self.last_incarnation += 1;
             self.routers.push(router(self.now, self.last_incarnation));
+            self.membership.add(self.now);
         }
     }
 
     pub fn freeze(&mut self, index: usize, is_frozen: bool) {
         self.routers[index].is_frozen = is_frozen;
+        self.membership.freeze(self.now, index, is_frozen);
     }
 
     /// Checks that what was asked for, or the quota if that is less, was admitted over a time.
@@ -299,26 +319,17 @@
         self.worst_window = self.worst_window.max(sum as f64 / allowed);
     }
 
-    /// The first two routers that one knows keep the bucket; a frozen one counts as well.
-    fn keepers(&self, viewer: usize) -> Vec<usize> {
-        self.known(viewer).into_iter().take(2).collect()
-    }
-
-    fn known(&self, viewer: usize) -> Vec<usize> {
-        let delay = Duration::from_millis(viewer as u64 * 331 % MAX_VIEW_DELAY_MS);
-        let is_known = |index: usize, router: &Router| {
-            let delay = if index == viewer { Duration::ZERO } else { delay };
-            let has_joined =
-                router.incarnation <= self.initial_routers || self.now >= router.started_at + delay;
-            has_joined && router.left_at.is_none_or(|at| self.now < at + delay)
-        };
-        let known =
-            self.routers.iter().enumerate().filter(|(index, router)| is_known(*index, router));
-        known.map(|(index, _)| index).collect()
-    }
-
     fn send(&mut self, message: Message) {
         self.messages += 1;
+        let (from, to) = match &message {
+            Message::Claim { keeper, source, .. } => {
+                (self.membership.index(&source.router), *keeper)
+            }
+            Message::Grant { keeper, router, .. } => (*keeper, *router),
+        };
+        if self.membership.is_cut(from, to) {
+            return;
+        }
         if self.rng.random::<f64>() < self.loss_ratio {
             return;
         }
@@ -334,7 +345,7 @@
         let now = self.now;
         for index in 0..self.routers.len() {
             let workspace = self.workspace.clone();
-            let keepers = self.keepers(index);
+            let keepers = self.membership.keepers(index);
             let router = &mut self.routers[index];
             if self.way == Way::EqualShares {
                 continue;
@@ -348,8 +359,7 @@
                 router.asked = None;
                 let before = if router.unanswered.0 == keeper { router.unanswered.1 } else { 0 };
                 router.unanswered = (keeper, before + 1);
-                let is_expected = self.way == Way::InOrder && before + 1 < MAX_LOST_QUESTIONS;
-                if !is_expected {
+                if before + 1 >= MAX_LOST_QUESTIONS {
                     router.suspect = Some((keeper, now + SUSPICION_TIME));
                 }
                 router.accounts.abandon(&workspace, sequence);
@@ -384,7 +394,7 @@
             router.asked = Some((sequence, now + ANSWER_TIMEOUT, keeper));
         }
         let source = quota::ClaimSource {
-            router: format!("r{index}").as_str().into(),
+            router: self.membership.name(index).clone(),
             incarnation: router.incarnation,
             sequence,
         };
@@ -436,20 +446,22 @@
     fn receive(&mut self, message: Message) {
         match message {
             Message::Claim { keeper, source, claim, is_asking } => {
-                if 2 * self.known(keeper).len() <= self.routers.len() {
-                    return;
+                let router = self.membership.index(&source.router);
+                let Some(part) = self.membership.part(self.now, keeper, router) else { return };
+                if part.is_standby && is_asking {
+                    self.membership.probe(self.now, keeper);
                 }
                 let steady_since = self.routers[keeper].started_at;
                 let (quota, tolerance) = (&self.quota, &self.tolerance);
                 let ledger = &mut self.routers[keeper].ledger;
-                let grant = ledger.claim(self.now, steady_since, quota, tolerance, &source, &claim);
+                let terms = ledger::Terms { quota, tolerance, part };
+                let grant = ledger.claim(self.now, steady_since, &terms, &source, &claim);
                 if let Some(grant) = grant.filter(|_| is_asking) {
-                    let router = source.router[1..].parse().unwrap();
                     let (incarnation, sequence) = (source.incarnation, source.sequence);
-                    self.send(Message::Grant { router, incarnation, sequence, grant });
+                    self.send(Message::Grant { keeper, router, incarnation, sequence, grant });
                 }
             }
-            Message::Grant { router: index, incarnation, sequence, grant } => {
+            Message::Grant { router: index, incarnation, sequence, grant, .. } => {
                 let router = &mut self.routers[index];
                 if router.incarnation != incarnation {
                     return;
@@ -480,6 +492,14 @@
     }
 }
 
+/// The whole of a quota.
+pub const fn whole<'a>(
+    quota: &'a workspaces::Quota,
+    tolerance: &'a quota::Tolerance,
+) -> ledger::Terms<'a> {
+    ledger::Terms { quota, tolerance, part: quota::Part::WHOLE }
+}
+
 impl Tally {
     pub fn refused_ratio(&self) -> f64 {
         self.refused as f64 / (self.admitted + self.refused).max(1) as f64
--- a/crates/corianderstand_fleet/tests/quota_queue.rs
+++ b/crates/corianderstand_fleet/tests/quota_queue.rs
@@ -1,15 +1,20 @@
 //! The queue of a keeper: bounds, absurd input, and what a choice costs.
 
 use corianderstand_fleet::quota::{
-    Claim, ClaimSource, Ordered, Tolerance, Waiter,
+    Claim, ClaimSource, Ordered, Part, Tolerance, Waiter,
     lanes::{Kind, Lanes, Place},
-    ledger::Ledger,
+    ledger::{Ledger, Terms},
 };
 use corianderstand_fleet::workspaces::{CostUnit, Quota};
 use corianderstand_room::order;
 use rstest::rstest;
 use std::time::{Duration, Instant};
 
+/// The whole of a quota.
+const fn whole<'a>(quota: &'a Quota, tolerance: &'a Tolerance) -> Terms<'a> {
+    Terms { quota, tolerance, part: Part::WHOLE }
+}
+
 fn waiter(id: u64, cost: u64) -> Waiter {
     Waiter {
         id,
@@ -50,7 +55,8 @@
         let sequence = sequence as u64 + 1;
         let source = ClaimSource { router: "r".into(), incarnation: 1, sequence };
         let waiters = (0..8).map(|id| waiter(sequence * 8 + id, cost)).collect();
-        let grant = ledger.claim(now, start, &quota, &tolerance, &source, &claim(waiters)).unwrap();
+        let grant =
+            ledger.claim(now, start, &whole(&quota, &tolerance), &source, &claim(waiters)).unwrap();
         if !(per_s > 0.0 || burst > 0.0) {
             assert!(grant.granted == 0, "{grant:?}");
         }
@@ -107,7 +113,8 @@
     let waiters =
         (0..30_000).map(|id| Waiter { objective: Duration::from_secs(60), ..waiter(id, 1) });
     let claim = claim(waiters.collect());
-    let grant =
-        ledger.claim(now, start, &quota, &Tolerance::default(), &source(1), &claim).unwrap();
+    let grant = ledger
+        .claim(now, start, &whole(&quota, &Tolerance::default()), &source(1), &claim)
+        .unwrap();
     assert!(grant.answers.len() <= 100, "{} answers in one datagram", grant.answers.len());
 }
--- a/crates/corianderstand_fleet/tests/quotas.rs
+++ b/crates/corianderstand_fleet/tests/quotas.rs
@@ -8,7 +8,7 @@
     workspaces,
 };
 use rstest::rstest;
-use simulation::{Cluster, Way};
+use simulation::{Cluster, Way, whole};
 use std::time::{Duration, Instant};
 
 const ROUTERS: usize = 26;
@@ -177,7 +177,10 @@
             per_s: 0,
             ordered: Ordered::default(),
         };
-        ledger.claim(start + after, start, &quota, &tolerance, &source, &claim).unwrap().wait
+        ledger
+            .claim(start + after, start, &whole(&quota, &tolerance), &source, &claim)
+            .unwrap()
+            .wait
     };
     let longest = secs(10);
     assert_eq!(wait(1, secs(5), u64::MAX), longest);
@@ -214,7 +217,8 @@
                 per_s: 0,
                 ordered: Ordered::default(),
             };
-            let grant = ledger.claim(start + after, start, &quota, &tolerance, &source, &claim);
+            let grant =
+                ledger.claim(start + after, start, &whole(&quota, &tolerance), &source, &claim);
             let granted = grant.map_or(0, |grant| grant.granted);
             *spent += granted;
             granted
@@ -250,7 +254,7 @@
             ordered: Ordered::default(),
         };
         let (quota, tolerance) = (&cluster.quota, &cluster.tolerance);
-        ledger.claim(start + after, start, quota, tolerance, &source, &claim).is_some()
+        ledger.claim(start + after, start, &whole(quota, tolerance), &source, &claim).is_some()
     };
     assert!(is_heard(secs(5), 9, 7));
     assert!(!is_heard(secs(5), 9, 7), "a repeated claim");
--- a/crates/corianderstand_forward/src/agent.rs
+++ b/crates/corianderstand_forward/src/agent.rs
@@ -148,6 +148,7 @@
             }
             PeerMessage::RouterNews(_)
             | PeerMessage::RecordsNews(_)
+            | PeerMessage::RoutersUnheard(_)
             | PeerMessage::ConfigProven(_)
             | PeerMessage::PrefillAnswer(_)
             | PeerMessage::EngineNews(_)
--- a/crates/corianderstand_forward/src/control.rs
+++ b/crates/corianderstand_forward/src/control.rs
@@ -120,6 +120,9 @@
         PeerMessage::RecordsNews(update) => {
             follow::via_readers::on_records_update(shared, now, from, update);
         }
+        PeerMessage::RoutersUnheard(report) => {
+            shared.peers.borrow_mut().on_unheard(now, &report);
+        }
         PeerMessage::EngineNews(update) => {
             on_engine_update(shared, now, from, update);
             ended_targets::record_replaced(shared, now);
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -69,6 +69,10 @@
         zone: Some(settings.zone.clone()),
         strength: settings.cpu_millicores,
     };
+    if !settings.is_first_start {
+        // The list tells whether the others know this router from before.
+        wait_for_routers(&shared).await;
+    }
     let hash = xxh3::xxh3_64(settings.name.as_bytes());
     let spread = ANNOUNCE_SPREAD.mul_f64(hash as f64 / u64::MAX as f64);
     loop {
--- a/crates/corianderstand_forward/src/follow/apply.rs
+++ b/crates/corianderstand_forward/src/follow/apply.rs
@@ -25,6 +25,7 @@
     page: dialect::Page,
 ) {
     let end = PageEnd::from(&page);
+    let reaches_end = page.reaches_end;
     eras::observe(shared, end.next.era(), source);
     let known = shared.replicated_records.borrow().progress(subject);
     let was_current = shared.replicated_records.borrow().is_current(subject);
@@ -43,7 +44,11 @@
         apply_record(shared, subject, source, record);
     }
     if subject == Subject::Routers {
-        shared.peers.borrow_mut().select_hubs(shared.clock.now());
+        let mut peers = shared.peers.borrow_mut();
+        peers.select_hubs(shared.clock.now());
+        if reaches_end {
+            peers.record_list_read();
+        }
     }
     let advanced = shared.replicated_records.borrow_mut().advance(subject, end);
     if !was_current && shared.replicated_records.borrow().is_current(subject) {
@@ -134,11 +139,19 @@
             shared.view.borrow_mut().targets.remove(now, &id, recovered_at);
         }
         dialect::Update::Router(entry) => {
-            if entry.router != shared.settings.name {
+            if entry.router == shared.settings.name {
+                shared.peers.borrow_mut().record_own_listed(now, true);
+            } else {
                 shared.peers.borrow_mut().add_announced(now, entry);
             }
         }
-        dialect::Update::RouterRemoved(name) => shared.peers.borrow_mut().remove(&name),
+        dialect::Update::RouterRemoved(name) => {
+            if name == shared.settings.name {
+                shared.peers.borrow_mut().record_own_listed(now, false);
+            } else {
+                shared.peers.borrow_mut().remove(now, &name);
+            }
+        }
     }
 }
 
--- a/crates/corianderstand_forward/src/follow/via_readers.rs
+++ b/crates/corianderstand_forward/src/follow/via_readers.rs
@@ -1,6 +1,6 @@
 //! Following the store through reader routers of the same zone ([`crate::readers`]).
 
-use super::{TARGETS_INTERVAL_RATIO, record_read, wait_before_targets_read};
+use super::{ROUTERS_INTERVAL, TARGETS_INTERVAL_RATIO, record_read, wait_before_targets_read};
 use crate::{
     dialect::Subject,
     eras, readers,
@@ -113,8 +113,11 @@
     match subject {
         // Readers announce new records at once ([`crate::catch_up`]).
         Subject::Config => tokio::time::sleep(ROLE_POLL_INTERVAL).await,
-        // Routers announce themselves to each other.
-        Subject::Routers => tokio::time::sleep(ROLE_POLL_INTERVAL).await,
+        // Routers announce themselves to each other, but only the list tells that one has gone.
+        Subject::Routers => {
+            tokio::time::sleep(ROLE_POLL_INTERVAL).await;
+            return is_list_young(shared) || fetch_routers(shared, &readers).await;
+        }
         Subject::Targets => {
             let drain_within = shared.bounds.borrow().drain_within;
             wait_before_targets_read(shared, drain_within.mul_f64(FOLLOWER_INTERVAL_RATIO)).await;
@@ -124,6 +127,30 @@
     true
 }
 
+/// Whether the list of routers needs no other read yet.
+fn is_list_young<P: router::Platform>(shared: &router::Shared<P>) -> bool {
+    let since_read =
+        shared.replicated_records.borrow().since_read(shared.clock.now(), Subject::Routers);
+    !shared.peers.borrow().needs_mesh() || since_read.is_some_and(|time| time < ROUTERS_INTERVAL)
+}
+
+/// Fetches the list of routers from the readers. Returns false if none has read it lately.
+async fn fetch_routers<P: router::Platform>(
+    shared: &Rc<router::Shared<P>>,
+    readers: &[SocketAddr],
+) -> bool {
+    for reader in readers {
+        let outcome = transfer::fetch_changes(shared, *reader, Subject::Routers).await;
+        if let transfer::TransferOutcome::Applied(Some(age)) = outcome
+            && age <= ROUTERS_INTERVAL * 2
+        {
+            record_read(shared, Subject::Routers, age);
+            return true;
+        }
+    }
+    false
+}
+
 /// Fetches the targets from the readers. Returns false if their records are too old.
 async fn fetch_targets<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
--- a/crates/corianderstand_forward/src/peers.rs
+++ b/crates/corianderstand_forward/src/peers.rs
@@ -7,6 +7,8 @@
 //! In large deployments a router hears only its contacts ([`hubs`]). The others count as responsive, because
 //! nothing tells otherwise, until they are expected to send updates and send none.
 
+mod limit_view;
+
 use crate::{dialect, hubs, readers, replicated_records::Progress};
 use corianderstand_derives::derives;
 use corianderstand_fleet::demand;
@@ -88,6 +90,7 @@
     expected_since: Option<Instant>,
     /// Whether it has sent nothing since its updates were expected in vain.
     is_suspect: bool,
+    standing: limit_view::Standing,
 }
 
 impl Peer {
@@ -104,9 +107,14 @@
             greeted_at: None,
             expected_since: None,
             is_suspect: false,
+            standing: limit_view::Standing::new(now),
         }
     }
 
+    fn last_active_at(&self) -> Instant {
+        self.last_received_at.unwrap_or(self.announced_at).max(self.announced_at)
+    }
+
     /// How far it knows a subject. A router of an earlier version tells no era: its offsets count as of `era`.
     fn progress(&self, subject: dialect::Subject, era: Era) -> Option<Progress> {
         let update = self.update.as_ref()?;
@@ -177,6 +185,7 @@
     /// both were cut off hear of each other again.
     hubs_with_suspects: hubs::Hubs,
     selected_at: Option<Instant>,
+    list: limit_view::List,
 }
 
 impl Peers {
@@ -191,6 +200,11 @@
         self.selected_at = None;
     }
 
+    /// Whether each router has to hear all others, as they share limits.
+    pub const fn needs_mesh(&self) -> bool {
+        self.needs_mesh
+    }
+
     /// Adds a router, or changes its address.
     pub fn add(&mut self, now: Instant, name: SmolStr, addr: SocketAddr) -> &mut Peer {
         let selected_at = &mut self.selected_at;
@@ -206,15 +220,20 @@
     /// Adds a router that the store lists.
     pub fn add_announced(&mut self, now: Instant, entry: dialect::RouterEntry) {
         let dialect::RouterEntry { router, addr, zone, strength } = entry;
+        let list = self.list.clone();
         let peer = self.add(now, router, addr);
+        peer.standing.record_listed(&list);
         if zone.is_some() {
             (peer.zone, peer.strength) = (zone, strength);
         }
     }
 
-    /// Removes a router that has stopped.
-    pub fn remove(&mut self, name: &str) {
-        self.by_name.remove(name);
+    /// Removes a router that has stopped, unless it has started again meanwhile and is heard.
+    pub fn remove(&mut self, now: Instant, name: &str) {
+        if let Some(peer) = self.by_name.get_mut(name) {
+            peer.standing.record_withdrawn();
+        }
+        self.by_name.retain(|other, peer| other != name || !peer.is_unresponsive(now));
         self.selected_at = None;
     }
 
@@ -242,6 +261,7 @@
             }
             (peer.zone, peer.strength) = (Some(update.zone.clone()), update.strength);
             peer.last_received_at = Some(now);
+            peer.standing.record_heard();
             peer.update = Some(update);
             if std::mem::take(&mut peer.is_suspect) {
                 self.selected_at = None;
@@ -290,6 +310,11 @@
         self.by_name.get(name)?.incarnation_seen_at
     }
 
+    /// The address of another router, if it is known.
+    pub fn address_of(&self, name: &str) -> Option<SocketAddr> {
+        self.by_name.get(name).map(|peer| peer.addr)
+    }
+
     /// Addresses of all known routers.
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         self.by_name.values().map(|peer| peer.addr)
@@ -495,11 +520,13 @@
 
     /// Removes routers that have been unresponsive for long.
     pub fn expire(&mut self, now: Instant) {
-        let is_mesh = self.is_mesh;
-        self.by_name.retain(|_, peer| {
-            let last_active_at =
-                peer.last_received_at.unwrap_or(peer.announced_at).max(peer.announced_at);
-            (!is_mesh && !peer.is_suspect) || is_within(now, Some(last_active_at), PEER_EXPIRY)
+        let (is_mesh, needs_mesh) = (self.is_mesh, self.needs_mesh);
+        self.by_name.retain(|_, peer| match needs_mesh {
+            true => Self::counts(now, peer),
+            false => {
+                (!is_mesh && !peer.is_suspect)
+                    || is_within(now, Some(peer.last_active_at()), PEER_EXPIRY)
+            }
         });
     }
 
--- a/crates/corianderstand_forward/src/quotas.rs
+++ b/crates/corianderstand_forward/src/quotas.rs
@@ -1,11 +1,12 @@
 //! Keeps the quotas of workspaces over all routers ([`corianderstand_fleet::quota`]).
 //!
 //! The router that ranks first for a workspace ([`keepers`]) keeps its bucket, and the next one hears the
-//! same claims, so that it can take over.
+//! same claims, so that it can take over. Until it knows that the first one has ended, it grants little.
 
 mod charge;
 mod conversions;
 mod keepers;
+mod probe;
 mod refusal;
 mod waiting;
 
@@ -21,7 +22,7 @@
 use corianderstand_types::names;
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -32,8 +33,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time for a keeper's answer, across availability zones and from a busy host.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
-/// Claims in a row without an answer after which a keeper is suspected where requests wait in order: those of a router
-/// that turns to the other keeper compete with all that stay.
+/// Claims in a row without an answer after which a keeper is suspected: the other one grants little while the first may
+/// still do, and requests that wait in order compete there with all that stay.
 const MAX_LOST_CLAIMS: u32 = 2;
 /// Time for which a keeper that did not answer is asked last.
 const SUSPICION_TIME: Duration = Duration::from_millis(500);
@@ -61,6 +62,8 @@
     last_sequence: Cell<u64>,
     wake: Notify,
     membership: RefCell<keepers::Membership>,
+    /// Keepers that are being asked whether they have ended.
+    probed: RefCell<HashSet<SocketAddr>>,
 }
 
 /// Whether requests of workspaces that have a quota wait for it in order.
@@ -294,11 +297,12 @@
 
 /// Applies a router's claims to the buckets that this router keeps; none if it must grant nothing.
 fn keep<P: router::Platform>(
-    shared: &router::Shared<P>,
+    shared: &Rc<router::Shared<P>>,
     now: Instant,
     request: &wire::QuotaRequest,
 ) -> Option<wire::QuotaResponse> {
-    let steady_since = keepers::may_grant_since(shared, now)?;
+    keepers::update_if_old(shared, now);
+    let steady_since = keepers::steady_since(shared)?;
     let tolerance = shared.bounds.borrow().quota_tolerance.clone();
     let source = quota::ClaimSource {
         router: request.router.0.clone(),
@@ -306,19 +310,27 @@
         sequence: request.sequence,
     };
     let mut ledger = shared.quotas.ledger.borrow_mut();
+    let mut may_grant = false;
     let grants = request.claims.iter().filter_map(|claim| {
+        let part = keepers::part(shared, &claim.workspace, request.router.as_str())?;
+        may_grant = true;
+        if part.is_standby && request.answer {
+            probe::start(shared, &claim.workspace);
+        }
         let quota = quota(shared, &claim.workspace)?;
+        let terms = ledger::Terms { quota: &quota, tolerance: &tolerance, part };
         let claim = conversions::claim_from_wire(claim, request.answer);
-        let grant = ledger.claim(now, steady_since, &quota, &tolerance, &source, &claim)?;
+        let grant = ledger.claim(now, steady_since, &terms, &source, &claim)?;
         Some(conversions::grant_to_wire(claim.workspace, &grant))
     });
     let grants: Vec<_> = grants.collect();
-    request.answer.then_some(wire::QuotaResponse { sequence: request.sequence, grants })
+    let response = wire::QuotaResponse { sequence: request.sequence, grants };
+    (request.answer && may_grant).then_some(response)
 }
 
 /// Answers another router's claims.
 pub fn on_request<P: router::Platform>(
-    shared: &router::Shared<P>,
+    shared: &Rc<router::Shared<P>>,
     now: Instant,
     from: SocketAddr,
     request: &wire::QuotaRequest,
@@ -406,7 +418,7 @@
     let mut lost = shared.quotas.lost.borrow_mut();
     let count = lost.entry(keeper).or_default();
     *count += 1;
-    if !is_in_order(shared) || *count >= MAX_LOST_CLAIMS {
+    if *count >= MAX_LOST_CLAIMS {
         shared.quotas.suspects.borrow_mut().insert(keeper, now + SUSPICION_TIME);
     }
 }
--- a/crates/corianderstand_forward/src/retries.rs
+++ b/crates/corianderstand_forward/src/retries.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// When this router started.
+    pub const fn started_at(&self) -> Instant {
+        self.started_at
+    }
+
     fn budget(&self, service: &names::ServiceId) -> budget::Shared {
         self.budgets.borrow_mut().entry(service.clone()).or_default().clone()
     }
--- a/crates/corianderstand_forward/src/status.rs
+++ b/crates/corianderstand_forward/src/status.rs
@@ -1,11 +1,11 @@
 //! Status that a router sends to others: to its contacts ([`crate::hubs`]), and its demand to the planner.
 
 use crate::{control, dialect, peers, router};
-use corianderstand_fleet::demand;
+use corianderstand_fleet::{demand, limit_shares};
 use corianderstand_schema::peers::{self as wire, PeerMessage};
 use corianderstand_types::names;
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -29,6 +29,8 @@
     planner_hello_sent_at: Option<Instant>,
     /// Whether the last hello said that this router may plan and keep quotas.
     was_fit: bool,
+    /// Routers that were not heard, as last reported.
+    unheard: BTreeSet<limit_shares::RouterHash>,
     demand_sent_at: Option<Instant>,
     /// As last sent to the planner.
     waiting_requests: BTreeMap<names::ModelId, u32>,
@@ -55,6 +57,9 @@
         sent.was_fit = is_fit;
         (sent.hello_sent_at, sent.planner_hello_sent_at) = (Some(now), Some(now));
         send_hello(shared);
+        if !sent.unheard.is_empty() {
+            report_unheard(shared, now, &sent.unheard);
+        }
     } else if planner == peers::Planner::Own
         && is_due(sent.planner_hello_sent_at, PLANNER_UPDATE_INTERVAL)
     {
@@ -62,6 +67,32 @@
         let hubs = shared.peers.borrow().hub_addresses();
         shared.outbox.send_all(&hubs, &PeerMessage::RouterNews(hello(shared)));
     }
+    let unheard = unheard(shared, now);
+    if sent.unheard != unheard {
+        sent.unheard = unheard;
+        report_unheard(shared, now, &sent.unheard);
+    }
+}
+
+/// The routers that this one doesn't hear, where limits are shared among all that do.
+fn unheard<P>(shared: &router::Shared<P>, now: Instant) -> BTreeSet<limit_shares::RouterHash> {
+    let peers = shared.peers.borrow();
+    if peers.needs_mesh() { peers.unheard(now) } else { BTreeSet::new() }
+}
+
+/// Tells the others whom this router doesn't hear. Who receives no such report takes it that all are heard.
+fn report_unheard<P>(
+    shared: &router::Shared<P>,
+    now: Instant,
+    unheard: &BTreeSet<limit_shares::RouterHash>,
+) {
+    let report = wire::UnheardRouters {
+        router: shared.settings.name.as_str().into(),
+        incarnation: shared.incarnation,
+        unheard: unheard.iter().map(|hash| hash.0).collect(),
+    };
+    let contacts = shared.peers.borrow().contacts(now);
+    shared.outbox.send_all(&contacts, &PeerMessage::RoutersUnheard(report));
 }
 
 /// In a large deployment, only changes of what waits are sent to the planner at once.
--- a/crates/corianderstand_forward/tests/common/mod.rs
+++ b/crates/corianderstand_forward/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod crashing;
+pub mod cut;
 pub mod link;
 pub mod platform;
 
--- a/crates/corianderstand_forward/tests/common/platform.rs
+++ b/crates/corianderstand_forward/tests/common/platform.rs
@@ -1,6 +1,6 @@
 //! A platform with plain header names, backed by an in-memory store.
 
-use super::link;
+use super::{cut, link};
 use bytes::Bytes;
 use corianderstand_fleet::{choose, config, fingerprint, targets, workspaces};
 use corianderstand_forward::dialect;
@@ -49,6 +49,8 @@
     announcements: Arc<AtomicUsize>,
     newest_reads: Arc<AtomicUsize>,
     link: Option<link::Link>,
+    /// Addresses of routers as one router sees them.
+    seen_addresses: Arc<Mutex<cut::SeenAddresses>>,
 }
 
 impl MemoryStore {
@@ -90,10 +92,24 @@
             unavailable: Arc::default(),
             read_count: Arc::default(),
             router_list_reads: Arc::default(),
+            seen_addresses: Arc::default(),
             ..self.clone()
         }
     }
 
+    /// Has one router see another at an address.
+    pub fn see_router_at(&self, router: &str, addr: std::net::SocketAddr) {
+        self.seen_addresses.lock().unwrap().insert(router.into(), addr);
+    }
+
+    /// Lists a router, or takes it off the list.
+    pub fn list_router(&self, name: &str, entry: Option<RouterEntry>) {
+        match entry {
+            Some(entry) => self.put_router(entry),
+            None => self.put_record(Subject::Routers, name, None),
+        }
+    }
+
     pub fn set_unavailable(&self, unavailable: bool) {
         self.unavailable.store(unavailable, Ordering::Relaxed);
     }
@@ -370,11 +386,18 @@
         Ok(())
     }
 
-    fn decode(&self, _: Subject, record: &Record) -> Result<Option<Update>, RecordError> {
+    fn decode(&self, subject: Subject, record: &Record) -> Result<Option<Update>, RecordError> {
         let Some(value) = &record.value else {
-            return Ok(Some(Update::TargetRemoved(record.key.as_str().into())));
+            return Ok(Some(match subject {
+                Subject::Routers => Update::RouterRemoved(record.key.clone()),
+                _ => Update::TargetRemoved(record.key.as_str().into()),
+            }));
         };
-        let update = self.0.state.lock().unwrap().updates.get(value).cloned().flatten();
+        let mut update = self.0.state.lock().unwrap().updates.get(value).cloned().flatten();
+        if let Some(Update::Router(entry)) = &mut update {
+            let seen = self.0.seen_addresses.lock().unwrap();
+            entry.addr = seen.get(&entry.router).copied().unwrap_or(entry.addr);
+        }
         let unreadable =
             || RecordError::Unreadable { key: record.key.clone(), reason: "garbage".into() };
         update.map(Some).ok_or_else(unreadable)
