Routers that are gone for good are taken off the store's list

What callers would see: since a router counts until it is withdrawn, a host that ends without a word would keep its part of each quota for ever: at one of two, half of it.

Change: the first by name of the routers that hear each other marks the entry of one that is silent for 20 s as suspected, and removes it 50 s later (660 s where those that are silent may be a majority), if a list read within 10 s still says so. A router that reads that it is suspected, or off the list, writes its entry again and uses no part until it stands there. One whose list is older than 30 s uses no part, unless it hears all others or, for 600 s, a majority. So none is removed while it may use its part (fleet::removal, with a test that compares the times). Costs two writes to the store for each router that is gone, none otherwise.

The 70 s aren't played with real processes: the decision is tested alone.

--- a/crates/corianderstand_fleet/src/lib.rs
+++ b/crates/corianderstand_fleet/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod prefixes;
 pub mod quota;
 pub mod reconcile;
+pub mod removal;
 pub mod request_slots;
 pub mod routes;
 pub mod shares;
--- a/crates/corianderstand_forward/src/dialect.rs
+++ b/crates/corianderstand_forward/src/dialect.rs
@@ -213,6 +213,9 @@
     /// Its processor capacity, in thousandths of a core.
     #[serde(default)]
     pub strength: u32,
+    /// Whether others don't hear it: it has to announce itself again.
+    #[serde(default)]
+    pub is_suspected: bool,
 }
 
 /// Why a call to the store failed.
@@ -276,9 +279,9 @@
     ) -> impl Future<Output = Result<Page, StoreError>>;
     /// The highest era that any of the store's responses named, errors included.
     fn era(&self) -> Era;
-    /// Announces this router to the others.
+    /// Writes a router's entry: this one's, or that of one that is not heard.
     fn announce(&self, entry: &RouterEntry) -> impl Future<Output = Result<(), StoreError>>;
-    /// Withdraws this router's announcement.
+    /// Withdraws a router's announcement.
     fn withdraw(&self, router: &str) -> impl Future<Output = Result<(), StoreError>>;
     /// Decodes a record; none if it is not relevant.
     fn decode(&self, subject: Subject, record: &Record) -> Result<Option<Update>, RecordError>;
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -68,6 +68,7 @@
         addr: settings.peer_addr,
         zone: Some(settings.zone.clone()),
         strength: settings.cpu_millicores,
+        is_suspected: false,
     };
     if !settings.is_first_start {
         // The list tells whether the others know this router from before.
@@ -81,8 +82,13 @@
             Ok(()) => {
                 eras::observe(&shared, shared.platform.era(), Source::Store);
                 // The first era that is seen is that of this write.
-                eras::wait_for_later(&shared, era.max(shared.platform.era())).await;
-                tokio::time::sleep(spread).await;
+                let risen = eras::wait_for_later(&shared, era.max(shared.platform.era()));
+                tokio::select! {
+                    () = risen => tokio::time::sleep(spread).await,
+                    () = shared.unlisted.notified() => {
+                        tracing::info!("taken off the list of routers, or suspected: announced again");
+                    }
+                }
             }
             Err(error) => {
                 tracing::debug!(%error, "announcing this router in the store failed, retrying");
--- a/crates/corianderstand_forward/src/follow/apply.rs
+++ b/crates/corianderstand_forward/src/follow/apply.rs
@@ -140,14 +140,14 @@
         }
         dialect::Update::Router(entry) => {
             if entry.router == shared.settings.name {
-                shared.peers.borrow_mut().record_own_listed(now, true);
+                record_own_listed(shared, now, !entry.is_suspected);
             } else {
                 shared.peers.borrow_mut().add_announced(now, entry);
             }
         }
         dialect::Update::RouterRemoved(name) => {
             if name == shared.settings.name {
-                shared.peers.borrow_mut().record_own_listed(now, false);
+                record_own_listed(shared, now, false);
             } else {
                 shared.peers.borrow_mut().remove(now, &name);
             }
@@ -155,6 +155,14 @@
     }
 }
 
+/// Records whether the store lists this router. One that was taken off the list announces itself again.
+fn record_own_listed<P>(shared: &router::Shared<P>, now: Instant, is_listed: bool) {
+    shared.peers.borrow_mut().record_own_listed(now, is_listed);
+    if !is_listed && shared.stopping.get().is_none() {
+        shared.unlisted.notify_one();
+    }
+}
+
 fn apply_entry<P: router::Platform>(
     shared: &Rc<router::Shared<P>>,
     now: Instant,
--- a/crates/corianderstand_forward/src/lib.rs
+++ b/crates/corianderstand_forward/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod rooms;
 pub mod router;
 pub mod server;
+pub mod silent_routers;
 pub mod status;
 pub mod stream;
 pub mod suspicion;
--- a/crates/corianderstand_forward/src/peers.rs
+++ b/crates/corianderstand_forward/src/peers.rs
@@ -219,10 +219,17 @@
 
     /// Adds a router that the store lists.
     pub fn add_announced(&mut self, now: Instant, entry: dialect::RouterEntry) {
-        let dialect::RouterEntry { router, addr, zone, strength } = entry;
+        let dialect::RouterEntry { router, addr, zone, strength, is_suspected } = entry;
         let list = self.list.clone();
+        if is_suspected && let Some(peer) = self.by_name.get_mut(&router) {
+            peer.standing.record_suspected(now);
+            return;
+        }
         let peer = self.add(now, router, addr);
         peer.standing.record_listed(&list);
+        if is_suspected {
+            peer.standing.record_suspected(now);
+        }
         if zone.is_some() {
             (peer.zone, peer.strength) = (zone, strength);
         }
--- a/crates/corianderstand_forward/src/peers/limit_view.rs
+++ b/crates/corianderstand_forward/src/peers/limit_view.rs
@@ -3,8 +3,12 @@
 //! A router that is listed in the store counts until it is withdrawn there, heard or not.
 
 use super::{PEER_EXPIRY, PEER_TIMEOUT, Peer, Peers, is_within};
+use crate::{dialect, silent_routers::Silent};
 use corianderstand_derives::derives;
-use corianderstand_fleet::limit_shares::{Router, RouterHash, View};
+use corianderstand_fleet::{
+    limit_shares::{Router, RouterHash, View},
+    removal,
+};
 use corianderstand_schema::peers;
 use std::{
     collections::BTreeSet,
@@ -24,6 +28,8 @@
     pub is_listed: bool,
     /// Whether it was withdrawn from the store and not listed since.
     pub is_withdrawn: bool,
+    /// Since when its entry has been marked as suspected.
+    suspected_since: Option<Instant>,
     /// Since when it is known, unless it was listed before this router started.
     known_since: Option<Instant>,
     /// Whom it doesn't hear, and when it reported that.
@@ -38,6 +44,7 @@
         Self {
             is_listed: false,
             is_withdrawn: false,
+            suspected_since: None,
             known_since: Some(now),
             unheard: None,
             down_since: None,
@@ -46,15 +53,21 @@
 
     /// Records that the store lists the router.
     pub const fn record_listed(&mut self, list: &List) {
-        (self.is_listed, self.is_withdrawn) = (true, false);
+        (self.is_listed, self.is_withdrawn, self.suspected_since) = (true, false, None);
         if !list.is_read {
             self.known_since = None;
         }
     }
 
+    /// Records that the router's entry is marked as suspected.
+    pub fn record_suspected(&mut self, now: Instant) {
+        self.is_listed = true;
+        self.suspected_since.get_or_insert(now);
+    }
+
     /// Records that the router was withdrawn from the store.
     pub const fn record_withdrawn(&mut self) {
-        (self.is_listed, self.is_withdrawn) = (false, true);
+        (self.is_listed, self.is_withdrawn, self.suspected_since) = (false, true, None);
     }
 
     /// Records that the router was heard.
@@ -141,6 +154,36 @@
         })
     }
 
+    /// The listed routers that are not heard, if this router is the first by name of those that hear each other.
+    pub fn silent(&self, now: Instant, list_age: Duration) -> Vec<Silent> {
+        let Some(view) = self.limit_view(now, true) else { return Vec::new() };
+        let connected = || view.others.iter().filter(|(_, router)| router.is_connected);
+        if connected().any(|(name, router)| router.is_fit && *name < view.own) {
+            return Vec::new();
+        }
+        let listed = self.by_name.iter().filter(|(_, peer)| peer.standing.is_listed);
+        let silent = listed.map(|(name, peer)| Silent {
+            entry: dialect::RouterEntry {
+                router: name.clone(),
+                addr: peer.addr,
+                zone: peer.zone.clone(),
+                strength: peer.strength,
+                is_suspected: false,
+            },
+            evidence: removal::Evidence {
+                silent_for: now.saturating_duration_since(peer.last_active_at()),
+                suspected_for: peer
+                    .standing
+                    .suspected_since
+                    .map(|since| now.saturating_duration_since(since)),
+                list_age,
+                connected: 1 + connected().count(),
+                routers: view.parts(),
+            },
+        });
+        silent.collect()
+    }
+
     /// Whether a router that limits are shared with still counts.
     pub(super) fn counts(now: Instant, peer: &Peer) -> bool {
         let standing = &peer.standing;
@@ -165,7 +208,8 @@
             is_connected: !self.is_unresponsive(now) && !unheard.contains(&own),
             is_fit: self.update.as_ref().is_some_and(|update| update.fit),
             is_down: self.standing.down_since.is_some(),
-            is_settled: !is_within(now, self.standing.known_since, JOIN_TIME),
+            is_settled: self.standing.is_listed
+                && !is_within(now, self.standing.known_since, JOIN_TIME),
             unheard,
         }
     }
--- a/crates/corianderstand_forward/src/quotas/keepers.rs
+++ b/crates/corianderstand_forward/src/quotas/keepers.rs
@@ -8,6 +8,7 @@
 use corianderstand_fleet::{
     limit_shares::{Gradual, Order, View},
     quota::Part,
+    removal,
 };
 use corianderstand_types::names;
 use smol_str::SmolStr;
@@ -26,8 +27,6 @@
 const MAX_AGE: Duration = Duration::from_millis(600);
 /// Time without a look at the other routers after which they may have taken this one's parts over.
 const MAX_PAUSE: Duration = Duration::from_secs(2);
-/// Age of the list of routers from which on a router that is cut off from the others may have been taken off it.
-const MAX_LIST_AGE: Duration = Duration::from_secs(30);
 
 /// The address of a keeper; none for this router.
 pub(super) type Keeper = Option<SocketAddr>;
@@ -79,8 +78,9 @@
     let Some(read_at) = records.read_at(dialect::Subject::Routers) else { return false };
     let is_settled = !shared.settings.is_first_start
         || read_at >= shared.retries.started_at() + retries::ANNOUNCE_TIME;
-    let is_young = now.saturating_duration_since(read_at) < MAX_LIST_AGE;
-    is_settled && (is_young || view.is_complete() || view.has_majority())
+    let age = now.saturating_duration_since(read_at);
+    let may_go_on = view.has_majority() && age < removal::MAX_MAJORITY_LIST_AGE;
+    is_settled && (age < removal::MAX_LIST_AGE || view.is_complete() || may_go_on)
 }
 
 /// Determines the keepers of each shard, and this router's part of what they keep.
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -3,7 +3,7 @@
 use crate::{
     body_end, client, config_proof, continuations, control, copies, decisions, dialect, follow,
     hedge, job, metrics, pacing, peers, pool, prefill, quotas, readers, replicated_records,
-    request_slots, retries, server, suspicion, target_reports, transfer, view,
+    request_slots, retries, server, silent_routers, suspicion, target_reports, transfer, view,
 };
 use corianderstand_derives::derives;
 use corianderstand_fleet::{
@@ -132,6 +132,8 @@
     pub peers: RefCell<peers::Peers>,
     /// Replicated records of the store.
     pub replicated_records: RefCell<replicated_records::ReplicatedRecords>,
+    /// Wakes when the store's list no longer names this router.
+    pub unlisted: Notify,
     /// Wakes what waits for the store to come back from an older copy.
     pub era_raised: Notify,
     /// Proof that the configuration is complete.
@@ -416,6 +418,7 @@
             view: RefCell::default(),
             peers: RefCell::new(peers::Peers::new(own)),
             replicated_records: RefCell::default(),
+            unlisted: Notify::new(),
             era_raised: Notify::new(),
             config_proof: config_proof::State::default(),
             quotas: quotas::State::default(),
@@ -452,6 +455,7 @@
         control::start(&shared);
         config_proof::start(&shared);
         quotas::start(&shared);
+        silent_routers::start(&shared);
         transfer::serve(&shared, peers);
         server::serve_ready(&shared, ready);
         tokio::task::spawn_local(tick_pause_detector(shared.clone()));
--- a/crates/corianderstand_forward/tests/hubs.rs
+++ b/crates/corianderstand_forward/tests/hubs.rs
@@ -47,6 +47,7 @@
         addr: addr(index),
         zone: Some(zone(index).as_str().into()),
         strength: strength(index),
+        is_suspected: false,
     }
 }
 
--- a/crates/corianderstand_forward/tests/quota_cuts.rs
+++ b/crates/corianderstand_forward/tests/quota_cuts.rs
@@ -97,6 +97,7 @@
             addr: settings.peer_addr,
             zone: Some(settings.zone.clone()),
             strength: settings.cpu_millicores,
+            is_suspected: false,
         };
         store.list_router(&settings.name, Some(entry));
     }
--- a/crates/corianderstand_forward/tests/readers.rs
+++ b/crates/corianderstand_forward/tests/readers.rs
@@ -434,6 +434,7 @@
             addr: SocketAddr::from(([127, 0, 0, 1], 1)),
             zone: Some("here".into()),
             strength: 2,
+            is_suspected: false,
         });
     }
     store.put_config(common::config(1, vec![common::route("/pay/", "desk")]));
--- a/tools/capacity/src/status.rs
+++ b/tools/capacity/src/status.rs
@@ -137,6 +137,7 @@
                     addr: addr(other),
                     zone: Some(self::zone(other).as_str().into()),
                     strength: strength(other),
+                    is_suspected: false,
                 };
                 peers.add_announced(now, entry);
             }
