Request limits of targets: a router's schedule uses the part of those that it hears

Cause: as with quotas, a router took those that it doesn't hear for gone. Change: the schedule runs at the limit's part of the routers that are connected to its keeper, in deployments where each router hears all others; in larger ones it runs at the whole limit, as most routers are not heard there. Test: all_routers_together_keep_a_targets_limit, second case.

--- a/crates/corianderstand_forward/src/request_slots.rs
+++ b/crates/corianderstand_forward/src/request_slots.rs
@@ -133,6 +133,7 @@
     for keeper in schedule_keepers(shared, target) {
         let Some(addr) = keeper else {
             let now = shared.clock.now();
+            let per_s = own_rate(shared, now, per_s);
             return Some(
                 shared.request_schedule.borrow_mut().reserve(now, target, per_s, max_wait),
             );
@@ -144,6 +145,15 @@
     None
 }
 
+/// The part of a target's limit that this router's schedule may use: routers that it doesn't hear may be cut off and
+/// keep a schedule of their own.
+fn own_rate<P: router::Platform>(shared: &router::Shared<P>, now: Instant, per_s: f64) -> f64 {
+    let peers = shared.peers.borrow();
+    // In a large deployment most routers are not heard.
+    let view = peers.limit_view(now, true).filter(|_| peers.is_mesh());
+    per_s * view.map_or(1.0, |view| view.connected_share())
+}
+
 /// The routers that may keep the schedule of a target, in order; none stands for this router.
 fn schedule_keepers<P: router::Platform>(
     shared: &router::Shared<P>,
@@ -195,7 +205,7 @@
     from: SocketAddr,
     request: &wire::SlotRequest,
 ) {
-    let per_s = f64::from(request.per_1000_s) / 1_000.0;
+    let per_s = own_rate(shared, now, f64::from(request.per_1000_s) / 1_000.0);
     let max_wait = Duration::from_millis(u64::from(request.useful_ms));
     let mut schedule = shared.request_schedule.borrow_mut();
     let reservation = schedule.reserve(now, &request.target, per_s, max_wait);
--- a/crates/corianderstand_forward/tests/request_limits.rs
+++ b/crates/corianderstand_forward/tests/request_limits.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use common::{MemoryStore, RouterThread, Target};
+use common::{MemoryStore, RouterThread, Target, cut};
+use corianderstand_forward::dialect;
 use corianderstand_schema::peers::{PeerMessage, TargetLimit, TargetReports};
+use rstest::rstest;
 use std::{
     sync::{Arc, Mutex},
     time::{Duration, Instant},
@@ -68,21 +70,46 @@
     counted.iter().map(|at| in_window(**at)).max().unwrap_or(0)
 }
 
-/// Guards against routers that each take the whole of a limit, or none of it into account.
-#[tokio::test]
-async fn all_routers_together_keep_a_targets_limit() {
+/// Two routers that both know the target and each other.
+async fn routers(is_cut: bool) -> ([RouterThread; 2], Target) {
     let store = MemoryStore::default();
     let target = Target::start().await;
     store.put_config(common::config(1, vec![common::route("/desk/", "desk")]));
     store.put_target(target.entry("target-1", "desk"));
-    let first = RouterThread::start(&store);
-    let seeds = vec![first.peers];
-    let second = RouterThread::start_with(&store, "router-b", seeds, Duration::from_secs(8));
-    first.wait_ready().await;
-    second.wait_ready().await;
+    let stores = [store.isolated(), store.isolated()];
+    let names = ["router-a", "router-b"];
+    let settings = names.map(|name| RouterThread::settings(name, vec![], Duration::from_secs(8)));
+    for settings in &settings {
+        let entry = dialect::RouterEntry {
+            router: settings.name.clone(),
+            addr: settings.peer_addr,
+            zone: Some(settings.zone.clone()),
+            strength: settings.cpu_millicores,
+            is_suspected: false,
+        };
+        store.list_router(&settings.name, Some(entry));
+    }
+    let ends = |index: usize| (names[index], settings[index].peer_addr, &stores[index]);
+    cut::open(ends(0), ends(1)).await.set_cut(is_cut);
+    let [first, second] = settings;
+    let routers =
+        [RouterThread::start_on(&stores[0], first), RouterThread::start_on(&stores[1], second)];
+    for router in &routers {
+        router.wait_ready().await;
+    }
+    (routers, target)
+}
+
+/// Guards against routers that each take the whole of a limit, or none of it into account.
+#[rstest]
+#[case::that_hear_each_other(false)]
+#[case::that_are_cut_off(true)]
+#[tokio::test]
+async fn all_routers_together_keep_a_targets_limit(#[case] is_cut: bool) {
+    let (routers, target) = routers(is_cut).await;
     let arrivals = Arrivals::default();
     let target = tokio::spawn(run_limited(target, arrivals.clone()));
-    let answers = load(&[first, second]).await;
+    let answers = load(&routers).await;
     target.abort();
     let arrivals = arrivals.lock().unwrap().clone();
     let allowed = LIMIT_PER_S * WINDOW.as_secs_f64() * ALLOWED_RATIO + ALLOWED_MORE;
