Retry budget: a router that is cut off keeps its part for 20 s

Change: it uses its part for 20 s, and nothing then, as before. Test: a_router_keeps_its_part_for_the_time_of_a_cut; the test of what holds after 25 s is unchanged.

--- a/crates/corianderstand_fleet/src/budget/share.rs
+++ b/crates/corianderstand_fleet/src/budget/share.rs
@@ -1,8 +1,8 @@
 //! What a router may use of the retries that all share.
 //!
 //! The fixed number is divided by the largest number of routers that was known within a window, as to hear fewer may
-//! mean to be cut off. A router that hears no majority of them uses nothing of it, so that the others may divide by
-//! fewer later.
+//! mean to be cut off. A router that hears no majority of them goes on with its part until the others may divide by
+//! fewer, and uses nothing of it then.
 //!
 //! Nothing is retried for a window after a start, not even by the router's own requests: the process before may just
 //! have used all that its requests of a window allowed. When all routers start for the first time, only the fixed number
@@ -16,6 +16,8 @@
 
 /// Time without a majority after which the routers that were known count as gone.
 const MINORITY_TIMEOUT: Duration = Duration::from_secs(600);
+/// Time without a majority for which the others still divide by all that were known.
+const CUT_OFF_TIME: Duration = Duration::from_secs(20);
 /// Two routers have no majority without each other; each keeps half.
 const MAX_ROUTERS_WITHOUT_MAJORITY: usize = 2;
 
@@ -96,7 +98,10 @@
             return self.is_first_start.then_some(0.0);
         }
         let routers = self.routers().unwrap_or(usize::MAX);
-        let may_use = self.has_majority() || routers <= MAX_ROUTERS_WITHOUT_MAJORITY;
+        let cut_off = now.saturating_duration_since(self.last_majority_at);
+        let may_use = self.has_majority()
+            || routers <= MAX_ROUTERS_WITHOUT_MAJORITY
+            || cut_off < CUT_OFF_TIME;
         Some(if may_use { allowance.fixed / routers as f64 } else { 0.0 })
     }
 
--- a/crates/corianderstand_fleet/tests/retry_budget.rs
+++ b/crates/corianderstand_fleet/tests/retry_budget.rs
@@ -358,6 +358,21 @@
     budget::RoutersSeen { known: Some(known), heard }
 }
 
+/// Guards against a router that retries nothing during a cut although its part is free.
+#[rstest::rstest]
+#[case::a_minority((5, 2))]
+#[case::half((4, 2))]
+fn a_router_keeps_its_part_for_the_time_of_a_cut(#[case] (routers, heard): (usize, usize)) {
+    let mut share = budget::FixedShare::new(Instant::now(), false);
+    let mut now = Instant::now() + WINDOW * 2;
+    share.observe(now, seen(routers, routers), &ALLOWANCE);
+    for _ in 0..48 {
+        now += Duration::from_millis(250);
+        share.observe(now, seen(routers, heard), &ALLOWANCE);
+        assert_eq!(share.retries(now, &ALLOWANCE), Some(56.0 / routers as f64));
+    }
+}
+
 /// Guards against a divisor that falls while another part of the routers may still divide by the larger one.
 #[rstest::rstest]
 #[case::one_is_gone_for_good((5, 5), (4, 4), Some(14.0))]
