Streams: after a kill of all routers none goes on at a version by guess

What callers would see (reported from a system like ours): after all routers were killed, streams that were taken up were answered 200 and joined from two versions.

A stream that its caller doesn't name went on at the only version that the router had seen, for however short a time. Right after a kill of all, with the targets of the older version just gone, that is the newer one.

Shown: on the untouched code a test that restarts all routers after v1 gave way to v2 sends the unnamed stream to v2 (1 of 1); the named one is refused (1 of 1).

Change: the guess is gone. Two routers state in their entries in the store which versions each service had in the last 30 s; a router that starts and finds one version stated, the one that it sees, lets streams go on, named or not. Else they are refused, not run, to come back in 0.3 s. Why it works: the statement outlives all routers, grows as soon as a version is seen, and shrinks after 30 s without it, so that at a start it names every version that may have begun a stream that still goes on; where it differs from what is seen, or is missing, nothing goes on. Cost: two writes to the store after the first start and two for each version that comes or goes.

--- a/crates/corianderstand_fleet/src/streams.rs
+++ b/crates/corianderstand_fleet/src/streams.rs
@@ -9,7 +9,7 @@
 use corianderstand_derives::derives;
 use corianderstand_types::names;
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::{Duration, Instant},
 };
 use xxhash_rust::xxh3;
@@ -108,6 +108,9 @@
     }
 }
 
+/// The software versions that services had for as long as origins are kept.
+pub type RecentVersions = BTreeMap<names::ServiceId, BTreeSet<names::SoftwareVersion>>;
+
 /// The software versions that services had lately.
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
@@ -119,6 +122,8 @@
     complete_since: Option<Instant>,
     /// The only versions of services before that, as other routers have told.
     sole_before: HashMap<names::ServiceId, names::SoftwareVersion>,
+    /// Whether changes may have been missed since the start.
+    was_interrupted: bool,
 }
 
 impl VersionHistory {
@@ -160,6 +165,7 @@
     pub fn interrupt(&mut self, now: Instant) {
         self.sole_before.clear();
         if self.complete_since.is_some() {
+            self.was_interrupted = true;
             self.complete_since = Some(now);
         }
     }
@@ -176,11 +182,23 @@
         }
     }
 
-    /// The version of a service if no other was seen, however short the time.
-    pub fn only_seen(&self, service: &names::ServiceId) -> Option<&names::SoftwareVersion> {
-        let mut seen = self.seen.keys().filter(|(of, _)| of == service);
-        let (_, version) = seen.next()?;
-        seen.next().is_none().then_some(version)
+    /// All versions that a service had for as long as origins are kept; none if that is not known. `before` are those
+    /// that it had before this process began to look, if others stated them.
+    pub fn recent(
+        &self,
+        now: Instant,
+        service: &names::ServiceId,
+        before: Option<&BTreeSet<names::SoftwareVersion>>,
+    ) -> Option<BTreeSet<names::SoftwareVersion>> {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < ORIGIN_TTL;
+        let is_young = self.complete_since.is_none_or(|since| is_recent(&since));
+        let before = match before {
+            _ if !is_young => BTreeSet::new(),
+            Some(before) => before.clone(),
+            None => BTreeSet::from([self.sole(now, service)?.clone()]),
+        };
+        let seen = self.seen.iter().filter(|((of, _), at)| of == service && is_recent(at));
+        Some(seen.map(|((_, version), _)| version.clone()).chain(before).collect())
     }
 
     /// Whether more than one version of a service is known.
@@ -188,6 +206,14 @@
         self.seen.keys().filter(|(of, _)| of == service).count() > 1
     }
 
+    /// Records that only this version of a service was there before this process looked. It must have looked without a
+    /// gap since it started.
+    pub fn record_stated(&mut self, service: &names::ServiceId, version: &names::SoftwareVersion) {
+        if !self.was_interrupted && self.complete_since.is_some() {
+            self.sole_before.insert(service.clone(), version.clone());
+        }
+    }
+
     /// The version that all targets of a service have had for as long as origins are kept; none if there was
     /// another one, or if this process doesn't know.
     pub fn sole(
--- a/crates/corianderstand_forward/src/continuations.rs
+++ b/crates/corianderstand_forward/src/continuations.rs
@@ -2,14 +2,15 @@
 //!
 //! The router that forwards a stream's first event remembers where the stream began, and unless the service has had one
 //! version for long, tells two other routers, which the stream's key selects. A router that a caller returns to asks
-//! them if it doesn't know itself. A named stream whose version nobody knows is refused. One that the caller doesn't name
-//! can't be remembered: it goes on at the only version that this router has seen, if there is one.
+//! them if it doesn't know itself. A stream whose version nobody knows is refused, unless its service has had one version
+//! for as long as streams last: routers state that in the store ([`stated`]), as all of them may be killed at once.
 //!
 //! A [`Continuation`] isn't made without a version, and without one no target is asked for the rest of a stream.
 
 mod history;
 mod keepers;
 mod questions;
+pub mod stated;
 
 pub use history::{observe_versions, record_missed_changes};
 pub use questions::{on_answer, on_origins, on_question};
@@ -102,8 +103,6 @@
     OtherRouter,
     /// The service has had no other version for long.
     SoleVersion,
-    /// No other version is known now, and the caller doesn't say which stream it takes up.
-    OnlySeen,
 }
 
 impl Source {
@@ -112,7 +111,6 @@
             Self::Own => "own",
             Self::OtherRouter => "another router",
             Self::SoleVersion => "sole version",
-            Self::OnlySeen => "only version seen",
         }
     }
 }
@@ -127,6 +125,7 @@
     started_at: Cell<Option<Instant>>,
     /// When all targets were last looked at.
     observed_at: Cell<Option<Instant>>,
+    statements: RefCell<stated::Statements>,
     /// Services whose streams other routers are told of.
     told: RefCell<Vec<names::ServiceId>>,
 }
@@ -161,29 +160,16 @@
     let mut found = find(shared, key, job).await;
     let deadline = shared.clock.now() + SETTLING_TIME;
     while found.known.is_none()
-        && key.is_some()
         && shared.clock.now() < deadline
         && history::is_settling(shared, service)
     {
         tokio::time::sleep(SETTLING_INTERVAL).await;
         found = find(shared, key, job).await;
     }
-    if key.is_none() && found.known.is_none() {
-        found.known = only_seen(shared, job);
-    }
     log_resolved(shared, request, service, &found);
     Progress::after(found.known.map(|known| known.version), last_event)
 }
 
-/// The version of a stream that the caller doesn't name, so that no router can remember it: the only one that this
-/// router has seen, if there is one. Callers who may meet several versions name their streams.
-fn only_seen<P: router::Platform>(shared: &router::Shared<P>, job: &job::Job) -> Option<Known> {
-    let mut history = shared.continuations.history.borrow_mut();
-    history.observe(shared.clock.now(), &shared.view.borrow().targets);
-    let version = history.only_seen(&job.service)?.clone();
-    Some(Known { version, source: Source::OnlySeen, age: None })
-}
-
 fn log_resolved<P: router::Platform>(
     shared: &router::Shared<P>,
     request: &dialect::RequestHead,
--- a/crates/corianderstand_forward/src/continuations/history.rs
+++ b/crates/corianderstand_forward/src/continuations/history.rs
@@ -1,6 +1,6 @@
 //! Which software versions services have had, as far as this router has seen or been told.
 
-use super::{SETTLING_TIME, keepers, questions};
+use super::{SETTLING_TIME, keepers, questions, stated};
 use crate::{dialect, router};
 use corianderstand_types::names;
 use std::{
@@ -33,6 +33,7 @@
         let services = config.into_iter().flat_map(|config| &config.services);
         services.map(|service| service.name.clone()).collect()
     };
+    stated::update(shared, now, &services);
     for service in services {
         let is_told = state.told.borrow().contains(&service);
         let is_sole = sole_version(shared, &service).is_some();
--- a/crates/corianderstand_forward/src/dialect.rs
+++ b/crates/corianderstand_forward/src/dialect.rs
@@ -3,7 +3,7 @@
 use crate::{client, continuations};
 use bytes::Bytes;
 use corianderstand_derives::derives;
-use corianderstand_fleet::{choose, config, fingerprint, targets, workspaces};
+use corianderstand_fleet::{choose, config, fingerprint, streams, targets, workspaces};
 use corianderstand_types::{
     names,
     position::{Era, Position},
@@ -216,6 +216,9 @@
     /// Whether others don't hear it: it has to announce itself again.
     #[serde(default)]
     pub is_suspected: bool,
+    /// The software versions that services had lately, as far as the router states them.
+    #[serde(default)]
+    pub versions: streams::RecentVersions,
 }
 
 /// Why a call to the store failed.
--- a/crates/corianderstand_forward/src/follow.rs
+++ b/crates/corianderstand_forward/src/follow.rs
@@ -8,7 +8,9 @@
 
 pub use apply::apply_page;
 
-use crate::{config_proof, dialect, eras, readers, replicated_records, retries, router};
+use crate::{
+    config_proof, continuations, dialect, eras, readers, replicated_records, retries, router,
+};
 use corianderstand_types::position::Position;
 use dialect::Subject;
 use replicated_records::Source;
@@ -63,12 +65,13 @@
 /// Writes this router's entry, and again whenever the store has come back from a copy, which may lack it.
 async fn announce<P: router::Platform>(shared: Rc<router::Shared<P>>) {
     let settings = &shared.settings;
-    let entry = dialect::RouterEntry {
+    let entry = || dialect::RouterEntry {
         router: settings.name.clone(),
         addr: settings.peer_addr,
         zone: Some(settings.zone.clone()),
         strength: settings.cpu_millicores,
         is_suspected: false,
+        versions: continuations::stated::own(&shared),
     };
     if !settings.is_first_start {
         // The list tells whether the others know this router from before.
@@ -78,15 +81,15 @@
     let spread = ANNOUNCE_SPREAD.mul_f64(hash as f64 / u64::MAX as f64);
     loop {
         let era = shared.replicated_records.borrow().era();
-        match shared.platform.announce(&entry).await {
+        match shared.platform.announce(&entry()).await {
             Ok(()) => {
                 eras::observe(&shared, shared.platform.era(), Source::Store);
                 // The first era that is seen is that of this write.
                 let risen = eras::wait_for_later(&shared, era.max(shared.platform.era()));
                 tokio::select! {
                     () = risen => tokio::time::sleep(spread).await,
-                    () = shared.unlisted.notified() => {
-                        tracing::info!("taken off the list of routers, or suspected: announced again");
+                    () = shared.entry_changed.notified() => {
+                        tracing::info!("this router's entry in the store is written again");
                     }
                 }
             }
--- a/crates/corianderstand_forward/src/follow/apply.rs
+++ b/crates/corianderstand_forward/src/follow/apply.rs
@@ -139,6 +139,7 @@
             shared.view.borrow_mut().targets.remove(now, &id, recovered_at);
         }
         dialect::Update::Router(entry) => {
+            continuations::stated::record(shared, &entry.router, &entry.versions);
             if entry.router == shared.settings.name {
                 record_own_listed(shared, now, !entry.is_suspected);
             } else {
@@ -159,7 +160,7 @@
 fn record_own_listed<P>(shared: &router::Shared<P>, now: Instant, is_listed: bool) {
     shared.peers.borrow_mut().record_own_listed(now, is_listed);
     if !is_listed && shared.stopping.get().is_none() {
-        shared.unlisted.notify_one();
+        shared.entry_changed.notify_one();
     }
 }
 
--- a/crates/corianderstand_forward/src/peers.rs
+++ b/crates/corianderstand_forward/src/peers.rs
@@ -219,7 +219,7 @@
 
     /// Adds a router that the store lists.
     pub fn add_announced(&mut self, now: Instant, entry: dialect::RouterEntry) {
-        let dialect::RouterEntry { router, addr, zone, strength, is_suspected } = entry;
+        let dialect::RouterEntry { router, addr, zone, strength, is_suspected, .. } = entry;
         let list = self.list.clone();
         if is_suspected && let Some(peer) = self.by_name.get_mut(&router) {
             peer.standing.record_suspected(now);
--- a/crates/corianderstand_forward/src/peers/limit_view.rs
+++ b/crates/corianderstand_forward/src/peers/limit_view.rs
@@ -169,6 +169,7 @@
                 zone: peer.zone.clone(),
                 strength: peer.strength,
                 is_suspected: false,
+                versions: Default::default(),
             },
             evidence: removal::Evidence {
                 silent_for: now.saturating_duration_since(peer.last_active_at()),
--- a/crates/corianderstand_forward/src/router.rs
+++ b/crates/corianderstand_forward/src/router.rs
@@ -132,8 +132,8 @@
     pub peers: RefCell<peers::Peers>,
     /// Replicated records of the store.
     pub replicated_records: RefCell<replicated_records::ReplicatedRecords>,
-    /// Wakes when the store's list no longer names this router.
-    pub unlisted: Notify,
+    /// Wakes when this router's entry in the store has to be written again.
+    pub entry_changed: Notify,
     /// Wakes what waits for the store to come back from an older copy.
     pub era_raised: Notify,
     /// Proof that the configuration is complete.
@@ -418,7 +418,7 @@
             view: RefCell::default(),
             peers: RefCell::new(peers::Peers::new(own)),
             replicated_records: RefCell::default(),
-            unlisted: Notify::new(),
+            entry_changed: Notify::new(),
             era_raised: Notify::new(),
             config_proof: config_proof::State::default(),
             quotas: quotas::State::default(),
--- a/crates/corianderstand_forward/tests/hubs.rs
+++ b/crates/corianderstand_forward/tests/hubs.rs
@@ -48,6 +48,7 @@
         zone: Some(zone(index).as_str().into()),
         strength: strength(index),
         is_suspected: false,
+        versions: Default::default(),
     }
 }
 
--- a/crates/corianderstand_forward/tests/quota_cuts.rs
+++ b/crates/corianderstand_forward/tests/quota_cuts.rs
@@ -98,6 +98,7 @@
             zone: Some(settings.zone.clone()),
             strength: settings.cpu_millicores,
             is_suspected: false,
+            versions: Default::default(),
         };
         store.list_router(&settings.name, Some(entry));
     }
--- a/crates/corianderstand_forward/tests/readers.rs
+++ b/crates/corianderstand_forward/tests/readers.rs
@@ -435,6 +435,7 @@
             zone: Some("here".into()),
             strength: 2,
             is_suspected: false,
+            versions: Default::default(),
         });
     }
     store.put_config(common::config(1, vec![common::route("/pay/", "desk")]));
--- a/crates/corianderstand_forward/tests/request_limits.rs
+++ b/crates/corianderstand_forward/tests/request_limits.rs
@@ -86,6 +86,7 @@
             zone: Some(settings.zone.clone()),
             strength: settings.cpu_millicores,
             is_suspected: false,
+            versions: Default::default(),
         };
         store.list_router(&settings.name, Some(entry));
     }
--- a/tools/capacity/src/status.rs
+++ b/tools/capacity/src/status.rs
@@ -138,6 +138,7 @@
                     zone: Some(self::zone(other).as_str().into()),
                     strength: strength(other),
                     is_suspected: false,
+                    versions: Default::default(),
                 };
                 peers.add_announced(now, entry);
             }
