Bookings: a late additional response is not taken for the answer to the next request

A faulty target sends an additional response, without an id, late on a kept connection. It says 'not run', so the router sent the booking that had just arrived there to a second target; the first one ran it as well, and its answer with the id came next.

Cause: attempt::classify_head refused a response with another request's id and took one without an id for the request's own.

Change: on a connection that carried a request before, a response without an id is not the answer, whatever it says: what became of the request isn't known, and the connection is closed. On a new connection there was no response before.

--- a/crates/corianderstand_forward/src/attempt.rs
+++ b/crates/corianderstand_forward/src/attempt.rs
@@ -163,6 +163,11 @@
         shared.record_target_failure(key, "answer to another request");
         return AttemptOutcome::Unknown("the answer was to another request");
     }
+    if info.request_id.is_none() && lease.is_reused && !job.request.id.is_empty() {
+        // It may be an additional response to the request before, and the answer is still to come.
+        shared.record_target_failure(key, "answer to no request");
+        return AttemptOutcome::Unknown("the answer names no request");
+    }
     if let Some(load) = info.load {
         shared.record_load(key, load);
     }
