Answers: a length beside chunks is not passed on

Cause: the body was read by its chunks, and the head of the answer kept the target's Content-Length; only Transfer-Encoding was removed. Change: where there are both, the length is removed and the target's connection isn't used again. Evidence: additional_answers::a_length_beside_chunks_is_not_passed_on fails before and passes now.

--- a/crates/corianderstand_forward/src/body_end.rs
+++ b/crates/corianderstand_forward/src/body_end.rs
@@ -61,6 +61,13 @@
     last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
 
+/// Removes a length that the transfer coding overrides: the caller would take it for that of the body. Returns whether
+/// there was one, so that the target's connection can't be trusted.
+pub fn remove_overridden_length(headers: &mut HeaderMap) -> bool {
+    headers.contains_key(header::TRANSFER_ENCODING)
+        && headers.remove(header::CONTENT_LENGTH).is_some()
+}
+
 /// What was read of a body when it ended.
 #[derives(key)]
 pub enum Received {
--- a/crates/corianderstand_forward/src/exchange.rs
+++ b/crates/corianderstand_forward/src/exchange.rs
@@ -4,8 +4,8 @@
 //! retries, within the retry budget. A request with an unknown outcome is never reported as not run.
 
 use crate::{
-    admission, answer, attempt, body::ResponseBody, continuations, copies, decisions, dialect,
-    hedge, job, quotas, replies, retries, router, stream, waiting,
+    admission, answer, attempt, body::ResponseBody, body_end, continuations, copies, decisions,
+    dialect, hedge, job, quotas, replies, retries, router, stream, waiting,
 };
 use corianderstand_fleet::{choose, config, prefixes, targets};
 use corianderstand_types::{names, pause};
@@ -416,7 +416,9 @@
             ));
         }
     };
-    let keep_alive = if info.closes_connection { Some(Duration::ZERO) } else { info.keep_alive };
+    let has_two_lengths = body_end::remove_overridden_length(&mut head.headers);
+    let closes = info.closes_connection || has_two_lengths;
+    let keep_alive = if closes { Some(Duration::ZERO) } else { info.keep_alive };
     shared.connection_pool.release(shared.clock.now(), lease, keep_alive);
     drop(in_flight);
     shared.platform.rewrite_response(&mut head.headers);
--- a/crates/corianderstand_forward/tests/additional_answers.rs
+++ b/crates/corianderstand_forward/tests/additional_answers.rs
@@ -1,4 +1,4 @@
-//! Targets that send more than the answer.
+//! Targets that send more than the answer, or state another length than it has.
 
 mod common;
 
@@ -13,6 +13,7 @@
 
 /// Time in which a request would have reached another target.
 const QUIET_TIME: Duration = Duration::from_millis(400);
+const BODY: &str = "the whole of the answer";
 
 async fn start(route: Route, targets: &[&Target]) -> RouterThread {
     let store = MemoryStore::default();
@@ -88,3 +89,20 @@
     }
     panic!("the connection was not used again");
 }
+
+/// Guards against an answer that its caller gets cut, as the target states a length beside its chunks.
+#[tokio::test]
+async fn a_length_beside_chunks_is_not_passed_on() {
+    let target = Target::start().await;
+    let router = start(common::route("/pay/", "desk"), &[&target]).await;
+    let mut caller = send(&router, "a").await;
+    let request = target.next().await;
+    let (len, half) = (BODY.len(), BODY.len() / 2);
+    let text = format!(
+        "HTTP/1.1 200 OK\r\nx-signed: 1\r\nx-id: a\r\nTransfer-Encoding: chunked\r\nContent-Length: {half}\r\n\r\n{len:x}\r\n{BODY}\r\n0\r\n\r\n"
+    );
+    request.answer(&text).await;
+    let answer = common::read_all(&mut caller).await.unwrap().to_lowercase();
+    assert!(answer.ends_with(BODY), "{answer}");
+    assert!(!answer.contains(&format!("content-length: {half}")), "{answer}");
+}
