Streams that are taken up wait two seconds for a target to register

Their entries come with a heartbeat and are read after it. Without the guess for unnamed streams nothing else tells. Change: the wait for a target to register is 2 s; for a router that has started it stays 1 s.

--- a/crates/corianderstand_forward/src/continuations.rs
+++ b/crates/corianderstand_forward/src/continuations.rs
@@ -27,8 +27,10 @@
     time::{Duration, Instant},
 };
 
-/// Time for a router that has just started to learn of the others, and for a target to register.
+/// Time for a router that has just started to learn of the others.
 const SETTLING_TIME: Duration = Duration::from_millis(1_000);
+/// Time for a target that has started to register, and for its entry to be read.
+const REGISTRATION_TIME: Duration = Duration::from_millis(2_000);
 /// Interval at which it asks again meanwhile.
 const SETTLING_INTERVAL: Duration = Duration::from_millis(100);
 /// `Retry-After` of a request whose stream's version isn't known: a router that knows may answer again.
@@ -158,7 +160,7 @@
     }
     let key = request.resumes.as_ref().map(|id| streams::StreamKey::of(id));
     let mut found = find(shared, key, job).await;
-    let deadline = shared.clock.now() + SETTLING_TIME;
+    let deadline = shared.clock.now() + REGISTRATION_TIME;
     while found.known.is_none()
         && shared.clock.now() < deadline
         && history::is_settling(shared, service)
