Limits: the age of the list of routers counts from the store's answer

What could go wrong: a follower's list is as old as its reader's, up to 16 s more than the time since it was fetched. Counted from the fetch, a router could use its part for longer than the others wait before they remove it, and one could remove it by a list from before it wrote its entry again. Found by reading; no run showed it. Change: both go by the time of the store's answer. A router that joins is settled after 25 s (10 s before), as followers learn of it so late.

--- a/crates/corianderstand_forward/src/peers/limit_view.rs
+++ b/crates/corianderstand_forward/src/peers/limit_view.rs
@@ -16,8 +16,8 @@
     time::{Duration, Instant},
 };
 
-/// Time in which all routers have read in the store that another one has come.
-pub const JOIN_TIME: Duration = Duration::from_secs(10);
+/// Time in which all routers, followers too, have learnt from the store that another one has come.
+const JOIN_TIME: Duration = Duration::from_secs(25);
 /// Time for which a router counts that was heard and is in no list, as the store may turn it away.
 const UNLISTED_EXPIRY: Duration = Duration::from_secs(600);
 
--- a/crates/corianderstand_forward/src/quotas/keepers.rs
+++ b/crates/corianderstand_forward/src/quotas/keepers.rs
@@ -75,7 +75,7 @@
     view: &View,
 ) -> bool {
     let records = shared.replicated_records.borrow();
-    let Some(read_at) = records.read_at(dialect::Subject::Routers) else { return false };
+    let Some(read_at) = records.store_read_at(dialect::Subject::Routers) else { return false };
     let is_settled = !shared.settings.is_first_start
         || read_at >= shared.retries.started_at() + retries::ANNOUNCE_TIME;
     let age = now.saturating_duration_since(read_at);
--- a/crates/corianderstand_forward/src/silent_routers.rs
+++ b/crates/corianderstand_forward/src/silent_routers.rs
@@ -36,7 +36,8 @@
 fn silent<P: router::Platform>(shared: &router::Shared<P>) -> Vec<Silent> {
     let now = shared.clock.now();
     let peers = shared.peers.borrow();
-    let list_age = shared.replicated_records.borrow().since_read(now, dialect::Subject::Routers);
+    let records = shared.replicated_records.borrow();
+    let list_age = records.since_store_read(now, dialect::Subject::Routers);
     let Some(list_age) = list_age.filter(|_| peers.needs_mesh()) else { return Vec::new() };
     peers.silent(now, list_age)
 }
