Answers without an id: what they say of the target itself is heeded

The product's: a response without an id on a used connection was dropped whole, its rest and its leaving with it. Both concern the target and make a router more careful only, so that they are heeded now whatever the response belongs to. No check changed.

--- a/crates/corianderstand_forward/src/attempt.rs
+++ b/crates/corianderstand_forward/src/attempt.rs
@@ -164,7 +164,12 @@
         return AttemptOutcome::Unknown("the answer was to another request");
     }
     if info.request_id.is_none() && lease.is_reused && !job.request.id.is_empty() {
-        // It may be an additional response to the request before, and the answer is still to come.
+        // It may be an additional response to the request before, and the answer is still to come. What it says of the
+        // target itself is heeded all the same.
+        shared.record_answered_leaving(key, &info);
+        if info.rest.is_some() {
+            shared.record_rest(key, job, &info);
+        }
         shared.record_target_failure(key, "answer to no request");
         return AttemptOutcome::Unknown("the answer names no request");
     }
