--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -124,7 +124,8 @@
                 if answer is not None:
                     writer.write(answer)
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, ValueError, asyncio.CancelledError):
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError, RuntimeError,
+                asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -149,9 +150,10 @@
         return f"{self.how} status={self.status} {whole} bytes={len(self.body)} after {took:.3f} s"
 
 
-async def call(addr, method, path, headers, body=b"", timeout=30.0, pause=None, rcvbuf=None):
+async def call(addr, method, path, headers, body=b"", timeout=30.0, pause=None, read_rate=None,
+               rcvbuf=None):
     """Sends one request on a new connection and reads its answer. With `pause`, (bytes, seconds), it
-    stops reading for a while after so many bytes."""
+    stops reading for a while after so many bytes; `read_rate` is in bytes per second."""
     outcome = Outcome()
     loop = asyncio.get_running_loop()
     sock = socket.socket()
@@ -163,7 +165,7 @@
     writer = None
     try:
         await asyncio.wait_for(loop.sock_connect(sock, addr), 1.0)
-        limit = 1 << 14 if pause else 1 << 20
+        limit = 1 << 14 if pause or read_rate else 1 << 20
         reader, writer = await asyncio.open_connection(sock=sock, limit=limit)
         head = f"{method} {path} HTTP/1.1\r\n"
         headers = dict(headers)
@@ -193,6 +195,8 @@
                         raise asyncio.IncompleteReadError(b"", left)
                     outcome.body += data
                     left -= len(data)
+                    if read_rate:
+                        await asyncio.sleep(len(data) / read_rate)
                     if pause and len(outcome.body) >= pause[0]:
                         await asyncio.sleep(pause[1])
                         pause = None
